--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,9 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Load, experiments and the decision bench of basaltarch.
+
+pub mod detection;
+pub mod errors;
+pub mod fault;
+pub mod load;
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,293 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Open-loop load: requests start when they are due, whether or not earlier ones were answered, and
+//! their times count from when they were due. A slow system can't hide behind a slow load.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+use basaltarch_http::body::BodyLimits;
+use basaltarch_http::client;
+use basaltarch_http::connection::HttpStream;
+use basaltarch_http::errors::HttpError;
+use basaltarch_http::fields;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::{header, HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use serde::Serialize;
+
+/// Longest time that the histograms hold: a minute, in microseconds.
+const MICROS_MAX: u64 = 60_000_000;
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+/// Longest wait for what is still under way after the last request started.
+const SETTLE: Duration = Duration::from_secs(15);
+/// Longest time for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// `LoadTarget` is where a part of the requests goes.
+#[derive(Debug, Clone)]
+pub struct LoadTarget {
+    /// Name in the report.
+    pub name: String,
+    /// Addresses, taken in turn.
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// `LoadOptions` are the settings of a load.
+#[derive(Debug, Clone)]
+pub struct LoadOptions {
+    /// Targets, taken in turn request by request, so that all see the same machine.
+    pub targets: Vec<LoadTarget>,
+    /// Value of `Host`.
+    pub host: String,
+    /// Path.
+    pub path: String,
+    /// Method.
+    pub method: Method,
+    /// Bytes of the body.
+    pub body_bytes: usize,
+    /// Requests a second over all targets.
+    pub rate: f64,
+    /// How long requests are started.
+    pub duration: Duration,
+    /// Whether each request carries an idempotency key of its own.
+    pub once_keys: bool,
+}
+
+/// `ServerTally` counts what came from one backend server.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct ServerTally {
+    /// Answers.
+    pub answers: u64,
+    /// Answers with a server error.
+    pub errors: u64,
+    /// When the first server error came, in milliseconds since the start.
+    pub first_error_ms: Option<u64>,
+    /// When the last server error came, in milliseconds since the start.
+    pub last_error_ms: Option<u64>,
+}
+
+/// `TargetReport` is what came of the requests to one target.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct TargetReport {
+    /// Name of the target.
+    pub name: String,
+    /// Requests started.
+    pub started: u64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Answers with a status below 400.
+    pub good: u64,
+    /// Requests refused as not run.
+    pub not_run: u64,
+    /// Requests of unknown outcome.
+    pub unknown: u64,
+    /// Connections that broke or answers cut short.
+    pub broken: u64,
+    /// Answers to another request than the one sent.
+    pub crossed: u64,
+    /// Median time of whole answers in microseconds.
+    pub p50_us: u64,
+    /// Time that 99 in 100 stay below, in microseconds.
+    pub p99_us: u64,
+    /// Time that 999 in 1000 stay below, in microseconds.
+    pub p999_us: u64,
+    /// Longest time in microseconds.
+    pub max_us: u64,
+    /// Answers by status.
+    pub statuses: BTreeMap<u16, u64>,
+    /// Answers by backend server.
+    pub servers: BTreeMap<String, ServerTally>,
+}
+
+struct TargetState {
+    target: LoadTarget,
+    report: TargetReport,
+    times: Histogram<u64>,
+    idle: Vec<(SocketAddr, HttpStream)>,
+    turn: usize,
+    open: u64,
+}
+
+/// Runs a load and reports on each target.
+pub async fn run(options: LoadOptions) -> Vec<TargetReport> {
+    let options = Rc::new(options);
+    let states: Vec<Rc<RefCell<TargetState>>> = options
+        .targets
+        .iter()
+        .map(|target| Rc::new(RefCell::new(new_state(target))))
+        .collect();
+    let start = Instant::now();
+    let total = (options.rate * options.duration.as_secs_f64()) as u64;
+    for number in 0..total {
+        let due = start + Duration::from_secs_f64(number as f64 / options.rate);
+        wait_until(due).await;
+        let state = states[number as usize % states.len()].clone();
+        let options = options.clone();
+        state.borrow_mut().open += 1;
+        monoio::spawn(async move {
+            one_request(&options, &state, number, start, due).await;
+            state.borrow_mut().open -= 1;
+        });
+    }
+    let settled = Instant::now() + SETTLE;
+    while states.iter().any(|state| state.borrow().open > 0) && Instant::now() < settled {
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+    states.iter().map(|state| finish(&state.borrow())).collect()
+}
+
+fn new_state(target: &LoadTarget) -> TargetState {
+    let times = Histogram::new_with_bounds(1, MICROS_MAX, DIGITS);
+    TargetState {
+        target: target.clone(),
+        report: TargetReport {
+            name: target.name.clone(),
+            ..TargetReport::default()
+        },
+        times: times.unwrap_or_else(|_| unreachable!("the bounds are constants")),
+        idle: Vec::new(),
+        turn: 0,
+        open: 0,
+    }
+}
+
+/// Waits without the timer's steps of a millisecond, which would show in the times.
+async fn wait_until(due: Instant) {
+    const COARSE: Duration = Duration::from_millis(3);
+    let left = due.saturating_duration_since(Instant::now());
+    if left > COARSE {
+        monoio::time::sleep(left - COARSE).await;
+    }
+    poll_fn(|context| {
+        if Instant::now() >= due {
+            return Poll::Ready(());
+        }
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await
+}
+
+async fn one_request(
+    options: &LoadOptions,
+    state: &Rc<RefCell<TargetState>>,
+    number: u64,
+    start: Instant,
+    due: Instant,
+) {
+    state.borrow_mut().report.started += 1;
+    let id = format!("load-{number}");
+    let result = exchange(options, state, &id).await;
+    let took = due.elapsed().as_micros() as u64;
+    let since = start.elapsed().as_millis() as u64;
+    let mut state = state.borrow_mut();
+    match result {
+        Ok(reply) => note_reply(&mut state, &reply, &id, took, since),
+        Err(_) => state.report.broken += 1,
+    }
+}
+
+async fn exchange(
+    options: &LoadOptions,
+    state: &Rc<RefCell<TargetState>>,
+    id: &str,
+) -> Result<client::ClientReply, HttpError> {
+    let (address, mut stream) = open(state).await?;
+    let headers = headers_of(options, id);
+    let body = Bytes::from(vec![b'x'; options.body_bytes]);
+    client::send(&mut stream, &options.method, &options.path, &headers, body).await?;
+    let receiving = client::receive(&mut stream, &options.method, BodyLimits::default());
+    let (reply, close) = receiving.await?;
+    if !close {
+        state.borrow_mut().idle.push((address, stream));
+    }
+    Ok(reply)
+}
+
+async fn open(state: &Rc<RefCell<TargetState>>) -> Result<(SocketAddr, HttpStream), HttpError> {
+    let kept = state.borrow_mut().idle.pop();
+    if let Some((address, mut stream)) = kept {
+        if client::is_quiet(&mut stream) {
+            return Ok((address, stream));
+        }
+    }
+    let address = {
+        let mut state = state.borrow_mut();
+        state.turn += 1;
+        state.target.addresses[state.turn % state.target.addresses.len()]
+    };
+    let stream = HttpStream::connect(address, CONNECT_TIMEOUT).await?;
+    Ok((address, stream))
+}
+
+fn headers_of(options: &LoadOptions, id: &str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    let mut set = |name: HeaderName, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    set(header::HOST, &options.host);
+    set(HeaderName::from_static("x-request-id"), id);
+    if options.once_keys {
+        set(fields::IDEMPOTENCY_KEY, id);
+    }
+    headers
+}
+
+fn note_reply(
+    state: &mut TargetState,
+    reply: &client::ClientReply,
+    id: &str,
+    took: u64,
+    since: u64,
+) {
+    let report = &mut state.report;
+    *report.statuses.entry(reply.status.as_u16()).or_default() += 1;
+    match fields::single(&reply.headers, &fields::OUTCOME) {
+        Some("not-run") => {
+            report.not_run += 1;
+            return;
+        }
+        Some(_) => {
+            report.unknown += 1;
+            return;
+        }
+        None => {}
+    }
+    report.answered += 1;
+    report.good += u64::from(reply.status < StatusCode::BAD_REQUEST);
+    let answered_id = fields::single(&reply.headers, &HeaderName::from_static("x-request-id"));
+    report.crossed += u64::from(answered_id.is_some_and(|answered| answered != id));
+    let _ = state.times.record(took.clamp(1, MICROS_MAX));
+    let server = fields::single(&reply.headers, &HeaderName::from_static("x-served-by"));
+    let tally = report
+        .servers
+        .entry(server.unwrap_or("-").to_owned())
+        .or_default();
+    tally.answers += 1;
+    if reply.status.is_server_error() {
+        tally.errors += 1;
+        tally.first_error_ms.get_or_insert(since);
+        tally.last_error_ms = Some(since);
+    }
+}
+
+fn finish(state: &TargetState) -> TargetReport {
+    let mut report = state.report.clone();
+    report.p50_us = state.times.value_at_quantile(0.5);
+    report.p99_us = state.times.value_at_quantile(0.99);
+    report.p999_us = state.times.value_at_quantile(0.999);
+    report.max_us = state.times.max();
+    // What is still under way after the wait counts as broken.
+    report.broken += state.open;
+    report
+}
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,218 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! `basaltarch-bench`: load, experiments and the decision bench.
+
+#![allow(
+    missing_docs,
+    reason = "the command-line macro makes items without doc comments"
+)]
+
+use std::net::SocketAddr;
+use std::process;
+use std::time::Duration;
+
+use basaltarch_bench::errors::BenchError;
+use basaltarch_bench::load::{self, LoadOptions, LoadTarget, TargetReport};
+use basaltarch_bench::{detection, fault};
+use basaltarch_core::errors::SettingError;
+use basaltarch_core::settings::{self, EXIT_BAD_SETTINGS};
+use basaltarch_telemetry::runtime;
+use http::Method;
+
+mod flags {
+    xflags::xflags! {
+        /// Load, experiments and the decision bench.
+        cmd basaltarch-bench {
+            /// Sends open-loop load to daemons, and to a baseline side by side.
+            cmd load {
+                /// Addresses of daemons for callers, separated by commas.
+                required --to addresses: String
+                /// Address of a backend server that gets as many requests directly.
+                optional --baseline address: String
+                /// Value of Host, default solver.example.
+                optional --host name: String
+                /// Path, default /.
+                optional --path path: String
+                /// Method, default GET.
+                optional --method method: String
+                /// Bytes of each request's body, default 0.
+                optional --body-bytes count: String
+                /// Requests a second to each target, default 900.
+                optional --rate count: String
+                /// Seconds, default 10.
+                optional --seconds count: String
+                /// Gives each request an idempotency key.
+                optional --once
+                /// Prints JSON.
+                optional --json
+                /// Fails if an answer was cut, crossed or left unknown.
+                optional --clean
+            }
+            /// Compares what a failing server received with what callers saw.
+            cmd detection {
+                /// Output of load --json.
+                required load: String
+                /// Output of fault.
+                required fault: String
+                /// Name of the failing server.
+                required server: String
+            }
+            /// Puts a fault on a stand-in backend server and measures how long it gets work.
+            cmd fault {
+                /// Address of the server.
+                required address: String
+                /// The fault as JSON.
+                required fault: String
+                /// Quiet time that counts as stopped, in ms, default 1000.
+                optional --quiet-ms ms: String
+                /// Longest time, in ms, default 20000.
+                optional --most-ms ms: String
+            }
+        }
+    }
+}
+
+const ADDRESS_ALLOWED: &str = "an IP address with port, such as 127.0.0.1:8080";
+
+fn main() {
+    let flags = flags::BasaltarchBench::from_env_or_exit();
+    let result = match flags.subcommand {
+        flags::BasaltarchBenchCmd::Load(flags) => run_load(flags),
+        flags::BasaltarchBenchCmd::Fault(flags) => run_fault(flags),
+        flags::BasaltarchBenchCmd::Detection(flags) => {
+            detection::run(&flags.load, &flags.fault, &flags.server)
+        }
+    };
+    match result {
+        Ok(()) => {}
+        Err(error @ BenchError::Setting { .. }) => {
+            eprintln!("basaltarch-bench: {error}");
+            process::exit(EXIT_BAD_SETTINGS);
+        }
+        Err(error) => {
+            eprintln!("basaltarch-bench: {error}");
+            process::exit(1);
+        }
+    }
+}
+
+fn setting(source: SettingError) -> BenchError {
+    BenchError::Setting { source }
+}
+
+fn number(
+    flag: &str,
+    given: Option<String>,
+    default: f64,
+    least: f64,
+    most: f64,
+) -> Result<f64, BenchError> {
+    let allowed = format!("{least} to {most}");
+    let accept = |value: &f64| (least..=most).contains(value);
+    settings::checked(flag, given, default, &allowed, accept).map_err(setting)
+}
+
+fn address(flag: &str, given: &str) -> Result<SocketAddr, BenchError> {
+    settings::required(flag, Some(given.to_owned()), ADDRESS_ALLOWED).map_err(setting)
+}
+
+fn load_options(flags: &flags::Load) -> Result<LoadOptions, BenchError> {
+    let to: Result<Vec<SocketAddr>, BenchError> = flags
+        .to
+        .split(',')
+        .map(|each| address("to", each))
+        .collect();
+    let mut targets = vec![LoadTarget {
+        name: "daemons".to_owned(),
+        addresses: to?,
+    }];
+    if let Some(baseline) = &flags.baseline {
+        targets.push(LoadTarget {
+            name: "direct".to_owned(),
+            addresses: vec![address("baseline", baseline)?],
+        });
+    }
+    let rate = number("rate", flags.rate.clone(), 900.0, 0.1, 200_000.0)?;
+    let seconds = number("seconds", flags.seconds.clone(), 10.0, 0.1, 600.0)?;
+    let method: Option<Method> =
+        settings::optional("method", flags.method.clone(), "a method").map_err(setting)?;
+    let body_bytes = number("body-bytes", flags.body_bytes.clone(), 0.0, 0.0, 1e8)?;
+    Ok(LoadOptions {
+        rate: rate * targets.len() as f64,
+        targets,
+        host: flags.host.clone().unwrap_or("solver.example".to_owned()),
+        path: flags.path.clone().unwrap_or("/".to_owned()),
+        method: method.unwrap_or(Method::GET),
+        body_bytes: body_bytes as usize,
+        duration: Duration::from_secs_f64(seconds),
+        once_keys: flags.once,
+    })
+}
+
+fn run_load(flags: flags::Load) -> Result<(), BenchError> {
+    let options = load_options(&flags)?;
+    let reports =
+        runtime::run(load::run(options)).map_err(|source| BenchError::Start { source })?;
+    if flags.clean {
+        for report in &reports {
+            detection::check_clean(&serde_json::json!(report))?;
+        }
+    }
+    if flags.json {
+        println!("{}", serde_json::json!(reports));
+        return Ok(());
+    }
+    for report in &reports {
+        print_report(report);
+    }
+    if let [through, direct] = &reports[..] {
+        let added = |high: u64, low: u64| high as f64 / 1000.0 - low as f64 / 1000.0;
+        println!(
+            "added: p50 {:.3} ms, p99 {:.3} ms",
+            added(through.p50_us, direct.p50_us),
+            added(through.p99_us, direct.p99_us)
+        );
+    }
+    Ok(())
+}
+
+fn print_report(report: &TargetReport) {
+    let millis = |micros: u64| micros as f64 / 1000.0;
+    println!(
+        "{}: {} started, {} answered ({} good), {} not run, {} unknown, {} broken, {} crossed",
+        report.name,
+        report.started,
+        report.answered,
+        report.good,
+        report.not_run,
+        report.unknown,
+        report.broken,
+        report.crossed
+    );
+    println!(
+        "  p50 {:.3} ms, p99 {:.3} ms, p99.9 {:.3} ms, max {:.3} ms",
+        millis(report.p50_us),
+        millis(report.p99_us),
+        millis(report.p999_us),
+        millis(report.max_us)
+    );
+    for (server, tally) in &report.servers {
+        println!(
+            "  {server}: {} answers, {} errors",
+            tally.answers, tally.errors
+        );
+    }
+}
+
+fn run_fault(flags: flags::Fault) -> Result<(), BenchError> {
+    let address = address("address", &flags.address)?;
+    let quiet = number("quiet-ms", flags.quiet_ms, 1000.0, 10.0, 60_000.0)?;
+    let most = number("most-ms", flags.most_ms, 20_000.0, 10.0, 600_000.0)?;
+    let quiet = Duration::from_secs_f64(quiet / 1000.0);
+    let most = Duration::from_secs_f64(most / 1000.0);
+    let running = fault::run(address, &flags.fault, quiet, most);
+    let report = runtime::run(running).map_err(|source| BenchError::Start { source })??;
+    println!("{}", serde_json::json!(report));
+    Ok(())
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,15 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Types that every basaltarch crate builds on.
+//!
+//! This crate holds the resources that operators declare, the configuration built from them, the
+//! outcome of an exchange, units and settings. It does no input or output.
+
+pub mod config;
+pub mod errors;
+pub mod outcome;
+pub mod resources;
+pub mod routes;
+pub mod settings;
+pub mod units;
--- /dev/null
+++ b/crates/core/src/outcome.rs
@@ -0,0 +1,185 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The outcome of an exchange, as every layer of the fleet passes it on.
+
+use std::fmt;
+
+/// `NotRunReason` says why a request ran on no backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum NotRunReason {
+    /// No route matches the request.
+    NoRoute,
+    /// The daemon has no configuration yet.
+    NoConfiguration,
+    /// The organisation, route or service is over its rate limit.
+    Limited,
+    /// Every slot is taken and the queue is full.
+    QueueFull,
+    /// The deadline passed before the work started.
+    DeadlinePassed,
+    /// The backend server or its daemon is leaving.
+    Draining,
+    /// The backend server is thought sick and the dispatch was refusable.
+    Sick,
+    /// The backend server could not be connected to.
+    ConnectFailed,
+    /// The backend server itself refused the work.
+    Shed,
+    /// The upstream is not one of the daemon that was asked.
+    UnknownUpstream,
+    /// The daemon beside the upstream could not be reached.
+    PeerUnreachable,
+    /// The ledger of once-only work could not be written.
+    LedgerUnavailable,
+    /// No upstream of the service can take the request.
+    NoUpstream,
+    /// The caller went away before the work started.
+    CallerGone,
+    /// The request itself was refused.
+    BadRequest,
+    /// The idempotency key was used for another request.
+    KeyReused,
+}
+
+/// Every reason, in the order of its wire number.
+pub const NOT_RUN_REASONS: [NotRunReason; 16] = [
+    NotRunReason::NoRoute,
+    NotRunReason::NoConfiguration,
+    NotRunReason::Limited,
+    NotRunReason::QueueFull,
+    NotRunReason::DeadlinePassed,
+    NotRunReason::Draining,
+    NotRunReason::Sick,
+    NotRunReason::ConnectFailed,
+    NotRunReason::Shed,
+    NotRunReason::UnknownUpstream,
+    NotRunReason::PeerUnreachable,
+    NotRunReason::LedgerUnavailable,
+    NotRunReason::NoUpstream,
+    NotRunReason::CallerGone,
+    NotRunReason::BadRequest,
+    NotRunReason::KeyReused,
+];
+
+impl NotRunReason {
+    /// Returns the name used in headers, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no-route",
+            Self::NoConfiguration => "no-configuration",
+            Self::Limited => "limited",
+            Self::QueueFull => "queue-full",
+            Self::DeadlinePassed => "deadline-passed",
+            Self::Draining => "draining",
+            Self::Sick => "sick",
+            Self::ConnectFailed => "connect-failed",
+            Self::Shed => "shed",
+            Self::UnknownUpstream => "unknown-upstream",
+            Self::PeerUnreachable => "peer-unreachable",
+            Self::LedgerUnavailable => "ledger-unavailable",
+            Self::NoUpstream => "no-upstream",
+            Self::CallerGone => "caller-gone",
+            Self::BadRequest => "bad-request",
+            Self::KeyReused => "key-reused",
+        }
+    }
+}
+
+/// `UnknownReason` says why it is not known whether a request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum UnknownReason {
+    /// The backend server's connection broke after bytes of the request were offered.
+    BackendBroken,
+    /// The backend server's answer was cut short or malformed.
+    AnswerBroken,
+    /// The deadline passed while the backend server was working.
+    TimedOut,
+    /// The link to the daemon beside the upstream broke.
+    PeerLost,
+    /// The caller went away while the work ran.
+    CallerGone,
+    /// The same once-only work was already started and its answer is not kept.
+    AlreadyStarted,
+}
+
+/// Every reason, in the order of its wire number.
+pub const UNKNOWN_REASONS: [UnknownReason; 6] = [
+    UnknownReason::BackendBroken,
+    UnknownReason::AnswerBroken,
+    UnknownReason::TimedOut,
+    UnknownReason::PeerLost,
+    UnknownReason::CallerGone,
+    UnknownReason::AlreadyStarted,
+];
+
+impl UnknownReason {
+    /// Returns the name used in headers, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BackendBroken => "backend-broken",
+            Self::AnswerBroken => "answer-broken",
+            Self::TimedOut => "timed-out",
+            Self::PeerLost => "peer-lost",
+            Self::CallerGone => "caller-gone",
+            Self::AlreadyStarted => "already-started",
+        }
+    }
+}
+
+/// `FailureOutcome` is the outcome of an exchange that gave no complete answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum FailureOutcome {
+    /// The request certainly ran on no backend server.
+    NotRun(NotRunReason),
+    /// The request may have run.
+    Unknown(UnknownReason),
+}
+
+/// Offset of the wire numbers of unknown outcomes.
+const UNKNOWN_BASE: i16 = 100;
+
+impl FailureOutcome {
+    /// Returns the value of the `Basaltarch-Outcome` header.
+    pub fn header_value(self) -> &'static str {
+        match self {
+            Self::NotRun(_) => "not-run",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+
+    /// Returns the name of the reason.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::NotRun(reason) => reason.name(),
+            Self::Unknown(reason) => reason.name(),
+        }
+    }
+
+    /// Returns the number that stands for this outcome between daemons.
+    pub fn wire_number(self) -> i16 {
+        match self {
+            Self::NotRun(reason) => position(&NOT_RUN_REASONS, reason),
+            Self::Unknown(reason) => UNKNOWN_BASE + position(&UNKNOWN_REASONS, reason),
+        }
+    }
+
+    /// Reads a wire number; a number of a later version reads as an unknown outcome, the safe one.
+    pub fn from_wire(number: i16) -> Self {
+        if let Some(reason) = NOT_RUN_REASONS.get(number as usize) {
+            return Self::NotRun(*reason);
+        }
+        let reason = UNKNOWN_REASONS.get((number - UNKNOWN_BASE).max(0) as usize);
+        Self::Unknown(reason.copied().unwrap_or(UnknownReason::PeerLost))
+    }
+}
+
+fn position<T: PartialEq>(all: &[T], one: T) -> i16 {
+    all.iter().position(|each| *each == one).unwrap_or(0) as i16
+}
+
+impl fmt::Display for FailureOutcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} ({})", self.header_value(), self.reason())
+    }
+}
--- /dev/null
+++ b/crates/core/src/resources.rs
@@ -0,0 +1,433 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The resources that operators declare, with the checks on their values.
+
+use std::net::SocketAddr;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::errors::{self, ResourceError};
+
+/// Longest resource name; it keeps table keys and logs short.
+pub const NAME_BYTES_MAX: usize = 128;
+/// Most slots of one backend server; the brief's have 3 or 4.
+pub const SLOTS_MAX: u32 = 4096;
+/// Most connections of one backend server; the brief's have 300 to 400.
+pub const CONNECTIONS_MAX: u32 = 65_536;
+/// Longest queue before one backend server.
+pub const QUEUE_MAX: u32 = 4096;
+/// Longest time-out of a route, in milliseconds (10 minutes).
+pub const TIMEOUT_MS_MAX: u64 = 600_000;
+/// Highest rate of a limit, in requests a second.
+pub const RATE_MAX: f64 = 10_000_000.0;
+
+/// `ResourceKind` names the kinds of resource.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum ResourceKind {
+    /// A failure domain in a region.
+    FailureDomain,
+    /// A service and how its upstreams are kept.
+    Service,
+    /// A backend server of a service.
+    BackendServer,
+    /// A route from host and path to a service.
+    Route,
+    /// A rate limit.
+    Limit,
+    /// An organisation whose callers are counted together.
+    Organisation,
+}
+
+/// Every kind in the order in which references may point (later ones name earlier ones).
+pub const ALL_KINDS: [ResourceKind; 6] = [
+    ResourceKind::FailureDomain,
+    ResourceKind::Organisation,
+    ResourceKind::Service,
+    ResourceKind::BackendServer,
+    ResourceKind::Route,
+    ResourceKind::Limit,
+];
+
+impl ResourceKind {
+    /// Returns the name in paths and files.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::FailureDomain => "failure-domains",
+            Self::Service => "services",
+            Self::BackendServer => "backend-servers",
+            Self::Route => "routes",
+            Self::Limit => "limits",
+            Self::Organisation => "organisations",
+        }
+    }
+
+    /// Reads the name of a kind.
+    pub fn parse(name: &str) -> Result<Self, ResourceError> {
+        ALL_KINDS
+            .into_iter()
+            .find(|kind| kind.name() == name)
+            .ok_or_else(|| ResourceError::UnknownKind {
+                kind: name.to_owned(),
+                allowed: ALL_KINDS.map(Self::name).join(", "),
+            })
+    }
+}
+
+/// `FailureDomain` is a place whose hosts fail together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FailureDomain {
+    /// Region of the failure domain.
+    pub region: String,
+}
+
+/// `OrganisationSpec` is an organisation whose callers share limits.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationSpec {
+    /// Name for people.
+    #[serde(default)]
+    pub title: String,
+}
+
+/// `PreferChoice` says which error a service would rather have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PreferChoice {
+    /// Take sick upstreams out soon; more false ejections.
+    Detection,
+    /// Take out only what is surely sick.
+    #[default]
+    Precision,
+}
+
+/// `ServiceSpec` is a service and how its upstreams are kept.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Share of the configured slots that ejection never goes below, 0 to 1.
+    #[serde(default = "default_floor")]
+    pub floor: f64,
+    /// Which error the service would rather have.
+    #[serde(default)]
+    pub prefer: PreferChoice,
+    /// Requests that may wait before each backend server.
+    #[serde(default = "default_queue")]
+    pub queue: u32,
+    /// Share of requests that may be repeated, 0 to 1.
+    #[serde(default = "default_budget")]
+    pub retry_budget: f64,
+}
+
+fn default_floor() -> f64 {
+    0.7
+}
+
+fn default_queue() -> u32 {
+    16
+}
+
+fn default_budget() -> f64 {
+    0.1
+}
+
+/// `ServerState` is what the operator wants of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServerState {
+    /// The backend server takes work.
+    #[default]
+    Active,
+    /// The backend server is leaving and takes no new work.
+    Draining,
+}
+
+/// `BackendServer` is one backend server of a service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendServer {
+    /// Service that it is an upstream of.
+    pub service: String,
+    /// Host that it runs on; the daemon of that host sends it work.
+    pub host: String,
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Failure domain of its host.
+    pub failure_domain: String,
+    /// Whether it takes work.
+    #[serde(default)]
+    pub state: ServerState,
+}
+
+/// `WorkMode` says how often a request of a route may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WorkMode {
+    /// Dispatched again only when it certainly did not run.
+    #[default]
+    Plain,
+    /// May run more than once without harm.
+    Repeatable,
+    /// Runs at most once, also over several attempts with one idempotency key.
+    Once,
+}
+
+/// `WorkClass` orders requests when there is not room for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WorkClass {
+    /// Shed first.
+    Sheddable,
+    /// Ordinary work.
+    #[default]
+    Normal,
+    /// Shed last.
+    Critical,
+}
+
+/// `RouteRule` sends requests of a host and path prefix to a service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteRule {
+    /// Value of the `Host` header without port.
+    pub host: String,
+    /// Prefix of the path, matched on whole segments.
+    pub path_prefix: String,
+    /// Methods, all when empty.
+    #[serde(default)]
+    pub methods: Vec<String>,
+    /// Service that serves it.
+    pub service: String,
+    /// Longest time for a request, in milliseconds.
+    #[serde(default = "default_timeout")]
+    pub timeout_ms: u64,
+    /// How often a request may run.
+    #[serde(default)]
+    pub mode: WorkMode,
+    /// What is shed first.
+    #[serde(default)]
+    pub criticality: WorkClass,
+}
+
+fn default_timeout() -> u64 {
+    10_000
+}
+
+/// `LimitScope` says what a limit counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LimitScope {
+    /// All requests of one organisation.
+    Organisation,
+    /// All requests of one route.
+    Route,
+    /// All requests of one service.
+    Service,
+}
+
+/// `LimitRule` bounds the rate of requests over the whole fleet.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LimitRule {
+    /// What is counted.
+    pub scope: LimitScope,
+    /// Name of the organisation, route or service.
+    pub target: String,
+    /// Requests a second over the fleet.
+    pub rate: f64,
+    /// Requests that may come at once.
+    pub burst: f64,
+}
+
+/// `ResourceValue` is a resource of any kind.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ResourceValue {
+    /// A failure domain.
+    FailureDomain(FailureDomain),
+    /// A service.
+    Service(ServiceSpec),
+    /// A backend server.
+    BackendServer(BackendServer),
+    /// A route.
+    Route(RouteRule),
+    /// A limit.
+    Limit(LimitRule),
+    /// An organisation.
+    Organisation(OrganisationSpec),
+}
+
+impl ResourceValue {
+    /// Reads and checks a resource of `kind` from JSON.
+    pub fn try_new(kind: ResourceKind, name: &str, value: &Value) -> Result<Self, ResourceError> {
+        let path = resource_path(kind, name);
+        check_name(&path, name)?;
+        let parsed = match kind {
+            ResourceKind::FailureDomain => Self::FailureDomain(read(&path, value)?),
+            ResourceKind::Service => Self::Service(read(&path, value)?),
+            ResourceKind::BackendServer => Self::BackendServer(read(&path, value)?),
+            ResourceKind::Route => Self::Route(read(&path, value)?),
+            ResourceKind::Limit => Self::Limit(read(&path, value)?),
+            ResourceKind::Organisation => Self::Organisation(read(&path, value)?),
+        };
+        parsed.check(&path)?;
+        Ok(parsed)
+    }
+
+    /// Returns the resource as JSON with every default written out.
+    pub fn to_json(&self) -> Value {
+        let value = match self {
+            Self::FailureDomain(spec) => serde_json::to_value(spec),
+            Self::Service(spec) => serde_json::to_value(spec),
+            Self::BackendServer(spec) => serde_json::to_value(spec),
+            Self::Route(spec) => serde_json::to_value(spec),
+            Self::Limit(spec) => serde_json::to_value(spec),
+            Self::Organisation(spec) => serde_json::to_value(spec),
+        };
+        value.unwrap_or(Value::Null)
+    }
+
+    fn check(&self, path: &str) -> Result<(), ResourceError> {
+        match self {
+            Self::FailureDomain(_) | Self::Organisation(_) => Ok(()),
+            Self::Service(spec) => check_service(path, spec),
+            Self::BackendServer(spec) => check_server(path, spec),
+            Self::Route(spec) => check_route(path, spec),
+            Self::Limit(spec) => check_limit(path, spec),
+        }
+    }
+
+    /// Returns the resources that this one names, with the field that names each.
+    pub fn references(&self) -> Vec<(&'static str, ResourceKind, &str)> {
+        match self {
+            Self::FailureDomain(_) | Self::Service(_) | Self::Organisation(_) => Vec::new(),
+            Self::BackendServer(spec) => vec![
+                ("service", ResourceKind::Service, &spec.service),
+                (
+                    "failure_domain",
+                    ResourceKind::FailureDomain,
+                    &spec.failure_domain,
+                ),
+            ],
+            Self::Route(spec) => vec![("service", ResourceKind::Service, &spec.service)],
+            Self::Limit(spec) => {
+                let kind = match spec.scope {
+                    LimitScope::Organisation => ResourceKind::Organisation,
+                    LimitScope::Route => ResourceKind::Route,
+                    LimitScope::Service => ResourceKind::Service,
+                };
+                vec![("target", kind, &spec.target)]
+            }
+        }
+    }
+}
+
+/// Returns the path of a resource, such as `services/solver-app`.
+pub fn resource_path(kind: ResourceKind, name: &str) -> String {
+    format!("{}/{name}", kind.name())
+}
+
+fn read<T: DeserializeOwned>(path: &str, value: &Value) -> Result<T, ResourceError> {
+    T::deserialize(value).map_err(|error| ResourceError::Malformed {
+        path: path.to_owned(),
+        message: error.to_string(),
+    })
+}
+
+fn check_name(path: &str, name: &str) -> Result<(), ResourceError> {
+    let fits = !name.is_empty() && name.len() <= NAME_BYTES_MAX;
+    let plain = name
+        .bytes()
+        .all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-._".contains(&byte));
+    if fits && plain {
+        return Ok(());
+    }
+    Err(errors::bad_value(
+        path,
+        format!("{name:?}"),
+        "1 to 128 of a-z, 0-9, '-', '.', '_'",
+    ))
+}
+
+fn check_range(
+    path: &str,
+    field: &str,
+    value: f64,
+    least: f64,
+    most: f64,
+) -> Result<(), ResourceError> {
+    if value.is_finite() && (least..=most).contains(&value) {
+        return Ok(());
+    }
+    let allowed = format!("{least} to {most}");
+    Err(errors::bad_value(
+        format!("{path}.{field}"),
+        value,
+        &allowed,
+    ))
+}
+
+fn check_service(path: &str, spec: &ServiceSpec) -> Result<(), ResourceError> {
+    check_range(path, "floor", spec.floor, 0.0, 1.0)?;
+    check_range(path, "queue", spec.queue.into(), 0.0, QUEUE_MAX.into())?;
+    check_range(path, "retry_budget", spec.retry_budget, 0.0, 1.0)
+}
+
+fn check_server(path: &str, spec: &BackendServer) -> Result<(), ResourceError> {
+    check_range(path, "slots", spec.slots.into(), 1.0, SLOTS_MAX.into())?;
+    let most = f64::from(CONNECTIONS_MAX);
+    check_range(path, "connections", spec.connections.into(), 1.0, most)?;
+    check_name(&format!("{path}.host"), &spec.host)
+}
+
+fn check_route(path: &str, spec: &RouteRule) -> Result<(), ResourceError> {
+    if !spec.path_prefix.starts_with('/') {
+        let field = format!("{path}.path_prefix");
+        return Err(errors::bad_value(
+            field,
+            &spec.path_prefix,
+            "a path that starts with /",
+        ));
+    }
+    let host_fits = !spec.host.is_empty()
+        && !spec
+            .host
+            .bytes()
+            .any(|byte| byte <= b' ' || byte.is_ascii_uppercase());
+    if !host_fits {
+        let field = format!("{path}.host");
+        return Err(errors::bad_value(
+            field,
+            &spec.host,
+            "a host name in lower case, no port",
+        ));
+    }
+    for method in &spec.methods {
+        if method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()) {
+            let field = format!("{path}.methods");
+            return Err(errors::bad_value(
+                field,
+                method,
+                "methods in capitals, such as GET",
+            ));
+        }
+    }
+    check_range(
+        path,
+        "timeout_ms",
+        spec.timeout_ms as f64,
+        1.0,
+        TIMEOUT_MS_MAX as f64,
+    )
+}
+
+fn check_limit(path: &str, spec: &LimitRule) -> Result<(), ResourceError> {
+    check_range(path, "rate", spec.rate, 0.001, RATE_MAX)?;
+    check_range(path, "burst", spec.burst, 1.0, RATE_MAX)
+}
--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,74 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Reads settings from flags first and environment variables second.
+
+use std::env;
+use std::str::FromStr;
+
+use crate::errors::SettingError;
+
+/// Prefix of every environment variable that basaltarch reads.
+pub const VARIABLE_PREFIX: &str = "BASALTARCH_";
+
+/// Exit status of a process whose settings are wrong, as in most command-line programs.
+pub const EXIT_BAD_SETTINGS: i32 = 2;
+
+/// Returns the environment variable that stands for `flag`.
+pub fn variable_of(flag: &str) -> String {
+    format!("{VARIABLE_PREFIX}{}", flag.replace('-', "_").to_uppercase())
+}
+
+/// Reads an optional setting; the flag's value wins over the environment variable's.
+pub fn optional<T: FromStr>(
+    flag: &str,
+    given: Option<String>,
+    allowed: &str,
+) -> Result<Option<T>, SettingError> {
+    let variable = variable_of(flag);
+    let value = match given.or_else(|| env::var(&variable).ok()) {
+        Some(value) => value,
+        None => return Ok(None),
+    };
+    match value.parse() {
+        Ok(parsed) => Ok(Some(parsed)),
+        Err(_) => Err(SettingError::Invalid {
+            flag: flag.to_owned(),
+            variable,
+            value,
+            allowed: allowed.to_owned(),
+        }),
+    }
+}
+
+/// Reads a setting that has no default.
+pub fn required<T: FromStr>(
+    flag: &str,
+    given: Option<String>,
+    allowed: &str,
+) -> Result<T, SettingError> {
+    optional(flag, given, allowed)?.ok_or_else(|| SettingError::Missing {
+        flag: flag.to_owned(),
+        variable: variable_of(flag),
+    })
+}
+
+/// Reads a setting with a default and checks it with `accept`.
+pub fn checked<T: FromStr + ToString>(
+    flag: &str,
+    given: Option<String>,
+    default: T,
+    allowed: &str,
+    accept: impl Fn(&T) -> bool,
+) -> Result<T, SettingError> {
+    let value = optional(flag, given, allowed)?.unwrap_or(default);
+    if accept(&value) {
+        return Ok(value);
+    }
+    Err(SettingError::Invalid {
+        flag: flag.to_owned(),
+        variable: variable_of(flag),
+        value: value.to_string(),
+        allowed: allowed.to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,379 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The commands.
+
+use std::fs;
+use std::time::{Duration, Instant};
+
+use basaltarch_core::resources::{ResourceKind, ALL_KINDS};
+use http::{header, HeaderName, Method};
+use serde_json::{json, Value};
+
+use crate::api::AdminApi;
+use crate::errors::CommandError;
+use crate::tables;
+
+/// Time between looks at which daemons have a revision.
+const WAIT_LOOK: Duration = Duration::from_millis(100);
+
+/// `OutputForm` is how results are printed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OutputForm {
+    /// Tables for people.
+    Table,
+    /// JSON for programs.
+    Json,
+}
+
+/// Reads a file of resources: an object of kinds, each an object of names.
+fn read_changes(path: &str) -> Result<Vec<Value>, CommandError> {
+    let bad = |message: String| CommandError::BadFile {
+        path: path.to_owned(),
+        message,
+    };
+    let text = fs::read_to_string(path).map_err(|error| bad(error.to_string()))?;
+    let value: Value = serde_json::from_str(&text).map_err(|error| bad(error.to_string()))?;
+    let kinds = value
+        .as_object()
+        .ok_or_else(|| bad("an object of kinds is needed".to_owned()))?;
+    for kind in kinds.keys() {
+        ResourceKind::parse(kind).map_err(|error| bad(error.to_string()))?;
+    }
+    let mut changes = Vec::new();
+    for kind in ALL_KINDS {
+        let resources = match kinds.get(kind.name()) {
+            Some(resources) => resources,
+            None => continue,
+        };
+        let resources = resources
+            .as_object()
+            .ok_or_else(|| bad(format!("{}: an object of names is needed", kind.name())))?;
+        for (name, value) in resources {
+            changes.push(json!({"kind": kind.name(), "name": name, "value": value}));
+        }
+    }
+    Ok(changes)
+}
+
+/// Applies a file in one transaction; with `wait`, returns once all live daemons have it in force.
+pub async fn apply(
+    api: &AdminApi,
+    path: &str,
+    wait: Option<Duration>,
+    form: OutputForm,
+) -> Result<(), CommandError> {
+    let body = json!({ "changes": read_changes(path)? });
+    let reply = api
+        .call(Method::POST, "/v1/apply", Some(&body), None)
+        .await?;
+    let revision = reply["revision"].as_u64().unwrap_or(0);
+    if let Some(limit) = wait {
+        wait_for(api, revision, limit).await?;
+    }
+    match form {
+        OutputForm::Json => println!(
+            "{}",
+            json!({"revision": revision, "changed": reply["changed"]})
+        ),
+        OutputForm::Table => {
+            let state = if wait.is_some() {
+                "in force on all live daemons"
+            } else {
+                "accepted"
+            };
+            println!(
+                "revision {revision}: {} resources changed, {state}",
+                reply["changed"]
+            );
+        }
+    }
+    Ok(())
+}
+
+async fn wait_for(api: &AdminApi, revision: u64, limit: Duration) -> Result<(), CommandError> {
+    let start = Instant::now();
+    loop {
+        let status = api.get("/v1/status").await?;
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        let lagging: Vec<String> = members
+            .iter()
+            .filter(|member| member["state"] == "live")
+            .filter(|member| member["revision"].as_u64().unwrap_or(0) < revision)
+            .map(|member| tables::cell(&member["host"]))
+            .collect();
+        if lagging.is_empty() {
+            return Ok(());
+        }
+        if start.elapsed() > limit {
+            let hosts = lagging.join(", ");
+            return Err(CommandError::Lagging { revision, hosts });
+        }
+        monoio::time::sleep(WAIT_LOOK).await;
+    }
+}
+
+/// Shows what applying a file would change.
+pub async fn diff(api: &AdminApi, path: &str, form: OutputForm) -> Result<(), CommandError> {
+    let body = json!({"changes": read_changes(path)?, "dry_run": true});
+    let reply = api
+        .call(Method::POST, "/v1/apply", Some(&body), None)
+        .await?;
+    if form == OutputForm::Json {
+        println!("{}", reply["changes"]);
+        return Ok(());
+    }
+    let changes = reply["changes"].as_array().cloned().unwrap_or_default();
+    for change in &changes {
+        println!(
+            "{}/{}",
+            tables::cell(&change["kind"]),
+            tables::cell(&change["name"])
+        );
+        print_difference(&change["before"], &change["after"]);
+    }
+    println!("{} resources would change", changes.len());
+    Ok(())
+}
+
+fn print_difference(before: &Value, after: &Value) {
+    let empty = serde_json::Map::new();
+    let old = before.as_object().unwrap_or(&empty);
+    let new = after.as_object().unwrap_or(&empty);
+    for (field, value) in old {
+        if new.get(field) != Some(value) {
+            println!("  - {field}: {value}");
+        }
+    }
+    for (field, value) in new {
+        if old.get(field) != Some(value) {
+            println!("  + {field}: {value}");
+        }
+    }
+}
+
+/// Shows the resources of a kind, or one of them.
+pub async fn get(
+    api: &AdminApi,
+    kind: &str,
+    name: Option<&str>,
+    form: OutputForm,
+) -> Result<(), CommandError> {
+    if let Some(name) = name {
+        let value = api.get(&format!("/v1/{kind}/{name}")).await?;
+        println!("{value:#}");
+        return Ok(());
+    }
+    let reply = api.get(&format!("/v1/{kind}")).await?;
+    if form == OutputForm::Json {
+        println!("{reply}");
+        return Ok(());
+    }
+    let resources = reply["resources"].as_array().cloned().unwrap_or_default();
+    let rows: Vec<Vec<String>> = resources
+        .iter()
+        .map(|resource| tables::cells(resource, &["name", "revision", "value"]))
+        .collect();
+    tables::print(&["NAME", "REVISION", "VALUE"], &rows);
+    Ok(())
+}
+
+/// Deletes a resource.
+pub async fn delete(
+    api: &AdminApi,
+    kind: &str,
+    name: &str,
+    at: Option<u64>,
+) -> Result<(), CommandError> {
+    let target = format!("/v1/{kind}/{name}");
+    let guard = guard_of(at);
+    let reply = api.call(Method::DELETE, &target, None, Some(guard)).await?;
+    println!("revision {}: deleted", reply["revision"]);
+    Ok(())
+}
+
+fn guard_of(at: Option<u64>) -> (HeaderName, String) {
+    let value = at.map_or("*".to_owned(), |revision| format!("\"{revision}\""));
+    (header::IF_MATCH, value)
+}
+
+/// Watches changes until the watch ends.
+pub async fn watch(api: &AdminApi, kind: Option<&str>, after: u64) -> Result<(), CommandError> {
+    let target = match kind {
+        Some(kind) => format!("/v1/{kind}?watch={after}"),
+        None => format!("/v1/watch?after={after}"),
+    };
+    api.watch(&target, |line| println!("{line}")).await
+}
+
+/// `AuditQuery` selects records of the audit trail.
+#[derive(Debug, Default)]
+pub struct AuditQuery {
+    /// Kind of a changed resource.
+    pub kind: Option<String>,
+    /// Name of a changed resource.
+    pub name: Option<String>,
+    /// Who made the change.
+    pub actor: Option<String>,
+    /// Earliest time in milliseconds since 1970.
+    pub since_ms: Option<u64>,
+    /// Latest time in milliseconds since 1970.
+    pub until_ms: Option<u64>,
+}
+
+/// Shows the audit trail.
+pub async fn audit(
+    api: &AdminApi,
+    query: &AuditQuery,
+    form: OutputForm,
+) -> Result<(), CommandError> {
+    let mut target = "/v1/audit?after=0".to_owned();
+    let mut add = |name: &str, value: Option<String>| {
+        if let Some(value) = value {
+            target.push_str(&format!("&{name}={value}"));
+        }
+    };
+    add("kind", query.kind.clone());
+    add("name", query.name.clone());
+    add("actor", query.actor.clone());
+    add("since_ms", query.since_ms.map(|millis| millis.to_string()));
+    add("until_ms", query.until_ms.map(|millis| millis.to_string()));
+    let reply = api.get(&target).await?;
+    if form == OutputForm::Json {
+        println!("{reply}");
+        return Ok(());
+    }
+    let mut rows = Vec::new();
+    for record in reply["records"].as_array().into_iter().flatten() {
+        for change in record["changes"].as_array().into_iter().flatten() {
+            let mut row = tables::cells(record, &["revision", "at", "actor", "from"]);
+            let what = match (change["before"].is_null(), change["after"].is_null()) {
+                (true, _) => "made",
+                (_, true) => "deleted",
+                _ => "changed",
+            };
+            row.push(what.to_owned());
+            let (kind, name) = (tables::cell(&change["kind"]), tables::cell(&change["name"]));
+            row.push(format!("{kind}/{name}"));
+            rows.push(row);
+        }
+    }
+    tables::print(
+        &["REVISION", "AT", "ACTOR", "FROM", "WHAT", "RESOURCE"],
+        &rows,
+    );
+    if reply["source"] != "store" {
+        println!("source: {}", tables::cell(&reply["source"]));
+    }
+    Ok(())
+}
+
+/// Shows which revision each daemon has in force.
+pub async fn status(api: &AdminApi, form: OutputForm) -> Result<(), CommandError> {
+    let reply = api.get("/v1/status").await?;
+    if form == OutputForm::Json {
+        println!("{reply}");
+        return Ok(());
+    }
+    let fields = [
+        "host",
+        "failure_domain",
+        "state",
+        "revision",
+        "heard_ms_ago",
+        "admin_address",
+    ];
+    let members = reply["members"].as_array().cloned().unwrap_or_default();
+    let rows: Vec<Vec<String>> = members
+        .iter()
+        .map(|member| tables::cells(member, &fields))
+        .collect();
+    tables::print(
+        &[
+            "HOST",
+            "DOMAIN",
+            "STATE",
+            "REVISION",
+            "HEARD MS AGO",
+            "ADMIN",
+        ],
+        &rows,
+    );
+    Ok(())
+}
+
+/// Shows the health of upstreams.
+pub async fn health(
+    api: &AdminApi,
+    service: Option<&str>,
+    form: OutputForm,
+) -> Result<(), CommandError> {
+    let target = match service {
+        Some(service) => format!("/v1/health?service={service}"),
+        None => "/v1/health".to_owned(),
+    };
+    let reply = api.get(&target).await?;
+    if form == OutputForm::Json {
+        println!("{reply}");
+        return Ok(());
+    }
+    let mut rows = Vec::new();
+    for service in reply["services"].as_array().into_iter().flatten() {
+        for upstream in service["upstreams"].as_array().into_iter().flatten() {
+            let mut row = tables::cells(service, &["service"]);
+            let fields = ["upstream", "host", "state", "score", "load", "median_ms"];
+            row.extend(tables::cells(upstream, &fields));
+            row.extend(tables::cells(
+                &upstream["here"],
+                &["evidence", "since_ms_ago"],
+            ));
+            rows.push(row);
+        }
+    }
+    let header = [
+        "SERVICE",
+        "UPSTREAM",
+        "HOST",
+        "STATE",
+        "SCORE",
+        "LOAD",
+        "MEDIAN MS",
+        "EVIDENCE",
+        "SINCE MS AGO",
+    ];
+    tables::print(&header, &rows);
+    Ok(())
+}
+
+/// Drains the daemon that is talked to.
+pub async fn drain_daemon(api: &AdminApi) -> Result<(), CommandError> {
+    let reply = api.call(Method::POST, "/v1/drain", None, None).await?;
+    println!("draining {}", tables::cell(&reply["draining"]));
+    Ok(())
+}
+
+/// Sets a backend server to draining, or back to active.
+pub async fn drain_server(api: &AdminApi, name: &str, active: bool) -> Result<(), CommandError> {
+    let target = format!("/v1/backend-servers/{name}");
+    let list = api.get("/v1/backend-servers").await?;
+    let known = list["resources"]
+        .as_array()
+        .and_then(|resources| resources.iter().find(|resource| resource["name"] == name))
+        .cloned()
+        .ok_or_else(|| CommandError::Refused {
+            status: 404,
+            message: format!("there is no backend server {name}"),
+        })?;
+    let mut value = known["value"].clone();
+    value["state"] = json!(if active { "active" } else { "draining" });
+    let guard = guard_of(known["revision"].as_u64());
+    let reply = api
+        .call(Method::PUT, &target, Some(&value), Some(guard))
+        .await?;
+    println!(
+        "revision {}: {name} is {}",
+        reply["revision"],
+        tables::cell(&value["state"])
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,193 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! `basaltctl`: the operator's command line over the resource API.
+
+#![allow(
+    missing_docs,
+    reason = "the command-line macro makes items without doc comments"
+)]
+
+mod api;
+mod commands;
+mod errors;
+mod tables;
+
+use std::net::SocketAddr;
+use std::process;
+use std::time::Duration;
+
+use basaltarch_core::errors::SettingError;
+use basaltarch_core::settings;
+use basaltarch_telemetry::runtime;
+
+use crate::api::AdminApi;
+use crate::commands::{AuditQuery, OutputForm};
+use crate::errors::CommandError;
+
+mod flags {
+    xflags::xflags! {
+        /// The operator's command line. Exit status: 0 done, 1 failed, 2 bad settings or file,
+        /// 3 conflict with another change, 4 store away or outcome not known, 5 daemons lag.
+        cmd basaltctl {
+            /// Admin address of a daemon [BASALTARCH_SERVER].
+            optional --server address: String
+            /// Token of operators [BASALTARCH_ADMIN_TOKEN].
+            optional --token token: String
+            /// Name in the audit trail [BASALTARCH_ACTOR], default operator.
+            optional --actor name: String
+            /// Output: table or json [BASALTARCH_OUTPUT], default table.
+            optional -o,--output form: String
+
+            /// Applies a file of resources in one transaction.
+            cmd apply {
+                /// The file, JSON: {"KIND": {"NAME": {...}}}.
+                required -f,--file path: String
+                /// Waits until all live daemons have it in force, up to this many ms.
+                optional --wait ms: String
+            }
+            /// Shows what applying a file would change.
+            cmd diff {
+                /// The file.
+                required -f,--file path: String
+            }
+            /// Shows resources of a kind, or one.
+            cmd get {
+                /// Kind, such as services.
+                required kind: String
+                /// Name.
+                optional name: String
+            }
+            /// Deletes a resource.
+            cmd delete {
+                /// Kind.
+                required kind: String
+                /// Name.
+                required name: String
+                /// Revision that it must be at.
+                optional --at revision: String
+            }
+            /// Prints accepted changes as they come, one JSON line each.
+            cmd watch {
+                /// Kind; all when absent.
+                optional kind: String
+                /// Last revision already seen, default 0.
+                optional --after revision: String
+            }
+            /// Shows the audit trail.
+            cmd audit {
+                /// Only changes of this kind.
+                optional --kind kind: String
+                /// Only changes of this name.
+                optional --name name: String
+                /// Only changes by this actor (the flag --actor is one's own name).
+                optional --by name: String
+                /// Only changes since this many ms after 1970.
+                optional --since-ms ms: String
+                /// Only changes until this many ms after 1970.
+                optional --until-ms ms: String
+            }
+            /// Shows which revision each daemon has in force.
+            cmd status {}
+            /// Shows the health of upstreams.
+            cmd health {
+                /// Service; all when absent.
+                optional service: String
+            }
+            /// Drains the daemon that is talked to, or a backend server.
+            cmd drain {
+                /// Backend server; the daemon itself when absent.
+                optional server: String
+                /// Takes the backend server back into service.
+                optional --undo
+            }
+        }
+    }
+}
+
+const ADDRESS_ALLOWED: &str = "an IP address with port, such as 127.0.0.1:8080";
+const NUMBER_ALLOWED: &str = "a whole number";
+
+fn main() {
+    let flags = flags::Basaltctl::from_env_or_exit();
+    let result = match runtime::run(run(flags)) {
+        Ok(result) => result,
+        Err(error) => {
+            eprintln!("basaltctl: {error}");
+            process::exit(1);
+        }
+    };
+    if let Err(error) = result {
+        eprintln!("basaltctl: {error}");
+        process::exit(error.exit_status());
+    }
+}
+
+fn number(flag: &str, given: Option<String>) -> Result<Option<u64>, CommandError> {
+    match given {
+        Some(given) => settings::optional(flag, Some(given), NUMBER_ALLOWED).map_err(setting),
+        None => Ok(None),
+    }
+}
+
+fn setting(source: SettingError) -> CommandError {
+    CommandError::Setting { source }
+}
+
+fn output_form(given: Option<String>) -> Result<OutputForm, CommandError> {
+    let allowed = "table, json";
+    let accept = |form: &String| form == "table" || form == "json";
+    let form = settings::checked("output", given, "table".to_owned(), allowed, accept);
+    match form.map_err(setting)?.as_str() {
+        "json" => Ok(OutputForm::Json),
+        _ => Ok(OutputForm::Table),
+    }
+}
+
+async fn run(flags: flags::Basaltctl) -> Result<(), CommandError> {
+    let address: SocketAddr =
+        settings::required("server", flags.server, ADDRESS_ALLOWED).map_err(setting)?;
+    let token: Option<String> =
+        settings::optional("admin-token", flags.token, "a token").map_err(setting)?;
+    let actor: Option<String> =
+        settings::optional("actor", flags.actor, "a name").map_err(setting)?;
+    let form = output_form(flags.output)?;
+    let actor = actor.unwrap_or("operator".to_owned());
+    let api = AdminApi::new(address, token.unwrap_or_default(), actor);
+    match flags.subcommand {
+        flags::BasaltctlCmd::Apply(flags) => {
+            let wait = number("wait", flags.wait)?.map(Duration::from_millis);
+            commands::apply(&api, &flags.file, wait, form).await
+        }
+        flags::BasaltctlCmd::Diff(flags) => commands::diff(&api, &flags.file, form).await,
+        flags::BasaltctlCmd::Get(flags) => {
+            commands::get(&api, &flags.kind, flags.name.as_deref(), form).await
+        }
+        flags::BasaltctlCmd::Delete(flags) => {
+            let at = number("at", flags.at)?;
+            commands::delete(&api, &flags.kind, &flags.name, at).await
+        }
+        flags::BasaltctlCmd::Watch(flags) => {
+            let after = number("after", flags.after)?.unwrap_or(0);
+            commands::watch(&api, flags.kind.as_deref(), after).await
+        }
+        flags::BasaltctlCmd::Audit(flags) => {
+            let query = AuditQuery {
+                kind: flags.kind,
+                name: flags.name,
+                actor: flags.by,
+                since_ms: number("since-ms", flags.since_ms)?,
+                until_ms: number("until-ms", flags.until_ms)?,
+            };
+            commands::audit(&api, &query, form).await
+        }
+        flags::BasaltctlCmd::Status(_) => commands::status(&api, form).await,
+        flags::BasaltctlCmd::Health(flags) => {
+            commands::health(&api, flags.service.as_deref(), form).await
+        }
+        flags::BasaltctlCmd::Drain(flags) => match flags.server {
+            Some(server) => commands::drain_server(&api, &server, flags.undo).await,
+            None => commands::drain_daemon(&api).await,
+        },
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admin/changes.rs
@@ -0,0 +1,245 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Takes operators' changes: one resource, or many in one transaction.
+
+use std::rc::Rc;
+
+use basaltarch_core::config::{ChangeRecord, FleetConfig};
+use basaltarch_core::errors::ResourceError;
+use basaltarch_core::resources::ResourceKind;
+use basaltarch_core::units::FleetRevision;
+use basaltarch_http::fields;
+use basaltarch_http::server::{ServerReply, ServerRequest};
+use basaltarch_store::changes::{ChangeAuthor, ChangeGuard, ResourceEdit};
+use basaltarch_store::errors::ChangeError;
+use http::{header, HeaderName, StatusCode};
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use crate::admin;
+use crate::metrics;
+use crate::spread;
+use crate::state::DaemonState;
+
+/// Field by which an operator says who it is.
+const ACTOR: HeaderName = HeaderName::from_static("basaltarch-actor");
+
+/// `ApplyRequest` is a transaction of many resources.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ApplyRequest {
+    changes: Vec<ApplyEntry>,
+    #[serde(default)]
+    dry_run: bool,
+}
+
+/// `ApplyEntry` is one resource of a transaction.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ApplyEntry {
+    kind: String,
+    name: String,
+    value: Option<Value>,
+    /// Revision that the resource must be at; 0 for a new one; absent for whatever is there.
+    at: Option<u64>,
+}
+
+/// Changes or makes one resource.
+pub async fn put(
+    state: &Rc<DaemonState>,
+    request: &ServerRequest,
+    kind: ResourceKind,
+    name: &str,
+) -> ServerReply {
+    let value: Value = match serde_json::from_slice(&request.body) {
+        Ok(value) => value,
+        Err(error) => return admin::problem(StatusCode::BAD_REQUEST, format!("body: {error}")),
+    };
+    edit_one(state, request, kind, name, Some(value)).await
+}
+
+/// Deletes one resource.
+pub async fn delete(
+    state: &Rc<DaemonState>,
+    request: &ServerRequest,
+    kind: ResourceKind,
+    name: &str,
+) -> ServerReply {
+    edit_one(state, request, kind, name, None).await
+}
+
+async fn edit_one(
+    state: &Rc<DaemonState>,
+    request: &ServerRequest,
+    kind: ResourceKind,
+    name: &str,
+    value: Option<Value>,
+) -> ServerReply {
+    let guard = match read_guard(request) {
+        Ok(guard) => guard,
+        Err(reply) => return *reply,
+    };
+    let edit = ResourceEdit {
+        kind,
+        name: name.to_owned(),
+        value,
+        guard,
+    };
+    match commit(state, request, &[edit]).await {
+        Ok(record) => {
+            let body = json!({"revision": record.revision, "changed": record.changes.len()});
+            let reply = ServerReply::json(StatusCode::OK, &body);
+            reply.with_field(header::ETAG, &format!("\"{}\"", record.revision))
+        }
+        Err(error) => refuse(&error),
+    }
+}
+
+/// Reads `If-Match: "REVISION"`, `If-Match: *` or `If-None-Match: *`.
+fn read_guard(request: &ServerRequest) -> Result<ChangeGuard, Box<ServerReply>> {
+    let headers = &request.head.headers;
+    if fields::single(headers, &header::IF_NONE_MATCH) == Some("*") {
+        return Ok(ChangeGuard::Absent);
+    }
+    let value = match fields::single(headers, &header::IF_MATCH) {
+        Some(value) => value,
+        None => {
+            let message = "give If-Match: \"REVISION\" (of the ETag read), If-Match: * for \
+                           whatever is there, or If-None-Match: * for a new resource";
+            let reply = admin::problem(StatusCode::PRECONDITION_REQUIRED, message);
+            return Err(Box::new(reply));
+        }
+    };
+    if value == "*" {
+        return Ok(ChangeGuard::Any);
+    }
+    match value.trim_matches('"').parse() {
+        Ok(revision) => Ok(ChangeGuard::At(FleetRevision(revision))),
+        Err(_) => {
+            let message = format!("If-Match: {value} is not an ETag of this API");
+            Err(Box::new(admin::problem(StatusCode::BAD_REQUEST, message)))
+        }
+    }
+}
+
+/// Applies many resources in one transaction.
+pub async fn apply(state: &Rc<DaemonState>, request: &ServerRequest) -> ServerReply {
+    let wanted: ApplyRequest = match serde_json::from_slice(&request.body) {
+        Ok(wanted) => wanted,
+        Err(error) => {
+            return admin::problem(StatusCode::UNPROCESSABLE_ENTITY, format!("body: {error}"))
+        }
+    };
+    let mut edits = Vec::with_capacity(wanted.changes.len());
+    for entry in wanted.changes {
+        match edit_of(entry) {
+            Ok(edit) => edits.push(edit),
+            Err(error) => return refuse(&ChangeError::Invalid { source: error }),
+        }
+    }
+    let result = if wanted.dry_run {
+        plan(state, request, &edits)
+    } else {
+        commit(state, request, &edits).await
+    };
+    match result {
+        Ok(record) => {
+            let body = json!({
+                "revision": record.revision,
+                "changed": record.changes.len(),
+                "changes": if wanted.dry_run { json!(record.changes) } else { Value::Null },
+            });
+            ServerReply::json(StatusCode::OK, &body)
+        }
+        Err(error) => refuse(&error),
+    }
+}
+
+fn edit_of(entry: ApplyEntry) -> Result<ResourceEdit, ResourceError> {
+    let guard = match entry.at {
+        None => ChangeGuard::Any,
+        Some(0) => ChangeGuard::Absent,
+        Some(revision) => ChangeGuard::At(FleetRevision(revision)),
+    };
+    Ok(ResourceEdit {
+        kind: ResourceKind::parse(&entry.kind)?,
+        name: entry.name,
+        value: entry.value,
+        guard,
+    })
+}
+
+fn author_of(request: &ServerRequest) -> ChangeAuthor {
+    let actor = fields::single(&request.head.headers, &ACTOR).unwrap_or("operator");
+    ChangeAuthor {
+        actor: actor.to_owned(),
+        from: request.from.to_string(),
+    }
+}
+
+fn plan(
+    state: &Rc<DaemonState>,
+    request: &ServerRequest,
+    edits: &[ResourceEdit],
+) -> Result<ChangeRecord, ChangeError> {
+    let author = author_of(request);
+    state
+        .config
+        .with_fleet(|fleet| basaltarch_store::changes::plan_change(fleet, edits, &author, ""))
+}
+
+/// Gets a change accepted and puts it in force here at once.
+async fn commit(
+    state: &Rc<DaemonState>,
+    request: &ServerRequest,
+    edits: &[ResourceEdit],
+) -> Result<ChangeRecord, ChangeError> {
+    let author = author_of(request);
+    let mut config = state.config.with_fleet(FleetConfig::clone);
+    let result = state.changes.commit(&mut config, edits, &author).await;
+    if let Err(ChangeError::Store { .. }) = &result {
+        metrics::STORE_FAILURES.add_one();
+    }
+    let record = result?;
+    let others_first = record.revision > state.config.revision().next();
+    if others_first {
+        // Changes of others came in between; they are read before this one is put in force.
+        if let Ok(missing) = state.changes.changes_after(state.config.revision()).await {
+            state.config.apply(&missing, state.now());
+        }
+    }
+    let fresh = [record];
+    if state.config.apply(&fresh, state.now()) > 0 {
+        spread::pass_on(state, &fresh);
+    }
+    let [record] = fresh;
+    tracing::info!(
+        revision = record.revision.0,
+        actor = record.actor,
+        changes = record.changes.len(),
+        "change accepted"
+    );
+    Ok(record)
+}
+
+fn refuse(error: &ChangeError) -> ServerReply {
+    let status = match error {
+        ChangeError::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        ChangeError::GuardFailed { .. } => StatusCode::PRECONDITION_FAILED,
+        ChangeError::Contended => StatusCode::CONFLICT,
+        ChangeError::Store { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        ChangeError::Unsettled { .. } => StatusCode::GATEWAY_TIMEOUT,
+    };
+    let mut body = json!({ "error": error.to_string() });
+    match error {
+        ChangeError::GuardFailed {
+            in_force, value, ..
+        } => {
+            body["in_force"] = json!({"revision": in_force, "value": value});
+        }
+        ChangeError::Unsettled { writer } => body["writer"] = json!(writer),
+        _ => {}
+    }
+    ServerReply::json(status, &body)
+}
--- /dev/null
+++ b/crates/daemon/src/admin/mod.rs
@@ -0,0 +1,152 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The admin role: resource API, watches, audit trail, status and metrics.
+
+pub mod changes;
+pub mod read;
+pub mod status;
+pub mod watch;
+
+use std::rc::Rc;
+
+use basaltarch_core::resources::ResourceKind;
+use basaltarch_http::connection::{self, ConnectionCount};
+use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
+use basaltarch_telemetry::metrics;
+use http::{header, Method, StatusCode};
+use monoio::net::TcpListener;
+use serde_json::json;
+
+use crate::state::DaemonState;
+
+/// Connections of operators: people, scripts and watches.
+const CONNECTIONS_MAX: usize = 512;
+/// Largest request: one transaction of 20,000 resources.
+const BODY_BYTES_MAX: u64 = 16 << 20;
+
+/// Takes operators' connections for ever.
+pub async fn accept(state: Rc<DaemonState>, listener: TcpListener) {
+    let serve = move |stream, from| {
+        let state = state.clone();
+        let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
+        server::serve(stream, from, limits, move |request| {
+            let state = state.clone();
+            async move { handle(&state, &request).await }
+        })
+    };
+    connection::accept_all(listener, CONNECTIONS_MAX, ConnectionCount::default(), serve).await;
+}
+
+async fn handle(state: &Rc<DaemonState>, request: &ServerRequest) -> ServerReply {
+    match request.path() {
+        "/healthz" => return ServerReply::text(StatusCode::OK, "ok\n"),
+        "/readyz" => return ready(state),
+        "/metrics" => {
+            let text = metrics::render();
+            return ServerReply::whole(StatusCode::OK, "text/plain; version=0.0.4", text.into());
+        }
+        _ => {}
+    }
+    if !is_operator(state, request) {
+        let reply = problem(StatusCode::UNAUTHORIZED, "a bearer token is needed");
+        return reply.with_field(header::WWW_AUTHENTICATE, "Bearer");
+    }
+    route(state, request).await
+}
+
+async fn route(state: &Rc<DaemonState>, request: &ServerRequest) -> ServerReply {
+    let path = match request.path().strip_prefix("/v1/") {
+        Some(path) => path.to_owned(),
+        None => return problem(StatusCode::NOT_FOUND, "paths begin with /v1/"),
+    };
+    let method = request.head.method.clone();
+    match (method.as_str(), path.as_str()) {
+        ("GET", "status") => status::fleet(state),
+        ("GET", "health") => status::health(state, request.query("service")),
+        ("GET", "audit") => read::audit(state, request).await,
+        ("GET", "watch") => watch::start(state, request, None),
+        ("POST", "apply") => changes::apply(state, request).await,
+        ("POST", "drain") => {
+            state.stopping.raise();
+            ServerReply::json(
+                StatusCode::ACCEPTED,
+                &json!({"draining": state.options.host}),
+            )
+        }
+        (_, path) => match path.split_once('/') {
+            Some((kind, name)) => resource(state, request, kind, name).await,
+            None => collection(state, request, path),
+        },
+    }
+}
+
+fn collection(state: &Rc<DaemonState>, request: &ServerRequest, kind: &str) -> ServerReply {
+    let kind = match ResourceKind::parse(kind) {
+        Ok(kind) => kind,
+        Err(error) => return problem(StatusCode::NOT_FOUND, error),
+    };
+    if request.head.method != Method::GET {
+        return method_not_allowed("GET");
+    }
+    if request.query("watch").is_some() {
+        return watch::start(state, request, Some(kind));
+    }
+    read::list(state, kind)
+}
+
+async fn resource(
+    state: &Rc<DaemonState>,
+    request: &ServerRequest,
+    kind: &str,
+    name: &str,
+) -> ServerReply {
+    let kind = match ResourceKind::parse(kind) {
+        Ok(kind) => kind,
+        Err(error) => return problem(StatusCode::NOT_FOUND, error),
+    };
+    match request.head.method.as_str() {
+        "GET" => read::one(state, kind, name),
+        "PUT" => changes::put(state, request, kind, name).await,
+        "DELETE" => changes::delete(state, request, kind, name).await,
+        _ => method_not_allowed("GET, PUT, DELETE"),
+    }
+}
+
+fn method_not_allowed(allow: &str) -> ServerReply {
+    let reply = problem(StatusCode::METHOD_NOT_ALLOWED, format!("allowed: {allow}"));
+    reply.with_field(header::ALLOW, allow)
+}
+
+fn ready(state: &Rc<DaemonState>) -> ServerReply {
+    if state.is_stopping() {
+        return ServerReply::text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+    }
+    if !state.config.is_loaded() {
+        let message = "waits for a configuration: neither the store nor a peer has answered\n";
+        return ServerReply::text(StatusCode::SERVICE_UNAVAILABLE, message);
+    }
+    ServerReply::text(StatusCode::OK, "ready\n")
+}
+
+fn is_operator(state: &DaemonState, request: &ServerRequest) -> bool {
+    let value = request.head.headers.get(header::AUTHORIZATION);
+    let token = value
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    token.is_some_and(|token| same_token(token.as_bytes(), state.options.admin_token.as_bytes()))
+}
+
+/// Compares in a time that does not tell how much was right.
+fn same_token(given: &[u8], wanted: &[u8]) -> bool {
+    let differences = given
+        .iter()
+        .zip(wanted)
+        .fold(0, |sum, (left, right)| sum | (left ^ right));
+    given.len() == wanted.len() && differences == 0
+}
+
+/// Builds the reply that says what is wrong.
+pub fn problem(status: StatusCode, message: impl ToString) -> ServerReply {
+    ServerReply::json(status, &json!({ "error": message.to_string() }))
+}
--- /dev/null
+++ b/crates/daemon/src/admin/read.rs
@@ -0,0 +1,145 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Reads resources and the audit trail.
+
+use std::rc::Rc;
+
+use basaltarch_core::config::ChangeRecord;
+use basaltarch_core::resources::ResourceKind;
+use basaltarch_core::units::{self, FleetRevision};
+use basaltarch_http::server::{ServerReply, ServerRequest};
+use http::{header, StatusCode};
+use serde_json::{json, Value};
+
+use crate::admin;
+use crate::state::DaemonState;
+
+/// Records that one reply of the audit trail holds.
+const AUDIT_LIMIT: usize = 1000;
+
+/// Lists the resources of a kind.
+pub fn list(state: &Rc<DaemonState>, kind: ResourceKind) -> ServerReply {
+    let body = state.config.with_fleet(|fleet| {
+        let resources: Vec<Value> = fleet
+            .list(kind)
+            .map(|(name, stored)| {
+                json!({"name": name, "revision": stored.revision, "value": stored.value.to_json()})
+            })
+            .collect();
+        json!({"revision": fleet.revision(), "kind": kind.name(), "resources": resources})
+    });
+    ServerReply::json(StatusCode::OK, &body)
+}
+
+/// Reads one resource.
+pub fn one(state: &Rc<DaemonState>, kind: ResourceKind, name: &str) -> ServerReply {
+    state
+        .config
+        .with_fleet(|fleet| match fleet.get(kind, name) {
+            Some(stored) => {
+                let reply = ServerReply::json(StatusCode::OK, &stored.value.to_json());
+                reply.with_field(header::ETAG, &format!("\"{}\"", stored.revision))
+            }
+            None => admin::problem(StatusCode::NOT_FOUND, "there is no such resource"),
+        })
+}
+
+/// Reads the audit trail: from the store, or what is kept here while the store is away.
+pub async fn audit(state: &Rc<DaemonState>, request: &ServerRequest) -> ServerReply {
+    let filter = match AuditFilter::try_new(request) {
+        Ok(filter) => filter,
+        Err(message) => return admin::problem(StatusCode::UNPROCESSABLE_ENTITY, message),
+    };
+    let mut found = Vec::new();
+    let mut after = filter.after;
+    let mut complete = true;
+    while found.len() < AUDIT_LIMIT {
+        let records = match state.changes.changes_after(after).await {
+            Ok(records) => records,
+            Err(_) => {
+                complete = false;
+                kept(state, after)
+            }
+        };
+        let last = match records.last() {
+            Some(last) => last.revision,
+            None => break,
+        };
+        let matching = records
+            .into_iter()
+            .filter_map(|record| filter.select(record));
+        found.extend(matching.map(|record| audit_json(&record)));
+        after = last;
+        if !complete {
+            break;
+        }
+    }
+    found.truncate(AUDIT_LIMIT);
+    let source = if complete {
+        "store"
+    } else {
+        "kept here; the store did not answer"
+    };
+    ServerReply::json(StatusCode::OK, &json!({"records": found, "source": source}))
+}
+
+fn kept(state: &DaemonState, after: FleetRevision) -> Vec<ChangeRecord> {
+    let records = state.config.records_after(after).unwrap_or_default();
+    records.iter().map(|record| (**record).clone()).collect()
+}
+
+/// Returns a record as operators see it.
+pub fn audit_json(record: &ChangeRecord) -> Value {
+    json!({
+        "revision": record.revision,
+        "at": units::format_utc(record.at_ms),
+        "at_ms": record.at_ms,
+        "actor": record.actor,
+        "from": record.from,
+        "writer": record.writer,
+        "changes": record.changes,
+    })
+}
+
+struct AuditFilter {
+    after: FleetRevision,
+    kind: Option<String>,
+    name: Option<String>,
+    actor: Option<String>,
+    since_ms: u64,
+    until_ms: u64,
+}
+
+impl AuditFilter {
+    fn try_new(request: &ServerRequest) -> Result<Self, String> {
+        let number = |name: &str, default: u64| match request.query(name) {
+            Some(text) => text
+                .parse()
+                .map_err(|_| format!("{name}: must be a number")),
+            None => Ok(default),
+        };
+        let text = |name: &str| request.query(name).map(str::to_owned);
+        Ok(Self {
+            after: FleetRevision(number("after", 0)?),
+            kind: text("kind"),
+            name: text("name"),
+            actor: text("actor"),
+            since_ms: number("since_ms", 0)?,
+            until_ms: number("until_ms", u64::MAX)?,
+        })
+    }
+
+    /// Returns the part of a record that was asked for.
+    fn select(&self, mut record: ChangeRecord) -> Option<ChangeRecord> {
+        let same = |wanted: &Option<String>, value: &str| {
+            wanted.as_deref().is_none_or(|wanted| wanted == value)
+        };
+        record
+            .changes
+            .retain(|change| same(&self.kind, &change.kind) && same(&self.name, &change.name));
+        let wanted = same(&self.actor, &record.actor)
+            && (self.since_ms..=self.until_ms).contains(&record.at_ms);
+        (wanted && !record.changes.is_empty()).then_some(record)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admin/status.rs
@@ -0,0 +1,159 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Status of the fleet and health of upstreams, as this daemon sees them.
+
+use std::rc::Rc;
+
+use basaltarch_core::units;
+use basaltarch_decide::balance::LoadView;
+use basaltarch_http::server::ServerReply;
+use http::StatusCode;
+use serde_json::{json, Value};
+
+use crate::host::upstream::HostUpstream;
+use crate::services::ServiceState;
+use crate::state::DaemonState;
+
+/// Tells which revision each daemon has in force, and what is thought of it.
+pub fn fleet(state: &Rc<DaemonState>) -> ServerReply {
+    let now = state.now();
+    let mut members = vec![own_status(state)];
+    state.members.for_each(|host, view| {
+        members.push(json!({
+            "host": host,
+            "failure_domain": view.failure_domain,
+            "state": state.members.state_of(view, now).name(),
+            "incarnation": view.incarnation,
+            "revision": view.revision,
+            "heard_ms_ago": now.saturating_sub(view.heard_at).as_millis() as u64,
+            "peer_address": view.peer_address,
+            "admin_address": view.admin_address,
+        }));
+    });
+    let body = json!({
+        "host": state.options.host,
+        "revision": state.config.revision(),
+        "loaded": state.config.is_loaded(),
+        "in_flight": state.in_flight.get(),
+        "floor_violations": crate::metrics::FLOOR_VIOLATIONS.get(),
+        "members": members,
+    });
+    ServerReply::json(StatusCode::OK, &body)
+}
+
+fn own_status(state: &DaemonState) -> Value {
+    let now = state.now();
+    let in_force_for = now.saturating_sub(state.config.since()).as_millis() as u64;
+    json!({
+        "host": state.options.host,
+        "failure_domain": state.options.failure_domain,
+        "state": if state.is_stopping() { "leaving" } else { "live" },
+        "incarnation": state.identity.incarnation,
+        "revision": state.config.revision(),
+        "in_force_since": units::format_utc(units::wall_millis().saturating_sub(in_force_for)),
+        "heard_ms_ago": 0,
+        "peer_address": state.options.peers.to_string(),
+        "admin_address": state.options.admin.to_string(),
+    })
+}
+
+/// Tells the health of the upstreams of a service, or of all services known here.
+pub fn health(state: &Rc<DaemonState>, service: Option<&str>) -> ServerReply {
+    let active = state.config.active();
+    let mut names: Vec<String> = match service {
+        Some(name) => vec![name.to_owned()],
+        None => active
+            .services
+            .keys()
+            .map(|name| name.to_string())
+            .collect(),
+    };
+    names.sort();
+    let mut services = Vec::new();
+    for name in &names {
+        match state.services.get(state, &active, name) {
+            Some(service) => services.push(service_health(state, &service)),
+            None => {
+                return super::problem(StatusCode::NOT_FOUND, format!("no service {name}"));
+            }
+        }
+    }
+    let body = json!({"seen_from": state.options.host, "services": services});
+    ServerReply::json(StatusCode::OK, &body)
+}
+
+fn service_health(state: &DaemonState, service: &ServiceState) -> Value {
+    service.refresh(state.now());
+    let views: Vec<LoadView> = service.with_view(|view| view.upstreams().to_vec());
+    let (avoided, in_service, floor) = service.with_view(|view| {
+        let plan = view.plan();
+        (plan.avoided.clone(), plan.in_service, plan.floor)
+    });
+    let upstreams: Vec<Value> = service
+        .entry
+        .upstreams
+        .iter()
+        .enumerate()
+        .map(|(index, upstream)| {
+            let view = &views[index];
+            let mut value = seen_health(state, view, avoided.get(index).copied());
+            value["upstream"] = json!(&*upstream.name);
+            value["host"] = json!(upstream.server.host);
+            value["failure_domain"] = json!(upstream.server.failure_domain);
+            if let Some(own) = state.host.get(&upstream.name) {
+                value["here"] = own_health(state, &own);
+            }
+            value
+        })
+        .collect();
+    json!({
+        "service": &*service.entry.name,
+        "floor_slots": floor,
+        "in_service_slots": in_service,
+        "upstreams": upstreams,
+    })
+}
+
+fn seen_health(state: &DaemonState, view: &LoadView, avoided: Option<bool>) -> Value {
+    let now = state.now();
+    let sickness = view.health.map(|health| health.sickness);
+    let word = match (view.reachable, view.draining, avoided, sickness) {
+        (false, ..) => "unreachable",
+        (_, true, ..) => "draining",
+        (.., Some(true), _) => "avoided",
+        (.., Some(sickness)) if sickness >= 1.0 => "sick, kept by the floor",
+        (.., None) => "not heard of",
+        _ => "in service",
+    };
+    let age = view
+        .health
+        .map(|_| now.saturating_sub(view.reported_at).as_millis() as u64);
+    json!({
+        "state": word,
+        "score": sickness,
+        "load": view.load,
+        "slots": view.slots,
+        "reported_ms_ago": age,
+        "median_ms": view.health.map(|health| health.median_ln.exp() / 1000.0),
+        "failure_rate": view.health.map(|health| health.failure_rate),
+    })
+}
+
+/// Returns what the daemon beside an upstream knows of it.
+fn own_health(state: &DaemonState, own: &HostUpstream) -> Value {
+    let now = state.now();
+    let health = own.health.borrow();
+    let recovery = health.recovery();
+    json!({
+        "ejected": health.is_ejected(),
+        "since_ms_ago": now.saturating_sub(recovery.since()).as_millis() as u64,
+        "evidence": health.reason().map(|reason| reason.name()),
+        "ejections": recovery.ejections(),
+        "trial_in_ms": recovery.trial_in(now).map(|wait| wait.as_millis() as u64),
+        "share": recovery.ramp(now),
+        "in_flight": own.slots.used(),
+        "queued": own.slots.queued(),
+        "connections": own.pool.open(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/admin/watch.rs
@@ -0,0 +1,133 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Watches: accepted changes as JSON lines, from any revision still kept.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::config::ChangeRecord;
+use basaltarch_core::resources::ResourceKind;
+use basaltarch_core::units::FleetRevision;
+use basaltarch_http::server::{ReplyBody, ServerReply, ServerRequest};
+use bytes::Bytes;
+use futures_util::stream;
+use futures_util::{select_biased, FutureExt, StreamExt};
+use http::StatusCode;
+use serde_json::{json, Value};
+
+use crate::admin::{self, read};
+use crate::state::DaemonState;
+
+/// Time between bookmarks on a quiet watch, by which its reader sees that it still stands.
+const BOOKMARK_EVERY: Duration = Duration::from_secs(10);
+
+struct WatchState {
+    daemon: Rc<DaemonState>,
+    kind: Option<ResourceKind>,
+    seen: FleetRevision,
+    over: bool,
+}
+
+/// Starts a watch; `watch=` or `after=` gives the last revision that the reader has.
+pub fn start(
+    state: &Rc<DaemonState>,
+    request: &ServerRequest,
+    kind: Option<ResourceKind>,
+) -> ServerReply {
+    let text = request
+        .query("watch")
+        .or_else(|| request.query("after"))
+        .unwrap_or("");
+    let seen = match text.parse() {
+        Ok(revision) => FleetRevision(revision),
+        Err(_) => {
+            let message = format!("watch: {text:?} is not a revision");
+            return admin::problem(StatusCode::UNPROCESSABLE_ENTITY, message);
+        }
+    };
+    if state.config.records_after(seen).is_none() {
+        let body = json!({
+            "error": "changes after this revision are no longer kept here",
+            "start_again_at": state.config.revision(),
+        });
+        return ServerReply::json(StatusCode::GONE, &body);
+    }
+    let watch = WatchState {
+        daemon: state.clone(),
+        kind,
+        seen,
+        over: false,
+    };
+    let lines = stream::unfold(watch, next_lines).boxed_local();
+    let mut reply = ServerReply::whole(StatusCode::OK, "application/jsonlines", Bytes::new());
+    reply.body = ReplyBody::Stream(lines);
+    reply
+}
+
+async fn next_lines(mut watch: WatchState) -> Option<(Bytes, WatchState)> {
+    if watch.over {
+        return None;
+    }
+    loop {
+        let count = watch.daemon.config.changed().get();
+        let records = match watch.daemon.config.records_after(watch.seen) {
+            Some(records) => records,
+            None => return Some(watch.end("changes are no longer kept here")),
+        };
+        if watch.daemon.is_stopping() {
+            return Some(watch.end("this daemon is leaving; go on at another"));
+        }
+        if let Some(last) = records.last() {
+            watch.seen = last.revision;
+            let lines = watch.lines(&records);
+            if !lines.is_empty() {
+                return Some((lines, watch));
+            }
+            continue;
+        }
+        let daemon = watch.daemon.clone();
+        let mut changed = std::pin::pin!(daemon.config.changed().above(count).fuse());
+        let mut stopping = std::pin::pin!(daemon.stopping.raised().fuse());
+        let mut quiet = std::pin::pin!(monoio::time::sleep(BOOKMARK_EVERY).fuse());
+        select_biased! {
+            _ = changed => {}
+            () = stopping => {}
+            () = quiet => {
+                let line = line_of(&json!({ "bookmark": watch.seen }));
+                return Some((line, watch));
+            }
+        }
+    }
+}
+
+impl WatchState {
+    fn lines(&self, records: &[Rc<ChangeRecord>]) -> Bytes {
+        let mut lines = Vec::new();
+        for record in records {
+            if let Some(value) = self.select(record) {
+                lines.extend_from_slice(&line_of(&value));
+            }
+        }
+        Bytes::from(lines)
+    }
+
+    fn select(&self, record: &ChangeRecord) -> Option<Value> {
+        let mut record = record.clone();
+        if let Some(kind) = self.kind {
+            record.changes.retain(|change| change.kind == kind.name());
+        }
+        (!record.changes.is_empty()).then(|| read::audit_json(&record))
+    }
+
+    fn end(mut self, reason: &str) -> (Bytes, Self) {
+        self.over = true;
+        let revision = self.daemon.config.revision();
+        let value = json!({"error": reason, "seen": self.seen, "start_again_at": revision});
+        (line_of(&value), self)
+    }
+}
+
+fn line_of(value: &Value) -> Bytes {
+    Bytes::from(format!("{value}\n"))
+}
--- /dev/null
+++ b/crates/daemon/src/configuration.rs
@@ -0,0 +1,155 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The configuration in force in this daemon; its revision only ever rises.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::config::{ActiveConfig, ChangeRecord, FleetConfig};
+use basaltarch_core::units::FleetRevision;
+
+use crate::metrics;
+use crate::signal::RisingSignal;
+
+/// Changes kept for watches and for peers that are behind: hours at 7,200 changes a day.
+pub const RECORDS_KEPT: usize = 1024;
+
+/// `ConfigCell` holds the configuration in force.
+#[derive(Debug, Default)]
+pub struct ConfigCell {
+    fleet: RefCell<FleetConfig>,
+    active: RefCell<Rc<ActiveConfig>>,
+    records: RefCell<VecDeque<Rc<ChangeRecord>>>,
+    since: Cell<Duration>,
+    loaded: Cell<bool>,
+    changed: RisingSignal,
+}
+
+impl ConfigCell {
+    /// Returns the configuration laid out for requests.
+    pub fn active(&self) -> Rc<ActiveConfig> {
+        self.active.borrow().clone()
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> FleetRevision {
+        self.fleet.borrow().revision()
+    }
+
+    /// Returns when the revision in force came.
+    pub fn since(&self) -> Duration {
+        self.since.get()
+    }
+
+    /// Calls `read` with the whole configuration.
+    pub fn with_fleet<T>(&self, read: impl FnOnce(&FleetConfig) -> T) -> T {
+        read(&self.fleet.borrow())
+    }
+
+    /// Says whether a configuration was learnt from the store or a peer.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.get()
+    }
+
+    /// Notes that the store or a peer has nothing later than what is here.
+    pub fn mark_loaded(&self) {
+        if !self.loaded.replace(true) {
+            self.changed.raise();
+        }
+    }
+
+    /// Returns the signal that rises with each change.
+    pub fn changed(&self) -> &RisingSignal {
+        &self.changed
+    }
+
+    /// Puts changes in force that follow what is here; others are passed over.
+    ///
+    /// Returns how many were put in force.
+    pub fn apply(&self, records: &[ChangeRecord], now: Duration) -> usize {
+        let mut applied = 0;
+        for record in records {
+            if record.revision <= self.revision() {
+                metrics::OLD_REVISIONS.add_one();
+                continue;
+            }
+            let result = self.fleet.borrow_mut().apply(record);
+            match result {
+                Ok(true) => {
+                    self.keep(record.clone());
+                    applied += 1;
+                }
+                Ok(false) => break,
+                Err(error) => {
+                    tracing::error!(%error, revision = record.revision.0, "change can't be read");
+                    break;
+                }
+            }
+        }
+        if applied > 0 {
+            self.put_in_force(now);
+        }
+        applied
+    }
+
+    fn keep(&self, record: ChangeRecord) {
+        let mut records = self.records.borrow_mut();
+        records.push_back(Rc::new(record));
+        if records.len() > RECORDS_KEPT {
+            records.pop_front();
+        }
+    }
+
+    /// Takes a whole configuration over if it is later than what is here.
+    pub fn adopt(&self, config: FleetConfig, now: Duration) -> bool {
+        if self.is_loaded() && config.revision() <= self.revision() {
+            metrics::OLD_REVISIONS.add_one();
+            return false;
+        }
+        // Between the two there are changes that are not here; watches must start again.
+        self.records.borrow_mut().clear();
+        *self.fleet.borrow_mut() = config;
+        self.put_in_force(now);
+        true
+    }
+
+    fn put_in_force(&self, now: Duration) {
+        let mut next = ActiveConfig::build(&self.fleet.borrow());
+        keep_unchanged(&self.active.borrow(), &mut next);
+        let revision = next.revision;
+        *self.active.borrow_mut() = Rc::new(next);
+        self.since.set(now);
+        self.loaded.set(true);
+        metrics::REVISION.set(revision.0 as i64);
+        tracing::info!(revision = revision.0, "configuration in force");
+        self.changed.raise();
+    }
+
+    /// Returns the kept changes after a revision, or nothing if some are no longer kept.
+    pub fn records_after(&self, revision: FleetRevision) -> Option<Vec<Rc<ChangeRecord>>> {
+        if revision >= self.revision() {
+            return Some(Vec::new());
+        }
+        let records = self.records.borrow();
+        let first = records.front()?.revision;
+        if revision.next() < first {
+            return None;
+        }
+        let later = records.iter().filter(|record| record.revision > revision);
+        Some(later.cloned().collect())
+    }
+}
+
+/// Keeps the entries of services that did not change, so that what was learnt of them stays.
+fn keep_unchanged(old: &ActiveConfig, next: &mut ActiveConfig) {
+    for (name, entry) in &mut next.services {
+        if let Some(known) = old.services.get(name) {
+            if known == entry {
+                *entry = known.clone();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,64 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Handles the frames between daemons that belong to no exchange.
+
+use std::rc::Rc;
+
+use basaltarch_core::units::FleetRevision;
+use basaltarch_peer::frames::{self, FrameSender};
+use basaltarch_peer::handshake::PeerIdentity;
+use basaltarch_peer::link::NO_EXCHANGE;
+use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
+
+use crate::limits;
+use crate::peers::PeerPath;
+use crate::spread;
+use crate::state::DaemonState;
+
+/// Handles a frame that came from `peer`; `path` is given on links that this daemon dialled.
+pub fn handle(
+    state: &Rc<DaemonState>,
+    path: Option<&Rc<PeerPath>>,
+    sender: &FrameSender,
+    peer: &PeerIdentity,
+    body: FrameBody,
+) {
+    match body {
+        FrameBody::Heartbeat(note) => handle_heartbeat(state, path, sender, peer, note),
+        FrameBody::Pull(pull) => spread::answer_pull(state, sender, pull),
+        FrameBody::News(news) => spread::take_news(state, peer, news),
+        FrameBody::GrantRequest(request) => limits::answer_request(state, sender, &request),
+        FrameBody::GrantReply(reply) => state.limits.take_reply(&reply),
+        FrameBody::Withdraw(note) => state.host.withdraw_failure(&note.upstream, &note.route),
+        other => {
+            let frame = frames::frame_name(&other);
+            tracing::warn!(host = peer.host, frame, "unexpected frame");
+        }
+    }
+}
+
+fn handle_heartbeat(
+    state: &Rc<DaemonState>,
+    path: Option<&Rc<PeerPath>>,
+    sender: &FrameSender,
+    peer: &PeerIdentity,
+    note: HeartbeatNote,
+) {
+    let now = state.now();
+    if let Some(path) = path {
+        path.note_answer(now);
+    }
+    let revision = FleetRevision(note.revision.max(0) as u64);
+    state.members.note_heard(state, peer, revision);
+    state.members.note_entries(state, &note.members);
+    spread::note_peer_revision(state, sender, revision);
+    if !note.reply {
+        let answer = HeartbeatNote {
+            reply: true,
+            revision: state.config.revision().0 as i64,
+            members: state.members.some_entries(state, &note.members),
+        };
+        let _ = sender.send(NO_EXCHANGE, FrameBody::Heartbeat(answer));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/errors.rs
@@ -0,0 +1,37 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Errors of starting and running the daemon.
+
+use std::io;
+use std::net::SocketAddr;
+
+use basaltarch_core::errors::SettingError;
+use basaltarch_telemetry::errors::StartError;
+use snafu::Snafu;
+
+/// `DaemonError` says why the daemon could not start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum DaemonError {
+    /// A setting is wrong.
+    #[snafu(display("{source}"))]
+    Setting {
+        /// What is wrong.
+        source: SettingError,
+    },
+    /// The process's surroundings could not be started.
+    #[snafu(display("{source}"))]
+    Start {
+        /// What failed.
+        source: StartError,
+    },
+    /// An address can't be listened on.
+    #[snafu(display("can't listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+}
--- /dev/null
+++ b/crates/daemon/src/host/admission.rs
@@ -0,0 +1,240 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Slots of one backend server, and the short queue before them.
+//!
+//! Slots are counted exactly. Who waits is ordered by class of work, then by arrival. Whoever can't
+//! be served in time is refused at once rather than near the deadline.
+
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::Duration;
+
+use basaltarch_core::outcome::NotRunReason;
+use basaltarch_core::resources::WorkClass;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WaitState {
+    Waiting,
+    Granted,
+    Refused(NotRunReason),
+}
+
+struct QueueWaiter {
+    class: WorkClass,
+    state: Cell<WaitState>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl QueueWaiter {
+    fn settle(&self, state: WaitState) {
+        self.state.set(state);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+}
+
+/// `SlotQueue` gives out the slots of one backend server.
+pub struct SlotQueue {
+    slots: Cell<u32>,
+    used: Cell<u32>,
+    limit: Cell<u32>,
+    waiting: RefCell<Vec<Rc<QueueWaiter>>>,
+}
+
+/// `SlotRequest` asks for a slot.
+#[derive(Debug, Clone, Copy)]
+pub struct SlotRequest {
+    /// Class of the work.
+    pub class: WorkClass,
+    /// Time by which the work must be done.
+    pub deadline: Duration,
+    /// Time that one request usually takes, if known.
+    pub usual: Option<Duration>,
+}
+
+impl SlotQueue {
+    /// Builds a queue of at most `limit` before `slots`.
+    pub fn new(slots: u32, limit: u32) -> Self {
+        Self {
+            slots: Cell::new(slots),
+            used: Cell::new(0),
+            limit: Cell::new(limit),
+            waiting: RefCell::default(),
+        }
+    }
+
+    /// Changes the numbers; slots in use stay so until they are given back.
+    pub fn configure(&self, slots: u32, limit: u32) {
+        self.slots.set(slots);
+        self.limit.set(limit);
+        self.hand_on();
+    }
+
+    /// Returns the number of slots in use.
+    pub fn used(&self) -> u32 {
+        self.used.get()
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn queued(&self) -> u32 {
+        self.waiting.borrow().len() as u32
+    }
+
+    /// Says whether a request of this class would be let into a slot or the queue.
+    pub fn has_room(&self, class: WorkClass) -> bool {
+        let waiting = self.waiting.borrow();
+        self.used.get() < self.slots.get()
+            || waiting.len() < self.limit.get() as usize
+            || waiting.iter().any(|waiter| waiter.class < class)
+    }
+
+    /// Takes a slot, waiting for one if the queue has room; `now` tells the time.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        request: SlotRequest,
+        now: impl Fn() -> Duration,
+    ) -> Result<SlotGuard, NotRunReason> {
+        if self.used.get() < self.slots.get() && self.waiting.borrow().is_empty() {
+            self.used.set(self.used.get() + 1);
+            return Ok(SlotGuard::new(self));
+        }
+        self.check_time(&request, now())?;
+        let waiter = self.enqueue(&request)?;
+        let guard = WaitGuard {
+            queue: self,
+            waiter: &waiter,
+        };
+        let result = poll_fn(|context| {
+            match waiter.state.get() {
+                WaitState::Granted => return Poll::Ready(Ok(())),
+                WaitState::Refused(reason) => return Poll::Ready(Err(reason)),
+                WaitState::Waiting => {}
+            }
+            *waiter.waker.borrow_mut() = Some(context.waker().clone());
+            Poll::Pending
+        });
+        let left = request.deadline.saturating_sub(now());
+        let result = match monoio::time::timeout(left, result).await {
+            Ok(result) => result,
+            Err(_) => Err(NotRunReason::DeadlinePassed),
+        };
+        result?;
+        // From here on the slot is given back by its own guard.
+        std::mem::forget(guard);
+        Ok(SlotGuard::new(self))
+    }
+
+    /// Refuses at once what would only get its slot after its deadline.
+    fn check_time(&self, request: &SlotRequest, now: Duration) -> Result<(), NotRunReason> {
+        let left = request.deadline.saturating_sub(now);
+        if left.is_zero() {
+            return Err(NotRunReason::DeadlinePassed);
+        }
+        let usual = match request.usual {
+            Some(usual) => usual,
+            None => return Ok(()),
+        };
+        let waiting = self.waiting.borrow();
+        let before = waiting
+            .iter()
+            .filter(|waiter| waiter.class >= request.class)
+            .count();
+        let rounds = (before as f64 + 1.0) / f64::from(self.slots.get().max(1));
+        if usual.mul_f64(rounds) > left {
+            return Err(NotRunReason::DeadlinePassed);
+        }
+        Ok(())
+    }
+
+    fn enqueue(&self, request: &SlotRequest) -> Result<Rc<QueueWaiter>, NotRunReason> {
+        let mut waiting = self.waiting.borrow_mut();
+        if waiting.len() >= self.limit.get() as usize {
+            let lowest = waiting
+                .iter()
+                .enumerate()
+                .rev()
+                .min_by_key(|(_, waiter)| waiter.class)
+                .map(|(index, waiter)| (index, waiter.class));
+            match lowest {
+                Some((index, class)) if class < request.class => {
+                    let evicted = waiting.remove(index);
+                    evicted.settle(WaitState::Refused(NotRunReason::QueueFull));
+                }
+                _ => return Err(NotRunReason::QueueFull),
+            }
+        }
+        let waiter = Rc::new(QueueWaiter {
+            class: request.class,
+            state: Cell::new(WaitState::Waiting),
+            waker: RefCell::default(),
+        });
+        waiting.push(waiter.clone());
+        Ok(waiter)
+    }
+
+    fn give_back(&self) {
+        self.used.set(self.used.get() - 1);
+        self.hand_on();
+    }
+
+    /// Hands free slots to those who wait: the highest class first, then the first to come.
+    fn hand_on(&self) {
+        while self.used.get() < self.slots.get() {
+            let mut waiting = self.waiting.borrow_mut();
+            let mut best: Option<usize> = None;
+            for (index, waiter) in waiting.iter().enumerate() {
+                if best.is_none_or(|known| waiter.class > waiting[known].class) {
+                    best = Some(index);
+                }
+            }
+            let waiter = match best {
+                Some(index) => waiting.remove(index),
+                None => return,
+            };
+            drop(waiting);
+            self.used.set(self.used.get() + 1);
+            waiter.settle(WaitState::Granted);
+        }
+    }
+}
+
+/// Takes a waiter out of the queue when it stops waiting.
+struct WaitGuard<'a> {
+    queue: &'a Rc<SlotQueue>,
+    waiter: &'a Rc<QueueWaiter>,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.queue.waiting.borrow_mut();
+        waiting.retain(|waiter| !Rc::ptr_eq(waiter, self.waiter));
+        drop(waiting);
+        // A slot that was granted but not yet seen would be lost.
+        if self.waiter.state.get() == WaitState::Granted {
+            self.queue.give_back();
+        }
+    }
+}
+
+/// `SlotGuard` is a slot in use.
+pub struct SlotGuard {
+    queue: Rc<SlotQueue>,
+}
+
+impl SlotGuard {
+    fn new(queue: &Rc<SlotQueue>) -> Self {
+        Self {
+            queue: queue.clone(),
+        }
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.queue.give_back();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/host/backend.rs
@@ -0,0 +1,118 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Connections to one backend server, and the HTTP exchange over one of them.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use basaltarch_http::client;
+use basaltarch_http::connection::HttpStream;
+use basaltarch_http::errors::HttpError;
+
+/// Longest time for a connection to a backend server of the same host (the brief's cost is 1 ms).
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// `BackendPool` keeps connections to one backend server.
+pub struct BackendPool {
+    address: Cell<SocketAddr>,
+    most: Cell<usize>,
+    open: Cell<usize>,
+    idle: RefCell<Vec<HttpStream>>,
+}
+
+impl BackendPool {
+    /// Builds a pool of at most `most` connections.
+    pub fn new(address: SocketAddr, most: usize) -> Self {
+        Self {
+            address: Cell::new(address),
+            most: Cell::new(most),
+            open: Cell::new(0),
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Takes a changed address or bound over.
+    pub fn configure(&self, address: SocketAddr, most: usize) {
+        if self.address.replace(address) != address {
+            let closed = self.idle.borrow_mut().drain(..).count();
+            self.open.set(self.open.get() - closed);
+        }
+        self.most.set(most);
+    }
+
+    /// Returns the number of open connections.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Takes a kept connection that is still good, or makes one.
+    pub async fn take(&self) -> Result<PooledStream<'_>, HttpError> {
+        loop {
+            let kept = self.idle.borrow_mut().pop();
+            let mut stream = match kept {
+                Some(stream) => stream,
+                None => break,
+            };
+            if client::is_quiet(&mut stream) {
+                return Ok(PooledStream {
+                    pool: self,
+                    address: self.address.get(),
+                    stream: Some(stream),
+                });
+            }
+            self.open.set(self.open.get() - 1);
+        }
+        if self.open.get() >= self.most.get() {
+            return Err(HttpError::TimedOut {
+                what: "a free connection",
+            });
+        }
+        // Counted before it is made, so that the bound holds while several are being made.
+        self.open.set(self.open.get() + 1);
+        let mut pooled = PooledStream {
+            pool: self,
+            address: self.address.get(),
+            stream: None,
+        };
+        pooled.stream = Some(HttpStream::connect(pooled.address, CONNECT_TIMEOUT).await?);
+        Ok(pooled)
+    }
+}
+
+/// `PooledStream` is a connection in use; unless given back, it is closed.
+pub struct PooledStream<'a> {
+    pool: &'a BackendPool,
+    address: SocketAddr,
+    stream: Option<HttpStream>,
+}
+
+impl PooledStream<'_> {
+    /// Returns the connection.
+    pub fn stream(&mut self) -> &mut HttpStream {
+        self.stream
+            .as_mut()
+            .unwrap_or_else(|| unreachable!("set until given back"))
+    }
+
+    /// Gives the connection back after a clean exchange.
+    pub fn give_back(mut self) {
+        let pool = self.pool;
+        if pool.address.get() != self.address {
+            return;
+        }
+        if let Some(mut stream) = self.stream.take() {
+            stream.reader.release();
+            pool.idle.borrow_mut().push(stream);
+            pool.open.set(pool.open.get() + 1);
+        }
+    }
+}
+
+impl Drop for PooledStream<'_> {
+    fn drop(&mut self) {
+        // A connection that was given back was counted once more there.
+        self.pool.open.set(self.pool.open.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/host/upstream.rs
@@ -0,0 +1,157 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! One backend server of this host, as its daemon knows it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::config::{ServiceEntry, UpstreamEntry};
+use basaltarch_core::resources::{BackendServer, ServerState, ServiceSpec};
+use basaltarch_decide::evidence::WorkEvidence;
+use basaltarch_decide::health::{HealthChange, UpstreamHealth};
+use basaltarch_peer::protocol::LoadReport;
+
+use crate::host::admission::SlotQueue;
+use crate::host::backend::BackendPool;
+use crate::metrics;
+use crate::state::DaemonState;
+use crate::wire::{self, HostLoad};
+
+/// Time for which a backend server's word that it is leaving counts without being renewed.
+const DRAIN_WORD_LIFE: Duration = Duration::from_secs(30);
+
+/// `HostUpstream` is one backend server of this host.
+pub struct HostUpstream {
+    /// Name of the backend server.
+    pub name: Rc<str>,
+    /// Service that it is an upstream of.
+    pub service: Rc<str>,
+    /// Its resource.
+    pub server: RefCell<BackendServer>,
+    /// Its slots.
+    pub slots: Rc<SlotQueue>,
+    /// Its health.
+    pub health: RefCell<UpstreamHealth>,
+    /// Connections to it.
+    pub pool: BackendPool,
+    draining_until: Cell<Duration>,
+}
+
+impl HostUpstream {
+    /// Builds a backend server; a `cold` one gets work slowly at first.
+    pub fn new(
+        upstream: &UpstreamEntry,
+        service: &ServiceEntry,
+        now: Duration,
+        cold: bool,
+    ) -> Self {
+        let server = &upstream.server;
+        Self {
+            name: upstream.name.clone(),
+            service: service.name.clone(),
+            server: RefCell::new(server.clone()),
+            slots: Rc::new(SlotQueue::new(server.slots, service.spec.queue)),
+            health: RefCell::new(UpstreamHealth::new(service.spec.prefer, now, cold)),
+            pool: BackendPool::new(server.address, server.connections as usize),
+            draining_until: Cell::new(Duration::ZERO),
+        }
+    }
+
+    /// Takes a changed resource over.
+    pub fn configure(&self, server: &BackendServer, spec: &ServiceSpec) {
+        self.slots.configure(server.slots, spec.queue);
+        self.health.borrow_mut().set_prefer(spec.prefer);
+        self.pool
+            .configure(server.address, server.connections as usize);
+        *self.server.borrow_mut() = server.clone();
+    }
+
+    /// Takes in whether the backend server says that it is leaving.
+    pub fn note_drain_word(&self, draining: bool, now: Duration) {
+        let until = if draining {
+            now + DRAIN_WORD_LIFE
+        } else {
+            Duration::ZERO
+        };
+        self.draining_until.set(until);
+    }
+
+    /// Says whether the backend server takes no new work, by its resource or its own word.
+    pub fn is_draining(&self, now: Duration) -> bool {
+        self.server.borrow().state == ServerState::Draining || self.draining_until.get() > now
+    }
+
+    /// Takes the end of a request in.
+    pub fn note(&self, route: &str, work: &WorkNote, now: Duration) {
+        let mut health = self.health.borrow_mut();
+        let change = if work.is_trial {
+            health.note_trial(route, work.evidence, now)
+        } else {
+            health.note(route, work.evidence, work.was_overdue, now)
+        };
+        drop(health);
+        self.tell(change);
+    }
+
+    /// Takes in that a running request is overdue.
+    pub fn note_overdue(&self, route: &str, now: Duration) {
+        let change = self.health.borrow_mut().note_overdue(route, now);
+        self.tell(change);
+    }
+
+    fn tell(&self, change: Option<HealthChange>) {
+        match change {
+            None => {}
+            Some(HealthChange::Ejected {
+                reason,
+                sickness,
+                after,
+            }) => {
+                metrics::EJECTIONS[reason as usize].add_one();
+                metrics::DETECTION_MS.add(after.as_millis() as u64);
+                tracing::warn!(
+                    upstream = &*self.name,
+                    service = &*self.service,
+                    evidence = reason.name(),
+                    sickness,
+                    after_ms = after.as_millis() as u64,
+                    "upstream ejected"
+                );
+            }
+            Some(HealthChange::Returned { out }) => {
+                metrics::RETURNS.add_one();
+                tracing::info!(
+                    upstream = &*self.name,
+                    service = &*self.service,
+                    out_ms = out.as_millis() as u64,
+                    "upstream returned"
+                );
+            }
+        }
+    }
+
+    /// Returns the report for a dispatch of `route`.
+    pub fn report(&self, state: &DaemonState, route: &str) -> LoadReport {
+        let now = state.now();
+        let load = HostLoad {
+            in_flight: self.slots.used(),
+            queued: self.slots.queued(),
+            draining: self.is_draining(now) || state.is_stopping(),
+            revision: state.config.revision().0,
+        };
+        wire::report_note(load, &self.health.borrow().report(route, now))
+    }
+}
+
+/// `WorkNote` is what one request said about its upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct WorkNote {
+    /// The evidence.
+    pub evidence: WorkEvidence,
+    /// Whether the request was noted as overdue while it ran.
+    pub was_overdue: bool,
+    /// Whether the request was a trial.
+    pub is_trial: bool,
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/answer.rs
@@ -0,0 +1,183 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Passes an answer on to the caller, piece by piece as the caller takes it.
+
+use basaltarch_core::units;
+use basaltarch_http::body::BodyReader;
+use basaltarch_http::connection::HttpStream;
+use basaltarch_http::errors::HttpError;
+use basaltarch_http::framing::{self, BodyFraming};
+use basaltarch_http::writer;
+use basaltarch_peer::protocol::AnswerHead;
+use basaltarch_peer::stream::{EventPipe, StreamEvent};
+use bytes::{Bytes, BytesMut};
+use futures_util::{select_biased, FutureExt};
+use http::{Method, StatusCode, Version};
+use monoio::io::OwnedWriteHalf;
+use monoio::net::TcpStream;
+
+use crate::ingress::attempt::LiveExchange;
+use crate::ingress::caller::{AfterRequest, WRITE_STALL};
+use crate::ingress::request::CallerRequest;
+use crate::metrics;
+
+/// Most bytes of an answer of unknown length that are gathered for a caller of HTTP/1.0, who could
+/// not tell a cut answer from a whole one.
+const GATHERED_BYTES_MAX: usize = 1024 * units::KIB;
+
+/// Passes an answer on; what is left of the request's body is sent meanwhile.
+pub async fn relay(
+    stream: &mut HttpStream,
+    request: &CallerRequest,
+    body: &mut BodyReader,
+    live: &mut LiveExchange,
+    head: AnswerHead,
+) -> AfterRequest {
+    let answer = live.exchange.answer.clone();
+    let HttpStream { reader, writer } = stream;
+    let relaying = relay_answer(writer, request, &answer, head);
+    let mut relaying = std::pin::pin!(relaying.fuse());
+    let sink = live.exchange.body.clone();
+    let sending = async {
+        while !body.is_done() {
+            if sink.ready().await.is_err() {
+                return;
+            }
+            let data = match body.next(reader).await {
+                Ok(data) => data.unwrap_or_default(),
+                Err(_) => return,
+            };
+            let last = body.is_done();
+            if sink.send(StreamEvent::Data(data, last)).await.is_err() {
+                return;
+            }
+        }
+    };
+    let mut sending = std::pin::pin!(sending.fuse());
+    let result = loop {
+        select_biased! {
+            result = relaying => break result,
+            () = sending => {}
+        }
+    };
+    match result {
+        Ok(close) => {
+            live.exchange.finish();
+            metrics::COMPLETE.add_one();
+            if close {
+                AfterRequest::Close
+            } else {
+                AfterRequest::Keep
+            }
+        }
+        // The caller sees the connection end before the answer does.
+        Err(_) => AfterRequest::Abort,
+    }
+}
+
+/// Writes the answer; says whether the connection ends after it.
+async fn relay_answer(
+    writer: &mut OwnedWriteHalf<TcpStream>,
+    request: &CallerRequest,
+    answer: &EventPipe,
+    mut head: AnswerHead,
+) -> Result<bool, HttpError> {
+    if request.version == Version::HTTP_10 && head.content_length < 0 && !head.last {
+        gather(answer, &mut head).await?;
+    }
+    let status = StatusCode::from_u16(head.status as u16).unwrap_or(StatusCode::BAD_GATEWAY);
+    let bare = framing::never_has_body(status) || request.method == Method::HEAD;
+    let framing = answer_framing(&head, bare);
+    let mut buffer = BytesMut::with_capacity(512 + head.body.len());
+    put_head(&mut buffer, status, &head, framing, request.close);
+    if head.last {
+        let piece = if bare {
+            Bytes::new()
+        } else {
+            Bytes::from(head.body)
+        };
+        send(writer, &mut buffer, framing, piece, true).await?;
+        return Ok(request.close);
+    }
+    send(writer, &mut buffer, framing, Bytes::from(head.body), false).await?;
+    loop {
+        match answer.next().await {
+            StreamEvent::Data(data, last) => {
+                send(writer, &mut buffer, framing, data, last).await?;
+                if last {
+                    return Ok(request.close);
+                }
+            }
+            // The head is with the caller already; all that is left is to cut the answer short.
+            _ => return Err(HttpError::Truncated),
+        }
+    }
+}
+
+fn answer_framing(head: &AnswerHead, bare: bool) -> BodyFraming {
+    match head.content_length {
+        length if length >= 0 => BodyFraming::Length(length as u64),
+        _ if bare => BodyFraming::Empty,
+        _ if head.last => BodyFraming::Length(head.body.len() as u64),
+        _ => BodyFraming::Chunked,
+    }
+}
+
+fn put_head(
+    buffer: &mut BytesMut,
+    status: StatusCode,
+    head: &AnswerHead,
+    framing: BodyFraming,
+    close: bool,
+) {
+    writer::put_status_line(buffer, status);
+    for field in &head.headers {
+        writer::put_field(buffer, &field.name, &field.value);
+    }
+    if status != StatusCode::NO_CONTENT {
+        writer::put_framing(buffer, framing);
+    }
+    if close {
+        writer::put_field(buffer, b"connection", b"close");
+    }
+    buffer.extend_from_slice(b"\r\n");
+}
+
+async fn send(
+    writer: &mut OwnedWriteHalf<TcpStream>,
+    buffer: &mut BytesMut,
+    framing: BodyFraming,
+    piece: Bytes,
+    last: bool,
+) -> Result<(), HttpError> {
+    let sending = writer::send_piece(writer, buffer, framing, piece, last);
+    match monoio::time::timeout(WRITE_STALL, sending).await {
+        Ok(result) => result,
+        Err(_) => Err(HttpError::TimedOut {
+            what: "a slow caller",
+        }),
+    }
+}
+
+/// Gathers the whole answer into its head.
+async fn gather(answer: &EventPipe, head: &mut AnswerHead) -> Result<(), HttpError> {
+    loop {
+        match answer.next().await {
+            StreamEvent::Data(data, last) => {
+                head.body.extend_from_slice(&data);
+                if last {
+                    head.last = true;
+                    head.content_length = head.body.len() as i64;
+                    return Ok(());
+                }
+                if head.body.len() > GATHERED_BYTES_MAX {
+                    return Err(HttpError::BodyTooLarge {
+                        allowed: GATHERED_BYTES_MAX as u64,
+                    });
+                }
+            }
+            _ => return Err(HttpError::Truncated),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -0,0 +1,373 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The attempts at one request: choosing, dispatching, and what may be tried again.
+//!
+//! What certainly did not run may go elsewhere without harm, at most twice, the last time not
+//! refusable. What may have run is repeated only if its route allows that, out of the service's
+//! budget. Once the answer's head went to the caller, nothing is repeated.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
+use basaltarch_core::resources::WorkMode;
+use basaltarch_decide::balance::UpstreamChoice;
+use basaltarch_http::body::BodyReader;
+use basaltarch_http::connection::HttpStream;
+use basaltarch_http::reader::HEAD_READ_BYTES;
+use basaltarch_peer::link::{OutboundExchange, NO_EXCHANGE};
+use basaltarch_peer::protocol::{AnswerHead, DispatchHead, FrameBody, LoadReport, WithdrawNote};
+use basaltarch_peer::stream::StreamEvent;
+use bytes::Bytes;
+use futures_util::{select_biased, FutureExt};
+
+use crate::host;
+use crate::ingress::failure::CallerFailure;
+use crate::ingress::request::{CallerRequest, PREFIX_BYTES};
+use crate::links;
+use crate::metrics;
+use crate::services::SentGuard;
+use crate::state::DaemonState;
+use crate::wire;
+
+/// Dispatches of one request at the most: the first and two more.
+const DISPATCHES_MAX: usize = 3;
+/// Time that the answer may take beyond the deadline given to the host's daemon, which times the
+/// work out itself; after it the path is at fault.
+const DEADLINE_GRACE: Duration = Duration::from_millis(100);
+/// Bytes of further requests that are read while one is served.
+const PIPELINE_BYTES_MAX: usize = 64 * 1024;
+
+/// `AttemptEnd` is how the attempts at a request ended.
+pub enum AttemptEnd {
+    /// The head of an answer came, and the exchange it came from.
+    Answer(LiveExchange, AnswerHead),
+    /// There is no answer.
+    Failed(CallerFailure),
+    /// The caller went away.
+    CallerGone,
+}
+
+/// `LiveExchange` is an exchange whose answer is being passed on.
+pub struct LiveExchange {
+    /// The exchange.
+    pub exchange: OutboundExchange,
+    _sent: SentGuard,
+}
+
+/// `FirstEvent` is the first thing that an attempt brought.
+enum FirstEvent {
+    Head(AnswerHead),
+    Failed(FailureOutcome, Option<LoadReport>),
+    CallerGone,
+}
+
+/// `RequestAttempts` is the state over the attempts at one request.
+struct RequestAttempts<'a> {
+    state: &'a Rc<DaemonState>,
+    request: &'a CallerRequest,
+    excluded: Vec<usize>,
+    dispatches: usize,
+    last: FailureOutcome,
+    failed_at: Option<usize>,
+}
+
+/// Runs the attempts at a request until one brings an answer or none may follow.
+pub async fn run(
+    state: &Rc<DaemonState>,
+    stream: &mut HttpStream,
+    request: &CallerRequest,
+    body: &mut BodyReader,
+) -> AttemptEnd {
+    let mut attempts = RequestAttempts {
+        state,
+        request,
+        excluded: Vec::new(),
+        dispatches: 0,
+        last: FailureOutcome::NotRun(NotRunReason::NoUpstream),
+        failed_at: None,
+    };
+    let mut fallback: Option<(LiveExchange, AnswerHead)> = None;
+    loop {
+        let choice = match attempts.choose() {
+            Ok(choice) => choice,
+            Err(failure) => return end_with(fallback, failure),
+        };
+        let mut live = match attempts.dispatch(choice, body.is_done()).await {
+            Some(live) => live,
+            None => continue,
+        };
+        let first = attempts.first_event(stream, body, &live).await;
+        match first {
+            FirstEvent::CallerGone => return AttemptEnd::CallerGone,
+            FirstEvent::Head(head) => {
+                attempts.note_report(choice.index, &head.report);
+                let failed = is_server_error(head.status);
+                if fallback.is_some() {
+                    if failed {
+                        attempts.withdraw();
+                    }
+                    return AttemptEnd::Answer(live, head);
+                }
+                if !failed || !head.last || !attempts.may_repeat(body) {
+                    return AttemptEnd::Answer(live, head);
+                }
+                attempts.failed_at = Some(choice.index);
+                attempts.excluded.push(choice.index);
+                live.exchange.finish();
+                fallback = Some((live, head));
+            }
+            FirstEvent::Failed(outcome, report) => {
+                live.exchange.finish();
+                if let Some(report) = &report {
+                    attempts.note_report(choice.index, report);
+                }
+                attempts.excluded.push(choice.index);
+                attempts.last = outcome;
+                let again = match outcome {
+                    FailureOutcome::NotRun(reason) => attempts.may_go_elsewhere(reason),
+                    FailureOutcome::Unknown(_) => attempts.may_repeat(body),
+                };
+                if !again {
+                    return end_with(fallback, CallerFailure::new(outcome));
+                }
+            }
+        }
+    }
+}
+
+/// Ends with the complete answer of an earlier attempt if there is one, though it was an error.
+fn end_with(fallback: Option<(LiveExchange, AnswerHead)>, failure: CallerFailure) -> AttemptEnd {
+    match fallback {
+        Some((live, head)) => AttemptEnd::Answer(live, head),
+        None => AttemptEnd::Failed(failure),
+    }
+}
+
+impl RequestAttempts<'_> {
+    fn is_repeatable(&self) -> bool {
+        self.request.route.rule.mode == WorkMode::Repeatable
+    }
+
+    fn left(&self) -> Duration {
+        self.request.deadline.saturating_sub(self.state.now())
+    }
+
+    fn choose(&mut self) -> Result<UpstreamChoice, CallerFailure> {
+        if self.left().is_zero() && self.dispatches == 0 {
+            return Err(CallerFailure::not_run(NotRunReason::DeadlinePassed));
+        }
+        let must_take = self.dispatches + 1 >= DISPATCHES_MAX;
+        let now = self.state.now();
+        let service = &self.request.service;
+        service
+            .choose(now, &self.excluded, self.is_repeatable(), must_take)
+            .filter(|_| self.dispatches < DISPATCHES_MAX)
+            .ok_or_else(|| CallerFailure::new(self.last))
+    }
+
+    /// Says whether what did not run may be sent to another upstream.
+    fn may_go_elsewhere(&self, reason: NotRunReason) -> bool {
+        let would_repeat = matches!(
+            reason,
+            NotRunReason::DeadlinePassed
+                | NotRunReason::CallerGone
+                | NotRunReason::KeyReused
+                | NotRunReason::LedgerUnavailable
+        );
+        !would_repeat && self.dispatches < DISPATCHES_MAX && !self.left().is_zero()
+    }
+
+    /// Says whether what may have run may be sent again, and takes that from the budget.
+    fn may_repeat(&self, body: &BodyReader) -> bool {
+        self.is_repeatable()
+            && body.is_done()
+            && self.request.prefix.len() <= PREFIX_BYTES * 2
+            && self.dispatches < DISPATCHES_MAX
+            && !self.left().is_zero()
+            && self.request.service.take_repeat()
+    }
+
+    /// Dispatches to the chosen upstream; gives nothing if its daemon can't be reached.
+    async fn dispatch(
+        &mut self,
+        choice: UpstreamChoice,
+        body_is_done: bool,
+    ) -> Option<LiveExchange> {
+        self.dispatches += 1;
+        metrics::DISPATCHES.add_one();
+        if self.dispatches > 1 {
+            metrics::RETRIES.add_one();
+        }
+        let service = &self.request.service;
+        let path = service.path(choice.index).clone();
+        let sent = service.count_sent(choice.index);
+        let exchange = if path.is_self {
+            Some(host::dispatch_local(
+                self.state,
+                self.head(choice, body_is_done),
+            ))
+        } else {
+            path.note_used(self.state.now());
+            match links::link_to(self.state, &path).await {
+                Ok(link) => link.dispatch(self.head(choice, body_is_done)).ok(),
+                Err(_) => None,
+            }
+        };
+        if exchange.is_none() {
+            self.excluded.push(choice.index);
+            self.last = FailureOutcome::NotRun(NotRunReason::PeerUnreachable);
+        }
+        exchange.map(|exchange| LiveExchange {
+            exchange,
+            _sent: sent,
+        })
+    }
+
+    fn head(&self, choice: UpstreamChoice, body_is_done: bool) -> DispatchHead {
+        let request = self.request;
+        let entry = &request.service.entry;
+        let baseline = request.service.baseline(&request.route.name);
+        DispatchHead {
+            service_name: entry.name.to_string(),
+            upstream: entry.upstreams[choice.index].name.to_string(),
+            route: request.route.name.to_string(),
+            method: request.method.as_str().to_owned(),
+            target: request.target.clone(),
+            headers: request.headers.clone(),
+            deadline_ms: self.left().as_millis().min(i32::MAX as u128) as i32,
+            refusable: choice.refusable,
+            work_class: wire::class_number(request.route.rule.criticality),
+            work_mode: wire::mode_number(request.route.rule.mode),
+            attempt: self.dispatches as i8,
+            content_length: request.framing.wire_length(),
+            body: request.prefix.to_vec(),
+            last: body_is_done,
+            baseline: baseline.is_usable().then(|| wire::baseline_note(&baseline)),
+            once_key: request.once_key.clone(),
+            organisation: request.organisation.clone(),
+            revision: self.state.config.revision().0 as i64,
+        }
+    }
+
+    /// Waits for the head of the answer or the end of the exchange, sending the body meanwhile.
+    async fn first_event(
+        &self,
+        stream: &mut HttpStream,
+        body: &mut BodyReader,
+        live: &LiveExchange,
+    ) -> FirstEvent {
+        let answer = live.exchange.answer.clone();
+        let mut event = std::pin::pin!(answer.next().fuse());
+        let wait = self.left() + DEADLINE_GRACE;
+        let mut late = std::pin::pin!(monoio::time::sleep(wait).fuse());
+        let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
+        loop {
+            select_biased! {
+                event = event => return first_of(event),
+                outcome = sending => match outcome {
+                    SendEnd::Done => {}
+                    SendEnd::CallerGone => return FirstEvent::CallerGone,
+                },
+                () = late => {
+                    let outcome = FailureOutcome::Unknown(UnknownReason::TimedOut);
+                    return FirstEvent::Failed(outcome, None);
+                }
+            }
+        }
+    }
+
+    fn note_report(&self, index: usize, report: &LoadReport) {
+        let route = &self.request.route.name;
+        self.request
+            .service
+            .note_report(index, route, report, self.state.now());
+    }
+
+    /// Takes the first failure back: the same request failed on a second upstream, so the request
+    /// is at fault rather than the servers.
+    fn withdraw(&self) {
+        let index = match self.failed_at {
+            Some(index) => index,
+            None => return,
+        };
+        let upstream = &self.request.service.entry.upstreams[index].name;
+        let path = self.request.service.path(index);
+        if path.is_self {
+            self.state
+                .host
+                .withdraw_failure(upstream, &self.request.route.name);
+            return;
+        }
+        if let Some(link) = path.link() {
+            let note = WithdrawNote {
+                service_name: self.request.service.entry.name.to_string(),
+                upstream: upstream.to_string(),
+                route: self.request.route.name.to_string(),
+            };
+            let _ = link.sender().send(NO_EXCHANGE, FrameBody::Withdraw(note));
+        }
+    }
+}
+
+fn first_of(event: StreamEvent) -> FirstEvent {
+    match event {
+        StreamEvent::Head(head) => FirstEvent::Head(head),
+        StreamEvent::Failed(failure) => {
+            let outcome = FailureOutcome::from_wire(failure.outcome);
+            FirstEvent::Failed(outcome, failure.report)
+        }
+        StreamEvent::Data(..) | StreamEvent::Cancelled => {
+            FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::PeerLost), None)
+        }
+    }
+}
+
+enum SendEnd {
+    Done,
+    CallerGone,
+}
+
+/// Sends the rest of the body, then watches whether the caller goes away.
+async fn send_body(stream: &mut HttpStream, body: &mut BodyReader, live: &LiveExchange) -> SendEnd {
+    let sink = &live.exchange.body;
+    while !body.is_done() {
+        // Nothing is read before the host's daemon has started the work, so that what a refusal
+        // leaves unread can go to another upstream.
+        if sink.ready().await.is_err() {
+            break;
+        }
+        let data = match body.next(&mut stream.reader).await {
+            Ok(Some(data)) => data,
+            Ok(None) => Bytes::new(),
+            Err(_) => return SendEnd::CallerGone,
+        };
+        let last = body.is_done();
+        if sink.send(StreamEvent::Data(data, last)).await.is_err() {
+            break;
+        }
+    }
+    watch_caller(stream).await
+}
+
+/// Waits until the caller goes away; further requests are kept for later.
+pub async fn watch_caller_end(stream: &mut HttpStream) {
+    watch_caller(stream).await;
+}
+
+async fn watch_caller(stream: &mut HttpStream) -> SendEnd {
+    loop {
+        if stream.reader.buffer.len() > PIPELINE_BYTES_MAX {
+            return SendEnd::Done;
+        }
+        match stream.reader.fill(HEAD_READ_BYTES).await {
+            Ok(count) if count > 0 => {}
+            _ => return SendEnd::CallerGone,
+        }
+    }
+}
+
+fn is_server_error(status: i16) -> bool {
+    matches!(status, 500 | 502 | 503 | 504)
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/caller.rs
@@ -0,0 +1,153 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Serves one caller's connection: its requests one after another, answers in the same order.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_http::connection::{self, ConnectionCount, HttpStream};
+use basaltarch_http::errors::HttpError;
+use basaltarch_http::fields;
+use basaltarch_http::head;
+use basaltarch_http::reader::HEAD_READ_BYTES;
+use basaltarch_http::writer;
+use bytes::BytesMut;
+use futures_util::{select_biased, FutureExt};
+use http::request::Parts;
+use http::Method;
+use monoio::net::{TcpListener, TcpStream};
+
+use crate::ingress::failure::CallerFailure;
+use crate::ingress::request;
+use crate::metrics;
+use crate::state::DaemonState;
+
+/// Longest time that a caller may take to accept what is written to it before its connection is
+/// given up.
+pub const WRITE_STALL: Duration = Duration::from_secs(30);
+/// Bytes of an unread body that are read past after a refusal, so that the caller can read it.
+const LINGER_BYTES: usize = 256 * 1024;
+/// Longest time of reading past.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// `AfterRequest` says what becomes of the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AfterRequest {
+    /// The next request may come.
+    Keep,
+    /// The connection ends once the caller has read the answer.
+    Close,
+    /// The connection ends at once, so that the caller sees that the answer was cut short.
+    Abort,
+}
+
+/// Takes callers' connections for ever.
+pub async fn accept(state: Rc<DaemonState>, listener: TcpListener) {
+    let most = state.options.connections;
+    let count = ConnectionCount::default();
+    let open = count.clone();
+    let serve = move |stream, from| {
+        let state = state.clone();
+        metrics::CALLER_CONNECTIONS.set(open.get() as i64);
+        let open = open.clone();
+        async move {
+            serve(&state, stream, from).await;
+            metrics::CALLER_CONNECTIONS.set(open.get() as i64 - 1);
+        }
+    };
+    connection::accept_all(listener, most, count, serve).await;
+}
+
+async fn serve(state: &Rc<DaemonState>, stream: TcpStream, from: SocketAddr) {
+    let mut stream = HttpStream::new(stream);
+    loop {
+        let head = match next_head(state, &mut stream).await {
+            Ok(Some(head)) => head,
+            Ok(None) => return,
+            Err(error) => {
+                if let Some(failure) = CallerFailure::unreadable(&error) {
+                    metrics::count_failure(failure.outcome);
+                    refuse(&mut stream, &failure).await;
+                }
+                return;
+            }
+        };
+        let _counted = state.count_in_flight();
+        metrics::REQUESTS.add_one();
+        metrics::IN_FLIGHT.add(1);
+        let after = request::serve(state, &mut stream, head, from).await;
+        metrics::IN_FLIGHT.add(-1);
+        match after {
+            AfterRequest::Keep if !state.is_stopping() => {}
+            AfterRequest::Keep | AfterRequest::Close => return linger(&mut stream).await,
+            AfterRequest::Abort => return,
+        }
+        if stream.reader.buffer.is_empty() {
+            stream.reader.release();
+        }
+    }
+}
+
+/// Reads the next head; gives nothing when the connection ends, or is idle while the daemon stops.
+async fn next_head(
+    state: &Rc<DaemonState>,
+    stream: &mut HttpStream,
+) -> Result<Option<Parts>, HttpError> {
+    let limits = state.options.head;
+    if stream.reader.buffer.is_empty() {
+        let filling = stream
+            .reader
+            .fill_within(HEAD_READ_BYTES, limits.idle, "a request");
+        let mut filling = std::pin::pin!(filling.fuse());
+        let mut stopping = std::pin::pin!(state.stopping.raised().fuse());
+        // What was already sent is read first, so that a stop cuts no request that arrived.
+        let filled = select_biased! {
+            filled = filling => filled,
+            () = stopping => return Ok(None),
+        };
+        match filled {
+            Ok(0) | Err(HttpError::TimedOut { .. }) => return Ok(None),
+            Ok(_) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    match head::read_request(&mut stream.reader, &limits).await {
+        Ok(head) => Ok(Some(head)),
+        Err(HttpError::Closed) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+async fn refuse(stream: &mut HttpStream, failure: &CallerFailure) {
+    let mut buffer = BytesMut::new();
+    failure.put(&mut buffer, &Method::GET, true);
+    let writing = writer::flush(&mut stream.writer, &mut buffer);
+    if let Ok(Ok(())) = monoio::time::timeout(WRITE_STALL, writing).await {
+        linger(stream).await;
+    }
+}
+
+/// Reads past what the caller still sends before closing: closing with unread bytes resets the
+/// connection, and the caller might lose the answer (RFC 9112 section 9.6).
+async fn linger(stream: &mut HttpStream) {
+    use monoio::io::AsyncWriteRent;
+    let _ = stream.writer.shutdown().await;
+    let reading = async {
+        let mut read = stream.reader.buffer.len();
+        while read < LINGER_BYTES {
+            stream.reader.buffer.clear();
+            match stream.reader.fill(HEAD_READ_BYTES).await {
+                Ok(count) if count > 0 => read += count,
+                _ => return,
+            }
+        }
+    };
+    let _ = monoio::time::timeout(LINGER_TIME, reading).await;
+}
+
+/// Says whether the connection ends after the answer to this request.
+pub fn closes_after(state: &DaemonState, head: &Parts) -> bool {
+    state.is_stopping() || fields::wants_close(head.version, &head.headers)
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/failure.rs
@@ -0,0 +1,146 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Tells callers of requests that got no complete answer.
+
+use std::time::Duration;
+
+use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
+use basaltarch_http::errors::HttpError;
+use basaltarch_http::fields;
+use basaltarch_http::writer;
+use bytes::BytesMut;
+use http::{header, Method, StatusCode};
+
+/// Shortest time that a caller is told to wait: a `Retry-After` has whole seconds (RFC 9110).
+const RETRY_AFTER_MIN: u64 = 1;
+
+/// `CallerFailure` is what a caller is told in place of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerFailure {
+    /// Status of the reply.
+    pub status: StatusCode,
+    /// Outcome of the exchange.
+    pub outcome: FailureOutcome,
+    /// Time after which to come back, if that makes sense.
+    pub retry_after: Option<Duration>,
+    /// Text for people.
+    pub message: String,
+    /// Methods that would be accepted, where that is what is wrong.
+    pub allow: Option<String>,
+}
+
+impl CallerFailure {
+    /// Builds the failure of an exchange with this outcome.
+    pub fn new(outcome: FailureOutcome) -> Self {
+        Self {
+            status: status_of(outcome),
+            outcome,
+            retry_after: wait_of(outcome),
+            message: outcome.to_string(),
+            allow: None,
+        }
+    }
+
+    /// Builds the failure of a request that was not run.
+    pub fn not_run(reason: NotRunReason) -> Self {
+        Self::new(FailureOutcome::NotRun(reason))
+    }
+
+    /// Builds the failure of a request that is itself at fault.
+    pub fn bad_request(status: StatusCode, message: impl ToString) -> Self {
+        Self {
+            status,
+            message: message.to_string(),
+            ..Self::not_run(NotRunReason::BadRequest)
+        }
+    }
+
+    /// Builds the failure of a request that can't be read, if the caller can still be told.
+    pub fn unreadable(error: &HttpError) -> Option<Self> {
+        let status = error.status()?;
+        Some(Self::bad_request(status, error))
+    }
+
+    /// Writes the whole reply.
+    pub fn put(&self, buffer: &mut BytesMut, method: &Method, close: bool) {
+        let body = format!("{}\n", self.message);
+        writer::put_status_line(buffer, self.status);
+        let mut put = |name: header::HeaderName, value: &str| {
+            writer::put_field(buffer, name.as_str().as_bytes(), value.as_bytes());
+        };
+        put(fields::OUTCOME, self.outcome.header_value());
+        put(fields::REASON, self.outcome.reason());
+        put(fields::PROXY_STATUS, &self.proxy_status());
+        put(header::CONTENT_TYPE, "text/plain; charset=utf-8");
+        put(header::CONTENT_LENGTH, &body.len().to_string());
+        if let Some(wait) = self.retry_after {
+            let seconds = wait.as_secs_f64().ceil() as u64;
+            put(
+                header::RETRY_AFTER,
+                &seconds.max(RETRY_AFTER_MIN).to_string(),
+            );
+        }
+        if let Some(allow) = &self.allow {
+            put(header::ALLOW, allow);
+        }
+        if close {
+            put(header::CONNECTION, "close");
+        }
+        buffer.extend_from_slice(b"\r\n");
+        if method != Method::HEAD {
+            buffer.extend_from_slice(body.as_bytes());
+        }
+    }
+
+    /// Returns the value of `Proxy-Status` with an error type of RFC 9209 section 2.3.
+    fn proxy_status(&self) -> String {
+        let error = match self.outcome {
+            FailureOutcome::NotRun(reason) => match reason {
+                NotRunReason::BadRequest | NotRunReason::KeyReused => "http_request_error",
+                NotRunReason::NoRoute => "destination_not_found",
+                NotRunReason::Limited => "http_request_denied",
+                NotRunReason::ConnectFailed => "connection_refused",
+                NotRunReason::DeadlinePassed => "connection_timeout",
+                NotRunReason::NoConfiguration | NotRunReason::LedgerUnavailable => {
+                    "proxy_internal_error"
+                }
+                _ => "destination_unavailable",
+            },
+            FailureOutcome::Unknown(reason) => match reason {
+                UnknownReason::TimedOut => "http_response_timeout",
+                UnknownReason::AnswerBroken => "http_response_incomplete",
+                UnknownReason::AlreadyStarted => "http_request_denied",
+                _ => "connection_terminated",
+            },
+        };
+        format!(
+            "basaltarch; error={error}; details=\"{} {}\"",
+            self.outcome.header_value(),
+            self.outcome.reason()
+        )
+    }
+}
+
+fn status_of(outcome: FailureOutcome) -> StatusCode {
+    match outcome {
+        FailureOutcome::NotRun(reason) => match reason {
+            NotRunReason::NoRoute => StatusCode::NOT_FOUND,
+            NotRunReason::Limited => StatusCode::TOO_MANY_REQUESTS,
+            NotRunReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            NotRunReason::BadRequest => StatusCode::BAD_REQUEST,
+            NotRunReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        },
+        FailureOutcome::Unknown(reason) => match reason {
+            UnknownReason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            UnknownReason::AlreadyStarted => StatusCode::CONFLICT,
+            _ => StatusCode::BAD_GATEWAY,
+        },
+    }
+}
+
+fn wait_of(outcome: FailureOutcome) -> Option<Duration> {
+    let later = status_of(outcome) == StatusCode::SERVICE_UNAVAILABLE;
+    later.then(|| Duration::from_secs(RETRY_AFTER_MIN))
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/mod.rs
@@ -0,0 +1,11 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The ingress role: takes callers' requests, chooses the upstream of each, and passes the answer
+//! back whole.
+
+pub mod answer;
+pub mod attempt;
+pub mod caller;
+pub mod failure;
+pub mod request;
--- /dev/null
+++ b/crates/daemon/src/ingress/request.rs
@@ -0,0 +1,388 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Serves one request of a caller: checks, limits, body, attempts, answer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::config::{ActiveConfig, RouteEntry};
+use basaltarch_core::outcome::NotRunReason;
+use basaltarch_core::resources::WorkMode;
+use basaltarch_core::routes::RouteMatch;
+use basaltarch_core::units;
+use basaltarch_http::body::BodyReader;
+use basaltarch_http::connection::HttpStream;
+use basaltarch_http::errors::HttpError;
+use basaltarch_http::fields;
+use basaltarch_http::framing::{self, BodyFraming};
+use basaltarch_http::writer;
+use basaltarch_peer::protocol::HeaderField;
+use bytes::{Bytes, BytesMut};
+use http::{header, request, HeaderValue, Method, StatusCode, Version};
+
+use crate::ingress::answer;
+use crate::ingress::attempt::{self, AttemptEnd};
+use crate::ingress::caller::{self, AfterRequest, WRITE_STALL};
+use crate::ingress::failure::CallerFailure;
+use crate::limits::{self, LimitSubject};
+use crate::metrics;
+use crate::services::ServiceState;
+use crate::state::DaemonState;
+use crate::wire;
+
+/// Bytes of a body that are read before the request is dispatched, and kept for a repeat. Shorter
+/// bodies go out in the first frame, and a slow caller holds no slot while it sends them.
+pub const PREFIX_BYTES: usize = 64 * units::KIB;
+/// Longest idempotency key.
+const ONCE_KEY_MAX: usize = 256;
+
+/// `CallerRequest` is a request that passed its checks.
+pub struct CallerRequest {
+    /// Its route.
+    pub route: Rc<RouteEntry>,
+    /// Its service.
+    pub service: Rc<ServiceState>,
+    /// Its method.
+    pub method: Method,
+    /// Its target in origin form.
+    pub target: String,
+    /// Its HTTP version.
+    pub version: Version,
+    /// Its header fields as the backend server gets them.
+    pub headers: Vec<HeaderField>,
+    /// Organisation of the caller.
+    pub organisation: Option<String>,
+    /// Idempotency key of once-only work.
+    pub once_key: Option<String>,
+    /// Time by which it must be answered.
+    pub deadline: Duration,
+    /// How its body is framed.
+    pub framing: BodyFraming,
+    /// Start of its body.
+    pub prefix: Bytes,
+    /// Whether the connection ends after it.
+    pub close: bool,
+}
+
+/// Serves one request.
+pub async fn serve(
+    state: &Rc<DaemonState>,
+    stream: &mut HttpStream,
+    head: request::Parts,
+    from: SocketAddr,
+) -> AfterRequest {
+    let method = head.method.clone();
+    let close = caller::closes_after(state, &head);
+    let framing = match framing::of_request(&head) {
+        Ok(framing) => framing,
+        Err(error) => return refuse_unreadable(stream, &method, &error).await,
+    };
+    let waits = fields::expects_continue(&head);
+    let active = state.config.active();
+    let admitted = admit(state, &active, head, framing, from, close).await;
+    let mut request = match admitted {
+        Ok(request) => request,
+        Err(failure) => {
+            // An unread body would be taken for the next request.
+            let close = close || framing != BodyFraming::Empty;
+            return refuse(stream, &method, &failure, close).await;
+        }
+    };
+    let mut body = BodyReader::new(framing, state.options.body);
+    if waits && !body.is_done() && stream.reader.buffer.is_empty() {
+        let mut line = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
+        if writer::flush(&mut stream.writer, &mut line).await.is_err() {
+            return AfterRequest::Abort;
+        }
+    }
+    match read_prefix(
+        stream,
+        &mut body,
+        request.deadline.saturating_sub(state.now()),
+    )
+    .await
+    {
+        Ok(prefix) => request.prefix = prefix,
+        Err(error) => return refuse_unreadable(stream, &method, &error).await,
+    }
+    if request.once_key.is_some() && !body.is_done() {
+        let message = "once-only work with a key has a body of at most 65536 bytes";
+        let failure = CallerFailure::bad_request(StatusCode::PAYLOAD_TOO_LARGE, message);
+        return refuse(stream, &method, &failure, true).await;
+    }
+    finish(state, stream, &request, &mut body).await
+}
+
+async fn finish(
+    state: &Rc<DaemonState>,
+    stream: &mut HttpStream,
+    request: &CallerRequest,
+    body: &mut BodyReader,
+) -> AfterRequest {
+    request.service.note_request();
+    match attempt::run(state, stream, request, body).await {
+        AttemptEnd::Answer(mut exchange, head) => {
+            let whole = body.is_done();
+            let after = answer::relay(stream, request, body, &mut exchange, head).await;
+            match after {
+                AfterRequest::Keep if !whole && !body.is_done() => AfterRequest::Close,
+                after => after,
+            }
+        }
+        AttemptEnd::Failed(failure) => {
+            let close = request.close || !body.is_done();
+            refuse(stream, &request.method, &failure, close).await
+        }
+        AttemptEnd::CallerGone => AfterRequest::Abort,
+    }
+}
+
+async fn refuse_unreadable(
+    stream: &mut HttpStream,
+    method: &Method,
+    error: &HttpError,
+) -> AfterRequest {
+    match CallerFailure::unreadable(error) {
+        Some(failure) => refuse(stream, method, &failure, true).await,
+        None => AfterRequest::Abort,
+    }
+}
+
+async fn refuse(
+    stream: &mut HttpStream,
+    method: &Method,
+    failure: &CallerFailure,
+    close: bool,
+) -> AfterRequest {
+    metrics::count_failure(failure.outcome);
+    let mut buffer = BytesMut::new();
+    failure.put(&mut buffer, method, close);
+    let writing = writer::flush(&mut stream.writer, &mut buffer);
+    match monoio::time::timeout(WRITE_STALL, writing).await {
+        Ok(Ok(())) if close => AfterRequest::Close,
+        Ok(Ok(())) => AfterRequest::Keep,
+        _ => AfterRequest::Abort,
+    }
+}
+
+/// Reads the body until its end or [`PREFIX_BYTES`].
+async fn read_prefix(
+    stream: &mut HttpStream,
+    body: &mut BodyReader,
+    left: Duration,
+) -> Result<Bytes, HttpError> {
+    if body.is_done() {
+        return Ok(Bytes::new());
+    }
+    let reading = async {
+        let mut prefix = BytesMut::new();
+        while prefix.len() < PREFIX_BYTES {
+            match body.next(&mut stream.reader).await? {
+                Some(piece) => prefix.extend_from_slice(&piece),
+                None => break,
+            }
+        }
+        Ok(prefix.freeze())
+    };
+    match monoio::time::timeout(left, reading).await {
+        Ok(result) => result,
+        Err(_) => Err(HttpError::TimedOut { what: "the body" }),
+    }
+}
+
+/// Checks a request against the configuration and the limits.
+async fn admit(
+    state: &Rc<DaemonState>,
+    active: &ActiveConfig,
+    mut head: request::Parts,
+    framing: BodyFraming,
+    from: SocketAddr,
+    close: bool,
+) -> Result<CallerRequest, CallerFailure> {
+    if !state.config.is_loaded() {
+        return Err(CallerFailure::not_run(NotRunReason::NoConfiguration));
+    }
+    let host = caller_host(&head)?;
+    let route = find_route(active, &head, &host)?;
+    let organisation = find_organisation(active, &head)?;
+    let once_key = once_key(&route, &head)?;
+    let subject = LimitSubject {
+        organisation: organisation.as_deref(),
+        route: &route.name,
+        service: &route.rule.service,
+    };
+    limits::admit(state, active, subject)
+        .await
+        .map_err(|wait| CallerFailure {
+            retry_after: Some(wait),
+            ..CallerFailure::not_run(NotRunReason::Limited)
+        })?;
+    let service = state
+        .services
+        .get(state, active, &route.rule.service)
+        .ok_or_else(|| CallerFailure::not_run(NotRunReason::NoUpstream))?;
+    let timeout = caller_timeout(&route, &head)?;
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str())
+        .to_owned();
+    forward_fields(&mut head, &host, from);
+    Ok(CallerRequest {
+        route,
+        service,
+        method: head.method,
+        target,
+        version: head.version,
+        headers: wire::fields_of(&head.headers),
+        organisation,
+        once_key,
+        deadline: state.now() + timeout,
+        framing,
+        prefix: Bytes::new(),
+        close,
+    })
+}
+
+/// Returns the host asked for: of an absolute target, or of the one `Host` field.
+fn caller_host(head: &request::Parts) -> Result<String, CallerFailure> {
+    let bad = |message: &str| CallerFailure::bad_request(StatusCode::BAD_REQUEST, message);
+    if head.method == Method::CONNECT {
+        let message = "CONNECT is not served";
+        return Err(CallerFailure::bad_request(
+            StatusCode::NOT_IMPLEMENTED,
+            message,
+        ));
+    }
+    let mut hosts = head.headers.get_all(header::HOST).iter();
+    let field = hosts.next();
+    if hosts.next().is_some() {
+        return Err(bad("more than one Host"));
+    }
+    if field.is_none() && head.version == Version::HTTP_11 {
+        return Err(bad("no Host"));
+    }
+    let absolute = head.uri.authority().map(|authority| authority.as_str());
+    if absolute.is_some() && head.uri.scheme().is_none() {
+        return Err(bad("the target has no path"));
+    }
+    let field = match field.map(HeaderValue::to_str) {
+        Some(Ok(text)) => Some(text),
+        Some(Err(_)) => return Err(bad("Host can't be read")),
+        None => None,
+    };
+    let host = absolute.or(field).unwrap_or_default();
+    Ok(without_port(host).to_ascii_lowercase())
+}
+
+/// Returns a host without its port; the colons of an IPv6 address stand in brackets.
+fn without_port(host: &str) -> &str {
+    match host.rfind(':') {
+        Some(colon) if !host[colon..].contains(']') => &host[..colon],
+        _ => host,
+    }
+}
+
+fn find_route(
+    active: &ActiveConfig,
+    head: &request::Parts,
+    host: &str,
+) -> Result<Rc<RouteEntry>, CallerFailure> {
+    match active
+        .routes
+        .find(host, head.uri.path(), head.method.as_str())
+    {
+        RouteMatch::Found(route) => Ok(route.clone()),
+        RouteMatch::Missing => Err(CallerFailure::not_run(NotRunReason::NoRoute)),
+        RouteMatch::WrongMethod(methods) => {
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            let mut failure = CallerFailure::bad_request(status, "the method is not served here");
+            failure.allow = Some(methods.join(", "));
+            Err(failure)
+        }
+    }
+}
+
+fn find_organisation(
+    active: &ActiveConfig,
+    head: &request::Parts,
+) -> Result<Option<String>, CallerFailure> {
+    let value = match head.headers.get(fields::ORGANISATION) {
+        Some(value) => value,
+        None => return Ok(None),
+    };
+    match value.to_str() {
+        Ok(name) if active.organisations.contains_key(name) => Ok(Some(name.to_owned())),
+        _ => {
+            let message = "the organisation is not known";
+            Err(CallerFailure::bad_request(StatusCode::FORBIDDEN, message))
+        }
+    }
+}
+
+fn once_key(route: &RouteEntry, head: &request::Parts) -> Result<Option<String>, CallerFailure> {
+    if route.rule.mode != WorkMode::Once {
+        return Ok(None);
+    }
+    let mut values = head.headers.get_all(fields::IDEMPOTENCY_KEY).iter();
+    let value = match values.next() {
+        Some(value) => value,
+        None => return Ok(None),
+    };
+    match value.to_str() {
+        Ok(key) if (1..=ONCE_KEY_MAX).contains(&key.len()) && values.next().is_none() => {
+            Ok(Some(key.to_owned()))
+        }
+        _ => {
+            let message = "Idempotency-Key must be one text of 1 to 256 characters";
+            Err(CallerFailure::bad_request(StatusCode::BAD_REQUEST, message))
+        }
+    }
+}
+
+/// Returns the time for a request: the route's, or less if the caller says so.
+fn caller_timeout(route: &RouteEntry, head: &request::Parts) -> Result<Duration, CallerFailure> {
+    let most = Duration::from_millis(route.rule.timeout_ms);
+    let value = match head.headers.get(fields::DEADLINE) {
+        Some(value) => value,
+        None => return Ok(most),
+    };
+    let asked = value.to_str().ok().and_then(|text| text.parse().ok());
+    match asked {
+        Some(millis) => Ok(most.min(Duration::from_millis(millis))),
+        None => {
+            let message = "Basaltarch-Deadline-Ms must be a number of milliseconds";
+            Err(CallerFailure::bad_request(StatusCode::BAD_REQUEST, message))
+        }
+    }
+}
+
+/// Removes what concerns this connection only and adds where the request came from.
+fn forward_fields(head: &mut request::Parts, host: &str, from: SocketAddr) {
+    let headers = &mut head.headers;
+    fields::remove_hop_fields(headers);
+    headers.remove(fields::DEADLINE);
+    let address = from.ip().to_string();
+    let chain = match headers
+        .get(fields::FORWARDED_FOR)
+        .and_then(|value| value.to_str().ok())
+    {
+        Some(before) => format!("{before}, {address}"),
+        None => address,
+    };
+    let mut set = |name, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    set(fields::FORWARDED_FOR, &chain);
+    set(fields::FORWARDED_PROTO, "http");
+    set(fields::FORWARDED_HOST, host);
+    if head.uri.authority().is_some() || !headers.contains_key(header::HOST) {
+        if let Ok(value) = HeaderValue::from_str(host) {
+            headers.insert(header::HOST, value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,29 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The daemon beside each backend server host.
+//!
+//! Every daemon has the same three roles. The [`ingress`] takes callers' requests and chooses the
+//! upstream of each. The [`host`] role is the only one that sends work to the backend servers of
+//! its own host. The [`admin`] role serves the resource API, watches, status and metrics. What
+//! they share stands in [`state`].
+
+pub mod admin;
+pub mod clock;
+pub mod configuration;
+pub mod control;
+pub mod errors;
+pub mod host;
+pub mod ingress;
+pub mod limits;
+pub mod links;
+pub mod membership;
+pub mod metrics;
+pub mod options;
+pub mod peers;
+pub mod run;
+pub mod services;
+pub mod signal;
+pub mod spread;
+pub mod state;
+pub mod wire;
--- /dev/null
+++ b/crates/daemon/src/links.rs
@@ -0,0 +1,220 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Makes and takes links, and keeps watch over them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_decide::path::PathState;
+use basaltarch_http::connection::{self, ConnectionCount};
+use basaltarch_peer::errors::LinkError;
+use basaltarch_peer::frames::{FrameReader, FrameSender};
+use basaltarch_peer::handshake::{self, LinkSide};
+use basaltarch_peer::link::{AcceptedLink, DialledLink, NO_EXCHANGE};
+use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
+use futures_util::future::{self, Either};
+use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
+use monoio::net::{TcpListener, TcpStream};
+
+use crate::control;
+use crate::host;
+use crate::metrics;
+use crate::peers::PeerPath;
+use crate::state::DaemonState;
+
+/// Longest time for a connection to another daemon: far regions are 0.3 s away.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time that a request waits for a link to be made.
+const LINK_WAIT: Duration = Duration::from_millis(1500);
+/// Time between looks at the links.
+const WATCH_EVERY: Duration = Duration::from_millis(250);
+/// Time without use after which a link is given up.
+const IDLE_MAX: Duration = Duration::from_secs(120);
+/// Time for which a path may be cut before its link is made anew.
+const CUT_MAX: Duration = Duration::from_secs(10);
+/// Most links taken: every other daemon at the two-year size, and room for restarts.
+const LINKS_MAX: usize = 8192;
+
+type LinkReader = FrameReader<OwnedReadHalf<TcpStream>>;
+type LinkWriter = OwnedWriteHalf<TcpStream>;
+
+/// Returns the link along a path, making it if need be.
+pub async fn link_to(
+    state: &Rc<DaemonState>,
+    path: &Rc<PeerPath>,
+) -> Result<Rc<DialledLink>, LinkError> {
+    if let Some(link) = path.link() {
+        return Ok(link);
+    }
+    match monoio::time::timeout(LINK_WAIT, wait_link(state, path)).await {
+        Ok(result) => result,
+        Err(_) => Err(LinkError::TimedOut),
+    }
+}
+
+async fn wait_link(
+    state: &Rc<DaemonState>,
+    path: &Rc<PeerPath>,
+) -> Result<Rc<DialledLink>, LinkError> {
+    loop {
+        if let Some(link) = path.link() {
+            return Ok(link);
+        }
+        let seen = path.change_count();
+        if path.start_dial(state.now()) {
+            let state = state.clone();
+            let path = path.clone();
+            monoio::spawn(async move {
+                connection::guard("dialled link", run_dialled(&state, &path)).await;
+                path.note_unlinked(state.now());
+            });
+        } else if !path.is_dialling() {
+            return Err(LinkError::Closed);
+        }
+        path.wait_change(seen).await;
+        if path.link().is_none() && !path.is_dialling() {
+            return Err(LinkError::Closed);
+        }
+    }
+}
+
+/// Makes a link and serves it to its end.
+async fn run_dialled(state: &Rc<DaemonState>, path: &Rc<PeerPath>) {
+    let (mut reader, writer, link) = match dial(state, path).await {
+        Ok(parts) => parts,
+        Err(error) => {
+            tracing::info!(host = %path.host, %error, "no link to peer");
+            return;
+        }
+    };
+    path.note_linked(link.clone(), state.now());
+    metrics::LINKS.add(1);
+    let sender = link.sender().clone();
+    let on_control = |body: FrameBody| {
+        control::handle(state, Some(path), &sender, &link.peer, body);
+    };
+    let on_frame = || path.note_heard(state.now());
+    let reading = link.run(&mut reader, on_frame, on_control);
+    let error = run_halves(reading, &sender, writer).await;
+    count_bytes(&reader, &sender);
+    link.end();
+    metrics::LINKS.add(-1);
+    tracing::info!(host = %path.host, %error, "link ended");
+}
+
+async fn dial(
+    state: &Rc<DaemonState>,
+    path: &Rc<PeerPath>,
+) -> Result<(LinkReader, LinkWriter, Rc<DialledLink>), LinkError> {
+    let address = path.address().ok_or(LinkError::Closed)?;
+    let connect = TcpStream::connect_addr(address);
+    let stream = match monoio::time::timeout(CONNECT_TIMEOUT, connect).await {
+        Ok(result) => result.map_err(|source| LinkError::Broken { source })?,
+        Err(_) => return Err(LinkError::TimedOut),
+    };
+    let (mut reader, mut writer) = halves(stream);
+    let key = &state.options.fleet_key;
+    let side = LinkSide::Dialler;
+    let peer = handshake::run(&mut reader, &mut writer, side, &state.identity, key).await?;
+    // An address may have passed to another host in the meantime.
+    if *peer.host != *path.host {
+        return Err(LinkError::WrongKey { host: peer.host });
+    }
+    let link = DialledLink::new(peer, FrameSender::default());
+    Ok((reader, writer, link))
+}
+
+fn halves(stream: TcpStream) -> (LinkReader, LinkWriter) {
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    (FrameReader::new(read), write)
+}
+
+/// Runs both halves of a link until either ends.
+async fn run_halves(
+    reading: impl std::future::Future<Output = LinkError>,
+    sender: &FrameSender,
+    writer: LinkWriter,
+) -> LinkError {
+    let reading = std::pin::pin!(reading);
+    let writing = std::pin::pin!(sender.run(writer));
+    match future::select(reading, writing).await {
+        Either::Left((error, _)) => error,
+        Either::Right((Err(error), _)) => error,
+        Either::Right((Ok(()), _)) => LinkError::Closed,
+    }
+}
+
+fn count_bytes(reader: &LinkReader, sender: &FrameSender) {
+    metrics::PEER_BYTES_RECEIVED.add(reader.bytes_read);
+    metrics::PEER_BYTES_SENT.add(sender.bytes_offered());
+}
+
+/// Takes links from other daemons for ever.
+pub async fn accept(state: Rc<DaemonState>, listener: TcpListener) {
+    let serve = move |stream, _| {
+        let state = state.clone();
+        async move { run_accepted(&state, stream).await }
+    };
+    connection::accept_all(listener, LINKS_MAX, ConnectionCount::default(), serve).await;
+}
+
+async fn run_accepted(state: &Rc<DaemonState>, stream: TcpStream) {
+    let (mut reader, mut writer) = halves(stream);
+    let key = &state.options.fleet_key;
+    let side = LinkSide::Acceptor;
+    let peer = match handshake::run(&mut reader, &mut writer, side, &state.identity, key).await {
+        Ok(peer) => peer,
+        Err(error) => {
+            tracing::warn!(%error, "link refused");
+            return;
+        }
+    };
+    let sender = FrameSender::default();
+    let link = AcceptedLink::new(peer, sender.clone());
+    state.members.note_accepted(&link);
+    let on_dispatch = |inbound| {
+        let state = state.clone();
+        let link = link.clone();
+        monoio::spawn(async move { host::serve_remote(state, link, inbound).await });
+    };
+    let on_control = |body: FrameBody| control::handle(state, None, &sender, &link.peer, body);
+    let reading = link.run(&mut reader, on_dispatch, on_control);
+    let error = run_halves(reading, &sender, writer).await;
+    count_bytes(&reader, &sender);
+    link.end();
+    tracing::debug!(host = link.peer.host, %error, "accepted link ended");
+}
+
+/// Watches over the dialled links for ever: asks for signs of life and gives idle links up.
+pub async fn watch(state: Rc<DaemonState>) {
+    loop {
+        monoio::time::sleep(WATCH_EVERY).await;
+        let now = state.now();
+        for path in state.peers.linked() {
+            watch_path(&state, &path, now);
+        }
+    }
+}
+
+fn watch_path(state: &Rc<DaemonState>, path: &Rc<PeerPath>, now: Duration) {
+    let link = match path.link() {
+        Some(link) => link,
+        None => return,
+    };
+    let in_use = link.exchange_count() > 0;
+    if path.should_ask(now, in_use) {
+        let note = HeartbeatNote {
+            reply: false,
+            revision: state.config.revision().0 as i64,
+            members: Vec::new(),
+        };
+        let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
+    }
+    let idle = !in_use && now.saturating_sub(path.used_at()) > IDLE_MAX;
+    let cut = path.state(now) == PathState::Cut && path.silent_for(now) > CUT_MAX;
+    if idle || cut {
+        link.sender().close();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,111 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! `basaltarchd`: the daemon beside each backend server host.
+
+#![allow(
+    missing_docs,
+    reason = "the command-line macro makes items without doc comments"
+)]
+
+use std::process;
+
+use basaltarch_core::settings::EXIT_BAD_SETTINGS;
+use basaltarch_daemon::errors::DaemonError;
+use basaltarch_daemon::options::{DaemonOptions, RawOptions};
+use basaltarch_daemon::run::{self, StopReport, StopRequests, EXIT_CUT};
+use basaltarch_telemetry::{logs, runtime};
+
+mod flags {
+    xflags::xflags! {
+        /// The daemon beside each backend server host. Each flag can also be given by the
+        /// environment variable in brackets; the flag wins.
+        cmd basaltarchd {
+            /// Name of the host [BASALTARCH_HOST].
+            optional --host name: String
+            /// Failure domain of the host [BASALTARCH_FAILURE_DOMAIN].
+            optional --failure-domain name: String
+            /// Address for callers [BASALTARCH_CALLERS], default 127.0.0.1:0.
+            optional --callers address: String
+            /// Address for other daemons [BASALTARCH_PEERS], default 127.0.0.1:0.
+            optional --peers address: String
+            /// Address for operators [BASALTARCH_ADMIN], default 127.0.0.1:0.
+            optional --admin address: String
+            /// Address of the platform [BASALTARCH_PLATFORM].
+            optional --platform address: String
+            /// Key shared by all daemons, at least 16 characters [BASALTARCH_FLEET_KEY].
+            optional --fleet-key key: String
+            /// Token of operators [BASALTARCH_ADMIN_TOKEN].
+            optional --admin-token token: String
+            /// Level of logs [BASALTARCH_LOG], default info.
+            optional --log level: String
+            /// Longest drain in ms [BASALTARCH_DRAIN_MS], default 30000.
+            optional --drain-ms ms: String
+            /// Connections of callers at most [BASALTARCH_CONNECTIONS], default 10000.
+            optional --connections count: String
+            /// Largest head of a request in bytes [BASALTARCH_HEAD_BYTES], default 16384.
+            optional --head-bytes bytes: String
+            /// Longest time for a head in ms [BASALTARCH_HEAD_MS], default 10000.
+            optional --head-ms ms: String
+            /// Longest idle time of a caller's connection in ms [BASALTARCH_IDLE_MS], default 75000.
+            optional --idle-ms ms: String
+            /// Largest body of a request in bytes [BASALTARCH_BODY_BYTES], default 4294967296.
+            optional --body-bytes bytes: String
+            /// Longest wait for a piece of a body in ms [BASALTARCH_BODY_IDLE_MS], default 30000.
+            optional --body-idle-ms ms: String
+            /// Reads of the platform a second over the fleet [BASALTARCH_STORE_READS], default 400.
+            optional --store-reads count: String
+            /// Writes to the platform a second by this daemon [BASALTARCH_STORE_WRITES], default 50.
+            optional --store-writes count: String
+        }
+    }
+}
+
+/// Exit status when the daemon could not start.
+const EXIT_START: i32 = 1;
+
+fn main() {
+    let flags = flags::Basaltarchd::from_env_or_exit();
+    match start(flags) {
+        Ok(StopReport { cut: 0 }) => {}
+        Ok(StopReport { cut }) => {
+            eprintln!("basaltarchd: stopped with {cut} requests cut");
+            process::exit(EXIT_CUT);
+        }
+        Err(error @ DaemonError::Setting { .. }) => {
+            eprintln!("basaltarchd: {error}");
+            process::exit(EXIT_BAD_SETTINGS);
+        }
+        Err(error) => {
+            eprintln!("basaltarchd: {error}");
+            process::exit(EXIT_START);
+        }
+    }
+}
+
+fn start(flags: flags::Basaltarchd) -> Result<StopReport, DaemonError> {
+    let raw = RawOptions {
+        host: flags.host,
+        failure_domain: flags.failure_domain,
+        callers: flags.callers,
+        peers: flags.peers,
+        admin: flags.admin,
+        platform: flags.platform,
+        fleet_key: flags.fleet_key,
+        admin_token: flags.admin_token,
+        log: flags.log,
+        drain_ms: flags.drain_ms,
+        connections: flags.connections,
+        head_bytes: flags.head_bytes,
+        head_ms: flags.head_ms,
+        idle_ms: flags.idle_ms,
+        body_bytes: flags.body_bytes,
+        body_idle_ms: flags.body_idle_ms,
+        store_reads: flags.store_reads,
+        store_writes: flags.store_writes,
+    };
+    let options = DaemonOptions::try_new(raw).map_err(|source| DaemonError::Setting { source })?;
+    logs::start(&options.log);
+    let running = run::run(options, StopRequests::Signals, |_| {});
+    runtime::run(running).map_err(|source| DaemonError::Start { source })?
+}
--- /dev/null
+++ b/crates/daemon/src/membership.rs
@@ -0,0 +1,376 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The soft view of the fleet: who is live, suspect or leaving.
+//!
+//! The platform's list seeds it and heartbeats between a few peers keep it. It is never agreed on,
+//! and nothing that must hold depends on it. A daemon's own word, with its incarnation, counts more
+//! than the list, which lags.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use basaltarch_core::units::FleetRevision;
+use basaltarch_decide::limits;
+use basaltarch_peer::handshake::PeerIdentity;
+use basaltarch_peer::link::{AcceptedLink, NO_EXCHANGE};
+use basaltarch_peer::protocol::{FrameBody, HeartbeatNote, MemberEntry};
+use basaltarch_store::wire::{HostList, HostState};
+use rand::seq::IteratorRandom;
+
+use crate::links;
+use crate::metrics;
+use crate::state::DaemonState;
+
+/// Time between heartbeats to the neighbours.
+pub const HEARTBEAT_EVERY: Duration = Duration::from_secs(1);
+/// Neighbours that a daemon sends heartbeats to. A random graph with four edges a node is connected
+/// for thousands of nodes, and news crosses it in about six steps.
+pub const NEIGHBOURS: usize = 4;
+/// Members told in one heartbeat: 64 entries a second keep the view fresh within the suspect time.
+const ENTRIES_MAX: usize = 8;
+/// Silence after which a member is suspect, in a small fleet.
+const SUSPECT_MIN: Duration = Duration::from_secs(12);
+/// Members whose news one second of heartbeats renews, by which the suspect time grows.
+const RENEWED_EACH_SECOND: usize = 40;
+/// Suspect times after which a member that is not listed either is forgotten.
+const FORGET_TIMES: u32 = 10;
+/// Numbers of the states between daemons.
+const STATE_LIVE: i8 = 0;
+const STATE_LEAVING: i8 = 1;
+
+/// `MemberState` is what is thought of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberState {
+    /// It was heard of lately.
+    Live,
+    /// It was not heard of lately.
+    Suspect,
+    /// It is leaving.
+    Leaving,
+}
+
+impl MemberState {
+    /// Returns the name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Live => "live",
+            Self::Suspect => "suspect",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+/// `MemberView` is what is known of one member.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MemberView {
+    /// Failure domain of its host.
+    pub failure_domain: String,
+    /// Address at which it takes links.
+    pub peer_address: String,
+    /// Address of its administration.
+    pub admin_address: String,
+    /// Number of its start; 0 when only the list knows it.
+    pub incarnation: i64,
+    /// When it was last heard of, by itself or through others.
+    pub heard_at: Duration,
+    /// Whether it said that it is leaving, in this incarnation.
+    pub leaving: bool,
+    /// Whether the platform's list says that its host is leaving.
+    pub listed_leaving: bool,
+    /// Whether it stands in the platform's list.
+    pub listed: bool,
+    /// Revision that it has in force.
+    pub revision: FleetRevision,
+}
+
+/// `MemberTable` is the soft view of the fleet.
+#[derive(Default)]
+pub struct MemberTable {
+    members: RefCell<BTreeMap<String, MemberView>>,
+    accepted: RefCell<Vec<Weak<AcceptedLink>>>,
+    round: Cell<u64>,
+}
+
+/// Returns the silence after which a member of a fleet of this size is suspect.
+pub fn suspect_after(members: usize) -> Duration {
+    SUSPECT_MIN + Duration::from_secs((members / RENEWED_EACH_SECOND) as u64)
+}
+
+impl MemberTable {
+    /// Returns what is thought of a member.
+    pub fn state_of(&self, view: &MemberView, now: Duration) -> MemberState {
+        let silent = now.saturating_sub(view.heard_at);
+        if view.leaving || view.listed_leaving {
+            MemberState::Leaving
+        } else if silent > suspect_after(self.members.borrow().len()) {
+            MemberState::Suspect
+        } else {
+            MemberState::Live
+        }
+    }
+
+    /// Calls `read` with each member.
+    pub fn for_each(&self, mut read: impl FnMut(&str, &MemberView)) {
+        for (host, view) in self.members.borrow().iter() {
+            read(host, view);
+        }
+    }
+
+    /// Returns the hosts whose daemons are live, with this one.
+    pub fn live_hosts(&self, state: &DaemonState) -> Vec<String> {
+        let now = state.now();
+        let members = self.members.borrow();
+        let live = members
+            .iter()
+            .filter(|(_, view)| self.state_of(view, now) == MemberState::Live);
+        let mut hosts: Vec<String> = live.map(|(host, _)| host.clone()).collect();
+        if !state.is_stopping() && !hosts.contains(&state.options.host) {
+            hosts.push(state.options.host.clone());
+        }
+        metrics::MEMBERS.set(hosts.len() as i64);
+        hosts
+    }
+
+    /// Returns the number of members, with this daemon.
+    pub fn count(&self) -> usize {
+        self.members.borrow().len().max(1)
+    }
+
+    /// Remembers a link that was taken, to pass news along it.
+    pub fn note_accepted(&self, link: &Rc<AcceptedLink>) {
+        let mut accepted = self.accepted.borrow_mut();
+        accepted.retain(|known| known.strong_count() > 0);
+        accepted.push(Rc::downgrade(link));
+    }
+
+    /// Returns some of the links that were taken.
+    pub fn some_accepted(&self, most: usize) -> Vec<Rc<AcceptedLink>> {
+        let accepted = self.accepted.borrow();
+        let open = accepted.iter().filter_map(Weak::upgrade);
+        open.sample(&mut rand::rng(), most)
+    }
+
+    /// Takes the platform's list in.
+    pub fn note_list(&self, state: &DaemonState, list: &HostList) {
+        let now = state.now();
+        let mut members = self.members.borrow_mut();
+        for view in members.values_mut() {
+            view.listed = false;
+        }
+        for entry in &list.hosts {
+            if entry.host == state.options.host {
+                continue;
+            }
+            let view = members
+                .entry(entry.host.clone())
+                .or_insert_with(|| MemberView {
+                    failure_domain: entry.failure_domain.clone(),
+                    peer_address: entry.peer_address.clone(),
+                    admin_address: entry.admin_address.clone(),
+                    incarnation: 0,
+                    heard_at: now,
+                    leaving: false,
+                    listed_leaving: false,
+                    listed: false,
+                    revision: FleetRevision(0),
+                });
+            view.listed = true;
+            view.listed_leaving = entry.state == HostState::Leaving;
+            // What a daemon says of its own address counts more than the list, while it speaks.
+            let silent = now.saturating_sub(view.heard_at) > SUSPECT_MIN;
+            if view.incarnation == 0 || silent {
+                view.peer_address.clone_from(&entry.peer_address);
+                view.admin_address.clone_from(&entry.admin_address);
+            }
+            tell_path(state, &entry.host, view);
+        }
+        let count = members.len();
+        members.retain(|_, view| {
+            let silent = now.saturating_sub(view.heard_at);
+            view.listed || silent < suspect_after(count) * FORGET_TIMES
+        });
+    }
+
+    /// Takes in that a peer was heard of directly.
+    pub fn note_heard(&self, state: &DaemonState, peer: &PeerIdentity, revision: FleetRevision) {
+        let mut members = self.members.borrow_mut();
+        if let Some(view) = members.get_mut(&peer.host) {
+            if peer.incarnation >= view.incarnation {
+                if peer.incarnation > view.incarnation {
+                    view.leaving = false;
+                }
+                view.incarnation = peer.incarnation;
+                view.heard_at = state.now();
+                view.revision = view.revision.max(revision);
+                tell_path(state, &peer.host, view);
+            }
+        }
+    }
+
+    /// Takes in what a peer tells of others.
+    pub fn note_entries(&self, state: &DaemonState, entries: &[MemberEntry]) {
+        let now = state.now();
+        let mut members = self.members.borrow_mut();
+        for entry in entries {
+            if entry.host == state.options.host {
+                continue;
+            }
+            let age = Duration::from_millis(entry.age_ms.max(0) as u64);
+            let heard_at = now.saturating_sub(age);
+            let told = told_view(entry, heard_at);
+            let view = members
+                .entry(entry.host.clone())
+                .or_insert_with(|| told.clone());
+            merge(view, told);
+            tell_path(state, &entry.host, view);
+        }
+    }
+
+    /// Chooses members to tell a peer of, this daemon first, after what it just told.
+    pub fn some_entries(&self, state: &DaemonState, told: &[MemberEntry]) -> Vec<MemberEntry> {
+        let now = state.now();
+        let members = self.members.borrow();
+        let others = members
+            .iter()
+            .filter(|(host, view)| view.incarnation > 0 && !told.iter().any(|e| e.host == **host));
+        let mut entries = vec![own_entry(state)];
+        let chosen = others.sample(&mut rand::rng(), ENTRIES_MAX - 1);
+        entries.extend(
+            chosen
+                .into_iter()
+                .map(|(host, view)| entry_of(host, view, now)),
+        );
+        entries
+    }
+
+    /// Returns this daemon's neighbours: those with the highest weight for it, and one that changes
+    /// from time to time, so that a partition of the graph does not last.
+    pub fn neighbours(&self, state: &DaemonState) -> Vec<String> {
+        let round = self.round.get();
+        self.round.set(round + 1);
+        let mut hosts: Vec<String> = self.members.borrow().keys().cloned().collect();
+        let mut chosen = Vec::with_capacity(NEIGHBOURS);
+        while chosen.len() < NEIGHBOURS && !hosts.is_empty() {
+            let rotating = chosen.len() + 1 == NEIGHBOURS;
+            let turn = if rotating { round / 30 } else { 0 };
+            let seed = format!("{}#{turn}#{}", state.options.host, chosen.len());
+            let next = limits::home_of(&seed, hosts.iter().map(String::as_str));
+            let next = match next {
+                Some(next) => next.to_owned(),
+                None => break,
+            };
+            hosts.retain(|host| *host != next);
+            chosen.push(next);
+        }
+        chosen
+    }
+}
+
+fn told_view(entry: &MemberEntry, heard_at: Duration) -> MemberView {
+    MemberView {
+        failure_domain: entry.failure_domain.clone(),
+        peer_address: entry.peer_address.clone(),
+        admin_address: entry.admin_address.clone(),
+        incarnation: entry.incarnation,
+        heard_at,
+        leaving: entry.state == STATE_LEAVING,
+        listed_leaving: false,
+        listed: false,
+        revision: FleetRevision(entry.revision.max(0) as u64),
+    }
+}
+
+/// Merges what is told into what is known: a later start counts more, then the later word. A daemon
+/// that said it is leaving does not come back within the same start.
+fn merge(view: &mut MemberView, told: MemberView) {
+    if told.incarnation < view.incarnation {
+        return;
+    }
+    if told.incarnation > view.incarnation {
+        let listed = (view.listed, view.listed_leaving);
+        *view = told;
+        (view.listed, view.listed_leaving) = listed;
+        return;
+    }
+    view.leaving |= told.leaving;
+    view.heard_at = view.heard_at.max(told.heard_at);
+    view.revision = view.revision.max(told.revision);
+}
+
+fn tell_path(state: &DaemonState, host: &str, view: &MemberView) {
+    let path = state.peers.path(host);
+    if let Ok(address) = view.peer_address.parse() {
+        path.note_address(address);
+    }
+    path.note_leaving(view.leaving || view.listed_leaving);
+}
+
+fn entry_of(host: &str, view: &MemberView, now: Duration) -> MemberEntry {
+    MemberEntry {
+        host: host.to_owned(),
+        failure_domain: view.failure_domain.clone(),
+        peer_address: view.peer_address.clone(),
+        admin_address: view.admin_address.clone(),
+        incarnation: view.incarnation,
+        state: if view.leaving {
+            STATE_LEAVING
+        } else {
+            STATE_LIVE
+        },
+        age_ms: now.saturating_sub(view.heard_at).as_millis() as i64,
+        revision: view.revision.0 as i64,
+    }
+}
+
+fn own_entry(state: &DaemonState) -> MemberEntry {
+    MemberEntry {
+        host: state.options.host.clone(),
+        failure_domain: state.options.failure_domain.clone(),
+        peer_address: state.options.peers.to_string(),
+        admin_address: state.options.admin.to_string(),
+        incarnation: state.identity.incarnation,
+        state: if state.is_stopping() {
+            STATE_LEAVING
+        } else {
+            STATE_LIVE
+        },
+        age_ms: 0,
+        revision: state.config.revision().0 as i64,
+    }
+}
+
+/// Sends heartbeats to the neighbours for ever.
+pub async fn run(state: Rc<DaemonState>) {
+    loop {
+        beat(&state);
+        let pause = HEARTBEAT_EVERY.mul_f64(rand::random_range(0.9..1.1));
+        monoio::time::sleep(pause).await;
+    }
+}
+
+/// Sends a heartbeat to each neighbour now.
+pub fn beat(state: &Rc<DaemonState>) {
+    for host in state.members.neighbours(state) {
+        let state = state.clone();
+        monoio::spawn(async move { beat_one(&state, &host).await });
+    }
+}
+
+async fn beat_one(state: &Rc<DaemonState>, host: &str) {
+    let path = state.peers.path(host);
+    if path.address().is_none() {
+        return;
+    }
+    path.note_used(state.now());
+    if let Ok(link) = links::link_to(state, &path).await {
+        let note = HeartbeatNote {
+            reply: false,
+            revision: state.config.revision().0 as i64,
+            members: state.members.some_entries(state, &[]),
+        };
+        let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
+    }
+}
