--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,199 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The daemon's metrics.
+
+use basaltarch_core::outcome::{
+    FailureOutcome, NotRunReason, UnknownReason, NOT_RUN_REASONS, UNKNOWN_REASONS,
+};
+use basaltarch_decide::detector::EVIDENCE_KINDS;
+use basaltarch_telemetry::metrics::{CounterCell, GaugeCell, MetricEntry, MetricSource};
+
+/// Requests taken from callers.
+pub static REQUESTS: CounterCell = CounterCell::new();
+/// Complete answers passed on to callers.
+pub static COMPLETE: CounterCell = CounterCell::new();
+/// Refusals by reason.
+pub static NOT_RUN: [CounterCell; NOT_RUN_REASONS.len()] =
+    [const { CounterCell::new() }; NOT_RUN_REASONS.len()];
+/// Unknown outcomes by reason.
+pub static UNKNOWN: [CounterCell; UNKNOWN_REASONS.len()] =
+    [const { CounterCell::new() }; UNKNOWN_REASONS.len()];
+/// Dispatches to upstreams.
+pub static DISPATCHES: CounterCell = CounterCell::new();
+/// Dispatches after the first of a request.
+pub static RETRIES: CounterCell = CounterCell::new();
+/// Repeats that the budget did not allow.
+pub static RETRIES_DENIED: CounterCell = CounterCell::new();
+/// Work sent to backend servers.
+pub static WORKED: CounterCell = CounterCell::new();
+/// Work refused by the host role.
+pub static HOST_REFUSED: CounterCell = CounterCell::new();
+/// Ejections by reason.
+pub static EJECTIONS: [CounterCell; EVIDENCE_KINDS.len()] =
+    [const { CounterCell::new() }; EVIDENCE_KINDS.len()];
+/// Returns of ejected upstreams.
+pub static RETURNS: CounterCell = CounterCell::new();
+/// Sum of detection times in milliseconds.
+pub static DETECTION_MS: CounterCell = CounterCell::new();
+/// Decisions that left less than the floor; must stay 0.
+pub static FLOOR_VIOLATIONS: CounterCell = CounterCell::new();
+/// Rows of once-only work that were refused as already started.
+pub static ONCE_REPEATS: CounterCell = CounterCell::new();
+/// Requests refused by limits.
+pub static LIMITED: CounterCell = CounterCell::new();
+/// Grants asked from homes of limits.
+pub static GRANTS_ASKED: CounterCell = CounterCell::new();
+/// Revision in force.
+pub static REVISION: GaugeCell = GaugeCell::new();
+/// Older revisions that were refused.
+pub static OLD_REVISIONS: CounterCell = CounterCell::new();
+/// Live members known.
+pub static MEMBERS: GaugeCell = GaugeCell::new();
+/// Open links to peers.
+pub static LINKS: GaugeCell = GaugeCell::new();
+/// Bytes sent to peers.
+pub static PEER_BYTES_SENT: CounterCell = CounterCell::new();
+/// Bytes received from peers.
+pub static PEER_BYTES_RECEIVED: CounterCell = CounterCell::new();
+/// Calls to the platform that failed.
+pub static STORE_FAILURES: CounterCell = CounterCell::new();
+/// Requests in flight from callers.
+pub static IN_FLIGHT: GaugeCell = GaugeCell::new();
+/// Callers' connections.
+pub static CALLER_CONNECTIONS: GaugeCell = GaugeCell::new();
+
+/// Counts a failure outcome told to a caller.
+pub fn count_failure(outcome: FailureOutcome) {
+    match outcome {
+        FailureOutcome::NotRun(reason) => NOT_RUN[not_run_index(reason)].add_one(),
+        FailureOutcome::Unknown(reason) => UNKNOWN[unknown_index(reason)].add_one(),
+    }
+}
+
+fn not_run_index(reason: NotRunReason) -> usize {
+    NOT_RUN_REASONS
+        .iter()
+        .position(|each| *each == reason)
+        .unwrap_or(0)
+}
+
+fn unknown_index(reason: UnknownReason) -> usize {
+    UNKNOWN_REASONS
+        .iter()
+        .position(|each| *each == reason)
+        .unwrap_or(0)
+}
+
+fn counter(name: &'static str, help: &'static str, cell: &'static CounterCell) -> MetricEntry {
+    MetricEntry {
+        name,
+        help,
+        label: None,
+        source: MetricSource::Counter(cell),
+    }
+}
+
+fn gauge(name: &'static str, help: &'static str, cell: &'static GaugeCell) -> MetricEntry {
+    MetricEntry {
+        name,
+        help,
+        label: None,
+        source: MetricSource::Gauge(cell),
+    }
+}
+
+/// Lists every metric of the daemon.
+pub fn entries() -> Vec<MetricEntry> {
+    let mut entries = vec![
+        counter("requests", "Requests taken from callers.", &REQUESTS),
+        counter(
+            "complete",
+            "Complete answers passed on to callers.",
+            &COMPLETE,
+        ),
+        counter("dispatches", "Dispatches to upstreams.", &DISPATCHES),
+        counter(
+            "retries",
+            "Dispatches after the first of a request.",
+            &RETRIES,
+        ),
+        counter(
+            "retries_denied",
+            "Repeats that the budget did not allow.",
+            &RETRIES_DENIED,
+        ),
+        counter("worked", "Work sent to backend servers.", &WORKED),
+        counter(
+            "host_refused",
+            "Work refused by the host role.",
+            &HOST_REFUSED,
+        ),
+        counter("returns", "Returns of ejected upstreams.", &RETURNS),
+        counter(
+            "detection_ms",
+            "Sum of detection times in milliseconds.",
+            &DETECTION_MS,
+        ),
+        counter(
+            "floor_violations",
+            "Decisions below the floor; must be 0.",
+            &FLOOR_VIOLATIONS,
+        ),
+        counter(
+            "once_repeats",
+            "Attempts at once-only work already started.",
+            &ONCE_REPEATS,
+        ),
+        counter("limited", "Requests refused by limits.", &LIMITED),
+        counter(
+            "grants_asked",
+            "Grants asked from homes of limits.",
+            &GRANTS_ASKED,
+        ),
+        counter(
+            "old_revisions",
+            "Older revisions that were refused.",
+            &OLD_REVISIONS,
+        ),
+        counter("peer_bytes_sent", "Bytes sent to peers.", &PEER_BYTES_SENT),
+        counter(
+            "peer_bytes_received",
+            "Bytes received from peers.",
+            &PEER_BYTES_RECEIVED,
+        ),
+        counter(
+            "store_failures",
+            "Calls to the platform that failed.",
+            &STORE_FAILURES,
+        ),
+        gauge("revision", "Revision in force.", &REVISION),
+        gauge("members", "Live members known.", &MEMBERS),
+        gauge("links", "Open links to peers.", &LINKS),
+        gauge("in_flight", "Requests in flight from callers.", &IN_FLIGHT),
+        gauge(
+            "caller_connections",
+            "Callers' connections.",
+            &CALLER_CONNECTIONS,
+        ),
+    ];
+    for (reason, cell) in NOT_RUN_REASONS.iter().zip(&NOT_RUN) {
+        entries.push(MetricEntry {
+            label: Some(("reason", reason.name())),
+            ..counter("not_run", "Requests refused as not run.", cell)
+        });
+    }
+    for (reason, cell) in UNKNOWN_REASONS.iter().zip(&UNKNOWN) {
+        entries.push(MetricEntry {
+            label: Some(("reason", reason.name())),
+            ..counter("unknown", "Requests with unknown outcome.", cell)
+        });
+    }
+    for (kind, cell) in EVIDENCE_KINDS.iter().zip(&EJECTIONS) {
+        entries.push(MetricEntry {
+            label: Some(("evidence", kind.name())),
+            ..counter("ejections", "Ejections of upstreams.", cell)
+        });
+    }
+    entries
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,218 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The paths to other daemons: addresses, links, and the health of each path.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_decide::path::{PathHealth, PathState};
+use basaltarch_peer::link::DialledLink;
+use fnv::FnvHashMap;
+use rand::RngExt;
+
+use crate::signal::RisingSignal;
+
+/// First pause after a link could not be made.
+const BACK_OFF_MIN: Duration = Duration::from_millis(100);
+/// Longest such pause: a host that comes back is tried at least this often.
+const BACK_OFF_MAX: Duration = Duration::from_secs(5);
+
+/// `PeerPath` is the path to one other daemon.
+pub struct PeerPath {
+    /// Host of the daemon.
+    pub host: Rc<str>,
+    /// Whether it is this daemon.
+    pub is_self: bool,
+    address: Cell<Option<SocketAddr>>,
+    link: RefCell<Option<Rc<DialledLink>>>,
+    health: RefCell<PathHealth>,
+    dialling: Cell<bool>,
+    changed: RisingSignal,
+    back_off: Cell<Duration>,
+    retry_at: Cell<Duration>,
+    leaving: Cell<bool>,
+    used_at: Cell<Duration>,
+}
+
+impl PeerPath {
+    fn new(host: &str, is_self: bool) -> Self {
+        Self {
+            host: Rc::from(host),
+            is_self,
+            address: Cell::new(None),
+            link: RefCell::default(),
+            health: RefCell::new(PathHealth::new(Duration::ZERO)),
+            dialling: Cell::new(false),
+            changed: RisingSignal::default(),
+            back_off: Cell::new(BACK_OFF_MIN),
+            retry_at: Cell::new(Duration::ZERO),
+            leaving: Cell::new(false),
+            used_at: Cell::new(Duration::ZERO),
+        }
+    }
+
+    /// Returns the address of the daemon, if it is known.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.address.get()
+    }
+
+    /// Takes in the address of the daemon; a new one ends the link to the old.
+    pub fn note_address(&self, address: SocketAddr) {
+        if self.address.get() == Some(address) {
+            return;
+        }
+        self.address.set(Some(address));
+        self.retry_at.set(Duration::ZERO);
+        self.back_off.set(BACK_OFF_MIN);
+        if let Some(link) = self.link.borrow_mut().take() {
+            link.end();
+        }
+        self.changed.raise();
+    }
+
+    /// Takes in whether the daemon is leaving.
+    pub fn note_leaving(&self, leaving: bool) {
+        self.leaving.set(leaving);
+    }
+
+    /// Says whether the daemon is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Says whether work may be sent along this path.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        if self.is_self {
+            return true;
+        }
+        if self.address.get().is_none() {
+            return false;
+        }
+        if self.link.borrow().is_some() {
+            return self.state(now) == PathState::Up;
+        }
+        now >= self.retry_at.get()
+    }
+
+    /// Returns the state of the path.
+    pub fn state(&self, now: Duration) -> PathState {
+        self.health.borrow_mut().state(now)
+    }
+
+    /// Returns the time since a frame came from the daemon.
+    pub fn silent_for(&self, now: Duration) -> Duration {
+        self.health.borrow().silent_for(now)
+    }
+
+    /// Returns the link, if there is one.
+    pub fn link(&self) -> Option<Rc<DialledLink>> {
+        self.link.borrow().clone()
+    }
+
+    /// Notes that the path is used.
+    pub fn note_used(&self, now: Duration) {
+        self.used_at.set(now);
+    }
+
+    /// Returns when the path was last used.
+    pub fn used_at(&self) -> Duration {
+        self.used_at.get()
+    }
+
+    /// Starts to dial unless that is under way or must wait; says whether the caller should dial.
+    pub fn start_dial(&self, now: Duration) -> bool {
+        let may = !self.dialling.get() && now >= self.retry_at.get();
+        if may {
+            self.dialling.set(true);
+        }
+        may
+    }
+
+    /// Says whether a link is being made.
+    pub fn is_dialling(&self) -> bool {
+        self.dialling.get()
+    }
+
+    /// Waits until something changes about the link, from what was seen at `seen`.
+    pub async fn wait_change(&self, seen: u64) {
+        self.changed.above(seen).await;
+    }
+
+    /// Returns the number to wait from.
+    pub fn change_count(&self) -> u64 {
+        self.changed.get()
+    }
+
+    /// Puts a new link in use.
+    pub fn note_linked(&self, link: Rc<DialledLink>, now: Duration) {
+        self.dialling.set(false);
+        self.back_off.set(BACK_OFF_MIN);
+        *self.link.borrow_mut() = Some(link);
+        self.health.borrow_mut().note_heard(now);
+        self.changed.raise();
+    }
+
+    /// Takes in that a link ended or could not be made; the next try waits, longer each time.
+    pub fn note_unlinked(&self, now: Duration) {
+        self.dialling.set(false);
+        self.link.borrow_mut().take();
+        self.health.borrow_mut().note_broken(now);
+        let pause = self.back_off.get();
+        let jitter = rand::rng().random_range(0.5..=1.0);
+        self.retry_at.set(now + pause.mul_f64(jitter));
+        self.back_off.set((pause * 2).min(BACK_OFF_MAX));
+        self.changed.raise();
+    }
+
+    /// Takes in that a frame came over the link.
+    pub fn note_heard(&self, now: Duration) {
+        self.health.borrow_mut().note_heard(now);
+    }
+
+    /// Takes in that the daemon answered a question for a sign of life.
+    pub fn note_answer(&self, now: Duration) {
+        self.health.borrow_mut().note_answer(now);
+    }
+
+    /// Says whether to ask the daemon for a sign of life now.
+    pub fn should_ask(&self, now: Duration, in_use: bool) -> bool {
+        self.health.borrow_mut().ask(now, in_use)
+    }
+}
+
+/// `PeerTable` holds the path to each known host.
+pub struct PeerTable {
+    own: Rc<str>,
+    paths: RefCell<FnvHashMap<Rc<str>, Rc<PeerPath>>>,
+}
+
+impl PeerTable {
+    /// Builds the table of the daemon on `own`.
+    pub fn new(own: &str) -> Self {
+        Self {
+            own: Rc::from(own),
+            paths: RefCell::default(),
+        }
+    }
+
+    /// Returns the path to a host.
+    pub fn path(&self, host: &str) -> Rc<PeerPath> {
+        if let Some(path) = self.paths.borrow().get(host) {
+            return path.clone();
+        }
+        let path = Rc::new(PeerPath::new(host, host == &*self.own));
+        let mut paths = self.paths.borrow_mut();
+        paths.insert(path.host.clone(), path.clone());
+        path
+    }
+
+    /// Returns every path that has a link.
+    pub fn linked(&self) -> Vec<Rc<PeerPath>> {
+        let paths = self.paths.borrow();
+        let linked = paths.values().filter(|path| path.link.borrow().is_some());
+        linked.cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,168 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Starts a daemon, runs its tasks, and ends it without cutting what is in flight.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_http::connection;
+use basaltarch_peer::link::NO_EXCHANGE;
+use basaltarch_telemetry::signals::StopSignals;
+use monoio::net::TcpListener;
+
+use crate::admin;
+use crate::errors::DaemonError;
+use crate::ingress::caller;
+use crate::links;
+use crate::membership;
+use crate::metrics;
+use crate::options::DaemonOptions;
+use crate::spread;
+use crate::state::DaemonState;
+
+/// Time between looks at what is still in flight while the daemon stops.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// Least time between saying that the daemon leaves and ending: callers' and peers' requests that
+/// are on their way when the word goes out still arrive.
+const DRAIN_MIN: Duration = Duration::from_millis(500);
+/// Exit status of a stop that cut requests.
+pub const EXIT_CUT: i32 = 3;
+
+/// `StopReport` says how a daemon ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopReport {
+    /// Requests that were cut.
+    pub cut: usize,
+}
+
+/// `StopRequests` is where a daemon hears that it shall stop.
+pub enum StopRequests {
+    /// Signals of the system: the first drains, the second ends at once.
+    Signals,
+    /// Only the admin API and [`DaemonState::stopping`].
+    Api,
+}
+
+struct DaemonListeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    admin: TcpListener,
+}
+
+fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), DaemonError> {
+    let bound = connection::bind(address);
+    let listener = bound.map_err(|source| DaemonError::Listen { address, source })?;
+    let address = listener
+        .local_addr()
+        .map_err(|source| DaemonError::Listen { address, source })?;
+    Ok((listener, address))
+}
+
+fn bind_all(options: &mut DaemonOptions) -> Result<DaemonListeners, DaemonError> {
+    let (callers, address) = listen(options.callers)?;
+    options.callers = address;
+    let (peers, address) = listen(options.peers)?;
+    options.peers = address;
+    let (admin, address) = listen(options.admin)?;
+    options.admin = address;
+    Ok(DaemonListeners {
+        callers,
+        peers,
+        admin,
+    })
+}
+
+/// Runs a daemon to its end; `on_start` gets its state once it listens.
+pub async fn run(
+    mut options: DaemonOptions,
+    stops: StopRequests,
+    on_start: impl FnOnce(&Rc<DaemonState>),
+) -> Result<StopReport, DaemonError> {
+    let start = |source| DaemonError::Start { source };
+    basaltarch_telemetry::metrics::start(&metrics::entries()).map_err(start)?;
+    let listeners = bind_all(&mut options)?;
+    let state = DaemonState::new(options);
+    if let StopRequests::Signals = stops {
+        let mut signals = StopSignals::new().map_err(start)?;
+        let state = state.clone();
+        monoio::spawn(async move {
+            loop {
+                signals.next().await;
+                state.stopping.raise();
+            }
+        });
+    }
+    tracing::info!(
+        host = state.options.host,
+        callers = %state.options.callers,
+        peers = %state.options.peers,
+        admin = %state.options.admin,
+        "listening"
+    );
+    start_tasks(&state, listeners);
+    on_start(&state);
+    state.stopping.raised().await;
+    Ok(drain(&state).await)
+}
+
+fn start_tasks(state: &Rc<DaemonState>, listeners: DaemonListeners) {
+    monoio::spawn(caller::accept(state.clone(), listeners.callers));
+    monoio::spawn(links::accept(state.clone(), listeners.peers));
+    monoio::spawn(admin::accept(state.clone(), listeners.admin));
+    monoio::spawn(links::watch(state.clone()));
+    monoio::spawn(membership::run(state.clone()));
+    monoio::spawn(spread::poll(state.clone()));
+    monoio::spawn(follow_configuration(state.clone()));
+}
+
+/// Brings the roles in line with each configuration that comes in force.
+async fn follow_configuration(state: Rc<DaemonState>) {
+    let mut seen = 0;
+    loop {
+        seen = state.config.changed().above(seen).await;
+        let active = state.config.active();
+        state.host.configure(&state, &active);
+        state.services.forget_gone(&active);
+        // The neighbours hear of the revision at once, so that the fleet's status is fresh.
+        membership::beat(&state);
+    }
+}
+
+/// Refuses new work, tells the peers, and waits until what is in flight has ended.
+async fn drain(state: &Rc<DaemonState>) -> StopReport {
+    tracing::info!(in_flight = state.in_flight.get(), "leaving");
+    membership::beat(state);
+    tell_accepted(state);
+    let begin = state.now();
+    loop {
+        let elapsed = state.now().saturating_sub(begin);
+        let busy = state.in_flight.get();
+        let twice = state.stopping.get() > 1;
+        let late = elapsed >= state.options.drain;
+        if (busy == 0 && elapsed >= DRAIN_MIN) || twice || late {
+            let report = StopReport { cut: busy };
+            tracing::info!(
+                cut = busy,
+                elapsed_ms = elapsed.as_millis() as u64,
+                "stopped"
+            );
+            return report;
+        }
+        monoio::time::sleep(DRAIN_LOOK).await;
+    }
+}
+
+/// Tells the daemons that dialled here, who send work here, that this one is leaving.
+fn tell_accepted(state: &Rc<DaemonState>) {
+    use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
+    for link in state.members.some_accepted(usize::MAX) {
+        let note = HeartbeatNote {
+            reply: true,
+            revision: state.config.revision().0 as i64,
+            members: state.members.some_entries(state, &[]),
+        };
+        let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/services.rs
@@ -0,0 +1,230 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! What the ingress knows of each service that it sends requests to.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::config::{ActiveConfig, ServiceEntry};
+use basaltarch_core::resources::ServerState;
+use basaltarch_decide::balance::{LoadView, ServiceView, UpstreamChoice};
+use basaltarch_decide::baseline::RouteBaseline;
+use basaltarch_decide::budget::RetryBudget;
+use basaltarch_decide::evidence::ServiceBaseline;
+use basaltarch_peer::protocol::LoadReport;
+use fnv::FnvHashMap;
+
+use crate::metrics;
+use crate::peers::PeerPath;
+use crate::state::DaemonState;
+use crate::wire;
+
+/// Time for which an upstream's own word that it is leaving counts without being renewed.
+const DRAIN_WORD_LIFE: Duration = Duration::from_secs(30);
+
+/// `ServiceState` is what the ingress knows of one service.
+pub struct ServiceState {
+    /// The service as configured.
+    pub entry: Rc<ServiceEntry>,
+    paths: Vec<Rc<PeerPath>>,
+    draining_until: Vec<Cell<Duration>>,
+    view: RefCell<ServiceView>,
+    baselines: RefCell<FnvHashMap<Rc<str>, RouteBaseline>>,
+    budget: RefCell<RetryBudget>,
+    violations: Cell<u64>,
+}
+
+/// `ServiceTable` holds the services that the ingress sent requests to.
+#[derive(Default)]
+pub struct ServiceTable {
+    services: RefCell<FnvHashMap<Rc<str>, Rc<ServiceState>>>,
+}
+
+impl ServiceTable {
+    /// Returns the state of a service, made or renewed as the configuration says.
+    pub fn get(
+        &self,
+        state: &DaemonState,
+        active: &ActiveConfig,
+        name: &str,
+    ) -> Option<Rc<ServiceState>> {
+        let entry = active.services.get(name)?;
+        let known = self.services.borrow().get(name).cloned();
+        if let Some(known) = &known {
+            if Rc::ptr_eq(&known.entry, entry) {
+                return Some(known.clone());
+            }
+        }
+        let made = Rc::new(ServiceState::new(state, entry.clone(), known.as_deref()));
+        self.services
+            .borrow_mut()
+            .insert(entry.name.clone(), made.clone());
+        Some(made)
+    }
+
+    /// Returns the state of a service if the ingress has any.
+    pub fn known(&self, name: &str) -> Option<Rc<ServiceState>> {
+        self.services.borrow().get(name).cloned()
+    }
+
+    /// Forgets services that are no longer configured.
+    pub fn forget_gone(&self, active: &ActiveConfig) {
+        let mut services = self.services.borrow_mut();
+        services.retain(|name, _| active.services.contains_key(name));
+    }
+}
+
+impl ServiceState {
+    fn new(state: &DaemonState, entry: Rc<ServiceEntry>, known: Option<&ServiceState>) -> Self {
+        let own_domain = &state.options.failure_domain;
+        let views = entry
+            .upstreams
+            .iter()
+            .map(|upstream| {
+                let is_local = upstream.server.failure_domain == *own_domain;
+                let fresh = LoadView::new(upstream.server.slots, is_local);
+                keep_view(known, &upstream.name, fresh)
+            })
+            .collect();
+        let hosts = entry
+            .upstreams
+            .iter()
+            .map(|upstream| upstream.server.host.as_str());
+        Self {
+            paths: hosts.map(|host| state.peers.path(host)).collect(),
+            draining_until: entry.upstreams.iter().map(|_| Cell::default()).collect(),
+            view: RefCell::new(ServiceView::new(entry.spec.floor, views)),
+            baselines: RefCell::default(),
+            budget: RefCell::new(RetryBudget::new(entry.spec.retry_budget)),
+            violations: Cell::new(0),
+            entry,
+        }
+    }
+
+    /// Returns the path to the daemon beside an upstream.
+    pub fn path(&self, index: usize) -> &Rc<PeerPath> {
+        &self.paths[index]
+    }
+
+    /// Chooses an upstream for a request.
+    pub fn choose(
+        &self,
+        now: Duration,
+        excluded: &[usize],
+        repeatable: bool,
+        must_take: bool,
+    ) -> Option<UpstreamChoice> {
+        self.refresh(now);
+        let mut view = self.view.borrow_mut();
+        let choice = view.choose(now, excluded, repeatable, must_take, &mut rand::rng());
+        let violations = view.violations();
+        metrics::FLOOR_VIOLATIONS.add(violations - self.violations.replace(violations));
+        choice
+    }
+
+    /// Brings what is known of paths and of leaving up to date.
+    pub fn refresh(&self, now: Duration) {
+        let mut view = self.view.borrow_mut();
+        for (index, upstream) in self.entry.upstreams.iter().enumerate() {
+            let path = &self.paths[index];
+            let told = upstream.server.state == ServerState::Draining;
+            let word = self.draining_until[index].get() > now;
+            view.note_reachable(index, path.is_usable(now));
+            view.note_draining(index, told || word || path.is_leaving());
+        }
+    }
+
+    /// Takes a report of an upstream in.
+    pub fn note_report(&self, index: usize, route: &Rc<str>, note: &LoadReport, now: Duration) {
+        let (load, health) = wire::report_of(note);
+        let until = if load.draining {
+            now + DRAIN_WORD_LIFE
+        } else {
+            Duration::ZERO
+        };
+        self.draining_until[index].set(until);
+        let mut baselines = self.baselines.borrow_mut();
+        if !baselines.contains_key(route) {
+            baselines.insert(route.clone(), RouteBaseline::default());
+        }
+        let mut view = self.view.borrow_mut();
+        if let Some(baseline) = baselines.get_mut(route) {
+            baseline.note(index as u32, &health);
+            view.note_median(baseline.current().median_ln);
+        }
+        view.note_report(index, load.in_flight + load.queued, health, now);
+    }
+
+    /// Returns the baseline of a route.
+    pub fn baseline(&self, route: &str) -> ServiceBaseline {
+        let baselines = self.baselines.borrow();
+        baselines
+            .get(route)
+            .map(RouteBaseline::current)
+            .unwrap_or_default()
+    }
+
+    /// Notes that a request was sent to an upstream, for as long as the guard lives.
+    pub fn count_sent(self: &Rc<Self>, index: usize) -> SentGuard {
+        self.view.borrow_mut().note_sent(index);
+        SentGuard {
+            service: self.clone(),
+            index,
+        }
+    }
+
+    /// Notes that a request came, which earns a part of a repeat.
+    pub fn note_request(&self) {
+        self.budget.borrow_mut().note_request();
+    }
+
+    /// Takes a repeat from the budget.
+    pub fn take_repeat(&self) -> bool {
+        let taken = self.budget.borrow_mut().take();
+        if !taken {
+            metrics::RETRIES_DENIED.add_one();
+        }
+        taken
+    }
+
+    /// Calls `read` with the view.
+    pub fn with_view<T>(&self, read: impl FnOnce(&ServiceView) -> T) -> T {
+        read(&self.view.borrow())
+    }
+}
+
+fn keep_view(known: Option<&ServiceState>, name: &str, fresh: LoadView) -> LoadView {
+    let known = match known {
+        Some(known) => known,
+        None => return fresh,
+    };
+    let index = known
+        .entry
+        .upstreams
+        .iter()
+        .position(|upstream| &*upstream.name == name);
+    let view = known.view.borrow();
+    match index.and_then(|index| view.upstreams().get(index)) {
+        Some(old) => LoadView {
+            slots: fresh.slots,
+            is_local: fresh.is_local,
+            own: 0,
+            ..*old
+        },
+        None => fresh,
+    }
+}
+
+/// `SentGuard` counts a request at an upstream.
+pub struct SentGuard {
+    service: Rc<ServiceState>,
+    index: usize,
+}
+
+impl Drop for SentGuard {
+    fn drop(&mut self) {
+        self.service.view.borrow_mut().note_over(self.index);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/signal.rs
@@ -0,0 +1,72 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! A number that tasks wait for to rise.
+
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::task::{Poll, Waker};
+
+use fnv::FnvHashMap;
+
+/// `RisingSignal` wakes every task that waits for its number to rise.
+#[derive(Debug, Default)]
+pub struct RisingSignal {
+    value: Cell<u64>,
+    next_waiter: Cell<u64>,
+    waiters: RefCell<FnvHashMap<u64, Waker>>,
+}
+
+/// Forgets a waiter when its task stops waiting.
+struct WaiterGuard<'a> {
+    signal: &'a RisingSignal,
+    id: u64,
+}
+
+impl Drop for WaiterGuard<'_> {
+    fn drop(&mut self) {
+        self.signal.waiters.borrow_mut().remove(&self.id);
+    }
+}
+
+impl RisingSignal {
+    /// Returns the number.
+    pub fn get(&self) -> u64 {
+        self.value.get()
+    }
+
+    /// Raises the number by one and wakes all waiters.
+    pub fn raise(&self) {
+        self.value.set(self.value.get() + 1);
+        let waiters = std::mem::take(&mut *self.waiters.borrow_mut());
+        for waker in waiters.into_values() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until the number is above `seen` and returns it.
+    pub async fn above(&self, seen: u64) -> u64 {
+        let id = self.next_waiter.get();
+        self.next_waiter.set(id + 1);
+        let guard = WaiterGuard { signal: self, id };
+        poll_fn(|context| {
+            if guard.signal.value.get() > seen {
+                return Poll::Ready(guard.signal.value.get());
+            }
+            let waker = context.waker().clone();
+            guard.signal.waiters.borrow_mut().insert(id, waker);
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Waits until the number was raised at all.
+    pub async fn raised(&self) {
+        self.above(0).await;
+    }
+
+    /// Says whether the number was raised at all.
+    pub fn is_raised(&self) -> bool {
+        self.value.get() > 0
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/spread.rs
@@ -0,0 +1,254 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Spreads the configuration: bounded polling of the store, and passing of changes between peers.
+//!
+//! Revisions only rise. Whoever learns of changes passes them to its neighbours; heartbeats carry
+//! revisions, so that whoever was missed pulls. The poll is the backstop.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::config::{ChangeRecord, FleetConfig, FleetSnapshot};
+use basaltarch_core::units::{self, FleetRevision};
+use basaltarch_peer::frames::FrameSender;
+use basaltarch_peer::handshake::PeerIdentity;
+use basaltarch_peer::link::NO_EXCHANGE;
+use basaltarch_peer::protocol::{ChangeNews, ChangePull, FrameBody};
+use basaltarch_store::changes;
+use basaltarch_store::errors::StoreError;
+use basaltarch_store::platform::RetryPause;
+
+use crate::membership;
+use crate::metrics;
+use crate::state::DaemonState;
+
+/// Shortest time between polls of the store.
+const POLL_MIN: Duration = Duration::from_secs(1);
+/// Polls between readings of the host list: the list lags by itself.
+const HOSTS_EVERY: u64 = 3;
+/// First polls that each read the host list, as a starting fleet finds itself.
+const HOSTS_FIRST: u64 = 30;
+/// Bytes of one part of a snapshot or of the records in one frame.
+const PART_BYTES: usize = 64 * units::KIB;
+/// Bytes that may wait on a link while a snapshot is sent.
+const SNAPSHOT_WAITING_MAX: u64 = 1024 * 1024;
+/// Pause while a snapshot's reader is behind.
+const SNAPSHOT_PAUSE: Duration = Duration::from_millis(5);
+/// Largest snapshot taken from a peer, in bytes.
+const SNAPSHOT_MAX: usize = 1 << 30;
+
+thread_local! {
+    /// Parts of a snapshot that is being received, by host of the sender.
+    static PARTS: RefCell<fnv::FnvHashMap<String, Vec<u8>>> = RefCell::default();
+}
+
+/// Polls the store for ever, no more often than the fleet's share of reads allows.
+pub async fn poll(state: Rc<DaemonState>) {
+    let mut pause = RetryPause::default();
+    let mut round = 0_u64;
+    loop {
+        let result = poll_once(&state, round).await;
+        let wait = match result {
+            Ok(()) => {
+                pause.reset();
+                poll_period(&state)
+            }
+            Err(error) => {
+                metrics::STORE_FAILURES.add_one();
+                tracing::debug!(%error, "the store did not answer");
+                pause.next_pause().max(Duration::from_millis(200))
+            }
+        };
+        round += 1;
+        monoio::time::sleep(wait.mul_f64(rand::random_range(0.8..1.2))).await;
+    }
+}
+
+fn poll_period(state: &DaemonState) -> Duration {
+    let each = state.members.count() as f64 / state.options.store_reads;
+    Duration::from_secs_f64(each).max(POLL_MIN)
+}
+
+async fn poll_once(state: &Rc<DaemonState>, round: u64) -> Result<(), StoreError> {
+    let hosts_due = round < HOSTS_FIRST || round.is_multiple_of(HOSTS_EVERY);
+    if hosts_due {
+        let list = state.platform.hosts().await?;
+        state.members.note_list(state, &list);
+    }
+    let (revision, _) = state.changes.head().await?;
+    if revision > state.config.revision() {
+        catch_up(state, revision).await?;
+    } else if revision < state.config.revision() {
+        // An answer from the past: what is here was accepted and stays.
+        metrics::OLD_REVISIONS.add_one();
+    }
+    state.config.mark_loaded();
+    Ok(())
+}
+
+/// Reads what is missing from the store: a snapshot first when much is missing.
+async fn catch_up(state: &Rc<DaemonState>, revision: FleetRevision) -> Result<(), StoreError> {
+    let missing = revision.0 - state.config.revision().0;
+    if missing > changes::SNAPSHOT_EVERY {
+        if let Some(snapshot) = state.changes.snapshot().await? {
+            adopt_snapshot(state, &snapshot);
+        }
+    }
+    loop {
+        let before = state.config.revision();
+        let records = state.changes.changes_after(before).await?;
+        if state.config.apply(&records, state.now()) == 0 {
+            return Ok(());
+        }
+        pass_on(state, &records);
+    }
+}
+
+fn adopt_snapshot(state: &Rc<DaemonState>, snapshot: &FleetSnapshot) -> bool {
+    match FleetConfig::from_snapshot(snapshot) {
+        Ok(config) => state.config.adopt(config, state.now()),
+        Err(error) => {
+            tracing::error!(%error, "snapshot can't be read");
+            false
+        }
+    }
+}
+
+/// Passes changes that are new here to the neighbours and to some of those that linked to here.
+pub fn pass_on(state: &Rc<DaemonState>, records: &[ChangeRecord]) {
+    let mut senders: Vec<FrameSender> = Vec::new();
+    for host in state.members.neighbours(state) {
+        if let Some(link) = state.peers.path(&host).link() {
+            senders.push(link.sender().clone());
+        }
+    }
+    let accepted = state.members.some_accepted(membership::NEIGHBOURS);
+    senders.extend(accepted.iter().map(|link| link.sender().clone()));
+    for sender in senders {
+        send_records(state, &sender, records.iter());
+    }
+}
+
+fn send_records<'a>(
+    state: &DaemonState,
+    sender: &FrameSender,
+    records: impl Iterator<Item = &'a ChangeRecord>,
+) {
+    for record in records {
+        let text = match serde_json::to_vec(record) {
+            Ok(text) if text.len() <= 2 * PART_BYTES => text,
+            // A change too large for a frame is read from the store by each daemon.
+            _ => return,
+        };
+        let news = ChangeNews {
+            revision: state.config.revision().0 as i64,
+            records: vec![text],
+            snapshot_part: None,
+            last: true,
+        };
+        let _ = sender.send(NO_EXCHANGE, FrameBody::News(news));
+    }
+}
+
+/// Takes in which revision a peer has: sends it what it lacks, or asks for what is missing here.
+pub fn note_peer_revision(state: &Rc<DaemonState>, sender: &FrameSender, theirs: FleetRevision) {
+    let ours = state.config.revision();
+    if theirs < ours {
+        if let Some(records) = state.config.records_after(theirs) {
+            send_records(state, sender, records.iter().map(|record| &**record));
+        }
+    } else if theirs > ours {
+        let pull = ChangePull {
+            after: ours.0 as i64,
+        };
+        let _ = sender.send(NO_EXCHANGE, FrameBody::Pull(pull));
+    }
+}
+
+/// Answers a peer that asks for changes: with them, or with a snapshot if they are not kept.
+pub fn answer_pull(state: &Rc<DaemonState>, sender: &FrameSender, pull: ChangePull) {
+    let after = FleetRevision(pull.after.max(0) as u64);
+    if !state.config.is_loaded() {
+        return;
+    }
+    let records = state.config.records_after(after);
+    let small = |record: &Rc<ChangeRecord>| {
+        serde_json::to_vec(&**record).is_ok_and(|text| text.len() <= 2 * PART_BYTES)
+    };
+    match records {
+        Some(records) if records.iter().all(small) => {
+            send_records(state, sender, records.iter().map(|record| &**record));
+        }
+        _ => {
+            let state = state.clone();
+            let sender = sender.clone();
+            monoio::spawn(async move { send_snapshot(&state, &sender).await });
+        }
+    }
+}
+
+async fn send_snapshot(state: &Rc<DaemonState>, sender: &FrameSender) {
+    let snapshot = state.config.with_fleet(FleetConfig::to_snapshot);
+    let revision = snapshot.revision.0 as i64;
+    let text = match serde_json::to_vec(&snapshot) {
+        Ok(text) => text,
+        Err(_) => return,
+    };
+    drop(snapshot);
+    let parts = text.chunks(PART_BYTES);
+    let count = parts.len();
+    for (index, part) in parts.enumerate() {
+        while sender.bytes_waiting() > SNAPSHOT_WAITING_MAX {
+            monoio::time::sleep(SNAPSHOT_PAUSE).await;
+        }
+        let news = ChangeNews {
+            revision,
+            records: Vec::new(),
+            snapshot_part: Some(part.to_vec()),
+            last: index + 1 == count,
+        };
+        if sender.send(NO_EXCHANGE, FrameBody::News(news)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Takes changes, or a part of a snapshot, from a peer.
+pub fn take_news(state: &Rc<DaemonState>, peer: &PeerIdentity, news: ChangeNews) {
+    if let Some(part) = news.snapshot_part {
+        take_part(state, peer, part, news.last);
+        return;
+    }
+    let mut fresh = Vec::new();
+    for text in &news.records {
+        match serde_json::from_slice::<ChangeRecord>(text) {
+            Ok(record) if record.revision > state.config.revision() => fresh.push(record),
+            Ok(_) => {}
+            Err(error) => tracing::warn!(host = peer.host, %error, "change can't be read"),
+        }
+    }
+    if state.config.apply(&fresh, state.now()) > 0 {
+        pass_on(state, &fresh);
+    }
+}
+
+fn take_part(state: &Rc<DaemonState>, peer: &PeerIdentity, part: Vec<u8>, last: bool) {
+    let whole = PARTS.with_borrow_mut(|parts| {
+        let text = parts.entry(peer.host.clone()).or_default();
+        text.extend_from_slice(&part);
+        if text.len() > SNAPSHOT_MAX {
+            text.clear();
+        }
+        last.then(|| parts.remove(&peer.host).unwrap_or_default())
+    });
+    let text = match whole {
+        Some(text) => text,
+        None => return,
+    };
+    match serde_json::from_slice::<FleetSnapshot>(&text) {
+        Ok(snapshot) => drop(adopt_snapshot(state, &snapshot)),
+        Err(error) => tracing::warn!(host = peer.host, %error, "snapshot can't be read"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/state.rs
@@ -0,0 +1,118 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! What the roles of a daemon share.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::units;
+use basaltarch_peer::handshake::PeerIdentity;
+use basaltarch_store::changes::ChangeStore;
+use basaltarch_store::ledger::OnceLedger;
+use basaltarch_store::platform::PlatformClient;
+
+use crate::clock::DaemonClock;
+use crate::configuration::ConfigCell;
+use crate::host::HostRole;
+use crate::limits::LimitRole;
+use crate::membership::MemberTable;
+use crate::options::DaemonOptions;
+use crate::peers::PeerTable;
+use crate::services::ServiceTable;
+use crate::signal::RisingSignal;
+
+/// `DaemonState` is what the roles of a daemon share. One thread owns it, so there are no locks.
+pub struct DaemonState {
+    /// The settings, with the addresses as bound.
+    pub options: DaemonOptions,
+    /// Time since the start.
+    pub clock: DaemonClock,
+    /// Who this daemon is to its peers.
+    pub identity: PeerIdentity,
+    /// The configuration in force.
+    pub config: ConfigCell,
+    /// What the ingress knows of services.
+    pub services: ServiceTable,
+    /// Paths and links to other daemons.
+    pub peers: PeerTable,
+    /// The soft view of the fleet.
+    pub members: MemberTable,
+    /// The backend servers of this host.
+    pub host: HostRole,
+    /// Rate limits.
+    pub limits: LimitRole,
+    /// Accepted changes in the platform's table.
+    pub changes: ChangeStore,
+    /// The platform.
+    pub platform: Rc<PlatformClient>,
+    /// Ledger of once-only work.
+    pub ledger: Rc<OnceLedger>,
+    /// Raised when the daemon is asked to stop.
+    pub stopping: RisingSignal,
+    /// Callers' requests and peers' dispatches that are not over.
+    pub in_flight: Cell<usize>,
+}
+
+impl DaemonState {
+    /// Builds the state of a daemon that was just started.
+    pub fn new(options: DaemonOptions) -> Rc<Self> {
+        let clock = DaemonClock::default();
+        let platform = Rc::new(PlatformClient::new(
+            options.platform,
+            options.store_reads,
+            options.store_writes,
+        ));
+        let identity = PeerIdentity {
+            host: options.host.clone(),
+            incarnation: units::wall_millis() as i64,
+        };
+        Rc::new(Self {
+            clock,
+            identity,
+            config: ConfigCell::default(),
+            services: ServiceTable::default(),
+            peers: PeerTable::new(&options.host),
+            members: MemberTable::default(),
+            host: HostRole::default(),
+            limits: LimitRole::default(),
+            changes: ChangeStore::new(platform.clone()),
+            ledger: OnceLedger::new(platform.clone()),
+            platform,
+            stopping: RisingSignal::default(),
+            in_flight: Cell::new(0),
+            options,
+        })
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Says whether the daemon is asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.is_raised()
+    }
+
+    /// Counts work in flight for as long as the guard lives.
+    pub fn count_in_flight(self: &Rc<Self>) -> InFlightGuard {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlightGuard {
+            state: self.clone(),
+        }
+    }
+}
+
+/// `InFlightGuard` counts one piece of work in flight.
+pub struct InFlightGuard {
+    state: Rc<DaemonState>,
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        let count = self.state.in_flight.get();
+        self.state.in_flight.set(count - 1);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/wire.rs
@@ -0,0 +1,162 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Turns values into the frames between daemons and back.
+
+use std::time::Duration;
+
+use basaltarch_core::resources::{WorkClass, WorkMode};
+use basaltarch_decide::evidence::ServiceBaseline;
+use basaltarch_decide::health::HealthReport;
+use basaltarch_peer::protocol::{BaselineNote, HeaderField, LoadReport};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use thrift::OrderedFloat;
+
+/// Returns the number of a class of work.
+pub fn class_number(class: WorkClass) -> i8 {
+    match class {
+        WorkClass::Sheddable => 0,
+        WorkClass::Normal => 1,
+        WorkClass::Critical => 2,
+    }
+}
+
+/// Reads the number of a class of work.
+pub fn class_of(number: i8) -> WorkClass {
+    match number {
+        0 => WorkClass::Sheddable,
+        2 => WorkClass::Critical,
+        _ => WorkClass::Normal,
+    }
+}
+
+/// Returns the number of a mode of work.
+pub fn mode_number(mode: WorkMode) -> i8 {
+    match mode {
+        WorkMode::Plain => 0,
+        WorkMode::Repeatable => 1,
+        WorkMode::Once => 2,
+    }
+}
+
+/// Reads the number of a mode of work; what is not known is not repeated.
+pub fn mode_of(number: i8) -> WorkMode {
+    match number {
+        1 => WorkMode::Repeatable,
+        2 => WorkMode::Once,
+        _ => WorkMode::Plain,
+    }
+}
+
+/// Writes header fields.
+pub fn fields_of(headers: &HeaderMap) -> Vec<HeaderField> {
+    headers
+        .iter()
+        .map(|(name, value)| HeaderField {
+            name: name.as_str().as_bytes().to_vec(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect()
+}
+
+/// Reads header fields; what can't stand in a head is left out.
+pub fn headers_of(fields: &[HeaderField]) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for field in fields {
+        let name = HeaderName::from_bytes(&field.name);
+        let value = HeaderValue::from_bytes(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
+/// Writes a baseline.
+pub fn baseline_note(baseline: &ServiceBaseline) -> BaselineNote {
+    BaselineNote {
+        median_ln: OrderedFloat(baseline.median_ln),
+        spread: OrderedFloat(baseline.spread),
+        failure_rate: OrderedFloat(baseline.failure_rate),
+        overdue_rate: OrderedFloat(baseline.overdue_rate),
+        sickness: OrderedFloat(baseline.sickness),
+        upstreams: baseline.upstreams as i32,
+    }
+}
+
+/// Reads a baseline.
+pub fn baseline_of(note: Option<&BaselineNote>) -> ServiceBaseline {
+    let note = match note {
+        Some(note) => note,
+        None => return ServiceBaseline::default(),
+    };
+    ServiceBaseline {
+        median_ln: finite(note.median_ln),
+        spread: finite(note.spread),
+        failure_rate: finite(note.failure_rate),
+        overdue_rate: finite(note.overdue_rate),
+        sickness: finite(note.sickness),
+        upstreams: note.upstreams.max(0) as u32,
+    }
+}
+
+/// `HostLoad` is what a host's daemon tells beside an upstream's health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostLoad {
+    /// Requests in the slots.
+    pub in_flight: u32,
+    /// Requests in the queue.
+    pub queued: u32,
+    /// Whether the upstream is leaving.
+    pub draining: bool,
+    /// Revision in force at the host's daemon.
+    pub revision: u64,
+}
+
+/// Writes a report.
+pub fn report_note(load: HostLoad, health: &HealthReport) -> LoadReport {
+    LoadReport {
+        in_flight: load.in_flight as i32,
+        queued: load.queued as i32,
+        draining: load.draining,
+        sickness: OrderedFloat(health.sickness),
+        median_ln: OrderedFloat(health.median_ln),
+        spread: OrderedFloat(health.spread),
+        failure_rate: OrderedFloat(health.failure_rate),
+        overdue_rate: OrderedFloat(health.overdue_rate),
+        samples: health.samples.min(i32::MAX as u32) as i32,
+        ramp: OrderedFloat(health.ramp),
+        trial_in_ms: health.trial_in.as_millis().min(i32::MAX as u128) as i32,
+        revision: load.revision as i64,
+    }
+}
+
+/// Reads a report.
+pub fn report_of(note: &LoadReport) -> (HostLoad, HealthReport) {
+    let load = HostLoad {
+        in_flight: note.in_flight.max(0) as u32,
+        queued: note.queued.max(0) as u32,
+        draining: note.draining,
+        revision: note.revision.max(0) as u64,
+    };
+    let health = HealthReport {
+        sickness: finite(note.sickness),
+        median_ln: finite(note.median_ln),
+        spread: finite(note.spread),
+        failure_rate: finite(note.failure_rate),
+        overdue_rate: finite(note.overdue_rate),
+        samples: note.samples.max(0) as u32,
+        ramp: finite(note.ramp).clamp(0.01, 1.0),
+        trial_in: Duration::from_millis(note.trial_in_ms.max(0) as u64),
+    };
+    (load, health)
+}
+
+/// Reads a number of a peer; what is no number counts as zero.
+fn finite(value: OrderedFloat<f64>) -> f64 {
+    if value.0.is_finite() {
+        value.0
+    } else {
+        0.0
+    }
+}
--- /dev/null
+++ b/crates/decide/src/balance.rs
@@ -0,0 +1,307 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Chooses the upstream of each request at an ingress.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use crate::floor::{self, CapacityEntry, FloorPlan};
+use crate::health::HealthReport;
+
+/// Time over which a report of load loses most of its worth: it was made that many requests ago.
+const REPORT_LIFE: Duration = Duration::from_secs(1);
+/// Load, in shares of the slots, from which upstreams in other failure domains are asked too.
+const LOCAL_LOAD_MAX: f64 = 0.75;
+/// What a hop to another failure domain weighs, as a share of a service time; 3 ms there and back.
+const REMOTE_WEIGHT: f64 = 1.1;
+/// Load that is assumed of an upstream that has not reported lately, in shares of its slots.
+const UNKNOWN_LOAD: f64 = 0.3;
+/// Least ratio of an upstream's time to its siblings' that counts: errors are quicker than work
+/// and must not draw traffic.
+const QUICK_MIN: f64 = 0.8;
+/// Largest such ratio, so that a slow but healthy upstream still gets its share.
+const SLOW_MAX: f64 = 5.0;
+/// Upstreams compared for one choice (M. Mitzenmacher, "The power of two choices", 2001).
+const CHOICES: usize = 2;
+/// Time after which a sick upstream that has said nothing since is asked again.
+const SICK_REPORT_LIFE: Duration = Duration::from_secs(90);
+
+/// `LoadView` is what an ingress knows of one upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadView {
+    /// Slots of the upstream.
+    pub slots: u32,
+    /// Whether it is in the ingress's own failure domain.
+    pub is_local: bool,
+    /// Whether its daemon can be reached.
+    pub reachable: bool,
+    /// Whether it is leaving, by anybody's word.
+    pub draining: bool,
+    /// Requests of this ingress that it works on.
+    pub own: u32,
+    /// Requests in its slots and queue at the last report.
+    pub load: u32,
+    /// Last report of its health.
+    pub health: Option<HealthReport>,
+    /// When that report came.
+    pub reported_at: Duration,
+}
+
+impl LoadView {
+    /// Builds the view of an upstream that has not reported yet.
+    pub fn new(slots: u32, is_local: bool) -> Self {
+        Self {
+            slots,
+            is_local,
+            reachable: true,
+            draining: false,
+            own: 0,
+            load: 0,
+            health: None,
+            reported_at: Duration::ZERO,
+        }
+    }
+
+    fn sickness(&self, now: Duration) -> f64 {
+        let fresh = now.saturating_sub(self.reported_at) < SICK_REPORT_LIFE;
+        self.health
+            .filter(|_| fresh)
+            .map_or(0.0, |health| health.sickness)
+    }
+
+    /// Estimates the share of the slots in use at `now`.
+    fn load_share(&self, now: Duration) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let age = now.saturating_sub(self.reported_at).as_secs_f64();
+        let worth = (-age / REPORT_LIFE.as_secs_f64()).exp();
+        let known = f64::from(self.load) / slots;
+        let estimate = if self.health.is_some() {
+            known * worth + UNKNOWN_LOAD * (1.0 - worth)
+        } else {
+            UNKNOWN_LOAD
+        };
+        estimate.max(f64::from(self.own) / slots)
+    }
+
+    fn cost(&self, now: Duration, median_ln: f64) -> f64 {
+        let busy = self.load_share(now) + 1.0 / f64::from(self.slots.max(1));
+        let health = match &self.health {
+            Some(health) => health,
+            None => return busy,
+        };
+        let time = (health.median_ln - median_ln)
+            .exp()
+            .clamp(QUICK_MIN, SLOW_MAX);
+        let time = if health.samples == 0 { 1.0 } else { time };
+        let distance = if self.is_local { 1.0 } else { REMOTE_WEIGHT };
+        busy * time * distance / self.ramp(now, health)
+    }
+
+    fn ramp(&self, now: Duration, health: &HealthReport) -> f64 {
+        // A ramp goes on between reports.
+        let age = now.saturating_sub(self.reported_at).as_secs_f64();
+        (health.ramp + age / crate::recovery::RAMP.as_secs_f64()).min(1.0)
+    }
+}
+
+/// `UpstreamChoice` is the upstream chosen for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UpstreamChoice {
+    /// Position of the upstream.
+    pub index: usize,
+    /// Whether the upstream may refuse, since others can do the work within the floor.
+    pub refusable: bool,
+}
+
+/// `ServiceView` is what an ingress knows of one service.
+#[derive(Debug, Clone)]
+pub struct ServiceView {
+    floor: f64,
+    upstreams: Vec<LoadView>,
+    plan: FloorPlan,
+    median_ln: f64,
+    stale: bool,
+    planned_at: Duration,
+    violations: u64,
+}
+
+/// Time after which the plan is made anew even if nothing was heard, as old reports expire.
+const PLAN_LIFE: Duration = Duration::from_secs(1);
+
+impl ServiceView {
+    /// Builds the view of a service whose upstreams stand in the order of their names.
+    pub fn new(floor: f64, upstreams: Vec<LoadView>) -> Self {
+        Self {
+            floor,
+            upstreams,
+            plan: FloorPlan::default(),
+            median_ln: 0.0,
+            stale: true,
+            planned_at: Duration::ZERO,
+            violations: 0,
+        }
+    }
+
+    /// Returns the upstreams.
+    pub fn upstreams(&self) -> &[LoadView] {
+        &self.upstreams
+    }
+
+    /// Returns the plan in force.
+    pub fn plan(&self) -> &FloorPlan {
+        &self.plan
+    }
+
+    /// Returns how often the floor was found broken; it must stay 0.
+    pub fn violations(&self) -> u64 {
+        self.violations
+    }
+
+    /// Takes a report in.
+    pub fn note_report(&mut self, index: usize, load: u32, health: HealthReport, now: Duration) {
+        let view = match self.upstreams.get_mut(index) {
+            Some(view) => view,
+            None => return,
+        };
+        let before = view.health.map_or(0.0, |health| health.sickness);
+        self.stale |= (before >= 1.0) != (health.sickness >= 1.0);
+        self.stale |= health.sickness >= 1.0 && before != health.sickness;
+        view.load = load;
+        view.health = Some(health);
+        view.reported_at = now;
+    }
+
+    /// Takes in whether an upstream is leaving.
+    pub fn note_draining(&mut self, index: usize, draining: bool) {
+        if let Some(view) = self.upstreams.get_mut(index) {
+            self.stale |= view.draining != draining;
+            view.draining = draining;
+        }
+    }
+
+    /// Takes in whether an upstream's daemon can be reached.
+    pub fn note_reachable(&mut self, index: usize, reachable: bool) {
+        if let Some(view) = self.upstreams.get_mut(index) {
+            self.stale |= view.reachable != reachable;
+            view.reachable = reachable;
+        }
+    }
+
+    /// Takes in that a request was sent to an upstream.
+    pub fn note_sent(&mut self, index: usize) {
+        if let Some(view) = self.upstreams.get_mut(index) {
+            view.own += 1;
+        }
+    }
+
+    /// Takes in that a request to an upstream is over.
+    pub fn note_over(&mut self, index: usize) {
+        if let Some(view) = self.upstreams.get_mut(index) {
+            view.own = view.own.saturating_sub(1);
+        }
+    }
+
+    /// Takes in the median service time over the upstreams, as the logarithm of µs.
+    pub fn note_median(&mut self, median_ln: f64) {
+        self.median_ln = median_ln;
+    }
+
+    fn refresh(&mut self, now: Duration) {
+        if !self.stale && now.saturating_sub(self.planned_at) < PLAN_LIFE {
+            return;
+        }
+        let entries: Vec<CapacityEntry> = self
+            .upstreams
+            .iter()
+            .map(|view| CapacityEntry {
+                slots: view.slots,
+                available: view.reachable && !view.draining,
+                sickness: view.sickness(now),
+            })
+            .collect();
+        self.plan = floor::plan(self.floor, &entries);
+        self.violations += u64::from(!self.plan.holds());
+        self.stale = false;
+        self.planned_at = now;
+    }
+
+    /// Chooses an upstream that is not in `excluded`.
+    ///
+    /// `repeatable` work may go to an avoided upstream whose trial is due. `must_take` work goes
+    /// out not refusable.
+    pub fn choose(
+        &mut self,
+        now: Duration,
+        excluded: &[usize],
+        repeatable: bool,
+        must_take: bool,
+        rng: &mut impl Rng,
+    ) -> Option<UpstreamChoice> {
+        self.refresh(now);
+        if !must_take && excluded.is_empty() {
+            if let Some(index) = self.due_trial(now, repeatable) {
+                return Some(UpstreamChoice {
+                    index,
+                    refusable: true,
+                });
+            }
+        }
+        let index = self
+            .best(now, rng, |index, view| {
+                view.is_local && self.in_service(index) && !excluded.contains(&index)
+            })
+            .filter(|index| self.upstreams[*index].load_share(now) < LOCAL_LOAD_MAX)
+            .or_else(|| {
+                self.best(now, rng, |index, _| {
+                    self.in_service(index) && !excluded.contains(&index)
+                })
+            })?;
+        let spare = self.plan.can_spare(self.upstreams[index].slots);
+        Some(UpstreamChoice {
+            index,
+            refusable: spare && !must_take,
+        })
+    }
+
+    fn in_service(&self, index: usize) -> bool {
+        let view = &self.upstreams[index];
+        view.reachable && !view.draining && !self.plan.avoided[index]
+    }
+
+    fn due_trial(&mut self, now: Duration, repeatable: bool) -> Option<usize> {
+        if !repeatable || self.plan.avoided.iter().all(|avoided| !avoided) {
+            return None;
+        }
+        (0..self.upstreams.len()).find(|index| {
+            let view = &self.upstreams[*index];
+            let trial_in = view.health.map_or(Duration::ZERO, |health| health.trial_in);
+            self.plan.avoided[*index] && view.own == 0 && now >= view.reported_at + trial_in
+        })
+    }
+
+    fn best(
+        &self,
+        now: Duration,
+        rng: &mut impl Rng,
+        eligible: impl Fn(usize, &LoadView) -> bool,
+    ) -> Option<usize> {
+        let count = self.upstreams.len();
+        let fits: Vec<usize> = (0..count)
+            .filter(|index| eligible(*index, &self.upstreams[*index]))
+            .collect();
+        if fits.is_empty() {
+            return None;
+        }
+        let mut best: Option<(f64, usize)> = None;
+        for _ in 0..CHOICES {
+            let index = fits[rng.random_range(0..fits.len())];
+            let cost = self.upstreams[index].cost(now, self.median_ln);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/detector.rs
@@ -0,0 +1,221 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Finds out from real work that an upstream has become worse than its siblings.
+//!
+//! The detector keeps one-sided cumulative sums of log-likelihood ratios (E. S. Page, "Continuous
+//! inspection schemes", Biometrika 1954). Each sum weighs "as the siblings" against one way of
+//! being sick. In the mean, a healthy upstream reaches a sum of `h` at most once in `exp(h)`
+//! requests (G. Lorden, "Procedures for reacting to a change in distribution", 1971), which turns
+//! the threshold into a promise.
+
+use std::time::Duration;
+
+use crate::evidence::{self, ServiceBaseline, WorkEvidence};
+use crate::track::SPREAD_MIN;
+
+/// Least share of failures that a healthy upstream is taken to have: callers and networks fail too.
+const FAILURE_RATE_MIN: f64 = 0.01;
+/// Least share of overdue requests that a healthy upstream is taken to have.
+const OVERDUE_RATE_MIN: f64 = 0.02;
+/// Highest baseline share that still leaves room to tell an upstream from its siblings.
+const RATE_MAX: f64 = 0.6;
+/// Share of failures of an upstream that mostly fails.
+const STRONG_RATE: f64 = 0.5;
+/// Share of failures of an upstream that fails in part, for instance on one route of ten.
+const WEAK_RATE: f64 = 0.12;
+/// Shift of the mean, in deviations, that the sum of service times is tuned to.
+const SHIFT_DEVIATIONS: f64 = 1.0;
+/// Deviations beyond which a service time counts no more, so that one straggler proves nothing.
+const SHIFT_CLIP: f64 = 2.5;
+/// Share by which a shift must exceed what the mix of requests alone may make.
+const SHIFT_SLACK: f64 = 0.25;
+/// Sums stop at this many thresholds, so that an upstream that is well again is soon seen to be.
+const CAP_THRESHOLDS: f64 = 2.0;
+
+/// `EvidenceKind` names the sums.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EvidenceKind {
+    /// Most requests fail.
+    Failing,
+    /// Some requests fail.
+    FailingPartly,
+    /// Requests take longer throughout.
+    Slow,
+    /// Many requests take much longer, or do not end.
+    Overdue,
+    /// Some requests take much longer.
+    OverduePartly,
+}
+
+/// Every kind, in the order of the sums.
+pub const EVIDENCE_KINDS: [EvidenceKind; 5] = [
+    EvidenceKind::Failing,
+    EvidenceKind::FailingPartly,
+    EvidenceKind::Slow,
+    EvidenceKind::Overdue,
+    EvidenceKind::OverduePartly,
+];
+
+impl EvidenceKind {
+    /// Returns the name in logs and tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Failing => "failing",
+            Self::FailingPartly => "failing-partly",
+            Self::Slow => "slow",
+            Self::Overdue => "overdue",
+            Self::OverduePartly => "overdue-partly",
+        }
+    }
+}
+
+/// `SicknessDetector` keeps the sums of one upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SicknessDetector {
+    sums: [f64; EVIDENCE_KINDS.len()],
+    threshold: f64,
+}
+
+impl SicknessDetector {
+    /// Builds a detector that a healthy upstream sets off once in `exp(threshold)` requests.
+    pub fn new(threshold: f64) -> Self {
+        Self {
+            sums: [0.0; EVIDENCE_KINDS.len()],
+            threshold,
+        }
+    }
+
+    /// Changes the threshold; what was learnt is kept.
+    pub fn set_threshold(&mut self, threshold: f64) {
+        self.threshold = threshold;
+    }
+
+    /// Takes the end of a request in. `was_overdue` says that [`Self::note_overdue`] already was.
+    pub fn note(&mut self, evidence: WorkEvidence, was_overdue: bool, baseline: &ServiceBaseline) {
+        match evidence {
+            WorkEvidence::Neutral => {}
+            WorkEvidence::Failed => self.note_failure(true, baseline),
+            WorkEvidence::Answered(latency) => {
+                self.note_failure(false, baseline);
+                self.note_latency(latency, was_overdue, baseline);
+            }
+        }
+    }
+
+    fn note_failure(&mut self, failed: bool, baseline: &ServiceBaseline) {
+        let usual = usual_rate(baseline.failure_rate, FAILURE_RATE_MIN, baseline);
+        self.add(
+            EvidenceKind::Failing,
+            ratio(failed, usual, strong_rate(usual)),
+        );
+        self.add(
+            EvidenceKind::FailingPartly,
+            ratio(failed, usual, weak_rate(usual)),
+        );
+    }
+
+    fn note_latency(&mut self, latency: Duration, was_overdue: bool, baseline: &ServiceBaseline) {
+        if !baseline.is_usable() {
+            return;
+        }
+        if !was_overdue {
+            self.add_overdue(latency > baseline.overdue_after(), baseline);
+        }
+        let spread = baseline.spread.max(SPREAD_MIN);
+        let distance = evidence::log_micros(latency) - baseline.median_ln;
+        let deviations = (distance / spread).clamp(-SHIFT_CLIP, SHIFT_CLIP);
+        let step = SHIFT_DEVIATIONS * (deviations - SHIFT_SLACK) - SHIFT_DEVIATIONS.powi(2) / 2.0;
+        self.add(EvidenceKind::Slow, step);
+    }
+
+    /// Takes in that a request, still running, is overdue.
+    pub fn note_overdue(&mut self, baseline: &ServiceBaseline) {
+        if baseline.is_usable() {
+            self.add_overdue(true, baseline);
+        }
+    }
+
+    fn add_overdue(&mut self, overdue: bool, baseline: &ServiceBaseline) {
+        let usual = usual_rate(baseline.overdue_rate, OVERDUE_RATE_MIN, baseline);
+        self.add(
+            EvidenceKind::Overdue,
+            ratio(overdue, usual, strong_rate(usual)),
+        );
+        self.add(
+            EvidenceKind::OverduePartly,
+            ratio(overdue, usual, weak_rate(usual)),
+        );
+    }
+
+    /// Takes back a failure that followed the request to another upstream.
+    pub fn withdraw_failure(&mut self, baseline: &ServiceBaseline) {
+        let usual = usual_rate(baseline.failure_rate, FAILURE_RATE_MIN, baseline);
+        self.add(
+            EvidenceKind::Failing,
+            -ratio(true, usual, strong_rate(usual)),
+        );
+        self.add(
+            EvidenceKind::FailingPartly,
+            -ratio(true, usual, weak_rate(usual)),
+        );
+    }
+
+    fn add(&mut self, kind: EvidenceKind, step: f64) {
+        let cap = CAP_THRESHOLDS * self.threshold;
+        let sum = &mut self.sums[kind as usize];
+        *sum = (*sum + step).clamp(0.0, cap);
+    }
+
+    /// Returns the largest sum in thresholds: from 1 on, the upstream is sick by itself.
+    pub fn sickness(&self) -> f64 {
+        self.largest().1 / self.threshold
+    }
+
+    /// Returns the kind of evidence behind the sickness.
+    pub fn reason(&self) -> EvidenceKind {
+        EVIDENCE_KINDS[self.largest().0]
+    }
+
+    fn largest(&self) -> (usize, f64) {
+        let mut largest = (0, self.sums[0]);
+        for (index, sum) in self.sums.iter().enumerate() {
+            if *sum > largest.1 {
+                largest = (index, *sum);
+            }
+        }
+        largest
+    }
+
+    /// Forgets everything, after the upstream has proved itself.
+    pub fn reset(&mut self) {
+        self.sums = [0.0; EVIDENCE_KINDS.len()];
+    }
+}
+
+fn usual_rate(rate: f64, least: f64, baseline: &ServiceBaseline) -> f64 {
+    if baseline.is_usable() {
+        rate.clamp(least, RATE_MAX)
+    } else {
+        least
+    }
+}
+
+fn strong_rate(usual: f64) -> f64 {
+    // Halfway between the usual share and certainty, at least a half.
+    STRONG_RATE.max((1.0 + usual) / 2.0)
+}
+
+fn weak_rate(usual: f64) -> f64 {
+    // Three times the usual odds, but never near certainty.
+    WEAK_RATE.max((usual * 3.0).min((1.0 + usual) / 2.0))
+}
+
+/// Returns the log-likelihood ratio of "sick" against "usual" for one request.
+fn ratio(is_true: bool, usual: f64, sick: f64) -> f64 {
+    if is_true {
+        (sick / usual).ln()
+    } else {
+        ((1.0 - sick) / (1.0 - usual)).ln()
+    }
+}
--- /dev/null
+++ b/crates/decide/src/evidence.rs
@@ -0,0 +1,75 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! What real work says about an upstream.
+
+use std::time::Duration;
+
+/// `WorkEvidence` is what one request says about the upstream that worked on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkEvidence {
+    /// A complete answer that is no server error came this long after the request was offered.
+    Answered(Duration),
+    /// A server error, a broken connection or an answer cut short.
+    Failed,
+    /// Nothing can be learnt: the caller was at fault or went away early.
+    Neutral,
+}
+
+/// `ServiceBaseline` is what the upstreams of a service have in common, so that an upstream is
+/// compared with its siblings rather than with fixed limits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServiceBaseline {
+    /// Median over the upstreams of the natural logarithm of the median service time in µs.
+    pub median_ln: f64,
+    /// Median over the upstreams of the spread of that logarithm (as a standard deviation).
+    pub spread: f64,
+    /// Median over the upstreams of the share of failures.
+    pub failure_rate: f64,
+    /// Median over the upstreams of the share of overdue requests.
+    pub overdue_rate: f64,
+    /// Median over the upstreams of the sickness.
+    pub sickness: f64,
+    /// Number of upstreams that this was made from.
+    pub upstreams: u32,
+}
+
+/// Fewest upstreams whose median says anything about a sibling.
+pub const BASELINE_UPSTREAMS_MIN: u32 = 3;
+/// Standard deviations above the median from which a request is overdue. A log-normal time is so
+/// late once in 740 requests; heavier tails raise the baseline's overdue rate instead.
+pub const OVERDUE_DEVIATIONS: f64 = 3.0;
+/// Least wait before a request may be called overdue: below it, timers and the system's scheduler
+/// are what is measured.
+pub const OVERDUE_MIN: Duration = Duration::from_millis(20);
+
+impl Default for ServiceBaseline {
+    fn default() -> Self {
+        Self {
+            median_ln: 0.0,
+            spread: 1.0,
+            failure_rate: 0.0,
+            overdue_rate: 0.0,
+            sickness: 0.0,
+            upstreams: 0,
+        }
+    }
+}
+
+impl ServiceBaseline {
+    /// Says whether enough upstreams stand behind it to compare with.
+    pub fn is_usable(&self) -> bool {
+        self.upstreams >= BASELINE_UPSTREAMS_MIN
+    }
+
+    /// Returns the time after which a request is overdue.
+    pub fn overdue_after(&self) -> Duration {
+        let micros = (self.median_ln + OVERDUE_DEVIATIONS * self.spread).exp();
+        Duration::from_micros(micros.min(60e6) as u64).max(OVERDUE_MIN)
+    }
+}
+
+/// Returns the natural logarithm of a duration in microseconds.
+pub fn log_micros(duration: Duration) -> f64 {
+    (duration.as_micros().max(1) as f64).ln()
+}
--- /dev/null
+++ b/crates/decide/src/floor.rs
@@ -0,0 +1,75 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Keeps ejection from taking a service's capacity below its floor.
+//!
+//! Each ingress decides from its own view. Servers that are down, unreachable or draining have
+//! already spent part of what the floor allows to be missing; the worst of the others are avoided
+//! only while what stays in service is at or above the floor. So no view holds less than the floor
+//! through ejection, and nothing has to be agreed.
+
+/// `CapacityEntry` is one upstream as the floor sees it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CapacityEntry {
+    /// Slots of the upstream.
+    pub slots: u32,
+    /// Whether it can be reached and is not leaving.
+    pub available: bool,
+    /// Sickness in thresholds.
+    pub sickness: f64,
+}
+
+/// `FloorPlan` is what an ingress avoids, and what that leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct FloorPlan {
+    /// Whether each upstream is avoided, in the order of the entries.
+    pub avoided: Vec<bool>,
+    /// Slots that stay in service.
+    pub in_service: u32,
+    /// Slots that must stay in service.
+    pub floor: u32,
+}
+
+/// Returns the slots that must stay in service of `configured` ones.
+pub fn floor_slots(floor: f64, configured: u32) -> u32 {
+    // The small step down keeps 0.7 × 10 from becoming 8 for want of binary digits.
+    (floor * f64::from(configured) - 1e-9).ceil().max(0.0) as u32
+}
+
+/// Plans which upstreams to avoid: the sickest first, ties by position, while the floor holds.
+///
+/// Entries stand in the order of the upstreams' names, so that ingresses with the same reports
+/// avoid the same upstreams.
+pub fn plan(floor: f64, entries: &[CapacityEntry]) -> FloorPlan {
+    let configured = entries.iter().map(|entry| entry.slots).sum();
+    let available = entries.iter().filter(|entry| entry.available);
+    let mut plan = FloorPlan {
+        avoided: vec![false; entries.len()],
+        in_service: available.map(|entry| entry.slots).sum(),
+        floor: floor_slots(floor, configured),
+    };
+    let mut sick: Vec<usize> = (0..entries.len())
+        .filter(|index| entries[*index].available && entries[*index].sickness >= 1.0)
+        .collect();
+    sick.sort_by(|left, right| entries[*right].sickness.total_cmp(&entries[*left].sickness));
+    for index in sick {
+        if plan.can_spare(entries[index].slots) {
+            plan.avoided[index] = true;
+            plan.in_service -= entries[index].slots;
+        }
+    }
+    plan
+}
+
+impl FloorPlan {
+    /// Says whether this many slots in service can be done without.
+    pub fn can_spare(&self, slots: u32) -> bool {
+        self.in_service >= self.floor.saturating_add(slots)
+    }
+
+    /// Checks what must always hold: avoiding never leaves less than the floor.
+    pub fn holds(&self) -> bool {
+        let avoids = self.avoided.iter().any(|avoided| *avoided);
+        !avoids || self.in_service >= self.floor
+    }
+}
--- /dev/null
+++ b/crates/decide/src/health.rs
@@ -0,0 +1,343 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The health of one upstream as the daemon beside it sees it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::resources::PreferChoice;
+use fnv::FnvHashMap;
+
+use crate::detector::{EvidenceKind, SicknessDetector};
+use crate::evidence::{self, ServiceBaseline, WorkEvidence, OVERDUE_DEVIATIONS};
+use crate::recovery::{RecoveryPlan, TrialVerdict};
+use crate::track::{LatencyTrack, RateTrack};
+
+/// Threshold for `detection`: a healthy upstream is ejected at most once in e^9 (8,000) requests
+/// of the worst case that the bound covers; measured rates are far lower (docs/MEASUREMENTS.md).
+pub const THRESHOLD_DETECTION: f64 = 9.0;
+/// Threshold for `precision`: at most once in e^14 (1.2 million) requests.
+pub const THRESHOLD_PRECISION: f64 = 14.0;
+/// Routes of one upstream whose service times are followed one by one; later ones share.
+const ROUTES_MAX: usize = 64;
+/// Name under which the routes beyond [`ROUTES_MAX`] are followed.
+const OTHER_ROUTES: &str = "";
+/// Shared sickness of the siblings beyond which nobody new is ejected unless it stands out twice.
+const SHARED_SICKNESS: f64 = 0.5;
+
+/// Returns the threshold behind a choice.
+pub fn threshold_of(prefer: PreferChoice) -> f64 {
+    match prefer {
+        PreferChoice::Detection => THRESHOLD_DETECTION,
+        PreferChoice::Precision => THRESHOLD_PRECISION,
+    }
+}
+
+/// `RouteTrack` follows one route on one upstream.
+#[derive(Debug, Clone, Copy, Default)]
+struct RouteTrack {
+    latency: LatencyTrack,
+    overdue: RateTrack,
+    baseline: ServiceBaseline,
+}
+
+/// `AdmitVerdict` says whether an upstream takes a dispatch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdmitVerdict {
+    /// It does.
+    Admit,
+    /// It does, as a trial.
+    Trial,
+    /// It is thought sick and another can do the work.
+    Refuse,
+}
+
+/// `DispatchTerms` is what matters of a dispatch to the health of its upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct DispatchTerms<'a> {
+    /// Name of the route.
+    pub route: &'a str,
+    /// Whether the ingress can send the work elsewhere within the floor.
+    pub refusable: bool,
+    /// Whether the work may run more than once.
+    pub repeatable: bool,
+    /// What the ingress knows of the siblings.
+    pub baseline: ServiceBaseline,
+}
+
+/// `HealthReport` is what an upstream's daemon tells about its health.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct HealthReport {
+    /// Sickness in thresholds; from 1 on, the upstream is out unless the floor needs it.
+    pub sickness: f64,
+    /// Logarithm of the median service time of the route asked for, in µs.
+    pub median_ln: f64,
+    /// Spread of that logarithm.
+    pub spread: f64,
+    /// Share of failures.
+    pub failure_rate: f64,
+    /// Share of overdue requests of the route asked for.
+    pub overdue_rate: f64,
+    /// Requests of the route that the figures stand on.
+    pub samples: u32,
+    /// Share of its full work that the upstream should get.
+    pub ramp: f64,
+    /// Time until a trial may start; zero when the upstream serves.
+    pub trial_in: Duration,
+}
+
+/// `HealthChange` is an ejection or a return, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum HealthChange {
+    /// The upstream was ejected.
+    Ejected {
+        /// What it was ejected for.
+        reason: EvidenceKind,
+        /// Sickness at that moment.
+        sickness: f64,
+        /// Time since the first evidence of this sickness.
+        after: Duration,
+    },
+    /// The upstream came back.
+    Returned {
+        /// How long it was out.
+        out: Duration,
+    },
+}
+
+/// `UpstreamHealth` is the health of one upstream.
+#[derive(Debug, Clone)]
+pub struct UpstreamHealth {
+    detector: SicknessDetector,
+    recovery: RecoveryPlan,
+    failures: RateTrack,
+    routes: FnvHashMap<Rc<str>, RouteTrack>,
+    siblings: f64,
+    rising_since: Option<Duration>,
+    reason: Option<EvidenceKind>,
+}
+
+impl UpstreamHealth {
+    /// Builds the health of an upstream from `now` on; a `cold` one gets work slowly at first.
+    pub fn new(prefer: PreferChoice, now: Duration, cold: bool) -> Self {
+        Self {
+            detector: SicknessDetector::new(threshold_of(prefer)),
+            recovery: RecoveryPlan::new(now, cold),
+            failures: RateTrack::default(),
+            routes: FnvHashMap::default(),
+            siblings: 0.0,
+            rising_since: None,
+            reason: None,
+        }
+    }
+
+    /// Changes which error the service would rather have.
+    pub fn set_prefer(&mut self, prefer: PreferChoice) {
+        self.detector.set_threshold(threshold_of(prefer));
+    }
+
+    /// Says whether the upstream takes a dispatch.
+    pub fn admit(&mut self, terms: &DispatchTerms<'_>, now: Duration) -> AdmitVerdict {
+        self.learn_baseline(terms);
+        if !self.recovery.is_ejected() {
+            return AdmitVerdict::Admit;
+        }
+        if self.recovery.start_trial(now, terms.repeatable) {
+            return AdmitVerdict::Trial;
+        }
+        if terms.refusable {
+            AdmitVerdict::Refuse
+        } else {
+            AdmitVerdict::Admit
+        }
+    }
+
+    fn learn_baseline(&mut self, terms: &DispatchTerms<'_>) {
+        if terms.baseline.is_usable() {
+            self.siblings = terms.baseline.sickness;
+            self.route_mut(terms.route).baseline = terms.baseline;
+        }
+    }
+
+    fn route_mut(&mut self, route: &str) -> &mut RouteTrack {
+        let key = if self.routes.contains_key(route) || self.routes.len() < ROUTES_MAX {
+            route
+        } else {
+            OTHER_ROUTES
+        };
+        if !self.routes.contains_key(key) {
+            self.routes.insert(Rc::from(key), RouteTrack::default());
+        }
+        self.routes
+            .get_mut(key)
+            .unwrap_or_else(|| unreachable!("inserted above"))
+    }
+
+    /// Returns the last usable baseline of a route.
+    pub fn baseline(&self, route: &str) -> ServiceBaseline {
+        let track = self
+            .routes
+            .get(route)
+            .or_else(|| self.routes.get(OTHER_ROUTES));
+        track.map(|track| track.baseline).unwrap_or_default()
+    }
+
+    /// Returns the time after which a request of a route is overdue, if that can be said.
+    pub fn overdue_after(&self, route: &str) -> Option<Duration> {
+        let baseline = self.baseline(route);
+        baseline.is_usable().then(|| baseline.overdue_after())
+    }
+
+    /// Takes in that a running request is overdue.
+    pub fn note_overdue(&mut self, route: &str, now: Duration) -> Option<HealthChange> {
+        let baseline = self.baseline(route);
+        self.route_mut(route).overdue.note(true);
+        self.detector.note_overdue(&baseline);
+        self.judge(now)
+    }
+
+    /// Takes the end of a request in.
+    pub fn note(
+        &mut self,
+        route: &str,
+        evidence: WorkEvidence,
+        was_overdue: bool,
+        now: Duration,
+    ) -> Option<HealthChange> {
+        let baseline = self.baseline(route);
+        self.follow(route, evidence, was_overdue);
+        self.detector.note(evidence, was_overdue, &baseline);
+        self.judge(now)
+    }
+
+    fn follow(&mut self, route: &str, evidence: WorkEvidence, was_overdue: bool) {
+        if evidence != WorkEvidence::Neutral {
+            self.failures.note(evidence == WorkEvidence::Failed);
+        }
+        if let WorkEvidence::Answered(latency) = evidence {
+            let track = self.route_mut(route);
+            if !was_overdue {
+                let late = track.baseline.is_usable() && latency > track.baseline.overdue_after();
+                track.overdue.note(late);
+            }
+            track.latency.note(latency);
+        }
+    }
+
+    /// Takes the end of a trial in.
+    pub fn note_trial(
+        &mut self,
+        route: &str,
+        evidence: WorkEvidence,
+        now: Duration,
+    ) -> Option<HealthChange> {
+        let verdict = self.judge_trial(route, evidence);
+        self.follow(route, evidence, false);
+        let since = self.recovery.since();
+        if !self.recovery.end_trial(now, verdict) {
+            return None;
+        }
+        self.detector.reset();
+        self.rising_since = None;
+        self.reason = None;
+        let out = now.saturating_sub(since);
+        Some(HealthChange::Returned { out })
+    }
+
+    fn judge_trial(&self, route: &str, evidence: WorkEvidence) -> TrialVerdict {
+        let latency = match evidence {
+            WorkEvidence::Neutral => return TrialVerdict::Nothing,
+            WorkEvidence::Failed => return TrialVerdict::Bad,
+            WorkEvidence::Answered(latency) => latency,
+        };
+        let baseline = self.baseline(route);
+        if !baseline.is_usable() {
+            return TrialVerdict::Good;
+        }
+        // An upstream that was slow throughout must be near its siblings again, not only not late.
+        let distance = evidence::log_micros(latency) - baseline.median_ln;
+        if distance > (OVERDUE_DEVIATIONS / 2.0) * baseline.spread {
+            TrialVerdict::Bad
+        } else {
+            TrialVerdict::Good
+        }
+    }
+
+    /// Takes back a failure that followed the request to another upstream.
+    pub fn withdraw_failure(&mut self, route: &str) {
+        let baseline = self.baseline(route);
+        self.detector.withdraw_failure(&baseline);
+    }
+
+    fn judge(&mut self, now: Duration) -> Option<HealthChange> {
+        let sickness = self.detector.sickness();
+        if sickness <= 0.0 {
+            self.rising_since = None;
+        } else if self.rising_since.is_none() {
+            self.rising_since = Some(now);
+        }
+        if self.recovery.is_ejected() || !self.stands_out(sickness) {
+            return None;
+        }
+        let reason = self.detector.reason();
+        self.reason = Some(reason);
+        self.recovery.eject(now);
+        let after = now.saturating_sub(self.rising_since.unwrap_or(now));
+        Some(HealthChange::Ejected {
+            reason,
+            sickness,
+            after,
+        })
+    }
+
+    fn stands_out(&self, sickness: f64) -> bool {
+        let needed = if self.siblings > SHARED_SICKNESS {
+            2.0
+        } else {
+            1.0
+        };
+        sickness - self.siblings >= needed
+    }
+
+    /// Says whether the upstream is ejected.
+    pub fn is_ejected(&self) -> bool {
+        self.recovery.is_ejected()
+    }
+
+    /// Returns where the upstream stands.
+    pub fn recovery(&self) -> &RecoveryPlan {
+        &self.recovery
+    }
+
+    /// Returns what the upstream was ejected for, or what speaks most against it.
+    pub fn reason(&self) -> Option<EvidenceKind> {
+        let rising = self.detector.sickness() > 0.0;
+        self.reason
+            .or_else(|| rising.then(|| self.detector.reason()))
+    }
+
+    /// Returns the report for a dispatch of `route`.
+    pub fn report(&self, route: &str, now: Duration) -> HealthReport {
+        let track = self
+            .routes
+            .get(route)
+            .or_else(|| self.routes.get(OTHER_ROUTES));
+        let track = track.copied().unwrap_or_default();
+        let sickness = self.detector.sickness();
+        HealthReport {
+            sickness: if self.is_ejected() {
+                sickness.max(1.0)
+            } else {
+                sickness.min(0.99)
+            },
+            median_ln: track.latency.centre(),
+            spread: track.latency.spread(),
+            failure_rate: self.failures.rate(),
+            overdue_rate: track.overdue.rate(),
+            samples: track.latency.samples(),
+            ramp: self.recovery.ramp(now),
+            trial_in: self.recovery.trial_in(now).unwrap_or_default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,19 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The decisions of the fleet, without input or output.
+//!
+//! The daemon and the decision bench run the same code: time is handed in as the duration since
+//! some start, randomness as a generator. Nothing here waits, sends or receives.
+
+pub mod balance;
+pub mod baseline;
+pub mod budget;
+pub mod detector;
+pub mod evidence;
+pub mod floor;
+pub mod health;
+pub mod limits;
+pub mod path;
+pub mod recovery;
+pub mod track;
--- /dev/null
+++ b/crates/decide/src/limits.rs
@@ -0,0 +1,203 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Rate limits over the whole fleet: a home that grants, and ingresses that borrow.
+//!
+//! The home of a limit is the live daemon with the highest weight for it (D. Thaler and C.
+//! Ravishankar, "Using name-based mappings to increase hit rates", 1998), so that every daemon finds
+//! it alone. Ingresses borrow tokens sized to what they lately used. While the home can't be
+//! reached, each ingress keeps to an equal share.
+
+use std::hash::Hasher;
+use std::time::Duration;
+
+use fnv::FnvHasher;
+
+/// Time that borrowed tokens stay good; what is not used by then is lost, not hoarded.
+pub const GRANT_LIFE: Duration = Duration::from_millis(1000);
+/// Least tokens asked for at once, so that quiet callers do not ask for each request.
+const ASK_MIN: f64 = 1.0;
+/// Part of a grant's life whose demand is asked for ahead.
+const ASK_AHEAD: f64 = 0.25;
+
+/// Finds the home of a limit among `hosts`; all daemons with the same hosts find the same.
+pub fn home_of<'a>(limit: &str, hosts: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    hosts.max_by_key(|host| (weight(limit, host), *host))
+}
+
+fn weight(limit: &str, host: &str) -> u64 {
+    let mut hasher = FnvHasher::default();
+    hasher.write(host.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(limit.as_bytes());
+    // FNV mixes its last bytes badly into the high bits; this finalizer (splitmix64) does it.
+    let mut mixed = hasher.finish();
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// `TokenBucket` holds tokens that come at a rate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TokenBucket {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    filled_at: Duration,
+}
+
+impl TokenBucket {
+    /// Builds a full bucket.
+    pub fn new(rate: f64, burst: f64, now: Duration) -> Self {
+        Self {
+            rate,
+            burst,
+            tokens: burst,
+            filled_at: now,
+        }
+    }
+
+    /// Builds a bucket that starts empty: a new home must not grant a second burst.
+    pub fn empty(rate: f64, burst: f64, now: Duration) -> Self {
+        Self {
+            tokens: 0.0,
+            ..Self::new(rate, burst, now)
+        }
+    }
+
+    /// Changes rate and burst.
+    pub fn set_rate(&mut self, rate: f64, burst: f64, now: Duration) {
+        self.fill(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
+        self.tokens = (self.tokens + elapsed * self.rate).min(self.burst);
+        self.filled_at = self.filled_at.max(now);
+    }
+
+    /// Takes one token, if there is one.
+    pub fn take(&mut self, now: Duration) -> bool {
+        self.take_up_to(1.0, now) >= 1.0
+    }
+
+    /// Takes at most `wanted` whole tokens and returns how many.
+    pub fn take_up_to(&mut self, wanted: f64, now: Duration) -> f64 {
+        self.fill(now);
+        let taken = wanted.min(self.tokens).floor().max(0.0);
+        self.tokens -= taken;
+        taken
+    }
+
+    /// Returns how long until there is a token again.
+    pub fn next_in(&self) -> Duration {
+        let missing = (1.0 - self.tokens).max(0.0);
+        Duration::from_secs_f64((missing / self.rate).min(3600.0))
+    }
+}
+
+/// `LimitVerdict` says whether a request is within a limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum LimitVerdict {
+    /// It is.
+    Pass,
+    /// It is not; the caller may come back after this time.
+    Refuse(Duration),
+    /// Nothing is borrowed; ask the home for this many tokens first.
+    Ask(f64),
+}
+
+/// `LimitLedger` is one ingress's part of one limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitLedger {
+    borrowed: f64,
+    good_until: Duration,
+    refused_until: Duration,
+    used: f64,
+    used_since: Duration,
+    pace: f64,
+    alone: Option<TokenBucket>,
+}
+
+impl LimitLedger {
+    /// Builds a ledger without tokens.
+    pub fn new(now: Duration) -> Self {
+        Self {
+            borrowed: 0.0,
+            good_until: Duration::ZERO,
+            refused_until: Duration::ZERO,
+            used: 0.0,
+            used_since: now,
+            pace: 0.0,
+            alone: None,
+        }
+    }
+
+    /// Takes a request in.
+    pub fn admit(&mut self, now: Duration) -> LimitVerdict {
+        self.note_demand(now);
+        if let Some(bucket) = &mut self.alone {
+            if bucket.take(now) {
+                return LimitVerdict::Pass;
+            }
+            return LimitVerdict::Refuse(bucket.next_in());
+        }
+        if now <= self.good_until && self.borrowed >= 1.0 {
+            self.borrowed -= 1.0;
+            return LimitVerdict::Pass;
+        }
+        if now < self.refused_until {
+            return LimitVerdict::Refuse(self.refused_until - now);
+        }
+        LimitVerdict::Ask(self.wanted())
+    }
+
+    fn note_demand(&mut self, now: Duration) {
+        self.used += 1.0;
+        let elapsed = now.saturating_sub(self.used_since);
+        if elapsed >= GRANT_LIFE {
+            self.pace = self.used / elapsed.as_secs_f64();
+            self.used = 0.0;
+            self.used_since = now;
+        }
+    }
+
+    fn wanted(&self) -> f64 {
+        (self.pace * GRANT_LIFE.as_secs_f64() * ASK_AHEAD)
+            .ceil()
+            .max(ASK_MIN)
+    }
+
+    /// Takes the home's grant in; a grant of nothing refuses for `wait`.
+    pub fn note_grant(&mut self, granted: f64, wait: Duration, now: Duration) {
+        self.alone = None;
+        if granted < 1.0 {
+            self.refused_until = now + wait;
+            return;
+        }
+        let kept = if now <= self.good_until {
+            self.borrowed
+        } else {
+            0.0
+        };
+        self.borrowed = kept + granted;
+        self.good_until = now + GRANT_LIFE;
+    }
+
+    /// Takes in that the home can't be reached: from now on keeps to a share of the limit.
+    pub fn go_alone(&mut self, rate: f64, burst: f64, daemons: usize, now: Duration) {
+        let share = 1.0 / daemons.max(1) as f64;
+        if self.alone.is_none() {
+            let burst = (burst * share).max(1.0);
+            self.alone = Some(TokenBucket::empty(rate * share, burst, now));
+        }
+    }
+
+    /// Says whether the ledger keeps to its share.
+    pub fn is_alone(&self) -> bool {
+        self.alone.is_some()
+    }
+}
--- /dev/null
+++ b/crates/decide/src/recovery.rs
@@ -0,0 +1,185 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! How an upstream that was taken out comes back: trials, hold-off, slow start.
+
+use std::time::Duration;
+
+/// First hold-off before a trial: a restart or a short pause of a backend server is over by then.
+pub const HOLD_OFF_MIN: Duration = Duration::from_secs(2);
+/// Longest hold-off: a server that is well again is asked at least this often.
+pub const HOLD_OFF_MAX: Duration = Duration::from_secs(60);
+/// Good trials in a row that bring an upstream back.
+pub const TRIALS_NEEDED: u32 = 3;
+/// Time over which an upstream that came back, or started, gets its full share.
+pub const RAMP: Duration = Duration::from_secs(10);
+/// Share of the work that an upstream gets at the start of its ramp.
+pub const RAMP_START: f64 = 0.1;
+/// Hold-offs without repeatable work after which any work may be a trial.
+const ANY_WORK_HOLD_OFFS: u32 = 4;
+/// Healthy time, in hold-offs, after which a former ejection no longer lengthens the next.
+const FORGET_HOLD_OFFS: u32 = 10;
+
+/// `RecoveryState` says where an upstream stands.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RecoveryState {
+    /// It takes work; `since` some time.
+    Serving {
+        /// Start of the state.
+        since: Duration,
+    },
+    /// It is thought sick and tried now and then.
+    Ejected {
+        /// Start of the state.
+        since: Duration,
+        /// Next time at which a trial may start.
+        trial_at: Duration,
+        /// Good trials in a row.
+        good: u32,
+        /// Whether a trial is running.
+        running: bool,
+    },
+}
+
+/// `RecoveryPlan` brings an upstream back, later each time it is ejected again.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RecoveryPlan {
+    state: RecoveryState,
+    hold_off: Duration,
+    ramp_from: Option<Duration>,
+    ejections: u64,
+}
+
+impl RecoveryPlan {
+    /// Builds the plan of an upstream that serves from `now`, with a slow start if it is `cold`.
+    pub fn new(now: Duration, cold: bool) -> Self {
+        Self {
+            state: RecoveryState::Serving { since: now },
+            hold_off: HOLD_OFF_MIN,
+            ramp_from: cold.then_some(now),
+            ejections: 0,
+        }
+    }
+
+    /// Returns where the upstream stands.
+    pub fn state(&self) -> RecoveryState {
+        self.state
+    }
+
+    /// Says whether the upstream is ejected.
+    pub fn is_ejected(&self) -> bool {
+        matches!(self.state, RecoveryState::Ejected { .. })
+    }
+
+    /// Returns how often the upstream was ejected.
+    pub fn ejections(&self) -> u64 {
+        self.ejections
+    }
+
+    /// Returns when the present state began.
+    pub fn since(&self) -> Duration {
+        match self.state {
+            RecoveryState::Serving { since } | RecoveryState::Ejected { since, .. } => since,
+        }
+    }
+
+    /// Ejects the upstream.
+    pub fn eject(&mut self, now: Duration) {
+        if let RecoveryState::Serving { since } = self.state {
+            let healthy = now.saturating_sub(since);
+            let forgotten = healthy > self.hold_off * FORGET_HOLD_OFFS;
+            if self.ejections > 0 && !forgotten {
+                self.hold_off = (self.hold_off * 2).min(HOLD_OFF_MAX);
+            } else {
+                self.hold_off = HOLD_OFF_MIN;
+            }
+            self.ejections += 1;
+            self.state = RecoveryState::Ejected {
+                since: now,
+                trial_at: now + self.hold_off,
+                good: 0,
+                running: false,
+            };
+        }
+    }
+
+    /// Returns how long until a trial with repeatable work may start; nothing if not ejected.
+    pub fn trial_in(&self, now: Duration) -> Option<Duration> {
+        match self.state {
+            RecoveryState::Serving { .. } => None,
+            RecoveryState::Ejected { trial_at, .. } => Some(trial_at.saturating_sub(now)),
+        }
+    }
+
+    /// Starts a trial if one is due and says whether it did.
+    pub fn start_trial(&mut self, now: Duration, repeatable: bool) -> bool {
+        let patience = self.hold_off * (ANY_WORK_HOLD_OFFS - 1);
+        match &mut self.state {
+            RecoveryState::Ejected {
+                trial_at, running, ..
+            } if !*running => {
+                let due = if repeatable {
+                    *trial_at
+                } else {
+                    *trial_at + patience
+                };
+                *running = now >= due;
+                *running
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes the end of a trial in and says whether the upstream is back.
+    pub fn end_trial(&mut self, now: Duration, verdict: TrialVerdict) -> bool {
+        let (good, trial_at) = match &mut self.state {
+            RecoveryState::Ejected {
+                good,
+                trial_at,
+                running,
+                ..
+            } => {
+                *running = false;
+                (good, trial_at)
+            }
+            RecoveryState::Serving { .. } => return false,
+        };
+        match verdict {
+            TrialVerdict::Nothing => return false,
+            TrialVerdict::Bad => {
+                *good = 0;
+                self.hold_off = (self.hold_off * 2).min(HOLD_OFF_MAX);
+                *trial_at = now + self.hold_off;
+                return false;
+            }
+            TrialVerdict::Good => *good += 1,
+        }
+        if *good < TRIALS_NEEDED {
+            return false;
+        }
+        self.state = RecoveryState::Serving { since: now };
+        self.ramp_from = Some(now);
+        true
+    }
+
+    /// Returns the share of its full work that the upstream should get, 0.1 to 1.
+    pub fn ramp(&self, now: Duration) -> f64 {
+        let start = match self.ramp_from {
+            Some(start) => start,
+            None => return 1.0,
+        };
+        let done = now.saturating_sub(start).as_secs_f64() / RAMP.as_secs_f64();
+        (RAMP_START + (1.0 - RAMP_START) * done).clamp(RAMP_START, 1.0)
+    }
+}
+
+/// `TrialVerdict` is what a trial says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrialVerdict {
+    /// The upstream did the work in a usual time.
+    Good,
+    /// It failed or was much too slow.
+    Bad,
+    /// The trial says nothing.
+    Nothing,
+}
--- /dev/null
+++ b/crates/decide/src/track.rs
@@ -0,0 +1,97 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Running estimates that follow the recent past.
+
+use std::time::Duration;
+
+use crate::evidence;
+
+/// Weight of a new sample once there are many: an estimate follows the last dozen requests, so
+/// that a change shared by all upstreams moves the baseline about as fast as it moves a detector.
+const SAMPLE_WEIGHT: f64 = 0.08;
+/// Deviations beyond which a sample counts no more than one this far off (Huber's bound).
+const CLIP_DEVIATIONS: f64 = 2.0;
+/// Ratio of the standard deviation to the mean absolute deviation of a normal distribution.
+const MEAN_TO_STANDARD: f64 = 1.2533;
+/// Least spread; below it, noise of the system would count as a change.
+pub const SPREAD_MIN: f64 = 0.15;
+/// Largest spread: beyond a factor of e² a service has no typical time to compare with.
+pub const SPREAD_MAX: f64 = 2.0;
+/// Spread assumed before there are samples.
+const SPREAD_START: f64 = 0.5;
+
+/// `LatencyTrack` follows the centre and spread of the logarithm of service times.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LatencyTrack {
+    centre: f64,
+    spread: f64,
+    samples: u32,
+}
+
+impl Default for LatencyTrack {
+    fn default() -> Self {
+        Self {
+            centre: 0.0,
+            spread: SPREAD_START,
+            samples: 0,
+        }
+    }
+}
+
+impl LatencyTrack {
+    /// Takes one service time in.
+    pub fn note(&mut self, latency: Duration) {
+        let value = evidence::log_micros(latency);
+        self.samples = self.samples.saturating_add(1);
+        if self.samples == 1 {
+            self.centre = value;
+            return;
+        }
+        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+        let bound = CLIP_DEVIATIONS * self.spread;
+        let distance = value - self.centre;
+        self.centre += weight * distance.clamp(-bound, bound);
+        let deviation = distance.abs().min(2.0 * bound) * MEAN_TO_STANDARD;
+        self.spread += weight.min(0.2) * (deviation - self.spread);
+        self.spread = self.spread.clamp(SPREAD_MIN, SPREAD_MAX);
+    }
+
+    /// Returns the centre: the natural logarithm of µs.
+    pub fn centre(&self) -> f64 {
+        self.centre
+    }
+
+    /// Returns the spread as a standard deviation.
+    pub fn spread(&self) -> f64 {
+        self.spread
+    }
+
+    /// Returns how many samples were taken in.
+    pub fn samples(&self) -> u32 {
+        self.samples
+    }
+}
+
+/// `RateTrack` follows the share of requests for which something is true.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct RateTrack {
+    rate: f64,
+    samples: u32,
+}
+
+impl RateTrack {
+    /// Takes one request in.
+    pub fn note(&mut self, is_true: bool) {
+        self.samples = self.samples.saturating_add(1);
+        // Starts from zero rather than from the first sample: one early failure is no rate of 1.
+        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples + 8));
+        let value = if is_true { 1.0 } else { 0.0 };
+        self.rate += weight * (value - self.rate);
+    }
+
+    /// Returns the share, 0 to 1.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+}
--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,200 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Reads a body piece by piece.
+
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use monoio::io::AsyncReadRent;
+
+use crate::errors::HttpError;
+use crate::framing::BodyFraming;
+use crate::reader::{ByteReader, BODY_READ_BYTES};
+
+/// Longest line before a chunk, with its extensions, and longest trailer line.
+const CHUNK_LINE_MAX: usize = 1024;
+/// Most digits of a chunk's size that fit a `u64` without overflow.
+const CHUNK_DIGITS_MAX: usize = 15;
+/// Most trailer lines that are read past.
+const TRAILERS_MAX: usize = 64;
+
+/// `BodyLimits` bounds the bodies that are read.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyLimits {
+    /// Most bytes of a body.
+    pub bytes: u64,
+    /// Longest wait for the next piece.
+    pub idle: Duration,
+}
+
+impl Default for BodyLimits {
+    fn default() -> Self {
+        Self {
+            // Bodies stream, so that the bound guards backend servers rather than memory.
+            bytes: 4 << 30,
+            idle: Duration::from_secs(30),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyState {
+    Done,
+    Length(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailers(usize),
+    UntilClose,
+}
+
+/// `BodyReader` gives the pieces of one body.
+#[derive(Debug)]
+pub struct BodyReader {
+    state: BodyState,
+    limits: BodyLimits,
+    total: u64,
+}
+
+impl BodyReader {
+    /// Builds a reader of a body with this framing.
+    pub fn new(framing: BodyFraming, limits: BodyLimits) -> Self {
+        let state = match framing {
+            BodyFraming::Empty | BodyFraming::Length(0) => BodyState::Done,
+            BodyFraming::Length(bytes) => BodyState::Length(bytes),
+            BodyFraming::Chunked => BodyState::ChunkSize,
+            BodyFraming::UntilClose => BodyState::UntilClose,
+        };
+        Self {
+            state,
+            limits,
+            total: 0,
+        }
+    }
+
+    /// Says whether the whole body was given.
+    pub fn is_done(&self) -> bool {
+        self.state == BodyState::Done
+    }
+
+    /// Returns the next piece, or nothing at the end of the body.
+    pub async fn next<R: AsyncReadRent>(
+        &mut self,
+        reader: &mut ByteReader<R>,
+    ) -> Result<Option<Bytes>, HttpError> {
+        loop {
+            if let Some(piece) = self.take(&mut reader.buffer)? {
+                return Ok(Some(piece));
+            }
+            if self.is_done() {
+                return Ok(None);
+            }
+            let filled = reader
+                .fill_within(BODY_READ_BYTES, self.limits.idle, "the body")
+                .await?;
+            if filled > 0 {
+                continue;
+            }
+            if self.state != BodyState::UntilClose {
+                return Err(HttpError::Truncated);
+            }
+            self.state = BodyState::Done;
+            return Ok(None);
+        }
+    }
+
+    /// Takes the next piece that is already in `buffer`, if there is one.
+    pub fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, HttpError> {
+        loop {
+            match self.state {
+                BodyState::Done => return Ok(None),
+                BodyState::Length(left) => return self.take_length(buffer, left),
+                BodyState::UntilClose => return self.take_data(buffer, u64::MAX),
+                BodyState::ChunkData(left) => {
+                    let piece = self.take_data(buffer, left)?;
+                    let taken = piece.as_ref().map_or(0, Bytes::len) as u64;
+                    self.state = match left - taken {
+                        0 => BodyState::ChunkEnd,
+                        rest => BodyState::ChunkData(rest),
+                    };
+                    return Ok(piece);
+                }
+                BodyState::ChunkSize | BodyState::ChunkEnd | BodyState::Trailers(_) => {
+                    match take_line(buffer)? {
+                        Some(line) => self.state = after_line(self.state, &line)?,
+                        None => return Ok(None),
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_length(
+        &mut self,
+        buffer: &mut BytesMut,
+        left: u64,
+    ) -> Result<Option<Bytes>, HttpError> {
+        let piece = self.take_data(buffer, left)?;
+        let taken = piece.as_ref().map_or(0, Bytes::len) as u64;
+        self.state = match left - taken {
+            0 => BodyState::Done,
+            rest => BodyState::Length(rest),
+        };
+        Ok(piece)
+    }
+
+    fn take_data(&mut self, buffer: &mut BytesMut, most: u64) -> Result<Option<Bytes>, HttpError> {
+        if buffer.is_empty() || most == 0 {
+            return Ok(None);
+        }
+        let count = most.min(buffer.len() as u64).min(BODY_READ_BYTES as u64);
+        self.total += count;
+        if self.total > self.limits.bytes {
+            return Err(HttpError::BodyTooLarge {
+                allowed: self.limits.bytes,
+            });
+        }
+        Ok(Some(buffer.split_to(count as usize).freeze()))
+    }
+}
+
+fn after_line(state: BodyState, line: &[u8]) -> Result<BodyState, HttpError> {
+    match state {
+        BodyState::ChunkEnd if line.is_empty() => Ok(BodyState::ChunkSize),
+        BodyState::ChunkEnd => Err(HttpError::BadChunk),
+        BodyState::Trailers(_) if line.is_empty() => Ok(BodyState::Done),
+        BodyState::Trailers(count) if count < TRAILERS_MAX => Ok(BodyState::Trailers(count + 1)),
+        BodyState::Trailers(_) => Err(HttpError::BadChunk),
+        _ => match chunk_size(line)? {
+            0 => Ok(BodyState::Trailers(0)),
+            size => Ok(BodyState::ChunkData(size)),
+        },
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, HttpError> {
+    let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let digits = size.trim_ascii_end();
+    let fits = !digits.is_empty() && digits.len() <= CHUNK_DIGITS_MAX;
+    if !fits || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return Err(HttpError::BadChunk);
+    }
+    let text = std::str::from_utf8(digits).map_err(|_| HttpError::BadChunk)?;
+    u64::from_str_radix(text, 16).map_err(|_| HttpError::BadChunk)
+}
+
+/// Takes a line without its end; a line feed without carriage return is an error.
+fn take_line(buffer: &mut BytesMut) -> Result<Option<BytesMut>, HttpError> {
+    match buffer.iter().position(|byte| *byte == b'\n') {
+        Some(end) if end > CHUNK_LINE_MAX => Err(HttpError::BadChunk),
+        Some(end) if end > 0 && buffer[end - 1] == b'\r' => {
+            let line = buffer.split_to(end - 1);
+            buffer.advance(2);
+            Ok(Some(line))
+        }
+        Some(_) => Err(HttpError::BadChunk),
+        None if buffer.len() > CHUNK_LINE_MAX => Err(HttpError::BadChunk),
+        None => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,161 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! A small client for whole requests and replies, with a few kept connections.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
+use http::{header, HeaderMap, HeaderValue, Method, StatusCode};
+
+use crate::body::{BodyLimits, BodyReader};
+use crate::connection::HttpStream;
+use crate::errors::HttpError;
+use crate::fields;
+use crate::framing::{self, BodyFraming};
+use crate::head::{self, HeadLimits};
+use crate::writer;
+
+/// Connections kept open between calls.
+const IDLE_MAX: usize = 8;
+
+/// `ClientReply` is a whole reply.
+#[derive(Debug)]
+pub struct ClientReply {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its header fields.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// `HttpClient` sends whole requests to one address.
+#[derive(Debug)]
+pub struct HttpClient {
+    address: SocketAddr,
+    timeout: Duration,
+    limits: BodyLimits,
+    idle: RefCell<Vec<HttpStream>>,
+}
+
+impl HttpClient {
+    /// Builds a client; each call takes at most `timeout`.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            address,
+            timeout,
+            limits: BodyLimits::default(),
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Returns the address that requests go to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and reads the reply.
+    pub async fn call(
+        &self,
+        method: Method,
+        target: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<ClientReply, HttpError> {
+        let exchange = self.exchange(method, target, headers, body);
+        match monoio::time::timeout(self.timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(HttpError::TimedOut { what: "a reply" }),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        target: &str,
+        mut headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<ClientReply, HttpError> {
+        let mut stream = self.open().await?;
+        if !headers.contains_key(header::HOST) {
+            if let Ok(value) = HeaderValue::from_str(&self.address.to_string()) {
+                headers.insert(header::HOST, value);
+            }
+        }
+        send(&mut stream, &method, target, &headers, body).await?;
+        let (reply, close) = receive(&mut stream, &method, self.limits).await?;
+        let mut idle = self.idle.borrow_mut();
+        if !close && idle.len() < IDLE_MAX {
+            idle.push(stream);
+        }
+        Ok(reply)
+    }
+
+    async fn open(&self) -> Result<HttpStream, HttpError> {
+        loop {
+            let kept = self.idle.borrow_mut().pop();
+            let mut stream = match kept {
+                Some(stream) => stream,
+                None => return HttpStream::connect(self.address, self.timeout).await,
+            };
+            if is_quiet(&mut stream) {
+                return Ok(stream);
+            }
+        }
+    }
+}
+
+/// Says whether a kept connection is still open with nothing to read.
+pub fn is_quiet(stream: &mut HttpStream) -> bool {
+    let reading = stream.reader.fill(crate::reader::HEAD_READ_BYTES);
+    reading.now_or_never().is_none()
+}
+
+/// Sends a whole request.
+pub async fn send(
+    stream: &mut HttpStream,
+    method: &Method,
+    target: &str,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<(), HttpError> {
+    let framing = match body.len() as u64 {
+        0 => BodyFraming::Empty,
+        length => BodyFraming::Length(length),
+    };
+    let mut buffer = BytesMut::new();
+    writer::put_request_head(&mut buffer, method, target, headers, framing);
+    writer::send_piece(&mut stream.writer, &mut buffer, framing, body, true).await
+}
+
+/// Reads a whole reply and says whether the connection ends with it.
+pub async fn receive(
+    stream: &mut HttpStream,
+    method: &Method,
+    limits: BodyLimits,
+) -> Result<(ClientReply, bool), HttpError> {
+    let head = loop {
+        let head = head::read_response(&mut stream.reader, &HeadLimits::default()).await?;
+        if !head.status.is_informational() {
+            break head;
+        }
+    };
+    let framing = framing::of_response(&head, method)?;
+    let mut reader = BodyReader::new(framing, limits);
+    let mut body = BytesMut::new();
+    while let Some(piece) = reader.next(&mut stream.reader).await? {
+        body.extend_from_slice(&piece);
+    }
+    let close =
+        framing == BodyFraming::UntilClose || fields::wants_close(head.version, &head.headers);
+    let reply = ClientReply {
+        status: head.status,
+        headers: head.headers,
+        body: body.freeze(),
+    };
+    Ok((reply, close))
+}
--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,115 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Connections and listeners.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+
+use crate::errors::{self, HttpError};
+use crate::reader::ByteReader;
+
+/// Pause after the system refused to accept, for instance for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// `HttpStream` is a connection with its two halves.
+#[derive(Debug)]
+pub struct HttpStream {
+    /// The half that is read.
+    pub reader: ByteReader<OwnedReadHalf<TcpStream>>,
+    /// The half that is written.
+    pub writer: OwnedWriteHalf<TcpStream>,
+}
+
+impl HttpStream {
+    /// Builds the halves of a connection.
+    pub fn new(stream: TcpStream) -> Self {
+        // Without this, small messages wait for the other side's acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let (read, writer) = stream.into_split();
+        Self {
+            reader: ByteReader::new(read),
+            writer,
+        }
+    }
+
+    /// Connects to `address` for no longer than `limit`.
+    pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Self, HttpError> {
+        match monoio::time::timeout(limit, TcpStream::connect_addr(address)).await {
+            Ok(Ok(stream)) => Ok(Self::new(stream)),
+            Ok(Err(source)) => Err(errors::broken(source)),
+            Err(_) => Err(HttpError::TimedOut {
+                what: "a connection",
+            }),
+        }
+    }
+}
+
+/// Listens on `address`; port 0 lets the system choose.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    // Sharing a port between processes would hide that it is taken.
+    let options = ListenerOpts::new().reuse_port(false);
+    TcpListener::bind_with_config(address, &options)
+}
+
+/// `ConnectionCount` counts the open connections of a listener.
+#[derive(Debug, Clone, Default)]
+pub struct ConnectionCount(Rc<Cell<usize>>);
+
+impl ConnectionCount {
+    /// Returns the number of open connections.
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+}
+
+/// Accepts connections for ever and runs `serve` on each in a task of its own.
+///
+/// Connections over `most` are closed at once. A panic in a task ends that connection alone.
+pub async fn accept_all<F, Fut>(
+    listener: TcpListener,
+    most: usize,
+    count: ConnectionCount,
+    serve: F,
+) where
+    F: Fn(TcpStream, SocketAddr) -> Fut + 'static,
+    Fut: Future<Output = ()> + 'static,
+{
+    loop {
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                tracing::warn!(%error, "accept failed");
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if count.get() >= most {
+            tracing::warn!(%address, most, "connection refused: too many");
+            continue;
+        }
+        count.0.set(count.get() + 1);
+        let open = count.clone();
+        let task = serve(stream, address);
+        monoio::spawn(async move {
+            guard("connection", task).await;
+            open.0.set(open.get() - 1);
+        });
+    }
+}
+
+/// Runs `task` and logs a panic in place of passing it on.
+pub async fn guard(what: &'static str, task: impl Future<Output = ()>) {
+    let caught = std::panic::AssertUnwindSafe(task).catch_unwind().await;
+    if caught.is_err() {
+        tracing::error!(what, "task panicked; only it ends");
+    }
+}
--- /dev/null
+++ b/crates/http/src/errors.rs
@@ -0,0 +1,99 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Errors of HTTP connections and the status that answers each.
+
+use std::io;
+
+use http::StatusCode;
+use snafu::Snafu;
+
+/// `HttpError` says what is wrong with a message or its connection.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum HttpError {
+    /// The other side closed the connection between messages.
+    #[snafu(display("the connection was closed"))]
+    Closed,
+    /// The connection ended within a message.
+    #[snafu(display("the message was cut short"))]
+    Truncated,
+    /// The connection failed.
+    #[snafu(display("connection: {source}"))]
+    Broken {
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The other side was too slow.
+    #[snafu(display("timed out waiting for {what}"))]
+    TimedOut {
+        /// What did not come.
+        what: &'static str,
+    },
+    /// The head is larger than allowed.
+    #[snafu(display("the head is larger than {allowed} bytes"))]
+    HeadTooLarge {
+        /// Bytes allowed.
+        allowed: usize,
+    },
+    /// The head has more fields than allowed.
+    #[snafu(display("the head has more than {allowed} fields"))]
+    TooManyFields {
+        /// Fields allowed.
+        allowed: usize,
+    },
+    /// The head can't be read.
+    #[snafu(display("the head can't be read: {message}"))]
+    BadHead {
+        /// What is wrong.
+        message: String,
+    },
+    /// The length of the body is given in a way that can be read in two ways.
+    #[snafu(display("the length of the body is ambiguous: {message}"))]
+    BadLength {
+        /// What is wrong.
+        message: &'static str,
+    },
+    /// The transfer coding is not known.
+    #[snafu(display("the transfer coding is not known; allowed: chunked"))]
+    UnknownCoding,
+    /// A chunk can't be read.
+    #[snafu(display("a chunk of the body can't be read"))]
+    BadChunk,
+    /// The body is larger than allowed.
+    #[snafu(display("the body is larger than {allowed} bytes"))]
+    BodyTooLarge {
+        /// Bytes allowed.
+        allowed: u64,
+    },
+}
+
+impl HttpError {
+    /// Returns the status that tells a caller of this error, if one can still be told.
+    pub fn status(&self) -> Option<StatusCode> {
+        match self {
+            Self::Closed | Self::Truncated | Self::Broken { .. } => None,
+            Self::TimedOut { .. } => Some(StatusCode::REQUEST_TIMEOUT),
+            Self::HeadTooLarge { .. } | Self::TooManyFields { .. } => {
+                Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
+            }
+            Self::BadHead { .. } | Self::BadLength { .. } | Self::BadChunk => {
+                Some(StatusCode::BAD_REQUEST)
+            }
+            Self::UnknownCoding => Some(StatusCode::NOT_IMPLEMENTED),
+            Self::BodyTooLarge { .. } => Some(StatusCode::PAYLOAD_TOO_LARGE),
+        }
+    }
+}
+
+/// Builds a [`HttpError::BadHead`].
+pub fn bad_head(message: impl ToString) -> HttpError {
+    HttpError::BadHead {
+        message: message.to_string(),
+    }
+}
+
+/// Builds a [`HttpError::Broken`].
+pub fn broken(source: io::Error) -> HttpError {
+    HttpError::Broken { source }
+}
--- /dev/null
+++ b/crates/http/src/reader.rs
@@ -0,0 +1,79 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! A buffered reader whose reads may be abandoned without losing bytes.
+
+use std::time::Duration;
+
+use basaltarch_core::units;
+use bytes::BytesMut;
+use monoio::io::AsyncReadRent;
+
+use crate::errors::{self, HttpError};
+
+/// Bytes asked of the system while a head is awaited: most heads fit, and an idle connection
+/// holds no more than this.
+pub const HEAD_READ_BYTES: usize = 4 * units::KIB;
+/// Bytes asked of the system while a body is read: one chunk between daemons.
+pub const BODY_READ_BYTES: usize = 32 * units::KIB;
+
+/// `ByteReader` reads from one half of a connection into a buffer.
+#[derive(Debug)]
+pub struct ByteReader<R> {
+    io: R,
+    /// Bytes that were read and not yet taken.
+    pub buffer: BytesMut,
+    spare: Option<BytesMut>,
+}
+
+impl<R: AsyncReadRent> ByteReader<R> {
+    /// Builds a reader over `io`.
+    pub fn new(io: R) -> Self {
+        Self {
+            io,
+            buffer: BytesMut::new(),
+            spare: None,
+        }
+    }
+
+    /// Reads at least one byte into the buffer; returns 0 at the end of the connection.
+    ///
+    /// Dropping the future loses nothing: the epoll driver reads only when polled, and into a
+    /// spare buffer.
+    pub async fn fill(&mut self, most: usize) -> Result<usize, HttpError> {
+        let mut spare = self.spare.take().unwrap_or_default();
+        spare.clear();
+        spare.reserve(most);
+        let (result, filled) = self.io.read(spare).await;
+        let count = result.map_err(errors::broken)?;
+        if self.buffer.is_empty() {
+            let old = std::mem::replace(&mut self.buffer, filled);
+            self.spare = Some(old);
+        } else {
+            self.buffer.extend_from_slice(&filled);
+            self.spare = Some(filled);
+        }
+        Ok(count)
+    }
+
+    /// Reads as [`Self::fill`] does, for no longer than `limit`.
+    pub async fn fill_within(
+        &mut self,
+        most: usize,
+        limit: Duration,
+        what: &'static str,
+    ) -> Result<usize, HttpError> {
+        match monoio::time::timeout(limit, self.fill(most)).await {
+            Ok(result) => result,
+            Err(_) => Err(HttpError::TimedOut { what }),
+        }
+    }
+
+    /// Gives the buffers back while the connection is idle.
+    pub fn release(&mut self) {
+        self.spare = None;
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,233 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! A small server for the administration API and for stand-ins: whole requests in, whole or
+//! streamed replies out. Callers' requests do not come through here; see the ingress role.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream::LocalBoxStream;
+use futures_util::StreamExt;
+use http::{header, request, HeaderMap, HeaderValue, Method, StatusCode};
+use monoio::net::TcpStream;
+use serde::Serialize;
+
+use crate::body::{BodyLimits, BodyReader};
+use crate::connection::HttpStream;
+use crate::errors::HttpError;
+use crate::fields;
+use crate::framing::{self, BodyFraming};
+use crate::head::{self, HeadLimits};
+use crate::writer;
+
+/// Longest time that a streamed reply waits for its reader to take a piece.
+const STREAM_STALL: Duration = Duration::from_secs(10);
+
+/// `ServerRequest` is a whole request.
+#[derive(Debug)]
+pub struct ServerRequest {
+    /// Its head.
+    pub head: request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// Where it came from.
+    pub from: SocketAddr,
+}
+
+impl ServerRequest {
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        self.head.uri.path()
+    }
+
+    /// Returns the value of a query parameter, without percent-decoding.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let query = self.head.uri.query()?;
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+    }
+}
+
+/// `ReplyBody` is the body of a reply.
+pub enum ReplyBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Pieces as they come; the reply ends with the stream.
+    Stream(LocalBoxStream<'static, Bytes>),
+}
+
+/// `ServerReply` is the reply to a request.
+pub struct ServerReply {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its header fields.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: ReplyBody,
+    /// Whether the connection is dropped without a reply; only stand-ins do so.
+    pub hang_up: bool,
+}
+
+impl ServerReply {
+    /// Builds a reply with an empty body.
+    pub fn empty(status: StatusCode) -> Self {
+        Self::text(status, "")
+    }
+
+    /// Builds a reply with a text body.
+    pub fn text(status: StatusCode, text: impl Into<String>) -> Self {
+        Self::whole(
+            status,
+            "text/plain; charset=utf-8",
+            Bytes::from(text.into()),
+        )
+    }
+
+    /// Builds a reply with a JSON body.
+    pub fn json(status: StatusCode, value: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        Self::whole(status, "application/json", Bytes::from(body))
+    }
+
+    /// Builds a reply with a body of this media type.
+    pub fn whole(status: StatusCode, media_type: &'static str, body: Bytes) -> Self {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(media_type));
+        Self {
+            status,
+            headers,
+            body: ReplyBody::Whole(body),
+            hang_up: false,
+        }
+    }
+
+    /// Adds a header field; a value that can't stand in a head is left out.
+    pub fn with_field(mut self, name: header::HeaderName, value: &str) -> Self {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            self.headers.insert(name, value);
+        }
+        self
+    }
+}
+
+/// `ServerLimits` bounds what a server reads.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServerLimits {
+    /// Bounds of heads.
+    pub head: HeadLimits,
+    /// Bounds of bodies.
+    pub body: BodyLimits,
+}
+
+impl ServerLimits {
+    /// Returns limits with bodies of up to `bytes`.
+    pub fn with_body_bytes(bytes: u64) -> Self {
+        let mut limits = Self::default();
+        limits.body.bytes = bytes;
+        limits
+    }
+}
+
+/// Serves requests on one connection until it ends.
+pub async fn serve<F, Fut>(stream: TcpStream, from: SocketAddr, limits: ServerLimits, handle: F)
+where
+    F: Fn(ServerRequest) -> Fut,
+    Fut: Future<Output = ServerReply>,
+{
+    let mut stream = HttpStream::new(stream);
+    loop {
+        let request = match read_request(&mut stream, from, &limits).await {
+            Ok(request) => request,
+            Err(error) => {
+                refuse(&mut stream, &error).await;
+                return;
+            }
+        };
+        let close = fields::wants_close(request.head.version, &request.head.headers);
+        let method = request.head.method.clone();
+        let reply = handle(request).await;
+        if reply.hang_up
+            || write_reply(&mut stream, &method, reply, close)
+                .await
+                .is_err()
+            || close
+        {
+            return;
+        }
+    }
+}
+
+async fn read_request(
+    stream: &mut HttpStream,
+    from: SocketAddr,
+    limits: &ServerLimits,
+) -> Result<ServerRequest, HttpError> {
+    let head = head::read_request(&mut stream.reader, &limits.head).await?;
+    let framing = framing::of_request(&head)?;
+    if fields::expects_continue(&head) {
+        let mut line = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
+        writer::flush(&mut stream.writer, &mut line).await?;
+    }
+    let mut reader = BodyReader::new(framing, limits.body);
+    let mut body = BytesMut::new();
+    while let Some(piece) = reader.next(&mut stream.reader).await? {
+        body.extend_from_slice(&piece);
+    }
+    let body = body.freeze();
+    Ok(ServerRequest { head, body, from })
+}
+
+async fn refuse(stream: &mut HttpStream, error: &HttpError) {
+    if let Some(status) = error.status() {
+        let reply = ServerReply::text(status, format!("{error}\n"));
+        let _ = write_reply(stream, &Method::GET, reply, true).await;
+    }
+}
+
+async fn write_reply(
+    stream: &mut HttpStream,
+    method: &Method,
+    reply: ServerReply,
+    close: bool,
+) -> Result<(), HttpError> {
+    let mut buffer = BytesMut::new();
+    match reply.body {
+        ReplyBody::Whole(body) => {
+            let framing = match body.len() as u64 {
+                0 => BodyFraming::Empty,
+                length => BodyFraming::Length(length),
+            };
+            writer::put_response_head(&mut buffer, reply.status, &reply.headers, framing, close);
+            let body = if method == Method::HEAD {
+                Bytes::new()
+            } else {
+                body
+            };
+            writer::send_piece(&mut stream.writer, &mut buffer, framing, body, true).await
+        }
+        ReplyBody::Stream(mut pieces) => {
+            let framing = BodyFraming::Chunked;
+            writer::put_response_head(&mut buffer, reply.status, &reply.headers, framing, close);
+            writer::flush(&mut stream.writer, &mut buffer).await?;
+            while let Some(piece) = pieces.next().await {
+                let send =
+                    writer::send_piece(&mut stream.writer, &mut buffer, framing, piece, false);
+                match monoio::time::timeout(STREAM_STALL, send).await {
+                    Ok(result) => result?,
+                    Err(_) => {
+                        return Err(HttpError::TimedOut {
+                            what: "a slow reader",
+                        })
+                    }
+                }
+            }
+            writer::send_piece(&mut stream.writer, &mut buffer, framing, Bytes::new(), true).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/idl/protocol.thrift
@@ -0,0 +1,176 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+//
+// The protocol between daemons. Every frame on a peer link is a four-byte big-endian length and
+// one PeerFrame in the compact protocol. After a change, run crates/peer/idl/generate.
+
+namespace rs protocol
+
+/** What a host's daemon reports of one upstream, for the route of the dispatch, on every answer. */
+struct LoadReport {
+  1: required i32 in_flight
+  2: required i32 queued
+  3: required bool draining
+  4: required double sickness
+  5: required double median_ln
+  6: required double spread
+  7: required double failure_rate
+  8: required double overdue_rate
+  9: required i32 samples
+  10: required double ramp
+  11: required i32 trial_in_ms
+  12: required i64 revision
+}
+
+/** What an ingress knows of a route over all upstreams of its service. */
+struct BaselineNote {
+  1: required double median_ln
+  2: required double spread
+  3: required double failure_rate
+  4: required double overdue_rate
+  5: required double sickness
+  6: required i32 upstreams
+}
+
+struct HeaderField {
+  1: required binary name
+  2: required binary value
+}
+
+/** The first frame of an exchange, from the ingress to the host's daemon. */
+struct DispatchHead {
+  1: required string service_name
+  2: required string upstream
+  3: required string route
+  4: required string method
+  5: required string target
+  6: required list<HeaderField> headers
+  7: required i32 deadline_ms
+  8: required bool refusable
+  9: required i8 work_class
+  10: required i8 work_mode
+  11: required i8 attempt
+  12: required i64 content_length
+  13: required binary body
+  14: required bool last
+  15: optional BaselineNote baseline
+  16: optional string once_key
+  17: optional string organisation
+  18: required i64 revision
+}
+
+/** The first frame of an answer. */
+struct AnswerHead {
+  1: required i16 status
+  2: required list<HeaderField> headers
+  3: required i64 content_length
+  4: required binary body
+  5: required bool last
+  6: required LoadReport report
+}
+
+struct BodyChunk {
+  1: required binary data
+  2: required bool last
+}
+
+/** Allows the other side to send this many more body bytes of the exchange. */
+struct CreditGrant {
+  1: required i32 bytes
+}
+
+/** Ends an exchange that gave no complete answer. */
+struct ExchangeFailure {
+  1: required i16 outcome
+  2: required i32 retry_after_ms
+  3: optional LoadReport report
+}
+
+/** Ends an exchange that the ingress gave up. */
+struct CancelNotice {
+  1: required bool caller_gone
+}
+
+struct MemberEntry {
+  1: required string host
+  2: required string failure_domain
+  3: required string peer_address
+  4: required string admin_address
+  5: required i64 incarnation
+  6: required i8 state
+  7: required i64 age_ms
+  8: required i64 revision
+}
+
+/** Asks for, or is, a sign of life; carries the revision in force and some members. */
+struct HeartbeatNote {
+  1: required bool reply
+  2: required i64 revision
+  3: required list<MemberEntry> members
+}
+
+/** Takes back a failure that followed its request to another upstream. */
+struct WithdrawNote {
+  1: required string service_name
+  2: required string upstream
+  3: required string route
+}
+
+struct ChangePull {
+  1: required i64 after
+}
+
+/** Changes in the order of their revisions, or a snapshot; JSON as in the table. */
+struct ChangeNews {
+  1: required i64 revision
+  2: required list<binary> records
+  3: optional binary snapshot_part
+  4: required bool last
+}
+
+struct GrantRequest {
+  1: required string limit
+  2: required double wanted
+  3: required i64 sequence
+}
+
+struct GrantReply {
+  1: required i64 sequence
+  2: required double granted
+  3: required i32 valid_ms
+}
+
+/** The first frame on a link, in both directions. */
+struct HelloNote {
+  1: required string host
+  2: required i64 incarnation
+  3: required binary nonce
+  4: required i32 protocol_version
+}
+
+/** The answer to the other side's nonce. */
+struct ProofNote {
+  1: required binary mac
+}
+
+union FrameBody {
+  1: DispatchHead dispatch
+  2: AnswerHead answer
+  3: BodyChunk chunk
+  4: CreditGrant credit
+  5: ExchangeFailure failure
+  6: CancelNotice cancel
+  7: HeartbeatNote heartbeat
+  8: ChangePull pull
+  9: ChangeNews news
+  10: GrantRequest grant_request
+  11: GrantReply grant_reply
+  12: HelloNote hello
+  13: ProofNote proof
+  14: WithdrawNote withdraw
+}
+
+struct PeerFrame {
+  1: required i64 exchange
+  2: required FrameBody body
+}
--- /dev/null
+++ b/crates/peer/src/frames.rs
@@ -0,0 +1,240 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Frames on a peer link: encoding, decoding, and the queue of frames to send.
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::io::Write;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+use basaltarch_core::units;
+use bytes::{Buf, BufMut, BytesMut};
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
+use thrift::protocol::{
+    TCompactInputProtocol, TCompactOutputProtocol, TOutputProtocol, TSerializable,
+};
+
+use crate::errors::{self, LinkError};
+use crate::protocol::{FrameBody, PeerFrame};
+
+/// Bytes of the length before each frame.
+const LENGTH_BYTES: usize = 4;
+/// Longest frame: one body chunk ([`CHUNK_BYTES_MAX`]) beside the longest head the edge accepts
+/// (32 KiB), with as much again for what the daemons add.
+pub const FRAME_BYTES_MAX: usize = 256 * units::KIB;
+/// Most body bytes in one frame; half a window, so that a window holds two chunks.
+pub const CHUNK_BYTES_MAX: usize = 32 * units::KIB;
+/// Most bytes that may wait on one link. Windows bound what exchanges queue, so that more means
+/// that the other side takes nothing any longer.
+pub const QUEUE_BYTES_MAX: usize = 32 * 1024 * units::KIB;
+/// Bytes asked of the system in one read.
+const READ_BYTES: usize = 64 * units::KIB;
+
+/// Writes a frame with its length at the end of `buffer`.
+pub fn encode(frame: &PeerFrame, buffer: &mut BytesMut) -> Result<(), LinkError> {
+    let start = buffer.len();
+    buffer.put_u32(0);
+    let mut output = TCompactOutputProtocol::new(buffer.writer());
+    frame
+        .write_to_out_protocol(&mut output)
+        .map_err(errors::malformed)?;
+    output.flush().map_err(errors::malformed)?;
+    let length = buffer.len() - start - LENGTH_BYTES;
+    if length > FRAME_BYTES_MAX {
+        buffer.truncate(start);
+        return Err(LinkError::FrameTooLong {
+            bytes: length,
+            allowed: FRAME_BYTES_MAX,
+        });
+    }
+    let mut place = &mut buffer[start..start + LENGTH_BYTES];
+    place
+        .write_all(&(length as u32).to_be_bytes())
+        .map_err(errors::malformed)?;
+    Ok(())
+}
+
+/// Takes the first whole frame from `buffer`, if there is one.
+pub fn decode(buffer: &mut BytesMut) -> Result<Option<PeerFrame>, LinkError> {
+    if buffer.len() < LENGTH_BYTES {
+        return Ok(None);
+    }
+    let length = u32::from_be_bytes([buffer[0], buffer[1], buffer[2], buffer[3]]) as usize;
+    if length > FRAME_BYTES_MAX {
+        return Err(LinkError::FrameTooLong {
+            bytes: length,
+            allowed: FRAME_BYTES_MAX,
+        });
+    }
+    if buffer.len() < LENGTH_BYTES + length {
+        return Ok(None);
+    }
+    buffer.advance(LENGTH_BYTES);
+    let body = buffer.split_to(length);
+    let mut input = TCompactInputProtocol::new(&body[..]);
+    let frame = PeerFrame::read_from_in_protocol(&mut input).map_err(errors::malformed)?;
+    Ok(Some(frame))
+}
+
+/// Returns the name of a frame for errors and logs.
+pub fn frame_name(body: &FrameBody) -> &'static str {
+    match body {
+        FrameBody::Dispatch(_) => "dispatch",
+        FrameBody::Answer(_) => "answer",
+        FrameBody::Chunk(_) => "chunk",
+        FrameBody::Credit(_) => "credit",
+        FrameBody::Failure(_) => "failure",
+        FrameBody::Cancel(_) => "cancel",
+        FrameBody::Heartbeat(_) => "heartbeat",
+        FrameBody::Pull(_) => "pull",
+        FrameBody::News(_) => "news",
+        FrameBody::GrantRequest(_) => "grant-request",
+        FrameBody::GrantReply(_) => "grant-reply",
+        FrameBody::Hello(_) => "hello",
+        FrameBody::Proof(_) => "proof",
+        FrameBody::Withdraw(_) => "withdraw",
+    }
+}
+
+/// `FrameReader` reads frames from a connection.
+#[derive(Debug)]
+pub struct FrameReader<R> {
+    io: R,
+    buffer: BytesMut,
+    /// Bytes read since the start.
+    pub bytes_read: u64,
+}
+
+impl<R: AsyncReadRent> FrameReader<R> {
+    /// Builds a reader over one half of a connection.
+    pub fn new(io: R) -> Self {
+        Self {
+            io,
+            buffer: BytesMut::new(),
+            bytes_read: 0,
+        }
+    }
+
+    /// Reads the next frame. Not to be dropped before it ends, or bytes read so far are lost.
+    pub async fn next(&mut self) -> Result<PeerFrame, LinkError> {
+        loop {
+            if let Some(frame) = decode(&mut self.buffer)? {
+                return Ok(frame);
+            }
+            self.fill().await?;
+        }
+    }
+
+    async fn fill(&mut self) -> Result<(), LinkError> {
+        let mut tail = self.buffer.split_off(self.buffer.len());
+        tail.reserve(READ_BYTES);
+        let (result, tail) = self.io.read(tail).await;
+        self.buffer.unsplit(tail);
+        let count = result.map_err(|source| LinkError::Broken { source })?;
+        if count == 0 {
+            return Err(LinkError::Closed);
+        }
+        self.bytes_read += count as u64;
+        Ok(())
+    }
+}
+
+#[derive(Debug, Default)]
+struct SendQueue {
+    buffer: BytesMut,
+    queued_total: u64,
+    offered_total: u64,
+    closed: bool,
+    writer: Option<Waker>,
+}
+
+/// `FrameSender` queues frames for the one task that writes to the connection.
+#[derive(Debug, Clone, Default)]
+pub struct FrameSender {
+    queue: Rc<RefCell<SendQueue>>,
+}
+
+impl FrameSender {
+    /// Queues a frame and returns the position of its first byte, to ask [`Self::was_offered`].
+    pub fn send(&self, exchange: i64, body: FrameBody) -> Result<u64, LinkError> {
+        let mut queue = self.queue.borrow_mut();
+        if queue.closed {
+            return Err(LinkError::Closed);
+        }
+        let before = queue.buffer.len();
+        if before > QUEUE_BYTES_MAX {
+            return Err(LinkError::Stalled { bytes: before });
+        }
+        let position = queue.queued_total;
+        encode(&PeerFrame { exchange, body }, &mut queue.buffer)?;
+        queue.queued_total += (queue.buffer.len() - before) as u64;
+        if let Some(writer) = queue.writer.take() {
+            writer.wake();
+        }
+        Ok(position)
+    }
+
+    /// Says whether any byte at or after `position` was handed to the system.
+    pub fn was_offered(&self, position: u64) -> bool {
+        self.queue.borrow().offered_total > position
+    }
+
+    /// Returns the bytes handed to the system since the start.
+    pub fn bytes_offered(&self) -> u64 {
+        self.queue.borrow().offered_total
+    }
+
+    /// Returns the bytes that wait to be handed to the system.
+    pub fn bytes_waiting(&self) -> u64 {
+        self.queue.borrow().buffer.len() as u64
+    }
+
+    /// Refuses all further frames and ends the writing task.
+    pub fn close(&self) {
+        let mut queue = self.queue.borrow_mut();
+        queue.closed = true;
+        if let Some(writer) = queue.writer.take() {
+            writer.wake();
+        }
+    }
+
+    /// Says whether the queue is closed.
+    pub fn is_closed(&self) -> bool {
+        self.queue.borrow().closed
+    }
+
+    /// Writes queued frames to `io` until the queue is closed and empty or writing fails.
+    pub async fn run<W: AsyncWriteRent>(&self, mut io: W) -> Result<(), LinkError> {
+        let mut spare = BytesMut::new();
+        loop {
+            let batch = match self.next_batch(spare).await {
+                Some(batch) => batch,
+                None => return Ok(()),
+            };
+            let (result, written) = io.write_all(batch).await;
+            result.map_err(|source| LinkError::Broken { source })?;
+            spare = written;
+            spare.clear();
+        }
+    }
+
+    async fn next_batch(&self, spare: BytesMut) -> Option<BytesMut> {
+        let mut spare = Some(spare);
+        poll_fn(|context| {
+            let mut queue = self.queue.borrow_mut();
+            if !queue.buffer.is_empty() {
+                queue.offered_total = queue.queued_total;
+                let next = spare.take().unwrap_or_default();
+                return Poll::Ready(Some(std::mem::replace(&mut queue.buffer, next)));
+            }
+            if queue.closed {
+                return Poll::Ready(None);
+            }
+            queue.writer = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+}
--- /dev/null
+++ b/crates/peer/src/handshake.rs
@@ -0,0 +1,155 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Proves on connecting that both sides hold the fleet key.
+//!
+//! Each side sends a nonce and answers the other's with an HMAC-SHA-256 (RFC 2104) over its role,
+//! both nonces and both host names. The roles differ, so a proof can't be sent back as one's own.
+
+use std::time::Duration;
+
+use hmac::{Hmac, KeyInit, Mac};
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
+use rand::Rng;
+use sha2::Sha256;
+
+use crate::errors::LinkError;
+use crate::frames::{self, FrameReader};
+use crate::protocol::{FrameBody, HelloNote, PeerFrame, ProofNote};
+
+/// Version of the protocol between daemons.
+pub const PROTOCOL_VERSION: i32 = 1;
+/// Longest time for the whole handshake: several round trips between far regions (0.3 s each).
+pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Bytes of a nonce, as long as the security level of SHA-256.
+const NONCE_BYTES: usize = 32;
+/// Shortest fleet key, in bytes.
+pub const KEY_BYTES_MIN: usize = 16;
+
+/// `PeerIdentity` is what a daemon says of itself in the handshake.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerIdentity {
+    /// Host of the daemon.
+    pub host: String,
+    /// Number of this start of the daemon; a later start has a higher one.
+    pub incarnation: i64,
+}
+
+/// `LinkSide` is the role of a daemon on a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkSide {
+    /// The daemon that connected.
+    Dialler,
+    /// The daemon that accepted.
+    Acceptor,
+}
+
+impl LinkSide {
+    fn label(self) -> &'static [u8] {
+        match self {
+            Self::Dialler => b"basaltarch dialler",
+            Self::Acceptor => b"basaltarch acceptor",
+        }
+    }
+
+    fn other(self) -> Self {
+        match self {
+            Self::Dialler => Self::Acceptor,
+            Self::Acceptor => Self::Dialler,
+        }
+    }
+}
+
+/// Runs the handshake and returns who the other side is.
+pub async fn run<R: AsyncReadRent, W: AsyncWriteRent>(
+    reader: &mut FrameReader<R>,
+    writer: &mut W,
+    side: LinkSide,
+    identity: &PeerIdentity,
+    key: &[u8],
+) -> Result<PeerIdentity, LinkError> {
+    let exchange = exchange_proofs(reader, writer, side, identity, key);
+    match monoio::time::timeout(HANDSHAKE_TIMEOUT, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(LinkError::TimedOut),
+    }
+}
+
+async fn exchange_proofs<R: AsyncReadRent, W: AsyncWriteRent>(
+    reader: &mut FrameReader<R>,
+    writer: &mut W,
+    side: LinkSide,
+    identity: &PeerIdentity,
+    key: &[u8],
+) -> Result<PeerIdentity, LinkError> {
+    let ours = HelloNote {
+        host: identity.host.clone(),
+        incarnation: identity.incarnation,
+        nonce: fresh_nonce(),
+        protocol_version: PROTOCOL_VERSION,
+    };
+    write(writer, FrameBody::Hello(ours.clone())).await?;
+    let theirs = match reader.next().await?.body {
+        FrameBody::Hello(hello) => hello,
+        other => return Err(unexpected(&other)),
+    };
+    if theirs.protocol_version != PROTOCOL_VERSION {
+        return Err(LinkError::WrongVersion {
+            theirs: theirs.protocol_version,
+            ours: PROTOCOL_VERSION,
+        });
+    }
+    let mac = keyed(key, side, &ours, &theirs)
+        .finalize()
+        .into_bytes()
+        .to_vec();
+    write(writer, FrameBody::Proof(ProofNote { mac })).await?;
+    let proof = match reader.next().await?.body {
+        FrameBody::Proof(proof) => proof,
+        other => return Err(unexpected(&other)),
+    };
+    keyed(key, side.other(), &theirs, &ours)
+        .verify_slice(&proof.mac)
+        .map_err(|_| LinkError::WrongKey {
+            host: theirs.host.clone(),
+        })?;
+    Ok(PeerIdentity {
+        host: theirs.host,
+        incarnation: theirs.incarnation,
+    })
+}
+
+fn unexpected(body: &FrameBody) -> LinkError {
+    LinkError::Unexpected {
+        frame: frames::frame_name(body),
+    }
+}
+
+fn fresh_nonce() -> Vec<u8> {
+    let mut nonce = vec![0; NONCE_BYTES];
+    rand::rng().fill_bytes(&mut nonce);
+    nonce
+}
+
+fn keyed(key: &[u8], side: LinkSide, prover: &HelloNote, verifier: &HelloNote) -> Hmac<Sha256> {
+    let mut mac =
+        Hmac::<Sha256>::new_from_slice(key).unwrap_or_else(|_| unreachable!("any key length fits"));
+    mac.update(side.label());
+    for part in [&prover.nonce, &verifier.nonce] {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    mac.update(prover.host.as_bytes());
+    mac.update(&[0]);
+    mac.update(verifier.host.as_bytes());
+    mac
+}
+
+async fn write<W: AsyncWriteRent>(writer: &mut W, body: FrameBody) -> Result<(), LinkError> {
+    let mut buffer = bytes::BytesMut::new();
+    frames::encode(&PeerFrame { exchange: 0, body }, &mut buffer)?;
+    let (result, _) = writer.write_all(buffer).await;
+    result
+        .map(drop)
+        .map_err(|source| LinkError::Broken { source })
+}
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,334 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! A link after its handshake: routes frames to the exchanges that they belong to.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
+use bytes::Bytes;
+use fnv::FnvHashMap;
+use monoio::io::AsyncReadRent;
+
+use crate::errors::LinkError;
+use crate::frames::{self, FrameReader, FrameSender};
+use crate::handshake::PeerIdentity;
+use crate::protocol::{
+    BodyChunk, CancelNotice, DispatchHead, ExchangeFailure, FrameBody, PeerFrame,
+};
+use crate::stream::{self, EventPipe, EventSink, RemoteSink, SendCredit, StreamEvent};
+
+/// Number that marks frames which belong to no exchange.
+pub const NO_EXCHANGE: i64 = 0;
+
+struct DialledExchange {
+    answer: Rc<EventPipe>,
+    credit: Rc<SendCredit>,
+    position: u64,
+}
+
+/// `DialledLink` is the dialling side of a link.
+pub struct DialledLink {
+    /// Who is at the other end.
+    pub peer: PeerIdentity,
+    sender: FrameSender,
+    exchanges: RefCell<FnvHashMap<i64, DialledExchange>>,
+    next: Cell<i64>,
+}
+
+/// `OutboundExchange` is an exchange as its ingress sees it; dropping it cancels what is not over.
+pub struct OutboundExchange {
+    /// Where the rest of the request's body goes.
+    pub body: EventSink,
+    /// Where the answer comes from.
+    pub answer: Rc<EventPipe>,
+    cancel: Option<Box<dyn FnOnce()>>,
+}
+
+impl OutboundExchange {
+    /// Builds an exchange; `cancel` runs when it is dropped before [`Self::finish`].
+    pub fn new(body: EventSink, answer: Rc<EventPipe>, cancel: Box<dyn FnOnce()>) -> Self {
+        Self {
+            body,
+            answer,
+            cancel: Some(cancel),
+        }
+    }
+
+    /// Marks the exchange as over, so that dropping it cancels nothing.
+    pub fn finish(&mut self) {
+        self.cancel = None;
+    }
+}
+
+impl Drop for OutboundExchange {
+    fn drop(&mut self) {
+        self.answer.close();
+        if let Some(cancel) = self.cancel.take() {
+            cancel();
+        }
+    }
+}
+
+impl DialledLink {
+    /// Builds the dialling side of a link to `peer`.
+    pub fn new(peer: PeerIdentity, sender: FrameSender) -> Rc<Self> {
+        Rc::new(Self {
+            peer,
+            sender,
+            exchanges: RefCell::default(),
+            next: Cell::new(1),
+        })
+    }
+
+    /// Returns the queue of the link.
+    pub fn sender(&self) -> &FrameSender {
+        &self.sender
+    }
+
+    /// Returns the number of exchanges that are not over.
+    pub fn exchange_count(&self) -> usize {
+        self.exchanges.borrow().len()
+    }
+
+    /// Starts an exchange.
+    pub fn dispatch(self: &Rc<Self>, head: DispatchHead) -> Result<OutboundExchange, LinkError> {
+        let exchange = self.next.get();
+        self.next.set(exchange + 1);
+        let position = self.sender.send(exchange, FrameBody::Dispatch(head))?;
+        let answer = Rc::new(stream::remote_pipe(exchange, &self.sender));
+        let credit = Rc::new(SendCredit::of_request());
+        let entry = DialledExchange {
+            answer: answer.clone(),
+            credit: credit.clone(),
+            position,
+        };
+        self.exchanges.borrow_mut().insert(exchange, entry);
+        let body = EventSink::Remote(RemoteSink {
+            exchange,
+            sender: self.sender.clone(),
+            credit,
+        });
+        let link = self.clone();
+        let cancel = Box::new(move || link.cancel(exchange));
+        Ok(OutboundExchange::new(body, answer, cancel))
+    }
+
+    fn cancel(&self, exchange: i64) {
+        let known = self.exchanges.borrow_mut().remove(&exchange);
+        if let Some(entry) = known {
+            entry.credit.close();
+            let notice = CancelNotice { caller_gone: true };
+            let _ = self.sender.send(exchange, FrameBody::Cancel(notice));
+        }
+    }
+
+    /// Reads frames until the link ends; `on_frame` is told of each, and `on_control` gets those
+    /// that belong to no exchange.
+    pub async fn run<R: AsyncReadRent>(
+        &self,
+        reader: &mut FrameReader<R>,
+        on_frame: impl Fn(),
+        on_control: impl Fn(FrameBody),
+    ) -> LinkError {
+        loop {
+            let frame = match reader.next().await {
+                Ok(frame) => frame,
+                Err(error) => return error,
+            };
+            on_frame();
+            if frame.exchange == NO_EXCHANGE {
+                on_control(frame.body);
+            } else if let Err(error) = self.route(frame) {
+                return error;
+            }
+        }
+    }
+
+    fn route(&self, frame: PeerFrame) -> Result<(), LinkError> {
+        let exchange = frame.exchange;
+        let (last, event) = match frame.body {
+            FrameBody::Answer(head) => (head.last, StreamEvent::Head(head)),
+            FrameBody::Chunk(chunk) => (chunk.last, chunk_event(chunk)),
+            FrameBody::Failure(failure) => (true, StreamEvent::Failed(failure)),
+            FrameBody::Credit(grant) => {
+                if let Some(entry) = self.exchanges.borrow().get(&exchange) {
+                    entry.credit.add(grant.bytes);
+                }
+                return Ok(());
+            }
+            other => {
+                return Err(LinkError::Unexpected {
+                    frame: frames::frame_name(&other),
+                })
+            }
+        };
+        // An exchange that was given up is no longer known; its late answer goes nowhere.
+        let mut exchanges = self.exchanges.borrow_mut();
+        if let Some(entry) = exchanges.get(&exchange) {
+            let _ = entry.answer.push(event);
+            if last {
+                entry.credit.close();
+                exchanges.remove(&exchange);
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends the link: every open exchange fails, as not run if none of it was offered.
+    pub fn end(&self) {
+        self.sender.close();
+        for (_, entry) in self.exchanges.borrow_mut().drain() {
+            let outcome = if self.sender.was_offered(entry.position) {
+                FailureOutcome::Unknown(UnknownReason::PeerLost)
+            } else {
+                FailureOutcome::NotRun(NotRunReason::PeerUnreachable)
+            };
+            entry.credit.close();
+            let _ = entry.answer.push(StreamEvent::Failed(failure_of(outcome)));
+        }
+    }
+}
+
+/// Builds the failure of an exchange without a load report.
+pub fn failure_of(outcome: FailureOutcome) -> ExchangeFailure {
+    ExchangeFailure {
+        outcome: outcome.wire_number(),
+        retry_after_ms: 0,
+        report: None,
+    }
+}
+
+fn chunk_event(chunk: BodyChunk) -> StreamEvent {
+    StreamEvent::Data(Bytes::from(chunk.data), chunk.last)
+}
+
+/// `InboundExchange` is an exchange as the host's daemon sees it.
+pub struct InboundExchange {
+    /// Number of the exchange on its link.
+    pub exchange: i64,
+    /// The head of the request.
+    pub head: DispatchHead,
+    /// The rest of the request's body.
+    pub body: Rc<EventPipe>,
+    /// Where the answer goes.
+    pub answer: EventSink,
+}
+
+struct AcceptedExchange {
+    body: Rc<EventPipe>,
+    credit: Rc<SendCredit>,
+}
+
+/// `AcceptedLink` is the accepting side of a link.
+pub struct AcceptedLink {
+    /// Who is at the other end.
+    pub peer: PeerIdentity,
+    sender: FrameSender,
+    exchanges: Rc<RefCell<FnvHashMap<i64, AcceptedExchange>>>,
+}
+
+impl AcceptedLink {
+    /// Builds the accepting side of a link from `peer`.
+    pub fn new(peer: PeerIdentity, sender: FrameSender) -> Rc<Self> {
+        Rc::new(Self {
+            peer,
+            sender,
+            exchanges: Rc::default(),
+        })
+    }
+
+    /// Returns the queue of the link.
+    pub fn sender(&self) -> &FrameSender {
+        &self.sender
+    }
+
+    /// Reads frames until the link ends; `on_dispatch` gets each new exchange and `on_control` the
+    /// frames that belong to none.
+    pub async fn run<R: AsyncReadRent>(
+        self: &Rc<Self>,
+        reader: &mut FrameReader<R>,
+        on_dispatch: impl Fn(InboundExchange),
+        on_control: impl Fn(FrameBody),
+    ) -> LinkError {
+        loop {
+            let frame = match reader.next().await {
+                Ok(frame) => frame,
+                Err(error) => return error,
+            };
+            match frame.body {
+                FrameBody::Dispatch(head) => on_dispatch(self.open(frame.exchange, head)),
+                body if frame.exchange == NO_EXCHANGE => on_control(body),
+                body => {
+                    if let Err(error) = self.route(frame.exchange, body) {
+                        return error;
+                    }
+                }
+            }
+        }
+    }
+
+    fn open(&self, exchange: i64, head: DispatchHead) -> InboundExchange {
+        let body = Rc::new(stream::remote_pipe(exchange, &self.sender));
+        let credit = Rc::new(SendCredit::of_answer());
+        let entry = AcceptedExchange {
+            body: body.clone(),
+            credit: credit.clone(),
+        };
+        self.exchanges.borrow_mut().insert(exchange, entry);
+        let answer = EventSink::Remote(RemoteSink {
+            exchange,
+            sender: self.sender.clone(),
+            credit,
+        });
+        InboundExchange {
+            exchange,
+            head,
+            body,
+            answer,
+        }
+    }
+
+    /// Forgets an exchange whose answer is over.
+    pub fn forget(&self, exchange: i64) {
+        if let Some(entry) = self.exchanges.borrow_mut().remove(&exchange) {
+            entry.body.close();
+            entry.credit.close();
+        }
+    }
+
+    fn route(&self, exchange: i64, body: FrameBody) -> Result<(), LinkError> {
+        let exchanges = self.exchanges.borrow();
+        // Frames of an exchange that is over may still be on their way.
+        let entry = match exchanges.get(&exchange) {
+            Some(entry) => entry,
+            None => return Ok(()),
+        };
+        match body {
+            FrameBody::Chunk(chunk) => {
+                let _ = entry.body.push(chunk_event(chunk));
+            }
+            FrameBody::Credit(grant) => entry.credit.add(grant.bytes),
+            FrameBody::Cancel(_) => {
+                entry.credit.close();
+                let _ = entry.body.push(StreamEvent::Cancelled);
+            }
+            other => {
+                return Err(LinkError::Unexpected {
+                    frame: frames::frame_name(&other),
+                })
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends the link: every open exchange is cancelled.
+    pub fn end(&self) {
+        self.sender.close();
+        for (_, entry) in self.exchanges.borrow_mut().drain() {
+            entry.credit.close();
+            let _ = entry.body.push(StreamEvent::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,168 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! `basaltarch-standin`: stand-ins of the platform and of a backend server, for tests and the demo.
+
+#![allow(
+    missing_docs,
+    reason = "the command-line macro makes items without doc comments"
+)]
+
+use std::net::SocketAddr;
+use std::process;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::errors::SettingError;
+use basaltarch_core::settings::{self, EXIT_BAD_SETTINGS};
+use basaltarch_http::client::HttpClient;
+use basaltarch_http::connection;
+use basaltarch_standin::backend::{self, BackendOptions, BackendStandin};
+use basaltarch_standin::platform::{self, PlatformStandin};
+use basaltarch_telemetry::{logs, runtime};
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use monoio::net::TcpListener;
+
+mod flags {
+    xflags::xflags! {
+        /// Stand-ins of the platform and of a backend server, for tests and the demo only.
+        cmd basaltarch-standin {
+            /// Runs the platform: transactional table, object store, host list.
+            cmd platform {
+                /// Address to listen on (BASALTARCH_LISTEN, default 127.0.0.1:0).
+                optional --listen address: String
+            }
+            /// Runs a backend server.
+            cmd backend {
+                /// Address to listen on (BASALTARCH_LISTEN, default 127.0.0.1:0).
+                optional --listen address: String
+                /// Name in the x-served-by header (BASALTARCH_NAME, default backend).
+                optional --name name: String
+                /// Median service time in ms (BASALTARCH_SERVICE_MS, default 0).
+                optional --service-ms ms: String
+                /// Spread of the logarithm of the service time (BASALTARCH_SPREAD, default 0.3).
+                optional --spread spread: String
+                /// Connections accepted (BASALTARCH_CONNECTIONS, default 400).
+                optional --connections count: String
+                /// Seed of the random numbers (BASALTARCH_SEED, default 1).
+                optional --seed seed: String
+            }
+            /// Sends one request to a control path and prints the reply.
+            cmd tell {
+                /// Address of the stand-in.
+                required address: String
+                /// Method: GET, PUT or DELETE.
+                required method: String
+                /// Path, such as /control/faults.
+                required path: String
+                /// Body as JSON.
+                optional body: String
+            }
+        }
+    }
+}
+
+const ADDRESS_ALLOWED: &str = "an address such as 127.0.0.1:8080";
+/// Exit status of a control request that failed.
+const EXIT_FAILED: i32 = 1;
+/// Longest time of a control request.
+const TELL_TIMEOUT: Duration = Duration::from_secs(10);
+
+fn main() {
+    let flags = flags::BasaltarchStandin::from_env_or_exit();
+    logs::start("info");
+    let result = match flags.subcommand {
+        flags::BasaltarchStandinCmd::Platform(flags) => run_platform(flags),
+        flags::BasaltarchStandinCmd::Backend(flags) => run_backend(flags),
+        flags::BasaltarchStandinCmd::Tell(flags) => tell(flags),
+    };
+    if let Err(error) = result {
+        eprintln!("basaltarch-standin: {error}");
+        process::exit(EXIT_BAD_SETTINGS);
+    }
+}
+
+fn listen_address(given: Option<String>) -> Result<SocketAddr, SettingError> {
+    let default = SocketAddr::from(([127, 0, 0, 1], 0));
+    settings::checked("listen", given, default, ADDRESS_ALLOWED, |_| true)
+}
+
+fn listen(address: SocketAddr) -> TcpListener {
+    let bound = connection::bind(address);
+    match bound.and_then(|listener| Ok((listener.local_addr()?, listener))) {
+        Ok((address, listener)) => {
+            tracing::info!(%address, "listening");
+            listener
+        }
+        Err(error) => {
+            eprintln!("basaltarch-standin: can't listen on {address}: {error}");
+            process::exit(EXIT_FAILED);
+        }
+    }
+}
+
+fn finish<T>(result: Result<T, basaltarch_telemetry::errors::StartError>) {
+    if let Err(error) = result {
+        eprintln!("basaltarch-standin: {error}");
+        process::exit(EXIT_FAILED);
+    }
+}
+
+fn run_platform(flags: flags::Platform) -> Result<(), SettingError> {
+    let address = listen_address(flags.listen)?;
+    finish(runtime::run(async move {
+        platform::serve(listen(address), Rc::new(PlatformStandin::default())).await;
+    }));
+    Ok(())
+}
+
+fn run_backend(flags: flags::Backend) -> Result<(), SettingError> {
+    let address = listen_address(flags.listen)?;
+    let any = |_: &u64| true;
+    let service_ms = settings::checked("service-ms", flags.service_ms, 0, "milliseconds", any)?;
+    let options = BackendOptions {
+        name: settings::optional("name", flags.name, "a name")?.unwrap_or("backend".to_owned()),
+        service_time: Duration::from_millis(service_ms),
+        spread: settings::checked("spread", flags.spread, 0.3, "0 to 3", |spread| {
+            (0.0..=3.0).contains(spread)
+        })?,
+        seed: settings::checked("seed", flags.seed, 1, "a number", any)?,
+    };
+    let connections = settings::checked(
+        "connections",
+        flags.connections,
+        400,
+        "1 to 65536",
+        |count| (1..=65_536).contains(count),
+    )?;
+    finish(runtime::run(async move {
+        backend::serve(listen(address), BackendStandin::new(options), connections).await;
+    }));
+    Ok(())
+}
+
+fn tell(flags: flags::Tell) -> Result<(), SettingError> {
+    let address: SocketAddr = settings::required("address", Some(flags.address), ADDRESS_ALLOWED)?;
+    let method: Method = settings::required("method", Some(flags.method), "GET, PUT, DELETE")?;
+    let body = Bytes::from(flags.body.unwrap_or_default());
+    let path = flags.path;
+    let call = async move {
+        let client = HttpClient::new(address, TELL_TIMEOUT);
+        client.call(method, &path, HeaderMap::new(), body).await
+    };
+    match runtime::run(call) {
+        Ok(Ok(reply)) => {
+            println!("{}", String::from_utf8_lossy(&reply.body));
+            if !reply.status.is_success() {
+                process::exit(EXIT_FAILED);
+            }
+        }
+        Ok(Err(error)) => {
+            eprintln!("basaltarch-standin: {error}");
+            process::exit(EXIT_FAILED);
+        }
+        Err(error) => finish::<()>(Err(error)),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/store/src/changes.rs
@@ -0,0 +1,397 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The accepted configuration in the platform's table.
+//!
+//! One row holds the revision of the fleet. Each accepted change is one more row, which is both the
+//! step of the configuration and its audit record; both are written in one transaction that checks
+//! the revision. Now and then the whole configuration is written as an object, so that a newcomer
+//! need not read all changes.
+
+use std::rc::Rc;
+
+use basaltarch_core::config::{ChangeRecord, FleetConfig, FleetSnapshot, ResourceChange};
+use basaltarch_core::errors::ResourceError;
+use basaltarch_core::resources::{self, ResourceKind, ResourceValue};
+use basaltarch_core::units::{self, FleetRevision};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+use crate::errors::{ChangeError, StoreError};
+use crate::platform::{PlatformClient, RetryPause};
+use crate::wire::{RowCheck, RowWrite, TableRow};
+
+/// Row that holds the revision of the fleet.
+pub const HEAD_KEY: &str = "config/head";
+/// Prefix of the rows of accepted changes.
+pub const CHANGE_PREFIX: &str = "config/change/";
+/// Row that names the last snapshot.
+pub const SNAPSHOT_KEY: &str = "config/snapshot";
+/// Changes read in one scan.
+const SCAN_LIMIT: usize = 200;
+/// Changes between snapshots: a newcomer reads at most two scans of changes.
+pub const SNAPSHOT_EVERY: u64 = 256;
+/// Tries to get a change in between those of others.
+const TRIES_MAX: u32 = 20;
+/// Tries to settle a change whose answer was lost.
+const SETTLE_TRIES_MAX: u32 = 8;
+/// Most resources in one change; a bound on the size of one row.
+pub const CHANGES_MAX: usize = 20_000;
+
+/// `ChangeGuard` is what an operator expects a resource to be at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeGuard {
+    /// Whatever is there.
+    Any,
+    /// The resource is new.
+    Absent,
+    /// The resource was last changed at this revision.
+    At(FleetRevision),
+}
+
+/// `ResourceEdit` is an operator's wish for one resource.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ResourceEdit {
+    /// Kind of the resource.
+    pub kind: ResourceKind,
+    /// Name of the resource.
+    pub name: String,
+    /// Value wanted; nothing deletes the resource.
+    pub value: Option<Value>,
+    /// What the operator expects to be in force.
+    pub guard: ChangeGuard,
+}
+
+/// `ChangeAuthor` is who asks for a change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChangeAuthor {
+    /// Name of the operator.
+    pub actor: String,
+    /// Address that the request came from.
+    pub from: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct HeadValue {
+    revision: FleetRevision,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct SnapshotValue {
+    revision: FleetRevision,
+    object: String,
+}
+
+/// `ChangeStore` reads and writes the accepted configuration.
+#[derive(Debug, Clone)]
+pub struct ChangeStore {
+    platform: Rc<PlatformClient>,
+}
+
+impl ChangeStore {
+    /// Builds a store over the platform.
+    pub fn new(platform: Rc<PlatformClient>) -> Self {
+        Self { platform }
+    }
+
+    /// Reads the revision of the fleet and the version of its row.
+    pub async fn head(&self) -> Result<(FleetRevision, u64), StoreError> {
+        let rows = self.platform.read(vec![HEAD_KEY.to_owned()]).await?;
+        match rows.first() {
+            Some(row) => Ok((parse::<HeadValue>(&row.value)?.revision, row.version)),
+            None => Ok((FleetRevision(0), 0)),
+        }
+    }
+
+    /// Reads the changes after a revision, oldest first, as many as one scan gives.
+    pub async fn changes_after(
+        &self,
+        revision: FleetRevision,
+    ) -> Result<Vec<ChangeRecord>, StoreError> {
+        let after = change_key(revision);
+        let rows = self
+            .platform
+            .scan(CHANGE_PREFIX, &after, SCAN_LIMIT)
+            .await?;
+        rows.iter().map(|row| parse(&row.value)).collect()
+    }
+
+    /// Reads the last snapshot, if there is one.
+    pub async fn snapshot(&self) -> Result<Option<FleetSnapshot>, StoreError> {
+        let rows = self.platform.read(vec![SNAPSHOT_KEY.to_owned()]).await?;
+        let value: SnapshotValue = match rows.first() {
+            Some(row) => parse(&row.value)?,
+            None => return Ok(None),
+        };
+        match self.platform.get_object(&value.object).await? {
+            Some(content) => serde_json::from_slice(&content)
+                .map(Some)
+                .map_err(malformed),
+            None => Ok(None),
+        }
+    }
+
+    /// Writes a snapshot and names it as the last, unless a later one is.
+    pub async fn put_snapshot(&self, config: &FleetConfig) -> Result<(), StoreError> {
+        let revision = config.revision();
+        let object = format!("config-{:020}", revision.0);
+        let content = serde_json::to_vec(&config.to_snapshot()).map_err(malformed)?;
+        self.platform
+            .put_object(&object, Bytes::from(content))
+            .await?;
+        let rows = self.platform.read(vec![SNAPSHOT_KEY.to_owned()]).await?;
+        let mut version = 0;
+        if let Some(row) = rows.first() {
+            version = row.version;
+            if parse::<SnapshotValue>(&row.value)?.revision >= revision {
+                return Ok(());
+            }
+        }
+        let check = RowCheck {
+            key: SNAPSHOT_KEY.to_owned(),
+            version,
+        };
+        let value = json!(SnapshotValue { revision, object });
+        let write = RowWrite {
+            key: SNAPSHOT_KEY.to_owned(),
+            value: Some(value),
+        };
+        self.platform
+            .transact(vec![check], vec![write])
+            .await
+            .map(drop)
+    }
+
+    /// Brings `config` up to what the table holds; returns the changes that were new.
+    pub async fn catch_up(
+        &self,
+        config: &mut FleetConfig,
+    ) -> Result<Vec<ChangeRecord>, StoreError> {
+        let mut news = Vec::new();
+        loop {
+            let records = self.changes_after(config.revision()).await?;
+            let full = records.len() == SCAN_LIMIT;
+            for record in records {
+                let applied = config.apply(&record).map_err(malformed)?;
+                if !applied {
+                    return Err(malformed("the changes have a gap"));
+                }
+                news.push(record);
+            }
+            if !full {
+                return Ok(news);
+            }
+        }
+    }
+
+    /// Gets a change accepted: all of its edits, or none.
+    ///
+    /// `config` is brought up to date on the way, and holds the change when it is accepted.
+    pub async fn commit(
+        &self,
+        config: &mut FleetConfig,
+        edits: &[ResourceEdit],
+        author: &ChangeAuthor,
+    ) -> Result<ChangeRecord, ChangeError> {
+        let writer = fresh_token();
+        let mut pause = RetryPause::default();
+        for _ in 0..TRIES_MAX {
+            let version = self.settle_head(config).await?;
+            let record = plan_change(config, edits, author, &writer)?;
+            if record.changes.is_empty() {
+                return Ok(ChangeRecord {
+                    revision: config.revision(),
+                    ..record
+                });
+            }
+            match self.write(&record, version).await {
+                Ok(()) => {
+                    let applied = config.apply(&record);
+                    debug_assert_eq!(applied, Ok(true));
+                    return Ok(record);
+                }
+                Err(StoreError::Conflict { .. }) => monoio::time::sleep(pause.next_pause()).await,
+                Err(error) if error.may_have_happened() => {
+                    return self.settle(config, record, version).await
+                }
+                Err(source) => return Err(ChangeError::Store { source }),
+            }
+        }
+        Err(ChangeError::Contended)
+    }
+
+    async fn settle_head(&self, config: &mut FleetConfig) -> Result<u64, ChangeError> {
+        let store = |source| ChangeError::Store { source };
+        let (revision, version) = self.head().await.map_err(store)?;
+        if revision > config.revision() {
+            self.catch_up(config).await.map_err(store)?;
+        }
+        Ok(version)
+    }
+
+    async fn write(&self, record: &ChangeRecord, version: u64) -> Result<(), StoreError> {
+        let check = RowCheck {
+            key: HEAD_KEY.to_owned(),
+            version,
+        };
+        let head = RowWrite {
+            key: HEAD_KEY.to_owned(),
+            value: Some(json!(HeadValue {
+                revision: record.revision
+            })),
+        };
+        let change = RowWrite {
+            key: change_key(record.revision),
+            value: Some(json!(record)),
+        };
+        self.platform
+            .transact(vec![check], vec![head, change])
+            .await
+            .map(drop)
+    }
+
+    /// Finds out what became of a write whose answer was lost.
+    ///
+    /// The same write is tried again: its check lets it happen once at the most. When the check
+    /// fails, the row of that revision tells by its token whose write it was.
+    async fn settle(
+        &self,
+        config: &mut FleetConfig,
+        record: ChangeRecord,
+        version: u64,
+    ) -> Result<ChangeRecord, ChangeError> {
+        let mut pause = RetryPause::default();
+        for _ in 0..SETTLE_TRIES_MAX {
+            monoio::time::sleep(pause.next_pause()).await;
+            match self.write(&record, version).await {
+                Ok(()) => {
+                    let _ = config.apply(&record);
+                    return Ok(record);
+                }
+                Err(StoreError::Conflict { .. }) => {}
+                Err(_) => continue,
+            }
+            let rows = match self.platform.read(vec![change_key(record.revision)]).await {
+                Ok(rows) => rows,
+                Err(_) => continue,
+            };
+            return settle_by_row(config, record, rows.first());
+        }
+        Err(ChangeError::Unsettled {
+            writer: record.writer,
+        })
+    }
+}
+
+fn settle_by_row(
+    config: &mut FleetConfig,
+    record: ChangeRecord,
+    row: Option<&TableRow>,
+) -> Result<ChangeRecord, ChangeError> {
+    let written: Option<ChangeRecord> = row.and_then(|row| parse(&row.value).ok());
+    match written {
+        Some(written) if written.writer == record.writer => {
+            let _ = config.apply(&record);
+            Ok(record)
+        }
+        Some(_) => Err(ChangeError::Contended),
+        None => Err(ChangeError::Unsettled {
+            writer: record.writer,
+        }),
+    }
+}
+
+/// Checks edits against a configuration and makes the record of the change.
+pub fn plan_change(
+    config: &FleetConfig,
+    edits: &[ResourceEdit],
+    author: &ChangeAuthor,
+    writer: &str,
+) -> Result<ChangeRecord, ChangeError> {
+    let invalid = |source| ChangeError::Invalid { source };
+    if edits.len() > CHANGES_MAX {
+        let error = basaltarch_core::errors::bad_value("changes", edits.len(), "up to 20000");
+        return Err(invalid(error));
+    }
+    let mut changes = Vec::new();
+    for edit in edits {
+        check_guard(config, edit)?;
+        if let Some(change) = plan_edit(config, edit).map_err(invalid)? {
+            changes.push(change);
+        }
+    }
+    let record = ChangeRecord {
+        revision: config.revision().next(),
+        actor: author.actor.clone(),
+        at_ms: units::wall_millis(),
+        from: author.from.clone(),
+        writer: writer.to_owned(),
+        changes,
+    };
+    let mut next = config.clone();
+    next.apply(&record).map_err(invalid)?;
+    next.check_references().map_err(invalid)?;
+    Ok(record)
+}
+
+fn plan_edit(
+    config: &FleetConfig,
+    edit: &ResourceEdit,
+) -> Result<Option<ResourceChange>, ResourceError> {
+    let before = config
+        .get(edit.kind, &edit.name)
+        .map(|stored| stored.value.to_json());
+    let after = match &edit.value {
+        Some(value) => Some(ResourceValue::try_new(edit.kind, &edit.name, value)?.to_json()),
+        None => None,
+    };
+    if before == after {
+        return Ok(None);
+    }
+    Ok(Some(ResourceChange {
+        kind: edit.kind.name().to_owned(),
+        name: edit.name.clone(),
+        before,
+        after,
+    }))
+}
+
+fn check_guard(config: &FleetConfig, edit: &ResourceEdit) -> Result<(), ChangeError> {
+    let stored = config.get(edit.kind, &edit.name);
+    let in_force = stored.map_or(FleetRevision(0), |stored| stored.revision);
+    let expected = match edit.guard {
+        ChangeGuard::Any => return Ok(()),
+        ChangeGuard::Absent => FleetRevision(0),
+        ChangeGuard::At(revision) => revision,
+    };
+    if in_force == expected {
+        return Ok(());
+    }
+    Err(ChangeError::GuardFailed {
+        path: resources::resource_path(edit.kind, &edit.name),
+        expected: expected.0,
+        in_force: in_force.0,
+        value: stored.map(|stored| stored.value.to_json()),
+    })
+}
+
+fn change_key(revision: FleetRevision) -> String {
+    // Twenty digits hold any u64, so that keys sort as revisions do.
+    format!("{CHANGE_PREFIX}{:020}", revision.0)
+}
+
+/// Returns a token that no other writer has.
+pub fn fresh_token() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+fn parse<T: serde::de::DeserializeOwned>(value: &Value) -> Result<T, StoreError> {
+    T::deserialize(value).map_err(malformed)
+}
+
+fn malformed(message: impl ToString) -> StoreError {
+    StoreError::Malformed {
+        message: message.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/store/src/errors.rs
@@ -0,0 +1,94 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Errors of the platform's services.
+
+use basaltarch_core::errors::ResourceError;
+use snafu::Snafu;
+
+use crate::wire::TableRow;
+
+/// `StoreError` says what went wrong with a call, and whether it may have taken effect.
+#[derive(Debug, Clone, PartialEq, Snafu)]
+#[snafu(visibility(pub))]
+pub enum StoreError {
+    /// The call certainly did not take effect.
+    #[snafu(display("the platform can't be reached: {message}"))]
+    Unreachable {
+        /// What failed.
+        message: String,
+    },
+    /// The call may have taken effect: its answer was lost.
+    #[snafu(display("the platform's answer was lost: {message}"))]
+    AnswerLost {
+        /// What failed.
+        message: String,
+    },
+    /// The platform refused the call, for instance by its rate.
+    #[snafu(display("the platform refused with status {status}"))]
+    Refused {
+        /// HTTP status.
+        status: u16,
+    },
+    /// A check of a transaction failed.
+    #[snafu(display("{} rows are not as they were", rows.len()))]
+    Conflict {
+        /// The rows as they are.
+        rows: Vec<TableRow>,
+    },
+    /// The answer can't be read.
+    #[snafu(display("the platform's answer can't be read: {message}"))]
+    Malformed {
+        /// What is wrong.
+        message: String,
+    },
+    /// The bound on calls a second is used up.
+    #[snafu(display("the bound on calls to the platform is used up"))]
+    OverBudget,
+}
+
+impl StoreError {
+    /// Says whether the call may have taken effect.
+    pub fn may_have_happened(&self) -> bool {
+        matches!(self, Self::AnswerLost { .. } | Self::Malformed { .. })
+    }
+}
+
+/// `ChangeError` says why a change of the configuration was not accepted.
+#[derive(Debug, Clone, PartialEq, Snafu)]
+#[snafu(visibility(pub))]
+pub enum ChangeError {
+    /// The change is not valid.
+    #[snafu(display("{source}"))]
+    Invalid {
+        /// What is wrong.
+        source: ResourceError,
+    },
+    /// A guard does not match what is in force.
+    #[snafu(display("{path} is at revision {in_force}, not at {expected}"))]
+    GuardFailed {
+        /// Path of the resource.
+        path: String,
+        /// Revision that the operator expected; 0 for "new".
+        expected: u64,
+        /// Revision in force; 0 when there is no such resource.
+        in_force: u64,
+        /// Value in force as JSON.
+        value: Option<serde_json::Value>,
+    },
+    /// Others changed the configuration again and again in the meantime.
+    #[snafu(display("others change the configuration too fast; try again"))]
+    Contended,
+    /// The platform failed before the change took effect.
+    #[snafu(display("{source}"))]
+    Store {
+        /// What failed.
+        source: StoreError,
+    },
+    /// It could not be found out whether the change took effect.
+    #[snafu(display("it is not known whether the change was accepted; look for writer {writer}"))]
+    Unsettled {
+        /// Token of the writer in the audit trail.
+        writer: String,
+    },
+}
--- /dev/null
+++ b/crates/telemetry/src/errors.rs
@@ -0,0 +1,32 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Errors of starting a process.
+
+use std::io;
+
+use snafu::Snafu;
+
+/// `StartError` says why a process could not start its surroundings.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum StartError {
+    /// The runtime could not be built.
+    #[snafu(display("the runtime can't be built: {source}"))]
+    Runtime {
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// Signals can't be received.
+    #[snafu(display("signals can't be received: {source}"))]
+    Signals {
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The metrics can't be set up.
+    #[snafu(display("the metrics can't be set up: {message}"))]
+    Metrics {
+        /// What the library reported.
+        message: String,
+    },
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,171 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Metrics by OpenTelemetry, shown as text for Prometheus on the admin address.
+//!
+//! The request path only adds to atomic numbers; OpenTelemetry reads them when somebody asks.
+
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::OnceLock;
+
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::errors::StartError;
+
+/// `CounterCell` is a number that only rises.
+#[derive(Debug, Default)]
+pub struct CounterCell(AtomicU64);
+
+impl CounterCell {
+    /// Builds a counter at zero.
+    pub const fn new() -> Self {
+        Self(AtomicU64::new(0))
+    }
+
+    /// Adds one.
+    pub fn add_one(&self) {
+        self.add(1);
+    }
+
+    /// Adds `count`.
+    pub fn add(&self, count: u64) {
+        self.0.fetch_add(count, Ordering::Relaxed);
+    }
+
+    /// Returns the number.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// `GaugeCell` is a number that rises and falls.
+#[derive(Debug, Default)]
+pub struct GaugeCell(AtomicI64);
+
+impl GaugeCell {
+    /// Builds a gauge at zero.
+    pub const fn new() -> Self {
+        Self(AtomicI64::new(0))
+    }
+
+    /// Sets the number.
+    pub fn set(&self, value: i64) {
+        self.0.store(value, Ordering::Relaxed);
+    }
+
+    /// Adds `count`, which may be negative.
+    pub fn add(&self, count: i64) {
+        self.0.fetch_add(count, Ordering::Relaxed);
+    }
+
+    /// Returns the number.
+    pub fn get(&self) -> i64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// `MetricSource` is where a metric's number comes from.
+#[derive(Debug, Clone, Copy)]
+pub enum MetricSource {
+    /// A counter.
+    Counter(&'static CounterCell),
+    /// A gauge.
+    Gauge(&'static GaugeCell),
+}
+
+/// `MetricEntry` describes one metric, with one label at the most.
+#[derive(Debug, Clone, Copy)]
+pub struct MetricEntry {
+    /// Name without prefix.
+    pub name: &'static str,
+    /// What it counts.
+    pub help: &'static str,
+    /// Label and its value.
+    pub label: Option<(&'static str, &'static str)>,
+    /// Where the number comes from.
+    pub source: MetricSource,
+}
+
+static REGISTRY: OnceLock<(Registry, SdkMeterProvider)> = OnceLock::new();
+
+/// Registers the metrics of this process; a second call does nothing.
+pub fn start(entries: &[MetricEntry]) -> Result<(), StartError> {
+    if REGISTRY.get().is_some() {
+        return Ok(());
+    }
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .without_target_info()
+        .build()
+        .map_err(|error| StartError::Metrics {
+            message: error.to_string(),
+        })?;
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    let meter = provider.meter("basaltarch");
+    let mut names: Vec<&'static str> = entries.iter().map(|entry| entry.name).collect();
+    names.dedup();
+    for name in names {
+        let same: Vec<MetricEntry> = entries
+            .iter()
+            .filter(|entry| entry.name == name)
+            .copied()
+            .collect();
+        register(&meter, name, same);
+    }
+    let _ = REGISTRY.set((registry, provider));
+    Ok(())
+}
+
+fn register(meter: &opentelemetry::metrics::Meter, name: &'static str, entries: Vec<MetricEntry>) {
+    let full_name = format!("basaltarch_{name}");
+    let help = entries[0].help;
+    match entries[0].source {
+        MetricSource::Counter(_) => {
+            meter
+                .u64_observable_counter(full_name)
+                .with_description(help)
+                .with_callback(move |observer| {
+                    for entry in &entries {
+                        if let MetricSource::Counter(cell) = entry.source {
+                            observer.observe(cell.get(), &labels(entry));
+                        }
+                    }
+                })
+                .build();
+        }
+        MetricSource::Gauge(_) => {
+            meter
+                .i64_observable_gauge(full_name)
+                .with_description(help)
+                .with_callback(move |observer| {
+                    for entry in &entries {
+                        if let MetricSource::Gauge(cell) = entry.source {
+                            observer.observe(cell.get(), &labels(entry));
+                        }
+                    }
+                })
+                .build();
+        }
+    }
+}
+
+fn labels(entry: &MetricEntry) -> Vec<KeyValue> {
+    entry
+        .label
+        .iter()
+        .map(|(key, value)| KeyValue::new(*key, *value))
+        .collect()
+}
+
+/// Returns all metrics as text for Prometheus.
+pub fn render() -> String {
+    let mut text = Vec::new();
+    if let Some((registry, _)) = REGISTRY.get() {
+        let _ = TextEncoder::new().encode(&registry.gather(), &mut text);
+    }
+    String::from_utf8(text).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/telemetry/src/signals.rs
@@ -0,0 +1,38 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Signals as bytes on a local pipe, which the runtime waits for as for any other input.
+
+use std::os::unix::net::UnixStream as StdUnixStream;
+
+use monoio::io::AsyncReadRent;
+use monoio::net::UnixStream;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::low_level::pipe;
+
+use crate::errors::StartError;
+
+/// `StopSignals` gives the signals that ask a process to stop.
+pub struct StopSignals {
+    receiver: UnixStream,
+}
+
+impl StopSignals {
+    /// Starts to receive SIGTERM and SIGINT; call it within the runtime.
+    pub fn new() -> Result<Self, StartError> {
+        let signals = |source| StartError::Signals { source };
+        let (receiver, sender) = StdUnixStream::pair().map_err(signals)?;
+        receiver.set_nonblocking(true).map_err(signals)?;
+        for signal in [SIGTERM, SIGINT] {
+            let end = sender.try_clone().map_err(signals)?;
+            pipe::register(signal, end).map_err(signals)?;
+        }
+        let receiver = UnixStream::from_std(receiver).map_err(signals)?;
+        Ok(Self { receiver })
+    }
+
+    /// Waits for the next signal.
+    pub async fn next(&mut self) {
+        let (_, _) = self.receiver.read(vec![0; 1]).await;
+    }
+}
