--- a/crates/bench/src/detection.rs
+++ b/crates/bench/src/detection.rs
@@ -14,10 +14,7 @@
 const CALLER_SLACK_MS: u64 = 250;
 
 fn read(path: &str) -> Result<Value, BenchError> {
-    let bad = |message: String| errors::BenchError::File {
-        path: path.to_owned(),
-        message,
-    };
+    let bad = |message: String| errors::BenchError::File { path: path.to_owned(), message };
     let text = fs::read_to_string(path).map_err(|error| bad(error.to_string()))?;
     serde_json::from_str(&text).map_err(|error| bad(error.to_string()))
 }
@@ -36,22 +33,13 @@
     println!("kept receiving work for            {received_for} ms");
     println!("requests received in that time     {}", fault["received"]);
     println!("callers saw its errors for         {seen_for} ms");
-    println!(
-        "errors that callers saw            {}",
-        tally["errors"].as_u64().unwrap_or(0)
-    );
-    println!(
-        "answers to callers                 {} ({} good)",
-        report["answered"], report["good"]
-    );
+    println!("errors that callers saw            {}", tally["errors"].as_u64().unwrap_or(0));
+    println!("answers to callers                 {} ({} good)", report["answered"], report["good"]);
     println!(
         "not run / unknown / broken / crossed  {} / {} / {} / {}",
         report["not_run"], report["unknown"], report["broken"], report["crossed"]
     );
-    check(
-        fault["stopped"] == true,
-        "the failing server was never taken out",
-    )?;
+    check(fault["stopped"] == true, "the failing server was never taken out")?;
     check(
         seen_for <= received_for + CALLER_SLACK_MS,
         "callers saw the failing server longer than it received work",
@@ -61,10 +49,7 @@
 
 /// Checks that no answer of a load was cut, crossed or left unknown.
 pub fn check_clean(report: &Value) -> Result<(), BenchError> {
-    check(
-        report["answered"].as_u64().unwrap_or(0) > 0,
-        "nothing was answered",
-    )?;
+    check(report["answered"].as_u64().unwrap_or(0) > 0, "nothing was answered")?;
     for field in ["unknown", "broken", "crossed"] {
         let message = format!("{} answers were {field}", report[field]);
         check(report[field] == 0, &message)?;
@@ -76,7 +61,5 @@
     if holds {
         return Ok(());
     }
-    Err(BenchError::Bound {
-        message: message.to_owned(),
-    })
+    Err(BenchError::Bound { message: message.to_owned() })
 }
--- a/crates/bench/src/fault.rs
+++ b/crates/bench/src/fault.rs
@@ -82,10 +82,8 @@
 ) -> Result<Bytes, BenchError> {
     let body = Bytes::from(body.to_owned());
     let reply = client.call(method, path, HeaderMap::new(), body).await;
-    reply
-        .map(|reply| reply.body)
-        .map_err(|source| BenchError::Call {
-            what: format!("backend server at {}", client.address()),
-            source,
-        })
+    reply.map(|reply| reply.body).map_err(|source| BenchError::Call {
+        what: format!("backend server at {}", client.address()),
+        source,
+    })
 }
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -119,11 +119,8 @@
 /// Runs a load and reports on each target.
 pub async fn run(options: LoadOptions) -> Vec<TargetReport> {
     let options = Rc::new(options);
-    let states: Vec<Rc<RefCell<TargetState>>> = options
-        .targets
-        .iter()
-        .map(|target| Rc::new(RefCell::new(new_state(target))))
-        .collect();
+    let states: Vec<Rc<RefCell<TargetState>>> =
+        options.targets.iter().map(|target| Rc::new(RefCell::new(new_state(target)))).collect();
     let start = Instant::now();
     let total = (options.rate * options.duration.as_secs_f64()) as u64;
     for number in 0..total {
@@ -148,10 +145,7 @@
     let times = Histogram::new_with_bounds(1, MICROS_MAX, DIGITS);
     TargetState {
         target: target.clone(),
-        report: TargetReport {
-            name: target.name.clone(),
-            ..TargetReport::default()
-        },
+        report: TargetReport { name: target.name.clone(), ..TargetReport::default() },
         times: times.unwrap_or_else(|_| unreachable!("the bounds are constants")),
         idle: Vec::new(),
         turn: 0,
@@ -269,10 +263,7 @@
     report.crossed += u64::from(answered_id.is_some_and(|answered| answered != id));
     let _ = state.times.record(took.clamp(1, MICROS_MAX));
     let server = fields::single(&reply.headers, &HeaderName::from_static("x-served-by"));
-    let tally = report
-        .servers
-        .entry(server.unwrap_or("-").to_owned())
-        .or_default();
+    let tally = report.servers.entry(server.unwrap_or("-").to_owned()).or_default();
     tally.answers += 1;
     if reply.status.is_server_error() {
         tally.errors += 1;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,10 +3,7 @@
 
 //! `basaltarch-bench`: load, experiments and the decision bench.
 
-#![allow(
-    missing_docs,
-    reason = "the command-line macro makes items without doc comments"
-)]
+#![allow(missing_docs, reason = "the command-line macro makes items without doc comments")]
 
 use std::net::SocketAddr;
 use std::process;
@@ -118,15 +115,9 @@
 }
 
 fn load_options(flags: &flags::Load) -> Result<LoadOptions, BenchError> {
-    let to: Result<Vec<SocketAddr>, BenchError> = flags
-        .to
-        .split(',')
-        .map(|each| address("to", each))
-        .collect();
-    let mut targets = vec![LoadTarget {
-        name: "daemons".to_owned(),
-        addresses: to?,
-    }];
+    let to: Result<Vec<SocketAddr>, BenchError> =
+        flags.to.split(',').map(|each| address("to", each)).collect();
+    let mut targets = vec![LoadTarget { name: "daemons".to_owned(), addresses: to? }];
     if let Some(baseline) = &flags.baseline {
         targets.push(LoadTarget {
             name: "direct".to_owned(),
@@ -198,10 +189,7 @@
         millis(report.max_us)
     );
     for (server, tally) in &report.servers {
-        println!(
-            "  {server}: {} answers, {} errors",
-            tally.answers, tally.errors
-        );
+        println!("  {server}: {} answers, {} errors", tally.answers, tally.errors);
     }
 }
 
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -203,10 +203,7 @@
                 (kind.name().to_owned(), name.clone(), stored.revision, value)
             })
             .collect();
-        FleetSnapshot {
-            revision: self.revision,
-            resources,
-        }
+        FleetSnapshot { revision: self.revision, resources }
     }
 
     /// Reads a snapshot, with every check that a change goes through.
@@ -255,10 +252,7 @@
 impl ActiveConfig {
     /// Lays out `config` for the request path.
     pub fn build(config: &FleetConfig) -> Self {
-        let mut active = Self {
-            revision: config.revision(),
-            ..Self::default()
-        };
+        let mut active = Self { revision: config.revision(), ..Self::default() };
         active.services = build_services(config);
         for (name, stored) in config.list(ResourceKind::Route) {
             if let ResourceValue::Route(rule) = &stored.value {
@@ -289,10 +283,7 @@
     let mut upstreams: FnvHashMap<&str, Vec<UpstreamEntry>> = FnvHashMap::default();
     for (name, stored) in config.list(ResourceKind::BackendServer) {
         if let ResourceValue::BackendServer(server) = &stored.value {
-            let entry = UpstreamEntry {
-                name: Rc::from(name),
-                server: server.clone(),
-            };
+            let entry = UpstreamEntry { name: Rc::from(name), server: server.clone() };
             upstreams.entry(&server.service).or_default().push(entry);
         }
     }
--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -56,10 +56,7 @@
 
 /// Builds a [`ResourceError::Dangling`].
 pub fn dangling(path: impl Into<String>, target: impl Into<String>) -> ResourceError {
-    ResourceError::Dangling {
-        path: path.into(),
-        target: target.into(),
-    }
+    ResourceError::Dangling { path: path.into(), target: target.into() }
 }
 
 /// `SettingError` says which setting is wrong, what was given, and what is allowed.
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -66,13 +66,12 @@
 
     /// Reads the name of a kind.
     pub fn parse(name: &str) -> Result<Self, ResourceError> {
-        ALL_KINDS
-            .into_iter()
-            .find(|kind| kind.name() == name)
-            .ok_or_else(|| ResourceError::UnknownKind {
+        ALL_KINDS.into_iter().find(|kind| kind.name() == name).ok_or_else(|| {
+            ResourceError::UnknownKind {
                 kind: name.to_owned(),
                 allowed: ALL_KINDS.map(Self::name).join(", "),
-            })
+            }
+        })
     }
 }
 
@@ -309,11 +308,7 @@
             Self::FailureDomain(_) | Self::Service(_) | Self::Organisation(_) => Vec::new(),
             Self::BackendServer(spec) => vec![
                 ("service", ResourceKind::Service, &spec.service),
-                (
-                    "failure_domain",
-                    ResourceKind::FailureDomain,
-                    &spec.failure_domain,
-                ),
+                ("failure_domain", ResourceKind::FailureDomain, &spec.failure_domain),
             ],
             Self::Route(spec) => vec![("service", ResourceKind::Service, &spec.service)],
             Self::Limit(spec) => {
@@ -348,11 +343,7 @@
     if fits && plain {
         return Ok(());
     }
-    Err(errors::bad_value(
-        path,
-        format!("{name:?}"),
-        "1 to 128 of a-z, 0-9, '-', '.', '_'",
-    ))
+    Err(errors::bad_value(path, format!("{name:?}"), "1 to 128 of a-z, 0-9, '-', '.', '_'"))
 }
 
 fn check_range(
@@ -366,11 +357,7 @@
         return Ok(());
     }
     let allowed = format!("{least} to {most}");
-    Err(errors::bad_value(
-        format!("{path}.{field}"),
-        value,
-        &allowed,
-    ))
+    Err(errors::bad_value(format!("{path}.{field}"), value, &allowed))
 }
 
 fn check_service(path: &str, spec: &ServiceSpec) -> Result<(), ResourceError> {
@@ -389,42 +376,21 @@
 fn check_route(path: &str, spec: &RouteRule) -> Result<(), ResourceError> {
     if !spec.path_prefix.starts_with('/') {
         let field = format!("{path}.path_prefix");
-        return Err(errors::bad_value(
-            field,
-            &spec.path_prefix,
-            "a path that starts with /",
-        ));
+        return Err(errors::bad_value(field, &spec.path_prefix, "a path that starts with /"));
     }
     let host_fits = !spec.host.is_empty()
-        && !spec
-            .host
-            .bytes()
-            .any(|byte| byte <= b' ' || byte.is_ascii_uppercase());
+        && !spec.host.bytes().any(|byte| byte <= b' ' || byte.is_ascii_uppercase());
     if !host_fits {
         let field = format!("{path}.host");
-        return Err(errors::bad_value(
-            field,
-            &spec.host,
-            "a host name in lower case, no port",
-        ));
+        return Err(errors::bad_value(field, &spec.host, "a host name in lower case, no port"));
     }
     for method in &spec.methods {
         if method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()) {
             let field = format!("{path}.methods");
-            return Err(errors::bad_value(
-                field,
-                method,
-                "methods in capitals, such as GET",
-            ));
+            return Err(errors::bad_value(field, method, "methods in capitals, such as GET"));
         }
     }
-    check_range(
-        path,
-        "timeout_ms",
-        spec.timeout_ms as f64,
-        1.0,
-        TIMEOUT_MS_MAX as f64,
-    )
+    check_range(path, "timeout_ms", spec.timeout_ms as f64, 1.0, TIMEOUT_MS_MAX as f64)
 }
 
 fn check_limit(path: &str, spec: &LimitRule) -> Result<(), ResourceError> {
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -36,10 +36,7 @@
     /// Adds a route.
     pub fn insert(&mut self, entry: Rc<RouteEntry>) {
         let prefix = trim_prefix(&entry.rule.path_prefix);
-        let paths = self
-            .hosts
-            .entry(entry.rule.host.as_str().into())
-            .or_default();
+        let paths = self.hosts.entry(entry.rule.host.as_str().into()).or_default();
         paths.entry(prefix.into()).or_default().push(entry);
         self.len += 1;
     }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -47,10 +47,8 @@
     given: Option<String>,
     allowed: &str,
 ) -> Result<T, SettingError> {
-    optional(flag, given, allowed)?.ok_or_else(|| SettingError::Missing {
-        flag: flag.to_owned(),
-        variable: variable_of(flag),
-    })
+    optional(flag, given, allowed)?
+        .ok_or_else(|| SettingError::Missing { flag: flag.to_owned(), variable: variable_of(flag) })
 }
 
 /// Reads a setting with a default and checks it with `accept`.
--- a/crates/ctl/src/api.rs
+++ b/crates/ctl/src/api.rs
@@ -34,12 +34,12 @@
 impl AdminApi {
     /// Builds the client of the daemon at `address`.
     pub fn new(address: SocketAddr, token: String, actor: String) -> Self {
-        Self {
-            address,
-            token,
-            actor,
-            client: HttpClient::new(address, CALL_TIMEOUT),
-        }
+        Self { address, token, actor, client: HttpClient::new(address, CALL_TIMEOUT) }
+    }
+
+    /// Builds the client of another daemon with the same token and actor.
+    pub fn at(&self, address: SocketAddr) -> Self {
+        Self::new(address, self.token.clone(), self.actor.clone())
     }
 
     fn headers(&self) -> HeaderMap {
@@ -56,10 +56,7 @@
     }
 
     fn unreachable(&self, source: HttpError) -> CommandError {
-        CommandError::Unreachable {
-            address: self.address.to_string(),
-            source,
-        }
+        CommandError::Unreachable { address: self.address.to_string(), source }
     }
 
     /// Makes a call and returns the JSON of the reply.
@@ -110,20 +107,10 @@
         on_line: &mut impl FnMut(&Value),
     ) -> Result<Result<(), CommandError>, HttpError> {
         let mut stream = HttpStream::connect(self.address, CALL_TIMEOUT).await?;
-        client::send(
-            &mut stream,
-            &Method::GET,
-            target,
-            &self.headers(),
-            Bytes::new(),
-        )
-        .await?;
+        client::send(&mut stream, &Method::GET, target, &self.headers(), Bytes::new()).await?;
         let head = head::read_response(&mut stream.reader, &HeadLimits::default()).await?;
         let framing = framing::of_response(&head, &Method::GET)?;
-        let limits = BodyLimits {
-            idle: WATCH_SILENCE,
-            ..BodyLimits::default()
-        };
+        let limits = BodyLimits { idle: WATCH_SILENCE, ..BodyLimits::default() };
         let mut body = BodyReader::new(framing, limits);
         let mut text = BytesMut::new();
         while let Some(piece) = body.next(&mut stream.reader).await? {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -28,15 +28,10 @@
 
 /// Reads a file of resources: an object of kinds, each an object of names.
 fn read_changes(path: &str) -> Result<Vec<Value>, CommandError> {
-    let bad = |message: String| CommandError::BadFile {
-        path: path.to_owned(),
-        message,
-    };
+    let bad = |message: String| CommandError::BadFile { path: path.to_owned(), message };
     let text = fs::read_to_string(path).map_err(|error| bad(error.to_string()))?;
     let value: Value = serde_json::from_str(&text).map_err(|error| bad(error.to_string()))?;
-    let kinds = value
-        .as_object()
-        .ok_or_else(|| bad("an object of kinds is needed".to_owned()))?;
+    let kinds = value.as_object().ok_or_else(|| bad("an object of kinds is needed".to_owned()))?;
     for kind in kinds.keys() {
         ResourceKind::parse(kind).map_err(|error| bad(error.to_string()))?;
     }
@@ -64,28 +59,18 @@
     form: OutputForm,
 ) -> Result<(), CommandError> {
     let body = json!({ "changes": read_changes(path)? });
-    let reply = api
-        .call(Method::POST, "/v1/apply", Some(&body), None)
-        .await?;
+    let reply = api.call(Method::POST, "/v1/apply", Some(&body), None).await?;
     let revision = reply["revision"].as_u64().unwrap_or(0);
     if let Some(limit) = wait {
         wait_for(api, revision, limit).await?;
     }
     match form {
-        OutputForm::Json => println!(
-            "{}",
-            json!({"revision": revision, "changed": reply["changed"]})
-        ),
+        OutputForm::Json => {
+            println!("{}", json!({"revision": revision, "changed": reply["changed"]}))
+        }
         OutputForm::Table => {
-            let state = if wait.is_some() {
-                "in force on all live daemons"
-            } else {
-                "accepted"
-            };
-            println!(
-                "revision {revision}: {} resources changed, {state}",
-                reply["changed"]
-            );
+            let state = if wait.is_some() { "in force on all live daemons" } else { "accepted" };
+            println!("revision {revision}: {} resources changed, {state}", reply["changed"]);
         }
     }
     Ok(())
@@ -116,20 +101,14 @@
 /// Shows what applying a file would change.
 pub async fn diff(api: &AdminApi, path: &str, form: OutputForm) -> Result<(), CommandError> {
     let body = json!({"changes": read_changes(path)?, "dry_run": true});
-    let reply = api
-        .call(Method::POST, "/v1/apply", Some(&body), None)
-        .await?;
+    let reply = api.call(Method::POST, "/v1/apply", Some(&body), None).await?;
     if form == OutputForm::Json {
         println!("{}", reply["changes"]);
         return Ok(());
     }
     let changes = reply["changes"].as_array().cloned().unwrap_or_default();
     for change in &changes {
-        println!(
-            "{}/{}",
-            tables::cell(&change["kind"]),
-            tables::cell(&change["name"])
-        );
+        println!("{}/{}", tables::cell(&change["kind"]), tables::cell(&change["name"]));
         print_difference(&change["before"], &change["after"]);
     }
     println!("{} resources would change", changes.len());
@@ -258,10 +237,7 @@
             rows.push(row);
         }
     }
-    tables::print(
-        &["REVISION", "AT", "ACTOR", "FROM", "WHAT", "RESOURCE"],
-        &rows,
-    );
+    tables::print(&["REVISION", "AT", "ACTOR", "FROM", "WHAT", "RESOURCE"], &rows);
     if reply["source"] != "store" {
         println!("source: {}", tables::cell(&reply["source"]));
     }
@@ -275,30 +251,11 @@
         println!("{reply}");
         return Ok(());
     }
-    let fields = [
-        "host",
-        "failure_domain",
-        "state",
-        "revision",
-        "heard_ms_ago",
-        "admin_address",
-    ];
+    let fields = ["host", "failure_domain", "state", "revision", "heard_ms_ago", "admin_address"];
     let members = reply["members"].as_array().cloned().unwrap_or_default();
-    let rows: Vec<Vec<String>> = members
-        .iter()
-        .map(|member| tables::cells(member, &fields))
-        .collect();
-    tables::print(
-        &[
-            "HOST",
-            "DOMAIN",
-            "STATE",
-            "REVISION",
-            "HEARD MS AGO",
-            "ADMIN",
-        ],
-        &rows,
-    );
+    let rows: Vec<Vec<String>> =
+        members.iter().map(|member| tables::cells(member, &fields)).collect();
+    tables::print(&["HOST", "DOMAIN", "STATE", "REVISION", "HEARD MS AGO", "ADMIN"], &rows);
     Ok(())
 }
 
@@ -312,7 +269,8 @@
         Some(service) => format!("/v1/health?service={service}"),
         None => "/v1/health".to_owned(),
     };
-    let reply = api.get(&target).await?;
+    let mut reply = api.get(&target).await?;
+    add_words_of_hosts(api, &target, &mut reply).await?;
     if form == OutputForm::Json {
         println!("{reply}");
         return Ok(());
@@ -321,12 +279,9 @@
     for service in reply["services"].as_array().into_iter().flatten() {
         for upstream in service["upstreams"].as_array().into_iter().flatten() {
             let mut row = tables::cells(service, &["service"]);
-            let fields = ["upstream", "host", "state", "score", "load", "median_ms"];
-            row.extend(tables::cells(upstream, &fields));
-            row.extend(tables::cells(
-                &upstream["here"],
-                &["evidence", "since_ms_ago"],
-            ));
+            row.extend(tables::cells(upstream, &["upstream", "host", "state"]));
+            let fields = ["ejected", "score", "evidence", "since_ms_ago", "in_flight", "queued"];
+            row.extend(tables::cells(&upstream["here"], &fields));
             rows.push(row);
         }
     }
@@ -334,17 +289,52 @@
         "SERVICE",
         "UPSTREAM",
         "HOST",
-        "STATE",
+        "SEEN AS",
+        "EJECTED",
         "SCORE",
-        "LOAD",
-        "MEDIAN MS",
         "EVIDENCE",
         "SINCE MS AGO",
+        "IN FLIGHT",
+        "QUEUED",
     ];
     tables::print(&header, &rows);
     Ok(())
 }
 
+/// Asks each live daemon what it knows of the backend servers of its own host, and puts that in.
+async fn add_words_of_hosts(
+    api: &AdminApi,
+    target: &str,
+    reply: &mut Value,
+) -> Result<(), CommandError> {
+    let status = api.get("/v1/status").await?;
+    for member in status["members"].as_array().into_iter().flatten() {
+        let address = member["admin_address"].as_str().and_then(|text| text.parse().ok());
+        let address = match address {
+            Some(address) if member["state"] != "suspect" => address,
+            _ => continue,
+        };
+        // A daemon that does not answer leaves its servers without its word.
+        if let Ok(words) = api.at(address).get(target).await {
+            merge_words(reply, &words);
+        }
+    }
+    Ok(())
+}
+
+fn merge_words(reply: &mut Value, words: &Value) {
+    let services = reply["services"].as_array_mut().into_iter().flatten();
+    for (service, other) in services.zip(words["services"].as_array().into_iter().flatten()) {
+        let upstreams = service["upstreams"].as_array_mut().into_iter().flatten();
+        let others = other["upstreams"].as_array().into_iter().flatten();
+        for (upstream, other) in upstreams.zip(others) {
+            if !other["here"].is_null() && upstream["upstream"] == other["upstream"] {
+                upstream["here"] = other["here"].clone();
+            }
+        }
+    }
+}
+
 /// Drains the daemon that is talked to.
 pub async fn drain_daemon(api: &AdminApi) -> Result<(), CommandError> {
     let reply = api.call(Method::POST, "/v1/drain", None, None).await?;
@@ -367,13 +357,7 @@
     let mut value = known["value"].clone();
     value["state"] = json!(if active { "active" } else { "draining" });
     let guard = guard_of(known["revision"].as_u64());
-    let reply = api
-        .call(Method::PUT, &target, Some(&value), Some(guard))
-        .await?;
-    println!(
-        "revision {}: {name} is {}",
-        reply["revision"],
-        tables::cell(&value["state"])
-    );
+    let reply = api.call(Method::PUT, &target, Some(&value), Some(guard)).await?;
+    println!("revision {}: {name} is {}", reply["revision"], tables::cell(&value["state"]));
     Ok(())
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -3,10 +3,7 @@
 
 //! `basaltctl`: the operator's command line over the resource API.
 
-#![allow(
-    missing_docs,
-    reason = "the command-line macro makes items without doc comments"
-)]
+#![allow(missing_docs, reason = "the command-line macro makes items without doc comments")]
 
 mod api;
 mod commands;
--- a/crates/daemon/src/admin/changes.rs
+++ b/crates/daemon/src/admin/changes.rs
@@ -80,12 +80,7 @@
         Ok(guard) => guard,
         Err(reply) => return *reply,
     };
-    let edit = ResourceEdit {
-        kind,
-        name: name.to_owned(),
-        value,
-        guard,
-    };
+    let edit = ResourceEdit { kind, name: name.to_owned(), value, guard };
     match commit(state, request, &[edit]).await {
         Ok(record) => {
             let body = json!({"revision": record.revision, "changed": record.changes.len()});
@@ -172,10 +167,7 @@
 
 fn author_of(request: &ServerRequest) -> ChangeAuthor {
     let actor = fields::single(&request.head.headers, &ACTOR).unwrap_or("operator");
-    ChangeAuthor {
-        actor: actor.to_owned(),
-        from: request.from.to_string(),
-    }
+    ChangeAuthor { actor: actor.to_owned(), from: request.from.to_string() }
 }
 
 fn plan(
@@ -233,9 +225,7 @@
     };
     let mut body = json!({ "error": error.to_string() });
     match error {
-        ChangeError::GuardFailed {
-            in_force, value, ..
-        } => {
+        ChangeError::GuardFailed { in_force, value, .. } => {
             body["in_force"] = json!({"revision": in_force, "value": value});
         }
         ChangeError::Unsettled { writer } => body["writer"] = json!(writer),
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -69,10 +69,7 @@
         ("POST", "apply") => changes::apply(state, request).await,
         ("POST", "drain") => {
             state.stopping.raise();
-            ServerReply::json(
-                StatusCode::ACCEPTED,
-                &json!({"draining": state.options.host}),
-            )
+            ServerReply::json(StatusCode::ACCEPTED, &json!({"draining": state.options.host}))
         }
         (_, path) => match path.split_once('/') {
             Some((kind, name)) => resource(state, request, kind, name).await,
@@ -131,18 +128,14 @@
 
 fn is_operator(state: &DaemonState, request: &ServerRequest) -> bool {
     let value = request.head.headers.get(header::AUTHORIZATION);
-    let token = value
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "));
+    let token =
+        value.and_then(|value| value.to_str().ok()).and_then(|value| value.strip_prefix("Bearer "));
     token.is_some_and(|token| same_token(token.as_bytes(), state.options.admin_token.as_bytes()))
 }
 
 /// Compares in a time that does not tell how much was right.
 fn same_token(given: &[u8], wanted: &[u8]) -> bool {
-    let differences = given
-        .iter()
-        .zip(wanted)
-        .fold(0, |sum, (left, right)| sum | (left ^ right));
+    let differences = given.iter().zip(wanted).fold(0, |sum, (left, right)| sum | (left ^ right));
     given.len() == wanted.len() && differences == 0
 }
 
--- a/crates/daemon/src/admin/read.rs
+++ b/crates/daemon/src/admin/read.rs
@@ -34,15 +34,13 @@
 
 /// Reads one resource.
 pub fn one(state: &Rc<DaemonState>, kind: ResourceKind, name: &str) -> ServerReply {
-    state
-        .config
-        .with_fleet(|fleet| match fleet.get(kind, name) {
-            Some(stored) => {
-                let reply = ServerReply::json(StatusCode::OK, &stored.value.to_json());
-                reply.with_field(header::ETAG, &format!("\"{}\"", stored.revision))
-            }
-            None => admin::problem(StatusCode::NOT_FOUND, "there is no such resource"),
-        })
+    state.config.with_fleet(|fleet| match fleet.get(kind, name) {
+        Some(stored) => {
+            let reply = ServerReply::json(StatusCode::OK, &stored.value.to_json());
+            reply.with_field(header::ETAG, &format!("\"{}\"", stored.revision))
+        }
+        None => admin::problem(StatusCode::NOT_FOUND, "there is no such resource"),
+    })
 }
 
 /// Reads the audit trail: from the store, or what is kept here while the store is away.
@@ -66,9 +64,7 @@
             Some(last) => last.revision,
             None => break,
         };
-        let matching = records
-            .into_iter()
-            .filter_map(|record| filter.select(record));
+        let matching = records.into_iter().filter_map(|record| filter.select(record));
         found.extend(matching.map(|record| audit_json(&record)));
         after = last;
         if !complete {
@@ -76,11 +72,7 @@
         }
     }
     found.truncate(AUDIT_LIMIT);
-    let source = if complete {
-        "store"
-    } else {
-        "kept here; the store did not answer"
-    };
+    let source = if complete { "store" } else { "kept here; the store did not answer" };
     ServerReply::json(StatusCode::OK, &json!({"records": found, "source": source}))
 }
 
@@ -114,9 +106,7 @@
 impl AuditFilter {
     fn try_new(request: &ServerRequest) -> Result<Self, String> {
         let number = |name: &str, default: u64| match request.query(name) {
-            Some(text) => text
-                .parse()
-                .map_err(|_| format!("{name}: must be a number")),
+            Some(text) => text.parse().map_err(|_| format!("{name}: must be a number")),
             None => Ok(default),
         };
         let text = |name: &str| request.query(name).map(str::to_owned);
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -63,11 +63,7 @@
     let active = state.config.active();
     let mut names: Vec<String> = match service {
         Some(name) => vec![name.to_owned()],
-        None => active
-            .services
-            .keys()
-            .map(|name| name.to_string())
-            .collect(),
+        None => active.services.keys().map(|name| name.to_string()).collect(),
     };
     names.sort();
     let mut services = Vec::new();
@@ -126,9 +122,7 @@
         (.., None) => "not heard of",
         _ => "in service",
     };
-    let age = view
-        .health
-        .map(|_| now.saturating_sub(view.reported_at).as_millis() as u64);
+    let age = view.health.map(|_| now.saturating_sub(view.reported_at).as_millis() as u64);
     json!({
         "state": word,
         "score": sickness,
@@ -147,6 +141,7 @@
     let recovery = health.recovery();
     json!({
         "ejected": health.is_ejected(),
+        "score": health.report("", now).sickness,
         "since_ms_ago": now.saturating_sub(recovery.since()).as_millis() as u64,
         "evidence": health.reason().map(|reason| reason.name()),
         "ejections": recovery.ejections(),
--- a/crates/daemon/src/admin/watch.rs
+++ b/crates/daemon/src/admin/watch.rs
@@ -35,10 +35,7 @@
     request: &ServerRequest,
     kind: Option<ResourceKind>,
 ) -> ServerReply {
-    let text = request
-        .query("watch")
-        .or_else(|| request.query("after"))
-        .unwrap_or("");
+    let text = request.query("watch").or_else(|| request.query("after")).unwrap_or("");
     let seen = match text.parse() {
         Ok(revision) => FleetRevision(revision),
         Err(_) => {
@@ -53,12 +50,7 @@
         });
         return ServerReply::json(StatusCode::GONE, &body);
     }
-    let watch = WatchState {
-        daemon: state.clone(),
-        kind,
-        seen,
-        over: false,
-    };
+    let watch = WatchState { daemon: state.clone(), kind, seen, over: false };
     let lines = stream::unfold(watch, next_lines).boxed_local();
     let mut reply = ServerReply::whole(StatusCode::OK, "application/jsonlines", Bytes::new());
     reply.body = ReplyBody::Stream(lines);
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -13,9 +13,7 @@
 
 impl Default for DaemonClock {
     fn default() -> Self {
-        Self {
-            started: Instant::now(),
-        }
+        Self { started: Instant::now() }
     }
 }
 
--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -104,10 +104,7 @@
         }
         self.check_time(&request, now())?;
         let waiter = self.enqueue(&request)?;
-        let guard = WaitGuard {
-            queue: self,
-            waiter: &waiter,
-        };
+        let guard = WaitGuard { queue: self, waiter: &waiter };
         let result = poll_fn(|context| {
             match waiter.state.get() {
                 WaitState::Granted => return Poll::Ready(Ok(())),
@@ -139,10 +136,7 @@
             None => return Ok(()),
         };
         let waiting = self.waiting.borrow();
-        let before = waiting
-            .iter()
-            .filter(|waiter| waiter.class >= request.class)
-            .count();
+        let before = waiting.iter().filter(|waiter| waiter.class >= request.class).count();
         let rounds = (before as f64 + 1.0) / f64::from(self.slots.get().max(1));
         if usual.mul_f64(rounds) > left {
             return Err(NotRunReason::DeadlinePassed);
@@ -227,9 +221,7 @@
 
 impl SlotGuard {
     fn new(queue: &Rc<SlotQueue>) -> Self {
-        Self {
-            queue: queue.clone(),
-        }
+        Self { queue: queue.clone() }
     }
 }
 
--- a/crates/daemon/src/host/backend.rs
+++ b/crates/daemon/src/host/backend.rs
@@ -65,17 +65,11 @@
             self.open.set(self.open.get() - 1);
         }
         if self.open.get() >= self.most.get() {
-            return Err(HttpError::TimedOut {
-                what: "a free connection",
-            });
+            return Err(HttpError::TimedOut { what: "a free connection" });
         }
         // Counted before it is made, so that the bound holds while several are being made.
         self.open.set(self.open.get() + 1);
-        let mut pooled = PooledStream {
-            pool: self,
-            address: self.address.get(),
-            stream: None,
-        };
+        let mut pooled = PooledStream { pool: self, address: self.address.get(), stream: None };
         pooled.stream = Some(HttpStream::connect(pooled.address, CONNECT_TIMEOUT).await?);
         Ok(pooled)
     }
@@ -91,9 +85,7 @@
 impl PooledStream<'_> {
     /// Returns the connection.
     pub fn stream(&mut self) -> &mut HttpStream {
-        self.stream
-            .as_mut()
-            .unwrap_or_else(|| unreachable!("set until given back"))
+        self.stream.as_mut().unwrap_or_else(|| unreachable!("set until given back"))
     }
 
     /// Gives the connection back after a clean exchange.
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -113,13 +113,7 @@
     answer: &EventSink,
 ) -> Result<(), FailureOutcome> {
     let deadline = state.now() + Duration::from_millis(head.deadline_ms.max(0) as u64);
-    let mut work = HostWork {
-        state,
-        upstream,
-        head,
-        deadline,
-        is_trial: false,
-    };
+    let mut work = HostWork { state, upstream, head, deadline, is_trial: false };
     work.admit().map_err(FailureOutcome::NotRun)?;
     let admitted = work.run(body, answer).await;
     if work.is_trial && admitted.is_err() {
@@ -165,13 +159,8 @@
     }
 
     fn note(&self, evidence: WorkEvidence, was_overdue: bool) {
-        let note = WorkNote {
-            evidence,
-            was_overdue,
-            is_trial: self.is_trial,
-        };
-        self.upstream
-            .note(&self.head.route, &note, self.state.now());
+        let note = WorkNote { evidence, was_overdue, is_trial: self.is_trial };
+        self.upstream.note(&self.head.route, &note, self.state.now());
     }
 
     async fn run(&self, body: &EventPipe, answer: &EventSink) -> Result<(), FailureOutcome> {
@@ -211,11 +200,7 @@
     }
 
     fn usual_time(&self) -> Option<Duration> {
-        let report = self
-            .upstream
-            .health
-            .borrow()
-            .report(&self.head.route, self.state.now());
+        let report = self.upstream.health.borrow().report(&self.head.route, self.state.now());
         let known = report.samples > 0;
         known.then(|| Duration::from_micros(report.median_ln.exp().min(60e6) as u64))
     }
@@ -254,11 +239,7 @@
     }
 
     fn once_key(&self, key: &str) -> OnceKey {
-        let parts = [
-            self.head.method.as_bytes(),
-            self.head.target.as_bytes(),
-            &self.head.body,
-        ];
+        let parts = [self.head.method.as_bytes(), self.head.target.as_bytes(), &self.head.body];
         OnceKey {
             service: self.head.service_name.clone(),
             organisation: self.head.organisation.clone().unwrap_or_default(),
@@ -308,9 +289,7 @@
         };
         metrics::WORKED.add_one();
         let progress = WorkProgress::new(slot);
-        let result = self
-            .converse(pooled.stream(), &progress, body, answer, claim)
-            .await;
+        let result = self.converse(pooled.stream(), &progress, body, answer, claim).await;
         let was_overdue = progress.was_overdue.get();
         match result {
             Ok(reusable) => {
@@ -344,20 +323,11 @@
         answer: &EventSink,
         claim: Option<ClaimToken>,
     ) -> Result<bool, WorkFault> {
-        let overdue_after = self
-            .upstream
-            .health
-            .borrow()
-            .overdue_after(&self.head.route);
+        let overdue_after = self.upstream.health.borrow().overdue_after(&self.head.route);
         let HttpStream { reader, writer } = stream;
         let sent = Cell::new(false);
         let mut sending = std::pin::pin!(send_request(self, writer, body, &sent).fuse());
-        let relay = AnswerRelay {
-            work: self,
-            progress,
-            answer,
-            claim,
-        };
+        let relay = AnswerRelay { work: self, progress, answer, claim };
         let mut answering = std::pin::pin!(relay.run(reader).fuse());
         let mut cancelled = std::pin::pin!(body.cancelled().fuse());
         let mut late = std::pin::pin!(monoio::time::sleep(self.left()).fuse());
@@ -424,9 +394,7 @@
     let mut buffer = BytesMut::with_capacity(1024 + head.body.len());
     put_request(work, framing, &mut buffer);
     writer::put_piece(&mut buffer, framing, &head.body, head.last);
-    writer::flush(writer, &mut buffer)
-        .await
-        .map_err(|_| WorkFault::Broken)?;
+    writer::flush(writer, &mut buffer).await.map_err(|_| WorkFault::Broken)?;
     if head.last {
         sent.set(true);
         return Ok(());
@@ -466,11 +434,7 @@
         writer::put_field(buffer, &field.name, &field.value);
     }
     let left = work.left().as_millis().to_string();
-    writer::put_field(
-        buffer,
-        fields::DEADLINE.as_str().as_bytes(),
-        left.as_bytes(),
-    );
+    writer::put_field(buffer, fields::DEADLINE.as_str().as_bytes(), left.as_bytes());
     writer::put_framing(buffer, framing);
     let needs_length =
         framing == BodyFraming::Empty && matches!(head.method.as_str(), "POST" | "PUT" | "PATCH");
@@ -497,9 +461,7 @@
         let mut head = self.read_head(reader).await?;
         self.progress.head_seen.set(true);
         let now = self.work.state.now();
-        self.work
-            .upstream
-            .note_drain_word(head.headers.contains_key(fields::DRAIN), now);
+        self.work.upstream.note_drain_word(head.headers.contains_key(fields::DRAIN), now);
         let method = self.work.head.method.parse().unwrap_or(Method::GET);
         let framing = framing::of_response(&head, &method).map_err(|_| WorkFault::BadAnswer)?;
         let shed = head.status == StatusCode::SERVICE_UNAVAILABLE
@@ -589,11 +551,7 @@
 
     /// Notes the end of the work and frees its slot, so that the report tells of both.
     fn note_end(&self, failed: bool, took: Duration) {
-        let evidence = if failed {
-            WorkEvidence::Failed
-        } else {
-            WorkEvidence::Answered(took)
-        };
+        let evidence = if failed { WorkEvidence::Failed } else { WorkEvidence::Answered(took) };
         self.work.note(evidence, self.progress.was_overdue.get());
         self.progress.noted.set(true);
         drop(self.progress.slot.take());
@@ -612,10 +570,7 @@
             content_length: length,
             body: body.to_vec(),
             last,
-            report: self
-                .work
-                .upstream
-                .report(self.work.state, &self.work.head.route),
+            report: self.work.upstream.report(self.work.state, &self.work.head.route),
         };
         let sending = self.answer.send(StreamEvent::Head(answer));
         sending.await.map_err(|_| WorkFault::SinkGone)
@@ -633,10 +588,7 @@
             let piece = body.next(reader).await.map_err(|_| WorkFault::BadAnswer)?;
             let last = piece.is_none();
             if last {
-                self.note_end(
-                    failed,
-                    self.progress.started.elapsed().saturating_sub(waited),
-                );
+                self.note_end(failed, self.progress.started.elapsed().saturating_sub(waited));
             }
             let data = piece.unwrap_or_default();
             let before = Instant::now();
@@ -656,9 +608,7 @@
             None => return,
         };
         let media_type = head.headers.get(header::CONTENT_TYPE);
-        let media_type = media_type
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or("text/plain");
+        let media_type = media_type.and_then(|value| value.to_str().ok()).unwrap_or("text/plain");
         if let Ok(text) = std::str::from_utf8(body) {
             let answer = KeptAnswer {
                 status: head.status.as_u16(),
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -63,18 +63,13 @@
     pub fn configure(&self, server: &BackendServer, spec: &ServiceSpec) {
         self.slots.configure(server.slots, spec.queue);
         self.health.borrow_mut().set_prefer(spec.prefer);
-        self.pool
-            .configure(server.address, server.connections as usize);
+        self.pool.configure(server.address, server.connections as usize);
         *self.server.borrow_mut() = server.clone();
     }
 
     /// Takes in whether the backend server says that it is leaving.
     pub fn note_drain_word(&self, draining: bool, now: Duration) {
-        let until = if draining {
-            now + DRAIN_WORD_LIFE
-        } else {
-            Duration::ZERO
-        };
+        let until = if draining { now + DRAIN_WORD_LIFE } else { Duration::ZERO };
         self.draining_until.set(until);
     }
 
@@ -104,11 +99,7 @@
     fn tell(&self, change: Option<HealthChange>) {
         match change {
             None => {}
-            Some(HealthChange::Ejected {
-                reason,
-                sickness,
-                after,
-            }) => {
+            Some(HealthChange::Ejected { reason, sickness, after }) => {
                 metrics::EJECTIONS[reason as usize].add_one();
                 metrics::DETECTION_MS.add(after.as_millis() as u64);
                 tracing::warn!(
--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -92,11 +92,7 @@
     let mut buffer = BytesMut::with_capacity(512 + head.body.len());
     put_head(&mut buffer, status, &head, framing, request.close);
     if head.last {
-        let piece = if bare {
-            Bytes::new()
-        } else {
-            Bytes::from(head.body)
-        };
+        let piece = if bare { Bytes::new() } else { Bytes::from(head.body) };
         send(writer, &mut buffer, framing, piece, true).await?;
         return Ok(request.close);
     }
@@ -154,9 +150,7 @@
     let sending = writer::send_piece(writer, buffer, framing, piece, last);
     match monoio::time::timeout(WRITE_STALL, sending).await {
         Ok(result) => result,
-        Err(_) => Err(HttpError::TimedOut {
-            what: "a slow caller",
-        }),
+        Err(_) => Err(HttpError::TimedOut { what: "a slow caller" }),
     }
 }
 
@@ -172,9 +166,7 @@
                     return Ok(());
                 }
                 if head.body.len() > GATHERED_BYTES_MAX {
-                    return Err(HttpError::BodyTooLarge {
-                        allowed: GATHERED_BYTES_MAX as u64,
-                    });
+                    return Err(HttpError::BodyTooLarge { allowed: GATHERED_BYTES_MAX as u64 });
                 }
             }
             _ => return Err(HttpError::Truncated),
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -204,10 +204,7 @@
         let path = service.path(choice.index).clone();
         let sent = service.count_sent(choice.index);
         let exchange = if path.is_self {
-            Some(host::dispatch_local(
-                self.state,
-                self.head(choice, body_is_done),
-            ))
+            Some(host::dispatch_local(self.state, self.head(choice, body_is_done)))
         } else {
             path.note_used(self.state.now());
             match links::link_to(self.state, &path).await {
@@ -219,10 +216,7 @@
             self.excluded.push(choice.index);
             self.last = FailureOutcome::NotRun(NotRunReason::PeerUnreachable);
         }
-        exchange.map(|exchange| LiveExchange {
-            exchange,
-            _sent: sent,
-        })
+        exchange.map(|exchange| LiveExchange { exchange, _sent: sent })
     }
 
     fn head(&self, choice: UpstreamChoice, body_is_done: bool) -> DispatchHead {
@@ -280,9 +274,7 @@
 
     fn note_report(&self, index: usize, report: &LoadReport) {
         let route = &self.request.route.name;
-        self.request
-            .service
-            .note_report(index, route, report, self.state.now());
+        self.request.service.note_report(index, route, report, self.state.now());
     }
 
     /// Takes the first failure back: the same request failed on a second upstream, so the request
@@ -295,9 +287,7 @@
         let upstream = &self.request.service.entry.upstreams[index].name;
         let path = self.request.service.path(index);
         if path.is_self {
-            self.state
-                .host
-                .withdraw_failure(upstream, &self.request.route.name);
+            self.state.host.withdraw_failure(upstream, &self.request.route.name);
             return;
         }
         if let Some(link) = path.link() {
--- a/crates/daemon/src/ingress/caller.rs
+++ b/crates/daemon/src/ingress/caller.rs
@@ -97,9 +97,7 @@
 ) -> Result<Option<Parts>, HttpError> {
     let limits = state.options.head;
     if stream.reader.buffer.is_empty() {
-        let filling = stream
-            .reader
-            .fill_within(HEAD_READ_BYTES, limits.idle, "a request");
+        let filling = stream.reader.fill_within(HEAD_READ_BYTES, limits.idle, "a request");
         let mut filling = std::pin::pin!(filling.fuse());
         let mut stopping = std::pin::pin!(state.stopping.raised().fuse());
         // What was already sent is read first, so that a stop cuts no request that arrived.
--- a/crates/daemon/src/ingress/failure.rs
+++ b/crates/daemon/src/ingress/failure.rs
@@ -49,11 +49,7 @@
 
     /// Builds the failure of a request that is itself at fault.
     pub fn bad_request(status: StatusCode, message: impl ToString) -> Self {
-        Self {
-            status,
-            message: message.to_string(),
-            ..Self::not_run(NotRunReason::BadRequest)
-        }
+        Self { status, message: message.to_string(), ..Self::not_run(NotRunReason::BadRequest) }
     }
 
     /// Builds the failure of a request that can't be read, if the caller can still be told.
@@ -76,10 +72,7 @@
         put(header::CONTENT_LENGTH, &body.len().to_string());
         if let Some(wait) = self.retry_after {
             let seconds = wait.as_secs_f64().ceil() as u64;
-            put(
-                header::RETRY_AFTER,
-                &seconds.max(RETRY_AFTER_MIN).to_string(),
-            );
+            put(header::RETRY_AFTER, &seconds.max(RETRY_AFTER_MIN).to_string());
         }
         if let Some(allow) = &self.allow {
             put(header::ALLOW, allow);
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -97,13 +97,7 @@
             return AfterRequest::Abort;
         }
     }
-    match read_prefix(
-        stream,
-        &mut body,
-        request.deadline.saturating_sub(state.now()),
-    )
-    .await
-    {
+    match read_prefix(stream, &mut body, request.deadline.saturating_sub(state.now())).await {
         Ok(prefix) => request.prefix = prefix,
         Err(error) => return refuse_unreadable(stream, &method, &error).await,
     }
@@ -213,22 +207,16 @@
         route: &route.name,
         service: &route.rule.service,
     };
-    limits::admit(state, active, subject)
-        .await
-        .map_err(|wait| CallerFailure {
-            retry_after: Some(wait),
-            ..CallerFailure::not_run(NotRunReason::Limited)
-        })?;
+    limits::admit(state, active, subject).await.map_err(|wait| CallerFailure {
+        retry_after: Some(wait),
+        ..CallerFailure::not_run(NotRunReason::Limited)
+    })?;
     let service = state
         .services
         .get(state, active, &route.rule.service)
         .ok_or_else(|| CallerFailure::not_run(NotRunReason::NoUpstream))?;
     let timeout = caller_timeout(&route, &head)?;
-    let target = head
-        .uri
-        .path_and_query()
-        .map_or("/", |target| target.as_str())
-        .to_owned();
+    let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     forward_fields(&mut head, &host, from);
     Ok(CallerRequest {
         route,
@@ -251,10 +239,7 @@
     let bad = |message: &str| CallerFailure::bad_request(StatusCode::BAD_REQUEST, message);
     if head.method == Method::CONNECT {
         let message = "CONNECT is not served";
-        return Err(CallerFailure::bad_request(
-            StatusCode::NOT_IMPLEMENTED,
-            message,
-        ));
+        return Err(CallerFailure::bad_request(StatusCode::NOT_IMPLEMENTED, message));
     }
     let mut hosts = head.headers.get_all(header::HOST).iter();
     let field = hosts.next();
@@ -290,10 +275,7 @@
     head: &request::Parts,
     host: &str,
 ) -> Result<Rc<RouteEntry>, CallerFailure> {
-    match active
-        .routes
-        .find(host, head.uri.path(), head.method.as_str())
-    {
+    match active.routes.find(host, head.uri.path(), head.method.as_str()) {
         RouteMatch::Found(route) => Ok(route.clone()),
         RouteMatch::Missing => Err(CallerFailure::not_run(NotRunReason::NoRoute)),
         RouteMatch::WrongMethod(methods) => {
@@ -365,10 +347,7 @@
     fields::remove_hop_fields(headers);
     headers.remove(fields::DEADLINE);
     let address = from.ip().to_string();
-    let chain = match headers
-        .get(fields::FORWARDED_FOR)
-        .and_then(|value| value.to_str().ok())
-    {
+    let chain = match headers.get(fields::FORWARDED_FOR).and_then(|value| value.to_str().ok()) {
         Some(before) => format!("{before}, {address}"),
         None => address,
     };
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -65,21 +65,12 @@
     if active.limits.is_empty() {
         return Ok(());
     }
-    let mut keys = vec![
-        (LimitScope::Service, subject.service),
-        (LimitScope::Route, subject.route),
-    ];
-    keys.extend(
-        subject
-            .organisation
-            .map(|name| (LimitScope::Organisation, name)),
-    );
+    let mut keys = vec![(LimitScope::Service, subject.service), (LimitScope::Route, subject.route)];
+    keys.extend(subject.organisation.map(|name| (LimitScope::Organisation, name)));
     for (scope, target) in keys {
         let key = (config::scope_number(scope), Rc::from(target));
         for entry in active.limits.get(&key).into_iter().flatten() {
-            admit_one(state, entry)
-                .await
-                .inspect_err(|_| metrics::LIMITED.add_one())?;
+            admit_one(state, entry).await.inspect_err(|_| metrics::LIMITED.add_one())?;
         }
     }
     Ok(())
@@ -100,13 +91,11 @@
 impl LimitRole {
     fn check(&self, entry: &LimitEntry, now: Duration) -> LimitVerdict {
         let mut ledgers = self.ledgers.borrow_mut();
-        let known = ledgers
-            .entry(entry.name.clone())
-            .or_insert_with(|| LimitState {
-                ledger: LimitLedger::new(now),
-                asking: None,
-                ask_again_at: Duration::ZERO,
-            });
+        let known = ledgers.entry(entry.name.clone()).or_insert_with(|| LimitState {
+            ledger: LimitLedger::new(now),
+            asking: None,
+            ask_again_at: Duration::ZERO,
+        });
         let alone_is_over = known.ledger.is_alone() && now >= known.ask_again_at;
         if alone_is_over && known.asking.is_none() {
             return LimitVerdict::Ask(1.0);
@@ -148,12 +137,7 @@
 
 /// Asks the home for tokens; requests that come meanwhile wait for the same answer.
 async fn ask(state: &Rc<DaemonState>, entry: &LimitEntry, wanted: f64) {
-    let running = state
-        .limits
-        .ledgers
-        .borrow()
-        .get(&entry.name)
-        .and_then(|l| l.asking.clone());
+    let running = state.limits.ledgers.borrow().get(&entry.name).and_then(|l| l.asking.clone());
     if let Some(signal) = running {
         signal.raised().await;
         return;
@@ -197,9 +181,7 @@
             known.ledger.note_grant(granted, wait, now);
         }
         None => {
-            known
-                .ledger
-                .go_alone(entry.rule.rate, entry.rule.burst, daemons, now);
+            known.ledger.go_alone(entry.rule.rate, entry.rule.burst, daemons, now);
             known.ask_again_at = now + ALONE_FOR;
         }
     }
@@ -231,14 +213,8 @@
     let (sender, receiver) = oneshot::channel();
     state.limits.waiting.borrow_mut().insert(sequence, sender);
     let _guard = WaitingGuard { state, sequence };
-    let request = GrantRequest {
-        limit: limit.to_owned(),
-        wanted: OrderedFloat(wanted),
-        sequence,
-    };
-    link.sender()
-        .send(NO_EXCHANGE, FrameBody::GrantRequest(request))
-        .ok()?;
+    let request = GrantRequest { limit: limit.to_owned(), wanted: OrderedFloat(wanted), sequence };
+    link.sender().send(NO_EXCHANGE, FrameBody::GrantRequest(request)).ok()?;
     receiver.await.ok()
 }
 
@@ -250,11 +226,7 @@
 
 impl Drop for WaitingGuard<'_> {
     fn drop(&mut self) {
-        self.state
-            .limits
-            .waiting
-            .borrow_mut()
-            .remove(&self.sequence);
+        self.state.limits.waiting.borrow_mut().remove(&self.sequence);
     }
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,10 +3,7 @@
 
 //! `basaltarchd`: the daemon beside each backend server host.
 
-#![allow(
-    missing_docs,
-    reason = "the command-line macro makes items without doc comments"
-)]
+#![allow(missing_docs, reason = "the command-line macro makes items without doc comments")]
 
 use std::process;
 
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -123,9 +123,7 @@
     pub fn live_hosts(&self, state: &DaemonState) -> Vec<String> {
         let now = state.now();
         let members = self.members.borrow();
-        let live = members
-            .iter()
-            .filter(|(_, view)| self.state_of(view, now) == MemberState::Live);
+        let live = members.iter().filter(|(_, view)| self.state_of(view, now) == MemberState::Live);
         let mut hosts: Vec<String> = live.map(|(host, _)| host.clone()).collect();
         if !state.is_stopping() && !hosts.contains(&state.options.host) {
             hosts.push(state.options.host.clone());
@@ -164,19 +162,17 @@
             if entry.host == state.options.host {
                 continue;
             }
-            let view = members
-                .entry(entry.host.clone())
-                .or_insert_with(|| MemberView {
-                    failure_domain: entry.failure_domain.clone(),
-                    peer_address: entry.peer_address.clone(),
-                    admin_address: entry.admin_address.clone(),
-                    incarnation: 0,
-                    heard_at: now,
-                    leaving: false,
-                    listed_leaving: false,
-                    listed: false,
-                    revision: FleetRevision(0),
-                });
+            let view = members.entry(entry.host.clone()).or_insert_with(|| MemberView {
+                failure_domain: entry.failure_domain.clone(),
+                peer_address: entry.peer_address.clone(),
+                admin_address: entry.admin_address.clone(),
+                incarnation: 0,
+                heard_at: now,
+                leaving: false,
+                listed_leaving: false,
+                listed: false,
+                revision: FleetRevision(0),
+            });
             view.listed = true;
             view.listed_leaving = entry.state == HostState::Leaving;
             // What a daemon says of its own address counts more than the list, while it speaks.
@@ -221,9 +217,7 @@
             let age = Duration::from_millis(entry.age_ms.max(0) as u64);
             let heard_at = now.saturating_sub(age);
             let told = told_view(entry, heard_at);
-            let view = members
-                .entry(entry.host.clone())
-                .or_insert_with(|| told.clone());
+            let view = members.entry(entry.host.clone()).or_insert_with(|| told.clone());
             merge(view, told);
             tell_path(state, &entry.host, view);
         }
@@ -238,11 +232,7 @@
             .filter(|(host, view)| view.incarnation > 0 && !told.iter().any(|e| e.host == **host));
         let mut entries = vec![own_entry(state)];
         let chosen = others.sample(&mut rand::rng(), ENTRIES_MAX - 1);
-        entries.extend(
-            chosen
-                .into_iter()
-                .map(|(host, view)| entry_of(host, view, now)),
-        );
+        entries.extend(chosen.into_iter().map(|(host, view)| entry_of(host, view, now)));
         entries
     }
 
@@ -315,11 +305,7 @@
         peer_address: view.peer_address.clone(),
         admin_address: view.admin_address.clone(),
         incarnation: view.incarnation,
-        state: if view.leaving {
-            STATE_LEAVING
-        } else {
-            STATE_LIVE
-        },
+        state: if view.leaving { STATE_LEAVING } else { STATE_LIVE },
         age_ms: now.saturating_sub(view.heard_at).as_millis() as i64,
         revision: view.revision.0 as i64,
     }
@@ -332,11 +318,7 @@
         peer_address: state.options.peers.to_string(),
         admin_address: state.options.admin.to_string(),
         incarnation: state.identity.incarnation,
-        state: if state.is_stopping() {
-            STATE_LEAVING
-        } else {
-            STATE_LIVE
-        },
+        state: if state.is_stopping() { STATE_LEAVING } else { STATE_LIVE },
         age_ms: 0,
         revision: state.config.revision().0 as i64,
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -72,110 +72,46 @@
 }
 
 fn not_run_index(reason: NotRunReason) -> usize {
-    NOT_RUN_REASONS
-        .iter()
-        .position(|each| *each == reason)
-        .unwrap_or(0)
+    NOT_RUN_REASONS.iter().position(|each| *each == reason).unwrap_or(0)
 }
 
 fn unknown_index(reason: UnknownReason) -> usize {
-    UNKNOWN_REASONS
-        .iter()
-        .position(|each| *each == reason)
-        .unwrap_or(0)
+    UNKNOWN_REASONS.iter().position(|each| *each == reason).unwrap_or(0)
 }
 
 fn counter(name: &'static str, help: &'static str, cell: &'static CounterCell) -> MetricEntry {
-    MetricEntry {
-        name,
-        help,
-        label: None,
-        source: MetricSource::Counter(cell),
-    }
+    MetricEntry { name, help, label: None, source: MetricSource::Counter(cell) }
 }
 
 fn gauge(name: &'static str, help: &'static str, cell: &'static GaugeCell) -> MetricEntry {
-    MetricEntry {
-        name,
-        help,
-        label: None,
-        source: MetricSource::Gauge(cell),
-    }
+    MetricEntry { name, help, label: None, source: MetricSource::Gauge(cell) }
 }
 
 /// Lists every metric of the daemon.
 pub fn entries() -> Vec<MetricEntry> {
     let mut entries = vec![
         counter("requests", "Requests taken from callers.", &REQUESTS),
-        counter(
-            "complete",
-            "Complete answers passed on to callers.",
-            &COMPLETE,
-        ),
+        counter("complete", "Complete answers passed on to callers.", &COMPLETE),
         counter("dispatches", "Dispatches to upstreams.", &DISPATCHES),
-        counter(
-            "retries",
-            "Dispatches after the first of a request.",
-            &RETRIES,
-        ),
-        counter(
-            "retries_denied",
-            "Repeats that the budget did not allow.",
-            &RETRIES_DENIED,
-        ),
+        counter("retries", "Dispatches after the first of a request.", &RETRIES),
+        counter("retries_denied", "Repeats that the budget did not allow.", &RETRIES_DENIED),
         counter("worked", "Work sent to backend servers.", &WORKED),
-        counter(
-            "host_refused",
-            "Work refused by the host role.",
-            &HOST_REFUSED,
-        ),
+        counter("host_refused", "Work refused by the host role.", &HOST_REFUSED),
         counter("returns", "Returns of ejected upstreams.", &RETURNS),
-        counter(
-            "detection_ms",
-            "Sum of detection times in milliseconds.",
-            &DETECTION_MS,
-        ),
-        counter(
-            "floor_violations",
-            "Decisions below the floor; must be 0.",
-            &FLOOR_VIOLATIONS,
-        ),
-        counter(
-            "once_repeats",
-            "Attempts at once-only work already started.",
-            &ONCE_REPEATS,
-        ),
+        counter("detection_ms", "Sum of detection times in milliseconds.", &DETECTION_MS),
+        counter("floor_violations", "Decisions below the floor; must be 0.", &FLOOR_VIOLATIONS),
+        counter("once_repeats", "Attempts at once-only work already started.", &ONCE_REPEATS),
         counter("limited", "Requests refused by limits.", &LIMITED),
-        counter(
-            "grants_asked",
-            "Grants asked from homes of limits.",
-            &GRANTS_ASKED,
-        ),
-        counter(
-            "old_revisions",
-            "Older revisions that were refused.",
-            &OLD_REVISIONS,
-        ),
+        counter("grants_asked", "Grants asked from homes of limits.", &GRANTS_ASKED),
+        counter("old_revisions", "Older revisions that were refused.", &OLD_REVISIONS),
         counter("peer_bytes_sent", "Bytes sent to peers.", &PEER_BYTES_SENT),
-        counter(
-            "peer_bytes_received",
-            "Bytes received from peers.",
-            &PEER_BYTES_RECEIVED,
-        ),
-        counter(
-            "store_failures",
-            "Calls to the platform that failed.",
-            &STORE_FAILURES,
-        ),
+        counter("peer_bytes_received", "Bytes received from peers.", &PEER_BYTES_RECEIVED),
+        counter("store_failures", "Calls to the platform that failed.", &STORE_FAILURES),
         gauge("revision", "Revision in force.", &REVISION),
         gauge("members", "Live members known.", &MEMBERS),
         gauge("links", "Open links to peers.", &LINKS),
         gauge("in_flight", "Requests in flight from callers.", &IN_FLIGHT),
-        gauge(
-            "caller_connections",
-            "Callers' connections.",
-            &CALLER_CONNECTIONS,
-        ),
+        gauge("caller_connections", "Callers' connections.", &CALLER_CONNECTIONS),
     ];
     for (reason, cell) in NOT_RUN_REASONS.iter().zip(&NOT_RUN) {
         entries.push(MetricEntry {
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -155,13 +155,9 @@
 
 fn log_level(given: Option<String>) -> Result<String, SettingError> {
     let allowed = "error, warn, info, debug, trace, or a list by module";
-    settings::checked(
-        "log",
-        given,
-        "info".to_owned(),
-        allowed,
-        |level: &String| logs::is_valid(level),
-    )
+    settings::checked("log", given, "info".to_owned(), allowed, |level: &String| {
+        logs::is_valid(level)
+    })
 }
 
 fn count(
@@ -172,9 +168,7 @@
     most: u64,
 ) -> Result<u64, SettingError> {
     let allowed = format!("{least} to {most}");
-    settings::checked(flag, given, default, &allowed, |value| {
-        (least..=most).contains(value)
-    })
+    settings::checked(flag, given, default, &allowed, |value| (least..=most).contains(value))
 }
 
 fn millis(
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -192,10 +192,7 @@
 impl PeerTable {
     /// Builds the table of the daemon on `own`.
     pub fn new(own: &str) -> Self {
-        Self {
-            own: Rc::from(own),
-            paths: RefCell::default(),
-        }
+        Self { own: Rc::from(own), paths: RefCell::default() }
     }
 
     /// Returns the path to a host.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -54,9 +54,8 @@
 fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), DaemonError> {
     let bound = connection::bind(address);
     let listener = bound.map_err(|source| DaemonError::Listen { address, source })?;
-    let address = listener
-        .local_addr()
-        .map_err(|source| DaemonError::Listen { address, source })?;
+    let address =
+        listener.local_addr().map_err(|source| DaemonError::Listen { address, source })?;
     Ok((listener, address))
 }
 
@@ -67,11 +66,7 @@
     options.peers = address;
     let (admin, address) = listen(options.admin)?;
     options.admin = address;
-    Ok(DaemonListeners {
-        callers,
-        peers,
-        admin,
-    })
+    Ok(DaemonListeners { callers, peers, admin })
 }
 
 /// Runs a daemon to its end; `on_start` gets its state once it listens.
@@ -143,11 +138,7 @@
         let late = elapsed >= state.options.drain;
         if (busy == 0 && elapsed >= DRAIN_MIN) || twice || late {
             let report = StopReport { cut: busy };
-            tracing::info!(
-                cut = busy,
-                elapsed_ms = elapsed.as_millis() as u64,
-                "stopped"
-            );
+            tracing::info!(cut = busy, elapsed_ms = elapsed.as_millis() as u64, "stopped");
             return report;
         }
         monoio::time::sleep(DRAIN_LOOK).await;
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -58,9 +58,7 @@
             }
         }
         let made = Rc::new(ServiceState::new(state, entry.clone(), known.as_deref()));
-        self.services
-            .borrow_mut()
-            .insert(entry.name.clone(), made.clone());
+        self.services.borrow_mut().insert(entry.name.clone(), made.clone());
         Some(made)
     }
 
@@ -88,10 +86,7 @@
                 keep_view(known, &upstream.name, fresh)
             })
             .collect();
-        let hosts = entry
-            .upstreams
-            .iter()
-            .map(|upstream| upstream.server.host.as_str());
+        let hosts = entry.upstreams.iter().map(|upstream| upstream.server.host.as_str());
         Self {
             paths: hosts.map(|host| state.peers.path(host)).collect(),
             draining_until: entry.upstreams.iter().map(|_| Cell::default()).collect(),
@@ -139,11 +134,7 @@
     /// Takes a report of an upstream in.
     pub fn note_report(&self, index: usize, route: &Rc<str>, note: &LoadReport, now: Duration) {
         let (load, health) = wire::report_of(note);
-        let until = if load.draining {
-            now + DRAIN_WORD_LIFE
-        } else {
-            Duration::ZERO
-        };
+        let until = if load.draining { now + DRAIN_WORD_LIFE } else { Duration::ZERO };
         self.draining_until[index].set(until);
         let mut baselines = self.baselines.borrow_mut();
         if !baselines.contains_key(route) {
@@ -160,19 +151,13 @@
     /// Returns the baseline of a route.
     pub fn baseline(&self, route: &str) -> ServiceBaseline {
         let baselines = self.baselines.borrow();
-        baselines
-            .get(route)
-            .map(RouteBaseline::current)
-            .unwrap_or_default()
+        baselines.get(route).map(RouteBaseline::current).unwrap_or_default()
     }
 
     /// Notes that a request was sent to an upstream, for as long as the guard lives.
     pub fn count_sent(self: &Rc<Self>, index: usize) -> SentGuard {
         self.view.borrow_mut().note_sent(index);
-        SentGuard {
-            service: self.clone(),
-            index,
-        }
+        SentGuard { service: self.clone(), index }
     }
 
     /// Notes that a request came, which earns a part of a repeat.
@@ -200,19 +185,10 @@
         Some(known) => known,
         None => return fresh,
     };
-    let index = known
-        .entry
-        .upstreams
-        .iter()
-        .position(|upstream| &*upstream.name == name);
+    let index = known.entry.upstreams.iter().position(|upstream| &*upstream.name == name);
     let view = known.view.borrow();
     match index.and_then(|index| view.upstreams().get(index)) {
-        Some(old) => LoadView {
-            slots: fresh.slots,
-            is_local: fresh.is_local,
-            own: 0,
-            ..*old
-        },
+        Some(old) => LoadView { slots: fresh.slots, is_local: fresh.is_local, own: 0, ..*old },
         None => fresh,
     }
 }
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -160,9 +160,7 @@
             send_records(state, sender, records.iter().map(|record| &**record));
         }
     } else if theirs > ours {
-        let pull = ChangePull {
-            after: ours.0 as i64,
-        };
+        let pull = ChangePull { after: ours.0 as i64 };
         let _ = sender.send(NO_EXCHANGE, FrameBody::Pull(pull));
     }
 }
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -64,10 +64,8 @@
             options.store_reads,
             options.store_writes,
         ));
-        let identity = PeerIdentity {
-            host: options.host.clone(),
-            incarnation: units::wall_millis() as i64,
-        };
+        let identity =
+            PeerIdentity { host: options.host.clone(), incarnation: units::wall_millis() as i64 };
         Rc::new(Self {
             clock,
             identity,
@@ -99,9 +97,7 @@
     /// Counts work in flight for as long as the guard lives.
     pub fn count_in_flight(self: &Rc<Self>) -> InFlightGuard {
         self.in_flight.set(self.in_flight.get() + 1);
-        InFlightGuard {
-            state: self.clone(),
-        }
+        InFlightGuard { state: self.clone() }
     }
 }
 
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -66,9 +66,7 @@
 
     fn sickness(&self, now: Duration) -> f64 {
         let fresh = now.saturating_sub(self.reported_at) < SICK_REPORT_LIFE;
-        self.health
-            .filter(|_| fresh)
-            .map_or(0.0, |health| health.sickness)
+        self.health.filter(|_| fresh).map_or(0.0, |health| health.sickness)
     }
 
     /// Estimates the share of the slots in use at `now`.
@@ -91,9 +89,7 @@
             Some(health) => health,
             None => return busy,
         };
-        let time = (health.median_ln - median_ln)
-            .exp()
-            .clamp(QUICK_MIN, SLOW_MAX);
+        let time = (health.median_ln - median_ln).exp().clamp(QUICK_MIN, SLOW_MAX);
         let time = if health.samples == 0 { 1.0 } else { time };
         let distance = if self.is_local { 1.0 } else { REMOTE_WEIGHT };
         busy * time * distance / self.ramp(now, health)
@@ -242,10 +238,7 @@
         self.refresh(now);
         if !must_take && excluded.is_empty() {
             if let Some(index) = self.due_trial(now, repeatable) {
-                return Some(UpstreamChoice {
-                    index,
-                    refusable: true,
-                });
+                return Some(UpstreamChoice { index, refusable: true });
             }
         }
         let index = self
@@ -254,15 +247,10 @@
             })
             .filter(|index| self.upstreams[*index].load_share(now) < LOCAL_LOAD_MAX)
             .or_else(|| {
-                self.best(now, rng, |index, _| {
-                    self.in_service(index) && !excluded.contains(&index)
-                })
+                self.best(now, rng, |index, _| self.in_service(index) && !excluded.contains(&index))
             })?;
         let spare = self.plan.can_spare(self.upstreams[index].slots);
-        Some(UpstreamChoice {
-            index,
-            refusable: spare && !must_take,
-        })
+        Some(UpstreamChoice { index, refusable: spare && !must_take })
     }
 
     fn in_service(&self, index: usize) -> bool {
@@ -288,9 +276,8 @@
         eligible: impl Fn(usize, &LoadView) -> bool,
     ) -> Option<usize> {
         let count = self.upstreams.len();
-        let fits: Vec<usize> = (0..count)
-            .filter(|index| eligible(*index, &self.upstreams[*index]))
-            .collect();
+        let fits: Vec<usize> =
+            (0..count).filter(|index| eligible(*index, &self.upstreams[*index])).collect();
         if fits.is_empty() {
             return None;
         }
--- a/crates/decide/src/baseline.rs
+++ b/crates/decide/src/baseline.rs
@@ -32,14 +32,8 @@
         if report.samples < SAMPLES_MIN {
             return;
         }
-        let kept = KeptReport {
-            upstream,
-            report: *report,
-        };
-        let known = self
-            .reports
-            .iter()
-            .position(|each| each.upstream == upstream);
+        let kept = KeptReport { upstream, report: *report };
+        let known = self.reports.iter().position(|each| each.upstream == upstream);
         match known {
             Some(index) => self.reports[index] = kept,
             None if self.reports.len() < REPORTS_MAX => self.reports.push(kept),
--- a/crates/decide/src/detector.rs
+++ b/crates/decide/src/detector.rs
@@ -80,10 +80,7 @@
 impl SicknessDetector {
     /// Builds a detector that a healthy upstream sets off once in `exp(threshold)` requests.
     pub fn new(threshold: f64) -> Self {
-        Self {
-            sums: [0.0; EVIDENCE_KINDS.len()],
-            threshold,
-        }
+        Self { sums: [0.0; EVIDENCE_KINDS.len()], threshold }
     }
 
     /// Changes the threshold; what was learnt is kept.
@@ -105,14 +102,8 @@
 
     fn note_failure(&mut self, failed: bool, baseline: &ServiceBaseline) {
         let usual = usual_rate(baseline.failure_rate, FAILURE_RATE_MIN, baseline);
-        self.add(
-            EvidenceKind::Failing,
-            ratio(failed, usual, strong_rate(usual)),
-        );
-        self.add(
-            EvidenceKind::FailingPartly,
-            ratio(failed, usual, weak_rate(usual)),
-        );
+        self.add(EvidenceKind::Failing, ratio(failed, usual, strong_rate(usual)));
+        self.add(EvidenceKind::FailingPartly, ratio(failed, usual, weak_rate(usual)));
     }
 
     fn note_latency(&mut self, latency: Duration, was_overdue: bool, baseline: &ServiceBaseline) {
@@ -138,27 +129,15 @@
 
     fn add_overdue(&mut self, overdue: bool, baseline: &ServiceBaseline) {
         let usual = usual_rate(baseline.overdue_rate, OVERDUE_RATE_MIN, baseline);
-        self.add(
-            EvidenceKind::Overdue,
-            ratio(overdue, usual, strong_rate(usual)),
-        );
-        self.add(
-            EvidenceKind::OverduePartly,
-            ratio(overdue, usual, weak_rate(usual)),
-        );
+        self.add(EvidenceKind::Overdue, ratio(overdue, usual, strong_rate(usual)));
+        self.add(EvidenceKind::OverduePartly, ratio(overdue, usual, weak_rate(usual)));
     }
 
     /// Takes back a failure that followed the request to another upstream.
     pub fn withdraw_failure(&mut self, baseline: &ServiceBaseline) {
         let usual = usual_rate(baseline.failure_rate, FAILURE_RATE_MIN, baseline);
-        self.add(
-            EvidenceKind::Failing,
-            -ratio(true, usual, strong_rate(usual)),
-        );
-        self.add(
-            EvidenceKind::FailingPartly,
-            -ratio(true, usual, weak_rate(usual)),
-        );
+        self.add(EvidenceKind::Failing, -ratio(true, usual, strong_rate(usual)));
+        self.add(EvidenceKind::FailingPartly, -ratio(true, usual, weak_rate(usual)));
     }
 
     fn add(&mut self, kind: EvidenceKind, step: f64) {
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -169,17 +169,12 @@
         if !self.routes.contains_key(key) {
             self.routes.insert(Rc::from(key), RouteTrack::default());
         }
-        self.routes
-            .get_mut(key)
-            .unwrap_or_else(|| unreachable!("inserted above"))
+        self.routes.get_mut(key).unwrap_or_else(|| unreachable!("inserted above"))
     }
 
     /// Returns the last usable baseline of a route.
     pub fn baseline(&self, route: &str) -> ServiceBaseline {
-        let track = self
-            .routes
-            .get(route)
-            .or_else(|| self.routes.get(OTHER_ROUTES));
+        let track = self.routes.get(route).or_else(|| self.routes.get(OTHER_ROUTES));
         track.map(|track| track.baseline).unwrap_or_default()
     }
 
@@ -284,19 +279,11 @@
         self.reason = Some(reason);
         self.recovery.eject(now);
         let after = now.saturating_sub(self.rising_since.unwrap_or(now));
-        Some(HealthChange::Ejected {
-            reason,
-            sickness,
-            after,
-        })
+        Some(HealthChange::Ejected { reason, sickness, after })
     }
 
     fn stands_out(&self, sickness: f64) -> bool {
-        let needed = if self.siblings > SHARED_SICKNESS {
-            2.0
-        } else {
-            1.0
-        };
+        let needed = if self.siblings > SHARED_SICKNESS { 2.0 } else { 1.0 };
         sickness - self.siblings >= needed
     }
 
@@ -313,24 +300,16 @@
     /// Returns what the upstream was ejected for, or what speaks most against it.
     pub fn reason(&self) -> Option<EvidenceKind> {
         let rising = self.detector.sickness() > 0.0;
-        self.reason
-            .or_else(|| rising.then(|| self.detector.reason()))
+        self.reason.or_else(|| rising.then(|| self.detector.reason()))
     }
 
     /// Returns the report for a dispatch of `route`.
     pub fn report(&self, route: &str, now: Duration) -> HealthReport {
-        let track = self
-            .routes
-            .get(route)
-            .or_else(|| self.routes.get(OTHER_ROUTES));
+        let track = self.routes.get(route).or_else(|| self.routes.get(OTHER_ROUTES));
         let track = track.copied().unwrap_or_default();
         let sickness = self.detector.sickness();
         HealthReport {
-            sickness: if self.is_ejected() {
-                sickness.max(1.0)
-            } else {
-                sickness.min(0.99)
-            },
+            sickness: if self.is_ejected() { sickness.max(1.0) } else { sickness.min(0.99) },
             median_ln: track.latency.centre(),
             spread: track.latency.spread(),
             failure_rate: self.failures.rate(),
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -49,20 +49,12 @@
 impl TokenBucket {
     /// Builds a full bucket.
     pub fn new(rate: f64, burst: f64, now: Duration) -> Self {
-        Self {
-            rate,
-            burst,
-            tokens: burst,
-            filled_at: now,
-        }
+        Self { rate, burst, tokens: burst, filled_at: now }
     }
 
     /// Builds a bucket that starts empty: a new home must not grant a second burst.
     pub fn empty(rate: f64, burst: f64, now: Duration) -> Self {
-        Self {
-            tokens: 0.0,
-            ..Self::new(rate, burst, now)
-        }
+        Self { tokens: 0.0, ..Self::new(rate, burst, now) }
     }
 
     /// Changes rate and burst.
@@ -166,9 +158,7 @@
     }
 
     fn wanted(&self) -> f64 {
-        (self.pace * GRANT_LIFE.as_secs_f64() * ASK_AHEAD)
-            .ceil()
-            .max(ASK_MIN)
+        (self.pace * GRANT_LIFE.as_secs_f64() * ASK_AHEAD).ceil().max(ASK_MIN)
     }
 
     /// Takes the home's grant in; a grant of nothing refuses for `wait`.
@@ -178,11 +168,7 @@
             self.refused_until = now + wait;
             return;
         }
-        let kept = if now <= self.good_until {
-            self.borrowed
-        } else {
-            0.0
-        };
+        let kept = if now <= self.good_until { self.borrowed } else { 0.0 };
         self.borrowed = kept + granted;
         self.good_until = now + GRANT_LIFE;
     }
--- a/crates/decide/src/path.rs
+++ b/crates/decide/src/path.rs
@@ -89,8 +89,7 @@
     }
 
     fn is_cut(&self, now: Duration) -> bool {
-        self.asked_at
-            .is_some_and(|asked_at| now.saturating_sub(asked_at) > SILENCE_MAX)
+        self.asked_at.is_some_and(|asked_at| now.saturating_sub(asked_at) > SILENCE_MAX)
     }
 
     fn refresh(&mut self, now: Duration) {
--- a/crates/decide/src/recovery.rs
+++ b/crates/decide/src/recovery.rs
@@ -115,14 +115,8 @@
     pub fn start_trial(&mut self, now: Duration, repeatable: bool) -> bool {
         let patience = self.hold_off * (ANY_WORK_HOLD_OFFS - 1);
         match &mut self.state {
-            RecoveryState::Ejected {
-                trial_at, running, ..
-            } if !*running => {
-                let due = if repeatable {
-                    *trial_at
-                } else {
-                    *trial_at + patience
-                };
+            RecoveryState::Ejected { trial_at, running, .. } if !*running => {
+                let due = if repeatable { *trial_at } else { *trial_at + patience };
                 *running = now >= due;
                 *running
             }
@@ -133,12 +127,7 @@
     /// Takes the end of a trial in and says whether the upstream is back.
     pub fn end_trial(&mut self, now: Duration, verdict: TrialVerdict) -> bool {
         let (good, trial_at) = match &mut self.state {
-            RecoveryState::Ejected {
-                good,
-                trial_at,
-                running,
-                ..
-            } => {
+            RecoveryState::Ejected { good, trial_at, running, .. } => {
                 *running = false;
                 (good, trial_at)
             }
--- a/crates/decide/src/track.rs
+++ b/crates/decide/src/track.rs
@@ -31,11 +31,7 @@
 
 impl Default for LatencyTrack {
     fn default() -> Self {
-        Self {
-            centre: 0.0,
-            spread: SPREAD_START,
-            samples: 0,
-        }
+        Self { centre: 0.0, spread: SPREAD_START, samples: 0 }
     }
 }
 
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -66,11 +66,7 @@
             BodyFraming::Chunked => BodyState::ChunkSize,
             BodyFraming::UntilClose => BodyState::UntilClose,
         };
-        Self {
-            state,
-            limits,
-            total: 0,
-        }
+        Self { state, limits, total: 0 }
     }
 
     /// Says whether the whole body was given.
@@ -90,9 +86,7 @@
             if self.is_done() {
                 return Ok(None);
             }
-            let filled = reader
-                .fill_within(BODY_READ_BYTES, self.limits.idle, "the body")
-                .await?;
+            let filled = reader.fill_within(BODY_READ_BYTES, self.limits.idle, "the body").await?;
             if filled > 0 {
                 continue;
             }
@@ -151,9 +145,7 @@
         let count = most.min(buffer.len() as u64).min(BODY_READ_BYTES as u64);
         self.total += count;
         if self.total > self.limits.bytes {
-            return Err(HttpError::BodyTooLarge {
-                allowed: self.limits.bytes,
-            });
+            return Err(HttpError::BodyTooLarge { allowed: self.limits.bytes });
         }
         Ok(Some(buffer.split_to(count as usize).freeze()))
     }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -45,12 +45,7 @@
 impl HttpClient {
     /// Builds a client; each call takes at most `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Self {
-            address,
-            timeout,
-            limits: BodyLimits::default(),
-            idle: RefCell::default(),
-        }
+        Self { address, timeout, limits: BodyLimits::default(), idle: RefCell::default() }
     }
 
     /// Returns the address that requests go to.
@@ -152,10 +147,6 @@
     }
     let close =
         framing == BodyFraming::UntilClose || fields::wants_close(head.version, &head.headers);
-    let reply = ClientReply {
-        status: head.status,
-        headers: head.headers,
-        body: body.freeze(),
-    };
+    let reply = ClientReply { status: head.status, headers: head.headers, body: body.freeze() };
     Ok((reply, close))
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -35,10 +35,7 @@
         // Without this, small messages wait for the other side's acknowledgement.
         let _ = stream.set_nodelay(true);
         let (read, writer) = stream.into_split();
-        Self {
-            reader: ByteReader::new(read),
-            writer,
-        }
+        Self { reader: ByteReader::new(read), writer }
     }
 
     /// Connects to `address` for no longer than `limit`.
@@ -46,9 +43,7 @@
         match monoio::time::timeout(limit, TcpStream::connect_addr(address)).await {
             Ok(Ok(stream)) => Ok(Self::new(stream)),
             Ok(Err(source)) => Err(errors::broken(source)),
-            Err(_) => Err(HttpError::TimedOut {
-                what: "a connection",
-            }),
+            Err(_) => Err(HttpError::TimedOut { what: "a connection" }),
         }
     }
 }
--- a/crates/http/src/errors.rs
+++ b/crates/http/src/errors.rs
@@ -88,9 +88,7 @@
 
 /// Builds a [`HttpError::BadHead`].
 pub fn bad_head(message: impl ToString) -> HttpError {
-    HttpError::BadHead {
-        message: message.to_string(),
-    }
+    HttpError::BadHead { message: message.to_string() }
 }
 
 /// Builds a [`HttpError::Broken`].
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -36,9 +36,7 @@
 pub fn of_request(head: &request::Parts) -> Result<BodyFraming, HttpError> {
     if head.headers.contains_key(TRANSFER_ENCODING) {
         if head.version == Version::HTTP_10 {
-            return Err(HttpError::BadLength {
-                message: "Transfer-Encoding in HTTP/1.0",
-            });
+            return Err(HttpError::BadLength { message: "Transfer-Encoding in HTTP/1.0" });
         }
         require_chunked(&head.headers)?;
         return Ok(BodyFraming::Chunked);
@@ -74,9 +72,7 @@
 
 fn require_chunked(headers: &HeaderMap) -> Result<(), HttpError> {
     if headers.contains_key(CONTENT_LENGTH) {
-        return Err(HttpError::BadLength {
-            message: "both Content-Length and Transfer-Encoding",
-        });
+        return Err(HttpError::BadLength { message: "both Content-Length and Transfer-Encoding" });
     }
     let mut values = headers.get_all(TRANSFER_ENCODING).iter();
     let value = values.next().map(|value| value.as_bytes());
@@ -95,18 +91,12 @@
         None => return Ok(None),
     };
     if values.next().is_some() {
-        return Err(HttpError::BadLength {
-            message: "more than one Content-Length",
-        });
+        return Err(HttpError::BadLength { message: "more than one Content-Length" });
     }
     let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
-    let parsed = std::str::from_utf8(value)
-        .ok()
-        .and_then(|text| text.parse::<u64>().ok());
+    let parsed = std::str::from_utf8(value).ok().and_then(|text| text.parse::<u64>().ok());
     match parsed {
         Some(bytes) if digits && bytes <= i64::MAX as u64 => Ok(Some(bytes)),
-        _ => Err(HttpError::BadLength {
-            message: "Content-Length is not a number",
-        }),
+        _ => Err(HttpError::BadLength { message: "Content-Length is not a number" }),
     }
 }
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -71,9 +71,7 @@
     limits: &HeadLimits,
 ) -> Result<BytesMut, HttpError> {
     if reader.buffer.is_empty() {
-        let count = reader
-            .fill_within(HEAD_READ_BYTES, limits.idle, "a message")
-            .await;
+        let count = reader.fill_within(HEAD_READ_BYTES, limits.idle, "a message").await;
         match count {
             Ok(0) => return Err(HttpError::Closed),
             Ok(_) => {}
@@ -88,9 +86,7 @@
             return Ok(reader.buffer.split_to(end));
         }
         let left = limits.time.saturating_sub(start.elapsed());
-        let count = reader
-            .fill_within(HEAD_READ_BYTES, left, "the head")
-            .await?;
+        let count = reader.fill_within(HEAD_READ_BYTES, left, "the head").await?;
         if count == 0 {
             return Err(HttpError::Truncated);
         }
@@ -108,11 +104,7 @@
     let mut fields = 0;
     let mut line_start = 0;
     let most = buffer.len().min(limits.bytes);
-    for (index, _) in buffer[..most]
-        .iter()
-        .enumerate()
-        .filter(|(_, byte)| **byte == b'\n')
-    {
+    for (index, _) in buffer[..most].iter().enumerate().filter(|(_, byte)| **byte == b'\n') {
         if index == 0 || buffer[index - 1] != b'\r' {
             return Err(errors::bad_head("a line ends without a carriage return"));
         }
@@ -123,16 +115,12 @@
             fields += 1;
         }
         if fields > limits.fields {
-            return Err(HttpError::TooManyFields {
-                allowed: limits.fields,
-            });
+            return Err(HttpError::TooManyFields { allowed: limits.fields });
         }
         line_start = index + 1;
     }
     if buffer.len() >= limits.bytes {
-        return Err(HttpError::HeadTooLarge {
-            allowed: limits.bytes,
-        });
+        return Err(HttpError::HeadTooLarge { allowed: limits.bytes });
     }
     Ok(None)
 }
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -29,11 +29,7 @@
 impl<R: AsyncReadRent> ByteReader<R> {
     /// Builds a reader over `io`.
     pub fn new(io: R) -> Self {
-        Self {
-            io,
-            buffer: BytesMut::new(),
-            spare: None,
-        }
+        Self { io, buffer: BytesMut::new(), spare: None }
     }
 
     /// Reads at least one byte into the buffer; returns 0 at the end of the connection.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -82,11 +82,7 @@
 
     /// Builds a reply with a text body.
     pub fn text(status: StatusCode, text: impl Into<String>) -> Self {
-        Self::whole(
-            status,
-            "text/plain; charset=utf-8",
-            Bytes::from(text.into()),
-        )
+        Self::whole(status, "text/plain; charset=utf-8", Bytes::from(text.into()))
     }
 
     /// Builds a reply with a JSON body.
@@ -99,12 +95,7 @@
     pub fn whole(status: StatusCode, media_type: &'static str, body: Bytes) -> Self {
         let mut headers = HeaderMap::new();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(media_type));
-        Self {
-            status,
-            headers,
-            body: ReplyBody::Whole(body),
-            hang_up: false,
-        }
+        Self { status, headers, body: ReplyBody::Whole(body), hang_up: false }
     }
 
     /// Adds a header field; a value that can't stand in a head is left out.
@@ -152,11 +143,7 @@
         let close = fields::wants_close(request.head.version, &request.head.headers);
         let method = request.head.method.clone();
         let reply = handle(request).await;
-        if reply.hang_up
-            || write_reply(&mut stream, &method, reply, close)
-                .await
-                .is_err()
-            || close
+        if reply.hang_up || write_reply(&mut stream, &method, reply, close).await.is_err() || close
         {
             return;
         }
@@ -204,11 +191,7 @@
                 length => BodyFraming::Length(length),
             };
             writer::put_response_head(&mut buffer, reply.status, &reply.headers, framing, close);
-            let body = if method == Method::HEAD {
-                Bytes::new()
-            } else {
-                body
-            };
+            let body = if method == Method::HEAD { Bytes::new() } else { body };
             writer::send_piece(&mut stream.writer, &mut buffer, framing, body, true).await
         }
         ReplyBody::Stream(mut pieces) => {
@@ -220,11 +203,7 @@
                     writer::send_piece(&mut stream.writer, &mut buffer, framing, piece, false);
                 match monoio::time::timeout(STREAM_STALL, send).await {
                     Ok(result) => result?,
-                    Err(_) => {
-                        return Err(HttpError::TimedOut {
-                            what: "a slow reader",
-                        })
-                    }
+                    Err(_) => return Err(HttpError::TimedOut { what: "a slow reader" }),
                 }
             }
             writer::send_piece(&mut stream.writer, &mut buffer, framing, Bytes::new(), true).await
--- a/crates/peer/src/errors.rs
+++ b/crates/peer/src/errors.rs
@@ -67,7 +67,5 @@
 
 /// Builds a [`LinkError::Malformed`].
 pub fn malformed(message: impl ToString) -> LinkError {
-    LinkError::Malformed {
-        message: message.to_string(),
-    }
+    LinkError::Malformed { message: message.to_string() }
 }
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -37,22 +37,15 @@
     let start = buffer.len();
     buffer.put_u32(0);
     let mut output = TCompactOutputProtocol::new(buffer.writer());
-    frame
-        .write_to_out_protocol(&mut output)
-        .map_err(errors::malformed)?;
+    frame.write_to_out_protocol(&mut output).map_err(errors::malformed)?;
     output.flush().map_err(errors::malformed)?;
     let length = buffer.len() - start - LENGTH_BYTES;
     if length > FRAME_BYTES_MAX {
         buffer.truncate(start);
-        return Err(LinkError::FrameTooLong {
-            bytes: length,
-            allowed: FRAME_BYTES_MAX,
-        });
+        return Err(LinkError::FrameTooLong { bytes: length, allowed: FRAME_BYTES_MAX });
     }
     let mut place = &mut buffer[start..start + LENGTH_BYTES];
-    place
-        .write_all(&(length as u32).to_be_bytes())
-        .map_err(errors::malformed)?;
+    place.write_all(&(length as u32).to_be_bytes()).map_err(errors::malformed)?;
     Ok(())
 }
 
@@ -63,10 +56,7 @@
     }
     let length = u32::from_be_bytes([buffer[0], buffer[1], buffer[2], buffer[3]]) as usize;
     if length > FRAME_BYTES_MAX {
-        return Err(LinkError::FrameTooLong {
-            bytes: length,
-            allowed: FRAME_BYTES_MAX,
-        });
+        return Err(LinkError::FrameTooLong { bytes: length, allowed: FRAME_BYTES_MAX });
     }
     if buffer.len() < LENGTH_BYTES + length {
         return Ok(None);
@@ -110,11 +100,7 @@
 impl<R: AsyncReadRent> FrameReader<R> {
     /// Builds a reader over one half of a connection.
     pub fn new(io: R) -> Self {
-        Self {
-            io,
-            buffer: BytesMut::new(),
-            bytes_read: 0,
-        }
+        Self { io, buffer: BytesMut::new(), bytes_read: 0 }
     }
 
     /// Reads the next frame. Not to be dropped before it ends, or bytes read so far are lost.
--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -99,10 +99,7 @@
             ours: PROTOCOL_VERSION,
         });
     }
-    let mac = keyed(key, side, &ours, &theirs)
-        .finalize()
-        .into_bytes()
-        .to_vec();
+    let mac = keyed(key, side, &ours, &theirs).finalize().into_bytes().to_vec();
     write(writer, FrameBody::Proof(ProofNote { mac })).await?;
     let proof = match reader.next().await?.body {
         FrameBody::Proof(proof) => proof,
@@ -110,19 +107,12 @@
     };
     keyed(key, side.other(), &theirs, &ours)
         .verify_slice(&proof.mac)
-        .map_err(|_| LinkError::WrongKey {
-            host: theirs.host.clone(),
-        })?;
-    Ok(PeerIdentity {
-        host: theirs.host,
-        incarnation: theirs.incarnation,
-    })
+        .map_err(|_| LinkError::WrongKey { host: theirs.host.clone() })?;
+    Ok(PeerIdentity { host: theirs.host, incarnation: theirs.incarnation })
 }
 
 fn unexpected(body: &FrameBody) -> LinkError {
-    LinkError::Unexpected {
-        frame: frames::frame_name(body),
-    }
+    LinkError::Unexpected { frame: frames::frame_name(body) }
 }
 
 fn fresh_nonce() -> Vec<u8> {
@@ -149,7 +139,5 @@
     let mut buffer = bytes::BytesMut::new();
     frames::encode(&PeerFrame { exchange: 0, body }, &mut buffer)?;
     let (result, _) = writer.write_all(buffer).await;
-    result
-        .map(drop)
-        .map_err(|source| LinkError::Broken { source })
+    result.map(drop).map_err(|source| LinkError::Broken { source })
 }
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -49,11 +49,7 @@
 impl OutboundExchange {
     /// Builds an exchange; `cancel` runs when it is dropped before [`Self::finish`].
     pub fn new(body: EventSink, answer: Rc<EventPipe>, cancel: Box<dyn FnOnce()>) -> Self {
-        Self {
-            body,
-            answer,
-            cancel: Some(cancel),
-        }
+        Self { body, answer, cancel: Some(cancel) }
     }
 
     /// Marks the exchange as over, so that dropping it cancels nothing.
@@ -74,12 +70,7 @@
 impl DialledLink {
     /// Builds the dialling side of a link to `peer`.
     pub fn new(peer: PeerIdentity, sender: FrameSender) -> Rc<Self> {
-        Rc::new(Self {
-            peer,
-            sender,
-            exchanges: RefCell::default(),
-            next: Cell::new(1),
-        })
+        Rc::new(Self { peer, sender, exchanges: RefCell::default(), next: Cell::new(1) })
     }
 
     /// Returns the queue of the link.
@@ -99,17 +90,9 @@
         let position = self.sender.send(exchange, FrameBody::Dispatch(head))?;
         let answer = Rc::new(stream::remote_pipe(exchange, &self.sender));
         let credit = Rc::new(SendCredit::of_request());
-        let entry = DialledExchange {
-            answer: answer.clone(),
-            credit: credit.clone(),
-            position,
-        };
+        let entry = DialledExchange { answer: answer.clone(), credit: credit.clone(), position };
         self.exchanges.borrow_mut().insert(exchange, entry);
-        let body = EventSink::Remote(RemoteSink {
-            exchange,
-            sender: self.sender.clone(),
-            credit,
-        });
+        let body = EventSink::Remote(RemoteSink { exchange, sender: self.sender.clone(), credit });
         let link = self.clone();
         let cancel = Box::new(move || link.cancel(exchange));
         Ok(OutboundExchange::new(body, answer, cancel))
@@ -158,11 +141,7 @@
                 }
                 return Ok(());
             }
-            other => {
-                return Err(LinkError::Unexpected {
-                    frame: frames::frame_name(&other),
-                })
-            }
+            other => return Err(LinkError::Unexpected { frame: frames::frame_name(&other) }),
         };
         // An exchange that was given up is no longer known; its late answer goes nowhere.
         let mut exchanges = self.exchanges.borrow_mut();
@@ -193,11 +172,7 @@
 
 /// Builds the failure of an exchange without a load report.
 pub fn failure_of(outcome: FailureOutcome) -> ExchangeFailure {
-    ExchangeFailure {
-        outcome: outcome.wire_number(),
-        retry_after_ms: 0,
-        report: None,
-    }
+    ExchangeFailure { outcome: outcome.wire_number(), retry_after_ms: 0, report: None }
 }
 
 fn chunk_event(chunk: BodyChunk) -> StreamEvent {
@@ -232,11 +207,7 @@
 impl AcceptedLink {
     /// Builds the accepting side of a link from `peer`.
     pub fn new(peer: PeerIdentity, sender: FrameSender) -> Rc<Self> {
-        Rc::new(Self {
-            peer,
-            sender,
-            exchanges: Rc::default(),
-        })
+        Rc::new(Self { peer, sender, exchanges: Rc::default() })
     }
 
     /// Returns the queue of the link.
@@ -272,22 +243,11 @@
     fn open(&self, exchange: i64, head: DispatchHead) -> InboundExchange {
         let body = Rc::new(stream::remote_pipe(exchange, &self.sender));
         let credit = Rc::new(SendCredit::of_answer());
-        let entry = AcceptedExchange {
-            body: body.clone(),
-            credit: credit.clone(),
-        };
+        let entry = AcceptedExchange { body: body.clone(), credit: credit.clone() };
         self.exchanges.borrow_mut().insert(exchange, entry);
-        let answer = EventSink::Remote(RemoteSink {
-            exchange,
-            sender: self.sender.clone(),
-            credit,
-        });
-        InboundExchange {
-            exchange,
-            head,
-            body,
-            answer,
-        }
+        let answer =
+            EventSink::Remote(RemoteSink { exchange, sender: self.sender.clone(), credit });
+        InboundExchange { exchange, head, body, answer }
     }
 
     /// Forgets an exchange whose answer is over.
@@ -314,11 +274,7 @@
                 entry.credit.close();
                 let _ = entry.body.push(StreamEvent::Cancelled);
             }
-            other => {
-                return Err(LinkError::Unexpected {
-                    frame: frames::frame_name(&other),
-                })
-            }
+            other => return Err(LinkError::Unexpected { frame: frames::frame_name(&other) }),
         }
         Ok(())
     }
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -84,9 +84,7 @@
             writer: None,
             on_consumed,
         };
-        Self {
-            state: RefCell::new(state),
-        }
+        Self { state: RefCell::new(state) }
     }
 
     /// Keeps senders of body bytes waiting until [`Self::open_window`].
@@ -237,14 +235,8 @@
     }
 
     fn new(left: i64) -> Self {
-        let state = CreditState {
-            left,
-            closed: false,
-            waiter: None,
-        };
-        Self {
-            state: RefCell::new(state),
-        }
+        let state = CreditState { left, closed: false, waiter: None };
+        Self { state: RefCell::new(state) }
     }
 
     /// Adds credit that the receiver gave.
@@ -311,10 +303,7 @@
         loop {
             let part = data.split_to(data.len().min(CHUNK_BYTES_MAX));
             self.credit.take(part.len(), last).await?;
-            let chunk = BodyChunk {
-                data: part.to_vec(),
-                last: last && data.is_empty(),
-            };
+            let chunk = BodyChunk { data: part.to_vec(), last: last && data.is_empty() };
             self.post(FrameBody::Chunk(chunk))?;
             if data.is_empty() {
                 return Ok(());
@@ -323,10 +312,7 @@
     }
 
     fn post(&self, body: FrameBody) -> Result<(), StreamGone> {
-        self.sender
-            .send(self.exchange, body)
-            .map(drop)
-            .map_err(|_| StreamGone)
+        self.sender.send(self.exchange, body).map(drop).map_err(|_| StreamGone)
     }
 }
 
@@ -361,9 +347,7 @@
 pub fn remote_pipe(exchange: i64, sender: &FrameSender) -> EventPipe {
     let sender = sender.clone();
     EventPipe::new(Some(Box::new(move |bytes| {
-        let grant = CreditGrant {
-            bytes: bytes as i32,
-        };
+        let grant = CreditGrant { bytes: bytes as i32 };
         // A closed link ends the exchange by itself; there is nobody left to give credit to.
         let _ = sender.send(exchange, FrameBody::Credit(grant));
     })))
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -128,12 +128,7 @@
 
 impl Default for BackendOptions {
     fn default() -> Self {
-        Self {
-            service_time: Duration::ZERO,
-            spread: 0.3,
-            seed: 1,
-            name: "backend".to_owned(),
-        }
+        Self { service_time: Duration::ZERO, spread: 0.3, seed: 1, name: "backend".to_owned() }
     }
 }
 
@@ -174,10 +169,7 @@
 
     fn fails(&self, faults: &BackendFaults, path: &str) -> bool {
         path.starts_with(&faults.error_prefix)
-            && self
-                .rng
-                .borrow_mut()
-                .random_bool(faults.error_rate.clamp(0.0, 1.0))
+            && self.rng.borrow_mut().random_bool(faults.error_rate.clamp(0.0, 1.0))
     }
 }
 
@@ -196,10 +188,7 @@
 
 async fn serve_connection(stream: TcpStream, standin: &BackendStandin) -> Result<(), HttpError> {
     let mut stream = HttpStream::new(stream);
-    let limits = HeadLimits {
-        idle: Duration::from_secs(3600),
-        ..HeadLimits::default()
-    };
+    let limits = HeadLimits { idle: Duration::from_secs(3600), ..HeadLimits::default() };
     loop {
         let head = head::read_request(&mut stream.reader, &limits).await?;
         let framing = framing::of_request(&head)?;
@@ -328,10 +317,7 @@
     if faults.drain {
         headers.insert(fields::DRAIN, HeaderValue::from_static("1"));
     }
-    if let Some(length) = path
-        .strip_prefix("/bytes/")
-        .and_then(|text| text.parse().ok())
-    {
+    if let Some(length) = path.strip_prefix("/bytes/").and_then(|text| text.parse().ok()) {
         return answer_generated(stream, &headers, length, faults).await;
     }
     let body = match path {
@@ -342,22 +328,13 @@
 }
 
 fn wanted_status(path: &str) -> StatusCode {
-    let wanted = path
-        .strip_prefix("/status/")
-        .and_then(|text| text.parse::<u16>().ok());
-    wanted
-        .and_then(|code| StatusCode::from_u16(code).ok())
-        .unwrap_or(StatusCode::OK)
+    let wanted = path.strip_prefix("/status/").and_then(|text| text.parse::<u16>().ok());
+    wanted.and_then(|code| StatusCode::from_u16(code).ok()).unwrap_or(StatusCode::OK)
 }
 
 fn answer_text(standin: &BackendStandin, head: &request::Parts, status: StatusCode) -> Bytes {
     let id = fields::single(&head.headers, &REQUEST_ID).unwrap_or("-");
-    Bytes::from(format!(
-        "{} {} {} {id}\n",
-        standin.options.name,
-        status.as_u16(),
-        head.uri.path()
-    ))
+    Bytes::from(format!("{} {} {} {id}\n", standin.options.name, status.as_u16(), head.uri.path()))
 }
 
 async fn answer_whole(
@@ -377,11 +354,7 @@
         buffer.truncate(buffer.len() / 2);
         return writer::flush(&mut stream.writer, &mut buffer).await;
     }
-    let mut body = if bare || method == Method::HEAD {
-        Bytes::new()
-    } else {
-        body
-    };
+    let mut body = if bare || method == Method::HEAD { Bytes::new() } else { body };
     if faults.break_at == BreakPoint::InAnswerBody {
         body.truncate(body.len() / 2);
     }
@@ -429,14 +402,7 @@
     let mut buffer = BytesMut::new();
     let framing = BodyFraming::Length(text.len() as u64);
     writer::put_response_head(&mut buffer, status, &HeaderMap::new(), framing, false);
-    writer::send_piece(
-        &mut stream.writer,
-        &mut buffer,
-        framing,
-        Bytes::from(text),
-        true,
-    )
-    .await
+    writer::send_piece(&mut stream.writer, &mut buffer, framing, Bytes::from(text), true).await
 }
 
 fn control_reply(
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,10 +3,7 @@
 
 //! `basaltarch-standin`: stand-ins of the platform and of a backend server, for tests and the demo.
 
-#![allow(
-    missing_docs,
-    reason = "the command-line macro makes items without doc comments"
-)]
+#![allow(missing_docs, reason = "the command-line macro makes items without doc comments")]
 
 use std::net::SocketAddr;
 use std::process;
@@ -129,13 +126,10 @@
         })?,
         seed: settings::checked("seed", flags.seed, 1, "a number", any)?,
     };
-    let connections = settings::checked(
-        "connections",
-        flags.connections,
-        400,
-        "1 to 65536",
-        |count| (1..=65_536).contains(count),
-    )?;
+    let connections =
+        settings::checked("connections", flags.connections, 400, "1 to 65536", |count| {
+            (1..=65_536).contains(count)
+        })?;
     finish(runtime::run(async move {
         backend::serve(listen(address), BackendStandin::new(options), connections).await;
     }));
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -169,11 +169,7 @@
         };
         let age = Duration::from_millis(self.faults.borrow().reads_from_past_ms);
         let table = self.table.borrow();
-        let reply = if scan {
-            table.scan(&body, age)
-        } else {
-            table.read(&body, age)
-        };
+        let reply = if scan { table.scan(&body, age) } else { table.read(&body, age) };
         ServerReply::json(StatusCode::OK, &reply)
     }
 
@@ -230,10 +226,7 @@
 
     fn change_host(&self, method: &Method, host: &str, body: &[u8]) -> ServerReply {
         let mut states = self.hosts.borrow_mut();
-        let mut hosts = states
-            .last()
-            .map(|(_, hosts)| hosts.clone())
-            .unwrap_or_default();
+        let mut hosts = states.last().map(|(_, hosts)| hosts.clone()).unwrap_or_default();
         if method == Method::DELETE {
             hosts.remove(host);
         } else {
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -55,8 +55,7 @@
             if write["value"].is_null() {
                 self.rows.remove(&key);
             } else {
-                self.rows
-                    .insert(key, (self.version, write["value"].clone()));
+                self.rows.insert(key, (self.version, write["value"].clone()));
             }
         }
         if self.keep_past {
@@ -75,9 +74,7 @@
         let then = Instant::now().checked_sub(age);
         let old_enough = |at: &Instant| then.is_some_and(|then| *at <= then);
         let state = self.past.iter().rev().find(|(at, _)| old_enough(at));
-        state
-            .or(self.past.front())
-            .map_or(&self.rows, |(_, rows)| rows)
+        state.or(self.past.front()).map_or(&self.rows, |(_, rows)| rows)
     }
 
     /// Reads rows by key, as they were `age` ago.
--- a/crates/store/src/changes.rs
+++ b/crates/store/src/changes.rs
@@ -110,10 +110,7 @@
         revision: FleetRevision,
     ) -> Result<Vec<ChangeRecord>, StoreError> {
         let after = change_key(revision);
-        let rows = self
-            .platform
-            .scan(CHANGE_PREFIX, &after, SCAN_LIMIT)
-            .await?;
+        let rows = self.platform.scan(CHANGE_PREFIX, &after, SCAN_LIMIT).await?;
         rows.iter().map(|row| parse(&row.value)).collect()
     }
 
@@ -125,9 +122,7 @@
             None => return Ok(None),
         };
         match self.platform.get_object(&value.object).await? {
-            Some(content) => serde_json::from_slice(&content)
-                .map(Some)
-                .map_err(malformed),
+            Some(content) => serde_json::from_slice(&content).map(Some).map_err(malformed),
             None => Ok(None),
         }
     }
@@ -137,9 +132,7 @@
         let revision = config.revision();
         let object = format!("config-{:020}", revision.0);
         let content = serde_json::to_vec(&config.to_snapshot()).map_err(malformed)?;
-        self.platform
-            .put_object(&object, Bytes::from(content))
-            .await?;
+        self.platform.put_object(&object, Bytes::from(content)).await?;
         let rows = self.platform.read(vec![SNAPSHOT_KEY.to_owned()]).await?;
         let mut version = 0;
         if let Some(row) = rows.first() {
@@ -148,19 +141,10 @@
                 return Ok(());
             }
         }
-        let check = RowCheck {
-            key: SNAPSHOT_KEY.to_owned(),
-            version,
-        };
+        let check = RowCheck { key: SNAPSHOT_KEY.to_owned(), version };
         let value = json!(SnapshotValue { revision, object });
-        let write = RowWrite {
-            key: SNAPSHOT_KEY.to_owned(),
-            value: Some(value),
-        };
-        self.platform
-            .transact(vec![check], vec![write])
-            .await
-            .map(drop)
+        let write = RowWrite { key: SNAPSHOT_KEY.to_owned(), value: Some(value) };
+        self.platform.transact(vec![check], vec![write]).await.map(drop)
     }
 
     /// Brings `config` up to what the table holds; returns the changes that were new.
@@ -200,10 +184,7 @@
             let version = self.settle_head(config).await?;
             let record = plan_change(config, edits, author, &writer)?;
             if record.changes.is_empty() {
-                return Ok(ChangeRecord {
-                    revision: config.revision(),
-                    ..record
-                });
+                return Ok(ChangeRecord { revision: config.revision(), ..record });
             }
             match self.write(&record, version).await {
                 Ok(()) => {
@@ -231,24 +212,13 @@
     }
 
     async fn write(&self, record: &ChangeRecord, version: u64) -> Result<(), StoreError> {
-        let check = RowCheck {
-            key: HEAD_KEY.to_owned(),
-            version,
-        };
+        let check = RowCheck { key: HEAD_KEY.to_owned(), version };
         let head = RowWrite {
             key: HEAD_KEY.to_owned(),
-            value: Some(json!(HeadValue {
-                revision: record.revision
-            })),
-        };
-        let change = RowWrite {
-            key: change_key(record.revision),
-            value: Some(json!(record)),
+            value: Some(json!(HeadValue { revision: record.revision })),
         };
-        self.platform
-            .transact(vec![check], vec![head, change])
-            .await
-            .map(drop)
+        let change = RowWrite { key: change_key(record.revision), value: Some(json!(record)) };
+        self.platform.transact(vec![check], vec![head, change]).await.map(drop)
     }
 
     /// Finds out what became of a write whose answer was lost.
@@ -278,9 +248,7 @@
             };
             return settle_by_row(config, record, rows.first());
         }
-        Err(ChangeError::Unsettled {
-            writer: record.writer,
-        })
+        Err(ChangeError::Unsettled { writer: record.writer })
     }
 }
 
@@ -296,9 +264,7 @@
             Ok(record)
         }
         Some(_) => Err(ChangeError::Contended),
-        None => Err(ChangeError::Unsettled {
-            writer: record.writer,
-        }),
+        None => Err(ChangeError::Unsettled { writer: record.writer }),
     }
 }
 
@@ -339,9 +305,7 @@
     config: &FleetConfig,
     edit: &ResourceEdit,
 ) -> Result<Option<ResourceChange>, ResourceError> {
-    let before = config
-        .get(edit.kind, &edit.name)
-        .map(|stored| stored.value.to_json());
+    let before = config.get(edit.kind, &edit.name).map(|stored| stored.value.to_json());
     let after = match &edit.value {
         Some(value) => Some(ResourceValue::try_new(edit.kind, &edit.name, value)?.to_json()),
         None => None,
@@ -391,7 +355,5 @@
 }
 
 fn malformed(message: impl ToString) -> StoreError {
-    StoreError::Malformed {
-        message: message.to_string(),
-    }
+    StoreError::Malformed { message: message.to_string() }
 }
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -52,10 +52,7 @@
     /// to look like another's.
     pub fn row_key(&self) -> String {
         let parts = [&self.service, &self.organisation, &self.key];
-        format!(
-            "{LEDGER_PREFIX}{}",
-            digest(parts.iter().map(|part| part.as_bytes()))
-        )
+        format!("{LEDGER_PREFIX}{}", digest(parts.iter().map(|part| part.as_bytes())))
     }
 }
 
@@ -66,11 +63,7 @@
         hasher.update((part.len() as u64).to_be_bytes());
         hasher.update(part);
     }
-    hasher
-        .finalize()
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
+    hasher.finalize().iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
 /// `KeptAnswer` is the answer to once-only work, kept for later attempts.
@@ -194,14 +187,8 @@
     /// When the platform does not answer, the row may stay; a later attempt is then told that the
     /// work was started, and it runs no second time.
     pub async fn release(&self, token: ClaimToken) {
-        let check = RowCheck {
-            key: token.row_key.clone(),
-            version: token.version,
-        };
-        let write = RowWrite {
-            key: token.row_key,
-            value: None,
-        };
+        let check = RowCheck { key: token.row_key.clone(), version: token.version };
+        let write = RowWrite { key: token.row_key, value: None };
         self.transactions.set(self.transactions.get() + 1);
         if let Err(error) = self.platform.transact(vec![check], vec![write]).await {
             tracing::warn!(%error, "the row of once-only work that did not run stays");
@@ -269,19 +256,12 @@
     /// Writes a group and answers its claims; returns whether the platform answered.
     async fn write_group(&self, group: Vec<WaitingClaim>) -> bool {
         let checks = group.iter().map(|claim| absent(&claim.row_key)).collect();
-        let writes = group
-            .iter()
-            .map(|claim| put(&claim.row_key, &claim.entry))
-            .collect();
+        let writes = group.iter().map(|claim| put(&claim.row_key, &claim.entry)).collect();
         self.transactions.set(self.transactions.get() + 1);
         match self.platform.transact(checks, writes).await {
             Ok(version) => {
                 for claim in group {
-                    let token = ClaimToken {
-                        row_key: claim.row_key,
-                        version,
-                        entry: claim.entry,
-                    };
+                    let token = ClaimToken { row_key: claim.row_key, version, entry: claim.entry };
                     self.grant(claim.reply, token);
                 }
                 true
@@ -343,10 +323,7 @@
         let mut checks = Vec::with_capacity(group.len());
         let mut writes = Vec::with_capacity(group.len());
         for (token, answer) in group {
-            checks.push(RowCheck {
-                key: token.row_key.clone(),
-                version: token.version,
-            });
+            checks.push(RowCheck { key: token.row_key.clone(), version: token.version });
             let mut entry = token.entry;
             entry.answer = Some(answer);
             writes.push(put(&token.row_key, &entry));
@@ -382,15 +359,9 @@
 }
 
 fn absent(key: &str) -> RowCheck {
-    RowCheck {
-        key: key.to_owned(),
-        version: 0,
-    }
+    RowCheck { key: key.to_owned(), version: 0 }
 }
 
 fn put(key: &str, entry: &LedgerEntry) -> RowWrite {
-    RowWrite {
-        key: key.to_owned(),
-        value: Some(json!(entry)),
-    }
+    RowWrite { key: key.to_owned(), value: Some(json!(entry)) }
 }
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -37,11 +37,7 @@
 
 impl CallBudget {
     fn new(rate: f64) -> Self {
-        Self {
-            rate,
-            tokens: rate.max(1.0),
-            filled_at: Instant::now(),
-        }
+        Self { rate, tokens: rate.max(1.0), filled_at: Instant::now() }
     }
 
     fn take(&mut self) -> bool {
@@ -87,9 +83,7 @@
         let reply = self.post(wire::TRANSACT_PATH, &request).await?;
         if reply.status == StatusCode::CONFLICT {
             let conflict: ConflictReply = parse(&reply)?;
-            return Err(StoreError::Conflict {
-                rows: conflict.conflicts,
-            });
+            return Err(StoreError::Conflict { rows: conflict.conflicts });
         }
         let reply: TransactReply = parse(&accepted(reply)?)?;
         Ok(reply.version)
@@ -111,11 +105,7 @@
         limit: usize,
     ) -> Result<Vec<TableRow>, StoreError> {
         self.take_read()?;
-        let request = ScanRequest {
-            prefix: prefix.to_owned(),
-            after: after.to_owned(),
-            limit,
-        };
+        let request = ScanRequest { prefix: prefix.to_owned(), after: after.to_owned(), limit };
         let reply = self.post(wire::SCAN_PATH, &request).await?;
         let reply: RowsReply = parse(&accepted(reply)?)?;
         Ok(reply.rows)
@@ -124,9 +114,7 @@
     /// Reads the host list.
     pub async fn hosts(&self) -> Result<HostList, StoreError> {
         self.take_read()?;
-        let reply = self
-            .call(Method::GET, wire::HOSTS_PATH, Bytes::new())
-            .await?;
+        let reply = self.call(Method::GET, wire::HOSTS_PATH, Bytes::new()).await?;
         parse(&accepted(reply)?)
     }
 
@@ -160,9 +148,8 @@
     }
 
     async fn post(&self, target: &str, body: &impl Serialize) -> Result<ClientReply, StoreError> {
-        let body = serde_json::to_vec(body).map_err(|error| StoreError::Unreachable {
-            message: error.to_string(),
-        })?;
+        let body = serde_json::to_vec(body)
+            .map_err(|error| StoreError::Unreachable { message: error.to_string() })?;
         self.call(Method::POST, target, Bytes::from(body)).await
     }
 
@@ -172,21 +159,14 @@
         target: &str,
         body: Bytes,
     ) -> Result<ClientReply, StoreError> {
-        let result = self
-            .client
-            .call(method, target, HeaderMap::new(), body)
-            .await;
+        let result = self.client.call(method, target, HeaderMap::new(), body).await;
         result.map_err(|error| match error {
             HttpError::Broken { ref source }
                 if source.kind() == std::io::ErrorKind::ConnectionRefused =>
             {
-                StoreError::Unreachable {
-                    message: error.to_string(),
-                }
+                StoreError::Unreachable { message: error.to_string() }
             }
-            other => StoreError::AnswerLost {
-                message: other.to_string(),
-            },
+            other => StoreError::AnswerLost { message: other.to_string() },
         })
     }
 }
@@ -195,15 +175,12 @@
     if reply.status.is_success() {
         return Ok(reply);
     }
-    Err(StoreError::Refused {
-        status: reply.status.as_u16(),
-    })
+    Err(StoreError::Refused { status: reply.status.as_u16() })
 }
 
 fn parse<T: DeserializeOwned>(reply: &ClientReply) -> Result<T, StoreError> {
-    serde_json::from_slice(&reply.body).map_err(|error| StoreError::Malformed {
-        message: error.to_string(),
-    })
+    serde_json::from_slice(&reply.body)
+        .map_err(|error| StoreError::Malformed { message: error.to_string() })
 }
 
 /// `RetryPause` spaces calls after failures, doubling and jittered, so that a fleet does not come
@@ -223,10 +200,7 @@
 impl RetryPause {
     /// Builds pauses of at most `most`.
     pub fn up_to(most: Duration) -> Self {
-        Self {
-            current: PAUSE_MIN,
-            most,
-        }
+        Self { current: PAUSE_MIN, most }
     }
 
     /// Returns the next pause: between half and all of a time that doubles.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -101,19 +101,14 @@
         .with_registry(registry.clone())
         .without_target_info()
         .build()
-        .map_err(|error| StartError::Metrics {
-            message: error.to_string(),
-        })?;
+        .map_err(|error| StartError::Metrics { message: error.to_string() })?;
     let provider = SdkMeterProvider::builder().with_reader(exporter).build();
     let meter = provider.meter("basaltarch");
     let mut names: Vec<&'static str> = entries.iter().map(|entry| entry.name).collect();
     names.dedup();
     for name in names {
-        let same: Vec<MetricEntry> = entries
-            .iter()
-            .filter(|entry| entry.name == name)
-            .copied()
-            .collect();
+        let same: Vec<MetricEntry> =
+            entries.iter().filter(|entry| entry.name == name).copied().collect();
         register(&meter, name, same);
     }
     let _ = REGISTRY.set((registry, provider));
@@ -154,11 +149,7 @@
 }
 
 fn labels(entry: &MetricEntry) -> Vec<KeyValue> {
-    entry
-        .label
-        .iter()
-        .map(|(key, value)| KeyValue::new(*key, *value))
-        .collect()
+    entry.label.iter().map(|(key, value)| KeyValue::new(*key, *value)).collect()
 }
 
 /// Returns all metrics as text for Prometheus.
