Test the HTTP edge against a fleet of processes

Cause: nothing of the edge was covered. Change: a harness (stand-ins in threads, daemons as processes, a forwarding fake, a blocking client) and the edge's table of bad inputs, pipelining, bodiless answers, streaming with bounded memory, cancelling.

--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -53,8 +53,8 @@
         "revision": state.config.revision(),
         "in_force_since": units::format_utc(units::wall_millis().saturating_sub(in_force_for)),
         "heard_ms_ago": 0,
-        "peer_address": state.options.peers.to_string(),
-        "admin_address": state.options.admin.to_string(),
+        "peer_address": state.options.peer_address().to_string(),
+        "admin_address": state.options.admin_address().to_string(),
     })
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -28,6 +28,12 @@
             optional --peers address: String
             /// Address for operators [BASALTARCH_ADMIN], default 127.0.0.1:0.
             optional --admin address: String
+            /// Address at which other daemons reach this one, if not the one it listens on
+            /// [BASALTARCH_ADVERTISE_PEERS].
+            optional --advertise-peers address: String
+            /// Address at which operators reach this daemon, if not the one it listens on
+            /// [BASALTARCH_ADVERTISE_ADMIN].
+            optional --advertise-admin address: String
             /// Address of the platform [BASALTARCH_PLATFORM].
             optional --platform address: String
             /// Key shared by all daemons, at least 16 characters [BASALTARCH_FLEET_KEY].
@@ -87,6 +93,8 @@
         callers: flags.callers,
         peers: flags.peers,
         admin: flags.admin,
+        advertise_peers: flags.advertise_peers,
+        advertise_admin: flags.advertise_admin,
         platform: flags.platform,
         fleet_key: flags.fleet_key,
         admin_token: flags.admin_token,
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -315,8 +315,8 @@
     MemberEntry {
         host: state.options.host.clone(),
         failure_domain: state.options.failure_domain.clone(),
-        peer_address: state.options.peers.to_string(),
-        admin_address: state.options.admin.to_string(),
+        peer_address: state.options.peer_address().to_string(),
+        admin_address: state.options.admin_address().to_string(),
         incarnation: state.identity.incarnation,
         state: if state.is_stopping() { STATE_LEAVING } else { STATE_LIVE },
         age_ms: 0,
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -53,6 +53,10 @@
     pub body_bytes: Option<String>,
     /// Longest wait for the next piece of a body in milliseconds.
     pub body_idle_ms: Option<String>,
+    /// Address at which other daemons reach this one.
+    pub advertise_peers: Option<String>,
+    /// Address at which operators reach this daemon.
+    pub advertise_admin: Option<String>,
     /// Reads of the platform a second over the whole fleet.
     pub store_reads: Option<String>,
     /// Writes to the platform a second by this daemon.
@@ -72,6 +76,10 @@
     pub peers: SocketAddr,
     /// Address for operators.
     pub admin: SocketAddr,
+    /// Address at which other daemons reach this one, if not the one it listens on.
+    pub advertise_peers: Option<SocketAddr>,
+    /// Address at which operators reach this daemon, if not the one it listens on.
+    pub advertise_admin: Option<SocketAddr>,
     /// Address of the platform.
     pub platform: SocketAddr,
     /// Key shared by all daemons.
@@ -104,6 +112,8 @@
             callers: address("callers", raw.callers)?,
             peers: address("peers", raw.peers)?,
             admin: address("admin", raw.admin)?,
+            advertise_peers: advertised("advertise-peers", raw.advertise_peers)?,
+            advertise_admin: advertised("advertise-admin", raw.advertise_admin)?,
             host: name("host", raw.host)?,
             failure_domain: name("failure-domain", raw.failure_domain)?,
             platform: settings::required("platform", raw.platform, ADDRESS_ALLOWED)?,
@@ -126,6 +136,20 @@
             store_writes: count("store-writes", raw.store_writes, 50, 1, 100_000)? as f64,
         })
     }
+
+    /// Returns the address at which other daemons reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.advertise_peers.unwrap_or(self.peers)
+    }
+
+    /// Returns the address at which operators reach this daemon.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.advertise_admin.unwrap_or(self.admin)
+    }
+}
+
+fn advertised(flag: &str, given: Option<String>) -> Result<Option<SocketAddr>, SettingError> {
+    settings::optional(flag, given, ADDRESS_ALLOWED)
 }
 
 fn name(flag: &str, given: Option<String>) -> Result<String, SettingError> {
--- /dev/null
+++ b/crates/daemon/tests/common/forwarder.rs
@@ -0,0 +1,101 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! A forwarding fake between two processes, whose directions can be cut one by one.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// The state that tests switch.
+#[derive(Default)]
+pub struct Cuts {
+    /// Nothing passes from the side that connected.
+    pub forward: AtomicBool,
+    /// Nothing passes back to the side that connected.
+    pub back: AtomicBool,
+    /// New connections are closed at once.
+    pub refuse: AtomicBool,
+}
+
+/// A forwarder; connections stay open while a direction is cut, as on a network.
+pub struct Forwarder {
+    pub address: SocketAddr,
+    pub cuts: Arc<Cuts>,
+    target: Arc<Mutex<Option<SocketAddr>>>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Forwarder {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("bind");
+        let forwarder = Self {
+            address: listener.local_addr().expect("address"),
+            cuts: Arc::default(),
+            target: Arc::default(),
+            open: Arc::default(),
+        };
+        let cuts = forwarder.cuts.clone();
+        let target = forwarder.target.clone();
+        let open = forwarder.open.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let address = *target.lock().expect("lock");
+                if let (Some(address), false) = (address, cuts.refuse.load(Ordering::SeqCst)) {
+                    join(stream, address, &cuts, &open);
+                }
+            }
+        });
+        forwarder
+    }
+
+    pub fn forward_to(&self, target: SocketAddr) {
+        *self.target.lock().expect("lock") = Some(target);
+    }
+
+    /// Closes every connection.
+    pub fn break_all(&self) {
+        for stream in self.open.lock().expect("lock").drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+fn join(near: TcpStream, address: SocketAddr, cuts: &Arc<Cuts>, open: &Arc<Mutex<Vec<TcpStream>>>) {
+    let far = match TcpStream::connect(address) {
+        Ok(far) => far,
+        Err(_) => return,
+    };
+    let mut list = open.lock().expect("lock");
+    list.push(near.try_clone().expect("clone"));
+    list.push(far.try_clone().expect("clone"));
+    let (near_read, far_write) =
+        (near.try_clone().expect("clone"), far.try_clone().expect("clone"));
+    let forward = cuts.clone();
+    let back = cuts.clone();
+    thread::spawn(move || pump(near_read, far_write, || forward.forward.load(Ordering::SeqCst)));
+    thread::spawn(move || pump(far, near, || back.back.load(Ordering::SeqCst)));
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, is_cut: impl Fn() -> bool) {
+    let mut piece = [0; 16384];
+    loop {
+        let count = match from.read(&mut piece) {
+            Ok(count) if count > 0 => count,
+            _ => break,
+        };
+        while is_cut() {
+            thread::sleep(PAUSE);
+        }
+        if to.write_all(&piece[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(std::net::Shutdown::Both);
+    let _ = from.shutdown(std::net::Shutdown::Both);
+}
--- /dev/null
+++ b/crates/daemon/tests/edge.rs
@@ -0,0 +1,243 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The HTTP edge: bad inputs each with its answer, framing, pipelining, streaming, back-pressure.
+
+mod common;
+
+use std::fs;
+use std::io::{Read, Write};
+
+use common::{client, FleetPlan, TestFleet};
+use serde_json::json;
+use test_case::test_case;
+
+fn small_fleet() -> TestFleet {
+    let flags = vec![("head-ms", "400"), ("body-idle-ms", "400"), ("body-bytes", "2000000000")];
+    TestFleet::start(&FleetPlan { daemon_flags: flags, ..FleetPlan::default() })
+}
+
+#[test]
+fn verify_each_bad_input_has_its_answer() {
+    let many_fields = (0..70).map(|i| format!("x-{i}: 1\r\n")).collect::<String>();
+    let long = "y".repeat(20_000);
+    let host = "Host: solver.example\r\n";
+    let table: Vec<(&str, String, u16)> = vec![
+        ("CL with TE", format!("POST / HTTP/1.1\r\n{host}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc"), 400),
+        ("two CLs", format!("POST / HTTP/1.1\r\n{host}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc"), 400),
+        ("two equal CLs", format!("POST / HTTP/1.1\r\n{host}Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"), 400),
+        ("CL with sign", format!("POST / HTTP/1.1\r\n{host}Content-Length: +3\r\n\r\nabc"), 400),
+        ("unknown coding", format!("POST / HTTP/1.1\r\n{host}Transfer-Encoding: gzip, chunked\r\n\r\n"), 501),
+        ("TE in HTTP/1.0", format!("POST / HTTP/1.0\r\n{host}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 400),
+        ("bad chunk size", format!("POST / HTTP/1.1\r\n{host}Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"), 400),
+        ("bad chunk end", format!("POST / HTTP/1.1\r\n{host}Transfer-Encoding: chunked\r\n\r\n3\r\nabcX\r\n0\r\n\r\n"), 400),
+        ("huge chunk size", format!("POST / HTTP/1.1\r\n{host}Transfer-Encoding: chunked\r\n\r\nffffffffffffffff1\r\n"), 400),
+        ("head too large", format!("GET / HTTP/1.1\r\n{host}x: {long}\r\n\r\n"), 431),
+        ("too many fields", format!("GET / HTTP/1.1\r\n{host}{many_fields}\r\n"), 431),
+        ("bare LF", "GET / HTTP/1.1\nHost: solver.example\n\n".to_owned(), 400),
+        ("bare LF within", format!("GET / HTTP/1.1\r\n{host}a: b\nc: d\r\n\r\n"), 400),
+        ("space before colon", format!("GET / HTTP/1.1\r\n{host}a : b\r\n\r\n"), 400),
+        ("folded field", format!("GET / HTTP/1.1\r\n{host}a: b\r\n c\r\n\r\n"), 400),
+        ("no host", "GET / HTTP/1.1\r\n\r\n".to_owned(), 400),
+        ("two hosts", format!("GET / HTTP/1.1\r\n{host}{host}\r\n"), 400),
+        ("unknown host", "GET / HTTP/1.1\r\nHost: nowhere\r\n\r\n".to_owned(), 404),
+        ("authority target", format!("GET solver.example:80 HTTP/1.1\r\n{host}\r\n"), 400),
+        ("CONNECT", format!("CONNECT solver.example:80 HTTP/1.1\r\n{host}\r\n"), 501),
+        ("absolute target", "GET http://solver.example/x HTTP/1.1\r\nHost: other\r\n\r\n".to_owned(), 200),
+        ("host with port", "GET / HTTP/1.1\r\nHost: Solver.Example:8080\r\n\r\n".to_owned(), 200),
+        ("not HTTP", "\x16\x03\x01\x02\r\n\r\n".to_owned(), 400),
+        ("slow head", format!("GET / HTTP/1.1\r\n{host}"), 408),
+        ("slow body", format!("POST / HTTP/1.1\r\n{host}Content-Length: 10\r\n\r\nabc"), 408),
+        ("unknown organisation", format!("GET / HTTP/1.1\r\n{host}Basaltarch-Organisation: who\r\n\r\n"), 403),
+        ("bad deadline", format!("GET / HTTP/1.1\r\n{host}Basaltarch-Deadline-Ms: soon\r\n\r\n"), 400),
+        ("empty lines first", format!("\r\n\r\nGET / HTTP/1.1\r\n{host}\r\n"), 200),
+    ];
+    let fleet = small_fleet();
+    for (case, text, status) in table {
+        let reply = client::raw(fleet.daemons[0].callers, text.as_bytes());
+        let reply = reply.unwrap_or_else(|| panic!("{case}: no reply"));
+        assert_eq!(reply.status, status, "{case}: {}", reply.text());
+        if status >= 400 {
+            assert_eq!(reply.outcome().as_deref(), Some("not-run"), "{case}");
+            assert!(reply.header("proxy-status").is_some(), "{case}");
+        }
+    }
+    assert_eq!(fleet.ran("-"), 0);
+    fleet.check_invariants();
+}
+
+#[test]
+fn verify_pipelined_requests_are_answered_in_order() {
+    let fleet = TestFleet::start(&FleetPlan { service_ms: 5, ..FleetPlan::default() });
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    let mut text = String::new();
+    for number in 0..20 {
+        let id = format!("pipe-{number}");
+        let headers = [("Host", "solver.example"), ("x-request-id", id.as_str())];
+        text.push_str(&client::request_text("GET", "/puzzle", &headers, ""));
+    }
+    stream.write_all(text.as_bytes()).expect("write");
+    let mut buffer = Vec::new();
+    for number in 0..20 {
+        let reply = client::read_one(&mut stream, "GET", &mut buffer).expect("reply");
+        assert_eq!(reply.header("x-request-id"), Some(format!("pipe-{number}")));
+        assert!(reply.complete);
+    }
+}
+
+#[test_case("HEAD", "/", 200 ; "head")]
+#[test_case("GET", "/status/204", 204 ; "no content")]
+#[test_case("GET", "/status/304", 304 ; "not modified")]
+#[test_case("GET", "/status/418", 418 ; "caller fault")]
+fn verify_bodiless_answers_leave_the_connection_usable(method: &str, path: &str, status: u16) {
+    let fleet = TestFleet::start(&FleetPlan { daemons: 1, backends: 1, ..FleetPlan::default() });
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    let mut buffer = Vec::new();
+    for _ in 0..3 {
+        let text = client::request_text(method, path, &[("Host", "solver.example")], "");
+        stream.write_all(text.as_bytes()).expect("write");
+        let reply = client::read_one(&mut stream, method, &mut buffer).expect("reply");
+        assert_eq!(reply.status, status);
+        assert!(buffer.is_empty());
+    }
+}
+
+#[test]
+fn verify_chunked_and_expected_bodies_arrive_whole() {
+    let fleet = small_fleet();
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    let head = "POST /echo HTTP/1.1\r\nHost: solver.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).expect("write");
+    stream.write_all(b"5;x=y\r\nhello\r\n6\r\n world\r\n0\r\nTrailer: 1\r\n\r\n").expect("write");
+    let reply = client::read_reply(&mut stream, "POST").expect("reply");
+    assert_eq!(reply.text(), "hello world");
+    let head = "POST /echo HTTP/1.1\r\nHost: solver.example\r\nContent-Length: 3\r\n\
+                Expect: 100-continue\r\n\r\n";
+    stream.write_all(head.as_bytes()).expect("write");
+    let mut buffer = Vec::new();
+    let first = client::read_one(&mut stream, "POST", &mut buffer).expect("leave to send");
+    assert_eq!(first.status, 100);
+    stream.write_all(b"abc").expect("write");
+    let reply = client::read_one(&mut stream, "POST", &mut buffer).expect("reply");
+    assert_eq!((reply.status, reply.text()), (200, "abc".to_owned()));
+}
+
+#[test]
+fn verify_hop_fields_end_here_and_forwarding_fields_are_right() {
+    let fleet = small_fleet();
+    let headers = [
+        ("Connection", "x-private, close"),
+        ("X-Private", "1"),
+        ("X-Forwarded-For", "198.51.100.7"),
+        ("x-request-id", "hop"),
+    ];
+    let reply = fleet.request(0, "GET", "/", &headers, "");
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header("connection").as_deref(), Some("close"));
+    let seen = fleet.backends.iter().map(|b| b.runs()["last_head"].to_string()).collect::<String>();
+    assert!(seen.contains("198.51.100.7, 127.0.0.1"), "{seen}");
+    assert!(!seen.contains("x-private"), "{seen}");
+    assert!(seen.contains("basaltarch-deadline-ms"), "{seen}");
+}
+
+/// Reads the resident memory of a process in KiB.
+fn resident_kib(id: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).expect("status");
+    let line = status.lines().find(|line| line.starts_with("VmRSS")).expect("VmRSS");
+    line.split_whitespace().nth(1).expect("number").parse().expect("number")
+}
+
+#[test]
+fn verify_a_large_answer_to_a_slow_caller_does_not_grow_the_daemons() {
+    const LENGTH: usize = 200 << 20;
+    let fleet = TestFleet::start(&FleetPlan { backends: 2, ..FleetPlan::default() });
+    let before: Vec<u64> = fleet.daemons.iter().map(|daemon| resident_kib(daemon.id())).collect();
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    let path = format!("/bytes/{LENGTH}");
+    let text = client::request_text("GET", &path, &[("Host", "solver.example")], "");
+    stream.write_all(text.as_bytes()).expect("write");
+    let mut piece = vec![0; 1 << 20];
+    let mut read = 0;
+    let mut grown = 0;
+    while read < LENGTH {
+        let count = stream.read(&mut piece).expect("read");
+        assert!(count > 0, "cut after {read}");
+        read += count;
+        for (daemon, before) in fleet.daemons.iter().zip(&before) {
+            grown = grown.max(resident_kib(daemon.id()).saturating_sub(*before));
+        }
+    }
+    // A window each way and the link's queue; far below the 200 MiB that passed.
+    assert!(grown < 16 * 1024, "grew by {grown} KiB");
+}
+
+#[test]
+fn verify_a_large_request_body_streams_through() {
+    const LENGTH: usize = 64 << 20;
+    let fleet = small_fleet();
+    let before: Vec<u64> = fleet.daemons.iter().map(|daemon| resident_kib(daemon.id())).collect();
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    let head =
+        format!("POST /sink HTTP/1.1\r\nHost: solver.example\r\nContent-Length: {LENGTH}\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("write");
+    let piece = vec![b'z'; 1 << 20];
+    for _ in 0..LENGTH >> 20 {
+        stream.write_all(&piece).expect("write");
+    }
+    let reply = client::read_reply(&mut stream, "POST").expect("reply");
+    assert_eq!(reply.status, 200);
+    let received: u64 =
+        fleet.backends.iter().map(|b| b.runs()["body_bytes"].as_u64().expect("bytes")).sum();
+    assert_eq!(received, LENGTH as u64);
+    for (daemon, before) in fleet.daemons.iter().zip(&before) {
+        let grown = resident_kib(daemon.id()).saturating_sub(*before);
+        assert!(grown < 16 * 1024, "{} grew by {grown} KiB", daemon.host);
+    }
+}
+
+#[test]
+fn verify_a_slow_caller_stalls_nobody_else() {
+    let fleet = TestFleet::start(&FleetPlan { daemons: 2, backends: 2, ..FleetPlan::default() });
+    let mut slow = Vec::new();
+    for _ in 0..3 {
+        let mut stream = client::connect(fleet.daemons[0].callers);
+        let text =
+            client::request_text("GET", "/bytes/50000000", &[("Host", "solver.example")], "");
+        stream.write_all(text.as_bytes()).expect("write");
+        slow.push(stream);
+    }
+    for number in 0..50 {
+        let id = format!("quick-{number}");
+        let reply = fleet.request(0, "GET", "/puzzle", &[("x-request-id", &id)], "");
+        assert_eq!(reply.status, 200);
+        assert_eq!(reply.header("x-request-id"), Some(id));
+    }
+}
+
+#[test]
+fn verify_a_caller_that_goes_away_cancels_the_work() {
+    let fleet = TestFleet::start(&FleetPlan::default());
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    let headers = [("Host", "solver.example"), ("x-work-ms", "4000")];
+    let text = client::request_text("GET", "/plain", &headers, "");
+    stream.write_all(text.as_bytes()).expect("write");
+    let total = || fleet.backends.iter().map(|backend| backend.total()).sum::<u64>();
+    common::eventually("the work starts", || total() == 1);
+    drop(stream);
+    common::eventually("the backend server hears of it", || {
+        fleet.backends.iter().any(|backend| backend.runs()["cancelled"] == json!(1))
+    });
+}
+
+#[test]
+fn verify_no_uring_is_made() {
+    let fleet = TestFleet::start(&FleetPlan { daemons: 1, backends: 1, ..FleetPlan::default() });
+    let files = fs::read_dir(format!("/proc/{}/fd", fleet.daemons[0].id())).expect("files");
+    let targets: Vec<String> = files
+        .map_while(Result::ok)
+        .filter_map(|file| fs::read_link(file.path()).ok())
+        .map(|target| target.to_string_lossy().into_owned())
+        .collect();
+    assert!(targets.iter().any(|target| target.contains("eventpoll")), "{targets:?}");
+    assert!(!targets.iter().any(|target| target.contains("uring")), "{targets:?}");
+}
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -111,6 +111,8 @@
     pub connections: u64,
     /// Requests received, run or not.
     pub received: u64,
+    /// Head of the last request, as text.
+    pub last_head: String,
 }
 
 /// `BackendOptions` are the settings of a stand-in backend server.
@@ -196,7 +198,7 @@
             control(&mut stream, standin, &head, framing).await?;
             continue;
         }
-        standin.runs.borrow_mut().received += 1;
+        note_received(standin, &head);
         let faults = standin.faults.borrow().clone();
         if faults.break_at == BreakPoint::AfterRequestHead {
             return Ok(());
@@ -272,6 +274,12 @@
     stays
 }
 
+fn note_received(standin: &BackendStandin, head: &request::Parts) {
+    let mut runs = standin.runs.borrow_mut();
+    runs.received += 1;
+    runs.last_head = format!("{} {} {:?}", head.method, head.uri, head.headers);
+}
+
 fn note_at_once(standin: &BackendStandin, now: u64) {
     let mut runs = standin.runs.borrow_mut();
     runs.most_at_once = runs.most_at_once.max(now);
