--- a/crates/daemon/src/admin/changes.rs
+++ b/crates/daemon/src/admin/changes.rs
@@ -11,7 +11,7 @@
 use basaltarch_core::units::FleetRevision;
 use basaltarch_http::fields;
 use basaltarch_http::server::{ServerReply, ServerRequest};
-use basaltarch_store::changes::{ChangeAuthor, ChangeGuard, ResourceEdit};
+use basaltarch_store::changes::{self, ChangeAuthor, ChangeGuard, ResourceEdit};
 use basaltarch_store::errors::ChangeError;
 use http::{header, HeaderName, StatusCode};
 use serde::Deserialize;
@@ -176,9 +176,7 @@
     edits: &[ResourceEdit],
 ) -> Result<ChangeRecord, ChangeError> {
     let author = author_of(request);
-    state
-        .config
-        .with_fleet(|fleet| basaltarch_store::changes::plan_change(fleet, edits, &author, ""))
+    state.config.with_fleet(|fleet| changes::plan_change(fleet, edits, &author, ""))
 }
 
 /// Gets a change accepted and puts it in force here at once.
@@ -206,6 +204,9 @@
         spread::pass_on(state, &fresh);
     }
     let [record] = fresh;
+    if record.revision.0.is_multiple_of(changes::SNAPSHOT_EVERY) {
+        monoio::spawn(keep_snapshot(state.clone()));
+    }
     tracing::info!(
         revision = record.revision.0,
         actor = record.actor,
@@ -215,6 +216,16 @@
     Ok(record)
 }
 
+/// Writes the configuration in force as a snapshot, for newcomers. A snapshot that is missed costs
+/// them time only: every change has a row of its own.
+async fn keep_snapshot(state: Rc<DaemonState>) {
+    let config = state.config.with_fleet(FleetConfig::clone);
+    match state.changes.put_snapshot(&config).await {
+        Ok(()) => tracing::info!(revision = config.revision().0, "snapshot kept"),
+        Err(error) => tracing::warn!(%error, "snapshot not kept"),
+    }
+}
+
 fn refuse(error: &ChangeError) -> ServerReply {
     let status = match error {
         ChangeError::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -3,6 +3,7 @@
 
 //! Makes and takes links, and keeps watch over them.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use basaltarch_http::connection::{self, ConnectionCount};
 use basaltarch_peer::errors::LinkError;
 use basaltarch_peer::frames::{FrameReader, FrameSender};
-use basaltarch_peer::handshake::{self, LinkSide};
+use basaltarch_peer::handshake::{self, LinkSide, PeerIdentity};
 use basaltarch_peer::link::{AcceptedLink, DialledLink, NO_EXCHANGE};
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
 use futures_util::future::{self, Either};
@@ -108,12 +109,7 @@
     path: &Rc<PeerPath>,
 ) -> Result<(LinkReader, LinkWriter, Rc<DialledLink>), LinkError> {
     let address = path.address().ok_or(LinkError::Closed)?;
-    let connect = TcpStream::connect_addr(address);
-    let stream = match monoio::time::timeout(CONNECT_TIMEOUT, connect).await {
-        Ok(result) => result.map_err(|source| LinkError::Broken { source })?,
-        Err(_) => return Err(LinkError::TimedOut),
-    };
-    let (mut reader, mut writer) = halves(stream);
+    let (mut reader, mut writer) = connect(address).await?;
     let key = &state.options.fleet_key;
     let side = LinkSide::Dialler;
     let peer = handshake::run(&mut reader, &mut writer, side, &state.identity, key).await?;
@@ -125,6 +121,25 @@
     Ok((reader, writer, link))
 }
 
+/// Finds out who listens at an address, by a handshake.
+pub async fn identify(
+    state: &Rc<DaemonState>,
+    address: SocketAddr,
+) -> Result<PeerIdentity, LinkError> {
+    let (mut reader, mut writer) = connect(address).await?;
+    let key = &state.options.fleet_key;
+    handshake::run(&mut reader, &mut writer, LinkSide::Dialler, &state.identity, key).await
+}
+
+async fn connect(address: SocketAddr) -> Result<(LinkReader, LinkWriter), LinkError> {
+    let connect = TcpStream::connect_addr(address);
+    match monoio::time::timeout(CONNECT_TIMEOUT, connect).await {
+        Ok(Ok(stream)) => Ok(halves(stream)),
+        Ok(Err(source)) => Err(LinkError::Broken { source }),
+        Err(_) => Err(LinkError::TimedOut),
+    }
+}
+
 fn halves(stream: TcpStream) -> (LinkReader, LinkWriter) {
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -34,6 +34,9 @@
             /// Address at which operators reach this daemon, if not the one it listens on
             /// [BASALTARCH_ADVERTISE_ADMIN].
             optional --advertise-admin address: String
+            /// Addresses of some other daemons, separated by commas, asked while the platform's host
+            /// list is away [BASALTARCH_SEEDS].
+            optional --seeds addresses: String
             /// Address of the platform [BASALTARCH_PLATFORM].
             optional --platform address: String
             /// Key shared by all daemons, at least 16 characters [BASALTARCH_FLEET_KEY].
@@ -95,6 +98,7 @@
         admin: flags.admin,
         advertise_peers: flags.advertise_peers,
         advertise_admin: flags.advertise_admin,
+        seeds: flags.seeds,
         platform: flags.platform,
         fleet_key: flags.fleet_key,
         admin_token: flags.admin_token,
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -9,6 +9,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
@@ -190,6 +191,27 @@
         });
     }
 
+    /// Takes in who was found at the address of a seed.
+    fn note_seed(&self, state: &DaemonState, peer: PeerIdentity, address: SocketAddr) {
+        if peer.host == state.options.host {
+            return;
+        }
+        let view = MemberView {
+            failure_domain: String::new(),
+            peer_address: address.to_string(),
+            admin_address: String::new(),
+            // The daemon's own word, which comes next, has the same number and fills the gaps.
+            incarnation: peer.incarnation.saturating_sub(1),
+            heard_at: state.now(),
+            leaving: false,
+            listed_leaving: false,
+            listed: false,
+            revision: FleetRevision(0),
+        };
+        tell_path(state, &peer.host, &view);
+        self.members.borrow_mut().entry(peer.host).or_insert(view);
+    }
+
     /// Takes in that a peer was heard of directly.
     pub fn note_heard(&self, state: &DaemonState, peer: &PeerIdentity, revision: FleetRevision) {
         let mut members = self.members.borrow_mut();
@@ -198,7 +220,6 @@
                 if peer.incarnation > view.incarnation {
                     view.leaving = false;
                 }
-                view.incarnation = peer.incarnation;
                 view.heard_at = state.now();
                 view.revision = view.revision.max(revision);
                 tell_path(state, &peer.host, view);
@@ -324,6 +345,21 @@
     }
 }
 
+/// Asks the seeds who they are, for as long as nobody else is known.
+pub async fn find_seeds(state: Rc<DaemonState>) {
+    while !state.options.seeds.is_empty() {
+        if state.members.members.borrow().is_empty() {
+            for address in &state.options.seeds {
+                match links::identify(&state, *address).await {
+                    Ok(peer) => state.members.note_seed(&state, peer, *address),
+                    Err(error) => tracing::debug!(%address, %error, "seed does not answer"),
+                }
+            }
+        }
+        monoio::time::sleep(HEARTBEAT_EVERY).await;
+    }
+}
+
 /// Sends heartbeats to the neighbours for ever.
 pub async fn run(state: Rc<DaemonState>) {
     loop {
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -31,6 +31,8 @@
     pub peers: Option<String>,
     /// Address for operators.
     pub admin: Option<String>,
+    /// Addresses of some other daemons, separated by commas.
+    pub seeds: Option<String>,
     /// Address of the platform.
     pub platform: Option<String>,
     /// Key shared by all daemons.
@@ -80,6 +82,8 @@
     pub advertise_peers: Option<SocketAddr>,
     /// Address at which operators reach this daemon, if not the one it listens on.
     pub advertise_admin: Option<SocketAddr>,
+    /// Addresses of some other daemons, asked while the platform's host list is away.
+    pub seeds: Vec<SocketAddr>,
     /// Address of the platform.
     pub platform: SocketAddr,
     /// Key shared by all daemons.
@@ -114,6 +118,7 @@
             admin: address("admin", raw.admin)?,
             advertise_peers: advertised("advertise-peers", raw.advertise_peers)?,
             advertise_admin: advertised("advertise-admin", raw.advertise_admin)?,
+            seeds: seeds(raw.seeds)?,
             host: name("host", raw.host)?,
             failure_domain: name("failure-domain", raw.failure_domain)?,
             platform: settings::required("platform", raw.platform, ADDRESS_ALLOWED)?,
@@ -152,6 +157,14 @@
     settings::optional(flag, given, ADDRESS_ALLOWED)
 }
 
+fn seeds(given: Option<String>) -> Result<Vec<SocketAddr>, SettingError> {
+    let allowed = "IP addresses with ports, separated by commas";
+    let list: Option<String> = settings::optional("seeds", given, allowed)?;
+    let list = list.unwrap_or_default();
+    let parts = list.split(',').filter(|part| !part.is_empty());
+    parts.map(|part| settings::required("seeds", Some(part.trim().to_owned()), allowed)).collect()
+}
+
 fn name(flag: &str, given: Option<String>) -> Result<String, SettingError> {
     let allowed = "1 to 128 of a-z, 0-9, '-', '.', '_'";
     let name: String = settings::required(flag, given, allowed)?;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -108,6 +108,7 @@
     monoio::spawn(admin::accept(state.clone(), listeners.admin));
     monoio::spawn(links::watch(state.clone()));
     monoio::spawn(membership::run(state.clone()));
+    monoio::spawn(membership::find_seeds(state.clone()));
     monoio::spawn(spread::poll(state.clone()));
     monoio::spawn(follow_configuration(state.clone()));
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -158,8 +158,9 @@
         command
             .args(["--host", host, "--failure-domain", domain])
             .args(["--platform", &platform.to_string()])
-            .args(["--admin-token", TOKEN, "--drain-ms", "20000"])
-            .env("BASALTARCH_FLEET_KEY", KEY);
+            .args(["--admin-token", TOKEN])
+            .env("BASALTARCH_FLEET_KEY", KEY)
+            .env("BASALTARCH_DRAIN_MS", "20000");
         for (flag, value) in extra {
             command.arg(format!("--{flag}")).arg(value);
         }
--- /dev/null
+++ b/crates/daemon/tests/drain.rs
@@ -0,0 +1,162 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Drain: nothing in flight is cut, and what is leaving gets no new work.
+
+mod common;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+
+use common::{client, eventually, FleetPlan, TestFleet};
+use serde_json::json;
+
+/// Sends requests one after another until told to stop; returns those that were not answered well.
+fn steady_load(
+    callers: std::net::SocketAddr,
+    stop: Arc<AtomicBool>,
+) -> thread::JoinHandle<(usize, Vec<String>)> {
+    thread::spawn(move || {
+        let mut bad = Vec::new();
+        let mut count = 0;
+        while !stop.load(Ordering::SeqCst) {
+            let headers = [("Host", "solver.example"), ("x-work-ms", "30")];
+            let reply = client::try_call(callers, "GET", "/plain", &headers, "");
+            count += 1;
+            match reply {
+                Some(reply) if reply.status == 200 && reply.complete => {}
+                other => bad.push(format!("{other:?}")),
+            }
+        }
+        (count, bad)
+    })
+}
+
+#[test]
+fn verify_a_planned_stop_of_a_daemon_cuts_nothing() {
+    let mut fleet =
+        TestFleet::start(&FleetPlan { daemons: 3, backends: 6, ..FleetPlan::default() });
+    let stop = Arc::new(AtomicBool::new(false));
+    let loads: Vec<_> = (0..12)
+        .map(|number| steady_load(fleet.daemons[number % 2].callers, stop.clone()))
+        .collect();
+    // A long request through the daemon that stops, and one that it works on.
+    let callers = fleet.daemons[2].callers;
+    let long = thread::spawn(move || {
+        let headers = [("Host", "solver.example"), ("x-work-ms", "1500"), ("x-request-id", "long")];
+        client::call(callers, "POST", "/plain", &headers, "x")
+    });
+    eventually("the long request runs", || fleet.ran("long") == 1);
+    fleet.daemons[2].signal("-TERM");
+    let status = fleet.daemons[2].ended();
+    assert_eq!(status.code(), Some(0));
+    assert_eq!(long.join().expect("join").status, 200);
+    let total = |fleet: &TestFleet| -> u64 {
+        [2, 5].iter().map(|index| fleet.backends[*index].total()).sum()
+    };
+    let after = total(&fleet);
+    let before_stop = fleet.backends[0].total();
+    eventually("load goes on", || fleet.backends[0].total() > before_stop + 20);
+    assert_eq!(total(&fleet), after, "no new work for the servers of the daemon that left");
+    stop.store(true, Ordering::SeqCst);
+    for load in loads {
+        let (count, bad) = load.join().expect("join");
+        assert!(count > 0);
+        assert!(bad.is_empty(), "{bad:?}");
+    }
+    fleet.daemons.truncate(2);
+    fleet.check_invariants();
+}
+
+#[test]
+fn verify_a_second_signal_ends_at_once_and_says_what_was_cut() {
+    let mut fleet =
+        TestFleet::start(&FleetPlan { daemons: 1, backends: 1, ..FleetPlan::default() });
+    let callers = fleet.daemons[0].callers;
+    let asking = thread::spawn(move || {
+        let headers = [("Host", "solver.example"), ("x-work-ms", "20000"), ("x-request-id", "cut")];
+        client::try_call(callers, "POST", "/plain", &headers, "x")
+    });
+    eventually("the work starts", || fleet.ran("cut") == 1);
+    fleet.daemons[0].signal("-TERM");
+    eventually("the daemon leaves", || fleet.daemons[0].log_text().contains("\"leaving\""));
+    assert!(fleet.daemons[0].is_running());
+    fleet.daemons[0].signal("-TERM");
+    assert_eq!(fleet.daemons[0].ended().code(), Some(3));
+    assert!(fleet.daemons[0].log_text().contains("requests cut"));
+    assert!(asking.join().expect("join").is_none());
+}
+
+#[test]
+fn verify_a_drain_that_takes_too_long_is_bounded() {
+    let plan = FleetPlan {
+        daemons: 1,
+        backends: 1,
+        daemon_flags: vec![("drain-ms", "700")],
+        ..FleetPlan::default()
+    };
+    let mut fleet = TestFleet::start(&plan);
+    let callers = fleet.daemons[0].callers;
+    let asking = thread::spawn(move || {
+        let headers =
+            [("Host", "solver.example"), ("x-work-ms", "20000"), ("x-request-id", "late")];
+        client::try_call(callers, "POST", "/plain", &headers, "x")
+    });
+    eventually("the work starts", || fleet.ran("late") == 1);
+    fleet.daemons[0].signal("-TERM");
+    assert_eq!(fleet.daemons[0].ended().code(), Some(3));
+    assert!(asking.join().expect("join").is_none());
+}
+
+#[test]
+fn verify_a_draining_backend_server_gets_no_new_work_and_finishes_its_own() {
+    let fleet = TestFleet::start(&FleetPlan { daemons: 2, backends: 4, ..FleetPlan::default() });
+    let mut server = fleet.daemons[0].get("/v1/backend-servers/server-1");
+    let callers = fleet.daemons[0].callers;
+    let threads: Vec<_> = (0..8)
+        .map(|number| {
+            thread::spawn(move || {
+                let id = format!("slow-{number}");
+                let headers =
+                    [("Host", "solver.example"), ("x-work-ms", "1200"), ("x-request-id", &id)];
+                client::call(callers, "POST", "/plain", &headers, "x").status
+            })
+        })
+        .collect();
+    eventually("server-1 works", || fleet.backends[0].total() > 0);
+    server["state"] = json!("draining");
+    let reply = fleet.daemons[1].call(
+        "PUT",
+        "/v1/backend-servers/server-1",
+        &[("If-Match", "*")],
+        &server.to_string(),
+    );
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    fleet.wait_revision(2);
+    let received = fleet.backends[0].runs()["received"].as_u64().expect("count");
+    for number in 0..60 {
+        assert_eq!(fleet.request(number % 2, "GET", "/puzzle", &[], "").status, 200);
+    }
+    assert_eq!(fleet.backends[0].runs()["received"].as_u64(), Some(received));
+    for thread in threads {
+        assert_eq!(thread.join().expect("join"), 200);
+    }
+}
+
+#[test]
+fn verify_a_backend_server_that_says_it_leaves_gets_no_new_work() {
+    let fleet = TestFleet::start(&FleetPlan { daemons: 2, backends: 4, ..FleetPlan::default() });
+    fleet.backends[1].faults(json!({"drain": true}));
+    let received =
+        |fleet: &TestFleet| fleet.backends[1].runs()["received"].as_u64().expect("count");
+    eventually("its word is heard", || {
+        assert_eq!(fleet.request(1, "GET", "/puzzle", &[], "").status, 200);
+        received(&fleet) > 0
+    });
+    let heard = received(&fleet);
+    for number in 0..60 {
+        assert_eq!(fleet.request(number % 2, "GET", "/puzzle", &[], "").status, 200);
+    }
+    assert_eq!(received(&fleet), heard);
+}
--- /dev/null
+++ b/crates/daemon/tests/limits.rs
@@ -0,0 +1,70 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Limits over the fleet: many ingresses, the home cut off, clear refusals.
+
+mod common;
+
+use std::time::Instant;
+
+use common::{eventually, FleetPlan, TestFleet};
+use serde_json::json;
+
+fn limited(daemons: usize, rate: f64, burst: f64) -> TestFleet {
+    TestFleet::start(&FleetPlan {
+        daemons,
+        backends: daemons,
+        limits: json!({"shop": {"scope": "organisation", "target": "khlung-shop",
+                                "rate": rate, "burst": burst}}),
+        ..FleetPlan::default()
+    })
+}
+
+fn ask(fleet: &TestFleet, daemon: usize) -> common::client::Reply {
+    fleet.request(daemon, "GET", "/puzzle", &[("Basaltarch-Organisation", "khlung-shop")], "")
+}
+
+#[test]
+fn verify_over_the_limit_is_refused_with_a_time_to_come_back() {
+    let fleet = limited(2, 0.5, 4.0);
+    let replies: Vec<_> = (0..20).map(|number| ask(&fleet, number % 2)).collect();
+    let good = replies.iter().filter(|reply| reply.status == 200).count();
+    assert!((1..=6).contains(&good), "{good} of 20 with a burst of 4");
+    for reply in replies.iter().filter(|reply| reply.status != 200) {
+        assert_eq!((reply.status, reply.reason().as_deref()), (429, Some("limited")));
+        assert_eq!(reply.outcome().as_deref(), Some("not-run"));
+        assert!(reply.header("retry-after").is_some());
+    }
+    // Others are not held to this organisation's limit.
+    assert_eq!(fleet.request(0, "GET", "/puzzle", &[], "").status, 200);
+}
+
+#[test]
+fn verify_the_rate_holds_over_many_ingresses() {
+    let fleet = limited(4, 40.0, 10.0);
+    let start = Instant::now();
+    let mut good = 0;
+    // Counted by requests: on a slow machine more time passes, and more is allowed.
+    for number in 0..2000 {
+        good += u32::from(ask(&fleet, number % 4).status == 200);
+    }
+    let allowed = 10.0 + 40.0 * start.elapsed().as_secs_f64();
+    assert!(f64::from(good) <= allowed * 1.1, "{good} of at most {allowed}");
+    assert!(good > 0);
+}
+
+#[test]
+fn verify_with_the_home_gone_each_ingress_keeps_to_its_share() {
+    let mut fleet = limited(3, 20.0, 10.0);
+    // Whichever daemon is the home: with two of three gone, the last one must still bound.
+    fleet.daemons[1].kill();
+    fleet.daemons[2].kill();
+    eventually("the limit is still served", || ask(&fleet, 0).status == 200);
+    let start = Instant::now();
+    let mut good = 0;
+    for _ in 0..1500 {
+        good += u32::from(ask(&fleet, 0).status == 200);
+    }
+    let allowed = 10.0 + 20.0 * start.elapsed().as_secs_f64();
+    assert!(f64::from(good) <= allowed * 1.1, "{good} of at most {allowed}");
+}
--- /dev/null
+++ b/crates/daemon/tests/outcomes.rs
@@ -0,0 +1,353 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Outcomes: every point at which an exchange can break, against what the backend servers ran.
+
+mod common;
+
+use std::io::Write;
+use std::thread;
+
+use common::forwarder::Forwarder;
+use common::{client, eventually, FleetPlan, TestBackend, TestDaemon, TestFleet, TestPlatform};
+use serde_json::{json, Value};
+use test_case::test_case;
+
+/// Two daemons: requests enter at the first, the only backend server is beside the second.
+struct TwoHops {
+    fleet: TestFleet,
+}
+
+impl TwoHops {
+    fn start(routes: Option<Value>) -> Self {
+        let mut plan = FleetPlan { daemons: 2, backends: 0, ..FleetPlan::default() };
+        if let Some(routes) = routes {
+            plan.routes = routes;
+        }
+        let mut fleet = TestFleet::start_unconfigured(&plan);
+        fleet.backends = vec![TestBackend::start("server-1", 1)];
+        let mut configuration = fleet.configuration(&plan);
+        configuration["backend-servers"]["server-1"]["host"] = json!("host-b");
+        configuration["backend-servers"]["server-1"]["failure_domain"] = json!("bkk-b");
+        let reply = fleet.apply(&configuration);
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        fleet.wait_revision(1);
+        Self { fleet }
+    }
+
+    fn backend(&self) -> &TestBackend {
+        &self.fleet.backends[0]
+    }
+}
+
+#[test_case("after-request-head", "unknown", "backend-broken", 0 ; "after the head of the request")]
+#[test_case("after-run", "unknown", "backend-broken", 1 ; "after the work")]
+#[test_case("in-answer-head", "unknown", "answer-broken", 1 ; "in the head of the answer")]
+fn verify_a_break_at_the_backend_server_is_told_truly(
+    at: &str,
+    outcome: &str,
+    reason: &str,
+    ran: u64,
+) {
+    for entry in [0, 1] {
+        let hops = TwoHops::start(None);
+        hops.backend().faults(json!({ "break_at": at }));
+        let headers = [("x-request-id", "broken")];
+        let reply = hops.fleet.request(entry, "POST", "/plain", &headers, "body");
+        assert_eq!(reply.status, 502, "{}", reply.head);
+        assert_eq!(reply.outcome().as_deref(), Some(outcome));
+        assert_eq!(reply.reason().as_deref(), Some(reason));
+        assert_eq!(hops.backend().ran("broken"), ran, "dispatched once, never repeated");
+        hops.fleet.check_invariants();
+    }
+}
+
+#[test]
+fn verify_an_answer_cut_short_is_never_passed_on_as_complete() {
+    let hops = TwoHops::start(None);
+    hops.backend().faults(json!({"break_at": "in-answer-body"}));
+    for path in ["/plain/x", "/bytes/300000"] {
+        for entry in [0, 1] {
+            let headers = [("Host", "solver.example")];
+            let callers = hops.fleet.daemons[entry].callers;
+            let reply = client::try_call(callers, "GET", path, &headers, "");
+            let cut = reply.as_ref().is_none_or(|reply| {
+                !reply.complete || reply.outcome().as_deref() == Some("unknown")
+            });
+            assert!(cut, "{path} through {entry}: {reply:?}");
+        }
+    }
+}
+
+#[test]
+fn verify_a_server_that_cannot_be_reached_ran_nothing() {
+    let hops = TwoHops::start(None);
+    let mut configuration = json!({"backend-servers": {"server-1": {
+        "service": "solver-app", "host": "host-b", "slots": 4, "connections": 300,
+        "failure_domain": "bkk-b",
+    }}});
+    // A port that was just given up again: nothing listens there.
+    let free =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("bind").local_addr().expect("address");
+    configuration["backend-servers"]["server-1"]["address"] = json!(free.to_string());
+    assert_eq!(hops.fleet.apply(&configuration).status, 200);
+    hops.fleet.wait_revision(2);
+    let reply = hops.fleet.request(0, "POST", "/plain", &[], "x");
+    assert_eq!((reply.status, reply.outcome().as_deref()), (503, Some("not-run")));
+    assert_eq!(reply.reason().as_deref(), Some("connect-failed"));
+    assert!(reply.header("retry-after").is_some());
+}
+
+#[test]
+fn verify_the_shed_answer_is_understood_and_tried_elsewhere() {
+    let fleet = TestFleet::start(&FleetPlan { daemons: 2, backends: 2, ..FleetPlan::default() });
+    fleet.backends[0].faults(json!({"shed": true}));
+    for number in 0..20 {
+        let id = format!("shed-{number}");
+        let reply = fleet.request(0, "POST", "/plain", &[("x-request-id", &id)], "x");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        assert_eq!(fleet.ran(&id), 1);
+    }
+    fleet.backends[1].faults(json!({"shed": true}));
+    let reply = fleet.request(0, "POST", "/plain", &[("x-request-id", "none")], "x");
+    assert_eq!((reply.status, reply.reason().as_deref()), (503, Some("shed")));
+    assert_eq!(fleet.ran("none"), 0);
+}
+
+#[test_case("/plain", 504, "timed-out" ; "plain")]
+fn verify_the_deadline_ends_the_work(path: &str, status: u16, reason: &str) {
+    let hops = TwoHops::start(None);
+    let headers =
+        [("x-work-ms", "20000"), ("basaltarch-deadline-ms", "300"), ("x-request-id", "late")];
+    for entry in [0, 1] {
+        let reply = hops.fleet.request(entry, "GET", path, &headers, "");
+        assert_eq!((reply.status, reply.reason().as_deref()), (status, Some(reason)));
+        assert_eq!(reply.outcome().as_deref(), Some("unknown"));
+    }
+    assert_eq!(hops.backend().ran("late"), 2);
+    eventually("the work is cancelled", || hops.backend().runs()["cancelled"] == json!(2));
+}
+
+#[test]
+fn verify_a_full_server_refuses_at_once_and_slots_are_exact() {
+    let plan = FleetPlan {
+        daemons: 1,
+        backends: 1,
+        slots: 3,
+        service: json!({"floor": 0.5, "queue": 2}),
+        ..FleetPlan::default()
+    };
+    let fleet = TestFleet::start(&plan);
+    let callers = fleet.daemons[0].callers;
+    let threads: Vec<_> = (0..12)
+        .map(|number| {
+            thread::spawn(move || {
+                let id = format!("full-{number}");
+                let headers =
+                    [("Host", "solver.example"), ("x-work-ms", "700"), ("x-request-id", &id)];
+                (id.clone(), client::call(callers, "POST", "/plain", &headers, "x"))
+            })
+        })
+        .collect();
+    let replies: Vec<_> = threads.into_iter().map(|thread| thread.join().expect("join")).collect();
+    let good = replies.iter().filter(|(_, reply)| reply.status == 200).count();
+    assert_eq!(good, 5, "three slots and a queue of two");
+    for (id, reply) in &replies {
+        if reply.status != 200 {
+            assert_eq!(reply.reason().as_deref(), Some("queue-full"));
+            assert_eq!(fleet.ran(id), 0, "not run is true");
+        }
+    }
+    assert_eq!(fleet.backends[0].runs()["most_at_once"], json!(3));
+}
+
+#[test]
+fn verify_critical_work_goes_before_sheddable_work() {
+    let routes = json!({
+        "hints": {"host": "solver.example", "path_prefix": "/hints", "service": "solver-app",
+                  "criticality": "sheddable"},
+        "payouts": {"host": "solver.example", "path_prefix": "/payouts", "service": "solver-app",
+                    "criticality": "critical"},
+    });
+    let plan = FleetPlan {
+        daemons: 1,
+        backends: 1,
+        slots: 1,
+        service: json!({"floor": 0.5, "queue": 2}),
+        routes,
+        ..FleetPlan::default()
+    };
+    let fleet = TestFleet::start(&plan);
+    let callers = fleet.daemons[0].callers;
+    let send = |path: &'static str, id: &'static str| {
+        thread::spawn(move || {
+            let headers = [("Host", "solver.example"), ("x-work-ms", "500"), ("x-request-id", id)];
+            client::call(callers, "POST", path, &headers, "x")
+        })
+    };
+    let waiting = |wanted: u64| {
+        eventually("requests wait", || {
+            let health = fleet.daemons[0].get("/v1/health?service=solver-app");
+            let here = &health["services"][0]["upstreams"][0]["here"];
+            here["queued"].as_u64() == Some(wanted) && here["in_flight"].as_u64() == Some(1)
+        });
+    };
+    let first = send("/hints", "hint-1");
+    waiting(0);
+    let second = send("/hints", "hint-2");
+    waiting(1);
+    let third = send("/hints", "hint-3");
+    waiting(2);
+    let payout = send("/payouts", "payout");
+    assert_eq!(payout.join().expect("join").status, 200);
+    assert_eq!(first.join().expect("join").status, 200);
+    let others = [second.join().expect("join"), third.join().expect("join")];
+    let shed = others.iter().filter(|reply| reply.reason().as_deref() == Some("queue-full"));
+    assert_eq!(shed.count(), 1, "the last hint made room for the payout");
+}
+
+#[test]
+fn verify_the_peer_lost_in_every_state_is_told_truly() {
+    let hops = TwoHops::start(None);
+    let mut fleet = hops.fleet;
+    let callers = fleet.daemons[0].callers;
+    let asking = thread::spawn(move || {
+        let headers =
+            [("Host", "solver.example"), ("x-work-ms", "20000"), ("x-request-id", "lost")];
+        client::call(callers, "POST", "/plain", &headers, "x")
+    });
+    eventually("the work starts", || fleet.ran("lost") == 1);
+    fleet.daemons[1].kill();
+    let reply = asking.join().expect("join");
+    assert_eq!(reply.outcome().as_deref(), Some("unknown"));
+    assert_eq!(reply.reason().as_deref(), Some("peer-lost"));
+    let reply = fleet.request(0, "POST", "/plain", &[("x-request-id", "after")], "x");
+    assert_eq!(reply.outcome().as_deref(), Some("not-run"), "{}", reply.head);
+    assert_eq!(fleet.ran("after"), 0);
+}
+
+#[test]
+fn verify_repeatable_work_survives_a_broken_server() {
+    let fleet = TestFleet::start(&FleetPlan { daemons: 2, backends: 4, ..FleetPlan::default() });
+    fleet.backends[0].faults(json!({"break_at": "after-run"}));
+    for number in 0..60 {
+        let id = format!("again-{number}");
+        let reply = fleet.request(number % 2, "GET", "/puzzle", &[("x-request-id", &id)], "");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        assert_eq!(reply.header("x-request-id"), Some(id));
+    }
+    fleet.check_invariants();
+}
+
+#[test]
+fn verify_a_late_answer_never_reaches_another_caller() {
+    let hops = TwoHops::start(None);
+    let callers = hops.fleet.daemons[0].callers;
+    for round in 0..10 {
+        let late = format!("late-{round}");
+        let headers =
+            [("x-work-ms", "150"), ("basaltarch-deadline-ms", "60"), ("x-request-id", &late)];
+        let reply = hops.fleet.request(0, "GET", "/plain", &headers, "");
+        assert_eq!(reply.status, 504);
+        let mut stream = client::connect(callers);
+        let mut buffer = Vec::new();
+        for next in 0..5 {
+            let id = format!("next-{round}-{next}");
+            let headers =
+                [("Host", "solver.example"), ("x-work-ms", "40"), ("x-request-id", id.as_str())];
+            let text = client::request_text("GET", "/plain", &headers, "");
+            stream.write_all(text.as_bytes()).expect("write");
+            let reply = client::read_one(&mut stream, "GET", &mut buffer).expect("reply");
+            assert_eq!(reply.header("x-request-id"), Some(id.clone()));
+            assert!(reply.text().contains(&id));
+        }
+    }
+}
+
+/// Two daemons whose link runs through a forwarder.
+struct CutLink {
+    fleet: TestFleet,
+    forwarder: Forwarder,
+}
+
+fn start_cut_link() -> CutLink {
+    let plan = FleetPlan { daemons: 2, backends: 0, ..FleetPlan::default() };
+    let platform = TestPlatform::start();
+    let forwarder = Forwarder::start();
+    let advertised = forwarder.address.to_string();
+    let near = TestDaemon::start(platform.address, "host-a", "bkk-a", &[]);
+    let flags = [("advertise-peers", advertised.as_str())];
+    let far = TestDaemon::start(platform.address, "host-b", "bkk-b", &flags);
+    forwarder.forward_to(far.peers);
+    platform.list_host("host-a", "bkk-a", near.peers, near.admin, "live");
+    platform.list_host("host-b", "bkk-b", forwarder.address, far.admin, "live");
+    let mut fleet = TestFleet { platform, daemons: vec![near, far], backends: Vec::new() };
+    fleet.wait_members();
+    fleet.backends = vec![TestBackend::start("server-1", 1), TestBackend::start("server-2", 1)];
+    let configuration = fleet.configuration(&plan);
+    assert_eq!(fleet.apply(&configuration).status, 200);
+    fleet.wait_revision(1);
+    CutLink { fleet, forwarder }
+}
+
+#[test_case(true, false ; "requests do not arrive")]
+#[test_case(false, true ; "answers do not arrive")]
+#[test_case(true, true ; "nothing arrives")]
+fn verify_a_cut_path_is_left_and_found_again(forward: bool, back: bool) {
+    use std::sync::atomic::Ordering;
+    let link = start_cut_link();
+    let served = |wanted: &str| {
+        let reply = link.fleet.request(0, "GET", "/puzzle", &[], "");
+        reply.status == 200 && reply.header("x-served-by").as_deref() == Some(wanted)
+    };
+    // Sends enough at once that the local server is loaded and the other one gets work as well.
+    let load = |rounds: usize| {
+        let callers = link.fleet.daemons[0].callers;
+        let threads: Vec<_> = (0..rounds * 8)
+            .map(|_| {
+                thread::spawn(move || {
+                    let headers = [
+                        ("Host", "solver.example"),
+                        ("x-work-ms", "30"),
+                        ("basaltarch-deadline-ms", "2500"),
+                    ];
+                    client::call(callers, "GET", "/puzzle", &headers, "")
+                })
+            })
+            .collect();
+        threads.into_iter().map(|thread| thread.join().expect("join")).collect::<Vec<_>>()
+    };
+    let from_far = |replies: &[client::Reply]| {
+        replies.iter().filter(|r| r.header("x-served-by").as_deref() == Some("server-2")).count()
+    };
+    eventually("both servers get work", || from_far(&load(1)) > 0);
+    link.forwarder.cuts.forward.store(forward, Ordering::SeqCst);
+    link.forwarder.cuts.back.store(back, Ordering::SeqCst);
+    eventually("the far server is left", || {
+        let replies = load(1);
+        from_far(&replies) == 0 && {
+            let health = link.fleet.daemons[0].get("/v1/health?service=solver-app");
+            health["services"][0]["upstreams"][1]["state"] == "unreachable"
+        }
+    });
+    eventually("callers are served by the near server alone", || served("server-1"));
+    link.forwarder.cuts.forward.store(false, Ordering::SeqCst);
+    link.forwarder.cuts.back.store(false, Ordering::SeqCst);
+    eventually("the far server gets work again", || from_far(&load(1)) > 0);
+    link.fleet.check_invariants();
+}
+
+#[test]
+fn verify_a_peer_without_the_fleet_key_is_refused() {
+    let fleet = TestFleet::start(&FleetPlan { daemons: 1, backends: 1, ..FleetPlan::default() });
+    let key = [("fleet-key", "another-key-altogether")];
+    let stranger = TestDaemon::start(fleet.platform.address, "host-z", "bkk-c", &key);
+    fleet.platform.list_host("host-z", "bkk-c", stranger.peers, stranger.admin, "live");
+    let heard = |daemon: &TestDaemon| daemon.log_text().contains("does not hold the fleet key");
+    eventually("one side or the other refuses", || heard(&fleet.daemons[0]) || heard(&stranger));
+    // Junk on the peer address ends that connection alone.
+    let mut stream = client::connect(fleet.daemons[0].peers);
+    let _ = stream.write_all(&[0xff; 64]);
+    assert_eq!(fleet.request(0, "GET", "/puzzle", &[], "").status, 200);
+    fleet.check_invariants();
+}
--- a/crates/store/src/changes.rs
+++ b/crates/store/src/changes.rs
@@ -9,6 +9,7 @@
 //! need not read all changes.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use basaltarch_core::config::{ChangeRecord, FleetConfig, FleetSnapshot, ResourceChange};
 use basaltarch_core::errors::ResourceError;
@@ -34,6 +35,9 @@
 pub const SNAPSHOT_EVERY: u64 = 256;
 /// Tries to get a change in between those of others.
 const TRIES_MAX: u32 = 20;
+/// Longest pause between such tries: all of them together stay within a few seconds, so that an
+/// operator hears soon.
+const CONTENDED_PAUSE_MAX: Duration = Duration::from_millis(200);
 /// Tries to settle a change whose answer was lost.
 const SETTLE_TRIES_MAX: u32 = 8;
 /// Most resources in one change; a bound on the size of one row.
@@ -179,7 +183,7 @@
         author: &ChangeAuthor,
     ) -> Result<ChangeRecord, ChangeError> {
         let writer = fresh_token();
-        let mut pause = RetryPause::default();
+        let mut pause = RetryPause::up_to(CONTENDED_PAUSE_MAX);
         for _ in 0..TRIES_MAX {
             let version = self.settle_head(config).await?;
             let record = plan_change(config, edits, author, &writer)?;
