--- /dev/null
+++ b/crates/bench/src/decisions/report.rs
@@ -0,0 +1,185 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Tables of the decision bench.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use crate::decisions::rules::{RuleKind, PLAIN_RULES, RULES};
+use crate::decisions::scenario::CASES;
+use crate::decisions::suite::{self, RuleSummary, RunKey, SuitePlan};
+use crate::decisions::world::RunResult;
+
+/// Longest detection time worse than a plain rule's that is not listed, as a factor.
+const WORSE_FACTOR: f64 = 1.1;
+
+/// `CaseRow` sums up one case at one load over deployments, severities and seeds.
+#[derive(Debug, Clone)]
+pub struct CaseRow {
+    /// Position of the case.
+    pub case: usize,
+    /// Position of the load.
+    pub load: usize,
+    /// Summary of each rule, in the order of [`RULES`].
+    pub rules: Vec<(RuleKind, RuleSummary)>,
+}
+
+impl CaseRow {
+    /// Returns the summary of a rule.
+    pub fn of(&self, rule: RuleKind) -> Option<&RuleSummary> {
+        self.rules.iter().find(|(kind, _)| *kind == rule).map(|(_, summary)| summary)
+    }
+
+    /// Returns the shortest median detection time of the plain rules.
+    pub fn best_plain(&self) -> Option<Duration> {
+        PLAIN_RULES.iter().filter_map(|rule| self.of(*rule)?.detection_median).min()
+    }
+}
+
+/// Sums results up by case and load.
+pub fn rows(plan: &SuitePlan, results: &[(RunKey, RunResult)]) -> Vec<CaseRow> {
+    let mut rows = Vec::new();
+    for &case in &plan.cases {
+        for load in 0..plan.loads.len() {
+            let rules = RULES
+                .iter()
+                .filter(|rule| plan.rules.contains(rule))
+                .map(|rule| {
+                    (*rule, select(results, *rule, |key| key.case == case && key.load == load))
+                })
+                .collect();
+            rows.push(CaseRow { case, load, rules });
+        }
+    }
+    rows
+}
+
+/// Sums up the results of a rule that `wanted` selects.
+pub fn select(
+    results: &[(RunKey, RunResult)],
+    rule: RuleKind,
+    wanted: impl Fn(&RunKey) -> bool,
+) -> RuleSummary {
+    let chosen: Vec<&(RunKey, RunResult)> =
+        results.iter().filter(|(key, _)| key.rule == rule && wanted(key)).collect();
+    let sick = chosen.first().is_some_and(|(key, _)| CASES[key.case].one_is_sick);
+    suite::summarize(chosen.iter().map(|(_, result)| result), sick)
+}
+
+fn millis(time: Option<Duration>) -> String {
+    match time {
+        Some(time) if time >= Duration::from_secs(10) => format!("{:.1} s", time.as_secs_f64()),
+        Some(time) => format!("{} ms", time.as_millis()),
+        None => "never".to_owned(),
+    }
+}
+
+/// Writes the whole report as Markdown.
+pub fn markdown(plan: &SuitePlan, results: &[(RunKey, RunResult)]) -> String {
+    let rows = rows(plan, results);
+    let mut text = String::new();
+    put_detection(&mut text, plan, &rows);
+    put_false_ejections(&mut text, plan, &rows);
+    put_rules(&mut text, results);
+    put_worse(&mut text, plan, &rows);
+    text
+}
+
+fn put_detection(text: &mut String, plan: &SuitePlan, rows: &[CaseRow]) {
+    text.push_str("Detection time, median (requests received; 99 in 100; share of runs in which the work stopped)\n\n");
+    text.push_str("| case | load |");
+    for rule in RULES.iter().skip(1) {
+        let _ = write!(text, " {} |", rule.name());
+    }
+    text.push_str("\n|---|---|---|---|---|---|---|\n");
+    for row in rows.iter().filter(|row| CASES[row.case].one_is_sick) {
+        let _ = write!(text, "| {} | {} |", CASES[row.case].name, plan.loads[row.load].name);
+        for rule in RULES.iter().skip(1) {
+            let _ = match row.of(*rule) {
+                Some(summary) => write!(
+                    text,
+                    " {} ({}; {}; {:.0}%) |",
+                    millis(summary.detection_median),
+                    summary.received_median,
+                    millis(summary.detection_p99),
+                    100.0 * summary.stopped as f64 / summary.runs.max(1) as f64
+                ),
+                None => write!(text, " - |"),
+            };
+        }
+        text.push('\n');
+    }
+}
+
+fn put_false_ejections(text: &mut String, plan: &SuitePlan, rows: &[CaseRow]) {
+    text.push_str("\nFalse ejections for each upstream-hour\n\n| case | load |");
+    for rule in RULES.iter().skip(1) {
+        let _ = write!(text, " {} |", rule.name());
+    }
+    text.push_str("\n|---|---|---|---|---|---|---|\n");
+    for row in rows {
+        let _ = write!(text, "| {} | {} |", CASES[row.case].name, plan.loads[row.load].name);
+        for rule in RULES.iter().skip(1) {
+            let rate = row.of(*rule).map_or(0.0, |summary| summary.false_ejections_hour);
+            let _ = write!(text, " {rate:.3} |");
+        }
+        text.push('\n');
+    }
+}
+
+fn put_rules(text: &mut String, results: &[(RunKey, RunResult)]) {
+    text.push_str("\nOver all cases\n\n| rule | detection median | received | stopped | false ejections an upstream-hour | failed answers | slow answers | lowest over floor | floor broken | return median |\n|---|---|---|---|---|---|---|---|---|---|\n");
+    for rule in RULES {
+        let sick = select(results, rule, |key| CASES[key.case].one_is_sick);
+        let all: Vec<&RunResult> =
+            results.iter().filter(|(key, _)| key.rule == rule).map(|(_, result)| result).collect();
+        let every = suite::summarize(all.into_iter(), false);
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {} of {} | {:.3} | {:.3}% | {:.3}% | {:.2} | {} | {} |",
+            rule.name(),
+            millis(sick.detection_median),
+            sick.received_median,
+            sick.stopped,
+            sick.runs,
+            every.false_ejections_hour,
+            100.0 * every.failed_share,
+            100.0 * every.slow_share,
+            every.lowest_over_floor,
+            every.floor_broken,
+            millis(sick.returned_median)
+        );
+    }
+}
+
+/// Returns the rows in which a rule of the daemon's is slower than a plain rule by over a tenth.
+pub fn worse(rows: &[CaseRow], rule: RuleKind) -> Vec<(usize, usize, Duration, Option<Duration>)> {
+    rows.iter()
+        .filter(|row| CASES[row.case].one_is_sick)
+        .filter_map(|row| {
+            let best = row.best_plain()?;
+            let own = row.of(rule)?.detection_median;
+            let slower =
+                own.is_none_or(|own| own.as_secs_f64() > best.as_secs_f64() * WORSE_FACTOR);
+            slower.then_some((row.case, row.load, best, own))
+        })
+        .collect()
+}
+
+fn put_worse(text: &mut String, plan: &SuitePlan, rows: &[CaseRow]) {
+    text.push_str("\nCases in which a rule of the daemon's is slower than the best plain rule by more than a tenth\n\n");
+    for rule in [RuleKind::Detection, RuleKind::Precision] {
+        for (case, load, best, own) in worse(rows, rule) {
+            let _ = writeln!(
+                text,
+                "- {}: {}, {}: {} against {}",
+                rule.name(),
+                CASES[case].name,
+                plan.loads[load].name,
+                millis(own),
+                millis(Some(best))
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/decisions/suite.rs
@@ -0,0 +1,176 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Runs many scenarios over all processors and gathers their results.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use crate::decisions::rules::RuleKind;
+use crate::decisions::scenario::{Deployment, FaultCase, LoadLevel, ScenarioPlan, CASES};
+use crate::decisions::world::{RunResult, World};
+
+/// Severities of each case.
+pub const SEVERITIES: usize = 5;
+
+/// `RunKey` names a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunKey {
+    /// Position of the case.
+    pub case: usize,
+    /// Severity from 0 to 4.
+    pub severity: usize,
+    /// Position of the load.
+    pub load: usize,
+    /// Position of the deployment.
+    pub deployment: usize,
+    /// The rule.
+    pub rule: RuleKind,
+    /// Seed.
+    pub seed: u64,
+}
+
+/// `SuitePlan` says which runs to make.
+#[derive(Debug, Clone)]
+pub struct SuitePlan {
+    /// Cases by position.
+    pub cases: Vec<usize>,
+    /// Severities.
+    pub severities: Vec<usize>,
+    /// Loads.
+    pub loads: Vec<LoadLevel>,
+    /// Deployments.
+    pub deployments: Vec<Deployment>,
+    /// Rules.
+    pub rules: Vec<RuleKind>,
+    /// Seeds.
+    pub seeds: Vec<u64>,
+}
+
+impl SuitePlan {
+    fn keys(&self) -> Vec<RunKey> {
+        let mut keys = Vec::new();
+        for &case in &self.cases {
+            for &severity in &self.severities {
+                for load in 0..self.loads.len() {
+                    for deployment in 0..self.deployments.len() {
+                        for &rule in &self.rules {
+                            for &seed in &self.seeds {
+                                keys.push(RunKey { case, severity, load, deployment, rule, seed });
+                            }
+                        }
+                    }
+                }
+            }
+        }
+        keys
+    }
+}
+
+/// Runs a suite; the results stand in the order of their keys, whatever the number of threads.
+pub fn run(plan: &SuitePlan) -> Vec<(RunKey, RunResult)> {
+    let keys = plan.keys();
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(Vec::with_capacity(keys.len()));
+    let threads = thread::available_parallelism().map_or(1, usize::from);
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let index = next.fetch_add(1, Ordering::Relaxed);
+                let key = match keys.get(index) {
+                    Some(key) => *key,
+                    None => return,
+                };
+                let result = run_one(plan, &key);
+                if let Ok(mut results) = results.lock() {
+                    results.push((key, result));
+                }
+            });
+        }
+    });
+    let mut results = results.into_inner().unwrap_or_default();
+    results.sort_by_key(|(key, _)| *key);
+    results
+}
+
+fn run_one(plan: &SuitePlan, key: &RunKey) -> RunResult {
+    let case: &FaultCase = &CASES[key.case];
+    let scenario = ScenarioPlan {
+        deployment: plan.deployments[key.deployment],
+        load: plan.loads[key.load],
+        script: (case.script)(key.severity),
+        one_is_sick: case.one_is_sick,
+        seed: key.seed,
+    };
+    World::new(scenario, key.rule).run()
+}
+
+/// `RuleSummary` sums up the runs of one rule.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct RuleSummary {
+    /// Runs with a sick upstream.
+    pub runs: usize,
+    /// Runs in which work to the sick upstream stopped.
+    pub stopped: usize,
+    /// Median of the detection times; runs that never stopped count as the longest.
+    pub detection_median: Option<Duration>,
+    /// Detection time that 99 in 100 runs stay below.
+    pub detection_p99: Option<Duration>,
+    /// Median of the requests that the sick upstream received.
+    pub received_median: u64,
+    /// False ejections for each upstream-hour.
+    pub false_ejections_hour: f64,
+    /// Share of callers' requests in the fault that failed.
+    pub failed_share: f64,
+    /// Share of callers' requests in the fault that were slow.
+    pub slow_share: f64,
+    /// Least slots in service over the floor's.
+    pub lowest_over_floor: f64,
+    /// Runs in which the floor was broken.
+    pub floor_broken: usize,
+    /// Median time to return.
+    pub returned_median: Option<Duration>,
+}
+
+/// Sums results up.
+pub fn summarize<'a>(
+    results: impl Iterator<Item = &'a RunResult>,
+    one_is_sick: bool,
+) -> RuleSummary {
+    let results: Vec<&RunResult> = results.collect();
+    let mut summary = RuleSummary { runs: results.len(), ..RuleSummary::default() };
+    let sum =
+        |value: fn(&RunResult) -> f64| results.iter().map(|result| value(result)).sum::<f64>();
+    let requests = sum(|result| result.requests as f64).max(1.0);
+    summary.false_ejections_hour =
+        sum(|result| result.false_ejections) / sum(|result| result.upstream_hours).max(1e-9);
+    summary.failed_share = sum(|result| result.failed as f64) / requests;
+    summary.slow_share = sum(|result| result.slow as f64) / requests;
+    summary.floor_broken = results.iter().filter(|result| result.floor_broken).count();
+    summary.lowest_over_floor =
+        results.iter().map(|result| result.lowest_over_floor).fold(f64::INFINITY, f64::min);
+    if !one_is_sick {
+        return summary;
+    }
+    summary.stopped = results.iter().filter(|result| result.detection.is_some()).count();
+    let longest = Duration::MAX;
+    let mut times: Vec<Duration> =
+        results.iter().map(|result| result.detection.unwrap_or(longest)).collect();
+    times.sort();
+    summary.detection_median = at_share(&times, 0.5).filter(|time| *time != longest);
+    summary.detection_p99 = at_share(&times, 0.99).filter(|time| *time != longest);
+    let mut received: Vec<u64> = results.iter().map(|result| result.received).collect();
+    received.sort();
+    summary.received_median = at_share(&received, 0.5).unwrap_or(0);
+    let mut returned: Vec<Duration> = results.iter().filter_map(|result| result.returned).collect();
+    returned.sort();
+    summary.returned_median = at_share(&returned, 0.5);
+    summary
+}
+
+fn at_share<T: Copy>(sorted: &[T], share: f64) -> Option<T> {
+    let index = ((sorted.len() as f64 * share).ceil() as usize).saturating_sub(1);
+    sorted.get(index).copied()
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 
 //! Load, experiments and the decision bench of basaltarch.
 
+pub mod decisions;
 pub mod detection;
 pub mod errors;
 pub mod fault;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -9,6 +9,7 @@
 use std::process;
 use std::time::Duration;
 
+use basaltarch_bench::decisions::{bounds, report, scenario, suite};
 use basaltarch_bench::errors::BenchError;
 use basaltarch_bench::load::{self, LoadOptions, LoadTarget, TargetReport};
 use basaltarch_bench::{detection, fault};
@@ -46,6 +47,15 @@
                 /// Fails if an answer was cut, crossed or left unknown.
                 optional --clean
             }
+            /// Runs the decision bench: every case, or some, in virtual time.
+            cmd decisions {
+                /// Seeds of each run, default 1.
+                optional --seeds count: String
+                /// Only cases whose name contains this.
+                optional --case name: String
+                /// Only this deployment.
+                optional --deployment name: String
+            }
             /// Compares what a failing server received with what callers saw.
             cmd detection {
                 /// Output of load --json.
@@ -77,6 +87,7 @@
     let result = match flags.subcommand {
         flags::BasaltarchBenchCmd::Load(flags) => run_load(flags),
         flags::BasaltarchBenchCmd::Fault(flags) => run_fault(flags),
+        flags::BasaltarchBenchCmd::Decisions(flags) => run_decisions(flags),
         flags::BasaltarchBenchCmd::Detection(flags) => {
             detection::run(&flags.load, &flags.fault, &flags.server)
         }
@@ -193,6 +204,20 @@
     }
 }
 
+fn run_decisions(flags: flags::Decisions) -> Result<(), BenchError> {
+    let seeds = number("seeds", flags.seeds, 1.0, 1.0, 100.0)?;
+    let mut plan = bounds::whole_suite(seeds as u64);
+    if let Some(part) = &flags.case {
+        plan.cases.retain(|case| scenario::CASES[*case].name.contains(part.as_str()));
+    }
+    if let Some(name) = &flags.deployment {
+        plan.deployments.retain(|deployment| deployment.name == name);
+    }
+    let results = suite::run(&plan);
+    println!("{}", report::markdown(&plan, &results));
+    Ok(())
+}
+
 fn run_fault(flags: flags::Fault) -> Result<(), BenchError> {
     let address = address("address", &flags.address)?;
     let quiet = number("quiet-ms", flags.quiet_ms, 1000.0, 10.0, 60_000.0)?;
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -114,11 +114,12 @@
 fn seen_health(state: &DaemonState, view: &LoadView, avoided: Option<bool>) -> Value {
     let now = state.now();
     let sickness = view.health.map(|health| health.sickness);
-    let word = match (view.reachable, view.draining, avoided, sickness) {
+    let ejected = view.health.map(|health| health.ejected);
+    let word = match (view.reachable, view.draining, avoided, ejected) {
         (false, ..) => "unreachable",
         (_, true, ..) => "draining",
         (.., Some(true), _) => "avoided",
-        (.., Some(sickness)) if sickness >= 1.0 => "sick, kept by the floor",
+        (.., Some(true)) => "sick, kept by the floor",
         (.., None) => "not heard of",
         _ => "in service",
     };
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -98,7 +98,7 @@
         let failure = ExchangeFailure {
             outcome: outcome.wire_number(),
             retry_after_ms: RETRY_AFTER.as_millis() as i32,
-            report: upstream.map(|upstream| upstream.report(state, &head.route)),
+            report: upstream.map(|upstream| upstream.report(state, &head.route, None)),
         };
         // An ingress that is gone needs no word.
         let _ = answer.send(StreamEvent::Failed(failure)).await;
@@ -144,7 +144,7 @@
             repeatable: wire::mode_of(self.head.work_mode) == WorkMode::Repeatable,
             baseline: wire::baseline_of(self.head.baseline.as_ref()),
         };
-        match self.upstream.health.borrow_mut().admit(&terms, now) {
+        match self.upstream.admit(&terms, now) {
             AdmitVerdict::Admit => Ok(()),
             AdmitVerdict::Trial => {
                 self.is_trial = true;
@@ -159,6 +159,11 @@
     }
 
     fn note(&self, evidence: WorkEvidence, was_overdue: bool) {
+        // What failed elsewhere before may be the request's own fault.
+        let evidence = match evidence {
+            WorkEvidence::Failed if self.head.after_failure => WorkEvidence::Neutral,
+            other => other,
+        };
         let note = WorkNote { evidence, was_overdue, is_trial: self.is_trial };
         self.upstream.note(&self.head.route, &note, self.state.now());
     }
@@ -263,7 +268,7 @@
             content_length: kept.body.len() as i64,
             body: kept.body.into_bytes(),
             last: true,
-            report: self.upstream.report(self.state, &self.head.route),
+            report: self.upstream.report(self.state, &self.head.route, None),
         };
         let _ = answer.send(StreamEvent::Head(head)).await;
         Ok(())
@@ -280,7 +285,9 @@
         if self.left().is_zero() {
             return Err(FailureOutcome::NotRun(NotRunReason::DeadlinePassed));
         }
-        let mut pooled = match self.upstream.pool.take().await {
+        let taken = self.upstream.pool.take().await;
+        self.upstream.note_connected(taken.is_ok(), self.state.now());
+        let mut pooled = match taken {
             Ok(pooled) => pooled,
             Err(_) => {
                 self.note(WorkEvidence::Failed, false);
@@ -570,7 +577,11 @@
             content_length: length,
             body: body.to_vec(),
             last,
-            report: self.work.upstream.report(self.work.state, &self.work.head.route),
+            report: self.work.upstream.report(
+                self.work.state,
+                &self.work.head.route,
+                Some(self.progress.started.elapsed()),
+            ),
         };
         let sending = self.answer.send(StreamEvent::Head(answer));
         sending.await.map_err(|_| WorkFault::SinkGone)
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -10,7 +10,7 @@
 use basaltarch_core::config::{ServiceEntry, UpstreamEntry};
 use basaltarch_core::resources::{BackendServer, ServerState, ServiceSpec};
 use basaltarch_decide::evidence::WorkEvidence;
-use basaltarch_decide::health::{HealthChange, UpstreamHealth};
+use basaltarch_decide::health::{AdmitVerdict, DispatchTerms, HealthChange, UpstreamHealth};
 use basaltarch_peer::protocol::LoadReport;
 
 use crate::host::admission::SlotQueue;
@@ -37,6 +37,7 @@
     /// Connections to it.
     pub pool: BackendPool,
     draining_until: Cell<Duration>,
+    was_down: Cell<bool>,
 }
 
 impl HostUpstream {
@@ -56,6 +57,7 @@
             health: RefCell::new(UpstreamHealth::new(service.spec.prefer, now, cold)),
             pool: BackendPool::new(server.address, server.connections as usize),
             draining_until: Cell::new(Duration::ZERO),
+            was_down: Cell::new(false),
         }
     }
 
@@ -73,11 +75,27 @@
         self.draining_until.set(until);
     }
 
+    /// Takes in whether the backend server could be connected to; one that could not and can again
+    /// was started anew.
+    pub fn note_connected(&self, connected: bool, now: Duration) {
+        if self.was_down.replace(!connected) && connected {
+            tracing::info!(upstream = &*self.name, "backend server started anew");
+            self.health.borrow_mut().note_restart(now);
+        }
+    }
+
     /// Says whether the backend server takes no new work, by its resource or its own word.
     pub fn is_draining(&self, now: Duration) -> bool {
         self.server.borrow().state == ServerState::Draining || self.draining_until.get() > now
     }
 
+    /// Says whether the backend server takes a dispatch.
+    pub fn admit(&self, terms: &DispatchTerms<'_>, now: Duration) -> AdmitVerdict {
+        let (verdict, change) = self.health.borrow_mut().admit(terms, now);
+        self.tell(change);
+        verdict
+    }
+
     /// Takes the end of a request in.
     pub fn note(&self, route: &str, work: &WorkNote, now: Duration) {
         let mut health = self.health.borrow_mut();
@@ -123,14 +141,15 @@
         }
     }
 
-    /// Returns the report for a dispatch of `route`.
-    pub fn report(&self, state: &DaemonState, route: &str) -> LoadReport {
+    /// Returns the report for a dispatch of `route`, with the time that its answer took.
+    pub fn report(&self, state: &DaemonState, route: &str, took: Option<Duration>) -> LoadReport {
         let now = state.now();
         let load = HostLoad {
             in_flight: self.slots.used(),
             queued: self.slots.queued(),
             draining: self.is_draining(now) || state.is_stopping(),
             revision: state.config.revision().0,
+            took,
         };
         wire::report_note(load, &self.health.borrow().report(route, now))
     }
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -102,8 +102,8 @@
         match first {
             FirstEvent::CallerGone => return AttemptEnd::CallerGone,
             FirstEvent::Head(head) => {
-                attempts.note_report(choice.index, &head.report);
                 let failed = is_server_error(head.status);
+                attempts.note_report(choice.index, &head.report, Some(failed));
                 if fallback.is_some() {
                     if failed {
                         attempts.withdraw();
@@ -121,7 +121,8 @@
             FirstEvent::Failed(outcome, report) => {
                 live.exchange.finish();
                 if let Some(report) = &report {
-                    attempts.note_report(choice.index, report);
+                    let ran = matches!(outcome, FailureOutcome::Unknown(_));
+                    attempts.note_report(choice.index, report, ran.then_some(true));
                 }
                 attempts.excluded.push(choice.index);
                 attempts.last = outcome;
@@ -222,7 +223,8 @@
     fn head(&self, choice: UpstreamChoice, body_is_done: bool) -> DispatchHead {
         let request = self.request;
         let entry = &request.service.entry;
-        let baseline = request.service.baseline(&request.route.name);
+        let now = self.state.now();
+        let baseline = request.service.baseline(&request.route.name, choice.index, now);
         DispatchHead {
             service_name: entry.name.to_string(),
             upstream: entry.upstreams[choice.index].name.to_string(),
@@ -242,6 +244,7 @@
             once_key: request.once_key.clone(),
             organisation: request.organisation.clone(),
             revision: self.state.config.revision().0 as i64,
+            after_failure: self.failed_at.is_some(),
         }
     }
 
@@ -272,9 +275,10 @@
         }
     }
 
-    fn note_report(&self, index: usize, report: &LoadReport) {
+    fn note_report(&self, index: usize, report: &LoadReport, failed: Option<bool>) {
         let route = &self.request.route.name;
-        self.request.service.note_report(index, route, report, self.state.now());
+        let now = self.state.now();
+        self.request.service.note_report(index, route, report, failed, now);
     }
 
     /// Takes the first failure back: the same request failed on a second upstream, so the request
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -10,7 +10,7 @@
 use basaltarch_core::config::{ActiveConfig, ServiceEntry};
 use basaltarch_core::resources::ServerState;
 use basaltarch_decide::balance::{LoadView, ServiceView, UpstreamChoice};
-use basaltarch_decide::baseline::RouteBaseline;
+use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
 use basaltarch_decide::budget::RetryBudget;
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_peer::protocol::LoadReport;
@@ -32,6 +32,7 @@
     draining_until: Vec<Cell<Duration>>,
     view: RefCell<ServiceView>,
     baselines: RefCell<FnvHashMap<Rc<str>, RouteBaseline>>,
+    recent: RefCell<RecentAnswers>,
     budget: RefCell<RetryBudget>,
     violations: Cell<u64>,
 }
@@ -92,6 +93,7 @@
             draining_until: entry.upstreams.iter().map(|_| Cell::default()).collect(),
             view: RefCell::new(ServiceView::new(entry.spec.floor, views)),
             baselines: RefCell::default(),
+            recent: RefCell::default(),
             budget: RefCell::new(RetryBudget::new(entry.spec.retry_budget)),
             violations: Cell::new(0),
             entry,
@@ -131,8 +133,15 @@
         }
     }
 
-    /// Takes a report of an upstream in.
-    pub fn note_report(&self, index: usize, route: &Rc<str>, note: &LoadReport, now: Duration) {
+    /// Takes a report of an upstream in; `failed` tells how the request went, if it ran.
+    pub fn note_report(
+        &self,
+        index: usize,
+        route: &Rc<str>,
+        note: &LoadReport,
+        failed: Option<bool>,
+        now: Duration,
+    ) {
         let (load, health) = wire::report_of(note);
         let until = if load.draining { now + DRAIN_WORD_LIFE } else { Duration::ZERO };
         self.draining_until[index].set(until);
@@ -142,16 +151,28 @@
         }
         let mut view = self.view.borrow_mut();
         if let Some(baseline) = baselines.get_mut(route) {
+            if let Some(failed) = failed {
+                let took = load.took.filter(|_| !failed);
+                let current = baseline.current();
+                let mut recent = self.recent.borrow_mut();
+                recent.note(index as u32, failed, took, &current, now);
+            }
             baseline.note(index as u32, &health);
             view.note_median(baseline.current().median_ln);
         }
         view.note_report(index, load.in_flight + load.queued, health, now);
     }
 
-    /// Returns the baseline of a route.
-    pub fn baseline(&self, route: &str) -> ServiceBaseline {
+    /// Returns the baseline of a route for a dispatch to an upstream.
+    pub fn baseline(&self, route: &str, index: usize, now: Duration) -> ServiceBaseline {
         let baselines = self.baselines.borrow();
-        baselines.get(route).map(RouteBaseline::current).unwrap_or_default()
+        let mut baseline = match baselines.get(route) {
+            Some(baseline) => baseline.current(),
+            None => return ServiceBaseline::default(),
+        };
+        baseline.sickness = self.view.borrow().sickness_median(now);
+        self.recent.borrow().adjust(index as u32, &mut baseline, now);
+        baseline
     }
 
     /// Notes that a request was sent to an upstream, for as long as the guard lives.
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -111,6 +111,8 @@
     pub draining: bool,
     /// Revision in force at the host's daemon.
     pub revision: u64,
+    /// Time that the answer took, if there is one.
+    pub took: Option<Duration>,
 }
 
 /// Writes a report.
@@ -128,6 +130,8 @@
         ramp: OrderedFloat(health.ramp),
         trial_in_ms: health.trial_in.as_millis().min(i32::MAX as u128) as i32,
         revision: load.revision as i64,
+        ejected: health.ejected,
+        took_us: load.took.map_or(0, |took| took.as_micros().clamp(1, i32::MAX as u128) as i32),
     }
 }
 
@@ -138,9 +142,11 @@
         queued: note.queued.max(0) as u32,
         draining: note.draining,
         revision: note.revision.max(0) as u64,
+        took: (note.took_us > 0).then(|| Duration::from_micros(note.took_us as u64)),
     };
     let health = HealthReport {
         sickness: finite(note.sickness),
+        ejected: note.ejected,
         median_ln: finite(note.median_ln),
         spread: finite(note.spread),
         failure_rate: finite(note.failure_rate),
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -25,6 +25,8 @@
 const SLOW_MAX: f64 = 5.0;
 /// Upstreams compared for one choice (M. Mitzenmacher, "The power of two choices", 2001).
 const CHOICES: usize = 2;
+/// Age from which a report's sickness says nothing of a shared change.
+const SICKNESS_LIFE: Duration = Duration::from_secs(30);
 /// Time after which a sick upstream that has said nothing since is asked again.
 const SICK_REPORT_LIFE: Duration = Duration::from_secs(90);
 
@@ -64,9 +66,11 @@
         }
     }
 
-    fn sickness(&self, now: Duration) -> f64 {
+    /// Returns the sickness of an upstream that lately said it is ejected, 0 for others.
+    fn ejected_sickness(&self, now: Duration) -> f64 {
         let fresh = now.saturating_sub(self.reported_at) < SICK_REPORT_LIFE;
-        self.health.filter(|_| fresh).map_or(0.0, |health| health.sickness)
+        let ejected = self.health.filter(|health| fresh && health.ejected);
+        ejected.map_or(0.0, |health| health.sickness.max(1.0))
     }
 
     /// Estimates the share of the slots in use at `now`.
@@ -161,9 +165,8 @@
             Some(view) => view,
             None => return,
         };
-        let before = view.health.map_or(0.0, |health| health.sickness);
-        self.stale |= (before >= 1.0) != (health.sickness >= 1.0);
-        self.stale |= health.sickness >= 1.0 && before != health.sickness;
+        let before = view.health.is_some_and(|health| health.ejected);
+        self.stale |= before || health.ejected;
         view.load = load;
         view.health = Some(health);
         view.reported_at = now;
@@ -199,6 +202,22 @@
         }
     }
 
+    /// Returns the median sickness of the upstreams that reported lately.
+    pub fn sickness_median(&self, now: Duration) -> f64 {
+        let mut values: Vec<f64> = self
+            .upstreams
+            .iter()
+            .filter(|view| now.saturating_sub(view.reported_at) < SICKNESS_LIFE)
+            .filter_map(|view| view.health.map(|health| health.sickness))
+            .collect();
+        if values.is_empty() {
+            return 0.0;
+        }
+        let middle = (values.len() - 1) / 2;
+        let (_, median, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+        *median
+    }
+
     /// Takes in the median service time over the upstreams, as the logarithm of µs.
     pub fn note_median(&mut self, median_ln: f64) {
         self.median_ln = median_ln;
@@ -214,7 +233,7 @@
             .map(|view| CapacityEntry {
                 slots: view.slots,
                 available: view.reachable && !view.draining,
-                sickness: view.sickness(now),
+                sickness: view.ejected_sickness(now),
             })
             .collect();
         self.plan = floor::plan(self.floor, &entries);
--- a/crates/decide/src/baseline.rs
+++ b/crates/decide/src/baseline.rs
@@ -1,9 +1,14 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! What the upstreams of a service have in common, gathered at an ingress from their reports.
+//! What the upstreams of a service have in common, gathered at an ingress.
+//!
+//! Reports tell what is usual for a route; they follow a change within a dozen requests of each
+//! upstream. The last answers of all upstreams together show a shared change sooner.
 
-use crate::evidence::ServiceBaseline;
+use std::time::Duration;
+
+use crate::evidence::{self, ServiceBaseline};
 use crate::health::HealthReport;
 
 /// Upstreams whose reports are kept for one route: the median of 15 is steady, and their reports
@@ -51,7 +56,7 @@
             spread: self.median(|report| report.spread),
             failure_rate: self.median(|report| report.failure_rate),
             overdue_rate: self.median(|report| report.overdue_rate),
-            sickness: self.median(|report| report.sickness),
+            sickness: 0.0,
             upstreams: self.reports.len() as u32,
         };
     }
@@ -73,3 +78,105 @@
         self.current
     }
 }
+
+/// Answers kept of a service: about two of each upstream at the brief's sizes.
+const ANSWERS_MAX: usize = 32;
+/// Age from which an answer says nothing about now.
+const ANSWER_LIFE: Duration = Duration::from_secs(5);
+/// Fewest answers of others from which a shared change is seen.
+const OTHERS_MIN: usize = 8;
+/// Fewest other upstreams that must have failed before failures count as shared.
+const FAILED_UPSTREAMS_MIN: usize = 3;
+/// Share of the other upstreams that must have failed.
+const FAILED_UPSTREAMS_SHARE: f64 = 0.25;
+/// Deviations by which the median answer of the others must be late before the shift counts as
+/// shared; noise of the median of a few answers stays below.
+const SHARED_SHIFT_MIN: f64 = 0.4;
+
+#[derive(Debug, Clone, Copy)]
+struct KeptAnswer {
+    upstream: u32,
+    at: Duration,
+    failed: bool,
+    deviations: Option<f64>,
+}
+
+/// `RecentAnswers` keeps the last answers of a service's upstreams, to see what all of them share
+/// before their own reports show it.
+#[derive(Debug, Clone, Default)]
+pub struct RecentAnswers {
+    answers: Vec<KeptAnswer>,
+    oldest: usize,
+}
+
+impl RecentAnswers {
+    /// Takes an answer in; `took` is the service time, if there is one to compare.
+    pub fn note(
+        &mut self,
+        upstream: u32,
+        failed: bool,
+        took: Option<Duration>,
+        baseline: &ServiceBaseline,
+        now: Duration,
+    ) {
+        let deviations = took.filter(|_| baseline.is_usable()).map(|took| {
+            let distance = evidence::log_micros(took) - baseline.median_ln;
+            distance / baseline.spread.max(crate::track::SPREAD_MIN)
+        });
+        let kept = KeptAnswer { upstream, at: now, failed, deviations };
+        if self.answers.len() < ANSWERS_MAX {
+            self.answers.push(kept);
+            return;
+        }
+        self.answers[self.oldest] = kept;
+        self.oldest = (self.oldest + 1) % ANSWERS_MAX;
+    }
+
+    /// Adds to a baseline what the other upstreams than `upstream` lately have in common.
+    pub fn adjust(&self, upstream: u32, baseline: &mut ServiceBaseline, now: Duration) {
+        let recent = |answer: &&KeptAnswer| {
+            answer.upstream != upstream && now.saturating_sub(answer.at) < ANSWER_LIFE
+        };
+        let others = self.answers.iter().filter(recent);
+        let (mut count, mut failures) = (0, 0);
+        let mut deviations = [0.0; ANSWERS_MAX];
+        let mut timed = 0;
+        let mut seen = [0; ANSWERS_MAX];
+        let mut failed = [0; ANSWERS_MAX];
+        let (mut seen_len, mut failed_len) = (0, 0);
+        for answer in others {
+            count += 1;
+            add_once(&mut seen, &mut seen_len, answer.upstream);
+            if answer.failed {
+                failures += 1;
+                add_once(&mut failed, &mut failed_len, answer.upstream);
+            }
+            if let Some(value) = answer.deviations {
+                deviations[timed] = value;
+                timed += 1;
+            }
+        }
+        if count < OTHERS_MIN {
+            return;
+        }
+        let share = failed_len as f64 / seen_len as f64;
+        if failed_len >= FAILED_UPSTREAMS_MIN && share >= FAILED_UPSTREAMS_SHARE {
+            let rate = f64::from(failures) / count as f64;
+            baseline.failure_rate = baseline.failure_rate.max(rate);
+        }
+        if timed >= OTHERS_MIN {
+            let deviations = &mut deviations[..timed];
+            let (_, median, _) = deviations.select_nth_unstable_by(timed / 2, f64::total_cmp);
+            if *median > SHARED_SHIFT_MIN {
+                baseline.median_ln += *median * baseline.spread;
+            }
+        }
+    }
+}
+
+fn add_once(list: &mut [u32], len: &mut usize, value: u32) {
+    if !list[..*len].contains(&value) {
+        list[*len] = value;
+        *len += 1;
+    }
+}
--- a/crates/decide/src/detector.rs
+++ b/crates/decide/src/detector.rs
@@ -31,7 +31,7 @@
 /// Share by which a shift must exceed what the mix of requests alone may make.
 const SHIFT_SLACK: f64 = 0.25;
 /// Sums stop at this many thresholds, so that an upstream that is well again is soon seen to be.
-const CAP_THRESHOLDS: f64 = 2.0;
+const CAP_THRESHOLDS: f64 = 4.0;
 
 /// `EvidenceKind` names the sums.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,6 +100,15 @@
         }
     }
 
+    /// Takes the end of a request in without its time, as of a server that is still cold.
+    pub fn note_untimed(&mut self, evidence: WorkEvidence, baseline: &ServiceBaseline) {
+        match evidence {
+            WorkEvidence::Neutral => {}
+            WorkEvidence::Failed => self.note_failure(true, baseline),
+            WorkEvidence::Answered(_) => self.note_failure(false, baseline),
+        }
+    }
+
     fn note_failure(&mut self, failed: bool, baseline: &ServiceBaseline) {
         let usual = usual_rate(baseline.failure_rate, FAILURE_RATE_MIN, baseline);
         self.add(EvidenceKind::Failing, ratio(failed, usual, strong_rate(usual)));
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -11,7 +11,7 @@
 
 use crate::detector::{EvidenceKind, SicknessDetector};
 use crate::evidence::{self, ServiceBaseline, WorkEvidence, OVERDUE_DEVIATIONS};
-use crate::recovery::{RecoveryPlan, TrialVerdict};
+use crate::recovery::{RecoveryPlan, TrialVerdict, RAMP};
 use crate::track::{LatencyTrack, RateTrack};
 
 /// Threshold for `detection`: a healthy upstream is ejected at most once in e^9 (8,000) requests
@@ -19,12 +19,17 @@
 pub const THRESHOLD_DETECTION: f64 = 9.0;
 /// Threshold for `precision`: at most once in e^14 (1.2 million) requests.
 pub const THRESHOLD_PRECISION: f64 = 14.0;
+/// Time for which an upstream must stand out, for `detection`.
+const CONFIRM_DETECTION: Duration = Duration::from_millis(150);
+/// Time for which an upstream must stand out, for `precision`.
+const CONFIRM_PRECISION: Duration = Duration::from_millis(400);
 /// Routes of one upstream whose service times are followed one by one; later ones share.
 const ROUTES_MAX: usize = 64;
 /// Name under which the routes beyond [`ROUTES_MAX`] are followed.
 const OTHER_ROUTES: &str = "";
-/// Shared sickness of the siblings beyond which nobody new is ejected unless it stands out twice.
-const SHARED_SICKNESS: f64 = 0.5;
+/// What an upstream must have beyond the median sickness of its siblings, as a multiple of it: what
+/// all have is not one server's fault.
+const SIBLING_WEIGHT: f64 = 2.0;
 
 /// Returns the threshold behind a choice.
 pub fn threshold_of(prefer: PreferChoice) -> f64 {
@@ -34,6 +39,17 @@
     }
 }
 
+/// Returns the time for which an upstream must stand out before it is ejected.
+///
+/// In it, the answers of the siblings arrive that tell a shared change from one server's fault: the
+/// usual service time, and the way to the ingress and back with the next dispatch.
+fn confirm_time(prefer: PreferChoice) -> Duration {
+    match prefer {
+        PreferChoice::Detection => CONFIRM_DETECTION,
+        PreferChoice::Precision => CONFIRM_PRECISION,
+    }
+}
+
 /// `RouteTrack` follows one route on one upstream.
 #[derive(Debug, Clone, Copy, Default)]
 struct RouteTrack {
@@ -69,8 +85,10 @@
 /// `HealthReport` is what an upstream's daemon tells about its health.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct HealthReport {
-    /// Sickness in thresholds; from 1 on, the upstream is out unless the floor needs it.
+    /// Sickness in thresholds.
     pub sickness: f64,
+    /// Whether the upstream is ejected: it is out unless the floor needs it.
+    pub ejected: bool,
     /// Logarithm of the median service time of the route asked for, in µs.
     pub median_ln: f64,
     /// Spread of that logarithm.
@@ -116,6 +134,9 @@
     siblings: f64,
     rising_since: Option<Duration>,
     reason: Option<EvidenceKind>,
+    cold_until: Duration,
+    suspect_since: Option<Duration>,
+    confirm: Duration,
 }
 
 impl UpstreamHealth {
@@ -129,17 +150,38 @@
             siblings: 0.0,
             rising_since: None,
             reason: None,
+            cold_until: if cold { now + RAMP } else { Duration::ZERO },
+            suspect_since: None,
+            confirm: confirm_time(prefer),
         }
     }
 
+    /// Notes that the backend server was started anew: it gets work slowly at first, and being
+    /// slow meanwhile does not speak against it.
+    pub fn note_restart(&mut self, now: Duration) {
+        self.recovery.ramp_from(now);
+        self.cold_until = now + RAMP;
+    }
+
     /// Changes which error the service would rather have.
     pub fn set_prefer(&mut self, prefer: PreferChoice) {
         self.detector.set_threshold(threshold_of(prefer));
+        self.confirm = confirm_time(prefer);
     }
 
     /// Says whether the upstream takes a dispatch.
-    pub fn admit(&mut self, terms: &DispatchTerms<'_>, now: Duration) -> AdmitVerdict {
+    pub fn admit(
+        &mut self,
+        terms: &DispatchTerms<'_>,
+        now: Duration,
+    ) -> (AdmitVerdict, Option<HealthChange>) {
         self.learn_baseline(terms);
+        // The dispatch brought fresh word of the siblings.
+        let change = self.judge(now);
+        (self.admit_verdict(terms, now), change)
+    }
+
+    fn admit_verdict(&mut self, terms: &DispatchTerms<'_>, now: Duration) -> AdmitVerdict {
         if !self.recovery.is_ejected() {
             return AdmitVerdict::Admit;
         }
@@ -188,7 +230,9 @@
     pub fn note_overdue(&mut self, route: &str, now: Duration) -> Option<HealthChange> {
         let baseline = self.baseline(route);
         self.route_mut(route).overdue.note(true);
-        self.detector.note_overdue(&baseline);
+        if now >= self.cold_until {
+            self.detector.note_overdue(&baseline);
+        }
         self.judge(now)
     }
 
@@ -202,7 +246,11 @@
     ) -> Option<HealthChange> {
         let baseline = self.baseline(route);
         self.follow(route, evidence, was_overdue);
-        self.detector.note(evidence, was_overdue, &baseline);
+        if now < self.cold_until {
+            self.detector.note_untimed(evidence, &baseline);
+        } else {
+            self.detector.note(evidence, was_overdue, &baseline);
+        }
         self.judge(now)
     }
 
@@ -272,9 +320,18 @@
         } else if self.rising_since.is_none() {
             self.rising_since = Some(now);
         }
-        if self.recovery.is_ejected() || !self.stands_out(sickness) {
+        if self.recovery.is_ejected() {
+            return None;
+        }
+        if !self.stands_out(sickness) {
+            self.suspect_since = None;
+            return None;
+        }
+        let suspect_since = *self.suspect_since.get_or_insert(now);
+        if now.saturating_sub(suspect_since) < self.confirm {
             return None;
         }
+        self.suspect_since = None;
         let reason = self.detector.reason();
         self.reason = Some(reason);
         self.recovery.eject(now);
@@ -283,8 +340,7 @@
     }
 
     fn stands_out(&self, sickness: f64) -> bool {
-        let needed = if self.siblings > SHARED_SICKNESS { 2.0 } else { 1.0 };
-        sickness - self.siblings >= needed
+        sickness >= 1.0 + SIBLING_WEIGHT * self.siblings
     }
 
     /// Says whether the upstream is ejected.
@@ -309,7 +365,8 @@
         let track = track.copied().unwrap_or_default();
         let sickness = self.detector.sickness();
         HealthReport {
-            sickness: if self.is_ejected() { sickness.max(1.0) } else { sickness.min(0.99) },
+            sickness,
+            ejected: self.is_ejected(),
             median_ln: track.latency.centre(),
             spread: track.latency.spread(),
             failure_rate: self.failures.rate(),
--- a/crates/decide/src/recovery.rs
+++ b/crates/decide/src/recovery.rs
@@ -151,6 +151,11 @@
         true
     }
 
+    /// Starts the ramp anew.
+    pub fn ramp_from(&mut self, now: Duration) {
+        self.ramp_from = Some(now);
+    }
+
     /// Returns the share of its full work that the upstream should get, 0.1 to 1.
     pub fn ramp(&self, now: Duration) -> f64 {
         let start = match self.ramp_from {
--- a/crates/decide/src/track.rs
+++ b/crates/decide/src/track.rs
@@ -69,10 +69,17 @@
     }
 }
 
+/// Weight of a new sample in the slow estimate of a share: rare events need a long memory.
+const RARE_WEIGHT: f64 = 0.005;
+
 /// `RateTrack` follows the share of requests for which something is true.
+///
+/// It keeps a fast and a slow estimate and tells the higher one: a share that all upstreams have
+/// lately got counts at once, and one that is rare but usual is not forgotten between two events.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct RateTrack {
-    rate: f64,
+    fast: f64,
+    slow: f64,
     samples: u32,
 }
 
@@ -81,13 +88,14 @@
     pub fn note(&mut self, is_true: bool) {
         self.samples = self.samples.saturating_add(1);
         // Starts from zero rather than from the first sample: one early failure is no rate of 1.
-        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples + 8));
+        let start = 1.0 / f64::from(self.samples + 8);
         let value = if is_true { 1.0 } else { 0.0 };
-        self.rate += weight * (value - self.rate);
+        self.fast += SAMPLE_WEIGHT.max(start) * (value - self.fast);
+        self.slow += RARE_WEIGHT.max(start) * (value - self.slow);
     }
 
     /// Returns the share, 0 to 1.
     pub fn rate(&self) -> f64 {
-        self.rate
+        self.fast.max(self.slow)
     }
 }
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -20,6 +20,8 @@
   10: required double ramp
   11: required i32 trial_in_ms
   12: required i64 revision
+  13: required bool ejected
+  14: required i32 took_us
 }
 
 /** What an ingress knows of a route over all upstreams of its service. */
@@ -57,6 +59,7 @@
   16: optional string once_key
   17: optional string organisation
   18: required i64 revision
+  19: required bool after_failure
 }
 
 /** The first frame of an answer. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -44,10 +44,12 @@
   pub ramp: OrderedFloat<f64>,
   pub trial_in_ms: i32,
   pub revision: i64,
+  pub ejected: bool,
+  pub took_us: i32,
 }
 
 impl LoadReport {
-  pub fn new(in_flight: i32, queued: i32, draining: bool, sickness: OrderedFloat<f64>, median_ln: OrderedFloat<f64>, spread: OrderedFloat<f64>, failure_rate: OrderedFloat<f64>, overdue_rate: OrderedFloat<f64>, samples: i32, ramp: OrderedFloat<f64>, trial_in_ms: i32, revision: i64) -> LoadReport {
+  pub fn new(in_flight: i32, queued: i32, draining: bool, sickness: OrderedFloat<f64>, median_ln: OrderedFloat<f64>, spread: OrderedFloat<f64>, failure_rate: OrderedFloat<f64>, overdue_rate: OrderedFloat<f64>, samples: i32, ramp: OrderedFloat<f64>, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32) -> LoadReport {
     LoadReport {
       in_flight,
       queued,
@@ -61,6 +63,8 @@
       ramp,
       trial_in_ms,
       revision,
+      ejected,
+      took_us,
     }
   }
 }
@@ -80,6 +84,8 @@
     let mut f_10: Option<OrderedFloat<f64>> = None;
     let mut f_11: Option<i32> = None;
     let mut f_12: Option<i64> = None;
+    let mut f_13: Option<bool> = None;
+    let mut f_14: Option<i32> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -135,6 +141,14 @@
           let val = i_prot.read_i64()?;
           f_12 = Some(val);
         },
+        13 => {
+          let val = i_prot.read_bool()?;
+          f_13 = Some(val);
+        },
+        14 => {
+          let val = i_prot.read_i32()?;
+          f_14 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -154,6 +168,8 @@
     verify_required_field_exists("LoadReport.ramp", &f_10)?;
     verify_required_field_exists("LoadReport.trial_in_ms", &f_11)?;
     verify_required_field_exists("LoadReport.revision", &f_12)?;
+    verify_required_field_exists("LoadReport.ejected", &f_13)?;
+    verify_required_field_exists("LoadReport.took_us", &f_14)?;
     let ret = LoadReport {
       in_flight: f_1.expect("auto-generated code should have checked for presence of required fields"),
       queued: f_2.expect("auto-generated code should have checked for presence of required fields"),
@@ -167,6 +183,8 @@
       ramp: f_10.expect("auto-generated code should have checked for presence of required fields"),
       trial_in_ms: f_11.expect("auto-generated code should have checked for presence of required fields"),
       revision: f_12.expect("auto-generated code should have checked for presence of required fields"),
+      ejected: f_13.expect("auto-generated code should have checked for presence of required fields"),
+      took_us: f_14.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -209,6 +227,12 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("revision", TType::I64, 12))?;
     o_prot.write_i64(self.revision)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("ejected", TType::Bool, 13))?;
+    o_prot.write_bool(self.ejected)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("took_us", TType::I32, 14))?;
+    o_prot.write_i32(self.took_us)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -424,10 +448,11 @@
   pub once_key: Option<String>,
   pub organisation: Option<String>,
   pub revision: i64,
+  pub after_failure: bool,
 }
 
 impl DispatchHead {
-  pub fn new<F15, F16, F17>(service_name: String, upstream: String, route: String, method: String, target: String, headers: Vec<HeaderField>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>> {
+  pub fn new<F15, F16, F17>(service_name: String, upstream: String, route: String, method: String, target: String, headers: Vec<HeaderField>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>> {
     DispatchHead {
       service_name,
       upstream,
@@ -447,6 +472,7 @@
       once_key: once_key.into(),
       organisation: organisation.into(),
       revision,
+      after_failure,
     }
   }
 }
@@ -472,6 +498,7 @@
     let mut f_16: Option<String> = None;
     let mut f_17: Option<String> = None;
     let mut f_18: Option<i64> = None;
+    let mut f_19: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -557,6 +584,10 @@
           let val = i_prot.read_i64()?;
           f_18 = Some(val);
         },
+        19 => {
+          let val = i_prot.read_bool()?;
+          f_19 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -579,6 +610,7 @@
     verify_required_field_exists("DispatchHead.body", &f_13)?;
     verify_required_field_exists("DispatchHead.last", &f_14)?;
     verify_required_field_exists("DispatchHead.revision", &f_18)?;
+    verify_required_field_exists("DispatchHead.after_failure", &f_19)?;
     let ret = DispatchHead {
       service_name: f_1.expect("auto-generated code should have checked for presence of required fields"),
       upstream: f_2.expect("auto-generated code should have checked for presence of required fields"),
@@ -598,6 +630,7 @@
       once_key: f_16,
       organisation: f_17,
       revision: f_18.expect("auto-generated code should have checked for presence of required fields"),
+      after_failure: f_19.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -668,6 +701,9 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("revision", TType::I64, 18))?;
     o_prot.write_i64(self.revision)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("after_failure", TType::Bool, 19))?;
+    o_prot.write_bool(self.after_failure)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
