--- a/crates/bench/src/decisions/bounds.rs
+++ b/crates/bench/src/decisions/bounds.rs
@@ -3,9 +3,28 @@
 
 //! The suites, and the bounds that gate CI.
 
-use crate::decisions::rules::RULES;
+use std::time::Duration;
+
+use crate::decisions::report::{self, CaseRow};
+use crate::decisions::rules::{RuleKind, PLAIN_RULES, RULES};
 use crate::decisions::scenario::{CASES, DEPLOYMENTS, LOADS};
-use crate::decisions::suite::SuitePlan;
+use crate::decisions::suite::{RunKey, SuitePlan};
+use crate::decisions::world::RunResult;
+use crate::errors::BenchError;
+
+/// Factor by which `detection` must be quicker than the best plain rule.
+const QUICKER_FACTOR: f64 = 3.0;
+/// Factor by which `precision` must have fewer false ejections than the best plain rule.
+const FEWER_FACTOR: f64 = 10.0;
+/// Longest median detection time of `detection` over the gate's suite. The figure when the bound was
+/// set is in docs/MEASUREMENTS.md; the bound leaves a quarter for other processors' arithmetic.
+pub const DETECTION_MEDIAN_MAX: Duration = Duration::from_millis(700);
+/// Longest median detection time of `precision`.
+pub const PRECISION_MEDIAN_MAX: Duration = Duration::from_millis(1650);
+/// Most false ejections an upstream-hour of `detection`.
+pub const DETECTION_FALSE_MAX: f64 = 0.08;
+/// Most false ejections an upstream-hour of `precision`.
+pub const PRECISION_FALSE_MAX: f64 = 0.025;
 
 /// Returns the whole suite: every case, severity, load and deployment.
 pub fn whole_suite(seeds: u64) -> SuitePlan {
@@ -16,5 +35,82 @@
         deployments: DEPLOYMENTS.to_vec(),
         rules: RULES.to_vec(),
         seeds: (1..=seeds).collect(),
+        strictness: None,
+    }
+}
+
+/// Returns the suite that gates CI: every case and deployment at the middle severity and load.
+pub fn gate_suite() -> SuitePlan {
+    SuitePlan { severities: vec![2], loads: vec![LOADS[1]], ..whole_suite(2) }
+}
+
+/// Returns the plain rule with the shortest median detection time over all cases.
+pub fn best_plain(results: &[(RunKey, RunResult)]) -> Option<(RuleKind, Duration, f64)> {
+    let sick = |key: &RunKey| CASES[key.case].one_is_sick;
+    let timed = PLAIN_RULES.iter().filter_map(|rule| {
+        let median = report::select(results, *rule, sick).detection_median?;
+        let false_rate = report::select(results, *rule, |_| true).false_ejections_hour;
+        Some((*rule, median, false_rate))
+    });
+    timed.min_by_key(|(_, median, _)| *median)
+}
+
+/// Checks the targets and the regression bounds.
+pub fn check(plan: &SuitePlan, results: &[(RunKey, RunResult)]) -> Result<(), BenchError> {
+    let broken = results.iter().filter(|(_, result)| result.floor_broken).count();
+    require(broken == 0, format!("the floor was broken in {broken} runs"))?;
+    let (plain, plain_median, plain_false) = best_plain(results)
+        .ok_or(BenchError::Bound { message: "no plain rule detected anything".to_owned() })?;
+    let sick = |key: &RunKey| CASES[key.case].one_is_sick;
+    for (rule, median_max, false_max) in [
+        (RuleKind::Detection, DETECTION_MEDIAN_MAX, DETECTION_FALSE_MAX),
+        (RuleKind::Precision, PRECISION_MEDIAN_MAX, PRECISION_FALSE_MAX),
+    ] {
+        let name = rule.name();
+        let median = report::select(results, rule, sick).detection_median;
+        let median = median.unwrap_or(Duration::MAX);
+        let false_rate = report::select(results, rule, |_| true).false_ejections_hour;
+        require(median <= median_max, format!("{name}: median {median:?} over {median_max:?}"))?;
+        require(
+            false_rate <= false_max,
+            format!("{name}: {false_rate:.3} false ejections over {false_max}"),
+        )?;
+        let quicker = plain_median.as_secs_f64() / median.as_secs_f64();
+        let fewer = plain_false / false_rate.max(1e-9);
+        let least_quicker = if rule == RuleKind::Detection { QUICKER_FACTOR } else { 1.0 };
+        let least_fewer = if rule == RuleKind::Precision { FEWER_FACTOR } else { 1.0 };
+        require(
+            quicker >= least_quicker && fewer >= least_fewer,
+            format!(
+                "{name}: {quicker:.1} times quicker and {fewer:.1} times fewer than {}",
+                plain.name()
+            ),
+        )?;
+    }
+    check_worse(&report::rows(plan, results))
+}
+
+/// Cases in which a rule may be slower than the best plain rule, with the reason:
+/// `mixed routes, slow`: the outlier rule had ejected the upstream before it was sick, by chance;
+/// `stuck`: slots filled with stuck requests keep work away under every rule, and the outlier rule
+/// ejects the longest first; `quick errors`: a plain rule lets quick errors draw traffic, and so
+/// gets its five failures sooner, at that cost to callers.
+const MAY_BE_WORSE: [&str; 3] = ["mixed routes, slow", "stuck", "quick errors"];
+
+fn check_worse(rows: &[CaseRow]) -> Result<(), BenchError> {
+    for (case, _, best, own) in report::worse(rows, RuleKind::Detection) {
+        let name = CASES[case].name;
+        require(
+            MAY_BE_WORSE.contains(&name),
+            format!("detection is slower in {name}: {own:?} against {best:?}"),
+        )?;
+    }
+    Ok(())
+}
+
+fn require(holds: bool, message: String) -> Result<(), BenchError> {
+    if holds {
+        return Ok(());
     }
+    Err(BenchError::Bound { message })
 }
--- a/crates/bench/src/decisions/rules.rs
+++ b/crates/bench/src/decisions/rules.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use basaltarch_core::resources::PreferChoice;
+use basaltarch_decide::health::{THRESHOLD_DETECTION, THRESHOLD_PRECISION};
 
 /// Failures in a row after which the first plain rule ejects.
-const CONSECUTIVE: u32 = 5;
+const CONSECUTIVE: f64 = 5.0;
 /// Window of the second plain rule.
 const RATE_WINDOW: Duration = Duration::from_secs(10);
 /// Fewest requests in the window.
@@ -73,6 +74,18 @@
         }
     }
 
+    /// Returns the parameter of the rule by which it is made stricter or laxer.
+    pub fn usual_strictness(self) -> f64 {
+        match self {
+            Self::Nothing => 0.0,
+            Self::Consecutive => CONSECUTIVE,
+            Self::Rate => RATE_SHARE,
+            Self::Outlier => OUTLIER_DEVIATIONS,
+            Self::Detection => THRESHOLD_DETECTION,
+            Self::Precision => THRESHOLD_PRECISION,
+        }
+    }
+
     /// Returns the daemon's setting, for the daemon's rules.
     pub fn prefer(self) -> Option<PreferChoice> {
         match self {
@@ -98,6 +111,7 @@
 #[derive(Debug, Clone)]
 pub struct PlainRule {
     kind: RuleKind,
+    strictness: f64,
     upstreams: Vec<PlainUpstream>,
     cap: usize,
     judged_at: Duration,
@@ -105,10 +119,11 @@
 
 impl PlainRule {
     /// Builds a rule; it ejects no more than the floor leaves, within 10 to 50%.
-    pub fn new(kind: RuleKind, upstreams: usize, floor: f64) -> Self {
+    pub fn new(kind: RuleKind, strictness: f64, upstreams: usize, floor: f64) -> Self {
         let share = (1.0 - floor).clamp(CAP_MIN, CAP_MAX);
         Self {
             kind,
+            strictness,
             upstreams: vec![PlainUpstream::default(); upstreams],
             cap: ((upstreams as f64 * share) as usize).max(1),
             judged_at: Duration::ZERO,
@@ -134,12 +149,12 @@
         upstream.failed += u32::from(failed);
         upstream.time_sum += latency.as_secs_f64();
         let chosen = match self.kind {
-            RuleKind::Consecutive if upstream.row >= CONSECUTIVE => {
+            RuleKind::Consecutive if f64::from(upstream.row) >= self.strictness => {
                 upstream.row = 0;
                 vec![index]
             }
             RuleKind::Rate => {
-                let over = upstream.is_over_rate(failed, now);
+                let over = upstream.is_over_rate(failed, self.strictness, now);
                 if over {
                     vec![index]
                 } else {
@@ -194,19 +209,19 @@
         let values: Vec<f64> = counted.iter().map(|index| value(&self.upstreams[*index])).collect();
         let mean = values.iter().sum::<f64>() / values.len() as f64;
         let square = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>();
-        let bound = mean + OUTLIER_DEVIATIONS * (square / values.len() as f64).sqrt();
+        let bound = mean + self.strictness * (square / values.len() as f64).sqrt();
         let far = counted.iter().zip(&values).filter(|(_, value)| **value > bound);
         far.map(|(index, _)| *index).collect()
     }
 }
 
 impl PlainUpstream {
-    fn is_over_rate(&mut self, failed: bool, now: Duration) -> bool {
+    fn is_over_rate(&mut self, failed: bool, share: f64, now: Duration) -> bool {
         self.window.push_back((now, failed));
         while self.window.front().is_some_and(|(at, _)| now.saturating_sub(*at) > RATE_WINDOW) {
             self.window.pop_front();
         }
         let failures = self.window.iter().filter(|(_, failed)| *failed).count();
-        self.window.len() >= RATE_VOLUME && failures as f64 >= RATE_SHARE * self.window.len() as f64
+        self.window.len() >= RATE_VOLUME && failures as f64 >= share * self.window.len() as f64
     }
 }
--- a/crates/bench/src/decisions/suite.rs
+++ b/crates/bench/src/decisions/suite.rs
@@ -47,6 +47,8 @@
     pub rules: Vec<RuleKind>,
     /// Seeds.
     pub seeds: Vec<u64>,
+    /// Parameter of the rules in place of the usual one.
+    pub strictness: Option<f64>,
 }
 
 impl SuitePlan {
@@ -104,7 +106,8 @@
         one_is_sick: case.one_is_sick,
         seed: key.seed,
     };
-    World::new(scenario, key.rule).run()
+    let strictness = plan.strictness.unwrap_or(key.rule.usual_strictness());
+    World::new(scenario, key.rule, strictness).run()
 }
 
 /// `RuleSummary` sums up the runs of one rule.
--- a/crates/bench/src/decisions/world.rs
+++ b/crates/bench/src/decisions/world.rs
@@ -135,6 +135,7 @@
 pub struct World {
     plan: ScenarioPlan,
     rule: RuleKind,
+    strictness: f64,
     now: Duration,
     sequence: u64,
     events: BinaryHeap<Reverse<(Duration, u64, usize)>>,
@@ -154,25 +155,26 @@
 
 impl World {
     /// Builds the world of a run.
-    pub fn new(plan: ScenarioPlan, rule: RuleKind) -> Self {
+    pub fn new(plan: ScenarioPlan, rule: RuleKind, strictness: f64) -> Self {
         let deployment = plan.deployment;
         let prefer = rule.prefer().unwrap_or(PreferChoice::Precision);
         let upstreams = (0..deployment.upstreams)
             .map(|_| Upstream {
-                health: UpstreamHealth::new(prefer, Duration::ZERO, false),
+                health: new_health(prefer, strictness, Duration::ZERO, false),
                 working: 0,
                 queue: VecDeque::new(),
                 accepted: Vec::new(),
             })
             .collect();
         let ingresses = (0..scenario::INGRESSES)
-            .map(|number| new_ingress(&plan, rule, number % deployment.domains))
+            .map(|number| new_ingress(&plan, rule, strictness, number % deployment.domains))
             .collect();
         let median = scenario::SERVICE_MEDIAN.as_secs_f64().ln();
         let times = LogNormal::new(median, scenario::SERVICE_SPREAD);
         let mut world = Self {
             plan,
             rule,
+            strictness,
             now: Duration::ZERO,
             sequence: 0,
             events: BinaryHeap::new(),
@@ -226,7 +228,7 @@
     /// Replaces the upstream of the cold-start case; its daemon sees a new backend server.
     fn replace_sick(&mut self) {
         let prefer = self.rule.prefer().unwrap_or(PreferChoice::Precision);
-        self.upstreams[SICK].health = UpstreamHealth::new(prefer, self.now, true);
+        self.upstreams[SICK].health = new_health(prefer, self.strictness, self.now, true);
     }
 
     fn in_fault(&self) -> bool {
@@ -662,7 +664,13 @@
     never: bool,
 }
 
-fn new_ingress(plan: &ScenarioPlan, rule: RuleKind, domain: usize) -> Ingress {
+fn new_health(prefer: PreferChoice, strictness: f64, now: Duration, cold: bool) -> UpstreamHealth {
+    let mut health = UpstreamHealth::new(prefer, now, cold);
+    health.set_threshold(strictness.max(1.0));
+    health
+}
+
+fn new_ingress(plan: &ScenarioPlan, rule: RuleKind, strictness: f64, domain: usize) -> Ingress {
     let deployment = plan.deployment;
     let views = (0..deployment.upstreams)
         .map(|index| LoadView::new(deployment.slots, index % deployment.domains == domain))
@@ -671,7 +679,7 @@
         view: ServiceView::new(deployment.floor, views),
         baselines: vec![RouteBaseline::default(); ROUTES.len()],
         recent: RecentAnswers::default(),
-        rule: PlainRule::new(rule, deployment.upstreams, deployment.floor),
+        rule: PlainRule::new(rule, strictness, deployment.upstreams, deployment.floor),
         budget: RetryBudget::new(0.1),
         domain,
     }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -9,7 +9,7 @@
 use std::process;
 use std::time::Duration;
 
-use basaltarch_bench::decisions::{bounds, report, scenario, suite};
+use basaltarch_bench::decisions::{bounds, chart, report, scenario, suite};
 use basaltarch_bench::errors::BenchError;
 use basaltarch_bench::load::{self, LoadOptions, LoadTarget, TargetReport};
 use basaltarch_bench::{detection, fault};
@@ -55,6 +55,10 @@
                 optional --case name: String
                 /// Only this deployment.
                 optional --deployment name: String
+                /// Runs the small suite that gates CI, and checks its bounds.
+                optional --gate
+                /// Draws the chart of detection time against false ejections into this SVG file.
+                optional --chart path: String
             }
             /// Compares what a failing server received with what callers saw.
             cmd detection {
@@ -206,6 +210,21 @@
 
 fn run_decisions(flags: flags::Decisions) -> Result<(), BenchError> {
     let seeds = number("seeds", flags.seeds, 1.0, 1.0, 100.0)?;
+    if let Some(path) = &flags.chart {
+        let curves = chart::sweep();
+        for curve in &curves {
+            for (strictness, rate, seconds) in &curve.points {
+                println!("{} at {strictness}: {rate:.3}, {seconds:.2} s", curve.rule.name());
+            }
+        }
+        return chart::draw(path, &curves);
+    }
+    if flags.gate {
+        let plan = bounds::gate_suite();
+        let results = suite::run(&plan);
+        println!("{}", report::markdown(&plan, &results));
+        return bounds::check(&plan, &results);
+    }
     let mut plan = bounds::whole_suite(seeds as u64);
     if let Some(part) = &flags.case {
         plan.cases.retain(|case| scenario::CASES[*case].name.contains(part.as_str()));
--- /dev/null
+++ b/crates/bench/tests/decisions.rs
@@ -0,0 +1,42 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The decision bench gates CI: its figures are deterministic.
+
+use basaltarch_bench::decisions::rules::RuleKind;
+use basaltarch_bench::decisions::scenario::{CASES, DEPLOYMENTS, LOADS};
+use basaltarch_bench::decisions::{bounds, report, suite};
+
+#[test]
+fn verify_targets_and_regression_bounds_hold() {
+    let plan = bounds::gate_suite();
+    let results = suite::run(&plan);
+    if let Err(error) = bounds::check(&plan, &results) {
+        panic!("{error}\n{}", report::markdown(&plan, &results));
+    }
+}
+
+#[test]
+fn verify_a_run_gives_the_same_figures_again() {
+    let mut plan = bounds::gate_suite();
+    plan.cases = vec![0, 12];
+    plan.deployments = vec![DEPLOYMENTS[1]];
+    let figures = |plan| {
+        let results = suite::run(plan);
+        results.iter().map(|(key, result)| format!("{key:?} {result:?}")).collect::<Vec<_>>()
+    };
+    assert_eq!(figures(&plan), figures(&plan));
+}
+
+#[test]
+fn verify_nothing_healthy_is_ejected_by_precision_in_healthy_hours() {
+    let mut plan = bounds::whole_suite(3);
+    plan.cases = (0..CASES.len()).filter(|case| CASES[*case].name == "healthy").collect();
+    plan.severities = vec![0];
+    plan.loads = LOADS.to_vec();
+    plan.rules = vec![RuleKind::Precision, RuleKind::Detection];
+    let results = suite::run(&plan);
+    let of = |rule| report::select(&results, rule, |_| true).false_ejections_hour;
+    assert_eq!(of(RuleKind::Precision), 0.0);
+    assert!(of(RuleKind::Detection) < 0.1, "{}", of(RuleKind::Detection));
+}
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -166,10 +166,12 @@
 
     /// Reads a wire number; a number of a later version reads as an unknown outcome, the safe one.
     pub fn from_wire(number: i16) -> Self {
-        if let Some(reason) = NOT_RUN_REASONS.get(number as usize) {
+        let not_run = usize::try_from(number).ok().and_then(|index| NOT_RUN_REASONS.get(index));
+        if let Some(reason) = not_run {
             return Self::NotRun(*reason);
         }
-        let reason = UNKNOWN_REASONS.get((number - UNKNOWN_BASE).max(0) as usize);
+        let index = usize::try_from(number.saturating_sub(UNKNOWN_BASE)).ok();
+        let reason = index.and_then(|index| UNKNOWN_REASONS.get(index));
         Self::Unknown(reason.copied().unwrap_or(UnknownReason::PeerLost))
     }
 }
--- /dev/null
+++ b/crates/core/tests/configuration.rs
@@ -0,0 +1,228 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Resources, configurations and routes.
+
+use std::rc::Rc;
+
+use basaltarch_core::config::{
+    ActiveConfig, ChangeRecord, FleetConfig, ResourceChange, RouteEntry,
+};
+use basaltarch_core::outcome::{FailureOutcome, NOT_RUN_REASONS, UNKNOWN_REASONS};
+use basaltarch_core::resources::{RouteRule, WorkClass, WorkMode};
+use basaltarch_core::routes::{RouteMatch, RouteTable};
+use basaltarch_core::settings;
+use basaltarch_core::units::{self, FleetRevision};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{json, Value};
+use test_case::test_case;
+
+fn rule(host: &str, prefix: &str, methods: &[&str]) -> RouteRule {
+    RouteRule {
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        methods: methods.iter().map(|method| method.to_string()).collect(),
+        service: "s".to_owned(),
+        timeout_ms: 1000,
+        mode: WorkMode::Plain,
+        criticality: WorkClass::Normal,
+    }
+}
+
+fn table(rules: &[(&str, RouteRule)]) -> RouteTable {
+    let mut table = RouteTable::default();
+    for (name, rule) in rules {
+        table.insert(Rc::new(RouteEntry { name: Rc::from(*name), rule: rule.clone() }));
+    }
+    table
+}
+
+#[test_case("h", "/", "GET", "root" ; "root")]
+#[test_case("h", "/other", "GET", "root" ; "falls back to root")]
+#[test_case("h", "/puzzle", "GET", "puzzle" ; "exact")]
+#[test_case("h", "/puzzle/", "GET", "puzzle" ; "trailing slash")]
+#[test_case("h", "/puzzle/today/1", "GET", "puzzle" ; "below")]
+#[test_case("h", "/puzzles", "GET", "root" ; "whole segments only")]
+#[test_case("h", "/puzzle/hints/3", "GET", "hints" ; "longest prefix")]
+#[test_case("h", "/puzzle/hints", "POST", "puzzle" ; "a shorter prefix takes other methods")]
+#[test_case("other", "/", "GET", "" ; "unknown host")]
+#[test_case("g", "/x", "POST", "405" ; "wrong method")]
+fn verify_route_lookups(host: &str, path: &str, method: &str, wanted: &str) {
+    let table = table(&[
+        ("root", rule("h", "/", &[])),
+        ("puzzle", rule("h", "/puzzle", &[])),
+        ("hints", rule("h", "/puzzle/hints/", &["GET"])),
+        ("get-only", rule("g", "/x", &["GET", "HEAD"])),
+    ]);
+    match table.find(host, path, method) {
+        RouteMatch::Found(entry) => assert_eq!(&*entry.name, wanted),
+        RouteMatch::Missing => assert_eq!(wanted, ""),
+        RouteMatch::WrongMethod(methods) => {
+            assert_eq!(wanted, "405");
+            assert_eq!(methods, ["GET", "HEAD"]);
+        }
+    }
+}
+
+fn record(revision: u64, changes: Vec<(&str, &str, Option<Value>)>) -> ChangeRecord {
+    let changes = changes
+        .into_iter()
+        .map(|(kind, name, after)| ResourceChange {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            before: None,
+            after,
+        })
+        .collect();
+    ChangeRecord {
+        revision: FleetRevision(revision),
+        actor: "a".to_owned(),
+        at_ms: 0,
+        from: "f".to_owned(),
+        writer: "w".to_owned(),
+        changes,
+    }
+}
+
+fn filled() -> FleetConfig {
+    let mut config = FleetConfig::default();
+    let server = json!({"service": "s", "host": "h", "address": "127.0.0.1:1", "slots": 4,
+                        "connections": 300, "failure_domain": "d"});
+    let first = record(
+        1,
+        vec![
+            ("failure-domains", "d", Some(json!({"region": "bangkok"}))),
+            ("services", "s", Some(json!({}))),
+            ("backend-servers", "b", Some(server)),
+            ("routes", "r", Some(json!({"host": "h", "path_prefix": "/", "service": "s"}))),
+            ("limits", "l", Some(json!({"scope": "route", "target": "r", "rate": 5, "burst": 5}))),
+        ],
+    );
+    assert_eq!(config.apply(&first), Ok(true));
+    config
+}
+
+#[test]
+fn verify_only_the_next_revision_is_applied() {
+    let mut config = filled();
+    for revision in [0, 1, 3, 9] {
+        let late = record(revision, vec![("services", "s", None)]);
+        assert_eq!(config.apply(&late), Ok(false));
+        assert_eq!(config.revision(), FleetRevision(1));
+    }
+    let bad =
+        record(2, vec![("services", "ok", Some(json!({}))), ("services", "s", Some(json!(3)))]);
+    assert!(config.apply(&bad).is_err());
+    assert_eq!((config.revision(), config.len()), (FleetRevision(1), 5), "all or nothing");
+}
+
+#[test]
+fn verify_snapshots_hold_everything_and_check_it_again() {
+    let config = filled();
+    let snapshot = config.to_snapshot();
+    let read = FleetConfig::from_snapshot(&snapshot).expect("snapshot");
+    assert_eq!(read.to_snapshot(), snapshot);
+    let mut broken = snapshot.clone();
+    broken.resources.retain(|(kind, ..)| kind != "services");
+    assert!(FleetConfig::from_snapshot(&broken).is_err(), "a dangling reference");
+    let mut unknown = snapshot;
+    unknown.resources[0].0 = "things".to_owned();
+    assert!(FleetConfig::from_snapshot(&unknown).is_err());
+}
+
+#[test]
+fn verify_what_is_in_use_cannot_be_deleted() {
+    for (kind, name) in [("services", "s"), ("failure-domains", "d"), ("routes", "r")] {
+        let mut config = filled();
+        assert_eq!(config.apply(&record(2, vec![(kind, name, None)])), Ok(true));
+        assert!(config.check_references().is_err(), "{kind}");
+    }
+}
+
+#[test]
+fn verify_the_active_layout_finds_everything() {
+    let active = ActiveConfig::build(&filled());
+    let service = active.services.get("s").expect("service");
+    assert_eq!(service.upstreams.len(), 1);
+    assert_eq!(service.spec.floor, 0.7);
+    assert!(matches!(active.routes.find("h", "/x", "GET"), RouteMatch::Found(_)));
+    assert_eq!(active.limits.len(), 1);
+}
+
+#[test]
+fn verify_outcomes_survive_the_wire_and_unknown_numbers_are_the_safe_outcome() {
+    for reason in NOT_RUN_REASONS {
+        let outcome = FailureOutcome::NotRun(reason);
+        assert_eq!(FailureOutcome::from_wire(outcome.wire_number()), outcome);
+    }
+    for reason in UNKNOWN_REASONS {
+        let outcome = FailureOutcome::Unknown(reason);
+        assert_eq!(FailureOutcome::from_wire(outcome.wire_number()), outcome);
+    }
+    for number in [-1, 99, 150, i16::MAX, i16::MIN] {
+        assert!(matches!(FailureOutcome::from_wire(number), FailureOutcome::Unknown(_)));
+    }
+}
+
+#[test_case(0, "1970-01-01T00:00:00.000Z" ; "epoch")]
+#[test_case(951_782_400_123, "2000-02-29T00:00:00.123Z" ; "leap day")]
+#[test_case(1_796_234_399_999, "2026-12-02T17:59:59.999Z" ; "end of a second")]
+fn verify_utc_times(millis: u64, text: &str) {
+    assert_eq!(units::format_utc(millis), text);
+}
+
+#[test]
+fn verify_a_bad_setting_names_the_flag_the_value_and_what_is_allowed() {
+    let error =
+        settings::checked("slots", Some("9".to_owned()), 1, "1 to 4", |slots: &u32| *slots < 5)
+            .expect_err("too many")
+            .to_string();
+    for part in ["--slots", "BASALTARCH_SLOTS", "9", "1 to 4"] {
+        assert!(error.contains(part), "{error}");
+    }
+    let error =
+        settings::required::<u32>("no-such-setting-here", None, "a number").expect_err("missing");
+    assert!(error.to_string().contains("BASALTARCH_NO_SUCH_SETTING_HERE"));
+}
+
+/// Runs so many cases, the same ones each time.
+fn fixed(cases: u32) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(20_261_202);
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed(300))]
+
+    /// The look-up gives the longest prefix of whole segments, as a plain search does.
+    #[test]
+    fn verify_lookups_match_a_plain_search(
+        prefixes in prop::collection::vec("(/[ab]{1,2}){0,3}", 1..12),
+        path in "(/[ab]{1,2}){0,4}",
+    ) {
+        let rules: Vec<(String, RouteRule)> = prefixes
+            .iter()
+            .enumerate()
+            .map(|(number, prefix)| (format!("r{number}"), rule("h", &format!("{prefix}/"), &[])))
+            .collect();
+        let mut table = RouteTable::default();
+        for (name, rule) in &rules {
+            table.insert(Rc::new(RouteEntry { name: Rc::from(name.as_str()), rule: rule.clone() }));
+        }
+        let path = if path.is_empty() { "/".to_owned() } else { path };
+        let with_end = format!("{}/", path.trim_end_matches('/'));
+        let longest = rules
+            .iter()
+            .map(|(_, rule)| rule.path_prefix.as_str())
+            .filter(|prefix| with_end.starts_with(prefix))
+            .max_by_key(|prefix| prefix.len());
+        match (table.find("h", &path, "GET"), longest) {
+            (RouteMatch::Found(entry), Some(prefix)) => {
+                prop_assert_eq!(entry.rule.path_prefix.len(), prefix.len());
+            }
+            (RouteMatch::Missing, None) => {}
+            other => prop_assert!(false, "{:?}", other),
+        }
+    }
+}
--- a/crates/decide/src/baseline.rs
+++ b/crates/decide/src/baseline.rs
@@ -84,8 +84,8 @@
 /// Age from which an answer says nothing about now.
 const ANSWER_LIFE: Duration = Duration::from_secs(5);
 /// Fewest answers of others from which a shared change is seen.
-const OTHERS_MIN: usize = 8;
-/// Fewest other upstreams that must have failed before failures count as shared.
+const OTHERS_MIN: usize = 6;
+/// Other upstreams that must have failed before failures count as shared, in a large service.
 const FAILED_UPSTREAMS_MIN: usize = 3;
 /// Share of the other upstreams that must have failed.
 const FAILED_UPSTREAMS_SHARE: f64 = 0.25;
@@ -160,7 +160,9 @@
             return;
         }
         let share = failed_len as f64 / seen_len as f64;
-        if failed_len >= FAILED_UPSTREAMS_MIN && share >= FAILED_UPSTREAMS_SHARE {
+        // Of five others two must have failed, of seven or more three.
+        let needed = seen_len.div_ceil(3).clamp(2, FAILED_UPSTREAMS_MIN);
+        if failed_len >= needed && share >= FAILED_UPSTREAMS_SHARE {
             let rate = f64::from(failures) / count as f64;
             baseline.failure_rate = baseline.failure_rate.max(rate);
         }
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -20,16 +20,16 @@
 /// Threshold for `precision`: at most once in e^14 (1.2 million) requests.
 pub const THRESHOLD_PRECISION: f64 = 14.0;
 /// Time for which an upstream must stand out, for `detection`.
-const CONFIRM_DETECTION: Duration = Duration::from_millis(150);
+const CONFIRM_DETECTION: Duration = Duration::from_millis(200);
 /// Time for which an upstream must stand out, for `precision`.
-const CONFIRM_PRECISION: Duration = Duration::from_millis(400);
+const CONFIRM_PRECISION: Duration = Duration::from_millis(800);
 /// Routes of one upstream whose service times are followed one by one; later ones share.
 const ROUTES_MAX: usize = 64;
 /// Name under which the routes beyond [`ROUTES_MAX`] are followed.
 const OTHER_ROUTES: &str = "";
 /// What an upstream must have beyond the median sickness of its siblings, as a multiple of it: what
 /// all have is not one server's fault.
-const SIBLING_WEIGHT: f64 = 2.0;
+const SIBLING_WEIGHT: f64 = 3.0;
 
 /// Returns the threshold behind a choice.
 pub fn threshold_of(prefer: PreferChoice) -> f64 {
@@ -156,6 +156,11 @@
         }
     }
 
+    /// Sets the threshold itself, in place of one of the two choices.
+    pub fn set_threshold(&mut self, threshold: f64) {
+        self.detector.set_threshold(threshold);
+    }
+
     /// Notes that the backend server was started anew: it gets work slowly at first, and being
     /// slow meanwhile does not speak against it.
     pub fn note_restart(&mut self, now: Duration) {
--- /dev/null
+++ b/crates/decide/tests/floor.rs
@@ -0,0 +1,175 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The floor holds for any scores, losses and changes.
+
+use std::time::Duration;
+
+use basaltarch_decide::balance::{LoadView, ServiceView};
+use basaltarch_decide::floor::{self, CapacityEntry};
+use basaltarch_decide::health::HealthReport;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+fn report(sickness: f64, ejected: bool) -> HealthReport {
+    HealthReport {
+        sickness,
+        ejected,
+        median_ln: 10.0,
+        spread: 0.5,
+        failure_rate: 0.0,
+        overdue_rate: 0.0,
+        samples: 100,
+        ramp: 1.0,
+        trial_in: Duration::from_secs(3600),
+    }
+}
+
+#[test_case(0.7, 60, 42 ; "seven tenths")]
+#[test_case(0.7, 10, 7 ; "no step up for want of binary digits")]
+#[test_case(0.0, 60, 0 ; "no floor")]
+#[test_case(1.0, 60, 60 ; "all")]
+#[test_case(0.5, 3, 2 ; "rounded up")]
+fn verify_floor_slots(share: f64, configured: u32, slots: u32) {
+    assert_eq!(floor::floor_slots(share, configured), slots);
+}
+
+#[test]
+fn verify_the_sickest_are_avoided_first_and_ties_go_by_position() {
+    let entry = |sickness| CapacityEntry { slots: 4, available: true, sickness };
+    let entries = [entry(1.5), entry(3.0), entry(1.5), entry(0.0), entry(0.2)];
+    let plan = floor::plan(0.6, &entries);
+    assert_eq!(plan.avoided, [true, true, false, false, false]);
+    assert_eq!((plan.in_service, plan.floor), (12, 12));
+}
+
+#[test]
+fn verify_what_is_down_has_already_spent_its_part() {
+    let sick = CapacityEntry { slots: 4, available: true, sickness: 2.0 };
+    let down = CapacityEntry { available: false, ..sick };
+    let well = CapacityEntry { sickness: 0.0, ..sick };
+    let plan = floor::plan(0.5, &[sick, down, down, well]);
+    assert_eq!(plan.avoided, [false; 4], "half is left, and half is the floor");
+    let plan = floor::plan(0.5, &[sick, down, well, well]);
+    assert_eq!(plan.avoided, [true, false, false, false]);
+}
+
+fn any_entry() -> impl Strategy<Value = CapacityEntry> {
+    (1..8_u32, any::<bool>(), prop_oneof![Just(0.0), 0.0..5.0_f64])
+        .prop_map(|(slots, available, sickness)| CapacityEntry { slots, available, sickness })
+}
+
+#[derive(Debug, Clone)]
+enum ViewChange {
+    Report(usize, f64, bool),
+    Draining(usize, bool),
+    Reachable(usize, bool),
+    Choose { excluded: Vec<usize>, repeatable: bool, must_take: bool },
+    Wait(u64),
+}
+
+fn any_change() -> impl Strategy<Value = ViewChange> {
+    prop_oneof![
+        (0..30_usize, 0.0..6.0_f64, any::<bool>())
+            .prop_map(|(i, s, e)| ViewChange::Report(i, s, e)),
+        (0..30_usize, any::<bool>()).prop_map(|(i, on)| ViewChange::Draining(i, on)),
+        (0..30_usize, any::<bool>()).prop_map(|(i, on)| ViewChange::Reachable(i, on)),
+        (prop::collection::vec(0..30_usize, 0..3), any::<bool>(), any::<bool>()).prop_map(
+            |(excluded, repeatable, must_take)| ViewChange::Choose {
+                excluded,
+                repeatable,
+                must_take
+            }
+        ),
+        (0..100_000_u64).prop_map(ViewChange::Wait),
+    ]
+}
+
+/// Runs so many cases, the same ones each time.
+fn fixed(cases: u32) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(20_261_202);
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed(600))]
+
+    #[test]
+    fn verify_a_plan_never_avoids_below_the_floor(
+        share in 0.0..=1.0_f64,
+        entries in prop::collection::vec(any_entry(), 0..30),
+    ) {
+        let plan = floor::plan(share, &entries);
+        prop_assert!(plan.holds());
+        let left: u32 = entries
+            .iter()
+            .zip(&plan.avoided)
+            .filter(|(entry, avoided)| entry.available && !**avoided)
+            .map(|(entry, _)| entry.slots)
+            .sum();
+        prop_assert_eq!(left, plan.in_service);
+        for (entry, avoided) in entries.iter().zip(&plan.avoided) {
+            prop_assert!(!avoided || (entry.available && entry.sickness >= 1.0));
+        }
+    }
+
+    #[test]
+    fn verify_two_ingresses_with_the_same_reports_avoid_the_same(
+        share in 0.0..=1.0_f64,
+        entries in prop::collection::vec(any_entry(), 0..30),
+    ) {
+        prop_assert_eq!(floor::plan(share, &entries), floor::plan(share, &entries));
+    }
+
+    #[test]
+    fn verify_no_order_of_events_breaks_the_floor(
+        share in 0.0..=1.0_f64,
+        slots in prop::collection::vec(1..6_u32, 1..25),
+        changes in prop::collection::vec(any_change(), 1..80),
+    ) {
+        let views = slots.iter().map(|slots| LoadView::new(*slots, true)).collect();
+        let mut view = ServiceView::new(share, views);
+        let mut rng = ChaCha8Rng::seed_from_u64(7);
+        let mut now = Duration::ZERO;
+        for change in changes {
+            match change {
+                ViewChange::Report(index, sickness, ejected) => {
+                    view.note_report(index, 1, report(sickness, ejected), now);
+                }
+                ViewChange::Draining(index, on) => view.note_draining(index, on),
+                ViewChange::Reachable(index, on) => view.note_reachable(index, on),
+                ViewChange::Wait(millis) => now += Duration::from_millis(millis),
+                ViewChange::Choose { excluded, repeatable, must_take } => {
+                    let choice = view.choose(now, &excluded, repeatable, must_take, &mut rng);
+                    prop_assert!(view.plan().holds());
+                    if let Some(choice) = choice {
+                        check_choice(&view, choice, &excluded, must_take)?;
+                    }
+                }
+            }
+            prop_assert_eq!(view.violations(), 0);
+        }
+    }
+}
+
+/// A dispatch may be refused only if the service can do without the upstream: otherwise a refusal
+/// would take capacity below the floor.
+fn check_choice(
+    view: &ServiceView,
+    choice: basaltarch_decide::balance::UpstreamChoice,
+    excluded: &[usize],
+    must_take: bool,
+) -> Result<(), TestCaseError> {
+    let chosen = &view.upstreams()[choice.index];
+    let avoided = view.plan().avoided[choice.index];
+    prop_assert!(chosen.reachable && !chosen.draining);
+    prop_assert!(!excluded.contains(&choice.index));
+    prop_assert!(!(must_take && choice.refusable));
+    if choice.refusable && !avoided {
+        prop_assert!(view.plan().can_spare(chosen.slots));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/decide/tests/health.rs
@@ -0,0 +1,256 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The detector, trials and return of one upstream.
+
+use std::time::Duration;
+
+use basaltarch_core::resources::PreferChoice;
+use basaltarch_decide::evidence::{ServiceBaseline, WorkEvidence};
+use basaltarch_decide::health::{AdmitVerdict, DispatchTerms, HealthChange, UpstreamHealth};
+use basaltarch_decide::recovery::{HOLD_OFF_MAX, TRIALS_NEEDED};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+const ROUTE: &str = "puzzle";
+
+fn baseline() -> ServiceBaseline {
+    ServiceBaseline {
+        median_ln: (20_000_f64).ln(),
+        spread: 0.4,
+        failure_rate: 0.002,
+        overdue_rate: 0.005,
+        sickness: 0.0,
+        upstreams: 12,
+    }
+}
+
+fn terms(refusable: bool, repeatable: bool) -> DispatchTerms<'static> {
+    DispatchTerms { route: ROUTE, refusable, repeatable, baseline: baseline() }
+}
+
+struct Upstream {
+    health: UpstreamHealth,
+    now: Duration,
+    ejected: Vec<Duration>,
+    returned: Vec<Duration>,
+}
+
+impl Upstream {
+    fn new(prefer: PreferChoice) -> Self {
+        let health = UpstreamHealth::new(prefer, Duration::ZERO, false);
+        Self { health, now: Duration::ZERO, ejected: Vec::new(), returned: Vec::new() }
+    }
+
+    fn note_change(&mut self, change: Option<HealthChange>) {
+        match change {
+            Some(HealthChange::Ejected { .. }) => self.ejected.push(self.now),
+            Some(HealthChange::Returned { .. }) => self.returned.push(self.now),
+            None => {}
+        }
+    }
+
+    /// Dispatches one request 20 ms after the last; returns whether it was taken.
+    fn request(&mut self, terms: &DispatchTerms<'_>, evidence: WorkEvidence) -> bool {
+        self.now += Duration::from_millis(20);
+        let (verdict, change) = self.health.admit(terms, self.now);
+        self.note_change(change);
+        let change = match verdict {
+            AdmitVerdict::Refuse => return false,
+            AdmitVerdict::Admit => self.health.note(ROUTE, evidence, false, self.now),
+            AdmitVerdict::Trial => self.health.note_trial(ROUTE, evidence, self.now),
+        };
+        self.note_change(change);
+        true
+    }
+}
+
+fn good() -> WorkEvidence {
+    WorkEvidence::Answered(Duration::from_millis(20))
+}
+
+#[test_case(PreferChoice::Detection, 15 ; "detection")]
+#[test_case(PreferChoice::Precision, 50 ; "precision")]
+fn verify_a_failing_upstream_is_ejected_within_so_many_requests(prefer: PreferChoice, most: usize) {
+    let mut upstream = Upstream::new(prefer);
+    for _ in 0..100 {
+        upstream.request(&terms(true, true), good());
+    }
+    let mut count = 0;
+    while upstream.ejected.is_empty() {
+        upstream.request(&terms(true, true), WorkEvidence::Failed);
+        count += 1;
+        assert!(count <= most, "not ejected after {most} failures");
+    }
+    assert!(count >= 3, "one or two failures prove nothing");
+}
+
+#[test]
+fn verify_a_slow_upstream_is_ejected_and_a_slightly_slow_one_is_not() {
+    for (factor, ejected) in [(1.2, false), (4.0, true)] {
+        let mut upstream = Upstream::new(PreferChoice::Precision);
+        for _ in 0..400 {
+            let took = Duration::from_millis(20).mul_f64(factor);
+            upstream.request(&terms(true, true), WorkEvidence::Answered(took));
+        }
+        assert_eq!(!upstream.ejected.is_empty(), ejected, "factor {factor}");
+    }
+}
+
+#[test]
+fn verify_a_stuck_upstream_is_ejected_before_any_request_ends() {
+    let mut upstream = Upstream::new(PreferChoice::Detection);
+    for _ in 0..4 {
+        let (verdict, _) = upstream.health.admit(&terms(true, true), upstream.now);
+        assert_eq!(verdict, AdmitVerdict::Admit);
+    }
+    for _ in 0..4 {
+        upstream.now += Duration::from_millis(80);
+        let change = upstream.health.note_overdue(ROUTE, upstream.now);
+        upstream.note_change(change);
+    }
+    // It stood out for long enough for word of the siblings to arrive, and they are well.
+    upstream.now += Duration::from_millis(250);
+    let (verdict, change) = upstream.health.admit(&terms(true, true), upstream.now);
+    upstream.note_change(change);
+    assert_eq!(upstream.ejected.len(), 1);
+    assert_eq!(verdict, AdmitVerdict::Refuse);
+}
+
+#[test_case(WorkEvidence::Neutral ; "caller faults")]
+fn verify_what_says_nothing_changes_nothing(evidence: WorkEvidence) {
+    let mut upstream = Upstream::new(PreferChoice::Detection);
+    for _ in 0..2000 {
+        assert!(upstream.request(&terms(true, true), evidence));
+    }
+    assert_eq!(upstream.health.report(ROUTE, upstream.now).sickness, 0.0);
+}
+
+#[test]
+fn verify_what_all_siblings_share_ejects_nobody() {
+    let mut upstream = Upstream::new(PreferChoice::Detection);
+    let mut shared = terms(true, true);
+    shared.baseline.sickness = 1.2;
+    for _ in 0..300 {
+        assert!(upstream.request(&shared, WorkEvidence::Failed));
+    }
+    assert!(upstream.ejected.is_empty());
+}
+
+#[test]
+fn verify_a_withdrawn_failure_counts_for_nothing() {
+    let mut upstream = Upstream::new(PreferChoice::Detection);
+    for _ in 0..500 {
+        upstream.request(&terms(true, true), WorkEvidence::Failed);
+        upstream.health.withdraw_failure(ROUTE);
+    }
+    assert!(upstream.ejected.is_empty());
+}
+
+#[test]
+fn verify_work_that_must_be_taken_is_taken_though_sick() {
+    let mut upstream = Upstream::new(PreferChoice::Detection);
+    while upstream.ejected.is_empty() {
+        upstream.request(&terms(true, false), WorkEvidence::Failed);
+    }
+    assert!(!upstream.request(&terms(true, false), good()), "refusable work is refused");
+    assert!(upstream.request(&terms(false, false), good()), "other work is done");
+}
+
+#[test]
+fn verify_an_upstream_that_is_well_again_returns_within_the_longest_hold_off() {
+    let mut upstream = Upstream::new(PreferChoice::Detection);
+    while upstream.ejected.len() < 6 {
+        upstream.request(&terms(true, true), WorkEvidence::Failed);
+        if upstream.now > Duration::from_secs(600) {
+            break;
+        }
+    }
+    let well_at = upstream.now;
+    let returned = upstream.returned.len();
+    while upstream.returned.len() == returned {
+        upstream.request(&terms(true, true), good());
+        assert!(upstream.now - well_at < HOLD_OFF_MAX + Duration::from_secs(2));
+    }
+    assert!(upstream.health.report(ROUTE, upstream.now).ramp < 0.2, "slowly at first");
+    upstream.now += Duration::from_secs(11);
+    assert_eq!(upstream.health.report(ROUTE, upstream.now).ramp, 1.0);
+}
+
+#[test]
+fn verify_a_flapping_upstream_is_held_off_longer_each_time() {
+    let mut upstream = Upstream::new(PreferChoice::Detection);
+    let mut outs = Vec::new();
+    for _ in 0..4 {
+        let ejections = upstream.ejected.len();
+        while upstream.ejected.len() == ejections {
+            upstream.request(&terms(true, true), WorkEvidence::Failed);
+        }
+        let out_at = upstream.now;
+        let returns = upstream.returned.len();
+        while upstream.returned.len() == returns {
+            upstream.request(&terms(true, true), good());
+        }
+        outs.push(upstream.now - out_at);
+    }
+    assert!(outs.windows(2).all(|pair| pair[1] > pair[0]), "{outs:?}");
+}
+
+#[test]
+fn verify_one_trial_at_a_time() {
+    let mut upstream = Upstream::new(PreferChoice::Detection);
+    while upstream.ejected.is_empty() {
+        upstream.request(&terms(true, true), WorkEvidence::Failed);
+    }
+    upstream.now += Duration::from_secs(5);
+    let admit = |upstream: &mut Upstream| upstream.health.admit(&terms(true, true), upstream.now).0;
+    assert_eq!(admit(&mut upstream), AdmitVerdict::Trial);
+    assert_eq!(admit(&mut upstream), AdmitVerdict::Refuse);
+    for done in 1..=TRIALS_NEEDED {
+        let change = upstream.health.note_trial(ROUTE, good(), upstream.now);
+        assert_eq!(change.is_some(), done == TRIALS_NEEDED);
+        if done < TRIALS_NEEDED {
+            assert_eq!(admit(&mut upstream), AdmitVerdict::Trial);
+        }
+    }
+}
+
+#[test]
+fn verify_a_cold_upstream_is_not_ejected_for_its_times() {
+    for (cold, ejected) in [(true, false), (false, true)] {
+        let mut upstream = Upstream::new(PreferChoice::Detection);
+        if cold {
+            upstream.health.note_restart(upstream.now);
+        }
+        for _ in 0..200 {
+            let slow = WorkEvidence::Answered(Duration::from_millis(120));
+            upstream.request(&terms(true, true), slow);
+        }
+        assert_eq!(!upstream.ejected.is_empty(), ejected, "cold: {cold}");
+    }
+}
+
+/// The promise behind the thresholds, measured: a healthy upstream with the failures and times of
+/// its siblings.
+#[test_case(PreferChoice::Detection, 3 ; "detection")]
+#[test_case(PreferChoice::Precision, 0 ; "precision")]
+fn verify_healthy_upstreams_are_hardly_ever_ejected(prefer: PreferChoice, most: usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let mut ejections = 0;
+    for _ in 0..10 {
+        let mut upstream = Upstream::new(prefer);
+        for _ in 0..30_000 {
+            let evidence = if rng.random_bool(0.002) {
+                WorkEvidence::Failed
+            } else {
+                // The sum of uniform numbers is near enough to a normal distribution.
+                let normal: f64 = (0..12).map(|_| rng.random_range(0.0..1.0)).sum::<f64>() - 6.0;
+                WorkEvidence::Answered(Duration::from_millis(20).mul_f64((0.4 * normal).exp()))
+            };
+            upstream.request(&terms(true, true), evidence);
+        }
+        ejections += upstream.ejected.len();
+    }
+    assert!(ejections <= most, "{ejections} ejections in 300,000 requests");
+}
--- /dev/null
+++ b/crates/decide/tests/ingress.rs
@@ -0,0 +1,236 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Balancing, path health, budgets and limits.
+
+use std::time::Duration;
+
+use basaltarch_decide::balance::{LoadView, ServiceView};
+use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
+use basaltarch_decide::budget::RetryBudget;
+use basaltarch_decide::evidence::ServiceBaseline;
+use basaltarch_decide::health::HealthReport;
+use basaltarch_decide::limits::{self, LimitLedger, LimitVerdict, TokenBucket};
+use basaltarch_decide::path::{PathHealth, PathState, ASK_AFTER, SILENCE_MAX};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn healthy(median_ms: f64) -> HealthReport {
+    HealthReport {
+        sickness: 0.0,
+        ejected: false,
+        median_ln: (median_ms * 1000.0).ln(),
+        spread: 0.4,
+        failure_rate: 0.0,
+        overdue_rate: 0.0,
+        samples: 50,
+        ramp: 1.0,
+        trial_in: Duration::ZERO,
+    }
+}
+
+/// Chooses `count` times without load changing and tells how often each upstream was chosen.
+fn shares(view: &mut ServiceView, count: usize) -> Vec<usize> {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut shares = vec![0; view.upstreams().len()];
+    for _ in 0..count {
+        let choice = view.choose(millis(10), &[], true, false, &mut rng).expect("an upstream");
+        shares[choice.index] += 1;
+    }
+    shares
+}
+
+#[test]
+fn verify_the_own_failure_domain_comes_first_until_it_is_loaded() {
+    let views = (0..6).map(|index| LoadView::new(4, index < 2)).collect();
+    let mut view = ServiceView::new(0.5, views);
+    for index in 0..6 {
+        view.note_report(index, 0, healthy(20.0), millis(0));
+    }
+    assert_eq!(shares(&mut view, 300)[2..].iter().sum::<usize>(), 0);
+    for index in 0..2 {
+        view.note_report(index, 4, healthy(20.0), millis(10));
+    }
+    assert!(shares(&mut view, 300)[2..].iter().sum::<usize>() > 250);
+}
+
+#[test]
+fn verify_quick_errors_draw_no_traffic() {
+    let views = (0..5).map(|_| LoadView::new(4, true)).collect();
+    let mut view = ServiceView::new(0.5, views);
+    view.note_median((20_000_f64).ln());
+    for index in 0..5 {
+        view.note_report(index, 1, healthy(if index == 0 { 0.2 } else { 20.0 }), millis(10));
+    }
+    let shares = shares(&mut view, 1000);
+    assert!(shares[0] < 420, "{shares:?}: a fifth, doubled by the better of two, and no more");
+}
+
+#[test]
+fn verify_slow_but_healthy_upstreams_are_not_starved() {
+    let views = (0..5).map(|_| LoadView::new(4, true)).collect();
+    let mut view = ServiceView::new(0.5, views);
+    view.note_median((20_000_f64).ln());
+    for index in 0..5 {
+        let median = if index == 0 { 30.0 } else { 20.0 };
+        // Under equal load the slow one has had its requests longer.
+        view.note_report(index, 1, healthy(median), millis(10));
+    }
+    assert!(shares(&mut view, 1000)[0] > 20);
+}
+
+#[test]
+fn verify_one_that_just_returned_is_not_overrun() {
+    let views = (0..5).map(|_| LoadView::new(4, true)).collect();
+    let mut view = ServiceView::new(0.5, views);
+    for index in 0..5 {
+        let ramp = if index == 0 { 0.1 } else { 1.0 };
+        let load = if index == 0 { 0 } else { 2 };
+        view.note_report(index, load, HealthReport { ramp, ..healthy(20.0) }, millis(10));
+    }
+    let shares = shares(&mut view, 1000);
+    assert!(shares[0] < 100, "{shares:?}");
+}
+
+#[test]
+fn verify_own_requests_count_before_any_report() {
+    let views = (0..2).map(|_| LoadView::new(4, true)).collect();
+    let mut view = ServiceView::new(0.5, views);
+    for _ in 0..4 {
+        view.note_sent(0);
+    }
+    let shares = shares(&mut view, 1000);
+    assert!(shares[0] < 300, "{shares:?}");
+}
+
+#[test]
+fn verify_a_path_is_cut_when_questions_stay_unanswered() {
+    let mut path = PathHealth::new(Duration::ZERO);
+    assert!(!path.ask(millis(100), true), "heard a moment ago");
+    assert!(!path.ask(ASK_AFTER, false), "nobody uses it");
+    assert!(path.ask(ASK_AFTER, true));
+    assert_eq!(path.state(ASK_AFTER + SILENCE_MAX), PathState::Up);
+    let late = ASK_AFTER + SILENCE_MAX + millis(1);
+    assert_eq!(path.state(late), PathState::Cut);
+    path.note_heard(late + millis(10));
+    assert_eq!(path.state(late + millis(10)), PathState::Proving, "a late frame proves little");
+    path.note_answer(late + millis(20));
+    assert_eq!(path.state(late + millis(20)), PathState::Up);
+}
+
+#[test]
+fn verify_a_flapping_path_must_prove_itself_longer() {
+    let mut path = PathHealth::new(Duration::ZERO);
+    let mut now = Duration::ZERO;
+    let mut needed = Vec::new();
+    for _ in 0..4 {
+        path.note_broken(now);
+        let mut answers = 0;
+        while path.state(now) != PathState::Up {
+            now += millis(250);
+            path.note_answer(now);
+            answers += 1;
+        }
+        needed.push(answers);
+    }
+    assert_eq!(needed, [1, 2, 4, 8]);
+}
+
+#[test]
+fn verify_the_budget_allows_a_share_of_the_requests() {
+    let mut budget = RetryBudget::new(0.1);
+    let mut repeats = 0;
+    for _ in 0..10_000 {
+        budget.note_request();
+        repeats += u32::from(budget.take());
+    }
+    assert!((1000..=1010).contains(&repeats), "{repeats}");
+    let mut none = RetryBudget::new(0.0);
+    none.note_request();
+    assert!(!none.take());
+}
+
+#[test]
+fn verify_the_baseline_is_the_siblings_and_one_sick_server_moves_it_not() {
+    let mut baseline = RouteBaseline::default();
+    for index in 0..9 {
+        baseline.note(index, &healthy(20.0));
+    }
+    baseline.note(9, &HealthReport { failure_rate: 1.0, ..healthy(2000.0) });
+    let current = baseline.current();
+    assert!((current.median_ln - (20_000_f64).ln()).abs() < 1e-9);
+    assert_eq!(current.failure_rate, 0.0);
+    assert!(current.is_usable());
+}
+
+#[test]
+fn verify_failures_of_many_others_count_as_shared_and_of_one_do_not() {
+    let base = ServiceBaseline { upstreams: 10, ..ServiceBaseline::default() };
+    let adjusted = |failing: u32| {
+        let mut recent = RecentAnswers::default();
+        for number in 0..30 {
+            let upstream = number % 10;
+            recent.note(upstream, upstream < failing, None, &base, millis(u64::from(number)));
+        }
+        let mut baseline = base;
+        recent.adjust(9, &mut baseline, millis(100));
+        baseline.failure_rate
+    };
+    assert_eq!(adjusted(1), 0.0);
+    assert!(adjusted(5) > 0.4);
+}
+
+#[test]
+fn verify_every_daemon_finds_the_same_home_and_homes_are_spread() {
+    let hosts: Vec<String> = (0..20).map(|number| format!("host-{number}")).collect();
+    let mut counts = vec![0; hosts.len()];
+    for limit in 0..2000 {
+        let name = format!("limit-{limit}");
+        let forward = limits::home_of(&name, hosts.iter().map(String::as_str));
+        let back = limits::home_of(&name, hosts.iter().rev().map(String::as_str));
+        assert_eq!(forward, back);
+        let home = hosts.iter().position(|host| Some(host.as_str()) == forward).expect("home");
+        counts[home] += 1;
+    }
+    assert!(counts.iter().all(|count| (50..=160).contains(count)), "{counts:?}");
+}
+
+/// Runs so many cases, the same ones each time.
+fn fixed(cases: u32) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(20_261_202);
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed(300))]
+
+    /// Whatever the ingresses do, what they admit is bounded by what the home granted.
+    #[test]
+    fn verify_ingresses_never_use_more_than_was_granted(
+        rate in 1.0..500.0_f64,
+        burst in 1.0..200.0_f64,
+        steps in prop::collection::vec((0..4_usize, 0..300_u64), 1..400),
+    ) {
+        let mut home = TokenBucket::new(rate, burst, Duration::ZERO);
+        let mut ledgers = [LimitLedger::new(Duration::ZERO); 4];
+        let mut now = Duration::ZERO;
+        let mut passed = 0.0;
+        for (ingress, wait) in steps {
+            now += millis(wait);
+            let ledger = &mut ledgers[ingress];
+            if let LimitVerdict::Ask(wanted) = ledger.admit(now) {
+                let granted = home.take_up_to(wanted, now);
+                ledger.note_grant(granted, millis(10), now);
+            } else if ledger.admit(now) == LimitVerdict::Pass {
+                passed += 1.0;
+            }
+            prop_assert!(passed <= burst + rate * now.as_secs_f64() + 1.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/frames.rs
@@ -0,0 +1,212 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Frames and streams between daemons.
+
+use std::rc::Rc;
+
+use basaltarch_peer::errors::LinkError;
+use basaltarch_peer::frames::{self, FrameSender, FRAME_BYTES_MAX};
+use basaltarch_peer::handshake::PeerIdentity;
+use basaltarch_peer::link::DialledLink;
+use basaltarch_peer::protocol::{
+    BodyChunk, CreditGrant, DispatchHead, ExchangeFailure, FrameBody, HeaderField, HeartbeatNote,
+    PeerFrame,
+};
+use basaltarch_peer::stream::{EventPipe, EventSink, StreamEvent, WINDOW_BYTES};
+use bytes::{BufMut, Bytes, BytesMut};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn run<F: std::future::Future>(future: F) -> F::Output {
+    let mut runtime =
+        RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().expect("runtime");
+    runtime.block_on(future)
+}
+
+fn dispatch(body: Vec<u8>) -> DispatchHead {
+    DispatchHead {
+        service_name: "solver-app".to_owned(),
+        upstream: "server-1".to_owned(),
+        route: "puzzle".to_owned(),
+        method: "GET".to_owned(),
+        target: "/puzzle".to_owned(),
+        headers: vec![HeaderField { name: b"host".to_vec(), value: b"h".to_vec() }],
+        deadline_ms: 1000,
+        refusable: true,
+        work_class: 1,
+        work_mode: 0,
+        attempt: 1,
+        content_length: body.len() as i64,
+        body,
+        last: true,
+        baseline: None,
+        once_key: None,
+        organisation: None,
+        revision: 7,
+        after_failure: false,
+    }
+}
+
+#[test]
+fn verify_frames_are_read_back_however_they_are_split() {
+    let frames = [
+        PeerFrame { exchange: 1, body: FrameBody::Dispatch(dispatch(vec![1, 2, 3])) },
+        PeerFrame { exchange: 2, body: FrameBody::Credit(CreditGrant { bytes: 9 }) },
+        PeerFrame {
+            exchange: 0,
+            body: FrameBody::Heartbeat(HeartbeatNote {
+                reply: false,
+                revision: 3,
+                members: Vec::new(),
+            }),
+        },
+    ];
+    let mut bytes = BytesMut::new();
+    for frame in &frames {
+        frames::encode(frame, &mut bytes).expect("encode");
+    }
+    for split in 1..bytes.len() {
+        let mut buffer = BytesMut::from(&bytes[..split]);
+        let mut read = Vec::new();
+        while let Some(frame) = frames::decode(&mut buffer).expect("decode") {
+            read.push(frame);
+        }
+        buffer.extend_from_slice(&bytes[split..]);
+        while let Some(frame) = frames::decode(&mut buffer).expect("decode") {
+            read.push(frame);
+        }
+        assert_eq!(read, frames);
+    }
+}
+
+#[test]
+fn verify_frames_over_the_bound_are_neither_sent_nor_read() {
+    let frame = PeerFrame {
+        exchange: 1,
+        body: FrameBody::Chunk(BodyChunk { data: vec![0; FRAME_BYTES_MAX], last: true }),
+    };
+    let mut bytes = BytesMut::new();
+    let error = frames::encode(&frame, &mut bytes).expect_err("too long");
+    assert!(matches!(error, LinkError::FrameTooLong { .. }));
+    assert!(bytes.is_empty(), "nothing of it is left to be sent");
+    bytes.put_u32(u32::MAX);
+    assert!(matches!(frames::decode(&mut bytes), Err(LinkError::FrameTooLong { .. })));
+}
+
+fn link() -> (Rc<DialledLink>, FrameSender) {
+    let sender = FrameSender::default();
+    let peer = PeerIdentity { host: "host-b".to_owned(), incarnation: 1 };
+    (DialledLink::new(peer, sender.clone()), sender)
+}
+
+fn failure(event: StreamEvent) -> ExchangeFailure {
+    match event {
+        StreamEvent::Failed(failure) => failure,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn verify_what_was_never_offered_did_not_run_when_the_link_ends() {
+    use basaltarch_core::outcome::FailureOutcome;
+    run(async {
+        let (link, _) = link();
+        let exchange = link.dispatch(dispatch(Vec::new())).expect("dispatch");
+        link.end();
+        let failure = failure(exchange.answer.next().await);
+        let outcome = FailureOutcome::from_wire(failure.outcome);
+        assert!(matches!(outcome, FailureOutcome::NotRun(_)), "{outcome}");
+        assert!(link.dispatch(dispatch(Vec::new())).is_err());
+    });
+}
+
+#[test]
+fn verify_what_was_offered_is_unknown_when_the_link_ends() {
+    use basaltarch_core::outcome::FailureOutcome;
+    run(async {
+        let (link, sender) = link();
+        let offered = link.dispatch(dispatch(Vec::new())).expect("dispatch");
+        // A writer that takes the bytes and goes no further.
+        let writing = sender.clone();
+        let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+        let address = listener.local_addr().expect("address");
+        let stream = monoio::net::TcpStream::connect_addr(address).await.expect("connect");
+        let task = monoio::spawn(async move { writing.run(stream).await });
+        while !sender.was_offered(0) {
+            monoio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+        let later = link.dispatch(dispatch(Vec::new())).expect("dispatch");
+        link.end();
+        let first = FailureOutcome::from_wire(failure(offered.answer.next().await).outcome);
+        let second = FailureOutcome::from_wire(failure(later.answer.next().await).outcome);
+        assert!(matches!(first, FailureOutcome::Unknown(_)), "{first}");
+        assert!(matches!(second, FailureOutcome::NotRun(_)), "{second}");
+        drop(task);
+    });
+}
+
+#[test]
+fn verify_a_request_body_waits_until_the_work_starts() {
+    use futures_util::FutureExt;
+    run(async {
+        let pipe = Rc::new(EventPipe::default());
+        pipe.shut_window();
+        let sink = EventSink::Local(pipe.clone());
+        let data = || StreamEvent::Data(Bytes::from_static(b"x"), false);
+        assert!(sink.send(data()).now_or_never().is_none());
+        pipe.open_window();
+        assert_eq!(sink.send(data()).now_or_never(), Some(Ok(())));
+        assert_eq!(pipe.next().await, data());
+        pipe.close();
+        assert!(sink.send(data()).now_or_never().expect("at once").is_err());
+    });
+}
+
+#[test]
+fn verify_a_sender_stops_at_the_window() {
+    use futures_util::FutureExt;
+    run(async {
+        let pipe = Rc::new(EventPipe::default());
+        let sink = EventSink::Local(pipe.clone());
+        let piece = Bytes::from(vec![0; WINDOW_BYTES / 4]);
+        let mut sent = 0;
+        while sink.send(StreamEvent::Data(piece.clone(), false)).now_or_never().is_some() {
+            sent += piece.len();
+            assert!(sent <= 2 * WINDOW_BYTES, "no end of it");
+        }
+        assert_eq!(sent, WINDOW_BYTES);
+        pipe.next().await;
+        assert!(sink.send(StreamEvent::Data(piece, false)).now_or_never().is_some());
+    });
+}
+
+/// Runs so many cases, the same ones each time.
+fn fixed(cases: u32) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(20_261_202);
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed(500))]
+
+    /// Whatever a peer sends, decoding ends without a panic.
+    #[test]
+    fn verify_any_bytes_decode_or_fail(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let mut buffer = BytesMut::new();
+        buffer.put_u32(bytes.len() as u32);
+        buffer.extend_from_slice(&bytes);
+        let _ = frames::decode(&mut buffer);
+    }
+
+    #[test]
+    fn verify_mangled_frames_decode_or_fail(position in 0..200_usize, byte in any::<u8>()) {
+        let frame = PeerFrame { exchange: 1, body: FrameBody::Dispatch(dispatch(vec![7; 40])) };
+        let mut bytes = BytesMut::new();
+        frames::encode(&frame, &mut bytes).expect("encode");
+        let position = 4 + position % (bytes.len() - 4);
+        bytes[position] = byte;
+        let _ = frames::decode(&mut bytes);
+    }
+}
