Test gray failures end to end; pace the load from a thread of its own

Cause: the load tool spun in the runtime's only task, so that at more than 330 requests/s no connection was looked at (seen: nothing answered at 900/s). Change: a thread writes a byte when a request is due. Gray failures of five kinds, the floor, shared faults and poison requests are tested on real processes.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -6,10 +6,9 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::future::poll_fn;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use basaltarch_http::body::BodyLimits;
@@ -20,6 +19,7 @@
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use http::{header, HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use monoio::io::AsyncReadRent;
 use serde::Serialize;
 
 /// Longest time that the histograms hold: a minute, in microseconds.
@@ -123,16 +123,24 @@
         options.targets.iter().map(|target| Rc::new(RefCell::new(new_state(target)))).collect();
     let start = Instant::now();
     let total = (options.rate * options.duration.as_secs_f64()) as u64;
-    for number in 0..total {
-        let due = start + Duration::from_secs_f64(number as f64 / options.rate);
-        wait_until(due).await;
-        let state = states[number as usize % states.len()].clone();
-        let options = options.clone();
-        state.borrow_mut().open += 1;
-        monoio::spawn(async move {
-            one_request(&options, &state, number, start, due).await;
-            state.borrow_mut().open -= 1;
-        });
+    let mut pacer = match start_pacer(start, options.rate, total) {
+        Ok(pacer) => pacer,
+        Err(_) => return Vec::new(),
+    };
+    let mut number = 0;
+    while number < total {
+        let (result, _) = pacer.read(vec![0; 64]).await;
+        for _ in 0..result.unwrap_or(0) {
+            let due = start + Duration::from_secs_f64(number as f64 / options.rate);
+            let state = states[number as usize % states.len()].clone();
+            let options = options.clone();
+            state.borrow_mut().open += 1;
+            monoio::spawn(async move {
+                one_request(&options, &state, number, start, due).await;
+                state.borrow_mut().open -= 1;
+            });
+            number += 1;
+        }
     }
     let settled = Instant::now() + SETTLE;
     while states.iter().any(|state| state.borrow().open > 0) && Instant::now() < settled {
@@ -153,21 +161,27 @@
     }
 }
 
-/// Waits without the timer's steps of a millisecond, which would show in the times.
-async fn wait_until(due: Instant) {
-    const COARSE: Duration = Duration::from_millis(3);
-    let left = due.saturating_duration_since(Instant::now());
-    if left > COARSE {
-        monoio::time::sleep(left - COARSE).await;
-    }
-    poll_fn(|context| {
-        if Instant::now() >= due {
-            return Poll::Ready(());
+/// Starts a thread that writes a byte whenever a request is due.
+///
+/// The runtime's timer has steps of a millisecond, and a task that spins would keep the runtime from
+/// looking at its connections.
+fn start_pacer(
+    start: Instant,
+    rate: f64,
+    total: u64,
+) -> Result<monoio::net::UnixStream, std::io::Error> {
+    let (receiver, mut sender) = std::os::unix::net::UnixStream::pair()?;
+    receiver.set_nonblocking(true)?;
+    std::thread::spawn(move || {
+        for number in 0..total {
+            let due = start + Duration::from_secs_f64(number as f64 / rate);
+            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            if sender.write_all(&[0]).is_err() {
+                return;
+            }
         }
-        context.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await
+    });
+    monoio::net::UnixStream::from_std(receiver)
 }
 
 async fn one_request(
--- /dev/null
+++ b/crates/daemon/tests/gray.rs
@@ -0,0 +1,190 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Gray failures end to end: real processes, real load, one server that fails gray.
+
+mod common;
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+
+use common::{client, eventually, FleetPlan, TestFleet};
+use serde_json::{json, Value};
+use test_case::test_case;
+
+/// Load from several callers until dropped.
+struct Load {
+    stop: Arc<AtomicBool>,
+    good: Arc<AtomicU64>,
+    bad: Arc<AtomicU64>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(fleet: &TestFleet, callers: usize, path: &'static str) -> Self {
+        let (stop, good, bad) = (Arc::<AtomicBool>::default(), Arc::default(), Arc::default());
+        let threads = (0..callers)
+            .map(|number| {
+                let address = fleet.daemons[number % fleet.daemons.len()].callers;
+                let (stop, good, bad) = (stop.clone(), Arc::clone(&good), Arc::clone(&bad));
+                thread::spawn(move || {
+                    while !stop.load(Ordering::SeqCst) {
+                        let headers = [("Host", "solver.example")];
+                        let reply = client::try_call(address, "GET", path, &headers, "");
+                        let is_good = reply.is_some_and(|reply| reply.status == 200);
+                        let count: &AtomicU64 = if is_good { &good } else { &bad };
+                        count.fetch_add(1, Ordering::SeqCst);
+                    }
+                })
+            })
+            .collect();
+        Self { stop, good, bad, threads }
+    }
+
+    fn good(&self) -> u64 {
+        self.good.load(Ordering::SeqCst)
+    }
+
+    fn bad(&self) -> u64 {
+        self.bad.load(Ordering::SeqCst)
+    }
+
+    fn end(self) -> (u64, u64) {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads {
+            thread.join().expect("join");
+        }
+        (self.good.load(Ordering::SeqCst), self.bad.load(Ordering::SeqCst))
+    }
+}
+
+/// Returns what the daemon beside an upstream knows of it.
+fn own_word(fleet: &TestFleet, upstream: &str) -> Value {
+    for daemon in &fleet.daemons {
+        let health = daemon.get("/v1/health?service=solver-app");
+        for each in health["services"][0]["upstreams"].as_array().expect("upstreams") {
+            if each["upstream"] == upstream && !each["here"].is_null() {
+                return each["here"].clone();
+            }
+        }
+    }
+    panic!("nobody knows {upstream}");
+}
+
+fn is_ejected(fleet: &TestFleet, upstream: &str) -> bool {
+    own_word(fleet, upstream)["ejected"] == json!(true)
+}
+
+#[test_case(json!({"error_rate": 0.6}), "failing" ; "errors")]
+#[test_case(json!({"error_rate": 0.8, "quick_errors": true}), "failing" ; "quick errors")]
+#[test_case(json!({"slow_rate": 1.0, "slow_factor": 8.0}), "" ; "slow")]
+#[test_case(json!({"stuck": true}), "" ; "stuck")]
+#[test_case(json!({"break_at": "in-answer-body"}), "failing" ; "truncated")]
+fn verify_a_gray_server_is_ejected_and_returns_when_well(fault: Value, evidence: &str) {
+    let plan = FleetPlan {
+        daemons: 3,
+        backends: 9,
+        service_ms: 10,
+        service: json!({"floor": 0.5, "prefer": "precision"}),
+        ..FleetPlan::default()
+    };
+    let fleet = TestFleet::start(&plan);
+    let load = Load::start(&fleet, 12, "/puzzle");
+    eventually("the fleet is warm", || load.good() > 600);
+    let bad_before = load.bad();
+    fleet.backends[4].faults(fault);
+    eventually("the server is ejected", || is_ejected(&fleet, "server-5"));
+    let word = own_word(&fleet, "server-5");
+    assert!(word["evidence"].as_str().expect("evidence").contains(evidence), "{word}");
+    for daemon in &fleet.daemons {
+        let log = daemon.log_text();
+        let ejections = log.lines().filter(|line| line.contains("upstream ejected")).count();
+        let ours = log
+            .lines()
+            .filter(|line| line.contains("upstream ejected") && line.contains("server-5"));
+        assert_eq!(ejections, ours.count(), "no healthy server is ejected:\n{log}");
+    }
+    let during = load.good();
+    eventually("callers go on", || load.good() > during + 300);
+    assert_eq!(load.bad(), bad_before, "repeatable work fails for no caller");
+    fleet.backends[4].faults(json!({}));
+    eventually("the server is back", || !is_ejected(&fleet, "server-5"));
+    let before = fleet.backends[4].total();
+    eventually("it gets work again", || fleet.backends[4].total() > before + 20);
+    load.end();
+    fleet.check_invariants();
+}
+
+#[test]
+fn verify_many_sick_servers_never_take_the_service_below_its_floor() {
+    let plan = FleetPlan {
+        daemons: 3,
+        backends: 6,
+        service_ms: 5,
+        service: json!({"floor": 0.67, "prefer": "detection"}),
+        ..FleetPlan::default()
+    };
+    let fleet = TestFleet::start(&plan);
+    let load = Load::start(&fleet, 9, "/puzzle");
+    eventually("the fleet is warm", || load.good() > 400);
+    for backend in &fleet.backends[..4] {
+        backend.faults(json!({"error_rate": 0.9}));
+    }
+    let ejected = || (1..=4).filter(|n| is_ejected(&fleet, &format!("server-{n}"))).count();
+    eventually("several servers are thought sick, or all alike", || {
+        ejected() >= 2 || load.good() > 6000
+    });
+    let after = load.good() + load.bad();
+    eventually("load goes on", || load.good() + load.bad() > after + 500);
+    for daemon in &fleet.daemons {
+        let health = daemon.get("/v1/health?service=solver-app");
+        let service = &health["services"][0];
+        let (in_service, floor) = (&service["in_service_slots"], &service["floor_slots"]);
+        assert_eq!(floor, &json!(17), "0.67 of 24 slots, rounded up");
+        assert!(in_service.as_u64() >= floor.as_u64(), "{service}");
+    }
+    load.end();
+    fleet.check_invariants();
+}
+
+#[test]
+fn verify_a_fault_of_all_ejects_nobody() {
+    let plan = FleetPlan {
+        daemons: 3,
+        backends: 9,
+        service_ms: 10,
+        service: json!({"floor": 0.5, "prefer": "precision"}),
+        ..FleetPlan::default()
+    };
+    let fleet = TestFleet::start(&plan);
+    let load = Load::start(&fleet, 12, "/puzzle");
+    eventually("the fleet is warm", || load.good() > 600);
+    for backend in &fleet.backends {
+        backend.faults(json!({"slow_rate": 1.0, "slow_factor": 3.0}));
+    }
+    let slow_from = load.good();
+    eventually("the fleet works on", || load.good() > slow_from + 1500);
+    let ejected = (1..=9).filter(|n| is_ejected(&fleet, &format!("server-{n}"))).count();
+    assert!(ejected <= 1, "{ejected} servers were ejected for what all share");
+    load.end();
+    fleet.check_invariants();
+}
+
+#[test]
+fn verify_poison_requests_eject_nobody() {
+    let plan = FleetPlan { daemons: 3, backends: 9, service_ms: 5, ..FleetPlan::default() };
+    let fleet = TestFleet::start(&plan);
+    for backend in &fleet.backends {
+        backend.faults(json!({"error_rate": 1.0, "error_prefix": "/poison"}));
+    }
+    let load = Load::start(&fleet, 9, "/puzzle");
+    let poison = Load::start(&fleet, 1, "/poison");
+    eventually("enough of both", || load.good() > 3000 && poison.bad() > 100);
+    let ejected = (1..=9).filter(|n| is_ejected(&fleet, &format!("server-{n}"))).count();
+    assert_eq!(ejected, 0);
+    poison.end();
+    let (_, bad) = load.end();
+    assert_eq!(bad, 0);
+    fleet.check_invariants();
+}
