Leave a stuck server before the deadline: patience for repeatable work

Cause: with a stuck server, callers of repeatable work got 504 at their deadline (test 'stuck' failed: callers saw errors); its queue was kept though others could serve it. Change: an attempt at repeatable work is given up for another, out of the budget, after three times the overdue time; on ejection, queued work that can be served elsewhere is refused at once.

--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -24,6 +24,7 @@
 
 struct QueueWaiter {
     class: WorkClass,
+    refusable: bool,
     state: Cell<WaitState>,
     waker: RefCell<Option<Waker>>,
 }
@@ -50,6 +51,8 @@
 pub struct SlotRequest {
     /// Class of the work.
     pub class: WorkClass,
+    /// Whether the ingress can send the work elsewhere within the floor.
+    pub refusable: bool,
     /// Time by which the work must be done.
     pub deadline: Duration,
     /// Time that one request usually takes, if known.
@@ -163,6 +166,7 @@
         }
         let waiter = Rc::new(QueueWaiter {
             class: request.class,
+            refusable: request.refusable,
             state: Cell::new(WaitState::Waiting),
             waker: RefCell::default(),
         });
@@ -170,6 +174,17 @@
         Ok(waiter)
     }
 
+    /// Refuses all who wait and can be served elsewhere, when the backend server is thought sick.
+    pub fn refuse_waiting(&self) {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|waiter| {
+            if waiter.refusable {
+                waiter.settle(WaitState::Refused(NotRunReason::Sick));
+            }
+            !waiter.refusable
+        });
+    }
+
     fn give_back(&self) {
         self.used.set(self.used.get() - 1);
         self.hand_on();
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -192,6 +192,7 @@
         let usual = self.usual_time();
         let request = SlotRequest {
             class: wire::class_of(self.head.work_class),
+            refusable: self.head.refusable,
             deadline: self.deadline,
             usual,
         };
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -119,6 +119,7 @@
             None => {}
             Some(HealthChange::Ejected { reason, sickness, after }) => {
                 metrics::EJECTIONS[reason as usize].add_one();
+                self.slots.refuse_waiting();
                 metrics::DETECTION_MS.add(after.as_millis() as u64);
                 tracing::warn!(
                     upstream = &*self.name,
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -36,6 +36,9 @@
 /// Time that the answer may take beyond the deadline given to the host's daemon, which times the
 /// work out itself; after it the path is at fault.
 const DEADLINE_GRACE: Duration = Duration::from_millis(100);
+/// Overdue times that an attempt at repeatable work is waited for before another is made: a server
+/// that is stuck would otherwise hold the caller until the deadline.
+const PATIENCE_OVERDUE: u32 = 3;
 /// Bytes of further requests that are read while one is served.
 const PIPELINE_BYTES_MAX: usize = 64 * 1024;
 
@@ -60,6 +63,7 @@
 enum FirstEvent {
     Head(AnswerHead),
     Failed(FailureOutcome, Option<LoadReport>),
+    GivenUp,
     CallerGone,
 }
 
@@ -98,7 +102,7 @@
             Some(live) => live,
             None => continue,
         };
-        let first = attempts.first_event(stream, body, &live).await;
+        let first = attempts.first_event(stream, body, &live, choice.index).await;
         match first {
             FirstEvent::CallerGone => return AttemptEnd::CallerGone,
             FirstEvent::Head(head) => {
@@ -118,6 +122,11 @@
                 live.exchange.finish();
                 fallback = Some((live, head));
             }
+            FirstEvent::GivenUp => {
+                // Dropping the exchange cancels it; the repeat is already paid for.
+                attempts.excluded.push(choice.index);
+                attempts.last = FailureOutcome::Unknown(UnknownReason::TimedOut);
+            }
             FirstEvent::Failed(outcome, report) => {
                 live.exchange.finish();
                 if let Some(report) = &report {
@@ -248,17 +257,30 @@
         }
     }
 
+    /// Returns how long an attempt is waited for before another is made, if another may be.
+    fn patience(&self, index: usize) -> Option<Duration> {
+        if !self.is_repeatable() || self.dispatches >= DISPATCHES_MAX {
+            return None;
+        }
+        let baseline =
+            self.request.service.baseline(&self.request.route.name, index, self.state.now());
+        baseline.is_usable().then(|| baseline.overdue_after() * PATIENCE_OVERDUE)
+    }
+
     /// Waits for the head of the answer or the end of the exchange, sending the body meanwhile.
     async fn first_event(
         &self,
         stream: &mut HttpStream,
         body: &mut BodyReader,
         live: &LiveExchange,
+        index: usize,
     ) -> FirstEvent {
         let answer = live.exchange.answer.clone();
         let mut event = std::pin::pin!(answer.next().fuse());
         let wait = self.left() + DEADLINE_GRACE;
         let mut late = std::pin::pin!(monoio::time::sleep(wait).fuse());
+        let patience = self.patience(index).filter(|_| body.is_done()).unwrap_or(wait * 2);
+        let mut patient = std::pin::pin!(monoio::time::sleep(patience).fuse());
         let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
         loop {
             select_biased! {
@@ -267,10 +289,10 @@
                     SendEnd::Done => {}
                     SendEnd::CallerGone => return FirstEvent::CallerGone,
                 },
-                () = late => {
-                    let outcome = FailureOutcome::Unknown(UnknownReason::TimedOut);
-                    return FirstEvent::Failed(outcome, None);
-                }
+                () = late => return timed_out(),
+                () = patient => if self.request.service.take_repeat() {
+                    return FirstEvent::GivenUp;
+                },
             }
         }
     }
@@ -305,6 +327,10 @@
     }
 }
 
+fn timed_out() -> FirstEvent {
+    FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::TimedOut), None)
+}
+
 fn first_of(event: StreamEvent) -> FirstEvent {
     match event {
         StreamEvent::Head(head) => FirstEvent::Head(head),
