--- /dev/null
+++ b/crates/bench/src/capacity.rs
@@ -0,0 +1,295 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Slopes of state, memory and processor time, from which docs/CAPACITY.md is worked out.
+
+use std::fs;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use basaltarch_core::config::{ActiveConfig, FleetConfig, FleetSnapshot};
+use basaltarch_core::routes::RouteMatch;
+use basaltarch_core::units::FleetRevision;
+use basaltarch_decide::balance::{LoadView, ServiceView};
+use basaltarch_decide::baseline::RouteBaseline;
+use basaltarch_decide::evidence::{ServiceBaseline, WorkEvidence};
+use basaltarch_decide::health::{DispatchTerms, HealthReport, UpstreamHealth};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{json, Value};
+
+/// `FleetSize` is the number of resources of each kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Services.
+    pub services: usize,
+    /// Upstreams over all services.
+    pub upstreams: usize,
+    /// Routes over all services.
+    pub routes: usize,
+    /// Organisations.
+    pub organisations: usize,
+    /// Daemons.
+    pub daemons: usize,
+}
+
+/// The size in two years.
+pub const TWO_YEARS: FleetSize = FleetSize {
+    services: 9_000,
+    upstreams: 200_000,
+    routes: 360_000,
+    organisations: 430_000,
+    daemons: 3_300,
+};
+
+impl FleetSize {
+    /// Returns a part of this size.
+    pub fn scaled(self, share: f64) -> Self {
+        let part = |count: usize| ((count as f64 * share) as usize).max(1);
+        Self {
+            services: part(self.services),
+            upstreams: part(self.upstreams),
+            routes: part(self.routes),
+            organisations: part(self.organisations),
+            daemons: part(self.daemons),
+        }
+    }
+}
+
+/// Makes a configuration of this size.
+pub fn generate(size: FleetSize) -> FleetSnapshot {
+    let revision = FleetRevision(1);
+    let mut resources = Vec::new();
+    let mut add = |kind: &str, name: String, value: Value| {
+        resources.push((kind.to_owned(), name, revision, value));
+    };
+    for domain in 0..30 {
+        let value = json!({"region": format!("region-{}", domain % 11)});
+        add("failure-domains", format!("domain-{domain}"), value);
+    }
+    for number in 0..size.services {
+        let value = json!({"floor": 0.7, "prefer": "precision"});
+        add("services", format!("service-{number}"), value);
+    }
+    for number in 0..size.upstreams {
+        let host = number % size.daemons;
+        let value = json!({
+            "service": format!("service-{}", number % size.services),
+            "host": format!("host-{host}"),
+            "address": format!("10.{}.{}.{}:8080", host / 65536, host / 256 % 256, host % 256),
+            "slots": 4, "connections": 300,
+            "failure_domain": format!("domain-{}", host % 30),
+        });
+        add("backend-servers", format!("server-{number}"), value);
+    }
+    for number in 0..size.routes {
+        let service = number % size.services;
+        let value = json!({
+            "host": format!("service-{service}.example"),
+            "path_prefix": format!("/part-{}", number / size.services),
+            "service": format!("service-{service}"),
+            "mode": "repeatable",
+        });
+        add("routes", format!("route-{number}"), value);
+    }
+    for number in 0..size.organisations {
+        add("organisations", format!("organisation-{number}"), json!({"title": ""}));
+    }
+    FleetSnapshot { revision, resources }
+}
+
+/// Returns the resident memory of this process in bytes.
+pub fn resident_bytes() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS")).unwrap_or("");
+    line.split_whitespace().nth(1).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) * 1024
+}
+
+/// `ConfigCost` is what a configuration costs a daemon that holds all of it.
+#[derive(Debug, Clone, Copy)]
+pub struct ConfigCost {
+    /// The size.
+    pub size: FleetSize,
+    /// Bytes of the snapshot as JSON.
+    pub snapshot_bytes: u64,
+    /// Memory of the resources.
+    pub fleet_bytes: u64,
+    /// Memory of the layout for requests.
+    pub active_bytes: u64,
+    /// Time to read the snapshot.
+    pub read_time: Duration,
+    /// Time to lay it out.
+    pub build_time: Duration,
+    /// Time of one route look-up in nanoseconds.
+    pub lookup_ns: f64,
+}
+
+/// Measures a configuration of this size.
+pub fn measure_config(size: FleetSize) -> Option<ConfigCost> {
+    let text = serde_json::to_vec(&generate(size)).ok()?;
+    let before = resident_bytes();
+    let start = Instant::now();
+    let config = {
+        let snapshot: FleetSnapshot = serde_json::from_slice(&text).ok()?;
+        FleetConfig::from_snapshot(&snapshot).ok()?
+    };
+    let read_time = start.elapsed();
+    let loaded = resident_bytes();
+    let start = Instant::now();
+    let active = ActiveConfig::build(&config);
+    let build_time = start.elapsed();
+    let built = resident_bytes();
+    let lookup_ns = measure_lookups(&active, size);
+    Some(ConfigCost {
+        size,
+        snapshot_bytes: text.len() as u64,
+        fleet_bytes: loaded.saturating_sub(before),
+        active_bytes: built.saturating_sub(loaded),
+        read_time,
+        build_time,
+        lookup_ns,
+    })
+}
+
+fn measure_lookups(active: &ActiveConfig, size: FleetSize) -> f64 {
+    const LOOKUPS: usize = 200_000;
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let asked: Vec<(String, String)> = (0..1000)
+        .map(|_| {
+            let route = rng.random_range(0..size.routes);
+            let host = format!("service-{}.example", route % size.services);
+            (host, format!("/part-{}/x/y", route / size.services))
+        })
+        .collect();
+    let start = Instant::now();
+    let mut found = 0;
+    for index in 0..LOOKUPS {
+        let (host, path) = &asked[index % asked.len()];
+        found += usize::from(matches!(
+            black_box(active.routes.find(host, path, "GET")),
+            RouteMatch::Found(_)
+        ));
+    }
+    assert_eq!(found, LOOKUPS, "every look-up finds its route");
+    start.elapsed().as_nanos() as f64 / LOOKUPS as f64
+}
+
+/// `DecisionCost` is what decisions cost.
+#[derive(Debug, Clone, Copy)]
+pub struct DecisionCost {
+    /// Upstreams of the service.
+    pub upstreams: usize,
+    /// Nanoseconds of one choice.
+    pub choose_ns: f64,
+    /// Nanoseconds of taking a report in.
+    pub report_ns: f64,
+    /// Nanoseconds of admitting and judging one request at the host role.
+    pub judge_ns: f64,
+    /// Bytes of the view of one upstream.
+    pub view_bytes: usize,
+    /// Bytes of the health of one upstream, without its routes.
+    pub health_bytes: usize,
+}
+
+fn report(sickness: f64) -> HealthReport {
+    HealthReport {
+        sickness,
+        ejected: false,
+        median_ln: 10.0,
+        spread: 0.5,
+        failure_rate: 0.001,
+        overdue_rate: 0.001,
+        samples: 100,
+        ramp: 1.0,
+        trial_in: Duration::ZERO,
+    }
+}
+
+/// Measures decisions for a service with so many upstreams.
+pub fn measure_decisions(upstreams: usize) -> DecisionCost {
+    const ROUNDS: u32 = 200_000;
+    let mut rng = ChaCha8Rng::seed_from_u64(6);
+    let views = (0..upstreams).map(|index| LoadView::new(4, index % 3 == 0)).collect();
+    let mut view = ServiceView::new(0.7, views);
+    let mut baseline = RouteBaseline::default();
+    let mut now = Duration::from_secs(1);
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let index = round as usize % upstreams;
+        now += Duration::from_micros(300);
+        baseline.note(index as u32, &report(0.1));
+        view.note_median(baseline.current().median_ln);
+        view.note_report(index, round % 4, report(0.1), now);
+        black_box(view.sickness_median(now));
+    }
+    let report_ns = start.elapsed().as_nanos() as f64 / f64::from(ROUNDS);
+    let start = Instant::now();
+    for _ in 0..ROUNDS {
+        now += Duration::from_micros(300);
+        black_box(view.choose(now, &[], true, false, &mut rng));
+    }
+    let choose_ns = start.elapsed().as_nanos() as f64 / f64::from(ROUNDS);
+    DecisionCost {
+        upstreams,
+        choose_ns,
+        report_ns,
+        judge_ns: measure_judge(ROUNDS),
+        view_bytes: std::mem::size_of::<LoadView>(),
+        health_bytes: std::mem::size_of::<UpstreamHealth>(),
+    }
+}
+
+fn measure_judge(rounds: u32) -> f64 {
+    use basaltarch_core::resources::PreferChoice;
+    let mut health = UpstreamHealth::new(PreferChoice::Precision, Duration::ZERO, false);
+    let baseline = ServiceBaseline {
+        median_ln: 10.0,
+        spread: 0.5,
+        upstreams: 10,
+        ..ServiceBaseline::default()
+    };
+    let terms = DispatchTerms { route: "puzzle", refusable: true, repeatable: true, baseline };
+    let start = Instant::now();
+    for round in 0..rounds {
+        let now = Duration::from_millis(u64::from(round));
+        black_box(health.admit(&terms, now));
+        let took = Duration::from_micros(20_000 + u64::from(round % 7) * 1000);
+        black_box(health.note("puzzle", WorkEvidence::Answered(took), false, now));
+        black_box(health.report("puzzle", now));
+    }
+    start.elapsed().as_nanos() as f64 / f64::from(rounds)
+}
+
+/// Prints every slope.
+pub fn print_all() {
+    println!("configuration held whole by one daemon");
+    println!("share    snapshot MB  resources MB  layout MB  read s  lay out s  look-up ns");
+    for share in [0.01, 0.05, 0.1, 1.0] {
+        if let Some(cost) = measure_config(TWO_YEARS.scaled(share)) {
+            let mb = |bytes: u64| bytes as f64 / 1e6;
+            println!(
+                "{share:<8} {:<12.1} {:<13.1} {:<10.1} {:<7.2} {:<10.2} {:.0}",
+                mb(cost.snapshot_bytes),
+                mb(cost.fleet_bytes),
+                mb(cost.active_bytes),
+                cost.read_time.as_secs_f64(),
+                cost.build_time.as_secs_f64(),
+                cost.lookup_ns
+            );
+        }
+    }
+    println!("\ndecisions");
+    println!("upstreams  choose ns  report ns  judge ns  view bytes  health bytes");
+    for upstreams in [6, 15, 25, 100] {
+        let cost = measure_decisions(upstreams);
+        println!(
+            "{:<10} {:<10.0} {:<10.0} {:<9.0} {:<11} {}",
+            cost.upstreams,
+            cost.choose_ns,
+            cost.report_ns,
+            cost.judge_ns,
+            cost.view_bytes,
+            cost.health_bytes
+        );
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,8 +3,10 @@
 
 //! Load, experiments and the decision bench of basaltarch.
 
+pub mod capacity;
 pub mod decisions;
 pub mod detection;
 pub mod errors;
 pub mod fault;
 pub mod load;
+pub mod spread;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -12,7 +12,7 @@
 use basaltarch_bench::decisions::{bounds, chart, report, scenario, suite};
 use basaltarch_bench::errors::BenchError;
 use basaltarch_bench::load::{self, LoadOptions, LoadTarget, TargetReport};
-use basaltarch_bench::{detection, fault};
+use basaltarch_bench::{capacity, detection, fault, spread};
 use basaltarch_core::errors::SettingError;
 use basaltarch_core::settings::{self, EXIT_BAD_SETTINGS};
 use basaltarch_telemetry::runtime;
@@ -49,6 +49,22 @@
                 /// Fails if an answer was cut, crossed or left unknown.
                 optional --clean
             }
+            /// Measures the slopes behind docs/CAPACITY.md.
+            cmd capacity {}
+            /// Writes a generated configuration for basaltctl apply.
+            cmd generate {
+                /// Share of the two-year size, 0 to 1.
+                required share: String
+            }
+            /// Measures the time from an accepted change to in force on every daemon.
+            cmd spread {
+                /// Admin addresses of the daemons, separated by commas; the first takes the changes.
+                required admins: String
+                /// Token of operators.
+                required token: String
+                /// Changes, default 10.
+                optional --changes count: String
+            }
             /// Runs the decision bench: every case, or some, in virtual time.
             cmd decisions {
                 /// Seeds of each run, default 1.
@@ -93,6 +109,12 @@
     let result = match flags.subcommand {
         flags::BasaltarchBenchCmd::Load(flags) => run_load(flags),
         flags::BasaltarchBenchCmd::Fault(flags) => run_fault(flags),
+        flags::BasaltarchBenchCmd::Capacity(_) => {
+            capacity::print_all();
+            Ok(())
+        }
+        flags::BasaltarchBenchCmd::Generate(flags) => run_generate(&flags),
+        flags::BasaltarchBenchCmd::Spread(flags) => run_spread(&flags),
         flags::BasaltarchBenchCmd::Decisions(flags) => run_decisions(flags),
         flags::BasaltarchBenchCmd::Detection(flags) => {
             detection::run(&flags.load, &flags.fault, &flags.server)
@@ -230,6 +252,31 @@
     }
 }
 
+fn run_spread(flags: &flags::Spread) -> Result<(), BenchError> {
+    let admins: Result<Vec<SocketAddr>, BenchError> =
+        flags.admins.split(',').map(|each| address("admins", each)).collect();
+    let changes = number("changes", flags.changes.clone(), 10.0, 1.0, 1000.0)? as usize;
+    let running = spread::run(admins?, flags.token.clone(), changes);
+    let report = runtime::run(running).map_err(|source| BenchError::Start { source })??;
+    println!("{}", serde_json::json!(report));
+    Ok(())
+}
+
+/// Prints a configuration as `basaltctl apply` reads it.
+fn run_generate(flags: &flags::Generate) -> Result<(), BenchError> {
+    let share = number("share", Some(flags.share.clone()), 1.0, 1e-6, 1.0)?;
+    let snapshot = capacity::generate(capacity::TWO_YEARS.scaled(share));
+    let mut kinds = serde_json::Map::new();
+    for (kind, name, _, value) in snapshot.resources {
+        let names = kinds.entry(kind).or_insert_with(|| serde_json::json!({}));
+        if let Some(names) = names.as_object_mut() {
+            names.insert(name, value);
+        }
+    }
+    println!("{}", serde_json::Value::Object(kinds));
+    Ok(())
+}
+
 fn run_decisions(flags: flags::Decisions) -> Result<(), BenchError> {
     let seeds = number("seeds", flags.seeds, 1.0, 1.0, 100.0)?;
     if let Some(path) = &flags.chart {
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,9 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The operator's command line, and the client of the resource API that it is made of.
+
+pub mod api;
+pub mod commands;
+pub mod errors;
+pub mod tables;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,11 +5,6 @@
 
 #![allow(missing_docs, reason = "the command-line macro makes items without doc comments")]
 
-mod api;
-mod commands;
-mod errors;
-mod tables;
-
 use std::net::SocketAddr;
 use std::process;
 use std::time::Duration;
@@ -18,9 +13,9 @@
 use basaltarch_core::settings;
 use basaltarch_telemetry::runtime;
 
-use crate::api::AdminApi;
-use crate::commands::{AuditQuery, OutputForm};
-use crate::errors::CommandError;
+use basaltarch_ctl::api::AdminApi;
+use basaltarch_ctl::commands::{self, AuditQuery, OutputForm};
+use basaltarch_ctl::errors::CommandError;
 
 mod flags {
     xflags::xflags! {
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -98,7 +98,6 @@
     let on_frame = || path.note_heard(state.now());
     let reading = link.run(&mut reader, on_frame, on_control);
     let error = run_halves(reading, &sender, writer).await;
-    count_bytes(&reader, &sender);
     link.end();
     metrics::LINKS.add(-1);
     tracing::info!(host = %path.host, %error, "link ended");
@@ -143,7 +142,7 @@
 fn halves(stream: TcpStream) -> (LinkReader, LinkWriter) {
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
-    (FrameReader::new(read), write)
+    (FrameReader::new(read, count_received), write)
 }
 
 /// Runs both halves of a link until either ends.
@@ -153,7 +152,7 @@
     writer: LinkWriter,
 ) -> LinkError {
     let reading = std::pin::pin!(reading);
-    let writing = std::pin::pin!(sender.run(writer));
+    let writing = std::pin::pin!(sender.run(writer, count_sent));
     match future::select(reading, writing).await {
         Either::Left((error, _)) => error,
         Either::Right((Err(error), _)) => error,
@@ -161,9 +160,12 @@
     }
 }
 
-fn count_bytes(reader: &LinkReader, sender: &FrameSender) {
-    metrics::PEER_BYTES_RECEIVED.add(reader.bytes_read);
-    metrics::PEER_BYTES_SENT.add(sender.bytes_offered());
+fn count_received(bytes: usize) {
+    metrics::PEER_BYTES_RECEIVED.add(bytes as u64);
+}
+
+fn count_sent(bytes: usize) {
+    metrics::PEER_BYTES_SENT.add(bytes as u64);
 }
 
 /// Takes links from other daemons for ever.
@@ -197,7 +199,6 @@
     let on_control = |body: FrameBody| control::handle(state, None, &sender, &link.peer, body);
     let reading = link.run(&mut reader, on_dispatch, on_control);
     let error = run_halves(reading, &sender, writer).await;
-    count_bytes(&reader, &sender);
     link.end();
     tracing::debug!(host = link.peer.host, %error, "accepted link ended");
 }
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -97,14 +97,13 @@
 pub struct FrameReader<R> {
     io: R,
     buffer: BytesMut,
-    /// Bytes read since the start.
-    pub bytes_read: u64,
+    on_read: fn(usize),
 }
 
 impl<R: AsyncReadRent> FrameReader<R> {
-    /// Builds a reader over one half of a connection.
-    pub fn new(io: R) -> Self {
-        Self { io, buffer: BytesMut::new(), bytes_read: 0 }
+    /// Builds a reader over one half of a connection; `on_read` is told of bytes that came.
+    pub fn new(io: R, on_read: fn(usize)) -> Self {
+        Self { io, buffer: BytesMut::new(), on_read }
     }
 
     /// Reads the next frame. Not to be dropped before it ends, or bytes read so far are lost.
@@ -130,7 +129,7 @@
         if count == 0 {
             return Err(LinkError::Closed);
         }
-        self.bytes_read += count as u64;
+        (self.on_read)(count);
         Ok(())
     }
 }
@@ -175,11 +174,6 @@
         self.queue.borrow().offered_total > position
     }
 
-    /// Returns the bytes handed to the system since the start.
-    pub fn bytes_offered(&self) -> u64 {
-        self.queue.borrow().offered_total
-    }
-
     /// Returns the bytes that wait to be handed to the system.
     pub fn bytes_waiting(&self) -> u64 {
         self.queue.borrow().buffer.len() as u64
@@ -199,8 +193,13 @@
         self.queue.borrow().closed
     }
 
-    /// Writes queued frames to `io` until the queue is closed and empty or writing fails.
-    pub async fn run<W: AsyncWriteRent>(&self, mut io: W) -> Result<(), LinkError> {
+    /// Writes queued frames to `io` until the queue is closed and empty or writing fails; `on_write`
+    /// is told of bytes that went.
+    pub async fn run<W: AsyncWriteRent>(
+        &self,
+        mut io: W,
+        on_write: fn(usize),
+    ) -> Result<(), LinkError> {
         let mut spare = BytesMut::new();
         loop {
             let batch = match self.next_batch(spare).await {
@@ -208,7 +207,8 @@
                 None => return Ok(()),
             };
             let (result, written) = io.write_all(batch).await;
-            result.map_err(|source| LinkError::Broken { source })?;
+            let count = result.map_err(|source| LinkError::Broken { source })?;
+            on_write(count);
             spare = written;
             spare.clear();
         }
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -132,7 +132,7 @@
         let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
         let address = listener.local_addr().expect("address");
         let stream = monoio::net::TcpStream::connect_addr(address).await.expect("connect");
-        let task = monoio::spawn(async move { writing.run(stream).await });
+        let task = monoio::spawn(async move { writing.run(stream, |_| ()).await });
         while !sender.was_offered(0) {
             monoio::time::sleep(std::time::Duration::from_millis(1)).await;
         }
