Put changes in force at the cost of what they change

Change: resources and layout are persistent maps (imbl); a change touches its own entries, references are checked where it touches them, the host role looks at touched services only. Route and server resources are shared between both. A resource named twice in one transaction is refused. Property test: updated layouts match fresh ones over random transactions.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -3,17 +3,21 @@
 
 //! Slopes of state, memory and processor time, from which docs/CAPACITY.md is worked out.
 
-use std::fs;
+use std::alloc::System;
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use basaltarch_core::config::{ActiveConfig, FleetConfig, FleetSnapshot};
+use basaltarch_core::config::{
+    ActiveConfig, ChangeRecord, FleetConfig, FleetSnapshot, ResourceChange,
+};
+use basaltarch_core::resources::ResourceKind;
 use basaltarch_core::routes::RouteMatch;
 use basaltarch_core::units::FleetRevision;
 use basaltarch_decide::balance::{LoadView, ServiceView};
 use basaltarch_decide::baseline::RouteBaseline;
 use basaltarch_decide::evidence::{ServiceBaseline, WorkEvidence};
 use basaltarch_decide::health::{DispatchTerms, HealthReport, UpstreamHealth};
+use cap::Cap;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
@@ -98,11 +102,13 @@
     FleetSnapshot { revision, resources }
 }
 
-/// Returns the resident memory of this process in bytes.
-pub fn resident_bytes() -> u64 {
-    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS")).unwrap_or("");
-    line.split_whitespace().nth(1).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) * 1024
+/// Counts what is allocated, since freed memory that the system has not got back would show in the
+/// process's size.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
+fn allocated_bytes() -> u64 {
+    ALLOCATOR.allocated() as u64
 }
 
 /// `ConfigCost` is what a configuration costs a daemon that holds all of it.
@@ -122,24 +128,27 @@
     pub build_time: Duration,
     /// Time of one route look-up in nanoseconds.
     pub lookup_ns: f64,
+    /// Time to put one change of one backend server in force, in microseconds.
+    pub change_us: f64,
 }
 
 /// Measures a configuration of this size.
 pub fn measure_config(size: FleetSize) -> Option<ConfigCost> {
     let text = serde_json::to_vec(&generate(size)).ok()?;
-    let before = resident_bytes();
+    let before = allocated_bytes();
     let start = Instant::now();
     let config = {
         let snapshot: FleetSnapshot = serde_json::from_slice(&text).ok()?;
         FleetConfig::from_snapshot(&snapshot).ok()?
     };
     let read_time = start.elapsed();
-    let loaded = resident_bytes();
+    let loaded = allocated_bytes();
     let start = Instant::now();
     let active = ActiveConfig::build(&config);
     let build_time = start.elapsed();
-    let built = resident_bytes();
+    let built = allocated_bytes();
     let lookup_ns = measure_lookups(&active, size);
+    let change_us = measure_changes(config, active, size)?;
     Some(ConfigCost {
         size,
         snapshot_bytes: text.len() as u64,
@@ -148,9 +157,70 @@
         read_time,
         build_time,
         lookup_ns,
+        change_us,
     })
 }
 
+/// Puts changes in force one by one, as a daemon does: on copies that share what stays the same.
+fn measure_changes(
+    mut config: FleetConfig,
+    mut active: ActiveConfig,
+    size: FleetSize,
+) -> Option<f64> {
+    const CHANGES: usize = 500;
+    let mut spent = Duration::ZERO;
+    for number in 0..CHANGES {
+        let name = format!("server-{}", number * 37 % size.upstreams);
+        let known = config.get(ResourceKind::BackendServer, &name)?.value.to_json();
+        let mut value = known.clone();
+        value["state"] = json!("draining");
+        let change = ResourceChange {
+            kind: ResourceKind::BackendServer.name().to_owned(),
+            name,
+            before: Some(known),
+            after: Some(value),
+        };
+        let record = ChangeRecord {
+            revision: config.revision().next(),
+            actor: String::new(),
+            at_ms: 0,
+            from: String::new(),
+            writer: String::new(),
+            changes: vec![change],
+        };
+        let start = Instant::now();
+        let mut next = config.clone();
+        next.apply(&record).ok()?;
+        next.check_change(&record).ok()?;
+        let mut layout = active.clone();
+        black_box(layout.update(&config, &next, &record));
+        spent += start.elapsed();
+        config = next;
+        active = layout;
+    }
+    Some(spent.as_micros() as f64 / CHANGES as f64)
+}
+
+/// Returns bytes a resource of one kind costs, measured with that kind alone grown.
+fn measure_kind(grow: impl Fn(&mut FleetSize)) -> Option<f64> {
+    let small = FleetSize {
+        services: 1000,
+        upstreams: 1000,
+        routes: 1000,
+        organisations: 1000,
+        daemons: 100,
+    };
+    let mut large = small;
+    grow(&mut large);
+    let count = |size: FleetSize| size.services + size.upstreams + size.routes + size.organisations;
+    let grown = (count(large) - count(small)) as f64;
+    let bytes = |size| {
+        let cost = measure_config(size)?;
+        Some((cost.fleet_bytes + cost.active_bytes) as f64)
+    };
+    Some((bytes(large)? - bytes(small)?) / grown)
+}
+
 fn measure_lookups(active: &ActiveConfig, size: FleetSize) -> f64 {
     const LOOKUPS: usize = 200_000;
     let mut rng = ChaCha8Rng::seed_from_u64(5);
@@ -263,21 +333,37 @@
 /// Prints every slope.
 pub fn print_all() {
     println!("configuration held whole by one daemon");
-    println!("share    snapshot MB  resources MB  layout MB  read s  lay out s  look-up ns");
+    println!(
+        "share    snapshot MB  resources MB  layout MB  read s  lay out s  look-up ns  change us"
+    );
     for share in [0.01, 0.05, 0.1, 1.0] {
         if let Some(cost) = measure_config(TWO_YEARS.scaled(share)) {
             let mb = |bytes: u64| bytes as f64 / 1e6;
             println!(
-                "{share:<8} {:<12.1} {:<13.1} {:<10.1} {:<7.2} {:<10.2} {:.0}",
+                "{share:<8} {:<12.1} {:<13.1} {:<10.1} {:<7.2} {:<10.2} {:<11.0} {:.1}",
                 mb(cost.snapshot_bytes),
                 mb(cost.fleet_bytes),
                 mb(cost.active_bytes),
                 cost.read_time.as_secs_f64(),
                 cost.build_time.as_secs_f64(),
-                cost.lookup_ns
+                cost.lookup_ns,
+                cost.change_us
             );
         }
     }
+    println!("\nbytes of one resource held whole");
+    type Grow = fn(&mut FleetSize);
+    let kinds: [(&str, Grow); 4] = [
+        ("service", |size| size.services += 20_000),
+        ("backend server", |size| size.upstreams += 50_000),
+        ("route", |size| size.routes += 50_000),
+        ("organisation", |size| size.organisations += 50_000),
+    ];
+    for (name, grow) in kinds {
+        if let Some(bytes) = measure_kind(grow) {
+            println!("{name:<15} {bytes:.0}");
+        }
+    }
     println!("\ndecisions");
     println!("upstreams  choose ns  report ns  judge ns  view bytes  health bytes");
     for upstreams in [6, 15, 25, 100] {
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -4,6 +4,7 @@
 //! The resources that operators declare, with the checks on their values.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -253,9 +254,9 @@
     /// A service.
     Service(ServiceSpec),
     /// A backend server.
-    BackendServer(BackendServer),
+    BackendServer(Rc<BackendServer>),
     /// A route.
-    Route(RouteRule),
+    Route(Rc<RouteRule>),
     /// A limit.
     Limit(LimitRule),
     /// An organisation.
@@ -270,8 +271,8 @@
         let parsed = match kind {
             ResourceKind::FailureDomain => Self::FailureDomain(read(&path, value)?),
             ResourceKind::Service => Self::Service(read(&path, value)?),
-            ResourceKind::BackendServer => Self::BackendServer(read(&path, value)?),
-            ResourceKind::Route => Self::Route(read(&path, value)?),
+            ResourceKind::BackendServer => Self::BackendServer(Rc::new(read(&path, value)?)),
+            ResourceKind::Route => Self::Route(Rc::new(read(&path, value)?)),
             ResourceKind::Limit => Self::Limit(read(&path, value)?),
             ResourceKind::Organisation => Self::Organisation(read(&path, value)?),
         };
@@ -284,8 +285,8 @@
         let value = match self {
             Self::FailureDomain(spec) => serde_json::to_value(spec),
             Self::Service(spec) => serde_json::to_value(spec),
-            Self::BackendServer(spec) => serde_json::to_value(spec),
-            Self::Route(spec) => serde_json::to_value(spec),
+            Self::BackendServer(spec) => serde_json::to_value(&**spec),
+            Self::Route(spec) => serde_json::to_value(&**spec),
             Self::Limit(spec) => serde_json::to_value(spec),
             Self::Organisation(spec) => serde_json::to_value(spec),
         };
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -7,7 +7,8 @@
 
 use fnv::FnvHashMap;
 
-use crate::config::RouteEntry;
+use crate::config::{RouteEntry, SharedMap};
+use crate::resources::RouteRule;
 
 /// Routes of one host by path prefix.
 type PathRoutes = FnvHashMap<Box<str>, Vec<Rc<RouteEntry>>>;
@@ -15,9 +16,9 @@
 /// `RouteTable` finds the route with the longest path prefix.
 ///
 /// A look-up costs one hash look-up for each segment of the path, whatever the number of routes.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct RouteTable {
-    hosts: FnvHashMap<Box<str>, PathRoutes>,
+    hosts: SharedMap<Rc<str>, Rc<PathRoutes>>,
     len: usize,
 }
 
@@ -35,12 +36,37 @@
 impl RouteTable {
     /// Adds a route.
     pub fn insert(&mut self, entry: Rc<RouteEntry>) {
+        let host: Rc<str> = Rc::from(entry.rule.host.as_str());
+        let mut paths = self.hosts.get(&host).cloned().unwrap_or_default();
         let prefix = trim_prefix(&entry.rule.path_prefix);
-        let paths = self.hosts.entry(entry.rule.host.as_str().into()).or_default();
-        paths.entry(prefix.into()).or_default().push(entry);
+        Rc::make_mut(&mut paths).entry(prefix.into()).or_default().push(entry);
+        self.hosts.insert(host, paths);
         self.len += 1;
     }
 
+    /// Removes the route with this name, which has this rule.
+    pub fn remove(&mut self, name: &str, rule: &RouteRule) {
+        let mut paths = match self.hosts.get(rule.host.as_str()) {
+            Some(paths) => paths.clone(),
+            None => return,
+        };
+        let routes = Rc::make_mut(&mut paths);
+        let prefix = trim_prefix(&rule.path_prefix);
+        if let Some(entries) = routes.get_mut(prefix) {
+            let before = entries.len();
+            entries.retain(|entry| &*entry.name != name);
+            self.len -= before - entries.len();
+            if entries.is_empty() {
+                routes.remove(prefix);
+            }
+        }
+        if routes.is_empty() {
+            self.hosts.remove(rule.host.as_str());
+        } else {
+            self.hosts.insert(Rc::from(rule.host.as_str()), paths);
+        }
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.len
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -9,7 +9,7 @@
     ActiveConfig, ChangeRecord, FleetConfig, ResourceChange, RouteEntry,
 };
 use basaltarch_core::outcome::{FailureOutcome, NOT_RUN_REASONS, UNKNOWN_REASONS};
-use basaltarch_core::resources::{RouteRule, WorkClass, WorkMode};
+use basaltarch_core::resources::{LimitScope, RouteRule, WorkClass, WorkMode};
 use basaltarch_core::routes::{RouteMatch, RouteTable};
 use basaltarch_core::settings;
 use basaltarch_core::units::{self, FleetRevision};
@@ -33,7 +33,7 @@
 fn table(rules: &[(&str, RouteRule)]) -> RouteTable {
     let mut table = RouteTable::default();
     for (name, rule) in rules {
-        table.insert(Rc::new(RouteEntry { name: Rc::from(*name), rule: rule.clone() }));
+        table.insert(Rc::new(RouteEntry { name: Rc::from(*name), rule: Rc::new(rule.clone()) }));
     }
     table
 }
@@ -147,7 +147,8 @@
     assert_eq!(service.upstreams.len(), 1);
     assert_eq!(service.spec.floor, 0.7);
     assert!(matches!(active.routes.find("h", "/x", "GET"), RouteMatch::Found(_)));
-    assert_eq!(active.limits.len(), 1);
+    assert_eq!(active.limits_of(LimitScope::Route, "r").len(), 1);
+    assert!(active.limits_of(LimitScope::Service, "r").is_empty());
 }
 
 #[test]
@@ -208,7 +209,7 @@
             .collect();
         let mut table = RouteTable::default();
         for (name, rule) in &rules {
-            table.insert(Rc::new(RouteEntry { name: Rc::from(name.as_str()), rule: rule.clone() }));
+            table.insert(Rc::new(RouteEntry { name: Rc::from(name.as_str()), rule: Rc::new(rule.clone()) }));
         }
         let path = if path.is_empty() { "/".to_owned() } else { path };
         let with_end = format!("{}/", path.trim_end_matches('/'));
@@ -226,3 +227,85 @@
         }
     }
 }
+
+/// One change of one of a few resources, so that changes meet.
+fn any_change() -> impl Strategy<Value = (String, String, Option<Value>)> {
+    let kinds = ["services", "backend-servers", "routes", "limits", "organisations"];
+    (0..kinds.len(), 0..4_u32, 0..3_u32, any::<bool>()).prop_map(move |(kind, name, pick, keep)| {
+        let value = match kinds[kind] {
+            "services" => json!({"floor": f64::from(pick) / 4.0}),
+            "backend-servers" => json!({
+                "service": format!("services-{pick}"), "host": "h", "address": "127.0.0.1:1",
+                "slots": 4, "connections": 300, "failure_domain": "d",
+            }),
+            "routes" => json!({
+                "host": format!("h{}", pick % 2), "path_prefix": format!("/p{}", pick % 3),
+                "service": format!("services-{pick}"),
+            }),
+            "limits" => json!({
+                "scope": "service", "target": format!("services-{pick}"), "rate": 1, "burst": 1,
+            }),
+            _ => json!({"title": ""}),
+        };
+        let kind = kinds[kind].to_owned();
+        (kind.clone(), format!("{kind}-{name}"), keep.then_some(value))
+    })
+}
+
+/// Returns all that the request path may ask of a layout, in one text.
+fn seen(active: &ActiveConfig) -> String {
+    let mut lines = Vec::new();
+    for (name, service) in &active.services {
+        lines.push(format!("{name} {service:?}"));
+    }
+    lines.extend(active.organisations.keys().map(|name| format!("{name}")));
+    for number in 0..4 {
+        let target = format!("services-{number}");
+        let mut limits: Vec<String> = active
+            .limits_of(LimitScope::Service, &target)
+            .iter()
+            .map(|limit| format!("{limit:?}"))
+            .collect();
+        limits.sort();
+        lines.push(format!("{target} {limits:?} {:?}", active.limit(&format!("limits-{number}"))));
+    }
+    for host in ["h0", "h1"] {
+        for path in ["/p0", "/p1", "/p2"] {
+            let found = matches!(active.routes.find(host, path, "GET"), RouteMatch::Found(_));
+            lines.push(format!("{host}{path} {found}"));
+        }
+    }
+    lines.push(format!("{} routes at {}", active.routes.len(), active.revision));
+    lines.sort();
+    lines.join("\n")
+}
+
+proptest! {
+    #![proptest_config(fixed(400))]
+
+    /// Changing a layout change by change gives what laying out the result gives.
+    #[test]
+    fn verify_updated_layouts_match_fresh_ones(
+        transactions in prop::collection::vec(prop::collection::vec(any_change(), 1..5), 1..12),
+    ) {
+        let mut config = FleetConfig::default();
+        let domain = record(1, vec![("failure-domains", "d", Some(json!({"region": "r"})))]);
+        prop_assert_eq!(config.apply(&domain), Ok(true));
+        let mut active = ActiveConfig::build(&config);
+        for mut changes in transactions {
+            changes.sort_by(|left, right| (&left.0, &left.1).cmp(&(&right.0, &right.1)));
+            changes.dedup_by(|left, right| (&left.0, &left.1) == (&right.0, &right.1));
+            let changes = changes.iter().map(|(k, n, v)| (k.as_str(), n.as_str(), v.clone())).collect();
+            let record = record(config.revision().next().0, changes);
+            let mut next = config.clone();
+            prop_assert_eq!(next.apply(&record), Ok(true));
+            // What dangles is never accepted.
+            if next.check_references().is_err() {
+                continue;
+            }
+            active.update(&config, &next, &record);
+            config = next;
+            prop_assert_eq!(seen(&active), seen(&ActiveConfig::build(&config)));
+        }
+    }
+}
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -17,6 +17,21 @@
 /// Changes kept for watches and for peers that are behind: hours at 7,200 changes a day.
 pub const RECORDS_KEPT: usize = 1024;
 
+/// `TouchedServices` are the services that changes touched.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TouchedServices {
+    /// Any may have changed.
+    All,
+    /// These, with their upstreams.
+    Some(Vec<Rc<str>>),
+}
+
+impl Default for TouchedServices {
+    fn default() -> Self {
+        Self::Some(Vec::new())
+    }
+}
+
 /// `ConfigCell` holds the configuration in force.
 #[derive(Debug, Default)]
 pub struct ConfigCell {
@@ -25,6 +40,7 @@
     records: RefCell<VecDeque<Rc<ChangeRecord>>>,
     since: Cell<Duration>,
     loaded: Cell<bool>,
+    touched: RefCell<TouchedServices>,
     changed: RisingSignal,
 }
 
@@ -76,9 +92,11 @@
                 metrics::OLD_REVISIONS.add_one();
                 continue;
             }
+            let before = self.fleet.borrow().clone();
             let result = self.fleet.borrow_mut().apply(record);
             match result {
                 Ok(true) => {
+                    self.update_layout(&before, record);
                     self.keep(record.clone());
                     applied += 1;
                 }
@@ -95,6 +113,22 @@
         applied
     }
 
+    /// Changes a copy of the layout, which shares all that stays the same; requests under way keep
+    /// the one they have.
+    fn update_layout(&self, before: &FleetConfig, record: &ChangeRecord) {
+        let mut next = ActiveConfig::clone(&self.active.borrow());
+        let services = next.update(before, &self.fleet.borrow(), record);
+        *self.active.borrow_mut() = Rc::new(next);
+        if let TouchedServices::Some(touched) = &mut *self.touched.borrow_mut() {
+            touched.extend(services);
+        }
+    }
+
+    /// Returns the services touched since the last call.
+    pub fn take_touched(&self) -> TouchedServices {
+        self.touched.replace(TouchedServices::Some(Vec::new()))
+    }
+
     fn keep(&self, record: ChangeRecord) {
         let mut records = self.records.borrow_mut();
         records.push_back(Rc::new(record));
@@ -111,16 +145,17 @@
         }
         // Between the two there are changes that are not here; watches must start again.
         self.records.borrow_mut().clear();
+        let mut next = ActiveConfig::build(&config);
+        keep_unchanged(&self.active.borrow(), &mut next);
+        *self.active.borrow_mut() = Rc::new(next);
         *self.fleet.borrow_mut() = config;
+        self.touched.replace(TouchedServices::All);
         self.put_in_force(now);
         true
     }
 
     fn put_in_force(&self, now: Duration) {
-        let mut next = ActiveConfig::build(&self.fleet.borrow());
-        keep_unchanged(&self.active.borrow(), &mut next);
-        let revision = next.revision;
-        *self.active.borrow_mut() = Rc::new(next);
+        let revision = self.revision();
         self.since.set(now);
         self.loaded.set(true);
         metrics::REVISION.set(revision.0 as i64);
@@ -145,11 +180,9 @@
 
 /// Keeps the entries of services that did not change, so that what was learnt of them stays.
 fn keep_unchanged(old: &ActiveConfig, next: &mut ActiveConfig) {
-    for (name, entry) in &mut next.services {
-        if let Some(known) = old.services.get(name) {
-            if known == entry {
-                *entry = known.clone();
-            }
+    for (name, known) in &old.services {
+        if next.services.get(name).is_some_and(|entry| entry == known) {
+            next.services.insert(name.clone(), known.clone());
         }
     }
 }
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -11,15 +11,16 @@
 pub mod exchange;
 pub mod upstream;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use basaltarch_core::config::ActiveConfig;
+use basaltarch_core::config::{ActiveConfig, ServiceEntry, UpstreamEntry};
 use basaltarch_peer::link::{AcceptedLink, InboundExchange, OutboundExchange};
 use basaltarch_peer::protocol::DispatchHead;
 use basaltarch_peer::stream::{EventPipe, EventSink, StreamEvent};
 use fnv::FnvHashMap;
 
+use crate::configuration::TouchedServices;
 use crate::host::upstream::HostUpstream;
 use crate::state::DaemonState;
 
@@ -27,6 +28,7 @@
 #[derive(Default)]
 pub struct HostRole {
     upstreams: RefCell<FnvHashMap<Rc<str>, Rc<HostUpstream>>>,
+    configured: Cell<bool>,
 }
 
 impl HostRole {
@@ -43,29 +45,52 @@
     }
 
     /// Brings the backend servers in line with a configuration; what was learnt is kept.
-    pub fn configure(&self, state: &DaemonState, active: &ActiveConfig) {
-        let mut upstreams = self.upstreams.borrow_mut();
-        let mut next = FnvHashMap::default();
+    pub fn configure(&self, state: &DaemonState, active: &ActiveConfig, touched: &TouchedServices) {
         // At the first configuration nobody is cold: the daemon was replaced, not the servers.
-        let cold = !upstreams.is_empty();
-        for service in active.services.values() {
-            for upstream in &service.upstreams {
-                if upstream.server.host != state.options.host {
-                    continue;
+        let cold = self.configured.replace(true);
+        match touched {
+            TouchedServices::Some(names) => {
+                for name in names {
+                    self.configure_service(state, name, active.services.get(name), cold);
+                }
+            }
+            TouchedServices::All => {
+                self.upstreams
+                    .borrow_mut()
+                    .retain(|_, upstream| active.services.contains_key(&upstream.service));
+                for (name, service) in &active.services {
+                    self.configure_service(state, name, Some(service), cold);
+                }
+            }
+        }
+    }
+
+    fn configure_service(
+        &self,
+        state: &DaemonState,
+        name: &Rc<str>,
+        service: Option<&Rc<ServiceEntry>>,
+        cold: bool,
+    ) {
+        let is_own = |upstream: &&UpstreamEntry| upstream.server.host == state.options.host;
+        let own: Vec<&UpstreamEntry> =
+            service.iter().flat_map(|service| &service.upstreams).filter(is_own).collect();
+        let mut upstreams = self.upstreams.borrow_mut();
+        upstreams.retain(|known, upstream| {
+            upstream.service != *name || own.iter().any(|each| each.name == *known)
+        });
+        for (service, upstream) in service.into_iter().flat_map(|s| own.iter().map(move |u| (s, u)))
+        {
+            match upstreams.get(&upstream.name) {
+                Some(known) if known.service == *name => {
+                    known.configure(&upstream.server, &service.spec);
+                }
+                _ => {
+                    let made = HostUpstream::new(upstream, service, state.now(), cold);
+                    upstreams.insert(upstream.name.clone(), Rc::new(made));
                 }
-                let known = upstreams.remove(&upstream.name);
-                let same = known.filter(|known| known.service == service.name);
-                let entry = match same {
-                    Some(known) => {
-                        known.configure(&upstream.server, &service.spec);
-                        known
-                    }
-                    None => Rc::new(HostUpstream::new(upstream, service, state.now(), cold)),
-                };
-                next.insert(upstream.name.clone(), entry);
             }
         }
-        *upstreams = next;
     }
 
     /// Takes back a failure that followed its request to another upstream.
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -29,7 +29,7 @@
     /// Service that it is an upstream of.
     pub service: Rc<str>,
     /// Its resource.
-    pub server: RefCell<BackendServer>,
+    pub server: RefCell<Rc<BackendServer>>,
     /// Its slots.
     pub slots: Rc<SlotQueue>,
     /// Its health.
@@ -62,7 +62,7 @@
     }
 
     /// Takes a changed resource over.
-    pub fn configure(&self, server: &BackendServer, spec: &ServiceSpec) {
+    pub fn configure(&self, server: &Rc<BackendServer>, spec: &ServiceSpec) {
         self.slots.configure(server.slots, spec.queue);
         self.health.borrow_mut().set_prefer(spec.prefer);
         self.pool.configure(server.address, server.connections as usize);
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltarch_core::config::{self, ActiveConfig, LimitEntry};
+use basaltarch_core::config::{ActiveConfig, LimitEntry};
 use basaltarch_core::resources::LimitScope;
 use basaltarch_decide::limits::{self, LimitLedger, LimitVerdict, TokenBucket, GRANT_LIFE};
 use basaltarch_peer::frames::FrameSender;
@@ -62,14 +62,13 @@
     active: &ActiveConfig,
     subject: LimitSubject<'_>,
 ) -> Result<(), Duration> {
-    if active.limits.is_empty() {
+    if active.has_no_limits() {
         return Ok(());
     }
     let mut keys = vec![(LimitScope::Service, subject.service), (LimitScope::Route, subject.route)];
     keys.extend(subject.organisation.map(|name| (LimitScope::Organisation, name)));
     for (scope, target) in keys {
-        let key = (config::scope_number(scope), Rc::from(target));
-        for entry in active.limits.get(&key).into_iter().flatten() {
+        for entry in active.limits_of(scope, target) {
             admit_one(state, entry).await.inspect_err(|_| metrics::LIMITED.add_one())?;
         }
     }
@@ -112,8 +111,9 @@
 
     /// Grants tokens as the home of a limit.
     fn grant(&self, state: &DaemonState, limit: &str, wanted: f64) -> f64 {
-        let rule = match find_rule(&state.config.active(), limit) {
-            Some(entry) => entry.rule,
+        let active = state.config.active();
+        let rule = match active.limit(limit) {
+            Some(entry) => &entry.rule,
             None => return 0.0,
         };
         let now = state.now();
@@ -130,11 +130,6 @@
     }
 }
 
-fn find_rule(active: &ActiveConfig, limit: &str) -> Option<LimitEntry> {
-    let mut entries = active.limits.values().flatten();
-    entries.find(|entry| &*entry.name == limit).cloned()
-}
-
 /// Asks the home for tokens; requests that come meanwhile wait for the same answer.
 async fn ask(state: &Rc<DaemonState>, entry: &LimitEntry, wanted: f64) {
     let running = state.limits.ledgers.borrow().get(&entry.name).and_then(|l| l.asking.clone());
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -119,7 +119,8 @@
     loop {
         seen = state.config.changed().above(seen).await;
         let active = state.config.active();
-        state.host.configure(&state, &active);
+        let touched = state.config.take_touched();
+        state.host.configure(&state, &active, &touched);
         state.services.forget_gone(&active);
         // The neighbours hear of the revision at once, so that the fleet's status is fresh.
         membership::beat(&state);
--- a/crates/store/src/changes.rs
+++ b/crates/store/src/changes.rs
@@ -8,6 +8,7 @@
 //! the revision. Now and then the whole configuration is written as an object, so that a newcomer
 //! need not read all changes.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -285,7 +286,13 @@
         return Err(invalid(error));
     }
     let mut changes = Vec::new();
+    let mut named = HashSet::new();
     for edit in edits {
+        if !named.insert((edit.kind, edit.name.as_str())) {
+            let path = resources::resource_path(edit.kind, &edit.name);
+            let error = basaltarch_core::errors::bad_value(path, "twice", "once in a change");
+            return Err(invalid(error));
+        }
         check_guard(config, edit)?;
         if let Some(change) = plan_edit(config, edit).map_err(invalid)? {
             changes.push(change);
@@ -301,7 +308,7 @@
     };
     let mut next = config.clone();
     next.apply(&record).map_err(invalid)?;
-    next.check_references().map_err(invalid)?;
+    next.check_change(&record).map_err(invalid)?;
     Ok(record)
 }
 
