Halve the memory of idle callers' connections; tell only what changed on a change

Cause: an idle connection held room for a whole request's state (22.6 KiB); each change of configuration set off heartbeats with eight members both ways (12.4 KB a change and daemon, 16 daemons). Change: a request's state is boxed; heartbeats on a change carry the own entry.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod detection;
 pub mod errors;
 pub mod fault;
+pub mod hold;
 pub mod load;
 pub mod spread;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -11,6 +11,7 @@
 
 use basaltarch_bench::decisions::{bounds, chart, report, scenario, suite};
 use basaltarch_bench::errors::BenchError;
+use basaltarch_bench::hold::{self, HoldOptions};
 use basaltarch_bench::load::{self, LoadOptions, LoadTarget, TargetReport};
 use basaltarch_bench::{capacity, detection, fault, spread};
 use basaltarch_core::errors::SettingError;
@@ -87,6 +88,17 @@
                 /// Name of the failing server.
                 required server: String
             }
+            /// Holds connections to a daemon open, to read its memory meanwhile.
+            cmd hold {
+                /// Address of a daemon for callers.
+                required to: String
+                /// Number of connections.
+                required count: String
+                /// Seconds, default 3.
+                optional --seconds count: String
+                /// Path of a request that each has under way; idle without.
+                optional --path path: String
+            }
             /// Puts a fault on a stand-in backend server and measures how long it gets work.
             cmd fault {
                 /// Address of the server.
@@ -114,6 +126,7 @@
             Ok(())
         }
         flags::BasaltarchBenchCmd::Generate(flags) => run_generate(&flags),
+        flags::BasaltarchBenchCmd::Hold(flags) => run_hold(&flags),
         flags::BasaltarchBenchCmd::Spread(flags) => run_spread(&flags),
         flags::BasaltarchBenchCmd::Decisions(flags) => run_decisions(flags),
         flags::BasaltarchBenchCmd::Detection(flags) => {
@@ -252,6 +265,19 @@
     }
 }
 
+fn run_hold(flags: &flags::Hold) -> Result<(), BenchError> {
+    let seconds = number("seconds", flags.seconds.clone(), 3.0, 0.1, 60.0)?;
+    let count = number("count", Some(flags.count.clone()), 1.0, 1.0, 20_000.0)?;
+    let request = flags.path.clone().map(|path| ("solver.example".to_owned(), path));
+    let options = HoldOptions {
+        address: address("to", &flags.to)?,
+        count: count as usize,
+        time: Duration::from_secs_f64(seconds),
+        request,
+    };
+    runtime::run(hold::run(options)).map_err(|source| BenchError::Start { source })?
+}
+
 fn run_spread(flags: &flags::Spread) -> Result<(), BenchError> {
     let admins: Result<Vec<SocketAddr>, BenchError> =
         flags.admins.split(',').map(|each| address("admins", each)).collect();
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -151,6 +151,35 @@
     assert!(active.limits_of(LimitScope::Service, "r").is_empty());
 }
 
+#[test_case("bkk.json", &[("solver-app", 15, 4, 300), ("contest-desk", 6, 4, 300)] ; "bkk")]
+#[test_case("kigali.json", &[("reader-desk", 25, 3, 400), ("billing-core", 8, 3, 400)] ; "kigali")]
+fn verify_the_examples_are_valid_and_of_the_users_sizes(
+    file: &str,
+    services: &[(&str, usize, u32, u32)],
+) {
+    let path = format!("{}/../../examples/{file}", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(path).expect("example");
+    let kinds: std::collections::BTreeMap<String, std::collections::BTreeMap<String, Value>> =
+        serde_json::from_str(&text).expect("kinds of names");
+    let changes = kinds
+        .iter()
+        .flat_map(|(kind, names)| names.iter().map(move |(name, value)| (kind, name, value)))
+        .map(|(kind, name, value)| (kind.as_str(), name.as_str(), Some(value.clone())))
+        .collect();
+    let mut config = FleetConfig::default();
+    assert_eq!(config.apply(&record(1, changes)), Ok(true));
+    assert_eq!(config.check_references(), Ok(()));
+    let active = ActiveConfig::build(&config);
+    for (name, upstreams, slots, connections) in services {
+        let service = active.services.get(*name).expect("service");
+        assert_eq!(service.upstreams.len(), *upstreams);
+        let fits = |server: &basaltarch_core::resources::BackendServer| {
+            (server.slots, server.connections) == (*slots, *connections)
+        };
+        assert!(service.upstreams.iter().all(|upstream| fits(&upstream.server)));
+    }
+}
+
 #[test]
 fn verify_outcomes_survive_the_wire_and_unknown_numbers_are_the_safe_outcome() {
     for reason in NOT_RUN_REASONS {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -57,7 +57,7 @@
         let answer = HeartbeatNote {
             reply: true,
             revision: state.config.revision().0 as i64,
-            members: state.members.some_entries(state, &note.members),
+            members: state.members.answer_entries(state, &note.members),
         };
         let _ = sender.send(NO_EXCHANGE, FrameBody::Heartbeat(answer));
     }
--- a/crates/daemon/src/ingress/caller.rs
+++ b/crates/daemon/src/ingress/caller.rs
@@ -77,7 +77,8 @@
         let _counted = state.count_in_flight();
         metrics::REQUESTS.add_one();
         metrics::IN_FLIGHT.add(1);
-        let after = request::serve(state, &mut stream, head, from).await;
+        // Boxed, so that an idle connection does not hold room for a request's whole state.
+        let after = Box::pin(request::serve(state, &mut stream, head, from)).await;
         metrics::IN_FLIGHT.add(-1);
         match after {
             AfterRequest::Keep if !state.is_stopping() => {}
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -244,6 +244,15 @@
         }
     }
 
+    /// Chooses what to answer a heartbeat with: as much as it told.
+    pub fn answer_entries(&self, state: &DaemonState, told: &[MemberEntry]) -> Vec<MemberEntry> {
+        if told.len() > 1 {
+            self.some_entries(state, told)
+        } else {
+            vec![own_entry(state)]
+        }
+    }
+
     /// Chooses members to tell a peer of, this daemon first, after what it just told.
     pub fn some_entries(&self, state: &DaemonState, told: &[MemberEntry]) -> Vec<MemberEntry> {
         let now = state.now();
@@ -363,21 +372,30 @@
 /// Sends heartbeats to the neighbours for ever.
 pub async fn run(state: Rc<DaemonState>) {
     loop {
-        beat(&state);
+        beat(&state, BeatNews::Members);
         let pause = HEARTBEAT_EVERY.mul_f64(rand::random_range(0.9..1.1));
         monoio::time::sleep(pause).await;
     }
 }
 
+/// `BeatNews` is what a heartbeat tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BeatNews {
+    /// This daemon's own entry, as when its revision or state changed.
+    Own,
+    /// Some other members as well.
+    Members,
+}
+
 /// Sends a heartbeat to each neighbour now.
-pub fn beat(state: &Rc<DaemonState>) {
+pub fn beat(state: &Rc<DaemonState>, news: BeatNews) {
     for host in state.members.neighbours(state) {
         let state = state.clone();
-        monoio::spawn(async move { beat_one(&state, &host).await });
+        monoio::spawn(async move { beat_one(&state, &host, news).await });
     }
 }
 
-async fn beat_one(state: &Rc<DaemonState>, host: &str) {
+async fn beat_one(state: &Rc<DaemonState>, host: &str, news: BeatNews) {
     let path = state.peers.path(host);
     if path.address().is_none() {
         return;
@@ -387,7 +405,10 @@
         let note = HeartbeatNote {
             reply: false,
             revision: state.config.revision().0 as i64,
-            members: state.members.some_entries(state, &[]),
+            members: match news {
+                BeatNews::Own => vec![own_entry(state)],
+                BeatNews::Members => state.members.some_entries(state, &[]),
+            },
         };
         let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -16,7 +16,7 @@
 use crate::errors::DaemonError;
 use crate::ingress::caller;
 use crate::links;
-use crate::membership;
+use crate::membership::{self, BeatNews};
 use crate::metrics;
 use crate::options::DaemonOptions;
 use crate::spread;
@@ -123,14 +123,14 @@
         state.host.configure(&state, &active, &touched);
         state.services.forget_gone(&active);
         // The neighbours hear of the revision at once, so that the fleet's status is fresh.
-        membership::beat(&state);
+        membership::beat(&state, BeatNews::Own);
     }
 }
 
 /// Refuses new work, tells the peers, and waits until what is in flight has ended.
 async fn drain(state: &Rc<DaemonState>) -> StopReport {
     tracing::info!(in_flight = state.in_flight.get(), "leaving");
-    membership::beat(state);
+    membership::beat(state, BeatNews::Own);
     tell_accepted(state);
     let begin = state.now();
     loop {
