--- a/crates/bench/src/decisions/mod.rs
+++ b/crates/bench/src/decisions/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod bounds;
 pub mod chart;
+pub mod faults;
 pub mod report;
 pub mod rules;
 pub mod scenario;
--- a/crates/bench/src/decisions/scenario.rs
+++ b/crates/bench/src/decisions/scenario.rs
@@ -244,6 +244,11 @@
         self.fault_begin() + FAULT_TIME * self.stretch()
     }
 
+    /// Says whether the fault lasts at this time.
+    pub fn in_fault(&self, now: Duration) -> bool {
+        (self.fault_begin()..self.fault_end()).contains(&now)
+    }
+
     /// Returns when the run ends.
     pub fn end(&self) -> Duration {
         self.fault_end() + AFTER_TIME * self.stretch()
--- a/crates/bench/src/decisions/world.rs
+++ b/crates/bench/src/decisions/world.rs
@@ -19,6 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1, LogNormal};
 
+use crate::decisions::faults::{self, JobEnd};
 use crate::decisions::rules::{PlainRule, RuleKind};
 use crate::decisions::scenario::{self, FaultScript, ScenarioPlan};
 
@@ -65,13 +66,6 @@
     pub returned: Option<Duration>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum JobEnd {
-    Good,
-    Error,
-    Timeout,
-}
-
 #[derive(Debug, Clone, Copy)]
 enum Event {
     Arrival,
@@ -232,7 +226,7 @@
     }
 
     fn in_fault(&self) -> bool {
-        (self.plan.fault_begin()..self.plan.fault_end()).contains(&self.now)
+        self.plan.in_fault(self.now)
     }
 
     fn arrive(&mut self) {
@@ -417,75 +411,16 @@
 
     /// Returns how long the work takes and how it ends.
     fn sample_work(&mut self, number: usize, index: usize) -> (Duration, JobEnd) {
-        let mut seconds: f64 = self.times.sample(&mut self.rng);
-        let route = self.requests[number].route;
-        if self.plan.is_mixed() && route == SLOW_ROUTE {
-            seconds *= scenario::MIXED_FACTOR;
-        }
-        let stragglers = match self.plan.script {
-            FaultScript::Bursts(weight) => weight,
-            _ => scenario::USUAL_STRAGGLERS,
+        let request = &self.requests[number];
+        let work = faults::WorkSample {
+            plan: &self.plan,
+            now: self.now,
+            is_sick: index == SICK,
+            fails_first: request.route == 0,
+            is_slow_route: request.route == SLOW_ROUTE,
+            poison: request.poison,
         };
-        if self.rng.random_bool(stragglers) {
-            seconds *= scenario::STRAGGLER_FACTOR;
-        }
-        let mut fails =
-            self.rng.random_bool(scenario::USUAL_FAILURES) || self.requests[number].poison;
-        let mut never = false;
-        if self.is_touched(index) {
-            let touch = self.sample_fault(route);
-            seconds *= touch.factor;
-            fails |= touch.fails;
-            never = touch.never;
-        }
-        let time = Duration::from_secs_f64(seconds);
-        if never || time >= scenario::REQUEST_TIMEOUT {
-            return (scenario::REQUEST_TIMEOUT, JobEnd::Timeout);
-        }
-        (time, if fails { JobEnd::Error } else { JobEnd::Good })
-    }
-
-    fn is_touched(&self, index: usize) -> bool {
-        let all = matches!(self.plan.script, FaultScript::AllSlow(_) | FaultScript::AllErrors(_));
-        self.in_fault() && (all || index == SICK)
-    }
-
-    fn sample_fault(&mut self, route: usize) -> FaultTouch {
-        let mut touch = FaultTouch { factor: 1.0, fails: false, never: false };
-        let since = self.now.saturating_sub(self.plan.fault_begin());
-        match self.plan.script {
-            FaultScript::Errors(share)
-            | FaultScript::Truncated(share)
-            | FaultScript::LowTraffic(share)
-            | FaultScript::AllErrors(share) => touch.fails = self.rng.random_bool(share),
-            FaultScript::RouteErrors(share) => {
-                touch.fails = route == 0 && self.rng.random_bool(share);
-            }
-            FaultScript::QuickErrors(share) => {
-                touch.fails = self.rng.random_bool(share);
-                touch.factor = if touch.fails { 0.02 } else { 1.0 };
-            }
-            FaultScript::Slow(factor)
-            | FaultScript::AllSlow(factor)
-            | FaultScript::MixedSlow(factor) => touch.factor = factor,
-            FaultScript::Tail(share) => {
-                touch.factor = if self.rng.random_bool(share) { 10.0 } else { 1.0 };
-            }
-            FaultScript::Stuck(share) => touch.never = self.rng.random_bool(share),
-            FaultScript::Flapping(period) => {
-                let sick = (since.as_millis() as u64 / period).is_multiple_of(2);
-                touch.fails = sick && self.rng.random_bool(0.5);
-            }
-            FaultScript::ColdStart(factor) => {
-                let left = (1.0 - since.as_secs_f64() / 10.0).max(0.0);
-                touch.factor = 1.0 + (factor - 1.0) * left;
-            }
-            FaultScript::Healthy
-            | FaultScript::Poison(_)
-            | FaultScript::MixedHealthy(_)
-            | FaultScript::Bursts(_) => {}
-        }
-        touch
+        work.sample(&self.times, &mut self.rng)
     }
 
     fn note_overdue(&mut self, number: usize) {
@@ -619,7 +554,7 @@
     fn finish_request(&mut self, number: usize, good: bool) {
         let begun = self.requests[number].begun;
         self.requests[number].over = true;
-        let in_fault = (self.plan.fault_begin()..self.plan.fault_end()).contains(&begun);
+        let in_fault = self.plan.in_fault(begun);
         if !in_fault {
             return;
         }
@@ -658,12 +593,6 @@
     }
 }
 
-struct FaultTouch {
-    factor: f64,
-    fails: bool,
-    never: bool,
-}
-
 fn new_health(prefer: PreferChoice, strictness: f64, now: Duration, cold: bool) -> UpstreamHealth {
     let mut health = UpstreamHealth::new(prefer, now, cold);
     health.set_threshold(strictness.max(1.0));
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -9,6 +9,8 @@
 pub mod admission;
 pub mod backend;
 pub mod exchange;
+pub mod relay;
+pub mod sending;
 pub mod upstream;
 
 use std::cell::{Cell, RefCell};
--- /dev/null
+++ b/crates/daemon/src/host/sending.rs
@@ -0,0 +1,76 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Sends a request to a backend server.
+
+use std::cell::Cell;
+
+use basaltarch_http::fields;
+use basaltarch_http::framing::BodyFraming;
+use basaltarch_http::writer;
+use basaltarch_peer::protocol::DispatchHead;
+use basaltarch_peer::stream::{EventPipe, StreamEvent};
+use bytes::BytesMut;
+
+use crate::host::exchange::HostWork;
+use crate::host::relay::WorkFault;
+
+/// Sends the request; `sent` tells whether all of it was.
+pub async fn send_request(
+    work: &HostWork<'_>,
+    writer: &mut monoio::io::OwnedWriteHalf<monoio::net::TcpStream>,
+    body: &EventPipe,
+    sent: &Cell<bool>,
+) -> Result<(), WorkFault> {
+    let head = work.head;
+    let framing = request_framing(head);
+    let mut buffer = BytesMut::with_capacity(1024 + head.body.len());
+    put_request(work, framing, &mut buffer);
+    writer::put_piece(&mut buffer, framing, &head.body, head.last);
+    writer::flush(writer, &mut buffer).await.map_err(|_| WorkFault::Broken)?;
+    if head.last {
+        sent.set(true);
+        return Ok(());
+    }
+    body.open_window();
+    loop {
+        match body.next().await {
+            StreamEvent::Data(data, last) => {
+                let sending = writer::send_piece(writer, &mut buffer, framing, data, last);
+                sending.await.map_err(|_| WorkFault::Broken)?;
+                if last {
+                    sent.set(true);
+                    return Ok(());
+                }
+            }
+            _ => return Err(WorkFault::Cancelled),
+        }
+    }
+}
+
+fn request_framing(head: &DispatchHead) -> BodyFraming {
+    match (head.last, head.content_length) {
+        (true, _) if head.body.is_empty() => BodyFraming::Empty,
+        (true, _) => BodyFraming::Length(head.body.len() as u64),
+        (false, length) if length >= 0 => BodyFraming::Length(length as u64),
+        (false, _) => BodyFraming::Chunked,
+    }
+}
+
+fn put_request(work: &HostWork<'_>, framing: BodyFraming, buffer: &mut BytesMut) {
+    let head = work.head;
+    buffer.extend_from_slice(head.method.as_bytes());
+    buffer.extend_from_slice(b" ");
+    buffer.extend_from_slice(head.target.as_bytes());
+    buffer.extend_from_slice(b" HTTP/1.1\r\n");
+    buffer.extend_from_slice(&head.field_lines);
+    let left = work.left().as_millis().to_string();
+    writer::put_field(buffer, fields::DEADLINE.as_str().as_bytes(), left.as_bytes());
+    writer::put_framing(buffer, framing);
+    let needs_length =
+        framing == BodyFraming::Empty && matches!(head.method.as_str(), "POST" | "PUT" | "PATCH");
+    if needs_length {
+        writer::put_field(buffer, b"content-length", b"0");
+    }
+    buffer.extend_from_slice(b"\r\n");
+}
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -106,7 +106,7 @@
         match first {
             FirstEvent::CallerGone => return AttemptEnd::CallerGone,
             FirstEvent::Head(head) => {
-                let failed = is_server_error(head.status);
+                let failed = wire::is_server_error(head.status as u16);
                 attempts.note_report(choice.index, &head.report, Some(failed));
                 if fallback.is_some() {
                     if failed {
@@ -372,10 +372,6 @@
 }
 
 /// Waits until the caller goes away; further requests are kept for later.
-pub async fn watch_caller_end(stream: &mut HttpStream) {
-    watch_caller(stream).await;
-}
-
 async fn watch_caller(stream: &mut HttpStream) -> SendEnd {
     loop {
         if stream.reader.buffer.len() > PIPELINE_BYTES_MAX {
@@ -387,7 +383,3 @@
         }
     }
 }
-
-fn is_server_error(status: i16) -> bool {
-    matches!(status, 500 | 502 | 503 | 504)
-}
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -146,6 +146,11 @@
     (load, health)
 }
 
+/// Says whether a status speaks against the server rather than the request.
+pub fn is_server_error(status: u16) -> bool {
+    matches!(status, 500 | 502 | 503 | 504)
+}
+
 /// Reads a number of a peer; what is no number counts as zero.
 fn finite(value: OrderedFloat<f64>) -> f64 {
     if value.0.is_finite() {
