--- a/crates/daemon/src/ingress/caller.rs
+++ b/crates/daemon/src/ingress/caller.rs
@@ -3,7 +3,8 @@
 
 //! Serves one caller's connection: its requests one after another, answers in the same order.
 
-use std::net::SocketAddr;
+use std::cell::RefCell;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use basaltarch_http::reader::HEAD_READ_BYTES;
 use basaltarch_http::writer;
 use bytes::BytesMut;
+use fnv::FnvHashMap;
 use futures_util::{select_biased, FutureExt};
 use http::request::Parts;
 use http::Method;
@@ -48,18 +50,59 @@
     let most = state.options.connections;
     let count = ConnectionCount::default();
     let open = count.clone();
-    let serve = move |stream, from| {
+    let callers = Rc::new(CallerCounts::default());
+    let serve = move |stream, from: SocketAddr| {
         let state = state.clone();
         metrics::CALLER_CONNECTIONS.set(open.get() as i64);
         let open = open.clone();
+        let callers = callers.clone();
         async move {
-            serve(&state, stream, from).await;
+            match callers.enter(from.ip(), state.options.connections_each) {
+                Some(_entered) => serve(&state, stream, from).await,
+                None => tracing::warn!(caller = %from.ip(), "connection refused: too many of one"),
+            }
             metrics::CALLER_CONNECTIONS.set(open.get() as i64 - 1);
         }
     };
     connection::accept_all(listener, most, count, serve).await;
 }
 
+/// `CallerCounts` counts the connections of each caller's address.
+#[derive(Default)]
+struct CallerCounts {
+    counts: RefCell<FnvHashMap<IpAddr, usize>>,
+}
+
+/// `CallerGuard` counts one connection for as long as it lives.
+struct CallerGuard {
+    callers: Rc<CallerCounts>,
+    address: IpAddr,
+}
+
+impl CallerCounts {
+    fn enter(self: &Rc<Self>, address: IpAddr, most: usize) -> Option<CallerGuard> {
+        let mut counts = self.counts.borrow_mut();
+        let count = counts.entry(address).or_default();
+        if *count >= most {
+            return None;
+        }
+        *count += 1;
+        Some(CallerGuard { callers: self.clone(), address })
+    }
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        let mut counts = self.callers.counts.borrow_mut();
+        if let Some(count) = counts.get_mut(&self.address) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.address);
+            }
+        }
+    }
+}
+
 async fn serve(state: &Rc<DaemonState>, stream: TcpStream, from: SocketAddr) {
     let mut stream = HttpStream::new(stream);
     loop {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -49,6 +49,8 @@
             optional --drain-ms ms: String
             /// Connections of callers at most [BASALTARCH_CONNECTIONS], default 10000.
             optional --connections count: String
+            /// Connections of one caller's address at most [BASALTARCH_CONNECTIONS_EACH], default 2000.
+            optional --connections-each count: String
             /// Largest head of a request in bytes [BASALTARCH_HEAD_BYTES], default 16384.
             optional --head-bytes bytes: String
             /// Longest time for a head in ms [BASALTARCH_HEAD_MS], default 10000.
@@ -105,6 +107,7 @@
         log: flags.log,
         drain_ms: flags.drain_ms,
         connections: flags.connections,
+        connections_each: flags.connections_each,
         head_bytes: flags.head_bytes,
         head_ms: flags.head_ms,
         idle_ms: flags.idle_ms,
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -45,6 +45,8 @@
     pub drain_ms: Option<String>,
     /// Connections of callers.
     pub connections: Option<String>,
+    /// Connections of one caller's address.
+    pub connections_each: Option<String>,
     /// Largest head of a request in bytes.
     pub head_bytes: Option<String>,
     /// Longest time for the head of a request in milliseconds.
@@ -96,6 +98,8 @@
     pub drain: Duration,
     /// Most connections of callers.
     pub connections: usize,
+    /// Most connections of one caller's address.
+    pub connections_each: usize,
     /// Bounds of requests' heads.
     pub head: HeadLimits,
     /// Bounds of requests' bodies.
@@ -127,6 +131,8 @@
             log: log_level(raw.log)?,
             drain: millis("drain-ms", raw.drain_ms, 30_000, DRAIN_MS_MAX)?,
             connections: count("connections", raw.connections, 10_000, 1, 1_000_000)? as usize,
+            connections_each: count("connections-each", raw.connections_each, 2000, 1, 1_000_000)?
+                as usize,
             head: HeadLimits {
                 bytes: count("head-bytes", raw.head_bytes, 16_384, 512, 32_768)? as usize,
                 time: millis("head-ms", raw.head_ms, 10_000, 600_000)?,
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -19,6 +19,7 @@
 use basaltarch_store::changes;
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::RetryPause;
+use fnv::FnvHashMap;
 
 use crate::membership;
 use crate::metrics;
@@ -39,9 +40,23 @@
 /// Largest snapshot taken from a peer, in bytes.
 const SNAPSHOT_MAX: usize = 1 << 30;
 
-thread_local! {
-    /// Parts of a snapshot that is being received, by host of the sender.
-    static PARTS: RefCell<fnv::FnvHashMap<String, Vec<u8>>> = RefCell::default();
+/// `SnapshotParts` holds the parts of snapshots that are being received, by host of the sender.
+#[derive(Debug, Default)]
+pub struct SnapshotParts {
+    parts: RefCell<FnvHashMap<String, Vec<u8>>>,
+}
+
+impl SnapshotParts {
+    /// Takes a part in; returns the whole text with the last one.
+    fn take(&self, host: &str, part: &[u8], last: bool) -> Option<Vec<u8>> {
+        let mut parts = self.parts.borrow_mut();
+        let text = parts.entry(host.to_owned()).or_default();
+        text.extend_from_slice(part);
+        if text.len() > SNAPSHOT_MAX {
+            text.clear();
+        }
+        last.then(|| parts.remove(host).unwrap_or_default())
+    }
 }
 
 /// Polls the store for ever, no more often than the fleet's share of reads allows.
@@ -233,15 +248,7 @@
 }
 
 fn take_part(state: &Rc<DaemonState>, peer: &PeerIdentity, part: Vec<u8>, last: bool) {
-    let whole = PARTS.with_borrow_mut(|parts| {
-        let text = parts.entry(peer.host.clone()).or_default();
-        text.extend_from_slice(&part);
-        if text.len() > SNAPSHOT_MAX {
-            text.clear();
-        }
-        last.then(|| parts.remove(&peer.host).unwrap_or_default())
-    });
-    let text = match whole {
+    let text = match state.snapshots.take(&peer.host, &part, last) {
         Some(text) => text,
         None => return,
     };
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -22,6 +22,7 @@
 use crate::peers::PeerTable;
 use crate::services::ServiceTable;
 use crate::signal::RisingSignal;
+use crate::spread::SnapshotParts;
 
 /// `DaemonState` is what the roles of a daemon share. One thread owns it, so there are no locks.
 pub struct DaemonState {
@@ -37,6 +38,8 @@
     pub services: ServiceTable,
     /// Paths and links to other daemons.
     pub peers: PeerTable,
+    /// Snapshots on their way here.
+    pub snapshots: SnapshotParts,
     /// The soft view of the fleet.
     pub members: MemberTable,
     /// The backend servers of this host.
@@ -72,6 +75,7 @@
             config: ConfigCell::default(),
             services: ServiceTable::default(),
             peers: PeerTable::new(&options.host),
+            snapshots: SnapshotParts::default(),
             members: MemberTable::default(),
             host: HostRole::default(),
             limits: LimitRole::default(),
--- a/crates/daemon/tests/configuration.rs
+++ b/crates/daemon/tests/configuration.rs
@@ -10,6 +10,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::thread;
 
+use common::forwarder::Forwarder;
 use common::{client, eventually, FleetPlan, TestDaemon, TestFleet};
 use serde_json::{json, Value};
 use test_case::test_case;
@@ -403,6 +404,48 @@
     fleet.wait_revision(6);
 }
 
+#[test]
+fn verify_half_of_the_fleet_cut_off_from_the_store_hears_changes_and_a_second_fault_loses_none() {
+    use std::sync::atomic::Ordering;
+    let mut fleet = fleet_of(2);
+    let seeds = format!("{},{}", fleet.daemons[0].peers, fleet.daemons[1].peers);
+    let store = Forwarder::start();
+    store.forward_to(fleet.platform.address);
+    for (host, domain) in [("host-c", "bkk-c"), ("host-d", "bkk-a")] {
+        let daemon = TestDaemon::start(store.address, host, domain, &[("seeds", seeds.as_str())]);
+        fleet.platform.list_host(host, domain, daemon.peers, daemon.admin, "live");
+        fleet.daemons.push(daemon);
+    }
+    fleet.wait_members();
+    store.cuts.forward.store(true, Ordering::SeqCst);
+    store.cuts.back.store(true, Ordering::SeqCst);
+    for number in 0..4 {
+        let name = format!("cut-{number}");
+        assert_eq!(put_organisation(&fleet.daemons[0], &name, "t", ANY).status, 200);
+    }
+    fleet.wait_revision(5);
+    // A second fault at the same time: answers of the store's writes are lost, and the daemon that
+    // takes the changes dies.
+    fleet.platform.faults(json!({"lose_write_answers": 1}));
+    let reply = put_organisation(&fleet.daemons[1], "second", "t", ("If-None-Match", "*"));
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    fleet.daemons.remove(1);
+    fleet.wait_revision(6);
+    // Whoever is cut off can accept nothing, and says so.
+    let refused = put_organisation(&fleet.daemons[1], "third", "t", ANY);
+    assert!(matches!(refused.status, 503 | 504), "{}", refused.text());
+    store.cuts.forward.store(false, Ordering::SeqCst);
+    store.cuts.back.store(false, Ordering::SeqCst);
+    eventually("the cut-off half accepts changes again", || {
+        let reply = put_organisation(&fleet.daemons[1], "fourth", "t", ANY);
+        assert!(matches!(reply.status, 200 | 409 | 503 | 504), "{}", reply.text());
+        reply.status == 200
+    });
+    let last = fleet.daemons[1].revision();
+    fleet.wait_revision(last);
+    check_audit(&fleet, last);
+}
+
 /// Reads JSON lines of a watch.
 struct Watch {
     lines: std::io::Lines<BufReader<std::net::TcpStream>>,
--- a/crates/daemon/tests/edge.rs
+++ b/crates/daemon/tests/edge.rs
@@ -149,10 +149,11 @@
 
 #[test]
 fn verify_a_large_answer_to_a_slow_caller_does_not_grow_the_daemons() {
-    const LENGTH: usize = 200 << 20;
-    let fleet = TestFleet::start(&FleetPlan { backends: 2, ..FleetPlan::default() });
+    const LENGTH: usize = 1 << 30;
+    // The only server is beside the first daemon, so that the body crosses the link.
+    let fleet = TestFleet::start(&FleetPlan { backends: 1, ..FleetPlan::default() });
     let before: Vec<u64> = fleet.daemons.iter().map(|daemon| resident_kib(daemon.id())).collect();
-    let mut stream = client::connect(fleet.daemons[0].callers);
+    let mut stream = client::connect(fleet.daemons[1].callers);
     let path = format!("/bytes/{LENGTH}");
     let text = client::request_text("GET", &path, &[("Host", "solver.example")], "");
     stream.write_all(text.as_bytes()).expect("write");
@@ -167,16 +168,17 @@
             grown = grown.max(resident_kib(daemon.id()).saturating_sub(*before));
         }
     }
-    // A window each way and the link's queue; far below the 200 MiB that passed.
+    // A window each way and the link's queue; far below the GiB that passed.
     assert!(grown < 16 * 1024, "grew by {grown} KiB");
 }
 
 #[test]
 fn verify_a_large_request_body_streams_through() {
-    const LENGTH: usize = 64 << 20;
-    let fleet = small_fleet();
+    const LENGTH: usize = 1 << 30;
+    // The only server is beside the first daemon, so that the body crosses the link.
+    let fleet = TestFleet::start(&FleetPlan { backends: 1, ..FleetPlan::default() });
     let before: Vec<u64> = fleet.daemons.iter().map(|daemon| resident_kib(daemon.id())).collect();
-    let mut stream = client::connect(fleet.daemons[0].callers);
+    let mut stream = client::connect(fleet.daemons[1].callers);
     let head =
         format!("POST /sink HTTP/1.1\r\nHost: solver.example\r\nContent-Length: {LENGTH}\r\n\r\n");
     stream.write_all(head.as_bytes()).expect("write");
@@ -229,6 +231,28 @@
     });
 }
 
+#[test]
+fn verify_one_address_cannot_take_all_connections() {
+    let flags = vec![("connections-each", "2")];
+    let plan = FleetPlan { daemons: 1, backends: 1, daemon_flags: flags, ..FleetPlan::default() };
+    let fleet = TestFleet::start(&plan);
+    let callers = fleet.daemons[0].callers;
+    let text = client::request_text("GET", "/", &[("Host", "solver.example")], "");
+    let ask = |stream: &mut std::net::TcpStream| {
+        let sent = stream.write_all(text.as_bytes()).is_ok();
+        sent.then(|| client::read_reply(stream, "GET")).flatten().map(|reply| reply.status)
+    };
+    let mut first = client::connect(callers);
+    let mut second = client::connect(callers);
+    assert_eq!((ask(&mut first), ask(&mut second)), (Some(200), Some(200)));
+    assert_eq!(ask(&mut client::connect(callers)), None, "a third is closed");
+    drop(first);
+    common::eventually("its place is free again", || {
+        ask(&mut client::connect(callers)) == Some(200)
+    });
+    assert_eq!(ask(&mut second), Some(200));
+}
+
 #[test]
 fn verify_no_uring_is_made() {
     let fleet = TestFleet::start(&FleetPlan { daemons: 1, backends: 1, ..FleetPlan::default() });
--- /dev/null
+++ b/crates/http/tests/connections.rs
@@ -0,0 +1,51 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Listeners outlive what goes wrong on one connection.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_http::client::HttpClient;
+use basaltarch_http::connection::{self, ConnectionCount};
+use basaltarch_http::server::{self, ServerLimits, ServerReply};
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use monoio::{LegacyDriver, RuntimeBuilder};
+
+#[test]
+fn verify_a_panic_ends_its_connection_alone() {
+    let mut runtime =
+        RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().expect("runtime");
+    runtime.block_on(async {
+        let listener = connection::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let served = Rc::new(Cell::new(0));
+        let count = ConnectionCount::default();
+        let open = count.clone();
+        let seen = served.clone();
+        monoio::spawn(connection::accept_all(listener, 10, count, move |stream, from| {
+            let seen = seen.clone();
+            server::serve(stream, from, ServerLimits::default(), move |request| {
+                let seen = seen.clone();
+                async move {
+                    assert_ne!(request.path(), "/panic", "asked for");
+                    seen.set(seen.get() + 1);
+                    ServerReply::text(StatusCode::OK, "well")
+                }
+            })
+        }));
+        let client = HttpClient::new(address, Duration::from_secs(20));
+        let call =
+            |path: &'static str| client.call(Method::GET, path, HeaderMap::new(), Bytes::new());
+        assert!(call("/panic").await.is_err(), "that connection ends");
+        for _ in 0..3 {
+            assert_eq!(call("/").await.expect("a reply").status, StatusCode::OK);
+        }
+        assert!(call("/panic").await.is_err());
+        assert_eq!(call("/").await.expect("a reply").status, StatusCode::OK);
+        assert_eq!((served.get(), open.get()), (4, 1), "the ended ones are no longer counted");
+    });
+}
