Show detection times as a histogram

Cause: only their sum was counted, which tells nothing of the slow ones. Change: an OpenTelemetry histogram, recorded at each ejection. Seen: present on /metrics after an ejection in the gray tests. Conclusion: kept; the request path still adds to atomic counters only.

--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -120,7 +120,7 @@
             Some(HealthChange::Ejected { reason, sickness, after }) => {
                 metrics::EJECTIONS[reason as usize].add_one();
                 self.slots.refuse_waiting();
-                metrics::DETECTION_MS.add(after.as_millis() as u64);
+                metrics::DETECTION.record(after);
                 tracing::warn!(
                     upstream = &*self.name,
                     service = &*self.service,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -7,7 +7,9 @@
     FailureOutcome, NotRunReason, UnknownReason, NOT_RUN_REASONS, UNKNOWN_REASONS,
 };
 use basaltarch_decide::detector::EVIDENCE_KINDS;
-use basaltarch_telemetry::metrics::{CounterCell, GaugeCell, MetricEntry, MetricSource};
+use basaltarch_telemetry::metrics::{
+    CounterCell, GaugeCell, HistogramCell, MetricEntry, MetricSource,
+};
 
 /// Requests taken from callers.
 pub static REQUESTS: CounterCell = CounterCell::new();
@@ -34,8 +36,8 @@
     [const { CounterCell::new() }; EVIDENCE_KINDS.len()];
 /// Returns of ejected upstreams.
 pub static RETURNS: CounterCell = CounterCell::new();
-/// Sum of detection times in milliseconds.
-pub static DETECTION_MS: CounterCell = CounterCell::new();
+/// Times from the first sign of a sickness to the ejection, in seconds.
+pub static DETECTION: HistogramCell = HistogramCell::new();
 /// Decisions that left less than the floor; must stay 0.
 pub static FLOOR_VIOLATIONS: CounterCell = CounterCell::new();
 /// Rows of once-only work that were refused as already started.
@@ -98,7 +100,12 @@
         counter("worked", "Work sent to backend servers.", &WORKED),
         counter("host_refused", "Work refused by the host role.", &HOST_REFUSED),
         counter("returns", "Returns of ejected upstreams.", &RETURNS),
-        counter("detection_ms", "Sum of detection times in milliseconds.", &DETECTION_MS),
+        MetricEntry {
+            name: "detection_seconds",
+            help: "Times from the first sign of a sickness to the ejection.",
+            label: None,
+            source: MetricSource::Histogram(&DETECTION),
+        },
         counter("floor_violations", "Decisions below the floor; must be 0.", &FLOOR_VIOLATIONS),
         counter("once_repeats", "Attempts at once-only work already started.", &ONCE_REPEATS),
         counter("limited", "Requests refused by limits.", &LIMITED),
--- a/crates/daemon/tests/gray.rs
+++ b/crates/daemon/tests/gray.rs
@@ -105,6 +105,8 @@
             .filter(|line| line.contains("upstream ejected") && line.contains("server-5"));
         assert_eq!(ejections, ours.count(), "no healthy server is ejected:\n{log}");
     }
+    let counted: f64 = fleet.daemons.iter().map(|d| d.metric("detection_seconds_count")).sum();
+    assert!(counted >= 1.0, "the ejection is in the histogram");
     let during = load.good();
     eventually("callers go on", || load.good() > during + 300);
     assert_eq!(load.bad(), bad_before, "repeatable work fails for no caller");
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -7,8 +7,9 @@
 
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::OnceLock;
+use std::time::Duration;
 
-use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::{Histogram, MeterProvider};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -67,6 +68,27 @@
     }
 }
 
+/// `HistogramCell` is a distribution of seconds; it is for rare events, since each is recorded at once.
+#[derive(Debug, Default)]
+pub struct HistogramCell(OnceLock<Histogram<f64>>);
+
+/// Bounds of the histograms' buckets, in seconds: from what nobody notices to a caller's time-out.
+const SECONDS_BOUNDS: [f64; 10] = [0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0];
+
+impl HistogramCell {
+    /// Builds an empty histogram.
+    pub const fn new() -> Self {
+        Self(OnceLock::new())
+    }
+
+    /// Takes a time in; before the metrics are started it is not kept.
+    pub fn record(&self, time: Duration) {
+        if let Some(histogram) = self.0.get() {
+            histogram.record(time.as_secs_f64(), &[]);
+        }
+    }
+}
+
 /// `MetricSource` is where a metric's number comes from.
 #[derive(Debug, Clone, Copy)]
 pub enum MetricSource {
@@ -74,6 +96,8 @@
     Counter(&'static CounterCell),
     /// A gauge.
     Gauge(&'static GaugeCell),
+    /// A histogram.
+    Histogram(&'static HistogramCell),
 }
 
 /// `MetricEntry` describes one metric, with one label at the most.
@@ -132,6 +156,12 @@
                 })
                 .build();
         }
+        MetricSource::Histogram(cell) => {
+            let builder = meter.f64_histogram(full_name).with_description(help);
+            let histogram = builder.with_boundaries(SECONDS_BOUNDS.to_vec()).build();
+            // A second start would make the same one again.
+            let _ = cell.0.set(histogram);
+        }
         MetricSource::Gauge(_) => {
             meter
                 .i64_observable_gauge(full_name)
