--- a/crates/daemon/tests/gray.rs
+++ b/crates/daemon/tests/gray.rs
@@ -59,6 +59,17 @@
     }
 }
 
+/// Starts nine servers of a service that would rather not eject a healthy one.
+fn careful_fleet() -> TestFleet {
+    TestFleet::start(&FleetPlan {
+        daemons: 3,
+        backends: 9,
+        service_ms: 10,
+        service: json!({"floor": 0.5, "prefer": "precision", "retry_budget": 0.3}),
+        ..FleetPlan::default()
+    })
+}
+
 /// Returns what the daemon beside an upstream knows of it.
 fn own_word(fleet: &TestFleet, upstream: &str) -> Value {
     for daemon in &fleet.daemons {
@@ -82,14 +93,7 @@
 #[test_case(json!({"stuck": true}), "" ; "stuck")]
 #[test_case(json!({"break_at": "in-answer-body"}), "failing" ; "truncated")]
 fn verify_a_gray_server_is_ejected_and_returns_when_well(fault: Value, evidence: &str) {
-    let plan = FleetPlan {
-        daemons: 3,
-        backends: 9,
-        service_ms: 10,
-        service: json!({"floor": 0.5, "prefer": "precision", "retry_budget": 0.3}),
-        ..FleetPlan::default()
-    };
-    let fleet = TestFleet::start(&plan);
+    let fleet = careful_fleet();
     let load = Load::start(&fleet, 12, "/puzzle");
     eventually("the fleet is warm", || load.good() > 600);
     let bad_before = load.bad();
@@ -152,14 +156,7 @@
 
 #[test]
 fn verify_a_fault_of_all_ejects_nobody() {
-    let plan = FleetPlan {
-        daemons: 3,
-        backends: 9,
-        service_ms: 10,
-        service: json!({"floor": 0.5, "prefer": "precision", "retry_budget": 0.3}),
-        ..FleetPlan::default()
-    };
-    let fleet = TestFleet::start(&plan);
+    let fleet = careful_fleet();
     let load = Load::start(&fleet, 12, "/puzzle");
     eventually("the fleet is warm", || load.good() > 600);
     for backend in &fleet.backends {
