Work out the baseline of an attempt once; choose without allocating

Cause: reading the change once more: each attempt worked the service's baseline out twice (for the dispatch and for its patience), each choice allocated a list of positions once or twice, and a bound on the kept body could never be reached. Change: the baseline is worked out once, after the link is there, so that the deadline sent is the one left; a choice uses room that the view keeps; the dead bound is gone. Tests unchanged.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -13,6 +13,7 @@
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
 use basaltarch_core::resources::WorkMode;
 use basaltarch_decide::balance::UpstreamChoice;
+use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::reader::HEAD_READ_BYTES;
@@ -24,7 +25,7 @@
 
 use crate::host;
 use crate::ingress::failure::CallerFailure;
-use crate::ingress::request::{CallerRequest, PREFIX_BYTES};
+use crate::ingress::request::CallerRequest;
 use crate::links;
 use crate::metrics;
 use crate::services::SentGuard;
@@ -56,6 +57,7 @@
 pub struct LiveExchange {
     /// The exchange.
     pub exchange: OutboundExchange,
+    patience: Option<Duration>,
     _sent: SentGuard,
 }
 
@@ -102,7 +104,7 @@
             Some(live) => live,
             None => continue,
         };
-        let first = attempts.first_event(stream, body, &live, choice.index).await;
+        let first = attempts.first_event(stream, body, &live).await;
         match first {
             FirstEvent::CallerGone => return AttemptEnd::CallerGone,
             FirstEvent::Head(head) => {
@@ -193,7 +195,6 @@
     fn may_repeat(&self, body: &BodyReader) -> bool {
         self.is_repeatable()
             && body.is_done()
-            && self.request.prefix.len() <= PREFIX_BYTES * 2
             && self.dispatches < DISPATCHES_MAX
             && !self.left().is_zero()
             && self.request.service.take_repeat()
@@ -213,27 +214,44 @@
         let service = &self.request.service;
         let path = service.path(choice.index).clone();
         let sent = service.count_sent(choice.index);
-        let exchange = if path.is_self {
-            Some(host::dispatch_local(self.state, self.head(choice, body_is_done)))
+        // Making a link takes time off the deadline, so the head is written after it.
+        let link = if path.is_self {
+            None
         } else {
             path.note_used(self.state.now());
             match links::link_to(self.state, &path).await {
-                Ok(link) => link.dispatch(self.head(choice, body_is_done)).ok(),
-                Err(_) => None,
+                Ok(link) => Some(link),
+                Err(_) => return self.note_unreachable(choice.index),
             }
         };
-        if exchange.is_none() {
-            self.excluded.push(choice.index);
-            self.last = FailureOutcome::NotRun(NotRunReason::PeerUnreachable);
-        }
-        exchange.map(|exchange| LiveExchange { exchange, _sent: sent })
+        let route = &self.request.route.name;
+        let baseline = service.baseline(route, choice.index, self.state.now());
+        let head = self.head(choice, body_is_done, &baseline);
+        let exchange = match link {
+            None => host::dispatch_local(self.state, head),
+            Some(link) => match link.dispatch(head) {
+                Ok(exchange) => exchange,
+                Err(_) => return self.note_unreachable(choice.index),
+            },
+        };
+        let patience = self.patience(&baseline);
+        Some(LiveExchange { exchange, patience, _sent: sent })
+    }
+
+    fn note_unreachable(&mut self, index: usize) -> Option<LiveExchange> {
+        self.excluded.push(index);
+        self.last = FailureOutcome::NotRun(NotRunReason::PeerUnreachable);
+        None
     }
 
-    fn head(&self, choice: UpstreamChoice, body_is_done: bool) -> DispatchHead {
+    fn head(
+        &self,
+        choice: UpstreamChoice,
+        body_is_done: bool,
+        baseline: &ServiceBaseline,
+    ) -> DispatchHead {
         let request = self.request;
         let entry = &request.service.entry;
-        let now = self.state.now();
-        let baseline = request.service.baseline(&request.route.name, choice.index, now);
         DispatchHead {
             service_name: entry.name.to_string(),
             upstream: entry.upstreams[choice.index].name.to_string(),
@@ -249,7 +267,7 @@
             content_length: request.framing.wire_length(),
             body: request.prefix.to_vec(),
             last: body_is_done,
-            baseline: baseline.is_usable().then(|| wire::baseline_note(&baseline)),
+            baseline: baseline.is_usable().then(|| wire::baseline_note(baseline)),
             once_key: request.once_key.clone(),
             organisation: request.organisation.clone(),
             revision: self.state.config.revision().0 as i64,
@@ -258,13 +276,9 @@
     }
 
     /// Returns how long an attempt is waited for before another is made, if another may be.
-    fn patience(&self, index: usize) -> Option<Duration> {
-        if !self.is_repeatable() || self.dispatches >= DISPATCHES_MAX {
-            return None;
-        }
-        let baseline =
-            self.request.service.baseline(&self.request.route.name, index, self.state.now());
-        baseline.is_usable().then(|| baseline.overdue_after() * PATIENCE_OVERDUE)
+    fn patience(&self, baseline: &ServiceBaseline) -> Option<Duration> {
+        let may_follow = self.is_repeatable() && self.dispatches < DISPATCHES_MAX;
+        (may_follow && baseline.is_usable()).then(|| baseline.overdue_after() * PATIENCE_OVERDUE)
     }
 
     /// Waits for the head of the answer or the end of the exchange, sending the body meanwhile.
@@ -273,13 +287,12 @@
         stream: &mut HttpStream,
         body: &mut BodyReader,
         live: &LiveExchange,
-        index: usize,
     ) -> FirstEvent {
         let answer = live.exchange.answer.clone();
         let mut event = std::pin::pin!(answer.next().fuse());
         let wait = self.left() + DEADLINE_GRACE;
         let mut late = std::pin::pin!(monoio::time::sleep(wait).fuse());
-        let patience = self.patience(index).filter(|_| body.is_done()).unwrap_or(wait * 2);
+        let patience = live.patience.filter(|_| body.is_done()).unwrap_or(wait * 2);
         let mut patient = std::pin::pin!(monoio::time::sleep(patience).fuse());
         let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
         loop {
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -125,6 +125,8 @@
     stale: bool,
     planned_at: Duration,
     violations: u64,
+    /// Room for the positions that fit a choice, kept so that a choice allocates nothing.
+    fits: Vec<usize>,
 }
 
 /// Time after which the plan is made anew even if nothing was heard, as old reports expire.
@@ -141,6 +143,7 @@
             stale: true,
             planned_at: Duration::ZERO,
             violations: 0,
+            fits: Vec::new(),
         }
     }
 
@@ -260,14 +263,19 @@
                 return Some(UpstreamChoice { index, refusable: true });
             }
         }
-        let index = self
-            .best(now, rng, |index, view| {
+        let mut fits = std::mem::take(&mut self.fits);
+        let near = self
+            .best(now, rng, &mut fits, |index, view| {
                 view.is_local && self.in_service(index) && !excluded.contains(&index)
             })
-            .filter(|index| self.upstreams[*index].load_share(now) < LOCAL_LOAD_MAX)
-            .or_else(|| {
-                self.best(now, rng, |index, _| self.in_service(index) && !excluded.contains(&index))
-            })?;
+            .filter(|index| self.upstreams[*index].load_share(now) < LOCAL_LOAD_MAX);
+        let index = near.or_else(|| {
+            self.best(now, rng, &mut fits, |index, _| {
+                self.in_service(index) && !excluded.contains(&index)
+            })
+        });
+        self.fits = fits;
+        let index = index?;
         let spare = self.plan.can_spare(self.upstreams[index].slots);
         Some(UpstreamChoice { index, refusable: spare && !must_take })
     }
@@ -292,11 +300,12 @@
         &self,
         now: Duration,
         rng: &mut impl Rng,
+        fits: &mut Vec<usize>,
         eligible: impl Fn(usize, &LoadView) -> bool,
     ) -> Option<usize> {
-        let count = self.upstreams.len();
-        let fits: Vec<usize> =
-            (0..count).filter(|index| eligible(*index, &self.upstreams[*index])).collect();
+        fits.clear();
+        let views = self.upstreams.iter().enumerate();
+        fits.extend(views.filter(|(index, view)| eligible(*index, view)).map(|(index, _)| index));
         if fits.is_empty() {
             return None;
         }
