Pass suspects over until their daemon is sure

An upstream must stand out for 200 ms before it is ejected; meanwhile its ingress went on choosing it as if it were well. The failing run shows 12 of 30 requests of one ingress sent to the broken server within 60 ms, the budget of 10 repeats gone, and then 502 with three good servers standing by (12 retries, 1 denied). Ruled out: attempts given up as late (no other retry was made), a lost link (it ended with the test), exhausted dispatches (1 denied by the budget).

Change: an upstream whose last report stands out from its siblings, by the same bound as its daemon uses, costs ten times as much for 1.5 s. It stays in service, so the floor is untouched.

--- a/crates/bench/src/decisions/bounds.rs
+++ b/crates/bench/src/decisions/bounds.rs
@@ -18,13 +18,13 @@
 const FEWER_FACTOR: f64 = 10.0;
 /// Longest median detection time of `detection` over the gate's suite. The figure when the bound was
 /// set is in docs/MEASUREMENTS.md; the bound leaves a quarter for other processors' arithmetic.
-pub const DETECTION_MEDIAN_MAX: Duration = Duration::from_millis(700);
+pub const DETECTION_MEDIAN_MAX: Duration = Duration::from_millis(550);
 /// Longest median detection time of `precision`.
-pub const PRECISION_MEDIAN_MAX: Duration = Duration::from_millis(1650);
+pub const PRECISION_MEDIAN_MAX: Duration = Duration::from_millis(1550);
 /// Most false ejections an upstream-hour of `detection`.
-pub const DETECTION_FALSE_MAX: f64 = 0.08;
+pub const DETECTION_FALSE_MAX: f64 = 0.06;
 /// Most false ejections an upstream-hour of `precision`.
-pub const PRECISION_FALSE_MAX: f64 = 0.025;
+pub const PRECISION_FALSE_MAX: f64 = 0.012;
 
 /// Returns the whole suite: every case, severity, load and deployment.
 pub fn whole_suite(seeds: u64) -> SuitePlan {
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -236,6 +236,12 @@
         assert_eq!(reply.status, 200, "{}", reply.text());
         assert_eq!(reply.header("x-request-id"), Some(id));
     }
+    // Sixty requests are over before its daemon is sure that the server is sick (200 ms).
+    assert!(
+        fleet.backends[0].total() <= 14,
+        "a suspect is passed over: {}",
+        fleet.backends[0].total()
+    );
     fleet.check_invariants();
 }
 
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, RngExt};
 
 use crate::floor::{self, CapacityEntry, FloorPlan};
-use crate::health::HealthReport;
+use crate::health::{self, HealthReport};
 
 /// Time over which a report of load loses most of its worth: it was made that many requests ago.
 const REPORT_LIFE: Duration = Duration::from_secs(1);
@@ -25,6 +25,11 @@
 const SLOW_MAX: f64 = 5.0;
 /// Upstreams compared for one choice (M. Mitzenmacher, "The power of two choices", 2001).
 const CHOICES: usize = 2;
+/// Factor on the cost of a suspect: it must be this many times less loaded than another to be chosen
+/// before it, so it gets what the others have no room for.
+const SUSPECT_FACTOR: f64 = 10.0;
+/// Time for which a report makes an upstream a suspect; then it is asked again.
+const SUSPECT_LIFE: Duration = Duration::from_millis(1500);
 /// Age from which a report's sickness says nothing of a shared change.
 const SICKNESS_LIFE: Duration = Duration::from_secs(30);
 /// Time after which a sick upstream that has said nothing since is asked again.
@@ -87,7 +92,7 @@
         estimate.max(f64::from(self.own) / slots)
     }
 
-    fn cost(&self, now: Duration, median_ln: f64) -> f64 {
+    fn cost(&self, now: Duration, median_ln: f64, suspect_from: f64) -> f64 {
         let busy = self.load_share(now) + 1.0 / f64::from(self.slots.max(1));
         let health = match &self.health {
             Some(health) => health,
@@ -96,7 +101,18 @@
         let time = (health.median_ln - median_ln).exp().clamp(QUICK_MIN, SLOW_MAX);
         let time = if health.samples == 0 { 1.0 } else { time };
         let distance = if self.is_local { 1.0 } else { REMOTE_WEIGHT };
-        busy * time * distance / self.ramp(now, health)
+        let suspicion = if self.is_suspect(now, suspect_from) { SUSPECT_FACTOR } else { 1.0 };
+        busy * time * distance * suspicion / self.ramp(now, health)
+    }
+
+    /// Says whether the upstream is a suspect: lately it had this sickness, but was not ejected, since
+    /// it must stand out for a while first.
+    ///
+    /// Passing a suspect over spares callers, and the budget of repeats, what it would get until its
+    /// daemon is sure. It takes no capacity out of service.
+    fn is_suspect(&self, now: Duration, from: f64) -> bool {
+        let fresh = now.saturating_sub(self.reported_at) < SUSPECT_LIFE;
+        fresh && self.health.is_some_and(|health| health.sickness >= from)
     }
 
     fn ramp(&self, now: Duration, health: &HealthReport) -> f64 {
@@ -296,6 +312,16 @@
         })
     }
 
+    /// Returns the sickness from which an upstream stands out, as its daemon judges too.
+    fn suspect_from(&self, now: Duration) -> f64 {
+        let sick = |view: &LoadView| view.health.is_some_and(|health| health.sickness >= 1.0);
+        if self.upstreams.iter().any(sick) {
+            health::sickness_bound(self.sickness_median(now))
+        } else {
+            f64::INFINITY
+        }
+    }
+
     fn best(
         &self,
         now: Duration,
@@ -309,10 +335,15 @@
         if fits.is_empty() {
             return None;
         }
+        let suspect_from = self.suspect_from(now);
         let mut best: Option<(f64, usize)> = None;
         for _ in 0..CHOICES {
-            let index = fits[rng.random_range(0..fits.len())];
-            let cost = self.upstreams[index].cost(now, self.median_ln);
+            let mut index = fits[rng.random_range(0..fits.len())];
+            if self.upstreams[index].is_suspect(now, suspect_from) {
+                // Drawn twice, a suspect would be compared with itself only.
+                index = fits[rng.random_range(0..fits.len())];
+            }
+            let cost = self.upstreams[index].cost(now, self.median_ln, suspect_from);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, index));
             }
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -39,6 +39,11 @@
     }
 }
 
+/// Returns the sickness from which an upstream stands out from siblings of this median sickness.
+pub fn sickness_bound(siblings: f64) -> f64 {
+    1.0 + SIBLING_WEIGHT * siblings
+}
+
 /// Returns the time for which an upstream must stand out before it is ejected.
 ///
 /// In it, the answers of the siblings arrive that tell a shared change from one server's fault: the
@@ -345,7 +350,7 @@
     }
 
     fn stands_out(&self, sickness: f64) -> bool {
-        sickness >= 1.0 + SIBLING_WEIGHT * self.siblings
+        sickness >= sickness_bound(self.siblings)
     }
 
     /// Says whether the upstream is ejected.
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -85,6 +85,33 @@
     assert!(shares(&mut view, 1000)[0] > 20);
 }
 
+#[test]
+fn verify_a_suspect_is_passed_over_while_others_have_room_and_asked_again_soon() {
+    let views = (0..4).map(|_| LoadView::new(4, true)).collect();
+    let mut view = ServiceView::new(0.5, views);
+    for index in 0..4 {
+        let sickness = if index == 0 { 1.2 } else { 0.0 };
+        view.note_report(index, 1, HealthReport { sickness, ..healthy(20.0) }, millis(10));
+    }
+    let passed_over = shares(&mut view, 300)[0];
+    assert!(passed_over < 40, "{passed_over}: its daemon is not sure yet, callers need not wait");
+    assert!(view.plan().avoided.iter().all(|avoided| !avoided), "it stays in service");
+    for index in 1..4 {
+        view.note_report(index, 40, healthy(20.0), millis(10));
+    }
+    assert!(shares(&mut view, 300)[0] > 20, "it takes what the others have no room for");
+    for index in 1..4 {
+        view.note_report(index, 1, healthy(20.0), millis(10));
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let later = millis(10_000);
+    let asked = (0..100).filter(|_| {
+        let choice = view.choose(later, &[], true, false, &mut rng).expect("an upstream");
+        choice.index == 0
+    });
+    assert!(asked.count() > 10, "an old suspicion is worth nothing");
+}
+
 #[test]
 fn verify_one_that_just_returned_is_not_overrun() {
     let views = (0..5).map(|_| LoadView::new(4, true)).collect();
