--- a/crates/daemon/tests/gray.rs
+++ b/crates/daemon/tests/gray.rs
@@ -122,6 +122,29 @@
     fleet.check_invariants();
 }
 
+#[test]
+fn verify_lying_health_and_load_endpoints_change_nothing() {
+    let fleet = careful_fleet();
+    // One fails its work behind a good health answer and a claim to be idle.
+    let sick = json!({"error_rate": 0.8, "health_status": 200, "claimed_load": 0});
+    // Another works well behind a bad health answer and a claim to be full.
+    fleet.backends[0].faults(json!({"health_status": 503, "claimed_load": 1000}));
+    let probe = client::call(fleet.backends[0].address, "GET", "/health", &[], "");
+    assert_eq!(probe.status, 503);
+    let load = Load::start(&fleet, 12, "/puzzle");
+    eventually("the fleet is warm", || load.good() > 600);
+    fleet.backends[4].faults(sick);
+    eventually("the sick one is ejected", || is_ejected(&fleet, "server-5"));
+    let before = fleet.backends[0].total();
+    eventually("the maligned one gets work", || fleet.backends[0].total() > before + 100);
+    assert!(!is_ejected(&fleet, "server-1"));
+    load.end();
+    let probes = |backend: &common::TestBackend| backend.runs()["probes"].as_u64();
+    assert_eq!(probes(&fleet.backends[0]), Some(1), "the one of this test");
+    assert!(fleet.backends[1..].iter().all(|backend| probes(backend) == Some(0)));
+    fleet.check_invariants();
+}
+
 #[test]
 fn verify_many_sick_servers_never_take_the_service_below_its_floor() {
     let plan = FleetPlan {
--- /dev/null
+++ b/crates/decide/benches/cost.rs
@@ -0,0 +1,122 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Cost of decisions, by upstreams of a service and by services at one ingress.
+//!
+//! `cargo bench -p basaltarch-decide`. The figures feed docs/CAPACITY.md.
+
+#![allow(missing_docs, reason = "the bench macros make items without doc comments")]
+
+use std::time::Duration;
+
+use basaltarch_core::resources::PreferChoice;
+use basaltarch_decide::balance::{LoadView, ServiceView};
+use basaltarch_decide::baseline::RouteBaseline;
+use basaltarch_decide::evidence::{ServiceBaseline, WorkEvidence};
+use basaltarch_decide::health::{DispatchTerms, HealthReport, UpstreamHealth};
+use divan::Bencher;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Upstreams of one service: the brief's sizes and a large one.
+const UPSTREAMS: [usize; 4] = [6, 15, 25, 100];
+/// Services at one ingress, up to all of the two-year size.
+const SERVICES: [usize; 4] = [1, 100, 1000, 9000];
+/// Upstreams of each of many services: 200,000 over 9,000.
+const EACH: usize = 22;
+/// Time between two requests of one ingress at its share of the two-year peak, 879 a second.
+const GAP: Duration = Duration::from_micros(1138);
+
+fn main() {
+    divan::main();
+}
+
+fn report(sickness: f64) -> HealthReport {
+    HealthReport {
+        sickness,
+        ejected: false,
+        median_ln: 10.0,
+        spread: 0.5,
+        failure_rate: 0.001,
+        overdue_rate: 0.001,
+        samples: 100,
+        ramp: 1.0,
+        trial_in: Duration::ZERO,
+    }
+}
+
+/// Builds the view of a service whose upstreams have all reported, the first with this sickness.
+fn view(upstreams: usize, sickness: f64) -> ServiceView {
+    let views = (0..upstreams).map(|index| LoadView::new(4, index % 3 == 0)).collect();
+    let mut view = ServiceView::new(0.7, views);
+    for index in 0..upstreams {
+        let report = report(if index == 0 { sickness } else { 0.1 });
+        view.note_report(index, 1, report, Duration::from_secs(1));
+    }
+    view
+}
+
+#[divan::bench(args = UPSTREAMS)]
+fn choose(bencher: Bencher, upstreams: usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(6);
+    let mut view = view(upstreams, 0.0);
+    let now = Duration::from_secs(1);
+    bencher.bench_local(|| view.choose(now, &[], true, false, &mut rng));
+}
+
+#[divan::bench(args = UPSTREAMS)]
+fn choose_beside_a_suspect(bencher: Bencher, upstreams: usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(6);
+    let mut view = view(upstreams, 2.0);
+    let now = Duration::from_secs(1);
+    bencher.bench_local(|| view.choose(now, &[], true, false, &mut rng));
+}
+
+#[divan::bench(args = SERVICES)]
+fn choose_among_services(bencher: Bencher, services: usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(6);
+    let mut views: Vec<ServiceView> = (0..services).map(|_| view(EACH, 0.0)).collect();
+    let mut now = Duration::from_secs(1);
+    let mut turn = 0;
+    bencher.bench_local(|| {
+        // A stride that shares no factor with the numbers of services reaches all of them.
+        turn = (turn + 7919) % services;
+        now += GAP;
+        views[turn].choose(now, &[], true, false, &mut rng)
+    });
+}
+
+#[divan::bench(args = UPSTREAMS)]
+fn take_report(bencher: Bencher, upstreams: usize) {
+    let mut view = view(upstreams, 0.0);
+    let mut baseline = RouteBaseline::default();
+    let mut now = Duration::from_secs(1);
+    let mut turn = 0;
+    bencher.bench_local(|| {
+        turn = (turn + 1) % upstreams;
+        now += GAP;
+        baseline.note(turn as u32, &report(0.1));
+        view.note_median(baseline.current().median_ln);
+        view.note_report(turn, 1, report(0.1), now);
+        view.sickness_median(now)
+    });
+}
+
+#[divan::bench]
+fn judge_at_host(bencher: Bencher) {
+    let mut health = UpstreamHealth::new(PreferChoice::Precision, Duration::ZERO, false);
+    let baseline = ServiceBaseline {
+        median_ln: 10.0,
+        spread: 0.5,
+        upstreams: 10,
+        ..ServiceBaseline::default()
+    };
+    let terms = DispatchTerms { route: "puzzle", refusable: true, repeatable: true, baseline };
+    let mut now = Duration::ZERO;
+    bencher.bench_local(|| {
+        now += GAP;
+        health.admit(&terms, now);
+        health.note("puzzle", WorkEvidence::Answered(Duration::from_millis(20)), false, now);
+        health.report("puzzle", now)
+    });
+}
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -32,6 +32,10 @@
 pub const FAULTS_PATH: &str = "/__control/faults";
 /// Path of what was run: `GET`.
 pub const RUNS_PATH: &str = "/__control/runs";
+/// Path of the health endpoint, which tells what the faults say and not how the server is.
+pub const HEALTH_PATH: &str = "/health";
+/// Path of the load endpoint, which tells what the faults say too.
+pub const LOAD_PATH: &str = "/load";
 /// Header by which runs are counted.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// Bytes of one piece of a generated body.
@@ -76,6 +80,10 @@
     pub drain: bool,
     /// Errors come without any service time.
     pub quick_errors: bool,
+    /// Status of the health endpoint.
+    pub health_status: u16,
+    /// Requests in flight that the load endpoint claims.
+    pub claimed_load: u64,
 }
 
 impl Default for BackendFaults {
@@ -90,6 +98,8 @@
             shed: false,
             drain: false,
             quick_errors: false,
+            health_status: 200,
+            claimed_load: 0,
         }
     }
 }
@@ -111,6 +121,8 @@
     pub connections: u64,
     /// Requests received, run or not.
     pub received: u64,
+    /// Requests of the health and load endpoints.
+    pub probes: u64,
     /// Head of the last request, as text.
     pub last_head: String,
 }
@@ -198,8 +210,12 @@
             control(&mut stream, standin, &head, framing).await?;
             continue;
         }
-        note_received(standin, &head);
         let faults = standin.faults.borrow().clone();
+        if [HEALTH_PATH, LOAD_PATH].contains(&head.uri.path()) {
+            answer_probe(&mut stream, standin, &head, &faults).await?;
+            continue;
+        }
+        note_received(standin, &head);
         if faults.break_at == BreakPoint::AfterRequestHead {
             return Ok(());
         }
@@ -293,6 +309,23 @@
     }
 }
 
+async fn answer_probe(
+    stream: &mut HttpStream,
+    standin: &BackendStandin,
+    head: &request::Parts,
+    faults: &BackendFaults,
+) -> Result<(), HttpError> {
+    standin.runs.borrow_mut().probes += 1;
+    let (status, text) = match head.uri.path() {
+        HEALTH_PATH => (faults.health_status, String::new()),
+        _ => (StatusCode::OK.as_u16(), faults.claimed_load.to_string()),
+    };
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    let sound = BackendFaults::default();
+    let body = Bytes::from(text);
+    answer_whole(stream, &head.method, status, &HeaderMap::new(), body, &sound).await
+}
+
 async fn answer_shed(stream: &mut HttpStream) -> Result<(), HttpError> {
     let mut headers = HeaderMap::new();
     headers.insert(fields::SHED, HeaderValue::from_static("1"));
