Keep resources packed in blocks, services and routes packed until they are used

The slopes showed where: 349 bytes a backend server, 452 a route, 166 an organisation, most of it heap blocks, pointers and texts that neighbours repeat (service, host, failure domain).

Change: resources stand in blocks of up to 128 in the order of their names, written by postcard and folded by lz4; the layout keeps a host's routes as packed records with a binary search by prefix, and a service's upstreams packed until an ingress or the host role uses the service. Copies share blocks as they shared nodes before. Ways weighed: interning texts (still 180 bytes a route); reading through to the store (not with the store away); holding only a part (any caller may ask for any route). Deleting looks only at the kinds that may name what is deleted.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -5,18 +5,19 @@
 
 use std::rc::Rc;
 
-use fnv::FnvBuildHasher;
+use fnv::{FnvBuildHasher, FnvHashMap, FnvHashSet};
 use imbl::shared_ptr::DefaultSharedPtr;
-use imbl::{GenericHashMap, OrdMap};
+use imbl::GenericHashMap;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::blocks::ResourceBlocks;
 use crate::errors::{self, ResourceError};
 use crate::resources::{
-    self, BackendServer, LimitRule, LimitScope, ResourceKind, ResourceValue, RouteRule,
-    ServiceSpec, ALL_KINDS,
+    self, LimitRule, LimitScope, ResourceKind, ResourceValue, ServiceSpec, ALL_KINDS,
 };
-use crate::routes::RouteTable;
+use crate::routes::{RouteEntry, RouteTable};
+use crate::services::{PackedService, ServiceEntry, UpstreamEntry};
 use crate::units::FleetRevision;
 
 /// `SharedMap` is a map whose copies share what they have in common: a copy costs nothing, a change
@@ -59,7 +60,7 @@
 }
 
 /// `StoredResource` is a resource with the revision that last changed it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StoredResource {
     /// Revision of the last change; the resource's entity tag.
     pub revision: FleetRevision,
@@ -67,40 +68,11 @@
     pub value: ResourceValue,
 }
 
-/// `UpstreamEntry` is one upstream of a service in force.
-#[derive(Debug, Clone, PartialEq)]
-pub struct UpstreamEntry {
-    /// Name of the backend server.
-    pub name: Rc<str>,
-    /// Its resource.
-    pub server: Rc<BackendServer>,
-}
-
-/// `ServiceEntry` is a service in force with its upstreams in the order of their names.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ServiceEntry {
-    /// Name of the service.
-    pub name: Rc<str>,
-    /// Its resource.
-    pub spec: ServiceSpec,
-    /// Its upstreams.
-    pub upstreams: Vec<UpstreamEntry>,
-}
-
-/// `RouteEntry` is a route in force.
-#[derive(Debug, Clone, PartialEq)]
-pub struct RouteEntry {
-    /// Name of the route.
-    pub name: Rc<str>,
-    /// Its resource.
-    pub rule: Rc<RouteRule>,
-}
-
 /// `FleetConfig` is the configuration of the whole fleet at one revision.
 #[derive(Debug, Clone, Default)]
 pub struct FleetConfig {
     revision: FleetRevision,
-    kinds: [OrdMap<Rc<str>, Rc<StoredResource>>; ALL_KINDS.len()],
+    kinds: [ResourceBlocks; ALL_KINDS.len()],
 }
 
 /// `FleetSnapshot` is a configuration as it is kept and passed between daemons.
@@ -120,13 +92,18 @@
     }
 
     /// Returns the resource with this name.
-    pub fn get(&self, kind: ResourceKind, name: &str) -> Option<&StoredResource> {
-        self.kinds[kind as usize].get(name).map(|stored| &**stored)
+    pub fn get(&self, kind: ResourceKind, name: &str) -> Option<StoredResource> {
+        self.kinds[kind as usize].get(name)
+    }
+
+    /// Says whether there is a resource with this name.
+    pub fn contains(&self, kind: ResourceKind, name: &str) -> bool {
+        self.kinds[kind as usize].contains(name)
     }
 
     /// Returns the number of resources.
     pub fn len(&self) -> usize {
-        self.kinds.iter().map(OrdMap::len).sum()
+        self.kinds.iter().map(ResourceBlocks::len).sum()
     }
 
     /// Says whether there is no resource at all.
@@ -135,11 +112,11 @@
     }
 
     /// Lists the resources of one kind in the order of their names.
-    pub fn list(&self, kind: ResourceKind) -> impl Iterator<Item = (&Rc<str>, &StoredResource)> {
-        self.kinds[kind as usize].iter().map(|(name, stored)| (name, &**stored))
+    pub fn list(&self, kind: ResourceKind) -> impl Iterator<Item = (Rc<str>, StoredResource)> + '_ {
+        self.kinds[kind as usize].iter()
     }
 
-    fn all(&self) -> impl Iterator<Item = (ResourceKind, &Rc<str>, &StoredResource)> {
+    fn all(&self) -> impl Iterator<Item = (ResourceKind, Rc<str>, StoredResource)> + '_ {
         ALL_KINDS
             .into_iter()
             .flat_map(|kind| self.list(kind).map(move |(name, stored)| (kind, name, stored)))
@@ -159,63 +136,55 @@
                 Some(after) => Some(ResourceValue::try_new(kind, &change.name, after)?),
                 None => None,
             };
-            parsed.push((kind, Rc::from(change.name.as_str()), value));
+            parsed.push((kind, change.name.as_str(), value));
         }
         for (kind, name, value) in parsed {
-            self.put(kind, name, value, record.revision);
+            let resources = &mut self.kinds[kind as usize];
+            match value {
+                Some(value) => {
+                    resources.insert(name, &StoredResource { revision: record.revision, value });
+                }
+                None => resources.remove(name),
+            }
         }
         self.revision = record.revision;
         Ok(true)
     }
 
-    fn put(
-        &mut self,
-        kind: ResourceKind,
-        name: Rc<str>,
-        value: Option<ResourceValue>,
-        revision: FleetRevision,
-    ) {
-        let resources = &mut self.kinds[kind as usize];
-        match value {
-            Some(value) => {
-                resources.insert(name, Rc::new(StoredResource { revision, value }));
-            }
-            None => {
-                resources.remove(&name);
-            }
-        }
-    }
-
     /// Checks that every reference of every resource has its target.
     pub fn check_references(&self) -> Result<(), ResourceError> {
-        self.all().try_for_each(|(kind, name, stored)| self.check_one(kind, name, &stored.value))
+        // Many resources name few services and failure domains, so their names are unpacked once.
+        let names = |kind| self.kinds[kind as usize].names().collect::<FnvHashSet<Rc<str>>>();
+        let services = names(ResourceKind::Service);
+        let domains = names(ResourceKind::FailureDomain);
+        let has = |kind, name: &str| match kind {
+            ResourceKind::Service => services.contains(name),
+            ResourceKind::FailureDomain => domains.contains(name),
+            _ => self.contains(kind, name),
+        };
+        self.all().try_for_each(|(kind, name, stored)| check_one(kind, &name, &stored.value, has))
     }
 
     /// Checks the references that a change touches. Call it on the configuration that the change
-    /// leads to. Deleting a resource that others may name looks at all of those.
+    /// leads to. Deleting a resource looks at all of the kinds that may name it.
     pub fn check_change(&self, record: &ChangeRecord) -> Result<(), ResourceError> {
         for change in &record.changes {
             let kind = ResourceKind::parse(&change.kind)?;
+            let has = |kind, name: &str| self.contains(kind, name);
             match self.get(kind, &change.name) {
-                Some(stored) => self.check_one(kind, &change.name, &stored.value)?,
-                None if kind == ResourceKind::BackendServer || kind == ResourceKind::Limit => {}
-                None => return self.check_references(),
+                Some(stored) => check_one(kind, &change.name, &stored.value, has)?,
+                None => self.check_unused(kind, &change.name)?,
             }
         }
         Ok(())
     }
 
-    fn check_one(
-        &self,
-        kind: ResourceKind,
-        name: &str,
-        value: &ResourceValue,
-    ) -> Result<(), ResourceError> {
-        for (field, target_kind, target) in value.references() {
-            if self.get(target_kind, target).is_none() {
-                let path = format!("{}.{field}", resources::resource_path(kind, name));
-                let missing = resources::resource_path(target_kind, target);
-                return Err(errors::dangling(path, missing));
+    /// Checks that nothing names a resource that is not there.
+    fn check_unused(&self, gone: ResourceKind, gone_name: &str) -> Result<(), ResourceError> {
+        let has = |kind, name: &str| (kind, name) != (gone, gone_name);
+        for kind in gone.referrers() {
+            for (name, stored) in self.list(*kind) {
+                check_one(*kind, &name, &stored.value, has)?;
             }
         }
         Ok(())
@@ -235,32 +204,54 @@
 
     /// Reads a snapshot, with every check that a change goes through.
     pub fn from_snapshot(snapshot: &FleetSnapshot) -> Result<Self, ResourceError> {
-        let mut config = Self::default();
+        let mut kinds: [Vec<(Rc<str>, StoredResource)>; ALL_KINDS.len()] = Default::default();
         for (kind, name, revision, value) in &snapshot.resources {
             let kind = ResourceKind::parse(kind)?;
             let value = ResourceValue::try_new(kind, name, value)?;
-            config.put(kind, Rc::from(name.as_str()), Some(value), *revision);
+            let stored = StoredResource { revision: *revision, value };
+            kinds[kind as usize].push((Rc::from(name.as_str()), stored));
         }
-        config.revision = snapshot.revision;
+        let kinds = kinds.map(|resources| ResourceBlocks::build(resources.into_iter()));
+        let config = Self { revision: snapshot.revision, kinds };
         config.check_references()?;
         Ok(config)
     }
 }
 
+/// Checks that what a resource names is there, as `has` says.
+fn check_one(
+    kind: ResourceKind,
+    name: &str,
+    value: &ResourceValue,
+    has: impl Fn(ResourceKind, &str) -> bool,
+) -> Result<(), ResourceError> {
+    for (field, target_kind, target) in value.references() {
+        if !has(target_kind, target) {
+            let path = format!("{}.{field}", resources::resource_path(kind, name));
+            let missing = resources::resource_path(target_kind, target);
+            return Err(errors::dangling(path, missing));
+        }
+    }
+    Ok(())
+}
+
 /// `ActiveConfig` is a configuration laid out for the request path. A copy shares everything.
 #[derive(Debug, Clone, Default)]
 pub struct ActiveConfig {
     /// Revision in force.
     pub revision: FleetRevision,
     /// Services by name.
-    pub services: SharedMap<Rc<str>, Rc<ServiceEntry>>,
+    pub services: SharedMap<Rc<str>, Rc<PackedService>>,
     /// Routes by host and path.
     pub routes: RouteTable,
-    organisations: OrdMap<Rc<str>, Rc<StoredResource>>,
+    organisations: ResourceBlocks,
     limits: [SharedMap<Rc<str>, Vec<Rc<LimitEntry>>>; LIMIT_SCOPES],
     limit_names: SharedMap<Rc<str>, Rc<LimitEntry>>,
 }
 
+/// Backend servers laid out at a time: the memory that laying out takes stays near 10 MB.
+const BUILD_CHUNK: usize = 32 * 1024;
+
 /// Number of things that limits count by.
 const LIMIT_SCOPES: usize = 3;
 
@@ -277,14 +268,62 @@
     /// Lays out `config` for the request path.
     pub fn build(config: &FleetConfig) -> Self {
         let mut active = Self { revision: config.revision(), ..Self::default() };
-        // The order of the kinds puts services before what belongs to them.
-        for (_, name, stored) in config.all() {
-            active.insert(name, &stored.value);
+        for kind in [ResourceKind::Service, ResourceKind::Limit] {
+            for (name, stored) in config.list(kind) {
+                active.insert(&name, &stored.value);
+            }
         }
+        active.add_servers(config);
+        let routes = config.list(ResourceKind::Route).filter_map(|(name, stored)| {
+            let rule = stored.value.into_route()?;
+            Some(Rc::new(RouteEntry { name, rule }))
+        });
+        active.routes = RouteTable::build(routes);
         active.share_organisations(config);
         active
     }
 
+    /// Adds all backend servers, many at a time, since each addition packs its service anew.
+    fn add_servers(&mut self, config: &FleetConfig) {
+        let mut waiting: FnvHashMap<String, Vec<UpstreamEntry>> = FnvHashMap::default();
+        for (count, (name, stored)) in config.list(ResourceKind::BackendServer).enumerate() {
+            if let ResourceValue::BackendServer(server) = stored.value {
+                let upstream = UpstreamEntry { name, server: server.clone() };
+                waiting.entry(server.service.clone()).or_default().push(upstream);
+            }
+            if (count + 1) % BUILD_CHUNK == 0 {
+                self.put_upstreams(&mut waiting);
+            }
+        }
+        self.put_upstreams(&mut waiting);
+    }
+
+    fn put_upstreams(&mut self, waiting: &mut FnvHashMap<String, Vec<UpstreamEntry>>) {
+        for (service, upstreams) in waiting.drain() {
+            self.change_service(&service, |entry| entry.put_upstreams(upstreams));
+        }
+    }
+
+    /// Changes a service, if there is one of this name, and returns its name.
+    fn change_service(
+        &mut self,
+        name: &str,
+        change: impl FnOnce(&mut ServiceEntry),
+    ) -> Option<Rc<str>> {
+        let (name, packed) = self.services.get_key_value(name)?;
+        let name = name.clone();
+        let mut entry = packed.unpack(&name);
+        change(&mut entry);
+        self.services.insert(name.clone(), Rc::new(PackedService::new(&entry)));
+        Some(name)
+    }
+
+    /// Returns the service with this name.
+    pub fn service(&self, name: &str) -> Option<ServiceEntry> {
+        let (name, packed) = self.services.get_key_value(name)?;
+        Some(packed.unpack(name))
+    }
+
     /// Takes the organisations over as they are kept; a copy of the map shares all of it.
     fn share_organisations(&mut self, config: &FleetConfig) {
         self.organisations = config.kinds[ResourceKind::Organisation as usize].clone();
@@ -292,7 +331,7 @@
 
     /// Says whether there is an organisation of this name.
     pub fn has_organisation(&self, name: &str) -> bool {
-        self.organisations.contains_key(name)
+        self.organisations.contains(name)
     }
 
     /// Says whether there are no limits.
@@ -355,13 +394,13 @@
         match value {
             ResourceValue::FailureDomain(_) | ResourceValue::Organisation(_) => None,
             ResourceValue::Service(spec) => {
-                let known = self.services.get(name);
-                let upstreams = known.map(|entry| entry.upstreams.clone()).unwrap_or_default();
-                let entry = ServiceEntry { name: name.clone(), spec: spec.clone(), upstreams };
-                self.services.insert(name.clone(), Rc::new(entry));
+                self.insert_service(name, spec);
                 Some(name.clone())
             }
-            ResourceValue::BackendServer(server) => self.insert_server(name, server),
+            ResourceValue::BackendServer(server) => {
+                let upstream = UpstreamEntry { name: name.clone(), server: server.clone() };
+                self.change_service(&server.service, |entry| entry.put_upstreams([upstream]))
+            }
             ResourceValue::Route(rule) => {
                 let entry = RouteEntry { name: name.clone(), rule: rule.clone() };
                 self.routes.insert(Rc::new(entry));
@@ -378,32 +417,25 @@
         }
     }
 
-    fn insert_server(&mut self, name: &Rc<str>, server: &Rc<BackendServer>) -> Option<Rc<str>> {
-        let entry = self.services.get_mut(server.service.as_str())?;
-        let upstreams = &mut Rc::make_mut(entry).upstreams;
-        let upstream = UpstreamEntry { name: name.clone(), server: server.clone() };
-        match upstreams.binary_search_by(|known| known.name.cmp(name)) {
-            Ok(index) => upstreams[index] = upstream,
-            Err(index) => upstreams.insert(index, upstream),
-        }
-        Some(entry.name.clone())
+    fn insert_service(&mut self, name: &Rc<str>, spec: &ServiceSpec) {
+        let known = self.service(name);
+        let upstreams = known.map(|entry| entry.upstreams).unwrap_or_default();
+        let entry = ServiceEntry { name: name.clone(), spec: spec.clone(), upstreams };
+        self.services.insert(name.clone(), Rc::new(PackedService::new(&entry)));
     }
 
     fn remove(&mut self, name: &str, value: &ResourceValue, touched: &mut Vec<Rc<str>>) {
         match value {
             ResourceValue::FailureDomain(_) | ResourceValue::Organisation(_) => {}
             ResourceValue::Service(_) => {
-                touched.extend(self.services.remove(name).map(|entry| entry.name.clone()));
+                if self.services.remove(name).is_some() {
+                    touched.push(Rc::from(name));
+                }
             }
             ResourceValue::BackendServer(server) => {
-                if let Some(entry) = self.services.get(server.service.as_str()) {
-                    let mut entry = entry.clone();
-                    let service = entry.name.clone();
-                    let changed = Rc::make_mut(&mut entry);
-                    changed.upstreams.retain(|upstream| &*upstream.name != name);
-                    self.services.insert(service.clone(), entry);
-                    touched.push(service);
-                }
+                touched.extend(self.change_service(&server.service, |entry| {
+                    entry.upstreams.retain(|upstream| &*upstream.name != name);
+                }));
             }
             ResourceValue::Route(rule) => self.routes.remove(name, rule),
             ResourceValue::Limit(rule) => {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,10 +6,13 @@
 //! This crate holds the resources that operators declare, the configuration built from them, the
 //! outcome of an exchange, units and settings. It does no input or output.
 
+pub mod blocks;
 pub mod config;
 pub mod errors;
 pub mod outcome;
+pub mod packing;
 pub mod resources;
 pub mod routes;
+pub mod services;
 pub mod settings;
 pub mod units;
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -65,6 +65,16 @@
         }
     }
 
+    /// Returns the kinds whose resources may name one of this kind.
+    pub fn referrers(self) -> &'static [ResourceKind] {
+        match self {
+            Self::FailureDomain => &[Self::BackendServer],
+            Self::Service => &[Self::BackendServer, Self::Route, Self::Limit],
+            Self::Route | Self::Organisation => &[Self::Limit],
+            Self::BackendServer | Self::Limit => &[],
+        }
+    }
+
     /// Reads the name of a kind.
     pub fn parse(name: &str) -> Result<Self, ResourceError> {
         ALL_KINDS.into_iter().find(|kind| kind.name() == name).ok_or_else(|| {
@@ -247,7 +257,7 @@
 }
 
 /// `ResourceValue` is a resource of any kind.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ResourceValue {
     /// A failure domain.
     FailureDomain(FailureDomain),
@@ -303,6 +313,14 @@
         }
     }
 
+    /// Returns the route, if it is one.
+    pub fn into_route(self) -> Option<Rc<RouteRule>> {
+        match self {
+            Self::Route(rule) => Some(rule),
+            _ => None,
+        }
+    }
+
     /// Returns the resources that this one names, with the field that names each.
     pub fn references(&self) -> Vec<(&'static str, ResourceKind, &str)> {
         match self {
--- /dev/null
+++ b/crates/core/tests/blocks.rs
@@ -0,0 +1,137 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Packed resources give back what was put in, whatever the order of changes.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use basaltarch_core::blocks::{ResourceBlocks, BLOCK_MAX};
+use basaltarch_core::config::StoredResource;
+use basaltarch_core::resources::{OrganisationSpec, ResourceKind, ResourceValue};
+use basaltarch_core::services::{PackedService, ServiceEntry, UpstreamEntry};
+use basaltarch_core::units::FleetRevision;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{json, Value};
+use test_case::test_case;
+
+fn organisation(title: &str, revision: u64) -> StoredResource {
+    let value = ResourceValue::Organisation(OrganisationSpec { title: title.to_owned() });
+    StoredResource { revision: FleetRevision(revision), value }
+}
+
+fn contents(blocks: &ResourceBlocks) -> Vec<(String, StoredResource)> {
+    blocks.iter().map(|(name, stored)| (name.to_string(), stored)).collect()
+}
+
+/// Runs so many cases, the same ones each time.
+fn fixed(cases: u32) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(20_261_202);
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed(60))]
+
+    #[test]
+    fn verify_blocks_hold_what_a_plain_map_holds(
+        start in prop::collection::vec(0..900_u32, 0..600),
+        changes in prop::collection::vec((0..900_u32, any::<bool>()), 0..500),
+    ) {
+        let mut plain = BTreeMap::new();
+        for (revision, number) in start.iter().enumerate() {
+            plain.insert(format!("n-{number}"), organisation("at start", revision as u64));
+        }
+        let given = start.iter().enumerate().map(|(revision, number)| {
+            let name: Rc<str> = Rc::from(format!("n-{number}"));
+            (name, organisation("at start", revision as u64))
+        });
+        let mut blocks = ResourceBlocks::build(given);
+        let copy = blocks.clone();
+        let before = contents(&copy);
+        for (revision, (number, keep)) in changes.iter().enumerate() {
+            let name = format!("n-{number}");
+            if *keep {
+                let stored = organisation(&name, revision as u64);
+                blocks.insert(&name, &stored);
+                plain.insert(name, stored);
+            } else {
+                blocks.remove(&name);
+                plain.remove(&name);
+            }
+        }
+        prop_assert_eq!(blocks.len(), plain.len());
+        prop_assert_eq!(contents(&blocks), plain.clone().into_iter().collect::<Vec<_>>());
+        for number in 0..900 {
+            let name = format!("n-{number}");
+            prop_assert_eq!(blocks.get(&name), plain.get(&name).cloned());
+            prop_assert_eq!(blocks.contains(&name), plain.contains_key(&name));
+        }
+        prop_assert_eq!(contents(&copy), before, "copies keep what they had");
+    }
+}
+
+#[test]
+fn verify_names_around_the_ends_of_blocks_are_found() {
+    let mut blocks = ResourceBlocks::default();
+    assert!(blocks.is_empty() && blocks.get("x").is_none());
+    for number in (0..3 * BLOCK_MAX).rev() {
+        blocks.insert(&format!("n-{number:04}"), &organisation("", number as u64));
+    }
+    for number in 0..3 * BLOCK_MAX {
+        let stored = blocks.get(&format!("n-{number:04}")).expect("stored");
+        assert_eq!(stored.revision, FleetRevision(number as u64));
+    }
+    assert!(!blocks.contains("a"), "before the first");
+    assert!(!blocks.contains("z"), "after the last");
+    assert!(!blocks.contains("n-0000x"), "between two");
+    assert_eq!(blocks.names().count(), blocks.len());
+    for number in 0..3 * BLOCK_MAX {
+        blocks.remove(&format!("n-{number:04}"));
+    }
+    assert!(blocks.is_empty() && blocks.iter().next().is_none());
+}
+
+#[test_case(ResourceKind::FailureDomain, json!({"region": "bangkok"}) ; "failure domain")]
+#[test_case(ResourceKind::Organisation, json!({"title": "ขลุง"}) ; "organisation")]
+#[test_case(ResourceKind::Service,
+    json!({"floor": 0.7, "prefer": "detection", "queue": 3, "retry_budget": 0.25}) ; "service")]
+#[test_case(ResourceKind::BackendServer,
+    json!({"service": "s", "host": "h", "address": "[::1]:9", "slots": 4096, "connections": 65536,
+           "failure_domain": "d", "state": "draining"}) ; "backend server")]
+#[test_case(ResourceKind::Route,
+    json!({"host": "h", "path_prefix": "/a/", "methods": ["GET", "PUT"], "service": "s",
+           "timeout_ms": 600000, "mode": "once", "criticality": "critical"}) ; "route")]
+#[test_case(ResourceKind::Limit,
+    json!({"scope": "organisation", "target": "o", "rate": 0.25, "burst": 7.0}) ; "limit")]
+fn verify_every_field_of_every_kind_is_kept(kind: ResourceKind, value: Value) {
+    let stored = StoredResource {
+        revision: FleetRevision(u64::MAX),
+        value: ResourceValue::try_new(kind, "name", &value).expect("value"),
+    };
+    let mut blocks = ResourceBlocks::default();
+    blocks.insert("name", &stored);
+    assert_eq!(blocks.get("name").map(|stored| stored.value.to_json()), Some(value));
+    assert_eq!(blocks.get("name"), Some(stored));
+}
+
+#[test]
+fn verify_a_packed_service_is_whole_and_equal_ones_are_packed_alike() {
+    let spec = json!({"floor": 0.5, "prefer": "detection"});
+    let spec = serde_json::from_value(spec).expect("service");
+    let upstreams = (0..30).map(|number| {
+        let server = json!({"service": "s", "host": format!("h{number}"), "slots": 4,
+                            "address": "10.0.0.1:80", "connections": 300, "failure_domain": "d"});
+        let server = serde_json::from_value(server).expect("server");
+        UpstreamEntry { name: Rc::from(format!("b{number:02}")), server: Rc::new(server) }
+    });
+    let name = Rc::from("s");
+    let entry = ServiceEntry { name: Rc::clone(&name), spec, upstreams: upstreams.collect() };
+    let packed = PackedService::new(&entry);
+    assert_eq!(packed.unpack(&name), entry);
+    assert_eq!(packed, PackedService::new(&packed.unpack(&name)));
+    let mut fewer = entry;
+    fewer.upstreams.pop();
+    assert_ne!(packed, PackedService::new(&fewer));
+}
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -5,12 +5,10 @@
 
 use std::rc::Rc;
 
-use basaltarch_core::config::{
-    ActiveConfig, ChangeRecord, FleetConfig, ResourceChange, RouteEntry,
-};
+use basaltarch_core::config::{ActiveConfig, ChangeRecord, FleetConfig, ResourceChange};
 use basaltarch_core::outcome::{FailureOutcome, NOT_RUN_REASONS, UNKNOWN_REASONS};
 use basaltarch_core::resources::{LimitScope, RouteRule, WorkClass, WorkMode};
-use basaltarch_core::routes::{RouteMatch, RouteTable};
+use basaltarch_core::routes::{RouteEntry, RouteMatch, RouteTable};
 use basaltarch_core::settings;
 use basaltarch_core::units::{self, FleetRevision};
 use proptest::prelude::*;
@@ -143,7 +141,7 @@
 #[test]
 fn verify_the_active_layout_finds_everything() {
     let active = ActiveConfig::build(&filled());
-    let service = active.services.get("s").expect("service");
+    let service = active.service("s").expect("service");
     assert_eq!(service.upstreams.len(), 1);
     assert_eq!(service.spec.floor, 0.7);
     assert!(matches!(active.routes.find("h", "/x", "GET"), RouteMatch::Found(_)));
@@ -171,7 +169,7 @@
     assert_eq!(config.check_references(), Ok(()));
     let active = ActiveConfig::build(&config);
     for (name, upstreams, slots, connections) in services {
-        let service = active.services.get(*name).expect("service");
+        let service = active.service(name).expect("service");
         assert_eq!(service.upstreams.len(), *upstreams);
         let fits = |server: &basaltarch_core::resources::BackendServer| {
             (server.slots, server.connections) == (*slots, *connections)
@@ -284,8 +282,8 @@
 /// Returns all that the request path may ask of a layout, in one text.
 fn seen(active: &ActiveConfig) -> String {
     let mut lines = Vec::new();
-    for (name, service) in &active.services {
-        lines.push(format!("{name} {service:?}"));
+    for (name, packed) in &active.services {
+        lines.push(format!("{name} {:?}", packed.unpack(name)));
     }
     lines.extend((0..4).map(|number| {
         let name = format!("organisations-{number}");
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -16,7 +16,8 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use basaltarch_core::config::{ActiveConfig, ServiceEntry, UpstreamEntry};
+use basaltarch_core::config::ActiveConfig;
+use basaltarch_core::services::{ServiceEntry, UpstreamEntry};
 use basaltarch_peer::link::{AcceptedLink, InboundExchange, OutboundExchange};
 use basaltarch_peer::protocol::DispatchHead;
 use basaltarch_peer::stream::{EventPipe, EventSink, StreamEvent};
@@ -53,15 +54,15 @@
         match touched {
             TouchedServices::Some(names) => {
                 for name in names {
-                    self.configure_service(state, name, active.services.get(name), cold);
+                    self.configure_service(state, name, active.service(name).as_ref(), cold);
                 }
             }
             TouchedServices::All => {
                 self.upstreams
                     .borrow_mut()
                     .retain(|_, upstream| active.services.contains_key(&upstream.service));
-                for (name, service) in &active.services {
-                    self.configure_service(state, name, Some(service), cold);
+                for (name, packed) in &active.services {
+                    self.configure_service(state, name, Some(&packed.unpack(name)), cold);
                 }
             }
         }
@@ -71,7 +72,7 @@
         &self,
         state: &DaemonState,
         name: &Rc<str>,
-        service: Option<&Rc<ServiceEntry>>,
+        service: Option<&ServiceEntry>,
         cold: bool,
     ) {
         let is_own = |upstream: &&UpstreamEntry| upstream.server.host == state.options.host;
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -7,8 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltarch_core::config::{ServiceEntry, UpstreamEntry};
 use basaltarch_core::resources::{BackendServer, ServerState, ServiceSpec};
+use basaltarch_core::services::{ServiceEntry, UpstreamEntry};
 use basaltarch_decide::evidence::WorkEvidence;
 use basaltarch_decide::health::{AdmitVerdict, DispatchTerms, HealthChange, UpstreamHealth};
 use basaltarch_peer::protocol::LoadReport;
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -7,10 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltarch_core::config::{ActiveConfig, RouteEntry};
+use basaltarch_core::config::ActiveConfig;
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::WorkMode;
-use basaltarch_core::routes::RouteMatch;
+use basaltarch_core::routes::{RouteEntry, RouteMatch};
 use basaltarch_core::units;
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
@@ -275,7 +275,7 @@
     host: &str,
 ) -> Result<Rc<RouteEntry>, CallerFailure> {
     match active.routes.find(host, head.uri.path(), head.method.as_str()) {
-        RouteMatch::Found(route) => Ok(route.clone()),
+        RouteMatch::Found(route) => Ok(route),
         RouteMatch::Missing => Err(CallerFailure::not_run(NotRunReason::NoRoute)),
         RouteMatch::WrongMethod(methods) => {
             let status = StatusCode::METHOD_NOT_ALLOWED;
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -7,8 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltarch_core::config::{ActiveConfig, ServiceEntry};
+use basaltarch_core::config::ActiveConfig;
 use basaltarch_core::resources::ServerState;
+use basaltarch_core::services::{PackedService, ServiceEntry};
 use basaltarch_decide::balance::{LoadView, ServiceView, UpstreamChoice};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
 use basaltarch_decide::budget::RetryBudget;
@@ -27,7 +28,8 @@
 /// `ServiceState` is what the ingress knows of one service.
 pub struct ServiceState {
     /// The service as configured.
-    pub entry: Rc<ServiceEntry>,
+    pub entry: ServiceEntry,
+    packed: Rc<PackedService>,
     paths: Vec<Rc<PeerPath>>,
     draining_until: Vec<Cell<Duration>>,
     view: RefCell<ServiceView>,
@@ -51,15 +53,16 @@
         active: &ActiveConfig,
         name: &str,
     ) -> Option<Rc<ServiceState>> {
-        let entry = active.services.get(name)?;
+        let (name, packed) = active.services.get_key_value(name)?;
         let known = self.services.borrow().get(name).cloned();
         if let Some(known) = &known {
-            if Rc::ptr_eq(&known.entry, entry) {
+            if Rc::ptr_eq(&known.packed, packed) {
                 return Some(known.clone());
             }
         }
-        let made = Rc::new(ServiceState::new(state, entry.clone(), known.as_deref()));
-        self.services.borrow_mut().insert(entry.name.clone(), made.clone());
+        let entry = packed.unpack(name);
+        let made = Rc::new(ServiceState::new(state, entry, packed.clone(), known.as_deref()));
+        self.services.borrow_mut().insert(name.clone(), made.clone());
         Some(made)
     }
 
@@ -76,7 +79,12 @@
 }
 
 impl ServiceState {
-    fn new(state: &DaemonState, entry: Rc<ServiceEntry>, known: Option<&ServiceState>) -> Self {
+    fn new(
+        state: &DaemonState,
+        entry: ServiceEntry,
+        packed: Rc<PackedService>,
+        known: Option<&ServiceState>,
+    ) -> Self {
         let own_domain = &state.options.failure_domain;
         let views = entry
             .upstreams
@@ -97,6 +105,7 @@
             budget: RefCell::new(RetryBudget::new(entry.spec.retry_budget)),
             violations: Cell::new(0),
             entry,
+            packed,
         }
     }
 
--- a/crates/store/src/changes.rs
+++ b/crates/store/src/changes.rs
@@ -334,7 +334,7 @@
 
 fn check_guard(config: &FleetConfig, edit: &ResourceEdit) -> Result<(), ChangeError> {
     let stored = config.get(edit.kind, &edit.name);
-    let in_force = stored.map_or(FleetRevision(0), |stored| stored.revision);
+    let in_force = stored.as_ref().map_or(FleetRevision(0), |stored| stored.revision);
     let expected = match edit.guard {
         ChangeGuard::Any => return Ok(()),
         ChangeGuard::Absent => FleetRevision(0),
