--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -307,18 +307,55 @@
     target: &str,
     reply: &mut Value,
 ) -> Result<(), CommandError> {
+    for (_, words) in ask_live(api, target).await? {
+        merge_words(reply, &words);
+    }
+    Ok(())
+}
+
+/// Asks each daemon that is not suspect; those that don't answer are left out.
+async fn ask_live(api: &AdminApi, target: &str) -> Result<Vec<(String, Value)>, CommandError> {
     let status = api.get("/v1/status").await?;
+    let mut replies = Vec::new();
     for member in status["members"].as_array().into_iter().flatten() {
         let address = member["admin_address"].as_str().and_then(|text| text.parse().ok());
         let address = match address {
             Some(address) if member["state"] != "suspect" => address,
             _ => continue,
         };
-        // A daemon that does not answer leaves its servers without its word.
-        if let Ok(words) = api.at(address).get(target).await {
-            merge_words(reply, &words);
+        if let Ok(reply) = api.at(address).get(target).await {
+            replies.push((tables::cell(&member["host"]), reply));
+        }
+    }
+    Ok(replies)
+}
+
+/// Shows how callers' requests ended, at each live daemon since its start.
+pub async fn outcomes(api: &AdminApi, form: OutputForm) -> Result<(), CommandError> {
+    let replies = ask_live(api, "/v1/status").await?;
+    if form == OutputForm::Json {
+        let each: serde_json::Map<String, Value> =
+            replies.into_iter().map(|(host, reply)| (host, reply["outcomes"].clone())).collect();
+        println!("{}", Value::Object(each));
+        return Ok(());
+    }
+    let mut rows = Vec::new();
+    for (host, reply) in &replies {
+        let outcomes = &reply["outcomes"];
+        let mut add = |outcome: &str, reason: &str, count: &Value| {
+            let row = [host.as_str(), outcome, reason, &tables::cell(count)];
+            rows.push(row.map(str::to_owned).to_vec());
+        };
+        add("complete", "-", &outcomes["complete"]);
+        for outcome in ["not_run", "unknown"] {
+            for (reason, count) in outcomes[outcome].as_object().into_iter().flatten() {
+                add(&outcome.replace('_', "-"), reason, count);
+            }
         }
+        add("(retries)", "-", &outcomes["retries"]);
+        add("(retries denied)", "-", &outcomes["retries_denied"]);
     }
+    tables::print(&["HOST", "OUTCOME", "REASON", "COUNT"], &rows);
     Ok(())
 }
 
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -81,6 +81,8 @@
             }
             /// Shows which revision each daemon has in force.
             cmd status {}
+            /// Shows how callers' requests ended, at each live daemon since its start.
+            cmd outcomes {}
             /// Shows the health of upstreams.
             cmd health {
                 /// Service; all when absent.
@@ -174,6 +176,7 @@
             commands::audit(&api, &query, form).await
         }
         flags::BasaltctlCmd::Status(_) => commands::status(&api, form).await,
+        flags::BasaltctlCmd::Outcomes(_) => commands::outcomes(&api, form).await,
         flags::BasaltctlCmd::Health(flags) => {
             commands::health(&api, flags.service.as_deref(), form).await
         }
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -5,13 +5,16 @@
 
 use std::rc::Rc;
 
+use basaltarch_core::outcome::{NOT_RUN_REASONS, UNKNOWN_REASONS};
 use basaltarch_core::units;
 use basaltarch_decide::balance::LoadView;
 use basaltarch_http::server::ServerReply;
+use basaltarch_telemetry::metrics::CounterCell;
 use http::StatusCode;
-use serde_json::{json, Value};
+use serde_json::{json, Map, Value};
 
 use crate::host::upstream::HostUpstream;
+use crate::metrics;
 use crate::services::ServiceState;
 use crate::state::DaemonState;
 
@@ -36,12 +39,31 @@
         "revision": state.config.revision(),
         "loaded": state.config.is_loaded(),
         "in_flight": state.in_flight.get(),
-        "floor_violations": crate::metrics::FLOOR_VIOLATIONS.get(),
+        "floor_violations": metrics::FLOOR_VIOLATIONS.get(),
+        "outcomes": outcomes(),
         "members": members,
     });
     ServerReply::json(StatusCode::OK, &body)
 }
 
+/// Tells how the requests of this daemon's callers ended since its start.
+fn outcomes() -> Value {
+    let not_run = NOT_RUN_REASONS.iter().map(|reason| reason.name()).zip(&metrics::NOT_RUN);
+    let unknown = UNKNOWN_REASONS.iter().map(|reason| reason.name()).zip(&metrics::UNKNOWN);
+    let counts = |cells: Vec<(&str, &CounterCell)>| -> Map<String, Value> {
+        let seen = cells.into_iter().filter(|(_, cell)| cell.get() > 0);
+        seen.map(|(name, cell)| (name.to_owned(), json!(cell.get()))).collect()
+    };
+    json!({
+        "requests": metrics::REQUESTS.get(),
+        "complete": metrics::COMPLETE.get(),
+        "not_run": counts(not_run.collect()),
+        "unknown": counts(unknown.collect()),
+        "retries": metrics::RETRIES.get(),
+        "retries_denied": metrics::RETRIES_DENIED.get(),
+    })
+}
+
 fn own_status(state: &DaemonState) -> Value {
     let now = state.now();
     let in_force_for = now.saturating_sub(state.config.since()).as_millis() as u64;
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -226,6 +226,26 @@
     assert_eq!(fleet.ran("after"), 0);
 }
 
+#[test]
+fn verify_operators_see_how_requests_ended() {
+    let hops = TwoHops::start(None);
+    let outcomes = |daemon: usize| hops.fleet.daemons[daemon].get("/v1/status")["outcomes"].clone();
+    assert_eq!(outcomes(0)["complete"], json!(0));
+    for _ in 0..3 {
+        assert_eq!(hops.fleet.request(0, "GET", "/plain", &[], "").status, 200);
+    }
+    hops.fleet.backends[0].faults(json!({"break_at": "after-run"}));
+    assert_eq!(hops.fleet.request(0, "POST", "/plain", &[], "x").status, 502);
+    hops.fleet.backends[0].faults(json!({"shed": true}));
+    assert_eq!(hops.fleet.request(0, "POST", "/plain", &[], "x").status, 503);
+    let seen = outcomes(0);
+    assert_eq!((&seen["requests"], &seen["complete"]), (&json!(5), &json!(3)), "{seen}");
+    assert_eq!(seen["unknown"], json!({"backend-broken": 1}));
+    let not_run = seen["not_run"].as_object().expect("reasons");
+    assert_eq!(not_run.values().filter_map(Value::as_u64).sum::<u64>(), 1, "{seen}");
+    assert_eq!(outcomes(1)["requests"], json!(0), "counted where the caller asked");
+}
+
 #[test]
 fn verify_repeatable_work_survives_a_broken_server() {
     let fleet = TestFleet::start(&FleetPlan { daemons: 2, backends: 4, ..FleetPlan::default() });
