Remove old rows of once-only work, by epochs that no wall clock can hurry

Cause: rows of the ledger were never removed; the platform's table grew for ever, and the design note left it to a lifetime that the platform does not have.

Change: rows carry the epoch in which they were written; one row holds the epoch, and only a daemon that watched it unchanged for an hour by its own steady clock writes the next one.

Proved by tests that hand the hours in: store down, lost writes and answers, answers from the past, many daemons, newcomers, rows without an epoch.

Conclusion: a row is never removed before its hours, whatever clocks and store do.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod metrics;
 pub mod options;
 pub mod peers;
+pub mod retention;
 pub mod run;
 pub mod services;
 pub mod signal;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -65,6 +65,9 @@
             optional --store-reads count: String
             /// Writes to the platform a second by this daemon [BASALTARCH_STORE_WRITES], default 50.
             optional --store-writes count: String
+            /// Hours for which a key of once-only work is remembered at least
+            /// [BASALTARCH_ONCE_KEEP_HOURS], default 24.
+            optional --once-keep-hours hours: String
         }
     }
 }
@@ -115,6 +118,7 @@
         body_idle_ms: flags.body_idle_ms,
         store_reads: flags.store_reads,
         store_writes: flags.store_writes,
+        once_keep_hours: flags.once_keep_hours,
     };
     let options = DaemonOptions::try_new(raw).map_err(|source| DaemonError::Setting { source })?;
     logs::start(&options.log);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -42,6 +42,8 @@
 pub static FLOOR_VIOLATIONS: CounterCell = CounterCell::new();
 /// Rows of once-only work that were refused as already started.
 pub static ONCE_REPEATS: CounterCell = CounterCell::new();
+/// Rows of once-only work removed as old.
+pub static ONCE_REMOVED: CounterCell = CounterCell::new();
 /// Requests refused by limits.
 pub static LIMITED: CounterCell = CounterCell::new();
 /// Grants asked from homes of limits.
@@ -108,6 +110,7 @@
         },
         counter("floor_violations", "Decisions below the floor; must be 0.", &FLOOR_VIOLATIONS),
         counter("once_repeats", "Attempts at once-only work already started.", &ONCE_REPEATS),
+        counter("once_removed", "Old rows of once-only work removed.", &ONCE_REMOVED),
         counter("limited", "Requests refused by limits.", &LIMITED),
         counter("grants_asked", "Grants asked from homes of limits.", &GRANTS_ASKED),
         counter("old_revisions", "Older revisions that were refused.", &OLD_REVISIONS),
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -65,6 +65,8 @@
     pub store_reads: Option<String>,
     /// Writes to the platform a second by this daemon.
     pub store_writes: Option<String>,
+    /// Hours for which rows of once-only work are kept at least.
+    pub once_keep_hours: Option<String>,
 }
 
 /// `DaemonOptions` are the checked settings.
@@ -108,6 +110,8 @@
     pub store_reads: f64,
     /// Writes to the platform a second by this daemon.
     pub store_writes: f64,
+    /// Hours for which rows of once-only work are kept at least.
+    pub once_keep_hours: u64,
 }
 
 impl DaemonOptions {
@@ -145,6 +149,7 @@
             },
             store_reads: count("store-reads", raw.store_reads, 400, 1, 100_000)? as f64,
             store_writes: count("store-writes", raw.store_writes, 50, 1, 100_000)? as f64,
+            once_keep_hours: count("once-keep-hours", raw.once_keep_hours, 24, 1, 8760)?,
         })
     }
 
--- /dev/null
+++ b/crates/daemon/src/retention.rs
@@ -0,0 +1,42 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Lets each daemon remove a part of the ledger's old rows now and then.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_store::retention::OnceRetention;
+
+use crate::metrics;
+use crate::state::DaemonState;
+
+/// Least time between two rounds of one daemon.
+const ROUND_MIN: Duration = Duration::from_secs(30);
+/// Time between two rounds for each daemon of the fleet: 20 rounds a second over all of it, a tenth
+/// of the fleet's reads.
+const ROUND_EACH: Duration = Duration::from_millis(50);
+/// First round, so that rows soon carry an epoch.
+const ROUND_FIRST: Duration = Duration::from_millis(500);
+
+/// Sweeps the ledger for ever.
+pub async fn run(state: Rc<DaemonState>) {
+    let keep = state.options.once_keep_hours;
+    let retention = OnceRetention::new(state.platform.clone(), state.ledger.clone(), keep);
+    let mut wait = ROUND_FIRST;
+    loop {
+        monoio::time::sleep(wait.mul_f64(rand::random_range(0.8..1.2))).await;
+        match retention.round(state.now()).await {
+            Ok(report) => {
+                metrics::ONCE_REMOVED.add(report.removed);
+                if report.removed + report.dated > 0 {
+                    let (epoch, removed, dated) = (report.epoch, report.removed, report.dated);
+                    tracing::info!(epoch, removed, dated, "rows of once-only work swept");
+                }
+            }
+            Err(error) => tracing::debug!(%error, "rows of once-only work not swept"),
+        }
+        let daemons = state.members.count() as u32;
+        wait = (ROUND_EACH * daemons).max(ROUND_MIN);
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -19,6 +19,7 @@
 use crate::membership::{self, BeatNews};
 use crate::metrics;
 use crate::options::DaemonOptions;
+use crate::retention;
 use crate::spread;
 use crate::state::DaemonState;
 
@@ -110,6 +111,7 @@
     monoio::spawn(membership::run(state.clone()));
     monoio::spawn(membership::find_seeds(state.clone()));
     monoio::spawn(spread::poll(state.clone()));
+    monoio::spawn(retention::run(state.clone()));
     monoio::spawn(follow_configuration(state.clone()));
 }
 
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -86,6 +86,9 @@
     pub digest: String,
     /// When the row was written, in milliseconds since 1970.
     pub at_ms: u64,
+    /// Epoch in which the row was written, 0 if the writer did not know it.
+    #[serde(default)]
+    pub epoch: u64,
     /// The answer, once it is there and small enough.
     pub answer: Option<KeptAnswer>,
 }
@@ -131,6 +134,7 @@
     abandoned: RefCell<Vec<ClaimToken>>,
     running: Cell<bool>,
     transactions: Cell<u64>,
+    epoch: Cell<u64>,
 }
 
 impl OnceLedger {
@@ -143,6 +147,7 @@
             abandoned: RefCell::default(),
             running: Cell::new(false),
             transactions: Cell::new(0),
+            epoch: Cell::new(0),
         })
     }
 
@@ -151,6 +156,11 @@
         self.transactions.get()
     }
 
+    /// Sets the epoch that new rows carry; 0 while it is not known.
+    pub fn set_epoch(&self, epoch: u64) {
+        self.epoch.set(epoch);
+    }
+
     /// Asks to run once-only work.
     pub async fn claim(self: &Rc<Self>, key: &OnceKey) -> ClaimOutcome {
         if self.waiting.borrow().len() >= WAITING_MAX {
@@ -161,6 +171,7 @@
             writer: changes::fresh_token(),
             digest: key.digest.clone(),
             at_ms: units::wall_millis(),
+            epoch: self.epoch.get(),
             answer: None,
         };
         self.waiting.borrow_mut().push_back(WaitingClaim {
--- /dev/null
+++ b/crates/store/tests/retention.rs
@@ -0,0 +1,221 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Rows of once-only work are removed when they are old enough, and never before. Hours pass by a
+//! clock that the tests hand in.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_http::client::HttpClient;
+use basaltarch_http::connection;
+use basaltarch_standin::platform::{self, PlatformStandin};
+use basaltarch_store::ledger::{self, ClaimOutcome, OnceKey, OnceLedger};
+use basaltarch_store::platform::PlatformClient;
+use basaltarch_store::retention::{EpochWatch, OnceRetention, EPOCH_TIME};
+use basaltarch_telemetry::runtime;
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use serde_json::{json, Value};
+use test_case::test_case;
+
+const KEEP: u64 = 3;
+const PARTS: u32 = 256;
+
+/// A stand-in platform and one daemon's view of it.
+struct TestStore {
+    address: SocketAddr,
+    ledger: Rc<OnceLedger>,
+    retention: OnceRetention,
+}
+
+impl TestStore {
+    async fn start() -> Self {
+        let listener = connection::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let address = listener.local_addr().expect("address");
+        monoio::spawn(platform::serve(listener, Rc::new(PlatformStandin::default())));
+        Self::at(address)
+    }
+
+    fn at(address: SocketAddr) -> Self {
+        let platform = Rc::new(PlatformClient::new(address, 1e6, 1e6));
+        let ledger = OnceLedger::new(platform.clone());
+        let retention = OnceRetention::new(platform, ledger.clone(), KEEP);
+        Self { address, ledger, retention }
+    }
+
+    async fn faults(&self, faults: Value) {
+        let client = HttpClient::new(self.address, Duration::from_secs(5));
+        let body = Bytes::from(faults.to_string());
+        client
+            .call(Method::PUT, platform::FAULTS_PATH, HeaderMap::new(), body)
+            .await
+            .expect("faults");
+    }
+
+    /// Runs a round so many whole epochs after the start.
+    async fn epoch_at(&self, epochs: u32) -> Option<u64> {
+        self.retention.round(EPOCH_TIME * epochs).await.ok().map(|report| report.epoch)
+    }
+
+    async fn sweep_all(&self, epoch: u64) -> u64 {
+        let mut removed = 0;
+        for part in 0..PARTS {
+            removed += self.retention.sweep(part, epoch).await.expect("sweep").removed;
+        }
+        removed
+    }
+
+    async fn claim(&self, key: &str) -> ClaimOutcome {
+        self.ledger.claim(&once_key(key)).await
+    }
+}
+
+fn once_key(key: &str) -> OnceKey {
+    OnceKey {
+        service: "contest-desk".to_owned(),
+        organisation: "khlung-shop".to_owned(),
+        key: key.to_owned(),
+        digest: ledger::digest([key.as_bytes()].into_iter()),
+    }
+}
+
+fn run(test: impl std::future::Future<Output = ()>) {
+    runtime::run(test).expect("runtime");
+}
+
+#[test]
+fn verify_an_epoch_is_over_only_after_it_was_watched_for_all_of_its_time() {
+    let minutes = |count: u64| Duration::from_secs(60 * count);
+    let mut watch = EpochWatch::default();
+    assert!(!watch.is_over(minutes(500)), "nothing is known");
+    watch.note(7, minutes(50));
+    assert!(!watch.is_over(minutes(109)));
+    assert!(watch.is_over(minutes(110)));
+    watch.note(8, minutes(100));
+    assert!(!watch.is_over(minutes(159)), "the new epoch counts from when it was seen");
+    watch.note(7, minutes(158));
+    assert_eq!(watch.current(minutes(159)), 8, "an answer from the past changes nothing");
+    assert_eq!(watch.current(minutes(161)), 0, "what was not read for long may be over");
+}
+
+#[test]
+fn verify_rows_are_kept_for_whole_epochs_and_then_removed() {
+    run(async {
+        let store = TestStore::start().await;
+        assert_eq!(store.epoch_at(0).await, Some(1));
+        for number in 0..30 {
+            let outcome = store.claim(&format!("early-{number}")).await;
+            assert!(matches!(outcome, ClaimOutcome::Granted(_)));
+        }
+        let mut epoch = 1;
+        for hour in 1..=KEEP as u32 {
+            epoch = store.epoch_at(hour).await.expect("epoch");
+            assert_eq!(epoch, 1 + u64::from(hour));
+            store.claim(&format!("later-{hour}")).await;
+            assert_eq!(store.sweep_all(epoch).await, 0, "epoch {epoch}");
+            assert_eq!(store.claim("early-3").await, ClaimOutcome::Started, "still remembered");
+        }
+        assert_eq!(store.epoch_at(KEEP as u32 + 1).await, Some(epoch + 1));
+        // The rounds themselves swept a part each.
+        assert!(store.sweep_all(epoch + 1).await > 20);
+        assert!(matches!(store.claim("early-3").await, ClaimOutcome::Granted(_)), "forgotten");
+        assert_eq!(store.claim("later-1").await, ClaimOutcome::Started, "younger ones stay");
+        assert_eq!(store.sweep_all(epoch + 1).await, 0, "and so does the new one");
+    });
+}
+
+#[test]
+fn verify_rows_without_an_epoch_count_from_when_they_are_found() {
+    run(async {
+        let store = TestStore::start().await;
+        store.claim("undated").await;
+        let part = u32::from_str_radix(&once_key("undated").row_key()[5..7], 16).expect("part");
+        let report = store.retention.sweep(part, 40).await.expect("sweep");
+        assert_eq!((report.dated, report.removed), (1, 0));
+        assert_eq!(store.sweep_all(40 + KEEP).await, 0);
+        assert_eq!(store.claim("undated").await, ClaimOutcome::Started);
+        assert_eq!(store.sweep_all(41 + KEEP).await, 1);
+    });
+}
+
+#[test_case(json!({"down": true}) ; "down")]
+#[test_case(json!({"lose_writes": 1}) ; "a write lost")]
+#[test_case(json!({"lose_write_answers": 1}) ; "the answer of a write lost")]
+fn verify_a_store_in_trouble_never_hurries_an_epoch(faults: Value) {
+    run(async {
+        let store = TestStore::start().await;
+        assert_eq!(store.epoch_at(0).await, Some(1));
+        store.claim("kept").await;
+        store.faults(faults).await;
+        assert_eq!(store.epoch_at(1).await, None, "the round fails");
+        store.faults(json!({})).await;
+        // Whether or not the write happened, one epoch follows the other.
+        assert_eq!(store.epoch_at(1).await, Some(2));
+        assert_eq!(store.epoch_at(1).await, Some(2));
+        assert_eq!(store.epoch_at(2).await, Some(3));
+        assert_eq!(store.sweep_all(3).await, 0);
+        assert_eq!(store.claim("kept").await, ClaimOutcome::Started);
+    });
+}
+
+#[test]
+fn verify_many_daemons_bring_one_epoch_and_newcomers_none() {
+    run(async {
+        let store = TestStore::start().await;
+        let others: Vec<TestStore> = (0..5).map(|_| TestStore::at(store.address)).collect();
+        assert_eq!(store.epoch_at(0).await, Some(1));
+        for other in &others {
+            assert_eq!(other.epoch_at(0).await, Some(1));
+        }
+        assert_eq!(store.epoch_at(1).await, Some(2));
+        for other in &others {
+            assert_eq!(
+                other.epoch_at(1).await,
+                Some(2),
+                "it was watched for an hour, but as epoch 1"
+            );
+        }
+        // A daemon whose clock began long ago has not watched what it never read.
+        let newcomer = TestStore::at(store.address);
+        assert_eq!(newcomer.epoch_at(900).await, Some(2));
+    });
+}
+
+#[test]
+fn verify_an_answer_from_the_past_never_brings_an_epoch_back() {
+    run(async {
+        let store = TestStore::start().await;
+        let late = TestStore::at(store.address);
+        assert_eq!(store.epoch_at(0).await, Some(1));
+        assert_eq!(late.epoch_at(0).await, Some(1));
+        let past = json!({"reads_from_past_ms": 3_600_000});
+        store.faults(past.clone()).await;
+        store.faults(json!({})).await;
+        assert_eq!(store.epoch_at(1).await, Some(2));
+        assert_eq!(store.epoch_at(2).await, Some(3));
+        store.faults(past).await;
+        // It reads the first epoch, which it watched for hours, and would write the second.
+        assert_eq!(late.epoch_at(3).await, Some(1));
+        store.faults(json!({})).await;
+        let newcomer = TestStore::at(store.address);
+        assert_eq!(newcomer.epoch_at(0).await, Some(3));
+    });
+}
+
+#[test]
+fn verify_rows_written_without_touch_to_the_store_for_long_carry_no_epoch() {
+    run(async {
+        let store = TestStore::start().await;
+        assert_eq!(store.epoch_at(0).await, Some(1));
+        store.faults(json!({"down": true})).await;
+        assert_eq!(store.epoch_at(5).await, None);
+        store.faults(json!({})).await;
+        store.claim("after the outage").await;
+        let key = once_key("after the outage").row_key();
+        let platform = PlatformClient::new(store.address, 1e6, 1e6);
+        let rows = platform.read(vec![key]).await.expect("read");
+        assert_eq!(rows[0].value["epoch"], json!(0), "the one it knew may long be over");
+    });
+}
