Forget services that nobody asks for; look at health without keeping it

Cause: an ingress kept what it learnt of every service ever asked for, about 400 bytes an upstream, until the service was no longer configured; basaltctl health without a service made it keep all of them (80 MB at the two-year size).

Gauge: services.

Measured: a test with 100 ms shows 1, then 0 once nothing is under way, and that requests go on. Memory at the two-year size with services in use was not measured.

Conclusion: what an ingress holds is bounded by what its callers asked for lately.

--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -90,7 +90,7 @@
     names.sort();
     let mut services = Vec::new();
     for name in &names {
-        match state.services.get(state, &active, name) {
+        match state.services.peek(state, &active, name) {
             Some(service) => services.push(service_health(state, &service)),
             None => {
                 return super::problem(StatusCode::NOT_FOUND, format!("no service {name}"));
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -68,6 +68,9 @@
             /// Hours for which a key of once-only work is remembered at least
             /// [BASALTARCH_ONCE_KEEP_HOURS], default 24.
             optional --once-keep-hours hours: String
+            /// Time in ms after which what was learnt of a service that nobody asks for is
+            /// forgotten [BASALTARCH_SERVICE_IDLE_MS], default 600000.
+            optional --service-idle-ms ms: String
         }
     }
 }
@@ -119,6 +122,7 @@
         store_reads: flags.store_reads,
         store_writes: flags.store_writes,
         once_keep_hours: flags.once_keep_hours,
+        service_idle_ms: flags.service_idle_ms,
     };
     let options = DaemonOptions::try_new(raw).map_err(|source| DaemonError::Setting { source })?;
     logs::start(&options.log);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -54,6 +54,8 @@
 pub static OLD_REVISIONS: CounterCell = CounterCell::new();
 /// Live members known.
 pub static MEMBERS: GaugeCell = GaugeCell::new();
+/// Services that this ingress has learnt of from requests.
+pub static SERVICES: GaugeCell = GaugeCell::new();
 /// Open links to peers.
 pub static LINKS: GaugeCell = GaugeCell::new();
 /// Bytes sent to peers.
@@ -119,6 +121,7 @@
         counter("store_failures", "Calls to the platform that failed.", &STORE_FAILURES),
         gauge("revision", "Revision in force.", &REVISION),
         gauge("members", "Live members known.", &MEMBERS),
+        gauge("services", "Services learnt of from requests.", &SERVICES),
         gauge("links", "Open links to peers.", &LINKS),
         gauge("in_flight", "Requests in flight from callers.", &IN_FLIGHT),
         gauge("caller_connections", "Callers' connections.", &CALLER_CONNECTIONS),
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -67,6 +67,8 @@
     pub store_writes: Option<String>,
     /// Hours for which rows of once-only work are kept at least.
     pub once_keep_hours: Option<String>,
+    /// Time after which a service that nobody asks for is forgotten, in milliseconds.
+    pub service_idle_ms: Option<String>,
 }
 
 /// `DaemonOptions` are the checked settings.
@@ -112,6 +114,8 @@
     pub store_writes: f64,
     /// Hours for which rows of once-only work are kept at least.
     pub once_keep_hours: u64,
+    /// Time after which a service that nobody asks for is forgotten.
+    pub service_idle: Duration,
 }
 
 impl DaemonOptions {
@@ -149,6 +153,7 @@
             },
             store_reads: count("store-reads", raw.store_reads, 400, 1, 100_000)? as f64,
             store_writes: count("store-writes", raw.store_writes, 50, 1, 100_000)? as f64,
+            service_idle: millis("service-idle-ms", raw.service_idle_ms, 600_000, 86_400_000)?,
             once_keep_hours: count("once-keep-hours", raw.once_keep_hours, 24, 1, 8760)?,
         })
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -20,6 +20,7 @@
 use crate::metrics;
 use crate::options::DaemonOptions;
 use crate::retention;
+use crate::services;
 use crate::spread;
 use crate::state::DaemonState;
 
@@ -112,6 +113,7 @@
     monoio::spawn(membership::find_seeds(state.clone()));
     monoio::spawn(spread::poll(state.clone()));
     monoio::spawn(retention::run(state.clone()));
+    monoio::spawn(services::forget_idle(state.clone()));
     monoio::spawn(follow_configuration(state.clone()));
 }
 
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -37,6 +37,17 @@
     recent: RefCell<RecentAnswers>,
     budget: RefCell<RetryBudget>,
     violations: Cell<u64>,
+    used_at: Cell<Duration>,
+}
+
+/// Forgets services that nobody asks for, for ever. What is learnt of a service costs about 400 bytes
+/// an upstream, and is learnt again from the first answers.
+pub async fn forget_idle(state: Rc<DaemonState>) {
+    let life = state.options.service_idle;
+    loop {
+        monoio::time::sleep(life / 4).await;
+        state.services.forget_idle(state.now().saturating_sub(life));
+    }
 }
 
 /// `ServiceTable` holds the services that the ingress sent requests to.
@@ -52,6 +63,24 @@
         state: &DaemonState,
         active: &ActiveConfig,
         name: &str,
+    ) -> Option<Rc<ServiceState>> {
+        let service = self.peek(state, active, name)?;
+        service.used_at.set(state.now());
+        let mut services = self.services.borrow_mut();
+        let known = services.get(name);
+        if known.is_none_or(|known| !Rc::ptr_eq(known, &service)) {
+            services.insert(service.entry.name.clone(), service.clone());
+            metrics::SERVICES.set(services.len() as i64);
+        }
+        Some(service)
+    }
+
+    /// Returns the state of a service as [`Self::get`] does, but does not keep it if it is new.
+    pub fn peek(
+        &self,
+        state: &DaemonState,
+        active: &ActiveConfig,
+        name: &str,
     ) -> Option<Rc<ServiceState>> {
         let (name, packed) = active.services.get_key_value(name)?;
         let known = self.services.borrow().get(name).cloned();
@@ -61,20 +90,23 @@
             }
         }
         let entry = packed.unpack(name);
-        let made = Rc::new(ServiceState::new(state, entry, packed.clone(), known.as_deref()));
-        self.services.borrow_mut().insert(name.clone(), made.clone());
-        Some(made)
-    }
-
-    /// Returns the state of a service if the ingress has any.
-    pub fn known(&self, name: &str) -> Option<Rc<ServiceState>> {
-        self.services.borrow().get(name).cloned()
+        Some(Rc::new(ServiceState::new(state, entry, packed.clone(), known.as_deref())))
     }
 
     /// Forgets services that are no longer configured.
     pub fn forget_gone(&self, active: &ActiveConfig) {
         let mut services = self.services.borrow_mut();
         services.retain(|name, _| active.services.contains_key(name));
+        metrics::SERVICES.set(services.len() as i64);
+    }
+
+    /// Forgets services that no request has asked for since `before`; those with requests under way
+    /// stay.
+    fn forget_idle(&self, before: Duration) {
+        let mut services = self.services.borrow_mut();
+        services
+            .retain(|_, service| service.used_at.get() >= before || Rc::strong_count(service) > 1);
+        metrics::SERVICES.set(services.len() as i64);
     }
 }
 
@@ -104,6 +136,7 @@
             recent: RefCell::default(),
             budget: RefCell::new(RetryBudget::new(entry.spec.retry_budget)),
             violations: Cell::new(0),
+            used_at: Cell::new(state.now()),
             entry,
             packed,
         }
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -226,6 +226,31 @@
     assert_eq!(fleet.ran("after"), 0);
 }
 
+#[test]
+fn verify_a_service_that_nobody_asks_for_is_forgotten_but_no_request_under_way() {
+    let daemon_flags = vec![("service-idle-ms", "100")];
+    let fleet = TestFleet::start(&FleetPlan { daemon_flags, ..FleetPlan::default() });
+    let known = || fleet.daemons[0].metric("services{") + fleet.daemons[0].metric("services ");
+    assert_eq!(known(), 0.0);
+    let callers = fleet.daemons[0].callers;
+    let slow = thread::spawn(move || {
+        let headers = [("Host", "solver.example"), ("x-work-ms", "1500"), ("x-request-id", "slow")];
+        client::call(callers, "GET", "/plain", &headers, "")
+    });
+    eventually("it is learnt of", || known() == 1.0);
+    eventually("the work starts", || fleet.ran("slow") == 1);
+    // Looking at its health is no request for it.
+    fleet.daemons[0].get("/v1/health");
+    eventually("it is forgotten once nothing is under way", || known() == 0.0);
+    assert_eq!(slow.join().expect("join").status, 200);
+    for number in 0..5 {
+        let id = format!("again-{number}");
+        let reply = fleet.request(0, "GET", "/plain", &[("x-request-id", &id)], "");
+        assert_eq!((reply.status, fleet.ran(&id)), (200, 1));
+    }
+    fleet.check_invariants();
+}
+
 #[test]
 fn verify_operators_see_how_requests_ended() {
     let hops = TwoHops::start(None);
