Measure decision cost in one place

The stopwatch in basaltarch-bench capacity measured what the benches of the decide crate measure since today; the copy goes.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -14,10 +14,8 @@
 use basaltarch_core::routes::RouteMatch;
 use basaltarch_core::snapshot;
 use basaltarch_core::units::FleetRevision;
-use basaltarch_decide::balance::{LoadView, ServiceView};
-use basaltarch_decide::baseline::RouteBaseline;
-use basaltarch_decide::evidence::{ServiceBaseline, WorkEvidence};
-use basaltarch_decide::health::{DispatchTerms, HealthReport, UpstreamHealth};
+use basaltarch_decide::balance::LoadView;
+use basaltarch_decide::health::UpstreamHealth;
 use cap::Cap;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -255,92 +253,6 @@
     start.elapsed().as_nanos() as f64 / LOOKUPS as f64
 }
 
-/// `DecisionCost` is what decisions cost.
-#[derive(Debug, Clone, Copy)]
-pub struct DecisionCost {
-    /// Upstreams of the service.
-    pub upstreams: usize,
-    /// Nanoseconds of one choice.
-    pub choose_ns: f64,
-    /// Nanoseconds of taking a report in.
-    pub report_ns: f64,
-    /// Nanoseconds of admitting and judging one request at the host role.
-    pub judge_ns: f64,
-    /// Bytes of the view of one upstream.
-    pub view_bytes: usize,
-    /// Bytes of the health of one upstream, without its routes.
-    pub health_bytes: usize,
-}
-
-fn report(sickness: f64) -> HealthReport {
-    HealthReport {
-        sickness,
-        ejected: false,
-        median_ln: 10.0,
-        spread: 0.5,
-        failure_rate: 0.001,
-        overdue_rate: 0.001,
-        samples: 100,
-        ramp: 1.0,
-        trial_in: Duration::ZERO,
-    }
-}
-
-/// Measures decisions for a service with so many upstreams.
-pub fn measure_decisions(upstreams: usize) -> DecisionCost {
-    const ROUNDS: u32 = 200_000;
-    let mut rng = ChaCha8Rng::seed_from_u64(6);
-    let views = (0..upstreams).map(|index| LoadView::new(4, index % 3 == 0)).collect();
-    let mut view = ServiceView::new(0.7, views);
-    let mut baseline = RouteBaseline::default();
-    let mut now = Duration::from_secs(1);
-    let start = Instant::now();
-    for round in 0..ROUNDS {
-        let index = round as usize % upstreams;
-        now += Duration::from_micros(300);
-        baseline.note(index as u32, &report(0.1));
-        view.note_median(baseline.current().median_ln);
-        view.note_report(index, round % 4, report(0.1), now);
-        black_box(view.sickness_median(now));
-    }
-    let report_ns = start.elapsed().as_nanos() as f64 / f64::from(ROUNDS);
-    let start = Instant::now();
-    for _ in 0..ROUNDS {
-        now += Duration::from_micros(300);
-        black_box(view.choose(now, &[], true, false, &mut rng));
-    }
-    let choose_ns = start.elapsed().as_nanos() as f64 / f64::from(ROUNDS);
-    DecisionCost {
-        upstreams,
-        choose_ns,
-        report_ns,
-        judge_ns: measure_judge(ROUNDS),
-        view_bytes: std::mem::size_of::<LoadView>(),
-        health_bytes: std::mem::size_of::<UpstreamHealth>(),
-    }
-}
-
-fn measure_judge(rounds: u32) -> f64 {
-    use basaltarch_core::resources::PreferChoice;
-    let mut health = UpstreamHealth::new(PreferChoice::Precision, Duration::ZERO, false);
-    let baseline = ServiceBaseline {
-        median_ln: 10.0,
-        spread: 0.5,
-        upstreams: 10,
-        ..ServiceBaseline::default()
-    };
-    let terms = DispatchTerms { route: "puzzle", refusable: true, repeatable: true, baseline };
-    let start = Instant::now();
-    for round in 0..rounds {
-        let now = Duration::from_millis(u64::from(round));
-        black_box(health.admit(&terms, now));
-        let took = Duration::from_micros(20_000 + u64::from(round % 7) * 1000);
-        black_box(health.note("puzzle", WorkEvidence::Answered(took), false, now));
-        black_box(health.report("puzzle", now));
-    }
-    start.elapsed().as_nanos() as f64 / f64::from(rounds)
-}
-
 /// Prints every slope.
 pub fn print_all() {
     println!("configuration held whole by one daemon");
@@ -375,18 +287,7 @@
             println!("{name:<15} {bytes:.0}");
         }
     }
-    println!("\ndecisions");
-    println!("upstreams  choose ns  report ns  judge ns  view bytes  health bytes");
-    for upstreams in [6, 15, 25, 100] {
-        let cost = measure_decisions(upstreams);
-        println!(
-            "{:<10} {:<10.0} {:<10.0} {:<9.0} {:<11} {}",
-            cost.upstreams,
-            cost.choose_ns,
-            cost.report_ns,
-            cost.judge_ns,
-            cost.view_bytes,
-            cost.health_bytes
-        );
-    }
+    println!("\nbytes of one upstream, in use");
+    println!("view at an ingress {}", std::mem::size_of::<LoadView>());
+    println!("health at its host {}, and each route", std::mem::size_of::<UpstreamHealth>());
 }
