--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -68,6 +68,8 @@
                 required token: String
                 /// Changes, default 10.
                 optional --changes count: String
+                /// Pause between changes in ms, default 300.
+                optional --pause-ms ms: String
             }
             /// Runs the decision bench: every case, or some, in virtual time.
             cmd decisions {
@@ -285,7 +287,10 @@
     let admins: Result<Vec<SocketAddr>, BenchError> =
         flags.admins.split(',').map(|each| address("admins", each)).collect();
     let changes = number("changes", flags.changes.clone(), 10.0, 1.0, 1000.0)? as usize;
-    let running = spread::run(admins?, flags.token.clone(), changes);
+    let usual = spread::CHANGE_PAUSE.as_millis() as f64;
+    let pause = number("pause-ms", flags.pause_ms.clone(), usual, 1.0, 60_000.0)?;
+    let pause = Duration::from_secs_f64(pause / 1000.0);
+    let running = spread::run(admins?, flags.token.clone(), changes, pause);
     let report = runtime::run(running).map_err(|source| BenchError::Start { source })??;
     println!("{}", serde_json::json!(report));
     Ok(())
--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -20,8 +20,8 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Time between looks at what the watches have brought.
 const LOOK_EVERY: Duration = Duration::from_millis(1);
-/// Pause between changes, so that each is measured by itself.
-const CHANGE_PAUSE: Duration = Duration::from_millis(300);
+/// Usual pause between changes, so that each is measured by itself.
+pub const CHANGE_PAUSE: Duration = Duration::from_millis(300);
 
 /// `SpreadReport` tells the times over all changes, in milliseconds.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -49,6 +49,7 @@
     admins: Vec<SocketAddr>,
     token: String,
     changes: usize,
+    pause: Duration,
 ) -> Result<SpreadReport, BenchError> {
     let api = |address: &SocketAddr| AdminApi::new(*address, token.clone(), "bench".to_owned());
     let first = api(&admins[0]);
@@ -69,7 +70,7 @@
             let _ = watcher.watch(&target, note).await;
         });
     }
-    monoio::time::sleep(CHANGE_PAUSE).await;
+    monoio::time::sleep(pause).await;
     let (mut all, mut half, mut accepted) = (Vec::new(), Vec::new(), Vec::new());
     for number in 0..changes {
         let start = Instant::now();
@@ -83,7 +84,7 @@
         let times = wait_all(&seen, revision, start).await?;
         all.push(times[times.len() - 1]);
         half.push(times[times.len() / 2]);
-        monoio::time::sleep(CHANGE_PAUSE).await;
+        monoio::time::sleep(pause).await;
     }
     Ok(SpreadReport {
         daemons: admins.len(),
