Prove that regions which lose each other both serve and agree afterwards; split the bench's world

Change: a test with two regions, every link and the second region's way to the store cut in both directions: both serve their callers, changes and once-only work go on where the store is and are refused as not run where it is not, nothing runs twice, and all agree after the cut.

--- /dev/null
+++ b/crates/bench/src/decisions/actors.rs
@@ -0,0 +1,124 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! What a run of the decision bench is made of: requests, work, upstreams, ingresses, events.
+
+#![allow(missing_docs, reason = "the fields are named for what they are; only `world` uses them")]
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use basaltarch_core::resources::PreferChoice;
+use basaltarch_decide::balance::{LoadView, ServiceView};
+use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
+use basaltarch_decide::budget::RetryBudget;
+use basaltarch_decide::health::{HealthReport, UpstreamHealth};
+
+use crate::decisions::faults::JobEnd;
+use crate::decisions::rules::{PlainRule, RuleKind};
+use crate::decisions::scenario::{self, ScenarioPlan};
+
+/// Routes of the service; one in four fails in the one-route case.
+pub const ROUTES: [&str; 4] = ["route-1", "route-2", "route-3", "route-4"];
+
+/// `Event` is what happens next.
+#[derive(Debug, Clone, Copy)]
+pub enum Event {
+    Arrival,
+    Replace,
+    AtHost { request: usize, upstream: usize, refusable: bool },
+    Overdue { job: usize },
+    End { job: usize },
+    Reply { request: usize, upstream: usize, answer: Answer },
+}
+
+/// `Answer` is what a host tells an ingress.
+#[derive(Debug, Clone, Copy)]
+pub enum Answer {
+    Done { end: JobEnd, took: Duration, load: u32, health: HealthReport },
+    Refused { load: u32, health: HealthReport },
+}
+
+/// `Request` is a caller's request.
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub ingress: usize,
+    pub route: usize,
+    pub repeatable: bool,
+    pub poison: bool,
+    pub begun: Duration,
+    pub sent_at: Duration,
+    pub dispatches: usize,
+    pub excluded: Vec<usize>,
+    pub failed_at: Option<usize>,
+    pub over: bool,
+}
+
+/// `Job` is the work on a request at an upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct Job {
+    pub request: usize,
+    pub upstream: usize,
+    pub route: usize,
+    pub started: Duration,
+    pub end: JobEnd,
+    pub overdue: bool,
+    pub trial: bool,
+    pub after_failure: bool,
+    pub over: bool,
+}
+
+/// `Upstream` is a scripted upstream, with what its daemon thinks of it.
+pub struct Upstream {
+    pub health: UpstreamHealth,
+    pub working: u32,
+    pub queue: VecDeque<(usize, bool)>,
+    pub accepted: Vec<Duration>,
+}
+
+/// `Ingress` is an ingress, with what it knows of the service.
+pub struct Ingress {
+    pub view: ServiceView,
+    pub baselines: Vec<RouteBaseline>,
+    pub recent: RecentAnswers,
+    pub rule: PlainRule,
+    pub budget: RetryBudget,
+    pub domain: usize,
+}
+
+/// Builds the health of an upstream.
+pub fn new_health(
+    prefer: PreferChoice,
+    strictness: f64,
+    now: Duration,
+    cold: bool,
+) -> UpstreamHealth {
+    let mut health = UpstreamHealth::new(prefer, now, cold);
+    health.set_threshold(strictness.max(1.0));
+    health
+}
+
+/// Builds an ingress in a failure domain.
+pub fn new_ingress(plan: &ScenarioPlan, rule: RuleKind, strictness: f64, domain: usize) -> Ingress {
+    let deployment = plan.deployment;
+    let views = (0..deployment.upstreams)
+        .map(|index| LoadView::new(deployment.slots, index % deployment.domains == domain))
+        .collect();
+    Ingress {
+        view: ServiceView::new(deployment.floor, views),
+        baselines: vec![RouteBaseline::default(); ROUTES.len()],
+        recent: RecentAnswers::default(),
+        rule: PlainRule::new(rule, strictness, deployment.upstreams, deployment.floor),
+        budget: RetryBudget::new(0.1),
+        domain,
+    }
+}
+
+/// Returns the way from a failure domain to an upstream.
+pub fn delay_between(plan: &ScenarioPlan, domain: usize, upstream: usize) -> Duration {
+    if upstream % plan.deployment.domains == domain {
+        scenario::LOCAL_DELAY
+    } else {
+        scenario::REMOTE_DELAY
+    }
+}
--- a/crates/bench/src/decisions/mod.rs
+++ b/crates/bench/src/decisions/mod.rs
@@ -8,6 +8,7 @@
 //! over scripted upstreams of one service in virtual time, with seeded random numbers. There is no
 //! network, no platform and no process in it, and every run gives the same figures.
 
+pub mod actors;
 pub mod bounds;
 pub mod chart;
 pub mod faults;
--- a/crates/bench/src/decisions/world.rs
+++ b/crates/bench/src/decisions/world.rs
@@ -8,23 +8,17 @@
 use std::time::Duration;
 
 use basaltarch_core::resources::PreferChoice;
-use basaltarch_decide::balance::{LoadView, ServiceView};
-use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
-use basaltarch_decide::budget::RetryBudget;
 use basaltarch_decide::evidence::WorkEvidence;
-use basaltarch_decide::health::{
-    AdmitVerdict, DispatchTerms, HealthChange, HealthReport, UpstreamHealth,
-};
+use basaltarch_decide::health::{AdmitVerdict, DispatchTerms, HealthChange, HealthReport};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1, LogNormal};
 
+use crate::decisions::actors::{self, Answer, Event, Ingress, Job, Request, Upstream, ROUTES};
 use crate::decisions::faults::{self, JobEnd};
-use crate::decisions::rules::{PlainRule, RuleKind};
+use crate::decisions::rules::RuleKind;
 use crate::decisions::scenario::{self, FaultScript, ScenarioPlan};
 
-/// Routes of the service; one in four fails in the one-route case.
-const ROUTES: [&str; 4] = ["route-1", "route-2", "route-3", "route-4"];
 /// Route of the slow requests of the mixed cases.
 const SLOW_ROUTE: usize = 3;
 /// Quiet time, in mean times between an upstream's requests, after which the work has stopped.
@@ -66,65 +60,6 @@
     pub returned: Option<Duration>,
 }
 
-#[derive(Debug, Clone, Copy)]
-enum Event {
-    Arrival,
-    Replace,
-    AtHost { request: usize, upstream: usize, refusable: bool },
-    Overdue { job: usize },
-    End { job: usize },
-    Reply { request: usize, upstream: usize, answer: Answer },
-}
-
-#[derive(Debug, Clone, Copy)]
-enum Answer {
-    Done { end: JobEnd, took: Duration, load: u32, health: HealthReport },
-    Refused { load: u32, health: HealthReport },
-}
-
-#[derive(Debug, Clone)]
-struct Request {
-    ingress: usize,
-    route: usize,
-    repeatable: bool,
-    poison: bool,
-    begun: Duration,
-    sent_at: Duration,
-    dispatches: usize,
-    excluded: Vec<usize>,
-    failed_at: Option<usize>,
-    over: bool,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Job {
-    request: usize,
-    upstream: usize,
-    route: usize,
-    started: Duration,
-    end: JobEnd,
-    overdue: bool,
-    trial: bool,
-    after_failure: bool,
-    over: bool,
-}
-
-struct Upstream {
-    health: UpstreamHealth,
-    working: u32,
-    queue: VecDeque<(usize, bool)>,
-    accepted: Vec<Duration>,
-}
-
-struct Ingress {
-    view: ServiceView,
-    baselines: Vec<RouteBaseline>,
-    recent: RecentAnswers,
-    rule: PlainRule,
-    budget: RetryBudget,
-    domain: usize,
-}
-
 /// `World` is one run under way.
 pub struct World {
     plan: ScenarioPlan,
@@ -155,14 +90,14 @@
         let prefer = rule.prefer().unwrap_or(PreferChoice::Precision);
         let upstreams = (0..deployment.upstreams)
             .map(|_| Upstream {
-                health: new_health(prefer, strictness, Duration::ZERO, false),
+                health: actors::new_health(prefer, strictness, Duration::ZERO, false),
                 working: 0,
                 queue: VecDeque::new(),
                 accepted: Vec::new(),
             })
             .collect();
         let ingresses = (0..scenario::INGRESSES)
-            .map(|number| new_ingress(&plan, rule, strictness, number % deployment.domains))
+            .map(|number| actors::new_ingress(&plan, rule, strictness, number % deployment.domains))
             .collect();
         let median = scenario::SERVICE_MEDIAN.as_secs_f64().ln();
         let times = LogNormal::new(median, scenario::SERVICE_SPREAD);
@@ -224,7 +159,7 @@
     /// Replaces the upstream of the cold-start case; its daemon sees a new backend server.
     fn replace_sick(&mut self) {
         let prefer = self.rule.prefer().unwrap_or(PreferChoice::Precision);
-        self.upstreams[SICK].health = new_health(prefer, self.strictness, self.now, true);
+        self.upstreams[SICK].health = actors::new_health(prefer, self.strictness, self.now, true);
     }
 
     fn in_fault(&self) -> bool {
@@ -302,7 +237,7 @@
             _ => return self.finish_request(number, false),
         };
         ingress.view.note_sent(choice.index);
-        let delay = delay_between(&self.plan, ingress.domain, choice.index);
+        let delay = actors::delay_between(&self.plan, ingress.domain, choice.index);
         let event =
             Event::AtHost { request: number, upstream: choice.index, refusable: choice.refusable };
         self.note_capacity(number);
@@ -395,7 +330,7 @@
 
     fn reply(&mut self, number: usize, index: usize, answer: Answer) {
         let domain = self.ingresses[self.requests[number].ingress].domain;
-        let delay = delay_between(&self.plan, domain, index);
+        let delay = actors::delay_between(&self.plan, domain, index);
         self.schedule(delay, Event::Reply { request: number, upstream: index, answer });
     }
 
@@ -613,32 +548,3 @@
         self.result.detection = stopped.then(|| last - begin);
     }
 }
-
-fn new_health(prefer: PreferChoice, strictness: f64, now: Duration, cold: bool) -> UpstreamHealth {
-    let mut health = UpstreamHealth::new(prefer, now, cold);
-    health.set_threshold(strictness.max(1.0));
-    health
-}
-
-fn new_ingress(plan: &ScenarioPlan, rule: RuleKind, strictness: f64, domain: usize) -> Ingress {
-    let deployment = plan.deployment;
-    let views = (0..deployment.upstreams)
-        .map(|index| LoadView::new(deployment.slots, index % deployment.domains == domain))
-        .collect();
-    Ingress {
-        view: ServiceView::new(deployment.floor, views),
-        baselines: vec![RouteBaseline::default(); ROUTES.len()],
-        recent: RecentAnswers::default(),
-        rule: PlainRule::new(rule, strictness, deployment.upstreams, deployment.floor),
-        budget: RetryBudget::new(0.1),
-        domain,
-    }
-}
-
-fn delay_between(plan: &ScenarioPlan, domain: usize, upstream: usize) -> Duration {
-    if upstream % plan.deployment.domains == domain {
-        scenario::LOCAL_DELAY
-    } else {
-        scenario::REMOTE_DELAY
-    }
-}
--- a/crates/daemon/tests/paths.rs
+++ b/crates/daemon/tests/paths.rs
@@ -1,7 +1,7 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! Paths to peers that only some of the fleet has lost.
+//! Paths to peers that only some of the fleet has lost, and regions that lose each other.
 
 mod common;
 
@@ -99,3 +99,104 @@
     }
     half.fleet.check_invariants();
 }
+
+/// Two regions of two daemons each. Every link to a daemon passes a forwarder of its own, and the
+/// second region's way to the store passes one too.
+struct TwoRegions {
+    fleet: TestFleet,
+    links: Vec<Forwarder>,
+    store: Forwarder,
+}
+
+const REGIONS: [[&str; 2]; 2] = [["host-a", "host-b"], ["host-c", "host-d"]];
+
+impl TwoRegions {
+    fn start() -> Self {
+        let platform = TestPlatform::start();
+        let store = Forwarder::start();
+        store.forward_to(platform.address);
+        let mut links = Vec::new();
+        let mut daemons = Vec::new();
+        for (region, hosts) in REGIONS.iter().enumerate() {
+            for name in hosts {
+                let link = Forwarder::start();
+                let advertised = link.address.to_string();
+                let flags = [("advertise-peers", advertised.as_str())];
+                let table = if region == 0 { platform.address } else { store.address };
+                let domain = ["bkk-a", "bkk-b"][region];
+                let daemon = TestDaemon::start(table, name, domain, &flags);
+                link.forward_to(daemon.peers);
+                platform.list_host(name, domain, link.address, daemon.admin, "live");
+                links.push(link);
+                daemons.push(daemon);
+            }
+        }
+        let mut fleet = TestFleet { platform, daemons, backends: Vec::new() };
+        fleet.wait_members();
+        let start = |number| TestBackend::start(&format!("server-{number}"), 1);
+        fleet.backends = (1..=4).map(start).collect();
+        let service = json!({"floor": 0.5, "prefer": "detection", "retry_budget": 1.0});
+        let mut configuration = fleet.configuration(&FleetPlan { service, ..FleetPlan::default() });
+        for (index, name) in ["server-1", "server-2", "server-3", "server-4"].iter().enumerate() {
+            configuration["backend-servers"][name]["host"] = json!(REGIONS[index / 2][index % 2]);
+        }
+        let reply = fleet.apply(&configuration);
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        fleet.wait_revision(1);
+        Self { fleet, links, store }
+    }
+
+    /// Cuts the regions from each other, and the second from the store, in both directions.
+    fn cut(&self, on: bool) {
+        for (index, link) in self.links.iter().enumerate() {
+            let others = REGIONS[1 - index / 2].map(str::to_owned).to_vec();
+            *link.cuts.only.lock().expect("lock") = others;
+            link.cuts.forward.store(on, Ordering::SeqCst);
+            link.cuts.back.store(on, Ordering::SeqCst);
+        }
+        self.store.cuts.forward.store(on, Ordering::SeqCst);
+        self.store.cuts.back.store(on, Ordering::SeqCst);
+    }
+
+    fn pay(&self, daemon: usize, key: &str) -> (u16, Option<String>) {
+        let headers = [("idempotency-key", key), ("x-request-id", key)];
+        let reply = self.fleet.request(daemon, "POST", "/payouts", &headers, "100");
+        (reply.status, reply.outcome())
+    }
+}
+
+#[test]
+fn verify_regions_that_lose_each_other_both_serve_and_agree_afterwards() {
+    let regions = TwoRegions::start();
+    let fleet = &regions.fleet;
+    let served = |daemon: usize| fleet.request(daemon, "GET", "/puzzle", &[], "").status == 200;
+    assert!((0..4).all(served));
+    assert_eq!(regions.pay(2, "before").0, 200);
+    regions.cut(true);
+    for daemon in 0..4 {
+        eventually("each region serves its callers by itself", || (0..10).all(|_| served(daemon)));
+    }
+    // The region with the store goes on changing; the other serves with what it has.
+    for number in 0..3 {
+        let path = format!("/v1/organisations/cut-{number}");
+        let reply = fleet.daemons[0].call("PUT", &path, &[("If-None-Match", "*")], "{}");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    eventually("it is in force where the store is", || fleet.daemons[1].revision() == 4);
+    assert_eq!((fleet.daemons[2].revision(), fleet.daemons[3].revision()), (1, 1));
+    // Once-only work needs the store: it runs in one region and is refused in the other.
+    eventually("work of this region runs", || regions.pay(0, "one-key").0 == 200);
+    let (status, outcome) = regions.pay(2, "one-key");
+    assert_eq!((status, outcome.as_deref()), (503, Some("not-run")));
+    let (status, outcome) = regions.pay(3, "before");
+    assert_eq!((status, outcome.as_deref()), (503, Some("not-run")), "the row can't be read");
+    regions.cut(false);
+    fleet.wait_revision(4);
+    for key in ["one-key", "before"] {
+        eventually("the other region hears that it was done", || regions.pay(2, key).0 == 200);
+        assert_eq!(fleet.ran(key), 1, "{key}");
+    }
+    let last = fleet.daemons[3].revision();
+    assert!(fleet.daemons.iter().all(|daemon| daemon.revision() == last), "none went back");
+    fleet.check_invariants();
+}
