Prove that a host which stands still is left and used again

A daemon stopped by signal answers nothing and closes nothing: its path is left, callers are served by the others, its healthy server is not ejected, and it is used again when it goes on, twice over.

--- a/crates/daemon/tests/paths.rs
+++ b/crates/daemon/tests/paths.rs
@@ -100,6 +100,26 @@
     half.fleet.check_invariants();
 }
 
+/// A host that stands still answers nothing and closes nothing; its links stay open.
+#[test]
+fn verify_a_host_that_stands_still_is_left_and_used_again_when_it_goes_on() {
+    let half = HalfCut::start();
+    let last = &half.fleet.daemons[LAST];
+    eventually("the last server is used", || half.ask(0, 20).1);
+    for round in 0..2 {
+        last.signal("-STOP");
+        eventually("its path is left", || {
+            half.ask(0, 5);
+            half.seen_by(0) == "unreachable"
+        });
+        assert_eq!(half.ask(0, 30), (true, false), "round {round}: the others serve its callers");
+        last.signal("-CONT");
+        eventually("it is used again", || half.ask(0, 20).1);
+    }
+    assert!(!last.log_text().contains("upstream ejected"), "its server was well all the time");
+    half.fleet.check_invariants();
+}
+
 /// Two regions of two daemons each. Every link to a daemon passes a forwarder of its own, and the
 /// second region's way to the store passes one too.
 struct TwoRegions {
