--- a/crates/decide/tests/floor.rs
+++ b/crates/decide/tests/floor.rs
@@ -67,8 +67,14 @@
     Report(usize, f64, bool),
     Draining(usize, bool),
     Reachable(usize, bool),
-    Choose { excluded: Vec<usize>, repeatable: bool, must_take: bool },
+    Choose {
+        excluded: Vec<usize>,
+        repeatable: bool,
+        must_take: bool,
+    },
     Wait(u64),
+    /// A configuration that changes the floor, the slots, and how many upstreams there are.
+    Configure(f64, Vec<u32>),
 }
 
 fn any_change() -> impl Strategy<Value = ViewChange> {
@@ -85,6 +91,8 @@
             }
         ),
         (0..100_000_u64).prop_map(ViewChange::Wait),
+        (0.0..=1.0_f64, prop::collection::vec(1..6_u32, 1..25))
+            .prop_map(|(floor, slots)| ViewChange::Configure(floor, slots)),
     ]
 }
 
@@ -142,6 +150,7 @@
                 ViewChange::Draining(index, on) => view.note_draining(index, on),
                 ViewChange::Reachable(index, on) => view.note_reachable(index, on),
                 ViewChange::Wait(millis) => now += Duration::from_millis(millis),
+                ViewChange::Configure(floor, slots) => view = configured(&view, floor, &slots),
                 ViewChange::Choose { excluded, repeatable, must_take } => {
                     let choice = view.choose(now, &excluded, repeatable, must_take, &mut rng);
                     prop_assert!(view.plan().holds());
@@ -155,6 +164,15 @@
     }
 }
 
+/// Builds the view under a changed configuration; upstreams that stay keep what was learnt of them.
+fn configured(old: &ServiceView, floor: f64, slots: &[u32]) -> ServiceView {
+    let views = slots.iter().enumerate().map(|(index, slots)| match old.upstreams().get(index) {
+        Some(known) => LoadView { slots: *slots, own: 0, ..*known },
+        None => LoadView::new(*slots, true),
+    });
+    ServiceView::new(floor, views.collect())
+}
+
 /// A dispatch may be refused only if the service can do without the upstream: otherwise a refusal
 /// would take capacity below the floor.
 fn check_choice(
