Work the median sickness out once for a choice, in kept room

Cause: read again, the choice beside a suspect worked the median out for each of its two searches and allocated for it, though the view keeps room so that a choice allocates nothing; while a server is ejected that is every choice of its service.

Change: once for a choice, in room that the view keeps.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -143,6 +143,8 @@
     violations: u64,
     /// Room for the positions that fit a choice, kept so that a choice allocates nothing.
     fits: Vec<usize>,
+    /// Room for the values of a median, kept for the same reason.
+    values: Vec<f64>,
 }
 
 /// Time after which the plan is made anew even if nothing was heard, as old reports expire.
@@ -160,6 +162,7 @@
             planned_at: Duration::ZERO,
             violations: 0,
             fits: Vec::new(),
+            values: Vec::new(),
         }
     }
 
@@ -223,12 +226,15 @@
 
     /// Returns the median sickness of the upstreams that reported lately.
     pub fn sickness_median(&self, now: Duration) -> f64 {
-        let mut values: Vec<f64> = self
-            .upstreams
-            .iter()
-            .filter(|view| now.saturating_sub(view.reported_at) < SICKNESS_LIFE)
-            .filter_map(|view| view.health.map(|health| health.sickness))
-            .collect();
+        self.median_in(now, &mut Vec::new())
+    }
+
+    /// Works the median sickness out in the room that `values` has.
+    fn median_in(&self, now: Duration, values: &mut Vec<f64>) -> f64 {
+        values.clear();
+        let recent = |view: &&LoadView| now.saturating_sub(view.reported_at) < SICKNESS_LIFE;
+        let reported = self.upstreams.iter().filter(recent);
+        values.extend(reported.filter_map(|view| view.health.map(|health| health.sickness)));
         if values.is_empty() {
             return 0.0;
         }
@@ -279,14 +285,15 @@
                 return Some(UpstreamChoice { index, refusable: true });
             }
         }
+        let suspect_from = self.suspect_from(now);
         let mut fits = std::mem::take(&mut self.fits);
         let near = self
-            .best(now, rng, &mut fits, |index, view| {
+            .best(now, suspect_from, rng, &mut fits, |index, view| {
                 view.is_local && self.in_service(index) && !excluded.contains(&index)
             })
             .filter(|index| self.upstreams[*index].load_share(now) < LOCAL_LOAD_MAX);
         let index = near.or_else(|| {
-            self.best(now, rng, &mut fits, |index, _| {
+            self.best(now, suspect_from, rng, &mut fits, |index, _| {
                 self.in_service(index) && !excluded.contains(&index)
             })
         });
@@ -313,18 +320,21 @@
     }
 
     /// Returns the sickness from which an upstream stands out, as its daemon judges too.
-    fn suspect_from(&self, now: Duration) -> f64 {
+    fn suspect_from(&mut self, now: Duration) -> f64 {
         let sick = |view: &LoadView| view.health.is_some_and(|health| health.sickness >= 1.0);
-        if self.upstreams.iter().any(sick) {
-            health::sickness_bound(self.sickness_median(now))
-        } else {
-            f64::INFINITY
+        if !self.upstreams.iter().any(sick) {
+            return f64::INFINITY;
         }
+        let mut values = std::mem::take(&mut self.values);
+        let median = self.median_in(now, &mut values);
+        self.values = values;
+        health::sickness_bound(median)
     }
 
     fn best(
         &self,
         now: Duration,
+        suspect_from: f64,
         rng: &mut impl Rng,
         fits: &mut Vec<usize>,
         eligible: impl Fn(usize, &LoadView) -> bool,
@@ -335,7 +345,6 @@
         if fits.is_empty() {
             return None;
         }
-        let suspect_from = self.suspect_from(now);
         let mut best: Option<(f64, usize)> = None;
         for _ in 0..CHOICES {
             let mut index = fits[rng.random_range(0..fits.len())];
