Remember requests that fail wherever they go, and take back what counted before

A poison request's failure was only taken back when a repeat failed too, but the budget of repeats is kept by ingress: the one poison caller earned less than it spent, so 82 of its 214 failures were denied a repeat (counted on a scratch copy) and stood as evidence. As an ingress prefers its own failure domain, they all fell on its three local servers, whose siblings showed nothing.

Change: each ingress remembers by method and target what failed at which upstreams until one succeeds. From two upstreams on a failure is no evidence and what counted is taken back; from three on nothing is repeated. The decision bench runs the same code. The test runs with and without a budget.

--- a/crates/bench/src/decisions/actors.rs
+++ b/crates/bench/src/decisions/actors.rs
@@ -13,6 +13,7 @@
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
 use basaltarch_decide::budget::RetryBudget;
 use basaltarch_decide::health::{HealthReport, UpstreamHealth};
+use basaltarch_decide::poison::{PoisonMemory, RequestMark};
 
 use crate::decisions::faults::JobEnd;
 use crate::decisions::rules::{PlainRule, RuleKind};
@@ -46,11 +47,14 @@
     pub route: usize,
     pub repeatable: bool,
     pub poison: bool,
+    pub mark: RequestMark,
     pub begun: Duration,
     pub sent_at: Duration,
     pub dispatches: usize,
     pub excluded: Vec<usize>,
     pub failed_at: Option<usize>,
+    /// Whether a failure of the last dispatch counts as evidence.
+    pub counts: bool,
     pub over: bool,
 }
 
@@ -83,6 +87,7 @@
     pub recent: RecentAnswers,
     pub rule: PlainRule,
     pub budget: RetryBudget,
+    pub poison: PoisonMemory,
     pub domain: usize,
 }
 
@@ -110,6 +115,7 @@
         recent: RecentAnswers::default(),
         rule: PlainRule::new(rule, strictness, deployment.upstreams, deployment.floor),
         budget: RetryBudget::new(0.1),
+        poison: PoisonMemory::default(),
         domain,
     }
 }
@@ -122,3 +128,16 @@
         scenario::REMOTE_DELAY
     }
 }
+
+/// Ordinary targets of a service, and poison targets that callers ask for again and again.
+const TARGETS: usize = 500;
+const POISON_TARGETS: usize = 4;
+
+/// Returns the mark of a request; every second poison request is for a target never seen before.
+pub fn mark_of(number: usize, poison: bool) -> RequestMark {
+    match (poison, number.is_multiple_of(2)) {
+        (false, _) => RequestMark::of("GET", &format!("/puzzle/{}", number % TARGETS)),
+        (true, true) => RequestMark::of("GET", &format!("/poison/{}", number / 2 % POISON_TARGETS)),
+        (true, false) => RequestMark::of("GET", &format!("/poison/new/{number}")),
+    }
+}
--- a/crates/bench/src/decisions/world.rs
+++ b/crates/bench/src/decisions/world.rs
@@ -178,11 +178,13 @@
             route,
             repeatable: self.rng.random_bool(scenario::REPEATABLE_SHARE),
             poison,
+            mark: actors::mark_of(number, poison),
             begun: self.now,
             sent_at: self.now,
             dispatches: 0,
             excluded: Vec::new(),
             failed_at: None,
+            counts: true,
             over: false,
         };
         self.ingresses[request.ingress].budget.note_request();
@@ -237,11 +239,13 @@
             _ => return self.finish_request(number, false),
         };
         ingress.view.note_sent(choice.index);
+        let spared = ingress.poison.spares(request.mark, self.now);
         let delay = actors::delay_between(&self.plan, ingress.domain, choice.index);
         let event =
             Event::AtHost { request: number, upstream: choice.index, refusable: choice.refusable };
         self.note_capacity(number);
         let request = &mut self.requests[number];
+        request.counts = request.failed_at.is_none() && !spared;
         request.dispatches += 1;
         request.sent_at = self.now;
         self.schedule(delay, event);
@@ -351,7 +355,7 @@
             end,
             overdue: false,
             trial,
-            after_failure: self.requests[number].failed_at.is_some(),
+            after_failure: !self.requests[number].counts,
             over: false,
         });
         self.schedule(time, Event::End { job });
@@ -483,17 +487,34 @@
                 self.note_ejection(each, part);
             }
         }
+        let ingress = &mut self.ingresses[self.requests[number].ingress];
+        let mark = self.requests[number].mark;
         if !failed {
+            ingress.poison.note_success(mark);
             return self.finish_request(number, true);
         }
-        if let Some(first) = self.requests[number].failed_at {
-            self.withdraw(first, self.requests[number].route);
+        let first = self.requests[number].failed_at;
+        if let Some(first) = first {
+            ingress.poison.note_withdrawn(mark, first as u32);
+        }
+        let counts = self.requests[number].counts;
+        let taken_back = ingress.poison.note_failure(mark, index as u32, counts, self.now);
+        let hopeless =
+            self.rule.prefer().is_some() && ingress.poison.forbids_repeat(mark, self.now);
+        let route = self.requests[number].route;
+        for failures in taken_back {
+            for _ in 0..failures.count {
+                self.withdraw(failures.upstream as usize, route);
+            }
+        }
+        if let Some(first) = first {
+            self.withdraw(first, route);
             return self.finish_request(number, false);
         }
         let request = &mut self.requests[number];
         let in_time = self.now.saturating_sub(request.begun) < scenario::REQUEST_TIMEOUT;
         let budget = &mut self.ingresses[request.ingress].budget;
-        if request.repeatable && in_time && budget.take() {
+        if request.repeatable && in_time && !hopeless && budget.take() {
             request.failed_at = Some(index);
             request.excluded.push(index);
             return self.dispatch(number);
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -58,6 +58,8 @@
     /// The exchange.
     pub exchange: OutboundExchange,
     patience: Option<Duration>,
+    /// Whether a failure counts as evidence against the upstream.
+    counts: bool,
     _sent: SentGuard,
 }
 
@@ -110,10 +112,11 @@
             FirstEvent::Head(head) => {
                 let failed = wire::is_server_error(head.status as u16);
                 attempts.note_report(choice.index, &head.report, Some(failed));
+                if failed && fallback.is_some() {
+                    attempts.withdraw();
+                }
+                attempts.note_end(choice.index, &live, failed);
                 if fallback.is_some() {
-                    if failed {
-                        attempts.withdraw();
-                    }
                     return AttemptEnd::Answer(live, head);
                 }
                 if !failed || !head.last || !attempts.may_repeat(body) {
@@ -135,6 +138,9 @@
                     let ran = matches!(outcome, FailureOutcome::Unknown(_));
                     attempts.note_report(choice.index, report, ran.then_some(true));
                 }
+                if failed_at_server(outcome) {
+                    attempts.note_end(choice.index, &live, true);
+                }
                 attempts.excluded.push(choice.index);
                 attempts.last = outcome;
                 let again = match outcome {
@@ -197,9 +203,27 @@
             && body.is_done()
             && self.dispatches < DISPATCHES_MAX
             && !self.left().is_zero()
+            && !self.is_hopeless()
             && self.request.service.take_repeat()
     }
 
+    /// Says whether the request lately failed wherever it went.
+    fn is_hopeless(&self) -> bool {
+        let request = self.request;
+        request.service.forbids_repeat(request.method.as_str(), &request.target, self.state.now())
+    }
+
+    /// Says whether a failure of the request is no evidence: it failed elsewhere, now or lately.
+    fn spares_failure(&self) -> bool {
+        let request = self.request;
+        self.failed_at.is_some()
+            || request.service.spares_failure(
+                request.method.as_str(),
+                &request.target,
+                self.state.now(),
+            )
+    }
+
     /// Dispatches to the chosen upstream; gives nothing if its daemon can't be reached.
     async fn dispatch(
         &mut self,
@@ -227,6 +251,7 @@
         let route = &self.request.route.name;
         let baseline = service.baseline(route, choice.index, self.state.now());
         let head = self.head(choice, body_is_done, &baseline);
+        let counts = !head.after_failure;
         let exchange = match link {
             None => host::dispatch_local(self.state, head),
             Some(link) => match link.dispatch(head) {
@@ -235,7 +260,7 @@
             },
         };
         let patience = self.patience(&baseline);
-        Some(LiveExchange { exchange, patience, _sent: sent })
+        Some(LiveExchange { exchange, patience, counts, _sent: sent })
     }
 
     fn note_unreachable(&mut self, index: usize) -> Option<LiveExchange> {
@@ -271,7 +296,7 @@
             once_key: request.once_key.clone(),
             organisation: request.organisation.clone(),
             revision: self.state.config.revision().0 as i64,
-            after_failure: self.failed_at.is_some(),
+            after_failure: self.spares_failure(),
         }
     }
 
@@ -316,6 +341,24 @@
         self.request.service.note_report(index, route, report, failed, now);
     }
 
+    /// Takes in how the request ended at an upstream, to find out whether it fails wherever it goes.
+    fn note_end(&self, index: usize, live: &LiveExchange, failed: bool) {
+        let request = self.request;
+        let method = request.method.as_str();
+        if !failed {
+            request.service.note_success(method, &request.target);
+            return;
+        }
+        let now = self.state.now();
+        let target = &request.target;
+        let counted = request.service.note_failure(method, target, index, live.counts, now);
+        for failures in counted {
+            for _ in 0..failures.count {
+                self.withdraw_at(failures.upstream as usize);
+            }
+        }
+    }
+
     /// Takes the first failure back: the same request failed on a second upstream, so the request
     /// is at fault rather than the servers.
     fn withdraw(&self) {
@@ -323,6 +366,12 @@
             Some(index) => index,
             None => return,
         };
+        self.withdraw_at(index);
+        let request = self.request;
+        request.service.note_withdrawn(request.method.as_str(), &request.target, index);
+    }
+
+    fn withdraw_at(&self, index: usize) {
         let upstream = &self.request.service.entry.upstreams[index].name;
         let path = self.request.service.path(index);
         if path.is_self {
@@ -340,6 +389,16 @@
     }
 }
 
+/// Says whether the backend server broke over the request, rather than the way to it.
+fn failed_at_server(outcome: FailureOutcome) -> bool {
+    matches!(
+        outcome,
+        FailureOutcome::Unknown(
+            UnknownReason::BackendBroken | UnknownReason::AnswerBroken | UnknownReason::TimedOut
+        )
+    )
+}
+
 fn timed_out() -> FirstEvent {
     FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::TimedOut), None)
 }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -14,6 +14,7 @@
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
 use basaltarch_decide::budget::RetryBudget;
 use basaltarch_decide::evidence::ServiceBaseline;
+use basaltarch_decide::poison::{CountedFailures, PoisonMemory, RequestMark};
 use basaltarch_peer::protocol::LoadReport;
 use fnv::FnvHashMap;
 
@@ -36,6 +37,7 @@
     baselines: RefCell<FnvHashMap<Rc<str>, RouteBaseline>>,
     recent: RefCell<RecentAnswers>,
     budget: RefCell<RetryBudget>,
+    poison: RefCell<PoisonMemory>,
     violations: Cell<u64>,
     used_at: Cell<Duration>,
 }
@@ -135,6 +137,7 @@
             baselines: RefCell::default(),
             recent: RefCell::default(),
             budget: RefCell::new(RetryBudget::new(entry.spec.retry_budget)),
+            poison: RefCell::default(),
             violations: Cell::new(0),
             used_at: Cell::new(state.now()),
             entry,
@@ -237,6 +240,46 @@
         taken
     }
 
+    /// Takes in that a request was answered well: what failed before was not its own fault.
+    pub fn note_success(&self, method: &str, target: &str) {
+        let mut poison = self.poison.borrow_mut();
+        if !poison.is_empty() {
+            poison.note_success(RequestMark::of(method, target));
+        }
+    }
+
+    /// Takes in that a request failed at an upstream, and whether that `counted` as evidence there;
+    /// returns what must be taken back as the request fails wherever it goes.
+    pub fn note_failure(
+        &self,
+        method: &str,
+        target: &str,
+        index: usize,
+        counted: bool,
+        now: Duration,
+    ) -> Vec<CountedFailures> {
+        let mark = RequestMark::of(method, target);
+        self.poison.borrow_mut().note_failure(mark, index as u32, counted, now)
+    }
+
+    /// Takes in that a failure at an upstream was taken back since a repeat failed too.
+    pub fn note_withdrawn(&self, method: &str, target: &str, index: usize) {
+        let mark = RequestMark::of(method, target);
+        self.poison.borrow_mut().note_withdrawn(mark, index as u32);
+    }
+
+    /// Says whether a failure of this request would be no evidence against an upstream.
+    pub fn spares_failure(&self, method: &str, target: &str, now: Duration) -> bool {
+        let poison = self.poison.borrow();
+        !poison.is_empty() && poison.spares(RequestMark::of(method, target), now)
+    }
+
+    /// Says whether repeating this request would only spend the budget of repeats.
+    pub fn forbids_repeat(&self, method: &str, target: &str, now: Duration) -> bool {
+        let poison = self.poison.borrow();
+        !poison.is_empty() && poison.forbids_repeat(RequestMark::of(method, target), now)
+    }
+
     /// Calls `read` with the view.
     pub fn with_view<T>(&self, read: impl FnOnce(&ServiceView) -> T) -> T {
         read(&self.view.borrow())
--- a/crates/daemon/tests/gray.rs
+++ b/crates/daemon/tests/gray.rs
@@ -193,15 +193,18 @@
     fleet.check_invariants();
 }
 
-#[test]
-fn verify_poison_requests_eject_nobody() {
-    let plan = FleetPlan { daemons: 3, backends: 9, service_ms: 5, ..FleetPlan::default() };
+#[test_case(0.1, 1 ; "with a budget of repeats")]
+#[test_case(0.0, 3 ; "with none and more callers")]
+fn verify_poison_requests_eject_nobody(retry_budget: f64, callers: usize) {
+    let service = json!({"floor": 0.5, "prefer": "detection", "retry_budget": retry_budget});
+    let plan =
+        FleetPlan { daemons: 3, backends: 9, service_ms: 5, service, ..FleetPlan::default() };
     let fleet = TestFleet::start(&plan);
     for backend in &fleet.backends {
         backend.faults(json!({"error_rate": 1.0, "error_prefix": "/poison"}));
     }
     let load = Load::start(&fleet, 9, "/puzzle");
-    let poison = Load::start(&fleet, 1, "/poison");
+    let poison = Load::start(&fleet, callers, "/poison");
     eventually("enough of both", || load.good() > 3000 && poison.bad() > 100);
     let ejected = (1..=9).filter(|n| is_ejected(&fleet, &format!("server-{n}"))).count();
     assert_eq!(ejected, 0);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod health;
 pub mod limits;
 pub mod path;
+pub mod poison;
 pub mod recovery;
 pub mod track;
