Let what one ingress sees of the siblings' failures count for all of them for 5 s

Cause: an upstream judged each request by the baseline of the ingress that sent it. In a fault of all upstreams some ingresses had seen the siblings fail and others had not yet, so the sums drifted up.

Change: the host keeps the highest failure share that was lately told, halved every 3.5 s.

The new test fails on the old code.

--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -12,7 +12,7 @@
 use crate::detector::{EvidenceKind, SicknessDetector};
 use crate::evidence::{self, ServiceBaseline, WorkEvidence, OVERDUE_DEVIATIONS};
 use crate::recovery::{RecoveryPlan, TrialVerdict, RAMP};
-use crate::track::{LatencyTrack, RateTrack};
+use crate::track::{LatencyTrack, RateTrack, RecentPeak};
 
 /// Threshold for `detection`: a healthy upstream is ejected at most once in e^9 (8,000) requests
 /// of the worst case that the bound covers; measured rates are far lower (docs/MEASUREMENTS.md).
@@ -141,6 +141,7 @@
     failures: RateTrack,
     routes: FnvHashMap<Rc<str>, RouteTrack>,
     siblings: f64,
+    usual_failures: RecentPeak,
     rising_since: Option<Duration>,
     reason: Option<EvidenceKind>,
     cold_until: Duration,
@@ -157,6 +158,7 @@
             failures: RateTrack::default(),
             routes: FnvHashMap::default(),
             siblings: 0.0,
+            usual_failures: RecentPeak::default(),
             rising_since: None,
             reason: None,
             cold_until: if cold { now + RAMP } else { Duration::ZERO },
@@ -189,7 +191,7 @@
         terms: &DispatchTerms<'_>,
         now: Duration,
     ) -> (AdmitVerdict, Option<HealthChange>) {
-        self.learn_baseline(terms);
+        self.learn_baseline(terms, now);
         // The dispatch brought fresh word of the siblings.
         let change = self.judge(now);
         (self.admit_verdict(terms, now), change)
@@ -209,11 +211,14 @@
         }
     }
 
-    fn learn_baseline(&mut self, terms: &DispatchTerms<'_>) {
-        if terms.baseline.is_usable() {
-            self.siblings = terms.baseline.sickness;
-            self.route_mut(terms.route).baseline = terms.baseline;
+    fn learn_baseline(&mut self, terms: &DispatchTerms<'_>, now: Duration) {
+        if !terms.baseline.is_usable() {
+            return;
         }
+        let mut baseline = terms.baseline;
+        self.siblings = baseline.sickness;
+        baseline.failure_rate = self.usual_failures.note(baseline.failure_rate, now);
+        self.route_mut(terms.route).baseline = baseline;
     }
 
     fn route_mut(&mut self, route: &str) -> &mut RouteTrack {
--- a/crates/decide/src/track.rs
+++ b/crates/decide/src/track.rs
@@ -99,3 +99,25 @@
         self.fast.max(self.slow)
     }
 }
+
+/// Time over which a peak loses most of its height.
+const PEAK_LIFE: Duration = Duration::from_secs(5);
+
+/// `RecentPeak` follows the highest of the values that were lately told of the same thing by several
+/// parties, each of which sees a part only.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct RecentPeak {
+    height: f64,
+    at: Duration,
+}
+
+impl RecentPeak {
+    /// Takes a value in and returns the peak.
+    pub fn note(&mut self, value: f64, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        let left = self.height * (-age / PEAK_LIFE.as_secs_f64()).exp();
+        self.height = left.max(value);
+        self.at = now;
+        self.height
+    }
+}
--- a/crates/decide/tests/health.rs
+++ b/crates/decide/tests/health.rs
@@ -145,6 +145,20 @@
     assert!(upstream.ejected.is_empty());
 }
 
+#[test]
+fn verify_what_one_ingress_of_several_sees_counts_for_all() {
+    let mut upstream = Upstream::new(PreferChoice::Detection);
+    let mut seen = terms(true, true);
+    seen.baseline.failure_rate = 0.3;
+    for number in 0..2000 {
+        // One ingress in four sees the siblings fail alike, the others see too few of them.
+        let terms = if number % 4 == 0 { &seen } else { &terms(true, true) };
+        let evidence = if number % 10 < 3 { WorkEvidence::Failed } else { good() };
+        assert!(upstream.request(terms, evidence), "request {number}");
+    }
+    assert!(upstream.ejected.is_empty());
+}
+
 #[test]
 fn verify_a_withdrawn_failure_counts_for_nothing() {
     let mut upstream = Upstream::new(PreferChoice::Detection);
