Hear of siblings beyond the own failure domain when too few report

Cause: an ingress prefers its own failure domain, which in a small service at low load leaves it with two upstreams, fewer than a baseline needs. Printing the state at each false ejection of billing-core (shared dependency, low load) showed no baseline at the host in nearly all of them: nothing was ever seen as shared, and slow servers could not be told from others.

Change: while fewer than four upstreams reported within 2 s, one choice in ten goes to the older of two drawn at random, unless it is out, ramping up, a suspect, or owes this ingress an answer.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -35,6 +35,15 @@
 /// Time after which a sick upstream that has said nothing since is asked again.
 const SICK_REPORT_LIFE: Duration = Duration::from_secs(90);
 
+/// One choice in this many may go to an upstream that the ingress has not heard of lately, so that it
+/// can compare the upstreams it prefers with others: in a small service its own failure domain holds
+/// fewer than a baseline needs.
+const EXPLORE_EVERY: u32 = 10;
+/// Fresh reports that are enough to compare with.
+const EXPLORE_WANTED: usize = 4;
+/// Age from which a report is worth renewing in this way.
+const EXPLORE_AGE: Duration = Duration::from_secs(2);
+
 /// `LoadView` is what an ingress knows of one upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadView {
@@ -141,6 +150,7 @@
     stale: bool,
     planned_at: Duration,
     violations: u64,
+    choices: u32,
     /// Room for the positions that fit a choice, kept so that a choice allocates nothing.
     fits: Vec<usize>,
     /// Room for the values of a median, kept for the same reason.
@@ -161,6 +171,7 @@
             stale: true,
             planned_at: Duration::ZERO,
             violations: 0,
+            choices: 0,
             fits: Vec::new(),
             values: Vec::new(),
         }
@@ -286,6 +297,12 @@
             }
         }
         let suspect_from = self.suspect_from(now);
+        if !must_take && excluded.is_empty() {
+            if let Some(index) = self.explore(now, suspect_from, rng) {
+                let refusable = self.plan.can_spare(self.upstreams[index].slots);
+                return Some(UpstreamChoice { index, refusable });
+            }
+        }
         let mut fits = std::mem::take(&mut self.fits);
         let near = self
             .best(now, suspect_from, rng, &mut fits, |index, view| {
@@ -308,6 +325,26 @@
         view.reachable && !view.draining && !self.plan.avoided[index]
     }
 
+    /// Draws, for one choice in a few, an upstream whose last report is old.
+    fn explore(&mut self, now: Duration, suspect_from: f64, rng: &mut impl Rng) -> Option<usize> {
+        self.choices = self.choices.wrapping_add(1);
+        if !self.choices.is_multiple_of(EXPLORE_EVERY) {
+            return None;
+        }
+        let is_fresh = |view: &&LoadView| now.saturating_sub(view.reported_at) < EXPLORE_AGE;
+        if self.upstreams.iter().filter(is_fresh).count() >= EXPLORE_WANTED {
+            return None;
+        }
+        let drawn = (0..CHOICES).map(|_| rng.random_range(0..self.upstreams.len()));
+        let oldest = drawn.min_by_key(|index| self.upstreams[*index].reported_at)?;
+        let view = &self.upstreams[oldest];
+        // One that has not answered what it was sent is silent by itself.
+        let is_old = view.own == 0 && now.saturating_sub(view.reported_at) >= EXPLORE_AGE;
+        let ramps = view.health.is_some_and(|health| view.ramp(now, &health) < 1.0);
+        let fits = self.in_service(oldest) && !ramps && !view.is_suspect(now, suspect_from);
+        (is_old && fits).then_some(oldest)
+    }
+
     fn due_trial(&mut self, now: Duration, repeatable: bool) -> Option<usize> {
         if !repeatable || self.plan.avoided.iter().all(|avoided| !avoided) {
             return None;
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -60,6 +60,55 @@
     assert!(shares(&mut view, 300)[2..].iter().sum::<usize>() > 250);
 }
 
+/// Chooses over 40 s and answers each choice at once; tells how often each upstream was chosen.
+fn answered_shares(view: &mut ServiceView, answers: impl Fn(usize) -> bool) -> Vec<usize> {
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let mut shares = vec![0; view.upstreams().len()];
+    for step in 0..400 {
+        let now = millis(10_000 + step * 100);
+        let choice = view.choose(now, &[], true, false, &mut rng).expect("an upstream");
+        shares[choice.index] += 1;
+        view.note_sent(choice.index);
+        if answers(choice.index) {
+            view.note_over(choice.index);
+            view.note_report(choice.index, 0, healthy(20.0), now);
+        }
+    }
+    shares
+}
+
+#[test]
+fn verify_an_ingress_hears_of_upstreams_beyond_its_own_failure_domain() {
+    let views = (0..8).map(|index| LoadView::new(4, index < 2)).collect();
+    let mut view = ServiceView::new(0.5, views);
+    let shares = answered_shares(&mut view, |_| true);
+    assert!(shares[2..].iter().all(|count| *count > 0), "{shares:?}");
+    let far = shares[2..].iter().sum::<usize>();
+    assert!(far <= 40, "{far} of 400: one request in ten at the most");
+}
+
+#[test]
+fn verify_an_ingress_that_has_enough_to_compare_with_stays_in_its_failure_domain() {
+    let views = (0..8).map(|index| LoadView::new(4, index < 5)).collect();
+    let mut view = ServiceView::new(0.5, views);
+    for index in 0..8 {
+        view.note_report(index, 0, healthy(20.0), millis(9_900));
+    }
+    let shares = answered_shares(&mut view, |_| true);
+    assert!(shares[5..].iter().sum::<usize>() <= 2, "{shares:?}");
+}
+
+#[test]
+fn verify_no_request_goes_to_hear_of_a_silent_or_leaving_upstream() {
+    let views = (0..8).map(|index| LoadView::new(4, index < 2)).collect();
+    let mut view = ServiceView::new(0.2, views);
+    view.note_draining(3, true);
+    view.note_reachable(4, false);
+    let shares = answered_shares(&mut view, |index| index != 5);
+    assert_eq!((shares[3], shares[4]), (0, 0), "{shares:?}");
+    assert_eq!(shares[5], 1, "one that owes an answer gets no more: {shares:?}");
+}
+
 #[test]
 fn verify_quick_errors_draw_no_traffic() {
     let views = (0..5).map(|_| LoadView::new(4, true)).collect();
