See a shift that the last four answers of the others share before their median does

Cause: with a baseline in small services, a sudden load on all ejected servers at low load: the median of the others' answers over 5 s moves only after half of them are late. Change: the least deviation of the last four answers of others counts as well; four are late by the bound by chance once in 70 times, and then by little.

--- a/crates/decide/src/baseline.rs
+++ b/crates/decide/src/baseline.rs
@@ -93,6 +93,10 @@
 /// shared; noise of the median of a few answers stays below.
 const SHARED_SHIFT_MIN: f64 = 0.4;
 
+/// Last answers of others that must all be late for a shift to count as shared before the median of
+/// [`ANSWERS_MAX`] shows it: four are late by [`SHARED_SHIFT_MIN`] by chance once in 70 times.
+const LATEST_ANSWERS: usize = 4;
+
 #[derive(Debug, Clone, Copy)]
 struct KeptAnswer {
     upstream: u32,
@@ -166,14 +170,30 @@
             let rate = f64::from(failures) / count as f64;
             baseline.failure_rate = baseline.failure_rate.max(rate);
         }
-        if timed >= OTHERS_MIN {
-            let deviations = &mut deviations[..timed];
-            let (_, median, _) = deviations.select_nth_unstable_by(timed / 2, f64::total_cmp);
-            if *median > SHARED_SHIFT_MIN {
-                baseline.median_ln += *median * baseline.spread;
-            }
+        if timed < OTHERS_MIN {
+            return;
+        }
+        let latest = self.latest_shift(upstream, now);
+        let deviations = &mut deviations[..timed];
+        let (_, median, _) = deviations.select_nth_unstable_by(timed / 2, f64::total_cmp);
+        let shift = median.max(latest);
+        if shift > SHARED_SHIFT_MIN {
+            baseline.median_ln += shift * baseline.spread;
         }
     }
+
+    /// Returns the least deviation of the last few answers of others: all of them are late by that.
+    fn latest_shift(&self, upstream: u32, now: Duration) -> f64 {
+        let (older, newer) = self.answers.split_at(self.oldest);
+        let newest_first = older.iter().rev().chain(newer.iter().rev());
+        let others = newest_first.filter(|answer| {
+            answer.upstream != upstream && now.saturating_sub(answer.at) < ANSWER_LIFE
+        });
+        others
+            .filter_map(|answer| answer.deviations)
+            .take(LATEST_ANSWERS)
+            .fold(f64::INFINITY, f64::min)
+    }
 }
 
 fn add_once(list: &mut [u32], len: &mut usize, value: u32) {
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -262,6 +262,26 @@
     assert!(adjusted(5) > 0.4);
 }
 
+#[test]
+fn verify_a_shift_of_the_last_answers_of_all_others_counts_as_shared_at_once() {
+    let base = ServiceBaseline { median_ln: 10.0, upstreams: 6, ..ServiceBaseline::default() };
+    let usual = Duration::from_micros(10_f64.exp() as u64);
+    let shift = |late: u32| {
+        let mut recent = RecentAnswers::default();
+        for number in 0..40 {
+            let took = if number >= 40 - late { usual * 8 } else { usual };
+            recent.note(1 + number % 5, false, Some(took), &base, millis(u64::from(number)));
+        }
+        let mut baseline = base;
+        recent.adjust(0, &mut baseline, millis(100));
+        baseline.median_ln - base.median_ln
+    };
+    assert_eq!(shift(0), 0.0);
+    assert_eq!(shift(3), 0.0, "a few stragglers move nothing");
+    assert!((shift(4) - 8_f64.ln()).abs() < 0.01);
+    assert!((shift(20) - 8_f64.ln()).abs() < 0.01);
+}
+
 #[test]
 fn verify_every_daemon_finds_the_same_home_and_homes_are_spread() {
     let hosts: Vec<String> = (0..20).map(|number| format!("host-{number}")).collect();
