--- a/crates/bench/src/decisions/bounds.rs
+++ b/crates/bench/src/decisions/bounds.rs
@@ -5,11 +5,11 @@
 
 use std::time::Duration;
 
+use crate::decisions::measure::RunResult;
 use crate::decisions::report::{self, CaseRow};
 use crate::decisions::rules::{RuleKind, PLAIN_RULES, RULES};
 use crate::decisions::scenario::{CASES, DEPLOYMENTS, LOADS};
 use crate::decisions::suite::{RunKey, SuitePlan};
-use crate::decisions::world::RunResult;
 use crate::errors::BenchError;
 
 /// Factor by which `detection` must be quicker than the best plain rule.
--- /dev/null
+++ b/crates/bench/src/decisions/ingresses.rs
@@ -0,0 +1,143 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The ingresses of a run: choosing, sending, repeating, answering.
+
+use crate::decisions::actors::{self, Answer, Event, ROUTES};
+use crate::decisions::faults::JobEnd;
+use crate::decisions::scenario;
+use crate::decisions::world::World;
+
+/// Factor on the usual median from which an answer is slow to a caller.
+const SLOW_ANSWER: u32 = 8;
+/// Dispatches of one request at the most, as in the daemon.
+const DISPATCHES_MAX: usize = 3;
+
+impl World {
+    /// Chooses an upstream for a request and sends it there.
+    pub(super) fn dispatch(&mut self, number: usize) {
+        let request = &self.requests[number];
+        let ingress = &mut self.ingresses[request.ingress];
+        if self.rule.prefer().is_none() {
+            for index in 0..self.upstreams.len() {
+                ingress.view.note_draining(index, ingress.rule.is_ejected(index, self.now));
+            }
+            self.note_plain_return();
+        }
+        let request = &self.requests[number];
+        let ingress = &mut self.ingresses[request.ingress];
+        let must_take = request.dispatches + 1 >= DISPATCHES_MAX;
+        let choice = ingress.view.choose(
+            self.now,
+            &request.excluded,
+            request.repeatable,
+            must_take,
+            &mut self.rng,
+        );
+        let choice = match choice {
+            Some(choice) if request.dispatches < DISPATCHES_MAX => choice,
+            _ => return self.finish_request(number, false),
+        };
+        ingress.view.note_sent(choice.index);
+        let spared = ingress.poison.spares(request.mark, self.now);
+        let delay = actors::delay_between(&self.plan, ingress.domain, choice.index);
+        let event =
+            Event::AtHost { request: number, upstream: choice.index, refusable: choice.refusable };
+        self.note_capacity(number);
+        let request = &mut self.requests[number];
+        request.counts = request.failed_at.is_none() && !spared;
+        request.dispatches += 1;
+        request.sent_at = self.now;
+        self.schedule(delay, event);
+    }
+
+    pub(super) fn reach_ingress(&mut self, number: usize, index: usize, answer: Answer) {
+        let request = self.requests[number].clone();
+        let ingress = &mut self.ingresses[request.ingress];
+        ingress.view.note_over(index);
+        let (load, health) = match answer {
+            Answer::Done { load, health, .. } | Answer::Refused { load, health } => (load, health),
+        };
+        if let Answer::Done { end, took, .. } = answer {
+            let baseline = ingress.baselines[request.route].current();
+            let failed = end != JobEnd::Good;
+            let took = (!failed).then_some(took);
+            ingress.recent.note(index as u32, failed, took, &baseline, self.now);
+        }
+        ingress.baselines[request.route].note(index as u32, &health);
+        ingress.view.note_median(ingress.baselines[request.route].current().median_ln);
+        ingress.view.note_report(index, load, health, self.now);
+        match answer {
+            Answer::Done { end, .. } => self.take_answer(number, index, end),
+            Answer::Refused { .. } => {
+                self.requests[number].excluded.push(index);
+                self.dispatch(number);
+            }
+        }
+    }
+
+    pub(super) fn take_answer(&mut self, number: usize, index: usize, end: JobEnd) {
+        let failed = end != JobEnd::Good;
+        let request = &self.requests[number];
+        let ingress = &mut self.ingresses[request.ingress];
+        if self.rule.prefer().is_none() {
+            let latency = self.now.saturating_sub(request.sent_at);
+            let ejected = ingress.rule.note(index, failed, latency, self.now);
+            let part = 1.0 / self.ingresses.len() as f64;
+            for each in ejected {
+                self.note_ejection(each, part);
+            }
+        }
+        let ingress = &mut self.ingresses[self.requests[number].ingress];
+        let mark = self.requests[number].mark;
+        if !failed {
+            ingress.poison.note_success(mark);
+            return self.finish_request(number, true);
+        }
+        let first = self.requests[number].failed_at;
+        if let Some(first) = first {
+            ingress.poison.note_withdrawn(mark, first as u32);
+        }
+        let counts = self.requests[number].counts;
+        let taken_back = ingress.poison.note_failure(mark, index as u32, counts, self.now);
+        let hopeless =
+            self.rule.prefer().is_some() && ingress.poison.forbids_repeat(mark, self.now);
+        let route = self.requests[number].route;
+        for failures in taken_back {
+            for _ in 0..failures.count {
+                self.withdraw(failures.upstream as usize, route);
+            }
+        }
+        if let Some(first) = first {
+            self.withdraw(first, route);
+            return self.finish_request(number, false);
+        }
+        let request = &mut self.requests[number];
+        let in_time = self.now.saturating_sub(request.begun) < scenario::REQUEST_TIMEOUT;
+        let budget = &mut self.ingresses[request.ingress].budget;
+        if request.repeatable && in_time && !hopeless && budget.take() {
+            request.failed_at = Some(index);
+            request.excluded.push(index);
+            return self.dispatch(number);
+        }
+        self.finish_request(number, false);
+    }
+
+    pub(super) fn withdraw(&mut self, index: usize, route: usize) {
+        if self.rule.prefer().is_some() {
+            self.upstreams[index].health.withdraw_failure(ROUTES[route]);
+        }
+    }
+
+    pub(super) fn finish_request(&mut self, number: usize, good: bool) {
+        let begun = self.requests[number].begun;
+        self.requests[number].over = true;
+        let in_fault = self.plan.in_fault(begun);
+        if !in_fault {
+            return;
+        }
+        let slow = self.now - begun > scenario::SERVICE_MEDIAN * SLOW_ANSWER;
+        self.result.failed += u64::from(!good);
+        self.result.slow += u64::from(good && slow);
+    }
+}
--- a/crates/bench/src/decisions/report.rs
+++ b/crates/bench/src/decisions/report.rs
@@ -6,10 +6,10 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+use crate::decisions::measure::RunResult;
 use crate::decisions::rules::{RuleKind, PLAIN_RULES, RULES};
 use crate::decisions::scenario::CASES;
 use crate::decisions::suite::{self, RuleSummary, RunKey, SuitePlan};
-use crate::decisions::world::RunResult;
 
 /// Longest detection time worse than a plain rule's that is not listed, as a factor.
 const WORSE_FACTOR: f64 = 1.1;
--- a/crates/bench/src/decisions/suite.rs
+++ b/crates/bench/src/decisions/suite.rs
@@ -8,9 +8,10 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::decisions::measure::RunResult;
 use crate::decisions::rules::RuleKind;
 use crate::decisions::scenario::{Deployment, FaultCase, LoadLevel, ScenarioPlan, CASES};
-use crate::decisions::world::{RunResult, World};
+use crate::decisions::world::World;
 
 /// Severities of each case.
 pub const SEVERITIES: usize = 5;
