Let the bench's ingresses give late attempts up; pass silent servers over; add cases of lying endpoints

Cause: the decision bench flattered us for stuck servers. Its ingresses waited until the time-out, so stuck requests held the slots and kept work away; the daemon gives late attempts up, which frees the slot, and its ingress then forgot all about it.

Changes: an upstream whose attempt was given up is passed over by that ingress until it is heard of or 1.5 s pass (bench and daemon: the same code). Cases "health endpoint lies" and "load endpoint lies" at five severities, and a plain rule that goes by both endpoints.

--- a/crates/bench/src/decisions/actors.rs
+++ b/crates/bench/src/decisions/actors.rs
@@ -27,10 +27,21 @@
 pub enum Event {
     Arrival,
     Replace,
-    AtHost { request: usize, upstream: usize, refusable: bool },
+    Probe,
+    AtHost { sent: Dispatch, refusable: bool },
+    Impatient { sent: Dispatch },
+    Cancel { sent: Dispatch },
     Overdue { job: usize },
     End { job: usize },
-    Reply { request: usize, upstream: usize, answer: Answer },
+    Reply { sent: Dispatch, answer: Answer },
+}
+
+/// `Dispatch` is one sending of a request; `number` counts those of the request from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Dispatch {
+    pub request: usize,
+    pub upstream: usize,
+    pub number: usize,
 }
 
 /// `Answer` is what a host tells an ingress.
@@ -61,8 +72,7 @@
 /// `Job` is the work on a request at an upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct Job {
-    pub request: usize,
-    pub upstream: usize,
+    pub sent: Dispatch,
     pub route: usize,
     pub started: Duration,
     pub end: JobEnd,
@@ -75,8 +85,8 @@
 /// `Upstream` is a scripted upstream, with what its daemon thinks of it.
 pub struct Upstream {
     pub health: UpstreamHealth,
-    pub working: u32,
-    pub queue: VecDeque<(usize, bool)>,
+    pub queue: VecDeque<(Dispatch, bool)>,
+    pub running: Vec<usize>,
     pub accepted: Vec<Duration>,
 }
 
--- a/crates/bench/src/decisions/faults.rs
+++ b/crates/bench/src/decisions/faults.rs
@@ -39,6 +39,30 @@
     pub poison: bool,
 }
 
+/// Share of the work that fails at the upstream whose endpoints lie.
+const LYING_FAILURES: f64 = 0.5;
+
+/// Says what the health endpoint of an upstream answers; gray failures do not show there.
+pub fn endpoint_is_good(plan: &ScenarioPlan, now: Duration, upstream: usize, sick: usize) -> bool {
+    let share = match plan.script {
+        FaultScript::LyingHealth(share) if plan.in_fault(now) => share,
+        _ => return true,
+    };
+    let others = plan.deployment.upstreams - 1;
+    let rank = (upstream + others - sick) % plan.deployment.upstreams;
+    upstream == sick || rank >= (share * others as f64).ceil() as usize
+}
+
+/// Returns the load that the load endpoint of an upstream claims.
+pub fn claimed_load(plan: &ScenarioPlan, now: Duration, is_sick: bool, load: u32) -> u32 {
+    match plan.script {
+        FaultScript::LyingLoad(share) if is_sick && plan.in_fault(now) => {
+            (f64::from(load) * (1.0 - share)).round() as u32
+        }
+        _ => load,
+    }
+}
+
 struct FaultTouch {
     factor: f64,
     fails: bool,
@@ -87,6 +111,9 @@
             | FaultScript::Truncated(share)
             | FaultScript::LowTraffic(share)
             | FaultScript::AllErrors(share) => touch.fails = rng.random_bool(share),
+            FaultScript::LyingHealth(_) | FaultScript::LyingLoad(_) => {
+                touch.fails = rng.random_bool(LYING_FAILURES);
+            }
             FaultScript::RouteErrors(share) => {
                 touch.fails = self.fails_first && rng.random_bool(share);
             }
--- a/crates/bench/src/decisions/world.rs
+++ b/crates/bench/src/decisions/world.rs
@@ -14,7 +14,7 @@
 
 use crate::decisions::actors::{self, Event, Ingress, Job, Request, Upstream, ROUTES};
 use crate::decisions::measure::RunResult;
-use crate::decisions::rules::RuleKind;
+use crate::decisions::rules::{self, RuleKind};
 use crate::decisions::scenario::{self, FaultScript, ScenarioPlan};
 
 /// Route of the slow requests of the mixed cases.
@@ -55,8 +55,8 @@
         let upstreams = (0..deployment.upstreams)
             .map(|_| Upstream {
                 health: actors::new_health(prefer, strictness, Duration::ZERO, false),
-                working: 0,
                 queue: VecDeque::new(),
+                running: Vec::new(),
                 accepted: Vec::new(),
             })
             .collect();
@@ -84,6 +84,9 @@
             out_after_fault: false,
         };
         world.schedule(Duration::ZERO, Event::Arrival);
+        if rule == RuleKind::Probes {
+            world.schedule(rules::PROBE_EVERY, Event::Probe);
+        }
         if let FaultScript::ColdStart(_) | FaultScript::ColdStuck(_) = plan.script {
             world.schedule(plan.fault_begin(), Event::Replace);
         }
@@ -100,14 +103,13 @@
             match self.store[index] {
                 Event::Arrival => self.arrive(),
                 Event::Replace => self.replace_sick(),
-                Event::AtHost { request, upstream, refusable } => {
-                    self.reach_host(request, upstream, refusable);
-                }
+                Event::Probe => self.probe(),
+                Event::AtHost { sent, refusable } => self.reach_host(sent, refusable),
+                Event::Impatient { sent } => self.give_up(sent),
+                Event::Cancel { sent } => self.cancel(sent),
                 Event::Overdue { job } => self.note_overdue(job),
                 Event::End { job } => self.end_job(job),
-                Event::Reply { request, upstream, answer } => {
-                    self.reach_ingress(request, upstream, answer);
-                }
+                Event::Reply { sent, answer } => self.reach_ingress(sent, answer),
             }
         }
         self.finish()
--- a/crates/bench/tests/decisions.rs
+++ b/crates/bench/tests/decisions.rs
@@ -6,6 +6,7 @@
 use basaltarch_bench::decisions::rules::RuleKind;
 use basaltarch_bench::decisions::scenario::{CASES, DEPLOYMENTS, LOADS};
 use basaltarch_bench::decisions::{bounds, report, suite};
+use test_case::test_case;
 
 #[test]
 fn verify_targets_and_regression_bounds_hold() {
@@ -28,6 +29,30 @@
     assert_eq!(figures(&plan), figures(&plan));
 }
 
+#[test_case("health endpoint lies")]
+#[test_case("load endpoint lies")]
+fn verify_lying_endpoints_change_no_decision(case: &str) {
+    let runs = |case: &str, severities: Vec<usize>, rules: Vec<RuleKind>| {
+        let mut plan = bounds::gate_suite();
+        plan.cases = (0..CASES.len()).filter(|each| CASES[*each].name == case).collect();
+        plan.deployments = vec![DEPLOYMENTS[1], DEPLOYMENTS[3]];
+        plan.severities = severities;
+        plan.rules = rules;
+        suite::run(&plan)
+    };
+    let own = vec![RuleKind::Detection, RuleKind::Precision];
+    // The middle severity of the errors fails half of the work, as the upstreams that lie do.
+    let honest = runs("errors", vec![2], own.clone());
+    for severity in 0..suite::SEVERITIES {
+        let lying = runs(case, vec![severity], own.clone());
+        for ((_, lying), (_, honest)) in lying.iter().zip(&honest) {
+            assert_eq!(format!("{lying:?}"), format!("{honest:?}"));
+        }
+    }
+    let probes = runs(case, vec![4], vec![RuleKind::Probes]);
+    assert!(probes.iter().all(|(_, result)| result.detection.is_none()), "probes see nothing");
+}
+
 #[test]
 fn verify_nothing_healthy_is_ejected_by_precision_in_healthy_hours() {
     let mut plan = bounds::whole_suite(3);
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -129,6 +129,7 @@
             }
             FirstEvent::GivenUp => {
                 // Dropping the exchange cancels it; the repeat is already paid for.
+                attempts.request.service.note_given_up(choice.index, state.now());
                 attempts.excluded.push(choice.index);
                 attempts.last = FailureOutcome::Unknown(UnknownReason::TimedOut);
             }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -208,6 +208,11 @@
         view.note_report(index, load.in_flight + load.queued, health, now);
     }
 
+    /// Takes in that an attempt at an upstream was given up as late.
+    pub fn note_given_up(&self, index: usize, now: Duration) {
+        self.view.borrow_mut().note_given_up(index, now);
+    }
+
     /// Returns the baseline of a route for a dispatch to an upstream.
     pub fn baseline(&self, route: &str, index: usize, now: Duration) -> ServiceBaseline {
         let baselines = self.baselines.borrow();
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -63,6 +63,8 @@
     pub health: Option<HealthReport>,
     /// When that report came.
     pub reported_at: Duration,
+    /// When an attempt there was last given up as late.
+    pub given_up_at: Option<Duration>,
 }
 
 impl LoadView {
@@ -77,6 +79,7 @@
             load: 0,
             health: None,
             reported_at: Duration::ZERO,
+            given_up_at: None,
         }
     }
 
@@ -115,13 +118,16 @@
     }
 
     /// Says whether the upstream is a suspect: lately it had this sickness, but was not ejected, since
-    /// it must stand out for a while first.
+    /// it must stand out for a while first, or an attempt there was given up and nothing heard since.
     ///
     /// Passing a suspect over spares callers, and the budget of repeats, what it would get until its
     /// daemon is sure. It takes no capacity out of service.
     fn is_suspect(&self, now: Duration, from: f64) -> bool {
+        let silent = self
+            .given_up_at
+            .is_some_and(|at| at >= self.reported_at && now.saturating_sub(at) < SUSPECT_LIFE);
         let fresh = now.saturating_sub(self.reported_at) < SUSPECT_LIFE;
-        fresh && self.health.is_some_and(|health| health.sickness >= from)
+        silent || fresh && self.health.is_some_and(|health| health.sickness >= from)
     }
 
     fn ramp(&self, now: Duration, health: &HealthReport) -> f64 {
@@ -228,6 +234,13 @@
         }
     }
 
+    /// Takes in that an attempt at an upstream was given up as late.
+    pub fn note_given_up(&mut self, index: usize, now: Duration) {
+        if let Some(view) = self.upstreams.get_mut(index) {
+            view.given_up_at = Some(now);
+        }
+    }
+
     /// Takes in that a request to an upstream is over.
     pub fn note_over(&mut self, index: usize) {
         if let Some(view) = self.upstreams.get_mut(index) {
