Split waiting for an attempt from making it, and the configuration's tests by concern

Waiting for the first event of an attempt stands in ingress/waiting.rs; tests of outages and of watches in recovery.rs and watches.rs, what they do as operators in common/operator.rs.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -16,16 +16,13 @@
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
-use basaltarch_http::reader::HEAD_READ_BYTES;
 use basaltarch_peer::link::{OutboundExchange, NO_EXCHANGE};
 use basaltarch_peer::protocol::{AnswerHead, DispatchHead, FrameBody, LoadReport, WithdrawNote};
-use basaltarch_peer::stream::StreamEvent;
-use bytes::Bytes;
-use futures_util::{select_biased, FutureExt};
 
 use crate::host;
 use crate::ingress::failure::CallerFailure;
 use crate::ingress::request::CallerRequest;
+use crate::ingress::waiting::{self, FirstEvent};
 use crate::links;
 use crate::metrics;
 use crate::services::SentGuard;
@@ -34,15 +31,9 @@
 
 /// Dispatches of one request at the most: the first and two more.
 const DISPATCHES_MAX: usize = 3;
-/// Time that the answer may take beyond the deadline given to the host's daemon, which times the
-/// work out itself; after it the path is at fault.
-const DEADLINE_GRACE: Duration = Duration::from_millis(100);
 /// Overdue times that an attempt at repeatable work is waited for before another is made: a server
 /// that is stuck would otherwise hold the caller until the deadline.
 const PATIENCE_OVERDUE: u32 = 3;
-/// Bytes of further requests that are read while one is served.
-const PIPELINE_BYTES_MAX: usize = 64 * 1024;
-
 /// `AttemptEnd` is how the attempts at a request ended.
 pub enum AttemptEnd {
     /// The head of an answer came, and the exchange it came from.
@@ -57,20 +48,13 @@
 pub struct LiveExchange {
     /// The exchange.
     pub exchange: OutboundExchange,
-    patience: Option<Duration>,
+    /// How long it is waited for before another attempt is made.
+    pub patience: Option<Duration>,
     /// Whether a failure counts as evidence against the upstream.
     counts: bool,
     _sent: SentGuard,
 }
 
-/// `FirstEvent` is the first thing that an attempt brought.
-enum FirstEvent {
-    Head(AnswerHead),
-    Failed(FailureOutcome, Option<LoadReport>),
-    GivenUp,
-    CallerGone,
-}
-
 /// `RequestAttempts` is the state over the attempts at one request.
 struct RequestAttempts<'a> {
     state: &'a Rc<DaemonState>,
@@ -106,7 +90,7 @@
             Some(live) => live,
             None => continue,
         };
-        let first = attempts.first_event(stream, body, &live).await;
+        let first = waiting::first_event(request, attempts.left(), stream, body, &live).await;
         match first {
             FirstEvent::CallerGone => return AttemptEnd::CallerGone,
             FirstEvent::Head(head) => {
@@ -307,35 +291,6 @@
         (may_follow && baseline.is_usable()).then(|| baseline.overdue_after() * PATIENCE_OVERDUE)
     }
 
-    /// Waits for the head of the answer or the end of the exchange, sending the body meanwhile.
-    async fn first_event(
-        &self,
-        stream: &mut HttpStream,
-        body: &mut BodyReader,
-        live: &LiveExchange,
-    ) -> FirstEvent {
-        let answer = live.exchange.answer.clone();
-        let mut event = std::pin::pin!(answer.next().fuse());
-        let wait = self.left() + DEADLINE_GRACE;
-        let mut late = std::pin::pin!(monoio::time::sleep(wait).fuse());
-        let patience = live.patience.filter(|_| body.is_done()).unwrap_or(wait * 2);
-        let mut patient = std::pin::pin!(monoio::time::sleep(patience).fuse());
-        let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
-        loop {
-            select_biased! {
-                event = event => return first_of(event),
-                outcome = sending => match outcome {
-                    SendEnd::Done => {}
-                    SendEnd::CallerGone => return FirstEvent::CallerGone,
-                },
-                () = late => return timed_out(),
-                () = patient => if self.request.service.take_repeat() {
-                    return FirstEvent::GivenUp;
-                },
-            }
-        }
-    }
-
     fn note_report(&self, index: usize, report: &LoadReport, failed: Option<bool>) {
         let route = &self.request.route.name;
         let now = self.state.now();
@@ -399,60 +354,3 @@
         )
     )
 }
-
-fn timed_out() -> FirstEvent {
-    FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::TimedOut), None)
-}
-
-fn first_of(event: StreamEvent) -> FirstEvent {
-    match event {
-        StreamEvent::Head(head) => FirstEvent::Head(head),
-        StreamEvent::Failed(failure) => {
-            let outcome = FailureOutcome::from_wire(failure.outcome);
-            FirstEvent::Failed(outcome, failure.report)
-        }
-        StreamEvent::Data(..) | StreamEvent::Cancelled => {
-            FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::PeerLost), None)
-        }
-    }
-}
-
-enum SendEnd {
-    Done,
-    CallerGone,
-}
-
-/// Sends the rest of the body, then watches whether the caller goes away.
-async fn send_body(stream: &mut HttpStream, body: &mut BodyReader, live: &LiveExchange) -> SendEnd {
-    let sink = &live.exchange.body;
-    while !body.is_done() {
-        // Nothing is read before the host's daemon has started the work, so that what a refusal
-        // leaves unread can go to another upstream.
-        if sink.ready().await.is_err() {
-            break;
-        }
-        let data = match body.next(&mut stream.reader).await {
-            Ok(Some(data)) => data,
-            Ok(None) => Bytes::new(),
-            Err(_) => return SendEnd::CallerGone,
-        };
-        let last = body.is_done();
-        if sink.send(StreamEvent::Data(data, last)).await.is_err() {
-            break;
-        }
-    }
-    watch_caller(stream).await
-}
-
-/// Waits until the caller goes away; further requests are kept for later.
-async fn watch_caller(stream: &mut HttpStream) -> SendEnd {
-    loop {
-        if stream.reader.buffer.len() > PIPELINE_BYTES_MAX {
-            return SendEnd::Done;
-        }
-        match stream.reader.fill(HEAD_READ_BYTES).await {
-            Ok(count) if count > 0 => {}
-            _ => return SendEnd::CallerGone,
-        }
-    }
-}
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -9,3 +9,4 @@
 pub mod caller;
 pub mod failure;
 pub mod request;
+pub mod waiting;
--- /dev/null
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -0,0 +1,123 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Waits for the first thing that an attempt brings, while the rest of the request is sent.
+
+use std::time::Duration;
+
+use basaltarch_core::outcome::{FailureOutcome, UnknownReason};
+use basaltarch_http::body::BodyReader;
+use basaltarch_http::connection::HttpStream;
+use basaltarch_http::reader::HEAD_READ_BYTES;
+use basaltarch_peer::protocol::{AnswerHead, LoadReport};
+use basaltarch_peer::stream::StreamEvent;
+use bytes::Bytes;
+use futures_util::{select_biased, FutureExt};
+
+use crate::ingress::attempt::LiveExchange;
+use crate::ingress::request::CallerRequest;
+
+/// Time that the answer may take beyond the deadline given to the host's daemon, which times the
+/// work out itself; after it the path is at fault.
+const DEADLINE_GRACE: Duration = Duration::from_millis(100);
+/// Bytes of further requests that are read while one is served.
+const PIPELINE_BYTES_MAX: usize = 64 * 1024;
+
+/// `FirstEvent` is the first thing that an attempt brought.
+pub enum FirstEvent {
+    /// The head of an answer.
+    Head(AnswerHead),
+    /// The end of the exchange without an answer, and what the host's daemon reported with it.
+    Failed(FailureOutcome, Option<LoadReport>),
+    /// The attempt is late, and the budget pays for another.
+    GivenUp,
+    /// The caller went away.
+    CallerGone,
+}
+
+/// Waits for the head of the answer or the end of the exchange, sending the body meanwhile.
+pub async fn first_event(
+    request: &CallerRequest,
+    left: Duration,
+    stream: &mut HttpStream,
+    body: &mut BodyReader,
+    live: &LiveExchange,
+) -> FirstEvent {
+    let answer = live.exchange.answer.clone();
+    let mut event = std::pin::pin!(answer.next().fuse());
+    let wait = left + DEADLINE_GRACE;
+    let mut late = std::pin::pin!(monoio::time::sleep(wait).fuse());
+    let patience = live.patience.filter(|_| body.is_done()).unwrap_or(wait * 2);
+    let mut patient = std::pin::pin!(monoio::time::sleep(patience).fuse());
+    let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
+    loop {
+        select_biased! {
+            event = event => return first_of(event),
+            outcome = sending => match outcome {
+                SendEnd::Done => {}
+                SendEnd::CallerGone => return FirstEvent::CallerGone,
+            },
+            () = late => return timed_out(),
+            () = patient => if request.service.take_repeat() {
+                return FirstEvent::GivenUp;
+            },
+        }
+    }
+}
+
+fn timed_out() -> FirstEvent {
+    FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::TimedOut), None)
+}
+
+fn first_of(event: StreamEvent) -> FirstEvent {
+    match event {
+        StreamEvent::Head(head) => FirstEvent::Head(head),
+        StreamEvent::Failed(failure) => {
+            let outcome = FailureOutcome::from_wire(failure.outcome);
+            FirstEvent::Failed(outcome, failure.report)
+        }
+        StreamEvent::Data(..) | StreamEvent::Cancelled => {
+            FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::PeerLost), None)
+        }
+    }
+}
+
+enum SendEnd {
+    Done,
+    CallerGone,
+}
+
+/// Sends the rest of the body, then watches whether the caller goes away.
+async fn send_body(stream: &mut HttpStream, body: &mut BodyReader, live: &LiveExchange) -> SendEnd {
+    let sink = &live.exchange.body;
+    while !body.is_done() {
+        // Nothing is read before the host's daemon has started the work, so that what a refusal
+        // leaves unread can go to another upstream.
+        if sink.ready().await.is_err() {
+            break;
+        }
+        let data = match body.next(&mut stream.reader).await {
+            Ok(Some(data)) => data,
+            Ok(None) => Bytes::new(),
+            Err(_) => return SendEnd::CallerGone,
+        };
+        let last = body.is_done();
+        if sink.send(StreamEvent::Data(data, last)).await.is_err() {
+            break;
+        }
+    }
+    watch_caller(stream).await
+}
+
+/// Waits until the caller goes away; further requests are kept for later.
+async fn watch_caller(stream: &mut HttpStream) -> SendEnd {
+    loop {
+        if stream.reader.buffer.len() > PIPELINE_BYTES_MAX {
+            return SendEnd::Done;
+        }
+        match stream.reader.fill(HEAD_READ_BYTES).await {
+            Ok(count) if count > 0 => {}
+            _ => return SendEnd::CallerGone,
+        }
+    }
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod client;
 pub mod forwarder;
+pub mod operator;
 
 use std::collections::BTreeMap;
 use std::fs::{self, File};
--- /dev/null
+++ b/crates/daemon/tests/common/operator.rs
@@ -0,0 +1,49 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! What tests of the configuration do as operators.
+
+use std::collections::BTreeMap;
+
+use serde_json::{json, Value};
+
+use super::client;
+use super::{FleetPlan, TestDaemon, TestFleet};
+
+pub fn fleet_of(daemons: usize) -> TestFleet {
+    TestFleet::start(&FleetPlan { daemons, backends: 2, ..FleetPlan::default() })
+}
+
+pub fn put_organisation(
+    daemon: &TestDaemon,
+    name: &str,
+    title: &str,
+    guard: (&str, &str),
+) -> client::Reply {
+    let path = format!("/v1/organisations/{name}");
+    daemon.call("PUT", &path, &[guard], &json!({"title": title}).to_string())
+}
+
+pub const ANY: (&str, &str) = ("If-Match", "*");
+
+/// Checks that every revision has its record and each change is there once, in order.
+pub fn check_audit(fleet: &TestFleet, revisions: u64) {
+    for daemon in &fleet.daemons {
+        let audit = daemon.get("/v1/audit?after=0");
+        let records = audit["records"].as_array().expect("records").clone();
+        let seen: Vec<u64> =
+            records.iter().map(|record| record["revision"].as_u64().expect("revision")).collect();
+        assert_eq!(seen, (1..=revisions).collect::<Vec<u64>>());
+        let mut state: BTreeMap<String, Value> = BTreeMap::new();
+        for record in &records {
+            assert!(record["actor"].as_str().is_some_and(|actor| !actor.is_empty()));
+            assert!(record["at"].as_str().is_some_and(|at| at.ends_with('Z')));
+            for change in record["changes"].as_array().expect("changes") {
+                let key = format!("{}/{}", change["kind"], change["name"]);
+                let before = state.get(&key).cloned().unwrap_or(Value::Null);
+                assert_eq!(before, change["before"], "{key} at {}", record["revision"]);
+                state.insert(key, change["after"].clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/recovery.rs
@@ -0,0 +1,225 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Configuration while the store, the host list or daemons fail: nothing is lost or comes back.
+
+mod common;
+
+use common::forwarder::Forwarder;
+use common::operator::{check_audit, fleet_of, put_organisation, ANY};
+use common::{client, eventually, FleetPlan, TestDaemon, TestFleet};
+use serde_json::{json, Value};
+use test_case::test_case;
+
+#[test_case(json!({"lose_write_answers": 1}) ; "answer lost")]
+#[test_case(json!({"lose_write_answers": 2}) ; "two answers lost")]
+#[test_case(json!({"lose_writes": 1}) ; "write lost")]
+fn verify_a_change_whose_answer_is_lost_is_neither_doubled_nor_misreported(faults: Value) {
+    let fleet = fleet_of(2);
+    fleet.platform.faults(faults);
+    let reply = put_organisation(&fleet.daemons[0], "lost", "t", ("If-None-Match", "*"));
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(reply.json()["revision"], json!(2));
+    fleet.wait_revision(2);
+    assert_eq!(fleet.daemons[0].revision(), 2);
+    check_audit(&fleet, 2);
+}
+
+#[test]
+fn verify_with_the_store_down_changes_are_refused_and_traffic_flows() {
+    let fleet = fleet_of(3);
+    fleet.platform.faults(json!({"down": true}));
+    let reply = put_organisation(&fleet.daemons[0], "x", "t", ANY);
+    assert!(matches!(reply.status, 503 | 504), "{}", reply.text());
+    for daemon in 0..3 {
+        assert_eq!(fleet.request(daemon, "GET", "/puzzle", &[], "").status, 200);
+    }
+    assert_eq!(fleet.daemons[0].revision(), 1);
+}
+
+#[test]
+fn verify_without_store_and_peers_a_daemon_waits_says_so_and_takes_no_traffic() {
+    let mut fleet = fleet_of(1);
+    fleet.platform.faults(json!({"down": true}));
+    fleet.daemons.clear();
+    let fresh = TestDaemon::start(fleet.platform.address, "host-a", "bkk-a", &[]);
+    let ready = client::call(fresh.admin, "GET", "/readyz", &[], "");
+    assert_eq!(ready.status, 503);
+    assert!(ready.text().contains("waits for a configuration"));
+    let reply = client::call(fresh.callers, "GET", "/", &[("Host", "solver.example")], "");
+    assert_eq!((reply.status, reply.reason().as_deref()), (503, Some("no-configuration")));
+    assert_eq!(reply.outcome().as_deref(), Some("not-run"));
+    fleet.platform.faults(json!({}));
+    eventually("it is in service once the store is back", || fresh.is_ready());
+    assert_eq!(fresh.revision(), 1);
+}
+
+#[test]
+fn verify_all_daemons_replaced_one_after_another_without_the_store_lose_nothing() {
+    let mut fleet = fleet_of(3);
+    assert_eq!(put_organisation(&fleet.daemons[0], "x", "t", ANY).status, 200);
+    fleet.wait_revision(2);
+    fleet.platform.faults(json!({"down": true}));
+    for index in 0..3 {
+        let old = fleet.daemons.remove(index);
+        let (host, domain) = (old.host.clone(), old.domain.clone());
+        drop(old);
+        let seeds: Vec<String> = fleet.daemons.iter().map(|d| d.peers.to_string()).collect();
+        let seeds = seeds.join(",");
+        let flags = [("seeds", seeds.as_str())];
+        let fresh = TestDaemon::start(fleet.platform.address, &host, &domain, &flags);
+        eventually("it is in service from its peers", || fresh.is_ready());
+        fleet.daemons.insert(index, fresh);
+    }
+    for daemon in &fleet.daemons {
+        assert_eq!(daemon.revision(), 2);
+        assert_eq!(daemon.call("GET", "/v1/organisations/x", &[], "").status, 200);
+    }
+}
+
+#[test]
+fn verify_a_replaced_daemon_learns_from_its_peers_while_the_store_is_down() {
+    let mut fleet = fleet_of(3);
+    let seeds = format!("{},{}", fleet.daemons[0].peers, fleet.daemons[1].peers);
+    assert_eq!(put_organisation(&fleet.daemons[0], "x", "t", ANY).status, 200);
+    fleet.wait_revision(2);
+    fleet.platform.faults(json!({"down": true}));
+    let old = fleet.daemons.pop().expect("daemon");
+    let (host, domain) = (old.host.clone(), old.domain.clone());
+    drop(old);
+    let flags = [("seeds", seeds.as_str())];
+    let fresh = TestDaemon::start(fleet.platform.address, &host, &domain, &flags);
+    eventually("it is in service from its peers", || fresh.is_ready());
+    assert_eq!(fresh.revision(), 2);
+    let reply = client::call(fresh.callers, "GET", "/puzzle", &[("Host", "solver.example")], "");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+}
+
+#[test]
+fn verify_answers_from_the_past_never_bring_an_older_revision_back() {
+    let fleet = fleet_of(2);
+    fleet.platform.faults(json!({"reads_from_past_ms": 1}));
+    for number in 0..6 {
+        let name = format!("org-{number}");
+        eventually("accepted", || {
+            put_organisation(&fleet.daemons[0], &name, "t", ANY).status == 200
+        });
+    }
+    fleet.wait_revision(7);
+    fleet.platform.faults(json!({"reads_from_past_ms": 3_600_000}));
+    let mut lowest = [7, 7];
+    let before = fleet.daemons[1].metric("old_revisions");
+    eventually("answers from the past were seen and refused", || {
+        for (index, daemon) in fleet.daemons.iter().enumerate() {
+            lowest[index] = lowest[index].min(daemon.revision());
+        }
+        fleet.daemons[1].metric("old_revisions") > before
+    });
+    assert_eq!(lowest, [7, 7]);
+    // Changes are still accepted: the check on the head refuses those made on an old view.
+    eventually("accepted in the end", || {
+        let reply = put_organisation(&fleet.daemons[0], "late", "t", ANY);
+        assert!(matches!(reply.status, 200 | 409 | 503), "{}", reply.text());
+        fleet.platform.faults(json!({}));
+        reply.status == 200
+    });
+    fleet.wait_revision(8);
+    check_audit(&fleet, 8);
+}
+
+#[test]
+fn verify_a_paused_daemon_catches_up_and_falls_back_never() {
+    let fleet = fleet_of(3);
+    fleet.daemons[2].signal("-STOP");
+    for number in 0..5 {
+        let name = format!("org-{number}");
+        eventually("accepted", || {
+            put_organisation(&fleet.daemons[0], &name, "t", ANY).status == 200
+        });
+    }
+    fleet.daemons[2].signal("-CONT");
+    fleet.wait_revision(6);
+    check_audit(&fleet, 6);
+}
+
+#[test]
+fn verify_daemons_cut_off_from_the_store_hear_changes_from_their_peers() {
+    let plan = FleetPlan { daemons: 2, backends: 2, ..FleetPlan::default() };
+    let mut fleet = TestFleet::start(&plan);
+    let seeds = format!("{},{}", fleet.daemons[0].peers, fleet.daemons[1].peers);
+    // An address where nothing answers stands for the cut.
+    let nowhere =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("bind").local_addr().expect("addr");
+    let flags = [("seeds", seeds.as_str())];
+    let cut = TestDaemon::start(nowhere, "host-c", "bkk-c", &flags);
+    fleet.daemons.push(cut);
+    eventually("it is ready", || fleet.daemons[2].is_ready());
+    for number in 0..5 {
+        let name = format!("org-{number}");
+        assert_eq!(put_organisation(&fleet.daemons[0], &name, "t", ANY).status, 200);
+    }
+    fleet.wait_revision(6);
+}
+
+#[test]
+fn verify_half_of_the_fleet_cut_off_from_the_store_hears_changes_and_a_second_fault_loses_none() {
+    use std::sync::atomic::Ordering;
+    let mut fleet = fleet_of(2);
+    let seeds = format!("{},{}", fleet.daemons[0].peers, fleet.daemons[1].peers);
+    let store = Forwarder::start();
+    store.forward_to(fleet.platform.address);
+    for (host, domain) in [("host-c", "bkk-c"), ("host-d", "bkk-a")] {
+        let daemon = TestDaemon::start(store.address, host, domain, &[("seeds", seeds.as_str())]);
+        fleet.platform.list_host(host, domain, daemon.peers, daemon.admin, "live");
+        fleet.daemons.push(daemon);
+    }
+    fleet.wait_members();
+    store.cuts.forward.store(true, Ordering::SeqCst);
+    store.cuts.back.store(true, Ordering::SeqCst);
+    for number in 0..4 {
+        let name = format!("cut-{number}");
+        assert_eq!(put_organisation(&fleet.daemons[0], &name, "t", ANY).status, 200);
+    }
+    fleet.wait_revision(5);
+    // A second fault at the same time: answers of the store's writes are lost, and the daemon that
+    // takes the changes dies.
+    fleet.platform.faults(json!({"lose_write_answers": 1}));
+    let reply = put_organisation(&fleet.daemons[1], "second", "t", ("If-None-Match", "*"));
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    fleet.daemons.remove(1);
+    fleet.wait_revision(6);
+    // Whoever is cut off can accept nothing, and says so.
+    let refused = put_organisation(&fleet.daemons[1], "third", "t", ANY);
+    assert!(matches!(refused.status, 503 | 504), "{}", refused.text());
+    store.cuts.forward.store(false, Ordering::SeqCst);
+    store.cuts.back.store(false, Ordering::SeqCst);
+    eventually("the cut-off half accepts changes again", || {
+        let reply = put_organisation(&fleet.daemons[1], "fourth", "t", ANY);
+        assert!(matches!(reply.status, 200 | 409 | 503 | 504), "{}", reply.text());
+        reply.status == 200
+    });
+    let last = fleet.daemons[1].revision();
+    fleet.wait_revision(last);
+    check_audit(&fleet, last);
+}
+
+#[test]
+fn verify_a_lying_host_list_neither_resurrects_nor_buries() {
+    let mut fleet = fleet_of(3);
+    // The dead stay listed as live.
+    fleet.daemons[2].kill();
+    eventually("the dead daemon is suspect though listed", || {
+        let status = fleet.daemons[0].get("/v1/status");
+        let members = status["members"].as_array().expect("members").clone();
+        members.iter().any(|m| m["host"] == "host-c" && m["state"] == "suspect")
+    });
+    // The living vanish from the list.
+    let path = format!("{}host-b", basaltarch_standin::platform::HOSTS_CONTROL_PATH);
+    client::call(fleet.platform.address, "DELETE", &path, &[], "");
+    let polls = |fleet: &TestFleet| fleet.platform.counters()["reads"].as_u64().expect("reads");
+    let before = polls(&fleet);
+    eventually("the list was read some times", || polls(&fleet) > before + 12);
+    let status = fleet.daemons[0].get("/v1/status");
+    let members = status["members"].as_array().expect("members").clone();
+    assert!(members.iter().any(|m| m["host"] == "host-b" && m["state"] == "live"), "{members:?}");
+}
--- /dev/null
+++ b/crates/daemon/tests/watches.rs
@@ -0,0 +1,90 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Watches over the resource API.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Write};
+
+use common::operator::{fleet_of, put_organisation, ANY};
+use common::{client, eventually, FleetPlan, TestDaemon, TestFleet};
+use serde_json::{json, Value};
+
+/// Reads JSON lines of a watch.
+struct Watch {
+    lines: std::io::Lines<BufReader<std::net::TcpStream>>,
+}
+
+impl Watch {
+    fn start(daemon: &TestDaemon, path: &str) -> Self {
+        let mut stream = client::connect(daemon.admin);
+        let headers = [("Authorization", "Bearer operator-token")];
+        let text = client::request_text("GET", path, &headers, "");
+        stream.write_all(text.as_bytes()).expect("write");
+        Self { lines: BufReader::new(stream).lines() }
+    }
+
+    fn next_change(&mut self) -> Value {
+        loop {
+            let line = self.lines.next().expect("a line").expect("a line");
+            if let Ok(value) = serde_json::from_str::<Value>(&line) {
+                if value["changes"].is_array() || value["error"].is_string() {
+                    return value;
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn verify_watches_miss_nothing_and_double_nothing_over_a_reconnect() {
+    let fleet = fleet_of(2);
+    let mut seen = Vec::new();
+    let mut watch = Watch::start(&fleet.daemons[1], "/v1/watch?after=0");
+    for number in 0..12 {
+        let name = format!("org-{number}");
+        assert_eq!(put_organisation(&fleet.daemons[0], &name, "t", ANY).status, 200);
+        if number % 4 == 3 {
+            while seen.len() < number - 1 {
+                seen.push(watch.next_change()["revision"].as_u64().expect("revision"));
+            }
+            let last = seen.last().expect("some");
+            let other = &fleet.daemons[number % 2];
+            eventually("the other daemon has it", || other.revision() >= *last);
+            watch = Watch::start(other, &format!("/v1/watch?after={last}"));
+        }
+    }
+    while seen.len() < 13 {
+        seen.push(watch.next_change()["revision"].as_u64().expect("revision"));
+    }
+    assert_eq!(seen, (1..=13).collect::<Vec<u64>>());
+    let mut routes = Watch::start(&fleet.daemons[0], "/v1/routes?watch=0");
+    let first = routes.next_change();
+    assert!(first["changes"].as_array().expect("changes").iter().all(|c| c["kind"] == "routes"));
+}
+
+#[test]
+fn verify_a_watch_from_a_forgotten_revision_is_told_where_to_start_again() {
+    let plan = FleetPlan {
+        daemons: 1,
+        backends: 1,
+        daemon_flags: vec![("store-writes", "1000")],
+        ..FleetPlan::default()
+    };
+    let mut fleet = TestFleet::start(&plan);
+    for number in 0..303 {
+        let name = format!("o-{number}");
+        assert_eq!(put_organisation(&fleet.daemons[0], &name, "t", ANY).status, 200);
+    }
+    // A new daemon starts from a snapshot and knows only the changes since.
+    eventually("a snapshot is kept", || fleet.daemons[0].log_text().contains("snapshot kept"));
+    let fresh = TestDaemon::start(fleet.platform.address, "host-n", "bkk-b", &[]);
+    fleet.daemons.push(fresh);
+    eventually("it has all", || fleet.daemons[1].is_ready() && fleet.daemons[1].revision() == 304);
+    let reply = fleet.daemons[1].call("GET", "/v1/watch?after=1", &[], "");
+    assert_eq!(reply.status, 410, "{}", reply.text());
+    assert_eq!(reply.json()["start_again_at"], json!(304));
+    let bad = fleet.daemons[1].call("GET", "/v1/watch?after=x", &[], "");
+    assert_eq!(bad.status, 422);
+}
