Read, lay out and write whole configurations in turns, so that requests are served in between

Cause: a daemon has one thread.

Change: what goes over all resources awaits a pause after 512 of them; a serving daemon sleeps 1 ms there, one that serves nothing goes on.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -4,6 +4,7 @@
 //! Slopes of state, memory and processor time, from which docs/CAPACITY.md is worked out.
 
 use std::alloc::System;
+use std::cell::{Cell, RefCell};
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,7 @@
 use basaltarch_core::resources::ResourceKind;
 use basaltarch_core::routes::RouteMatch;
 use basaltarch_core::snapshot;
+use basaltarch_core::turns;
 use basaltarch_core::units::FleetRevision;
 use basaltarch_decide::balance::LoadView;
 use basaltarch_decide::health::UpstreamHealth;
@@ -125,6 +127,10 @@
     pub read_time: Duration,
     /// Time to lay it out.
     pub build_time: Duration,
+    /// Turns of reading and laying out, in which nothing else is served.
+    pub turns: TurnTimes,
+    /// Time to give the memory of a replaced configuration back.
+    pub drop_time: Duration,
     /// Time of one route look-up in nanoseconds.
     pub lookup_ns: f64,
     /// Time to put one change of one backend server in force, in microseconds.
@@ -144,7 +150,8 @@
     let build_time = start.elapsed();
     let built = allocated_bytes();
     let lookup_ns = measure_lookups(&active, size);
-    let change_us = measure_changes(config, active, size)?;
+    let (change_us, drop_time) = measure_changes(config, active, size)?;
+    let turns = measure_turns(&bytes)?;
     Some(ConfigCost {
         size,
         snapshot_bytes: bytes.len() as u64,
@@ -152,6 +159,8 @@
         active_bytes: built.saturating_sub(loaded),
         read_time,
         build_time,
+        turns,
+        drop_time,
         lookup_ns,
         change_us,
     })
@@ -170,12 +179,41 @@
     snapshot::to_bytes(&builder.finish(GENERATED_REVISION).ok()?).ok()
 }
 
+/// `TurnTimes` is how long the turns of long work took.
+#[derive(Debug, Clone, Copy)]
+pub struct TurnTimes {
+    /// The median.
+    pub median: Duration,
+    /// What 99 in 100 stay below.
+    pub p99: Duration,
+    /// The longest; on a shared machine mostly another process's doing.
+    pub longest: Duration,
+}
+
+/// Reads a snapshot and lays it out in turns.
+fn measure_turns(bytes: &[u8]) -> Option<TurnTimes> {
+    let begun = Cell::new(Instant::now());
+    let times = RefCell::new(Vec::new());
+    let pause = async || {
+        let turn = begun.replace(Instant::now()).elapsed();
+        times.borrow_mut().push(turn);
+    };
+    let config = turns::at_once(snapshot::read(bytes, &pause)).ok()?;
+    let layout = turns::at_once(ActiveConfig::build_in_turns(&config, &pause));
+    turns::at_once(pause());
+    black_box((config, layout));
+    let mut times = times.into_inner();
+    times.sort();
+    let at = |share: usize| times.get((times.len() - 1) * share / 100).copied();
+    Some(TurnTimes { median: at(50)?, p99: at(99)?, longest: at(100)? })
+}
+
 /// Puts changes in force one by one, as a daemon does: on copies that share what stays the same.
 fn measure_changes(
     mut config: FleetConfig,
     mut active: ActiveConfig,
     size: FleetSize,
-) -> Option<f64> {
+) -> Option<(f64, Duration)> {
     const CHANGES: usize = 500;
     let mut spent = Duration::ZERO;
     for number in 0..CHANGES {
@@ -207,7 +245,9 @@
         config = next;
         active = layout;
     }
-    Some(spent.as_micros() as f64 / CHANGES as f64)
+    let start = Instant::now();
+    drop((config, active));
+    Some((spent.as_micros() as f64 / CHANGES as f64, start.elapsed()))
 }
 
 /// Returns bytes a resource of one kind costs, measured with that kind alone grown.
@@ -257,18 +297,24 @@
 pub fn print_all() {
     println!("configuration held whole by one daemon");
     println!(
-        "share    snapshot MB  resources MB  layout MB  read s  lay out s  look-up ns  change us"
+        "share    snapshot MB  resources MB  layout MB  read s  lay out s  turns p50 p99 max ms   drop ms  \
+         look-up ns  change us"
     );
     for share in [0.01, 0.05, 0.1, 1.0] {
         if let Some(cost) = measure_config(TWO_YEARS.scaled(share)) {
             let mb = |bytes: u64| bytes as f64 / 1e6;
+            let ms = |time: Duration| time.as_secs_f64() * 1e3;
             println!(
-                "{share:<8} {:<12.1} {:<13.1} {:<10.1} {:<7.2} {:<10.2} {:<11.0} {:.1}",
+                "{share:<8} {:<12.1} {:<13.1} {:<10.1} {:<7.2} {:<10.2} {:<6.2} {:<6.2} {:<8.1} {:<8.1} {:<11.0} {:.1}",
                 mb(cost.snapshot_bytes),
                 mb(cost.fleet_bytes),
                 mb(cost.active_bytes),
                 cost.read_time.as_secs_f64(),
                 cost.build_time.as_secs_f64(),
+                ms(cost.turns.median),
+                ms(cost.turns.p99),
+                ms(cost.turns.longest),
+                ms(cost.drop_time),
                 cost.lookup_ns,
                 cost.change_us
             );
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -18,6 +18,7 @@
 };
 use crate::routes::RouteTable;
 use crate::services::{self, PackedService, ServiceEntry, UpstreamEntry};
+use crate::turns::{self, WorkTurns};
 use crate::units::FleetRevision;
 
 /// `SharedMap` is a map whose copies share what they have in common: a copy costs nothing, a change
@@ -141,6 +142,10 @@
 
     /// Checks that every reference of every resource has its target.
     pub fn check_references(&self) -> Result<(), ResourceError> {
+        turns::at_once(self.check_references_in_turns(&turns::no_pause))
+    }
+
+    async fn check_references_in_turns(&self, pause: &impl AsyncFn()) -> Result<(), ResourceError> {
         // Many resources name few services and failure domains, so their names are unpacked once.
         let names = |kind| self.kinds[kind as usize].names().collect::<FnvHashSet<Rc<str>>>();
         let services = names(ResourceKind::Service);
@@ -150,7 +155,12 @@
             ResourceKind::FailureDomain => domains.contains(name),
             _ => self.contains(kind, name),
         };
-        self.all().try_for_each(|(kind, name, stored)| check_one(kind, &name, &stored.value, has))
+        let mut turns = WorkTurns::new(pause);
+        for (kind, name, stored) in self.all() {
+            check_one(kind, &name, &stored.value, has)?;
+            turns.step().await;
+        }
+        Ok(())
     }
 
     /// Checks the references that a change touches. Call it on the configuration that the change
@@ -204,8 +214,17 @@
 
     /// Checks what the resources name and returns the configuration at this revision.
     pub fn finish(self, revision: FleetRevision) -> Result<FleetConfig, ResourceError> {
+        turns::at_once(self.finish_in_turns(revision, &turns::no_pause))
+    }
+
+    /// Does in turns what [`Self::finish`] does.
+    pub async fn finish_in_turns(
+        self,
+        revision: FleetRevision,
+        pause: &impl AsyncFn(),
+    ) -> Result<FleetConfig, ResourceError> {
         let config = FleetConfig { revision, kinds: self.kinds.map(BlockBuilder::finish) };
-        config.check_references()?;
+        config.check_references_in_turns(pause).await?;
         Ok(config)
     }
 }
@@ -228,7 +247,11 @@
 }
 
 /// Packs all services. Upstreams wait packed until all are there; they come in the order of names.
-fn pack_services(config: &FleetConfig) -> SharedMap<Rc<str>, Rc<PackedService>> {
+async fn pack_services(
+    config: &FleetConfig,
+    pause: &impl AsyncFn(),
+) -> SharedMap<Rc<str>, Rc<PackedService>> {
+    let mut turns = WorkTurns::new(pause);
     let mut waiting: FnvHashMap<String, Vec<u8>> = FnvHashMap::default();
     for (name, stored) in config.list(ResourceKind::BackendServer) {
         if let ResourceValue::BackendServer(server) = &stored.value {
@@ -238,6 +261,7 @@
                 None => drop(waiting.insert(server.service.clone(), packed)),
             }
         }
+        turns.step().await;
     }
     let mut all = SharedMap::default();
     for (name, stored) in config.list(ResourceKind::Service) {
@@ -245,6 +269,7 @@
             let upstreams = waiting.remove(&*name).unwrap_or_default();
             all.insert(name, Rc::new(PackedService::with_upstreams(spec, &upstreams)));
         }
+        turns.step().await;
     }
     all
 }
@@ -278,15 +303,19 @@
 impl ActiveConfig {
     /// Lays out `config` for the request path.
     pub fn build(config: &FleetConfig) -> Self {
+        turns::at_once(Self::build_in_turns(config, &turns::no_pause))
+    }
+
+    /// Lays `config` out in turns.
+    pub async fn build_in_turns(config: &FleetConfig, pause: &impl AsyncFn()) -> Self {
         let mut active = Self { revision: config.revision(), ..Self::default() };
         for (name, stored) in config.list(ResourceKind::Limit) {
             active.insert(&name, &stored.value);
         }
-        active.services = pack_services(config);
+        active.services = pack_services(config, pause).await;
         let routes = config.list(ResourceKind::Route);
-        active.routes = RouteTable::build(
-            routes.filter_map(|(name, stored)| Some((name, stored.value.into_route()?))),
-        );
+        let routes = routes.filter_map(|(name, stored)| Some((name, stored.value.into_route()?)));
+        active.routes = RouteTable::build_in_turns(routes, pause).await;
         active.share_organisations(config);
         active
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod services;
 pub mod settings;
 pub mod snapshot;
+pub mod turns;
 pub mod units;
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -11,6 +11,7 @@
 use crate::config::SharedMap;
 use crate::packing;
 use crate::resources::{RouteRule, WorkClass, WorkMode};
+use crate::turns::{self, WorkTurns};
 
 /// `RouteEntry` is a route in force.
 #[derive(Debug, Clone, PartialEq)]
@@ -142,6 +143,15 @@
 impl RouteTable {
     /// Lays routes out. Those of each host wait packed until all are there.
     pub fn build(routes: impl Iterator<Item = (Rc<str>, Rc<RouteRule>)>) -> Self {
+        turns::at_once(Self::build_in_turns(routes, &turns::no_pause))
+    }
+
+    /// Lays routes out in turns.
+    pub async fn build_in_turns(
+        routes: impl Iterator<Item = (Rc<str>, Rc<RouteRule>)>,
+        pause: &impl AsyncFn(),
+    ) -> Self {
+        let mut turns = WorkTurns::new(pause);
         let mut waiting: FnvHashMap<String, Vec<u8>> = FnvHashMap::default();
         let mut table = Self::default();
         for (name, rule) in routes {
@@ -151,10 +161,12 @@
                 None => drop(waiting.insert(rule.host.clone(), record)),
             }
             table.len += 1;
+            turns.step().await;
         }
         for (host, records) in waiting {
             let routes = HostRoutes::new(packing::unpack_all(&records));
             table.hosts.insert(Rc::from(host), Rc::new(routes));
+            turns.step().await;
         }
         table
     }
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -15,6 +15,7 @@
 
 use crate::config::{ConfigBuilder, FleetConfig, SnapshotResource};
 use crate::errors::{self, ResourceError};
+use crate::turns::{self, WorkTurns};
 use crate::units::FleetRevision;
 
 /// `SnapshotHead` is the first value of a snapshot.
@@ -27,6 +28,12 @@
 
 /// Writes a configuration.
 pub fn to_bytes(config: &FleetConfig) -> io::Result<Vec<u8>> {
+    turns::at_once(write(config, &turns::no_pause))
+}
+
+/// Writes a configuration in turns.
+pub async fn write(config: &FleetConfig, pause: &impl AsyncFn()) -> io::Result<Vec<u8>> {
+    let mut turns = WorkTurns::new(pause);
     let info = FrameInfo::new().content_checksum(true);
     let mut encoder = FrameEncoder::with_frame_info(info, Vec::new());
     let head = SnapshotHead { revision: config.revision(), resources: config.len() };
@@ -35,6 +42,7 @@
         let value = stored.value.to_json();
         let kind = kind.name().to_owned();
         put(&mut encoder, &SnapshotResource(kind, name.to_string(), stored.revision, value))?;
+        turns.step().await;
     }
     Ok(encoder.finish()?)
 }
@@ -46,16 +54,23 @@
 
 /// Reads a configuration, with every check that a change goes through.
 pub fn from_bytes(bytes: &[u8]) -> Result<FleetConfig, ResourceError> {
+    turns::at_once(read(bytes, &turns::no_pause))
+}
+
+/// Reads a configuration in turns, with every check that a change goes through.
+pub async fn read(bytes: &[u8], pause: &impl AsyncFn()) -> Result<FleetConfig, ResourceError> {
+    let mut turns = WorkTurns::new(pause);
     let mut reader = io::BufReader::new(FrameDecoder::new(bytes));
     let mut line = Vec::new();
     let head: SnapshotHead = next(&mut reader, &mut line)?;
     let mut builder = ConfigBuilder::default();
     for _ in 0..head.resources {
         builder.push(&next(&mut reader, &mut line)?)?;
+        turns.step().await;
     }
     // Reading to the end also compares the checksum.
     match reader.fill_buf() {
-        Ok([]) => builder.finish(head.revision),
+        Ok([]) => builder.finish_in_turns(head.revision, pause).await,
         Ok(_) => Err(errors::malformed(SNAPSHOT_PATH, "there is more than the head says")),
         Err(error) => Err(errors::malformed(SNAPSHOT_PATH, error)),
     }
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -3,6 +3,7 @@
 
 //! Resources, configurations and routes.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use basaltarch_core::config::{
@@ -15,6 +16,7 @@
 use basaltarch_core::routes::{RouteMatch, RouteTable};
 use basaltarch_core::settings;
 use basaltarch_core::snapshot;
+use basaltarch_core::turns::{self, TURN_RESOURCES};
 use basaltarch_core::units::{self, FleetRevision};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -143,6 +145,28 @@
     assert_eq!(resources_of(&read), resources_of(&config));
 }
 
+#[test]
+fn verify_long_work_in_turns_gives_the_same_and_pauses_on_its_way() {
+    let mut builder = ConfigBuilder::default();
+    let resources = resources_of(&filled());
+    resources.iter().for_each(|resource| builder.push(resource).expect("resource"));
+    for number in 0..3 * TURN_RESOURCES {
+        let value = json!({"title": "shop"});
+        let name = format!("shop-{number}");
+        let resource = SnapshotResource("organisations".to_owned(), name, FleetRevision(1), value);
+        builder.push(&resource).expect("organisation");
+    }
+    let config = builder.finish(FleetRevision(1)).expect("configuration");
+    let pauses = Cell::new(0);
+    let pause = async || pauses.set(pauses.get() + 1);
+    let bytes = turns::at_once(snapshot::write(&config, &pause)).expect("bytes");
+    assert_eq!(pauses.replace(0), 3);
+    assert_eq!(bytes, snapshot::to_bytes(&config).expect("bytes"));
+    let read = turns::at_once(snapshot::read(&bytes, &pause)).expect("snapshot");
+    assert_eq!(pauses.get(), 6, "reading, then checking references");
+    assert_eq!(resources_of(&read), resources_of(&config));
+}
+
 #[test]
 fn verify_a_snapshot_that_was_harmed_is_refused() {
     let bytes = snapshot::to_bytes(&filled()).expect("bytes");
--- a/crates/daemon/src/admin/changes.rs
+++ b/crates/daemon/src/admin/changes.rs
@@ -220,7 +220,8 @@
 /// them time only: every change has a row of its own.
 async fn keep_snapshot(state: Rc<DaemonState>) {
     let config = state.config.with_fleet(FleetConfig::clone);
-    match state.changes.put_snapshot(&config).await {
+    let pause = async || spread::give_way(&state).await;
+    match state.changes.put_snapshot(&config, &pause).await {
         Ok(()) => tracing::info!(revision = config.revision().0, "snapshot kept"),
         Err(error) => tracing::warn!(%error, "snapshot not kept"),
     }
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -137,15 +137,14 @@
         }
     }
 
-    /// Takes a whole configuration over if it is later than what is here.
-    pub fn adopt(&self, config: FleetConfig, now: Duration) -> bool {
+    /// Takes a whole configuration over if it is later than what is here; `next` is its layout.
+    pub fn adopt(&self, config: FleetConfig, mut next: ActiveConfig, now: Duration) -> bool {
         if self.is_loaded() && config.revision() <= self.revision() {
             metrics::OLD_REVISIONS.add_one();
             return false;
         }
         // Between the two there are changes that are not here; watches must start again.
         self.records.borrow_mut().clear();
-        let mut next = ActiveConfig::build(&config);
         keep_unchanged(&self.active.borrow(), &mut next);
         *self.active.borrow_mut() = Rc::new(next);
         *self.fleet.borrow_mut() = config;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -27,6 +27,8 @@
 pub static RETRIES: CounterCell = CounterCell::new();
 /// Repeats that the budget did not allow.
 pub static RETRIES_DENIED: CounterCell = CounterCell::new();
+/// Dispatches of requests that lately failed at several upstreams.
+pub static POISON_SPARED: CounterCell = CounterCell::new();
 /// Work sent to backend servers.
 pub static WORKED: CounterCell = CounterCell::new();
 /// Work refused by the host role.
@@ -101,6 +103,11 @@
         counter("dispatches", "Dispatches to upstreams.", &DISPATCHES),
         counter("retries", "Dispatches after the first of a request.", &RETRIES),
         counter("retries_denied", "Repeats that the budget did not allow.", &RETRIES_DENIED),
+        counter(
+            "poison_spared",
+            "Dispatches of requests that lately failed at several upstreams, whose failures count against none.",
+            &POISON_SPARED,
+        ),
         counter("worked", "Work sent to backend servers.", &WORKED),
         counter("host_refused", "Work refused by the host role.", &HOST_REFUSED),
         counter("returns", "Returns of ejected upstreams.", &RETURNS),
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -276,7 +276,11 @@
     /// Says whether a failure of this request would be no evidence against an upstream.
     pub fn spares_failure(&self, method: &str, target: &str, now: Duration) -> bool {
         let poison = self.poison.borrow();
-        !poison.is_empty() && poison.spares(RequestMark::of(method, target), now)
+        let spared = !poison.is_empty() && poison.spares(RequestMark::of(method, target), now);
+        if spared {
+            metrics::POISON_SPARED.add_one();
+        }
+        spared
     }
 
     /// Says whether repeating this request would only spend the budget of repeats.
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -6,11 +6,11 @@
 //! Revisions only rise. Whoever learns of changes passes them to its neighbours; heartbeats carry
 //! revisions, so that whoever was missed pulls. The poll is the backstop.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltarch_core::config::{ChangeRecord, FleetConfig};
+use basaltarch_core::config::{ActiveConfig, ChangeRecord, FleetConfig};
 use basaltarch_core::snapshot;
 use basaltarch_core::units::{self, FleetRevision};
 use basaltarch_peer::frames::FrameSender;
@@ -41,10 +41,15 @@
 /// Largest snapshot taken from a peer, in bytes; one of the two-year size has about 10 MB.
 const SNAPSHOT_MAX: usize = 256 << 20;
 
+/// Pause between two turns of long work. At least as long as a turn, so that requests get half of the
+/// thread; timers can't be finer.
+const TURN_PAUSE: Duration = Duration::from_millis(1);
+
 /// `SnapshotParts` holds the parts of snapshots that are being received, by host of the sender.
 #[derive(Debug, Default)]
 pub struct SnapshotParts {
     parts: RefCell<FnvHashMap<String, Vec<u8>>>,
+    reading: Cell<bool>,
 }
 
 impl SnapshotParts {
@@ -108,9 +113,7 @@
 async fn catch_up(state: &Rc<DaemonState>, revision: FleetRevision) -> Result<(), StoreError> {
     let missing = revision.0 - state.config.revision().0;
     if missing > changes::SNAPSHOT_EVERY {
-        if let Some(config) = state.changes.snapshot().await? {
-            state.config.adopt(config, state.now());
-        }
+        adopt_from_store(state).await?;
     }
     loop {
         let before = state.config.revision();
@@ -122,6 +125,49 @@
     }
 }
 
+/// Lets requests be served between two turns of long work, once there is something to serve them by.
+pub async fn give_way(state: &DaemonState) {
+    if state.config.is_loaded() {
+        monoio::time::sleep(TURN_PAUSE).await;
+    }
+}
+
+async fn adopt_from_store(state: &Rc<DaemonState>) -> Result<(), StoreError> {
+    let _reading = match ReadingGuard::take(state) {
+        Some(guard) => guard,
+        None => return Ok(()),
+    };
+    let pause = async || give_way(state).await;
+    if let Some(config) = state.changes.snapshot(&pause).await? {
+        adopt(state, config).await;
+    }
+    Ok(())
+}
+
+/// `ReadingGuard` is held while a snapshot is read: one at a time bounds the memory.
+struct ReadingGuard {
+    state: Rc<DaemonState>,
+}
+
+impl ReadingGuard {
+    fn take(state: &Rc<DaemonState>) -> Option<Self> {
+        let taken = state.snapshots.reading.replace(true);
+        (!taken).then(|| Self { state: state.clone() })
+    }
+}
+
+impl Drop for ReadingGuard {
+    fn drop(&mut self) {
+        self.state.snapshots.reading.set(false);
+    }
+}
+
+/// Lays a whole configuration out in turns and takes it over if it is later than what is here by then.
+async fn adopt(state: &Rc<DaemonState>, config: FleetConfig) {
+    let layout = ActiveConfig::build_in_turns(&config, &async || give_way(state).await).await;
+    state.config.adopt(config, layout, state.now());
+}
+
 /// Passes changes that are new here to the neighbours and to some of those that linked to here.
 pub fn pass_on(state: &Rc<DaemonState>, records: &[ChangeRecord]) {
     let mut senders: Vec<FrameSender> = Vec::new();
@@ -165,7 +211,7 @@
         if let Some(records) = state.config.records_after(theirs) {
             send_records(state, sender, records.iter().map(|record| &**record));
         }
-    } else if theirs > ours {
+    } else if theirs > ours && !state.snapshots.reading.get() {
         let pull = ChangePull { after: ours.0 as i64 };
         let _ = sender.send(NO_EXCHANGE, FrameBody::Pull(pull));
     }
@@ -196,7 +242,8 @@
 async fn send_snapshot(state: &Rc<DaemonState>, sender: &FrameSender) {
     let config = state.config.with_fleet(FleetConfig::clone);
     let revision = config.revision().0 as i64;
-    let bytes = match snapshot::to_bytes(&config) {
+    let pause = async || give_way(state).await;
+    let bytes = match snapshot::write(&config, &pause).await {
         Ok(bytes) => bytes,
         Err(_) => return,
     };
@@ -242,8 +289,16 @@
         Some(bytes) => bytes,
         None => return,
     };
-    match snapshot::from_bytes(&bytes) {
-        Ok(config) => drop(state.config.adopt(config, state.now())),
-        Err(error) => tracing::warn!(host = peer.host, %error, "snapshot can't be read"),
-    }
+    let reading = match ReadingGuard::take(state) {
+        Some(guard) => guard,
+        None => return,
+    };
+    let host = peer.host.clone();
+    monoio::spawn(async move {
+        let state = &reading.state;
+        match snapshot::read(&bytes, &async || give_way(state).await).await {
+            Ok(config) => adopt(state, config).await,
+            Err(error) => tracing::warn!(host, %error, "snapshot can't be read"),
+        }
+    });
 }
--- /dev/null
+++ b/crates/daemon/tests/adopting.rs
@@ -0,0 +1,61 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! A whole configuration that was read while the daemon served never puts an older one in force.
+
+use std::time::Duration;
+
+use basaltarch_core::config::{ActiveConfig, ChangeRecord, FleetConfig, ResourceChange};
+use basaltarch_core::units::FleetRevision;
+use basaltarch_daemon::configuration::ConfigCell;
+use serde_json::json;
+
+const NOW: Duration = Duration::from_secs(1);
+
+fn record(revision: u64) -> ChangeRecord {
+    let change = ResourceChange {
+        kind: "organisations".to_owned(),
+        name: format!("shop-{revision}"),
+        before: None,
+        after: Some(json!({"title": "shop"})),
+    };
+    ChangeRecord {
+        revision: FleetRevision(revision),
+        actor: "operator".to_owned(),
+        at_ms: 0,
+        from: String::new(),
+        writer: String::new(),
+        changes: vec![change],
+    }
+}
+
+fn config_at(revision: u64) -> (FleetConfig, ActiveConfig) {
+    let mut config = FleetConfig::default();
+    for each in 1..=revision {
+        assert_eq!(config.apply(&record(each)), Ok(true));
+    }
+    let layout = ActiveConfig::build(&config);
+    (config, layout)
+}
+
+#[test]
+fn verify_a_snapshot_that_was_overtaken_while_it_was_read_changes_nothing() {
+    let cell = ConfigCell::default();
+    let (slow, slow_layout) = config_at(3);
+    assert_eq!(cell.apply(&[record(1), record(2), record(3), record(4)], NOW), 4);
+    assert!(!cell.adopt(slow, slow_layout, NOW), "revision 4 came meanwhile");
+    assert_eq!(cell.revision(), FleetRevision(4));
+    assert!(cell.active().has_organisation("shop-4"));
+}
+
+#[test]
+fn verify_a_later_snapshot_is_taken_over_and_changes_go_on_from_it() {
+    let cell = ConfigCell::default();
+    assert_eq!(cell.apply(&[record(1)], NOW), 1);
+    let (later, layout) = config_at(9);
+    assert!(cell.adopt(later, layout, NOW));
+    assert_eq!(cell.revision(), FleetRevision(9));
+    assert!(cell.records_after(FleetRevision(1)).is_none(), "changes in between are not here");
+    assert_eq!(cell.apply(&[record(10)], NOW), 1);
+    assert!(cell.active().has_organisation("shop-10") && cell.active().has_organisation("shop-5"));
+}
--- a/crates/daemon/tests/gray.rs
+++ b/crates/daemon/tests/gray.rs
@@ -208,6 +208,8 @@
     eventually("enough of both", || load.good() > 3000 && poison.bad() > 100);
     let ejected = (1..=9).filter(|n| is_ejected(&fleet, &format!("server-{n}"))).count();
     assert_eq!(ejected, 0);
+    let spared: f64 = fleet.daemons.iter().map(|daemon| daemon.metric("poison_spared")).sum();
+    assert!(spared > 50.0, "{spared} dispatches were known to be poison");
     poison.end();
     let (_, bad) = load.end();
     assert_eq!(bad, 0);
--- a/crates/store/src/changes.rs
+++ b/crates/store/src/changes.rs
@@ -120,24 +120,31 @@
         rows.iter().map(|row| parse(&row.value)).collect()
     }
 
-    /// Reads the last snapshot, if there is one.
-    pub async fn snapshot(&self) -> Result<Option<FleetConfig>, StoreError> {
+    /// Reads the last snapshot, if there is one, in turns that end with `pause`.
+    pub async fn snapshot(
+        &self,
+        pause: &impl AsyncFn(),
+    ) -> Result<Option<FleetConfig>, StoreError> {
         let rows = self.platform.read(vec![SNAPSHOT_KEY.to_owned()]).await?;
         let value: SnapshotValue = match rows.first() {
             Some(row) => parse(&row.value)?,
             None => return Ok(None),
         };
         match self.platform.get_object(&value.object).await? {
-            Some(content) => snapshot::from_bytes(&content).map(Some).map_err(malformed),
+            Some(content) => snapshot::read(&content, pause).await.map(Some).map_err(malformed),
             None => Ok(None),
         }
     }
 
-    /// Writes a snapshot and names it as the last, unless a later one is.
-    pub async fn put_snapshot(&self, config: &FleetConfig) -> Result<(), StoreError> {
+    /// Writes a snapshot, in turns that end with `pause`, and names it as the last, unless a later one is.
+    pub async fn put_snapshot(
+        &self,
+        config: &FleetConfig,
+        pause: &impl AsyncFn(),
+    ) -> Result<(), StoreError> {
         let revision = config.revision();
         let object = format!("config-{:020}", revision.0);
-        let content = snapshot::to_bytes(config).map_err(malformed)?;
+        let content = snapshot::write(config, pause).await.map_err(malformed)?;
         self.platform.put_object(&object, Bytes::from(content)).await?;
         let rows = self.platform.read(vec![SNAPSHOT_KEY.to_owned()]).await?;
         let mut version = 0;
