Forget old failures without waiting for another

Cause: found on reading the change again. Remembered failures were only dropped when another request failed, so after one failure whose target never came again every later good answer of that service worked out a mark and went over the list, though docs/design/gray-failures.md says that the memory costs nothing while nothing fails. Change: a good answer drops what expired first; an empty list is left at once. The test fails with the dropping left out. Decisions are as before: expired marks were never looked at. The cost of a request was not measured.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -301,11 +301,11 @@
     fn note_end(&self, index: usize, live: &LiveExchange, failed: bool) {
         let request = self.request;
         let method = request.method.as_str();
+        let now = self.state.now();
         if !failed {
-            request.service.note_success(method, &request.target);
+            request.service.note_success(method, &request.target, now);
             return;
         }
-        let now = self.state.now();
         let target = &request.target;
         let counted = request.service.note_failure(method, target, index, live.counts, now);
         for failures in counted {
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -246,8 +246,9 @@
     }
 
     /// Takes in that a request was answered well: what failed before was not its own fault.
-    pub fn note_success(&self, method: &str, target: &str) {
+    pub fn note_success(&self, method: &str, target: &str, now: Duration) {
         let mut poison = self.poison.borrow_mut();
+        poison.forget_old(now);
         if !poison.is_empty() {
             poison.note_success(RequestMark::of(method, target));
         }
--- a/crates/decide/src/poison.rs
+++ b/crates/decide/src/poison.rs
@@ -92,6 +92,11 @@
         self.marks.is_empty()
     }
 
+    /// Forgets what expired, so that nothing is worked out for requests long after the last failure.
+    pub fn forget_old(&mut self, now: Duration) {
+        self.marks.retain(|each| now.saturating_sub(each.at) < MARK_LIFE);
+    }
+
     /// Returns the number of requests remembered, at most [`MARKS_MAX`].
     pub fn len(&self) -> usize {
         self.marks.len()
@@ -106,7 +111,7 @@
         counted: bool,
         now: Duration,
     ) -> Vec<CountedFailures> {
-        self.marks.retain(|each| now.saturating_sub(each.at) < MARK_LIFE);
+        self.forget_old(now);
         if let Some(known) = self.marks.iter_mut().find(|each| each.mark == mark) {
             known.add(upstream, counted, now);
             return known.take_counted();
--- a/crates/decide/tests/poison.rs
+++ b/crates/decide/tests/poison.rs
@@ -72,6 +72,16 @@
     assert_eq!(memory.len(), 1);
 }
 
+#[test]
+fn verify_one_failure_that_never_comes_again_is_forgotten_without_another() {
+    let mut memory = PoisonMemory::default();
+    memory.note_failure(mark(1), 1, true, NOW);
+    memory.forget_old(NOW + MARK_LIFE / 2);
+    assert_eq!(memory.len(), 1);
+    memory.forget_old(NOW + MARK_LIFE);
+    assert!(memory.is_empty());
+}
+
 #[test]
 fn verify_method_and_target_make_the_mark() {
     assert_eq!(RequestMark::of("GET", "/a"), RequestMark::of("GET", "/a"));
