--- a/crates/bench/src/decisions/actors.rs
+++ b/crates/bench/src/decisions/actors.rs
@@ -11,7 +11,7 @@
 use basaltarch_core::resources::PreferChoice;
 use basaltarch_decide::balance::{LoadView, ServiceView};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
-use basaltarch_decide::budget::RetryBudget;
+use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
 use basaltarch_decide::health::{HealthReport, UpstreamHealth};
 use basaltarch_decide::poison::{PoisonMemory, RequestMark};
 
@@ -101,6 +101,10 @@
     pub domain: usize,
 }
 
+/// Terms of each ingress's budget of repeats: the daemon's defaults.
+const BUDGET: BudgetTerms =
+    BudgetTerms { share: 0.1, extra: 10.0, window: Duration::from_secs(10) };
+
 /// Builds the health of an upstream.
 pub fn new_health(
     prefer: PreferChoice,
@@ -124,7 +128,7 @@
         baselines: vec![RouteBaseline::default(); ROUTES.len()],
         recent: RecentAnswers::default(),
         rule: PlainRule::new(rule, strictness, deployment.upstreams, deployment.floor),
-        budget: RetryBudget::new(0.1),
+        budget: RetryBudget::new(BUDGET),
         poison: PoisonMemory::default(),
         domain,
     }
--- a/crates/bench/src/decisions/ingresses.rs
+++ b/crates/bench/src/decisions/ingresses.rs
@@ -93,7 +93,7 @@
         }
         let request = &mut self.requests[sent.request];
         let ingress = &mut self.ingresses[request.ingress];
-        if !ingress.budget.take() {
+        if !ingress.budget.take(self.now) {
             return;
         }
         request.excluded.push(sent.upstream);
@@ -172,7 +172,7 @@
         let request = &mut self.requests[number];
         let in_time = self.now.saturating_sub(request.begun) < scenario::REQUEST_TIMEOUT;
         let budget = &mut self.ingresses[request.ingress].budget;
-        if request.repeatable && in_time && !hopeless && budget.take() {
+        if request.repeatable && in_time && !hopeless && budget.take(self.now) {
             request.failed_at = Some(index);
             request.excluded.push(index);
             return self.dispatch(number);
--- a/crates/bench/src/decisions/world.rs
+++ b/crates/bench/src/decisions/world.rs
@@ -153,7 +153,7 @@
             counts: true,
             over: false,
         };
-        self.ingresses[request.ingress].budget.note_request();
+        self.ingresses[request.ingress].budget.note_request(self.now);
         self.requests.push(request);
         self.result.requests += 1;
         self.dispatch(number);
--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -75,6 +75,28 @@
         /// Name of the environment variable.
         variable: String,
     },
+    /// A line of the settings file is no setting.
+    #[snafu(display("line {number} of the settings file is not \"flag = value\": {line:?}"))]
+    BadLine {
+        /// Number of the line, from 1.
+        number: usize,
+        /// The line.
+        line: String,
+    },
+    /// The settings file names a flag that does not exist.
+    #[snafu(display("the settings file names {flag:?}, which is no setting"))]
+    Unknown {
+        /// Name as given.
+        flag: String,
+    },
+    /// The settings file can't be read.
+    #[snafu(display("the settings file {path} can't be read: {message}"))]
+    Unreadable {
+        /// Path of the file.
+        path: String,
+        /// What failed.
+        message: String,
+    },
     /// A setting holds a value that is not allowed.
     #[snafu(display("--{flag} (or {variable}): {value:?} is not allowed; allowed: {allowed}"))]
     Invalid {
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -22,6 +22,10 @@
 pub const QUEUE_MAX: u32 = 4096;
 /// Longest time-out of a route, in milliseconds (10 minutes).
 pub const TIMEOUT_MS_MAX: u64 = 600_000;
+/// Largest weight of a share of a route; weights are usually percentages.
+pub const WEIGHT_MAX: u32 = 1_000_000;
+/// Most upstreams that a route may let one request reach.
+pub const ATTEMPTS_MAX: u32 = 16;
 /// Highest rate of a limit, in requests a second.
 pub const RATE_MAX: f64 = 10_000_000.0;
 
@@ -224,6 +228,29 @@
     /// What is shed first.
     #[serde(default)]
     pub criticality: WorkClass,
+    /// Services that share the requests by weight; when empty, `service` gets all of them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<ServiceShare>,
+    /// Most upstreams that one request may reach, the daemon's own bound when 0.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub attempts: u32,
+    /// Time within which an answer is worth most, in milliseconds; 0 when none was declared.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub objective_ms: u32,
+}
+
+/// `ServiceShare` is one service of a route that splits its requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceShare {
+    /// Name of the service.
+    pub service: String,
+    /// Weight of its share among those of the route.
+    pub weight: u32,
+}
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
 }
 
 fn default_timeout() -> u64 {
@@ -329,7 +356,11 @@
                 ("service", ResourceKind::Service, &spec.service),
                 ("failure_domain", ResourceKind::FailureDomain, &spec.failure_domain),
             ],
-            Self::Route(spec) => vec![("service", ResourceKind::Service, &spec.service)],
+            Self::Route(spec) => {
+                let one = ("service", ResourceKind::Service, spec.service.as_str());
+                let share = |share| ("split", ResourceKind::Service, service_of(share));
+                std::iter::once(one).chain(spec.split.iter().map(share)).collect()
+            }
             Self::Limit(spec) => {
                 let kind = match spec.scope {
                     LimitScope::Organisation => ResourceKind::Organisation,
@@ -342,6 +373,10 @@
     }
 }
 
+fn service_of(share: &ServiceShare) -> &str {
+    &share.service
+}
+
 /// Returns the path of a resource, such as `services/solver-app`.
 pub fn resource_path(kind: ResourceKind, name: &str) -> String {
     format!("{}/{name}", kind.name())
@@ -403,6 +438,11 @@
         let field = format!("{path}.host");
         return Err(errors::bad_value(field, &spec.host, "a host name in lower case, no port"));
     }
+    for share in &spec.split {
+        let weight = f64::from(share.weight);
+        check_range(path, "split.weight", weight, 1.0, f64::from(WEIGHT_MAX))?;
+    }
+    check_range(path, "attempts", spec.attempts.into(), 0.0, ATTEMPTS_MAX.into())?;
     for method in &spec.methods {
         if method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()) {
             let field = format!("{path}.methods");
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -10,7 +10,7 @@
 
 use crate::config::SharedMap;
 use crate::packing;
-use crate::resources::{RouteRule, WorkClass, WorkMode};
+use crate::resources::{RouteRule, ServiceShare, WorkClass, WorkMode};
 use crate::turns::{self, WorkTurns};
 
 /// `RouteEntry` is a route in force.
@@ -54,6 +54,9 @@
     timeout_ms: u64,
     mode: WorkMode,
     criticality: WorkClass,
+    split: Vec<(&'a str, u32)>,
+    attempts: u32,
+    objective_ms: u32,
 }
 
 impl<'a> RouteRecord<'a> {
@@ -66,6 +69,9 @@
             timeout_ms: rule.timeout_ms,
             mode: rule.mode,
             criticality: rule.criticality,
+            split: rule.split.iter().map(|share| (share.service.as_str(), share.weight)).collect(),
+            attempts: rule.attempts,
+            objective_ms: rule.objective_ms,
         }
     }
 
@@ -82,6 +88,9 @@
             timeout_ms: self.timeout_ms,
             mode: self.mode,
             criticality: self.criticality,
+            split: self.split.iter().map(|share| share_of(*share)).collect(),
+            attempts: self.attempts,
+            objective_ms: self.objective_ms,
         };
         Rc::new(RouteEntry { name: Rc::from(self.name), rule: Rc::new(rule) })
     }
@@ -238,6 +247,10 @@
     }
 }
 
+fn share_of((service, weight): (&str, u32)) -> ServiceShare {
+    ServiceShare { service: service.to_owned(), weight }
+}
+
 fn trim_prefix(path: &str) -> &str {
     path.strip_suffix('/').unwrap_or(path)
 }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -19,6 +19,40 @@
     format!("{VARIABLE_PREFIX}{}", flag.replace('-', "_").to_uppercase())
 }
 
+/// `SettingLine` is one line of a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingLine {
+    /// Name of the flag that it stands for, without dashes.
+    pub flag: String,
+    /// The value.
+    pub value: String,
+}
+
+/// Reads a settings file: lines of `flag = value`. Empty lines, those that begin with `#`, and those
+/// without a value are passed over.
+pub fn read_lines(text: &str) -> Result<Vec<SettingLine>, SettingError> {
+    let mut lines = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        let (flag, value) = match line.split_once('=') {
+            Some((flag, value)) => (flag.trim(), value.trim()),
+            None => return Err(SettingError::BadLine { number: index + 1, line: line.to_owned() }),
+        };
+        if !value.is_empty() {
+            lines.push(SettingLine { flag: flag.to_owned(), value: value.to_owned() });
+        }
+    }
+    Ok(lines)
+}
+
+/// Says whether the environment variable that stands for `flag` is set.
+pub fn is_in_environment(flag: &str) -> bool {
+    env::var_os(variable_of(flag)).is_some()
+}
+
 /// Reads an optional setting; the flag's value wins over the environment variable's.
 pub fn optional<T: FromStr>(
     flag: &str,
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -32,6 +32,9 @@
         timeout_ms: 1000,
         mode: WorkMode::Plain,
         criticality: WorkClass::Normal,
+        split: Vec::new(),
+        attempts: 0,
+        objective_ms: 0,
     }
 }
 
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -115,7 +115,8 @@
     reply.with_field(header::ALLOW, allow)
 }
 
-fn ready(state: &Rc<DaemonState>) -> ServerReply {
+/// Answers whether the daemon is ready to take callers' requests.
+pub fn ready(state: &DaemonState) -> ServerReply {
     if state.is_stopping() {
         return ServerReply::text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
     }
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -32,6 +32,15 @@
     }
 }
 
+impl TouchedServices {
+    fn add(&mut self, more: TouchedServices) {
+        match (&mut *self, more) {
+            (Self::Some(touched), Self::Some(more)) => touched.extend(more),
+            _ => *self = Self::All,
+        }
+    }
+}
+
 /// `ConfigCell` holds the configuration in force.
 #[derive(Debug, Default)]
 pub struct ConfigCell {
@@ -52,7 +61,7 @@
 
     /// Returns the revision in force.
     pub fn revision(&self) -> FleetRevision {
-        self.fleet.borrow().revision()
+        self.active.borrow().revision
     }
 
     /// Returns when the revision in force came.
@@ -153,6 +162,19 @@
         true
     }
 
+    /// Takes over a layout that was not made from resources.
+    pub fn replace_layout(&self, mut next: ActiveConfig, touched: TouchedServices, now: Duration) {
+        let before = self.revision();
+        keep_unchanged(&self.active.borrow(), &mut next);
+        *self.active.borrow_mut() = Rc::new(next);
+        self.touched.borrow_mut().add(touched);
+        if self.is_loaded() && self.revision() == before {
+            self.changed.raise();
+        } else {
+            self.put_in_force(now);
+        }
+    }
+
     fn put_in_force(&self, now: Duration) {
         let revision = self.revision();
         self.since.set(now);
--- /dev/null
+++ b/crates/daemon/src/document.rs
@@ -0,0 +1,211 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The operator's document as the source of the configuration.
+//!
+//! The document is taken over whole, and only if its version is higher than the one in force. The
+//! upstreams of its services are those that registered, by the rows of the hosts.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::config::ActiveConfig;
+use basaltarch_core::resources::ServiceSpec;
+use basaltarch_core::routes::RouteTable;
+use basaltarch_core::services::{PackedService, ServiceEntry};
+use basaltarch_core::units::FleetRevision;
+use basaltarch_platform::document::{self, ConfigDocument, ServiceNote};
+use basaltarch_platform::rows::{StoredRow, DOCUMENT_KEY, OPERATOR_TABLE};
+use basaltarch_store::errors::StoreError;
+use basaltarch_store::platform::{FeedReply, RetryPause};
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::TouchedServices;
+use crate::metrics;
+use crate::options::ServiceDefaults;
+use crate::roster::{self, ToldRecord};
+use crate::state::DaemonState;
+
+/// Longest pause after failed calls in a row: a change must be in force within two seconds.
+const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(500);
+
+/// `HeldDocument` is the document in force.
+#[derive(Debug, Clone)]
+pub struct HeldDocument {
+    /// The document.
+    pub document: Rc<ConfigDocument>,
+    /// Its bytes, for peers.
+    bytes: Rc<[u8]>,
+}
+
+/// `DocumentCell` holds the document in force, if there is one.
+#[derive(Debug, Default)]
+pub struct DocumentCell {
+    held: RefCell<Option<HeldDocument>>,
+}
+
+impl DocumentCell {
+    /// Returns the document in force.
+    pub fn get(&self) -> Option<Rc<ConfigDocument>> {
+        self.held.borrow().as_ref().map(|held| held.document.clone())
+    }
+}
+
+/// `FleetSnapshot` is what a daemon tells a peer that can't reach the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct FleetSnapshot {
+    document: String,
+    hosts: Vec<ToldRecord>,
+}
+
+/// Reads the document and follows its changes for ever.
+pub async fn follow(state: Rc<DaemonState>) {
+    let mut pause = RetryPause::up_to(FAILURE_PAUSE_MAX);
+    loop {
+        if let Err(error) = read_and_follow(&state, &mut pause).await {
+            metrics::STORE_FAILURES.add_one();
+            tracing::debug!(%error, table = OPERATOR_TABLE, "the store did not answer");
+            monoio::time::sleep(pause.next_pause()).await;
+        }
+    }
+}
+
+async fn read_and_follow(
+    state: &Rc<DaemonState>,
+    pause: &mut RetryPause,
+) -> Result<(), StoreError> {
+    let page = state.platform.read_table(OPERATOR_TABLE).await?;
+    let mut version = page.version;
+    page.rows.iter().for_each(|row| take_row(state, row));
+    pause.reset();
+    loop {
+        match state.platform.follow(OPERATOR_TABLE, version).await {
+            Ok(FeedReply::Changes(page)) => {
+                version = version.max(page.version);
+                pause.reset();
+                page.rows.iter().for_each(|row| take_row(state, row));
+            }
+            Ok(FeedReply::Forgotten) => {
+                tracing::info!(table = OPERATOR_TABLE, version, "history forgotten; read anew");
+                return Ok(());
+            }
+            Err(error) => {
+                metrics::STORE_FAILURES.add_one();
+                tracing::debug!(%error, table = OPERATOR_TABLE, "the feed was cut");
+                monoio::time::sleep(pause.next_pause()).await;
+            }
+        }
+    }
+}
+
+fn take_row(state: &Rc<DaemonState>, row: &StoredRow) {
+    match &row.value {
+        Some(value) if row.key == DOCUMENT_KEY => take_document(state, value, "store"),
+        _ => {}
+    }
+}
+
+/// Takes a document over if it can be read and is later than the one in force.
+fn take_document(state: &Rc<DaemonState>, bytes: &[u8], from: &str) {
+    let document = match document::read(bytes) {
+        Ok(document) => document,
+        Err(error) => {
+            tracing::error!(%error, from, "configuration can't be read; the one in force stays");
+            return;
+        }
+    };
+    let revision = FleetRevision(document.version);
+    if state.config.is_loaded() && revision <= state.config.revision() {
+        if revision < state.config.revision() {
+            metrics::OLD_REVISIONS.add_one();
+        }
+        return;
+    }
+    let next = lay_out(state, &document);
+    let held = HeldDocument { document: Rc::new(document), bytes: Rc::from(bytes) };
+    *state.document.held.borrow_mut() = Some(held);
+    state.config.replace_layout(next, TouchedServices::All, state.now());
+    put_host_in_force(state);
+}
+
+fn lay_out(state: &DaemonState, document: &ConfigDocument) -> ActiveConfig {
+    let routes = document.routes.iter().map(|route| {
+        let name: Rc<str> = Rc::from(route.name.as_str());
+        (name, Rc::new(route.rule.clone()))
+    });
+    let mut next = ActiveConfig::default();
+    next.revision = FleetRevision(document.version);
+    next.routes = RouteTable::build(routes);
+    for note in &document.services {
+        let entry = service_entry(state, note);
+        next.services.insert(entry.name.clone(), Rc::new(PackedService::new(&entry)));
+    }
+    next
+}
+
+fn service_entry(state: &DaemonState, note: &ServiceNote) -> ServiceEntry {
+    ServiceEntry {
+        name: Rc::from(note.name.as_str()),
+        spec: service_spec(&state.options.defaults),
+        upstreams: state.roster.upstreams(&note.name, note.connections),
+    }
+}
+
+fn service_spec(defaults: &ServiceDefaults) -> ServiceSpec {
+    ServiceSpec {
+        floor: defaults.floor,
+        prefer: defaults.prefer,
+        queue: defaults.queue,
+        retry_budget: defaults.retry_share,
+    }
+}
+
+/// Brings services in line with the rows of the hosts.
+pub fn put_services_in_force(state: &Rc<DaemonState>, names: &[String]) {
+    let document = match state.document.get() {
+        Some(document) => document,
+        None => return,
+    };
+    let mut next = ActiveConfig::clone(&state.config.active());
+    let mut touched = Vec::new();
+    for note in document.services.iter().filter(|note| names.contains(&note.name)) {
+        let entry = service_entry(state, note);
+        touched.push(entry.name.clone());
+        next.services.insert(entry.name.clone(), Rc::new(PackedService::new(&entry)));
+    }
+    if !touched.is_empty() {
+        let touched = TouchedServices::Some(touched);
+        state.config.replace_layout(next, touched, state.now());
+    }
+}
+
+/// Brings the host role in line at once, without waiting for the task that does so: an
+/// acknowledgement to a backend server must be true when it is sent.
+pub fn put_host_in_force(state: &Rc<DaemonState>) {
+    let active = state.config.active();
+    state.host.configure(state, &active, &TouchedServices::All);
+}
+
+/// Returns what a peer that is behind is told, if there is a document.
+pub fn snapshot(state: &DaemonState) -> Option<Vec<u8>> {
+    let held = state.document.held.borrow().clone()?;
+    let mut hosts = Vec::new();
+    state.roster.for_each(|host, record| {
+        hosts.push(ToldRecord { host: host.to_owned(), record: record.clone() });
+    });
+    let document = String::from_utf8_lossy(&held.bytes).into_owned();
+    // Texts and numbers only; there is nothing that could not be written.
+    serde_json::to_vec(&FleetSnapshot { document, hosts }).ok()
+}
+
+/// Takes in what a peer told.
+pub fn take_snapshot(state: &Rc<DaemonState>, host: &str, bytes: &[u8]) {
+    match serde_json::from_slice::<FleetSnapshot>(bytes) {
+        Ok(snapshot) => {
+            roster::take_told(state, snapshot.hosts);
+            take_document(state, snapshot.document.as_bytes(), host);
+        }
+        Err(error) => tracing::warn!(host, %error, "snapshot can't be read"),
+    }
+}
--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -185,6 +185,13 @@
         });
     }
 
+    /// Refuses all who wait.
+    pub fn refuse_all(&self, reason: NotRunReason) {
+        for waiter in self.waiting.borrow_mut().drain(..) {
+            waiter.settle(WaitState::Refused(reason));
+        }
+    }
+
     fn give_back(&self) {
         self.used.set(self.used.get() - 1);
         self.hand_on();
--- a/crates/daemon/src/host/backend.rs
+++ b/crates/daemon/src/host/backend.rs
@@ -5,7 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use basaltarch_http::client;
 use basaltarch_http::connection::HttpStream;
@@ -14,12 +14,25 @@
 /// Longest time for a connection to a backend server of the same host (the brief's cost is 1 ms).
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest rest after which a connection is used again: servers close idle ones after ten seconds and
+/// more, and a request that meets such a close is lost if it must not be repeated.
+const REST_MAX: Duration = Duration::from_secs(5);
+/// Time before the end of the rest that a server names in which a connection is not used: its seconds
+/// are whole, and a request takes time to arrive.
+const REST_MARGIN: Duration = Duration::from_millis(1200);
+
 /// `BackendPool` keeps connections to one backend server.
 pub struct BackendPool {
     address: Cell<SocketAddr>,
     most: Cell<usize>,
     open: Cell<usize>,
-    idle: RefCell<Vec<HttpStream>>,
+    idle: RefCell<Vec<RestingStream>>,
+}
+
+/// `RestingStream` is a kept connection with the time until which it can be trusted.
+struct RestingStream {
+    stream: HttpStream,
+    good_until: Instant,
 }
 
 impl BackendPool {
@@ -51,11 +64,11 @@
     pub async fn take(&self) -> Result<PooledStream<'_>, HttpError> {
         loop {
             let kept = self.idle.borrow_mut().pop();
-            let mut stream = match kept {
-                Some(stream) => stream,
+            let RestingStream { mut stream, good_until } = match kept {
+                Some(resting) => resting,
                 None => break,
             };
-            if client::is_quiet(&mut stream) {
+            if Instant::now() < good_until && client::is_quiet(&mut stream) {
                 return Ok(PooledStream {
                     pool: self,
                     address: self.address.get(),
@@ -88,15 +101,18 @@
         self.stream.as_mut().unwrap_or_else(|| unreachable!("set until given back"))
     }
 
-    /// Gives the connection back after a clean exchange.
-    pub fn give_back(mut self) {
+    /// Gives the connection back after a clean exchange; `rest` is how long the server says it keeps
+    /// it open.
+    pub fn give_back(mut self, rest: Option<Duration>) {
         let pool = self.pool;
         if pool.address.get() != self.address {
             return;
         }
         if let Some(mut stream) = self.stream.take() {
             stream.reader.release();
-            pool.idle.borrow_mut().push(stream);
+            let trusted = rest.map_or(REST_MAX, |rest| rest.saturating_sub(REST_MARGIN));
+            let good_until = Instant::now() + trusted.min(REST_MAX);
+            pool.idle.borrow_mut().push(RestingStream { stream, good_until });
             pool.open.set(pool.open.get() + 1);
         }
     }
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -24,6 +24,7 @@
 use crate::host::sending;
 use crate::host::upstream::{HostUpstream, WorkNote};
 use crate::metrics;
+use crate::registration;
 use crate::state::DaemonState;
 use crate::wire;
 
@@ -257,14 +258,20 @@
         match result {
             Ok(reusable) => {
                 if reusable {
-                    pooled.give_back();
+                    pooled.give_back(progress.rest.get());
                 }
                 Ok(())
             }
             Err(WorkFault::Shed) => {
-                pooled.give_back();
+                if progress.reusable.get() {
+                    pooled.give_back(None);
+                }
                 Err(WorkFault::Shed.outcome())
             }
+            Err(WorkFault::Moved) => {
+                registration::note_gone(self.state, &self.upstream.name);
+                Err(WorkFault::Moved.outcome())
+            }
             Err(fault) => {
                 // The slot is free once the connection is closed, not before.
                 drop(pooled);
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -12,6 +12,7 @@
 pub mod relay;
 pub mod sending;
 pub mod upstream;
+pub mod verify;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -25,6 +26,7 @@
 
 use crate::configuration::TouchedServices;
 use crate::host::upstream::HostUpstream;
+use crate::options::ConfigSource;
 use crate::state::DaemonState;
 
 /// `HostRole` holds the backend servers of this host.
@@ -58,9 +60,13 @@
                 }
             }
             TouchedServices::All => {
-                self.upstreams
-                    .borrow_mut()
-                    .retain(|_, upstream| active.services.contains_key(&upstream.service));
+                self.upstreams.borrow_mut().retain(|_, upstream| {
+                    let stays = active.services.contains_key(&upstream.service);
+                    if !stays {
+                        upstream.release();
+                    }
+                    stays
+                });
                 for (name, packed) in &active.services {
                     self.configure_service(state, name, Some(&packed.unpack(name)), cold);
                 }
@@ -80,7 +86,11 @@
             service.iter().flat_map(|service| &service.upstreams).filter(is_own).collect();
         let mut upstreams = self.upstreams.borrow_mut();
         upstreams.retain(|known, upstream| {
-            upstream.service != *name || own.iter().any(|each| each.name == *known)
+            let stays = upstream.service != *name || own.iter().any(|each| each.name == *known);
+            if !stays {
+                upstream.release();
+            }
+            stays
         });
         for (service, upstream) in service.into_iter().flat_map(|s| own.iter().map(move |u| (s, u)))
         {
@@ -89,6 +99,12 @@
                     known.configure(&upstream.server, &service.spec);
                 }
                 _ => {
+                    let cold = match state.options.source {
+                        ConfigSource::Resources => cold,
+                        ConfigSource::Document => {
+                            state.registrations.is_cold(&upstream.name, state.now())
+                        }
+                    };
                     let made = HostUpstream::new(upstream, service, state.now(), cold);
                     upstreams.insert(upstream.name.clone(), Rc::new(made));
                 }
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -17,16 +17,23 @@
 use basaltarch_peer::stream::{EventSink, StreamEvent};
 use basaltarch_store::ledger::{ClaimToken, KeptAnswer};
 use bytes::{Bytes, BytesMut};
-use http::{header, response, Method, StatusCode};
+use http::{header, response, Method};
 
 use crate::host::admission::SlotGuard;
 use crate::host::exchange::HostWork;
+use crate::host::verify::{self, AnswerVerdict};
+use crate::metrics;
 use crate::wire;
 
 /// Informational answers that a backend server may send before the real one.
 const INFORMATIONAL_MAX: usize = 8;
-/// Answers with these many bytes or fewer go to the ingress in one frame if they came in one piece.
+/// Answers with these many bytes or fewer go to the ingress in one frame.
 const INLINE_BYTES_MAX: u64 = 32 * 1024;
+/// Time for which the rest of a short answer is waited for before its start goes out: a body that
+/// was ready with its head takes a few milliseconds, and one that is being made must not be held.
+const GATHER_TIME: Duration = Duration::from_millis(150);
+/// Answers read before the right one must have come: one late answer, and one more for chance.
+const SURPLUS_MAX: usize = 3;
 
 /// `WorkFault` says how the work broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +48,8 @@
     BadAnswer,
     /// The backend server refused the work by its documented word.
     Shed,
+    /// Another backend server has taken its place; it refused the work.
+    Moved,
     /// The ingress no longer takes the answer.
     SinkGone,
 }
@@ -54,6 +63,7 @@
             Self::Broken => FailureOutcome::Unknown(UnknownReason::BackendBroken),
             Self::BadAnswer => FailureOutcome::Unknown(UnknownReason::AnswerBroken),
             Self::Shed => FailureOutcome::NotRun(NotRunReason::Shed),
+            Self::Moved => FailureOutcome::NotRun(NotRunReason::UnknownUpstream),
         }
     }
 
@@ -78,6 +88,10 @@
     pub was_overdue: Cell<bool>,
     /// Whether its end was noted.
     pub noted: Cell<bool>,
+    /// Whether the connection can be used again after a refusal.
+    pub reusable: Cell<bool>,
+    /// Time for which the server says it keeps the connection at rest.
+    pub rest: Cell<Option<Duration>>,
 }
 
 impl WorkProgress {
@@ -89,6 +103,8 @@
             head_seen: Cell::new(false),
             was_overdue: Cell::new(false),
             noted: Cell::new(false),
+            reusable: Cell::new(false),
+            rest: Cell::new(None),
         }
     }
 }
@@ -105,39 +121,88 @@
     pub claim: Option<ClaimToken>,
 }
 
+/// `AnswerStart` is the head of an answer and what it is.
+struct AnswerStart {
+    head: response::Parts,
+    framing: BodyFraming,
+    verdict: AnswerVerdict,
+    /// Whether nothing else came before it on the connection.
+    clean: bool,
+}
+
 type BackendReader =
     basaltarch_http::reader::ByteReader<monoio::io::OwnedReadHalf<monoio::net::TcpStream>>;
 
 impl AnswerRelay<'_> {
     /// Passes the answer on; says whether it left the connection clean.
     pub async fn run(self, reader: &mut BackendReader) -> Result<bool, WorkFault> {
-        let mut head = self.read_head(reader).await?;
+        let AnswerStart { mut head, framing, verdict, clean } = self.start(reader).await?;
         self.progress.head_seen.set(true);
         let now = self.work.state.now();
-        self.work.upstream.note_drain_word(head.headers.contains_key(fields::DRAIN), now);
-        let method = self.work.head.method.parse().unwrap_or(Method::GET);
-        let framing = framing::of_response(&head, &method).map_err(|_| WorkFault::BadAnswer)?;
-        let shed = head.status == StatusCode::SERVICE_UNAVAILABLE
-            && head.headers.contains_key(fields::SHED);
-        if shed {
-            return self.finish_shed(reader, framing).await;
+        let drain = &self.work.state.fields.drain;
+        self.work.upstream.note_drain_word(head.headers.contains_key(drain), now);
+        match verdict {
+            AnswerVerdict::Shed => {
+                let close = fields::wants_close(head.version, &head.headers) || !clean;
+                return self.finish_shed(reader, framing, close).await;
+            }
+            AnswerVerdict::Moved => return Err(WorkFault::Moved),
+            AnswerVerdict::Wrong | AnswerVerdict::Surplus => return Err(WorkFault::BadAnswer),
+            AnswerVerdict::Ours => {}
         }
-        let close =
-            framing == BodyFraming::UntilClose || fields::wants_close(head.version, &head.headers);
+        let close = framing == BodyFraming::UntilClose
+            || fields::wants_close(head.version, &head.headers)
+            || !clean;
         let length = declared_length(&head, framing);
         let failed = wire::is_server_error(head.status.as_u16());
+        let rest = fields::keep_alive_time(&head.headers);
+        self.progress.rest.set(rest);
         fields::remove_hop_fields(&mut head.headers);
         let mut body = BodyReader::new(framing, BodyLimits::default());
-        let inline = self.take_inline(&mut body, reader, framing)?;
+        let inline = self.gather(&mut body, reader, framing).await?;
         if body.is_done() {
             self.note_end(failed, self.progress.started.elapsed());
             self.keep(&head, &inline);
             self.send_head(&head, length, inline, true).await?;
-            return Ok(!close);
+            // Bytes behind the whole answer belong to no request.
+            return Ok(!close && reader.buffer.is_empty());
         }
         self.send_head(&head, length, inline, false).await?;
         self.stream_body(&mut body, reader, failed).await?;
-        Ok(!close)
+        Ok(!close && reader.buffer.is_empty())
+    }
+
+    /// Reads heads until one belongs to the request; answers to earlier requests are read past.
+    async fn start(&self, reader: &mut BackendReader) -> Result<AnswerStart, WorkFault> {
+        let method = self.work.head.method.parse().unwrap_or(Method::GET);
+        let mut clean = true;
+        for _ in 0..SURPLUS_MAX {
+            let head = self.read_head(reader).await?;
+            let framing = framing::of_response(&head, &method).map_err(|_| WorkFault::BadAnswer)?;
+            let names = &self.work.state.fields;
+            let verdict = verify::judge(names, &self.work.head.field_lines, &head);
+            if verdict != AnswerVerdict::Surplus {
+                return Ok(AnswerStart { head, framing, verdict, clean });
+            }
+            clean = false;
+            metrics::SURPLUS_ANSWERS.add_one();
+            self.read_past(reader, framing).await?;
+        }
+        Err(WorkFault::BadAnswer)
+    }
+
+    /// Reads past the body of an answer to an earlier request.
+    async fn read_past(
+        &self,
+        reader: &mut BackendReader,
+        framing: BodyFraming,
+    ) -> Result<(), WorkFault> {
+        if framing == BodyFraming::UntilClose {
+            return Err(WorkFault::BadAnswer);
+        }
+        let mut body = BodyReader::new(framing, BodyLimits::default());
+        while body.next(reader).await.map_err(|_| WorkFault::BadAnswer)?.is_some() {}
+        Ok(())
     }
 
     async fn read_head(&self, reader: &mut BackendReader) -> Result<response::Parts, WorkFault> {
@@ -158,26 +223,26 @@
         Err(WorkFault::BadAnswer)
     }
 
-    /// Takes what is already there of a short body.
-    fn take_inline(
+    /// Takes the start of a body: all of a short one, if it comes within [`GATHER_TIME`], so that one
+    /// that breaks off reaches no caller and can be repeated.
+    async fn gather(
         &self,
         body: &mut BodyReader,
         reader: &mut BackendReader,
         framing: BodyFraming,
     ) -> Result<Bytes, WorkFault> {
-        let short = match framing {
-            BodyFraming::Empty => true,
-            BodyFraming::Length(bytes) => bytes <= INLINE_BYTES_MAX,
-            BodyFraming::Chunked => true,
-            BodyFraming::UntilClose => false,
-        };
+        if matches!(framing, BodyFraming::Length(bytes) if bytes > INLINE_BYTES_MAX) {
+            return Ok(Bytes::new());
+        }
         let mut inline = BytesMut::new();
-        while short && inline.len() < INLINE_BYTES_MAX as usize {
-            match body.take(&mut reader.buffer) {
-                Ok(Some(piece)) if inline.is_empty() && body.is_done() => return Ok(piece),
-                Ok(Some(piece)) => inline.extend_from_slice(&piece),
-                Ok(None) => break,
-                Err(_) => return Err(WorkFault::BadAnswer),
+        let begin = Instant::now();
+        while inline.len() < INLINE_BYTES_MAX as usize && !body.is_done() {
+            let left = GATHER_TIME.saturating_sub(begin.elapsed());
+            match monoio::time::timeout(left, body.next(reader)).await {
+                Ok(Ok(Some(piece))) => inline.extend_from_slice(&piece),
+                Ok(Ok(None)) => break,
+                Ok(Err(_)) => return Err(WorkFault::BadAnswer),
+                Err(_) => break,
             }
         }
         Ok(inline.freeze())
@@ -187,16 +252,11 @@
         &self,
         reader: &mut BackendReader,
         framing: BodyFraming,
+        close: bool,
     ) -> Result<bool, WorkFault> {
-        let mut body = BodyReader::new(framing, BodyLimits::default());
-        loop {
-            match body.next(reader).await {
-                Ok(Some(_)) => {}
-                Ok(None) => break,
-                // The word was in the head; a broken body only spoils the connection.
-                Err(_) => break,
-            }
-        }
+        // The word was in the head; a broken body only spoils the connection.
+        let whole = self.read_past(reader, framing).await.is_ok();
+        self.progress.reusable.set(whole && !close && reader.buffer.is_empty());
         self.work.note(WorkEvidence::Neutral, false);
         self.progress.noted.set(true);
         Err(WorkFault::Shed)
--- a/crates/daemon/src/host/sending.rs
+++ b/crates/daemon/src/host/sending.rs
@@ -5,7 +5,6 @@
 
 use std::cell::Cell;
 
-use basaltarch_http::fields;
 use basaltarch_http::framing::BodyFraming;
 use basaltarch_http::writer;
 use basaltarch_peer::protocol::DispatchHead;
@@ -65,7 +64,11 @@
     buffer.extend_from_slice(b" HTTP/1.1\r\n");
     buffer.extend_from_slice(&head.field_lines);
     let left = work.left().as_millis().to_string();
-    writer::put_field(buffer, fields::DEADLINE.as_str().as_bytes(), left.as_bytes());
+    let names = &work.state.fields;
+    writer::put_field(buffer, names.deadline.as_str().as_bytes(), left.as_bytes());
+    if let Some(name) = &names.expected_server {
+        writer::put_field(buffer, name.as_str().as_bytes(), work.upstream.name.as_bytes());
+    }
     writer::put_framing(buffer, framing);
     let needs_length =
         framing == BodyFraming::Empty && matches!(head.method.as_str(), "POST" | "PUT" | "PATCH");
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::{BackendServer, ServerState, ServiceSpec};
 use basaltarch_core::services::{ServiceEntry, UpstreamEntry};
 use basaltarch_decide::evidence::WorkEvidence;
@@ -67,6 +68,14 @@
         self.health.borrow_mut().set_prefer(spec.prefer);
         self.pool.configure(server.address, server.connections as usize);
         *self.server.borrow_mut() = server.clone();
+        if server.state == ServerState::Draining {
+            self.slots.refuse_all(NotRunReason::Draining);
+        }
+    }
+
+    /// Lets go of the backend server: who waits for it goes elsewhere.
+    pub fn release(&self) {
+        self.slots.refuse_all(NotRunReason::Draining);
     }
 
     /// Takes in whether the backend server says that it is leaving.
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -61,6 +61,8 @@
     request: &'a CallerRequest,
     excluded: Vec<usize>,
     dispatches: usize,
+    /// Backend servers that the request reached, or may have.
+    arrivals: usize,
     last: FailureOutcome,
     failed_at: Option<usize>,
 }
@@ -77,6 +79,7 @@
         request,
         excluded: Vec::new(),
         dispatches: 0,
+        arrivals: 0,
         last: FailureOutcome::NotRun(NotRunReason::NoUpstream),
         failed_at: None,
     };
@@ -90,10 +93,14 @@
             Some(live) => live,
             None => continue,
         };
-        let first = waiting::first_event(request, attempts.left(), stream, body, &live).await;
+        let first = {
+            let now = || state.now();
+            waiting::first_event(request, attempts.left(), now, stream, body, &live).await
+        };
         match first {
             FirstEvent::CallerGone => return AttemptEnd::CallerGone,
             FirstEvent::Head(head) => {
+                attempts.arrivals += 1;
                 let failed = wire::is_server_error(head.status as u16);
                 attempts.note_report(choice.index, &head.report, Some(failed));
                 if failed && fallback.is_some() {
@@ -113,6 +120,7 @@
             }
             FirstEvent::GivenUp => {
                 // Dropping the exchange cancels it; the repeat is already paid for.
+                attempts.arrivals += 1;
                 attempts.request.service.note_given_up(choice.index, state.now());
                 attempts.excluded.push(choice.index);
                 attempts.last = FailureOutcome::Unknown(UnknownReason::TimedOut);
@@ -128,6 +136,7 @@
                 }
                 attempts.excluded.push(choice.index);
                 attempts.last = outcome;
+                attempts.arrivals += usize::from(has_arrived(outcome));
                 let again = match outcome {
                     FailureOutcome::NotRun(reason) => attempts.may_go_elsewhere(reason),
                     FailureOutcome::Unknown(_) => attempts.may_repeat(body),
@@ -179,7 +188,22 @@
                 | NotRunReason::KeyReused
                 | NotRunReason::LedgerUnavailable
         );
-        !would_repeat && self.dispatches < DISPATCHES_MAX && !self.left().is_zero()
+        let may = !would_repeat && self.dispatches < DISPATCHES_MAX && !self.left().is_zero();
+        // What a backend server turned away costs it work, so that sending it on counts as a repeat.
+        let is_free = reason != NotRunReason::Shed;
+        may && (is_free || self.has_arrivals_left() && self.take_repeat())
+    }
+
+    /// Says whether the route lets the request reach one more backend server.
+    fn has_arrivals_left(&self) -> bool {
+        match self.request.route.rule.attempts {
+            0 => true,
+            most => self.arrivals < most as usize,
+        }
+    }
+
+    fn take_repeat(&self) -> bool {
+        self.request.service.take_repeat(self.state.now())
     }
 
     /// Says whether what may have run may be sent again, and takes that from the budget.
@@ -188,8 +212,9 @@
             && body.is_done()
             && self.dispatches < DISPATCHES_MAX
             && !self.left().is_zero()
+            && self.has_arrivals_left()
             && !self.is_hopeless()
-            && self.request.service.take_repeat()
+            && self.take_repeat()
     }
 
     /// Says whether the request lately failed wherever it went.
@@ -287,7 +312,11 @@
 
     /// Returns how long an attempt is waited for before another is made, if another may be.
     fn patience(&self, baseline: &ServiceBaseline) -> Option<Duration> {
-        let may_follow = self.is_repeatable() && self.dispatches < DISPATCHES_MAX;
+        // This attempt will be an arrival itself.
+        let most = self.request.route.rule.attempts as usize;
+        let arrivals_left = most == 0 || self.arrivals + 1 < most;
+        let may_follow =
+            self.is_repeatable() && self.dispatches < DISPATCHES_MAX && arrivals_left;
         (may_follow && baseline.is_usable()).then(|| baseline.overdue_after() * PATIENCE_OVERDUE)
     }
 
@@ -345,6 +374,11 @@
     }
 }
 
+/// Says whether the request reached a backend server, or may have.
+fn has_arrived(outcome: FailureOutcome) -> bool {
+    matches!(outcome, FailureOutcome::Unknown(_) | FailureOutcome::NotRun(NotRunReason::Shed))
+}
+
 /// Says whether the backend server broke over the request, rather than the way to it.
 fn failed_at_server(outcome: FailureOutcome) -> bool {
     matches!(
--- a/crates/daemon/src/ingress/failure.rs
+++ b/crates/daemon/src/ingress/failure.rs
@@ -120,7 +120,6 @@
         FailureOutcome::NotRun(reason) => match reason {
             NotRunReason::NoRoute => StatusCode::NOT_FOUND,
             NotRunReason::Limited => StatusCode::TOO_MANY_REQUESTS,
-            NotRunReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             NotRunReason::BadRequest => StatusCode::BAD_REQUEST,
             NotRunReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -114,7 +114,7 @@
     request: &CallerRequest,
     body: &mut BodyReader,
 ) -> AfterRequest {
-    request.service.note_request();
+    request.service.note_request(state.now());
     match attempt::run(state, stream, request, body).await {
         AttemptEnd::Answer(mut exchange, head) => {
             let whole = body.is_done();
@@ -201,10 +201,11 @@
     let route = find_route(active, &head, &host)?;
     let organisation = find_organisation(active, &head)?;
     let once_key = once_key(&route, &head)?;
+    let service = state.services.service_of(&route);
     let subject = LimitSubject {
         organisation: organisation.as_deref(),
         route: &route.name,
-        service: &route.rule.service,
+        service,
     };
     limits::admit(state, active, subject).await.map_err(|wait| CallerFailure {
         retry_after: Some(wait),
@@ -212,11 +213,11 @@
     })?;
     let service = state
         .services
-        .get(state, active, &route.rule.service)
+        .get(state, active, service)
         .ok_or_else(|| CallerFailure::not_run(NotRunReason::NoUpstream))?;
-    let timeout = caller_timeout(&route, &head)?;
+    let timeout = caller_timeout(state, &route, &head)?;
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
-    forward_fields(&mut head, &host, from);
+    forward_fields(state, &mut head, &host, from);
     Ok(CallerRequest {
         route,
         service,
@@ -324,9 +325,14 @@
 }
 
 /// Returns the time for a request: the route's, or less if the caller says so.
-fn caller_timeout(route: &RouteEntry, head: &request::Parts) -> Result<Duration, CallerFailure> {
+fn caller_timeout(
+    state: &DaemonState,
+    route: &RouteEntry,
+    head: &request::Parts,
+) -> Result<Duration, CallerFailure> {
     let most = Duration::from_millis(route.rule.timeout_ms);
-    let value = match head.headers.get(fields::DEADLINE) {
+    let name = &state.fields.deadline;
+    let value = match head.headers.get(name) {
         Some(value) => value,
         None => return Ok(most),
     };
@@ -334,17 +340,27 @@
     match asked {
         Some(millis) => Ok(most.min(Duration::from_millis(millis))),
         None => {
-            let message = "Basaltarch-Deadline-Ms must be a number of milliseconds";
+            let message = format!("{name} must be a number of milliseconds");
             Err(CallerFailure::bad_request(StatusCode::BAD_REQUEST, message))
         }
     }
 }
 
 /// Removes what concerns this connection only and adds where the request came from.
-fn forward_fields(head: &mut request::Parts, host: &str, from: SocketAddr) {
+fn forward_fields(state: &DaemonState, head: &mut request::Parts, host: &str, from: SocketAddr) {
     let headers = &mut head.headers;
     fields::remove_hop_fields(headers);
-    headers.remove(fields::DEADLINE);
+    headers.remove(&state.fields.deadline);
+    if let Some(name) = &state.fields.expected_server {
+        headers.remove(name);
+    }
+    if let Some(name) = &state.fields.caller_service {
+        headers.remove(name);
+        let service = state.own_service().and_then(|text| HeaderValue::from_str(&text).ok());
+        if let Some(service) = service {
+            headers.insert(name, service);
+        }
+    }
     let address = from.ip().to_string();
     let chain = match headers.get(fields::FORWARDED_FOR).and_then(|value| value.to_str().ok()) {
         Some(before) => format!("{before}, {address}"),
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -39,6 +39,7 @@
 pub async fn first_event(
     request: &CallerRequest,
     left: Duration,
+    now: impl Fn() -> Duration,
     stream: &mut HttpStream,
     body: &mut BodyReader,
     live: &LiveExchange,
@@ -58,7 +59,7 @@
                 SendEnd::CallerGone => return FirstEvent::CallerGone,
             },
             () = late => return timed_out(),
-            () = patient => if request.service.take_repeat() {
+            () = patient => if request.service.take_repeat(now()) {
                 return FirstEvent::GivenUp;
             },
         }
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -27,7 +27,9 @@
 /// Longest time for a connection to another daemon: far regions are 0.3 s away.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time that a request waits for a link to be made.
-const LINK_WAIT: Duration = Duration::from_millis(1500);
+///
+/// Dialling goes on behind it, so that a far daemon is found by a later request.
+const LINK_WAIT: Duration = Duration::from_millis(500);
 /// Time between looks at the links.
 const WATCH_EVERY: Duration = Duration::from_millis(250);
 /// Time without use after which a link is given up.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,6 +18,13 @@
         /// The daemon beside each backend server host. Each flag can also be given by the
         /// environment variable in brackets; the flag wins.
         cmd basaltarchd {
+            /// Path of a settings file with lines `flag = value`, which fill what neither a flag nor a
+            /// variable gives [BASALTARCH_CONFIG].
+            optional --config path: String
+            /// Where the configuration comes from: `resources`, declared through the daemons' API, or
+            /// `document`, the operator's document in the platform's store [BASALTARCH_SOURCE],
+            /// default resources.
+            optional --source name: String
             /// Name of the host [BASALTARCH_HOST].
             optional --host name: String
             /// Failure domain of the host [BASALTARCH_FAILURE_DOMAIN].
@@ -28,15 +35,25 @@
             optional --peers address: String
             /// Address for operators [BASALTARCH_ADMIN], default 127.0.0.1:0.
             optional --admin address: String
+            /// Address at which the platform asks whether the daemon is ready [BASALTARCH_READY].
+            optional --ready address: String
+            /// Address at which the backend servers of this host register [BASALTARCH_REGISTRATION].
+            optional --registration address: String
+            /// Service that runs on this host, told to backend servers of callers from here
+            /// [BASALTARCH_OWN_SERVICE].
+            optional --own-service name: String
             /// Address at which other daemons reach this one, if not the one it listens on
             /// [BASALTARCH_ADVERTISE_PEERS].
             optional --advertise-peers address: String
             /// Address at which operators reach this daemon, if not the one it listens on
             /// [BASALTARCH_ADVERTISE_ADMIN].
             optional --advertise-admin address: String
-            /// Addresses of some other daemons, separated by commas, asked while the platform's host
-            /// list is away [BASALTARCH_SEEDS].
+            /// Addresses of some other daemons, separated by commas, asked while the platform's store
+            /// is away [BASALTARCH_SEEDS].
             optional --seeds addresses: String
+            /// Whether the seeds are reached at this daemon's peer port instead of the ports given
+            /// [BASALTARCH_SEEDS_AT_PEER_PORT], default false.
+            optional --seeds-at-peer-port flag: String
             /// Address of the platform [BASALTARCH_PLATFORM].
             optional --platform address: String
             /// Key shared by all daemons, at least 16 characters [BASALTARCH_FLEET_KEY].
@@ -47,6 +64,12 @@
             optional --log level: String
             /// Longest drain in ms [BASALTARCH_DRAIN_MS], default 30000.
             optional --drain-ms ms: String
+            /// Time in ms from the first signal to stop to the platform's kill; the drain ends before
+            /// it [BASALTARCH_KILL_AFTER_MS], default 3600000.
+            optional --kill-after-ms ms: String
+            /// Shortest drain in ms, for callers that hear late that the daemon leaves
+            /// [BASALTARCH_DRAIN_MIN_MS], default 500.
+            optional --drain-min-ms ms: String
             /// Connections of callers at most [BASALTARCH_CONNECTIONS], default 10000.
             optional --connections count: String
             /// Connections of one caller's address at most [BASALTARCH_CONNECTIONS_EACH], default 2000.
@@ -71,6 +94,23 @@
             /// Time in ms after which what was learnt of a service that nobody asks for is
             /// forgotten [BASALTARCH_SERVICE_IDLE_MS], default 600000.
             optional --service-idle-ms ms: String
+            /// Share of a service's slots that ejection never goes below, where the configuration
+            /// says nothing [BASALTARCH_FLOOR], default 0.7.
+            optional --floor share: String
+            /// Which error services would rather have where the configuration says nothing:
+            /// `detection` or `precision` [BASALTARCH_PREFER], default precision.
+            optional --prefer name: String
+            /// Requests that may wait before each backend server where the configuration says
+            /// nothing [BASALTARCH_QUEUE], default 16.
+            optional --queue count: String
+            /// Share of a service's requests that may be repeated where the configuration says
+            /// nothing [BASALTARCH_RETRY_SHARE], default 0.1.
+            optional --retry-share share: String
+            /// Repeats of a service over the whole fleet in one window beyond that share
+            /// [BASALTARCH_RETRY_EXTRA], default 20.
+            optional --retry-extra count: String
+            /// Length of that window in ms [BASALTARCH_RETRY_WINDOW_MS], default 10000.
+            optional --retry-window-ms ms: String
         }
     }
 }
@@ -123,7 +163,22 @@
         store_writes: flags.store_writes,
         once_keep_hours: flags.once_keep_hours,
         service_idle_ms: flags.service_idle_ms,
+        config: flags.config,
+        source: flags.source,
+        ready: flags.ready,
+        registration: flags.registration,
+        own_service: flags.own_service,
+        seeds_at_peer_port: flags.seeds_at_peer_port,
+        floor: flags.floor,
+        prefer: flags.prefer,
+        queue: flags.queue,
+        retry_share: flags.retry_share,
+        retry_extra: flags.retry_extra,
+        retry_window_ms: flags.retry_window_ms,
+        drain_min_ms: flags.drain_min_ms,
+        kill_after_ms: flags.kill_after_ms,
     };
+    let raw = raw.with_file().map_err(|source| DaemonError::Setting { source })?;
     let options = DaemonOptions::try_new(raw).map_err(|source| DaemonError::Setting { source })?;
     logs::start(&options.log);
     let running = run::run(options, StopRequests::Signals, |_| {});
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -3,9 +3,8 @@
 
 //! The soft view of the fleet: who is live, suspect or leaving.
 //!
-//! The platform's list seeds it and heartbeats between a few peers keep it. It is never agreed on,
-//! and nothing that must hold depends on it. A daemon's own word, with its incarnation, counts more
-//! than the list, which lags.
+//! The rows of the hosts seed it and heartbeats between a few peers keep it. It is never agreed on,
+//! and nothing that must hold depends on it. A word of a later start of a daemon counts more.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -18,11 +17,11 @@
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_peer::link::{AcceptedLink, NO_EXCHANGE};
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote, MemberEntry};
-use basaltarch_store::wire::{HostList, HostState};
 use rand::seq::IteratorRandom;
 
 use crate::links;
 use crate::metrics;
+use crate::roster::HostRecord;
 use crate::state::DaemonState;
 
 /// Time between heartbeats to the neighbours.
@@ -73,15 +72,13 @@
     pub peer_address: String,
     /// Address of its administration.
     pub admin_address: String,
-    /// Number of its start; 0 when only the list knows it.
+    /// Number of its start.
     pub incarnation: i64,
     /// When it was last heard of, by itself or through others.
     pub heard_at: Duration,
     /// Whether it said that it is leaving, in this incarnation.
     pub leaving: bool,
-    /// Whether the platform's list says that its host is leaving.
-    pub listed_leaving: bool,
-    /// Whether it stands in the platform's list.
+    /// Whether it has a row in the platform's store.
     pub listed: bool,
     /// Revision that it has in force.
     pub revision: FleetRevision,
@@ -104,7 +101,7 @@
     /// Returns what is thought of a member.
     pub fn state_of(&self, view: &MemberView, now: Duration) -> MemberState {
         let silent = now.saturating_sub(view.heard_at);
-        if view.leaving || view.listed_leaving {
+        if view.leaving {
             MemberState::Leaving
         } else if silent > suspect_after(self.members.borrow().len()) {
             MemberState::Suspect
@@ -152,43 +149,58 @@
         open.sample(&mut rand::rng(), most)
     }
 
-    /// Takes the platform's list in.
-    pub fn note_list(&self, state: &DaemonState, list: &HostList) {
-        let now = state.now();
-        let mut members = self.members.borrow_mut();
-        for view in members.values_mut() {
-            view.listed = false;
+    /// Takes in the row of a host. A row is no sign of life: only one of a later start counts as one.
+    pub fn note_record(&self, state: &DaemonState, host: &str, record: &HostRecord) {
+        if host == state.options.host {
+            return;
         }
-        for entry in &list.hosts {
-            if entry.host == state.options.host {
-                continue;
-            }
-            let view = members.entry(entry.host.clone()).or_insert_with(|| MemberView {
-                failure_domain: entry.failure_domain.clone(),
-                peer_address: entry.peer_address.clone(),
-                admin_address: entry.admin_address.clone(),
-                incarnation: 0,
-                heard_at: now,
-                leaving: false,
-                listed_leaving: false,
-                listed: false,
-                revision: FleetRevision(0),
-            });
-            view.listed = true;
-            view.listed_leaving = entry.state == HostState::Leaving;
-            // What a daemon says of its own address counts more than the list, while it speaks.
-            let silent = now.saturating_sub(view.heard_at) > SUSPECT_MIN;
-            if view.incarnation == 0 || silent {
-                view.peer_address.clone_from(&entry.peer_address);
-                view.admin_address.clone_from(&entry.admin_address);
+        let told = MemberView {
+            failure_domain: record.failure_domain.clone(),
+            peer_address: record.peer_address.clone(),
+            admin_address: record.admin_address.clone(),
+            incarnation: record.incarnation,
+            heard_at: state.now(),
+            leaving: record.leaving,
+            listed: true,
+            revision: FleetRevision(0),
+        };
+        let mut members = self.members.borrow_mut();
+        match members.get_mut(host) {
+            Some(view) => {
+                let heard_at = view.heard_at;
+                let news = told.incarnation > view.incarnation;
+                merge(view, told);
+                if !news {
+                    view.heard_at = heard_at;
+                }
             }
-            tell_path(state, &entry.host, view);
+            None => drop(members.insert(host.to_owned(), told)),
+        }
+        if let Some(view) = members.get(host) {
+            tell_path(state, host, view);
+        }
+        let now = state.now();
+        let forget_after = suspect_after(members.len()) * FORGET_TIMES;
+        let silent = |view: &MemberView| now.saturating_sub(view.heard_at);
+        members.retain(|_, view| view.listed || silent(view) < forget_after);
+    }
+
+    /// Takes in that a host has no row any more; what is heard of it still counts.
+    pub fn note_removed(&self, host: &str) {
+        if let Some(view) = self.members.borrow_mut().get_mut(host) {
+            view.listed = false;
         }
-        let count = members.len();
-        members.retain(|_, view| {
-            let silent = now.saturating_sub(view.heard_at);
-            view.listed || silent < suspect_after(count) * FORGET_TIMES
-        });
+    }
+
+    /// Returns the hosts with a row that have been silent for so long that they are taken for gone.
+    pub fn silent_hosts(&self, state: &DaemonState) -> Vec<String> {
+        let now = state.now();
+        let members = self.members.borrow();
+        let forget_after = suspect_after(members.len()) * FORGET_TIMES;
+        let gone = members
+            .iter()
+            .filter(|(_, view)| view.listed && now.saturating_sub(view.heard_at) > forget_after);
+        gone.map(|(host, _)| host.clone()).collect()
     }
 
     /// Takes in who was found at the address of a seed.
@@ -204,7 +216,6 @@
             incarnation: peer.incarnation.saturating_sub(1),
             heard_at: state.now(),
             leaving: false,
-            listed_leaving: false,
             listed: false,
             revision: FleetRevision(0),
         };
@@ -297,7 +308,6 @@
         incarnation: entry.incarnation,
         heard_at,
         leaving: entry.state == STATE_LEAVING,
-        listed_leaving: false,
         listed: false,
         revision: FleetRevision(entry.revision.max(0) as u64),
     }
@@ -310,12 +320,13 @@
         return;
     }
     if told.incarnation > view.incarnation {
-        let listed = (view.listed, view.listed_leaving);
+        let listed = view.listed || told.listed;
         *view = told;
-        (view.listed, view.listed_leaving) = listed;
+        view.listed = listed;
         return;
     }
     view.leaving |= told.leaving;
+    view.listed |= told.listed;
     view.heard_at = view.heard_at.max(told.heard_at);
     view.revision = view.revision.max(told.revision);
 }
@@ -325,7 +336,7 @@
     if let Ok(address) = view.peer_address.parse() {
         path.note_address(address);
     }
-    path.note_leaving(view.leaving || view.listed_leaving);
+    path.note_leaving(view.leaving);
 }
 
 fn entry_of(host: &str, view: &MemberView, now: Duration) -> MemberEntry {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -31,6 +31,8 @@
 pub static POISON_SPARED: CounterCell = CounterCell::new();
 /// Work sent to backend servers.
 pub static WORKED: CounterCell = CounterCell::new();
+/// Answers to earlier requests that came late on a connection in use.
+pub static SURPLUS_ANSWERS: CounterCell = CounterCell::new();
 /// Work refused by the host role.
 pub static HOST_REFUSED: CounterCell = CounterCell::new();
 /// Ejections by reason.
@@ -109,6 +111,11 @@
             &POISON_SPARED,
         ),
         counter("worked", "Work sent to backend servers.", &WORKED),
+        counter(
+            "surplus_answers",
+            "Answers to earlier requests that came late on a connection in use.",
+            &SURPLUS_ANSWERS,
+        ),
         counter("host_refused", "Work refused by the host role.", &HOST_REFUSED),
         counter("returns", "Returns of ejected upstreams.", &RETURNS),
         MetricEntry {
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -3,18 +3,25 @@
 
 //! The settings of the daemon, checked at start.
 
+use std::fs;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use basaltarch_core::errors::SettingError;
+use basaltarch_core::resources::{PreferChoice, QUEUE_MAX};
 use basaltarch_core::settings;
 use basaltarch_http::body::BodyLimits;
+use basaltarch_http::fields::ExchangeFields;
 use basaltarch_http::head::HeadLimits;
 use basaltarch_peer::handshake::KEY_BYTES_MIN;
+use basaltarch_platform::headers;
 use basaltarch_telemetry::logs;
 
 /// Allowed addresses, for error messages.
 const ADDRESS_ALLOWED: &str = "an IP address with port, such as 127.0.0.1:8080";
+/// Time between the end of the longest drain and the platform's kill: answers that were just written
+/// still leave the host.
+const KILL_MARGIN: Duration = Duration::from_millis(250);
 /// Longest drain: beyond it no platform waits for a host.
 const DRAIN_MS_MAX: u64 = 3_600_000;
 
@@ -69,6 +76,34 @@
     pub once_keep_hours: Option<String>,
     /// Time after which a service that nobody asks for is forgotten, in milliseconds.
     pub service_idle_ms: Option<String>,
+    /// Path of the settings file.
+    pub config: Option<String>,
+    /// Where the configuration comes from.
+    pub source: Option<String>,
+    /// Address at which the platform asks whether the daemon is ready.
+    pub ready: Option<String>,
+    /// Address at which the backend servers of this host register.
+    pub registration: Option<String>,
+    /// Service that runs on this host, told to backend servers of callers from here.
+    pub own_service: Option<String>,
+    /// Whether the seeds are reached at this daemon's peer port instead of the ports given.
+    pub seeds_at_peer_port: Option<String>,
+    /// Floor of services that declare none.
+    pub floor: Option<String>,
+    /// Which error services that say nothing would rather have.
+    pub prefer: Option<String>,
+    /// Requests that may wait before each backend server of services that say nothing.
+    pub queue: Option<String>,
+    /// Share of requests that may be repeated, for services that say nothing.
+    pub retry_share: Option<String>,
+    /// Repeats of a service over the whole fleet in one window beyond that share.
+    pub retry_extra: Option<String>,
+    /// Length of that window in milliseconds.
+    pub retry_window_ms: Option<String>,
+    /// Time from the first signal to stop to the platform's kill, in milliseconds.
+    pub kill_after_ms: Option<String>,
+    /// Shortest drain in milliseconds.
+    pub drain_min_ms: Option<String>,
 }
 
 /// `DaemonOptions` are the checked settings.
@@ -116,6 +151,115 @@
     pub once_keep_hours: u64,
     /// Time after which a service that nobody asks for is forgotten.
     pub service_idle: Duration,
+    /// Where the configuration comes from.
+    pub source: ConfigSource,
+    /// Address at which the platform asks whether the daemon is ready, if it does.
+    pub ready: Option<SocketAddr>,
+    /// Address at which the backend servers of this host register, if they do.
+    pub registration: Option<SocketAddr>,
+    /// Service that runs on this host, if it is known beforehand.
+    pub own_service: Option<String>,
+    /// What holds for services that declare nothing else.
+    pub defaults: ServiceDefaults,
+    /// Shortest drain.
+    pub drain_min: Duration,
+}
+
+/// `ConfigSource` says where the configuration comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// Operators declare resources through the daemons' API.
+    Resources,
+    /// The operator writes one document into the platform's store, and backend servers register
+    /// themselves with the daemon beside them.
+    Document,
+}
+
+/// `ServiceDefaults` is what holds for services that declare nothing else.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServiceDefaults {
+    /// Share of the slots that ejection never goes below.
+    pub floor: f64,
+    /// Which error a service would rather have.
+    pub prefer: PreferChoice,
+    /// Requests that may wait before each backend server.
+    pub queue: u32,
+    /// Share of requests that may be repeated.
+    pub retry_share: f64,
+    /// Repeats over the whole fleet in one window beyond that share.
+    pub retry_extra: u32,
+    /// Length of that window.
+    pub retry_window: Duration,
+}
+
+impl RawOptions {
+    /// Takes the settings file in: it fills what neither a flag nor an environment variable gives.
+    pub fn with_file(mut self) -> Result<Self, SettingError> {
+        let path: Option<String> = settings::optional("config", self.config.clone(), "a path")?;
+        let path = match path {
+            Some(path) => path,
+            None => return Ok(self),
+        };
+        let unreadable = |error: std::io::Error| SettingError::Unreadable {
+            path: path.clone(),
+            message: error.to_string(),
+        };
+        let text = fs::read_to_string(&path).map_err(unreadable)?;
+        for line in settings::read_lines(&text)? {
+            let place = match self.place(&line.flag) {
+                Some(place) => place,
+                None => return Err(SettingError::Unknown { flag: line.flag }),
+            };
+            if place.is_none() && !settings::is_in_environment(&line.flag) {
+                *place = Some(line.value);
+            }
+        }
+        Ok(self)
+    }
+
+    /// Returns the place of a flag.
+    fn place(&mut self, flag: &str) -> Option<&mut Option<String>> {
+        Some(match flag {
+            "host" => &mut self.host,
+            "failure-domain" => &mut self.failure_domain,
+            "callers" => &mut self.callers,
+            "peers" => &mut self.peers,
+            "admin" => &mut self.admin,
+            "advertise-peers" => &mut self.advertise_peers,
+            "advertise-admin" => &mut self.advertise_admin,
+            "seeds" => &mut self.seeds,
+            "platform" => &mut self.platform,
+            "fleet-key" => &mut self.fleet_key,
+            "admin-token" => &mut self.admin_token,
+            "log" => &mut self.log,
+            "drain-ms" => &mut self.drain_ms,
+            "kill-after-ms" => &mut self.kill_after_ms,
+            "drain-min-ms" => &mut self.drain_min_ms,
+            "connections" => &mut self.connections,
+            "connections-each" => &mut self.connections_each,
+            "head-bytes" => &mut self.head_bytes,
+            "head-ms" => &mut self.head_ms,
+            "idle-ms" => &mut self.idle_ms,
+            "body-bytes" => &mut self.body_bytes,
+            "body-idle-ms" => &mut self.body_idle_ms,
+            "store-reads" => &mut self.store_reads,
+            "store-writes" => &mut self.store_writes,
+            "once-keep-hours" => &mut self.once_keep_hours,
+            "service-idle-ms" => &mut self.service_idle_ms,
+            "source" => &mut self.source,
+            "ready" => &mut self.ready,
+            "registration" => &mut self.registration,
+            "own-service" => &mut self.own_service,
+            "seeds-at-peer-port" => &mut self.seeds_at_peer_port,
+            "floor" => &mut self.floor,
+            "prefer" => &mut self.prefer,
+            "queue" => &mut self.queue,
+            "retry-share" => &mut self.retry_share,
+            "retry-extra" => &mut self.retry_extra,
+            "retry-window-ms" => &mut self.retry_window_ms,
+            _ => return None,
+        })
+    }
 }
 
 impl DaemonOptions {
@@ -124,20 +268,27 @@
         let loopback = SocketAddr::from((IpAddr::from([127, 0, 0, 1]), 0));
         let address =
             |flag: &str, given| settings::checked(flag, given, loopback, ADDRESS_ALLOWED, |_| true);
+        let source = source(raw.source)?;
+        let peers = address("peers", raw.peers)?;
+        let at_peer_port = flag("seeds-at-peer-port", raw.seeds_at_peer_port)?;
+        let mut seeds = seeds(raw.seeds)?;
+        if at_peer_port {
+            seeds.iter_mut().for_each(|seed| seed.set_port(peers.port()));
+        }
         Ok(Self {
             callers: address("callers", raw.callers)?,
-            peers: address("peers", raw.peers)?,
+            peers,
             admin: address("admin", raw.admin)?,
             advertise_peers: advertised("advertise-peers", raw.advertise_peers)?,
             advertise_admin: advertised("advertise-admin", raw.advertise_admin)?,
-            seeds: seeds(raw.seeds)?,
+            seeds,
             host: name("host", raw.host)?,
             failure_domain: name("failure-domain", raw.failure_domain)?,
             platform: settings::required("platform", raw.platform, ADDRESS_ALLOWED)?,
             fleet_key: fleet_key(raw.fleet_key)?,
             admin_token: settings::required("admin-token", raw.admin_token, "a token")?,
             log: log_level(raw.log)?,
-            drain: millis("drain-ms", raw.drain_ms, 30_000, DRAIN_MS_MAX)?,
+            drain: longest_drain(raw.drain_ms, raw.kill_after_ms)?,
             connections: count("connections", raw.connections, 10_000, 1, 1_000_000)? as usize,
             connections_each: count("connections-each", raw.connections_each, 2000, 1, 1_000_000)?
                 as usize,
@@ -155,9 +306,30 @@
             store_writes: count("store-writes", raw.store_writes, 50, 1, 100_000)? as f64,
             service_idle: millis("service-idle-ms", raw.service_idle_ms, 600_000, 86_400_000)?,
             once_keep_hours: count("once-keep-hours", raw.once_keep_hours, 24, 1, 8760)?,
+            source,
+            ready: settings::optional("ready", raw.ready, ADDRESS_ALLOWED)?,
+            registration: settings::optional("registration", raw.registration, ADDRESS_ALLOWED)?,
+            own_service: settings::optional("own-service", raw.own_service, "a name")?,
+            defaults: ServiceDefaults {
+                floor: share("floor", raw.floor, 0.7)?,
+                prefer: prefer(raw.prefer)?,
+                queue: count("queue", raw.queue, 16, 0, QUEUE_MAX.into())? as u32,
+                retry_share: share("retry-share", raw.retry_share, 0.1)?,
+                retry_extra: count("retry-extra", raw.retry_extra, 20, 0, 1_000_000)? as u32,
+                retry_window: millis("retry-window-ms", raw.retry_window_ms, 10_000, 600_000)?,
+            },
+            drain_min: millis("drain-min-ms", raw.drain_min_ms, 500, DRAIN_MS_MAX)?,
         })
     }
 
+    /// Returns the names of the header fields that backend servers of this deployment know.
+    pub fn exchange_fields(&self) -> ExchangeFields {
+        match self.source {
+            ConfigSource::Resources => ExchangeFields::default(),
+            ConfigSource::Document => headers::exchange_fields(),
+        }
+    }
+
     /// Returns the address at which other daemons reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         self.advertise_peers.unwrap_or(self.peers)
@@ -169,6 +341,40 @@
     }
 }
 
+/// Returns the longest drain: it must end before the platform kills the daemon.
+fn longest_drain(
+    drain: Option<String>,
+    kill_after: Option<String>,
+) -> Result<Duration, SettingError> {
+    let drain = millis("drain-ms", drain, 30_000, DRAIN_MS_MAX)?;
+    let kill_after = millis("kill-after-ms", kill_after, DRAIN_MS_MAX, DRAIN_MS_MAX)?;
+    Ok(drain.min(kill_after.saturating_sub(KILL_MARGIN)))
+}
+
+fn source(given: Option<String>) -> Result<ConfigSource, SettingError> {
+    let allowed = "resources or document";
+    let name = settings::checked("source", given, "resources".to_owned(), allowed, |name| {
+        matches!(name.as_str(), "resources" | "document")
+    })?;
+    Ok(if name == "document" { ConfigSource::Document } else { ConfigSource::Resources })
+}
+
+fn prefer(given: Option<String>) -> Result<PreferChoice, SettingError> {
+    let allowed = "detection or precision";
+    let name = settings::checked("prefer", given, "precision".to_owned(), allowed, |name| {
+        matches!(name.as_str(), "detection" | "precision")
+    })?;
+    Ok(if name == "detection" { PreferChoice::Detection } else { PreferChoice::Precision })
+}
+
+fn share(name: &str, given: Option<String>, default: f64) -> Result<f64, SettingError> {
+    settings::checked(name, given, default, "0 to 1", |value| (0.0..=1.0).contains(value))
+}
+
+fn flag(name: &str, given: Option<String>) -> Result<bool, SettingError> {
+    settings::checked(name, given, false, "true or false", |_| true)
+}
+
 fn advertised(flag: &str, given: Option<String>) -> Result<Option<SocketAddr>, SettingError> {
     settings::optional(flag, given, ADDRESS_ALLOWED)
 }
@@ -230,5 +436,15 @@
     default: u64,
     most: u64,
 ) -> Result<Duration, SettingError> {
-    count(flag, given, default, 1, most).map(Duration::from_millis)
+    let allowed = format!("1 to {most} ms, or a number of seconds with an s behind it");
+    let given: Option<String> = settings::optional(flag, given, &allowed)?;
+    let given = given.map(|text| seconds_as_millis(&text).unwrap_or(text));
+    let value = settings::checked(flag, given, default, &allowed, |value| (1..=most).contains(value));
+    value.map(Duration::from_millis)
+}
+
+/// Turns `2.5s` into `2500`; gives nothing for a text of another form.
+fn seconds_as_millis(text: &str) -> Option<String> {
+    let seconds: f64 = text.strip_suffix('s')?.parse().ok()?;
+    Some(format!("{}", (seconds * 1000.0).round()))
 }
--- /dev/null
+++ b/crates/daemon/src/registration.rs
@@ -0,0 +1,171 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Takes the word of the backend servers beside this daemon, and answers whether the daemon is ready.
+//!
+//! An acknowledgement means that what was said is in force here. As only this daemon sends work to
+//! the backend servers of its host, nobody else has to be asked.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_http::connection::{self, ConnectionCount};
+use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
+use basaltarch_platform::registration::{self, ServerCall, ServerHeartbeat};
+use bytes::Bytes;
+use fnv::FnvHashMap;
+use http::StatusCode;
+use monoio::net::TcpListener;
+
+use crate::admin;
+use crate::roster::{self, ServerRecord};
+use crate::state::DaemonState;
+
+/// Connections of backend servers of this host, and of the platform.
+const CONNECTIONS_MAX: usize = 64;
+/// Largest heartbeat.
+const BODY_BYTES_MAX: u64 = 16 * 1024;
+/// Names of backend servers that deregistered, kept to know their late heartbeats.
+const GONE_MAX: usize = 64;
+
+/// `RegistrationTable` is what this daemon knows of the backend servers beside it, apart from what it
+/// tells the others.
+#[derive(Debug, Default)]
+pub struct RegistrationTable {
+    sequences: RefCell<FnvHashMap<String, u64>>,
+    cold_until: RefCell<FnvHashMap<String, Duration>>,
+    gone: RefCell<VecDeque<String>>,
+}
+
+impl RegistrationTable {
+    /// Says whether a backend server is still slow from its start.
+    pub fn is_cold(&self, name: &str, now: Duration) -> bool {
+        self.cold_until.borrow().get(name).is_some_and(|until| *until > now)
+    }
+
+    /// Says whether a heartbeat is later than those before it, and notes it.
+    fn is_news(&self, heartbeat: &ServerHeartbeat) -> bool {
+        if self.gone.borrow().contains(&heartbeat.server) {
+            return false;
+        }
+        let mut sequences = self.sequences.borrow_mut();
+        let last = sequences.entry(heartbeat.server.clone()).or_default();
+        let news = heartbeat.sequence >= *last;
+        *last = heartbeat.sequence.max(*last);
+        news
+    }
+
+    fn note_gone(&self, name: &str) {
+        self.sequences.borrow_mut().remove(name);
+        self.cold_until.borrow_mut().remove(name);
+        let mut gone = self.gone.borrow_mut();
+        if !gone.iter().any(|known| known == name) {
+            gone.push_back(name.to_owned());
+        }
+        if gone.len() > GONE_MAX {
+            gone.pop_front();
+        }
+    }
+}
+
+/// Takes connections of backend servers for ever.
+pub async fn accept(state: Rc<DaemonState>, listener: TcpListener) {
+    let serve = move |stream, from| {
+        let state = state.clone();
+        let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
+        server::serve(stream, from, limits, move |request| {
+            let state = state.clone();
+            async move { answer_server(&state, &request) }
+        })
+    };
+    connection::accept_all(listener, CONNECTIONS_MAX, ConnectionCount::default(), serve).await;
+}
+
+fn answer_server(state: &Rc<DaemonState>, request: &ServerRequest) -> ServerReply {
+    let uri = &request.head.uri;
+    let call =
+        registration::read_call(&request.head.method, uri.path(), uri.query(), &request.body);
+    match call {
+        Ok(Some(ServerCall::Heartbeat(heartbeat))) => note_heartbeat(state, &heartbeat),
+        Ok(Some(ServerCall::Deregister(name))) => note_gone(state, &name),
+        Ok(None) => return admin::problem(StatusCode::NOT_FOUND, "no such call"),
+        Err(error) => {
+            tracing::warn!(%error, from = %request.from, "call of a backend server can't be read");
+            return admin::problem(StatusCode::BAD_REQUEST, error);
+        }
+    }
+    let body = Bytes::from_static(registration::acknowledgement());
+    ServerReply::whole(StatusCode::OK, "application/json", body)
+}
+
+fn note_heartbeat(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) {
+    if !state.registrations.is_news(heartbeat) {
+        tracing::info!(upstream = heartbeat.server, "late heartbeat passed over");
+        return;
+    }
+    let cold_until = state.now() + heartbeat.cold_for;
+    if !heartbeat.cold_for.is_zero() {
+        let mut cold = state.registrations.cold_until.borrow_mut();
+        cold.insert(heartbeat.server.clone(), cold_until);
+    }
+    let mut servers = state.roster.own_servers();
+    let known = servers.iter().find(|server| server.name == heartbeat.server);
+    let record = ServerRecord {
+        name: heartbeat.server.clone(),
+        service: heartbeat.service.clone(),
+        address: heartbeat.address,
+        slots: heartbeat.slots,
+        // A backend server that said it is leaving does not come back in the same incarnation.
+        draining: heartbeat.draining || known.is_some_and(|known| known.draining),
+    };
+    if known == Some(&record) {
+        return;
+    }
+    tracing::info!(
+        upstream = record.name,
+        service = record.service,
+        address = %record.address,
+        slots = record.slots,
+        draining = record.draining,
+        "backend server registered"
+    );
+    // One that now listens on the address of another has taken its place.
+    servers.retain(|server| server.name != record.name && server.address != record.address);
+    servers.push(record);
+    servers.sort_by(|left, right| left.name.cmp(&right.name));
+    roster::set_own_servers(state, servers);
+}
+
+/// Takes in that a backend server is gone, by its own word or as another answers in its place.
+pub fn note_gone(state: &Rc<DaemonState>, name: &str) {
+    state.registrations.note_gone(name);
+    let mut servers = state.roster.own_servers();
+    let before = servers.len();
+    servers.retain(|server| server.name != name);
+    if servers.len() < before {
+        tracing::info!(upstream = name, "backend server gone");
+        roster::set_own_servers(state, servers);
+    }
+}
+
+/// Answers for ever whether the daemon is ready.
+pub async fn accept_ready(state: Rc<DaemonState>, listener: TcpListener) {
+    let serve = move |stream, from| {
+        let state = state.clone();
+        let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
+        server::serve(stream, from, limits, move |request| {
+            let state = state.clone();
+            async move { answer_ready(&state, &request) }
+        })
+    };
+    connection::accept_all(listener, CONNECTIONS_MAX, ConnectionCount::default(), serve).await;
+}
+
+fn answer_ready(state: &DaemonState, request: &ServerRequest) -> ServerReply {
+    if registration::is_ready_question(&request.head.method, request.path()) {
+        return admin::ready(state);
+    }
+    admin::problem(StatusCode::NOT_FOUND, "no such call")
+}
--- /dev/null
+++ b/crates/daemon/src/roster.rs
@@ -0,0 +1,429 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Who is there: one row for each host in the platform's store.
+//!
+//! A daemon writes its own row when something about it changes, and never to say that it lives. All
+//! daemons read the rows once and follow their feed. A row names the start of the daemon that wrote
+//! it; a later start replaces it. Rows do not lapse, so an outage of the store takes nothing away.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::resources::{BackendServer, ServerState};
+use basaltarch_core::services::UpstreamEntry;
+use basaltarch_decide::limits;
+use basaltarch_platform::rows::{RowsPage, StoredRow};
+use basaltarch_store::errors::StoreError;
+use basaltarch_store::platform::{FeedReply, RetryPause};
+use basaltarch_store::wire::{RowCheck, RowWrite};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::document;
+use crate::metrics;
+use crate::signal::RisingSignal;
+use crate::state::DaemonState;
+
+/// Table of the rows.
+pub const HOSTS_TABLE: &str = "hosts";
+/// Pause between two calls of the feed that brought something: what changes at the same time, as when
+/// a fleet starts, is then read in one call.
+const FEED_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause after failed calls in a row: what changed during an outage must be known within
+/// about two seconds of its end.
+const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(1000);
+/// Time that a starting daemon waits for the backend server beside it before it writes its row
+/// without one: a little longer than the usual time between two heartbeats.
+const FIRST_WRITE_WAIT: Duration = Duration::from_secs(2);
+/// Time between looks for rows of hosts that are gone.
+const SWEEP_EVERY: Duration = Duration::from_secs(20);
+/// Longest pause of such looks in multiples, so that not all daemons look at once.
+const SWEEP_SPREAD: f64 = 1.5;
+
+/// `HostRecord` is what a host's daemon says of itself and of the backend servers beside it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HostRecord {
+    /// Number of the daemon's start; a later start has a higher one.
+    pub incarnation: i64,
+    /// Failure domain of the host.
+    pub failure_domain: String,
+    /// Address at which the daemon takes links.
+    pub peer_address: String,
+    /// Address of its administration.
+    pub admin_address: String,
+    /// Whether the daemon is leaving.
+    pub leaving: bool,
+    /// Backend servers that registered with the daemon.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub servers: Vec<ServerRecord>,
+}
+
+/// `ServerRecord` is one backend server that registered.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServerRecord {
+    /// Name of this incarnation of the backend server.
+    pub name: String,
+    /// Service that it is an upstream of.
+    pub service: String,
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+/// `ToldRecord` is a host's record as a peer tells of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ToldRecord {
+    /// Name of the host.
+    pub host: String,
+    /// Its record.
+    pub record: HostRecord,
+}
+
+impl HostRecord {
+    fn services(&self) -> impl Iterator<Item = &str> {
+        self.servers.iter().map(|server| server.service.as_str())
+    }
+}
+
+impl ServerRecord {
+    /// Returns the backend server as an upstream of its service.
+    fn upstream(&self, host: &str, record: &HostRecord, connections: u32) -> UpstreamEntry {
+        let state = if self.draining { ServerState::Draining } else { ServerState::Active };
+        UpstreamEntry {
+            name: Rc::from(self.name.as_str()),
+            server: Rc::new(BackendServer {
+                service: self.service.clone(),
+                host: host.to_owned(),
+                address: self.address,
+                slots: self.slots,
+                connections,
+                failure_domain: record.failure_domain.clone(),
+                state,
+            }),
+        }
+    }
+}
+
+/// `HostRoster` holds the rows of all hosts, this one included.
+#[derive(Debug, Default)]
+pub struct HostRoster {
+    records: RefCell<BTreeMap<String, HostRecord>>,
+    own_servers: RefCell<Vec<ServerRecord>>,
+    own_version: Cell<u64>,
+    written: RefCell<Option<HostRecord>>,
+    changed: RisingSignal,
+    was_read: Cell<bool>,
+}
+
+impl HostRoster {
+    /// Calls `read` with each host's record.
+    pub fn for_each(&self, mut read: impl FnMut(&str, &HostRecord)) {
+        for (host, record) in self.records.borrow().iter() {
+            read(host, record);
+        }
+    }
+
+    /// Returns the number of hosts whose daemons are there and not leaving.
+    pub fn daemons(&self) -> usize {
+        self.records.borrow().values().filter(|record| !record.leaving).count().max(1)
+    }
+
+    /// Returns the backend servers that registered here.
+    pub fn own_servers(&self) -> Vec<ServerRecord> {
+        self.own_servers.borrow().clone()
+    }
+
+    /// Returns what the store last held about a host.
+    pub fn record(&self, host: &str) -> Option<HostRecord> {
+        self.records.borrow().get(host).cloned()
+    }
+
+    /// Returns the upstreams of a service in the order of their names.
+    pub fn upstreams(&self, service: &str, connections: u32) -> Vec<UpstreamEntry> {
+        let mut upstreams = Vec::new();
+        for (host, record) in self.records.borrow().iter() {
+            let servers = record.servers.iter().filter(|server| server.service == service);
+            upstreams.extend(servers.map(|server| server.upstream(host, record, connections)));
+        }
+        upstreams.sort_by(|left, right| left.name.cmp(&right.name));
+        // A name that two hosts claim belongs to one of them; a request that goes to the other is
+        // refused there as unknown.
+        upstreams.dedup_by(|left, right| left.name == right.name);
+        upstreams
+    }
+
+    /// Says that this daemon's own record may have changed.
+    pub fn touch(&self) {
+        self.changed.raise();
+    }
+}
+
+/// Returns what this daemon says of itself.
+fn own_record(state: &DaemonState) -> HostRecord {
+    HostRecord {
+        incarnation: state.identity.incarnation,
+        failure_domain: state.options.failure_domain.clone(),
+        peer_address: state.options.peer_address().to_string(),
+        admin_address: state.options.admin_address().to_string(),
+        leaving: state.is_stopping(),
+        servers: state.roster.own_servers(),
+    }
+}
+
+/// Takes in which backend servers are registered here. They are in force in this daemon when this
+/// returns; the others hear of them through the store.
+pub fn set_own_servers(state: &Rc<DaemonState>, servers: Vec<ServerRecord>) {
+    if *state.roster.own_servers.borrow() == servers {
+        return;
+    }
+    *state.roster.own_servers.borrow_mut() = servers;
+    let record = own_record(state);
+    put_record(state, &state.options.host, Some(record));
+    document::put_host_in_force(state);
+    state.roster.touch();
+}
+
+/// Takes in a host's record, or that there is none; a record of an earlier start is passed over.
+fn put_record(state: &Rc<DaemonState>, host: &str, record: Option<HostRecord>) {
+    let known = state.roster.record(host);
+    if known == record {
+        return;
+    }
+    if let (Some(known), Some(record)) = (&known, &record) {
+        if record.incarnation < known.incarnation {
+            tracing::info!(host, "record of an earlier start passed over");
+            return;
+        }
+    }
+    let mut touched: Vec<String> = Vec::new();
+    for each in known.iter().chain(&record) {
+        touched.extend(each.services().map(str::to_owned));
+    }
+    touched.sort();
+    touched.dedup();
+    let mut records = state.roster.records.borrow_mut();
+    match &record {
+        Some(record) => drop(records.insert(host.to_owned(), record.clone())),
+        None => drop(records.remove(host)),
+    }
+    drop(records);
+    match &record {
+        Some(record) => state.members.note_record(state, host, record),
+        None => state.members.note_removed(host),
+    }
+    document::put_services_in_force(state, &touched);
+}
+
+/// Takes in records that a peer told of; those that the store told of count more.
+pub fn take_told(state: &Rc<DaemonState>, told: Vec<ToldRecord>) {
+    for ToldRecord { host, record } in told {
+        if host == state.options.host {
+            continue;
+        }
+        let known = state.roster.record(&host);
+        if known.is_none_or(|known| known.incarnation < record.incarnation) {
+            put_record(state, &host, Some(record));
+        }
+    }
+}
+
+/// Reads the rows and follows their feed for ever.
+pub async fn follow(state: Rc<DaemonState>) {
+    let mut pause = RetryPause::up_to(FAILURE_PAUSE_MAX);
+    loop {
+        if let Err(error) = read_and_follow(&state, &mut pause).await {
+            metrics::STORE_FAILURES.add_one();
+            tracing::debug!(%error, table = HOSTS_TABLE, "the store did not answer");
+            monoio::time::sleep(pause.next_pause()).await;
+        }
+    }
+}
+
+async fn read_and_follow(
+    state: &Rc<DaemonState>,
+    pause: &mut RetryPause,
+) -> Result<(), StoreError> {
+    let page = state.platform.read_table(HOSTS_TABLE).await?;
+    let mut version = page.version;
+    take_table(state, &page);
+    pause.reset();
+    loop {
+        match state.platform.follow(HOSTS_TABLE, version).await {
+            Ok(FeedReply::Changes(page)) => {
+                version = version.max(page.version);
+                pause.reset();
+                for row in &page.rows {
+                    take_row(state, row);
+                }
+                if !page.rows.is_empty() {
+                    monoio::time::sleep(FEED_PAUSE).await;
+                }
+            }
+            Ok(FeedReply::Forgotten) => {
+                tracing::info!(table = HOSTS_TABLE, version, "history forgotten; read anew");
+                return Ok(());
+            }
+            Err(error) => {
+                metrics::STORE_FAILURES.add_one();
+                tracing::debug!(%error, table = HOSTS_TABLE, "the feed was cut");
+                monoio::time::sleep(pause.next_pause()).await;
+            }
+        }
+    }
+}
+
+fn take_table(state: &Rc<DaemonState>, page: &RowsPage) {
+    for row in &page.rows {
+        take_row(state, row);
+    }
+    state.roster.was_read.set(true);
+    let gone = |host: &String| !page.rows.iter().any(|row| row.key == *host);
+    let hosts: Vec<String> = state.roster.records.borrow().keys().cloned().collect();
+    for host in hosts.into_iter().filter(gone) {
+        take_removed(state, &host);
+    }
+    state.roster.touch();
+}
+
+fn take_row(state: &Rc<DaemonState>, row: &StoredRow) {
+    let value = match &row.value {
+        Some(value) => value,
+        None => return take_removed(state, &row.key),
+    };
+    let record: HostRecord = match serde_json::from_slice(value) {
+        Ok(record) => record,
+        Err(error) => {
+            tracing::warn!(host = row.key, %error, "row of a host can't be read");
+            return;
+        }
+    };
+    if row.key != state.options.host {
+        return put_record(state, &row.key, Some(record));
+    }
+    state.roster.own_version.set(row.version);
+    *state.roster.written.borrow_mut() = Some(record.clone());
+    if record.incarnation > state.identity.incarnation {
+        tracing::warn!(
+            incarnation = record.incarnation,
+            own = state.identity.incarnation,
+            "a later start of this host has a row"
+        );
+    }
+    state.roster.touch();
+}
+
+fn take_removed(state: &Rc<DaemonState>, host: &str) {
+    if host != state.options.host {
+        return put_record(state, host, None);
+    }
+    // Others took this daemon for gone; its row is written anew.
+    state.roster.own_version.set(0);
+    *state.roster.written.borrow_mut() = None;
+    state.roster.touch();
+}
+
+/// Writes this daemon's row whenever what it says has changed, for ever.
+pub async fn publish(state: Rc<DaemonState>) {
+    let mut pause = RetryPause::up_to(FAILURE_PAUSE_MAX);
+    wait_first(&state).await;
+    loop {
+        let seen = state.roster.changed.get();
+        let record = own_record(&state);
+        if state.roster.written.borrow().as_ref() != Some(&record) {
+            match write_row(&state, &record).await {
+                Ok(()) => pause.reset(),
+                Err(error) => {
+                    metrics::STORE_FAILURES.add_one();
+                    tracing::debug!(%error, "the row of this host was not written");
+                    monoio::time::sleep(pause.next_pause()).await;
+                }
+            }
+            continue;
+        }
+        state.roster.changed.above(seen).await;
+    }
+}
+
+/// Waits until a backend server registered, but not for long.
+async fn wait_first(state: &Rc<DaemonState>) {
+    if state.options.registration.is_none() {
+        return;
+    }
+    let registered = async {
+        let mut seen = 0;
+        while state.roster.own_servers.borrow().is_empty() {
+            seen = state.roster.changed.above(seen).await;
+        }
+    };
+    // Without one the row tells of the daemon alone.
+    let _ = monoio::time::timeout(FIRST_WRITE_WAIT, registered).await;
+}
+
+async fn write_row(state: &Rc<DaemonState>, record: &HostRecord) -> Result<(), StoreError> {
+    let key = row_key(&state.options.host);
+    let check = RowCheck { key: key.clone(), version: state.roster.own_version.get() };
+    let write = RowWrite { key, value: Some(json!(record)) };
+    match state.platform.transact(vec![check], vec![write]).await {
+        Ok(version) => {
+            state.roster.own_version.set(version);
+            *state.roster.written.borrow_mut() = Some(record.clone());
+            put_record(state, &state.options.host, Some(record.clone()));
+            Ok(())
+        }
+        // The row as it is tells whose it is: one of an earlier start is replaced by the next try.
+        Err(StoreError::Conflict { rows }) => {
+            for row in rows {
+                state.roster.own_version.set(row.version);
+                let written = HostRecord::deserialize(&row.value).ok();
+                *state.roster.written.borrow_mut() = written;
+            }
+            Ok(())
+        }
+        Err(error) => Err(error),
+    }
+}
+
+fn row_key(host: &str) -> String {
+    format!("{HOSTS_TABLE}/{host}")
+}
+
+/// Removes the rows of hosts that have been silent for long, for ever.
+///
+/// One daemon is responsible for each host, by rendezvous hashing over those that live. A row is
+/// removed only while the store answers and if it was not written since, and a daemon that lives
+/// writes its row again.
+pub async fn sweep(state: Rc<DaemonState>) {
+    loop {
+        let pause = SWEEP_EVERY.mul_f64(rand::random_range(1.0..SWEEP_SPREAD));
+        monoio::time::sleep(pause).await;
+        for host in state.members.silent_hosts(&state) {
+            let live = state.members.live_hosts(&state);
+            let home = limits::home_of(&host, live.iter().map(String::as_str));
+            if home == Some(state.options.host.as_str()) {
+                remove_row(&state, &host).await;
+            }
+        }
+    }
+}
+
+async fn remove_row(state: &Rc<DaemonState>, host: &str) {
+    let key = row_key(host);
+    let row = match state.platform.read(&key).await {
+        Ok(Some(row)) => row,
+        Ok(None) => return put_record(state, host, None),
+        Err(_) => return,
+    };
+    let check = RowCheck { key: key.clone(), version: row.version };
+    let write = RowWrite { key, value: None };
+    match state.platform.transact(vec![check], vec![write]).await {
+        Ok(_) => tracing::info!(host, "row of a silent host removed"),
+        Err(error) => tracing::debug!(host, %error, "row of a silent host stays"),
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -13,22 +13,22 @@
 use monoio::net::TcpListener;
 
 use crate::admin;
+use crate::document;
 use crate::errors::DaemonError;
 use crate::ingress::caller;
 use crate::links;
 use crate::membership::{self, BeatNews};
 use crate::metrics;
-use crate::options::DaemonOptions;
+use crate::options::{ConfigSource, DaemonOptions};
+use crate::registration;
 use crate::retention;
+use crate::roster;
 use crate::services;
 use crate::spread;
 use crate::state::DaemonState;
 
 /// Time between looks at what is still in flight while the daemon stops.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
-/// Least time between saying that the daemon leaves and ending: callers' and peers' requests that
-/// are on their way when the word goes out still arrive.
-const DRAIN_MIN: Duration = Duration::from_millis(500);
 /// Exit status of a stop that cut requests.
 pub const EXIT_CUT: i32 = 3;
 
@@ -51,6 +51,8 @@
     callers: TcpListener,
     peers: TcpListener,
     admin: TcpListener,
+    ready: Option<TcpListener>,
+    registration: Option<TcpListener>,
 }
 
 fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), DaemonError> {
@@ -61,6 +63,18 @@
     Ok((listener, address))
 }
 
+/// Listens on an address that may not be wanted; puts the address as bound in its place.
+fn listen_if(address: &mut Option<SocketAddr>) -> Result<Option<TcpListener>, DaemonError> {
+    match address {
+        Some(wanted) => {
+            let (listener, bound) = listen(*wanted)?;
+            *address = Some(bound);
+            Ok(Some(listener))
+        }
+        None => Ok(None),
+    }
+}
+
 fn bind_all(options: &mut DaemonOptions) -> Result<DaemonListeners, DaemonError> {
     let (callers, address) = listen(options.callers)?;
     options.callers = address;
@@ -68,7 +82,9 @@
     options.peers = address;
     let (admin, address) = listen(options.admin)?;
     options.admin = address;
-    Ok(DaemonListeners { callers, peers, admin })
+    let ready = listen_if(&mut options.ready)?;
+    let registration = listen_if(&mut options.registration)?;
+    Ok(DaemonListeners { callers, peers, admin, ready, registration })
 }
 
 /// Runs a daemon to its end; `on_start` gets its state once it listens.
@@ -96,6 +112,8 @@
         callers = %state.options.callers,
         peers = %state.options.peers,
         admin = %state.options.admin,
+        ready = state.options.ready.map(tracing::field::display),
+        registration = state.options.registration.map(tracing::field::display),
         "listening"
     );
     start_tasks(&state, listeners);
@@ -108,11 +126,27 @@
     monoio::spawn(caller::accept(state.clone(), listeners.callers));
     monoio::spawn(links::accept(state.clone(), listeners.peers));
     monoio::spawn(admin::accept(state.clone(), listeners.admin));
+    if let Some(listener) = listeners.ready {
+        monoio::spawn(registration::accept_ready(state.clone(), listener));
+    }
+    if let Some(listener) = listeners.registration {
+        monoio::spawn(registration::accept(state.clone(), listener));
+    }
     monoio::spawn(links::watch(state.clone()));
     monoio::spawn(membership::run(state.clone()));
     monoio::spawn(membership::find_seeds(state.clone()));
-    monoio::spawn(spread::poll(state.clone()));
-    monoio::spawn(retention::run(state.clone()));
+    monoio::spawn(roster::follow(state.clone()));
+    monoio::spawn(roster::publish(state.clone()));
+    monoio::spawn(roster::sweep(state.clone()));
+    match state.options.source {
+        ConfigSource::Resources => {
+            monoio::spawn(spread::poll(state.clone()));
+            monoio::spawn(retention::run(state.clone()));
+        }
+        ConfigSource::Document => {
+            monoio::spawn(document::follow(state.clone()));
+        }
+    }
     monoio::spawn(services::forget_idle(state.clone()));
     monoio::spawn(follow_configuration(state.clone()));
 }
@@ -120,6 +154,7 @@
 /// Brings the roles in line with each configuration that comes in force.
 async fn follow_configuration(state: Rc<DaemonState>) {
     let mut seen = 0;
+    let mut told = None;
     loop {
         seen = state.config.changed().above(seen).await;
         let active = state.config.active();
@@ -127,7 +162,9 @@
         state.host.configure(&state, &active, &touched);
         state.services.forget_gone(&active);
         // The neighbours hear of the revision at once, so that the fleet's status is fresh.
-        membership::beat(&state, BeatNews::Own);
+        if told.replace(active.revision) != Some(active.revision) {
+            membership::beat(&state, BeatNews::Own);
+        }
     }
 }
 
@@ -136,13 +173,14 @@
     tracing::info!(in_flight = state.in_flight.get(), "leaving");
     membership::beat(state, BeatNews::Own);
     tell_accepted(state);
+    state.roster.touch();
     let begin = state.now();
     loop {
         let elapsed = state.now().saturating_sub(begin);
         let busy = state.in_flight.get();
         let twice = state.stopping.get() > 1;
         let late = elapsed >= state.options.drain;
-        if (busy == 0 && elapsed >= DRAIN_MIN) || twice || late {
+        if (busy == 0 && elapsed >= state.options.drain_min) || twice || late {
             let report = StopReport { cut: busy };
             tracing::info!(cut = busy, elapsed_ms = elapsed.as_millis() as u64, "stopped");
             return report;
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -9,12 +9,14 @@
 
 use basaltarch_core::config::ActiveConfig;
 use basaltarch_core::resources::ServerState;
+use basaltarch_core::routes::RouteEntry;
 use basaltarch_core::services::{PackedService, ServiceEntry};
 use basaltarch_decide::balance::{LoadView, ServiceView, UpstreamChoice};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
-use basaltarch_decide::budget::RetryBudget;
+use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::poison::{CountedFailures, PoisonMemory, RequestMark};
+use basaltarch_decide::split::WeightedSplit;
 use basaltarch_peer::protocol::LoadReport;
 use fnv::FnvHashMap;
 
@@ -26,6 +28,10 @@
 /// Time for which an upstream's own word that it is leaving counts without being renewed.
 const DRAIN_WORD_LIFE: Duration = Duration::from_secs(30);
 
+/// Split routes whose turn is remembered; beyond it all begin anew, so that routes that are gone do
+/// not add up.
+const SPLITS_MAX: usize = 4096;
+
 /// `ServiceState` is what the ingress knows of one service.
 pub struct ServiceState {
     /// The service as configured.
@@ -36,7 +42,7 @@
     view: RefCell<ServiceView>,
     baselines: RefCell<FnvHashMap<Rc<str>, RouteBaseline>>,
     recent: RefCell<RecentAnswers>,
-    budget: RefCell<RetryBudget>,
+    budget: Rc<RefCell<RetryBudget>>,
     poison: RefCell<PoisonMemory>,
     violations: Cell<u64>,
     used_at: Cell<Duration>,
@@ -56,6 +62,7 @@
 #[derive(Default)]
 pub struct ServiceTable {
     services: RefCell<FnvHashMap<Rc<str>, Rc<ServiceState>>>,
+    splits: RefCell<FnvHashMap<Rc<str>, WeightedSplit>>,
 }
 
 impl ServiceTable {
@@ -95,6 +102,23 @@
         Some(Rc::new(ServiceState::new(state, entry, packed.clone(), known.as_deref())))
     }
 
+    /// Returns the service that a request of a route goes to: where the route is split, the one
+    /// whose turn it is.
+    pub fn service_of<'a>(&self, route: &'a RouteEntry) -> &'a str {
+        let split = &route.rule.split;
+        if split.is_empty() {
+            return &route.rule.service;
+        }
+        let weights: Vec<u32> = split.iter().map(|share| share.weight).collect();
+        let mut splits = self.splits.borrow_mut();
+        if splits.len() >= SPLITS_MAX {
+            // Beginning anew costs a part less than one request.
+            splits.clear();
+        }
+        let state = splits.entry(route.name.clone()).or_default();
+        &split[state.choose(&weights, &mut rand::rng())].service
+    }
+
     /// Forgets services that are no longer configured.
     pub fn forget_gone(&self, active: &ActiveConfig) {
         let mut services = self.services.borrow_mut();
@@ -136,7 +160,7 @@
             view: RefCell::new(ServiceView::new(entry.spec.floor, views)),
             baselines: RefCell::default(),
             recent: RefCell::default(),
-            budget: RefCell::new(RetryBudget::new(entry.spec.retry_budget)),
+            budget: budget_of(state, &entry, known),
             poison: RefCell::default(),
             violations: Cell::new(0),
             used_at: Cell::new(state.now()),
@@ -232,13 +256,13 @@
     }
 
     /// Notes that a request came, which earns a part of a repeat.
-    pub fn note_request(&self) {
-        self.budget.borrow_mut().note_request();
+    pub fn note_request(&self, now: Duration) {
+        self.budget.borrow_mut().note_request(now);
     }
 
     /// Takes a repeat from the budget.
-    pub fn take_repeat(&self) -> bool {
-        let taken = self.budget.borrow_mut().take();
+    pub fn take_repeat(&self, now: Duration) -> bool {
+        let taken = self.budget.borrow_mut().take(now);
         if !taken {
             metrics::RETRIES_DENIED.add_one();
         }
@@ -296,6 +320,30 @@
     }
 }
 
+/// Returns the budget of repeats: the known one, since what was repeated counts on.
+fn budget_of(
+    state: &DaemonState,
+    entry: &ServiceEntry,
+    known: Option<&ServiceState>,
+) -> Rc<RefCell<RetryBudget>> {
+    let defaults = &state.options.defaults;
+    let share = entry.spec.retry_budget;
+    // Each daemon has its part of what the whole fleet may repeat beyond the share.
+    let extra = f64::from(defaults.retry_extra) / state.roster.daemons() as f64;
+    let terms = BudgetTerms {
+        share,
+        extra: if share > 0.0 { extra } else { 0.0 },
+        window: defaults.retry_window,
+    };
+    match known {
+        Some(known) => {
+            known.budget.borrow_mut().set_terms(terms);
+            known.budget.clone()
+        }
+        None => Rc::new(RefCell::new(RetryBudget::new(terms))),
+    }
+}
+
 fn keep_view(known: Option<&ServiceState>, name: &str, fresh: LoadView) -> LoadView {
     let known = match known {
         Some(known) => known,
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -28,10 +28,6 @@
 
 /// Shortest time between polls of the store.
 const POLL_MIN: Duration = Duration::from_secs(1);
-/// Polls between readings of the host list: the list lags by itself.
-const HOSTS_EVERY: u64 = 3;
-/// First polls that each read the host list, as a starting fleet finds itself.
-const HOSTS_FIRST: u64 = 30;
 /// Bytes of one part of a snapshot or of the records in one frame.
 const PART_BYTES: usize = 64 * units::KIB;
 /// Bytes that may wait on a link while a snapshot is sent.
@@ -68,9 +64,8 @@
 /// Polls the store for ever, no more often than the fleet's share of reads allows.
 pub async fn poll(state: Rc<DaemonState>) {
     let mut pause = RetryPause::default();
-    let mut round = 0_u64;
     loop {
-        let result = poll_once(&state, round).await;
+        let result = poll_once(&state).await;
         let wait = match result {
             Ok(()) => {
                 pause.reset();
@@ -82,7 +77,6 @@
                 pause.next_pause().max(Duration::from_millis(200))
             }
         };
-        round += 1;
         monoio::time::sleep(wait.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
@@ -92,12 +86,7 @@
     Duration::from_secs_f64(each).max(POLL_MIN)
 }
 
-async fn poll_once(state: &Rc<DaemonState>, round: u64) -> Result<(), StoreError> {
-    let hosts_due = round < HOSTS_FIRST || round.is_multiple_of(HOSTS_EVERY);
-    if hosts_due {
-        let list = state.platform.hosts().await?;
-        state.members.note_list(state, &list);
-    }
+async fn poll_once(state: &Rc<DaemonState>) -> Result<(), StoreError> {
     let (revision, _) = state.changes.head().await?;
     if revision > state.config.revision() {
         catch_up(state, revision).await?;
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use basaltarch_core::units;
+use basaltarch_http::fields::ExchangeFields;
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_store::changes::ChangeStore;
 use basaltarch_store::ledger::OnceLedger;
@@ -15,11 +16,14 @@
 
 use crate::clock::DaemonClock;
 use crate::configuration::ConfigCell;
+use crate::document::DocumentCell;
 use crate::host::HostRole;
 use crate::limits::LimitRole;
 use crate::membership::MemberTable;
 use crate::options::DaemonOptions;
 use crate::peers::PeerTable;
+use crate::registration::RegistrationTable;
+use crate::roster::HostRoster;
 use crate::services::ServiceTable;
 use crate::signal::RisingSignal;
 use crate::spread::SnapshotParts;
@@ -34,6 +38,14 @@
     pub identity: PeerIdentity,
     /// The configuration in force.
     pub config: ConfigCell,
+    /// The operator's document, where the configuration comes from one.
+    pub document: DocumentCell,
+    /// The rows of all hosts.
+    pub roster: HostRoster,
+    /// What the backend servers beside this daemon said.
+    pub registrations: RegistrationTable,
+    /// Names of the header fields that backend servers know.
+    pub fields: ExchangeFields,
     /// What the ingress knows of services.
     pub services: ServiceTable,
     /// Paths and links to other daemons.
@@ -73,6 +85,10 @@
             clock,
             identity,
             config: ConfigCell::default(),
+            document: DocumentCell::default(),
+            roster: HostRoster::default(),
+            registrations: RegistrationTable::default(),
+            fields: options.exchange_fields(),
             services: ServiceTable::default(),
             peers: PeerTable::new(&options.host),
             snapshots: SnapshotParts::default(),
@@ -93,6 +109,15 @@
         self.clock.now()
     }
 
+    /// Returns the service that runs on this host: that of a backend server that registered, or the
+    /// one that the settings name.
+    pub fn own_service(&self) -> Option<String> {
+        let servers = self.roster.own_servers();
+        let registered = servers.iter().find(|server| !server.draining).or(servers.first());
+        let registered = registered.map(|server| server.service.clone());
+        registered.or_else(|| self.options.own_service.clone())
+    }
+
     /// Says whether the daemon is asked to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.is_raised()
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -60,6 +60,16 @@
     lines.into()
 }
 
+/// Returns the value of a field among lines that [`field_lines`] wrote; `name` is in lower case.
+pub fn field_value<'a>(lines: &'a [u8], name: &str) -> Option<&'a [u8]> {
+    let lines = lines.split(|byte| *byte == b'\n');
+    let mut values = lines.filter_map(|line| {
+        let value = line.strip_prefix(name.as_bytes())?.strip_prefix(b":")?;
+        Some(value.trim_ascii())
+    });
+    values.next()
+}
+
 /// Writes a baseline.
 pub fn baseline_note(baseline: &ServiceBaseline) -> BaselineNote {
     BaselineNote {
--- a/crates/decide/src/budget.rs
+++ b/crates/decide/src/budget.rs
@@ -1,38 +1,80 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! The budget of repeated dispatches of a service.
+//! The budget of repeated dispatches of a service, over a sliding window.
 
-/// Repeats that a quiet service may make before its requests have earned any.
-const START_TOKENS: f64 = 10.0;
-/// Most repeats that may be saved up; a burst of failures can't cause more at once.
-const TOKENS_MAX: f64 = 100.0;
+use std::collections::VecDeque;
+use std::time::Duration;
 
-/// `RetryBudget` lets a share of requests be repeated.
+/// Slots that a window is counted in: the count lags behind the true window by a tenth at the most.
+const SLOTS: u32 = 10;
+
+/// `BudgetTerms` says how much a service may repeat in one window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetTerms {
+    /// Share of the window's requests.
+    pub share: f64,
+    /// Repeats beyond that share; a daemon's part of what the fleet may make.
+    pub extra: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+/// `BudgetSlot` counts one slot of the window.
 #[derive(Debug, Clone, Copy, PartialEq)]
+struct BudgetSlot {
+    number: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+/// `RetryBudget` lets a share of requests be repeated. In any window, the repeats stay within what
+/// its terms allow for the requests of the same window.
+#[derive(Debug, Clone, PartialEq)]
 pub struct RetryBudget {
-    tokens: f64,
-    share: f64,
+    terms: BudgetTerms,
+    slots: VecDeque<BudgetSlot>,
 }
 
 impl RetryBudget {
-    /// Builds a budget of `share` repeats for each request.
-    pub fn new(share: f64) -> Self {
-        let tokens = if share > 0.0 { START_TOKENS } else { 0.0 };
-        Self { tokens, share }
+    /// Builds a budget with these terms.
+    pub fn new(terms: BudgetTerms) -> Self {
+        Self { terms, slots: VecDeque::new() }
+    }
+
+    /// Changes the terms; what was repeated still counts.
+    pub fn set_terms(&mut self, terms: BudgetTerms) {
+        self.terms = terms;
     }
 
     /// Takes in that a request came.
-    pub fn note_request(&mut self) {
-        self.tokens = (self.tokens + self.share).min(TOKENS_MAX);
+    pub fn note_request(&mut self, now: Duration) {
+        self.slot_mut(now).requests += 1;
     }
 
     /// Takes one repeat from the budget, if there is one.
-    pub fn take(&mut self) -> bool {
-        if self.tokens < 1.0 {
+    pub fn take(&mut self, now: Duration) -> bool {
+        self.slot_mut(now);
+        let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
+        let repeats: u32 = self.slots.iter().map(|slot| slot.repeats).sum();
+        let allowed = self.terms.share * f64::from(requests) + self.terms.extra;
+        if f64::from(repeats) + 1.0 > allowed {
             return false;
         }
-        self.tokens -= 1.0;
+        self.slot_mut(now).repeats += 1;
         true
     }
+
+    /// Returns the slot of `now`, and forgets those that the window has left.
+    fn slot_mut(&mut self, now: Duration) -> &mut BudgetSlot {
+        let length = (self.terms.window / SLOTS).max(Duration::from_millis(1));
+        let number = (now.as_nanos() / length.as_nanos()) as u64;
+        while self.slots.front().is_some_and(|slot| slot.number + u64::from(SLOTS) < number) {
+            self.slots.pop_front();
+        }
+        if self.slots.back().is_none_or(|slot| slot.number < number) {
+            self.slots.push_back(BudgetSlot { number, requests: 0, repeats: 0 });
+        }
+        self.slots.back_mut().unwrap_or_else(|| unreachable!("pushed above"))
+    }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod path;
 pub mod poison;
 pub mod recovery;
+pub mod split;
 pub mod track;
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -7,11 +7,12 @@
 
 use basaltarch_decide::balance::{LoadView, ServiceView};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
-use basaltarch_decide::budget::RetryBudget;
+use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::health::HealthReport;
 use basaltarch_decide::limits::{self, LimitLedger, LimitVerdict, TokenBucket};
 use basaltarch_decide::path::{PathHealth, PathState, ASK_AFTER, SILENCE_MAX};
+use basaltarch_decide::split::WeightedSplit;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
@@ -234,16 +235,47 @@
 
 #[test]
 fn verify_the_budget_allows_a_share_of_the_requests() {
-    let mut budget = RetryBudget::new(0.1);
-    let mut repeats = 0;
-    for _ in 0..10_000 {
-        budget.note_request();
-        repeats += u32::from(budget.take());
+    const WINDOW: Duration = Duration::from_secs(10);
+    let terms = BudgetTerms { share: 0.1, extra: 3.0, window: WINDOW };
+    let mut budget = RetryBudget::new(terms);
+    // A hundred requests a second, after a quiet hour that must not save anything up.
+    let times = (0..10_000).map(|number| Duration::from_millis(3_600_000 + number * 10));
+    let mut repeats: Vec<Duration> = Vec::new();
+    for now in times {
+        budget.note_request(now);
+        if budget.take(now) {
+            repeats.push(now);
+        }
+        let in_window = repeats.iter().filter(|at| now.saturating_sub(**at) < WINDOW).count();
+        let requests = (now.as_millis() as usize - 3_600_000) / 10 + 1;
+        let allowed = requests.min(1000) / 10 + 3;
+        assert!(in_window <= allowed, "{in_window} of {allowed} at {now:?}");
+    }
+    // Most of what is allowed can be used.
+    assert!(repeats.len() > 850, "{}", repeats.len());
+    let mut none = RetryBudget::new(BudgetTerms { share: 0.0, extra: 0.0, window: WINDOW });
+    none.note_request(Duration::ZERO);
+    assert!(!none.take(Duration::ZERO));
+}
+
+#[test]
+fn verify_a_split_gives_each_part_its_share_and_many_ingresses_do_not_begin_alike() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let weights = [90, 0, 10];
+    let mut counts = [0; 3];
+    for _ in 0..200 {
+        let mut split = WeightedSplit::default();
+        let mut own = [0_i32; 3];
+        for _ in 0..15 {
+            own[split.choose(&weights, &mut rng)] += 1;
+        }
+        assert!((own[0] - 13).abs() <= 2, "{own:?}");
+        for (count, own) in counts.iter_mut().zip(own) {
+            *count += own;
+        }
     }
-    assert!((1000..=1010).contains(&repeats), "{repeats}");
-    let mut none = RetryBudget::new(0.0);
-    none.note_request();
-    assert!(!none.take());
+    assert_eq!(counts[1], 0, "a part without weight gets nothing");
+    assert!((2640..=2760).contains(&counts[0]), "{counts:?}");
 }
 
 #[test]
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -40,12 +40,25 @@
     timeout: Duration,
     limits: BodyLimits,
     idle: RefCell<Vec<HttpStream>>,
+    keep_alive: Option<Duration>,
 }
 
 impl HttpClient {
     /// Builds a client; each call takes at most `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Self { address, timeout, limits: BodyLimits::default(), idle: RefCell::default() }
+        Self {
+            address,
+            timeout,
+            limits: BodyLimits::default(),
+            idle: RefCell::default(),
+            keep_alive: None,
+        }
+    }
+
+    /// Lets the system find out that the other side is gone after about three times `silence`.
+    pub fn keep_alive(mut self, silence: Duration) -> Self {
+        self.keep_alive = Some(silence);
+        self
     }
 
     /// Returns the address that requests go to.
@@ -95,7 +108,7 @@
             let kept = self.idle.borrow_mut().pop();
             let mut stream = match kept {
                 Some(stream) => stream,
-                None => return HttpStream::connect(self.address, self.timeout).await,
+                None => return self.connect().await,
             };
             if is_quiet(&mut stream) {
                 return Ok(stream);
@@ -104,6 +117,17 @@
     }
 }
 
+impl HttpClient {
+    async fn connect(&self) -> Result<HttpStream, HttpError> {
+        match self.keep_alive {
+            Some(silence) => {
+                HttpStream::connect_watched(self.address, self.timeout, silence).await
+            }
+            None => HttpStream::connect(self.address, self.timeout).await,
+        }
+    }
+}
+
 /// Says whether a kept connection is still open with nothing to read.
 pub fn is_quiet(stream: &mut HttpStream) -> bool {
     let reading = stream.reader.fill(crate::reader::HEAD_READ_BYTES);
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -48,6 +48,27 @@
     }
 }
 
+/// Probes without an answer after which the system gives a connection up.
+const PROBES_MAX: u32 = 2;
+
+impl HttpStream {
+    /// Connects as [`Self::connect`] does, and lets the system find out that the other side is gone:
+    /// it asks after `silence`, and gives the connection up after [`PROBES_MAX`] probes unanswered.
+    pub async fn connect_watched(
+        address: SocketAddr,
+        limit: Duration,
+        silence: Duration,
+    ) -> Result<Self, HttpError> {
+        let stream = match monoio::time::timeout(limit, TcpStream::connect_addr(address)).await {
+            Ok(result) => result.map_err(errors::broken)?,
+            Err(_) => return Err(HttpError::TimedOut { what: "a connection" }),
+        };
+        let watched = stream.set_tcp_keepalive(Some(silence), Some(silence), Some(PROBES_MAX));
+        watched.map_err(errors::broken)?;
+        Ok(Self::new(stream))
+    }
+}
+
 /// Listens on `address`; port 0 lets the system choose.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     // Sharing a port between processes would hide that it is taken.
--- a/crates/http/src/fields.rs
+++ b/crates/http/src/fields.rs
@@ -3,6 +3,8 @@
 
 //! Header fields that concern one connection only, and those that basaltarch adds.
 
+use std::time::Duration;
+
 use http::header::{
     HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -32,6 +34,44 @@
 /// Host that the caller asked for.
 pub const FORWARDED_HOST: HeaderName = HeaderName::from_static("x-forwarded-host");
 
+/// `ExchangeFields` are the names of the fields that daemons and backend servers share about one
+/// exchange. A deployment whose servers know other names hands in its own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExchangeFields {
+    /// Names one attempt of a caller; the answer repeats it. Not compared where there is none.
+    pub request: Option<HeaderName>,
+    /// Milliseconds that the caller still waits.
+    pub deadline: HeaderName,
+    /// Stands on every answer that a backend server made. Not asked for where there is none.
+    pub stamp: Option<HeaderName>,
+    /// Names the only incarnation of a backend server that may run the request.
+    pub expected_server: Option<HeaderName>,
+    /// A backend server's word that it did not run the request.
+    pub shed: HeaderName,
+    /// A backend server's word that it is leaving.
+    pub drain: HeaderName,
+    /// Names the service of the host where the request began.
+    pub caller_service: Option<HeaderName>,
+    /// Whether callers take the statuses 408, 421, 429 and 503 as word that nothing ran, so that a
+    /// backend server's own, given without that word, must not reach them.
+    pub promises: bool,
+}
+
+impl Default for ExchangeFields {
+    fn default() -> Self {
+        Self {
+            request: None,
+            deadline: DEADLINE,
+            stamp: None,
+            expected_server: None,
+            shed: SHED,
+            drain: DRAIN,
+            caller_service: None,
+            promises: false,
+        }
+    }
+}
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -83,6 +123,13 @@
     }
 }
 
+/// Returns the time for which the other side says it keeps the connection at rest.
+pub fn keep_alive_time(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+    seconds?.trim().parse().ok().map(Duration::from_secs)
+}
+
 /// Says whether the caller waits for leave to send the body.
 pub fn expects_continue(head: &request::Parts) -> bool {
     let value = head.headers.get(EXPECT).map(|value| value.as_bytes());
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -25,7 +25,7 @@
     xflags::xflags! {
         /// Stand-ins of the platform and of a backend server, for tests and the demo only.
         cmd basaltarch-standin {
-            /// Runs the platform: transactional table, object store, host list.
+            /// Runs the platform: rows, their feed, and objects.
             cmd platform {
                 /// Address to listen on (BASALTARCH_LISTEN, default 127.0.0.1:0).
                 optional --listen address: String
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,7 +1,7 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! The stand-in platform: table, object store and lagging host list over HTTP, with faults.
+//! The stand-in platform: rows, their feed, and objects over HTTP, with faults.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -10,23 +10,30 @@
 
 use basaltarch_http::connection::{self, ConnectionCount};
 use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
+use basaltarch_platform::objects;
+use basaltarch_platform::rows::{self, PageBody, TransactBody};
 use bytes::Bytes;
 use fnv::FnvHashMap;
-use http::{Method, StatusCode};
+use http::{header, Method, StatusCode};
 use monoio::net::TcpListener;
+use percent_encoding::percent_decode_str;
 use serde::{Deserialize, Serialize};
-use serde_json::{json, Value};
 
 use crate::table::PlatformTable;
 
 /// Path of the faults: `GET` them or `PUT` new ones.
 pub const FAULTS_PATH: &str = "/control/faults";
-/// Path of the host list's entries: `PUT` or `DELETE`, the host follows.
-pub const HOSTS_CONTROL_PATH: &str = "/control/hosts/";
+/// Path of a row: `PUT` writes it past all faults and rules, as the operator does; `DELETE` removes
+/// it. The table, a slash and the key follow; the body is the value.
+pub const ROWS_CONTROL_PATH: &str = "/control/rows/";
 /// Path of the counters: `GET`.
 pub const COUNTERS_PATH: &str = "/control/counters";
 /// Connections served at once: a client of each of a few hundred daemons.
 const CONNECTIONS_MAX: usize = 4096;
+/// Time between looks of a waiting feed.
+const FEED_LOOK: Duration = Duration::from_millis(5);
+/// Time for which a silent platform holds a call: longer than any caller waits.
+const SILENCE: Duration = Duration::from_secs(60);
 /// Largest request: a configuration of the two-year size as one object.
 const BODY_BYTES_MAX: u64 = 512 << 20;
 
@@ -36,16 +43,24 @@
 pub struct PlatformFaults {
     /// Connections are dropped without an answer.
     pub down: bool,
+    /// Calls are neither answered nor dropped.
+    pub silent: bool,
+    /// Every call is refused with status 503; nothing is done.
+    pub busy: bool,
     /// Time that each call takes, in milliseconds.
     pub delay_ms: u64,
     /// So many coming writes take effect while their answers are lost.
     pub lose_write_answers: u64,
+    /// So many coming writes take effect this long after their connection was dropped.
+    pub late_writes: u64,
+    /// How late such a write is, in milliseconds.
+    pub late_by_ms: u64,
     /// So many coming writes are lost before they take effect.
     pub lose_writes: u64,
     /// Reads answer from this long ago, in milliseconds.
     pub reads_from_past_ms: u64,
-    /// The host list is this old, in milliseconds.
-    pub hosts_from_past_ms: u64,
+    /// The history of changes is forgotten once, as this is set.
+    pub forget_history: bool,
     /// Calls a second beyond which calls are refused; 0 for no bound.
     pub calls_per_second_max: u64,
 }
@@ -63,7 +78,6 @@
 pub struct PlatformStandin {
     table: RefCell<PlatformTable>,
     objects: RefCell<FnvHashMap<String, Bytes>>,
-    hosts: RefCell<Vec<(Instant, FnvHashMap<String, Value>)>>,
     faults: RefCell<PlatformFaults>,
     counters: Cell<PlatformCounters>,
     second: Cell<(u64, u64)>,
@@ -75,7 +89,6 @@
         Self {
             table: RefCell::default(),
             objects: RefCell::default(),
-            hosts: RefCell::new(vec![(Instant::now(), FnvHashMap::default())]),
             faults: RefCell::default(),
             counters: Cell::default(),
             second: Cell::default(),
@@ -98,7 +111,7 @@
 }
 
 impl PlatformStandin {
-    async fn handle(&self, request: ServerRequest) -> ServerReply {
+    async fn handle(self: &Rc<Self>, request: ServerRequest) -> ServerReply {
         if request.path().starts_with("/control/") {
             return self.control(&request);
         }
@@ -106,24 +119,32 @@
         if faults.delay_ms > 0 {
             monoio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         }
-        if self.faults.borrow().down {
-            return hang_up();
+        if let Some(reply) = self.outage().await {
+            return reply;
         }
         if self.is_over_rate(faults.calls_per_second_max) {
             return ServerReply::empty(StatusCode::TOO_MANY_REQUESTS);
         }
         self.count(request.path());
-        let path = request.path().to_owned();
-        match (request.head.method.as_str(), path.as_str()) {
-            ("POST", "/table/transact") => self.transact(&request),
-            ("POST", "/table/read") => self.read(&request, false),
-            ("POST", "/table/scan") => self.read(&request, true),
-            ("GET", "/hosts") => self.host_list(),
-            (_, path) => match path.strip_prefix("/objects/") {
-                Some(name) => self.object(&request, name),
-                None => ServerReply::empty(StatusCode::NOT_FOUND),
-            },
+        match (request.head.method.as_str(), request.path()) {
+            ("POST", rows::TRANSACT_PATH) => self.transact(&request),
+            ("GET", rows::READ_PATH) => self.read(&request),
+            ("GET", rows::FEED_PATH) => self.feed(&request).await,
+            _ => self.object(&request),
+        }
+    }
+
+    /// Returns what a call gets while the platform is out, after as long as it takes.
+    async fn outage(&self) -> Option<ServerReply> {
+        if self.faults.borrow().silent {
+            monoio::time::sleep(SILENCE).await;
+            return Some(hang_up());
+        }
+        if self.faults.borrow().down {
+            return Some(hang_up());
         }
+        let busy = self.faults.borrow().busy;
+        busy.then(|| ServerReply::empty(StatusCode::SERVICE_UNAVAILABLE))
     }
 
     fn is_over_rate(&self, most: u64) -> bool {
@@ -136,7 +157,7 @@
 
     fn count(&self, path: &str) {
         let mut counters = self.counters.get();
-        if path == "/table/transact" {
+        if path == rows::TRANSACT_PATH {
             counters.transactions += 1;
         } else {
             counters.reads += 1;
@@ -144,42 +165,95 @@
         self.counters.set(counters);
     }
 
-    fn transact(&self, request: &ServerRequest) -> ServerReply {
-        let body = match serde_json::from_slice::<Value>(&request.body) {
+    fn transact(self: &Rc<Self>, request: &ServerRequest) -> ServerReply {
+        let body = match serde_json::from_slice::<TransactBody>(&request.body) {
             Ok(body) => body,
             Err(error) => return ServerReply::text(StatusCode::BAD_REQUEST, error.to_string()),
         };
+        let entries = body.expectations.len() + body.put.len() + body.remove.len();
+        if entries > rows::ENTRIES_MAX {
+            return ServerReply::text(StatusCode::BAD_REQUEST, "more than 100 entries");
+        }
+        if body.put.iter().chain(&body.remove).any(|entry| entry.table == rows::OPERATOR_TABLE) {
+            return ServerReply::empty(StatusCode::FORBIDDEN);
+        }
         if take_one(&mut self.faults.borrow_mut().lose_writes) {
             return hang_up();
         }
+        if take_one(&mut self.faults.borrow_mut().late_writes) {
+            self.write_late(body);
+            return hang_up();
+        }
         let result = self.table.borrow_mut().transact(&body);
         if take_one(&mut self.faults.borrow_mut().lose_write_answers) {
             return hang_up();
         }
         match result {
-            Ok(reply) => ServerReply::json(StatusCode::OK, &reply),
-            Err(conflict) => ServerReply::json(StatusCode::CONFLICT, &conflict),
+            Ok(page) => ServerReply::json(StatusCode::OK, &page),
+            Err(page) => ServerReply::json(StatusCode::PRECONDITION_FAILED, &page),
         }
     }
 
-    fn read(&self, request: &ServerRequest, scan: bool) -> ServerReply {
-        let body = match serde_json::from_slice::<Value>(&request.body) {
-            Ok(body) => body,
-            Err(error) => return ServerReply::text(StatusCode::BAD_REQUEST, error.to_string()),
-        };
+    fn write_late(self: &Rc<Self>, body: TransactBody) {
+        let delay = Duration::from_millis(self.faults.borrow().late_by_ms);
+        let standin = self.clone();
+        monoio::spawn(async move {
+            monoio::time::sleep(delay).await;
+            // Nobody hears whether the conditions still held.
+            let _ = standin.table.borrow_mut().transact(&body);
+        });
+    }
+
+    fn read(&self, request: &ServerRequest) -> ServerReply {
         let age = Duration::from_millis(self.faults.borrow().reads_from_past_ms);
-        let table = self.table.borrow();
-        let reply = if scan { table.scan(&body, age) } else { table.read(&body, age) };
-        ServerReply::json(StatusCode::OK, &reply)
+        let limit = text_of(request, "limit").parse().unwrap_or(rows::PAGE_ROWS_MAX);
+        let page = self.table.borrow().read(
+            &text_of(request, "table"),
+            &text_of(request, "part"),
+            &text_of(request, "from"),
+            limit.min(rows::PAGE_ROWS_MAX),
+            age,
+        );
+        ServerReply::json(StatusCode::OK, &page)
     }
 
-    fn object(&self, request: &ServerRequest, name: &str) -> ServerReply {
+    async fn feed(&self, request: &ServerRequest) -> ServerReply {
+        let table = text_of(request, "table");
+        let after = text_of(request, "after").parse().unwrap_or(0);
+        let wait = Duration::from_millis(text_of(request, "waitMs").parse().unwrap_or(0));
+        let begin = Instant::now();
+        loop {
+            let page: PageBody = match self.table.borrow().changes(&table, after) {
+                Some(page) => page,
+                None => return ServerReply::empty(StatusCode::GONE),
+            };
+            if !page.rows.is_empty() || begin.elapsed() >= wait {
+                return ServerReply::json(StatusCode::OK, &page);
+            }
+            monoio::time::sleep(FEED_LOOK).await;
+            if let Some(reply) = self.outage().await {
+                return reply;
+            }
+        }
+    }
+
+    fn object(&self, request: &ServerRequest) -> ServerReply {
+        let method = &request.head.method;
+        let prefix = if method == Method::PUT { objects::PUT_PATH } else { objects::GET_PATH };
+        let name = match request.path().strip_prefix(prefix) {
+            Some(name) => percent_decode_str(name).decode_utf8_lossy().into_owned(),
+            None => return ServerReply::empty(StatusCode::NOT_FOUND),
+        };
         let mut objects = self.objects.borrow_mut();
-        if request.head.method == Method::PUT {
-            objects.insert(name.to_owned(), request.body.clone());
-            return ServerReply::empty(StatusCode::NO_CONTENT);
+        if method == Method::PUT {
+            if request.head.headers.contains_key(header::IF_NONE_MATCH) && objects.contains_key(&name)
+            {
+                return ServerReply::empty(StatusCode::PRECONDITION_FAILED);
+            }
+            objects.insert(name, request.body.clone());
+            return ServerReply::empty(StatusCode::OK);
         }
-        match objects.get(name) {
+        match objects.get(&name) {
             Some(content) => {
                 ServerReply::whole(StatusCode::OK, "application/octet-stream", content.clone())
             }
@@ -187,21 +261,11 @@
         }
     }
 
-    fn host_list(&self) -> ServerReply {
-        let age = Duration::from_millis(self.faults.borrow().hosts_from_past_ms);
-        let states = self.hosts.borrow();
-        let state = states.iter().rev().find(|(at, _)| at.elapsed() >= age);
-        let (_, hosts) = state.unwrap_or(&states[0]);
-        let mut hosts: Vec<&Value> = hosts.values().collect();
-        hosts.sort_by_key(|host| host["host"].as_str().unwrap_or_default().to_owned());
-        ServerReply::json(StatusCode::OK, &json!({ "hosts": hosts }))
-    }
-
     fn control(&self, request: &ServerRequest) -> ServerReply {
         let method = &request.head.method;
         let path = request.path();
-        if let Some(host) = path.strip_prefix(HOSTS_CONTROL_PATH) {
-            return self.change_host(method, host, &request.body);
+        if let Some(place) = path.strip_prefix(ROWS_CONTROL_PATH) {
+            return self.change_row(method, place, &request.body);
         }
         match (method.as_str(), path) {
             ("GET", COUNTERS_PATH) => ServerReply::json(StatusCode::OK, &self.counters.get()),
@@ -216,32 +280,46 @@
         }
     }
 
-    fn set_faults(&self, faults: PlatformFaults) -> ServerReply {
+    fn set_faults(&self, mut faults: PlatformFaults) -> ServerReply {
         if faults.reads_from_past_ms > 0 {
             self.table.borrow_mut().keep_past();
         }
+        if std::mem::take(&mut faults.forget_history) {
+            self.table.borrow_mut().forget_history();
+        }
         *self.faults.borrow_mut() = faults;
         ServerReply::empty(StatusCode::NO_CONTENT)
     }
 
-    fn change_host(&self, method: &Method, host: &str, body: &[u8]) -> ServerReply {
-        let mut states = self.hosts.borrow_mut();
-        let mut hosts = states.last().map(|(_, hosts)| hosts.clone()).unwrap_or_default();
-        if method == Method::DELETE {
-            hosts.remove(host);
-        } else {
-            match serde_json::from_slice(body) {
-                Ok(value) => drop(hosts.insert(host.to_owned(), value)),
-                Err(error) => {
-                    return ServerReply::text(StatusCode::UNPROCESSABLE_ENTITY, error.to_string())
-                }
-            }
+    fn change_row(&self, method: &Method, place: &str, value: &[u8]) -> ServerReply {
+        let (table, key) = match place.split_once('/') {
+            Some(place) => place,
+            None => return ServerReply::empty(StatusCode::NOT_FOUND),
+        };
+        let entry = rows::RowEntry {
+            table: table.to_owned(),
+            part: String::new(),
+            key: key.to_owned(),
+            value: Some(rows::encode_value(value)),
+            ver: None,
+            gone: false,
+        };
+        let mut body = TransactBody::default();
+        let list = if method == Method::DELETE { &mut body.remove } else { &mut body.put };
+        list.push(entry);
+        match self.table.borrow_mut().transact(&body) {
+            Ok(page) => ServerReply::json(StatusCode::OK, &page),
+            Err(page) => ServerReply::json(StatusCode::PRECONDITION_FAILED, &page),
         }
-        states.push((Instant::now(), hosts));
-        ServerReply::empty(StatusCode::NO_CONTENT)
     }
 }
 
+/// Returns a parameter of the query as text, empty when it is not given.
+fn text_of(request: &ServerRequest, name: &str) -> String {
+    let value = request.query(name).unwrap_or_default();
+    percent_decode_str(value).decode_utf8_lossy().into_owned()
+}
+
 fn take_one(count: &mut u64) -> bool {
     let some = *count > 0;
     *count = count.saturating_sub(1);
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -1,27 +1,61 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! The stand-in platform's transactional table, in memory.
+//! The stand-in platform's transactional rows, in memory.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use serde_json::{json, Value};
+use basaltarch_platform::rows::{PageBody, RowEntry, TransactBody};
 
 /// Past states kept for answers from the past.
 const PAST_MAX: usize = 64;
 
-type TableRows = BTreeMap<String, (u64, Value)>;
+/// `RowKey` orders rows by table, part and key.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct RowKey {
+    table: String,
+    part: String,
+    key: String,
+}
+
+/// `KeptRow` is a row with the transaction that wrote it; a removed one has no value.
+#[derive(Debug, Clone, PartialEq)]
+struct KeptRow {
+    version: u64,
+    value: Option<String>,
+}
+
+type TableRows = BTreeMap<RowKey, KeptRow>;
 
-/// `PlatformTable` is a table with transactions.
+/// `PlatformTable` holds the rows of all tables.
 #[derive(Debug, Default)]
 pub struct PlatformTable {
     rows: TableRows,
     version: u64,
+    /// Version before which the feed knows nothing.
+    forgotten: u64,
     past: VecDeque<(Instant, TableRows)>,
     keep_past: bool,
 }
 
+impl RowKey {
+    fn of(entry: &RowEntry) -> Self {
+        Self { table: entry.table.clone(), part: entry.part.clone(), key: entry.key.clone() }
+    }
+
+    fn entry(&self, row: &KeptRow) -> RowEntry {
+        RowEntry {
+            table: self.table.clone(),
+            part: self.part.clone(),
+            key: self.key.clone(),
+            value: row.value.clone(),
+            ver: Some(row.version),
+            gone: row.value.is_none(),
+        }
+    }
+}
+
 impl PlatformTable {
     /// Keeps past states from now on, for answers from the past.
     pub fn keep_past(&mut self) {
@@ -36,27 +70,40 @@
         self.version
     }
 
-    /// Runs a transaction given as JSON: its reply, or the rows that conflict.
-    pub fn transact(&mut self, request: &Value) -> Result<Value, Value> {
+    /// Forgets what changed so far, so that feeds must be read anew.
+    pub fn forget_history(&mut self) {
+        // A transaction of nothing, so that also the newest version that readers hold is forgotten.
+        self.version += 1;
+        self.forgotten = self.version;
+        self.rows.retain(|_, row| row.value.is_some());
+    }
+
+    /// Runs a transaction: its page, or the rows that are not as expected.
+    pub fn transact(&mut self, body: &TransactBody) -> Result<PageBody, PageBody> {
+        let version_of = |entry: &RowEntry| {
+            let row = self.rows.get(&RowKey::of(entry)).filter(|row| row.value.is_some());
+            row.cloned()
+        };
         let mut conflicts = Vec::new();
-        for check in items(request, "checks") {
-            let key = text(check, "key");
-            let (version, value) = self.rows.get(key).cloned().unwrap_or((0, Value::Null));
-            if check["version"].as_u64() != Some(version) {
-                conflicts.push(json!({"key": key, "version": version, "value": value}));
+        for entry in &body.expectations {
+            let row = version_of(entry);
+            let version = row.as_ref().map_or(0, |row| row.version);
+            if entry.ver.unwrap_or(0) != version {
+                let none = KeptRow { version: 0, value: None };
+                conflicts.push(RowKey::of(entry).entry(&row.unwrap_or(none)));
             }
         }
         if !conflicts.is_empty() {
-            return Err(json!({ "conflicts": conflicts }));
+            return Err(PageBody { rows: conflicts, ver: self.version, ..PageBody::default() });
         }
         self.version += 1;
-        for write in items(request, "writes") {
-            let key = text(write, "key").to_owned();
-            if write["value"].is_null() {
-                self.rows.remove(&key);
-            } else {
-                self.rows.insert(key, (self.version, write["value"].clone()));
-            }
+        let version = self.version;
+        for entry in &body.put {
+            let value = entry.value.clone().or(Some(String::new()));
+            self.rows.insert(RowKey::of(entry), KeptRow { version, value });
+        }
+        for entry in &body.remove {
+            self.rows.insert(RowKey::of(entry), KeptRow { version, value: None });
         }
         if self.keep_past {
             self.past.push_back((Instant::now(), self.rows.clone()));
@@ -64,7 +111,7 @@
                 self.past.pop_front();
             }
         }
-        Ok(json!({ "version": self.version }))
+        Ok(PageBody { ver: version, ..PageBody::default() })
     }
 
     fn rows_at(&self, age: Duration) -> &TableRows {
@@ -77,42 +124,33 @@
         state.or(self.past.front()).map_or(&self.rows, |(_, rows)| rows)
     }
 
-    /// Reads rows by key, as they were `age` ago.
-    pub fn read(&self, request: &Value, age: Duration) -> Value {
-        let rows = self.rows_at(age);
-        let found: Vec<Value> = items(request, "keys")
-            .iter()
-            .filter_map(Value::as_str)
-            .filter_map(|key| rows.get(key).map(|row| row_json(key, row)))
-            .collect();
-        json!({ "rows": found })
+    /// Reads the rows of a part from a key on, as they were `age` ago.
+    pub fn read(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        limit: usize,
+        age: Duration,
+    ) -> PageBody {
+        let from =
+            RowKey { table: table.to_owned(), part: part.to_owned(), key: from.to_owned() };
+        let found = self.rows_at(age).range(from..);
+        let found = found.take_while(|(key, _)| key.table == table && key.part == part);
+        let mut found = found.filter(|(_, row)| row.value.is_some());
+        let rows = found.by_ref().take(limit).map(|(key, row)| key.entry(row)).collect();
+        PageBody { rows, more: found.next().is_some(), ver: self.version, ..PageBody::default() }
     }
 
-    /// Reads rows by prefix, as they were `age` ago.
-    pub fn scan(&self, request: &Value, age: Duration) -> Value {
-        let rows = self.rows_at(age);
-        let prefix = text(request, "prefix");
-        let after = text(request, "after");
-        let limit = request["limit"].as_u64().unwrap_or(0) as usize;
-        let found: Vec<Value> = rows
-            .range(prefix.to_owned()..)
-            .take_while(|(key, _)| key.starts_with(prefix))
-            .filter(|(key, _)| key.as_str() > after)
-            .take(limit)
-            .map(|(key, row)| row_json(key, row))
-            .collect();
-        json!({ "rows": found })
+    /// Lists what changed in a table after a version, oldest first; nothing if that is forgotten.
+    pub fn changes(&self, table: &str, after: u64) -> Option<PageBody> {
+        if after < self.forgotten {
+            return None;
+        }
+        let of_table = self.rows.iter().filter(|(key, _)| key.table == table);
+        let changed = of_table.filter(|(_, row)| row.version > after);
+        let mut rows: Vec<RowEntry> = changed.map(|(key, row)| key.entry(row)).collect();
+        rows.sort_by_key(|row| row.ver);
+        Some(PageBody { rows, ver: self.version, ..PageBody::default() })
     }
 }
-
-fn row_json(key: &str, row: &(u64, Value)) -> Value {
-    json!({"key": key, "version": row.0, "value": row.1})
-}
-
-fn items<'a>(request: &'a Value, field: &str) -> &'a [Value] {
-    request[field].as_array().map_or(&[], Vec::as_slice)
-}
-
-fn text<'a>(value: &'a Value, field: &str) -> &'a str {
-    value[field].as_str().unwrap_or_default()
-}
--- a/crates/store/src/changes.rs
+++ b/crates/store/src/changes.rs
@@ -21,9 +21,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
-use crate::errors::{ChangeError, StoreError};
+use crate::errors::{malformed, ChangeError, StoreError};
 use crate::platform::{PlatformClient, RetryPause};
-use crate::wire::{RowCheck, RowWrite, TableRow};
+use crate::wire::{self, RowCheck, RowWrite, TableRow};
 
 /// Row that holds the revision of the fleet.
 pub const HEAD_KEY: &str = "config/head";
@@ -42,7 +42,9 @@
 const CONTENDED_PAUSE_MAX: Duration = Duration::from_millis(200);
 /// Tries to settle a change whose answer was lost.
 const SETTLE_TRIES_MAX: u32 = 8;
-/// Most resources in one change; a bound on the size of one row.
+/// Bytes of one object; the platform's take 8 MiB.
+const OBJECT_BYTES_MAX: usize = 4 << 20;
+/// Most resources in one change; with 200 bytes each they fit one object.
 pub const CHANGES_MAX: usize = 20_000;
 
 /// `ChangeGuard` is what an operator expects a resource to be at.
@@ -87,6 +89,14 @@
 struct SnapshotValue {
     revision: FleetRevision,
     object: String,
+    parts: u32,
+}
+
+/// Stands in a row in place of a change that is too long for one.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ObjectValue {
+    object: String,
 }
 
 /// `ChangeStore` reads and writes the accepted configuration.
@@ -103,8 +113,7 @@
 
     /// Reads the revision of the fleet and the version of its row.
     pub async fn head(&self) -> Result<(FleetRevision, u64), StoreError> {
-        let rows = self.platform.read(vec![HEAD_KEY.to_owned()]).await?;
-        match rows.first() {
+        match self.platform.read(HEAD_KEY).await? {
             Some(row) => Ok((parse::<HeadValue>(&row.value)?.revision, row.version)),
             None => Ok((FleetRevision(0), 0)),
         }
@@ -117,7 +126,22 @@
     ) -> Result<Vec<ChangeRecord>, StoreError> {
         let after = change_key(revision);
         let rows = self.platform.scan(CHANGE_PREFIX, &after, SCAN_LIMIT).await?;
-        rows.iter().map(|row| parse(&row.value)).collect()
+        let mut records = Vec::with_capacity(rows.len());
+        for row in &rows {
+            records.push(self.record_of(row).await?);
+        }
+        Ok(records)
+    }
+
+    /// Reads the change of a row, from the object that it names if it was too long for a row.
+    async fn record_of(&self, row: &TableRow) -> Result<ChangeRecord, StoreError> {
+        let name = match ObjectValue::deserialize(&row.value) {
+            Ok(value) => value.object,
+            Err(_) => return parse(&row.value),
+        };
+        let content = self.platform.get_object(&name).await?;
+        let content = content.ok_or_else(|| malformed(format!("object {name} is missing")))?;
+        serde_json::from_slice(&content).map_err(malformed)
     }
 
     /// Reads the last snapshot, if there is one, in turns that end with `pause`.
@@ -125,15 +149,18 @@
         &self,
         pause: &impl AsyncFn(),
     ) -> Result<Option<FleetConfig>, StoreError> {
-        let rows = self.platform.read(vec![SNAPSHOT_KEY.to_owned()]).await?;
-        let value: SnapshotValue = match rows.first() {
+        let value: SnapshotValue = match self.platform.read(SNAPSHOT_KEY).await? {
             Some(row) => parse(&row.value)?,
             None => return Ok(None),
         };
-        match self.platform.get_object(&value.object).await? {
-            Some(content) => snapshot::read(&content, pause).await.map(Some).map_err(malformed),
-            None => Ok(None),
+        let mut content = Vec::new();
+        for part in 0..value.parts {
+            match self.platform.get_object(&part_name(&value.object, part)).await? {
+                Some(bytes) => content.extend_from_slice(&bytes),
+                None => return Ok(None),
+            }
         }
+        snapshot::read(&content, pause).await.map(Some).map_err(malformed)
     }
 
     /// Writes a snapshot, in turns that end with `pause`, and names it as the last, unless a later one is.
@@ -145,17 +172,23 @@
         let revision = config.revision();
         let object = format!("config-{:020}", revision.0);
         let content = snapshot::write(config, pause).await.map_err(malformed)?;
-        self.platform.put_object(&object, Bytes::from(content)).await?;
-        let rows = self.platform.read(vec![SNAPSHOT_KEY.to_owned()]).await?;
+        let content = Bytes::from(content);
+        let mut parts = 0;
+        for begin in (0..content.len()).step_by(OBJECT_BYTES_MAX) {
+            let end = content.len().min(begin + OBJECT_BYTES_MAX);
+            let name = part_name(&object, parts);
+            self.platform.put_object(&name, content.slice(begin..end)).await?;
+            parts += 1;
+        }
         let mut version = 0;
-        if let Some(row) = rows.first() {
+        if let Some(row) = self.platform.read(SNAPSHOT_KEY).await? {
             version = row.version;
             if parse::<SnapshotValue>(&row.value)?.revision >= revision {
                 return Ok(());
             }
         }
         let check = RowCheck { key: SNAPSHOT_KEY.to_owned(), version };
-        let value = json!(SnapshotValue { revision, object });
+        let value = json!(SnapshotValue { revision, object, parts });
         let write = RowWrite { key: SNAPSHOT_KEY.to_owned(), value: Some(value) };
         self.platform.transact(vec![check], vec![write]).await.map(drop)
     }
@@ -230,10 +263,23 @@
             key: HEAD_KEY.to_owned(),
             value: Some(json!(HeadValue { revision: record.revision })),
         };
-        let change = RowWrite { key: change_key(record.revision), value: Some(json!(record)) };
+        let value = self.change_value(record).await?;
+        let change = RowWrite { key: change_key(record.revision), value: Some(value) };
         self.platform.transact(vec![check], vec![head, change]).await.map(drop)
     }
 
+    /// Returns what stands in the row of a change; a long one is written as an object first.
+    async fn change_value(&self, record: &ChangeRecord) -> Result<Value, StoreError> {
+        let text = serde_json::to_vec(record).map_err(malformed)?;
+        if text.len() <= wire::VALUE_BYTES_MAX {
+            return Ok(json!(record));
+        }
+        // Each writer has a name of its own, so that none writes over another's.
+        let object = format!("change-{:020}-{}", record.revision.0, record.writer);
+        self.platform.put_object(&object, Bytes::from(text)).await.map_err(not_begun)?;
+        Ok(json!(ObjectValue { object }))
+    }
+
     /// Finds out what became of a write whose answer was lost.
     ///
     /// The same write is tried again: its check lets it happen once at the most. When the check
@@ -255,11 +301,18 @@
                 Err(StoreError::Conflict { .. }) => {}
                 Err(_) => continue,
             }
-            let rows = match self.platform.read(vec![change_key(record.revision)]).await {
-                Ok(rows) => rows,
+            let row = match self.platform.read(&change_key(record.revision)).await {
+                Ok(row) => row,
                 Err(_) => continue,
             };
-            return settle_by_row(config, record, rows.first());
+            let written = match &row {
+                Some(row) => self.record_of(row).await.map(Some),
+                None => Ok(None),
+            };
+            match written {
+                Ok(written) => return settle_by_row(config, record, written),
+                Err(_) => continue,
+            }
         }
         Err(ChangeError::Unsettled { writer: record.writer })
     }
@@ -268,9 +321,8 @@
 fn settle_by_row(
     config: &mut FleetConfig,
     record: ChangeRecord,
-    row: Option<&TableRow>,
+    written: Option<ChangeRecord>,
 ) -> Result<ChangeRecord, ChangeError> {
-    let written: Option<ChangeRecord> = row.and_then(|row| parse(&row.value).ok());
     match written {
         Some(written) if written.writer == record.writer => {
             let _ = config.apply(&record);
@@ -373,6 +425,15 @@
     T::deserialize(value).map_err(malformed)
 }
 
-fn malformed(message: impl ToString) -> StoreError {
-    StoreError::Malformed { message: message.to_string() }
+/// Returns the name of one part of an object that is too long for one.
+fn part_name(object: &str, part: u32) -> String {
+    format!("{object}-{part}")
+}
+
+/// Turns the failure of a step before the transaction: the change certainly did not take effect.
+fn not_begun(error: StoreError) -> StoreError {
+    match error {
+        StoreError::AnswerLost { message } => StoreError::Unreachable { message },
+        other => other,
+    }
 }
--- a/crates/store/src/errors.rs
+++ b/crates/store/src/errors.rs
@@ -54,6 +54,11 @@
     }
 }
 
+/// Builds a [`StoreError::Malformed`].
+pub fn malformed(message: impl ToString) -> StoreError {
+    StoreError::Malformed { message: message.to_string() }
+}
+
 /// `ChangeError` says why a change of the configuration was not accepted.
 #[derive(Debug, Clone, PartialEq, Snafu)]
 #[snafu(visibility(pub))]
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -21,12 +21,12 @@
 use crate::changes;
 use crate::errors::StoreError;
 use crate::platform::{PlatformClient, RetryPause};
-use crate::wire::{RowCheck, RowWrite, TableRow};
+use crate::wire::{self, RowCheck, RowWrite, TableRow};
 
 /// Prefix of the ledger's rows.
 pub const LEDGER_PREFIX: &str = "once/";
-/// Rows in one transaction.
-const GROUP_MAX: usize = 256;
+/// Rows in one transaction; each has a check and a write.
+const GROUP_MAX: usize = wire::ENTRIES_MAX / 2;
 /// Requests that may wait for a row; more are refused at once.
 const WAITING_MAX: usize = 4096;
 /// Longest time to settle a row whose answer was lost; after it the request is told "unknown".
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -1,7 +1,7 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! The client of the platform's table, object store and host list.
+//! The client of the platform's store: rows, the feed of their changes, and objects.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -9,23 +9,28 @@
 
 use basaltarch_http::client::{ClientReply, HttpClient};
 use basaltarch_http::errors::HttpError;
+use basaltarch_platform::objects;
+use basaltarch_platform::rows::{self, RowAddress, RowChange, RowExpectation, RowsPage, StoreCall};
 use bytes::Bytes;
-use http::{HeaderMap, Method, StatusCode};
-use serde::de::DeserializeOwned;
-use serde::Serialize;
+use http::{HeaderMap, StatusCode};
+use serde_json::Value;
 
-use crate::errors::StoreError;
-use crate::wire::{
-    self, ConflictReply, HostList, ReadRequest, RowCheck, RowWrite, RowsReply, ScanRequest,
-    TableRow, TransactReply, TransactRequest,
-};
+use crate::errors::{self, StoreError};
+use crate::wire::{RowCheck, RowPlace, RowWrite, TableRow};
 
 /// Longest time of one call; the platform answers in a few milliseconds when it is well.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for a change in one call of the feed: each call costs as much as a read, and a call
+/// that an outage left hanging must end soon after it.
+pub const FEED_WAIT: Duration = Duration::from_secs(10);
+/// Silence after which the system asks whether the store's end of a connection is still there.
+const KEEP_ALIVE_AFTER: Duration = Duration::from_secs(1);
 /// First pause after a failed call.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls in a row.
 const PAUSE_MAX: Duration = Duration::from_secs(5);
+/// Rows in one answer.
+const PAGE_ROWS: usize = rows::PAGE_ROWS_MAX;
 
 /// `CallBudget` bounds the calls of one process a second.
 #[derive(Debug)]
@@ -40,22 +45,32 @@
         Self { rate, tokens: rate.max(1.0), filled_at: Instant::now() }
     }
 
-    fn take(&mut self) -> bool {
+    fn take(&mut self) -> Result<(), StoreError> {
         let elapsed = self.filled_at.elapsed().as_secs_f64();
         self.filled_at = Instant::now();
         self.tokens = (self.tokens + elapsed * self.rate).min(self.rate.max(1.0));
         if self.tokens < 1.0 {
-            return false;
+            return Err(StoreError::OverBudget);
         }
         self.tokens -= 1.0;
-        true
+        Ok(())
     }
 }
 
-/// `PlatformClient` talks to the platform. Every call is bounded in time and number.
+/// `FeedReply` is what a call of the feed brought.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FeedReply {
+    /// Rows that changed, oldest first, and the version to go on from.
+    Changes(RowsPage),
+    /// The store no longer knows what changed since then; read the table anew.
+    Forgotten,
+}
+
+/// `PlatformClient` talks to the platform's store. Every call is bounded in time and number.
 #[derive(Debug)]
 pub struct PlatformClient {
     client: HttpClient,
+    feeds: HttpClient,
     reads: RefCell<CallBudget>,
     writes: RefCell<CallBudget>,
 }
@@ -63,8 +78,10 @@
 impl PlatformClient {
     /// Builds a client that makes at most so many reads and writes a second.
     pub fn new(address: SocketAddr, reads: f64, writes: f64) -> Self {
+        let feed_timeout = FEED_WAIT + CALL_TIMEOUT;
         Self {
-            client: HttpClient::new(address, CALL_TIMEOUT),
+            client: HttpClient::new(address, CALL_TIMEOUT).keep_alive(KEEP_ALIVE_AFTER),
+            feeds: HttpClient::new(address, feed_timeout).keep_alive(KEEP_ALIVE_AFTER),
             reads: RefCell::new(CallBudget::new(reads)),
             writes: RefCell::new(CallBudget::new(writes)),
         }
@@ -76,99 +93,118 @@
         checks: Vec<RowCheck>,
         writes: Vec<RowWrite>,
     ) -> Result<u64, StoreError> {
-        if !self.writes.borrow_mut().take() {
-            return Err(StoreError::OverBudget);
+        self.writes.borrow_mut().take()?;
+        let expectations = checks.iter().map(|check| RowExpectation {
+            address: RowPlace::of(&check.key).address(),
+            version: check.version,
+        });
+        let expectations: Vec<RowExpectation> = expectations.collect();
+        let values: Vec<Option<Vec<u8>>> = writes.iter().map(value_bytes).collect();
+        let changes = writes.iter().zip(&values).map(|(write, value)| RowChange {
+            address: RowPlace::of(&write.key).address(),
+            value: value.as_deref(),
+        });
+        let changes: Vec<RowChange> = changes.collect();
+        let reply = self.call(rows::transact(&expectations, &changes)).await?;
+        if reply.status == StatusCode::PRECONDITION_FAILED {
+            let rows = table_rows(read_page(&reply)?)?;
+            return Err(StoreError::Conflict { rows });
         }
-        let request = TransactRequest { checks, writes };
-        let reply = self.post(wire::TRANSACT_PATH, &request).await?;
-        if reply.status == StatusCode::CONFLICT {
-            let conflict: ConflictReply = parse(&reply)?;
-            return Err(StoreError::Conflict { rows: conflict.conflicts });
-        }
-        let reply: TransactReply = parse(&accepted(reply)?)?;
-        Ok(reply.version)
+        Ok(read_page(&accepted(reply)?)?.version)
     }
 
-    /// Reads the rows with these keys; rows that do not exist are left out.
-    pub async fn read(&self, keys: Vec<String>) -> Result<Vec<TableRow>, StoreError> {
-        self.take_read()?;
-        let reply = self.post(wire::READ_PATH, &ReadRequest { keys }).await?;
-        let reply: RowsReply = parse(&accepted(reply)?)?;
-        Ok(reply.rows)
+    /// Reads the row with this key, if there is one.
+    pub async fn read(&self, key: &str) -> Result<Option<TableRow>, StoreError> {
+        let RowAddress { table, part, key: wanted } = RowPlace::of(key).address();
+        let page = self.read_page(table, part, wanted, 1).await?;
+        let mut rows = table_rows(page)?;
+        Ok(rows.pop().filter(|row| row.key == key))
     }
 
-    /// Reads rows of a prefix in the order of their keys.
+    /// Reads rows of a prefix in the order of their keys, those behind `after`.
     pub async fn scan(
         &self,
         prefix: &str,
         after: &str,
         limit: usize,
     ) -> Result<Vec<TableRow>, StoreError> {
-        self.take_read()?;
-        let request = ScanRequest { prefix: prefix.to_owned(), after: after.to_owned(), limit };
-        let reply = self.post(wire::SCAN_PATH, &request).await?;
-        let reply: RowsReply = parse(&accepted(reply)?)?;
-        Ok(reply.rows)
+        // The least text behind a key is the key with a zero byte, which no key holds.
+        let from = if after.is_empty() { prefix.to_owned() } else { format!("{after}\0") };
+        let RowAddress { table, part, key: from } = RowPlace::of(&from).address();
+        let page = self.read_page(table, part, from, limit).await?;
+        let rows = table_rows(page)?;
+        Ok(rows.into_iter().take_while(|row| row.key.starts_with(prefix)).collect())
     }
 
-    /// Reads the host list.
-    pub async fn hosts(&self) -> Result<HostList, StoreError> {
-        self.take_read()?;
-        let reply = self.call(Method::GET, wire::HOSTS_PATH, Bytes::new()).await?;
-        parse(&accepted(reply)?)
+    /// Reads all rows of a table without parts, as of one moment or later; `version` is where the
+    /// feed goes on.
+    pub async fn read_table(&self, table: &str) -> Result<RowsPage, StoreError> {
+        let mut all = self.read_page(table, "", "", PAGE_ROWS).await?;
+        while all.more {
+            let from = all.rows.last().map(|row| format!("{}\0", row.key)).unwrap_or_default();
+            let next = self.read_page(table, "", &from, PAGE_ROWS).await?;
+            all.rows.extend(next.rows);
+            all.more = next.more;
+        }
+        Ok(all)
+    }
+
+    async fn read_page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        limit: usize,
+    ) -> Result<RowsPage, StoreError> {
+        self.reads.borrow_mut().take()?;
+        let reply = self.call(rows::read_from(table, part, from, limit)).await?;
+        read_page(&accepted(reply)?)
+    }
+
+    /// Waits for changes of a table after a version, for at most [`FEED_WAIT`].
+    pub async fn follow(&self, table: &str, after: u64) -> Result<FeedReply, StoreError> {
+        self.reads.borrow_mut().take()?;
+        let reply = call(&self.feeds, rows::follow(table, after, FEED_WAIT)).await?;
+        if reply.status == StatusCode::GONE {
+            return Ok(FeedReply::Forgotten);
+        }
+        read_page(&accepted(reply)?).map(FeedReply::Changes)
     }
 
     /// Writes an object.
     pub async fn put_object(&self, name: &str, content: Bytes) -> Result<(), StoreError> {
-        if !self.writes.borrow_mut().take() {
-            return Err(StoreError::OverBudget);
-        }
-        let target = format!("{}{name}", wire::OBJECTS_PATH);
-        let reply = self.call(Method::PUT, &target, content).await?;
+        self.writes.borrow_mut().take()?;
+        let reply = self.call(objects::put(name, content.into())).await?;
         accepted(reply).map(drop)
     }
 
     /// Reads an object, if there is one.
     pub async fn get_object(&self, name: &str) -> Result<Option<Bytes>, StoreError> {
-        self.take_read()?;
-        let target = format!("{}{name}", wire::OBJECTS_PATH);
-        let reply = self.call(Method::GET, &target, Bytes::new()).await?;
+        self.reads.borrow_mut().take()?;
+        let reply = self.call(objects::get(name)).await?;
         if reply.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
         Ok(Some(accepted(reply)?.body))
     }
 
-    fn take_read(&self) -> Result<(), StoreError> {
-        if self.reads.borrow_mut().take() {
-            Ok(())
-        } else {
-            Err(StoreError::OverBudget)
-        }
-    }
-
-    async fn post(&self, target: &str, body: &impl Serialize) -> Result<ClientReply, StoreError> {
-        let body = serde_json::to_vec(body)
-            .map_err(|error| StoreError::Unreachable { message: error.to_string() })?;
-        self.call(Method::POST, target, Bytes::from(body)).await
+    async fn call(&self, request: StoreCall) -> Result<ClientReply, StoreError> {
+        call(&self.client, request).await
     }
+}
 
-    async fn call(
-        &self,
-        method: Method,
-        target: &str,
-        body: Bytes,
-    ) -> Result<ClientReply, StoreError> {
-        let result = self.client.call(method, target, HeaderMap::new(), body).await;
-        result.map_err(|error| match error {
-            HttpError::Broken { ref source }
-                if source.kind() == std::io::ErrorKind::ConnectionRefused =>
-            {
-                StoreError::Unreachable { message: error.to_string() }
-            }
-            other => StoreError::AnswerLost { message: other.to_string() },
-        })
-    }
+/// Makes a call. One without an answer ends its connection, so that the next begins on another.
+async fn call(client: &HttpClient, request: StoreCall) -> Result<ClientReply, StoreError> {
+    let StoreCall { method, target, body } = request;
+    let result = client.call(method, &target, HeaderMap::new(), Bytes::from(body)).await;
+    result.map_err(|error| match error {
+        HttpError::Broken { ref source }
+            if source.kind() == std::io::ErrorKind::ConnectionRefused =>
+        {
+            StoreError::Unreachable { message: error.to_string() }
+        }
+        other => StoreError::AnswerLost { message: other.to_string() },
+    })
 }
 
 fn accepted(reply: ClientReply) -> Result<ClientReply, StoreError> {
@@ -178,9 +214,26 @@
     Err(StoreError::Refused { status: reply.status.as_u16() })
 }
 
-fn parse<T: DeserializeOwned>(reply: &ClientReply) -> Result<T, StoreError> {
-    serde_json::from_slice(&reply.body)
-        .map_err(|error| StoreError::Malformed { message: error.to_string() })
+fn read_page(reply: &ClientReply) -> Result<RowsPage, StoreError> {
+    rows::read_page(&reply.body).map_err(errors::malformed)
+}
+
+fn value_bytes(write: &RowWrite) -> Option<Vec<u8>> {
+    // A JSON value can always be written.
+    write.value.as_ref().map(|value| serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// Reads the values of rows that are there; a row that was never there has version 0.
+fn table_rows(page: RowsPage) -> Result<Vec<TableRow>, StoreError> {
+    let read = |row: rows::StoredRow| {
+        let key = RowPlace { table: &row.table, key: &row.key }.store_key();
+        let value = match &row.value {
+            Some(bytes) => serde_json::from_slice(bytes).map_err(errors::malformed)?,
+            None => Value::Null,
+        };
+        Ok(TableRow { key, version: row.version, value })
+    };
+    page.rows.into_iter().map(read).collect()
 }
 
 /// `RetryPause` spaces calls after failures, doubling and jittered, so that a fleet does not come
--- a/crates/store/src/retention.rs
+++ b/crates/store/src/retention.rs
@@ -16,18 +16,20 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::errors::StoreError;
+use crate::errors::{self, StoreError};
 use crate::ledger::{LedgerEntry, OnceLedger, LEDGER_PREFIX};
 use crate::platform::PlatformClient;
-use crate::wire::{RowCheck, RowWrite, TableRow};
+use crate::wire::{self, RowCheck, RowWrite, TableRow};
 
 /// Row that holds the epoch.
-pub const EPOCH_KEY: &str = "once-epoch";
+pub const EPOCH_KEY: &str = "once-epoch/current";
 /// Least time of an epoch: a daemon lives several hours between restarts, so some daemon nearly always
 /// gets to the end of one.
 pub const EPOCH_TIME: Duration = Duration::from_secs(3600);
-/// Rows looked at in one scan, and at the most changed in one transaction.
+/// Rows looked at in one scan.
 const SCAN_ROWS: usize = 200;
+/// Rows changed at the most in one transaction; each has a check and a write.
+const GROUP_ROWS: usize = wire::ENTRIES_MAX / 2;
 /// Scans of one round, so that a round ends though rows come as fast as they go.
 const SCANS_MAX: usize = 20;
 /// Parts of the table, by the first two digits of the hashed key; a round looks at one.
@@ -109,9 +111,8 @@
     }
 
     async fn follow_epoch(&self, now: Duration) -> Result<(), StoreError> {
-        let rows = self.platform.read(vec![EPOCH_KEY.to_owned()]).await?;
-        let (epoch, version) = match rows.first() {
-            Some(row) => (read_epoch(row)?, row.version),
+        let (epoch, version) = match self.platform.read(EPOCH_KEY).await? {
+            Some(row) => (read_epoch(&row)?, row.version),
             None => (0, 0),
         };
         self.watch.borrow_mut().note(epoch, now);
@@ -142,7 +143,9 @@
         let mut after = String::new();
         for _ in 0..SCANS_MAX {
             let rows = self.platform.scan(&prefix, &after, SCAN_ROWS).await?;
-            self.sweep_rows(&rows, &mut report).await?;
+            for group in rows.chunks(GROUP_ROWS) {
+                self.sweep_rows(group, &mut report).await?;
+            }
             match rows.last() {
                 Some(last) if rows.len() == SCAN_ROWS => after = last.key.clone(),
                 _ => break,
@@ -193,6 +196,5 @@
 
 fn read_epoch(row: &TableRow) -> Result<u64, StoreError> {
     let value = EpochValue::deserialize(&row.value);
-    let malformed = |error: serde_json::Error| StoreError::Malformed { message: error.to_string() };
-    value.map(|value| value.epoch).map_err(malformed)
+    value.map(|value| value.epoch).map_err(errors::malformed)
 }
--- a/crates/store/tests/retention.rs
+++ b/crates/store/tests/retention.rs
@@ -215,7 +215,7 @@
         store.claim("after the outage").await;
         let key = once_key("after the outage").row_key();
         let platform = PlatformClient::new(store.address, 1e6, 1e6);
-        let rows = platform.read(vec![key]).await.expect("read");
-        assert_eq!(rows[0].value["epoch"], json!(0), "the one it knew may long be over");
+        let row = platform.read(&key).await.expect("read");
+        assert_eq!(row.expect("row").value["epoch"], json!(0), "the one it knew may long be over");
     });
 }
