Adapt the daemon's tests to rows of hosts; compare a row with every later start known

Cause: tests told the host list, which is gone; daemons now write rows themselves. The new test of a stale row found that one was taken when the row of the later start had not been read yet. Change: a row is compared with what peers told as well; test of lying rows instead of a lying list.

--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -229,13 +229,13 @@
     #[serde(default)]
     pub criticality: WorkClass,
     /// Services that share the requests by weight; when empty, `service` gets all of them.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default)]
     pub split: Vec<ServiceShare>,
     /// Most upstreams that one request may reach, the daemon's own bound when 0.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default)]
     pub attempts: u32,
     /// Time within which an answer is worth most, in milliseconds; 0 when none was declared.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default)]
     pub objective_ms: u32,
 }
 
@@ -249,10 +249,6 @@
     pub weight: u32,
 }
 
-fn is_zero(value: &u32) -> bool {
-    *value == 0
-}
-
 fn default_timeout() -> u64 {
     10_000
 }
--- a/crates/core/tests/blocks.rs
+++ b/crates/core/tests/blocks.rs
@@ -102,7 +102,9 @@
            "failure_domain": "d", "state": "draining"}) ; "backend server")]
 #[test_case(ResourceKind::Route,
     json!({"host": "h", "path_prefix": "/a/", "methods": ["GET", "PUT"], "service": "s",
-           "timeout_ms": 600000, "mode": "once", "criticality": "critical"}) ; "route")]
+           "timeout_ms": 600000, "mode": "once", "criticality": "critical",
+           "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+           "attempts": 2, "objective_ms": 800}) ; "route")]
 #[test_case(ResourceKind::Limit,
     json!({"scope": "organisation", "target": "o", "rate": 0.25, "burst": 7.0}) ; "limit")]
 fn verify_every_field_of_every_kind_is_kept(kind: ResourceKind, value: Value) {
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -315,8 +315,7 @@
         // This attempt will be an arrival itself.
         let most = self.request.route.rule.attempts as usize;
         let arrivals_left = most == 0 || self.arrivals + 1 < most;
-        let may_follow =
-            self.is_repeatable() && self.dispatches < DISPATCHES_MAX && arrivals_left;
+        let may_follow = self.is_repeatable() && self.dispatches < DISPATCHES_MAX && arrivals_left;
         (may_follow && baseline.is_usable()).then(|| baseline.overdue_after() * PATIENCE_OVERDUE)
     }
 
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -202,11 +202,8 @@
     let organisation = find_organisation(active, &head)?;
     let once_key = once_key(&route, &head)?;
     let service = state.services.service_of(&route);
-    let subject = LimitSubject {
-        organisation: organisation.as_deref(),
-        route: &route.name,
-        service,
-    };
+    let subject =
+        LimitSubject { organisation: organisation.as_deref(), route: &route.name, service };
     limits::admit(state, active, subject).await.map_err(|wait| CallerFailure {
         retry_after: Some(wait),
         ..CallerFailure::not_run(NotRunReason::Limited)
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -149,6 +149,11 @@
         open.sample(&mut rand::rng(), most)
     }
 
+    /// Returns the number of the latest known start of a host's daemon, 0 if none is known.
+    pub fn incarnation(&self, host: &str) -> i64 {
+        self.members.borrow().get(host).map_or(0, |view| view.incarnation)
+    }
+
     /// Takes in the row of a host. A row is no sign of life: only one of a later start counts as one.
     pub fn note_record(&self, state: &DaemonState, host: &str, record: &HostRecord) {
         if host == state.options.host {
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -439,7 +439,8 @@
     let allowed = format!("1 to {most} ms, or a number of seconds with an s behind it");
     let given: Option<String> = settings::optional(flag, given, &allowed)?;
     let given = given.map(|text| seconds_as_millis(&text).unwrap_or(text));
-    let value = settings::checked(flag, given, default, &allowed, |value| (1..=most).contains(value));
+    let value =
+        settings::checked(flag, given, default, &allowed, |value| (1..=most).contains(value));
     value.map(Duration::from_millis)
 }
 
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -196,9 +196,16 @@
     if known == record {
         return;
     }
-    if let (Some(known), Some(record)) = (&known, &record) {
-        if record.incarnation < known.incarnation {
-            tracing::info!(host, "record of an earlier start passed over");
+    if let Some(record) = &record {
+        let of_row = known.as_ref().map_or(0, |known| known.incarnation);
+        let latest = of_row.max(state.members.incarnation(host));
+        if record.incarnation < latest {
+            tracing::info!(
+                host,
+                incarnation = record.incarnation,
+                latest,
+                "earlier start passed over"
+            );
             return;
         }
     }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -77,21 +77,11 @@
         client::call(self.address, "GET", platform::COUNTERS_PATH, &[], "").json()
     }
 
-    pub fn list_host(
-        &self,
-        host: &str,
-        domain: &str,
-        peers: SocketAddr,
-        admin: SocketAddr,
-        state: &str,
-    ) {
-        let entry = json!({
-            "host": host, "failure_domain": domain, "peer_address": peers.to_string(),
-            "admin_address": admin.to_string(), "state": state,
-        });
-        let path = format!("{}{host}", platform::HOSTS_CONTROL_PATH);
-        let reply = client::call(self.address, "PUT", &path, &[], &entry.to_string());
-        assert_eq!(reply.status, 204);
+    /// Writes or removes a row past all rules, as somebody else than its daemon.
+    pub fn change_row(&self, method: &str, table: &str, key: &str, value: &str) {
+        let path = format!("{}{table}/{key}", platform::ROWS_CONTROL_PATH);
+        let reply = client::call(self.address, method, &path, &[], value);
+        assert_eq!(reply.status, 200, "{}", reply.text());
     }
 }
 
@@ -358,7 +348,6 @@
             let domain = DOMAINS[index % DOMAINS.len()];
             let daemon =
                 TestDaemon::start(fleet.platform.address, &host, domain, &plan.daemon_flags);
-            fleet.platform.list_host(&host, domain, daemon.peers, daemon.admin, "live");
             fleet.daemons.push(daemon);
         }
         fleet.wait_members();
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -330,8 +330,6 @@
     let flags = [("advertise-peers", advertised.as_str())];
     let far = TestDaemon::start(platform.address, "host-b", "bkk-b", &flags);
     forwarder.forward_to(far.peers);
-    platform.list_host("host-a", "bkk-a", near.peers, near.admin, "live");
-    platform.list_host("host-b", "bkk-b", forwarder.address, far.admin, "live");
     let mut fleet = TestFleet { platform, daemons: vec![near, far], backends: Vec::new() };
     fleet.wait_members();
     fleet.backends = vec![TestBackend::start("server-1", 1), TestBackend::start("server-2", 1)];
@@ -393,7 +391,6 @@
     let fleet = TestFleet::start(&FleetPlan { daemons: 1, backends: 1, ..FleetPlan::default() });
     let key = [("fleet-key", "another-key-altogether")];
     let stranger = TestDaemon::start(fleet.platform.address, "host-z", "bkk-c", &key);
-    fleet.platform.list_host("host-z", "bkk-c", stranger.peers, stranger.admin, "live");
     let heard = |daemon: &TestDaemon| daemon.log_text().contains("does not hold the fleet key");
     eventually("one side or the other refuses", || heard(&fleet.daemons[0]) || heard(&stranger));
     // Junk on the peer address ends that connection alone.
--- a/crates/daemon/tests/paths.rs
+++ b/crates/daemon/tests/paths.rs
@@ -33,8 +33,6 @@
             let flags = [("advertise-peers", advertised.as_str())];
             let flags = if index == LAST { &flags[..] } else { &[] };
             let daemon = TestDaemon::start(platform.address, name, "bkk-a", flags);
-            let peers = if index == LAST { forwarder.address } else { daemon.peers };
-            platform.list_host(name, "bkk-a", peers, daemon.admin, "live");
             daemons.push(daemon);
         }
         forwarder.forward_to(daemons[LAST].peers);
@@ -146,7 +144,6 @@
                 let domain = ["bkk-a", "bkk-b"][region];
                 let daemon = TestDaemon::start(table, name, domain, &flags);
                 link.forward_to(daemon.peers);
-                platform.list_host(name, domain, link.address, daemon.admin, "live");
                 links.push(link);
                 daemons.push(daemon);
             }
--- a/crates/daemon/tests/recovery.rs
+++ b/crates/daemon/tests/recovery.rs
@@ -1,10 +1,11 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! Configuration while the store, the host list or daemons fail: nothing is lost or comes back.
+//! Configuration while the store, the rows of hosts or daemons fail: nothing is lost or comes back.
 
 mod common;
 
+use basaltarch_platform::rows;
 use common::forwarder::Forwarder;
 use common::operator::{check_audit, fleet_of, put_organisation, ANY};
 use common::{client, eventually, FleetPlan, TestDaemon, TestFleet};
@@ -170,7 +171,6 @@
     store.forward_to(fleet.platform.address);
     for (host, domain) in [("host-c", "bkk-c"), ("host-d", "bkk-a")] {
         let daemon = TestDaemon::start(store.address, host, domain, &[("seeds", seeds.as_str())]);
-        fleet.platform.list_host(host, domain, daemon.peers, daemon.admin, "live");
         fleet.daemons.push(daemon);
     }
     fleet.wait_members();
@@ -204,22 +204,74 @@
 }
 
 #[test]
-fn verify_a_lying_host_list_neither_resurrects_nor_buries() {
+fn verify_rows_that_lie_neither_resurrect_nor_bury() {
     let mut fleet = fleet_of(3);
-    // The dead stay listed as live.
+    // The row of the dead stays.
     fleet.daemons[2].kill();
-    eventually("the dead daemon is suspect though listed", || {
+    eventually("the dead daemon is suspect though it has a row", || {
         let status = fleet.daemons[0].get("/v1/status");
         let members = status["members"].as_array().expect("members").clone();
         members.iter().any(|m| m["host"] == "host-c" && m["state"] == "suspect")
     });
-    // The living vanish from the list.
-    let path = format!("{}host-b", basaltarch_standin::platform::HOSTS_CONTROL_PATH);
-    client::call(fleet.platform.address, "DELETE", &path, &[], "");
-    let polls = |fleet: &TestFleet| fleet.platform.counters()["reads"].as_u64().expect("reads");
-    let before = polls(&fleet);
-    eventually("the list was read some times", || polls(&fleet) > before + 12);
+    // The row of the living vanishes, and comes back by itself.
+    let hosts = basaltarch_daemon::roster::HOSTS_TABLE;
+    fleet.platform.change_row("DELETE", hosts, "host-b", "");
+    let row = || {
+        let path = format!("{}?table={hosts}&part=", rows::READ_PATH);
+        client::call(fleet.platform.address, "GET", &path, &[], "").text()
+    };
+    eventually("the row is written anew", || row().contains("host-b"));
     let status = fleet.daemons[0].get("/v1/status");
     let members = status["members"].as_array().expect("members").clone();
     assert!(members.iter().any(|m| m["host"] == "host-b" && m["state"] == "live"), "{members:?}");
 }
+
+#[test]
+fn verify_a_row_of_an_earlier_start_or_of_nonsense_changes_nothing() {
+    let mut fleet = fleet_of(3);
+    // A daemon that lives would write its row again before the others read this one.
+    fleet.daemons[2].kill();
+    let hosts = basaltarch_daemon::roster::HOSTS_TABLE;
+    let old = json!({"incarnation": 1, "failure_domain": "bkk-b", "peer_address": "127.0.0.1:1",
+                     "admin_address": "127.0.0.1:1", "leaving": true});
+    fleet.platform.change_row("PUT", hosts, "host-c", &old.to_string());
+    fleet.platform.change_row("PUT", hosts, "host-y", "no record at all");
+    let read = |daemon: &TestDaemon, text: &str| daemon.log_text().contains(text);
+    eventually("both rows were seen", || {
+        read(&fleet.daemons[0], "row of a host can't be read")
+            && read(&fleet.daemons[0], "earlier start passed over")
+    });
+    let status = fleet.daemons[0].get("/v1/status");
+    let members = status["members"].as_array().expect("members").clone();
+    let known = members.iter().find(|m| m["host"] == "host-c").expect("still known");
+    assert_ne!(known["state"], "leaving", "{members:?}");
+    fleet.daemons.pop();
+    for request in 0..20 {
+        let reply = fleet.request(request % 2, "GET", "/puzzle", &[], "");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    fleet.check_invariants();
+}
+
+#[test_case(json!({"silent": true}) ; "the store says nothing")]
+#[test_case(json!({"busy": true}) ; "the store turns calls away")]
+#[test_case(json!({"down": true}) ; "the store drops connections")]
+#[test_case(json!({"forget_history": true}) ; "the store forgets its history")]
+fn verify_rows_that_change_in_an_outage_are_known_after_it(outage: Value) {
+    let mut fleet = fleet_of(2);
+    fleet.platform.faults(outage);
+    let seeds = fleet.daemons[0].peers.to_string();
+    let flags = [("seeds", seeds.as_str())];
+    let daemon = TestDaemon::start(fleet.platform.address, "host-c", "bkk-c", &flags);
+    fleet.daemons.push(daemon);
+    // Peers know each other without the store.
+    eventually("the newcomer knows the others", || {
+        fleet.daemons[2].live_members() == 3 && fleet.daemons[0].live_members() == 3
+    });
+    fleet.platform.faults(json!({}));
+    let hosts = basaltarch_daemon::roster::HOSTS_TABLE;
+    let path = format!("{}?table={hosts}&part=", rows::READ_PATH);
+    let row = || client::call(fleet.platform.address, "GET", &path, &[], "").text();
+    eventually("its row is written after the outage", || row().contains("host-c"));
+    fleet.wait_members();
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -120,9 +120,7 @@
 impl HttpClient {
     async fn connect(&self) -> Result<HttpStream, HttpError> {
         match self.keep_alive {
-            Some(silence) => {
-                HttpStream::connect_watched(self.address, self.timeout, silence).await
-            }
+            Some(silence) => HttpStream::connect_watched(self.address, self.timeout, silence).await,
             None => HttpStream::connect(self.address, self.timeout).await,
         }
     }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -246,7 +246,8 @@
         };
         let mut objects = self.objects.borrow_mut();
         if method == Method::PUT {
-            if request.head.headers.contains_key(header::IF_NONE_MATCH) && objects.contains_key(&name)
+            if request.head.headers.contains_key(header::IF_NONE_MATCH)
+                && objects.contains_key(&name)
             {
                 return ServerReply::empty(StatusCode::PRECONDITION_FAILED);
             }
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -133,8 +133,7 @@
         limit: usize,
         age: Duration,
     ) -> PageBody {
-        let from =
-            RowKey { table: table.to_owned(), part: part.to_owned(), key: from.to_owned() };
+        let from = RowKey { table: table.to_owned(), part: part.to_owned(), key: from.to_owned() };
         let found = self.rows_at(age).range(from..);
         let found = found.take_while(|(key, _)| key.table == table && key.part == part);
         let mut found = found.filter(|(_, row)| row.value.is_some());
