Careful after a broken connection; settings read again; peers hand the document over

SIGHUP ended the daemon. A daemon without a configuration took an empty one from a peer and answered 404. Change: after a broken connection, or two errors in a row, work that must not be repeated is refused while others have room, until repeatable work succeeds twice; ingresses pass such upstreams over. SIGHUP and a changed file reload; peers tell the whole document; six tenths of the budget are spent.

--- a/crates/bench/src/decisions/hosts.rs
+++ b/crates/bench/src/decisions/hosts.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use basaltarch_decide::caution::FailureSort;
 use basaltarch_decide::evidence::{ServiceBaseline, WorkEvidence};
 use basaltarch_decide::health::{AdmitVerdict, DispatchTerms, HealthChange, HealthReport};
 
@@ -203,6 +204,14 @@
         } else {
             health.note(route, evidence, job.overdue, self.now)
         };
+        let failure = match job.end {
+            JobEnd::Good => None,
+            JobEnd::Error | JobEnd::Timeout => Some(FailureSort::Answered),
+        };
+        if failure.is_some() || evidence != WorkEvidence::Neutral {
+            // Doubts and trust show in the reports alone.
+            health.note_end(failure, self.now);
+        }
         self.note_change(job.sent.upstream, change);
     }
 
@@ -210,7 +219,7 @@
         match change {
             Some(HealthChange::Ejected { .. }) => self.note_ejection(index, 1.0),
             Some(HealthChange::Returned { .. }) => self.note_return(index),
-            None => {}
+            Some(HealthChange::Doubted | HealthChange::Trusted { .. }) | None => {}
         }
     }
 }
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -6,7 +6,7 @@
 //! The document is taken over whole, and only if its version is higher than the one in force. The
 //! upstreams of its services are those that registered, by the rows of the hosts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +30,10 @@
 /// Longest pause after failed calls in a row: a change must be in force within two seconds.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(500);
 
+/// Time for which a daemon waits for the store to tell of a document that a peer already has: the
+/// feed brings it in milliseconds, and a whole document is large.
+const BEHIND_MAX: Duration = Duration::from_millis(800);
+
 /// `HeldDocument` is the document in force.
 #[derive(Debug, Clone)]
 pub struct HeldDocument {
@@ -43,6 +47,7 @@
 #[derive(Debug, Default)]
 pub struct DocumentCell {
     held: RefCell<Option<HeldDocument>>,
+    behind_since: Cell<Option<Duration>>,
 }
 
 impl DocumentCell {
@@ -147,7 +152,7 @@
 fn service_entry(state: &DaemonState, note: &ServiceNote) -> ServiceEntry {
     ServiceEntry {
         name: Rc::from(note.name.as_str()),
-        spec: service_spec(&state.options.defaults),
+        spec: service_spec(&state.live().defaults),
         upstreams: state.roster.upstreams(&note.name, note.connections),
     }
 }
@@ -187,6 +192,24 @@
     state.host.configure(state, &active, &TouchedServices::All);
 }
 
+/// Says whether to ask a peer that has this revision in force for its document: at once when none is
+/// here, else when the store has not told of it for a while.
+pub fn wants_pull(state: &DaemonState, theirs: FleetRevision) -> bool {
+    let cell = &state.document.behind_since;
+    if theirs <= state.config.revision() {
+        cell.set(None);
+        return false;
+    }
+    if !state.config.is_loaded() {
+        return true;
+    }
+    let now = state.now();
+    let since = cell.get().unwrap_or(now);
+    let due = now.saturating_sub(since) >= BEHIND_MAX;
+    cell.set(Some(if due { now } else { since }));
+    due
+}
+
 /// Returns what a peer that is behind is told, if there is a document.
 pub fn snapshot(state: &DaemonState) -> Option<Vec<u8>> {
     let held = state.document.held.borrow().clone()?;
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -9,6 +9,7 @@
 
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
 use basaltarch_core::resources::WorkMode;
+use basaltarch_decide::caution::FailureSort;
 use basaltarch_decide::evidence::WorkEvidence;
 use basaltarch_decide::health::{AdmitVerdict, DispatchTerms};
 use basaltarch_http::connection::HttpStream;
@@ -73,7 +74,7 @@
     let admitted = work.run(body, answer).await;
     if work.is_trial && admitted.is_err() {
         // A trial that never reached the server says nothing, but another may start.
-        work.note(WorkEvidence::Neutral, false);
+        work.note(WorkEvidence::Neutral, false, None);
     }
     admitted
 }
@@ -118,13 +119,13 @@
     }
 
     /// Takes the end of the work in.
-    pub fn note(&self, evidence: WorkEvidence, was_overdue: bool) {
+    pub fn note(&self, evidence: WorkEvidence, was_overdue: bool, failure: Option<FailureSort>) {
         // What failed elsewhere before may be the request's own fault.
         let evidence = match evidence {
             WorkEvidence::Failed if self.head.after_failure => WorkEvidence::Neutral,
             other => other,
         };
-        let note = WorkNote { evidence, was_overdue, is_trial: self.is_trial };
+        let note = WorkNote { evidence, was_overdue, is_trial: self.is_trial, failure };
         self.upstream.note(&self.head.route, &note, self.state.now());
     }
 
@@ -247,7 +248,7 @@
         let mut pooled = match taken {
             Ok(pooled) => pooled,
             Err(_) => {
-                self.note(WorkEvidence::Failed, false);
+                self.note(WorkEvidence::Failed, false, Some(FailureSort::Broken));
                 return Err(FailureOutcome::NotRun(NotRunReason::ConnectFailed));
             }
         };
@@ -276,7 +277,7 @@
                 // The slot is free once the connection is closed, not before.
                 drop(pooled);
                 if !progress.noted.get() {
-                    self.note(fault.evidence(was_overdue), was_overdue);
+                    self.note(fault.evidence(was_overdue), was_overdue, fault.failure());
                 }
                 drop(progress);
                 Err(fault.outcome())
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
+use basaltarch_decide::caution::FailureSort;
 use basaltarch_decide::evidence::WorkEvidence;
 use basaltarch_http::body::{BodyLimits, BodyReader};
 use basaltarch_http::errors::HttpError;
@@ -67,6 +68,15 @@
         }
     }
 
+    /// Returns how the server failed, if it did.
+    pub fn failure(self) -> Option<FailureSort> {
+        match self {
+            Self::Broken | Self::BadAnswer => Some(FailureSort::Broken),
+            Self::TimedOut => Some(FailureSort::Answered),
+            _ => None,
+        }
+    }
+
     /// Returns what the fault says about the server.
     pub fn evidence(self, was_overdue: bool) -> WorkEvidence {
         match self {
@@ -257,7 +267,7 @@
         // The word was in the head; a broken body only spoils the connection.
         let whole = self.read_past(reader, framing).await.is_ok();
         self.progress.reusable.set(whole && !close && reader.buffer.is_empty());
-        self.work.note(WorkEvidence::Neutral, false);
+        self.work.note(WorkEvidence::Neutral, false, None);
         self.progress.noted.set(true);
         Err(WorkFault::Shed)
     }
@@ -265,7 +275,8 @@
     /// Notes the end of the work and frees its slot, so that the report tells of both.
     fn note_end(&self, failed: bool, took: Duration) {
         let evidence = if failed { WorkEvidence::Failed } else { WorkEvidence::Answered(took) };
-        self.work.note(evidence, self.progress.was_overdue.get());
+        let failure = failed.then_some(FailureSort::Answered);
+        self.work.note(evidence, self.progress.was_overdue.get(), failure);
         self.progress.noted.set(true);
         drop(self.progress.slot.take());
     }
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -10,6 +10,7 @@
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::{BackendServer, ServerState, ServiceSpec};
 use basaltarch_core::services::{ServiceEntry, UpstreamEntry};
+use basaltarch_decide::caution::FailureSort;
 use basaltarch_decide::evidence::WorkEvidence;
 use basaltarch_decide::health::{AdmitVerdict, DispatchTerms, HealthChange, UpstreamHealth};
 use basaltarch_peer::protocol::LoadReport;
@@ -113,8 +114,13 @@
         } else {
             health.note(route, work.evidence, work.was_overdue, now)
         };
+        let caution = match (work.failure, work.evidence) {
+            (None, WorkEvidence::Neutral) => None,
+            (failure, _) => health.note_end(failure, now),
+        };
         drop(health);
         self.tell(change);
+        self.tell(caution);
     }
 
     /// Takes in that a running request is overdue.
@@ -139,6 +145,23 @@
                     "upstream ejected"
                 );
             }
+            Some(HealthChange::Doubted) => {
+                metrics::DOUBTS.add_one();
+                self.slots.refuse_waiting();
+                tracing::info!(
+                    upstream = &*self.name,
+                    service = &*self.service,
+                    "upstream doubted"
+                );
+            }
+            Some(HealthChange::Trusted { after }) => {
+                tracing::info!(
+                    upstream = &*self.name,
+                    service = &*self.service,
+                    after_ms = after.as_millis() as u64,
+                    "upstream trusted again"
+                );
+            }
             Some(HealthChange::Returned { out }) => {
                 metrics::RETURNS.add_one();
                 tracing::info!(
@@ -174,4 +197,6 @@
     pub was_overdue: bool,
     /// Whether the request was a trial.
     pub is_trial: bool,
+    /// How the request failed, if the backend server failed it.
+    pub failure: Option<FailureSort>,
 }
--- a/crates/daemon/src/ingress/caller.rs
+++ b/crates/daemon/src/ingress/caller.rs
@@ -139,7 +139,7 @@
     state: &Rc<DaemonState>,
     stream: &mut HttpStream,
 ) -> Result<Option<Parts>, HttpError> {
-    let limits = state.options.head;
+    let limits = state.head_limits();
     if stream.reader.buffer.is_empty() {
         let filling = stream.reader.fill_within(HEAD_READ_BYTES, limits.idle, "a request");
         let mut filling = std::pin::pin!(filling.fuse());
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -89,7 +89,7 @@
             return refuse(stream, &method, &failure, close).await;
         }
     };
-    let mut body = BodyReader::new(framing, state.options.body);
+    let mut body = BodyReader::new(framing, state.body_limits());
     if waits && !body.is_done() && stream.reader.buffer.is_empty() {
         let mut line = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
         if writer::flush(&mut stream.writer, &mut line).await.is_err() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod options;
 pub mod peers;
 pub mod registration;
+pub mod reload;
 pub mod retention;
 pub mod roster;
 pub mod run;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -178,7 +178,6 @@
         drain_min_ms: flags.drain_min_ms,
         kill_after_ms: flags.kill_after_ms,
     };
-    let raw = raw.with_file().map_err(|source| DaemonError::Setting { source })?;
     let options = DaemonOptions::try_new(raw).map_err(|source| DaemonError::Setting { source })?;
     logs::start(&options.log);
     let running = run::run(options, StopRequests::Signals, |_| {});
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -372,9 +372,9 @@
 
 /// Asks the seeds who they are, for as long as nobody else is known.
 pub async fn find_seeds(state: Rc<DaemonState>) {
-    while !state.options.seeds.is_empty() {
+    loop {
         if state.members.members.borrow().is_empty() {
-            for address in &state.options.seeds {
+            for address in &state.live().seeds {
                 match links::identify(&state, *address).await {
                     Ok(peer) => state.members.note_seed(&state, peer, *address),
                     Err(error) => tracing::debug!(%address, %error, "seed does not answer"),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -38,6 +38,8 @@
 /// Ejections by reason.
 pub static EJECTIONS: [CounterCell; EVIDENCE_KINDS.len()] =
     [const { CounterCell::new() }; EVIDENCE_KINDS.len()];
+/// Times that an upstream was doubted after a failure.
+pub static DOUBTS: CounterCell = CounterCell::new();
 /// Returns of ejected upstreams.
 pub static RETURNS: CounterCell = CounterCell::new();
 /// Times from the first sign of a sickness to the ejection, in seconds.
@@ -117,6 +119,7 @@
             &SURPLUS_ANSWERS,
         ),
         counter("host_refused", "Work refused by the host role.", &HOST_REFUSED),
+        counter("doubts", "Times that an upstream was doubted after a failure.", &DOUBTS),
         counter("returns", "Returns of ejected upstreams.", &RETURNS),
         MetricEntry {
             name: "detection_seconds",
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -26,7 +26,7 @@
 const DRAIN_MS_MAX: u64 = 3_600_000;
 
 /// `RawOptions` are the settings as given by flags; environment variables fill the gaps.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct RawOptions {
     /// Name of the host.
     pub host: Option<String>,
@@ -109,6 +109,8 @@
 /// `DaemonOptions` are the checked settings.
 #[derive(Debug, Clone)]
 pub struct DaemonOptions {
+    /// The settings as flags gave them, to read the file again.
+    pub given: RawOptions,
     /// Name of the host; backend servers with this host are this daemon's.
     pub host: String,
     /// Failure domain of the host.
@@ -195,8 +197,7 @@
 impl RawOptions {
     /// Takes the settings file in: it fills what neither a flag nor an environment variable gives.
     pub fn with_file(mut self) -> Result<Self, SettingError> {
-        let path: Option<String> = settings::optional("config", self.config.clone(), "a path")?;
-        let path = match path {
+        let path = match self.file()? {
             Some(path) => path,
             None => return Ok(self),
         };
@@ -217,6 +218,11 @@
         Ok(self)
     }
 
+    /// Returns the path of the settings file, if there is one.
+    pub fn file(&self) -> Result<Option<String>, SettingError> {
+        settings::optional("config", self.config.clone(), "a path")
+    }
+
     /// Returns the place of a flag.
     fn place(&mut self, flag: &str) -> Option<&mut Option<String>> {
         Some(match flag {
@@ -263,8 +269,9 @@
 }
 
 impl DaemonOptions {
-    /// Reads and checks the settings.
-    pub fn try_new(raw: RawOptions) -> Result<Self, SettingError> {
+    /// Reads and checks the settings; the settings file fills what flags and variables leave open.
+    pub fn try_new(given: RawOptions) -> Result<Self, SettingError> {
+        let raw = given.clone().with_file()?;
         let loopback = SocketAddr::from((IpAddr::from([127, 0, 0, 1]), 0));
         let address =
             |flag: &str, given| settings::checked(flag, given, loopback, ADDRESS_ALLOWED, |_| true);
@@ -276,6 +283,7 @@
             seeds.iter_mut().for_each(|seed| seed.set_port(peers.port()));
         }
         Ok(Self {
+            given,
             callers: address("callers", raw.callers)?,
             peers,
             admin: address("admin", raw.admin)?,
@@ -330,6 +338,39 @@
         }
     }
 
+    /// Names the settings in which `next` differs and that can't change while the daemon runs. An
+    /// address with port 0 was bound to some port and does not differ.
+    pub fn differences(&self, next: &Self) -> Vec<&'static str> {
+        let moved = |own: SocketAddr, next: SocketAddr| next.port() != 0 && own != next;
+        let moved_if = |own: Option<SocketAddr>, next: Option<SocketAddr>| match (own, next) {
+            (Some(own), Some(next)) => moved(own, next),
+            (own, next) => own.is_some() != next.is_some(),
+        };
+        let checks = [
+            ("host", self.host != next.host),
+            ("failure-domain", self.failure_domain != next.failure_domain),
+            ("source", self.source != next.source),
+            ("platform", self.platform != next.platform),
+            ("fleet-key", self.fleet_key != next.fleet_key),
+            ("admin-token", self.admin_token != next.admin_token),
+            ("callers", moved(self.callers, next.callers)),
+            ("peers", moved(self.peers, next.peers)),
+            ("admin", moved(self.admin, next.admin)),
+            ("ready", moved_if(self.ready, next.ready)),
+            ("registration", moved_if(self.registration, next.registration)),
+        ];
+        checks.iter().filter(|(_, differs)| *differs).map(|(name, _)| *name).collect()
+    }
+
+    /// Puts the addresses as bound in place of those asked for.
+    pub fn keep_bound(&mut self, bound: &Self) {
+        self.callers = bound.callers;
+        self.peers = bound.peers;
+        self.admin = bound.admin;
+        self.ready = bound.ready;
+        self.registration = bound.registration;
+    }
+
     /// Returns the address at which other daemons reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         self.advertise_peers.unwrap_or(self.peers)
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -9,7 +9,7 @@
 
 use basaltarch_http::connection;
 use basaltarch_peer::link::NO_EXCHANGE;
-use basaltarch_telemetry::signals::StopSignals;
+use basaltarch_telemetry::signals::SignalStream;
 use monoio::net::TcpListener;
 
 use crate::admin;
@@ -21,9 +21,11 @@
 use crate::metrics;
 use crate::options::{ConfigSource, DaemonOptions};
 use crate::registration;
+use crate::reload;
 use crate::retention;
 use crate::roster;
 use crate::services;
+use crate::signal::RisingSignal;
 use crate::spread;
 use crate::state::DaemonState;
 
@@ -98,14 +100,10 @@
     let listeners = bind_all(&mut options)?;
     let state = DaemonState::new(options);
     if let StopRequests::Signals = stops {
-        let mut signals = StopSignals::new().map_err(start)?;
-        let state = state.clone();
-        monoio::spawn(async move {
-            loop {
-                signals.next().await;
-                state.stopping.raise();
-            }
-        });
+        let signals = SignalStream::stops().map_err(start)?;
+        monoio::spawn(raise_on(signals, state.clone(), |state| &state.stopping));
+        let signals = SignalStream::reloads().map_err(start)?;
+        monoio::spawn(raise_on(signals, state.clone(), |state| &state.reloading));
     }
     tracing::info!(
         host = state.options.host,
@@ -117,11 +115,24 @@
         "listening"
     );
     start_tasks(&state, listeners);
+    monoio::spawn(reload::watch(state.clone()));
     on_start(&state);
     state.stopping.raised().await;
     Ok(drain(&state).await)
 }
 
+/// Raises a signal of the state at each signal of the system, for ever.
+async fn raise_on(
+    mut signals: SignalStream,
+    state: Rc<DaemonState>,
+    choose: fn(&DaemonState) -> &RisingSignal,
+) {
+    loop {
+        signals.next().await;
+        choose(&state).raise();
+    }
+}
+
 fn start_tasks(state: &Rc<DaemonState>, listeners: DaemonListeners) {
     monoio::spawn(caller::accept(state.clone(), listeners.callers));
     monoio::spawn(links::accept(state.clone(), listeners.peers));
@@ -179,8 +190,8 @@
         let elapsed = state.now().saturating_sub(begin);
         let busy = state.in_flight.get();
         let twice = state.stopping.get() > 1;
-        let late = elapsed >= state.options.drain;
-        if (busy == 0 && elapsed >= state.options.drain_min) || twice || late {
+        let late = elapsed >= state.live().drain;
+        if (busy == 0 && elapsed >= state.live().drain_min) || twice || late {
             let report = StopReport { cut: busy };
             tracing::info!(cut = busy, elapsed_ms = elapsed.as_millis() as u64, "stopped");
             return report;
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -28,6 +28,9 @@
 /// Time for which an upstream's own word that it is leaving counts without being renewed.
 const DRAIN_WORD_LIFE: Duration = Duration::from_secs(30);
 
+/// Part of the budget that is spent: calls that a repeated run makes of its own count as repeats of
+/// other services, and no daemon sees that they belong to one.
+const BUDGET_USED: f64 = 0.6;
 /// Split routes whose turn is remembered; beyond it all begin anew, so that routes that are gone do
 /// not add up.
 const SPLITS_MAX: usize = 4096;
@@ -326,12 +329,13 @@
     entry: &ServiceEntry,
     known: Option<&ServiceState>,
 ) -> Rc<RefCell<RetryBudget>> {
-    let defaults = &state.options.defaults;
+    let live = state.live();
+    let defaults = &live.defaults;
     let share = entry.spec.retry_budget;
     // Each daemon has its part of what the whole fleet may repeat beyond the share.
-    let extra = f64::from(defaults.retry_extra) / state.roster.daemons() as f64;
+    let extra = f64::from(defaults.retry_extra) / state.roster.daemons() as f64 * BUDGET_USED;
     let terms = BudgetTerms {
-        share,
+        share: share * BUDGET_USED,
         extra: if share > 0.0 { extra } else { 0.0 },
         window: defaults.retry_window,
     };
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -22,8 +22,10 @@
 use basaltarch_store::platform::RetryPause;
 use fnv::FnvHashMap;
 
+use crate::document;
 use crate::membership;
 use crate::metrics;
+use crate::options::ConfigSource;
 use crate::state::DaemonState;
 
 /// Shortest time between polls of the store.
@@ -196,6 +198,13 @@
 /// Takes in which revision a peer has: sends it what it lacks, or asks for what is missing here.
 pub fn note_peer_revision(state: &Rc<DaemonState>, sender: &FrameSender, theirs: FleetRevision) {
     let ours = state.config.revision();
+    if state.options.source == ConfigSource::Document {
+        if document::wants_pull(state, theirs) {
+            let pull = ChangePull { after: ours.0 as i64 };
+            let _ = sender.send(NO_EXCHANGE, FrameBody::Pull(pull));
+        }
+        return;
+    }
     if theirs < ours {
         if let Some(records) = state.config.records_after(theirs) {
             send_records(state, sender, records.iter().map(|record| &**record));
@@ -212,6 +221,13 @@
     if !state.config.is_loaded() {
         return;
     }
+    if state.options.source == ConfigSource::Document {
+        let Some(bytes) = document::snapshot(state) else { return };
+        let state = state.clone();
+        let sender = sender.clone();
+        monoio::spawn(async move { send_parts(&state, &sender, &bytes).await });
+        return;
+    }
     let records = state.config.records_after(after);
     let small = |record: &Rc<ChangeRecord>| {
         serde_json::to_vec(&**record).is_ok_and(|text| text.len() <= 2 * PART_BYTES)
@@ -230,12 +246,17 @@
 
 async fn send_snapshot(state: &Rc<DaemonState>, sender: &FrameSender) {
     let config = state.config.with_fleet(FleetConfig::clone);
-    let revision = config.revision().0 as i64;
     let pause = async || give_way(state).await;
     let bytes = match snapshot::write(&config, &pause).await {
         Ok(bytes) => bytes,
         Err(_) => return,
     };
+    send_parts(state, sender, &bytes).await;
+}
+
+/// Sends a snapshot in parts, no faster than the peer reads.
+async fn send_parts(state: &DaemonState, sender: &FrameSender, bytes: &[u8]) {
+    let revision = state.config.revision().0 as i64;
     let parts = bytes.chunks(PART_BYTES);
     let count = parts.len();
     for (index, part) in parts.enumerate() {
@@ -278,6 +299,9 @@
         Some(bytes) => bytes,
         None => return,
     };
+    if state.options.source == ConfigSource::Document {
+        return document::take_snapshot(state, &peer.host, &bytes);
+    }
     let reading = match ReadingGuard::take(state) {
         Some(guard) => guard,
         None => return,
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -3,12 +3,14 @@
 
 //! What the roles of a daemon share.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use basaltarch_core::units;
+use basaltarch_http::body::BodyLimits;
 use basaltarch_http::fields::ExchangeFields;
+use basaltarch_http::head::HeadLimits;
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_store::changes::ChangeStore;
 use basaltarch_store::ledger::OnceLedger;
@@ -32,6 +34,8 @@
 pub struct DaemonState {
     /// The settings, with the addresses as bound.
     pub options: DaemonOptions,
+    /// The settings as read last: those that may change while the daemon runs are read here.
+    live: RefCell<Rc<DaemonOptions>>,
     /// Time since the start.
     pub clock: DaemonClock,
     /// Who this daemon is to its peers.
@@ -66,6 +70,8 @@
     pub ledger: Rc<OnceLedger>,
     /// Raised when the daemon is asked to stop.
     pub stopping: RisingSignal,
+    /// Raised when the settings shall be read again.
+    pub reloading: RisingSignal,
     /// Callers' requests and peers' dispatches that are not over.
     pub in_flight: Cell<usize>,
 }
@@ -82,6 +88,7 @@
         let identity =
             PeerIdentity { host: options.host.clone(), incarnation: units::wall_millis() as i64 };
         Rc::new(Self {
+            live: RefCell::new(Rc::new(options.clone())),
             clock,
             identity,
             config: ConfigCell::default(),
@@ -99,11 +106,45 @@
             ledger: OnceLedger::new(platform.clone()),
             platform,
             stopping: RisingSignal::default(),
+            reloading: RisingSignal::default(),
             in_flight: Cell::new(0),
             options,
         })
     }
 
+    /// Returns the settings as read last.
+    pub fn live(&self) -> Rc<DaemonOptions> {
+        self.live.borrow().clone()
+    }
+
+    /// Takes over settings that were read again.
+    pub fn set_live(&self, options: DaemonOptions) {
+        *self.live.borrow_mut() = Rc::new(options);
+    }
+
+    /// Returns the bounds of heads of callers' requests: the document's, where there is one.
+    pub fn head_limits(&self) -> HeadLimits {
+        let set = self.options.head;
+        match self.document.get() {
+            Some(document) => HeadLimits {
+                bytes: document.limits.head_bytes,
+                time: document.limits.head_time,
+                idle: document.limits.idle_time,
+                ..set
+            },
+            None => set,
+        }
+    }
+
+    /// Returns the bounds of bodies of callers' requests: the document's, where there is one.
+    pub fn body_limits(&self) -> BodyLimits {
+        let set = self.options.body;
+        match self.document.get() {
+            Some(document) => BodyLimits { bytes: document.limits.body_bytes, ..set },
+            None => set,
+        }
+    }
+
     /// Returns the time since the start.
     pub fn now(&self) -> Duration {
         self.clock.now()
@@ -115,7 +156,7 @@
         let servers = self.roster.own_servers();
         let registered = servers.iter().find(|server| !server.draining).or(servers.first());
         let registered = registered.map(|server| server.service.clone());
-        registered.or_else(|| self.options.own_service.clone())
+        registered.or_else(|| self.live().own_service.clone())
     }
 
     /// Says whether the daemon is asked to stop.
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -129,6 +129,7 @@
         trial_in_ms: health.trial_in.as_millis().min(i32::MAX as u128) as i32,
         revision: load.revision as i64,
         ejected: health.ejected,
+        doubtful: health.doubtful,
         took_us: load.took.map_or(0, |took| took.as_micros().clamp(1, i32::MAX as u128) as i32),
     }
 }
@@ -152,6 +153,7 @@
         samples: note.samples.max(0) as u32,
         ramp: finite(note.ramp).clamp(0.01, 1.0),
         trial_in: Duration::from_millis(note.trial_in_ms.max(0) as u64),
+        doubtful: note.doubtful,
     };
     (load, health)
 }
--- a/crates/decide/benches/cost.rs
+++ b/crates/decide/benches/cost.rs
@@ -42,6 +42,7 @@
         samples: 100,
         ramp: 1.0,
         trial_in: Duration::ZERO,
+        doubtful: false,
     }
 }
 
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -104,7 +104,8 @@
         estimate.max(f64::from(self.own) / slots)
     }
 
-    fn cost(&self, now: Duration, median_ln: f64, suspect_from: f64) -> f64 {
+    fn cost(&self, terms: &ChoiceTerms, median_ln: f64) -> f64 {
+        let now = terms.now;
         let busy = self.load_share(now) + 1.0 / f64::from(self.slots.max(1));
         let health = match &self.health {
             Some(health) => health,
@@ -113,7 +114,7 @@
         let time = (health.median_ln - median_ln).exp().clamp(QUICK_MIN, SLOW_MAX);
         let time = if health.samples == 0 { 1.0 } else { time };
         let distance = if self.is_local { 1.0 } else { REMOTE_WEIGHT };
-        let suspicion = if self.is_suspect(now, suspect_from) { SUSPECT_FACTOR } else { 1.0 };
+        let suspicion = if self.is_suspect(terms) { SUSPECT_FACTOR } else { 1.0 };
         busy * time * distance * suspicion / self.ramp(now, health)
     }
 
@@ -122,12 +123,18 @@
     ///
     /// Passing a suspect over spares callers, and the budget of repeats, what it would get until its
     /// daemon is sure. It takes no capacity out of service.
-    fn is_suspect(&self, now: Duration, from: f64) -> bool {
+    fn is_suspect(&self, terms: &ChoiceTerms) -> bool {
+        let ChoiceTerms { now, suspect_from: from, repeatable } = *terms;
         let silent = self
             .given_up_at
             .is_some_and(|at| at >= self.reported_at && now.saturating_sub(at) < SUSPECT_LIFE);
         let fresh = now.saturating_sub(self.reported_at) < SUSPECT_LIFE;
-        silent || fresh && self.health.is_some_and(|health| health.sickness >= from)
+        let sick = |health: HealthReport| {
+            // Once it is time, repeatable work finds out whether a doubted upstream works.
+            let due = repeatable && now >= self.reported_at + health.trial_in;
+            health.sickness >= from || health.doubtful && !due
+        };
+        silent || fresh && self.health.is_some_and(sick)
     }
 
     fn ramp(&self, now: Duration, health: &HealthReport) -> f64 {
@@ -137,6 +144,16 @@
     }
 }
 
+/// `ChoiceTerms` is what one choice goes by.
+#[derive(Debug, Clone, Copy)]
+struct ChoiceTerms {
+    now: Duration,
+    /// Sickness from which an upstream is a suspect.
+    suspect_from: f64,
+    /// Whether the work may run more than once.
+    repeatable: bool,
+}
+
 /// `UpstreamChoice` is the upstream chosen for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UpstreamChoice {
@@ -309,37 +326,49 @@
                 return Some(UpstreamChoice { index, refusable: true });
             }
         }
-        let suspect_from = self.suspect_from(now);
+        let terms = ChoiceTerms { now, suspect_from: self.suspect_from(now), repeatable };
         if !must_take && excluded.is_empty() {
-            if let Some(index) = self.explore(now, suspect_from, rng) {
+            if let Some(index) = self.explore(&terms, rng) {
                 let refusable = self.plan.can_spare(self.upstreams[index].slots);
                 return Some(UpstreamChoice { index, refusable });
             }
         }
         let mut fits = std::mem::take(&mut self.fits);
-        let near = self
-            .best(now, suspect_from, rng, &mut fits, |index, view| {
-                view.is_local && self.in_service(index) && !excluded.contains(&index)
-            })
-            .filter(|index| self.upstreams[*index].load_share(now) < LOCAL_LOAD_MAX);
-        let index = near.or_else(|| {
-            self.best(now, suspect_from, rng, &mut fits, |index, _| {
-                self.in_service(index) && !excluded.contains(&index)
-            })
-        });
+        let index = self.best(&terms, rng, &mut fits, excluded);
         self.fits = fits;
         let index = index?;
         let spare = self.plan.can_spare(self.upstreams[index].slots);
         Some(UpstreamChoice { index, refusable: spare && !must_take })
     }
 
+    /// Chooses the best upstream: one that is near, not a suspect and not loaded, if there is one; then
+    /// one that is not a suspect and has room; then any, by its cost.
+    fn best(
+        &self,
+        terms: &ChoiceTerms,
+        rng: &mut impl Rng,
+        fits: &mut Vec<usize>,
+        excluded: &[usize],
+    ) -> Option<usize> {
+        let now = terms.now;
+        let may = |index: usize| self.in_service(index) && !excluded.contains(&index);
+        let sound = |index: usize, view: &LoadView| may(index) && !view.is_suspect(terms);
+        let near = self.draw(terms, rng, fits, |index, view| view.is_local && sound(index, view));
+        let near = near.filter(|index| self.upstreams[*index].load_share(now) < LOCAL_LOAD_MAX);
+        let sound = near.or_else(|| self.draw(terms, rng, fits, sound));
+        sound
+            .filter(|index| self.upstreams[*index].load_share(now) < 1.0)
+            .or_else(|| self.draw(terms, rng, fits, |index, _| may(index)))
+    }
+
     fn in_service(&self, index: usize) -> bool {
         let view = &self.upstreams[index];
         view.reachable && !view.draining && !self.plan.avoided[index]
     }
 
     /// Draws, for one choice in a few, an upstream whose last report is old.
-    fn explore(&mut self, now: Duration, suspect_from: f64, rng: &mut impl Rng) -> Option<usize> {
+    fn explore(&mut self, terms: &ChoiceTerms, rng: &mut impl Rng) -> Option<usize> {
+        let now = terms.now;
         self.choices = self.choices.wrapping_add(1);
         if !self.choices.is_multiple_of(EXPLORE_EVERY) {
             return None;
@@ -354,7 +383,7 @@
         // One that has not answered what it was sent is silent by itself.
         let is_old = view.own == 0 && now.saturating_sub(view.reported_at) >= EXPLORE_AGE;
         let ramps = view.health.is_some_and(|health| view.ramp(now, &health) < 1.0);
-        let fits = self.in_service(oldest) && !ramps && !view.is_suspect(now, suspect_from);
+        let fits = self.in_service(oldest) && !ramps && !view.is_suspect(terms);
         (is_old && fits).then_some(oldest)
     }
 
@@ -381,10 +410,10 @@
         health::sickness_bound(median)
     }
 
-    fn best(
+    /// Draws a few of the upstreams that are eligible and returns the one of the least cost.
+    fn draw(
         &self,
-        now: Duration,
-        suspect_from: f64,
+        terms: &ChoiceTerms,
         rng: &mut impl Rng,
         fits: &mut Vec<usize>,
         eligible: impl Fn(usize, &LoadView) -> bool,
@@ -397,12 +426,8 @@
         }
         let mut best: Option<(f64, usize)> = None;
         for _ in 0..CHOICES {
-            let mut index = fits[rng.random_range(0..fits.len())];
-            if self.upstreams[index].is_suspect(now, suspect_from) {
-                // Drawn twice, a suspect would be compared with itself only.
-                index = fits[rng.random_range(0..fits.len())];
-            }
-            let cost = self.upstreams[index].cost(now, self.median_ln, suspect_from);
+            let index = fits[rng.random_range(0..fits.len())];
+            let cost = self.upstreams[index].cost(terms, self.median_ln);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, index));
             }
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -9,6 +9,7 @@
 use basaltarch_core::resources::PreferChoice;
 use fnv::FnvHashMap;
 
+use crate::caution::{FailureCaution, FailureSort};
 use crate::detector::{EvidenceKind, SicknessDetector};
 use crate::evidence::{self, ServiceBaseline, WorkEvidence, OVERDUE_DEVIATIONS};
 use crate::recovery::{RecoveryPlan, TrialVerdict, RAMP};
@@ -112,6 +113,8 @@
     pub ramp: f64,
     /// Time until a trial may start; zero when the upstream serves.
     pub trial_in: Duration,
+    /// Whether work that must not be repeated should go elsewhere until repeatable work succeeds.
+    pub doubtful: bool,
 }
 
 /// `HealthChange` is an ejection or a return, for logs and metrics.
@@ -131,6 +134,13 @@
         /// How long it was out.
         out: Duration,
     },
+    /// The upstream is doubted after a failure.
+    Doubted,
+    /// The upstream is no longer doubted.
+    Trusted {
+        /// How long it was doubted.
+        after: Duration,
+    },
 }
 
 /// `UpstreamHealth` is the health of one upstream.
@@ -147,6 +157,7 @@
     cold_until: Duration,
     suspect_since: Option<Duration>,
     confirm: Duration,
+    caution: FailureCaution,
 }
 
 impl UpstreamHealth {
@@ -164,6 +175,7 @@
             cold_until: if cold { now + RAMP } else { Duration::ZERO },
             suspect_since: None,
             confirm: confirm_time(prefer),
+            caution: FailureCaution::default(),
         }
     }
 
@@ -199,7 +211,8 @@
 
     fn admit_verdict(&mut self, terms: &DispatchTerms<'_>, now: Duration) -> AdmitVerdict {
         if !self.recovery.is_ejected() {
-            return AdmitVerdict::Admit;
+            let admitted = self.caution.admit(terms.repeatable, now) || !terms.refusable;
+            return if admitted { AdmitVerdict::Admit } else { AdmitVerdict::Refuse };
         }
         if self.recovery.start_trial(now, terms.repeatable) {
             return AdmitVerdict::Trial;
@@ -326,6 +339,24 @@
         }
     }
 
+    /// Takes in how a piece of work ended, for the caution of the next ones.
+    pub fn note_end(
+        &mut self,
+        failure: Option<FailureSort>,
+        now: Duration,
+    ) -> Option<HealthChange> {
+        match failure {
+            Some(sort) => {
+                let doubted = self.caution.note_failure(sort, now);
+                doubted.then_some(HealthChange::Doubted)
+            }
+            None => {
+                let after = self.caution.note_success(now)?;
+                Some(HealthChange::Trusted { after })
+            }
+        }
+    }
+
     /// Takes back a failure that followed the request to another upstream.
     pub fn withdraw_failure(&mut self, route: &str) {
         let baseline = self.baseline(route);
@@ -392,7 +423,8 @@
             overdue_rate: track.overdue.rate(),
             samples: track.latency.samples(),
             ramp: self.recovery.ramp(now),
-            trial_in: self.recovery.trial_in(now).unwrap_or_default(),
+            trial_in: self.recovery.trial_in(now).unwrap_or(self.caution.trial_in(now)),
+            doubtful: self.caution.is_doubtful(),
         }
     }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod balance;
 pub mod baseline;
 pub mod budget;
+pub mod caution;
 pub mod detector;
 pub mod evidence;
 pub mod floor;
--- a/crates/decide/tests/floor.rs
+++ b/crates/decide/tests/floor.rs
@@ -25,6 +25,7 @@
         samples: 100,
         ramp: 1.0,
         trial_in: Duration::from_secs(3600),
+        doubtful: false,
     }
 }
 
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -33,6 +33,7 @@
         samples: 50,
         ramp: 1.0,
         trial_in: Duration::ZERO,
+        doubtful: false,
     }
 }
 
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -22,6 +22,7 @@
   12: required i64 revision
   13: required bool ejected
   14: required i32 took_us
+  15: required bool doubtful
 }
 
 /** What an ingress knows of a route over all upstreams of its service. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -46,10 +46,11 @@
   pub revision: i64,
   pub ejected: bool,
   pub took_us: i32,
+  pub doubtful: bool,
 }
 
 impl LoadReport {
-  pub fn new(in_flight: i32, queued: i32, draining: bool, sickness: OrderedFloat<f64>, median_ln: OrderedFloat<f64>, spread: OrderedFloat<f64>, failure_rate: OrderedFloat<f64>, overdue_rate: OrderedFloat<f64>, samples: i32, ramp: OrderedFloat<f64>, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32) -> LoadReport {
+  pub fn new(in_flight: i32, queued: i32, draining: bool, sickness: OrderedFloat<f64>, median_ln: OrderedFloat<f64>, spread: OrderedFloat<f64>, failure_rate: OrderedFloat<f64>, overdue_rate: OrderedFloat<f64>, samples: i32, ramp: OrderedFloat<f64>, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool) -> LoadReport {
     LoadReport {
       in_flight,
       queued,
@@ -65,6 +66,7 @@
       revision,
       ejected,
       took_us,
+      doubtful,
     }
   }
 }
@@ -86,6 +88,7 @@
     let mut f_12: Option<i64> = None;
     let mut f_13: Option<bool> = None;
     let mut f_14: Option<i32> = None;
+    let mut f_15: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -149,6 +152,10 @@
           let val = i_prot.read_i32()?;
           f_14 = Some(val);
         },
+        15 => {
+          let val = i_prot.read_bool()?;
+          f_15 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -170,6 +177,7 @@
     verify_required_field_exists("LoadReport.revision", &f_12)?;
     verify_required_field_exists("LoadReport.ejected", &f_13)?;
     verify_required_field_exists("LoadReport.took_us", &f_14)?;
+    verify_required_field_exists("LoadReport.doubtful", &f_15)?;
     let ret = LoadReport {
       in_flight: f_1.expect("auto-generated code should have checked for presence of required fields"),
       queued: f_2.expect("auto-generated code should have checked for presence of required fields"),
@@ -185,6 +193,7 @@
       revision: f_12.expect("auto-generated code should have checked for presence of required fields"),
       ejected: f_13.expect("auto-generated code should have checked for presence of required fields"),
       took_us: f_14.expect("auto-generated code should have checked for presence of required fields"),
+      doubtful: f_15.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -233,6 +242,9 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("took_us", TType::I32, 14))?;
     o_prot.write_i32(self.took_us)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("doubtful", TType::Bool, 15))?;
+    o_prot.write_bool(self.doubtful)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/telemetry/src/signals.rs
+++ b/crates/telemetry/src/signals.rs
@@ -7,25 +7,34 @@
 
 use monoio::io::AsyncReadRent;
 use monoio::net::UnixStream;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::low_level::pipe;
 
 use crate::errors::StartError;
 
-/// `StopSignals` gives the signals that ask a process to stop.
-pub struct StopSignals {
+/// `SignalStream` gives signals of the system one after another.
+pub struct SignalStream {
     receiver: UnixStream,
 }
 
-impl StopSignals {
-    /// Starts to receive SIGTERM and SIGINT; call it within the runtime.
-    pub fn new() -> Result<Self, StartError> {
+impl SignalStream {
+    /// Starts to receive the signals that ask a process to stop; call it within the runtime.
+    pub fn stops() -> Result<Self, StartError> {
+        Self::new(&[SIGTERM, SIGINT])
+    }
+
+    /// Starts to receive the signal that asks a process to read its settings again.
+    pub fn reloads() -> Result<Self, StartError> {
+        Self::new(&[SIGHUP])
+    }
+
+    fn new(wanted: &[i32]) -> Result<Self, StartError> {
         let signals = |source| StartError::Signals { source };
         let (receiver, sender) = StdUnixStream::pair().map_err(signals)?;
         receiver.set_nonblocking(true).map_err(signals)?;
-        for signal in [SIGTERM, SIGINT] {
+        for signal in wanted {
             let end = sender.try_clone().map_err(signals)?;
-            pipe::register(signal, end).map_err(signals)?;
+            pipe::register(*signal, end).map_err(signals)?;
         }
         let receiver = UnixStream::from_std(receiver).map_err(signals)?;
         Ok(Self { receiver })
