Serve on while draining; follow hosts replaced at their address; spread the document by peers

Change: connections are served until the daemon ends; a row of a later start at the same address takes the earlier host's place; feed waits are spread, and peers tell of later documents.

--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -15,6 +15,9 @@
 use basaltarch_core::routes::RouteTable;
 use basaltarch_core::services::{PackedService, ServiceEntry};
 use basaltarch_core::units::FleetRevision;
+use basaltarch_peer::frames::FrameSender;
+use basaltarch_peer::link::NO_EXCHANGE;
+use basaltarch_peer::protocol::{ChangePull, FrameBody};
 use basaltarch_platform::document::{self, ConfigDocument, ServiceNote};
 use basaltarch_platform::rows::{StoredRow, DOCUMENT_KEY, OPERATOR_TABLE};
 use basaltarch_store::errors::StoreError;
@@ -32,7 +35,7 @@
 
 /// Time for which a daemon waits for the store to tell of a document that a peer already has: the
 /// feed brings it in milliseconds, and a whole document is large.
-const BEHIND_MAX: Duration = Duration::from_millis(800);
+const BEHIND_MAX: Duration = Duration::from_millis(250);
 
 /// `HeldDocument` is the document in force.
 #[derive(Debug, Clone)]
@@ -47,7 +50,7 @@
 #[derive(Debug, Default)]
 pub struct DocumentCell {
     held: RefCell<Option<HeldDocument>>,
-    behind_since: Cell<Option<Duration>>,
+    pulling: Cell<bool>,
 }
 
 impl DocumentCell {
@@ -192,22 +195,25 @@
     state.host.configure(state, &active, &TouchedServices::All);
 }
 
-/// Says whether to ask a peer that has this revision in force for its document: at once when none is
-/// here, else when the store has not told of it for a while.
-pub fn wants_pull(state: &DaemonState, theirs: FleetRevision) -> bool {
-    let cell = &state.document.behind_since;
-    if theirs <= state.config.revision() {
-        cell.set(None);
-        return false;
-    }
-    if !state.config.is_loaded() {
-        return true;
+/// Asks a peer that has a later revision in force for its document: at once when none is here, else
+/// if the store has not told of it a little later.
+pub fn note_peer_revision(state: &Rc<DaemonState>, sender: &FrameSender, theirs: FleetRevision) {
+    let is_behind = move |state: &DaemonState| theirs > state.config.revision();
+    if !is_behind(state) || state.document.pulling.replace(true) {
+        return;
     }
-    let now = state.now();
-    let since = cell.get().unwrap_or(now);
-    let due = now.saturating_sub(since) >= BEHIND_MAX;
-    cell.set(Some(if due { now } else { since }));
-    due
+    let wait = if state.config.is_loaded() { BEHIND_MAX } else { Duration::ZERO };
+    let state = state.clone();
+    let sender = sender.clone();
+    monoio::spawn(async move {
+        monoio::time::sleep(wait).await;
+        state.document.pulling.set(false);
+        if is_behind(&state) {
+            let pull = ChangePull { after: state.config.revision().0 as i64 };
+            // A link that ended is followed by another, whose heartbeat asks again.
+            let _ = sender.send(NO_EXCHANGE, FrameBody::Pull(pull));
+        }
+    });
 }
 
 /// Returns what a peer that is behind is told, if there is a document.
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -93,10 +93,8 @@
             Some(live) => live,
             None => continue,
         };
-        let first = {
-            let now = || state.now();
-            waiting::first_event(request, attempts.left(), now, stream, body, &live).await
-        };
+        let left = attempts.left();
+        let first = waiting::first_event(state, request, left, stream, body, &live).await;
         match first {
             FirstEvent::CallerGone => return AttemptEnd::CallerGone,
             FirstEvent::Head(head) => {
@@ -203,7 +201,7 @@
     }
 
     fn take_repeat(&self) -> bool {
-        self.request.service.take_repeat(self.state.now())
+        self.request.service.take_repeat(self.state)
     }
 
     /// Says whether what may have run may be sent again, and takes that from the budget.
--- a/crates/daemon/src/ingress/caller.rs
+++ b/crates/daemon/src/ingress/caller.rs
@@ -124,8 +124,8 @@
         let after = Box::pin(request::serve(state, &mut stream, head, from)).await;
         metrics::IN_FLIGHT.add(-1);
         match after {
-            AfterRequest::Keep if !state.is_stopping() => {}
-            AfterRequest::Keep | AfterRequest::Close => return linger(&mut stream).await,
+            AfterRequest::Keep => {}
+            AfterRequest::Close => return linger(&mut stream).await,
             AfterRequest::Abort => return,
         }
         if stream.reader.buffer.is_empty() {
@@ -134,7 +134,8 @@
     }
 }
 
-/// Reads the next head; gives nothing when the connection ends, or is idle while the daemon stops.
+/// Reads the next head; gives nothing when the connection ends, or is idle as the daemon ends. A
+/// daemon that stops serves on until then: its callers hear of it late.
 async fn next_head(
     state: &Rc<DaemonState>,
     stream: &mut HttpStream,
@@ -143,11 +144,11 @@
     if stream.reader.buffer.is_empty() {
         let filling = stream.reader.fill_within(HEAD_READ_BYTES, limits.idle, "a request");
         let mut filling = std::pin::pin!(filling.fuse());
-        let mut stopping = std::pin::pin!(state.stopping.raised().fuse());
+        let mut ending = std::pin::pin!(state.ending.raised().fuse());
         // What was already sent is read first, so that a stop cuts no request that arrived.
         let filled = select_biased! {
             filled = filling => filled,
-            () = stopping => return Ok(None),
+            () = ending => return Ok(None),
         };
         match filled {
             Ok(0) | Err(HttpError::TimedOut { .. }) => return Ok(None),
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -16,6 +16,7 @@
 
 use crate::ingress::attempt::LiveExchange;
 use crate::ingress::request::CallerRequest;
+use crate::state::DaemonState;
 
 /// Time that the answer may take beyond the deadline given to the host's daemon, which times the
 /// work out itself; after it the path is at fault.
@@ -37,9 +38,9 @@
 
 /// Waits for the head of the answer or the end of the exchange, sending the body meanwhile.
 pub async fn first_event(
+    state: &DaemonState,
     request: &CallerRequest,
     left: Duration,
-    now: impl Fn() -> Duration,
     stream: &mut HttpStream,
     body: &mut BodyReader,
     live: &LiveExchange,
@@ -59,7 +60,7 @@
                 SendEnd::CallerGone => return FirstEvent::CallerGone,
             },
             () = late => return timed_out(),
-            () = patient => if request.service.take_repeat(now()) {
+            () = patient => if request.service.take_repeat(state) {
                 return FirstEvent::GivenUp;
             },
         }
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -116,7 +116,7 @@
     let peer = handshake::run(&mut reader, &mut writer, side, &state.identity, key).await?;
     // An address may have passed to another host in the meantime.
     if *peer.host != *path.host {
-        return Err(LinkError::WrongKey { host: peer.host });
+        return Err(LinkError::OtherHost { host: peer.host });
     }
     let link = DialledLink::new(peer, FrameSender::default());
     Ok((reader, writer, link))
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -19,6 +19,9 @@
 const BACK_OFF_MIN: Duration = Duration::from_millis(100);
 /// Longest such pause: a host that comes back is tried at least this often.
 const BACK_OFF_MAX: Duration = Duration::from_secs(5);
+/// Time for which work may wait for a link that is being made: a connection and a handshake within a
+/// region take four ways of a few milliseconds.
+const DIAL_PATIENCE: Duration = Duration::from_millis(100);
 
 /// `PeerPath` is the path to one other daemon.
 pub struct PeerPath {
@@ -30,6 +33,7 @@
     link: RefCell<Option<Rc<DialledLink>>>,
     health: RefCell<PathHealth>,
     dialling: Cell<bool>,
+    dialled_at: Cell<Duration>,
     changed: RisingSignal,
     back_off: Cell<Duration>,
     retry_at: Cell<Duration>,
@@ -46,6 +50,7 @@
             link: RefCell::default(),
             health: RefCell::new(PathHealth::new(Duration::ZERO)),
             dialling: Cell::new(false),
+            dialled_at: Cell::new(Duration::ZERO),
             changed: RisingSignal::default(),
             back_off: Cell::new(BACK_OFF_MIN),
             retry_at: Cell::new(Duration::ZERO),
@@ -94,6 +99,10 @@
         if self.link.borrow().is_some() {
             return self.state(now) == PathState::Up;
         }
+        if self.dialling.get() {
+            // A daemon that does not answer at once may be gone; a far one is found when it has.
+            return now.saturating_sub(self.dialled_at.get()) < DIAL_PATIENCE;
+        }
         now >= self.retry_at.get()
     }
 
@@ -127,6 +136,7 @@
         let may = !self.dialling.get() && now >= self.retry_at.get();
         if may {
             self.dialling.set(true);
+            self.dialled_at.set(now);
         }
         may
     }
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -120,6 +120,8 @@
     written: RefCell<Option<HostRecord>>,
     changed: RisingSignal,
     was_read: Cell<bool>,
+    /// Hosts that were replaced at their address and whose rows are still there.
+    stale: RefCell<Vec<String>>,
 }
 
 impl HostRoster {
@@ -145,6 +147,26 @@
         self.records.borrow().get(host).cloned()
     }
 
+    /// Returns the hosts whose daemon had the address before that of `record`, which started later.
+    fn replaced_by(&self, host: &str, record: &HostRecord) -> Vec<String> {
+        let records = self.records.borrow();
+        let replaced = records.iter().filter(|(other, known)| {
+            *other != host
+                && known.peer_address == record.peer_address
+                && known.incarnation < record.incarnation
+        });
+        replaced.map(|(other, _)| other.clone()).collect()
+    }
+
+    /// Says whether a record is that of a host that another has replaced at its address.
+    fn is_replaced(&self, host: &str, record: &HostRecord) -> bool {
+        let records = self.records.borrow();
+        let mut others = records.iter().filter(|(other, _)| *other != host);
+        others.any(|(_, known)| {
+            known.peer_address == record.peer_address && known.incarnation > record.incarnation
+        })
+    }
+
     /// Returns the upstreams of a service in the order of their names.
     pub fn upstreams(&self, service: &str, connections: u32) -> Vec<UpstreamEntry> {
         let mut upstreams = Vec::new();
@@ -196,6 +218,9 @@
     if known == record {
         return;
     }
+    if record.as_ref().is_some_and(|record| state.roster.is_replaced(host, record)) {
+        return;
+    }
     if let Some(record) = &record {
         let of_row = known.as_ref().map_or(0, |known| known.incarnation);
         let latest = of_row.max(state.members.incarnation(host));
@@ -209,6 +234,13 @@
             return;
         }
     }
+    if let Some(record) = &record {
+        for replaced in state.roster.replaced_by(host, record) {
+            tracing::info!(host = replaced, by = host, "host replaced at its address");
+            put_record(state, &replaced, None);
+            state.roster.stale.borrow_mut().push(replaced);
+        }
+    }
     let mut touched: Vec<String> = Vec::new();
     for each in known.iter().chain(&record) {
         touched.extend(each.services().map(str::to_owned));
@@ -410,7 +442,9 @@
     loop {
         let pause = SWEEP_EVERY.mul_f64(rand::random_range(1.0..SWEEP_SPREAD));
         monoio::time::sleep(pause).await;
-        for host in state.members.silent_hosts(&state) {
+        let mut gone = state.members.silent_hosts(&state);
+        gone.extend(state.roster.stale.borrow_mut().drain(..));
+        for host in gone {
             let live = state.members.live_hosts(&state);
             let home = limits::home_of(&host, live.iter().map(String::as_str));
             if home == Some(state.options.host.as_str()) {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -192,6 +192,9 @@
         let twice = state.stopping.get() > 1;
         let late = elapsed >= state.live().drain;
         if (busy == 0 && elapsed >= state.live().drain_min) || twice || late {
+            state.ending.raise();
+            // Idle connections are closed by their tasks before the process is gone.
+            monoio::time::sleep(DRAIN_LOOK).await;
             let report = StopReport { cut: busy };
             tracing::info!(cut = busy, elapsed_ms = elapsed.as_millis() as u64, "stopped");
             return report;
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -264,8 +264,11 @@
     }
 
     /// Takes a repeat from the budget.
-    pub fn take_repeat(&self, now: Duration) -> bool {
-        let taken = self.budget.borrow_mut().take(now);
+    pub fn take_repeat(&self, state: &DaemonState) -> bool {
+        let terms = budget_terms(state, &self.entry);
+        let mut budget = self.budget.borrow_mut();
+        budget.set_terms(terms);
+        let taken = budget.take(state.now());
         if !taken {
             metrics::RETRIES_DENIED.add_one();
         }
@@ -329,22 +332,24 @@
     entry: &ServiceEntry,
     known: Option<&ServiceState>,
 ) -> Rc<RefCell<RetryBudget>> {
+    match known {
+        Some(known) => known.budget.clone(),
+        None => Rc::new(RefCell::new(RetryBudget::new(budget_terms(state, entry)))),
+    }
+}
+
+/// Returns what this daemon may repeat. Its part of what the whole fleet may repeat beyond the share
+/// follows the number of daemons.
+fn budget_terms(state: &DaemonState, entry: &ServiceEntry) -> BudgetTerms {
     let live = state.live();
     let defaults = &live.defaults;
     let share = entry.spec.retry_budget;
-    // Each daemon has its part of what the whole fleet may repeat beyond the share.
-    let extra = f64::from(defaults.retry_extra) / state.roster.daemons() as f64 * BUDGET_USED;
-    let terms = BudgetTerms {
+    let daemons = state.roster.daemons().max(state.members.count()) as f64;
+    let extra = f64::from(defaults.retry_extra) / daemons;
+    BudgetTerms {
         share: share * BUDGET_USED,
-        extra: if share > 0.0 { extra } else { 0.0 },
+        extra: if share > 0.0 { extra * BUDGET_USED } else { 0.0 },
         window: defaults.retry_window,
-    };
-    match known {
-        Some(known) => {
-            known.budget.borrow_mut().set_terms(terms);
-            known.budget.clone()
-        }
-        None => Rc::new(RefCell::new(RetryBudget::new(terms))),
     }
 }
 
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -199,11 +199,7 @@
 pub fn note_peer_revision(state: &Rc<DaemonState>, sender: &FrameSender, theirs: FleetRevision) {
     let ours = state.config.revision();
     if state.options.source == ConfigSource::Document {
-        if document::wants_pull(state, theirs) {
-            let pull = ChangePull { after: ours.0 as i64 };
-            let _ = sender.send(NO_EXCHANGE, FrameBody::Pull(pull));
-        }
-        return;
+        return document::note_peer_revision(state, sender, theirs);
     }
     if theirs < ours {
         if let Some(records) = state.config.records_after(theirs) {
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -70,6 +70,8 @@
     pub ledger: Rc<OnceLedger>,
     /// Raised when the daemon is asked to stop.
     pub stopping: RisingSignal,
+    /// Raised when nothing is in flight any more and the daemon ends.
+    pub ending: RisingSignal,
     /// Raised when the settings shall be read again.
     pub reloading: RisingSignal,
     /// Callers' requests and peers' dispatches that are not over.
@@ -106,6 +108,7 @@
             ledger: OnceLedger::new(platform.clone()),
             platform,
             stopping: RisingSignal::default(),
+            ending: RisingSignal::default(),
             reloading: RisingSignal::default(),
             in_flight: Cell::new(0),
             options,
--- a/crates/peer/src/errors.rs
+++ b/crates/peer/src/errors.rs
@@ -40,6 +40,12 @@
         /// Name of the frame.
         frame: &'static str,
     },
+    /// Another host listens at the address.
+    #[snafu(display("host {host} is at this address now"))]
+    OtherHost {
+        /// Host that answered.
+        host: String,
+    },
     /// The other side does not hold the fleet key.
     #[snafu(display("peer {host} does not hold the fleet key"))]
     WrongKey {
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -22,7 +22,13 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest wait for a change in one call of the feed: each call costs as much as a read, and a call
 /// that an outage left hanging must end soon after it.
-pub const FEED_WAIT: Duration = Duration::from_secs(10);
+pub const FEED_WAIT: Duration = Duration::from_secs(8);
+/// Shortest such wait, as a share: calls of many daemons that an outage left hanging end one after
+/// another, and the first that hears something tells the others.
+const FEED_WAIT_LEAST: f64 = 0.4;
+/// Time beyond its wait after which a call of the feed is given up: the store answers within a few
+/// milliseconds when it is well, and a hundred times as late when it is slow.
+const FEED_GRACE: Duration = Duration::from_millis(700);
 /// Silence after which the system asks whether the store's end of a connection is still there.
 const KEEP_ALIVE_AFTER: Duration = Duration::from_secs(1);
 /// First pause after a failed call.
@@ -78,7 +84,7 @@
 impl PlatformClient {
     /// Builds a client that makes at most so many reads and writes a second.
     pub fn new(address: SocketAddr, reads: f64, writes: f64) -> Self {
-        let feed_timeout = FEED_WAIT + CALL_TIMEOUT;
+        let feed_timeout = FEED_WAIT + FEED_GRACE;
         Self {
             client: HttpClient::new(address, CALL_TIMEOUT).keep_alive(KEEP_ALIVE_AFTER),
             feeds: HttpClient::new(address, feed_timeout).keep_alive(KEEP_ALIVE_AFTER),
@@ -164,7 +170,12 @@
     /// Waits for changes of a table after a version, for at most [`FEED_WAIT`].
     pub async fn follow(&self, table: &str, after: u64) -> Result<FeedReply, StoreError> {
         self.reads.borrow_mut().take()?;
-        let reply = call(&self.feeds, rows::follow(table, after, FEED_WAIT)).await?;
+        let wait = FEED_WAIT.mul_f64(rand::random_range(FEED_WAIT_LEAST..=1.0));
+        let calling = call(&self.feeds, rows::follow(table, after, wait));
+        let reply = match monoio::time::timeout(wait + FEED_GRACE, calling).await {
+            Ok(reply) => reply?,
+            Err(_) => return Err(StoreError::AnswerLost { message: "no answer".to_owned() }),
+        };
         if reply.status == StatusCode::GONE {
             return Ok(FeedReply::Forgotten);
         }
