--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -26,7 +26,7 @@
         members.push(json!({
             "host": host,
             "failure_domain": view.failure_domain,
-            "state": state.members.state_of(view, now).name(),
+            "state": state.members.state_of(state, view).name(),
             "incarnation": view.incarnation,
             "revision": view.revision,
             "heard_ms_ago": now.saturating_sub(view.heard_at).as_millis() as u64,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -12,6 +12,7 @@
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
 
 use crate::limits;
+use crate::membership;
 use crate::peers::PeerPath;
 use crate::spread;
 use crate::state::DaemonState;
@@ -57,7 +58,7 @@
         let answer = HeartbeatNote {
             reply: true,
             revision: state.config.revision().0 as i64,
-            members: state.members.answer_entries(state, &note.members),
+            members: vec![membership::own_entry(state)],
         };
         let _ = sender.send(NO_EXCHANGE, FrameBody::Heartbeat(answer));
     }
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -31,6 +31,9 @@
 
 /// Dispatches of one request at the most: the first and two more.
 const DISPATCHES_MAX: usize = 3;
+/// Upstreams that are asked to start work at once before it waits for one; each costs a way there and
+/// back.
+const SPILLS_MAX: usize = 3;
 /// Overdue times that an attempt at repeatable work is waited for before another is made: a server
 /// that is stuck would otherwise hold the caller until the deadline.
 const PATIENCE_OVERDUE: u32 = 3;
@@ -63,6 +66,11 @@
     dispatches: usize,
     /// Backend servers that the request reached, or may have.
     arrivals: usize,
+    /// Whether the dispatch under way is refused rather than kept waiting.
+    no_wait: bool,
+    /// Upstreams that had no free slot.
+    spilled: Vec<usize>,
+    spills: usize,
     last: FailureOutcome,
     failed_at: Option<usize>,
 }
@@ -80,6 +88,9 @@
         excluded: Vec::new(),
         dispatches: 0,
         arrivals: 0,
+        no_wait: false,
+        spilled: Vec::new(),
+        spills: 0,
         last: FailureOutcome::NotRun(NotRunReason::NoUpstream),
         failed_at: None,
     };
@@ -132,7 +143,11 @@
                 if failed_at_server(outcome) {
                     attempts.note_end(choice.index, &live, true);
                 }
+                if attempts.has_spilled(choice.index, outcome) {
+                    continue;
+                }
                 attempts.excluded.push(choice.index);
+                attempts.spilled.push(choice.index);
                 attempts.last = outcome;
                 attempts.arrivals += usize::from(has_arrived(outcome));
                 let again = match outcome {
@@ -168,6 +183,9 @@
         if self.left().is_zero() && self.dispatches == 0 {
             return Err(CallerFailure::not_run(NotRunReason::DeadlinePassed));
         }
+        if let Some(choice) = self.choose_steady() {
+            return Ok(choice);
+        }
         let must_take = self.dispatches + 1 >= DISPATCHES_MAX;
         let now = self.state.now();
         let service = &self.request.service;
@@ -177,6 +195,17 @@
             .ok_or_else(|| CallerFailure::new(self.last))
     }
 
+    /// Chooses where work that must not be repeated may start at once, for the first few tries.
+    fn choose_steady(&mut self) -> Option<UpstreamChoice> {
+        self.no_wait = false;
+        if self.is_repeatable() || self.spills >= SPILLS_MAX {
+            return None;
+        }
+        let choice = self.request.service.choose_steady(self.state.now(), &self.spilled)?;
+        self.no_wait = true;
+        Some(choice)
+    }
+
     /// Says whether what did not run may be sent to another upstream.
     fn may_go_elsewhere(&self, reason: NotRunReason) -> bool {
         let would_repeat = matches!(
@@ -192,6 +221,19 @@
         may && (is_free || self.has_arrivals_left() && self.take_repeat())
     }
 
+    /// Takes in that an upstream had no slot for work that was not to wait; such a try costs nothing,
+    /// and the upstream may be asked again by a dispatch that waits.
+    fn has_spilled(&mut self, index: usize, outcome: FailureOutcome) -> bool {
+        let full = outcome == FailureOutcome::NotRun(NotRunReason::QueueFull);
+        if !self.no_wait || !full {
+            return false;
+        }
+        self.dispatches -= 1;
+        self.spills += 1;
+        self.spilled.push(index);
+        true
+    }
+
     /// Says whether the route lets the request reach one more backend server.
     fn has_arrivals_left(&self) -> bool {
         match self.request.route.rule.attempts {
@@ -273,6 +315,7 @@
 
     fn note_unreachable(&mut self, index: usize) -> Option<LiveExchange> {
         self.excluded.push(index);
+        self.spilled.push(index);
         self.last = FailureOutcome::NotRun(NotRunReason::PeerUnreachable);
         None
     }
@@ -305,6 +348,7 @@
             organisation: request.organisation.clone(),
             revision: self.state.config.revision().0 as i64,
             after_failure: self.spares_failure(),
+            no_wait: self.no_wait,
         }
     }
 
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -358,6 +358,14 @@
             headers.insert(name, service);
         }
     }
+    if head.uri.authority().is_some() || !headers.contains_key(header::HOST) {
+        if let Ok(value) = HeaderValue::from_str(host) {
+            headers.insert(header::HOST, value);
+        }
+    }
+    if !state.options.forwarded {
+        return;
+    }
     let address = from.ip().to_string();
     let chain = match headers.get(fields::FORWARDED_FOR).and_then(|value| value.to_str().ok()) {
         Some(before) => format!("{before}, {address}"),
@@ -371,9 +379,4 @@
     set(fields::FORWARDED_FOR, &chain);
     set(fields::FORWARDED_PROTO, "http");
     set(fields::FORWARDED_HOST, host);
-    if head.uri.authority().is_some() || !headers.contains_key(header::HOST) {
-        if let Ok(value) = HeaderValue::from_str(host) {
-            headers.insert(header::HOST, value);
-        }
-    }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -94,6 +94,12 @@
             /// Time in ms after which what was learnt of a service that nobody asks for is
             /// forgotten [BASALTARCH_SERVICE_IDLE_MS], default 600000.
             optional --service-idle-ms ms: String
+            /// Time between heartbeats to a few other daemons in ms [BASALTARCH_HEARTBEAT_MS], default
+            /// 1000.
+            optional --heartbeat-ms ms: String
+            /// Whether backend servers are not told where a request came from
+            /// [BASALTARCH_HIDE_CALLERS], default false.
+            optional --hide-callers flag: String
             /// Share of a service's slots that ejection never goes below, where the configuration
             /// says nothing [BASALTARCH_FLOOR], default 0.7.
             optional --floor share: String
@@ -177,6 +183,8 @@
         retry_window_ms: flags.retry_window_ms,
         drain_min_ms: flags.drain_min_ms,
         kill_after_ms: flags.kill_after_ms,
+        heartbeat_ms: flags.heartbeat_ms,
+        hide_callers: flags.hide_callers,
     };
     let options = DaemonOptions::try_new(raw).map_err(|source| DaemonError::Setting { source })?;
     logs::start(&options.log);
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -24,17 +24,17 @@
 use crate::roster::HostRecord;
 use crate::state::DaemonState;
 
-/// Time between heartbeats to the neighbours.
-pub const HEARTBEAT_EVERY: Duration = Duration::from_secs(1);
+/// Time between looks for seeds while nobody is known.
+const SEEDS_EVERY: Duration = Duration::from_secs(1);
 /// Neighbours that a daemon sends heartbeats to. A random graph with four edges a node is connected
 /// for thousands of nodes, and news crosses it in about six steps.
 pub const NEIGHBOURS: usize = 4;
 /// Members told in one heartbeat: 64 entries a second keep the view fresh within the suspect time.
 const ENTRIES_MAX: usize = 8;
-/// Silence after which a member is suspect, in a small fleet.
-const SUSPECT_MIN: Duration = Duration::from_secs(12);
-/// Members whose news one second of heartbeats renews, by which the suspect time grows.
-const RENEWED_EACH_SECOND: usize = 40;
+/// Heartbeats after which a member that was not heard of is suspect, in a small fleet.
+const SUSPECT_HEARTBEATS: u32 = 12;
+/// Members whose news one round of heartbeats renews, by which the suspect time grows.
+const RENEWED_EACH_ROUND: usize = 40;
 /// Suspect times after which a member that is not listed either is forgotten.
 const FORGET_TIMES: u32 = 10;
 /// Numbers of the states between daemons.
@@ -93,17 +93,18 @@
 }
 
 /// Returns the silence after which a member of a fleet of this size is suspect.
-pub fn suspect_after(members: usize) -> Duration {
-    SUSPECT_MIN + Duration::from_secs((members / RENEWED_EACH_SECOND) as u64)
+pub fn suspect_after(heartbeat: Duration, members: usize) -> Duration {
+    heartbeat * (SUSPECT_HEARTBEATS + (members / RENEWED_EACH_ROUND) as u32)
 }
 
 impl MemberTable {
     /// Returns what is thought of a member.
-    pub fn state_of(&self, view: &MemberView, now: Duration) -> MemberState {
-        let silent = now.saturating_sub(view.heard_at);
+    pub fn state_of(&self, state: &DaemonState, view: &MemberView) -> MemberState {
+        let silent = state.now().saturating_sub(view.heard_at);
+        let members = self.members.borrow().len();
         if view.leaving {
             MemberState::Leaving
-        } else if silent > suspect_after(self.members.borrow().len()) {
+        } else if silent > suspect_after(state.options.heartbeat, members) {
             MemberState::Suspect
         } else {
             MemberState::Live
@@ -119,9 +120,9 @@
 
     /// Returns the hosts whose daemons are live, with this one.
     pub fn live_hosts(&self, state: &DaemonState) -> Vec<String> {
-        let now = state.now();
         let members = self.members.borrow();
-        let live = members.iter().filter(|(_, view)| self.state_of(view, now) == MemberState::Live);
+        let live =
+            members.iter().filter(|(_, view)| self.state_of(state, view) == MemberState::Live);
         let mut hosts: Vec<String> = live.map(|(host, _)| host.clone()).collect();
         if !state.is_stopping() && !hosts.contains(&state.options.host) {
             hosts.push(state.options.host.clone());
@@ -185,7 +186,7 @@
             tell_path(state, host, view);
         }
         let now = state.now();
-        let forget_after = suspect_after(members.len()) * FORGET_TIMES;
+        let forget_after = suspect_after(state.options.heartbeat, members.len()) * FORGET_TIMES;
         let silent = |view: &MemberView| now.saturating_sub(view.heard_at);
         members.retain(|_, view| view.listed || silent(view) < forget_after);
     }
@@ -201,7 +202,7 @@
     pub fn silent_hosts(&self, state: &DaemonState) -> Vec<String> {
         let now = state.now();
         let members = self.members.borrow();
-        let forget_after = suspect_after(members.len()) * FORGET_TIMES;
+        let forget_after = suspect_after(state.options.heartbeat, members.len()) * FORGET_TIMES;
         let gone = members
             .iter()
             .filter(|(_, view)| view.listed && now.saturating_sub(view.heard_at) > forget_after);
@@ -260,15 +261,6 @@
         }
     }
 
-    /// Chooses what to answer a heartbeat with: as much as it told.
-    pub fn answer_entries(&self, state: &DaemonState, told: &[MemberEntry]) -> Vec<MemberEntry> {
-        if told.len() > 1 {
-            self.some_entries(state, told)
-        } else {
-            vec![own_entry(state)]
-        }
-    }
-
     /// Chooses members to tell a peer of, this daemon first, after what it just told.
     pub fn some_entries(&self, state: &DaemonState, told: &[MemberEntry]) -> Vec<MemberEntry> {
         let now = state.now();
@@ -357,7 +349,8 @@
     }
 }
 
-fn own_entry(state: &DaemonState) -> MemberEntry {
+/// Returns what this daemon says of itself.
+pub fn own_entry(state: &DaemonState) -> MemberEntry {
     MemberEntry {
         host: state.options.host.clone(),
         failure_domain: state.options.failure_domain.clone(),
@@ -381,7 +374,7 @@
                 }
             }
         }
-        monoio::time::sleep(HEARTBEAT_EVERY).await;
+        monoio::time::sleep(SEEDS_EVERY).await;
     }
 }
 
@@ -389,7 +382,7 @@
 pub async fn run(state: Rc<DaemonState>) {
     loop {
         beat(&state, BeatNews::Members);
-        let pause = HEARTBEAT_EVERY.mul_f64(rand::random_range(0.9..1.1));
+        let pause = state.options.heartbeat.mul_f64(rand::random_range(0.9..1.1));
         monoio::time::sleep(pause).await;
     }
 }
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -104,6 +104,10 @@
     pub kill_after_ms: Option<String>,
     /// Shortest drain in milliseconds.
     pub drain_min_ms: Option<String>,
+    /// Time between heartbeats to the neighbours in milliseconds.
+    pub heartbeat_ms: Option<String>,
+    /// Whether backend servers are not told where a request came from.
+    pub hide_callers: Option<String>,
 }
 
 /// `DaemonOptions` are the checked settings.
@@ -165,6 +169,10 @@
     pub defaults: ServiceDefaults,
     /// Shortest drain.
     pub drain_min: Duration,
+    /// Time between heartbeats to the neighbours.
+    pub heartbeat: Duration,
+    /// Whether backend servers are told where a request came from.
+    pub forwarded: bool,
 }
 
 /// `ConfigSource` says where the configuration comes from.
@@ -240,6 +248,8 @@
             "log" => &mut self.log,
             "drain-ms" => &mut self.drain_ms,
             "kill-after-ms" => &mut self.kill_after_ms,
+            "heartbeat-ms" => &mut self.heartbeat_ms,
+            "hide-callers" => &mut self.hide_callers,
             "drain-min-ms" => &mut self.drain_min_ms,
             "connections" => &mut self.connections,
             "connections-each" => &mut self.connections_each,
@@ -326,6 +336,8 @@
                 retry_extra: count("retry-extra", raw.retry_extra, 20, 0, 1_000_000)? as u32,
                 retry_window: millis("retry-window-ms", raw.retry_window_ms, 10_000, 600_000)?,
             },
+            heartbeat: millis("heartbeat-ms", raw.heartbeat_ms, 1000, 600_000)?,
+            forwarded: !flag("hide-callers", raw.hide_callers)?,
             drain_min: millis("drain-min-ms", raw.drain_min_ms, 500, DRAIN_MS_MAX)?,
         })
     }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -4,6 +4,7 @@
 //! What the ingress knows of each service that it sends requests to.
 
 use std::cell::{Cell, RefCell};
+use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 use basaltarch_decide::poison::{CountedFailures, PoisonMemory, RequestMark};
 use basaltarch_decide::split::WeightedSplit;
 use basaltarch_peer::protocol::LoadReport;
-use fnv::FnvHashMap;
+use fnv::{FnvHashMap, FnvHasher};
 
 use crate::metrics;
 use crate::peers::PeerPath;
@@ -30,7 +31,7 @@
 
 /// Part of the budget that is spent: calls that a repeated run makes of its own count as repeats of
 /// other services, and no daemon sees that they belong to one.
-const BUDGET_USED: f64 = 0.6;
+const BUDGET_USED: f64 = 0.45;
 /// Split routes whose turn is remembered; beyond it all begin anew, so that routes that are gone do
 /// not add up.
 const SPLITS_MAX: usize = 4096;
@@ -152,7 +153,8 @@
             .iter()
             .map(|upstream| {
                 let is_local = upstream.server.failure_domain == *own_domain;
-                let fresh = LoadView::new(upstream.server.slots, is_local);
+                let rank = rank_of(&upstream.name);
+                let fresh = LoadView::new(upstream.server.slots, is_local).with_rank(rank);
                 keep_view(known, &upstream.name, fresh)
             })
             .collect();
@@ -193,6 +195,13 @@
         choice
     }
 
+    /// Chooses an upstream for work that must not be repeated, to start at once; nothing if none is
+    /// known to be free.
+    pub fn choose_steady(&self, now: Duration, excluded: &[usize]) -> Option<UpstreamChoice> {
+        self.refresh(now);
+        self.view.borrow_mut().choose_steady(now, excluded)
+    }
+
     /// Brings what is known of paths and of leaving up to date.
     pub fn refresh(&self, now: Duration) {
         let mut view = self.view.borrow_mut();
@@ -353,6 +362,12 @@
     }
 }
 
+fn rank_of(name: &str) -> u64 {
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
+
 fn keep_view(known: Option<&ServiceState>, name: &str, fresh: LoadView) -> LoadView {
     let known = match known {
         Some(known) => known,
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -57,6 +57,8 @@
   17: optional string organisation
   18: required i64 revision
   19: required bool after_failure
+  /** Refuse the work if it can't start at once; the ingress then asks another upstream. */
+  20: required bool no_wait
 }
 
 /** The first frame of an answer. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -394,10 +394,12 @@
   pub organisation: Option<String>,
   pub revision: i64,
   pub after_failure: bool,
+  /// Refuse the work if it can't start at once; the ingress then asks another upstream.
+  pub no_wait: bool,
 }
 
 impl DispatchHead {
-  pub fn new<F15, F16, F17>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>> {
+  pub fn new<F15, F16, F17>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, no_wait: bool) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>> {
     DispatchHead {
       service_name,
       upstream,
@@ -418,6 +420,7 @@
       organisation: organisation.into(),
       revision,
       after_failure,
+      no_wait,
     }
   }
 }
@@ -444,6 +447,7 @@
     let mut f_17: Option<String> = None;
     let mut f_18: Option<i64> = None;
     let mut f_19: Option<bool> = None;
+    let mut f_20: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -527,6 +531,10 @@
           let val = i_prot.read_bool()?;
           f_19 = Some(val);
         },
+        20 => {
+          let val = i_prot.read_bool()?;
+          f_20 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -550,6 +558,7 @@
     verify_required_field_exists("DispatchHead.last", &f_14)?;
     verify_required_field_exists("DispatchHead.revision", &f_18)?;
     verify_required_field_exists("DispatchHead.after_failure", &f_19)?;
+    verify_required_field_exists("DispatchHead.no_wait", &f_20)?;
     let ret = DispatchHead {
       service_name: f_1.expect("auto-generated code should have checked for presence of required fields"),
       upstream: f_2.expect("auto-generated code should have checked for presence of required fields"),
@@ -570,6 +579,7 @@
       organisation: f_17,
       revision: f_18.expect("auto-generated code should have checked for presence of required fields"),
       after_failure: f_19.expect("auto-generated code should have checked for presence of required fields"),
+      no_wait: f_20.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -639,6 +649,9 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("after_failure", TType::Bool, 19))?;
     o_prot.write_bool(self.after_failure)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("no_wait", TType::Bool, 20))?;
+    o_prot.write_bool(self.no_wait)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
