Pass work on from doubted upstreams whatever the floor says; second tries go to trusted upstreams

Change: a doubted upstream passes work on while the ingress can ask another; the last one takes it. Second tries of repeatable work go the way of work that must not be repeated.

--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -101,6 +101,7 @@
             route: &self.head.route,
             refusable: self.head.refusable,
             repeatable: wire::mode_of(self.head.work_mode) == WorkMode::Repeatable,
+            passable: self.head.passable,
             baseline: wire::baseline_of(self.head.baseline.as_ref()),
         };
         match self.upstream.admit(&terms, now) {
@@ -275,6 +276,7 @@
                 Err(WorkFault::Moved.outcome())
             }
             Err(fault) => {
+                self.tell(fault, &progress);
                 // The slot is free once the connection is closed, not before.
                 drop(pooled);
                 if !progress.noted.get() {
@@ -286,6 +288,23 @@
         }
     }
 
+    /// Logs that the work broke.
+    fn tell(&self, fault: WorkFault, progress: &WorkProgress) {
+        let name = self.state.fields.request.as_ref();
+        let id = name.and_then(|name| wire::field_value(&self.head.field_lines, name.as_str()));
+        tracing::info!(
+            request = id.map(String::from_utf8_lossy).as_deref(),
+            upstream = &*self.upstream.name,
+            route = self.head.route,
+            attempt = self.head.attempt,
+            repeatable = wire::mode_of(self.head.work_mode) == WorkMode::Repeatable,
+            fault = fault.name(),
+            trusted_ms = self.upstream.trusted_for(self.state.now()).as_millis() as u64,
+            took_ms = progress.elapsed().as_millis() as u64,
+            "work broke"
+        );
+    }
+
     /// Runs the exchange within its deadline; says whether the connection can be used again.
     async fn converse(
         &self,
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -56,6 +56,19 @@
 }
 
 impl WorkFault {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Cancelled => "cancelled",
+            Self::TimedOut => "timed-out",
+            Self::Broken => "connection-broken",
+            Self::BadAnswer => "bad-answer",
+            Self::Shed => "shed",
+            Self::Moved => "moved",
+            Self::SinkGone => "ingress-gone",
+        }
+    }
+
     /// Returns the outcome that the ingress is told.
     pub fn outcome(self) -> FailureOutcome {
         match self {
@@ -105,6 +118,11 @@
 }
 
 impl WorkProgress {
+    /// Returns the time since the work started.
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Builds the progress of work that starts now in this slot.
     pub fn new(slot: SlotGuard) -> Self {
         Self {
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -40,6 +40,7 @@
     pub pool: BackendPool,
     draining_until: Cell<Duration>,
     was_down: Cell<bool>,
+    answered_at: Cell<Duration>,
 }
 
 impl HostUpstream {
@@ -60,6 +61,7 @@
             pool: BackendPool::new(server.address, server.connections as usize),
             draining_until: Cell::new(Duration::ZERO),
             was_down: Cell::new(false),
+            answered_at: Cell::new(Duration::ZERO),
         }
     }
 
@@ -99,6 +101,11 @@
         self.server.borrow().state == ServerState::Draining || self.draining_until.get() > now
     }
 
+    /// Returns the time since the backend server last answered well.
+    pub fn trusted_for(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.answered_at.get())
+    }
+
     /// Says whether the backend server takes a dispatch.
     pub fn admit(&self, terms: &DispatchTerms<'_>, now: Duration) -> AdmitVerdict {
         let (verdict, change) = self.health.borrow_mut().admit(terms, now);
@@ -114,6 +121,9 @@
         } else {
             health.note(route, work.evidence, work.was_overdue, now)
         };
+        if matches!(work.evidence, WorkEvidence::Answered(_)) {
+            self.answered_at.set(now);
+        }
         let caution = match (work.failure, work.evidence) {
             (None, WorkEvidence::Neutral) => None,
             (failure, _) => health.note_end(failure, now),
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -34,6 +34,9 @@
 /// Upstreams that are asked to start work at once before it waits for one; each costs a way there and
 /// back.
 const SPILLS_MAX: usize = 3;
+/// Upstreams that may pass work on as they are doubted: with a third of them doubted, the fifth is
+/// reached once in 80 times.
+const PASSES_MAX: usize = 4;
 /// Overdue times that an attempt at repeatable work is waited for before another is made: a server
 /// that is stuck would otherwise hold the caller until the deadline.
 const PATIENCE_OVERDUE: u32 = 3;
@@ -71,6 +74,7 @@
     /// Upstreams that had no free slot.
     spilled: Vec<usize>,
     spills: usize,
+    passes: usize,
     last: FailureOutcome,
     failed_at: Option<usize>,
 }
@@ -91,6 +95,7 @@
         no_wait: false,
         spilled: Vec::new(),
         spills: 0,
+        passes: 0,
         last: FailureOutcome::NotRun(NotRunReason::NoUpstream),
         failed_at: None,
     };
@@ -143,7 +148,8 @@
                 if failed_at_server(outcome) {
                     attempts.note_end(choice.index, &live, true);
                 }
-                if attempts.has_spilled(choice.index, outcome) {
+                let index = choice.index;
+                if attempts.has_spilled(index, outcome) || attempts.has_passed(index, outcome) {
                     continue;
                 }
                 attempts.excluded.push(choice.index);
@@ -198,7 +204,9 @@
     /// Chooses where work that must not be repeated may start at once, for the first few tries.
     fn choose_steady(&mut self) -> Option<UpstreamChoice> {
         self.no_wait = false;
-        if self.is_repeatable() || self.spills >= SPILLS_MAX {
+        // Repeatable work finds out which upstreams work, but its second try should succeed.
+        let finds_out = self.is_repeatable() && self.arrivals == 0;
+        if finds_out || self.spills >= SPILLS_MAX {
             return None;
         }
         let choice = self.request.service.choose_steady(self.state.now(), &self.spilled)?;
@@ -221,6 +229,25 @@
         may && (is_free || self.has_arrivals_left() && self.take_repeat())
     }
 
+    /// Says whether another upstream can be asked if this one is doubted.
+    fn is_passable(&self) -> bool {
+        let others = self.request.service.entry.upstreams.len().saturating_sub(self.excluded.len());
+        self.passes < PASSES_MAX && others > 1
+    }
+
+    /// Takes in that an upstream is doubted and passed the work on; that costs a way there and back.
+    fn has_passed(&mut self, index: usize, outcome: FailureOutcome) -> bool {
+        let doubted = outcome == FailureOutcome::NotRun(NotRunReason::Sick);
+        if !doubted || !self.is_passable() || self.left().is_zero() {
+            return false;
+        }
+        self.dispatches -= 1;
+        self.passes += 1;
+        self.spilled.push(index);
+        self.excluded.push(index);
+        true
+    }
+
     /// Takes in that an upstream had no slot for work that was not to wait; such a try costs nothing,
     /// and the upstream may be asked again by a dispatch that waits.
     fn has_spilled(&mut self, index: usize, outcome: FailureOutcome) -> bool {
@@ -349,6 +376,7 @@
             revision: self.state.config.revision().0 as i64,
             after_failure: self.spares_failure(),
             no_wait: self.no_wait,
+            passable: self.is_passable(),
         }
     }
 
--- a/crates/decide/benches/cost.rs
+++ b/crates/decide/benches/cost.rs
@@ -112,7 +112,13 @@
         upstreams: 10,
         ..ServiceBaseline::default()
     };
-    let terms = DispatchTerms { route: "puzzle", refusable: true, repeatable: true, baseline };
+    let terms = DispatchTerms {
+        route: "puzzle",
+        refusable: true,
+        repeatable: true,
+        passable: true,
+        baseline,
+    };
     let mut now = Duration::ZERO;
     bencher.bench_local(|| {
         now += GAP;
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -88,6 +88,9 @@
     pub refusable: bool,
     /// Whether the work may run more than once.
     pub repeatable: bool,
+    /// Whether the ingress can ask another upstream if this one is doubted. That takes no capacity
+    /// out of service: the last upstream asked takes the work.
+    pub passable: bool,
     /// What the ingress knows of the siblings.
     pub baseline: ServiceBaseline,
 }
@@ -211,7 +214,7 @@
 
     fn admit_verdict(&mut self, terms: &DispatchTerms<'_>, now: Duration) -> AdmitVerdict {
         if !self.recovery.is_ejected() {
-            let admitted = self.caution.admit(terms.repeatable, now) || !terms.refusable;
+            let admitted = self.caution.admit(terms.repeatable, now) || !terms.passable;
             return if admitted { AdmitVerdict::Admit } else { AdmitVerdict::Refuse };
         }
         if self.recovery.start_trial(now, terms.repeatable) {
--- a/crates/decide/tests/health.rs
+++ b/crates/decide/tests/health.rs
@@ -27,7 +27,13 @@
 }
 
 fn terms(refusable: bool, repeatable: bool) -> DispatchTerms<'static> {
-    DispatchTerms { route: ROUTE, refusable, repeatable, baseline: baseline() }
+    DispatchTerms {
+        route: ROUTE,
+        refusable,
+        repeatable,
+        passable: refusable,
+        baseline: baseline(),
+    }
 }
 
 struct Upstream {
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -59,6 +59,8 @@
   19: required bool after_failure
   /** Refuse the work if it can't start at once; the ingress then asks another upstream. */
   20: required bool no_wait
+  /** The ingress can ask another upstream if this one is doubted. */
+  21: required bool passable
 }
 
 /** The first frame of an answer. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -396,10 +396,12 @@
   pub after_failure: bool,
   /// Refuse the work if it can't start at once; the ingress then asks another upstream.
   pub no_wait: bool,
+  /// The ingress can ask another upstream if this one is doubted.
+  pub passable: bool,
 }
 
 impl DispatchHead {
-  pub fn new<F15, F16, F17>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, no_wait: bool) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>> {
+  pub fn new<F15, F16, F17>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, no_wait: bool, passable: bool) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>> {
     DispatchHead {
       service_name,
       upstream,
@@ -421,6 +423,7 @@
       revision,
       after_failure,
       no_wait,
+      passable,
     }
   }
 }
@@ -448,6 +451,7 @@
     let mut f_18: Option<i64> = None;
     let mut f_19: Option<bool> = None;
     let mut f_20: Option<bool> = None;
+    let mut f_21: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -535,6 +539,10 @@
           let val = i_prot.read_bool()?;
           f_20 = Some(val);
         },
+        21 => {
+          let val = i_prot.read_bool()?;
+          f_21 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -559,6 +567,7 @@
     verify_required_field_exists("DispatchHead.revision", &f_18)?;
     verify_required_field_exists("DispatchHead.after_failure", &f_19)?;
     verify_required_field_exists("DispatchHead.no_wait", &f_20)?;
+    verify_required_field_exists("DispatchHead.passable", &f_21)?;
     let ret = DispatchHead {
       service_name: f_1.expect("auto-generated code should have checked for presence of required fields"),
       upstream: f_2.expect("auto-generated code should have checked for presence of required fields"),
@@ -580,6 +589,7 @@
       revision: f_18.expect("auto-generated code should have checked for presence of required fields"),
       after_failure: f_19.expect("auto-generated code should have checked for presence of required fields"),
       no_wait: f_20.expect("auto-generated code should have checked for presence of required fields"),
+      passable: f_21.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -652,6 +662,9 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("no_wait", TType::Bool, 20))?;
     o_prot.write_bool(self.no_wait)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("passable", TType::Bool, 21))?;
+    o_prot.write_bool(self.passable)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
