Withhold bodies from other failure domains until the work has started

Change: a body over 256 bytes goes to another failure domain only after the work has started there; a report that all slots are taken is believed for half of the time in which the next becomes free.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -18,6 +18,7 @@
 use basaltarch_http::connection::HttpStream;
 use basaltarch_peer::link::{OutboundExchange, NO_EXCHANGE};
 use basaltarch_peer::protocol::{AnswerHead, DispatchHead, FrameBody, LoadReport, WithdrawNote};
+use bytes::Bytes;
 
 use crate::host;
 use crate::ingress::failure::CallerFailure;
@@ -37,6 +38,8 @@
 /// Upstreams that may pass work on as they are doubted: with a third of them doubted, the fifth is
 /// reached once in 80 times.
 const PASSES_MAX: usize = 4;
+/// Bytes of a body from which it is worth a way there and back to send it only when it is wanted.
+const WITHHELD_BYTES_MIN: usize = 256;
 /// Overdue times that an attempt at repeatable work is waited for before another is made: a server
 /// that is stuck would otherwise hold the caller until the deadline.
 const PATIENCE_OVERDUE: u32 = 3;
@@ -54,6 +57,8 @@
 pub struct LiveExchange {
     /// The exchange.
     pub exchange: OutboundExchange,
+    /// Start of the body, if it goes out only once the host's daemon has started the work.
+    pub withheld: Option<Bytes>,
     /// How long it is waited for before another attempt is made.
     pub patience: Option<Duration>,
     /// Whether a failure counts as evidence against the upstream.
@@ -354,7 +359,12 @@
         };
         let route = &self.request.route.name;
         let baseline = service.baseline(route, choice.index, self.state.now());
-        let head = self.head(choice, body_is_done, &baseline);
+        let mut head = self.head(choice, body_is_done, &baseline);
+        let withheld = self.withholds_body(choice.index, &head);
+        if withheld {
+            head.body = Vec::new();
+            head.last = false;
+        }
         let counts = !head.after_failure;
         let exchange = match link {
             None => host::dispatch_local(self.state, head),
@@ -364,7 +374,16 @@
             },
         };
         let patience = self.patience(choice.index, &baseline);
-        Some(LiveExchange { exchange, patience, counts, _sent: sent })
+        let withheld = withheld.then(|| self.request.prefix.clone());
+        Some(LiveExchange { exchange, withheld, patience, counts, _sent: sent })
+    }
+
+    /// Says whether the body waits until the work has started: bytes between failure domains are dear,
+    /// and a dispatch that may be refused would carry them for nothing.
+    fn withholds_body(&self, index: usize, head: &DispatchHead) -> bool {
+        let is_local = self.request.service.with_view(|view| view.is_local(index));
+        let may_be_refused = head.no_wait || head.passable || head.refusable;
+        !is_local && may_be_refused && head.body.len() > WITHHELD_BYTES_MIN
     }
 
     fn note_unreachable(&mut self, index: usize) -> Option<LiveExchange> {
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -92,6 +92,16 @@
 /// Sends the rest of the body, then watches whether the caller goes away.
 async fn send_body(stream: &mut HttpStream, body: &mut BodyReader, live: &LiveExchange) -> SendEnd {
     let sink = &live.exchange.body;
+    if let Some(prefix) = &live.withheld {
+        let last = body.is_done();
+        let sent = match sink.ready().await {
+            Ok(()) => sink.send(StreamEvent::Data(prefix.clone(), last)).await,
+            Err(gone) => Err(gone),
+        };
+        if sent.is_err() {
+            return watch_caller(stream).await;
+        }
+    }
     while !body.is_done() {
         // Nothing is read before the host's daemon has started the work, so that what a refusal
         // leaves unread can go to another upstream.
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -25,8 +25,9 @@
 const SLOW_MAX: f64 = 5.0;
 /// Largest ratio of an upstream's time to the usual at which work fills it before others.
 const STEADY_TIME_MAX: f64 = 1.6;
-/// Age up to which a report that all slots are taken is believed: a third of a usual service time.
-const FULL_REPORT_LIFE: Duration = Duration::from_millis(60);
+/// Shortest time for which a report that all slots are taken is believed. It is believed for half of
+/// the time in which the next slot usually becomes free.
+const FULL_REPORT_LIFE_MIN: Duration = Duration::from_millis(10);
 /// Upstreams compared for one choice (M. Mitzenmacher, "The power of two choices", 2001).
 const CHOICES: usize = 2;
 /// Factor on the cost of a suspect: it must be this many times less loaded than another to be chosen
@@ -126,9 +127,11 @@
         f64::from(self.load) / f64::from(self.slots.max(1))
     }
 
-    /// Says whether a report of this very moment said that all slots are taken.
-    fn is_full(&self, now: Duration) -> bool {
-        let fresh = now.saturating_sub(self.reported_at) < FULL_REPORT_LIFE;
+    /// Says whether a report of a short while ago said that all slots are taken.
+    fn is_full(&self, now: Duration, median_ln: f64) -> bool {
+        let usual = Duration::from_micros(median_ln.exp().min(60e6) as u64);
+        let life = (usual / (2 * self.slots.max(1))).max(FULL_REPORT_LIFE_MIN);
+        let fresh = now.saturating_sub(self.reported_at) < life;
         self.own >= self.slots || fresh && self.health.is_some() && self.load >= self.slots
     }
 
@@ -235,6 +238,11 @@
         }
     }
 
+    /// Says whether an upstream is in the ingress's own failure domain.
+    pub fn is_local(&self, index: usize) -> bool {
+        self.upstreams.get(index).is_some_and(|view| view.is_local)
+    }
+
     /// Returns the upstreams.
     pub fn upstreams(&self) -> &[LoadView] {
         &self.upstreams
@@ -390,7 +398,7 @@
             self.in_service(*index)
                 && !excluded.contains(index)
                 && !view.is_suspect(&terms)
-                && !view.is_full(now)
+                && !view.is_full(now, self.median_ln)
                 && view.time_ratio(self.median_ln) <= STEADY_TIME_MAX
         });
         let (index, view) = fits.min_by_key(|(_, view)| (!view.is_local, view.rank))?;
