--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod forwarder;
 pub mod operator;
+pub mod registered;
 
 use std::collections::BTreeMap;
 use std::fs::{self, File};
@@ -22,6 +23,7 @@
 use std::time::{Duration, Instant};
 
 use basaltarch_http::connection;
+use basaltarch_http::fields::ExchangeFields;
 use basaltarch_standin::backend::{self, BackendOptions, BackendStandin};
 use basaltarch_standin::platform::{self, PlatformStandin};
 use basaltarch_telemetry::runtime;
@@ -44,7 +46,7 @@
     }
 }
 
-fn loopback() -> SocketAddr {
+pub fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
@@ -93,15 +95,26 @@
 
 impl TestBackend {
     pub fn start(name: &str, service_ms: u64) -> Self {
+        Self::start_at(loopback(), name, service_ms, ExchangeFields::default())
+    }
+
+    /// Starts one at an address that knows other header fields.
+    pub fn start_at(
+        address: SocketAddr,
+        name: &str,
+        service_ms: u64,
+        fields: ExchangeFields,
+    ) -> Self {
         let options = BackendOptions {
             name: name.to_owned(),
             service_time: Duration::from_millis(service_ms),
+            fields,
             ..BackendOptions::default()
         };
         let (sender, receiver) = mpsc::channel();
         thread::spawn(move || {
             let serving = async move {
-                let listener = connection::bind(loopback()).expect("bind");
+                let listener = connection::bind(address).expect("bind");
                 sender.send(listener.local_addr().expect("address")).expect("send");
                 backend::serve(listener, BackendStandin::new(options), 1000).await;
             };
@@ -137,6 +150,10 @@
     pub callers: SocketAddr,
     pub peers: SocketAddr,
     pub admin: SocketAddr,
+    /// Address for heartbeats of backend servers, if the daemon has one.
+    pub registration: Option<SocketAddr>,
+    /// Address for the platform's question, if the daemon has one.
+    pub ready: Option<SocketAddr>,
     child: Child,
     log: std::path::PathBuf,
 }
@@ -169,6 +186,8 @@
             callers: address("callers"),
             peers: address("peers"),
             admin: address("admin"),
+            registration: line["registration"].as_str().map(|text| text.parse().expect("address")),
+            ready: line["ready"].as_str().map(|text| text.parse().expect("address")),
             child,
             log,
         }
--- /dev/null
+++ b/crates/daemon/tests/registered.rs
@@ -0,0 +1,194 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Backend servers that register themselves: coming, draining, leaving, restarts, changed addresses.
+
+mod common;
+
+use std::thread;
+
+use basaltarch_platform::{headers, rows};
+use common::registered::{document, RegisteredFleet, SERVICE};
+use common::{client, eventually, TestBackend};
+use serde_json::{json, Value};
+use test_case::test_case;
+
+#[test]
+fn verify_a_registered_fleet_serves_and_tells_the_server_what_it_must_know() {
+    let fleet = RegisteredFleet::start(3);
+    for daemon in 0..3 {
+        eventually("the daemon is ready", || fleet.is_ready(daemon));
+        fleet.wait_served(daemon, &[0, 1, 2]);
+    }
+    let reply = fleet.request(0, "POST", "/unsafe/pay", "told");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(reply.header("request-id").as_deref(), Some("told"));
+    assert_eq!(fleet.ran("told"), 1);
+    let server = fleet.backends.iter().find(|backend| backend.ran("told") == 1).expect("ran");
+    let head = server.runs()["last_head"].as_str().expect("head").to_owned();
+    for part in
+        [&format!("\"expect-instance\": \"{}\"", server.name), "\"caller-service\": \"solver-app\""]
+    {
+        assert!(head.contains(part), "{part} is not in {head}");
+    }
+    let left = head.split("\"deadline-ms\": \"").nth(1).and_then(|rest| rest.split('"').next());
+    let left: u64 = left.expect("a deadline").parse().expect("a number");
+    assert!((1..=3000).contains(&left), "{left}");
+}
+
+#[test]
+fn verify_an_acknowledged_drain_binds_at_once_and_queued_work_goes_elsewhere() {
+    let fleet = RegisteredFleet::start(2);
+    fleet.wait_served(1, &[0, 1]);
+    // Fill the server's slots and its queue through both daemons, then let it drain.
+    let callers: Vec<_> = (0..16)
+        .map(|number| {
+            let address = fleet.daemons[number % 2].callers;
+            thread::spawn(move || {
+                let id = format!("busy-{number}");
+                let headers =
+                    [("Host", "solver.example"), ("Request-Id", id.as_str()), ("x-work-ms", "300")];
+                client::call(address, "POST", "/unsafe/x", &headers, "x").status
+            })
+        })
+        .collect();
+    eventually("the server works", || fleet.backends[0].total() > 0);
+    assert_eq!(fleet.beat(0, "draining").status, 200);
+    let after_ack = fleet.backends[0].runs()["received"].as_u64().expect("received");
+    for number in 0..30 {
+        let reply = fleet.request(number % 2, "GET", "/safe/x", &format!("after-{number}"));
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        assert_eq!(fleet.backends[0].ran(&format!("after-{number}")), 0);
+    }
+    for caller in callers {
+        let status = caller.join().expect("join");
+        assert!(matches!(status, 200 | 503), "nothing is cut: {status}");
+    }
+    let received = fleet.backends[0].runs()["received"].as_u64().expect("received");
+    assert_eq!(received, after_ack, "nothing new reached the server after its word");
+}
+
+#[test]
+fn verify_a_gone_server_gets_nothing_and_its_late_heartbeat_does_not_bring_it_back() {
+    let fleet = RegisteredFleet::start(2);
+    fleet.wait_served(0, &[0, 1]);
+    assert_eq!(fleet.deregister(1).status, 200);
+    assert_eq!(fleet.beat_as(1, &fleet.backends[1].name, SERVICE, "ready", 1).status, 200);
+    let before = fleet.backends[1].total();
+    for number in 0..30 {
+        let reply = fleet.request(number % 2, "GET", "/safe/x", &format!("gone-{number}"));
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    assert_eq!(fleet.backends[1].total(), before);
+}
+
+#[test]
+fn verify_an_address_that_another_server_has_is_left_with_nothing_run() {
+    let fleet = RegisteredFleet::start(2);
+    fleet.wait_served(0, &[0, 1]);
+    // The daemon still believes in a server of another name at this address.
+    assert_eq!(fleet.beat_as(1, "i-of-before", SERVICE, "ready", 1).status, 200);
+    for number in 0..20 {
+        let id = format!("moved-{number}");
+        let reply = fleet.request(number % 2, "POST", "/unsafe/x", &id);
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        assert_eq!((fleet.ran(&id), fleet.backends[1].ran(&id)), (1, 0));
+    }
+    // Its own heartbeat brings it back.
+    assert_eq!(fleet.beat(1, "ready").status, 200);
+    fleet.wait_served(0, &[0, 1]);
+}
+
+#[test]
+fn verify_a_restarted_daemon_finds_the_server_beside_it_before_its_heartbeat() {
+    let mut fleet = RegisteredFleet::start(2);
+    fleet.wait_served(0, &[0, 1]);
+    let hosts = basaltarch_daemon::roster::HOSTS_TABLE;
+    let rows = |fleet: &RegisteredFleet| {
+        let path = format!("{}?table={hosts}&part=", rows::READ_PATH);
+        client::call(fleet.platform.address, "GET", &path, &[], "").text()
+    };
+    let own = |fleet: &RegisteredFleet| {
+        let page: Value = serde_json::from_str(&rows(fleet)).expect("rows");
+        let row = page["rows"].as_array().expect("rows").iter().find(|row| row["key"] == "host-b");
+        let value = row.and_then(|row| row["value"].as_str()).map(rows::decode_value);
+        value
+            .and_then(Result::ok)
+            .is_some_and(|value| String::from_utf8_lossy(&value).contains("\"i-2\""))
+    };
+    eventually("the row tells of the server", || own(&fleet));
+    fleet.daemons[1].kill();
+    fleet.daemons[1] = fleet.start_daemon("host-b", "bkk-b", &[]);
+    let before = fleet.backends[1].total();
+    let mut number = 0;
+    eventually("the server works again", || {
+        number += 1;
+        fleet.request(1, "GET", "/safe/x", &format!("again-{number}"));
+        fleet.backends[1].total() > before
+    });
+    // One that says it is ill is not taken back by its answer.
+    fleet.backends[0].faults(json!({"health_status": 503}));
+    fleet.daemons[0].kill();
+    fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", &[]);
+    eventually("it was asked", || fleet.backends[0].runs()["probes"].as_u64() > Some(0));
+    let before = fleet.backends[0].total();
+    for number in 0..20 {
+        fleet.request(0, "GET", "/safe/x", &format!("ill-{number}"));
+    }
+    assert_eq!(fleet.backends[0].total(), before);
+}
+
+#[test_case("call=instances.heartbeat&of=i-9", "{", 400 ; "cut short")]
+#[test_case("call=instances.heartbeat&of=i-9", "[1,2]", 400 ; "another type")]
+#[test_case("call=instances.heartbeat&of=", "{}", 400 ; "no name")]
+#[test_case("call=instances.heartbeat&of=i-9", r#"{"service":"s","address":"nowhere","zone":"z","slots":1,"state":"ready"}"#, 400 ; "no address")]
+#[test_case("call=instances.heartbeat&of=i-9", r#"{"service":"s","address":"10.0.0.1:1","zone":"z","slots":0,"state":"ready"}"#, 400 ; "no slots")]
+#[test_case("call=instances.heartbeat&of=i-9", r#"{"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"asleep"}"#, 400 ; "unknown state")]
+#[test_case("call=instances.dance&of=i-9", "{}", 404 ; "unknown call")]
+#[test_case("call=instances.deregister&of=i-unknown", "", 200 ; "deregistering a stranger")]
+fn verify_bad_calls_get_a_clear_error_and_change_nothing(query: &str, body: &str, status: u16) {
+    let fleet = RegisteredFleet::start(1);
+    let reply = fleet.call_daemon(0, query, body);
+    assert_eq!(reply.status, status, "{}", reply.text());
+    let reply = fleet.request(0, "GET", "/safe/x", "still");
+    assert_eq!((reply.status, fleet.backends[0].ran("still")), (200, 1));
+}
+
+#[test]
+fn verify_a_host_that_takes_the_address_of_another_replaces_it() {
+    let mut fleet = RegisteredFleet::start(2);
+    fleet.wait_served(0, &[0, 1]);
+    let peers = fleet.daemons[1].peers.to_string();
+    fleet.daemons[1].kill();
+    // A new host comes up at the same address, with a server of its own beside it.
+    let daemon = fleet.start_daemon("host-z", "bkk-b", &[("peers", peers.as_str())]);
+    fleet.daemons[1] = daemon;
+    let fields = headers::exchange_fields();
+    fleet.backends[1] = TestBackend::start_at(common::loopback(), "i-new", 1, fields);
+    assert_eq!(fleet.beat(1, "ready").status, 200);
+    fleet.wait_served(0, &[0, 1]);
+    eventually("the earlier host is known as replaced", || {
+        fleet.daemons[0].log_text().contains("host replaced at its address")
+    });
+}
+
+#[test]
+fn verify_servers_that_register_in_an_outage_are_used_after_it() {
+    let mut fleet = RegisteredFleet::start(2);
+    fleet.wait_served(0, &[0, 1]);
+    fleet.platform.faults(json!({"silent": true}));
+    fleet.daemons[1].kill();
+    let seeds = fleet.daemons[0].peers.to_string();
+    fleet.daemons[1] = fleet.start_daemon("host-b", "bkk-b", &[("seeds", seeds.as_str())]);
+    // Its configuration and its server come from the peer.
+    eventually("the daemon is ready without the store", || fleet.is_ready(1));
+    assert_eq!(fleet.beat(1, "ready").status, 200);
+    let reply = fleet.request(1, "GET", "/safe/x", "dark");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    fleet.platform.faults(json!({}));
+    fleet.wait_served(0, &[0, 1]);
+    fleet.write(&document(2));
+    for daemon in &fleet.daemons {
+        eventually("the next document is in force", || daemon.revision() == 2);
+    }
+}
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -14,14 +14,15 @@
 use basaltarch_http::body::{BodyLimits, BodyReader};
 use basaltarch_http::connection::{self, ConnectionCount, HttpStream};
 use basaltarch_http::errors::HttpError;
-use basaltarch_http::fields;
+use basaltarch_http::fields::{self, ExchangeFields};
 use basaltarch_http::framing::{self, BodyFraming};
 use basaltarch_http::head::{self, HeadLimits};
 use basaltarch_http::writer;
+use basaltarch_platform::headers;
 use bytes::{Bytes, BytesMut};
 use fnv::FnvHashMap;
 use futures_util::future::{self, Either};
-use http::{request, HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use http::{header, request, HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use monoio::net::{TcpListener, TcpStream};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -80,6 +81,16 @@
     pub drain: bool,
     /// Errors come without any service time.
     pub quick_errors: bool,
+    /// An answer to another request comes before each answer.
+    pub surplus: bool,
+    /// A second answer comes right behind each answer.
+    pub twice: bool,
+    /// Answers lack the proof that a backend server made them.
+    pub unstamped: bool,
+    /// Answers claim an encoding that nobody asked for.
+    pub encoded: bool,
+    /// Status of every answer, 0 for the usual.
+    pub status: u16,
     /// Status of the health endpoint.
     pub health_status: u16,
     /// Requests in flight that the load endpoint claims.
@@ -98,6 +109,11 @@
             shed: false,
             drain: false,
             quick_errors: false,
+            surplus: false,
+            twice: false,
+            unstamped: false,
+            encoded: false,
+            status: 0,
             health_status: 200,
             claimed_load: 0,
         }
@@ -136,13 +152,21 @@
     pub spread: f64,
     /// Seed of the random numbers.
     pub seed: u64,
-    /// Name in the `x-served-by` header.
+    /// Name in the `x-served-by` header, and of this incarnation where daemons ask for one.
     pub name: String,
+    /// Names of the header fields that it knows.
+    pub fields: ExchangeFields,
 }
 
 impl Default for BackendOptions {
     fn default() -> Self {
-        Self { service_time: Duration::ZERO, spread: 0.3, seed: 1, name: "backend".to_owned() }
+        Self {
+            service_time: Duration::ZERO,
+            spread: 0.3,
+            seed: 1,
+            name: "backend".to_owned(),
+            fields: ExchangeFields::default(),
+        }
     }
 }
 
@@ -168,6 +192,11 @@
         })
     }
 
+    /// Returns the name of the field that names a request.
+    fn request_field(&self) -> HeaderName {
+        self.options.fields.request.clone().unwrap_or(REQUEST_ID)
+    }
+
     fn service_time(&self, faults: &BackendFaults) -> Duration {
         let median = self.options.service_time.as_secs_f64();
         if median == 0.0 {
@@ -220,8 +249,12 @@
             return Ok(());
         }
         let body = read_body(&mut stream, standin, &head, framing).await?;
+        if !is_expected(standin, &head) {
+            refuse(&mut stream, standin, StatusCode::MISDIRECTED_REQUEST).await?;
+            continue;
+        }
         if faults.shed {
-            answer_shed(&mut stream).await?;
+            refuse(&mut stream, standin, StatusCode::SERVICE_UNAVAILABLE).await?;
             continue;
         }
         if faults.stuck {
@@ -304,7 +337,7 @@
 fn note_run(standin: &BackendStandin, head: &request::Parts) {
     let mut runs = standin.runs.borrow_mut();
     runs.total += 1;
-    if let Some(id) = fields::single(&head.headers, &REQUEST_ID) {
+    if let Some(id) = fields::single(&head.headers, &standin.request_field()) {
         *runs.by_id.entry(id.to_owned()).or_default() += 1;
     }
 }
@@ -323,14 +356,38 @@
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
     let sound = BackendFaults::default();
     let body = Bytes::from(text);
-    answer_whole(stream, &head.method, status, &HeaderMap::new(), body, &sound).await
+    let mut headers = HeaderMap::new();
+    if standin.options.fields.expected_server.is_some() {
+        put(&mut headers, headers::SERVER, &standin.options.name);
+    }
+    answer_whole(stream, &head.method, status, &headers, body, &sound).await
 }
 
-async fn answer_shed(stream: &mut HttpStream) -> Result<(), HttpError> {
+/// Says whether the request is meant for this incarnation of the server.
+fn is_expected(standin: &BackendStandin, head: &request::Parts) -> bool {
+    let name = match &standin.options.fields.expected_server {
+        Some(name) => name,
+        None => return true,
+    };
+    fields::single(&head.headers, name).is_none_or(|wanted| wanted == standin.options.name)
+}
+
+/// Sets a field; a value that can't stand in a head is left out.
+fn put(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// Refuses a request that was not run.
+async fn refuse(
+    stream: &mut HttpStream,
+    standin: &BackendStandin,
+    status: StatusCode,
+) -> Result<(), HttpError> {
     let mut headers = HeaderMap::new();
-    headers.insert(fields::SHED, HeaderValue::from_static("1"));
+    headers.insert(standin.options.fields.shed.clone(), HeaderValue::from_static("1"));
     let mut buffer = BytesMut::new();
-    let status = StatusCode::SERVICE_UNAVAILABLE;
     writer::put_response_head(&mut buffer, status, &headers, BodyFraming::Empty, false);
     writer::flush(&mut stream.writer, &mut buffer).await
 }
@@ -344,19 +401,22 @@
 ) -> Result<(), HttpError> {
     let path = head.uri.path();
     let failed = standin.fails(faults, path);
-    let status = match failed {
-        true => StatusCode::INTERNAL_SERVER_ERROR,
-        false => wanted_status(path),
+    let status = match (failed, StatusCode::from_u16(faults.status)) {
+        (true, _) => StatusCode::INTERNAL_SERVER_ERROR,
+        (false, Ok(status)) => status,
+        (false, Err(_)) => wanted_status(path),
     };
-    let mut headers = HeaderMap::new();
-    if let Ok(name) = HeaderValue::from_str(&standin.options.name) {
-        headers.insert(HeaderName::from_static("x-served-by"), name);
-    }
-    if let Some(id) = head.headers.get(REQUEST_ID) {
-        headers.insert(REQUEST_ID, id.clone());
+    let headers = answer_fields(standin, head, faults);
+    if faults.surplus {
+        let mut other = headers.clone();
+        put(&mut other, standin.request_field(), "an-earlier-request");
+        let body = Bytes::from_static(b"the answer to an earlier request\n");
+        let sound = BackendFaults::default();
+        answer_whole(stream, &head.method, StatusCode::OK, &other, body, &sound).await?;
     }
-    if faults.drain {
-        headers.insert(fields::DRAIN, HeaderValue::from_static("1"));
+    if faults.twice {
+        let body = answer_text(standin, head, status);
+        answer_whole(stream, &head.method, status, &headers, body, faults).await?;
     }
     if let Some(length) = path.strip_prefix("/bytes/").and_then(|text| text.parse().ok()) {
         return answer_generated(stream, &headers, length, faults).await;
@@ -368,13 +428,37 @@
     answer_whole(stream, &head.method, status, &headers, body, faults).await
 }
 
+/// Returns the header fields of an answer.
+fn answer_fields(
+    standin: &BackendStandin,
+    head: &request::Parts,
+    faults: &BackendFaults,
+) -> HeaderMap {
+    let names = &standin.options.fields;
+    let mut headers = HeaderMap::new();
+    put(&mut headers, HeaderName::from_static("x-served-by"), &standin.options.name);
+    if let Some(id) = head.headers.get(standin.request_field()) {
+        headers.insert(standin.request_field(), id.clone());
+    }
+    if let Some(name) = names.stamp.as_ref().filter(|_| !faults.unstamped) {
+        put(&mut headers, name.clone(), "stamp");
+    }
+    if faults.encoded {
+        put(&mut headers, header::CONTENT_ENCODING, "gzip");
+    }
+    if faults.drain {
+        put(&mut headers, names.drain.clone(), "1");
+    }
+    headers
+}
+
 fn wanted_status(path: &str) -> StatusCode {
     let wanted = path.strip_prefix("/status/").and_then(|text| text.parse::<u16>().ok());
     wanted.and_then(|code| StatusCode::from_u16(code).ok()).unwrap_or(StatusCode::OK)
 }
 
 fn answer_text(standin: &BackendStandin, head: &request::Parts, status: StatusCode) -> Bytes {
-    let id = fields::single(&head.headers, &REQUEST_ID).unwrap_or("-");
+    let id = fields::single(&head.headers, &standin.request_field()).unwrap_or("-");
     Bytes::from(format!("{} {} {} {id}\n", standin.options.name, status.as_u16(), head.uri.path()))
 }
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -125,6 +125,7 @@
             (0.0..=3.0).contains(spread)
         })?,
         seed: settings::checked("seed", flags.seed, 1, "a number", any)?,
+        ..BackendOptions::default()
     };
     let connections =
         settings::checked("connections", flags.connections, 400, "1 to 65536", |count| {
