--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -18,6 +18,7 @@
 use monoio::net::TcpListener;
 use serde_json::json;
 
+use crate::options::ConfigSource;
 use crate::state::DaemonState;
 
 /// Connections of operators: people, scripts and watches.
@@ -61,6 +62,12 @@
         None => return problem(StatusCode::NOT_FOUND, "paths begin with /v1/"),
     };
     let method = request.head.method.clone();
+    let writes = method != Method::GET && path != "drain";
+    if writes && state.options.source == ConfigSource::Document {
+        let message = "the configuration comes from the operator's document; change it there";
+        let reply = problem(StatusCode::METHOD_NOT_ALLOWED, message);
+        return reply.with_field(header::ALLOW, "GET");
+    }
     match (method.as_str(), path.as_str()) {
         ("GET", "status") => status::fleet(state),
         ("GET", "health") => status::health(state, request.query("service")),
--- a/crates/daemon/src/admin/read.rs
+++ b/crates/daemon/src/admin/read.rs
@@ -5,7 +5,7 @@
 
 use std::rc::Rc;
 
-use basaltarch_core::config::ChangeRecord;
+use basaltarch_core::config::{ChangeRecord, FleetConfig};
 use basaltarch_core::resources::ResourceKind;
 use basaltarch_core::units::{self, FleetRevision};
 use basaltarch_http::server::{ServerReply, ServerRequest};
@@ -13,14 +13,25 @@
 use serde_json::{json, Value};
 
 use crate::admin;
+use crate::document;
+use crate::options::ConfigSource;
 use crate::state::DaemonState;
 
 /// Records that one reply of the audit trail holds.
 const AUDIT_LIMIT: usize = 1000;
 
+/// Calls `read` with the resources in force: those declared, or those that the operator's document and
+/// the backend servers' registrations amount to.
+fn with_resources<T>(state: &DaemonState, read: impl FnOnce(&FleetConfig) -> T) -> T {
+    match state.options.source {
+        ConfigSource::Resources => state.config.with_fleet(read),
+        ConfigSource::Document => read(&document::resources(state)),
+    }
+}
+
 /// Lists the resources of a kind.
 pub fn list(state: &Rc<DaemonState>, kind: ResourceKind) -> ServerReply {
-    let body = state.config.with_fleet(|fleet| {
+    let body = with_resources(state, |fleet| {
         let resources: Vec<Value> = fleet
             .list(kind)
             .map(|(name, stored)| {
@@ -34,7 +45,7 @@
 
 /// Reads one resource.
 pub fn one(state: &Rc<DaemonState>, kind: ResourceKind, name: &str) -> ServerReply {
-    state.config.with_fleet(|fleet| match fleet.get(kind, name) {
+    with_resources(state, |fleet| match fleet.get(kind, name) {
         Some(stored) => {
             let reply = ServerReply::json(StatusCode::OK, &stored.value.to_json());
             reply.with_field(header::ETAG, &format!("\"{}\"", stored.revision))
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -10,8 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltarch_core::config::ActiveConfig;
-use basaltarch_core::resources::ServiceSpec;
+use basaltarch_core::config::{ActiveConfig, ConfigBuilder, FleetConfig, SnapshotResource};
+use basaltarch_core::resources::{ResourceKind, ServiceSpec};
 use basaltarch_core::routes::RouteTable;
 use basaltarch_core::services::{PackedService, ServiceEntry};
 use basaltarch_core::units::FleetRevision;
@@ -23,6 +23,7 @@
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::{FeedReply, RetryPause};
 use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
 
 use crate::configuration::TouchedServices;
 use crate::metrics;
@@ -195,6 +196,37 @@
     state.host.configure(state, &active, &TouchedServices::All);
 }
 
+/// Returns the configuration in force as resources. It is built for each call: only operators ask.
+pub fn resources(state: &DaemonState) -> FleetConfig {
+    let revision = state.config.revision();
+    let mut builder = ConfigBuilder::default();
+    let mut push = |kind: ResourceKind, name: &str, value: Value| {
+        let resource = SnapshotResource(kind.name().to_owned(), name.to_owned(), revision, value);
+        // Names that the resource API would not take can't be shown by it.
+        if let Err(error) = builder.push(&resource) {
+            tracing::warn!(%error, "resource left out");
+        }
+    };
+    let active = state.config.active();
+    state.roster.for_each(|_, record| {
+        push(ResourceKind::FailureDomain, &record.failure_domain, json!({"region": ""}));
+    });
+    for (name, packed) in &active.services {
+        let entry = packed.unpack(name);
+        push(ResourceKind::Service, name, json!(entry.spec));
+        for upstream in &entry.upstreams {
+            push(ResourceKind::BackendServer, &upstream.name, json!(&*upstream.server));
+        }
+    }
+    for route in state.document.get().iter().flat_map(|document| &document.routes) {
+        push(ResourceKind::Route, &route.name, json!(route.rule));
+    }
+    builder.finish(revision).unwrap_or_else(|error| {
+        tracing::warn!(%error, "the configuration can't be shown as resources");
+        FleetConfig::default()
+    })
+}
+
 /// Asks a peer that has a later revision in force for its document: at once when none is here, else
 /// if the store has not told of it a little later.
 pub fn note_peer_revision(state: &Rc<DaemonState>, sender: &FrameSender, theirs: FleetRevision) {
--- /dev/null
+++ b/crates/daemon/tests/documents.rs
@@ -0,0 +1,212 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The operator's document in force, and what callers get from backend servers that break the rules
+//! of an exchange.
+
+mod common;
+
+use std::fs;
+use std::io::{Read, Write};
+
+use common::registered::{document, RegisteredFleet, HOST, SERVICE};
+use common::{client, eventually};
+use serde_json::{json, Value};
+use test_case::test_case;
+
+fn with_route(version: u64, path: &str) -> Value {
+    let mut document = document(version);
+    let row = json!(["r-new", HOST, path, "safe", 3, 0.8, 1, SERVICE, 2, null]);
+    document["routes"]["rows"].as_array_mut().expect("rows").push(row);
+    document
+}
+
+#[test]
+fn verify_documents_only_rise_and_bad_ones_change_nothing() {
+    let fleet = RegisteredFleet::start(2);
+    fleet.write(&with_route(5, "/new/"));
+    for (index, daemon) in fleet.daemons.iter().enumerate() {
+        eventually("the document is in force", || daemon.revision() == 5);
+        let id = format!("new-{index}");
+        assert_eq!(fleet.request(index, "GET", "/new/x", &id).status, 200);
+    }
+    let bad = [json!({"version": 9}), json!("text"), json!({"version": "nine"})];
+    for document in bad.iter().chain([&document(3)]) {
+        fleet.write(document);
+    }
+    fleet.write(&with_route(7, "/newer/"));
+    for (index, daemon) in fleet.daemons.iter().enumerate() {
+        eventually("the last document is in force", || daemon.revision() == 7);
+        assert_eq!(fleet.request(index, "GET", "/newer/x", "a").status, 200);
+        assert_eq!(fleet.request(index, "GET", "/new/x", "b").status, 404);
+        let text = daemon.log_text();
+        let seen: Vec<u64> = text
+            .lines()
+            .filter_map(|line| serde_json::from_str::<Value>(line).ok())
+            .filter(|line| line["message"] == "configuration in force")
+            .filter_map(|line| line["revision"].as_u64())
+            .collect();
+        assert!(seen.is_sorted(), "{seen:?}");
+    }
+}
+
+#[test]
+fn verify_the_resource_api_shows_the_revision_and_refuses_changes_with_the_reason() {
+    let fleet = RegisteredFleet::start(1);
+    eventually("the document is in force", || fleet.daemons[0].revision() == 1);
+    let body = json!({"title": "t"}).to_string();
+    let guard = [("If-Match", "*")];
+    let reply = fleet.daemons[0].call("PUT", "/v1/organisations/one", &guard, &body);
+    assert_eq!(reply.status, 405, "{}", reply.text());
+    assert!(reply.text().contains("document"), "{}", reply.text());
+    let apply = json!({"changes": []}).to_string();
+    assert_eq!(fleet.daemons[0].call("POST", "/v1/apply", &[], &apply).status, 405);
+    let routes = fleet.daemons[0].get("/v1/routes");
+    assert!(routes.to_string().contains("r-unsafe"), "{routes}");
+}
+
+#[test]
+fn verify_the_path_of_a_split_route_follows_its_weights() {
+    let fleet = RegisteredFleet::start(2);
+    assert_eq!(fleet.beat_as(1, &fleet.backends[1].name, "other-app", "ready", 100).status, 200);
+    let mut split = document(2);
+    let parts = json!([{"service": SERVICE, "weight": 75}, {"service": "other-app", "weight": 25}]);
+    let row = json!(["r-split", HOST, "/split/", "safe", 3, 0.8, 1, null, 2, parts]);
+    split["routes"]["rows"].as_array_mut().expect("rows").push(row);
+    fleet.write(&split);
+    for daemon in &fleet.daemons {
+        eventually("the split is in force", || daemon.revision() == 2);
+    }
+    for daemon in 0..2 {
+        let mut number = 0;
+        eventually("both services are known", || {
+            number += 1;
+            let id = format!("known-{daemon}-{number}");
+            fleet.request(daemon, "GET", "/split/x", &id);
+            fleet.backends[1].ran(&id) == 1
+        });
+    }
+    for number in 0..200 {
+        let reply = fleet.request(number % 2, "GET", "/split/x", &format!("split-{number}"));
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    let other = (0..200).filter(|n| fleet.backends[1].ran(&format!("split-{n}")) > 0).count();
+    // Off by less than one request at each of the two ingresses.
+    assert!((48..=52).contains(&other), "{other} of 200");
+    assert!((0..200).all(|number| fleet.ran(&format!("split-{number}")) == 1));
+}
+
+/// What breaks an exchange, whether a repeatable request is still served by the other server, and
+/// the status that a request gets which must not be repeated.
+#[test_case(json!({"surplus": true}), true, 200 ; "an answer to an earlier request comes first")]
+#[test_case(json!({"twice": true}), true, 200 ; "a second answer follows")]
+#[test_case(json!({"unstamped": true}), true, 502 ; "the answer is not proved")]
+#[test_case(json!({"encoded": true}), true, 502 ; "the answer is encoded unasked")]
+#[test_case(json!({"status": 503}), true, 502 ; "a refusal without the word that nothing ran")]
+#[test_case(json!({"status": 429}), true, 502 ; "a limit without that word")]
+#[test_case(json!({"break_at": "after-run"}), true, 502 ; "the answer is lost")]
+#[test_case(json!({"break_at": "in-answer-body"}), true, 502 ; "the answer breaks off")]
+#[test_case(json!({"status": 404}), false, 404 ; "the server's own answer")]
+fn verify_a_broken_exchange_reaches_no_caller_as_an_answer(
+    faults: Value,
+    served_elsewhere: bool,
+    status: u16,
+) {
+    let fleet = RegisteredFleet::start(2);
+    fleet.wait_served(0, &[0, 1]);
+    fleet.backends[1].faults(faults);
+    let mut at_faulty = 0;
+    for number in 0..60 {
+        let id = format!("unsafe-{number}");
+        let reply = fleet.request(1, "POST", "/unsafe/x", &id);
+        assert!(fleet.ran(&id) <= 1, "{id} ran {} times", fleet.ran(&id));
+        if fleet.backends[1].ran(&id) == 0 {
+            assert_eq!(reply.status, 200, "{}", reply.text());
+            continue;
+        }
+        at_faulty += 1;
+        assert_eq!(reply.status, status, "{}", reply.text());
+        if status == 200 {
+            assert!(reply.text().contains(&id), "not its own answer: {}", reply.text());
+        }
+    }
+    assert!(at_faulty > 0, "no request reached the faulty server");
+    if !served_elsewhere {
+        return;
+    }
+    for number in 0..20 {
+        let id = format!("safe-{number}");
+        let reply = fleet.request(1, "GET", "/safe/x", &id);
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        assert!(reply.text().contains(&id), "not its own answer: {}", reply.text());
+    }
+}
+
+#[test]
+fn verify_pipelined_requests_are_answered_in_their_order() {
+    let fleet = RegisteredFleet::start(2);
+    fleet.wait_served(0, &[0, 1]);
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    let request = |number: usize| {
+        let work = if number == 0 { 200 } else { 1 };
+        let last = if number == 9 { "Connection: close\r\n" } else { "" };
+        format!(
+            "GET /safe/{number} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: order-{number}\r\n\
+             x-work-ms: {work}\r\n{last}\r\n"
+        )
+    };
+    let text: String = (0..10).map(request).collect();
+    stream.write_all(text.as_bytes()).expect("write");
+    let mut answers = String::new();
+    stream.read_to_string(&mut answers).expect("read");
+    let order: Vec<&str> = answers
+        .lines()
+        .filter_map(|line| line.strip_prefix("request-id: "))
+        .map(str::trim_end)
+        .collect();
+    let wanted: Vec<String> = (0..10).map(|number| format!("order-{number}")).collect();
+    assert_eq!(order, wanted);
+}
+
+#[test]
+fn verify_a_route_time_out_gets_its_final_answer_then() {
+    let fleet = RegisteredFleet::start(1);
+    let mut short = document(2);
+    short["routes"]["rows"][1][4] = json!(0.3);
+    fleet.write(&short);
+    eventually("the document is in force", || fleet.daemons[0].revision() == 2);
+    let headers = [("Host", HOST), ("Request-Id", "slow"), ("x-work-ms", "60000")];
+    let reply = client::call(fleet.daemons[0].callers, "POST", "/unsafe/x", &headers, "x");
+    // It may have run, so that no status is given that says it has not.
+    assert_eq!((reply.status, fleet.ran("slow")), (504, 1), "{}", reply.text());
+    eventually("the work ends", || fleet.backends[0].runs()["cancelled"] == json!(1));
+}
+
+#[test]
+fn verify_settings_are_read_again_and_wrong_ones_change_nothing() {
+    let mut fleet = RegisteredFleet::start(1);
+    let path = std::env::temp_dir().join(format!("basaltarch-{}.conf", std::process::id()));
+    let write = |text: &str| fs::write(&path, text).expect("settings");
+    write("# settings\nown-service = first-app\n");
+    fleet.daemons.clear();
+    let config = path.to_str().expect("path").to_owned();
+    let flags = [("source", "document"), ("config", config.as_str())];
+    let platform = fleet.platform.address;
+    let mut daemon = common::TestDaemon::start(platform, "host-a", "bkk-a", &flags);
+    eventually("the document is in force", || daemon.is_ready());
+    let logged = |daemon: &common::TestDaemon, text: &str| {
+        let text = text.to_owned();
+        eventually(&format!("the log says {text}"), || daemon.log_text().contains(&text));
+    };
+    write("own-service = second-app\nfloor = 7\n");
+    daemon.signal("-HUP");
+    logged(&daemon, "settings refused; those in force stay");
+    write("own-service = second-app\nhost = another\n");
+    logged(&daemon, "\"cause\":\"file\"");
+    write("own-service = third-app\nfailure-domain = elsewhere\n");
+    daemon.signal("-HUP");
+    logged(&daemon, "\"cause\":\"signal\"");
+    assert!(daemon.is_running());
+    assert!(daemon.is_ready());
+    let _ = fs::remove_file(&path);
+}
