--- /dev/null
+++ b/crates/store/tests/contract.rs
@@ -0,0 +1,186 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The contract with the platform's store, against its stand-in: calls, conditions, feed, outages.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::config::FleetConfig;
+use basaltarch_core::resources::ResourceKind;
+use basaltarch_http::client::HttpClient;
+use basaltarch_http::connection;
+use basaltarch_standin::platform::{self, PlatformStandin};
+use basaltarch_store::changes::{ChangeAuthor, ChangeGuard, ChangeStore, ResourceEdit};
+use basaltarch_store::errors::StoreError;
+use basaltarch_store::platform::{FeedReply, PlatformClient};
+use basaltarch_store::wire::{RowCheck, RowWrite, VALUE_BYTES_MAX};
+use basaltarch_telemetry::runtime;
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use serde_json::{json, Value};
+use test_case::test_case;
+
+struct TestStore {
+    address: SocketAddr,
+    client: PlatformClient,
+}
+
+impl TestStore {
+    fn start() -> Self {
+        let listener = connection::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let address = listener.local_addr().expect("address");
+        monoio::spawn(platform::serve(listener, Rc::new(PlatformStandin::default())));
+        Self { address, client: PlatformClient::new(address, 1e6, 1e6) }
+    }
+
+    async fn faults(&self, faults: Value) {
+        let client = HttpClient::new(self.address, Duration::from_secs(10));
+        let body = Bytes::from(faults.to_string());
+        let call = client.call(Method::PUT, platform::FAULTS_PATH, HeaderMap::new(), body);
+        assert_eq!(call.await.expect("faults").status, 204);
+    }
+
+    async fn put(&self, key: &str, version: u64, value: Value) -> Result<u64, StoreError> {
+        let check = RowCheck { key: key.to_owned(), version };
+        let write = RowWrite { key: key.to_owned(), value: Some(value) };
+        self.client.transact(vec![check], vec![write]).await
+    }
+}
+
+fn run(test: impl std::future::Future<Output = ()>) {
+    runtime::run(test).expect("runtime");
+}
+
+#[test]
+fn verify_conditions_let_one_writer_through_and_tell_the_other_what_is_there() {
+    run(async {
+        let store = TestStore::start();
+        let first = store.put("t/k", 0, json!(1)).await.expect("new row");
+        let refused = store.put("t/k", 0, json!(2)).await.expect_err("not new any more");
+        let StoreError::Conflict { rows } = refused else { panic!("{refused}") };
+        assert_eq!((rows[0].key.as_str(), rows[0].version), ("t/k", first));
+        assert_eq!(rows[0].value, json!(1));
+        let second = store.put("t/k", first, json!(2)).await.expect("as seen");
+        assert!(second > first);
+        let gone = RowWrite { key: "t/k".to_owned(), value: None };
+        store.client.transact(Vec::new(), vec![gone]).await.expect("removed");
+        assert_eq!(store.client.read("t/k").await.expect("read"), None);
+        store.put("t/k", 0, json!(3)).await.expect("new again");
+    });
+}
+
+#[test]
+fn verify_scans_page_by_prefix_and_tables_are_read_whole() {
+    run(async {
+        let store = TestStore::start();
+        for number in 0..60 {
+            let writes = (0..10).map(|each| RowWrite {
+                key: format!("t/a{:03}", number * 10 + each),
+                value: Some(json!(each)),
+            });
+            store.client.transact(Vec::new(), writes.collect()).await.expect("written");
+        }
+        store.put("t/b", 0, json!(0)).await.expect("written");
+        store.put("u/a000", 0, json!(0)).await.expect("written");
+        let page = store.client.scan("t/a", "", 7).await.expect("scan");
+        assert_eq!(page.len(), 7);
+        let next = store.client.scan("t/a", &page[6].key, 2).await.expect("scan");
+        assert_eq!(next[0].key, "t/a007");
+        let end = store.client.scan("t/a", "t/a598", 7).await.expect("scan");
+        assert_eq!(end.len(), 1, "neither another prefix nor another table");
+        let all = store.client.read_table("t").await.expect("table");
+        assert_eq!(all.rows.len(), 601, "more than one page");
+        assert!(all.rows.is_sorted_by(|left, right| left.key < right.key));
+    });
+}
+
+#[test]
+fn verify_the_feed_tells_changes_in_order_and_that_history_is_gone() {
+    run(async {
+        let store = TestStore::start();
+        let start = store.put("t/a", 0, json!(1)).await.expect("written");
+        store.put("u/x", 0, json!(1)).await.expect("another table");
+        let follow = store.client.follow("t", start);
+        let write = async {
+            monoio::time::sleep(Duration::from_millis(20)).await;
+            store.put("t/b", 0, json!(2)).await.expect("written")
+        };
+        let (reply, version) = futures_util::future::join(follow, write).await;
+        let FeedReply::Changes(page) = reply.expect("feed") else { panic!("forgotten") };
+        let keys: Vec<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
+        assert_eq!((keys, page.version), (vec!["b"], version));
+        store.faults(json!({"forget_history": true})).await;
+        let reply = store.client.follow("t", version).await.expect("feed");
+        assert_eq!(reply, FeedReply::Forgotten);
+        let page = store.client.read_table("t").await.expect("table");
+        assert_eq!(page.rows.len(), 2, "nothing but the history is lost");
+        assert!(page.version > version, "the feed goes on from here");
+    });
+}
+
+#[test_case(json!({"down": true}), true ; "connections are dropped")]
+#[test_case(json!({"busy": true}), false ; "calls are turned away")]
+#[test_case(json!({"silent": true}), true ; "nothing is said")]
+#[test_case(json!({"calls_per_second_max": 1}), false ; "over the rate")]
+#[test_case(json!({"lose_write_answers": 1}), true ; "the answer is lost")]
+#[test_case(json!({"lose_writes": 1}), true ; "the write is lost")]
+#[test_case(json!({"late_writes": 1, "late_by_ms": 50}), true ; "the write comes late")]
+fn verify_each_outage_says_whether_a_write_may_have_happened(faults: Value, may_have: bool) {
+    run(async {
+        let store = TestStore::start();
+        store.faults(faults).await;
+        let _ = store.client.read("t/none").await;
+        let error = store.put("t/k", 0, json!(1)).await.expect_err("an outage");
+        assert_eq!(error.may_have_happened(), may_have, "{error}");
+        store.faults(json!({})).await;
+        // The same write settles it: it goes through once at the most.
+        let settled = store.put("t/k", 0, json!(1)).await;
+        assert!(matches!(settled, Ok(_) | Err(StoreError::Conflict { .. })), "{settled:?}");
+        let again = store.put("t/k", 0, json!(1)).await;
+        assert!(matches!(again, Err(StoreError::Conflict { .. })), "{again:?}");
+    });
+}
+
+#[test]
+fn verify_calls_over_the_own_bound_are_not_made() {
+    run(async {
+        let store = TestStore::start();
+        let client = PlatformClient::new(store.address, 2.0, 1.0);
+        let write = || vec![RowWrite { key: "t/k".to_owned(), value: Some(json!(1)) }];
+        client.transact(Vec::new(), write()).await.expect("within the bound");
+        let refused = client.transact(Vec::new(), write()).await;
+        assert_eq!(refused, Err(StoreError::OverBudget));
+    });
+}
+
+#[test]
+fn verify_changes_too_long_for_a_row_and_snapshots_of_several_parts_are_whole() {
+    run(async {
+        let store = TestStore::start();
+        let client = Rc::new(PlatformClient::new(store.address, 1e6, 1e6));
+        let changes = ChangeStore::new(client);
+        let title = "x".repeat(2000);
+        let edits: Vec<ResourceEdit> = (0..3000)
+            .map(|number| ResourceEdit {
+                kind: ResourceKind::Organisation,
+                name: format!("org-{number:04}"),
+                value: Some(json!({"title": format!("{number}{title}")})),
+                guard: ChangeGuard::Any,
+            })
+            .collect();
+        let author = ChangeAuthor { actor: "a".to_owned(), from: "f".to_owned() };
+        let mut config = FleetConfig::default();
+        let record = changes.commit(&mut config, &edits, &author).await.expect("accepted");
+        let length = serde_json::to_vec(&record).expect("record").len();
+        assert!(length > VALUE_BYTES_MAX, "{length}");
+        let mut read = FleetConfig::default();
+        changes.catch_up(&mut read).await.expect("read");
+        assert_eq!((read.revision(), read.len()), (config.revision(), 3000));
+        let no_pause = async || ();
+        changes.put_snapshot(&config, &no_pause).await.expect("snapshot");
+        let snapshot = changes.snapshot(&no_pause).await.expect("read").expect("there");
+        assert_eq!((snapshot.revision(), snapshot.len()), (config.revision(), 3000));
+    });
+}
