--- /dev/null
+++ b/crates/decide/tests/caution.rs
@@ -0,0 +1,176 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Caution after a failure, and which upstreams work that must not be repeated fills.
+
+use std::time::Duration;
+
+use basaltarch_core::resources::PreferChoice;
+use basaltarch_decide::balance::{LoadView, ServiceView};
+use basaltarch_decide::caution::{FailureCaution, FailureSort};
+use basaltarch_decide::evidence::ServiceBaseline;
+use basaltarch_decide::health::{AdmitVerdict, DispatchTerms, HealthReport, UpstreamHealth};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Lets repeatable work through every 50 ms until the upstream is trusted; returns how long that took
+/// and how much work failed, when the upstream is sick for `sick`.
+fn find_out(caution: &mut FailureCaution, from: Duration, sick: Duration) -> (Duration, u32) {
+    let mut failed = 0;
+    let mut now = from;
+    while caution.is_doubtful() {
+        now += millis(50);
+        assert!(now < from + Duration::from_secs(30), "never trusted again");
+        if !caution.admit(true, now) {
+            continue;
+        }
+        if now < from + sick {
+            caution.note_failure(FailureSort::Broken, now);
+            failed += 1;
+        } else {
+            caution.note_success(now);
+        }
+    }
+    (now - from, failed)
+}
+
+#[test_case(0, 500, 0 ; "a single broken connection")]
+#[test_case(300, 2000, 1 ; "sick for a moment")]
+#[test_case(2700, 5000, 4 ; "sick for some seconds")]
+#[test_case(20_000, 22_000, 15 ; "sick for long")]
+fn verify_trust_returns_soon_after_the_sickness_and_little_work_finds_out(
+    sick_ms: u64,
+    trusted_ms: u64,
+    failed_most: u32,
+) {
+    let mut caution = FailureCaution::default();
+    assert!(caution.admit(false, millis(0)));
+    assert!(
+        caution.note_failure(FailureSort::Broken, millis(0)),
+        "one broken connection is enough"
+    );
+    assert!(!caution.admit(false, millis(10)), "what must not be repeated waits");
+    let (took, failed) = find_out(&mut caution, millis(0), millis(sick_ms));
+    assert!(took <= millis(trusted_ms), "{took:?}");
+    assert!(failed <= failed_most, "{failed}");
+    assert!(caution.admit(false, took));
+}
+
+#[test]
+fn verify_one_error_is_no_reason_but_two_in_a_row_are() {
+    let mut caution = FailureCaution::default();
+    for number in 0..10 {
+        assert!(!caution.note_failure(FailureSort::Answered, millis(number)));
+        caution.note_success(millis(number));
+    }
+    caution.note_failure(FailureSort::Answered, millis(20));
+    assert!(caution.note_failure(FailureSort::Answered, millis(21)));
+    assert!(caution.is_doubtful());
+}
+
+#[test]
+fn verify_a_service_without_repeatable_work_finds_out_too() {
+    let mut caution = FailureCaution::default();
+    caution.note_failure(FailureSort::Broken, millis(0));
+    assert!(!caution.admit(false, millis(1000)));
+    assert!(caution.admit(false, millis(4000)));
+    assert!(!caution.admit(false, millis(4010)), "one at a time");
+}
+
+fn terms(repeatable: bool, passable: bool) -> DispatchTerms<'static> {
+    let baseline = ServiceBaseline::default();
+    // Nothing can be spared, as when the floor is reached.
+    DispatchTerms { route: "r", refusable: false, repeatable, passable, baseline }
+}
+
+#[test]
+fn verify_a_doubted_upstream_passes_work_on_but_the_last_one_asked_takes_it() {
+    let mut health = UpstreamHealth::new(PreferChoice::Precision, millis(0), false);
+    health.note_end(Some(FailureSort::Broken), millis(0));
+    let mut verdict =
+        |repeatable, passable| health.admit(&terms(repeatable, passable), millis(10)).0;
+    assert_eq!(verdict(false, true), AdmitVerdict::Refuse);
+    assert_eq!(verdict(true, true), AdmitVerdict::Refuse, "not yet time");
+    assert_eq!(verdict(false, false), AdmitVerdict::Admit, "no capacity is taken out of service");
+    assert!(!health.is_ejected());
+    assert!(health.report("r", millis(10)).doubtful);
+}
+
+fn report(sound: bool) -> HealthReport {
+    HealthReport {
+        sickness: 0.0,
+        ejected: false,
+        median_ln: (200_000_f64).ln(),
+        spread: 0.4,
+        failure_rate: 0.0,
+        overdue_rate: 0.0,
+        samples: 50,
+        ramp: 1.0,
+        trial_in: millis(200),
+        doubtful: !sound,
+    }
+}
+
+/// Six upstreams of four slots, the first two near; the rank falls with the position.
+fn view() -> ServiceView {
+    let upstreams = (0..6_u64).map(|index| LoadView::new(4, index < 2).with_rank(10 - index));
+    let mut view = ServiceView::new(0.7, upstreams.collect());
+    view.note_median((200_000_f64).ln());
+    (0..6).for_each(|index| view.note_report(index, 0, report(true), millis(0)));
+    view
+}
+
+#[test]
+fn verify_near_upstreams_are_filled_by_rank_and_full_or_doubted_ones_are_left_out() {
+    let mut view = view();
+    let chosen = |view: &mut ServiceView, excluded: &[usize]| {
+        view.choose_steady(millis(5), excluded).map(|choice| choice.index)
+    };
+    assert_eq!(chosen(&mut view, &[]), Some(1), "near ones first, by rank");
+    (0..4).for_each(|_| view.note_sent(1));
+    assert_eq!(chosen(&mut view, &[]), Some(0), "the own work fills the slots");
+    view.note_report(0, 4, report(true), millis(0));
+    assert_eq!(chosen(&mut view, &[]), Some(5), "it said that it is full");
+    view.note_report(5, 0, report(false), millis(0));
+    assert_eq!(chosen(&mut view, &[]), Some(4), "it is doubted");
+    view.note_draining(4, true);
+    assert_eq!(chosen(&mut view, &[]), Some(3), "it is leaving");
+    assert_eq!(chosen(&mut view, &[3, 2]), None, "nobody is left that is known to be free");
+    let later = view.choose_steady(millis(500), &[]).map(|choice| choice.index);
+    assert_eq!(later, Some(0), "a report that it is full is not believed for long");
+}
+
+#[test]
+fn verify_many_ingresses_fill_the_same_few_upstreams() {
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..20 {
+        let mut view = view();
+        used.extend(view.choose_steady(millis(5), &[]).map(|choice| choice.index));
+    }
+    assert_eq!(used.len(), 1);
+}
+
+#[test]
+fn verify_work_goes_to_a_doubted_upstream_only_if_the_others_are_far_more_loaded() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut view = view();
+    view.note_report(1, 0, report(false), millis(0));
+    for number in 0..100 {
+        let choice = view.choose(millis(10 + number), &[], false, false, &mut rng).expect("some");
+        assert_ne!(choice.index, 1);
+    }
+    for index in [0, 2, 3, 4, 5] {
+        // A suspect must be ten times less loaded to be worth its risk.
+        (0..30).for_each(|_| view.note_sent(index));
+    }
+    let chosen = (0..50).filter_map(|_| view.choose(millis(200), &[], false, false, &mut rng));
+    assert!(
+        chosen.into_iter().any(|choice| choice.index == 1),
+        "it has room where others are overrun"
+    );
+}
