Let repeatable work find out only while its repeat is paid for

Change: when the budget has no repeat left, repeatable work goes the way of work that must not be repeated.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -226,7 +226,7 @@
         let now = self.state.now();
         let service = &self.request.service;
         service
-            .choose(now, &self.excluded, self.is_repeatable(), must_take)
+            .choose(now, &self.excluded, self.finds_out(), must_take)
             .filter(|_| self.dispatches < DISPATCHES_MAX)
             .ok_or_else(|| CallerFailure::new(self.last))
     }
@@ -234,9 +234,7 @@
     /// Chooses where work that must not be repeated may start at once, for the first few tries.
     fn choose_steady(&mut self) -> Option<UpstreamChoice> {
         self.no_wait = false;
-        // Repeatable work finds out which upstreams work, but its second try should succeed.
-        let finds_out = self.is_repeatable() && self.arrivals == 0;
-        if finds_out || self.spills >= SPILLS_MAX {
+        if self.finds_out() || self.spills >= SPILLS_MAX {
             return None;
         }
         let choice = self.request.service.choose_steady(self.state.now(), &self.spilled)?;
@@ -293,6 +291,20 @@
         true
     }
 
+    /// Says whether the request may find out which upstreams work: its failure would be repeated. A
+    /// second try should succeed, and so should one that the budget would not let be repeated.
+    fn finds_out(&self) -> bool {
+        self.is_repeatable() && self.arrivals == 0 && self.request.service.has_repeat(self.state)
+    }
+
+    /// Returns the mode that the host's daemon is told.
+    fn dispatch_mode(&self) -> WorkMode {
+        match self.request.route.rule.mode {
+            WorkMode::Repeatable if !self.finds_out() => WorkMode::Plain,
+            mode => mode,
+        }
+    }
+
     /// Says whether the route lets the request reach one more backend server.
     fn has_arrivals_left(&self) -> bool {
         match self.request.route.rule.attempts {
@@ -411,7 +423,7 @@
             deadline_ms: self.left().as_millis().min(i32::MAX as u128) as i32,
             refusable: choice.refusable,
             work_class: wire::class_number(request.route.rule.criticality),
-            work_mode: wire::mode_number(request.route.rule.mode),
+            work_mode: wire::mode_number(self.dispatch_mode()),
             attempt: self.dispatches as i8,
             content_length: request.framing.wire_length(),
             body: request.prefix.to_vec(),
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -278,6 +278,14 @@
         self.budget.borrow_mut().note_request(now);
     }
 
+    /// Says whether the budget has a repeat left.
+    pub fn has_repeat(&self, state: &DaemonState) -> bool {
+        let terms = budget_terms(state, &self.entry);
+        let mut budget = self.budget.borrow_mut();
+        budget.set_terms(terms);
+        budget.has_room(state.now())
+    }
+
     /// Takes a repeat from the budget.
     pub fn take_repeat(&self, state: &DaemonState) -> bool {
         let terms = budget_terms(state, &self.entry);
--- a/crates/decide/src/budget.rs
+++ b/crates/decide/src/budget.rs
@@ -52,17 +52,22 @@
         self.slot_mut(now).requests += 1;
     }
 
-    /// Takes one repeat from the budget, if there is one.
-    pub fn take(&mut self, now: Duration) -> bool {
+    /// Says whether there is a repeat to take.
+    pub fn has_room(&mut self, now: Duration) -> bool {
         self.slot_mut(now);
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let repeats: u32 = self.slots.iter().map(|slot| slot.repeats).sum();
         let allowed = self.terms.share * f64::from(requests) + self.terms.extra;
-        if f64::from(repeats) + 1.0 > allowed {
-            return false;
+        f64::from(repeats) + 1.0 <= allowed
+    }
+
+    /// Takes one repeat from the budget, if there is one.
+    pub fn take(&mut self, now: Duration) -> bool {
+        let room = self.has_room(now);
+        if room {
+            self.slot_mut(now).repeats += 1;
         }
-        self.slot_mut(now).repeats += 1;
-        true
+        room
     }
 
     /// Returns the slot of `now`, and forgets those that the window has left.
