--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -137,12 +137,8 @@
 
     /// Takes in that a running request is overdue.
     pub fn note_overdue(&self, route: &str, now: Duration) {
-        let mut health = self.health.borrow_mut();
-        let change = health.note_overdue(route, now);
-        let caution = health.note_end(Some(FailureSort::Answered), now);
-        drop(health);
+        let change = self.health.borrow_mut().note_overdue(route, now);
         self.tell(change);
-        self.tell(caution);
     }
 
     fn tell(&self, change: Option<HealthChange>) {
--- a/crates/decide/src/caution.rs
+++ b/crates/decide/src/caution.rs
@@ -16,18 +16,12 @@
 const HOLD_MIN: Duration = Duration::from_millis(200);
 /// Longest pause between two pieces of such work.
 const HOLD_MAX: Duration = Duration::from_millis(1600);
-/// Good answers in a row after which the upstream gets all work again at first: of an upstream that
-/// fails half of its work, one in four passes.
+/// Good answers in a row after which the upstream gets all work again: of an upstream that fails half
+/// of its work, one in four passes.
 const GOOD_NEEDED: u32 = 2;
-/// Times that the pause and the good answers needed double when trust was misplaced: of an upstream
-/// that fails four in ten, one in sixty passes eight.
-const DOUBLINGS_MAX: u32 = 3;
-/// Weight of errors, which also follow from requests, from which they count like a broken connection:
-/// two within two answers, but not within three.
-const SOFT_WEIGHT: f64 = 1.6;
-/// Weight of earlier errors that a good answer takes away.
-const SOFT_DECAY: f64 = 0.3;
-/// Time after which a former failure no longer makes the next count more.
+/// Failures in a row that count like one broken connection: errors also follow from requests.
+const SOFT_FAILURES: u32 = 2;
+/// Time after which a former failure no longer lengthens the pause.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 /// Time without any work let through after which any work is: a service without repeatable work
 /// must find out as well.
@@ -49,8 +43,7 @@
     trial_at: Duration,
     hold: Duration,
     good: u32,
-    soft: f64,
-    doublings: u32,
+    failures: u32,
     trusted_at: Duration,
 }
 
@@ -84,8 +77,8 @@
     /// Takes in a failure; says whether the upstream is doubted from now on.
     pub fn note_failure(&mut self, sort: FailureSort, now: Duration) -> bool {
         self.good = 0;
-        self.soft += 1.0;
-        if sort == FailureSort::Answered && self.soft < SOFT_WEIGHT {
+        self.failures += 1;
+        if sort == FailureSort::Answered && self.failures < SOFT_FAILURES {
             return false;
         }
         if self.doubted_at.is_some() {
@@ -95,8 +88,7 @@
         }
         let lately =
             self.hold > Duration::ZERO && now.saturating_sub(self.trusted_at) < FORGET_AFTER;
-        self.doublings = if lately { (self.doublings + 1).min(DOUBLINGS_MAX) } else { 0 };
-        self.hold = HOLD_MIN * (1 << self.doublings);
+        self.hold = if lately { (self.hold * 2).min(HOLD_MAX) } else { HOLD_MIN };
         self.doubted_at = Some(now);
         self.trial_at = now + self.hold;
         true
@@ -104,17 +96,16 @@
 
     /// Takes in a good answer; returns how long the upstream was doubted if it no longer is.
     pub fn note_success(&mut self, now: Duration) -> Option<Duration> {
-        self.soft = (self.soft - SOFT_DECAY).max(0.0);
+        self.failures = 0;
         let since = self.doubted_at?;
         self.good += 1;
         // The next may follow at once.
         self.trial_at = now;
-        if self.good < GOOD_NEEDED << self.doublings {
+        if self.good < GOOD_NEEDED {
             return None;
         }
         self.doubted_at = None;
         self.good = 0;
-        self.soft = 0.0;
         self.trusted_at = now;
         Some(now.saturating_sub(since))
     }
