--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -259,7 +259,8 @@
 
     /// Says whether another upstream can be asked if this one is doubted.
     fn is_passable(&self) -> bool {
-        let others = self.request.service.entry.upstreams.len().saturating_sub(self.excluded.len());
+        let excluded = &self.excluded;
+        let others = self.request.service.with_view(|view| view.count_others(excluded));
         self.passes < PASSES_MAX && others > 1
     }
 
--- a/crates/daemon/tests/registered.rs
+++ b/crates/daemon/tests/registered.rs
@@ -172,6 +172,27 @@
     });
 }
 
+#[test]
+fn verify_the_last_server_takes_work_though_all_are_doubted_and_others_are_gone() {
+    let mut fleet = RegisteredFleet::start(3);
+    fleet.wait_served(0, &[0, 1, 2]);
+    // The row of a host that is gone stays for long.
+    fleet.daemons[2].kill();
+    for round in 0..5 {
+        for index in [0, 1] {
+            fleet.backends[index].faults(json!({"break_at": "after-run"}));
+        }
+        for number in 0..8 {
+            fleet.request(number % 2, "GET", "/safe/x", &format!("breaks-{round}-{number}"));
+        }
+        for index in [0, 1] {
+            fleet.backends[index].faults(json!({}));
+        }
+        let reply = fleet.request(0, "POST", "/unsafe/x", &format!("last-{round}"));
+        assert_eq!(reply.status, 200, "{} {:?}", reply.text(), reply.reason());
+    }
+}
+
 #[test]
 fn verify_servers_that_register_in_an_outage_are_used_after_it() {
     let mut fleet = RegisteredFleet::start(2);
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -238,6 +238,12 @@
         }
     }
 
+    /// Returns the number of upstreams in service that are not in `excluded`.
+    pub fn count_others(&self, excluded: &[usize]) -> usize {
+        let others = (0..self.upstreams.len()).filter(|index| !excluded.contains(index));
+        others.filter(|index| self.in_service(*index)).count()
+    }
+
     /// Says whether an upstream is in the ingress's own failure domain.
     pub fn is_local(&self, index: usize) -> bool {
         self.upstreams.get(index).is_some_and(|view| view.is_local)
