--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -31,8 +31,9 @@
 use crate::roster::{self, ToldRecord};
 use crate::state::DaemonState;
 
-/// Longest pause after failed calls in a row: a change must be in force within two seconds.
-const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(500);
+/// Longest pause after failed calls in a row: refused calls cost as much as others, and the first of
+/// many daemons that hears of a change after an outage tells the others.
+const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(1500);
 
 /// Time for which a daemon waits for the store to tell of a document that a peer already has: the
 /// feed brings it in milliseconds, and a whole document is large.
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -33,10 +33,10 @@
 pub const HOSTS_TABLE: &str = "hosts";
 /// Pause between two calls of the feed that brought something: what changes at the same time, as when
 /// a fleet starts, is then read in one call.
-const FEED_PAUSE: Duration = Duration::from_millis(300);
+const FEED_PAUSE: Duration = Duration::from_millis(700);
 /// Longest pause after failed calls in a row: what changed during an outage must be known within
 /// about two seconds of its end.
-const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(1000);
+const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(2000);
 /// Time that a starting daemon waits for the backend server beside it before it writes its row
 /// without one: a little longer than the usual time between two heartbeats.
 const FIRST_WRITE_WAIT: Duration = Duration::from_secs(2);
