--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -17,6 +17,10 @@
 
 use crate::clock::DaemonClock;
 
+/// Share of the time left that work may wait for a slot: what has waited for longer is seldom done in
+/// time, and its caller can still turn elsewhere.
+const WAIT_SHARE_MAX: f64 = 0.45;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WaitState {
     Waiting,
@@ -140,8 +144,8 @@
             *waiter.waker.borrow_mut() = Some(context.waker().clone());
             Poll::Pending
         });
-        let left = request.deadline.saturating_sub(self.clock.now());
-        let result = match monoio::time::timeout(left, result).await {
+        let wait = request.deadline.saturating_sub(self.clock.now()).mul_f64(WAIT_SHARE_MAX);
+        let result = match monoio::time::timeout(wait, result).await {
             Ok(result) => result,
             Err(_) => Err(NotRunReason::DeadlinePassed),
         };
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -146,6 +146,24 @@
     });
 }
 
+#[test]
+fn verify_work_that_waited_for_half_of_its_time_is_refused_before_its_deadline() {
+    run(async {
+        let queue = TestQueue::new();
+        for name in ["slot-1", "slot-2"] {
+            queue.ask(name, queue.request(WorkClass::Normal, 60_000)).await;
+        }
+        let deadline = queue.clock.now() + Duration::from_secs(2);
+        let request = queue.request(WorkClass::Normal, 60_000);
+        queue.ask("waits", SlotRequest { deadline, usual: None, ..request }).await;
+        while queue.end_of("waits").is_none() {
+            assert!(queue.clock.now() < deadline, "it waited until its deadline");
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(queue.end_of("waits"), Some(Err(NotRunReason::DeadlinePassed)));
+    });
+}
+
 #[test]
 fn verify_all_who_wait_are_refused_when_the_server_leaves_and_slots_stay_exact() {
     run(async {
