--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -31,7 +31,7 @@
 
 /// Part of the budget that is spent: calls that a repeated run makes of its own count as repeats of
 /// other services, and no daemon sees that they belong to one.
-const BUDGET_USED: f64 = 0.45;
+const BUDGET_USED: f64 = 0.55;
 /// Split routes whose turn is remembered; beyond it all begin anew, so that routes that are gone do
 /// not add up.
 const SPLITS_MAX: usize = 4096;
