--- a/crates/daemon/tests/drain.rs
+++ b/crates/daemon/tests/drain.rs
@@ -69,6 +69,26 @@
     fleet.check_invariants();
 }
 
+#[test]
+fn verify_a_kept_connection_is_served_while_its_daemon_stops_and_told_to_close() {
+    use std::io::{Read, Write};
+    let flags = vec![("drain-min-ms", "5s")];
+    let plan = FleetPlan { daemons: 2, backends: 2, daemon_flags: flags, ..FleetPlan::default() };
+    let mut fleet = TestFleet::start(&plan);
+    let mut kept = client::connect(fleet.daemons[0].callers);
+    fleet.daemons[0].signal("-TERM");
+    eventually("the daemon is leaving", || !fleet.daemons[0].is_ready());
+    // Neither this connection nor a new one is turned away: callers hear late that a daemon leaves.
+    kept.write_all(b"GET /plain HTTP/1.1\r\nHost: solver.example\r\n\r\n").expect("write");
+    let mut answer = String::new();
+    kept.read_to_string(&mut answer).expect("an answer, then the end");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    let reply = fleet.request(0, "GET", "/plain", &[], "");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(fleet.daemons[0].ended().code(), Some(0));
+}
+
 #[test]
 fn verify_a_second_signal_ends_at_once_and_says_what_was_cut() {
     let mut fleet =
