Notice silent links in half a second, leave them with repeatable work; no choice without upstreams

Cause: a cut or frozen peer was noticed after 1.7 s, and work under way to it waited for its patience; a service without upstreams made the tenth choice panic (the test failed first). Change: a peer is asked after 150 ms of silence, and its path is cut after four of its round trips, at least 350 ms; repeatable work whose path is cut goes elsewhere out of the budget.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -26,6 +26,7 @@
 use crate::ingress::waiting::{self, FirstEvent};
 use crate::links;
 use crate::metrics;
+use crate::peers::PeerPath;
 use crate::services::SentGuard;
 use crate::state::DaemonState;
 use crate::wire;
@@ -59,6 +60,8 @@
     pub exchange: OutboundExchange,
     /// Start of the body, if it goes out only once the host's daemon has started the work.
     pub withheld: Option<Bytes>,
+    /// Path to another daemon that it runs over, if it may be given up when that is cut.
+    pub path: Option<Rc<PeerPath>>,
     /// How long it is waited for before another attempt is made.
     pub patience: Option<Duration>,
     /// Whether a failure counts as evidence against the upstream.
@@ -388,7 +391,9 @@
         };
         let patience = self.patience(choice.index, &baseline);
         let withheld = withheld.then(|| self.request.prefix.clone());
-        Some(LiveExchange { exchange, withheld, patience, counts, _sent: sent })
+        let may_leave = self.may_follow() && body_is_done && !path.is_self;
+        let path = may_leave.then_some(path);
+        Some(LiveExchange { exchange, withheld, path, patience, counts, _sent: sent })
     }
 
     /// Says whether the body waits until the work has started: bytes between failure domains are dear,
@@ -440,13 +445,18 @@
         }
     }
 
-    /// Returns how long an attempt is waited for before another is made, if another may be.
-    fn patience(&self, index: usize, baseline: &ServiceBaseline) -> Option<Duration> {
-        // This attempt will be an arrival itself.
+    /// Says whether another attempt may follow the one that was just dispatched.
+    fn may_follow(&self) -> bool {
+        // That attempt will be an arrival itself.
         let most = self.request.route.rule.attempts as usize;
         let arrivals_left = most == 0 || self.arrivals + 1 < most;
-        let may_follow = self.is_repeatable() && self.dispatches < DISPATCHES_MAX && arrivals_left;
-        if !may_follow || !baseline.is_usable() || self.state.is_stopping() {
+        let may = self.is_repeatable() && self.dispatches < DISPATCHES_MAX && arrivals_left;
+        may && !self.state.is_stopping()
+    }
+
+    /// Returns how long an attempt is waited for before another is made, if another may be.
+    fn patience(&self, index: usize, baseline: &ServiceBaseline) -> Option<Duration> {
+        if !self.may_follow() || !baseline.is_usable() {
             return None;
         }
         // What the upstream has queued before this request is not the upstream's fault.
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -3,9 +3,11 @@
 
 //! Waits for the first thing that an attempt brings, while the rest of the request is sent.
 
+use std::future;
 use std::time::Duration;
 
 use basaltarch_core::outcome::{FailureOutcome, UnknownReason};
+use basaltarch_decide::path::PathState;
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::reader::HEAD_READ_BYTES;
@@ -21,6 +23,8 @@
 /// Time that the answer may take beyond the deadline given to the host's daemon, which times the
 /// work out itself; after it the path is at fault.
 const DEADLINE_GRACE: Duration = Duration::from_millis(100);
+/// Time between looks at the path of work that is waited for.
+const PATH_LOOK: Duration = Duration::from_millis(150);
 /// Bytes of further requests that are read while one is served.
 const PIPELINE_BYTES_MAX: usize = 64 * 1024;
 
@@ -51,6 +55,7 @@
     let mut late = std::pin::pin!(monoio::time::sleep(wait).fuse());
     let patience = live.patience.filter(|_| body.is_done()).unwrap_or(wait * 2);
     let mut patient = std::pin::pin!(monoio::time::sleep(patience).fuse());
+    let mut cut = std::pin::pin!(path_cut(state, live).fuse());
     let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
     loop {
         select_biased! {
@@ -60,6 +65,9 @@
                 SendEnd::CallerGone => return FirstEvent::CallerGone,
             },
             () = late => return timed_out(),
+            () = cut => if request.service.take_repeat(state) {
+                return FirstEvent::GivenUp;
+            },
             () = patient => if request.service.take_repeat(state) {
                 return FirstEvent::GivenUp;
             },
@@ -67,6 +75,19 @@
     }
 }
 
+/// Waits until the path to the upstream's daemon is cut, for work that may then be sent elsewhere.
+async fn path_cut(state: &DaemonState, live: &LiveExchange) {
+    match &live.path {
+        Some(path) => loop {
+            monoio::time::sleep(PATH_LOOK).await;
+            if path.state(state.now()) == PathState::Cut {
+                return;
+            }
+        },
+        None => future::pending().await,
+    }
+}
+
 fn timed_out() -> FirstEvent {
     FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::TimedOut), None)
 }
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -31,7 +31,7 @@
 /// Dialling goes on behind it, so that a far daemon is found by a later request.
 const LINK_WAIT: Duration = Duration::from_millis(500);
 /// Time between looks at the links.
-const WATCH_EVERY: Duration = Duration::from_millis(250);
+const WATCH_EVERY: Duration = Duration::from_millis(100);
 /// Time without use after which a link is given up.
 const IDLE_MAX: Duration = Duration::from_secs(120);
 /// Time for which a path may be cut before its link is made anew.
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -442,7 +442,7 @@
     fn explore(&mut self, terms: &ChoiceTerms, rng: &mut impl Rng) -> Option<usize> {
         let now = terms.now;
         self.choices = self.choices.wrapping_add(1);
-        if !self.choices.is_multiple_of(EXPLORE_EVERY) {
+        if !self.choices.is_multiple_of(EXPLORE_EVERY) || self.upstreams.is_empty() {
             return None;
         }
         let is_fresh = |view: &&LoadView| now.saturating_sub(view.reported_at) < EXPLORE_AGE;
--- a/crates/decide/src/path.rs
+++ b/crates/decide/src/path.rs
@@ -5,12 +5,18 @@
 
 use std::time::Duration;
 
-/// Silence on a link with open exchanges after which the peer is asked for a sign of life.
-pub const ASK_AFTER: Duration = Duration::from_millis(500);
-/// Time without any frame after asking from which a path is thought cut: four times the round trip
-/// between far regions (0.3 s). A cut one way and a cut the other way look alike from here, and
-/// either makes the path useless.
+/// Silence on a link with open exchanges after which the peer is asked for a sign of life: usual work
+/// takes as long, so that an answer often comes first.
+pub const ASK_AFTER: Duration = Duration::from_millis(150);
+/// Time without any frame after asking from which a path is thought cut while its round trip is not
+/// known: four times the round trip between far regions (0.3 s). A cut one way and a cut the other
+/// way look alike from here, and either makes the path useless.
 pub const SILENCE_MAX: Duration = Duration::from_millis(1200);
+/// The same for a path whose round trip is known, at the least: a host that gets its share of a
+/// processor in tenths of a second is silent for as long, and a lost packet is sent again after 200 ms.
+pub const SILENCE_MIN: Duration = Duration::from_millis(350);
+/// Round trips of silence from which a path is thought cut.
+const SILENCE_ROUNDS: u32 = 4;
 /// Most answers in a row that a path which flapped must give before it is trusted again.
 const ANSWERS_NEEDED_MAX: u32 = 32;
 /// Good time after which a path's former cuts are forgotten.
@@ -36,6 +42,8 @@
     answers_needed: u32,
     up_since: Duration,
     was_cut: bool,
+    /// Longest round trip of the last few, if one was measured.
+    round_trip: Option<Duration>,
 }
 
 impl PathHealth {
@@ -48,6 +56,7 @@
             answers_needed: 0,
             up_since: now,
             was_cut: false,
+            round_trip: None,
         }
     }
 
@@ -72,6 +81,12 @@
 
     /// Takes in that the peer answered a question.
     pub fn note_answer(&mut self, now: Duration) {
+        if let Some(asked_at) = self.asked_at {
+            let took = now.saturating_sub(asked_at);
+            // A longer one counts at once, shorter ones little by little.
+            let known = self.round_trip.unwrap_or(took);
+            self.round_trip = Some(took.max(known - known / 8));
+        }
         self.note_heard(now);
         if !self.was_cut {
             return;
@@ -89,7 +104,15 @@
     }
 
     fn is_cut(&self, now: Duration) -> bool {
-        self.asked_at.is_some_and(|asked_at| now.saturating_sub(asked_at) > SILENCE_MAX)
+        self.asked_at.is_some_and(|asked_at| now.saturating_sub(asked_at) > self.silence_max())
+    }
+
+    /// Returns the silence after asking from which the path is thought cut.
+    fn silence_max(&self) -> Duration {
+        match self.round_trip {
+            Some(round_trip) => (round_trip * SILENCE_ROUNDS).clamp(SILENCE_MIN, SILENCE_MAX),
+            None => SILENCE_MAX,
+        }
     }
 
     fn refresh(&mut self, now: Duration) {
--- a/crates/decide/tests/caution.rs
+++ b/crates/decide/tests/caution.rs
@@ -145,6 +145,16 @@
     assert_eq!(later, Some(0), "a report that it is full is not believed for long");
 }
 
+#[test]
+fn verify_a_service_without_upstreams_has_no_choice() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut view = ServiceView::new(0.7, Vec::new());
+    for number in 0..30 {
+        assert_eq!(view.choose(millis(number), &[], true, false, &mut rng), None);
+        assert_eq!(view.choose_steady(millis(number), &[]), None);
+    }
+}
+
 #[test]
 fn verify_many_ingresses_fill_the_same_few_upstreams() {
     let mut used = std::collections::BTreeSet::new();
