--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -113,11 +113,6 @@
         self.waiting.borrow().len() as u32
     }
 
-    /// Says whether work can start at once.
-    pub fn has_free(&self) -> bool {
-        self.used.get() < self.slots.get() && self.waiting.borrow().is_empty()
-    }
-
     /// Says whether a request of this class would be let into a slot or the queue.
     pub fn has_room(&self, class: WorkClass) -> bool {
         let waiting = self.waiting.borrow();
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -135,8 +135,7 @@
 
     async fn run(&self, body: &EventPipe, answer: &EventSink) -> Result<(), FailureOutcome> {
         let class = wire::class_of(self.head.work_class);
-        let slots = &self.upstream.slots;
-        if !slots.has_room(class) || self.head.no_wait && !slots.has_free() {
+        if !self.upstream.slots.has_room(class) {
             return Err(FailureOutcome::NotRun(NotRunReason::QueueFull));
         }
         // The row comes before the slot: a slow store must not hold slots that others need.
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -33,9 +33,6 @@
 
 /// Dispatches of one request at the most: the first and two more.
 const DISPATCHES_MAX: usize = 3;
-/// Upstreams that are asked to start work at once before it waits for one; each costs a way there and
-/// back.
-const SPILLS_MAX: usize = 3;
 /// Upstreams that may pass work on as they are doubted: with a third of them doubted, the fifth is
 /// reached once in 80 times.
 const PASSES_MAX: usize = 4;
@@ -77,11 +74,6 @@
     dispatches: usize,
     /// Backend servers that the request reached, or may have.
     arrivals: usize,
-    /// Whether the dispatch under way is refused rather than kept waiting.
-    no_wait: bool,
-    /// Upstreams that had no free slot.
-    spilled: Vec<usize>,
-    spills: usize,
     passes: usize,
     last: FailureOutcome,
     /// Why it is not known whether an earlier attempt ran, if one may have.
@@ -102,9 +94,6 @@
         excluded: Vec::new(),
         dispatches: 0,
         arrivals: 0,
-        no_wait: false,
-        spilled: Vec::new(),
-        spills: 0,
         passes: 0,
         last: FailureOutcome::NotRun(NotRunReason::NoUpstream),
         may_have_run: None,
@@ -159,12 +148,10 @@
                 if failed_at_server(outcome) {
                     attempts.note_end(choice.index, &live, true);
                 }
-                let index = choice.index;
-                if attempts.has_spilled(index, outcome) || attempts.has_passed(index, outcome) {
+                if attempts.has_passed(choice.index, outcome) {
                     continue;
                 }
                 attempts.excluded.push(choice.index);
-                attempts.spilled.push(choice.index);
                 attempts.note_outcome(outcome);
                 attempts.arrivals += usize::from(has_arrived(outcome));
                 let again = match outcome {
@@ -222,9 +209,6 @@
         if self.left().is_zero() && self.dispatches == 0 {
             return Err(CallerFailure::not_run(NotRunReason::DeadlinePassed));
         }
-        if let Some(choice) = self.choose_steady() {
-            return Ok(choice);
-        }
         let must_take = self.dispatches + 1 >= DISPATCHES_MAX;
         let now = self.state.now();
         let service = &self.request.service;
@@ -234,17 +218,6 @@
             .ok_or_else(|| CallerFailure::new(self.last))
     }
 
-    /// Chooses where work that must not be repeated may start at once, for the first few tries.
-    fn choose_steady(&mut self) -> Option<UpstreamChoice> {
-        self.no_wait = false;
-        if self.finds_out() || self.spills >= SPILLS_MAX {
-            return None;
-        }
-        let choice = self.request.service.choose_steady(self.state.now(), &self.spilled)?;
-        self.no_wait = true;
-        Some(choice)
-    }
-
     /// Says whether what did not run may be sent to another upstream.
     fn may_go_elsewhere(&self, reason: NotRunReason) -> bool {
         let would_repeat = matches!(
@@ -277,24 +250,10 @@
         }
         self.dispatches -= 1;
         self.passes += 1;
-        self.spilled.push(index);
         self.excluded.push(index);
         true
     }
 
-    /// Takes in that an upstream had no slot for work that was not to wait; such a try costs nothing,
-    /// and the upstream may be asked again by a dispatch that waits.
-    fn has_spilled(&mut self, index: usize, outcome: FailureOutcome) -> bool {
-        let full = outcome == FailureOutcome::NotRun(NotRunReason::QueueFull);
-        if !self.no_wait || !full {
-            return false;
-        }
-        self.dispatches -= 1;
-        self.spills += 1;
-        self.spilled.push(index);
-        true
-    }
-
     /// Says whether the request may find out which upstreams work: its failure would be repeated. A
     /// second try should succeed, and so should one that the budget would not let be repeated.
     fn finds_out(&self) -> bool {
@@ -400,13 +359,12 @@
     /// and a dispatch that may be refused would carry them for nothing.
     fn withholds_body(&self, index: usize, head: &DispatchHead) -> bool {
         let is_local = self.request.service.with_view(|view| view.is_local(index));
-        let may_be_refused = head.no_wait || head.passable || head.refusable;
+        let may_be_refused = head.passable || head.refusable;
         !is_local && may_be_refused && head.body.len() > WITHHELD_BYTES_MIN
     }
 
     fn note_unreachable(&mut self, index: usize) -> Option<LiveExchange> {
         self.excluded.push(index);
-        self.spilled.push(index);
         self.last = FailureOutcome::NotRun(NotRunReason::PeerUnreachable);
         None
     }
@@ -439,7 +397,6 @@
             organisation: request.organisation.clone(),
             revision: self.state.config.revision().0 as i64,
             after_failure: self.spares_failure(),
-            no_wait: self.no_wait,
             passable: self.is_passable(),
             objective_ms: self.objective_left().as_millis().min(i32::MAX as u128) as i32,
         }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -4,7 +4,6 @@
 //! What the ingress knows of each service that it sends requests to.
 
 use std::cell::{Cell, RefCell};
-use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +18,7 @@
 use basaltarch_decide::poison::{CountedFailures, PoisonMemory, RequestMark};
 use basaltarch_decide::split::WeightedSplit;
 use basaltarch_peer::protocol::LoadReport;
-use fnv::{FnvHashMap, FnvHasher};
+use fnv::FnvHashMap;
 
 use crate::metrics;
 use crate::peers::PeerPath;
@@ -153,8 +152,7 @@
             .iter()
             .map(|upstream| {
                 let is_local = upstream.server.failure_domain == *own_domain;
-                let rank = rank_of(&upstream.name);
-                let fresh = LoadView::new(upstream.server.slots, is_local).with_rank(rank);
+                let fresh = LoadView::new(upstream.server.slots, is_local);
                 keep_view(known, &upstream.name, fresh)
             })
             .collect();
@@ -195,13 +193,6 @@
         choice
     }
 
-    /// Chooses an upstream for work that must not be repeated, to start at once; nothing if none is
-    /// known to be free.
-    pub fn choose_steady(&self, now: Duration, excluded: &[usize]) -> Option<UpstreamChoice> {
-        self.refresh(now);
-        self.view.borrow_mut().choose_steady(now, excluded)
-    }
-
     /// Returns how many rounds of work an upstream last said to have before new work.
     pub fn queued_rounds(&self, index: usize, now: Duration) -> f64 {
         let view = self.view.borrow();
@@ -376,12 +367,6 @@
     }
 }
 
-fn rank_of(name: &str) -> u64 {
-    let mut hasher = FnvHasher::default();
-    hasher.write(name.as_bytes());
-    hasher.finish()
-}
-
 fn keep_view(known: Option<&ServiceState>, name: &str, fresh: LoadView) -> LoadView {
     let known = match known {
         Some(known) => known,
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -23,11 +23,6 @@
 const QUICK_MIN: f64 = 0.8;
 /// Largest such ratio, so that a slow but healthy upstream still gets its share.
 const SLOW_MAX: f64 = 5.0;
-/// Largest ratio of an upstream's time to the usual at which work fills it before others.
-const STEADY_TIME_MAX: f64 = 1.6;
-/// Shortest time for which a report that all slots are taken is believed. It is believed for half of
-/// the time in which the next slot usually becomes free.
-const FULL_REPORT_LIFE_MIN: Duration = Duration::from_millis(10);
 /// Upstreams compared for one choice (M. Mitzenmacher, "The power of two choices", 2001).
 const CHOICES: usize = 2;
 /// Factor on the cost of a suspect: it must be this many times less loaded than another to be chosen
@@ -56,9 +51,6 @@
     pub slots: u32,
     /// Whether it is in the ingress's own failure domain.
     pub is_local: bool,
-    /// Place in the order in which work that must not be repeated fills the upstreams: a hash of the
-    /// upstream's name, so that all ingresses fill the same ones first.
-    pub rank: u64,
     /// Whether its daemon can be reached.
     pub reachable: bool,
     /// Whether it is leaving, by anybody's word.
@@ -81,7 +73,6 @@
         Self {
             slots,
             is_local,
-            rank: 0,
             reachable: true,
             draining: false,
             own: 0,
@@ -92,11 +83,6 @@
         }
     }
 
-    /// Returns the view with a place in the order of filling.
-    pub fn with_rank(self, rank: u64) -> Self {
-        Self { rank, ..self }
-    }
-
     /// Returns the sickness of an upstream that lately said it is ejected, 0 for others.
     fn ejected_sickness(&self, now: Duration) -> f64 {
         let fresh = now.saturating_sub(self.reported_at) < SICK_REPORT_LIFE;
@@ -127,14 +113,6 @@
         f64::from(self.load) / f64::from(self.slots.max(1))
     }
 
-    /// Says whether a report of a short while ago said that all slots are taken.
-    fn is_full(&self, now: Duration, median_ln: f64) -> bool {
-        let usual = Duration::from_micros(median_ln.exp().min(60e6) as u64);
-        let life = (usual / (2 * self.slots.max(1))).max(FULL_REPORT_LIFE_MIN);
-        let fresh = now.saturating_sub(self.reported_at) < life;
-        self.own >= self.slots || fresh && self.health.is_some() && self.load >= self.slots
-    }
-
     /// Returns the time that it takes for its work as a multiple of the usual.
     fn time_ratio(&self, median_ln: f64) -> f64 {
         match &self.health {
@@ -390,29 +368,6 @@
         Some(UpstreamChoice { index, refusable: spare && !must_take })
     }
 
-    /// Chooses the upstream that work which must not be repeated fills next: the first by rank, near
-    /// ones before others, that is sound, not slow, and thought to have a free slot.
-    ///
-    /// Each time that an upstream begins to fail, the work that reaches it before anybody knows is
-    /// lost if it must not be repeated. The fewer upstreams carry such work, the fewer of them begin
-    /// to fail; what may be repeated goes to all of them and finds out which can be trusted.
-    pub fn choose_steady(&mut self, now: Duration, excluded: &[usize]) -> Option<UpstreamChoice> {
-        self.refresh(now);
-        let suspect_from = self.suspect_from(now);
-        let terms = ChoiceTerms { now, suspect_from, repeatable: false };
-        let fits = self.upstreams.iter().enumerate().filter(|(index, view)| {
-            self.in_service(*index)
-                && !excluded.contains(index)
-                && !view.is_suspect(&terms)
-                && !view.is_full(now, self.median_ln)
-                && view.time_ratio(self.median_ln) <= STEADY_TIME_MAX
-        });
-        let (index, view) = fits.min_by_key(|(_, view)| (!view.is_local, view.rank))?;
-        // Whether it can be spared or not, others are asked when it refuses.
-        let refusable = self.plan.can_spare(view.slots);
-        Some(UpstreamChoice { index, refusable })
-    }
-
     /// Chooses the best upstream: one that is near, not a suspect and not loaded, if there is one; then
     /// one that is not a suspect and has room; then any, by its cost.
     fn best(
--- a/crates/decide/src/recovery.rs
+++ b/crates/decide/src/recovery.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 /// First hold-off before a trial: a restart or a short pause of a backend server is over by then.
-pub const HOLD_OFF_MIN: Duration = Duration::from_secs(2);
+pub const HOLD_OFF_MIN: Duration = Duration::from_secs(1);
 /// Longest hold-off: a server that is well again is asked at least this often.
-pub const HOLD_OFF_MAX: Duration = Duration::from_secs(60);
+pub const HOLD_OFF_MAX: Duration = Duration::from_secs(6);
 /// Good trials in a row that bring an upstream back.
 pub const TRIALS_NEEDED: u32 = 3;
 /// Time over which an upstream that came back, or started, gets its full share.
--- a/crates/decide/tests/caution.rs
+++ b/crates/decide/tests/caution.rs
@@ -1,7 +1,7 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! Caution after a failure, and which upstreams work that must not be repeated fills.
+//! Caution after a failure, and the choice among doubted upstreams.
 
 use std::time::Duration;
 
@@ -116,53 +116,22 @@
     }
 }
 
-/// Six upstreams of four slots, the first two near; the rank falls with the position.
+/// Six upstreams of four slots, the first two near.
 fn view() -> ServiceView {
-    let upstreams = (0..6_u64).map(|index| LoadView::new(4, index < 2).with_rank(10 - index));
+    let upstreams = (0..6).map(|index| LoadView::new(4, index < 2));
     let mut view = ServiceView::new(0.7, upstreams.collect());
     view.note_median((200_000_f64).ln());
     (0..6).for_each(|index| view.note_report(index, 0, report(true), millis(0)));
     view
 }
 
-#[test]
-fn verify_near_upstreams_are_filled_by_rank_and_full_or_doubted_ones_are_left_out() {
-    let mut view = view();
-    let chosen = |view: &mut ServiceView, excluded: &[usize]| {
-        view.choose_steady(millis(5), excluded).map(|choice| choice.index)
-    };
-    assert_eq!(chosen(&mut view, &[]), Some(1), "near ones first, by rank");
-    (0..4).for_each(|_| view.note_sent(1));
-    assert_eq!(chosen(&mut view, &[]), Some(0), "the own work fills the slots");
-    view.note_report(0, 4, report(true), millis(0));
-    assert_eq!(chosen(&mut view, &[]), Some(5), "it said that it is full");
-    view.note_report(5, 0, report(false), millis(0));
-    assert_eq!(chosen(&mut view, &[]), Some(4), "it is doubted");
-    view.note_draining(4, true);
-    assert_eq!(chosen(&mut view, &[]), Some(3), "it is leaving");
-    assert_eq!(chosen(&mut view, &[3, 2]), None, "nobody is left that is known to be free");
-    let later = view.choose_steady(millis(500), &[]).map(|choice| choice.index);
-    assert_eq!(later, Some(0), "a report that it is full is not believed for long");
-}
-
 #[test]
 fn verify_a_service_without_upstreams_has_no_choice() {
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     let mut view = ServiceView::new(0.7, Vec::new());
     for number in 0..30 {
         assert_eq!(view.choose(millis(number), &[], true, false, &mut rng), None);
-        assert_eq!(view.choose_steady(millis(number), &[]), None);
-    }
-}
-
-#[test]
-fn verify_many_ingresses_fill_the_same_few_upstreams() {
-    let mut used = std::collections::BTreeSet::new();
-    for _ in 0..20 {
-        let mut view = view();
-        used.extend(view.choose_steady(millis(5), &[]).map(|choice| choice.index));
     }
-    assert_eq!(used.len(), 1);
 }
 
 #[test]
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -57,12 +57,10 @@
   17: optional string organisation
   18: required i64 revision
   19: required bool after_failure
-  /** Refuse the work if it can't start at once; the ingress then asks another upstream. */
-  20: required bool no_wait
   /** The ingress can ask another upstream if this one is doubted. */
-  21: required bool passable
+  20: required bool passable
   /** Time left in which an answer is worth most, 0 when none was declared or it has passed. */
-  22: required i32 objective_ms
+  21: required i32 objective_ms
 }
 
 /** The first frame of an answer. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -394,8 +394,6 @@
   pub organisation: Option<String>,
   pub revision: i64,
   pub after_failure: bool,
-  /// Refuse the work if it can't start at once; the ingress then asks another upstream.
-  pub no_wait: bool,
   /// The ingress can ask another upstream if this one is doubted.
   pub passable: bool,
   /// Time left in which an answer is worth most, 0 when none was declared or it has passed.
@@ -403,7 +401,7 @@
 }
 
 impl DispatchHead {
-  pub fn new<F15, F16, F17>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, no_wait: bool, passable: bool, objective_ms: i32) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>> {
+  pub fn new<F15, F16, F17>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>> {
     DispatchHead {
       service_name,
       upstream,
@@ -424,7 +422,6 @@
       organisation: organisation.into(),
       revision,
       after_failure,
-      no_wait,
       passable,
       objective_ms,
     }
@@ -454,8 +451,7 @@
     let mut f_18: Option<i64> = None;
     let mut f_19: Option<bool> = None;
     let mut f_20: Option<bool> = None;
-    let mut f_21: Option<bool> = None;
-    let mut f_22: Option<i32> = None;
+    let mut f_21: Option<i32> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -544,12 +540,8 @@
           f_20 = Some(val);
         },
         21 => {
-          let val = i_prot.read_bool()?;
-          f_21 = Some(val);
-        },
-        22 => {
           let val = i_prot.read_i32()?;
-          f_22 = Some(val);
+          f_21 = Some(val);
         },
         _ => {
           i_prot.skip(field_ident.field_type)?;
@@ -574,9 +566,8 @@
     verify_required_field_exists("DispatchHead.last", &f_14)?;
     verify_required_field_exists("DispatchHead.revision", &f_18)?;
     verify_required_field_exists("DispatchHead.after_failure", &f_19)?;
-    verify_required_field_exists("DispatchHead.no_wait", &f_20)?;
-    verify_required_field_exists("DispatchHead.passable", &f_21)?;
-    verify_required_field_exists("DispatchHead.objective_ms", &f_22)?;
+    verify_required_field_exists("DispatchHead.passable", &f_20)?;
+    verify_required_field_exists("DispatchHead.objective_ms", &f_21)?;
     let ret = DispatchHead {
       service_name: f_1.expect("auto-generated code should have checked for presence of required fields"),
       upstream: f_2.expect("auto-generated code should have checked for presence of required fields"),
@@ -597,9 +588,8 @@
       organisation: f_17,
       revision: f_18.expect("auto-generated code should have checked for presence of required fields"),
       after_failure: f_19.expect("auto-generated code should have checked for presence of required fields"),
-      no_wait: f_20.expect("auto-generated code should have checked for presence of required fields"),
-      passable: f_21.expect("auto-generated code should have checked for presence of required fields"),
-      objective_ms: f_22.expect("auto-generated code should have checked for presence of required fields"),
+      passable: f_20.expect("auto-generated code should have checked for presence of required fields"),
+      objective_ms: f_21.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -669,13 +659,10 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("after_failure", TType::Bool, 19))?;
     o_prot.write_bool(self.after_failure)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("no_wait", TType::Bool, 20))?;
-    o_prot.write_bool(self.no_wait)?;
-    o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("passable", TType::Bool, 21))?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("passable", TType::Bool, 20))?;
     o_prot.write_bool(self.passable)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("objective_ms", TType::I32, 22))?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("objective_ms", TType::I32, 21))?;
     o_prot.write_i32(self.objective_ms)?;
     o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -45,7 +45,6 @@
         organisation: None,
         revision: 7,
         after_failure: false,
-        no_wait: true,
         passable: true,
         objective_ms: 800,
     }
