--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -15,11 +15,17 @@
 
 const USUAL: Duration = Duration::from_millis(200);
 
+/// What became of one who asked.
+struct AskEnd {
+    name: &'static str,
+    end: Result<(), NotRunReason>,
+}
+
 /// A queue of 16 before two slots, and what became of those who asked.
 struct TestQueue {
     clock: DaemonClock,
     queue: Rc<SlotQueue>,
-    ends: Rc<RefCell<Vec<(&'static str, Result<(), NotRunReason>)>>>,
+    ends: Rc<RefCell<Vec<AskEnd>>>,
     held: Rc<RefCell<Vec<SlotGuard>>>,
 }
 
@@ -38,7 +44,7 @@
         monoio::spawn(async move {
             let result = queue.acquire(request).await;
             let end = result.map(|guard| held.borrow_mut().push(guard));
-            ends.borrow_mut().push((name, end));
+            ends.borrow_mut().push(AskEnd { name, end });
         });
         monoio::time::sleep(Duration::from_millis(1)).await;
     }
@@ -62,7 +68,7 @@
     }
 
     fn end_of(&self, name: &str) -> Option<Result<(), NotRunReason>> {
-        self.ends.borrow().iter().find(|(each, _)| *each == name).map(|(_, end)| *end)
+        self.ends.borrow().iter().find(|each| each.name == name).map(|each| each.end)
     }
 }
 
@@ -89,7 +95,7 @@
         for _ in 0..4 {
             queue.give_back().await;
         }
-        let order: Vec<&str> = queue.ends.borrow().iter().map(|(name, _)| *name).collect();
+        let order: Vec<&str> = queue.ends.borrow().iter().map(|each| each.name).collect();
         assert_eq!(order, ["slot-1", "slot-2", "high", "first", "second", "low"]);
     });
 }
