Read on after an interrupted read in the tests' client; log callers that leave and answers cut short

Ruled out: a panic of the daemon, an abort by the ingress (both would have logged). Change: the client reads on; the ingress logs why it ends a connection without an answer.

--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -72,7 +72,10 @@
             }
         }
         // The caller sees the connection end before the answer does.
-        Err(_) => AfterRequest::Abort,
+        Err(error) => {
+            tracing::info!(route = &*request.route.name, %error, "answer cut short");
+            AfterRequest::Abort
+        }
     }
 }
 
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -131,7 +131,10 @@
             let close = request.close || !body.is_done();
             refuse(stream, &request.method, &failure, close).await
         }
-        AttemptEnd::CallerGone => AfterRequest::Abort,
+        AttemptEnd::CallerGone => {
+            tracing::info!(route = &*request.route.name, "caller gone");
+            AfterRequest::Abort
+        }
     }
 }
 
--- a/crates/daemon/tests/common/client.rs
+++ b/crates/daemon/tests/common/client.rs
@@ -3,7 +3,7 @@
 
 //! A plain blocking client that sees every byte.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -147,12 +147,16 @@
 
 fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
     let mut piece = [0; 16384];
-    match stream.read(&mut piece) {
-        Ok(count) if count > 0 => {
-            buffer.extend_from_slice(&piece[..count]);
-            true
+    loop {
+        match stream.read(&mut piece) {
+            Ok(count) if count > 0 => {
+                buffer.extend_from_slice(&piece[..count]);
+                return true;
+            }
+            // A signal, as when a daemon of another test ends, says nothing of the connection.
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            _ => return false,
         }
-        _ => false,
     }
 }
 
