Follow the store's tables by one piece of code

Cause: the document and the rows of hosts were followed by two copies of the same loop. Change: crate module feed, with a plan for each table.

--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -20,21 +20,23 @@
 use basaltarch_peer::protocol::{ChangePull, FrameBody};
 use basaltarch_platform::document::{self, ConfigDocument, ServiceNote};
 use basaltarch_platform::rows::{StoredRow, DOCUMENT_KEY, OPERATOR_TABLE};
-use basaltarch_store::errors::StoreError;
-use basaltarch_store::platform::{FeedReply, RetryPause};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
 use crate::configuration::TouchedServices;
+use crate::feed::{self, FeedNews, FeedPlan};
 use crate::metrics;
 use crate::options::ServiceDefaults;
 use crate::roster::{self, ToldRecord};
 use crate::state::DaemonState;
 
-/// Longest pause after failed calls in a row: refused calls cost as much as others, and the first of
-/// many daemons that hears of a change after an outage tells the others.
-const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(1500);
-
+/// How the operator's rows are followed. Refused calls cost as much as others, and the first of many
+/// daemons that hears of a change after an outage tells the others, so that 1.5 s are soon enough.
+const FEED: FeedPlan = FeedPlan {
+    table: OPERATOR_TABLE,
+    between: Duration::ZERO,
+    failure_max: Duration::from_millis(1500),
+};
 /// Time for which a daemon waits for the store to tell of a document that a peer already has: the
 /// feed brings it in milliseconds, and a whole document is large.
 const BEHIND_MAX: Duration = Duration::from_millis(250);
@@ -71,42 +73,11 @@
 
 /// Reads the document and follows its changes for ever.
 pub async fn follow(state: Rc<DaemonState>) {
-    let mut pause = RetryPause::up_to(FAILURE_PAUSE_MAX);
-    loop {
-        if let Err(error) = read_and_follow(&state, &mut pause).await {
-            metrics::STORE_FAILURES.add_one();
-            tracing::debug!(%error, table = OPERATOR_TABLE, "the store did not answer");
-            monoio::time::sleep(pause.next_pause()).await;
-        }
-    }
-}
-
-async fn read_and_follow(
-    state: &Rc<DaemonState>,
-    pause: &mut RetryPause,
-) -> Result<(), StoreError> {
-    let page = state.platform.read_table(OPERATOR_TABLE).await?;
-    let mut version = page.version;
-    page.rows.iter().for_each(|row| take_row(state, row));
-    pause.reset();
-    loop {
-        match state.platform.follow(OPERATOR_TABLE, version).await {
-            Ok(FeedReply::Changes(page)) => {
-                version = version.max(page.version);
-                pause.reset();
-                page.rows.iter().for_each(|row| take_row(state, row));
-            }
-            Ok(FeedReply::Forgotten) => {
-                tracing::info!(table = OPERATOR_TABLE, version, "history forgotten; read anew");
-                return Ok(());
-            }
-            Err(error) => {
-                metrics::STORE_FAILURES.add_one();
-                tracing::debug!(%error, table = OPERATOR_TABLE, "the feed was cut");
-                monoio::time::sleep(pause.next_pause()).await;
-            }
-        }
-    }
+    feed::follow(state, FEED, |state, news| {
+        let (FeedNews::Whole(page) | FeedNews::Changes(page)) = news;
+        page.rows.iter().for_each(|row| take_row(state, row));
+    })
+    .await;
 }
 
 fn take_row(state: &Rc<DaemonState>, row: &StoredRow) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control;
 pub mod document;
 pub mod errors;
+pub mod feed;
 pub mod host;
 pub mod ingress;
 pub mod limits;
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -18,12 +18,13 @@
 use basaltarch_decide::limits;
 use basaltarch_platform::rows::{RowsPage, StoredRow};
 use basaltarch_store::errors::StoreError;
-use basaltarch_store::platform::{FeedReply, RetryPause};
+use basaltarch_store::platform::RetryPause;
 use basaltarch_store::wire::{RowCheck, RowWrite};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::document;
+use crate::feed::{self, FeedNews, FeedPlan};
 use crate::metrics;
 use crate::registration;
 use crate::signal::RisingSignal;
@@ -31,12 +32,16 @@
 
 /// Table of the rows.
 pub const HOSTS_TABLE: &str = "hosts";
-/// Pause between two calls of the feed that brought something: what changes at the same time, as when
-/// a fleet starts, is then read in one call.
-const FEED_PAUSE: Duration = Duration::from_millis(700);
 /// Longest pause after failed calls in a row: what changed during an outage must be known within
 /// about two seconds of its end.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(2000);
+/// How the rows are followed. What changes at the same time, as when a fleet starts, is read in one
+/// call: nobody waits for it, since a host refuses what its server must not get.
+const FEED: FeedPlan = FeedPlan {
+    table: HOSTS_TABLE,
+    between: Duration::from_millis(700),
+    failure_max: FAILURE_PAUSE_MAX,
+};
 /// Time that a starting daemon waits for the backend server beside it before it writes its row
 /// without one: a little longer than the usual time between two heartbeats.
 const FIRST_WRITE_WAIT: Duration = Duration::from_secs(2);
@@ -120,7 +125,6 @@
     own_version: Cell<u64>,
     written: RefCell<Option<HostRecord>>,
     changed: RisingSignal,
-    was_read: Cell<bool>,
     /// Hosts that were replaced at their address and whose rows are still there.
     stale: RefCell<Vec<String>>,
 }
@@ -277,54 +281,17 @@
 
 /// Reads the rows and follows their feed for ever.
 pub async fn follow(state: Rc<DaemonState>) {
-    let mut pause = RetryPause::up_to(FAILURE_PAUSE_MAX);
-    loop {
-        if let Err(error) = read_and_follow(&state, &mut pause).await {
-            metrics::STORE_FAILURES.add_one();
-            tracing::debug!(%error, table = HOSTS_TABLE, "the store did not answer");
-            monoio::time::sleep(pause.next_pause()).await;
-        }
-    }
-}
-
-async fn read_and_follow(
-    state: &Rc<DaemonState>,
-    pause: &mut RetryPause,
-) -> Result<(), StoreError> {
-    let page = state.platform.read_table(HOSTS_TABLE).await?;
-    let mut version = page.version;
-    take_table(state, &page);
-    pause.reset();
-    loop {
-        match state.platform.follow(HOSTS_TABLE, version).await {
-            Ok(FeedReply::Changes(page)) => {
-                version = version.max(page.version);
-                pause.reset();
-                for row in &page.rows {
-                    take_row(state, row);
-                }
-                if !page.rows.is_empty() {
-                    monoio::time::sleep(FEED_PAUSE).await;
-                }
-            }
-            Ok(FeedReply::Forgotten) => {
-                tracing::info!(table = HOSTS_TABLE, version, "history forgotten; read anew");
-                return Ok(());
-            }
-            Err(error) => {
-                metrics::STORE_FAILURES.add_one();
-                tracing::debug!(%error, table = HOSTS_TABLE, "the feed was cut");
-                monoio::time::sleep(pause.next_pause()).await;
-            }
-        }
-    }
+    feed::follow(state, FEED, |state, news| match news {
+        FeedNews::Whole(page) => take_table(state, page),
+        FeedNews::Changes(page) => page.rows.iter().for_each(|row| take_row(state, row)),
+    })
+    .await;
 }
 
 fn take_table(state: &Rc<DaemonState>, page: &RowsPage) {
     for row in &page.rows {
         take_row(state, row);
     }
-    state.roster.was_read.set(true);
     let gone = |host: &String| !page.rows.iter().any(|row| row.key == *host);
     let hosts: Vec<String> = state.roster.records.borrow().keys().cloned().collect();
     for host in hosts.into_iter().filter(gone) {
