--- a/crates/daemon/tests/registered.rs
+++ b/crates/daemon/tests/registered.rs
@@ -197,6 +197,33 @@
     }
 }
 
+#[test_case(json!({"silent": true}) ; "the store says nothing")]
+#[test_case(json!({"busy": true}) ; "the store turns calls away")]
+#[test_case(json!({"down": true}) ; "the store drops connections")]
+fn verify_a_fleet_that_starts_in_the_dark_says_so_and_serves_once_the_store_is_back(outage: Value) {
+    let mut fleet = RegisteredFleet::start(2);
+    fleet.wait_served(0, &[0, 1]);
+    for daemon in &mut fleet.daemons {
+        daemon.kill();
+    }
+    fleet.platform.faults(outage);
+    for (index, host) in ["host-a", "host-b"].iter().enumerate() {
+        fleet.daemons[index] = fleet.start_daemon(host, ["bkk-a", "bkk-b"][index], &[]);
+        assert_eq!(fleet.beat(index, false).status, 200, "heartbeats are taken all the same");
+    }
+    for daemon in 0..2 {
+        assert!(!fleet.is_ready(daemon));
+        let reply = fleet.request(daemon, "POST", "/unsafe/x", "dark");
+        assert_eq!((reply.status, reply.reason().as_deref()), (503, Some("no-configuration")));
+    }
+    assert_eq!(fleet.ran("dark"), 0);
+    fleet.platform.faults(json!({}));
+    for daemon in 0..2 {
+        eventually("the daemon is ready", || fleet.is_ready(daemon));
+        fleet.wait_served(daemon, &[0, 1]);
+    }
+}
+
 #[test]
 fn verify_servers_that_register_in_an_outage_are_used_after_it() {
     let mut fleet = RegisteredFleet::start(2);
