Stand-in outages for some hosts only; callers' connections bounded by memory and descriptors

The stand-in could not turn some hosts away while it serves others, so that kind of outage had no test. The bound of callers' connections was 10,000 whatever the platform gives: with 4,100 descriptors callers alone could use up those of links and backend servers, and the bound of 2,000 for one address held for all callers of a host. Change: the stand-in listens at a second address, for hosts that its four outages strike alone (down, silent, 503, 429). Settings 'descriptors' and 'memory-mb': callers get half of each at most. Tests: contract.rs (four outages for one group), registered.rs (a host that the store turns away keeps up by its peers, four outages), bounds.rs (900 callers where 744 fit; with the old bound all 900 are let in).

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -74,6 +74,12 @@
             optional --connections count: String
             /// Connections of one caller's address at most [BASALTARCH_CONNECTIONS_EACH], default 2000.
             optional --connections-each count: String
+            /// File descriptors that the platform lets the daemon have; callers' connections use half of
+            /// them at most [BASALTARCH_DESCRIPTORS], default 1048576.
+            optional --descriptors count: String
+            /// Memory that the platform lets the daemon have, in MB; callers' connections use half of
+            /// it at most [BASALTARCH_MEMORY_MB], default 1048576.
+            optional --memory-mb megabytes: String
             /// Largest head of a request in bytes [BASALTARCH_HEAD_BYTES], default 16384.
             optional --head-bytes bytes: String
             /// Longest time for a head in ms [BASALTARCH_HEAD_MS], default 10000.
@@ -160,6 +166,8 @@
         drain_ms: flags.drain_ms,
         connections: flags.connections,
         connections_each: flags.connections_each,
+        descriptors: flags.descriptors,
+        memory_mb: flags.memory_mb,
         head_bytes: flags.head_bytes,
         head_ms: flags.head_ms,
         idle_ms: flags.idle_ms,
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -22,6 +22,14 @@
 /// Time between the end of the longest drain and the platform's kill: answers that were just written
 /// still leave the host.
 const KILL_MARGIN: Duration = Duration::from_millis(250);
+/// One descriptor in this many may be a caller's connection; the others are for links to peers,
+/// connections to backend servers, and files.
+const CALLER_DESCRIPTORS_PART: u64 = 2;
+/// One byte of memory in this many may be held for callers' connections.
+const CALLER_MEMORY_PART: u64 = 2;
+/// Bytes of a caller's connection with a request under way: 11.3 KiB and 21.2 KiB
+/// (scripts/measure-memory, docs/MEASUREMENTS.md).
+const CALLER_BYTES: u64 = 33 * 1024;
 /// Longest drain: beyond it no platform waits for a host.
 const DRAIN_MS_MAX: u64 = 3_600_000;
 
@@ -54,6 +62,10 @@
     pub connections: Option<String>,
     /// Connections of one caller's address.
     pub connections_each: Option<String>,
+    /// File descriptors that the platform lets the daemon have.
+    pub descriptors: Option<String>,
+    /// Memory that the platform lets the daemon have, in MB.
+    pub memory_mb: Option<String>,
     /// Largest head of a request in bytes.
     pub head_bytes: Option<String>,
     /// Longest time for the head of a request in milliseconds.
@@ -253,6 +265,8 @@
             "drain-min-ms" => &mut self.drain_min_ms,
             "connections" => &mut self.connections,
             "connections-each" => &mut self.connections_each,
+            "descriptors" => &mut self.descriptors,
+            "memory-mb" => &mut self.memory_mb,
             "head-bytes" => &mut self.head_bytes,
             "head-ms" => &mut self.head_ms,
             "idle-ms" => &mut self.idle_ms,
@@ -307,7 +321,7 @@
             admin_token: settings::required("admin-token", raw.admin_token, "a token")?,
             log: log_level(raw.log)?,
             drain: longest_drain(raw.drain_ms, raw.kill_after_ms)?,
-            connections: count("connections", raw.connections, 10_000, 1, 1_000_000)? as usize,
+            connections: caller_connections(raw.connections, raw.descriptors, raw.memory_mb)?,
             connections_each: count("connections-each", raw.connections_each, 2000, 1, 1_000_000)?
                 as usize,
             head: HeadLimits {
@@ -394,6 +408,21 @@
     }
 }
 
+/// Returns the bound of callers' connections: as given, and such that links to peers, connections to
+/// backend servers and requests under way have room beside them.
+fn caller_connections(
+    given: Option<String>,
+    descriptors: Option<String>,
+    memory_mb: Option<String>,
+) -> Result<usize, SettingError> {
+    let wanted = count("connections", given, 10_000, 1, 1_000_000)?;
+    let descriptors = count("descriptors", descriptors, 1 << 20, 256, 1 << 30)?;
+    let memory = count("memory-mb", memory_mb, 1 << 20, 16, 1 << 30)? << 20;
+    let by_descriptors = descriptors / CALLER_DESCRIPTORS_PART;
+    let by_memory = memory / CALLER_MEMORY_PART / CALLER_BYTES;
+    Ok(wanted.min(by_descriptors).min(by_memory) as usize)
+}
+
 /// Returns the longest drain: it must end before the platform kills the daemon.
 fn longest_drain(
     drain: Option<String>,
--- /dev/null
+++ b/crates/daemon/tests/bounds.rs
@@ -0,0 +1,76 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Memory and descriptors stay within what the platform gives, whatever callers do.
+
+mod common;
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use common::client;
+use common::registered::{RegisteredFleet, HOST};
+use common::{eventually, TestDaemon};
+
+/// Memory of the daemon in MB, and its descriptors: each allows 744 and 750 callers' connections.
+const MEMORY_MB: u64 = 48;
+const DESCRIPTORS: u64 = 1500;
+const ALLOWED: usize = 744;
+/// Connections that callers try to open.
+const ASKED: usize = 900;
+
+fn descriptors(daemon: &TestDaemon) -> u64 {
+    fs::read_dir(format!("/proc/{}/fd", daemon.id())).expect("fd").count() as u64
+}
+
+fn resident_mb(daemon: &TestDaemon) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", daemon.id())).expect("status");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("peak");
+    let kib: u64 = line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("number");
+    kib / 1024
+}
+
+/// Sends a request on a connection that stays open; says whether it was answered.
+fn is_served(stream: &mut TcpStream, id: usize) -> bool {
+    let text = format!("GET /safe/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: many-{id}\r\n\r\n");
+    let mut start = [0; 15];
+    // A connection that was refused may break at either step.
+    stream.write_all(text.as_bytes()).is_ok()
+        && stream.read_exact(&mut start).is_ok()
+        && &start == b"HTTP/1.1 200 OK"
+}
+
+#[test]
+fn verify_many_callers_leave_the_daemon_within_its_memory_and_descriptors() {
+    let mut fleet = RegisteredFleet::start(1);
+    fleet.daemons[0].kill();
+    let (memory, files) = (MEMORY_MB.to_string(), DESCRIPTORS.to_string());
+    let more = [
+        ("memory-mb", memory.as_str()),
+        ("descriptors", files.as_str()),
+        ("connections-each", files.as_str()),
+    ];
+    fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", &more);
+    assert_eq!(fleet.beat(0, false).status, 200);
+    fleet.wait_served(0, &[0]);
+    let daemon = &fleet.daemons[0];
+    let before = descriptors(daemon);
+    let mut streams: Vec<TcpStream> = (0..ASKED).map(|_| client::connect(daemon.callers)).collect();
+    let served = streams
+        .iter_mut()
+        .enumerate()
+        .filter_map(|(id, stream)| is_served(stream, id).then_some(()));
+    let served = served.count();
+    assert!((ALLOWED - 1..=ALLOWED).contains(&served), "{served} connections served");
+    assert!(descriptors(daemon) <= before + ALLOWED as u64 + 8, "{}", descriptors(daemon));
+    assert!(descriptors(daemon) < DESCRIPTORS);
+    assert!(resident_mb(daemon) < MEMORY_MB, "{} MB", resident_mb(daemon));
+    drop(streams);
+    eventually("others are served once these are gone", || {
+        let mut stream = client::connect(daemon.callers);
+        stream.set_read_timeout(Some(Duration::from_secs(5))).expect("timeout");
+        is_served(&mut stream, ASKED)
+    });
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -25,7 +25,7 @@
 use basaltarch_http::connection;
 use basaltarch_http::fields::ExchangeFields;
 use basaltarch_standin::backend::{self, BackendOptions, BackendStandin};
-use basaltarch_standin::platform::{self, PlatformStandin};
+use basaltarch_standin::platform::{self, HostGroup, PlatformStandin};
 use basaltarch_telemetry::runtime;
 use serde_json::{json, Value};
 
@@ -53,6 +53,8 @@
 /// The stand-in platform in a thread.
 pub struct TestPlatform {
     pub address: SocketAddr,
+    /// Address for hosts that some outages strike alone.
+    pub second: SocketAddr,
 }
 
 impl TestPlatform {
@@ -60,13 +62,18 @@
         let (sender, receiver) = mpsc::channel();
         thread::spawn(move || {
             let serving = async move {
-                let listener = connection::bind(loopback()).expect("bind");
-                sender.send(listener.local_addr().expect("address")).expect("send");
-                platform::serve(listener, Rc::new(PlatformStandin::default())).await;
+                let first = connection::bind(loopback()).expect("bind");
+                let second = connection::bind(loopback()).expect("bind");
+                let addresses = [&first, &second].map(|each| each.local_addr().expect("address"));
+                sender.send(addresses).expect("send");
+                let standin = Rc::new(PlatformStandin::default());
+                monoio::spawn(platform::serve(second, standin.clone(), HostGroup::Second));
+                platform::serve(first, standin, HostGroup::First).await;
             };
             runtime::run(serving).expect("runtime");
         });
-        Self { address: receiver.recv().expect("platform starts") }
+        let [address, second] = receiver.recv().expect("platform starts");
+        Self { address, second }
     }
 
     pub fn faults(&self, faults: Value) {
--- a/crates/daemon/tests/common/registered.rs
+++ b/crates/daemon/tests/common/registered.rs
@@ -4,6 +4,7 @@
 //! A fleet whose configuration is the operator's document and whose backend servers register.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use basaltarch_core::resources::{RouteRule, WorkClass, WorkMode};
@@ -91,6 +92,17 @@
     }
 
     pub fn start_daemon(&self, host: &str, domain: &str, more: &[(&str, &str)]) -> TestDaemon {
+        self.start_daemon_at(self.platform.address, host, domain, more)
+    }
+
+    /// Starts a daemon that calls the platform at one of its addresses.
+    pub fn start_daemon_at(
+        &self,
+        platform: SocketAddr,
+        host: &str,
+        domain: &str,
+        more: &[(&str, &str)],
+    ) -> TestDaemon {
         let mut flags = vec![
             ("source", "document"),
             ("ready", "127.0.0.1:0"),
@@ -98,7 +110,7 @@
             ("own-service", "shop-app"),
         ];
         flags.extend_from_slice(more);
-        TestDaemon::start(self.platform.address, host, domain, &flags)
+        TestDaemon::start(platform, host, domain, &flags)
     }
 
     /// Writes the operator's document.
--- a/crates/daemon/tests/registered.rs
+++ b/crates/daemon/tests/registered.rs
@@ -244,3 +244,31 @@
         eventually("the next document is in force", || daemon.revision() == 2);
     }
 }
+
+#[test_case(json!({"down": true}) ; "its connections are dropped")]
+#[test_case(json!({"busy": true}) ; "its calls are turned away")]
+#[test_case(json!({"many": true}) ; "its calls are said to be too many")]
+#[test_case(json!({"silent": true}) ; "it hears nothing")]
+fn verify_a_host_that_the_store_turns_away_keeps_up_by_its_peers(mut outage: Value) {
+    let mut fleet = RegisteredFleet::start(3);
+    let seeds = fleet.daemons[0].peers.to_string();
+    fleet.daemons[1].kill();
+    let more = [("seeds", seeds.as_str())];
+    fleet.daemons[1] = fleet.start_daemon_at(fleet.platform.second, "host-b", "bkk-b", &more);
+    assert_eq!(fleet.beat(1, false).status, 200);
+    fleet.wait_served(0, &[0, 1, 2]);
+    outage["second_group_only"] = json!(true);
+    fleet.platform.faults(outage);
+    // A changed document, a server that leaves and one that drains reach it all the same.
+    fleet.write(&document(2));
+    for daemon in &fleet.daemons {
+        eventually("the next document is in force", || daemon.revision() == 2);
+    }
+    assert_eq!(fleet.beat(1, true).status, 200, "an acknowledgement binds without the store");
+    let reply = fleet.request(1, "POST", "/unsafe/x", "turned-away");
+    assert_eq!(reply.status, 200, "{} {:?}", reply.text(), reply.reason());
+    assert_eq!(fleet.backends[1].ran("turned-away"), 0, "a leaving server gets no new work");
+    assert_eq!(fleet.beat(1, false).status, 200);
+    fleet.platform.faults(json!({}));
+    fleet.wait_served(0, &[0, 1, 2]);
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -15,7 +15,7 @@
 use basaltarch_http::client::HttpClient;
 use basaltarch_http::connection;
 use basaltarch_standin::backend::{self, BackendOptions, BackendStandin};
-use basaltarch_standin::platform::{self, PlatformStandin};
+use basaltarch_standin::platform::{self, HostGroup, PlatformStandin};
 use basaltarch_telemetry::{logs, runtime};
 use bytes::Bytes;
 use http::{HeaderMap, Method};
@@ -29,6 +29,8 @@
             cmd platform {
                 /// Address to listen on (BASALTARCH_LISTEN, default 127.0.0.1:0).
                 optional --listen address: String
+                /// A second address, for hosts that some outages strike alone (BASALTARCH_LISTEN_SECOND).
+                optional --listen-second address: String
             }
             /// Runs a backend server.
             cmd backend {
@@ -108,8 +110,14 @@
 
 fn run_platform(flags: flags::Platform) -> Result<(), SettingError> {
     let address = listen_address(flags.listen)?;
+    let second = settings::optional("listen-second", flags.listen_second, ADDRESS_ALLOWED)?;
     finish(runtime::run(async move {
-        platform::serve(listen(address), Rc::new(PlatformStandin::default())).await;
+        let standin = Rc::new(PlatformStandin::default());
+        if let Some(second) = second {
+            let serving = platform::serve(listen(second), standin.clone(), HostGroup::Second);
+            monoio::spawn(serving);
+        }
+        platform::serve(listen(address), standin, HostGroup::First).await;
     }));
     Ok(())
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -47,6 +47,10 @@
     pub silent: bool,
     /// Every call is refused with status 503; nothing is done.
     pub busy: bool,
+    /// Every call is refused with status 429, as if there were too many; nothing is done.
+    pub many: bool,
+    /// The four outages above strike only the hosts of the second group; the first is served.
+    pub second_group_only: bool,
     /// Time that each call takes, in milliseconds.
     pub delay_ms: u64,
     /// So many coming writes take effect while their answers are lost.
@@ -65,6 +69,15 @@
     pub calls_per_second_max: u64,
 }
 
+/// `HostGroup` tells hosts apart by the address at which they call the stand-in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HostGroup {
+    /// Hosts that call the first address.
+    First,
+    /// Hosts that call the second address, which some outages strike alone.
+    Second,
+}
+
 /// `PlatformCounters` count calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct PlatformCounters {
@@ -97,21 +110,21 @@
     }
 }
 
-/// Serves the stand-in for ever.
-pub async fn serve(listener: TcpListener, standin: Rc<PlatformStandin>) {
+/// Serves the stand-in to one group of hosts for ever.
+pub async fn serve(listener: TcpListener, standin: Rc<PlatformStandin>, group: HostGroup) {
     let serve = move |stream, from: SocketAddr| {
         let standin = standin.clone();
         let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
         server::serve(stream, from, limits, move |request| {
             let standin = standin.clone();
-            async move { standin.handle(request).await }
+            async move { standin.handle(request, group).await }
         })
     };
     connection::accept_all(listener, CONNECTIONS_MAX, ConnectionCount::default(), serve).await
 }
 
 impl PlatformStandin {
-    async fn handle(self: &Rc<Self>, request: ServerRequest) -> ServerReply {
+    async fn handle(self: &Rc<Self>, request: ServerRequest, group: HostGroup) -> ServerReply {
         if request.path().starts_with("/control/") {
             return self.control(&request);
         }
@@ -119,7 +132,7 @@
         if faults.delay_ms > 0 {
             monoio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         }
-        if let Some(reply) = self.outage().await {
+        if let Some(reply) = self.outage(group).await {
             return reply;
         }
         if self.is_over_rate(faults.calls_per_second_max) {
@@ -129,22 +142,28 @@
         match (request.head.method.as_str(), request.path()) {
             ("POST", rows::TRANSACT_PATH) => self.transact(&request),
             ("GET", rows::READ_PATH) => self.read(&request),
-            ("GET", rows::FEED_PATH) => self.feed(&request).await,
+            ("GET", rows::FEED_PATH) => self.feed(&request, group).await,
             _ => self.object(&request),
         }
     }
 
-    /// Returns what a call gets while the platform is out, after as long as it takes.
-    async fn outage(&self) -> Option<ServerReply> {
-        if self.faults.borrow().silent {
+    /// Returns what a call gets while the platform is out for its host, after as long as it takes.
+    async fn outage(&self, group: HostGroup) -> Option<ServerReply> {
+        let faults = self.faults.borrow().clone();
+        if faults.second_group_only && group == HostGroup::First {
+            return None;
+        }
+        if faults.silent {
             monoio::time::sleep(SILENCE).await;
             return Some(hang_up());
         }
-        if self.faults.borrow().down {
+        if faults.down {
             return Some(hang_up());
         }
-        let busy = self.faults.borrow().busy;
-        busy.then(|| ServerReply::empty(StatusCode::SERVICE_UNAVAILABLE))
+        if faults.busy {
+            return Some(ServerReply::empty(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        faults.many.then(|| ServerReply::empty(StatusCode::TOO_MANY_REQUESTS))
     }
 
     fn is_over_rate(&self, most: u64) -> bool {
@@ -217,7 +236,7 @@
         ServerReply::json(StatusCode::OK, &page)
     }
 
-    async fn feed(&self, request: &ServerRequest) -> ServerReply {
+    async fn feed(&self, request: &ServerRequest, group: HostGroup) -> ServerReply {
         let table = text_of(request, "table");
         let after = text_of(request, "after").parse().unwrap_or(0);
         let wait = Duration::from_millis(text_of(request, "waitMs").parse().unwrap_or(0));
@@ -231,7 +250,7 @@
                 return ServerReply::json(StatusCode::OK, &page);
             }
             monoio::time::sleep(FEED_LOOK).await;
-            if let Some(reply) = self.outage().await {
+            if let Some(reply) = self.outage(group).await {
                 return reply;
             }
         }
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -11,7 +11,7 @@
 use basaltarch_core::resources::ResourceKind;
 use basaltarch_http::client::HttpClient;
 use basaltarch_http::connection;
-use basaltarch_standin::platform::{self, PlatformStandin};
+use basaltarch_standin::platform::{self, HostGroup, PlatformStandin};
 use basaltarch_store::changes::{ChangeAuthor, ChangeGuard, ChangeStore, ResourceEdit};
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::{FeedReply, PlatformClient};
@@ -25,14 +25,21 @@
 struct TestStore {
     address: SocketAddr,
     client: PlatformClient,
+    /// The client of a host that some outages strike alone.
+    second: PlatformClient,
 }
 
 impl TestStore {
     fn start() -> Self {
-        let listener = connection::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
-        let address = listener.local_addr().expect("address");
-        monoio::spawn(platform::serve(listener, Rc::new(PlatformStandin::default())));
-        Self { address, client: PlatformClient::new(address, 1e6, 1e6) }
+        let bind = || connection::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let (first, second) = (bind(), bind());
+        let address = first.local_addr().expect("address");
+        let second_address = second.local_addr().expect("address");
+        let standin = Rc::new(PlatformStandin::default());
+        monoio::spawn(platform::serve(first, standin.clone(), HostGroup::First));
+        monoio::spawn(platform::serve(second, standin, HostGroup::Second));
+        let client = PlatformClient::new(address, 1e6, 1e6);
+        Self { address, client, second: PlatformClient::new(second_address, 1e6, 1e6) }
     }
 
     async fn faults(&self, faults: Value) {
@@ -143,6 +150,24 @@
     });
 }
 
+#[test_case(json!({"down": true}) ; "connections are dropped")]
+#[test_case(json!({"busy": true}) ; "calls are turned away")]
+#[test_case(json!({"many": true}) ; "calls are said to be too many")]
+#[test_case(json!({"silent": true}) ; "nothing is said")]
+fn verify_an_outage_for_some_hosts_leaves_the_others_served(mut faults: Value) {
+    run(async {
+        let store = TestStore::start();
+        faults["second_group_only"] = json!(true);
+        store.faults(faults).await;
+        let version = store.put("t/k", 0, json!(1)).await.expect("the first group is served");
+        store.second.read("t/k").await.expect_err("the second group is not");
+        store.second.follow("t", 0).await.expect_err("nor is its feed");
+        store.faults(json!({})).await;
+        let row = store.second.read("t/k").await.expect("read").expect("there");
+        assert_eq!(row.version, version);
+    });
+}
+
 #[test]
 fn verify_calls_over_the_own_bound_are_not_made() {
     run(async {
--- a/crates/store/tests/retention.rs
+++ b/crates/store/tests/retention.rs
@@ -10,7 +10,7 @@
 
 use basaltarch_http::client::HttpClient;
 use basaltarch_http::connection;
-use basaltarch_standin::platform::{self, PlatformStandin};
+use basaltarch_standin::platform::{self, HostGroup, PlatformStandin};
 use basaltarch_store::ledger::{self, ClaimOutcome, OnceKey, OnceLedger};
 use basaltarch_store::platform::PlatformClient;
 use basaltarch_store::retention::{EpochWatch, OnceRetention, EPOCH_TIME};
@@ -34,7 +34,11 @@
     async fn start() -> Self {
         let listener = connection::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
         let address = listener.local_addr().expect("address");
-        monoio::spawn(platform::serve(listener, Rc::new(PlatformStandin::default())));
+        monoio::spawn(platform::serve(
+            listener,
+            Rc::new(PlatformStandin::default()),
+            HostGroup::First,
+        ));
         Self::at(address)
     }
 
