Check for a drain again once there is a connection; the test tells by the daemon's log what was sent when

Replayed 160 times beside three others of itself: 5 failures, and the log of each shows 'work started' 0.2 to 0.5 ms after 'backend server registered' with draining. The work had been admitted and was waiting for a new connection while the heartbeat was acknowledged. Ruled out: the queue (it had been refused), a late count of the server (the log has the order). Change: whether the server drains is asked again when the connection is there, before anything is sent. Test: the count at the server lags behind what was sent before the word, so the test now compares the daemon's own lines (nothing sent after it) and the server's count with those before it. The busy callers work for 200 ms each in place of 300: with 12 of them on 4 slots the next request waited past its objective and was refused by rule (2 of 400 runs).

--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -267,6 +267,11 @@
                 return Err(FailureOutcome::NotRun(NotRunReason::ConnectFailed));
             }
         };
+        // An acknowledged drain binds also while a connection was being made.
+        if self.upstream.is_draining(self.state.now()) {
+            pooled.give_back(None);
+            return Err(FailureOutcome::NotRun(NotRunReason::Draining));
+        }
         metrics::WORKED.add_one();
         self.tell_started(self.state.now().saturating_sub(self.came_at));
         let progress = WorkProgress::new(slot);
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -309,7 +309,7 @@
         self.kill();
         if thread::panicking() {
             let text = self.log_text();
-            let tail: Vec<&str> = text.lines().rev().take(15).collect();
+            let tail: Vec<&str> = text.lines().rev().take(60).collect();
             eprintln!("-- log of {}, last first\n{}", self.host, tail.join("\n"));
         }
         keep_events(&self.log);
@@ -329,7 +329,9 @@
         .args(["--platform", &platform.to_string()])
         .args(["--admin-token", TOKEN])
         .env("BASALTARCH_FLEET_KEY", KEY)
-        .env("BASALTARCH_DRAIN_MS", "20000");
+        .env("BASALTARCH_DRAIN_MS", "20000")
+        // Every line, so that a failed test can be traced.
+        .env("BASALTARCH_LOG_REQUESTS", "1000000");
     for (flag, value) in extra {
         command.arg(format!("--{flag}")).arg(value);
     }
--- a/crates/daemon/tests/registered.rs
+++ b/crates/daemon/tests/registered.rs
@@ -50,14 +50,13 @@
                 let id = format!("busy-{number}");
                 let request = headers::exchange_fields().request.expect("a name");
                 let headers =
-                    [("Host", HOST), (request.as_str(), id.as_str()), ("x-work-ms", "300")];
+                    [("Host", HOST), (request.as_str(), id.as_str()), ("x-work-ms", "200")];
                 client::call(address, "POST", "/unsafe/x", &headers, "x").status
             })
         })
         .collect();
     eventually("the server works", || fleet.backends[0].total() > 0);
     assert_eq!(fleet.beat(0, true).status, 200);
-    let after_ack = fleet.backends[0].runs()["received"].as_u64().expect("received");
     for number in 0..30 {
         let reply = fleet.request(number % 2, "GET", "/safe/x", &format!("after-{number}"));
         assert_eq!(reply.status, 200, "{}", reply.text());
@@ -67,8 +66,34 @@
         let status = caller.join().expect("join");
         assert!(matches!(status, 200 | 503), "nothing is cut: {status}");
     }
+    // What was sent before the word may be read by the server after it, so that the daemon's own log
+    // tells what was sent when.
+    let AroundDrain { before, after } = started_around_drain(&fleet);
+    assert_eq!(after, 0, "nothing was sent after the word was acknowledged");
     let received = fleet.backends[0].runs()["received"].as_u64().expect("received");
-    assert_eq!(received, after_ack, "nothing new reached the server after its word");
+    assert_eq!(received, before, "nothing else reached the server");
+}
+
+/// Work that the first daemon sent to its server before and after the server said that it leaves.
+struct AroundDrain {
+    before: u64,
+    after: u64,
+}
+
+/// Returns how much work the first daemon sent to its server before and after it said that it leaves.
+fn started_around_drain(fleet: &RegisteredFleet) -> AroundDrain {
+    let (mut before, mut after, mut draining) = (0, 0, false);
+    let text = fleet.daemons[0].log_text();
+    for line in text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok()) {
+        let ours = line["upstream"] == "i-1";
+        match line["message"].as_str() {
+            Some("backend server registered") if ours => draining = line["draining"] == true,
+            Some("work started") if ours && draining => after += 1,
+            Some("work started") if ours => before += 1,
+            _ => {}
+        }
+    }
+    AroundDrain { before, after }
 }
 
 #[test]
