Ask an upstream whose way was cut and is linked again when no other is left

The other upstream was sound; its daemon had been linked again 73 ms before and counted as unreachable until it answered the next question, up to 250 ms later. Ruled out: budget (a repeat had been taken), ejection (sickness 0), the row (adopted). Change: such an upstream takes what nobody else can; it is never chosen before one in service.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -118,6 +118,11 @@
         now >= self.retry_at.get()
     }
 
+    /// Says whether the daemon is linked again after a cut and has not yet answered a question.
+    pub fn is_proving(&self, now: Duration) -> bool {
+        self.link.borrow().is_some() && self.state(now) == PathState::Proving
+    }
+
     /// Returns the state of the path.
     pub fn state(&self, now: Duration) -> PathState {
         self.health.borrow_mut().state(now)
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -206,7 +206,7 @@
             let path = &self.paths[index];
             let told = upstream.server.state == ServerState::Draining;
             let word = self.draining_until[index].get() > now;
-            view.note_reachable(index, path.is_usable(now));
+            view.note_reachable(index, path.is_usable(now), path.is_proving(now));
             view.note_draining(index, told || word || path.is_leaving());
         }
     }
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -53,6 +53,8 @@
     pub is_local: bool,
     /// Whether its daemon can be reached.
     pub reachable: bool,
+    /// Whether its daemon is linked again after a cut and has not yet answered a question since.
+    pub proving: bool,
     /// Whether it is leaving, by anybody's word.
     pub draining: bool,
     /// Requests of this ingress that it works on.
@@ -74,6 +76,7 @@
             slots,
             is_local,
             reachable: true,
+            proving: false,
             draining: false,
             own: 0,
             load: 0,
@@ -183,6 +186,8 @@
     Sound,
     /// It is in service; none is better.
     Any,
+    /// None is in service; the way to this one was cut and is linked again.
+    Proving,
 }
 
 impl ChoiceGround {
@@ -194,6 +199,7 @@
             Self::Near => "near",
             Self::Sound => "sound",
             Self::Any => "any",
+            Self::Proving => "proving",
         }
     }
 }
@@ -319,11 +325,12 @@
         }
     }
 
-    /// Takes in whether an upstream's daemon can be reached.
-    pub fn note_reachable(&mut self, index: usize, reachable: bool) {
+    /// Takes in whether an upstream's daemon can be reached, and if not, whether it is linked again.
+    pub fn note_reachable(&mut self, index: usize, reachable: bool, proving: bool) {
         if let Some(view) = self.upstreams.get_mut(index) {
             self.stale |= view.reachable != reachable;
             view.reachable = reachable;
+            view.proving = proving && !reachable;
         }
     }
 
@@ -445,7 +452,8 @@
     }
 
     /// Chooses the best upstream: one that is near, not a suspect and not loaded, if there is one; then
-    /// one that is not a suspect and has room; then any, by its cost.
+    /// one that is not a suspect and has room; then any, by its cost; and where there is none, one whose
+    /// way was cut and is linked again.
     fn best(
         &self,
         terms: &ChoiceTerms,
@@ -464,8 +472,17 @@
         if let Some(drawn) = drawn.filter(|drawn| load(drawn) < 1.0) {
             return Some((ChoiceGround::Sound, drawn));
         }
-        let drawn = self.draw(terms, rng, fits, |index, _| may(index))?;
-        Some((ChoiceGround::Any, drawn))
+        if let Some(drawn) = self.draw(terms, rng, fits, |index, _| may(index)) {
+            return Some((ChoiceGround::Any, drawn));
+        }
+        let proving = |index: usize, view: &LoadView| {
+            view.proving
+                && !view.draining
+                && !self.plan.avoided[index]
+                && !excluded.contains(&index)
+        };
+        let drawn = self.draw(terms, rng, fits, proving)?;
+        Some((ChoiceGround::Proving, drawn))
     }
 
     fn in_service(&self, index: usize) -> bool {
--- a/crates/decide/tests/floor.rs
+++ b/crates/decide/tests/floor.rs
@@ -149,7 +149,7 @@
                     view.note_report(index, 1, report(sickness, ejected), now);
                 }
                 ViewChange::Draining(index, on) => view.note_draining(index, on),
-                ViewChange::Reachable(index, on) => view.note_reachable(index, on),
+                ViewChange::Reachable(index, on) => view.note_reachable(index, on, false),
                 ViewChange::Wait(millis) => now += Duration::from_millis(millis),
                 ViewChange::Configure(floor, slots) => view = configured(&view, floor, &slots),
                 ViewChange::Choose { excluded, repeatable, must_take } => {
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use basaltarch_decide::balance::{LoadView, ServiceView};
+use basaltarch_decide::balance::{ChoiceGround, LoadView, ServiceView};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
 use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
 use basaltarch_decide::evidence::ServiceBaseline;
@@ -105,12 +105,27 @@
     let views = (0..8).map(|index| LoadView::new(4, index < 2)).collect();
     let mut view = ServiceView::new(0.2, views);
     view.note_draining(3, true);
-    view.note_reachable(4, false);
+    view.note_reachable(4, false, false);
     let shares = answered_shares(&mut view, |index| index != 5);
     assert_eq!((shares[3], shares[4]), (0, 0), "{shares:?}");
     assert_eq!(shares[5], 1, "one that owes an answer gets no more: {shares:?}");
 }
 
+#[test]
+fn verify_an_upstream_that_is_just_linked_again_takes_what_nobody_else_can() {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut view = ServiceView::new(0.5, vec![LoadView::new(4, true); 3]);
+    view.note_reachable(1, false, true);
+    view.note_reachable(2, false, false);
+    let mut choose = |excluded: &[usize]| {
+        let choice = view.choose(millis(10), excluded, true, false, &mut rng);
+        choice.map(|choice| (choice.index, choice.ground))
+    };
+    assert!((0..50).all(|_| choose(&[]) == Some((0, ChoiceGround::Near))));
+    assert!((0..50).all(|_| choose(&[0]) == Some((1, ChoiceGround::Proving))));
+    assert_eq!(choose(&[0, 1]), None, "the way to the third is cut");
+}
+
 #[test]
 fn verify_quick_errors_draw_no_traffic() {
     let views = (0..5).map(|_| LoadView::new(4, true)).collect();
