Two daemons of each failure domain read the rows of hosts and pass them on

Change: the two daemons of a failure domain that rendezvous hashing names follow the feed; the others ask them each second and get what changed after their version. A reader that the store turns away asks the other. The feed is one reader with a step in place of a closure. Tests: crates/daemon/tests/rows.rs (a host that the store turns away, three outages; whoever is gone; most leave the store alone).

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -15,6 +15,7 @@
 use crate::limits;
 use crate::membership;
 use crate::peers::PeerPath;
+use crate::rows;
 use crate::spread;
 use crate::state::DaemonState;
 
@@ -33,6 +34,8 @@
         FrameBody::GrantRequest(request) => limits::answer_request(state, sender, &request),
         FrameBody::GrantReply(reply) => state.limits.take_reply(&reply),
         FrameBody::Withdraw(note) => state.host.withdraw_failure(&note.upstream, &note.route),
+        FrameBody::RowsRequest(request) => rows::answer_request(state, sender, peer, &request),
+        FrameBody::RowsNews(news) => rows::take_news(state, peer, news),
         other => {
             let frame = frames::frame_name(&other);
             fleet::UnexpectedFrame { host: &peer.host, frame }.log();
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -25,7 +25,7 @@
 use serde_json::{json, Value};
 
 use crate::configuration::TouchedServices;
-use crate::feed::{self, FeedNews, FeedPlan};
+use crate::feed::{FeedNews, FeedPlan, FeedReader};
 use crate::metrics;
 use crate::options::ServiceDefaults;
 use crate::roster::{self, ToldRecord};
@@ -74,11 +74,12 @@
 
 /// Reads the document and follows its changes for ever.
 pub async fn follow(state: Rc<DaemonState>) {
-    feed::follow(state, FEED, |state, news| {
-        let (FeedNews::Whole(page) | FeedNews::Changes(page)) = news;
-        page.rows.iter().for_each(|row| take_row(state, row));
-    })
-    .await;
+    let mut reader = FeedReader::new(FEED);
+    loop {
+        let news = reader.next(&state).await;
+        let (FeedNews::Whole(page) | FeedNews::Changes(page)) = news else { continue };
+        page.rows.iter().for_each(|row| take_row(&state, row));
+    }
 }
 
 fn take_row(state: &Rc<DaemonState>, row: &StoredRow) {
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -3,7 +3,6 @@
 
 //! Follows a table of the platform's store: all of it once, then each change.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use basaltarch_events::process;
@@ -25,88 +24,104 @@
     pub failure_max: Duration,
 }
 
-/// `FeedNews` is what following a table brings.
-pub enum FeedNews<'a> {
+/// `FeedNews` is what one step of following a table brings.
+#[derive(Debug)]
+pub enum FeedNews {
     /// Every row of the table as of one moment.
-    Whole(&'a RowsPage),
-    /// Rows that changed or were removed, oldest first.
-    Changes(&'a RowsPage),
+    Whole(RowsPage),
+    /// Rows that changed or were removed, oldest first; none if the wait for one was over.
+    Changes(RowsPage),
+    /// The store did not answer; the pause after it is over.
+    Nothing,
 }
 
-/// `FeedHealth` is whether the store answers, for pauses and for the log.
-struct FeedHealth {
+/// `FeedReader` follows one table.
+pub struct FeedReader {
+    plan: FeedPlan,
+    /// Version of the table that was taken last; none before all of it was read.
+    version: Option<u64>,
     pause: RetryPause,
     lost_at: Option<Duration>,
     failures: u64,
 }
 
-impl FeedHealth {
+impl FeedReader {
+    /// Builds a reader that has read nothing yet.
+    pub fn new(plan: FeedPlan) -> Self {
+        let pause = RetryPause::up_to(plan.failure_max);
+        Self { plan, version: None, pause, lost_at: None, failures: 0 }
+    }
+
+    /// Goes on from another version: somebody else told of the changes until there.
+    pub fn skip_to(&mut self, version: u64) {
+        self.version = Some(version);
+    }
+
+    /// Reads the whole table, or waits for the next changes.
+    pub async fn next(&mut self, state: &DaemonState) -> FeedNews {
+        match self.step(state).await {
+            Ok(news) => {
+                self.note_answer(state);
+                news
+            }
+            Err(error) => {
+                self.note_failure(state, &error).await;
+                FeedNews::Nothing
+            }
+        }
+    }
+
+    /// Waits after a call that brought changes, so that those that come together are read together.
+    pub async fn rest(&self) {
+        monoio::time::sleep(self.plan.between).await;
+    }
+
+    async fn step(&mut self, state: &DaemonState) -> Result<FeedNews, StoreError> {
+        let version = match self.version {
+            Some(version) => version,
+            None => return self.read_whole(state).await,
+        };
+        match state.platform.follow(self.plan.table, version).await? {
+            FeedReply::Changes(page) => {
+                self.version = Some(version.max(page.version));
+                Ok(FeedNews::Changes(page))
+            }
+            FeedReply::Forgotten => {
+                process::HistoryForgotten { table: self.plan.table, version }.log();
+                self.version = None;
+                self.read_whole(state).await
+            }
+        }
+    }
+
+    /// Reads the whole table now.
+    pub async fn read_whole(&mut self, state: &DaemonState) -> Result<FeedNews, StoreError> {
+        let page = state.platform.read_table(self.plan.table).await?;
+        self.version = Some(page.version);
+        Ok(FeedNews::Whole(page))
+    }
+
     /// Takes in that a call was answered.
-    fn note_answer(&mut self, state: &DaemonState, plan: &FeedPlan) {
+    fn note_answer(&mut self, state: &DaemonState) {
         self.pause.reset();
         if let Some(lost_at) = self.lost_at.take() {
             let after_ms = state.now().saturating_sub(lost_at).as_millis() as u64;
             let failures = std::mem::take(&mut self.failures);
-            process::StoreRegained { table: plan.table, after_ms, failures }.log();
+            process::StoreRegained { table: self.plan.table, after_ms, failures }.log();
         }
     }
 
     /// Takes in that a call failed, and waits before the next.
-    async fn note_failure(&mut self, state: &DaemonState, plan: &FeedPlan, error: &StoreError) {
+    async fn note_failure(&mut self, state: &DaemonState, error: &StoreError) {
         metrics::STORE_FAILURES.add_one();
         self.failures += 1;
         let error = &error.to_string();
         if self.lost_at.is_none() {
             self.lost_at = Some(state.now());
-            process::StoreLost { table: plan.table, error }.log();
+            process::StoreLost { table: self.plan.table, error }.log();
         } else {
             process::StoreFailed { call: "follow a table", error }.log();
         }
         monoio::time::sleep(self.pause.next_pause()).await;
     }
 }
-
-/// Follows a table for ever and hands what it brings to `take`.
-pub async fn follow(
-    state: Rc<DaemonState>,
-    plan: FeedPlan,
-    take: impl Fn(&Rc<DaemonState>, FeedNews<'_>),
-) {
-    let pause = RetryPause::up_to(plan.failure_max);
-    let mut health = FeedHealth { pause, lost_at: None, failures: 0 };
-    loop {
-        if let Err(error) = read_and_follow(&state, &plan, &mut health, &take).await {
-            health.note_failure(&state, &plan, &error).await;
-        }
-    }
-}
-
-/// Reads the table and follows it until its history is forgotten, or reading it fails.
-async fn read_and_follow(
-    state: &Rc<DaemonState>,
-    plan: &FeedPlan,
-    health: &mut FeedHealth,
-    take: &impl Fn(&Rc<DaemonState>, FeedNews<'_>),
-) -> Result<(), StoreError> {
-    let page = state.platform.read_table(plan.table).await?;
-    let mut version = page.version;
-    take(state, FeedNews::Whole(&page));
-    health.note_answer(state, plan);
-    loop {
-        match state.platform.follow(plan.table, version).await {
-            Ok(FeedReply::Changes(page)) => {
-                version = version.max(page.version);
-                health.note_answer(state, plan);
-                take(state, FeedNews::Changes(&page));
-                if !page.rows.is_empty() {
-                    monoio::time::sleep(plan.between).await;
-                }
-            }
-            Ok(FeedReply::Forgotten) => {
-                process::HistoryForgotten { table: plan.table, version }.log();
-                return Ok(());
-            }
-            Err(error) => health.note_failure(state, plan, &error).await,
-        }
-    }
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod reload;
 pub mod retention;
 pub mod roster;
+pub mod rows;
 pub mod run;
 pub mod services;
 pub mod signal;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -132,6 +132,17 @@
         hosts
     }
 
+    /// Returns the live hosts of the own failure domain, with this one.
+    pub fn live_near(&self, state: &DaemonState) -> Vec<String> {
+        let own = &state.options.failure_domain;
+        let mut near = self.live_hosts(state);
+        let members = self.members.borrow();
+        let is_near =
+            |host: &String| members.get(host).is_none_or(|view| view.failure_domain == *own);
+        near.retain(is_near);
+        near
+    }
+
     /// Returns the number of members, with this daemon.
     pub fn count(&self) -> usize {
         self.members.borrow().len().max(1)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -82,6 +82,9 @@
 /// Lines of the log that were dropped.
 pub static LINES_DROPPED: CounterCell = CounterCell::new();
 
+/// Calls to the store for the rows of hosts.
+pub static ROWS_CALLS: CounterCell = CounterCell::new();
+
 /// Counts a failure outcome told to a caller.
 pub fn count_failure(outcome: FailureOutcome) {
     match outcome {
@@ -154,6 +157,7 @@
             &FAILURES_NOT_LOGGED,
         ),
         counter("log_lines_dropped", "Lines of the log that were dropped.", &LINES_DROPPED),
+        counter("rows_calls", "Calls to the platform for the rows of hosts.", &ROWS_CALLS),
         gauge("revision", "Revision in force.", &REVISION),
         gauge("members", "Live members known.", &MEMBERS),
         gauge("services", "Services learnt of from requests.", &SERVICES),
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -25,7 +25,6 @@
 use serde_json::json;
 
 use crate::document;
-use crate::feed::{self, FeedNews, FeedPlan};
 use crate::metrics;
 use crate::registration;
 use crate::signal::RisingSignal;
@@ -35,14 +34,7 @@
 pub const HOSTS_TABLE: &str = "hosts";
 /// Longest pause after failed calls in a row: what changed during an outage must be known within
 /// about two seconds of its end.
-const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(2000);
-/// How the rows are followed. What changes at the same time, as when a fleet starts, is read in one
-/// call: nobody waits for it, since a host refuses what its server must not get.
-const FEED: FeedPlan = FeedPlan {
-    table: HOSTS_TABLE,
-    between: Duration::from_millis(700),
-    failure_max: FAILURE_PAUSE_MAX,
-};
+pub const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(2000);
 /// Time that a starting daemon waits for the backend server beside it before it writes its row
 /// without one: a little longer than the usual time between two heartbeats.
 const FIRST_WRITE_WAIT: Duration = Duration::from_secs(2);
@@ -297,16 +289,8 @@
     }
 }
 
-/// Reads the rows and follows their feed for ever.
-pub async fn follow(state: Rc<DaemonState>) {
-    feed::follow(state, FEED, |state, news| match news {
-        FeedNews::Whole(page) => take_table(state, page),
-        FeedNews::Changes(page) => page.rows.iter().for_each(|row| take_row(state, row)),
-    })
-    .await;
-}
-
-fn take_table(state: &Rc<DaemonState>, page: &RowsPage) {
+/// Takes the whole table in.
+pub fn take_table(state: &Rc<DaemonState>, page: &RowsPage) {
     for row in &page.rows {
         take_row(state, row);
     }
@@ -318,7 +302,8 @@
     state.roster.touch();
 }
 
-fn take_row(state: &Rc<DaemonState>, row: &StoredRow) {
+/// Takes one row in, or that it was removed.
+pub fn take_row(state: &Rc<DaemonState>, row: &StoredRow) {
     let value = match &row.value {
         Some(value) => value,
         None => return take_removed(state, &row.key),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -26,6 +26,7 @@
 use crate::reload;
 use crate::retention;
 use crate::roster;
+use crate::rows;
 use crate::services;
 use crate::signal::RisingSignal;
 use crate::spread;
@@ -157,7 +158,8 @@
     monoio::spawn(links::watch(state.clone()));
     monoio::spawn(membership::run(state.clone()));
     monoio::spawn(membership::find_seeds(state.clone()));
-    monoio::spawn(roster::follow(state.clone()));
+    monoio::spawn(rows::follow(state.clone()));
+    monoio::spawn(rows::renew(state.clone()));
     monoio::spawn(roster::publish(state.clone()));
     monoio::spawn(roster::sweep(state.clone()));
     match state.options.source {
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -27,6 +27,7 @@
 use crate::peers::PeerTable;
 use crate::registration::RegistrationTable;
 use crate::roster::HostRoster;
+use crate::rows::RowsShare;
 use crate::services::ServiceTable;
 use crate::signal::RisingSignal;
 use crate::spread::SnapshotParts;
@@ -47,6 +48,8 @@
     pub document: DocumentCell,
     /// The rows of all hosts.
     pub roster: HostRoster,
+    /// Who of the own failure domain reads these rows from the store and passes them on.
+    pub rows: RowsShare,
     /// What the backend servers beside this daemon said.
     pub registrations: RegistrationTable,
     /// Names of the header fields that backend servers know.
@@ -101,6 +104,7 @@
             config: ConfigCell::default(),
             document: DocumentCell::default(),
             roster: HostRoster::default(),
+            rows: RowsShare::default(),
             registrations: RegistrationTable::default(),
             fields: options.exchange_fields(),
             services: ServiceTable::default(),
--- a/crates/daemon/tests/common/registered.rs
+++ b/crates/daemon/tests/common/registered.rs
@@ -80,9 +80,21 @@
         (0..daemons).fold(fleet, |fleet, index| fleet.with_host(index))
     }
 
-    fn with_host(mut self, index: usize) -> Self {
+    /// Starts as many in one failure domain.
+    pub fn start_near(daemons: usize) -> Self {
+        let platform = TestPlatform::start();
+        let fleet =
+            Self { platform, daemons: Vec::new(), backends: Vec::new(), sequence: Cell::new(1) };
+        fleet.write(&document(1));
+        (0..daemons).fold(fleet, |fleet, index| fleet.with_host_in(index, DOMAINS[0]))
+    }
+
+    fn with_host(self, index: usize) -> Self {
+        self.with_host_in(index, DOMAINS[index % DOMAINS.len()])
+    }
+
+    fn with_host_in(mut self, index: usize, domain: &str) -> Self {
         let host = format!("host-{}", (b'a' + index as u8) as char);
-        let domain = DOMAINS[index % DOMAINS.len()];
         self.daemons.push(self.start_daemon(&host, domain, &[]));
         let name = format!("i-{}", index + 1);
         let fields = headers::exchange_fields();
--- /dev/null
+++ b/crates/daemon/tests/rows.rs
@@ -0,0 +1,72 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Rows of hosts reach every daemon though only some of a failure domain read them from the store.
+
+mod common;
+
+use common::eventually;
+use common::registered::{RegisteredFleet, SERVICE};
+use serde_json::{json, Value};
+use test_case::test_case;
+
+/// Registers another server name at a daemon and waits until these daemons know of it.
+fn register_and_wait(fleet: &RegisteredFleet, index: usize, name: &str, knowing: &[usize]) {
+    assert_eq!(fleet.beat_as(index, name, SERVICE, false).status, 200);
+    for daemon in knowing {
+        eventually("the daemon knows of the server", || {
+            fleet.daemons[*daemon].get("/v1/backend-servers").to_string().contains(name)
+        });
+    }
+}
+
+#[test_case(json!({"down": true}) ; "its connections are dropped")]
+#[test_case(json!({"busy": true}) ; "its calls are turned away")]
+#[test_case(json!({"silent": true}) ; "it hears nothing")]
+fn verify_a_host_that_the_store_turns_away_hears_of_new_servers(mut outage: Value) {
+    let mut fleet = RegisteredFleet::start_near(3);
+    fleet.daemons[2].kill();
+    fleet.daemons[2] = fleet.start_daemon_at(fleet.platform.second, "host-c", "bkk-a", &[]);
+    assert_eq!(fleet.beat(2, false).status, 200);
+    register_and_wait(&fleet, 0, "i-before", &[0, 1, 2]);
+    outage["second_group_only"] = json!(true);
+    fleet.platform.faults(outage);
+    // Two changes in a row, so that the second follows on the first.
+    register_and_wait(&fleet, 0, "i-during", &[0, 1, 2]);
+    register_and_wait(&fleet, 1, "i-later", &[0, 1, 2]);
+    fleet.platform.faults(json!({}));
+    register_and_wait(&fleet, 2, "i-after", &[0, 1, 2]);
+}
+
+#[test]
+fn verify_rows_go_on_to_arrive_whoever_is_gone() {
+    let mut fleet = RegisteredFleet::start_near(4);
+    register_and_wait(&fleet, 0, "i-first", &[0, 1, 2, 3]);
+    for gone in [1, 2] {
+        fleet.daemons[gone].kill();
+        let left: Vec<usize> =
+            [0, 1, 2, 3].into_iter().filter(|index| *index > gone || *index == 0).collect();
+        register_and_wait(&fleet, 0, &format!("i-without-{gone}"), &left);
+        register_and_wait(&fleet, 3, &format!("i-still-{gone}"), &left);
+    }
+    let domain = fleet.daemons[1].domain.clone();
+    fleet.daemons[1] = fleet.start_daemon("host-b", &domain, &[]);
+    register_and_wait(&fleet, 0, "i-last", &[0, 1, 3]);
+}
+
+#[test]
+fn verify_most_daemons_of_a_failure_domain_leave_the_store_alone() {
+    let fleet = RegisteredFleet::start_near(6);
+    let all = [0, 1, 2, 3, 4, 5];
+    register_and_wait(&fleet, 0, "i-first", &all);
+    // Those who read the store are woken by each change; the others hear of it by them.
+    let calls = |daemon: usize| fleet.daemons[daemon].metric("rows_calls") as u64;
+    eventually("two read the rows, and no other for a while", || {
+        let before: Vec<u64> = all.iter().map(|daemon| calls(*daemon)).collect();
+        for number in 0..4 {
+            register_and_wait(&fleet, number, &format!("i-{}-{number}", before[0]), &all);
+        }
+        let reading = all.iter().filter(|daemon| calls(**daemon) > before[**daemon]).count();
+        (1..=2).contains(&reading)
+    });
+}
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -147,6 +147,28 @@
   3: required i32 valid_ms
 }
 
+/** Asks a daemon of the own failure domain to pass on how the rows of hosts change, for a while. */
+struct RowsRequest {
+  /** Version of the table that the asking daemon has. */
+  1: required i64 version
+}
+
+struct RowNote {
+  1: required string key
+  /** None when the row was removed. */
+  2: optional binary value
+  3: required i64 version
+}
+
+/** Rows of hosts that changed from one version of the table to another; none is a sign of life. */
+struct RowsNews {
+  1: required i64 after
+  2: required i64 version
+  3: required list<RowNote> rows
+  /** What changed after the version that was asked for is no longer known. */
+  4: required bool forgotten
+}
+
 /** The first frame on a link, in both directions. */
 struct HelloNote {
   1: required string host
@@ -175,6 +197,8 @@
   12: HelloNote hello
   13: ProofNote proof
   14: WithdrawNote withdraw
+  15: RowsRequest rows_request
+  16: RowsNews rows_news
 }
 
 struct PeerFrame {
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -89,6 +89,8 @@
         FrameBody::Hello(_) => "hello",
         FrameBody::Proof(_) => "proof",
         FrameBody::Withdraw(_) => "withdraw",
+        FrameBody::RowsRequest(_) => "rows-request",
+        FrameBody::RowsNews(_) => "rows-news",
     }
 }
 
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -1698,6 +1698,250 @@
   }
 }
 
+//
+// RowsRequest
+//
+
+/// Asks a daemon of the own failure domain to pass on how the rows of hosts change, for a while.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RowsRequest {
+  /// Version of the table that the asking daemon has.
+  pub version: i64,
+}
+
+impl RowsRequest {
+  pub fn new(version: i64) -> RowsRequest {
+    RowsRequest {
+      version,
+    }
+  }
+}
+
+impl TSerializable for RowsRequest {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RowsRequest> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RowsRequest.version", &f_1)?;
+    let ret = RowsRequest {
+      version: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RowsRequest");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 1))?;
+    o_prot.write_i64(self.version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// RowNote
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RowNote {
+  pub key: String,
+  /// None when the row was removed.
+  pub value: Option<Vec<u8>>,
+  pub version: i64,
+}
+
+impl RowNote {
+  pub fn new<F2>(key: String, value: F2, version: i64) -> RowNote where F2: Into<Option<Vec<u8>>> {
+    RowNote {
+      key,
+      value: value.into(),
+      version,
+    }
+  }
+}
+
+impl TSerializable for RowNote {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RowNote> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<Vec<u8>> = None;
+    let mut f_3: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_bytes()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RowNote.key", &f_1)?;
+    verify_required_field_exists("RowNote.version", &f_3)?;
+    let ret = RowNote {
+      key: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      value: f_2,
+      version: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RowNote");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("key", TType::String, 1))?;
+    o_prot.write_string(&self.key)?;
+    o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.value {
+      o_prot.write_field_begin(&TFieldIdentifier::new("value", TType::String, 2))?;
+      o_prot.write_bytes(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 3))?;
+    o_prot.write_i64(self.version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// RowsNews
+//
+
+/// Rows of hosts that changed from one version of the table to another; none is a sign of life.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RowsNews {
+  pub after: i64,
+  pub version: i64,
+  pub rows: Vec<RowNote>,
+  /// What changed after the version that was asked for is no longer known.
+  pub forgotten: bool,
+}
+
+impl RowsNews {
+  pub fn new(after: i64, version: i64, rows: Vec<RowNote>, forgotten: bool) -> RowsNews {
+    RowsNews {
+      after,
+      version,
+      rows,
+      forgotten,
+    }
+  }
+}
+
+impl TSerializable for RowsNews {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RowsNews> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<Vec<RowNote>> = None;
+    let mut f_4: Option<bool> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<RowNote> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_2 = RowNote::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_2);
+          }
+          i_prot.read_list_end()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_bool()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RowsNews.after", &f_1)?;
+    verify_required_field_exists("RowsNews.version", &f_2)?;
+    verify_required_field_exists("RowsNews.rows", &f_3)?;
+    verify_required_field_exists("RowsNews.forgotten", &f_4)?;
+    let ret = RowsNews {
+      after: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      version: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      rows: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      forgotten: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RowsNews");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("after", TType::I64, 1))?;
+    o_prot.write_i64(self.after)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 2))?;
+    o_prot.write_i64(self.version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("rows", TType::List, 3))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.rows.len() as i32))?;
+    for e in &self.rows {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("forgotten", TType::Bool, 4))?;
+    o_prot.write_bool(self.forgotten)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // HelloNote
 //
@@ -1868,6 +2112,8 @@
   Hello(HelloNote),
   Proof(ProofNote),
   Withdraw(WithdrawNote),
+  RowsRequest(RowsRequest),
+  RowsNews(RowsNews),
 }
 
 impl TSerializable for FrameBody {
@@ -1980,6 +2226,20 @@
           }
           received_field_count += 1;
         },
+        15 => {
+          let val = RowsRequest::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(FrameBody::RowsRequest(val));
+          }
+          received_field_count += 1;
+        },
+        16 => {
+          let val = RowsNews::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(FrameBody::RowsNews(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -2084,6 +2344,16 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      FrameBody::RowsRequest(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("rows_request", TType::Struct, 15))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      FrameBody::RowsNews(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("rows_news", TType::Struct, 16))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
