--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -203,7 +203,7 @@
         let attempts = &self.request.trail.attempts;
         attempts.set(attempts.get() + 1);
         let attempt = attempts.get() as usize;
-        let passable = self.is_passable_at(choice.index);
+        let passable = self.is_passable();
         let step = TrailStep::Chosen { attempt, choice: *choice, passable };
         trail::note(self.state, self.request, step);
         AskedUpstream { attempt, index: choice.index, began: self.state.now() }
@@ -289,11 +289,6 @@
         self.passes < PASSES_MAX && others > 1
     }
 
-    /// Says the same of one upstream: too many that are doubted at once would take capacity out.
-    fn is_passable_at(&self, index: usize) -> bool {
-        self.is_passable() && !self.request.service.with_view(|view| view.must_trust(index))
-    }
-
     /// Takes in that an upstream passed the work on, as it is doubted, full or leaving; that costs a
     /// way there and back.
     fn has_passed(&mut self, index: usize, outcome: FailureOutcome) -> bool {
@@ -451,7 +446,7 @@
             organisation: request.organisation.clone(),
             revision: self.state.config.revision().0 as i64,
             after_failure: self.spares_failure(),
-            passable: self.is_passable_at(choice.index),
+            passable: self.is_passable(),
             objective_ms: self.objective_left().as_millis().min(i32::MAX as u128) as i32,
             logged: Some(self.request.trail.is_logged),
         }
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -28,8 +28,6 @@
 /// Factor on the cost of a suspect: it must be this many times less loaded than another to be chosen
 /// before it, so it gets what the others have no room for.
 const SUSPECT_FACTOR: f64 = 10.0;
-/// Time for which a report that an upstream is doubted counts towards those held back.
-const DOUBT_LIFE: Duration = Duration::from_secs(5);
 /// Time for which a report makes an upstream a suspect; then it is asked again.
 const SUSPECT_LIFE: Duration = Duration::from_millis(1500);
 /// Age from which a report's sickness says nothing of a shared change.
@@ -59,8 +57,6 @@
     pub proving: bool,
     /// Whether it is leaving, by anybody's word.
     pub draining: bool,
-    /// Whether it may be held back while it is doubted: the floor bounds how many are at once.
-    pub held_back: bool,
     /// Requests of this ingress that it works on.
     pub own: u32,
     /// Requests in its slots and queue at the last report.
@@ -82,7 +78,6 @@
             reachable: true,
             proving: false,
             draining: false,
-            held_back: false,
             own: 0,
             load: 0,
             health: None,
@@ -156,7 +151,7 @@
         let sick = |health: HealthReport| {
             // Once it is time, repeatable work finds out whether a doubted upstream works.
             let due = repeatable && now >= self.reported_at + health.trial_in;
-            health.sickness >= from || health.doubtful && self.held_back && !due
+            health.sickness >= from || health.doubtful && !due
         };
         silent || fresh && self.health.is_some_and(sick)
     }
@@ -317,7 +312,6 @@
         };
         let before = view.health.is_some_and(|health| health.ejected);
         self.stale |= before || health.ejected;
-        self.stale |= health.doubtful != view.health.is_some_and(|health| health.doubtful);
         view.load = load;
         view.health = Some(health);
         view.reported_at = now;
@@ -400,45 +394,10 @@
             .collect();
         self.plan = floor::plan(self.floor, &entries);
         self.violations += u64::from(!self.plan.holds());
-        self.hold_back(now);
         self.stale = false;
         self.planned_at = now;
     }
 
-    /// Decides which doubted upstreams are held back: the sickest, while the share of the slots in
-    /// service that the floor asks for is not among them. One may always be.
-    fn hold_back(&mut self, now: Duration) {
-        let allowed = (1.0 - self.floor) * f64::from(self.plan.in_service);
-        let is_doubted = |view: &LoadView| {
-            let fresh = now.saturating_sub(view.reported_at) < DOUBT_LIFE;
-            fresh && view.health.is_some_and(|health| health.doubtful)
-        };
-        let sickness = |view: &LoadView| view.health.map_or(0.0, |health| health.sickness);
-        let mut doubted: Vec<usize> = (0..self.upstreams.len())
-            .filter(|index| self.in_service(*index) && is_doubted(&self.upstreams[*index]))
-            .collect();
-        let upstreams = &mut self.upstreams;
-        doubted.sort_by(|left, right| {
-            sickness(&upstreams[*right]).total_cmp(&sickness(&upstreams[*left]))
-        });
-        upstreams.iter_mut().for_each(|view| view.held_back = false);
-        let mut held = 0.0;
-        for index in doubted {
-            let slots = f64::from(upstreams[index].slots);
-            if held == 0.0 || held + slots <= allowed {
-                upstreams[index].held_back = true;
-                held += slots;
-            }
-        }
-    }
-
-    /// Says whether an upstream must take what it is sent although it is doubted.
-    pub fn must_trust(&self, index: usize) -> bool {
-        self.upstreams.get(index).is_some_and(|view| {
-            view.health.is_some_and(|health| health.doubtful) && !view.held_back
-        })
-    }
-
     /// Chooses an upstream that is not in `excluded`.
     ///
     /// `repeatable` work may go to an avoided upstream whose trial is due. `must_take` work goes
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -17,7 +17,6 @@
 use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use test_case::test_case;
 
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -127,35 +126,6 @@
     assert_eq!(choose(&[0, 1]), None, "the way to the third is cut");
 }
 
-/// Returns how many of ten upstreams get a share of work that must not be repeated while so many are
-/// doubted.
-fn served_while_doubted(doubted: usize) -> usize {
-    let mut rng = ChaCha8Rng::seed_from_u64(6);
-    let mut view = ServiceView::new(0.7, vec![LoadView::new(4, true); 10]);
-    for index in 0..10 {
-        let doubtful = index < doubted;
-        let trial_in = Duration::from_secs(60);
-        let health = HealthReport { doubtful, trial_in, ..healthy(20.0) };
-        view.note_report(index, 0, health, millis(5));
-    }
-    let mut got = [0; 10];
-    for _ in 0..1000 {
-        let choice = view.choose(millis(10), &[], false, false, &mut rng).expect("an upstream");
-        got[choice.index] += 1;
-        assert_eq!(view.must_trust(choice.index), choice.index < doubted);
-    }
-    got.iter().filter(|count| **count > 0).count()
-}
-
-#[test_case(0, 10 ; "none")]
-#[test_case(2, 8 ; "two")]
-#[test_case(3, 7 ; "three, as many as the floor allows")]
-#[test_case(6, 7 ; "six")]
-#[test_case(10, 7 ; "all")]
-fn verify_doubt_holds_back_no_more_than_the_floor_allows(doubted: usize, served: usize) {
-    assert_eq!(served_while_doubted(doubted), served);
-}
-
 #[test]
 fn verify_quick_errors_draw_no_traffic() {
     let views = (0..5).map(|_| LoadView::new(4, true)).collect();
