Let repeatable work find out at once when a doubted upstream near by is due

Change: the first attempt of a repeatable request whose repeat is paid for goes to a doubted upstream of the own failure domain as soon as its trial is due. The host still lets one at a time through. Test: decide/tests/ingress.rs verify_repeatable_work_finds_out_at_once_when_a_doubted_upstream_is_due.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -28,6 +28,8 @@
 /// Factor on the cost of a suspect: it must be this many times less loaded than another to be chosen
 /// before it, so it gets what the others have no room for.
 const SUSPECT_FACTOR: f64 = 10.0;
+/// Time for which a report that an upstream is doubted is worth acting on.
+const DOUBT_LIFE: Duration = Duration::from_secs(5);
 /// Time for which a report makes an upstream a suspect; then it is asked again.
 const SUSPECT_LIFE: Duration = Duration::from_millis(1500);
 /// Age from which a report's sickness says nothing of a shared change.
@@ -417,6 +419,11 @@
                 return Some(UpstreamChoice { refusable: true, ..choice });
             }
         }
+        if repeatable && !must_take && excluded.is_empty() {
+            if let Some(index) = self.due_doubt(now) {
+                return Some(self.alone(index, ChoiceGround::Trial, now));
+            }
+        }
         let terms = ChoiceTerms { now, suspect_from: self.suspect_from(now), repeatable };
         if !must_take && excluded.is_empty() {
             if let Some(index) = self.explore(&terms, rng) {
@@ -511,6 +518,18 @@
         (is_old && fits).then_some(oldest)
     }
 
+    /// Finds a doubted upstream near by whose trial is due: a sound one must not wait for long until a
+    /// request happens to find out, or too few of a service would get work.
+    fn due_doubt(&self, now: Duration) -> Option<usize> {
+        (0..self.upstreams.len()).find(|index| {
+            let view = &self.upstreams[*index];
+            let age = now.saturating_sub(view.reported_at);
+            let is_due = |health: HealthReport| health.doubtful && age >= health.trial_in;
+            let fits = view.is_local && view.own == 0 && age < DOUBT_LIFE;
+            fits && self.in_service(*index) && view.health.is_some_and(is_due)
+        })
+    }
+
     fn due_trial(&mut self, now: Duration, repeatable: bool) -> Option<usize> {
         if !repeatable || self.plan.avoided.iter().all(|avoided| !avoided) {
             return None;
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -126,6 +126,23 @@
     assert_eq!(choose(&[0, 1]), None, "the way to the third is cut");
 }
 
+#[test]
+fn verify_repeatable_work_finds_out_at_once_when_a_doubted_upstream_is_due() {
+    let mut rng = ChaCha8Rng::seed_from_u64(6);
+    let mut view = ServiceView::new(0.7, vec![LoadView::new(4, true); 30]);
+    for index in 0..30 {
+        let doubtful = index == 17;
+        let health = HealthReport { doubtful, trial_in: millis(200), ..healthy(20.0) };
+        view.note_report(index, 0, health, millis(5));
+    }
+    let mut choose = |at: u64, repeatable: bool| {
+        view.choose(millis(at), &[], repeatable, false, &mut rng).expect("an upstream").index
+    };
+    assert!((0..100).all(|_| choose(100, true) != 17), "it is not due yet");
+    assert_eq!(choose(210, true), 17, "the next repeatable work finds out");
+    assert!((0..100).all(|_| choose(210, false) != 17), "other work does not");
+}
+
 #[test]
 fn verify_quick_errors_draw_no_traffic() {
     let views = (0..5).map(|_| LoadView::new(4, true)).collect();
