--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -209,6 +209,7 @@
         flags::BasaltctlCmd::Health(flags) => {
             commands::health(&api, flags.service.as_deref(), form).await
         }
+        // It needs no daemon and was done above.
         flags::BasaltctlCmd::Explain(_) => Ok(()),
         flags::BasaltctlCmd::Drain(flags) => match flags.server {
             Some(server) => commands::drain_server(&api, &server, flags.undo).await,
