--- a/crates/daemon/tests/documents.rs
+++ b/crates/daemon/tests/documents.rs
@@ -42,6 +42,10 @@
         }
     }
     fleet.write(&document(3));
+    for daemon in &fleet.daemons {
+        let told = || daemon.log_text().contains("older configuration passed over");
+        eventually("the older document was read", told);
+    }
     fleet.write(&with_route(7, "/newer/"));
     for (index, daemon) in fleet.daemons.iter().enumerate() {
         eventually("the last document is in force", || daemon.revision() == 7);
