--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod decisions;
 pub mod detection;
 pub mod errors;
+pub mod experiment;
 pub mod fault;
 pub mod hold;
 pub mod load;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,11 +6,14 @@
 #![allow(missing_docs, reason = "the command-line macro makes items without doc comments")]
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process;
 use std::time::Duration;
 
 use basaltarch_bench::decisions::{bounds, chart, report, scenario, suite};
 use basaltarch_bench::errors::BenchError;
+use basaltarch_bench::experiment::plays::{self, PlayOptions};
+use basaltarch_bench::experiment::verdict;
 use basaltarch_bench::hold::{self, HoldOptions};
 use basaltarch_bench::load::{self, LoadOptions, LoadTarget, TargetReport};
 use basaltarch_bench::{capacity, detection, fault, spread};
@@ -21,6 +24,8 @@
 use http::Method;
 
 mod flags {
+    use std::path::PathBuf;
+
     xflags::xflags! {
         /// Load, experiments and the decision bench.
         cmd basaltarch-bench {
@@ -84,6 +89,27 @@
                 /// Draws the chart of detection time against false ejections into this SVG file.
                 optional --chart path: String
             }
+            /// Plays the same days with two builds and compares them in pairs.
+            cmd experiment {
+                /// Path of the users' bench.
+                required bench: PathBuf
+                /// Checkout that is compared with.
+                required base: PathBuf
+                /// Checkout that is compared.
+                required trial: PathBuf
+                /// Site files, separated by commas.
+                required sites: String
+                /// Days, separated by commas; the days with trouble by default.
+                optional --days names: String
+                /// Seeds of each day, separated by commas; "own" is the day's own, the default.
+                optional --seeds numbers: String
+                /// Days played at the same time, default 4.
+                optional --jobs count: String
+                /// Why it is played, for the journal.
+                optional --why text: String
+                /// Counts no processor time, so that a play mostly repeats.
+                optional --no-cpu
+            }
             /// Compares what a failing server received with what callers saw.
             cmd detection {
                 /// Output of load --json.
@@ -121,6 +147,11 @@
 
 const ADDRESS_ALLOWED: &str = "an IP address with port, such as 127.0.0.1:8080";
 
+/// Days of a site file that have trouble.
+const DAYS_WITH_TROUBLE: &str = "trouble-1,trouble-2,trouble-3,scale-1,scale-2";
+/// Stands for the seed that a day has by itself.
+const OWN_SEED: &str = "own";
+
 fn main() {
     let flags = flags::BasaltarchBench::from_env_or_exit();
     let result = match flags.subcommand {
@@ -134,6 +165,7 @@
         flags::BasaltarchBenchCmd::Hold(flags) => run_hold(&flags),
         flags::BasaltarchBenchCmd::Spread(flags) => run_spread(&flags),
         flags::BasaltarchBenchCmd::Decisions(flags) => run_decisions(flags),
+        flags::BasaltarchBenchCmd::Experiment(flags) => run_experiment(flags),
         flags::BasaltarchBenchCmd::Detection(flags) => {
             detection::run(&flags.load, &flags.fault, &flags.server)
         }
@@ -198,6 +230,39 @@
     })
 }
 
+fn run_experiment(flags: flags::Experiment) -> Result<(), BenchError> {
+    let absolute = |path: &PathBuf| {
+        std::path::absolute(path).map_err(|error| BenchError::File {
+            path: path.display().to_string(),
+            message: error.to_string(),
+        })
+    };
+    let sites: Result<Vec<PathBuf>, BenchError> =
+        flags.sites.split(',').map(|site| absolute(&PathBuf::from(site))).collect();
+    let seeds: Result<Vec<Option<u64>>, BenchError> =
+        flags.seeds.as_deref().unwrap_or(OWN_SEED).split(',').map(seed).collect();
+    let days = flags.days.as_deref().unwrap_or(DAYS_WITH_TROUBLE);
+    let options = PlayOptions {
+        bench: absolute(&flags.bench)?,
+        builds: vec![absolute(&flags.base)?, absolute(&flags.trial)?],
+        sites: sites?,
+        days: days.split(',').map(str::to_owned).collect(),
+        seeds: seeds?,
+        jobs: number("jobs", flags.jobs, 4.0, 1.0, 64.0)? as usize,
+        counts_processor: !flags.no_cpu,
+        why: flags.why.unwrap_or("experiment".to_owned()),
+    };
+    print!("{}", verdict::table(&plays::play_all(&options)?));
+    Ok(())
+}
+
+fn seed(text: &str) -> Result<Option<u64>, BenchError> {
+    if text == OWN_SEED {
+        return Ok(None);
+    }
+    settings::required("seeds", Some(text.to_owned()), "numbers or own").map(Some).map_err(setting)
+}
+
 fn run_load(flags: flags::Load) -> Result<(), BenchError> {
     let options = load_options(&flags)?;
     let rounds = number("rounds", flags.rounds.clone(), 1.0, 1.0, 100.0)? as usize;
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -2,17 +2,13 @@
 // SPDX-License-Identifier: Apache-2.0
 
 //! Finds the way of one request in the logs of many hosts.
-//!
-//! A line counts if it holds a JSON object; what stands before the object, as a log collector puts
-//! it there, is kept as the source. Other lines are passed over and counted.
 
 use std::collections::BTreeSet;
-use std::fs::File;
-use std::io::{BufRead, BufReader};
 
-use serde_json::{Map, Value};
+use serde_json::Value;
 
 use crate::errors::CommandError;
+use crate::lines::{self, LogLine};
 use crate::tables;
 
 /// Time before a request in which lines about its upstreams are shown, in seconds: an ejected one is
@@ -21,29 +17,6 @@
 /// Fields that every line has, or that stand in a column of their own.
 const COMMON_FIELDS: [&str; 5] = ["timestamp", "level", "message", "target", "request"];
 
-/// `LogLine` is one line of a log.
-#[derive(Debug, Clone, PartialEq)]
-pub struct LogLine {
-    /// File, and what stood before the object.
-    pub source: String,
-    /// The object.
-    pub fields: Map<String, Value>,
-}
-
-impl LogLine {
-    fn text(&self, field: &str) -> &str {
-        self.fields.get(field).and_then(Value::as_str).unwrap_or_default()
-    }
-
-    /// Returns the seconds since midnight of its time stamp, for distances within one day.
-    fn seconds(&self) -> Option<f64> {
-        let clock = self.text("timestamp").split_once('T')?.1.trim_end_matches('Z');
-        let mut parts = clock.split(':').map(|part| part.parse::<f64>().ok());
-        let (hours, minutes, seconds) = (parts.next()??, parts.next()??, parts.next()??);
-        Some(hours * 3600.0 + minutes * 60.0 + seconds)
-    }
-}
-
 /// `RequestStory` is what the logs tell of one request.
 #[derive(Debug, Default)]
 pub struct RequestStory {
@@ -58,7 +31,7 @@
     let mut story = RequestStory::default();
     let mut beliefs = Vec::new();
     for path in paths {
-        read_file(path, |line| match line {
+        lines::read_file(path, |line| match line {
             None => story.unreadable += 1,
             Some(line) if line.text("request") == request => story.lines.push(line),
             Some(line) if line.fields.contains_key("request") => {}
@@ -79,35 +52,6 @@
     Ok(story)
 }
 
-/// Hands each line of a file to `take`: none for one that can't be read.
-fn read_file(path: &str, mut take: impl FnMut(Option<LogLine>)) -> Result<(), CommandError> {
-    let bad = |error: std::io::Error| CommandError::BadFile {
-        path: path.to_owned(),
-        message: error.to_string(),
-    };
-    let mut reader = BufReader::new(File::open(path).map_err(bad)?);
-    let mut bytes = Vec::new();
-    loop {
-        bytes.clear();
-        if reader.read_until(b'\n', &mut bytes).map_err(bad)? == 0 {
-            return Ok(());
-        }
-        let text = String::from_utf8_lossy(&bytes);
-        if !text.trim().is_empty() {
-            take(read_line(path, text.trim_end()));
-        }
-    }
-}
-
-/// Reads one line, if it holds a whole JSON object.
-pub fn read_line(path: &str, text: &str) -> Option<LogLine> {
-    let start = text.find('{')?;
-    let fields = serde_json::from_str(&text[start..]).ok()?;
-    let file = path.rsplit('/').next().unwrap_or(path);
-    let source = format!("{file} {}", text[..start].trim());
-    Some(LogLine { source: source.trim().to_owned(), fields })
-}
-
 /// Prints the story as a table, one line each.
 pub fn print(request: &str, story: &RequestStory) {
     let row = |line: &LogLine| {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,4 +7,6 @@
 pub mod commands;
 pub mod errors;
 pub mod explain;
+pub mod lines;
+pub mod losses;
 pub mod tables;
--- /dev/null
+++ b/crates/ctl/src/lines.rs
@@ -0,0 +1,77 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Lines of the logs of many hosts.
+//!
+//! A line counts if it holds a JSON object; what stands before the object, as a log collector puts
+//! it there, is kept as the source. Other lines are passed over and counted by whoever reads.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+
+use serde_json::{Map, Value};
+
+use crate::errors::CommandError;
+
+/// Seconds of a day.
+const DAY_S: f64 = 86_400.0;
+
+/// `LogLine` is one line of a log.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LogLine {
+    /// File, and what stood before the object.
+    pub source: String,
+    /// The object.
+    pub fields: Map<String, Value>,
+}
+
+impl LogLine {
+    /// Returns the text of a field; empty if there is none.
+    pub fn text(&self, field: &str) -> &str {
+        self.fields.get(field).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    /// Returns the number of a field, if it holds one.
+    pub fn number(&self, field: &str) -> Option<u64> {
+        self.fields.get(field).and_then(Value::as_u64)
+    }
+
+    /// Returns the seconds of its time stamp since the first day of its month, for distances between
+    /// lines of the same days.
+    pub fn seconds(&self) -> Option<f64> {
+        let (date, clock) = self.text("timestamp").split_once('T')?;
+        let day: f64 = date.rsplit('-').next()?.parse().ok()?;
+        let mut parts = clock.trim_end_matches('Z').split(':').map(|part| part.parse::<f64>().ok());
+        let (hours, minutes, seconds) = (parts.next()??, parts.next()??, parts.next()??);
+        Some(day * DAY_S + hours * 3600.0 + minutes * 60.0 + seconds)
+    }
+}
+
+/// Hands each line of a file to `take`: none for one that can't be read.
+pub fn read_file(path: &str, mut take: impl FnMut(Option<LogLine>)) -> Result<(), CommandError> {
+    let bad = |error: std::io::Error| CommandError::BadFile {
+        path: path.to_owned(),
+        message: error.to_string(),
+    };
+    let mut reader = BufReader::new(File::open(path).map_err(bad)?);
+    let mut bytes = Vec::new();
+    loop {
+        bytes.clear();
+        if reader.read_until(b'\n', &mut bytes).map_err(bad)? == 0 {
+            return Ok(());
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        if !text.trim().is_empty() {
+            take(read_line(path, text.trim_end()));
+        }
+    }
+}
+
+/// Reads one line, if it holds a whole JSON object.
+pub fn read_line(path: &str, text: &str) -> Option<LogLine> {
+    let start = text.find('{')?;
+    let fields = serde_json::from_str(&text[start..]).ok()?;
+    let file = path.rsplit('/').next().unwrap_or(path);
+    let source = format!("{file} {}", text[..start].trim());
+    Some(LogLine { source: source.trim().to_owned(), fields })
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -16,7 +16,7 @@
 use basaltarch_ctl::api::AdminApi;
 use basaltarch_ctl::commands::{self, AuditQuery, OutputForm};
 use basaltarch_ctl::errors::CommandError;
-use basaltarch_ctl::explain;
+use basaltarch_ctl::{explain, losses};
 use serde_json::json;
 
 mod flags {
@@ -97,6 +97,12 @@
                 /// Files with logs, of any number of hosts.
                 repeated files: String
             }
+            /// Says where callers' requests were lost and why, by the logs of many hosts; needs no
+            /// daemon.
+            cmd losses {
+                /// Files with logs, of any number of hosts.
+                repeated files: String
+            }
             /// Drains the daemon that is talked to, or a backend server.
             cmd drain {
                 /// Backend server; the daemon itself when absent.
@@ -164,10 +170,23 @@
     Ok(())
 }
 
+/// Prints where the requests of files with logs were lost.
+fn count_losses(flags: &flags::Losses, form: OutputForm) -> Result<(), CommandError> {
+    let tally = losses::count(&flags.files)?;
+    match form {
+        OutputForm::Table => tally.print(),
+        OutputForm::Json => println!("{}", tally.to_json()),
+    }
+    Ok(())
+}
+
 async fn run(flags: flags::Basaltctl) -> Result<(), CommandError> {
     if let flags::BasaltctlCmd::Explain(explain) = &flags.subcommand {
         return explain_request(explain, output_form(flags.output)?);
     }
+    if let flags::BasaltctlCmd::Losses(losses) = &flags.subcommand {
+        return count_losses(losses, output_form(flags.output)?);
+    }
     let address: SocketAddr =
         settings::required("server", flags.server, ADDRESS_ALLOWED).map_err(setting)?;
     let token: Option<String> =
@@ -209,8 +228,8 @@
         flags::BasaltctlCmd::Health(flags) => {
             commands::health(&api, flags.service.as_deref(), form).await
         }
-        // It needs no daemon and was done above.
-        flags::BasaltctlCmd::Explain(_) => Ok(()),
+        // They need no daemon and were done above.
+        flags::BasaltctlCmd::Explain(_) | flags::BasaltctlCmd::Losses(_) => Ok(()),
         flags::BasaltctlCmd::Drain(flags) => match flags.server {
             Some(server) => commands::drain_server(&api, &server, flags.undo).await,
             None => commands::drain_daemon(&api).await,
--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -103,6 +103,11 @@
         self.hand_on();
     }
 
+    /// Returns the number of slots.
+    pub fn slots(&self) -> u32 {
+        self.slots.get()
+    }
+
     /// Returns the number of slots in use.
     pub fn used(&self) -> u32 {
         self.used.get()
--- a/crates/daemon/src/ingress/trail.rs
+++ b/crates/daemon/src/ingress/trail.rs
@@ -27,6 +27,7 @@
 use crate::ingress::request::CallerRequest;
 use crate::metrics;
 use crate::state::DaemonState;
+use crate::wire;
 
 /// Time between lines that tell what was not logged.
 const LOSSES_EVERY: Duration = Duration::from_secs(5);
@@ -345,15 +346,21 @@
     .log();
 }
 
-/// Logs that the caller got a whole answer.
+/// Logs that the caller got a whole answer; a server's error with all that led there.
 pub fn tell_answered(state: &DaemonState, request: &CallerRequest, status: u16) {
-    if !request.trail.is_logged {
+    let is_told = if wire::is_server_error(status) {
+        write_kept(state, request)
+    } else {
+        request.trail.is_logged
+    };
+    if !is_told {
         return;
     }
     let now = state.now();
     RequestAnswered {
         request: &request.trail.id,
         at_ms: request.trail.at_ms(now),
+        route: &request.route.name,
         status: status.into(),
         attempts: request.trail.attempts.get(),
         late: request.objective.is_some_and(|objective| now > objective),
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -103,6 +103,8 @@
         request: &'a str,
         /// Time since the request was taken in.
         at_ms: u64,
+        /// Route of the request.
+        route: &'a str,
         /// Status of the answer.
         status: u64,
         /// Attempts that were made.
@@ -171,8 +173,12 @@
         attempt: u64,
         /// Time that it waited for a slot.
         waited_ms: u64,
+        /// Service that the server is an upstream of.
+        service: &'a str,
         /// Slots in use, this one included.
         in_flight: u64,
+        /// Slots in all.
+        slots: u64,
         /// Requests that still wait.
         queued: u64,
         /// Whether it tries out a server that is out of service.
@@ -193,8 +199,12 @@
         attempt: u64,
         /// Reason of the refusal.
         reason: &'a str,
+        /// Service that the server is an upstream of.
+        service: &'a str,
         /// Slots in use.
         in_flight: u64,
+        /// Slots in all.
+        slots: u64,
         /// Requests that wait.
         queued: u64,
         /// Sickness of the server; ejected from 1 upwards.
@@ -211,8 +221,14 @@
         upstream: &'a str,
         /// Number of the attempt, from 1.
         attempt: u64,
+        /// Service that the server is an upstream of.
+        service: &'a str,
         /// Time since the work was sent.
         took_ms: u64,
+        /// Slots that are still in use.
+        in_flight: u64,
+        /// Slots in all.
+        slots: u64,
         /// Whether it took far longer than usual.
         overdue: bool,
     }
