--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -209,13 +209,21 @@
 
     /// Refuses all who wait and can be served elsewhere, when the backend server is thought sick.
     pub fn refuse_waiting(&self) {
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.retain(|waiter| {
-            let refusable = waiter.request.refusable;
-            if refusable {
+        self.refuse_where(|request| request.refusable);
+    }
+
+    /// Refuses all who wait and can ask another upstream, when the backend server is doubted.
+    pub fn pass_waiting(&self) {
+        self.refuse_where(|request| request.passable);
+    }
+
+    fn refuse_where(&self, is_refused: impl Fn(&SlotRequest) -> bool) {
+        self.waiting.borrow_mut().retain(|waiter| {
+            let refused = is_refused(&waiter.request);
+            if refused {
                 waiter.settle(WaitState::Refused(NotRunReason::Sick));
             }
-            !refusable
+            !refused
         });
     }
 
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -4,6 +4,7 @@
 //! Serves one exchange at the host role: admission, once-only claim, the work itself, evidence.
 
 use std::cell::Cell;
+use std::future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use basaltarch_core::resources::WorkMode;
 use basaltarch_decide::caution::FailureSort;
 use basaltarch_decide::evidence::WorkEvidence;
+use basaltarch_decide::hang::{self, UsualTime};
 use basaltarch_decide::health::{AdmitVerdict, DispatchTerms};
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::writer;
@@ -20,6 +22,7 @@
 use bytes::BytesMut;
 use futures_util::{select_biased, FutureExt};
 
+use crate::clock::DaemonClock;
 use crate::host::admission::{SlotGuard, SlotRequest};
 use crate::host::relay::{AnswerRelay, WorkFault, WorkProgress};
 use crate::host::sending;
@@ -323,6 +326,7 @@
     ) -> Result<bool, WorkFault> {
         let now = self.state.now();
         let overdue_after = self.upstream.health.borrow().overdue_after(&self.head.route, now);
+        let watch = WorkWatch::start(self.upstream, &self.head.route, self.state.clock);
         let HttpStream { reader, writer } = stream;
         let sent = Cell::new(false);
         let mut sending = std::pin::pin!(sending::send_request(self, writer, body, &sent).fuse());
@@ -332,9 +336,14 @@
         let mut late = std::pin::pin!(monoio::time::sleep(self.left()).fuse());
         let overdue_after = overdue_after.unwrap_or(NEVER);
         let mut overdue = std::pin::pin!(monoio::time::sleep(overdue_after).fuse());
+        let mut looking = std::pin::pin!(watch.look().fuse());
         loop {
             select_biased! {
-                result = answering => return result.map(|clean| clean && sent.get()),
+                result = answering => {
+                    watch.answered.set(progress.has_answered.get());
+                    return result.map(|clean| clean && sent.get());
+                },
+                () = looking => {}
                 result = sending => match result {
                     // A server may answer without reading all; its answer decides.
                     Ok(()) | Err(WorkFault::Broken) => {}
@@ -355,6 +364,45 @@
     }
 }
 
+/// `WorkWatch` watches whether a piece of work lasts too long.
+struct WorkWatch<'a> {
+    upstream: &'a HostUpstream,
+    usual: Option<UsualTime>,
+    number: u64,
+    answered: Cell<bool>,
+    clock: DaemonClock,
+}
+
+impl<'a> WorkWatch<'a> {
+    fn start(upstream: &'a HostUpstream, route: &str, clock: DaemonClock) -> Self {
+        let mut health = upstream.health.borrow_mut();
+        let usual = health.usual_time(route);
+        let number = usual.map_or(0, |usual| health.start_work(usual, clock.now()));
+        Self { upstream, usual, number, answered: Cell::new(false), clock }
+    }
+
+    /// Looks at the work for as long as it runs.
+    async fn look(&self) {
+        let usual = match &self.usual {
+            Some(usual) => usual,
+            None => return future::pending().await,
+        };
+        monoio::time::sleep(hang::first_look(usual)).await;
+        loop {
+            self.upstream.look(self.clock.now());
+            monoio::time::sleep(hang::look_every(usual)).await;
+        }
+    }
+}
+
+impl Drop for WorkWatch<'_> {
+    fn drop(&mut self) {
+        if self.usual.is_some() {
+            self.upstream.end_work(self.number, self.answered.get(), self.clock.now());
+        }
+    }
+}
+
 enum ClaimStep {
     Run(Option<ClaimToken>),
     Answered(KeptAnswer),
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -18,7 +18,7 @@
 use basaltarch_peer::stream::{EventSink, StreamEvent};
 use basaltarch_store::ledger::{ClaimToken, KeptAnswer};
 use bytes::{Bytes, BytesMut};
-use http::{header, response, Method};
+use http::{header, response, Method, StatusCode};
 
 use crate::host::admission::SlotGuard;
 use crate::host::exchange::HostWork;
@@ -107,6 +107,8 @@
     started: Instant,
     /// Whether the head of the answer came.
     pub head_seen: Cell<bool>,
+    /// Whether an answer came that is no error.
+    pub has_answered: Cell<bool>,
     /// Whether the work was noted as overdue.
     pub was_overdue: Cell<bool>,
     /// Whether its end was noted.
@@ -129,6 +131,7 @@
             slot: Cell::new(Some(slot)),
             started: Instant::now(),
             head_seen: Cell::new(false),
+            has_answered: Cell::new(false),
             was_overdue: Cell::new(false),
             noted: Cell::new(false),
             reusable: Cell::new(false),
@@ -182,21 +185,20 @@
             || fields::wants_close(head.version, &head.headers)
             || !clean;
         let length = declared_length(&head, framing);
-        let failed = wire::is_server_error(head.status.as_u16());
         let rest = fields::keep_alive_time(&head.headers);
         self.progress.rest.set(rest);
         fields::remove_hop_fields(&mut head.headers);
         let mut body = BodyReader::new(framing, BodyLimits::default());
         let inline = self.gather(&mut body, reader, framing).await?;
         if body.is_done() {
-            self.note_end(failed, self.progress.started.elapsed());
+            self.note_end(head.status, self.progress.started.elapsed());
             self.keep(&head, &inline);
             self.send_head(&head, length, inline, true).await?;
             // Bytes behind the whole answer belong to no request.
             return Ok(!close && reader.buffer.is_empty());
         }
         self.send_head(&head, length, inline, false).await?;
-        self.stream_body(&mut body, reader, failed).await?;
+        self.stream_body(&mut body, reader, head.status).await?;
         Ok(!close && reader.buffer.is_empty())
     }
 
@@ -292,10 +294,18 @@
     }
 
     /// Notes the end of the work and frees its slot, so that the report tells of both.
-    fn note_end(&self, failed: bool, took: Duration) {
-        let evidence = if failed { WorkEvidence::Failed } else { WorkEvidence::Answered(took) };
-        let failure = failed.then_some(FailureSort::Answered);
-        self.work.note(evidence, self.progress.was_overdue.get(), failure);
+    fn note_end(&self, status: StatusCode, took: Duration) {
+        let was_overdue = self.progress.was_overdue.get();
+        let failed = wire::is_server_error(status.as_u16());
+        let evidence = match status {
+            // The server ended with its time, which says no more than that the time was too short.
+            StatusCode::GATEWAY_TIMEOUT => WorkFault::TimedOut.evidence(was_overdue),
+            _ if failed => WorkEvidence::Failed,
+            _ => WorkEvidence::Answered(took),
+        };
+        let failure = (evidence == WorkEvidence::Failed).then_some(FailureSort::Answered);
+        self.progress.has_answered.set(!failed);
+        self.work.note(evidence, was_overdue, failure);
         self.progress.noted.set(true);
         drop(self.progress.slot.take());
     }
@@ -327,7 +337,7 @@
         &self,
         body: &mut BodyReader,
         reader: &mut BackendReader,
-        failed: bool,
+        status: StatusCode,
     ) -> Result<(), WorkFault> {
         // Time that the caller takes to read is not the server's.
         let mut waited = Duration::ZERO;
@@ -335,7 +345,7 @@
             let piece = body.next(reader).await.map_err(|_| WorkFault::BadAnswer)?;
             let last = piece.is_none();
             if last {
-                self.note_end(failed, self.progress.started.elapsed().saturating_sub(waited));
+                self.note_end(status, self.progress.started.elapsed().saturating_sub(waited));
             }
             let data = piece.unwrap_or_default();
             let before = Instant::now();
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -142,6 +142,18 @@
         self.tell(change);
     }
 
+    /// Looks at the running work, whether it lasts too long.
+    pub fn look(&self, now: Duration) {
+        let change = self.health.borrow_mut().look(now);
+        self.tell(change);
+    }
+
+    /// Takes in that watched work ended.
+    pub fn end_work(&self, number: u64, answered: bool, now: Duration) {
+        let change = self.health.borrow_mut().end_work(number, answered, now);
+        self.tell(change);
+    }
+
     fn tell(&self, change: Option<HealthChange>) {
         let (upstream, service) = (&*self.name, &*self.service);
         match change {
@@ -155,7 +167,7 @@
             }
             Some(HealthChange::Doubted) => {
                 metrics::DOUBTS.add_one();
-                self.slots.refuse_waiting();
+                self.slots.pass_waiting();
                 servers::UpstreamDoubted { upstream, service }.log();
             }
             Some(HealthChange::Trusted { after }) => {
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -12,8 +12,9 @@
 use crate::caution::{FailureCaution, FailureSort};
 use crate::detector::{EvidenceKind, SicknessDetector};
 use crate::evidence::{self, ServiceBaseline, WorkEvidence, OVERDUE_DEVIATIONS};
+use crate::hang::{HangWatch, UsualTime};
 use crate::recovery::{RecoveryPlan, TrialVerdict, RAMP};
-use crate::track::{LatencyTrack, RateTrack, RecentPeak};
+use crate::track::{LatencyTrack, RateTrack, RecentPeak, SPREAD_MIN};
 
 /// Threshold for `detection`: a healthy upstream is ejected at most once in e^9 (8,000) requests
 /// of the worst case that the bound covers; measured rates are far lower (docs/MEASUREMENTS.md).
@@ -32,6 +33,8 @@
 const ROUTES_MAX: usize = 64;
 /// Name under which the routes beyond [`ROUTES_MAX`] are followed.
 const OTHER_ROUTES: &str = "";
+/// Answers of a route from which its usual time is known without siblings.
+const USUAL_SAMPLES_MIN: u32 = 8;
 /// What an upstream must have beyond the median sickness of its siblings, as a multiple of it: what
 /// all have is not one server's fault.
 const SIBLING_WEIGHT: f64 = 3.0;
@@ -161,6 +164,7 @@
     suspect_since: Option<Duration>,
     confirm: Duration,
     caution: FailureCaution,
+    hang: HangWatch,
 }
 
 impl UpstreamHealth {
@@ -179,6 +183,7 @@
             suspect_since: None,
             confirm: confirm_time(prefer),
             caution: FailureCaution::default(),
+            hang: HangWatch::default(),
         }
     }
 
@@ -355,11 +360,65 @@
             }
             None => {
                 let after = self.caution.note_success(now)?;
+                self.hang.forget();
                 Some(HealthChange::Trusted { after })
             }
         }
     }
 
+    /// Returns the usual time of a route: that of the siblings, else what was seen here.
+    pub fn usual_time(&self, route: &str) -> Option<UsualTime> {
+        let track = self.routes.get(route).or_else(|| self.routes.get(OTHER_ROUTES))?;
+        let baseline = &track.baseline;
+        if baseline.is_usable() {
+            let spread = baseline.spread.max(SPREAD_MIN);
+            return Some(UsualTime { median_ln: baseline.median_ln, spread });
+        }
+        let latency = &track.latency;
+        let known = latency.samples() >= USUAL_SAMPLES_MIN;
+        known.then(|| UsualTime { median_ln: latency.centre(), spread: latency.spread() })
+    }
+
+    /// Takes in that work of this usual time was sent to the upstream; returns its number.
+    pub fn start_work(&mut self, usual: UsualTime, now: Duration) -> u64 {
+        self.hang.start(usual, now)
+    }
+
+    /// Takes in whether work waits for a call that it made.
+    pub fn note_waiting(&mut self, number: u64, waits: bool, now: Duration) {
+        if waits {
+            self.hang.pause(number, now);
+        } else {
+            self.hang.resume(number, now);
+        }
+    }
+
+    /// Takes in that work ended, with an answer or given up.
+    pub fn end_work(
+        &mut self,
+        number: u64,
+        answered: bool,
+        now: Duration,
+    ) -> Option<HealthChange> {
+        let before = self.hang.evidence(now);
+        self.hang.end(number, answered, now);
+        if answered || !self.caution.is_doubtful() || before <= 0.0 {
+            return self.look(now);
+        }
+        // Work that was to find out hung as well.
+        self.caution.note_failure(FailureSort::Broken, now);
+        None
+    }
+
+    /// Looks at the running work: an upstream whose work lasts too long is doubted.
+    pub fn look(&mut self, now: Duration) -> Option<HealthChange> {
+        if self.caution.is_doubtful() || now < self.cold_until || !self.hang.is_doubtful(now) {
+            return None;
+        }
+        let doubted = self.caution.note_failure(FailureSort::Broken, now);
+        doubted.then_some(HealthChange::Doubted)
+    }
+
     /// Takes back a failure that followed the request to another upstream.
     pub fn withdraw_failure(&mut self, route: &str) {
         let baseline = self.baseline(route);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod detector;
 pub mod evidence;
 pub mod floor;
+pub mod hang;
 pub mod health;
 pub mod limits;
 pub mod path;
