--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -39,9 +39,8 @@
 const PASSES_MAX: usize = 4;
 /// Bytes of a body from which it is worth a way there and back to send it only when it is wanted.
 const WITHHELD_BYTES_MIN: usize = 256;
-/// Overdue times that an attempt at repeatable work is waited for before another is made: a server
-/// that is stuck would otherwise hold the caller until the deadline.
-const PATIENCE_OVERDUE: u32 = 3;
+/// Deviations above the usual time after which another attempt at repeatable work is made.
+const PATIENCE_DEVIATIONS: f64 = 2.0;
 /// `AttemptEnd` is how the attempts at a request ended.
 pub enum AttemptEnd {
     /// The head of an answer came, and the exchange it came from.
@@ -469,7 +468,9 @@
         // What the upstream has queued before this request is not the upstream's fault.
         let queued = self.request.service.queued_rounds(index, self.state.now());
         let usual = Duration::from_micros(baseline.median_ln.exp().min(60e6) as u64);
-        Some(baseline.overdue_after() * PATIENCE_OVERDUE + usual.mul_f64(queued))
+        let micros = (baseline.median_ln + PATIENCE_DEVIATIONS * baseline.spread).exp();
+        let patience = Duration::from_micros(micros.min(60e6) as u64);
+        Some(patience + usual.mul_f64(queued))
     }
 
     fn note_report(&self, index: usize, report: &LoadReport, failed: Option<bool>) {
