--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -141,7 +141,8 @@
             WorkEvidence::Failed if self.head.after_failure => WorkEvidence::Neutral,
             other => other,
         };
-        let note = WorkNote { evidence, was_overdue, is_trial: self.is_trial, failure };
+        let (is_trial, started) = (self.is_trial, self.came_at);
+        let note = WorkNote { evidence, was_overdue, is_trial, started, failure };
         self.upstream.note(&self.head.route, &note, self.state.now());
     }
 
@@ -326,7 +327,7 @@
     ) -> Result<bool, WorkFault> {
         let now = self.state.now();
         let overdue_after = self.upstream.health.borrow().overdue_after(&self.head.route, now);
-        let watch = WorkWatch::start(self.upstream, &self.head.route, self.state.clock);
+        let watch = WorkWatch::start(self);
         let HttpStream { reader, writer } = stream;
         let sent = Cell::new(false);
         let mut sending = std::pin::pin!(sending::send_request(self, writer, body, &sent).fuse());
@@ -374,11 +375,14 @@
 }
 
 impl<'a> WorkWatch<'a> {
-    fn start(upstream: &'a HostUpstream, route: &str, clock: DaemonClock) -> Self {
-        let mut health = upstream.health.borrow_mut();
-        let usual = health.usual_time(route);
+    fn start(work: &HostWork<'a>) -> Self {
+        let clock = work.state.clock;
+        let mut health = work.upstream.health.borrow_mut();
+        let objective = work.objective.map(|at| at.saturating_sub(clock.now()));
+        let objective = objective.filter(|left| !left.is_zero());
+        let usual = health.usual_time(&work.head.route, objective);
         let number = usual.map_or(0, |usual| health.start_work(usual, clock.now()));
-        Self { upstream, usual, number, answered: Cell::new(false), clock }
+        Self { upstream: work.upstream, usual, number, answered: Cell::new(false), clock }
     }
 
     /// Looks at the work for as long as it runs.
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -129,7 +129,7 @@
         }
         let caution = match (work.failure, work.evidence) {
             (None, WorkEvidence::Neutral) => None,
-            (failure, _) => health.note_end(failure, now),
+            (failure, _) => health.note_end(failure, work.started, now),
         };
         drop(health);
         self.tell(change);
@@ -205,6 +205,8 @@
     pub was_overdue: bool,
     /// Whether the request was a trial.
     pub is_trial: bool,
+    /// When the work came to the host.
+    pub started: Duration,
     /// How the request failed, if the backend server failed it.
     pub failure: Option<FailureSort>,
 }
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -14,6 +14,7 @@
 use basaltarch_core::resources::WorkMode;
 use basaltarch_decide::balance::UpstreamChoice;
 use basaltarch_decide::evidence::ServiceBaseline;
+use basaltarch_decide::hang::UsualTime;
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_peer::link::{OutboundExchange, NO_EXCHANGE};
@@ -462,15 +463,15 @@
 
     /// Returns how long an attempt is waited for before another is made, if another may be.
     fn patience(&self, index: usize, baseline: &ServiceBaseline) -> Option<Duration> {
-        if !self.may_follow() || !baseline.is_usable() {
+        if !self.may_follow() {
             return None;
         }
+        let objective = self.objective_left();
+        let assumed = (!objective.is_zero()).then(|| UsualTime::of_objective(objective));
+        let usual = baseline.usual_time().or(assumed)?;
         // What the upstream has queued before this request is not the upstream's fault.
         let queued = self.request.service.queued_rounds(index, self.state.now());
-        let usual = Duration::from_micros(baseline.median_ln.exp().min(60e6) as u64);
-        let micros = (baseline.median_ln + PATIENCE_DEVIATIONS * baseline.spread).exp();
-        let patience = Duration::from_micros(micros.min(60e6) as u64);
-        Some(patience + usual.mul_f64(queued))
+        Some(usual.at(PATIENCE_DEVIATIONS) + usual.at(0.0).mul_f64(queued))
     }
 
     fn note_report(&self, index: usize, report: &LoadReport, failed: Option<bool>) {
--- a/crates/decide/src/caution.rs
+++ b/crates/decide/src/caution.rs
@@ -45,6 +45,8 @@
     good: u32,
     failures: u32,
     trusted_at: Duration,
+    /// Whether only running work speaks for the doubt.
+    is_hang: bool,
 }
 
 impl FailureCaution {
@@ -74,6 +76,28 @@
         true
     }
 
+    /// Takes in that running work lasts too long; says whether the upstream is doubted from now on.
+    pub fn note_hang(&mut self, now: Duration) -> bool {
+        let doubted = self.note_failure(FailureSort::Broken, now);
+        self.is_hang = doubted;
+        doubted
+    }
+
+    /// Takes back a doubt for which only running work spoke, since that ended well; returns how long
+    /// the upstream was doubted.
+    pub fn retract(&mut self, now: Duration) -> Option<Duration> {
+        let since = self.doubted_at.filter(|_| self.is_hang)?;
+        self.trust(now);
+        Some(now.saturating_sub(since))
+    }
+
+    fn trust(&mut self, now: Duration) {
+        self.doubted_at = None;
+        self.is_hang = false;
+        self.good = 0;
+        self.trusted_at = now;
+    }
+
     /// Takes in a failure; says whether the upstream is doubted from now on.
     pub fn note_failure(&mut self, sort: FailureSort, now: Duration) -> bool {
         self.good = 0;
@@ -81,6 +105,7 @@
         if sort == FailureSort::Answered && self.failures < SOFT_FAILURES {
             return false;
         }
+        self.is_hang = false;
         if self.doubted_at.is_some() {
             self.hold = (self.hold * 2).min(HOLD_MAX);
             self.trial_at = now + self.hold;
@@ -94,19 +119,18 @@
         true
     }
 
-    /// Takes in a good answer; returns how long the upstream was doubted if it no longer is.
-    pub fn note_success(&mut self, now: Duration) -> Option<Duration> {
+    /// Takes in a good answer to work that was sent at `started`; returns how long the upstream was
+    /// doubted if it no longer is. Work from before the doubt says nothing of what came after.
+    pub fn note_success(&mut self, started: Duration, now: Duration) -> Option<Duration> {
         self.failures = 0;
-        let since = self.doubted_at?;
+        let since = self.doubted_at.filter(|since| started >= *since)?;
         self.good += 1;
         // The next may follow at once.
         self.trial_at = now;
         if self.good < GOOD_NEEDED {
             return None;
         }
-        self.doubted_at = None;
-        self.good = 0;
-        self.trusted_at = now;
+        self.trust(now);
         Some(now.saturating_sub(since))
     }
 }
--- a/crates/decide/src/evidence.rs
+++ b/crates/decide/src/evidence.rs
@@ -5,6 +5,9 @@
 
 use std::time::Duration;
 
+use crate::hang::UsualTime;
+use crate::track::SPREAD_MIN;
+
 /// `WorkEvidence` is what one request says about the upstream that worked on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WorkEvidence {
@@ -62,6 +65,12 @@
         self.upstreams >= BASELINE_UPSTREAMS_MIN
     }
 
+    /// Returns the distribution of the times, if there is one to compare with.
+    pub fn usual_time(&self) -> Option<UsualTime> {
+        let spread = self.spread.max(SPREAD_MIN);
+        self.is_usable().then_some(UsualTime { median_ln: self.median_ln, spread })
+    }
+
     /// Returns the time after which a request is overdue.
     pub fn overdue_after(&self) -> Duration {
         let micros = (self.median_ln + OVERDUE_DEVIATIONS * self.spread).exp();
--- a/crates/decide/src/hang.rs
+++ b/crates/decide/src/hang.rs
@@ -44,7 +44,31 @@
     pub spread: f64,
 }
 
+/// Share of a route's objective that its median is taken to be before work was seen: most work is
+/// well within what is wished for.
+const OBJECTIVE_MEDIAN: f64 = 1.0 / 3.0;
+/// Spread that is assumed then.
+const OBJECTIVE_SPREAD: f64 = 0.6;
+/// Answers that what is assumed weighs as much as.
+const OBJECTIVE_WEIGHT: f64 = 4.0;
+
 impl UsualTime {
+    /// Returns what is assumed of a route with this objective.
+    pub fn of_objective(objective: Duration) -> Self {
+        let median = objective.mul_f64(OBJECTIVE_MEDIAN);
+        Self { median_ln: evidence::log_micros(median), spread: OBJECTIVE_SPREAD }
+    }
+
+    /// Returns what is assumed, corrected by so many answers of this distribution.
+    pub fn corrected(&self, seen: &UsualTime, answers: u32) -> Self {
+        let weight = f64::from(answers) / (f64::from(answers) + OBJECTIVE_WEIGHT);
+        let mix = |assumed: f64, seen: f64| assumed + weight * (seen - assumed);
+        Self {
+            median_ln: mix(self.median_ln, seen.median_ln),
+            spread: mix(self.spread, seen.spread),
+        }
+    }
+
     /// Returns the share of sound work that lasts longer than `age`.
     pub fn survival(&self, age: Duration) -> f64 {
         let deviations = (evidence::log_micros(age) - self.median_ln) / self.spread;
@@ -151,6 +175,11 @@
         self.evidence(now) >= DOUBT_AT
     }
 
+    /// Says whether what spoke for a hang is answered.
+    pub fn is_over(&self, now: Duration) -> bool {
+        self.evidence(now) < 0.0
+    }
+
     /// Forgets what was seen, since the upstream has proved itself: work that hangs from before says
     /// nothing new.
     pub fn forget(&mut self) {
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -14,7 +14,7 @@
 use crate::evidence::{self, ServiceBaseline, WorkEvidence, OVERDUE_DEVIATIONS};
 use crate::hang::{HangWatch, UsualTime};
 use crate::recovery::{RecoveryPlan, TrialVerdict, RAMP};
-use crate::track::{LatencyTrack, RateTrack, RecentPeak, SPREAD_MIN};
+use crate::track::{LatencyTrack, RateTrack, RecentPeak};
 
 /// Threshold for `detection`: a healthy upstream is ejected at most once in e^9 (8,000) requests
 /// of the worst case that the bound covers; measured rates are far lower (docs/MEASUREMENTS.md).
@@ -351,6 +351,7 @@
     pub fn note_end(
         &mut self,
         failure: Option<FailureSort>,
+        started: Duration,
         now: Duration,
     ) -> Option<HealthChange> {
         match failure {
@@ -359,24 +360,29 @@
                 doubted.then_some(HealthChange::Doubted)
             }
             None => {
-                let after = self.caution.note_success(now)?;
+                let after = self.caution.note_success(started, now)?;
                 self.hang.forget();
                 Some(HealthChange::Trusted { after })
             }
         }
     }
 
-    /// Returns the usual time of a route: that of the siblings, else what was seen here.
-    pub fn usual_time(&self, route: &str) -> Option<UsualTime> {
-        let track = self.routes.get(route).or_else(|| self.routes.get(OTHER_ROUTES))?;
-        let baseline = &track.baseline;
-        if baseline.is_usable() {
-            let spread = baseline.spread.max(SPREAD_MIN);
-            return Some(UsualTime { median_ln: baseline.median_ln, spread });
+    /// Returns the usual time of a route: that of the siblings, else what was seen here, else what its
+    /// objective lets one assume.
+    pub fn usual_time(&self, route: &str, objective: Option<Duration>) -> Option<UsualTime> {
+        let track = self.routes.get(route).or_else(|| self.routes.get(OTHER_ROUTES));
+        let track = track.copied().unwrap_or_default();
+        if let Some(usual) = track.baseline.usual_time() {
+            return Some(usual);
         }
         let latency = &track.latency;
-        let known = latency.samples() >= USUAL_SAMPLES_MIN;
-        known.then(|| UsualTime { median_ln: latency.centre(), spread: latency.spread() })
+        let seen = UsualTime { median_ln: latency.centre(), spread: latency.spread() };
+        match objective {
+            Some(objective) => {
+                Some(UsualTime::of_objective(objective).corrected(&seen, latency.samples()))
+            }
+            None => (latency.samples() >= USUAL_SAMPLES_MIN).then_some(seen),
+        }
     }
 
     /// Takes in that work of this usual time was sent to the upstream; returns its number.
@@ -402,9 +408,17 @@
     ) -> Option<HealthChange> {
         let before = self.hang.evidence(now);
         self.hang.end(number, answered, now);
-        if answered || !self.caution.is_doubtful() || before <= 0.0 {
+        if !self.caution.is_doubtful() {
             return self.look(now);
         }
+        if answered {
+            // What lasted long ended well.
+            let after = self.hang.is_over(now).then(|| self.caution.retract(now)).flatten()?;
+            return Some(HealthChange::Trusted { after });
+        }
+        if before <= 0.0 {
+            return None;
+        }
         // Work that was to find out hung as well.
         self.caution.note_failure(FailureSort::Broken, now);
         None
@@ -415,7 +429,7 @@
         if self.caution.is_doubtful() || now < self.cold_until || !self.hang.is_doubtful(now) {
             return None;
         }
-        let doubted = self.caution.note_failure(FailureSort::Broken, now);
+        let doubted = self.caution.note_hang(now);
         doubted.then_some(HealthChange::Doubted)
     }
 
