--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -22,10 +22,11 @@
 use bytes::BytesMut;
 use futures_util::{select_biased, FutureExt};
 
-use crate::clock::DaemonClock;
 use crate::host::admission::{SlotGuard, SlotRequest};
+use crate::host::calls::WorkCalls;
 use crate::host::relay::{AnswerRelay, WorkFault, WorkProgress};
 use crate::host::sending;
+use crate::host::trail;
 use crate::host::upstream::{HostUpstream, WorkNote};
 use crate::metrics;
 use crate::registration;
@@ -328,10 +329,11 @@
         let now = self.state.now();
         let overdue_after = self.upstream.health.borrow().overdue_after(&self.head.route, now);
         let watch = WorkWatch::start(self);
+        let calls = watch.calls.clone();
         let HttpStream { reader, writer } = stream;
         let sent = Cell::new(false);
         let mut sending = std::pin::pin!(sending::send_request(self, writer, body, &sent).fuse());
-        let relay = AnswerRelay { work: self, progress, answer, claim };
+        let relay = AnswerRelay { work: self, progress, answer, claim, calls };
         let mut answering = std::pin::pin!(relay.run(reader).fuse());
         let mut cancelled = std::pin::pin!(body.cancelled().fuse());
         let mut late = std::pin::pin!(monoio::time::sleep(self.left()).fuse());
@@ -367,43 +369,53 @@
 
 /// `WorkWatch` watches whether a piece of work lasts too long.
 struct WorkWatch<'a> {
-    upstream: &'a HostUpstream,
+    work: &'a HostWork<'a>,
+    request: String,
+    calls: Rc<WorkCalls>,
     usual: Option<UsualTime>,
     number: u64,
     answered: Cell<bool>,
-    clock: DaemonClock,
 }
 
 impl<'a> WorkWatch<'a> {
-    fn start(work: &HostWork<'a>) -> Self {
-        let clock = work.state.clock;
+    fn start(work: &'a HostWork<'a>) -> Self {
+        let now = work.state.now();
+        let request = trail::request_id(work.state, work.head);
+        let calls = work.state.host.calls.begin(&request);
         let mut health = work.upstream.health.borrow_mut();
-        let objective = work.objective.map(|at| at.saturating_sub(clock.now()));
+        let objective = work.objective.map(|at| at.saturating_sub(now));
         let objective = objective.filter(|left| !left.is_zero());
         let usual = health.usual_time(&work.head.route, objective);
-        let number = usual.map_or(0, |usual| health.start_work(usual, clock.now()));
-        Self { upstream: work.upstream, usual, number, answered: Cell::new(false), clock }
+        let number = usual.map_or(0, |usual| health.start_work(usual, now));
+        Self { work, request, calls, usual, number, answered: Cell::new(false) }
     }
 
-    /// Looks at the work for as long as it runs.
+    /// Looks at the work for as long as it runs and makes no call.
     async fn look(&self) {
         let usual = match &self.usual {
             Some(usual) => usual,
             None => return future::pending().await,
         };
         monoio::time::sleep(hang::first_look(usual)).await;
-        loop {
-            self.upstream.look(self.clock.now());
+        while !self.calls.has_called() {
+            self.work.upstream.look(self.work.state.now());
             monoio::time::sleep(hang::look_every(usual)).await;
         }
+        self.end(true);
+        future::pending().await
+    }
+
+    fn end(&self, lives: bool) {
+        if self.usual.is_some() {
+            self.work.upstream.end_work(self.number, lives, self.work.state.now());
+        }
     }
 }
 
 impl Drop for WorkWatch<'_> {
     fn drop(&mut self) {
-        if self.usual.is_some() {
-            self.upstream.end_work(self.number, self.answered.get(), self.clock.now());
-        }
+        self.work.state.host.calls.end(&self.request);
+        self.end(self.answered.get() || self.calls.has_called());
     }
 }
 
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod backend;
+pub mod calls;
 pub mod exchange;
 pub mod relay;
 pub mod sending;
@@ -27,6 +28,7 @@
 use fnv::FnvHashMap;
 
 use crate::configuration::TouchedServices;
+use crate::host::calls::CallTable;
 use crate::host::upstream::HostUpstream;
 use crate::options::ConfigSource;
 use crate::state::DaemonState;
@@ -36,6 +38,8 @@
 pub struct HostRole {
     upstreams: RefCell<FnvHashMap<Rc<str>, Rc<HostUpstream>>>,
     configured: Cell<bool>,
+    /// Work that runs here, for the calls that it makes.
+    pub calls: CallTable,
 }
 
 impl HostRole {
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -4,6 +4,7 @@
 //! Passes the answer of a backend server on to the ingress, and takes from it what it says.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
@@ -21,6 +22,7 @@
 use http::{header, response, Method, StatusCode};
 
 use crate::host::admission::SlotGuard;
+use crate::host::calls::WorkCalls;
 use crate::host::exchange::HostWork;
 use crate::host::verify::{self, AnswerVerdict};
 use crate::metrics;
@@ -150,6 +152,8 @@
     pub answer: &'a EventSink,
     /// Row of once-only work.
     pub claim: Option<ClaimToken>,
+    /// Calls that the work made.
+    pub calls: Rc<WorkCalls>,
 }
 
 /// `AnswerStart` is the head of an answer and what it is.
@@ -298,6 +302,8 @@
         let was_overdue = self.progress.was_overdue.get();
         let failed = wire::is_server_error(status.as_u16());
         let evidence = match status {
+            // An error that follows a lost call is not the server's own.
+            _ if failed && self.calls.has_lost() => WorkEvidence::Neutral,
             // The server ended with its time, which says no more than that the time was too short.
             StatusCode::GATEWAY_TIMEOUT => WorkFault::TimedOut.evidence(was_overdue),
             _ if failed => WorkEvidence::Failed,
--- a/crates/daemon/src/host/trail.rs
+++ b/crates/daemon/src/host/trail.rs
@@ -19,7 +19,7 @@
 use crate::wire;
 
 /// Returns the id of the request, as the ingress logs it.
-fn request_id(state: &DaemonState, head: &DispatchHead) -> String {
+pub fn request_id(state: &DaemonState, head: &DispatchHead) -> String {
     let own = basaltarch_http::fields::REQUEST_ID;
     let name = state.fields.request.as_ref().unwrap_or(&own);
     let id = wire::field_value(&head.field_lines, name.as_str());
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -441,7 +441,7 @@
             content_length: request.framing.wire_length(),
             body: request.prefix.to_vec(),
             last: body_is_done,
-            baseline: baseline.is_usable().then(|| wire::baseline_note(baseline)),
+            baseline: (baseline.upstreams > 0).then(|| wire::baseline_note(baseline)),
             once_key: request.once_key.clone(),
             organisation: request.organisation.clone(),
             revision: self.state.config.revision().0 as i64,
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -129,6 +129,12 @@
 ) -> AfterRequest {
     let began = state.now();
     request.service.note_request(began);
+    let caller = state.host.calls.caller_of(&request.trail.id);
+    let note_lost = || {
+        if let Some(caller) = &caller {
+            caller.note_lost();
+        }
+    };
     let record = |outcome: &str| {
         let took = state.now().saturating_sub(began);
         let service = &request.service.entry.name;
@@ -137,6 +143,9 @@
     match attempt::run(state, stream, request, body).await {
         AttemptEnd::Answer(mut exchange, head) => {
             let whole = body.is_done();
+            if wire::is_server_error(head.status as u16) {
+                note_lost();
+            }
             let after = answer::relay(state, stream, request, body, &mut exchange, head).await;
             record(if after == AfterRequest::Abort { "cut-short" } else { "complete" });
             match after {
@@ -145,6 +154,7 @@
             }
         }
         AttemptEnd::Failed(failure) => {
+            note_lost();
             trail::tell_failed(state, request, &failure);
             record(failure.outcome.header_value());
             let close = request.close || !body.is_done();
--- a/crates/decide/src/hang.rs
+++ b/crates/decide/src/hang.rs
@@ -94,20 +94,11 @@
     number: u64,
     usual: UsualTime,
     started: Duration,
-    /// Time that it spent waiting for calls of its own.
-    waited: Duration,
-    /// Since when it waits for a call of its own, if it does.
-    waits_since: Option<Duration>,
 }
 
 impl RunningWork {
-    fn age(&self, now: Duration) -> Duration {
-        let until = self.waits_since.unwrap_or(now);
-        until.saturating_sub(self.started).saturating_sub(self.waited)
-    }
-
     fn evidence(&self, now: Duration) -> f64 {
-        self.usual.running_evidence(self.age(now))
+        self.usual.running_evidence(now.saturating_sub(self.started))
     }
 }
 
@@ -125,28 +116,12 @@
     pub fn start(&mut self, usual: UsualTime, now: Duration) -> u64 {
         self.next += 1;
         let number = self.next;
-        let (waited, waits_since) = (Duration::ZERO, None);
-        self.running.push(RunningWork { number, usual, started: now, waited, waits_since });
+        self.running.push(RunningWork { number, usual, started: now });
         number
     }
 
-    /// Takes in that work waits for a call of its own: it lives, and the time is not its own.
-    pub fn pause(&mut self, number: u64, now: Duration) {
-        if let Some(work) = self.work_mut(number) {
-            work.waits_since.get_or_insert(now);
-        }
-    }
-
-    /// Takes in that work waits for no call any longer.
-    pub fn resume(&mut self, number: u64, now: Duration) {
-        if let Some(work) = self.work_mut(number) {
-            let since = work.waits_since.take().unwrap_or(now);
-            work.waited += now.saturating_sub(since);
-        }
-    }
-
-    /// Takes the end of work in: an answer speaks against a hang, and work that was given up leaves
-    /// what spoke for one.
+    /// Takes the end of work in: an answer, or a call that the work makes, speaks against a hang, and
+    /// work that was given up leaves what spoke for one.
     pub fn end(&mut self, number: u64, answered: bool, now: Duration) {
         let index = match self.running.iter().position(|work| work.number == number) {
             Some(index) => index,
@@ -186,10 +161,6 @@
         self.running.clear();
         self.ended = 0.0;
     }
-
-    fn work_mut(&mut self, number: u64) -> Option<&mut RunningWork> {
-        self.running.iter_mut().find(|work| work.number == number)
-    }
 }
 
 /// Returns the time after which work is first looked at.
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -35,6 +35,8 @@
 const OTHER_ROUTES: &str = "";
 /// Answers of a route from which its usual time is known without siblings.
 const USUAL_SAMPLES_MIN: u32 = 8;
+/// Answers that the report of a sibling stands for at the least.
+const SIBLING_ANSWERS: u32 = 4;
 /// What an upstream must have beyond the median sickness of its siblings, as a multiple of it: what
 /// all have is not one server's fault.
 const SIBLING_WEIGHT: f64 = 3.0;
@@ -234,6 +236,9 @@
 
     fn learn_baseline(&mut self, terms: &DispatchTerms<'_>, now: Duration) {
         if !terms.baseline.is_usable() {
+            if terms.baseline.upstreams > 0 {
+                self.route_mut(terms.route).baseline = terms.baseline;
+            }
             return;
         }
         let mut baseline = terms.baseline;
@@ -376,13 +381,20 @@
             return Some(usual);
         }
         let latency = &track.latency;
-        let seen = UsualTime { median_ln: latency.centre(), spread: latency.spread() };
-        match objective {
-            Some(objective) => {
-                Some(UsualTime::of_objective(objective).corrected(&seen, latency.samples()))
-            }
-            None => (latency.samples() >= USUAL_SAMPLES_MIN).then_some(seen),
+        let own = UsualTime { median_ln: latency.centre(), spread: latency.spread() };
+        let samples = latency.samples();
+        let objective = match objective {
+            Some(objective) => objective,
+            None => return (samples >= USUAL_SAMPLES_MIN).then_some(own),
+        };
+        let siblings = track.baseline.upstreams;
+        if samples == 0 && siblings == 0 {
+            // What nobody has answered yet may be work that nobody can do.
+            return None;
         }
+        let seen = UsualTime { median_ln: track.baseline.median_ln, spread: track.baseline.spread };
+        let assumed = UsualTime::of_objective(objective).corrected(&seen, siblings * SIBLING_ANSWERS);
+        Some(assumed.corrected(&own, samples))
     }
 
     /// Takes in that work of this usual time was sent to the upstream; returns its number.
@@ -390,16 +402,7 @@
         self.hang.start(usual, now)
     }
 
-    /// Takes in whether work waits for a call that it made.
-    pub fn note_waiting(&mut self, number: u64, waits: bool, now: Duration) {
-        if waits {
-            self.hang.pause(number, now);
-        } else {
-            self.hang.resume(number, now);
-        }
-    }
-
-    /// Takes in that work ended, with an answer or given up.
+    /// Takes in that work ended or made a call, or that it was given up.
     pub fn end_work(
         &mut self,
         number: u64,
