--- a/crates/daemon/src/ingress/trail.rs
+++ b/crates/daemon/src/ingress/trail.rs
@@ -190,7 +190,7 @@
         Self {
             in_flight: report.in_flight.max(0) as u64,
             queued: report.queued.max(0) as u64,
-            sickness: report.sickness.into_inner(),
+            sickness: wire::report_of(report).1.sickness,
         }
     }
 }
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -10,6 +10,7 @@
 use basaltarch_decide::path::PathState;
 use basaltarch_events::fleet;
 use basaltarch_http::connection::{self, ConnectionCount};
+use basaltarch_peer::coding::LinkEncoder;
 use basaltarch_peer::errors::LinkError;
 use basaltarch_peer::frames::{FrameReader, FrameSender};
 use basaltarch_peer::handshake::{self, LinkSide, PeerIdentity};
@@ -103,7 +104,8 @@
     };
     let on_frame = || path.note_heard(state.now());
     let reading = link.run(&mut reader, on_frame, on_control);
-    let error = run_halves(reading, &sender, writer).await;
+    let encoder = crosses_domains(state, &link.peer).then(LinkEncoder::default);
+    let error = run_halves(reading, &sender, writer, encoder).await;
     let in_flight = link.exchange_count() as u64;
     link.end();
     metrics::LINKS.add(-1);
@@ -124,6 +126,9 @@
     if *peer.host != *path.host {
         return Err(LinkError::OtherHost { host: peer.host });
     }
+    if crosses_domains(state, &peer) {
+        reader.start_decoding();
+    }
     let link = DialledLink::new(peer, FrameSender::default());
     Ok((reader, writer, link))
 }
@@ -158,9 +163,10 @@
     reading: impl std::future::Future<Output = LinkError>,
     sender: &FrameSender,
     writer: LinkWriter,
+    encoder: Option<LinkEncoder>,
 ) -> LinkError {
     let reading = std::pin::pin!(reading);
-    let writing = std::pin::pin!(sender.run(writer, count_sent));
+    let writing = std::pin::pin!(sender.run(writer, encoder, count_sent));
     match future::select(reading, writing).await {
         Either::Left((error, _)) => error,
         Either::Right((Err(error), _)) => error,
@@ -168,6 +174,12 @@
     }
 }
 
+/// Says whether a link crosses failure domains; both sides come to the same answer. Bytes there are
+/// dear, and within a failure domain the processor's time is.
+fn crosses_domains(state: &DaemonState, peer: &PeerIdentity) -> bool {
+    state.options.failure_domain != peer.failure_domain
+}
+
 fn count_received(bytes: usize) {
     metrics::PEER_BYTES_RECEIVED.add(bytes as u64);
 }
@@ -196,6 +208,10 @@
             return;
         }
     };
+    let crosses = crosses_domains(state, &peer);
+    if crosses {
+        reader.start_decoding();
+    }
     let sender = FrameSender::default();
     let link = AcceptedLink::new(peer, sender.clone());
     state.members.note_accepted(&link);
@@ -206,7 +222,8 @@
     };
     let on_control = |body: FrameBody| control::handle(state, None, &sender, &link.peer, body);
     let reading = link.run(&mut reader, on_dispatch, on_control);
-    let error = run_halves(reading, &sender, writer).await;
+    let encoder = crosses.then(LinkEncoder::default);
+    let error = run_halves(reading, &sender, writer, encoder).await;
     link.end();
     fleet::AcceptedEnded { host: &link.peer.host, error: &error.to_string() }.log();
 }
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -99,7 +99,11 @@
             options.store_writes,
         ));
         let identity =
-            PeerIdentity { host: options.host.clone(), incarnation: units::wall_millis() as i64 };
+            PeerIdentity {
+            host: options.host.clone(),
+            incarnation: units::wall_millis() as i64,
+            failure_domain: options.failure_domain.clone(),
+        };
         Rc::new(Self {
             live: RefCell::new(Rc::new(options.clone())),
             clock,
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -12,10 +12,11 @@
 use basaltarch_peer::protocol::{BaselineNote, LoadReport};
 use bytes::BytesMut;
 use http::HeaderMap;
-use thrift::OrderedFloat;
 
 /// Bytes of a usual header field, to make room at once.
 const FIELD_BYTES: usize = 48;
+/// Parts of one in which fractions go between daemons.
+const MILLI: f64 = 1000.0;
 
 /// Returns the number of a class of work.
 pub fn class_number(class: WorkClass) -> i8 {
@@ -73,11 +74,11 @@
 /// Writes a baseline.
 pub fn baseline_note(baseline: &ServiceBaseline) -> BaselineNote {
     BaselineNote {
-        median_ln: OrderedFloat(baseline.median_ln),
-        spread: OrderedFloat(baseline.spread),
-        failure_rate: OrderedFloat(baseline.failure_rate),
-        overdue_rate: OrderedFloat(baseline.overdue_rate),
-        sickness: OrderedFloat(baseline.sickness),
+        median_ln_milli: milli(baseline.median_ln),
+        spread_milli: milli(baseline.spread),
+        failure_rate_milli: milli(baseline.failure_rate),
+        overdue_rate_milli: milli(baseline.overdue_rate),
+        sickness_milli: milli(baseline.sickness),
         upstreams: baseline.upstreams as i32,
     }
 }
@@ -89,11 +90,11 @@
         None => return ServiceBaseline::default(),
     };
     ServiceBaseline {
-        median_ln: finite(note.median_ln),
-        spread: finite(note.spread),
-        failure_rate: finite(note.failure_rate),
-        overdue_rate: finite(note.overdue_rate),
-        sickness: finite(note.sickness),
+        median_ln: of_milli(note.median_ln_milli),
+        spread: of_milli(note.spread_milli),
+        failure_rate: of_milli(note.failure_rate_milli),
+        overdue_rate: of_milli(note.overdue_rate_milli),
+        sickness: of_milli(note.sickness_milli),
         upstreams: note.upstreams.max(0) as u32,
     }
 }
@@ -119,13 +120,13 @@
         in_flight: load.in_flight as i32,
         queued: load.queued as i32,
         draining: load.draining,
-        sickness: OrderedFloat(health.sickness),
-        median_ln: OrderedFloat(health.median_ln),
-        spread: OrderedFloat(health.spread),
-        failure_rate: OrderedFloat(health.failure_rate),
-        overdue_rate: OrderedFloat(health.overdue_rate),
+        sickness_milli: milli(health.sickness),
+        median_ln_milli: milli(health.median_ln),
+        spread_milli: milli(health.spread),
+        failure_rate_milli: milli(health.failure_rate),
+        overdue_rate_milli: milli(health.overdue_rate),
         samples: health.samples.min(i32::MAX as u32) as i32,
-        ramp: OrderedFloat(health.ramp),
+        ramp_milli: milli(health.ramp),
         trial_in_ms: health.trial_in.as_millis().min(i32::MAX as u128) as i32,
         revision: load.revision as i64,
         ejected: health.ejected,
@@ -144,14 +145,14 @@
         took: (note.took_us > 0).then(|| Duration::from_micros(note.took_us as u64)),
     };
     let health = HealthReport {
-        sickness: finite(note.sickness),
+        sickness: of_milli(note.sickness_milli),
         ejected: note.ejected,
-        median_ln: finite(note.median_ln),
-        spread: finite(note.spread),
-        failure_rate: finite(note.failure_rate),
-        overdue_rate: finite(note.overdue_rate),
+        median_ln: of_milli(note.median_ln_milli),
+        spread: of_milli(note.spread_milli),
+        failure_rate: of_milli(note.failure_rate_milli),
+        overdue_rate: of_milli(note.overdue_rate_milli),
         samples: note.samples.max(0) as u32,
-        ramp: finite(note.ramp).clamp(0.01, 1.0),
+        ramp: of_milli(note.ramp_milli).clamp(0.01, 1.0),
         trial_in: Duration::from_millis(note.trial_in_ms.max(0) as u64),
         doubtful: note.doubtful,
     };
@@ -163,11 +164,12 @@
     matches!(status, 500 | 502 | 503 | 504)
 }
 
-/// Reads a number of a peer; what is no number counts as zero.
-fn finite(value: OrderedFloat<f64>) -> f64 {
-    if value.0.is_finite() {
-        value.0
-    } else {
-        0.0
-    }
+/// Returns a fraction in thousandths; what is out of range is cut.
+fn milli(value: f64) -> i32 {
+    (value * MILLI).round() as i32
+}
+
+/// Returns the fraction of so many thousandths.
+fn of_milli(thousandths: i32) -> f64 {
+    f64::from(thousandths) / MILLI
 }
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -6,18 +6,21 @@
 
 namespace rs protocol
 
-/** What a host's daemon reports of one upstream, for the route of the dispatch, on every answer. */
+/**
+ * What a host's daemon reports of one upstream, for the route of the dispatch, on every answer.
+ * Fractions are in thousandths: an eighth of the bytes, and finer than what is measured.
+ */
 struct LoadReport {
   1: required i32 in_flight
   2: required i32 queued
   3: required bool draining
-  4: required double sickness
-  5: required double median_ln
-  6: required double spread
-  7: required double failure_rate
-  8: required double overdue_rate
+  4: required i32 sickness_milli
+  5: required i32 median_ln_milli
+  6: required i32 spread_milli
+  7: required i32 failure_rate_milli
+  8: required i32 overdue_rate_milli
   9: required i32 samples
-  10: required double ramp
+  10: required i32 ramp_milli
   11: required i32 trial_in_ms
   12: required i64 revision
   13: required bool ejected
@@ -25,13 +28,13 @@
   15: required bool doubtful
 }
 
-/** What an ingress knows of a route over all upstreams of its service. */
+/** What an ingress knows of a route over all upstreams of its service, in thousandths. */
 struct BaselineNote {
-  1: required double median_ln
-  2: required double spread
-  3: required double failure_rate
-  4: required double overdue_rate
-  5: required double sickness
+  1: required i32 median_ln_milli
+  2: required i32 spread_milli
+  3: required i32 failure_rate_milli
+  4: required i32 overdue_rate_milli
+  5: required i32 sickness_milli
   6: required i32 upstreams
 }
 
@@ -175,6 +178,8 @@
   2: required i64 incarnation
   3: required binary nonce
   4: required i32 protocol_version
+  /** Between failure domains, what follows the handshake is compressed. */
+  5: required string failure_domain
 }
 
 /** The answer to the other side's nonce. */
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -11,12 +11,13 @@
 
 use basaltarch_core::units;
 use bytes::{Buf, BufMut, BytesMut};
-use monoio::buf::IoBufMut;
+use monoio::buf::{IoBuf, IoBufMut};
 use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use thrift::protocol::{
     TCompactInputProtocol, TCompactOutputProtocol, TOutputProtocol, TSerializable,
 };
 
+use crate::coding::{LinkDecoder, LinkEncoder};
 use crate::errors::{self, LinkError};
 use crate::protocol::{FrameBody, PeerFrame};
 
@@ -99,13 +100,21 @@
 pub struct FrameReader<R> {
     io: R,
     buffer: BytesMut,
+    decoder: Option<LinkDecoder>,
     on_read: fn(usize),
 }
 
 impl<R: AsyncReadRent> FrameReader<R> {
     /// Builds a reader over one half of a connection; `on_read` is told of bytes that came.
     pub fn new(io: R, on_read: fn(usize)) -> Self {
-        Self { io, buffer: BytesMut::new(), on_read }
+        Self { io, buffer: BytesMut::new(), decoder: None, on_read }
+    }
+
+    /// Decodes what comes from now on.
+    pub fn start_decoding(&mut self) {
+        let mut decoder = LinkDecoder::default();
+        decoder.take(&self.buffer.split());
+        self.decoder = Some(decoder);
     }
 
     /// Reads the next frame. Not to be dropped before it ends, or bytes read so far are lost.
@@ -114,11 +123,23 @@
             if let Some(frame) = decode(&mut self.buffer)? {
                 return Ok(frame);
             }
-            self.fill().await?;
+            if !self.decode_more()? {
+                self.fill().await?;
+            }
+        }
+    }
+
+    fn decode_more(&mut self) -> Result<bool, LinkError> {
+        match &mut self.decoder {
+            Some(decoder) => decoder.decode(&mut self.buffer),
+            None => Ok(false),
         }
     }
 
     async fn fill(&mut self) -> Result<(), LinkError> {
+        if self.decoder.is_some() {
+            return self.fill_coded().await;
+        }
         let mut buffer = std::mem::take(&mut self.buffer);
         let begin = buffer.len();
         if buffer.capacity() - begin < READ_BYTES_MIN {
@@ -134,6 +155,19 @@
         (self.on_read)(count);
         Ok(())
     }
+
+    async fn fill_coded(&mut self) -> Result<(), LinkError> {
+        let (result, coded) = self.io.read(BytesMut::with_capacity(READ_BYTES_MIN)).await;
+        let count = result.map_err(|source| LinkError::Broken { source })?;
+        if count == 0 {
+            return Err(LinkError::Closed);
+        }
+        (self.on_read)(count);
+        if let Some(decoder) = &mut self.decoder {
+            decoder.take(&coded);
+        }
+        Ok(())
+    }
 }
 
 #[derive(Debug, Default)]
@@ -195,11 +229,12 @@
         self.queue.borrow().closed
     }
 
-    /// Writes queued frames to `io` until the queue is closed and empty or writing fails; `on_write`
-    /// is told of bytes that went.
+    /// Writes queued frames to `io`, compressed or as they are, until the queue is closed and empty or
+    /// writing fails; `on_write` is told of bytes that went.
     pub async fn run<W: AsyncWriteRent>(
         &self,
         mut io: W,
+        mut encoder: Option<LinkEncoder>,
         on_write: fn(usize),
     ) -> Result<(), LinkError> {
         let mut spare = BytesMut::new();
@@ -208,10 +243,15 @@
                 Some(batch) => batch,
                 None => return Ok(()),
             };
-            let (result, written) = io.write_all(batch).await;
-            let count = result.map_err(|source| LinkError::Broken { source })?;
-            on_write(count);
-            spare = written;
+            spare = match &mut encoder {
+                Some(encoder) => {
+                    let mut coded = Vec::new();
+                    encoder.encode(&batch, &mut coded)?;
+                    write(&mut io, coded, on_write).await?;
+                    batch
+                }
+                None => write(&mut io, batch, on_write).await?,
+            };
             spare.clear();
         }
     }
@@ -234,3 +274,15 @@
         .await
     }
 }
+
+/// Writes all of a buffer and gives it back.
+async fn write<W: AsyncWriteRent, B: IoBuf>(
+    io: &mut W,
+    buffer: B,
+    on_write: fn(usize),
+) -> Result<B, LinkError> {
+    let (result, buffer) = io.write_all(buffer).await;
+    let count = result.map_err(|source| LinkError::Broken { source })?;
+    on_write(count);
+    Ok(buffer)
+}
--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -18,7 +18,7 @@
 use crate::protocol::{FrameBody, HelloNote, PeerFrame, ProofNote};
 
 /// Version of the protocol between daemons.
-pub const PROTOCOL_VERSION: i32 = 1;
+pub const PROTOCOL_VERSION: i32 = 2;
 /// Longest time for the whole handshake: several round trips between far regions (0.3 s each).
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Bytes of a nonce, as long as the security level of SHA-256.
@@ -33,6 +33,8 @@
     pub host: String,
     /// Number of this start of the daemon; a later start has a higher one.
     pub incarnation: i64,
+    /// Failure domain of the host.
+    pub failure_domain: String,
 }
 
 /// `LinkSide` is the role of a daemon on a link.
@@ -86,6 +88,7 @@
         host: identity.host.clone(),
         incarnation: identity.incarnation,
         nonce: fresh_nonce(),
+        failure_domain: identity.failure_domain.clone(),
         protocol_version: PROTOCOL_VERSION,
     };
     write(writer, FrameBody::Hello(ours.clone())).await?;
@@ -108,7 +111,8 @@
     keyed(key, side.other(), &theirs, &ours)
         .verify_slice(&proof.mac)
         .map_err(|_| LinkError::WrongKey { host: theirs.host.clone() })?;
-    Ok(PeerIdentity { host: theirs.host, incarnation: theirs.incarnation })
+    let HelloNote { host, incarnation, failure_domain, .. } = theirs;
+    Ok(PeerIdentity { host, incarnation, failure_domain })
 }
 
 fn unexpected(body: &FrameBody) -> LinkError {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 //! so that one slow caller stalls nobody else. The other daemon answers. Heartbeats and
 //! configuration go both ways.
 
+pub mod coding;
 pub mod errors;
 pub mod frames;
 pub mod handshake;
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -30,18 +30,19 @@
 //
 
 /// What a host's daemon reports of one upstream, for the route of the dispatch, on every answer.
+/// Fractions are in thousandths: an eighth of the bytes, and finer than what is measured.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct LoadReport {
   pub in_flight: i32,
   pub queued: i32,
   pub draining: bool,
-  pub sickness: OrderedFloat<f64>,
-  pub median_ln: OrderedFloat<f64>,
-  pub spread: OrderedFloat<f64>,
-  pub failure_rate: OrderedFloat<f64>,
-  pub overdue_rate: OrderedFloat<f64>,
+  pub sickness_milli: i32,
+  pub median_ln_milli: i32,
+  pub spread_milli: i32,
+  pub failure_rate_milli: i32,
+  pub overdue_rate_milli: i32,
   pub samples: i32,
-  pub ramp: OrderedFloat<f64>,
+  pub ramp_milli: i32,
   pub trial_in_ms: i32,
   pub revision: i64,
   pub ejected: bool,
@@ -50,18 +51,18 @@
 }
 
 impl LoadReport {
-  pub fn new(in_flight: i32, queued: i32, draining: bool, sickness: OrderedFloat<f64>, median_ln: OrderedFloat<f64>, spread: OrderedFloat<f64>, failure_rate: OrderedFloat<f64>, overdue_rate: OrderedFloat<f64>, samples: i32, ramp: OrderedFloat<f64>, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool) -> LoadReport {
+  pub fn new(in_flight: i32, queued: i32, draining: bool, sickness_milli: i32, median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, samples: i32, ramp_milli: i32, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool) -> LoadReport {
     LoadReport {
       in_flight,
       queued,
       draining,
-      sickness,
-      median_ln,
-      spread,
-      failure_rate,
-      overdue_rate,
+      sickness_milli,
+      median_ln_milli,
+      spread_milli,
+      failure_rate_milli,
+      overdue_rate_milli,
       samples,
-      ramp,
+      ramp_milli,
       trial_in_ms,
       revision,
       ejected,
@@ -77,13 +78,13 @@
     let mut f_1: Option<i32> = None;
     let mut f_2: Option<i32> = None;
     let mut f_3: Option<bool> = None;
-    let mut f_4: Option<OrderedFloat<f64>> = None;
-    let mut f_5: Option<OrderedFloat<f64>> = None;
-    let mut f_6: Option<OrderedFloat<f64>> = None;
-    let mut f_7: Option<OrderedFloat<f64>> = None;
-    let mut f_8: Option<OrderedFloat<f64>> = None;
+    let mut f_4: Option<i32> = None;
+    let mut f_5: Option<i32> = None;
+    let mut f_6: Option<i32> = None;
+    let mut f_7: Option<i32> = None;
+    let mut f_8: Option<i32> = None;
     let mut f_9: Option<i32> = None;
-    let mut f_10: Option<OrderedFloat<f64>> = None;
+    let mut f_10: Option<i32> = None;
     let mut f_11: Option<i32> = None;
     let mut f_12: Option<i64> = None;
     let mut f_13: Option<bool> = None;
@@ -109,23 +110,23 @@
           f_3 = Some(val);
         },
         4 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_4 = Some(val);
         },
         5 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_5 = Some(val);
         },
         6 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_6 = Some(val);
         },
         7 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_7 = Some(val);
         },
         8 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_8 = Some(val);
         },
         9 => {
@@ -133,7 +134,7 @@
           f_9 = Some(val);
         },
         10 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_10 = Some(val);
         },
         11 => {
@@ -166,13 +167,13 @@
     verify_required_field_exists("LoadReport.in_flight", &f_1)?;
     verify_required_field_exists("LoadReport.queued", &f_2)?;
     verify_required_field_exists("LoadReport.draining", &f_3)?;
-    verify_required_field_exists("LoadReport.sickness", &f_4)?;
-    verify_required_field_exists("LoadReport.median_ln", &f_5)?;
-    verify_required_field_exists("LoadReport.spread", &f_6)?;
-    verify_required_field_exists("LoadReport.failure_rate", &f_7)?;
-    verify_required_field_exists("LoadReport.overdue_rate", &f_8)?;
+    verify_required_field_exists("LoadReport.sickness_milli", &f_4)?;
+    verify_required_field_exists("LoadReport.median_ln_milli", &f_5)?;
+    verify_required_field_exists("LoadReport.spread_milli", &f_6)?;
+    verify_required_field_exists("LoadReport.failure_rate_milli", &f_7)?;
+    verify_required_field_exists("LoadReport.overdue_rate_milli", &f_8)?;
     verify_required_field_exists("LoadReport.samples", &f_9)?;
-    verify_required_field_exists("LoadReport.ramp", &f_10)?;
+    verify_required_field_exists("LoadReport.ramp_milli", &f_10)?;
     verify_required_field_exists("LoadReport.trial_in_ms", &f_11)?;
     verify_required_field_exists("LoadReport.revision", &f_12)?;
     verify_required_field_exists("LoadReport.ejected", &f_13)?;
@@ -182,13 +183,13 @@
       in_flight: f_1.expect("auto-generated code should have checked for presence of required fields"),
       queued: f_2.expect("auto-generated code should have checked for presence of required fields"),
       draining: f_3.expect("auto-generated code should have checked for presence of required fields"),
-      sickness: f_4.expect("auto-generated code should have checked for presence of required fields"),
-      median_ln: f_5.expect("auto-generated code should have checked for presence of required fields"),
-      spread: f_6.expect("auto-generated code should have checked for presence of required fields"),
-      failure_rate: f_7.expect("auto-generated code should have checked for presence of required fields"),
-      overdue_rate: f_8.expect("auto-generated code should have checked for presence of required fields"),
+      sickness_milli: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      median_ln_milli: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      spread_milli: f_6.expect("auto-generated code should have checked for presence of required fields"),
+      failure_rate_milli: f_7.expect("auto-generated code should have checked for presence of required fields"),
+      overdue_rate_milli: f_8.expect("auto-generated code should have checked for presence of required fields"),
       samples: f_9.expect("auto-generated code should have checked for presence of required fields"),
-      ramp: f_10.expect("auto-generated code should have checked for presence of required fields"),
+      ramp_milli: f_10.expect("auto-generated code should have checked for presence of required fields"),
       trial_in_ms: f_11.expect("auto-generated code should have checked for presence of required fields"),
       revision: f_12.expect("auto-generated code should have checked for presence of required fields"),
       ejected: f_13.expect("auto-generated code should have checked for presence of required fields"),
@@ -209,26 +210,26 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("draining", TType::Bool, 3))?;
     o_prot.write_bool(self.draining)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("sickness", TType::Double, 4))?;
-    o_prot.write_double(self.sickness.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("sickness_milli", TType::I32, 4))?;
+    o_prot.write_i32(self.sickness_milli)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("median_ln", TType::Double, 5))?;
-    o_prot.write_double(self.median_ln.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("median_ln_milli", TType::I32, 5))?;
+    o_prot.write_i32(self.median_ln_milli)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("spread", TType::Double, 6))?;
-    o_prot.write_double(self.spread.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("spread_milli", TType::I32, 6))?;
+    o_prot.write_i32(self.spread_milli)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("failure_rate", TType::Double, 7))?;
-    o_prot.write_double(self.failure_rate.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("failure_rate_milli", TType::I32, 7))?;
+    o_prot.write_i32(self.failure_rate_milli)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("overdue_rate", TType::Double, 8))?;
-    o_prot.write_double(self.overdue_rate.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("overdue_rate_milli", TType::I32, 8))?;
+    o_prot.write_i32(self.overdue_rate_milli)?;
     o_prot.write_field_end()?;
     o_prot.write_field_begin(&TFieldIdentifier::new("samples", TType::I32, 9))?;
     o_prot.write_i32(self.samples)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("ramp", TType::Double, 10))?;
-    o_prot.write_double(self.ramp.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("ramp_milli", TType::I32, 10))?;
+    o_prot.write_i32(self.ramp_milli)?;
     o_prot.write_field_end()?;
     o_prot.write_field_begin(&TFieldIdentifier::new("trial_in_ms", TType::I32, 11))?;
     o_prot.write_i32(self.trial_in_ms)?;
@@ -254,25 +255,25 @@
 // BaselineNote
 //
 
-/// What an ingress knows of a route over all upstreams of its service.
+/// What an ingress knows of a route over all upstreams of its service, in thousandths.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct BaselineNote {
-  pub median_ln: OrderedFloat<f64>,
-  pub spread: OrderedFloat<f64>,
-  pub failure_rate: OrderedFloat<f64>,
-  pub overdue_rate: OrderedFloat<f64>,
-  pub sickness: OrderedFloat<f64>,
+  pub median_ln_milli: i32,
+  pub spread_milli: i32,
+  pub failure_rate_milli: i32,
+  pub overdue_rate_milli: i32,
+  pub sickness_milli: i32,
   pub upstreams: i32,
 }
 
 impl BaselineNote {
-  pub fn new(median_ln: OrderedFloat<f64>, spread: OrderedFloat<f64>, failure_rate: OrderedFloat<f64>, overdue_rate: OrderedFloat<f64>, sickness: OrderedFloat<f64>, upstreams: i32) -> BaselineNote {
+  pub fn new(median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, sickness_milli: i32, upstreams: i32) -> BaselineNote {
     BaselineNote {
-      median_ln,
-      spread,
-      failure_rate,
-      overdue_rate,
-      sickness,
+      median_ln_milli,
+      spread_milli,
+      failure_rate_milli,
+      overdue_rate_milli,
+      sickness_milli,
       upstreams,
     }
   }
@@ -281,11 +282,11 @@
 impl TSerializable for BaselineNote {
   fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<BaselineNote> {
     i_prot.read_struct_begin()?;
-    let mut f_1: Option<OrderedFloat<f64>> = None;
-    let mut f_2: Option<OrderedFloat<f64>> = None;
-    let mut f_3: Option<OrderedFloat<f64>> = None;
-    let mut f_4: Option<OrderedFloat<f64>> = None;
-    let mut f_5: Option<OrderedFloat<f64>> = None;
+    let mut f_1: Option<i32> = None;
+    let mut f_2: Option<i32> = None;
+    let mut f_3: Option<i32> = None;
+    let mut f_4: Option<i32> = None;
+    let mut f_5: Option<i32> = None;
     let mut f_6: Option<i32> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
@@ -295,23 +296,23 @@
       let field_id = field_id(&field_ident)?;
       match field_id {
         1 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_1 = Some(val);
         },
         2 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_2 = Some(val);
         },
         3 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_3 = Some(val);
         },
         4 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_4 = Some(val);
         },
         5 => {
-          let val = OrderedFloat::from(i_prot.read_double()?);
+          let val = i_prot.read_i32()?;
           f_5 = Some(val);
         },
         6 => {
@@ -325,18 +326,18 @@
       i_prot.read_field_end()?;
     }
     i_prot.read_struct_end()?;
-    verify_required_field_exists("BaselineNote.median_ln", &f_1)?;
-    verify_required_field_exists("BaselineNote.spread", &f_2)?;
-    verify_required_field_exists("BaselineNote.failure_rate", &f_3)?;
-    verify_required_field_exists("BaselineNote.overdue_rate", &f_4)?;
-    verify_required_field_exists("BaselineNote.sickness", &f_5)?;
+    verify_required_field_exists("BaselineNote.median_ln_milli", &f_1)?;
+    verify_required_field_exists("BaselineNote.spread_milli", &f_2)?;
+    verify_required_field_exists("BaselineNote.failure_rate_milli", &f_3)?;
+    verify_required_field_exists("BaselineNote.overdue_rate_milli", &f_4)?;
+    verify_required_field_exists("BaselineNote.sickness_milli", &f_5)?;
     verify_required_field_exists("BaselineNote.upstreams", &f_6)?;
     let ret = BaselineNote {
-      median_ln: f_1.expect("auto-generated code should have checked for presence of required fields"),
-      spread: f_2.expect("auto-generated code should have checked for presence of required fields"),
-      failure_rate: f_3.expect("auto-generated code should have checked for presence of required fields"),
-      overdue_rate: f_4.expect("auto-generated code should have checked for presence of required fields"),
-      sickness: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      median_ln_milli: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      spread_milli: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      failure_rate_milli: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      overdue_rate_milli: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      sickness_milli: f_5.expect("auto-generated code should have checked for presence of required fields"),
       upstreams: f_6.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
@@ -344,20 +345,20 @@
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
     let struct_ident = TStructIdentifier::new("BaselineNote");
     o_prot.write_struct_begin(&struct_ident)?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("median_ln", TType::Double, 1))?;
-    o_prot.write_double(self.median_ln.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("median_ln_milli", TType::I32, 1))?;
+    o_prot.write_i32(self.median_ln_milli)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("spread", TType::Double, 2))?;
-    o_prot.write_double(self.spread.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("spread_milli", TType::I32, 2))?;
+    o_prot.write_i32(self.spread_milli)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("failure_rate", TType::Double, 3))?;
-    o_prot.write_double(self.failure_rate.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("failure_rate_milli", TType::I32, 3))?;
+    o_prot.write_i32(self.failure_rate_milli)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("overdue_rate", TType::Double, 4))?;
-    o_prot.write_double(self.overdue_rate.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("overdue_rate_milli", TType::I32, 4))?;
+    o_prot.write_i32(self.overdue_rate_milli)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("sickness", TType::Double, 5))?;
-    o_prot.write_double(self.sickness.into())?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("sickness_milli", TType::I32, 5))?;
+    o_prot.write_i32(self.sickness_milli)?;
     o_prot.write_field_end()?;
     o_prot.write_field_begin(&TFieldIdentifier::new("upstreams", TType::I32, 6))?;
     o_prot.write_i32(self.upstreams)?;
@@ -1953,15 +1954,18 @@
   pub incarnation: i64,
   pub nonce: Vec<u8>,
   pub protocol_version: i32,
+  /// Between failure domains, what follows the handshake is compressed.
+  pub failure_domain: String,
 }
 
 impl HelloNote {
-  pub fn new(host: String, incarnation: i64, nonce: Vec<u8>, protocol_version: i32) -> HelloNote {
+  pub fn new(host: String, incarnation: i64, nonce: Vec<u8>, protocol_version: i32, failure_domain: String) -> HelloNote {
     HelloNote {
       host,
       incarnation,
       nonce,
       protocol_version,
+      failure_domain,
     }
   }
 }
@@ -1973,6 +1977,7 @@
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<Vec<u8>> = None;
     let mut f_4: Option<i32> = None;
+    let mut f_5: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1996,6 +2001,10 @@
           let val = i_prot.read_i32()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_string()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2007,11 +2016,13 @@
     verify_required_field_exists("HelloNote.incarnation", &f_2)?;
     verify_required_field_exists("HelloNote.nonce", &f_3)?;
     verify_required_field_exists("HelloNote.protocol_version", &f_4)?;
+    verify_required_field_exists("HelloNote.failure_domain", &f_5)?;
     let ret = HelloNote {
       host: f_1.expect("auto-generated code should have checked for presence of required fields"),
       incarnation: f_2.expect("auto-generated code should have checked for presence of required fields"),
       nonce: f_3.expect("auto-generated code should have checked for presence of required fields"),
       protocol_version: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      failure_domain: f_5.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -2030,6 +2041,9 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("protocol_version", TType::I32, 4))?;
     o_prot.write_i32(self.protocol_version)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("failure_domain", TType::String, 5))?;
+    o_prot.write_string(&self.failure_domain)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -99,7 +99,11 @@
 
 fn link() -> (Rc<DialledLink>, FrameSender) {
     let sender = FrameSender::default();
-    let peer = PeerIdentity { host: "host-b".to_owned(), incarnation: 1 };
+    let peer = PeerIdentity {
+        host: "host-b".to_owned(),
+        incarnation: 1,
+        failure_domain: "bkk-b".to_owned(),
+    };
     (DialledLink::new(peer, sender.clone()), sender)
 }
 
@@ -135,7 +139,7 @@
         let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
         let address = listener.local_addr().expect("address");
         let stream = monoio::net::TcpStream::connect_addr(address).await.expect("connect");
-        let task = monoio::spawn(async move { writing.run(stream, |_| ()).await });
+        let task = monoio::spawn(async move { writing.run(stream, None, |_| ()).await });
         while !sender.was_offered(0) {
             monoio::time::sleep(std::time::Duration::from_millis(1)).await;
         }
