--- a/crates/ctl/src/losses/record.rs
+++ b/crates/ctl/src/losses/record.rs
@@ -65,8 +65,8 @@
     pub held_ms: Option<u64>,
     /// Attempts that were made, those included that were passed on.
     pub attempts: u64,
-    /// Attempts that were given up as late.
-    pub given_up: u64,
+    /// Attempts that were late, so that others were made beside them.
+    pub late: u64,
     /// Upstream that was asked last.
     pub asked: String,
     /// Work that was sent to backend servers.
@@ -91,7 +91,7 @@
                 self.service = line.text("service").to_owned();
             }
             "upstream chosen" => self.asked = line.text("upstream").to_owned(),
-            "attempt ended" if line.text("outcome") == "given-up" => self.given_up += 1,
+            "attempt ended" if line.text("outcome") == "late" => self.late += 1,
             "work started" => self.note_started(line),
             "work broke" => self.note_broke(line),
             _ => self.note_end(line),
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -23,6 +23,7 @@
 
 use crate::host;
 use crate::ingress::failure::CallerFailure;
+use crate::ingress::late::{LateAttempt, LateAttempts};
 use crate::ingress::request::CallerRequest;
 use crate::ingress::trail::{self, NextStep, StepEnd, StepLoad, TrailStep};
 use crate::ingress::waiting::{self, FirstEvent};
@@ -101,10 +102,13 @@
         failed_at: None,
     };
     let mut fallback: Option<(LiveExchange, AnswerHead)> = None;
+    let mut earlier = LateAttempts::default();
     loop {
         let choice = match attempts.choose() {
             Ok(choice) => choice,
-            Err(failure) => return attempts.end_with(fallback, failure),
+            Err(failure) => {
+                return attempts.end_with(stream, &mut earlier, fallback, failure).await;
+            }
         };
         let asked = attempts.ask(&choice);
         let mut live = match attempts.dispatch(choice, body.is_done()).await {
@@ -115,12 +119,14 @@
             }
         };
         let left = attempts.left();
-        let first = waiting::first_event(state, request, left, stream, body, &live).await;
+        let first =
+            waiting::first_event(state, request, left, stream, body, &live, &mut earlier).await;
         match first {
             FirstEvent::CallerGone => {
                 attempts.tell(&asked, StepEnd::CallerGone, None, NextStep::End);
                 return AttemptEnd::CallerGone;
             }
+            FirstEvent::Overtaken(late, head) => return attempts.end_late(late, head),
             FirstEvent::Head(head) => {
                 attempts.arrivals += 1;
                 let end = StepEnd::Answered(head.status as u16);
@@ -131,24 +137,32 @@
                     attempts.withdraw();
                 }
                 attempts.note_end(choice.index, &live, failed);
-                let is_final = fallback.is_some() || !failed || !head.last;
-                if is_final || !attempts.may_repeat(body) {
+                let is_final = !failed || !head.last;
+                let again = !is_final && fallback.is_none() && attempts.may_repeat(body);
+                if is_final || !again && earlier.is_empty() {
                     attempts.tell(&asked, end, load, NextStep::Answer);
                     return AttemptEnd::Answer(live, head);
                 }
+                live.exchange.finish();
+                if !again {
+                    attempts.tell(&asked, end, load, NextStep::End);
+                    let failure = CallerFailure::new(attempts.last);
+                    let fallback = Some((live, head));
+                    return attempts.end_with(stream, &mut earlier, fallback, failure).await;
+                }
                 attempts.tell(&asked, end, load, NextStep::Repeat);
                 attempts.failed_at = Some(choice.index);
                 attempts.excluded.push(choice.index);
-                live.exchange.finish();
                 fallback = Some((live, head));
             }
-            FirstEvent::GivenUp => {
-                // Dropping the exchange cancels it; the repeat is already paid for.
-                attempts.tell(&asked, StepEnd::GivenUp, None, NextStep::Repeat);
+            FirstEvent::Late => {
+                // The attempt that follows is already paid for.
+                attempts.tell(&asked, StepEnd::Late, None, NextStep::Repeat);
                 attempts.arrivals += 1;
                 attempts.request.service.note_given_up(choice.index, state.now());
                 attempts.excluded.push(choice.index);
                 attempts.note_outcome(FailureOutcome::Unknown(UnknownReason::TimedOut));
+                earlier.push(LateAttempt { asked, live });
             }
             FirstEvent::Failed(outcome, report) => {
                 live.exchange.finish();
@@ -174,7 +188,8 @@
                 };
                 attempts.tell(&asked, end, load, next_of(outcome, again));
                 if !again {
-                    return attempts.end_with(fallback, CallerFailure::new(outcome));
+                    let failure = CallerFailure::new(outcome);
+                    return attempts.end_with(stream, &mut earlier, fallback, failure).await;
                 }
             }
         }
@@ -191,7 +206,7 @@
 }
 
 /// `AskedUpstream` is an upstream that was asked, for the log.
-struct AskedUpstream {
+pub struct AskedUpstream {
     attempt: usize,
     index: usize,
     began: Duration,
@@ -216,16 +231,41 @@
         trail::note(self.state, self.request, step);
     }
 
-    /// Ends with the complete answer of an earlier attempt if there is one, though it was an error.
-    /// What may have run at any attempt is not called "not run".
-    fn end_with(
+    /// Ends with the good answer of an attempt that was late.
+    fn end_late(&self, late: LateAttempt, head: AnswerHead) -> AttemptEnd {
+        let LateAttempt { asked, live } = late;
+        self.note_report(asked.index, &head.report, Some(false));
+        self.note_end(asked.index, &live, false);
+        let end = StepEnd::Answered(head.status as u16);
+        self.tell(&asked, end, Some(StepLoad::of(&head.report)), NextStep::Answer);
+        AttemptEnd::Answer(live, head)
+    }
+
+    /// Ends without another attempt: with the good answer of one that is late, else with the complete
+    /// answer of an earlier attempt if there is one, though it was an error.
+    async fn end_with(
         &self,
+        stream: &mut HttpStream,
+        earlier: &mut LateAttempts,
         fallback: Option<(LiveExchange, AnswerHead)>,
         failure: CallerFailure,
     ) -> AttemptEnd {
+        if !earlier.is_empty() {
+            match waiting::last_event(self.left(), stream, earlier, failure.outcome).await {
+                FirstEvent::Overtaken(late, head) => return self.end_late(late, head),
+                FirstEvent::CallerGone => return AttemptEnd::CallerGone,
+                _ => {}
+            }
+        }
         if let Some((live, head)) = fallback {
             return AttemptEnd::Answer(live, head);
         }
+        self.failed(failure)
+    }
+
+    /// Builds the end of a request without an answer: what may have run at any attempt is not called
+    /// "not run".
+    fn failed(&self, failure: CallerFailure) -> AttemptEnd {
         match (self.may_have_run, failure.outcome) {
             (Some(reason), FailureOutcome::NotRun(_)) => {
                 AttemptEnd::Failed(CallerFailure::new(FailureOutcome::Unknown(reason)))
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod caller;
 pub mod failure;
+pub mod late;
 pub mod request;
 pub mod trail;
 pub mod waiting;
--- a/crates/daemon/src/ingress/trail.rs
+++ b/crates/daemon/src/ingress/trail.rs
@@ -168,8 +168,8 @@
 pub enum StepEnd {
     /// With the head of an answer of this status.
     Answered(u16),
-    /// It was late, and another was made.
-    GivenUp,
+    /// It is late, and another is made beside it.
+    Late,
     /// Without an answer.
     Failed(FailureOutcome),
     /// The caller went away.
@@ -213,7 +213,7 @@
     fn texts(self) -> (&'static str, Option<u64>) {
         match self {
             Self::Answered(status) => ("answered", Some(status.into())),
-            Self::GivenUp => ("given-up", None),
+            Self::Late => ("late", None),
             Self::Failed(outcome) => (outcome.reason(), None),
             Self::CallerGone => ("caller-gone", None),
         }
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -17,6 +17,7 @@
 use futures_util::{select_biased, FutureExt};
 
 use crate::ingress::attempt::LiveExchange;
+use crate::ingress::late::{LateAttempt, LateAttempts};
 use crate::ingress::request::CallerRequest;
 use crate::state::DaemonState;
 
@@ -34,8 +35,10 @@
     Head(AnswerHead),
     /// The end of the exchange without an answer, and what the host's daemon reported with it.
     Failed(FailureOutcome, Option<LoadReport>),
-    /// The attempt is late, and the budget pays for another.
-    GivenUp,
+    /// The attempt is late, and the budget pays for another beside it.
+    Late,
+    /// An earlier attempt that was late answered well.
+    Overtaken(LateAttempt, AnswerHead),
     /// The caller went away.
     CallerGone,
 }
@@ -48,6 +51,7 @@
     stream: &mut HttpStream,
     body: &mut BodyReader,
     live: &LiveExchange,
+    earlier: &mut LateAttempts,
 ) -> FirstEvent {
     let answer = live.exchange.answer.clone();
     let mut event = std::pin::pin!(answer.next().fuse());
@@ -57,19 +61,47 @@
     let mut patient = std::pin::pin!(monoio::time::sleep(patience).fuse());
     let mut cut = std::pin::pin!(path_cut(state, live).fuse());
     let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
+    let mut overtaking = std::pin::pin!(earlier.answered().fuse());
     loop {
         select_biased! {
             event = event => return first_of(event),
+            (late, head) = overtaking => return FirstEvent::Overtaken(late, head),
             outcome = sending => match outcome {
                 SendEnd::Done => {}
                 SendEnd::CallerGone => return FirstEvent::CallerGone,
             },
             () = late => return timed_out(),
             () = cut => if request.service.take_repeat(state) {
-                return FirstEvent::GivenUp;
+                return FirstEvent::Late;
             },
             () = patient => if request.service.take_repeat(state) {
-                return FirstEvent::GivenUp;
+                return FirstEvent::Late;
+            },
+        }
+    }
+}
+
+/// Waits for the answer of attempts that were late, when no other is made any longer; gives the end
+/// that `failure` is if none of them answers well.
+pub async fn last_event(
+    left: Duration,
+    stream: &mut HttpStream,
+    earlier: &mut LateAttempts,
+    failure: FailureOutcome,
+) -> FirstEvent {
+    let mut answered = std::pin::pin!(earlier.last_answered().fuse());
+    let mut late = std::pin::pin!(monoio::time::sleep(left + DEADLINE_GRACE).fuse());
+    let mut watching = std::pin::pin!(watch_caller(stream).fuse());
+    loop {
+        select_biased! {
+            answered = answered => return match answered {
+                Some((late, head)) => FirstEvent::Overtaken(late, head),
+                None => FirstEvent::Failed(failure, None),
+            },
+            () = late => return timed_out(),
+            outcome = watching => match outcome {
+                SendEnd::Done => {}
+                SendEnd::CallerGone => return FirstEvent::CallerGone,
             },
         }
     }
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -81,7 +81,8 @@
         attempt: u64,
         /// Upstream that was asked.
         upstream: &'a str,
-        /// How it ended: answered, given-up, or the reason of a failure.
+        /// How it ended: answered, late (it runs on beside another), or the reason of a
+        /// failure.
         outcome: &'a str,
         /// Status of the answer, if there was one.
         status: Option<u64>,
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -150,7 +150,8 @@
         poll_fn(|context| self.poll_next(context)).await
     }
 
-    fn poll_next(&self, context: &mut Context<'_>) -> Poll<StreamEvent> {
+    /// Polls for the next event.
+    pub fn poll_next(&self, context: &mut Context<'_>) -> Poll<StreamEvent> {
         let mut state = self.state.borrow_mut();
         let event = match state.events.pop_front() {
             Some(event) => event,
