--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -132,6 +132,10 @@
             self.used.set(self.used.get() + 1);
             return Ok(SlotGuard::new(self));
         }
+        if request.passable {
+            // Another may have a free slot, and who waits here is not seen by those that become free.
+            return Err(NotRunReason::QueueFull);
+        }
         self.check_time(&request, self.clock.now())?;
         let waiter = self.enqueue(&request)?;
         let guard = WaitGuard { queue: self, waiter: &waiter };
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -168,7 +168,7 @@
     }
 
     async fn take_slot(&self, body: &EventPipe) -> Result<SlotGuard, NotRunReason> {
-        let usual = self.usual_time();
+        let usual = self.usual_time().map(|usual| usual.at(0.0));
         let request = SlotRequest {
             class: wire::class_of(self.head.work_class),
             refusable: self.head.refusable,
@@ -186,10 +186,11 @@
         }
     }
 
-    fn usual_time(&self) -> Option<Duration> {
-        let report = self.upstream.health.borrow().report(&self.head.route, self.state.now());
-        let known = report.samples > 0;
-        known.then(|| Duration::from_micros(report.median_ln.exp().min(60e6) as u64))
+    /// Returns the distribution of the time that this work usually takes, if it is known or assumed.
+    fn usual_time(&self) -> Option<UsualTime> {
+        let objective = self.objective.map(|at| at.saturating_sub(self.state.now()));
+        let objective = objective.filter(|left| !left.is_zero());
+        self.upstream.health.borrow().usual_time(&self.head.route, objective)
     }
 
     /// Writes the ledger's row of once-only work with a key.
@@ -382,10 +383,8 @@
         let now = work.state.now();
         let request = trail::request_id(work.state, work.head);
         let calls = work.state.host.calls.begin(&request);
+        let usual = work.usual_time();
         let mut health = work.upstream.health.borrow_mut();
-        let objective = work.objective.map(|at| at.saturating_sub(now));
-        let objective = objective.filter(|left| !left.is_zero());
-        let usual = health.usual_time(&work.head.route, objective);
         let number = usual.map_or(0, |usual| health.start_work(usual, now));
         Self { work, request, calls, usual, number, answered: Cell::new(false) }
     }
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -41,8 +41,15 @@
 const PASSES_MAX: usize = 4;
 /// Bytes of a body from which it is worth a way there and back to send it only when it is wanted.
 const WITHHELD_BYTES_MIN: usize = 256;
-/// Deviations above the usual time after which another attempt at repeatable work is made.
-const PATIENCE_DEVIATIONS: f64 = 2.0;
+/// Deviations above the usual time after which another attempt at repeatable work is made at the
+/// earliest: a sixth of sound work lasts longer.
+const PATIENCE_MIN: f64 = 1.0;
+/// Deviations above the usual time after which it is made at the latest: sound work lasts longer once
+/// in 44 times.
+const PATIENCE_MAX: f64 = 2.0;
+/// Deviations above the usual time that should be left for it within the objective: two of three
+/// attempts end in that.
+const PATIENCE_LEFT: f64 = 0.5;
 /// `AttemptEnd` is how the attempts at a request ended.
 pub enum AttemptEnd {
     /// The head of an answer came, and the exchange it came from.
@@ -511,7 +518,9 @@
         let usual = baseline.usual_time().or(assumed)?;
         // What the upstream has queued before this request is not the upstream's fault.
         let queued = self.request.service.queued_rounds(index, self.state.now());
-        Some(usual.at(PATIENCE_DEVIATIONS) + usual.at(0.0).mul_f64(queued))
+        let in_time = objective.saturating_sub(usual.at(PATIENCE_LEFT));
+        let patience = in_time.clamp(usual.at(PATIENCE_MIN), usual.at(PATIENCE_MAX));
+        Some(patience + usual.at(0.0).mul_f64(queued))
     }
 
     fn note_report(&self, index: usize, report: &LoadReport, failed: Option<bool>) {
