--- a/crates/daemon/src/host/calls.rs
+++ b/crates/daemon/src/host/calls.rs
@@ -18,6 +18,8 @@
 /// `WorkCalls` is what is known of the calls of one piece of work.
 #[derive(Debug, Default)]
 pub struct WorkCalls {
+    /// Whether the work repeats other work, so that its calls do as well.
+    pub repeated: bool,
     made: Cell<bool>,
     lost: Cell<bool>,
 }
@@ -47,8 +49,8 @@
 
 impl CallTable {
     /// Takes in that work for a request runs.
-    pub fn begin(&self, request: &str) -> Rc<WorkCalls> {
-        let calls = Rc::new(WorkCalls::default());
+    pub fn begin(&self, request: &str, repeated: bool) -> Rc<WorkCalls> {
+        let calls = Rc::new(WorkCalls { repeated, ..WorkCalls::default() });
         self.works.borrow_mut().insert(request.to_owned(), calls.clone());
         calls
     }
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -382,7 +382,7 @@
     fn start(work: &'a HostWork<'a>) -> Self {
         let now = work.state.now();
         let request = trail::request_id(work.state, work.head);
-        let calls = work.state.host.calls.begin(&request);
+        let calls = work.state.host.calls.begin(&request, work.head.repeated);
         let usual = work.usual_time();
         let mut health = work.upstream.health.borrow_mut();
         let number = usual.map_or(0, |usual| health.start_work(usual, now));
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -496,6 +496,7 @@
             passable: self.is_passable(),
             objective_ms: self.objective_left().as_millis().min(i32::MAX as u128) as i32,
             logged: Some(self.request.trail.is_logged),
+            repeated: self.arrivals > 0,
         }
     }
 
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -130,6 +130,9 @@
     let began = state.now();
     request.service.note_request(began);
     let caller = state.host.calls.caller_of(&request.trail.id);
+    if caller.as_ref().is_some_and(|caller| caller.repeated) {
+        request.service.note_repeated(began);
+    }
     let note_lost = || {
         if let Some(caller) = &caller {
             caller.note_lost();
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -28,9 +28,9 @@
 /// Time for which an upstream's own word that it is leaving counts without being renewed.
 const DRAIN_WORD_LIFE: Duration = Duration::from_secs(30);
 
-/// Part of the budget that is spent: calls that a repeated run makes of its own count as repeats of
-/// other services, and no daemon sees that they belong to one.
-const BUDGET_USED: f64 = 0.55;
+/// Part of the budget that is spent: what is taken now reaches a server a little later, in another
+/// window.
+const BUDGET_USED: f64 = 0.85;
 /// Split routes whose turn is remembered; beyond it all begin anew, so that routes that are gone do
 /// not add up.
 const SPLITS_MAX: usize = 4096;
@@ -276,6 +276,11 @@
         self.budget.borrow_mut().note_request(now);
     }
 
+    /// Notes that a request came which repeats another, as the work that makes it does.
+    pub fn note_repeated(&self, now: Duration) {
+        self.budget.borrow_mut().note_repeat(now);
+    }
+
     /// Says whether the budget has a repeat left.
     pub fn has_repeat(&self, state: &DaemonState) -> bool {
         let terms = budget_terms(state, &self.entry);
--- a/crates/decide/src/budget.rs
+++ b/crates/decide/src/budget.rs
@@ -52,6 +52,11 @@
         self.slot_mut(now).requests += 1;
     }
 
+    /// Takes in a repeat that nobody was asked about: a call of work that repeats other work.
+    pub fn note_repeat(&mut self, now: Duration) {
+        self.slot_mut(now).repeats += 1;
+    }
+
     /// Says whether there is a repeat to take.
     pub fn has_room(&mut self, now: Duration) -> bool {
         self.left(now) >= 1.0
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -66,6 +66,8 @@
   21: required i32 objective_ms
   /** The ingress logs this request from its start, so that the host's daemon does as well. */
   22: optional bool logged
+  /** The request reached a server before, so that the calls of this work repeat others. */
+  23: required bool repeated
 }
 
 /** The first frame of an answer. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -401,10 +401,12 @@
   pub objective_ms: i32,
   /// The ingress logs this request from its start, so that the host's daemon does as well.
   pub logged: Option<bool>,
+  /// The request reached a server before, so that the calls of this work repeat others.
+  pub repeated: bool,
 }
 
 impl DispatchHead {
-  pub fn new<F15, F16, F17, F22>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32, logged: F22) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>>, F22: Into<Option<bool>> {
+  pub fn new<F15, F16, F17, F22>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32, logged: F22, repeated: bool) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>>, F22: Into<Option<bool>> {
     DispatchHead {
       service_name,
       upstream,
@@ -428,6 +430,7 @@
       passable,
       objective_ms,
       logged: logged.into(),
+      repeated,
     }
   }
 }
@@ -457,6 +460,7 @@
     let mut f_20: Option<bool> = None;
     let mut f_21: Option<i32> = None;
     let mut f_22: Option<bool> = None;
+    let mut f_23: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -552,6 +556,10 @@
           let val = i_prot.read_bool()?;
           f_22 = Some(val);
         },
+        23 => {
+          let val = i_prot.read_bool()?;
+          f_23 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -577,6 +585,7 @@
     verify_required_field_exists("DispatchHead.after_failure", &f_19)?;
     verify_required_field_exists("DispatchHead.passable", &f_20)?;
     verify_required_field_exists("DispatchHead.objective_ms", &f_21)?;
+    verify_required_field_exists("DispatchHead.repeated", &f_23)?;
     let ret = DispatchHead {
       service_name: f_1.expect("auto-generated code should have checked for presence of required fields"),
       upstream: f_2.expect("auto-generated code should have checked for presence of required fields"),
@@ -600,6 +609,7 @@
       passable: f_20.expect("auto-generated code should have checked for presence of required fields"),
       objective_ms: f_21.expect("auto-generated code should have checked for presence of required fields"),
       logged: f_22,
+      repeated: f_23.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -680,6 +690,9 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    o_prot.write_field_begin(&TFieldIdentifier::new("repeated", TType::Bool, 23))?;
+    o_prot.write_bool(self.repeated)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
