--- a/crates/bench/src/decisions/ingresses.rs
+++ b/crates/bench/src/decisions/ingresses.rs
@@ -8,6 +8,7 @@
 use crate::decisions::rules;
 use crate::decisions::scenario;
 use crate::decisions::world::{World, SICK};
+use basaltarch_decide::balance::ChoiceRequest;
 
 /// Factor on the usual median from which an answer is slow to a caller.
 const SLOW_ANSWER: u32 = 8;
@@ -30,13 +31,13 @@
         let request = &self.requests[number];
         let ingress = &mut self.ingresses[request.ingress];
         let must_take = request.dispatches + 1 >= DISPATCHES_MAX;
-        let choice = ingress.view.choose(
-            self.now,
-            &request.excluded,
-            request.repeatable,
+        let asked = ChoiceRequest {
+            excluded: &request.excluded,
+            repeatable: request.repeatable,
             must_take,
-            &mut self.rng,
-        );
+            ..ChoiceRequest::default()
+        };
+        let choice = ingress.view.choose(self.now, &asked, &mut self.rng);
         let choice = match choice {
             Some(choice) if request.dispatches < DISPATCHES_MAX => choice,
             _ => return self.finish_request(number, false),
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -12,7 +12,7 @@
 
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
 use basaltarch_core::resources::WorkMode;
-use basaltarch_decide::balance::UpstreamChoice;
+use basaltarch_decide::balance::{ChoiceGround, ChoiceRequest, UpstreamChoice};
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::hang::UsualTime;
 use basaltarch_http::body::BodyReader;
@@ -80,6 +80,8 @@
     state: &'a Rc<DaemonState>,
     request: &'a CallerRequest,
     excluded: Vec<usize>,
+    /// Upstreams that passed it on as they were full.
+    full: Vec<usize>,
     dispatches: usize,
     /// Backend servers that the request reached, or may have.
     arrivals: usize,
@@ -101,6 +103,7 @@
         state,
         request,
         excluded: Vec::new(),
+        full: Vec::new(),
         dispatches: 0,
         arrivals: 0,
         passes: 0,
@@ -308,8 +311,14 @@
         let must_take = self.dispatches + 1 >= DISPATCHES_MAX;
         let now = self.state.now();
         let service = &self.request.service;
+        let request = ChoiceRequest {
+            excluded: &self.excluded,
+            full: &self.full,
+            repeatable: self.finds_out(),
+            must_take,
+        };
         service
-            .choose(now, &self.excluded, self.finds_out(), must_take)
+            .choose(now, &request)
             .filter(|_| self.dispatches < DISPATCHES_MAX)
             .ok_or_else(|| CallerFailure::new(self.last))
     }
@@ -331,8 +340,8 @@
 
     /// Says whether another upstream can be asked if this one is doubted.
     fn is_passable(&self) -> bool {
-        let excluded = &self.excluded;
-        let others = self.request.service.with_view(|view| view.count_others(excluded));
+        let asked = [&self.excluded[..], &self.full].concat();
+        let others = self.request.service.with_view(|view| view.count_others(&asked));
         self.passes < PASSES_MAX && others > 1
     }
 
@@ -346,7 +355,11 @@
         }
         self.dispatches -= 1;
         self.passes += 1;
-        self.excluded.push(index);
+        if outcome == FailureOutcome::NotRun(NotRunReason::QueueFull) {
+            self.full.push(index);
+        } else {
+            self.excluded.push(index);
+        }
         true
     }
 
@@ -493,7 +506,7 @@
             organisation: request.organisation.clone(),
             revision: self.state.config.revision().0 as i64,
             after_failure: self.spares_failure(),
-            passable: self.is_passable(),
+            passable: choice.ground != ChoiceGround::Waiting && self.is_passable(),
             objective_ms: self.objective_left().as_millis().min(i32::MAX as u128) as i32,
             logged: Some(self.request.trail.is_logged),
             repeated: self.arrivals > 0,
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -11,7 +11,7 @@
 use basaltarch_core::resources::ServerState;
 use basaltarch_core::routes::RouteEntry;
 use basaltarch_core::services::{PackedService, ServiceEntry};
-use basaltarch_decide::balance::{LoadView, ServiceView, UpstreamChoice};
+use basaltarch_decide::balance::{ChoiceRequest, LoadView, ServiceView, UpstreamChoice};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
 use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
 use basaltarch_decide::evidence::ServiceBaseline;
@@ -185,16 +185,10 @@
     }
 
     /// Chooses an upstream for a request.
-    pub fn choose(
-        &self,
-        now: Duration,
-        excluded: &[usize],
-        repeatable: bool,
-        must_take: bool,
-    ) -> Option<UpstreamChoice> {
+    pub fn choose(&self, now: Duration, request: &ChoiceRequest<'_>) -> Option<UpstreamChoice> {
         self.refresh(now);
         let mut view = self.view.borrow_mut();
-        let choice = view.choose(now, excluded, repeatable, must_take, &mut rand::rng());
+        let choice = view.choose(now, request, &mut rand::rng());
         let violations = view.violations();
         metrics::FLOOR_VIOLATIONS.add(violations - self.violations.replace(violations));
         choice
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -98,8 +98,7 @@
             options.store_reads,
             options.store_writes,
         ));
-        let identity =
-            PeerIdentity {
+        let identity = PeerIdentity {
             host: options.host.clone(),
             incarnation: units::wall_millis() as i64,
             failure_domain: options.failure_domain.clone(),
--- a/crates/decide/benches/cost.rs
+++ b/crates/decide/benches/cost.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use basaltarch_core::resources::PreferChoice;
-use basaltarch_decide::balance::{LoadView, ServiceView};
+use basaltarch_decide::balance::{ChoiceRequest, LoadView, ServiceView};
 use basaltarch_decide::baseline::RouteBaseline;
 use basaltarch_decide::evidence::{ServiceBaseline, WorkEvidence};
 use basaltarch_decide::health::{DispatchTerms, HealthReport, UpstreamHealth};
@@ -62,7 +62,9 @@
     let mut rng = ChaCha8Rng::seed_from_u64(6);
     let mut view = view(upstreams, 0.0);
     let now = Duration::from_secs(1);
-    bencher.bench_local(|| view.choose(now, &[], true, false, &mut rng));
+    bencher.bench_local(|| {
+        view.choose(now, &ChoiceRequest { repeatable: true, ..ChoiceRequest::default() }, &mut rng)
+    });
 }
 
 #[divan::bench(args = UPSTREAMS)]
@@ -70,7 +72,9 @@
     let mut rng = ChaCha8Rng::seed_from_u64(6);
     let mut view = view(upstreams, 2.0);
     let now = Duration::from_secs(1);
-    bencher.bench_local(|| view.choose(now, &[], true, false, &mut rng));
+    bencher.bench_local(|| {
+        view.choose(now, &ChoiceRequest { repeatable: true, ..ChoiceRequest::default() }, &mut rng)
+    });
 }
 
 #[divan::bench(args = SERVICES)]
@@ -83,7 +87,11 @@
         // A stride that shares no factor with the numbers of services reaches all of them.
         turn = (turn + 7919) % services;
         now += GAP;
-        views[turn].choose(now, &[], true, false, &mut rng)
+        views[turn].choose(
+            now,
+            &ChoiceRequest { repeatable: true, ..ChoiceRequest::default() },
+            &mut rng,
+        )
     });
 }
 
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -165,6 +165,29 @@
     }
 }
 
+/// `ChoiceRequest` asks for the upstream of one request.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ChoiceRequest<'a> {
+    /// Upstreams that must not be chosen: the request was there, or they doubt themselves.
+    pub excluded: &'a [usize],
+    /// Upstreams that just said that they are full: chosen only to wait there.
+    pub full: &'a [usize],
+    /// Whether the work may go to an avoided upstream whose trial is due.
+    pub repeatable: bool,
+    /// Whether the work goes out not refusable.
+    pub must_take: bool,
+}
+
+impl ChoiceRequest<'_> {
+    fn is_first(&self) -> bool {
+        !self.must_take && self.excluded.is_empty() && self.full.is_empty()
+    }
+
+    fn may_ask(&self, index: usize) -> bool {
+        !self.excluded.contains(&index) && !self.full.contains(&index)
+    }
+}
+
 /// `ChoiceTerms` is what one choice goes by.
 #[derive(Debug, Clone, Copy)]
 struct ChoiceTerms {
@@ -186,6 +209,8 @@
     Near,
     /// It is not suspect and has room.
     Sound,
+    /// It is not suspect, and as all such are full, the work waits there.
+    Waiting,
     /// It is in service; none is better.
     Any,
     /// None is in service; the way to this one was cut and is linked again.
@@ -200,6 +225,7 @@
             Self::Explore => "explore",
             Self::Near => "near",
             Self::Sound => "sound",
+            Self::Waiting => "waiting",
             Self::Any => "any",
             Self::Proving => "proving",
         }
@@ -400,38 +426,34 @@
         self.planned_at = now;
     }
 
-    /// Chooses an upstream that is not in `excluded`.
-    ///
-    /// `repeatable` work may go to an avoided upstream whose trial is due. `must_take` work goes
-    /// out not refusable.
+    /// Chooses an upstream.
     pub fn choose(
         &mut self,
         now: Duration,
-        excluded: &[usize],
-        repeatable: bool,
-        must_take: bool,
+        request: &ChoiceRequest<'_>,
         rng: &mut impl Rng,
     ) -> Option<UpstreamChoice> {
+        let ChoiceRequest { repeatable, must_take, .. } = *request;
         self.refresh(now);
-        if !must_take && excluded.is_empty() {
+        if request.is_first() {
             if let Some(index) = self.due_trial(now, repeatable) {
                 let choice = self.alone(index, ChoiceGround::Trial, now);
                 return Some(UpstreamChoice { refusable: true, ..choice });
             }
         }
-        if repeatable && !must_take && excluded.is_empty() {
+        if repeatable && request.is_first() {
             if let Some(index) = self.due_doubt(now) {
                 return Some(self.alone(index, ChoiceGround::Trial, now));
             }
         }
         let terms = ChoiceTerms { now, suspect_from: self.suspect_from(now), repeatable };
-        if !must_take && excluded.is_empty() {
+        if request.is_first() {
             if let Some(index) = self.explore(&terms, rng) {
                 return Some(self.alone(index, ChoiceGround::Explore, now));
             }
         }
         let mut fits = std::mem::take(&mut self.fits);
-        let best = self.best(&terms, rng, &mut fits, excluded);
+        let best = self.best(&terms, rng, &mut fits, request);
         self.fits = fits;
         let (ground, drawn) = best?;
         let choice = self.alone(drawn.index, ground, now);
@@ -459,34 +481,47 @@
     }
 
     /// Chooses the best upstream: one that is near, not a suspect and not loaded, if there is one; then
-    /// one that is not a suspect and has room; then any, by its cost; and where there is none, one whose
-    /// way was cut and is linked again.
+    /// one that is not a suspect and has room; then one that is no suspect, to wait there, as work
+    /// behind that of a sound upstream is done sooner than work that hangs; then any, by its cost; and
+    /// where there is none, one whose way was cut and is linked again.
     fn best(
         &self,
         terms: &ChoiceTerms,
         rng: &mut impl Rng,
         fits: &mut Vec<usize>,
-        excluded: &[usize],
+        request: &ChoiceRequest<'_>,
     ) -> Option<(ChoiceGround, DrawnUpstream)> {
-        let load = |drawn: &DrawnUpstream| self.upstreams[drawn.index].load_share(terms.now);
-        let may = |index: usize| self.in_service(index) && !excluded.contains(&index);
+        let load = |view: &LoadView| view.load_share(terms.now);
+        let may = |index: usize| self.in_service(index) && request.may_ask(index);
         let sound = |index: usize, view: &LoadView| may(index) && !view.is_suspect(terms);
-        let near = self.draw(terms, rng, fits, |index, view| view.is_local && sound(index, view));
-        if let Some(drawn) = near.filter(|drawn| load(drawn) < LOCAL_LOAD_MAX) {
+        let near = |index: usize, view: &LoadView| {
+            view.is_local && sound(index, view) && load(view) < LOCAL_LOAD_MAX
+        };
+        if let Some(drawn) = self.draw(terms, rng, fits, near) {
             return Some((ChoiceGround::Near, drawn));
         }
-        let drawn = self.draw(terms, rng, fits, sound);
-        if let Some(drawn) = drawn.filter(|drawn| load(drawn) < 1.0) {
+        let free = |index: usize, view: &LoadView| sound(index, view) && load(view) < 1.0;
+        if let Some(drawn) = self.draw(terms, rng, fits, free) {
             return Some((ChoiceGround::Sound, drawn));
         }
-        if let Some(drawn) = self.draw(terms, rng, fits, |index, _| may(index)) {
+        let waiting = |index: usize, view: &LoadView| {
+            let in_service = self.in_service(index) && !request.excluded.contains(&index);
+            in_service && !view.is_suspect(terms)
+        };
+        if let Some(drawn) = self.draw(terms, rng, fits, waiting) {
+            return Some((ChoiceGround::Waiting, drawn));
+        }
+        let any = |index: usize, _: &LoadView| {
+            self.in_service(index) && !request.excluded.contains(&index)
+        };
+        if let Some(drawn) = self.draw(terms, rng, fits, any) {
             return Some((ChoiceGround::Any, drawn));
         }
         let proving = |index: usize, view: &LoadView| {
             view.proving
                 && !view.draining
                 && !self.plan.avoided[index]
-                && !excluded.contains(&index)
+                && !request.excluded.contains(&index)
         };
         let drawn = self.draw(terms, rng, fits, proving)?;
         Some((ChoiceGround::Proving, drawn))
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -393,7 +393,8 @@
             return None;
         }
         let seen = UsualTime { median_ln: track.baseline.median_ln, spread: track.baseline.spread };
-        let assumed = UsualTime::of_objective(objective).corrected(&seen, siblings * SIBLING_ANSWERS);
+        let assumed =
+            UsualTime::of_objective(objective).corrected(&seen, siblings * SIBLING_ANSWERS);
         Some(assumed.corrected(&own, samples))
     }
 
@@ -403,12 +404,7 @@
     }
 
     /// Takes in that work ended or made a call, or that it was given up.
-    pub fn end_work(
-        &mut self,
-        number: u64,
-        answered: bool,
-        now: Duration,
-    ) -> Option<HealthChange> {
+    pub fn end_work(&mut self, number: u64, answered: bool, now: Duration) -> Option<HealthChange> {
         let before = self.hang.evidence(now);
         self.hang.end(number, answered, now);
         if !self.caution.is_doubtful() {
--- a/crates/decide/tests/caution.rs
+++ b/crates/decide/tests/caution.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use basaltarch_core::resources::PreferChoice;
-use basaltarch_decide::balance::{LoadView, ServiceView};
+use basaltarch_decide::balance::{ChoiceRequest, LoadView, ServiceView};
 use basaltarch_decide::caution::{FailureCaution, FailureSort};
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::health::{AdmitVerdict, DispatchTerms, HealthReport, UpstreamHealth};
@@ -130,7 +130,14 @@
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     let mut view = ServiceView::new(0.7, Vec::new());
     for number in 0..30 {
-        assert_eq!(view.choose(millis(number), &[], true, false, &mut rng), None);
+        assert_eq!(
+            view.choose(
+                millis(number),
+                &ChoiceRequest { repeatable: true, ..ChoiceRequest::default() },
+                &mut rng
+            ),
+            None
+        );
     }
 }
 
@@ -140,14 +147,18 @@
     let mut view = view();
     view.note_report(1, 0, report(false), millis(0));
     for number in 0..100 {
-        let choice = view.choose(millis(10 + number), &[], false, false, &mut rng).expect("some");
+        let choice = view
+            .choose(millis(10 + number), &ChoiceRequest { ..ChoiceRequest::default() }, &mut rng)
+            .expect("some");
         assert_ne!(choice.index, 1);
     }
     for index in [0, 2, 3, 4, 5] {
         // A suspect must be ten times less loaded to be worth its risk.
         (0..30).for_each(|_| view.note_sent(index));
     }
-    let chosen = (0..50).filter_map(|_| view.choose(millis(200), &[], false, false, &mut rng));
+    let chosen = (0..50).filter_map(|_| {
+        view.choose(millis(200), &ChoiceRequest { ..ChoiceRequest::default() }, &mut rng)
+    });
     assert!(
         chosen.into_iter().any(|choice| choice.index == 1),
         "it has room where others are overrun"
--- a/crates/decide/tests/floor.rs
+++ b/crates/decide/tests/floor.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use basaltarch_decide::balance::{LoadView, ServiceView};
+use basaltarch_decide::balance::{ChoiceRequest, LoadView, ServiceView};
 use basaltarch_decide::floor::{self, CapacityEntry};
 use basaltarch_decide::health::HealthReport;
 use proptest::prelude::*;
@@ -153,7 +153,7 @@
                 ViewChange::Wait(millis) => now += Duration::from_millis(millis),
                 ViewChange::Configure(floor, slots) => view = configured(&view, floor, &slots),
                 ViewChange::Choose { excluded, repeatable, must_take } => {
-                    let choice = view.choose(now, &excluded, repeatable, must_take, &mut rng);
+                    let choice = view.choose(now, &ChoiceRequest { excluded: &excluded, repeatable, must_take, ..ChoiceRequest::default() }, &mut rng);
                     prop_assert!(view.plan().holds());
                     if let Some(choice) = choice {
                         check_choice(&view, choice, &excluded, must_take)?;
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use basaltarch_decide::balance::{ChoiceGround, LoadView, ServiceView};
+use basaltarch_decide::balance::{ChoiceGround, ChoiceRequest, LoadView, ServiceView};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
 use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
 use basaltarch_decide::evidence::ServiceBaseline;
@@ -42,7 +42,13 @@
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     let mut shares = vec![0; view.upstreams().len()];
     for _ in 0..count {
-        let choice = view.choose(millis(10), &[], true, false, &mut rng).expect("an upstream");
+        let choice = view
+            .choose(
+                millis(10),
+                &ChoiceRequest { repeatable: true, ..ChoiceRequest::default() },
+                &mut rng,
+            )
+            .expect("an upstream");
         shares[choice.index] += 1;
     }
     shares
@@ -68,7 +74,9 @@
     let mut shares = vec![0; view.upstreams().len()];
     for step in 0..400 {
         let now = millis(10_000 + step * 100);
-        let choice = view.choose(now, &[], true, false, &mut rng).expect("an upstream");
+        let choice = view
+            .choose(now, &ChoiceRequest { repeatable: true, ..ChoiceRequest::default() }, &mut rng)
+            .expect("an upstream");
         shares[choice.index] += 1;
         view.note_sent(choice.index);
         if answers(choice.index) {
@@ -118,7 +126,11 @@
     view.note_reachable(1, false, true);
     view.note_reachable(2, false, false);
     let mut choose = |excluded: &[usize]| {
-        let choice = view.choose(millis(10), excluded, true, false, &mut rng);
+        let choice = view.choose(
+            millis(10),
+            &ChoiceRequest { excluded, repeatable: true, ..ChoiceRequest::default() },
+            &mut rng,
+        );
         choice.map(|choice| (choice.index, choice.ground))
     };
     assert!((0..50).all(|_| choose(&[]) == Some((0, ChoiceGround::Near))));
@@ -136,7 +148,9 @@
         view.note_report(index, 0, health, millis(5));
     }
     let mut choose = |at: u64, repeatable: bool| {
-        view.choose(millis(at), &[], repeatable, false, &mut rng).expect("an upstream").index
+        view.choose(millis(at), &ChoiceRequest { repeatable, ..ChoiceRequest::default() }, &mut rng)
+            .expect("an upstream")
+            .index
     };
     assert!((0..100).all(|_| choose(100, true) != 17), "it is not due yet");
     assert_eq!(choose(210, true), 17, "the next repeatable work finds out");
@@ -189,7 +203,13 @@
     let mut rng = ChaCha8Rng::seed_from_u64(5);
     let later = millis(10_000);
     let asked = (0..100).filter(|_| {
-        let choice = view.choose(later, &[], true, false, &mut rng).expect("an upstream");
+        let choice = view
+            .choose(
+                later,
+                &ChoiceRequest { repeatable: true, ..ChoiceRequest::default() },
+                &mut rng,
+            )
+            .expect("an upstream");
         choice.index == 0
     });
     assert!(asked.count() > 10, "an old suspicion is worth nothing");
--- a/crates/peer/src/coding.rs
+++ b/crates/peer/src/coding.rs
@@ -42,8 +42,7 @@
         loop {
             coded.reserve(ROOM_BYTES.max((batch.len() - taken) / 2));
             let before = self.stream.total_in();
-            let result =
-                self.stream.compress_vec(&batch[taken..], coded, FlushCompress::Sync);
+            let result = self.stream.compress_vec(&batch[taken..], coded, FlushCompress::Sync);
             result.map_err(errors::malformed)?;
             taken += (self.stream.total_in() - before) as usize;
             // Room that is left over says that the flush is complete.
@@ -81,8 +80,7 @@
         self.room.clear();
         self.room.reserve(DECODED_BYTES_MAX.min(ROOM_BYTES + 8 * self.coded.len()));
         let before = self.stream.total_in();
-        let result =
-            self.stream.decompress_vec(&self.coded, &mut self.room, FlushDecompress::None);
+        let result = self.stream.decompress_vec(&self.coded, &mut self.room, FlushDecompress::None);
         let status = result.map_err(errors::malformed)?;
         if status == Status::StreamEnd {
             return Err(LinkError::Closed);
