--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -199,6 +199,11 @@
         self.health.borrow_mut().note_heard(now);
     }
 
+    /// Takes in that an attempt over the path was late.
+    pub fn note_late(&self) {
+        self.health.borrow_mut().note_late();
+    }
+
     /// Takes in that the daemon answered a question for a sign of life.
     pub fn note_answer(&self, now: Duration) {
         self.health.borrow_mut().note_answer(now);
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -244,6 +244,7 @@
 
     /// Takes in that an attempt at an upstream was given up as late.
     pub fn note_given_up(&self, index: usize, now: Duration) {
+        self.paths[index].note_late();
         self.view.borrow_mut().note_given_up(index, now);
     }
 
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -14,6 +14,9 @@
 const REPORT_LIFE: Duration = Duration::from_secs(1);
 /// Load, in shares of the slots, from which upstreams in other failure domains are asked too.
 const LOCAL_LOAD_MAX: f64 = 0.95;
+/// Load, in shares of the slots, up to which work waits at a sound upstream rather than go to one that
+/// is doubted, where it may hang: two rounds of work wait there.
+const WAIT_LOAD_MAX: f64 = 3.0;
 /// What a hop to another failure domain weighs, as a share of a service time; 3 ms there and back.
 const REMOTE_WEIGHT: f64 = 1.1;
 /// Load that is assumed of an upstream that has not reported lately, in shares of its slots.
@@ -506,7 +509,7 @@
         }
         let waiting = |index: usize, view: &LoadView| {
             let in_service = self.in_service(index) && !request.excluded.contains(&index);
-            in_service && !view.is_suspect(terms)
+            in_service && !view.is_suspect(terms) && load(view) < WAIT_LOAD_MAX
         };
         if let Some(drawn) = self.draw(terms, rng, fits, waiting) {
             return Some((ChoiceGround::Waiting, drawn));
--- a/crates/decide/src/path.rs
+++ b/crates/decide/src/path.rs
@@ -42,6 +42,8 @@
     answers_needed: u32,
     up_since: Duration,
     was_cut: bool,
+    /// Whether an attempt over the path was late and nothing was heard since.
+    was_late: bool,
     /// Longest round trip of the last few, if one was measured.
     round_trip: Option<Duration>,
 }
@@ -56,6 +58,7 @@
             answers_needed: 0,
             up_since: now,
             was_cut: false,
+            was_late: false,
             round_trip: None,
         }
     }
@@ -63,7 +66,7 @@
     /// Says whether the peer should be asked for a sign of life, and notes that it is.
     pub fn ask(&mut self, now: Duration, in_use: bool) -> bool {
         let silent = now.saturating_sub(self.heard_at) >= ASK_AFTER;
-        let wanted = self.was_cut || (in_use && silent);
+        let wanted = self.was_cut || ((in_use || self.was_late) && silent);
         if wanted && self.asked_at.is_none() {
             self.asked_at = Some(now);
             return true;
@@ -72,9 +75,16 @@
         wanted && self.is_cut(now)
     }
 
+    /// Takes in that an attempt over the path was late. Such an attempt may be over long before a
+    /// question would be asked, as the one beside it was answered.
+    pub fn note_late(&mut self) {
+        self.was_late = true;
+    }
+
     /// Takes in that a frame came from the peer.
     pub fn note_heard(&mut self, now: Duration) {
         self.refresh(now);
+        self.was_late = false;
         self.heard_at = now;
         self.asked_at = None;
     }
