--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -308,6 +308,7 @@
             full: &self.full,
             repeatable: self.finds_out(),
             must_take,
+            is_last: self.passes >= PASSES_MAX,
         };
         service
             .choose(now, &request)
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -179,6 +179,9 @@
     pub repeatable: bool,
     /// Whether the work goes out not refusable.
     pub must_take: bool,
+    /// Whether the upstream can't pass the work on any more: one that just said that it is full, and is
+    /// not doubted, is better than one of which nothing is known.
+    pub is_last: bool,
 }
 
 impl ChoiceRequest<'_> {
@@ -497,6 +500,13 @@
         let load = |view: &LoadView| view.load_share(terms.now);
         let may = |index: usize| self.in_service(index) && request.may_ask(index);
         let sound = |index: usize, view: &LoadView| may(index) && !view.is_suspect(terms);
+        let known = |index: usize, view: &LoadView| {
+            let is_known = request.is_last && request.full.contains(&index);
+            is_known && self.in_service(index) && !view.is_suspect(terms)
+        };
+        if let Some(drawn) = self.draw(terms, rng, fits, known) {
+            return Some((ChoiceGround::Waiting, drawn));
+        }
         let near = |index: usize, view: &LoadView| {
             view.is_local && sound(index, view) && load(view) < LOCAL_LOAD_MAX
         };
