--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -246,7 +246,7 @@
             spare = match &mut encoder {
                 Some(encoder) => {
                     let mut coded = Vec::new();
-                    encoder.encode(&batch, &mut coded)?;
+                    encoder.encode(&batch, &mut coded);
                     write(&mut io, coded, on_write).await?;
                     batch
                 }
