--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -129,6 +129,11 @@
                 return AttemptEnd::CallerGone;
             }
             FirstEvent::Overtaken(late, head) => return attempts.end_late(late, head),
+            FirstEvent::Stopping => {
+                let outcome = FailureOutcome::Unknown(UnknownReason::TimedOut);
+                attempts.tell(&asked, StepEnd::Failed(outcome), None, NextStep::End);
+                return AttemptEnd::Failed(CallerFailure::new(outcome));
+            }
             FirstEvent::Head(head) => {
                 attempts.arrivals += 1;
                 let end = StepEnd::Answered(head.status as u16);
@@ -253,7 +258,8 @@
         failure: CallerFailure,
     ) -> AttemptEnd {
         if !earlier.is_empty() {
-            match waiting::last_event(self.left(), stream, earlier, failure.outcome).await {
+            let (left, outcome) = (self.left(), failure.outcome);
+            match waiting::last_event(self.state, left, stream, earlier, outcome).await {
                 FirstEvent::Overtaken(late, head) => return self.end_late(late, head),
                 FirstEvent::CallerGone => return AttemptEnd::CallerGone,
                 _ => {}
@@ -297,6 +303,9 @@
     }
 
     fn choose(&mut self) -> Result<UpstreamChoice, CallerFailure> {
+        if self.state.giving_up.is_raised() {
+            return Err(CallerFailure::not_run(NotRunReason::Draining));
+        }
         if self.left().is_zero() && self.dispatches == 0 {
             return Err(CallerFailure::not_run(NotRunReason::DeadlinePassed));
         }
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -41,6 +41,8 @@
     Overtaken(LateAttempt, AnswerHead),
     /// The caller went away.
     CallerGone,
+    /// The daemon ends before an answer can be waited for.
+    Stopping,
 }
 
 /// Waits for the head of the answer or the end of the exchange, sending the body meanwhile.
@@ -62,6 +64,7 @@
     let mut cut = std::pin::pin!(path_cut(state, live).fuse());
     let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
     let mut overtaking = std::pin::pin!(earlier.answered().fuse());
+    let mut stopping = std::pin::pin!(state.giving_up.raised().fuse());
     loop {
         select_biased! {
             event = event => return first_of(event),
@@ -71,6 +74,7 @@
                 SendEnd::CallerGone => return FirstEvent::CallerGone,
             },
             () = late => return timed_out(),
+            () = stopping => return FirstEvent::Stopping,
             () = cut => if request.service.take_repeat(state) {
                 return FirstEvent::Late;
             },
@@ -84,6 +88,7 @@
 /// Waits for the answer of attempts that were late, when no other is made any longer; gives the end
 /// that `failure` is if none of them answers well.
 pub async fn last_event(
+    state: &DaemonState,
     left: Duration,
     stream: &mut HttpStream,
     earlier: &mut LateAttempts,
@@ -92,6 +97,7 @@
     let mut answered = std::pin::pin!(earlier.last_answered().fuse());
     let mut late = std::pin::pin!(monoio::time::sleep(left + DEADLINE_GRACE).fuse());
     let mut watching = std::pin::pin!(watch_caller(stream).fuse());
+    let mut stopping = std::pin::pin!(state.giving_up.raised().fuse());
     loop {
         select_biased! {
             answered = answered => return match answered {
@@ -99,6 +105,7 @@
                 None => FirstEvent::Failed(failure, None),
             },
             () = late => return timed_out(),
+            () = stopping => return FirstEvent::Stopping,
             outcome = watching => match outcome {
                 SendEnd::Done => {}
                 SendEnd::CallerGone => return FirstEvent::CallerGone,
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -140,7 +140,14 @@
         sequence: heartbeat.sequence,
     }
     .log();
-    // One that now listens on the address of another has taken its place.
+    // One that now listens on the address of another has taken its place, for good: a heartbeat of the
+    // other may have been held up on its way and come only now.
+    for other in servers.iter().filter(|server| server.name != record.name) {
+        if other.address == record.address {
+            state.registrations.note_gone(&other.name);
+            servers::ServerGone { upstream: &other.name }.log();
+        }
+    }
     servers.retain(|server| server.name != record.name && server.address != record.address);
     servers.push(record);
     servers.sort_by(|left, right| left.name.cmp(&right.name));
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -34,13 +34,16 @@
 
 /// Time between looks at what is still in flight while the daemon stops.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// Time before the end of the longest drain at which requests that still wait are answered as not known:
+/// an answer takes a few milliseconds to its caller, and a connection that just ends says less.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
 /// Exit status of a stop that cut requests.
 pub const EXIT_CUT: i32 = 3;
 
 /// `StopReport` says how a daemon ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopReport {
-    /// Requests that were cut.
+    /// Requests that were cut, or answered before it was known how they end.
     pub cut: usize,
 }
 
@@ -200,18 +203,25 @@
     tell_accepted(state);
     state.roster.touch();
     let begin = state.now();
+    let last_answers = state.live().drain.saturating_sub(LAST_ANSWERS);
+    let mut given_up = 0;
     loop {
         let elapsed = state.now().saturating_sub(begin);
         let busy = state.in_flight.get();
         let twice = state.stopping.get() > 1;
         let late = elapsed >= state.live().drain;
+        if elapsed >= last_answers && !state.giving_up.is_raised() {
+            given_up = busy;
+            state.giving_up.raise();
+        }
         if (busy == 0 && elapsed >= state.live().drain_min) || twice || late {
             state.ending.raise();
             // Idle connections are closed by their tasks before the process is gone.
             monoio::time::sleep(DRAIN_LOOK).await;
-            let report = StopReport { cut: busy };
+            let cut = busy.max(given_up);
+            let report = StopReport { cut };
             let elapsed_ms = elapsed.as_millis() as u64;
-            process::DaemonStopped { cut: busy as u64, elapsed_ms }.log();
+            process::DaemonStopped { cut: cut as u64, elapsed_ms }.log();
             return report;
         }
         monoio::time::sleep(DRAIN_LOOK).await;
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -75,6 +75,8 @@
     pub ledger: Rc<OnceLedger>,
     /// Raised when the daemon is asked to stop.
     pub stopping: RisingSignal,
+    /// Raised when a stop nears its end: requests that still wait get their final answer.
+    pub giving_up: RisingSignal,
     /// Raised when nothing is in flight any more and the daemon ends.
     pub ending: RisingSignal,
     /// Raised when the settings shall be read again.
@@ -123,6 +125,7 @@
             ledger: OnceLedger::new(platform.clone()),
             platform,
             stopping: RisingSignal::default(),
+            giving_up: RisingSignal::default(),
             ending: RisingSignal::default(),
             reloading: RisingSignal::default(),
             log_budget: LogBudget::new(options.log_requests, options.log_failures),
--- a/crates/daemon/tests/drain.rs
+++ b/crates/daemon/tests/drain.rs
@@ -109,7 +109,7 @@
 }
 
 #[test]
-fn verify_a_drain_that_takes_too_long_is_bounded() {
+fn verify_a_drain_that_takes_too_long_is_bounded_and_answers_who_still_waits() {
     let plan = FleetPlan {
         daemons: 1,
         backends: 1,
@@ -126,7 +126,9 @@
     eventually("the work starts", || fleet.ran("late") == 1);
     fleet.daemons[0].signal("-TERM");
     assert_eq!(fleet.daemons[0].ended().code(), Some(3));
-    assert!(asking.join().expect("join").is_none());
+    let reply = asking.join().expect("join").expect("an answer in place of a cut connection");
+    assert_eq!(reply.status, 504);
+    assert_eq!(reply.header("basaltarch-outcome").as_deref(), Some("unknown"), "it may have run");
 }
 
 #[test]
--- a/crates/daemon/tests/explaining.rs
+++ b/crates/daemon/tests/explaining.rs
@@ -9,7 +9,8 @@
 use std::io::{BufRead, Write};
 use std::time::{Duration, Instant};
 
-use basaltarch_ctl::explain;
+use basaltarch_ctl::losses::tally::LossTally;
+use basaltarch_ctl::{explain, losses};
 use common::client;
 use common::registered::{document, RegisteredFleet, HOST};
 use common::{eventually, TestDaemon};
@@ -86,6 +87,11 @@
     ask(fleet, "POST", "/unsafe/x", id);
 }
 
+fn server_error(fleet: &RegisteredFleet, id: &str) {
+    all(fleet, json!({"status": 500}));
+    ask(fleet, "POST", "/unsafe/x", id);
+}
+
 fn turned_away(fleet: &RegisteredFleet, id: &str) {
     all(fleet, json!({"shed": true}));
     ask(fleet, "POST", "/unsafe/x", id);
@@ -153,6 +159,85 @@
     }
 }
 
+#[test_case(lost_answer, "broken (backend-broken)" ; "the answer is lost")]
+#[test_case(no_answer, "hung without a call" ; "no answer comes")]
+#[test_case(wrong_answer, "broken (answer-broken)" ; "the answer has no proof")]
+#[test_case(server_error, "server error" ; "the server fails")]
+#[test_case(turned_away, "refused (shed)" ; "the servers are full")]
+#[test_case(all_leave, "refused (no-upstream)" ; "all servers leave")]
+#[test_case(caller_leaves, "caller gone" ; "the caller leaves")]
+fn verify_losses_name_the_cause_of_each_failure(harm: Harm, cause: &str) {
+    // Once where each request is logged from its start, once where only failures are.
+    for requests in ["1000000", "0"] {
+        let fleet = fleet_logging(2, requests);
+        harm(&fleet, &format!("lost-{requests}"));
+        let paths = logs(&fleet);
+        let names = |tally: &LossTally| {
+            let causes = tally.causes.iter().filter(|(_, tally)| tally.count == 1);
+            causes.map(|(cause, _)| cause.to_string()).collect::<Vec<_>>()
+        };
+        eventually(&format!("{cause} is told with {requests}"), || {
+            let tally = losses::count(&paths).expect("logs");
+            names(&tally).iter().any(|name| name.starts_with(cause))
+        });
+        let tally = losses::count(&paths).expect("logs");
+        let lost: u64 = tally.routes.values().flat_map(|route| route.lost.values()).sum();
+        assert_eq!(lost, 1, "{tally:?}");
+    }
+}
+
+#[test]
+fn verify_losses_follow_a_lost_call_to_its_cause_and_count_what_they_cannot_read() {
+    let path = std::env::temp_dir().join(format!("basaltarch-losses-{}.log", std::process::id()));
+    let line = |second: u32, event: &str, fields: &str| {
+        format!(
+            "{second} host | {{\"timestamp\":\"2026-12-02T10:00:0{second}.000000Z\",\"message\":\"{event}\",{fields}}}"
+        )
+    };
+    let lines = [
+        line(1, "request received", r#""request":"r-1","route":"top","service":"s""#),
+        line(
+            1,
+            "work started",
+            r#""request":"r-1","upstream":"u-1","attempt":1,"in_flight":1,"slots":2"#,
+        ),
+        line(2, "request received", r#""request":"r-1.c","route":"call","service":"t""#),
+        line(
+            2,
+            "work started",
+            r#""request":"r-1.c","upstream":"u-2","attempt":1,"in_flight":1,"slots":2"#,
+        ),
+        line(3, "upstream doubted", r#""upstream":"u-2","service":"t""#),
+        line(
+            4,
+            "request answered",
+            r#""request":"r-1.c","at_ms":2000,"route":"call","status":504"#,
+        ),
+        line(4, "request answered", r#""request":"r-1","at_ms":3000,"route":"top","status":500"#),
+        line(5, "request received", r#""request":"r-2","route":"top","service":"s""#),
+        line(
+            5,
+            "request answered",
+            r#""request":"r-2","at_ms":9,"route":"top","status":200,"late":true"#,
+        ),
+        line(6, "request received", r#""request":"r-3","route":"top","service":"s""#),
+        line(7, "requests not logged", r#""requests":5,"failed":1"#),
+        r#"{"timestamp":"2026-12-02T10:00:02.000000Z","message":"request fai"#.to_owned(),
+        "a line of another program".to_owned(),
+    ];
+    std::fs::write(&path, lines.join("\n")).expect("file");
+    let tally = losses::count(&[path.to_str().expect("path").to_owned()]).expect("read");
+    let _ = std::fs::remove_file(&path);
+    let top = &tally.routes["top"];
+    assert_eq!((top.asked, top.served, top.late), (3, 1, 1));
+    let causes: Vec<String> = top.lost.keys().map(ToString::to_string).collect();
+    assert_eq!(causes, ["a call was lost: hung without a call", "nothing seen"]);
+    assert_eq!(tally.calls["call"].asked, 1);
+    assert_eq!(tally.seconds, BTreeMap::from([(0, 1), (5, 1)]));
+    assert_eq!((tally.unreadable, tally.not_logged), (2, 5));
+    assert_eq!(tally.servers, BTreeMap::from([("u-1".to_owned(), 1)]));
+}
+
 #[test]
 fn verify_a_repeated_request_shows_both_attempts_and_why() {
     let fleet = fleet_logging(2, "1000000");
--- a/crates/daemon/tests/registered.rs
+++ b/crates/daemon/tests/registered.rs
@@ -96,6 +96,23 @@
     AroundDrain { before, after }
 }
 
+#[test]
+fn verify_a_late_heartbeat_of_a_crashed_server_does_not_displace_its_successor() {
+    let fleet = RegisteredFleet::start(1);
+    assert_eq!(fleet.beat_as(0, "i-crashed", SERVICE, false).status, 200);
+    assert_eq!(fleet.beat_as(0, "i-successor", SERVICE, false).status, 200);
+    let late = fleet.heartbeat(0, "i-crashed", SERVICE, false);
+    assert_eq!(fleet.call_daemon(0, &late).status, 200, "it is acknowledged like any other");
+    let lines = |event: &str| {
+        let text = fleet.daemons[0].log_text();
+        let of_crashed = |line: &&str| line.contains(event) && line.contains("i-crashed");
+        text.lines().filter(of_crashed).count()
+    };
+    eventually("it is passed over", || lines("late heartbeat passed over") == 1);
+    assert_eq!(lines("backend server registered"), 1, "its successor stays");
+    assert_eq!(lines("backend server gone"), 1);
+}
+
 #[test]
 fn verify_a_gone_server_gets_nothing_and_its_late_heartbeat_does_not_bring_it_back() {
     let fleet = RegisteredFleet::start(2);
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -17,6 +17,7 @@
 use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
 
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -429,3 +430,65 @@
         }
     }
 }
+
+/// Six upstreams of four slots in one failure domain, the first two doubted, the others with this load.
+fn busy_view(load: u32) -> ServiceView {
+    let views = (0..6).map(|_| LoadView::new(4, true)).collect();
+    let mut view = ServiceView::new(0.5, views);
+    for index in 0..6 {
+        let doubtful = index < 2;
+        let health = HealthReport { doubtful, trial_in: millis(900), ..healthy(20.0) };
+        view.note_report(index, if doubtful { 0 } else { load }, health, millis(10));
+    }
+    view
+}
+
+#[test_case(5, true ; "a little beyond the slots")]
+#[test_case(9, true ; "one round waits")]
+#[test_case(40, false ; "overrun")]
+fn verify_work_waits_at_a_sound_upstream_rather_than_hang_unless_it_is_overrun(
+    load: u32,
+    waits: bool,
+) {
+    let mut view = busy_view(load);
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    for _ in 0..100 {
+        let choice = view.choose(millis(11), &ChoiceRequest::default(), &mut rng).expect("one");
+        assert_eq!(choice.ground == ChoiceGround::Waiting, waits, "{choice:?}");
+        assert!(!waits || choice.index >= 2, "{choice:?}");
+    }
+}
+
+#[test]
+fn verify_the_last_choice_is_one_that_is_known_to_be_sound_though_full() {
+    let mut view = ServiceView::new(0.5, (0..6).map(|_| LoadView::new(4, true)).collect());
+    view.note_report(3, 4, healthy(20.0), millis(10));
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    for _ in 0..50 {
+        let request = ChoiceRequest { full: &[3], is_last: true, ..ChoiceRequest::default() };
+        let choice = view.choose(millis(11), &request, &mut rng).expect("one");
+        assert_eq!((choice.index, choice.ground), (3, ChoiceGround::Waiting));
+        let request = ChoiceRequest { full: &[3], ..ChoiceRequest::default() };
+        let choice = view.choose(millis(11), &request, &mut rng).expect("one");
+        assert_ne!(choice.index, 3, "others are asked first");
+    }
+}
+
+#[test]
+fn verify_calls_of_repeated_work_are_taken_off_the_budget() {
+    let terms = BudgetTerms { share: 0.2, extra: 2.0, window: Duration::from_secs(10) };
+    let mut budget = RetryBudget::new(terms);
+    (0..10).for_each(|_| budget.note_request(millis(1)));
+    (0..4).for_each(|_| budget.note_repeat(millis(2)));
+    assert!(!budget.take(millis(3)), "all four of the window are spent");
+}
+
+#[test]
+fn verify_a_path_is_asked_for_a_sign_of_life_after_a_late_attempt() {
+    let mut path = PathHealth::new(millis(0));
+    assert!(!path.ask(millis(400), false), "an idle path is left alone");
+    path.note_late();
+    assert!(path.ask(millis(400), false));
+    path.note_heard(millis(410));
+    assert!(!path.ask(millis(900), false), "it was heard of since");
+}
