--- a/crates/bench/src/decisions/ingresses.rs
+++ b/crates/bench/src/decisions/ingresses.rs
@@ -99,7 +99,7 @@
         }
         request.excluded.push(sent.upstream);
         request.late.push(sent);
-        ingress.view.note_given_up(sent.upstream, self.now);
+        ingress.view.note_late(sent.upstream, self.now);
         self.dispatch(sent.request);
     }
 
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -4,7 +4,6 @@
 //! Serves one exchange at the host role: admission, once-only claim, the work itself, evidence.
 
 use std::cell::Cell;
-use std::future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,8 +11,8 @@
 use basaltarch_core::resources::WorkMode;
 use basaltarch_decide::caution::FailureSort;
 use basaltarch_decide::evidence::WorkEvidence;
-use basaltarch_decide::hang::{self, UsualTime};
-use basaltarch_decide::health::{AdmitVerdict, DispatchTerms, WatchEnd};
+use basaltarch_decide::hang::UsualTime;
+use basaltarch_decide::health::{AdmitVerdict, DispatchTerms};
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::writer;
 use basaltarch_peer::protocol::{AnswerHead, DispatchHead, ExchangeFailure};
@@ -23,11 +22,10 @@
 use futures_util::{select_biased, FutureExt};
 
 use crate::host::admission::{SlotGuard, SlotRequest};
-use crate::host::calls::WorkCalls;
 use crate::host::relay::{AnswerRelay, WorkFault, WorkProgress};
 use crate::host::sending;
-use crate::host::trail;
 use crate::host::upstream::{HostUpstream, WorkNote};
+use crate::host::watch::WorkWatch;
 use crate::metrics;
 use crate::registration;
 use crate::state::DaemonState;
@@ -187,7 +185,7 @@
     }
 
     /// Returns the distribution of the time that this work usually takes, if it is known or assumed.
-    fn usual_time(&self) -> Option<UsualTime> {
+    pub fn usual_time(&self) -> Option<UsualTime> {
         let objective = self.objective.map(|at| at.saturating_sub(self.state.now()));
         let objective = objective.filter(|left| !left.is_zero());
         self.upstream.health.borrow().usual_time(&self.head.route, objective)
@@ -330,7 +328,7 @@
         let now = self.state.now();
         let overdue_after = self.upstream.health.borrow().overdue_after(&self.head.route, now);
         let watch = WorkWatch::start(self, progress);
-        let calls = watch.calls.clone();
+        let calls = watch.calls().clone();
         let HttpStream { reader, writer } = stream;
         let sent = Cell::new(false);
         let mut sending = std::pin::pin!(sending::send_request(self, writer, body, &sent).fuse());
@@ -365,62 +363,6 @@
     }
 }
 
-/// `WorkWatch` watches whether a piece of work lasts too long.
-struct WorkWatch<'a> {
-    work: &'a HostWork<'a>,
-    request: String,
-    calls: Rc<WorkCalls>,
-    usual: Option<UsualTime>,
-    number: u64,
-    progress: &'a WorkProgress,
-}
-
-impl<'a> WorkWatch<'a> {
-    fn start(work: &'a HostWork<'a>, progress: &'a WorkProgress) -> Self {
-        let now = work.state.now();
-        let request = trail::request_id(work.state, work.head);
-        let calls = work.state.host.calls.begin(&request, work.head.repeated);
-        let usual = work.usual_time();
-        let mut health = work.upstream.health.borrow_mut();
-        let number = usual.map_or(0, |usual| health.start_work(usual, now));
-        Self { work, request, calls, usual, number, progress }
-    }
-
-    /// Looks at the work for as long as it runs and makes no call.
-    async fn look(&self) {
-        let usual = match &self.usual {
-            Some(usual) => usual,
-            None => return future::pending().await,
-        };
-        monoio::time::sleep(hang::first_look(usual)).await;
-        while !self.calls.has_called() {
-            self.work.upstream.look(self.work.state.now());
-            monoio::time::sleep(hang::look_every(usual)).await;
-        }
-        self.end(WatchEnd::Lives);
-        future::pending().await
-    }
-
-    fn end(&self, end: WatchEnd) {
-        if self.usual.is_some() {
-            self.work.upstream.end_work(self.number, end, self.work.state.now());
-        }
-    }
-}
-
-impl Drop for WorkWatch<'_> {
-    fn drop(&mut self) {
-        self.work.state.host.calls.end(&self.request);
-        let lives = self.progress.has_answered.get() || self.calls.has_called();
-        let seen = self.progress.was_overdue.get() || self.progress.head_seen.get();
-        self.end(match (lives, seen) {
-            (true, _) => WatchEnd::Lives,
-            (false, true) => WatchEnd::Noted,
-            (false, false) => WatchEnd::GivenUp,
-        });
-    }
-}
-
 enum ClaimStep {
     Run(Option<ClaimToken>),
     Answered(KeptAnswer),
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -15,6 +15,7 @@
 pub mod trail;
 pub mod upstream;
 pub mod verify;
+pub mod watch;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- /dev/null
+++ b/crates/daemon/src/host/watch.rs
@@ -0,0 +1,77 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Watches work at a backend server for as long as it runs, since work that hangs makes no event.
+
+use std::future;
+use std::rc::Rc;
+
+use basaltarch_decide::hang::{self, UsualTime};
+use basaltarch_decide::health::WatchEnd;
+
+use crate::host::calls::WorkCalls;
+use crate::host::exchange::HostWork;
+use crate::host::relay::WorkProgress;
+use crate::host::trail;
+
+/// `WorkWatch` watches whether a piece of work lasts too long.
+pub struct WorkWatch<'a> {
+    work: &'a HostWork<'a>,
+    request: String,
+    calls: Rc<WorkCalls>,
+    usual: Option<UsualTime>,
+    number: u64,
+    progress: &'a WorkProgress,
+}
+
+impl<'a> WorkWatch<'a> {
+    /// Starts to watch work that is about to be sent.
+    pub fn start(work: &'a HostWork<'a>, progress: &'a WorkProgress) -> Self {
+        let now = work.state.now();
+        let request = trail::request_id(work.state, work.head);
+        let calls = work.state.host.calls.begin(&request, work.head.repeated);
+        let usual = work.usual_time();
+        let mut health = work.upstream.health.borrow_mut();
+        let number = usual.map_or(0, |usual| health.start_work(usual, now));
+        Self { work, request, calls, usual, number, progress }
+    }
+
+    /// Returns the calls that the work makes.
+    pub fn calls(&self) -> &Rc<WorkCalls> {
+        &self.calls
+    }
+
+    /// Looks at the work for as long as it runs and makes no call.
+    pub async fn look(&self) {
+        let usual = match &self.usual {
+            Some(usual) => usual,
+            None => return future::pending().await,
+        };
+        monoio::time::sleep(hang::first_look(usual)).await;
+        while !self.calls.has_called() {
+            self.work.upstream.look(self.work.state.now());
+            monoio::time::sleep(hang::look_every(usual)).await;
+        }
+        self.end(WatchEnd::Lives);
+        future::pending().await
+    }
+
+    fn end(&self, end: WatchEnd) {
+        if self.usual.is_some() {
+            self.work.upstream.end_work(self.number, end, self.work.state.now());
+        }
+    }
+}
+
+impl Drop for WorkWatch<'_> {
+    fn drop(&mut self) {
+        self.work.state.host.calls.end(&self.request);
+        let lives = self.progress.has_answered.get() || self.calls.has_called();
+        let seen = self.progress.was_overdue.get() || self.progress.head_seen.get();
+        self.end(match (lives, seen) {
+            (true, _) => WatchEnd::Lives,
+            (false, true) => WatchEnd::Noted,
+            (false, false) => WatchEnd::GivenUp,
+        });
+    }
+}
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -166,7 +166,7 @@
                 // The attempt that follows is already paid for.
                 attempts.tell(&asked, StepEnd::Late, None, NextStep::Repeat);
                 attempts.arrivals += 1;
-                attempts.request.service.note_given_up(choice.index, state.now());
+                attempts.request.service.note_late(choice.index, state.now());
                 attempts.excluded.push(choice.index);
                 attempts.note_outcome(FailureOutcome::Unknown(UnknownReason::TimedOut));
                 earlier.push(LateAttempt { asked, live });
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -243,10 +243,10 @@
         view.note_report(index, load.in_flight + load.queued, health, now);
     }
 
-    /// Takes in that an attempt at an upstream was given up as late.
-    pub fn note_given_up(&self, index: usize, now: Duration) {
+    /// Takes in that an attempt at an upstream is late.
+    pub fn note_late(&self, index: usize, now: Duration) {
         self.paths[index].note_late();
-        self.view.borrow_mut().note_given_up(index, now);
+        self.view.borrow_mut().note_late(index, now);
     }
 
     /// Returns the baseline of a route for a dispatch to an upstream.
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -70,8 +70,8 @@
     pub health: Option<HealthReport>,
     /// When that report came.
     pub reported_at: Duration,
-    /// When an attempt there was last given up as late.
-    pub given_up_at: Option<Duration>,
+    /// When an attempt there was last found late.
+    pub late_at: Option<Duration>,
 }
 
 impl LoadView {
@@ -87,7 +87,7 @@
             load: 0,
             health: None,
             reported_at: Duration::ZERO,
-            given_up_at: None,
+            late_at: None,
         }
     }
 
@@ -143,14 +143,14 @@
     }
 
     /// Says whether the upstream is a suspect: lately it had this sickness, but was not ejected, since
-    /// it must stand out for a while first, or an attempt there was given up and nothing heard since.
+    /// it must stand out for a while first, or an attempt there was late and nothing heard since.
     ///
     /// Passing a suspect over spares callers, and the budget of repeats, what it would get until its
     /// daemon is sure. It takes no capacity out of service.
     fn is_suspect(&self, terms: &ChoiceTerms) -> bool {
         let ChoiceTerms { now, suspect_from: from, repeatable } = *terms;
         let silent = self
-            .given_up_at
+            .late_at
             .is_some_and(|at| at >= self.reported_at && now.saturating_sub(at) < SUSPECT_LIFE);
         let fresh = now.saturating_sub(self.reported_at) < SUSPECT_LIFE;
         let sick = |health: HealthReport| {
@@ -375,10 +375,10 @@
         }
     }
 
-    /// Takes in that an attempt at an upstream was given up as late.
-    pub fn note_given_up(&mut self, index: usize, now: Duration) {
+    /// Takes in that an attempt at an upstream is late.
+    pub fn note_late(&mut self, index: usize, now: Duration) {
         if let Some(view) = self.upstreams.get_mut(index) {
-            view.given_up_at = Some(now);
+            view.late_at = Some(now);
         }
     }
 
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -217,13 +217,13 @@
 }
 
 #[test]
-fn verify_one_whose_attempt_was_given_up_is_passed_over_until_it_is_heard_of() {
+fn verify_one_whose_attempt_was_late_is_passed_over_until_it_is_heard_of() {
     let views = (0..4).map(|_| LoadView::new(4, true)).collect();
     let mut view = ServiceView::new(0.5, views);
     for index in 0..4 {
         view.note_report(index, 1, healthy(20.0), millis(5));
     }
-    view.note_given_up(0, millis(8));
+    view.note_late(0, millis(8));
     assert!(shares(&mut view, 300)[0] < 40, "it is silent");
     assert!(view.plan().avoided.iter().all(|avoided| !avoided), "it stays in service");
     view.note_report(0, 1, healthy(20.0), millis(9));
