--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -77,7 +77,7 @@
         ("GET", "watch") => watch::start(state, request, None),
         ("POST", "apply") => changes::apply(state, request).await,
         ("POST", "drain") => {
-            state.stopping.raise();
+            state.stop.asked.raise();
             ServerReply::json(StatusCode::ACCEPTED, &json!({"draining": state.options.host}))
         }
         (_, path) => match path.split_once('/') {
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -38,7 +38,7 @@
         "host": state.options.host,
         "revision": state.config.revision(),
         "loaded": state.config.is_loaded(),
-        "in_flight": state.in_flight.get(),
+        "in_flight": state.stop.in_flight(),
         "floor_violations": metrics::FLOOR_VIOLATIONS.get(),
         "outcomes": outcomes(),
         "members": members,
--- a/crates/daemon/src/admin/watch.rs
+++ b/crates/daemon/src/admin/watch.rs
@@ -80,7 +80,7 @@
         }
         let daemon = watch.daemon.clone();
         let mut changed = std::pin::pin!(daemon.config.changed().above(count).fuse());
-        let mut stopping = std::pin::pin!(daemon.stopping.raised().fuse());
+        let mut stopping = std::pin::pin!(daemon.stop.asked.raised().fuse());
         let mut quiet = std::pin::pin!(monoio::time::sleep(BOOKMARK_EVERY).fuse());
         select_biased! {
             _ = changed => {}
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -43,7 +43,7 @@
     body: &EventPipe,
     answer: &EventSink,
 ) {
-    let _counted = state.count_in_flight();
+    let _counted = state.stop.count_in_flight();
     let upstream = state.host.get(&head.upstream);
     let result = match &upstream {
         Some(upstream) => serve_upstream(state, upstream, &head, body, answer).await,
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -303,7 +303,7 @@
     }
 
     fn choose(&mut self) -> Result<UpstreamChoice, CallerFailure> {
-        if self.state.giving_up.is_raised() {
+        if self.state.stop.giving_up.is_raised() {
             return Err(CallerFailure::not_run(NotRunReason::Draining));
         }
         if self.left().is_zero() && self.dispatches == 0 {
--- a/crates/daemon/src/ingress/caller.rs
+++ b/crates/daemon/src/ingress/caller.rs
@@ -119,7 +119,7 @@
                 return;
             }
         };
-        let _counted = state.count_in_flight();
+        let _counted = state.stop.count_in_flight();
         metrics::REQUESTS.add_one();
         metrics::IN_FLIGHT.add(1);
         // Boxed, so that an idle connection does not hold room for a request's whole state.
@@ -146,7 +146,7 @@
     if stream.reader.buffer.is_empty() {
         let filling = stream.reader.fill_within(HEAD_READ_BYTES, limits.idle, "a request");
         let mut filling = std::pin::pin!(filling.fuse());
-        let mut ending = std::pin::pin!(state.ending.raised().fuse());
+        let mut ending = std::pin::pin!(state.stop.ending.raised().fuse());
         // What was already sent is read first, so that a stop cuts no request that arrived.
         let filled = select_biased! {
             filled = filling => filled,
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -64,7 +64,7 @@
     let mut cut = std::pin::pin!(path_cut(state, live).fuse());
     let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
     let mut overtaking = std::pin::pin!(earlier.answered().fuse());
-    let mut stopping = std::pin::pin!(state.giving_up.raised().fuse());
+    let mut stopping = std::pin::pin!(state.stop.giving_up.raised().fuse());
     loop {
         select_biased! {
             event = event => return first_of(event),
@@ -97,7 +97,7 @@
     let mut answered = std::pin::pin!(earlier.last_answered().fuse());
     let mut late = std::pin::pin!(monoio::time::sleep(left + DEADLINE_GRACE).fuse());
     let mut watching = std::pin::pin!(watch_caller(stream).fuse());
-    let mut stopping = std::pin::pin!(state.giving_up.raised().fuse());
+    let mut stopping = std::pin::pin!(state.stop.giving_up.raised().fuse());
     loop {
         select_biased! {
             answered = answered => return match answered {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -33,4 +33,5 @@
 pub mod signal;
 pub mod spread;
 pub mod state;
+pub mod stop;
 pub mod wire;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -5,11 +5,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use basaltarch_events::process;
 use basaltarch_http::connection;
-use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_telemetry::signals::SignalStream;
 use monoio::net::TcpListener;
 
@@ -31,27 +29,16 @@
 use crate::signal::RisingSignal;
 use crate::spread;
 use crate::state::DaemonState;
+use crate::stop::{self, StopReport};
 
-/// Time between looks at what is still in flight while the daemon stops.
-const DRAIN_LOOK: Duration = Duration::from_millis(20);
-/// Time before the end of the longest drain at which requests that still wait are answered as not known:
-/// an answer takes a few milliseconds to its caller, and a connection that just ends says less.
-const LAST_ANSWERS: Duration = Duration::from_millis(300);
 /// Exit status of a stop that cut requests.
 pub const EXIT_CUT: i32 = 3;
 
-/// `StopReport` says how a daemon ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StopReport {
-    /// Requests that were cut, or answered before it was known how they end.
-    pub cut: usize,
-}
-
 /// `StopRequests` is where a daemon hears that it shall stop.
 pub enum StopRequests {
     /// Signals of the system: the first drains, the second ends at once.
     Signals,
-    /// Only the admin API and [`DaemonState::stopping`].
+    /// Only the admin API and [`stop::StopState::asked`].
     Api,
 }
 
@@ -107,7 +94,7 @@
     let state = DaemonState::new(options);
     if let StopRequests::Signals = stops {
         let signals = SignalStream::stops().map_err(start)?;
-        monoio::spawn(raise_on(signals, state.clone(), |state| &state.stopping));
+        monoio::spawn(raise_on(signals, state.clone(), |state| &state.stop.asked));
         let signals = SignalStream::reloads().map_err(start)?;
         monoio::spawn(raise_on(signals, state.clone(), |state| &state.reloading));
     }
@@ -115,8 +102,8 @@
     start_tasks(&state, listeners);
     monoio::spawn(reload::watch(state.clone()));
     on_start(&state);
-    state.stopping.raised().await;
-    Ok(drain(&state).await)
+    state.stop.asked.raised().await;
+    Ok(stop::run(&state).await)
 }
 
 /// Logs the addresses as bound.
@@ -195,48 +182,3 @@
         }
     }
 }
-
-/// Refuses new work, tells the peers, and waits until what is in flight has ended.
-async fn drain(state: &Rc<DaemonState>) -> StopReport {
-    process::DaemonLeaving { in_flight: state.in_flight.get() as u64 }.log();
-    membership::beat(state, BeatNews::Own);
-    tell_accepted(state);
-    state.roster.touch();
-    let begin = state.now();
-    let last_answers = state.live().drain.saturating_sub(LAST_ANSWERS);
-    let mut given_up = 0;
-    loop {
-        let elapsed = state.now().saturating_sub(begin);
-        let busy = state.in_flight.get();
-        let twice = state.stopping.get() > 1;
-        let late = elapsed >= state.live().drain;
-        if elapsed >= last_answers && !state.giving_up.is_raised() {
-            given_up = busy;
-            state.giving_up.raise();
-        }
-        if (busy == 0 && elapsed >= state.live().drain_min) || twice || late {
-            state.ending.raise();
-            // Idle connections are closed by their tasks before the process is gone.
-            monoio::time::sleep(DRAIN_LOOK).await;
-            let cut = busy.max(given_up);
-            let report = StopReport { cut };
-            let elapsed_ms = elapsed.as_millis() as u64;
-            process::DaemonStopped { cut: cut as u64, elapsed_ms }.log();
-            return report;
-        }
-        monoio::time::sleep(DRAIN_LOOK).await;
-    }
-}
-
-/// Tells the daemons that dialled here, who send work here, that this one is leaving.
-fn tell_accepted(state: &Rc<DaemonState>) {
-    use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
-    for link in state.members.some_accepted(usize::MAX) {
-        let note = HeartbeatNote {
-            reply: true,
-            revision: state.config.revision().0 as i64,
-            members: state.members.some_entries(state, &[]),
-        };
-        let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
-    }
-}
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -32,6 +32,7 @@
 use crate::services::ServiceTable;
 use crate::signal::RisingSignal;
 use crate::spread::SnapshotParts;
+use crate::stop::StopState;
 
 /// `DaemonState` is what the roles of a daemon share. One thread owns it, so there are no locks.
 pub struct DaemonState {
@@ -73,12 +74,8 @@
     pub platform: Rc<PlatformClient>,
     /// Ledger of once-only work.
     pub ledger: Rc<OnceLedger>,
-    /// Raised when the daemon is asked to stop.
-    pub stopping: RisingSignal,
-    /// Raised when a stop nears its end: requests that still wait get their final answer.
-    pub giving_up: RisingSignal,
-    /// Raised when nothing is in flight any more and the daemon ends.
-    pub ending: RisingSignal,
+    /// How far the daemon is with its end.
+    pub stop: StopState,
     /// Raised when the settings shall be read again.
     pub reloading: RisingSignal,
     /// Which routes have labels of their own in the metrics.
@@ -87,8 +84,6 @@
     pub log_budget: LogBudget,
     /// Callers' requests that came without an id.
     pub requests: Cell<u64>,
-    /// Callers' requests and peers' dispatches that are not over.
-    pub in_flight: Cell<usize>,
 }
 
 impl DaemonState {
@@ -124,14 +119,11 @@
             changes: ChangeStore::new(platform.clone()),
             ledger: OnceLedger::new(platform.clone()),
             platform,
-            stopping: RisingSignal::default(),
-            giving_up: RisingSignal::default(),
-            ending: RisingSignal::default(),
+            stop: StopState::default(),
             reloading: RisingSignal::default(),
             log_budget: LogBudget::new(options.log_requests, options.log_failures),
             requests: Cell::new(0),
             route_labels: RouteLabels::default(),
-            in_flight: Cell::new(0),
             options,
         })
     }
@@ -186,24 +178,6 @@
 
     /// Says whether the daemon is asked to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.is_raised()
-    }
-
-    /// Counts work in flight for as long as the guard lives.
-    pub fn count_in_flight(self: &Rc<Self>) -> InFlightGuard {
-        self.in_flight.set(self.in_flight.get() + 1);
-        InFlightGuard { state: self.clone() }
-    }
-}
-
-/// `InFlightGuard` counts one piece of work in flight.
-pub struct InFlightGuard {
-    state: Rc<DaemonState>,
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let count = self.state.in_flight.get();
-        self.state.in_flight.set(count - 1);
+        self.stop.is_asked()
     }
 }
