Say which requests a stop gives up, when they came, and why the daemon ends

Change: 'request given up' names each, with the time from the request to stop to its coming; 'stopped' tells why it ends now and counts what is in flight at the end itself; the outcome is unknown (daemon-stopped). The status stays 504.

The test of the bounded drain asks for all three.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -101,16 +101,19 @@
     CallerGone,
     /// The same once-only work was already started and its answer is not kept.
     AlreadyStarted,
+    /// The daemon that took the request ended before the answer came.
+    DaemonStopped,
 }
 
 /// Every reason, in the order of its wire number.
-pub const UNKNOWN_REASONS: [UnknownReason; 6] = [
+pub const UNKNOWN_REASONS: [UnknownReason; 7] = [
     UnknownReason::BackendBroken,
     UnknownReason::AnswerBroken,
     UnknownReason::TimedOut,
     UnknownReason::PeerLost,
     UnknownReason::CallerGone,
     UnknownReason::AlreadyStarted,
+    UnknownReason::DaemonStopped,
 ];
 
 impl UnknownReason {
@@ -123,6 +126,7 @@
             Self::PeerLost => "peer-lost",
             Self::CallerGone => "caller-gone",
             Self::AlreadyStarted => "already-started",
+            Self::DaemonStopped => "daemon-stopped",
         }
     }
 }
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -130,8 +130,9 @@
             }
             FirstEvent::Overtaken(late, head) => return attempts.end_late(late, head),
             FirstEvent::Stopping => {
-                let outcome = FailureOutcome::Unknown(UnknownReason::TimedOut);
+                let outcome = FailureOutcome::Unknown(UnknownReason::DaemonStopped);
                 attempts.tell(&asked, StepEnd::Failed(outcome), None, NextStep::End);
+                trail::tell_given_up(state, request);
                 return AttemptEnd::Failed(CallerFailure::new(outcome));
             }
             FirstEvent::Head(head) => {
--- a/crates/daemon/src/ingress/failure.rs
+++ b/crates/daemon/src/ingress/failure.rs
@@ -125,7 +125,7 @@
             _ => StatusCode::SERVICE_UNAVAILABLE,
         },
         FailureOutcome::Unknown(reason) => match reason {
-            UnknownReason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            UnknownReason::TimedOut | UnknownReason::DaemonStopped => StatusCode::GATEWAY_TIMEOUT,
             UnknownReason::AlreadyStarted => StatusCode::CONFLICT,
             _ => StatusCode::BAD_GATEWAY,
         },
--- a/crates/daemon/src/ingress/trail.rs
+++ b/crates/daemon/src/ingress/trail.rs
@@ -16,8 +16,8 @@
 use basaltarch_decide::limits::TokenBucket;
 use basaltarch_events::process;
 use basaltarch_events::requests::{
-    AnswerCut, AttemptEnded, CallerGone, RequestAnswered, RequestFailed, RequestReceived,
-    RequestRejected, UpstreamChosen,
+    AnswerCut, AttemptEnded, CallerGone, RequestAnswered, RequestFailed, RequestGivenUp,
+    RequestReceived, RequestRejected, UpstreamChosen,
 };
 use basaltarch_http::errors::HttpError;
 use basaltarch_peer::protocol::LoadReport;
@@ -390,6 +390,18 @@
     .log();
 }
 
+/// Logs that the daemon ends before the answer came.
+pub fn tell_given_up(state: &DaemonState, request: &CallerRequest) {
+    let trail = &request.trail;
+    RequestGivenUp {
+        request: &trail.id,
+        at_ms: trail.at_ms(state.now()),
+        route: &request.route.name,
+        came_ms: state.stop.asked_at().map_or(0, |asked| millis(trail.began.saturating_sub(asked))),
+    }
+    .log();
+}
+
 /// Logs that the caller went away.
 pub fn tell_caller_gone(state: &DaemonState, request: &CallerRequest) {
     if !write_kept(state, request) {
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -37,6 +37,7 @@
     pub giving_up: RisingSignal,
     /// Raised when nothing is in flight any more and the daemon ends.
     pub ending: RisingSignal,
+    asked_at: Cell<Option<Duration>>,
     in_flight: Cell<usize>,
 }
 
@@ -46,6 +47,11 @@
         self.asked.is_raised()
     }
 
+    /// Returns when the daemon began to stop, since its start.
+    pub fn asked_at(&self) -> Option<Duration> {
+        self.asked_at.get()
+    }
+
     /// Returns the number of callers' requests and peers' dispatches that are not over.
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
@@ -78,6 +84,7 @@
     tell_accepted(state);
     state.roster.touch();
     let begin = state.now();
+    stop.asked_at.set(Some(begin));
     let last_answers = state.live().drain.saturating_sub(LAST_ANSWERS);
     let mut given_up = 0;
     loop {
@@ -93,10 +100,16 @@
             stop.ending.raise();
             // Idle connections are closed by their tasks before the process is gone.
             monoio::time::sleep(DRAIN_LOOK).await;
-            let cut = busy.max(given_up);
+            // Counted anew: the process ends now, whatever a look before said.
+            let cut = stop.in_flight().max(given_up);
             let report = StopReport { cut };
             let elapsed_ms = elapsed.as_millis() as u64;
-            process::DaemonStopped { cut: cut as u64, elapsed_ms }.log();
+            let cause = match (twice, stop.giving_up.is_raised()) {
+                (true, _) => "signal",
+                (_, true) => "time",
+                _ => "idle",
+            };
+            process::DaemonStopped { cause, cut: cut as u64, elapsed_ms }.log();
             return report;
         }
         monoio::time::sleep(DRAIN_LOOK).await;
--- a/crates/daemon/tests/drain.rs
+++ b/crates/daemon/tests/drain.rs
@@ -129,6 +129,10 @@
     let reply = asking.join().expect("join").expect("an answer in place of a cut connection");
     assert_eq!(reply.status, 504);
     assert_eq!(reply.header("basaltarch-outcome").as_deref(), Some("unknown"), "it may have run");
+    assert_eq!(reply.reason().as_deref(), Some("daemon-stopped"), "its own time is not over");
+    let log = fleet.daemons[0].log_text();
+    assert!(log.contains("\"request given up\""), "{log}");
+    assert!(log.contains("\"cause\":\"time\""), "{log}");
 }
 
 #[test]
--- a/crates/events/src/process.rs
+++ b/crates/events/src/process.rs
@@ -33,7 +33,9 @@
     }
 
     /// The daemon ends.
-    "stopped" INFO DaemonStopped {
+    "stopped" INFO DaemonStopped<'a> {
+        /// Why now: `idle` nothing was in flight, `time` who still waited was given up, `signal` another signal came.
+        cause: &'a str,
         /// Requests and exchanges that were cut.
         cut: u64,
         /// Time since it was asked to stop.
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -27,6 +27,19 @@
         revision: u64,
     }
 
+    /// The daemon ends while a request still waits for its answer, and tells its caller so.
+    "request given up" WARN RequestGivenUp<'a> {
+        /// Id of the request.
+        request: &'a str,
+        /// Time since the request was taken in.
+        at_ms: u64,
+        /// Route of the request.
+        route: &'a str,
+        /// Time between the moment at which the daemon was asked to stop and that at which it took the
+        /// request in; zero if that was earlier.
+        came_ms: u64,
+    }
+
     /// The ingress refused a request before it chose an upstream.
     "request rejected" INFO RequestRejected<'a> {
         /// Id of the request; empty if its head could not be read.
