Take a repeated request to stop for what it is; only an interrupt ends a stop at once

Cause: every request to stop raised the same number, and a number above one was taken for an order to end. A daemon that an operator drained through the API and that the platform then stopped cut all that was in flight, and so did one whose planned stops overlap.

Change: SIGTERM and the API's drain ask for a stop, however often; SIGINT asks too, and ends a stop that is under way. A platform has its kill.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -36,7 +36,8 @@
 
 /// `StopRequests` is where a daemon hears that it shall stop.
 pub enum StopRequests {
-    /// Signals of the system: the first drains, the second ends at once.
+    /// Signals of the system: SIGTERM drains, however often it comes; SIGINT does too, and ends at once
+    /// while the daemon stops already.
     Signals,
     /// Only the admin API and [`stop::StopState::asked`].
     Api,
@@ -95,6 +96,8 @@
     if let StopRequests::Signals = stops {
         let signals = SignalStream::stops().map_err(start)?;
         monoio::spawn(raise_on(signals, state.clone(), |state| &state.stop.asked));
+        let signals = SignalStream::interrupts().map_err(start)?;
+        monoio::spawn(raise_on(signals, state.clone(), |state| state.stop.next_of_interrupt()));
         let signals = SignalStream::reloads().map_err(start)?;
         monoio::spawn(raise_on(signals, state.clone(), |state| &state.reloading));
     }
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -32,6 +32,8 @@
 pub struct StopState {
     /// Raised when the daemon is asked to stop.
     pub asked: RisingSignal,
+    /// Raised when a daemon that stops is asked to end at once.
+    pub interrupted: RisingSignal,
     /// Raised when a stop nears its end: requests that still wait get their final answer.
     pub giving_up: RisingSignal,
     /// Raised when the daemon ends: idle connections are closed.
@@ -47,6 +49,18 @@
         self.asked.is_raised()
     }
 
+    /// Returns what a person at a terminal asks for: a stop, or the end of one that lasts too long.
+    ///
+    /// No other request does the second. Requests to stop come twice when planned work overlaps, or when
+    /// an operator drains a daemon that the platform then stops; the platform has its kill for the rest.
+    pub fn next_of_interrupt(&self) -> &RisingSignal {
+        if self.is_asked() {
+            &self.interrupted
+        } else {
+            &self.asked
+        }
+    }
+
     /// Says whether the daemon starts no work any more.
     pub fn is_closed(&self) -> bool {
         self.phase.get() != StopPhase::Open
@@ -113,7 +127,7 @@
     loop {
         let elapsed = state.now().saturating_sub(begin);
         let mut next = terms(state).next(stop.phase.get(), elapsed, stop.in_flight());
-        if stop.asked.get() > 1 {
+        if stop.interrupted.is_raised() {
             next = StopPhase::Over(StopCause::Signal);
         }
         let has_changed = stop.phase.replace(next) != next;
--- a/crates/events/src/process.rs
+++ b/crates/events/src/process.rs
@@ -43,7 +43,7 @@
 
     /// The daemon ends.
     "stopped" INFO DaemonStopped<'a> {
-        /// Why now: `idle` nothing was in flight, `time` who still waited was given up, `signal` another signal came.
+        /// Why now: `idle` nothing was in flight, `time` who still waited was given up, `signal` a person interrupted the stop.
         cause: &'a str,
         /// Requests and exchanges that were cut.
         cut: u64,
--- a/crates/telemetry/src/signals.rs
+++ b/crates/telemetry/src/signals.rs
@@ -18,9 +18,14 @@
 }
 
 impl SignalStream {
-    /// Starts to receive the signals that ask a process to stop; call it within the runtime.
+    /// Starts to receive the signal by which a platform asks a process to stop; call it within the runtime.
     pub fn stops() -> Result<Self, StartError> {
-        Self::new(&[SIGTERM, SIGINT])
+        Self::new(&[SIGTERM])
+    }
+
+    /// Starts to receive the signal of a person at a terminal.
+    pub fn interrupts() -> Result<Self, StartError> {
+        Self::new(&[SIGINT])
     }
 
     /// Starts to receive the signal that asks a process to read its settings again.
