Let a stop go by the clock, leave half of its time to end work, and wait for what it needs

A daemon that slept over its drain woke open, took requests, ran them, and gave them up 40 ms later. - The shortest drain bounded the half of the longest from below. With a short grace the stop closed as it gave up: the first form of the incident. - A call of work that the stop waits for was refused if its deadline was later than the moment of giving up, though it takes milliseconds. - What waited for a slot when the stop closed was refused, also where the only server would have done it in time. - A body that doesn't come held the stop to its end, and its caller got a bare close; so did, for a second, a caller that keeps its connection after its answer, which was counted as cut. - Settings read again during a stop changed its bounds.

Change: what is taken is decided by the time as well as by the phase; half of the longest drain bounds the shortest; calls are taken until the stop gives up, with a deadline no later than that; who waits for a slot waits on, and is told as not run, before the others, when the stop gives up; a request whose body has not come is refused when the stop closes; lingering connections are waited for by themselves, 0.1 s at the most; the terms are fixed when the stop begins.

Of stop_phases.rs 6 of 7 tests fail on the code before, and so does the new case of stops.rs; the seventh pins what the change must keep. The unit test that wanted the stop to close as it gives up pinned the second cause; in its place one wants half of the drain for each grace.

Not tested: the count of lingering connections (a test would have to depend on the second that they linger for).

--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -271,8 +271,8 @@
                 return Err(FailureOutcome::NotRun(NotRunReason::ConnectFailed));
             }
         };
-        // An acknowledged drain binds also while a connection was being made, and so does a closed stop.
-        if self.upstream.is_draining(self.state.now()) || self.state.stop.is_closed() {
+        // An acknowledged drain binds also while a connection was being made.
+        if self.upstream.is_draining(self.state.now()) {
             pooled.give_back(None);
             return Err(FailureOutcome::NotRun(NotRunReason::Draining));
         }
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -331,7 +331,7 @@
     /// anew: reading its body took time.
     fn is_taken(&self) -> bool {
         if self.dispatches + self.passes == 0 {
-            return stop::takes(self.state, &self.request.trail.id, self.request.deadline);
+            return stop::takes(self.state, &self.request.trail.id);
         }
         !self.state.stop.giving_up.is_raised()
     }
--- a/crates/daemon/src/ingress/caller.rs
+++ b/crates/daemon/src/ingress/caller.rs
@@ -122,7 +122,7 @@
         };
         let id = request::id_of(state, &head);
         // Refused requests aren't counted: callers that come again and again would keep the stop busy.
-        let _counted = stop::takes(state, &id, state.now()).then(|| state.stop.count_in_flight());
+        let counted = stop::takes(state, &id).then(|| state.stop.count_in_flight());
         metrics::REQUESTS.add_one();
         metrics::IN_FLIGHT.add(1);
         // Boxed, so that an idle connection does not hold room for a request's whole state.
@@ -130,7 +130,12 @@
         metrics::IN_FLIGHT.add(-1);
         match after {
             AfterRequest::Keep => {}
-            AfterRequest::Close => return stream.linger().await,
+            AfterRequest::Close => {
+                // The request is over: a caller that keeps its connection must not hold a stop.
+                drop(counted);
+                let _lingering = state.stop.count_lingering();
+                return stream.linger().await;
+            }
             AfterRequest::Abort => return,
         }
         if stream.reader.buffer.is_empty() {
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -3,6 +3,7 @@
 
 //! Serves one request of a caller: checks, limits, body, attempts, answer.
 
+use std::future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use basaltarch_http::framing::{self, BodyFraming};
 use basaltarch_http::writer;
 use bytes::{Bytes, BytesMut};
+use futures_util::{select_biased, FutureExt};
 use http::{header, request, HeaderValue, Method, StatusCode, Version};
 
 use crate::ingress::answer;
@@ -108,9 +110,23 @@
             return AfterRequest::Abort;
         }
     }
-    match read_prefix(stream, &mut body, request.deadline.saturating_sub(state.now())).await {
-        Ok(prefix) => request.prefix = prefix,
-        Err(error) => return refuse_unreadable(state, stream, &method, id, &error).await,
+    let left = request.deadline.saturating_sub(state.now());
+    let read = {
+        let mut reading = std::pin::pin!(read_prefix(stream, &mut body, left).fuse());
+        let mut stopping = std::pin::pin!(refused_by_stop(state, id).fuse());
+        select_biased! {
+            read = reading => Some(read),
+            () = stopping => None,
+        }
+    };
+    match read {
+        Some(Ok(prefix)) => request.prefix = prefix,
+        Some(Err(error)) => return refuse_unreadable(state, stream, &method, id, &error).await,
+        None => {
+            let failure = CallerFailure::not_run(NotRunReason::Draining);
+            trail::tell_rejected(state, id, &failure);
+            return refuse(stream, &method, &failure, true).await;
+        }
     }
     trail::tell_received(state, &request);
     if request.once_key.is_some() && !body.is_done() {
@@ -205,6 +221,14 @@
     }
 }
 
+/// Waits until a stop takes this request no longer.
+async fn refused_by_stop(state: &DaemonState, id: &str) {
+    state.stop.closing.raised().await;
+    if stop::takes(state, id) {
+        future::pending().await
+    }
+}
+
 /// Reads the body until its end or [`PREFIX_BYTES`].
 async fn read_prefix(
     stream: &mut HttpStream,
@@ -240,7 +264,7 @@
     close: bool,
     id: &str,
 ) -> Result<CallerRequest, CallerFailure> {
-    if !stop::takes(state, id, state.now()) {
+    if !stop::takes(state, id) {
         return Err(CallerFailure::not_run(NotRunReason::Draining));
     }
     if !state.config.is_loaded() {
@@ -276,7 +300,7 @@
         field_lines: wire::field_lines(&head.headers),
         organisation,
         once_key,
-        deadline: now + timeout,
+        deadline: stop::bounded(state, now + timeout),
         objective,
         framing,
         prefix: Bytes::new(),
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -20,6 +20,10 @@
 /// Time between looks at what is still in flight while the daemon stops.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 
+/// Most looks whether callers have read their last answers: together a third of the time that the
+/// platform's kill comes after the longest drain.
+const LINGER_LOOKS: usize = 5;
+
 /// `StopReport` says how a daemon ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopReport {
@@ -34,13 +38,24 @@
     pub asked: RisingSignal,
     /// Raised when a daemon that stops is asked to end at once.
     pub interrupted: RisingSignal,
+    /// Raised when no more requests of callers are taken.
+    pub closing: RisingSignal,
     /// Raised when a stop nears its end: requests that still wait get their final answer.
     pub giving_up: RisingSignal,
     /// Raised when the daemon ends: idle connections are closed.
     pub ending: RisingSignal,
     phase: Cell<StopPhase>,
-    asked_at: Cell<Option<Duration>>,
+    begun: Cell<Option<StopBegin>>,
     in_flight: Cell<usize>,
+    lingering: Cell<usize>,
+}
+
+/// `StopBegin` is when a stop began and on which terms: settings that are read again during it are for the
+/// next one.
+#[derive(Debug, Clone, Copy)]
+struct StopBegin {
+    at: Duration,
+    terms: StopTerms,
 }
 
 impl StopState {
@@ -73,7 +88,7 @@
 
     /// Returns when the daemon began to stop, since its start.
     pub fn asked_at(&self) -> Option<Duration> {
-        self.asked_at.get()
+        self.begun.get().map(|begin| begin.at)
     }
 
     /// Returns the number of callers' requests and peers' dispatches that are not over.
@@ -82,53 +97,71 @@
     }
 
     /// Counts work in flight for as long as the guard lives.
-    pub fn count_in_flight(&self) -> InFlightGuard<'_> {
-        self.in_flight.set(self.in_flight.get() + 1);
-        InFlightGuard { stop: self }
+    pub fn count_in_flight(&self) -> CountGuard<'_> {
+        CountGuard::new(&self.in_flight)
+    }
+
+    /// Counts a connection whose answer is written but may not be read yet, for as long as the guard lives.
+    pub fn count_lingering(&self) -> CountGuard<'_> {
+        CountGuard::new(&self.lingering)
     }
 }
 
-/// `InFlightGuard` counts one piece of work in flight.
-pub struct InFlightGuard<'a> {
-    stop: &'a StopState,
+/// `CountGuard` counts one of something for as long as it lives.
+pub struct CountGuard<'a> {
+    count: &'a Cell<usize>,
 }
 
-impl Drop for InFlightGuard<'_> {
+impl<'a> CountGuard<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self { count }
+    }
+}
+
+impl Drop for CountGuard<'_> {
     fn drop(&mut self) {
-        let count = self.stop.in_flight.get();
-        self.stop.in_flight.set(count - 1);
+        self.count.set(self.count.get() - 1);
     }
 }
 
-/// Says whether a caller's request with this id is taken that must end by `deadline`.
+/// Says whether a caller's request with this id is taken.
 ///
-/// Between this and the moment at which the request is passed on nothing may wait: the daemon ends as
-/// soon as it is closed and nothing is in flight.
-pub fn takes(state: &DaemonState, request: &str, deadline: Duration) -> bool {
-    let asked_at = match state.stop.asked_at() {
-        Some(at) => at,
+/// Between this and the moment at which the request is counted in flight nothing may be waited for: the
+/// daemon ends as soon as it is closed and nothing is in flight.
+pub fn takes(state: &DaemonState, request: &str) -> bool {
+    let begin = match state.stop.begun.get() {
+        Some(begin) => begin,
         None => return true,
     };
+    let elapsed = state.now().saturating_sub(begin.at);
     let is_call = state.host.calls.caller_of(request).is_some();
-    let ends = deadline.saturating_sub(asked_at);
-    terms(state).takes(state.stop.phase.get(), is_call, ends)
+    begin.terms.takes(state.stop.phase.get(), elapsed, is_call)
 }
 
-fn terms(state: &DaemonState) -> StopTerms {
-    let options = state.live();
-    StopTerms { shortest: options.drain_min, longest: options.drain }
+/// Returns the deadline of a request that is taken now: a closed stop takes only calls of work that runs
+/// here, and gives that work up then.
+pub fn bounded(state: &DaemonState, deadline: Duration) -> Duration {
+    match state.stop.begun.get() {
+        Some(begin) if state.stop.is_closed() => {
+            deadline.min(begin.at + begin.terms.gives_up_after())
+        }
+        _ => deadline,
+    }
 }
 
 /// Refuses new work phase by phase, and waits until what is in flight has ended.
 pub async fn run(state: &Rc<DaemonState>) -> StopReport {
     let stop = &state.stop;
     process::DaemonLeaving { in_flight: stop.in_flight() as u64 }.log();
+    let options = state.live();
+    let terms = StopTerms { shortest: options.drain_min, longest: options.drain };
     let begin = state.now();
-    stop.asked_at.set(Some(begin));
+    stop.begun.set(Some(StopBegin { at: begin, terms }));
     let mut given_up = 0;
     loop {
         let elapsed = state.now().saturating_sub(begin);
-        let mut next = terms(state).next(stop.phase.get(), elapsed, stop.in_flight());
+        let mut next = terms.next(stop.phase.get(), elapsed, stop.in_flight());
         if stop.interrupted.is_raised() {
             next = StopPhase::Over(StopCause::Signal);
         }
@@ -136,10 +169,7 @@
         match next {
             StopPhase::HandingOver if has_changed => hand_over(state, elapsed),
             StopPhase::Closed if has_changed => close(state, elapsed),
-            StopPhase::GivingUp if has_changed => {
-                given_up = stop.in_flight();
-                stop.giving_up.raise();
-            }
+            StopPhase::GivingUp { .. } if has_changed => given_up = give_up(state).await,
             StopPhase::Over(cause) => return end(state, cause, given_up, elapsed).await,
             _ => {}
         }
@@ -156,13 +186,24 @@
     state.roster.touch();
 }
 
-/// Starts no work from here on: what waits for a slot of this host goes elsewhere.
+/// Takes no more callers' requests from here on, those included whose body has not come.
 fn close(state: &DaemonState, elapsed: Duration) {
     let in_flight = state.stop.in_flight() as u64;
     process::DaemonClosed { in_flight, elapsed_ms: elapsed.as_millis() as u64 }.log();
+    state.stop.closing.raise();
+}
+
+/// Tells who still waits that the end is not known, and who waits for a slot of this host that it won't
+/// run; returns the number of the former.
+async fn give_up(state: &DaemonState) -> usize {
     for upstream in state.host.all() {
         upstream.slots.refuse_all(NotRunReason::Draining);
     }
+    // What is refused is told first, so that nobody is told less than is known.
+    monoio::time::sleep(DRAIN_LOOK).await;
+    let given_up = state.stop.in_flight();
+    state.stop.giving_up.raise();
+    given_up
 }
 
 /// Ends idle connections and says how the stop went.
@@ -174,7 +215,12 @@
 ) -> StopReport {
     state.stop.ending.raise();
     // Idle connections are closed by their tasks before the process is gone.
-    monoio::time::sleep(DRAIN_LOOK).await;
+    for _ in 0..LINGER_LOOKS {
+        monoio::time::sleep(DRAIN_LOOK).await;
+        if state.stop.lingering.get() == 0 {
+            break;
+        }
+    }
     // Counted anew: the process ends now, whatever a look before said.
     let cut = state.stop.in_flight().max(given_up);
     let elapsed_ms = elapsed.as_millis() as u64;
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -11,6 +11,7 @@
 pub mod forwarder;
 pub mod operator;
 pub mod registered;
+pub mod stops;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File};
--- /dev/null
+++ b/crates/daemon/tests/common/stops.rs
@@ -0,0 +1,56 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Requests to daemons that stop.
+
+use std::io::{self, Write};
+use std::net::TcpStream;
+
+use crate::common::client::{self, Reply};
+use crate::common::{eventually, TestDaemon, TestFleet};
+
+/// A request to a daemon that stops, and what became of it.
+pub struct StopRequest {
+    pub id: String,
+    pub reply: Option<Reply>,
+}
+
+impl StopRequest {
+    /// Checks that it was served, or refused as not run, or not taken at all, and truly so.
+    pub fn check(&self, fleet: &TestFleet) {
+        let ran = fleet.ran(&self.id);
+        let expected = match &self.reply {
+            Some(reply) if reply.status == 200 && reply.complete => 1,
+            Some(reply) => {
+                assert_eq!(reply.status, 503, "{}: {}", self.id, reply.text());
+                0
+            }
+            None => 0,
+        };
+        assert_eq!(ran, expected, "{} ran and got {:?}", self.id, self.reply);
+    }
+}
+
+/// Sends a request that must not be repeated, whose work takes `work_ms`.
+pub fn write(stream: &mut TcpStream, id: &str, work_ms: &str) -> io::Result<()> {
+    let headers = [("Host", "solver.example"), ("x-work-ms", work_ms), ("x-request-id", id)];
+    stream.write_all(client::request_text("POST", "/plain", &headers, "x").as_bytes())
+}
+
+/// Sends such a request and waits for the end of its answer or connection.
+pub fn send(stream: &mut TcpStream, id: &str, work_ms: &str) -> Option<Reply> {
+    write(stream, id, work_ms).ok()?;
+    client::read_reply(stream, "POST")
+}
+
+/// Waits until a daemon has logged an event.
+pub fn wait_event(daemon: &TestDaemon, event: &str) {
+    let text = format!("\"message\":\"{event}\"");
+    eventually(event, || daemon.log_text().contains(&text));
+}
+
+/// Asks a daemon to stop and waits until it does.
+pub fn ask(daemon: &TestDaemon) {
+    daemon.signal("-TERM");
+    wait_event(daemon, "leaving");
+}
--- /dev/null
+++ b/crates/daemon/tests/stop_phases.rs
@@ -0,0 +1,196 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! What a stop takes, refuses and waits for beside plain requests that come while it is open.
+
+mod common;
+
+use std::fs;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::client;
+use common::stops::{self, StopRequest};
+use common::{eventually, FleetPlan, TestFleet};
+use serde_json::{json, Value};
+
+/// A stop that closes after 4 s, gives up after 7.7 s and ends after 8 s.
+fn flags() -> Vec<(&'static str, &'static str)> {
+    vec![("drain-ms", "8000"), ("drain-min-ms", "500")]
+}
+
+/// Routes whose requests may wait and run for longer than the stop lasts.
+fn patient_routes() -> Value {
+    json!({
+        "any": {"host": "solver.example", "path_prefix": "/", "service": "solver-app",
+                "mode": "repeatable", "timeout_ms": 20000},
+        "plain": {"host": "solver.example", "path_prefix": "/plain", "service": "solver-app",
+                  "timeout_ms": 20000},
+    })
+}
+
+#[test]
+fn verify_a_daemon_that_slept_over_its_drain_takes_nothing_that_it_gives_up() {
+    const LONGEST: Duration = Duration::from_secs(3);
+    let flags = vec![("drain-ms", "3000"), ("drain-min-ms", "2000")];
+    let mut fleet = TestFleet::start(&FleetPlan { daemon_flags: flags, ..FleetPlan::default() });
+    let callers = fleet.daemons[0].callers;
+    let mut kept: Vec<TcpStream> = (0..4).map(|_| client::connect(callers)).collect();
+    for (number, stream) in kept.iter_mut().enumerate() {
+        let reply = stops::send(stream, &format!("before-{number}"), "0");
+        assert_eq!(reply.map(|reply| reply.status), Some(200));
+    }
+    stops::ask(&fleet.daemons[0]);
+    let asked = Instant::now();
+    fleet.daemons[0].signal("-STOP");
+    for (number, stream) in kept.iter_mut().enumerate() {
+        stops::write(stream, &format!("slept-{number}"), "1000").expect("write");
+    }
+    eventually("the longest drain is over", || asked.elapsed() > LONGEST);
+    fleet.daemons[0].signal("-CONT");
+    for (number, stream) in kept.iter_mut().enumerate() {
+        let reply = client::read_reply(stream, "POST");
+        StopRequest { id: format!("slept-{number}"), reply }.check(&fleet);
+    }
+    assert_eq!(fleet.daemons[0].ended().code(), Some(0));
+}
+
+#[test]
+fn verify_a_request_whose_body_has_not_come_is_refused_when_the_stop_closes() {
+    let flags = vec![("drain-ms", "3000"), ("drain-min-ms", "500")];
+    let mut fleet = TestFleet::start(&FleetPlan { daemon_flags: flags, ..FleetPlan::default() });
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    let head = "POST /plain HTTP/1.1\r\nHost: solver.example\r\nx-request-id: slow\r\n";
+    stream.write_all(format!("{head}Content-Length: 4\r\n\r\nab").as_bytes()).expect("write");
+    eventually("its head is read", || fleet.daemons[0].metric("in_flight") > 0.0);
+    stops::ask(&fleet.daemons[0]);
+    let reply = client::read_reply(&mut stream, "POST").expect("a refusal");
+    assert_eq!((reply.status, reply.reason().as_deref()), (503, Some("draining")));
+    assert_eq!(fleet.ran("slow"), 0);
+    drop(stream);
+    assert_eq!(fleet.daemons[0].ended().code(), Some(0));
+}
+
+#[test]
+fn verify_a_closed_stop_takes_calls_of_the_work_that_it_waits_for() {
+    let plan =
+        FleetPlan { daemon_flags: flags(), routes: patient_routes(), ..FleetPlan::default() };
+    let mut fleet = TestFleet::start(&plan);
+    let callers = fleet.daemons[0].callers;
+    let sending: Vec<_> = (0..2)
+        .map(|number| {
+            thread::spawn(move || {
+                let mut stream = client::connect(callers);
+                stops::send(&mut stream, &format!("work-{number}"), "6000")
+            })
+        })
+        .collect();
+    eventually("all work runs", || fleet.backends[0].total() + fleet.backends[1].total() == 2);
+    let here = |number: &usize| fleet.backends[0].ran(&format!("work-{number}")) == 1;
+    let work = (0..2).find(here).expect("one of them runs at the first backend server");
+    stops::ask(&fleet.daemons[0]);
+    stops::wait_event(&fleet.daemons[0], "closed");
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    let call = stops::send(&mut stream, &format!("work-{work}.1"), "0").expect("an answer");
+    assert_eq!(call.status, 200, "{}", call.text());
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    let other = stops::send(&mut stream, "other", "0").expect("an answer");
+    assert_eq!((other.status, fleet.ran("other")), (503, 0), "{}", other.text());
+    for sending in sending {
+        let reply = sending.join().expect("join").expect("an answer");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    assert_eq!(fleet.daemons[0].ended().code(), Some(0));
+}
+
+#[test]
+fn verify_work_that_waits_for_the_only_server_is_done_while_the_stop_is_closed() {
+    let plan = FleetPlan {
+        backends: 1,
+        slots: 1,
+        daemon_flags: flags(),
+        routes: patient_routes(),
+        ..FleetPlan::default()
+    };
+    let mut fleet = TestFleet::start(&plan);
+    let mut holding = client::connect(fleet.daemons[1].callers);
+    stops::write(&mut holding, "holds", "5000").expect("write");
+    eventually("it runs", || fleet.ran("holds") == 1);
+    let mut waiting = client::connect(fleet.daemons[1].callers);
+    stops::write(&mut waiting, "waits", "200").expect("write");
+    eventually("it waits", || fleet.daemons[0].metric("queued") > 0.0);
+    stops::ask(&fleet.daemons[0]);
+    for (id, mut stream) in [("holds", holding), ("waits", waiting)] {
+        let reply = client::read_reply(&mut stream, "POST");
+        assert_eq!(reply.map(|reply| reply.status), Some(200), "{id}");
+    }
+    assert_eq!(fleet.daemons[0].ended().code(), Some(0));
+}
+
+#[test]
+fn verify_work_that_still_waits_when_the_stop_gives_up_is_told_as_not_run() {
+    let plan = FleetPlan {
+        backends: 1,
+        slots: 1,
+        daemon_flags: flags(),
+        routes: patient_routes(),
+        ..FleetPlan::default()
+    };
+    let fleet = TestFleet::start(&plan);
+    let mut holding = client::connect(fleet.daemons[1].callers);
+    stops::write(&mut holding, "holds", "18000").expect("write");
+    eventually("it runs", || fleet.ran("holds") == 1);
+    let mut waiting = client::connect(fleet.daemons[1].callers);
+    stops::write(&mut waiting, "waits", "200").expect("write");
+    eventually("it waits", || fleet.daemons[0].metric("queued") > 0.0);
+    stops::ask(&fleet.daemons[0]);
+    let reply = client::read_reply(&mut waiting, "POST").expect("a refusal");
+    assert_eq!((reply.status, fleet.ran("waits")), (503, 0), "{}", reply.text());
+}
+
+#[test]
+fn verify_an_answer_that_is_there_goes_out_when_the_stop_gives_up() {
+    let plan = FleetPlan {
+        daemons: 3,
+        backends: 3,
+        daemon_flags: flags(),
+        routes: patient_routes(),
+        ..FleetPlan::default()
+    };
+    let mut fleet = TestFleet::start(&plan);
+    for backend in &fleet.backends {
+        backend.faults(json!({"error_rate": 1.0}));
+    }
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    stops::ask(&fleet.daemons[0]);
+    // A server's error after 5 s, and a repeat that runs until the daemon gives up.
+    let headers = [("Host", "solver.example"), ("x-work-ms", "5000"), ("x-request-id", "again")];
+    let text = client::request_text("GET", "/puzzle", &headers, "");
+    stream.write_all(text.as_bytes()).expect("write");
+    let reply = client::read_reply(&mut stream, "GET").expect("an answer");
+    assert_eq!(reply.status, 500, "{}", reply.text());
+    assert_eq!(fleet.ran("again"), 2, "the repeat had begun");
+    fleet.daemons[0].ended();
+}
+
+#[test]
+fn verify_settings_that_are_read_again_leave_a_running_stop_as_it_is() {
+    let path = std::env::temp_dir().join(format!("basaltarch-stop-{}.conf", std::process::id()));
+    fs::write(&path, "drain-min-ms = 500\n").expect("settings");
+    let text: &'static str = path.to_str().expect("path").to_owned().leak();
+    let flags = vec![("config", text)];
+    let mut fleet = TestFleet::start(&FleetPlan { daemon_flags: flags, ..FleetPlan::default() });
+    let mut stream = client::connect(fleet.daemons[0].callers);
+    stops::ask(&fleet.daemons[0]);
+    stops::write(&mut stream, "whole", "3000").expect("write");
+    eventually("it runs", || fleet.ran("whole") == 1);
+    fs::write(&path, "drain-min-ms = 500\nkill-after-ms = 1200\n").expect("settings");
+    fleet.daemons[0].signal("-HUP");
+    stops::wait_event(&fleet.daemons[0], "settings in force");
+    let reply = client::read_reply(&mut stream, "POST").expect("an answer");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(fleet.daemons[0].ended().code(), Some(0));
+    let _ = fs::remove_file(&path);
+}
--- a/crates/decide/src/stop.rs
+++ b/crates/decide/src/stop.rs
@@ -15,8 +15,8 @@
 
 use std::time::Duration;
 
-/// Share of the longest drain for which work is taken. What comes last has as much time to end as the
-/// daemon has to stop; what is refused after it ran nowhere.
+/// Share of the longest drain for which work is taken, however long callers take to hear: what comes last
+/// has as long to end as the daemon listened to them. What is refused after it ran nowhere.
 const OPEN_SHARE: f64 = 0.5;
 /// Time before the end of the shortest drain at which the other daemons are told: no way there and back
 /// is longer than 0.3 s (between far regions), so that nothing of theirs is on its way when the daemon ends.
@@ -36,7 +36,10 @@
     /// Only calls of work that runs here are taken; all else is refused as not run.
     Closed,
     /// Who still waits is told that the end is not known.
-    GivingUp,
+    GivingUp {
+        /// When that began.
+        since: Duration,
+    },
     /// The process ends.
     Over(StopCause),
 }
@@ -78,41 +81,56 @@
         let is_idle = in_flight == 0;
         match phase {
             StopPhase::Open if elapsed >= self.hands_over_after() => StopPhase::HandingOver,
-            StopPhase::HandingOver if is_idle && elapsed >= self.shortest => StopPhase::Closed,
+            StopPhase::HandingOver if is_idle && elapsed >= self.may_close_after() => {
+                StopPhase::Closed
+            }
             StopPhase::HandingOver if elapsed >= self.closes_after() => StopPhase::Closed,
             // Seen idle while closed: nothing was taken since, as it was when a daemon closed and ended
             // on the same look and cut what came with it.
             StopPhase::Closed if is_idle => StopPhase::Over(StopCause::Idle),
-            StopPhase::Closed if elapsed >= self.gives_up_after() => StopPhase::GivingUp,
-            StopPhase::GivingUp if is_idle || elapsed >= self.longest => {
+            StopPhase::Closed if elapsed >= self.gives_up_after() => {
+                StopPhase::GivingUp { since: elapsed }
+            }
+            // A daemon that slept gives up late; its last answers take as long as ever.
+            StopPhase::GivingUp { since } if is_idle || elapsed >= since + LAST_ANSWERS => {
                 StopPhase::Over(StopCause::Time)
             }
             same => same,
         }
     }
 
-    /// Says whether a request is taken that must end `ends` after the stop was asked for. A call of work
-    /// that runs here is taken longer: the stop waits for that work, which fails without it.
-    pub fn takes(&self, phase: StopPhase, is_call: bool, ends: Duration) -> bool {
+    /// Says whether a request is taken, `elapsed` after the stop was asked for. A call of work that runs
+    /// here is taken longer: the stop waits for that work, which fails without it.
+    ///
+    /// The phase is that of the last look. A daemon that slept since then goes by the clock: on waking it
+    /// took requests, ran them, and gave them up 40 ms later.
+    pub fn takes(&self, phase: StopPhase, elapsed: Duration, is_call: bool) -> bool {
         match phase {
-            StopPhase::Open | StopPhase::HandingOver => true,
-            StopPhase::Closed => is_call && ends <= self.gives_up_after(),
-            StopPhase::GivingUp | StopPhase::Over(_) => false,
+            StopPhase::Open | StopPhase::HandingOver if elapsed < self.closes_after() => true,
+            StopPhase::Open | StopPhase::HandingOver | StopPhase::Closed => {
+                is_call && elapsed < self.gives_up_after()
+            }
+            StopPhase::GivingUp { .. } | StopPhase::Over(_) => false,
         }
     }
 
+    /// Returns the time after which who still waits is given up.
+    pub fn gives_up_after(&self) -> Duration {
+        self.longest.saturating_sub(LAST_ANSWERS)
+    }
+
     /// Returns the time after which the other daemons are told.
     fn hands_over_after(&self) -> Duration {
-        self.shortest.saturating_sub(HAND_OVER)
+        self.may_close_after().saturating_sub(HAND_OVER)
     }
 
-    /// Returns the time after which the stop closes although work is in flight.
-    fn closes_after(&self) -> Duration {
-        self.longest.mul_f64(OPEN_SHARE).max(self.shortest).min(self.gives_up_after())
+    /// Returns the time after which the stop closes once nothing is in flight.
+    fn may_close_after(&self) -> Duration {
+        self.shortest.min(self.closes_after())
     }
 
-    /// Returns the time after which who still waits is given up.
-    fn gives_up_after(&self) -> Duration {
-        self.longest.saturating_sub(LAST_ANSWERS)
+    /// Returns the time after which the stop closes although work is in flight.
+    fn closes_after(&self) -> Duration {
+        self.longest.mul_f64(OPEN_SHARE)
     }
 }
