Give the answer that is there when a stop gives up, and begin nothing after it

Cause: a request whose first server had answered with an error, and whose repeat ran when the stop gave up, got our 504 in place of the server's answer. And a link that took up to 0.5 s to be made was used after the daemon had given up, for work that was abandoned at once.

Change: the kept answer goes out; a link that is there too late is not used.

stop_phases.rs: verify_an_answer_that_is_there_goes_out_when_the_stop_gives_up failed on the code before (504 for 500). The late link has no test of its own: it needs a link that takes its time at just that moment.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -133,6 +133,9 @@
             FirstEvent::Stopping => {
                 let outcome = FailureOutcome::Unknown(UnknownReason::DaemonStopped);
                 attempts.tell(&asked, StepEnd::Failed(outcome), None, NextStep::End);
+                if let Some((live, head)) = fallback {
+                    return AttemptEnd::Answer(live, head);
+                }
                 trail::tell_given_up(state, request);
                 return AttemptEnd::Failed(CallerFailure::new(outcome));
             }
@@ -450,6 +453,8 @@
         } else {
             path.note_used(self.state.now());
             match links::link_to(self.state, &path).await {
+                // While it was made the daemon may have given up: nothing is begun any more then.
+                Ok(_) if self.state.stop.giving_up.is_raised() => return None,
                 Ok(link) => Some(link),
                 Err(_) => return self.note_unreachable(choice.index),
             }
