Let a stop wait for operators' changes, and a refusal not for a silent store

An operator's change under way was cut without a word, 1.2 s before the store would have answered. And a refusal of once-only work waited for its claim to be taken back; with a silent store the daemon ended before it was told, and the caller heard 502 (may have run) of work that never ran.

Change: changes are counted in flight; taking a claim back is waited for until the stop gives up. The claim's row may stay then, which later attempts with the same key hear as started.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -70,6 +70,8 @@
         let reply = problem(StatusCode::METHOD_NOT_ALLOWED, message);
         return reply.with_field(header::ALLOW, "GET");
     }
+    // A stop waits for changes under way, so that the operator hears how they ended.
+    let _counted = writes.then(|| state.stop.count_in_flight());
     match (method.as_str(), path.as_str()) {
         ("GET", "status") => status::fleet(state),
         ("GET", "health") => status::health(state, request.query("service")),
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -160,11 +160,22 @@
             Err(reason) => Err(FailureOutcome::NotRun(reason)),
         };
         if let (Err(FailureOutcome::NotRun(_)), Some(token)) = (&result, claim) {
-            self.state.ledger.release(token).await;
+            self.release(token).await;
         }
         result
     }
 
+    /// Takes the claim of work that did not run back; the refusal doesn't wait for it beyond the moment at
+    /// which a stop gives up: it would never be told.
+    async fn release(&self, token: ClaimToken) {
+        let mut releasing = std::pin::pin!(self.state.ledger.release(token).fuse());
+        let mut stopping = std::pin::pin!(self.state.stop.giving_up.raised().fuse());
+        select_biased! {
+            () = releasing => {}
+            () = stopping => {}
+        }
+    }
+
     async fn take_slot(&self, body: &EventPipe) -> Result<SlotGuard, NotRunReason> {
         let usual = self.usual_time().map(|usual| usual.at(0.0));
         let request = SlotRequest {
--- a/crates/daemon/tests/stop_phases.rs
+++ b/crates/daemon/tests/stop_phases.rs
@@ -28,6 +28,8 @@
                 "mode": "repeatable", "timeout_ms": 20000},
         "plain": {"host": "solver.example", "path_prefix": "/plain", "service": "solver-app",
                   "timeout_ms": 20000},
+        "payouts": {"host": "solver.example", "path_prefix": "/payouts", "mode": "once",
+                    "service": "solver-app", "timeout_ms": 20000},
     })
 }
 
@@ -194,3 +196,47 @@
     assert_eq!(fleet.daemons[0].ended().code(), Some(0));
     let _ = fs::remove_file(&path);
 }
+
+#[test]
+fn verify_a_refusal_is_told_though_the_store_is_silent() {
+    let plan = FleetPlan {
+        backends: 1,
+        slots: 1,
+        daemon_flags: flags(),
+        routes: patient_routes(),
+        ..FleetPlan::default()
+    };
+    let fleet = TestFleet::start(&plan);
+    let mut holding = client::connect(fleet.daemons[1].callers);
+    stops::write(&mut holding, "holds", "18000").expect("write");
+    eventually("it runs", || fleet.ran("holds") == 1);
+    let mut waiting = client::connect(fleet.daemons[1].callers);
+    let headers =
+        [("Host", "solver.example"), ("Idempotency-Key", "once"), ("x-request-id", "once")];
+    let text = client::request_text("POST", "/payouts", &headers, "x");
+    waiting.write_all(text.as_bytes()).expect("write");
+    eventually("it waits", || fleet.daemons[0].metric("queued") > 0.0);
+    fleet.platform.faults(json!({"silent": true}));
+    stops::ask(&fleet.daemons[0]);
+    let reply = client::read_reply(&mut waiting, "POST").expect("a refusal");
+    assert_eq!((reply.status, fleet.ran("once")), (503, 0), "{}", reply.text());
+}
+
+#[test]
+fn verify_a_change_under_way_is_answered_before_the_daemon_ends() {
+    let mut fleet = TestFleet::start(&FleetPlan::default());
+    // The store answers when the shortest drain, 0.5 s, is long over.
+    fleet.platform.faults(json!({"delay_ms": 1200}));
+    let mut changing = client::connect(fleet.daemons[0].admin);
+    let change = json!({"kind": "organisations", "name": "new", "value": {"title": "New"}});
+    let body = json!({"changes": [change]}).to_string();
+    let headers = [("Authorization", "Bearer operator-token")];
+    let text = client::request_text("POST", "/v1/apply", &headers, &body);
+    changing.write_all(text.as_bytes()).expect("write");
+    // A later call is answered, so that the daemon has read this one.
+    fleet.daemons[0].get("/v1/status");
+    stops::ask(&fleet.daemons[0]);
+    let reply = client::read_reply(&mut changing, "POST").expect("an answer");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(fleet.daemons[0].ended().code(), Some(0));
+}
