Split the daemon's settings by concern

No change of logic.

options/mod.rs names the four types as before, so that no other file changes. The order in which settings are checked, and so the first error, is the same. New are only the modules' pages, doc comments on functions that were private to the file, and the paths by which these are named; the reader of the source is called source::read.

--- /dev/null
+++ b/crates/daemon/src/options/check.rs
@@ -0,0 +1,197 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Checks the settings and makes of them what the daemon runs with.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use basaltarch_core::errors::SettingError;
+use basaltarch_core::resources::QUEUE_MAX;
+use basaltarch_core::settings;
+use basaltarch_http::body::BodyLimits;
+use basaltarch_http::fields::ExchangeFields;
+use basaltarch_http::head::HeadLimits;
+use basaltarch_platform::headers;
+
+use crate::options::{bounds, defaults, source, values};
+use crate::options::{ConfigSource, RawOptions, ServiceDefaults};
+
+/// `DaemonOptions` are the checked settings.
+#[derive(Debug, Clone)]
+pub struct DaemonOptions {
+    /// The settings as flags gave them, to read the file again.
+    pub given: RawOptions,
+    /// Name of the host; backend servers with this host are this daemon's.
+    pub host: String,
+    /// Failure domain of the host.
+    pub failure_domain: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address at which other daemons reach this one, if not the one it listens on.
+    pub advertise_peers: Option<SocketAddr>,
+    /// Address at which operators reach this daemon, if not the one it listens on.
+    pub advertise_admin: Option<SocketAddr>,
+    /// Addresses of some other daemons, asked while the platform's host list is away.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Key shared by all daemons.
+    pub fleet_key: Vec<u8>,
+    /// Token of operators.
+    pub admin_token: String,
+    /// Level of logs.
+    pub log: String,
+    /// Requests a second that are logged from start to end.
+    pub log_requests: u32,
+    /// Other requests a second that are logged since they failed.
+    pub log_failures: u32,
+    /// Longest drain.
+    pub drain: Duration,
+    /// Most connections of callers.
+    pub connections: usize,
+    /// Most connections of one caller's address.
+    pub connections_each: usize,
+    /// Bounds of requests' heads.
+    pub head: HeadLimits,
+    /// Bounds of requests' bodies.
+    pub body: BodyLimits,
+    /// Reads of the platform a second over the whole fleet.
+    pub store_reads: f64,
+    /// Writes to the platform a second by this daemon.
+    pub store_writes: f64,
+    /// Hours for which rows of once-only work are kept at least.
+    pub once_keep_hours: u64,
+    /// Time after which a service that nobody asks for is forgotten.
+    pub service_idle: Duration,
+    /// Where the configuration comes from.
+    pub source: ConfigSource,
+    /// Address at which the platform asks whether the daemon is ready, if it does.
+    pub ready: Option<SocketAddr>,
+    /// Address at which the backend servers of this host register, if they do.
+    pub registration: Option<SocketAddr>,
+    /// Service that runs on this host, if it is known beforehand.
+    pub own_service: Option<String>,
+    /// What holds for services that declare nothing else.
+    pub defaults: ServiceDefaults,
+    /// Shortest drain.
+    pub drain_min: Duration,
+    /// Time between heartbeats to the neighbours.
+    pub heartbeat: Duration,
+    /// Whether backend servers are told where a request came from.
+    pub forwarded: bool,
+}
+
+impl DaemonOptions {
+    /// Reads and checks the settings; the settings file fills what flags and variables leave open.
+    pub fn try_new(given: RawOptions) -> Result<Self, SettingError> {
+        let raw = given.clone().with_file()?;
+        let loopback = SocketAddr::from((IpAddr::from([127, 0, 0, 1]), 0));
+        let address = |flag: &str, given| {
+            settings::checked(flag, given, loopback, values::ADDRESS_ALLOWED, |_| true)
+        };
+        let source = source::read(raw.source)?;
+        let peers = address("peers", raw.peers)?;
+        let at_peer_port = values::flag("seeds-at-peer-port", raw.seeds_at_peer_port)?;
+        let mut seeds = values::seeds(raw.seeds)?;
+        if at_peer_port {
+            seeds.iter_mut().for_each(|seed| seed.set_port(peers.port()));
+        }
+        Ok(Self {
+            given,
+            callers: address("callers", raw.callers)?,
+            peers,
+            admin: address("admin", raw.admin)?,
+            advertise_peers: values::advertised("advertise-peers", raw.advertise_peers)?,
+            advertise_admin: values::advertised("advertise-admin", raw.advertise_admin)?,
+            seeds,
+            host: values::name("host", raw.host)?,
+            failure_domain: values::name("failure-domain", raw.failure_domain)?,
+            platform: settings::required("platform", raw.platform, values::ADDRESS_ALLOWED)?,
+            fleet_key: values::fleet_key(raw.fleet_key)?,
+            admin_token: settings::required("admin-token", raw.admin_token, "a token")?,
+            log: values::log_level(raw.log)?,
+            log_requests: values::count("log-requests", raw.log_requests, 20, 0, 1_000_000)? as u32,
+            log_failures: values::count("log-failures", raw.log_failures, 50, 0, 1_000_000)? as u32,
+            drain: bounds::longest_drain(raw.drain_ms, raw.kill_after_ms)?,
+            connections: bounds::caller_connections(
+                raw.connections,
+                raw.descriptors,
+                raw.memory_mb,
+            )?,
+            connections_each: values::count(
+                "connections-each",
+                raw.connections_each,
+                2000,
+                1,
+                1_000_000,
+            )? as usize,
+            head: HeadLimits {
+                bytes: values::count("head-bytes", raw.head_bytes, 16_384, 512, 32_768)? as usize,
+                time: values::millis("head-ms", raw.head_ms, 10_000, 600_000)?,
+                idle: values::millis("idle-ms", raw.idle_ms, 75_000, 3_600_000)?,
+                ..HeadLimits::default()
+            },
+            body: BodyLimits {
+                bytes: values::count("body-bytes", raw.body_bytes, 4 << 30, 0, 1 << 50)?,
+                idle: values::millis("body-idle-ms", raw.body_idle_ms, 30_000, 600_000)?,
+            },
+            store_reads: values::count("store-reads", raw.store_reads, 400, 1, 100_000)? as f64,
+            store_writes: values::count("store-writes", raw.store_writes, 50, 1, 100_000)? as f64,
+            service_idle: values::millis(
+                "service-idle-ms",
+                raw.service_idle_ms,
+                600_000,
+                86_400_000,
+            )?,
+            once_keep_hours: values::count("once-keep-hours", raw.once_keep_hours, 24, 1, 8760)?,
+            source,
+            ready: settings::optional("ready", raw.ready, values::ADDRESS_ALLOWED)?,
+            registration: settings::optional(
+                "registration",
+                raw.registration,
+                values::ADDRESS_ALLOWED,
+            )?,
+            own_service: settings::optional("own-service", raw.own_service, "a name")?,
+            defaults: ServiceDefaults {
+                floor: values::share("floor", raw.floor, 0.7)?,
+                prefer: defaults::prefer(raw.prefer)?,
+                queue: values::count("queue", raw.queue, 16, 0, QUEUE_MAX.into())? as u32,
+                retry_share: values::share("retry-share", raw.retry_share, 0.1)?,
+                retry_extra: values::count("retry-extra", raw.retry_extra, 100, 0, 1_000_000)?
+                    as u32,
+                retry_window: values::millis(
+                    "retry-window-ms",
+                    raw.retry_window_ms,
+                    10_000,
+                    600_000,
+                )?,
+            },
+            heartbeat: values::millis("heartbeat-ms", raw.heartbeat_ms, 1000, 600_000)?,
+            forwarded: !values::flag("hide-callers", raw.hide_callers)?,
+            drain_min: values::millis("drain-min-ms", raw.drain_min_ms, 500, bounds::DRAIN_MS_MAX)?,
+        })
+    }
+
+    /// Returns the names of the header fields that backend servers of this deployment know.
+    pub fn exchange_fields(&self) -> ExchangeFields {
+        match self.source {
+            ConfigSource::Resources => ExchangeFields::default(),
+            ConfigSource::Document => headers::exchange_fields(),
+        }
+    }
+
+    /// Returns the address at which other daemons reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.advertise_peers.unwrap_or(self.peers)
+    }
+
+    /// Returns the address at which operators reach this daemon.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.advertise_admin.unwrap_or(self.admin)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/options/values.rs
@@ -0,0 +1,107 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Reads one value of each form: numbers, times, shares, names, addresses, keys.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use basaltarch_core::errors::SettingError;
+use basaltarch_core::settings;
+use basaltarch_peer::handshake::KEY_BYTES_MIN;
+use basaltarch_telemetry::logs;
+
+/// Allowed addresses, for error messages.
+pub const ADDRESS_ALLOWED: &str = "an IP address with port, such as 127.0.0.1:8080";
+
+/// Reads a part of a whole, from 0 to 1.
+pub fn share(name: &str, given: Option<String>, default: f64) -> Result<f64, SettingError> {
+    settings::checked(name, given, default, "0 to 1", |value| (0.0..=1.0).contains(value))
+}
+
+/// Reads a setting that is on or off; it is off when nothing is given.
+pub fn flag(name: &str, given: Option<String>) -> Result<bool, SettingError> {
+    settings::checked(name, given, false, "true or false", |_| true)
+}
+
+/// Reads an address that may be left out.
+pub fn advertised(flag: &str, given: Option<String>) -> Result<Option<SocketAddr>, SettingError> {
+    settings::optional(flag, given, ADDRESS_ALLOWED)
+}
+
+/// Reads addresses of other daemons.
+pub fn seeds(given: Option<String>) -> Result<Vec<SocketAddr>, SettingError> {
+    let allowed = "IP addresses with ports, separated by commas";
+    let list: Option<String> = settings::optional("seeds", given, allowed)?;
+    let list = list.unwrap_or_default();
+    let parts = list.split(',').filter(|part| !part.is_empty());
+    parts.map(|part| settings::required("seeds", Some(part.trim().to_owned()), allowed)).collect()
+}
+
+/// Reads a name that others know the daemon by.
+pub fn name(flag: &str, given: Option<String>) -> Result<String, SettingError> {
+    let allowed = "1 to 128 of a-z, 0-9, '-', '.', '_'";
+    let name: String = settings::required(flag, given, allowed)?;
+    settings::checked(flag, Some(name), String::new(), allowed, |name: &String| {
+        let plain =
+            |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-._".contains(&byte);
+        (1..=128).contains(&name.len()) && name.bytes().all(plain)
+    })
+}
+
+/// Reads the key shared by all daemons; a wrong one is told by its length alone.
+pub fn fleet_key(given: Option<String>) -> Result<Vec<u8>, SettingError> {
+    let allowed = "at least 16 characters";
+    let key: String = settings::required("fleet-key", given, allowed)?;
+    if key.len() >= KEY_BYTES_MIN {
+        return Ok(key.into_bytes());
+    }
+    // The key itself must not stand in logs.
+    Err(SettingError::Invalid {
+        flag: "fleet-key".to_owned(),
+        variable: settings::variable_of("fleet-key"),
+        value: format!("({} characters)", key.len()),
+        allowed: allowed.to_owned(),
+    })
+}
+
+/// Reads the level of logs, for all modules or by module.
+pub fn log_level(given: Option<String>) -> Result<String, SettingError> {
+    let allowed = "error, warn, info, debug, trace, or a list by module";
+    settings::checked("log", given, "info".to_owned(), allowed, |level: &String| {
+        logs::is_valid(level)
+    })
+}
+
+/// Reads a number from `least` to `most`.
+pub fn count(
+    flag: &str,
+    given: Option<String>,
+    default: u64,
+    least: u64,
+    most: u64,
+) -> Result<u64, SettingError> {
+    let allowed = format!("{least} to {most}");
+    settings::checked(flag, given, default, &allowed, |value| (least..=most).contains(value))
+}
+
+/// Reads a time of at most `most` milliseconds.
+pub fn millis(
+    flag: &str,
+    given: Option<String>,
+    default: u64,
+    most: u64,
+) -> Result<Duration, SettingError> {
+    let allowed = format!("1 to {most} ms, or a number of seconds with an s behind it");
+    let given: Option<String> = settings::optional(flag, given, &allowed)?;
+    let given = given.map(|text| seconds_as_millis(&text).unwrap_or(text));
+    let value =
+        settings::checked(flag, given, default, &allowed, |value| (1..=most).contains(value));
+    value.map(Duration::from_millis)
+}
+
+/// Turns `2.5s` into `2500`; gives nothing for a text of another form.
+fn seconds_as_millis(text: &str) -> Option<String> {
+    let seconds: f64 = text.strip_suffix('s')?.parse().ok()?;
+    Some(format!("{}", (seconds * 1000.0).round()))
+}
