Split the stand-in backend server by concern

No change of logic. What backend.rs held stands in modules below backend/: options BackendOptions faults BackendFaults, BreakPoint runs BackendRuns and the three functions that count in it serving serve, and a connection from request to request work the service time of a request (was work, now work::run) reply status, header fields and body of answers; refusals sending answers written whole, generated or broken off control the control paths (was control, now control::answer) probe health and load endpoints (was answer_probe, now probe::answer) BackendStandin itself, the state that they share, stays in backend/mod.rs.

All names that other crates and tests use are named there as before, so that no other file changes. New are only the modules' pages, doc comments on functions that were private to the file, and the paths by which these are named.

--- /dev/null
+++ b/crates/standin/src/backend/probe.rs
@@ -0,0 +1,40 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The health and load endpoints, which tell what the faults say.
+
+use basaltarch_http::connection::HttpStream;
+use basaltarch_http::errors::HttpError;
+use basaltarch_platform::headers;
+use bytes::Bytes;
+use http::{request, HeaderMap, StatusCode};
+
+use crate::backend::{reply, sending};
+use crate::backend::{BackendFaults, BackendStandin};
+
+/// Path of the health endpoint, which tells what the faults say and not how the server is.
+pub const HEALTH_PATH: &str = "/health";
+/// Path of the load endpoint, which tells what the faults say too.
+pub const LOAD_PATH: &str = "/load";
+
+/// Answers a request of the health or load endpoint.
+pub async fn answer(
+    stream: &mut HttpStream,
+    standin: &BackendStandin,
+    head: &request::Parts,
+    faults: &BackendFaults,
+) -> Result<(), HttpError> {
+    standin.runs.borrow_mut().probes += 1;
+    let (status, text) = match head.uri.path() {
+        HEALTH_PATH => (faults.health_status, String::new()),
+        _ => (StatusCode::OK.as_u16(), faults.claimed_load.to_string()),
+    };
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    let sound = BackendFaults::default();
+    let body = Bytes::from(text);
+    let mut headers = HeaderMap::new();
+    if standin.options.fields.expected_server.is_some() {
+        reply::put(&mut headers, headers::SERVER, &standin.options.name);
+    }
+    sending::answer_whole(stream, &head.method, status, &headers, body, &sound).await
+}
--- /dev/null
+++ b/crates/standin/src/backend/reply.rs
@@ -0,0 +1,106 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! What a stand-in backend server answers: status, header fields and body.
+
+use basaltarch_http::connection::HttpStream;
+use basaltarch_http::errors::HttpError;
+use basaltarch_http::fields;
+use basaltarch_http::framing::BodyFraming;
+use basaltarch_http::writer;
+use bytes::{Bytes, BytesMut};
+use http::{header, request, HeaderMap, HeaderName, HeaderValue, StatusCode};
+
+use crate::backend::sending;
+use crate::backend::{BackendFaults, BackendStandin};
+
+/// Refuses a request that was not run.
+pub async fn refuse(
+    stream: &mut HttpStream,
+    standin: &BackendStandin,
+    status: StatusCode,
+) -> Result<(), HttpError> {
+    let mut headers = HeaderMap::new();
+    headers.insert(standin.options.fields.shed.clone(), HeaderValue::from_static("1"));
+    let mut buffer = BytesMut::new();
+    writer::put_response_head(&mut buffer, status, &headers, BodyFraming::Empty, false);
+    writer::flush(&mut stream.writer, &mut buffer).await
+}
+
+/// Answers a request that was run.
+pub async fn answer(
+    stream: &mut HttpStream,
+    standin: &BackendStandin,
+    head: &request::Parts,
+    faults: &BackendFaults,
+    body: Bytes,
+) -> Result<(), HttpError> {
+    let path = head.uri.path();
+    let failed = standin.fails(faults, path);
+    let status = match (failed, StatusCode::from_u16(faults.status)) {
+        (true, _) => StatusCode::INTERNAL_SERVER_ERROR,
+        (false, Ok(status)) => status,
+        (false, Err(_)) => wanted_status(path),
+    };
+    let headers = answer_fields(standin, head, faults);
+    if faults.surplus {
+        let mut other = headers.clone();
+        put(&mut other, standin.request_field(), "an-earlier-request");
+        let body = Bytes::from_static(b"the answer to an earlier request\n");
+        let sound = BackendFaults::default();
+        sending::answer_whole(stream, &head.method, StatusCode::OK, &other, body, &sound).await?;
+    }
+    if faults.twice {
+        let body = answer_text(standin, head, status);
+        sending::answer_whole(stream, &head.method, status, &headers, body, faults).await?;
+    }
+    if let Some(length) = path.strip_prefix("/bytes/").and_then(|text| text.parse().ok()) {
+        return sending::answer_generated(stream, &headers, length, faults).await;
+    }
+    let body = match path {
+        "/echo" => body,
+        _ => answer_text(standin, head, status),
+    };
+    sending::answer_whole(stream, &head.method, status, &headers, body, faults).await
+}
+
+/// Returns the header fields of an answer.
+fn answer_fields(
+    standin: &BackendStandin,
+    head: &request::Parts,
+    faults: &BackendFaults,
+) -> HeaderMap {
+    let names = &standin.options.fields;
+    let mut headers = HeaderMap::new();
+    put(&mut headers, HeaderName::from_static("x-served-by"), &standin.options.name);
+    if let Some(id) = head.headers.get(standin.request_field()) {
+        headers.insert(standin.request_field(), id.clone());
+    }
+    if let Some(name) = names.stamp.as_ref().filter(|_| !faults.unstamped) {
+        put(&mut headers, name.clone(), "stamp");
+    }
+    if faults.encoded {
+        put(&mut headers, header::CONTENT_ENCODING, "gzip");
+    }
+    if faults.drain {
+        put(&mut headers, names.drain.clone(), "1");
+    }
+    headers
+}
+
+fn wanted_status(path: &str) -> StatusCode {
+    let wanted = path.strip_prefix("/status/").and_then(|text| text.parse::<u16>().ok());
+    wanted.and_then(|code| StatusCode::from_u16(code).ok()).unwrap_or(StatusCode::OK)
+}
+
+fn answer_text(standin: &BackendStandin, head: &request::Parts, status: StatusCode) -> Bytes {
+    let id = fields::single(&head.headers, &standin.request_field()).unwrap_or("-");
+    Bytes::from(format!("{} {} {} {id}\n", standin.options.name, status.as_u16(), head.uri.path()))
+}
+
+/// Sets a field; a value that can't stand in a head is left out.
+pub fn put(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
