--- /dev/null
+++ b/crates/daemon/tests/common/backend.rs
@@ -0,0 +1,73 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Stand-in backend servers in threads of the test.
+
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use basaltarch_http::connection;
+use basaltarch_http::fields::ExchangeFields;
+use basaltarch_standin::backend::{self, BackendOptions, BackendStandin};
+use basaltarch_telemetry::runtime;
+use serde_json::Value;
+
+use super::{client, loopback};
+
+/// A stand-in backend server in a thread.
+pub struct TestBackend {
+    pub name: String,
+    pub address: SocketAddr,
+}
+
+impl TestBackend {
+    pub fn start(name: &str, service_ms: u64) -> Self {
+        Self::start_at(loopback(), name, service_ms, ExchangeFields::default())
+    }
+
+    /// Starts one at an address that knows other header fields.
+    pub fn start_at(
+        address: SocketAddr,
+        name: &str,
+        service_ms: u64,
+        fields: ExchangeFields,
+    ) -> Self {
+        let options = BackendOptions {
+            name: name.to_owned(),
+            service_time: Duration::from_millis(service_ms),
+            fields,
+            ..BackendOptions::default()
+        };
+        let (sender, receiver) = mpsc::channel();
+        thread::spawn(move || {
+            let serving = async move {
+                let listener = connection::bind(address).expect("bind");
+                sender.send(listener.local_addr().expect("address")).expect("send");
+                backend::serve(listener, BackendStandin::new(options), 1000).await;
+            };
+            runtime::run(serving).expect("runtime");
+        });
+        Self { name: name.to_owned(), address: receiver.recv().expect("backend server starts") }
+    }
+
+    pub fn faults(&self, faults: Value) {
+        let reply =
+            client::call(self.address, "PUT", backend::FAULTS_PATH, &[], &faults.to_string());
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+
+    pub fn runs(&self) -> Value {
+        client::call(self.address, "GET", backend::RUNS_PATH, &[], "").json()
+    }
+
+    pub fn total(&self) -> u64 {
+        self.runs()["total"].as_u64().expect("total")
+    }
+
+    /// Says how often the request with this id ran here.
+    pub fn ran(&self, id: &str) -> u64 {
+        self.runs()["by_id"][id].as_u64().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/common/daemon.rs
@@ -0,0 +1,201 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Daemons as processes.
+
+use std::fs::{self, File};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
+use std::thread;
+
+use serde_json::Value;
+
+use super::client::{self, Reply};
+use super::{eventually, logs};
+
+const TOKEN: &str = "operator-token";
+const KEY: &str = "a-fleet-key-for-tests";
+
+/// A daemon as a process; killed when dropped.
+pub struct TestDaemon {
+    pub host: String,
+    pub domain: String,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub admin: SocketAddr,
+    /// Address for heartbeats of backend servers, if the daemon has one.
+    pub registration: Option<SocketAddr>,
+    /// Address for the platform's question, if the daemon has one.
+    pub ready: Option<SocketAddr>,
+    child: Child,
+    log: PathBuf,
+    /// Standard output, where it is a pipe that the test reads or leaves unread.
+    pub output: Option<BufReader<ChildStdout>>,
+}
+
+impl TestDaemon {
+    /// Starts a daemon that logs into a file.
+    pub fn start(platform: SocketAddr, host: &str, domain: &str, extra: &[(&str, &str)]) -> Self {
+        let log = logs::new_path(host);
+        let file = File::create(&log).expect("log file");
+        let errors = file.try_clone().expect("log file");
+        let mut command = daemon_command(platform, host, domain, extra);
+        let child = command
+            .stdout(Stdio::from(file))
+            .stderr(Stdio::from(errors))
+            .spawn()
+            .expect("daemon starts");
+        let line = logs::wait_line(&log, "listening");
+        Self::listening(child, log, &line, host, domain)
+    }
+
+    /// Starts a daemon whose standard output is a pipe; only its first lines have been read.
+    pub fn start_piped(
+        platform: SocketAddr,
+        host: &str,
+        domain: &str,
+        extra: &[(&str, &str)],
+    ) -> Self {
+        let mut command = daemon_command(platform, host, domain, extra);
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("daemon starts");
+        let mut output = BufReader::new(child.stdout.take().expect("output"));
+        let mut line = Value::Null;
+        while line["message"] != "listening" {
+            let mut text = String::new();
+            assert!(output.read_line(&mut text).expect("output") > 0, "the daemon ended");
+            line = serde_json::from_str(&text).unwrap_or(Value::Null);
+        }
+        let mut daemon = Self::listening(child, logs::new_path(host), &line, host, domain);
+        daemon.output = Some(output);
+        daemon
+    }
+
+    fn listening(child: Child, log: PathBuf, line: &Value, host: &str, domain: &str) -> Self {
+        let address = |field: &str| line[field].as_str().expect(field).parse().expect(field);
+        let parse = |text: &str| text.parse().expect("address");
+        Self {
+            host: host.to_owned(),
+            domain: domain.to_owned(),
+            callers: address("callers"),
+            peers: address("peers"),
+            admin: address("admin"),
+            registration: line["registration"].as_str().map(parse),
+            ready: line["ready"].as_str().map(parse),
+            child,
+            log,
+            output: None,
+        }
+    }
+
+    /// Returns the path of the log.
+    pub fn log_file(&self) -> String {
+        self.log.to_str().expect("path").to_owned()
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end of the process.
+    pub fn ended(&mut self) -> ExitStatus {
+        let mut status = None;
+        eventually("the daemon ends", || {
+            status = self.child.try_wait().expect("wait");
+            status.is_some()
+        });
+        status.expect("ended")
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("wait").is_none()
+    }
+
+    pub fn call(&self, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Reply {
+        let bearer = format!("Bearer {TOKEN}");
+        let mut all = vec![("Authorization", bearer.as_str())];
+        all.extend_from_slice(headers);
+        client::call(self.admin, method, path, &all, body)
+    }
+
+    pub fn get(&self, path: &str) -> Value {
+        let reply = self.call("GET", path, &[], "");
+        assert_eq!(reply.status, 200, "{path}: {}", reply.text());
+        reply.json()
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.get("/v1/status")["revision"].as_u64().expect("revision")
+    }
+
+    pub fn is_ready(&self) -> bool {
+        client::try_call(self.admin, "GET", "/readyz", &[], "").is_some_and(|r| r.status == 200)
+    }
+
+    /// Returns the sum of a metric over its labels.
+    pub fn metric(&self, name: &str) -> f64 {
+        let reply = client::call(self.admin, "GET", "/metrics", &[], "");
+        let prefix = format!("basaltarch_{name}");
+        reply
+            .text()
+            .lines()
+            .filter(|line| line.starts_with(&prefix))
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+
+    pub fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    pub fn live_members(&self) -> usize {
+        let status = self.get("/v1/status");
+        let members = status["members"].as_array().expect("members");
+        members.iter().filter(|member| member["state"] == "live").count()
+    }
+}
+
+impl Drop for TestDaemon {
+    fn drop(&mut self) {
+        self.kill();
+        if thread::panicking() {
+            let text = self.log_text();
+            let tail: Vec<&str> = text.lines().rev().take(60).collect();
+            eprintln!("-- log of {}, last first\n{}", self.host, tail.join("\n"));
+        }
+        logs::keep_events(&self.log);
+        let _ = fs::remove_file(&self.log);
+    }
+}
+
+fn daemon_command(
+    platform: SocketAddr,
+    host: &str,
+    domain: &str,
+    extra: &[(&str, &str)],
+) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_basaltarchd"));
+    command
+        .args(["--host", host, "--failure-domain", domain])
+        .args(["--platform", &platform.to_string()])
+        .args(["--admin-token", TOKEN])
+        .env("BASALTARCH_FLEET_KEY", KEY)
+        .env("BASALTARCH_DRAIN_MS", "20000")
+        // Every line, so that a failed test can be traced.
+        .env("BASALTARCH_LOG_REQUESTS", "1000000");
+    for (flag, value) in extra {
+        command.arg(format!("--{flag}")).arg(value);
+    }
+    command
+}
--- /dev/null
+++ b/crates/daemon/tests/common/platform.rs
@@ -0,0 +1,60 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The stand-in platform in a thread of the test.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::thread;
+
+use basaltarch_http::connection;
+use basaltarch_standin::platform::{self, HostGroup, PlatformStandin};
+use basaltarch_telemetry::runtime;
+use serde_json::Value;
+
+use super::{client, loopback};
+
+/// The stand-in platform in a thread.
+pub struct TestPlatform {
+    pub address: SocketAddr,
+    /// Address for hosts that some outages strike alone.
+    pub second: SocketAddr,
+}
+
+impl TestPlatform {
+    pub fn start() -> Self {
+        let (sender, receiver) = mpsc::channel();
+        thread::spawn(move || {
+            let serving = async move {
+                let first = connection::bind(loopback()).expect("bind");
+                let second = connection::bind(loopback()).expect("bind");
+                let addresses = [&first, &second].map(|each| each.local_addr().expect("address"));
+                sender.send(addresses).expect("send");
+                let standin = Rc::new(PlatformStandin::default());
+                monoio::spawn(platform::serve(second, standin.clone(), HostGroup::Second));
+                platform::serve(first, standin, HostGroup::First).await;
+            };
+            runtime::run(serving).expect("runtime");
+        });
+        let [address, second] = receiver.recv().expect("platform starts");
+        Self { address, second }
+    }
+
+    pub fn faults(&self, faults: Value) {
+        let reply =
+            client::call(self.address, "PUT", platform::FAULTS_PATH, &[], &faults.to_string());
+        assert_eq!(reply.status, 204, "{}", reply.text());
+    }
+
+    pub fn counters(&self) -> Value {
+        client::call(self.address, "GET", platform::COUNTERS_PATH, &[], "").json()
+    }
+
+    /// Writes or removes a row past all rules, as somebody else than its daemon.
+    pub fn change_row(&self, method: &str, table: &str, key: &str, value: &str) {
+        let path = format!("{}{table}/{key}", platform::ROWS_CONTROL_PATH);
+        let reply = client::call(self.address, method, &path, &[], value);
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+}
