Let one piece accept and serve for the small servers

No change of logic. Four places wrote the same ten lines: accept connections up to a bound, and hand each request with a clone of the state to a function: the operators' listener, the two for backend servers and the platform's question, and the stand-in platform. server::serve_all does so for all four.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -12,7 +12,6 @@
 use std::rc::Rc;
 
 use basaltarch_core::resources::ResourceKind;
-use basaltarch_http::connection::{self, ConnectionCount};
 use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
 use basaltarch_telemetry::metrics;
 use http::{header, Method, StatusCode};
@@ -29,15 +28,12 @@
 
 /// Takes operators' connections for ever.
 pub async fn accept(state: Rc<DaemonState>, listener: TcpListener) {
-    let serve = move |stream, from| {
+    let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
+    let answer = move |request| {
         let state = state.clone();
-        let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
-        server::serve(stream, from, limits, move |request| {
-            let state = state.clone();
-            async move { handle(&state, &request).await }
-        })
+        async move { handle(&state, &request).await }
     };
-    connection::accept_all(listener, CONNECTIONS_MAX, ConnectionCount::default(), serve).await;
+    server::serve_all(listener, CONNECTIONS_MAX, limits, answer).await;
 }
 
 async fn handle(state: &Rc<DaemonState>, request: &ServerRequest) -> ServerReply {
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -13,7 +13,6 @@
 
 use basaltarch_events::servers;
 use basaltarch_http::client::HttpClient;
-use basaltarch_http::connection::{self, ConnectionCount};
 use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
 use basaltarch_platform::headers;
 use basaltarch_platform::registration::{self, ServerCall, ServerHeartbeat};
@@ -78,15 +77,12 @@
 
 /// Takes connections of backend servers for ever.
 pub async fn accept(state: Rc<DaemonState>, listener: TcpListener) {
-    let serve = move |stream, from| {
+    let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
+    let answer = move |request| {
         let state = state.clone();
-        let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
-        server::serve(stream, from, limits, move |request| {
-            let state = state.clone();
-            async move { answer_server(&state, &request) }
-        })
+        async move { answer_server(&state, &request) }
     };
-    connection::accept_all(listener, CONNECTIONS_MAX, ConnectionCount::default(), serve).await;
+    server::serve_all(listener, CONNECTIONS_MAX, limits, answer).await;
 }
 
 fn answer_server(state: &Rc<DaemonState>, request: &ServerRequest) -> ServerReply {
@@ -231,15 +227,12 @@
 
 /// Answers for ever whether the daemon is ready.
 pub async fn accept_ready(state: Rc<DaemonState>, listener: TcpListener) {
-    let serve = move |stream, from| {
+    let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
+    let answer = move |request| {
         let state = state.clone();
-        let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
-        server::serve(stream, from, limits, move |request| {
-            let state = state.clone();
-            async move { answer_ready(&state, &request) }
-        })
+        async move { answer_ready(&state, &request) }
     };
-    connection::accept_all(listener, CONNECTIONS_MAX, ConnectionCount::default(), serve).await;
+    server::serve_all(listener, CONNECTIONS_MAX, limits, answer).await;
 }
 
 fn answer_ready(state: &DaemonState, request: &ServerRequest) -> ServerReply {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -6,17 +6,18 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::LocalBoxStream;
 use futures_util::StreamExt;
 use http::{header, request, HeaderMap, HeaderValue, Method, StatusCode};
-use monoio::net::TcpStream;
+use monoio::net::{TcpListener, TcpStream};
 use serde::Serialize;
 
 use crate::body::{BodyLimits, BodyReader};
-use crate::connection::HttpStream;
+use crate::connection::{self, ConnectionCount, HttpStream};
 use crate::errors::HttpError;
 use crate::fields;
 use crate::framing::{self, BodyFraming};
@@ -125,6 +126,20 @@
     }
 }
 
+/// Accepts connections for ever, `most` at once, and serves the requests on each.
+pub async fn serve_all<F, Fut>(listener: TcpListener, most: usize, limits: ServerLimits, handle: F)
+where
+    F: Fn(ServerRequest) -> Fut + 'static,
+    Fut: Future<Output = ServerReply> + 'static,
+{
+    let handle = Rc::new(handle);
+    let serve_one = move |stream, from| {
+        let handle = handle.clone();
+        serve(stream, from, limits, move |request| handle(request))
+    };
+    connection::accept_all(listener, most, ConnectionCount::default(), serve_one).await;
+}
+
 /// Serves requests on one connection until it ends.
 pub async fn serve<F, Fut>(stream: TcpStream, from: SocketAddr, limits: ServerLimits, handle: F)
 where
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -4,11 +4,9 @@
 //! The stand-in platform: rows, their feed, and objects over HTTP, with faults.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use basaltarch_http::connection::{self, ConnectionCount};
 use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
 use basaltarch_platform::objects;
 use basaltarch_platform::rows::{self, PageBody, TransactBody};
@@ -112,15 +110,12 @@
 
 /// Serves the stand-in to one group of hosts for ever.
 pub async fn serve(listener: TcpListener, standin: Rc<PlatformStandin>, group: HostGroup) {
-    let serve = move |stream, from: SocketAddr| {
+    let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
+    let answer = move |request| {
         let standin = standin.clone();
-        let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
-        server::serve(stream, from, limits, move |request| {
-            let standin = standin.clone();
-            async move { standin.handle(request, group).await }
-        })
+        async move { standin.handle(request, group).await }
     };
-    connection::accept_all(listener, CONNECTIONS_MAX, ConnectionCount::default(), serve).await
+    server::serve_all(listener, CONNECTIONS_MAX, limits, answer).await;
 }
 
 impl PlatformStandin {
