--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -6,7 +6,7 @@
 //! [`platform`] and [`backend`] are the stand-ins, [`daemon`] starts daemons and [`logs`] reads what
 //! they log. [`fleet`] and [`registered`] put these together, one for each source of the
 //! configuration. [`client`] sends requests, [`operator`] does what operators do, and [`forwarder`]
-//! cuts links.
+//! cuts links. [`stops`] sends requests to daemons that stop.
 //!
 //! Ports are given by the kernel. Every wait is for an event, with a generous bound.
 
