Start late only what must end in time; take other daemons' work until the hand-over again

Change: until the hand-over everything is taken and started. From then on work is started only if its deadline is before the stop gives up, and what waits with a later one is refused at the hand-over and goes elsewhere. Nothing waits any more when the stop gives up, so that nothing is to be refused then.

--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -213,19 +213,24 @@
 
     /// Refuses all who wait and can be served elsewhere, when the backend server is thought sick.
     pub fn refuse_waiting(&self) {
-        self.refuse_where(|request| request.refusable);
+        self.refuse_where(NotRunReason::Sick, |request| request.refusable);
     }
 
     /// Refuses all who wait and can ask another upstream, when the backend server is doubted.
     pub fn pass_waiting(&self) {
-        self.refuse_where(|request| request.passable);
+        self.refuse_where(NotRunReason::Sick, |request| request.passable);
     }
 
-    fn refuse_where(&self, is_refused: impl Fn(&SlotRequest) -> bool) {
+    /// Refuses all who wait and have a deadline that is too late for a daemon that stops.
+    pub fn refuse_late(&self, is_late: impl Fn(Duration) -> bool) {
+        self.refuse_where(NotRunReason::Draining, |request| is_late(request.deadline));
+    }
+
+    fn refuse_where(&self, reason: NotRunReason, is_refused: impl Fn(&SlotRequest) -> bool) {
         self.waiting.borrow_mut().retain(|waiter| {
             let refused = is_refused(&waiter.request);
             if refused {
-                waiter.settle(WaitState::Refused(NotRunReason::Sick));
+                waiter.settle(WaitState::Refused(reason));
             }
             !refused
         });
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -109,7 +109,7 @@
 impl HostWork<'_> {
     fn admit(&mut self) -> Result<(), NotRunReason> {
         let now = self.state.now();
-        if !stop::hosts(self.state, self.deadline) || self.upstream.is_draining(now) {
+        if self.state.stop.is_handing_over() || self.upstream.is_draining(now) {
             return Err(NotRunReason::Draining);
         }
         let terms = DispatchTerms {
@@ -178,6 +178,10 @@
     }
 
     async fn take_slot(&self, body: &EventPipe) -> Result<SlotGuard, NotRunReason> {
+        // The claim may have taken until the daemon hands over.
+        if !stop::starts(self.state, self.deadline) {
+            return Err(NotRunReason::Draining);
+        }
         let usual = self.usual_time().map(|usual| usual.at(0.0));
         let request = SlotRequest {
             class: wire::class_of(self.head.work_class),
@@ -283,8 +287,8 @@
                 return Err(FailureOutcome::NotRun(NotRunReason::ConnectFailed));
             }
         };
-        // An acknowledged drain binds also while a connection was being made.
-        if self.upstream.is_draining(self.state.now()) {
+        // An acknowledged drain binds also while a connection was being made, and so does a stop.
+        if self.upstream.is_draining(self.state.now()) || !stop::starts(self.state, self.deadline) {
             pooled.give_back(None);
             return Err(FailureOutcome::NotRun(NotRunReason::Draining));
         }
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltarch_core::outcome::NotRunReason;
 use basaltarch_decide::stop::{StopCause, StopPhase, StopTerms};
 use basaltarch_events::process;
 use basaltarch_peer::link::NO_EXCHANGE;
@@ -138,12 +137,13 @@
     begin.terms.takes(state.stop.phase.get(), elapsed, is_call)
 }
 
-/// Says whether work for a backend server of this host is taken that must end by `deadline`.
-pub fn hosts(state: &DaemonState, deadline: Duration) -> bool {
-    match state.stop.begun.get() {
-        Some(begin) => begin.terms.hosts(state.stop.phase.get(), deadline.saturating_sub(begin.at)),
-        None => true,
-    }
+/// Says whether work at a backend server of this host is started now that must end by `deadline`.
+pub fn starts(state: &DaemonState, deadline: Duration) -> bool {
+    let begin = match state.stop.begun.get() {
+        Some(begin) => begin,
+        None => return true,
+    };
+    begin.terms.starts(state.stop.phase.get(), deadline.saturating_sub(begin.at))
 }
 
 /// Returns the deadline of a request that is taken now: a closed stop takes only calls of work that runs
@@ -176,7 +176,10 @@
         match next {
             StopPhase::HandingOver if has_changed => hand_over(state, elapsed),
             StopPhase::Closed if has_changed => close(state, elapsed),
-            StopPhase::GivingUp { .. } if has_changed => given_up = give_up(state).await,
+            StopPhase::GivingUp { .. } if has_changed => {
+                given_up = stop.in_flight();
+                stop.giving_up.raise();
+            }
             StopPhase::Over(cause) => return end(state, cause, given_up, elapsed).await,
             _ => {}
         }
@@ -184,13 +187,17 @@
     }
 }
 
-/// Takes no more work of other daemons from here on, and tells them.
+/// Takes no more work of other daemons from here on, and tells them. Of what waits for a slot here, what is
+/// not sure to end in time goes elsewhere at once.
 fn hand_over(state: &Rc<DaemonState>, elapsed: Duration) {
     let in_flight = state.stop.in_flight() as u64;
     process::DaemonHandingOver { in_flight, elapsed_ms: elapsed.as_millis() as u64 }.log();
     membership::beat(state, BeatNews::Own);
     tell_accepted(state);
     state.roster.touch();
+    for upstream in state.host.all() {
+        upstream.slots.refuse_late(|deadline| !starts(state, deadline));
+    }
 }
 
 /// Takes no more callers' requests from here on, those included whose body has not come.
@@ -200,19 +207,6 @@
     state.stop.closing.raise();
 }
 
-/// Tells who still waits that the end is not known, and who waits for a slot of this host that it won't
-/// run; returns the number of the former.
-async fn give_up(state: &DaemonState) -> usize {
-    for upstream in state.host.all() {
-        upstream.slots.refuse_all(NotRunReason::Draining);
-    }
-    // What is refused is told first, so that nobody is told less than is known.
-    monoio::time::sleep(DRAIN_LOOK).await;
-    let given_up = state.stop.in_flight();
-    state.stop.giving_up.raise();
-    given_up
-}
-
 /// Ends idle connections and says how the stop went.
 async fn end(
     state: &DaemonState,
--- a/crates/decide/src/stop.rs
+++ b/crates/decide/src/stop.rs
@@ -114,11 +114,12 @@
         }
     }
 
-    /// Says whether work for a backend server of this host is taken that must end `ends` after the stop was
-    /// asked for. Its ingress may stop as well and has others to send it to: work that hung until this
-    /// daemon ended was lost to its caller (1 in 12 plays of stops in series beside servers that hang).
-    pub fn hosts(&self, phase: StopPhase, ends: Duration) -> bool {
-        phase == StopPhase::Open && ends <= self.gives_up_after()
+    /// Says whether work at a backend server of this host is started that must end `ends` after the stop was
+    /// asked for. Once the other daemons are told it must be sure to end, as a caller whose own daemon stops
+    /// as well lost work that had waited here for seconds (6 requests in 6 plays of stops in series on a
+    /// fleet whose requests may last for 10 s).
+    pub fn starts(&self, phase: StopPhase, ends: Duration) -> bool {
+        phase == StopPhase::Open || ends <= self.gives_up_after()
     }
 
     /// Returns the time after which who still waits is given up.
