Let a stop wait until its row tells who has left; acknowledge nothing at its end

Cause: a backend server's leaving is acknowledged at once, and the row that tells it is written behind the acknowledgement, which nobody counted. A stopping daemon found nothing in flight and ended before the write; its next start took the server back from the old row, as its health was still well.

Ruled out: acknowledging only after the write (an acknowledgement must come within a second, and must come while the store is away); waiting for every difference of the row (the leaving flag alone would make each stop in an outage last to its end).

Change: the daemon knows whether a server left whose leaving its row may not tell yet. A write whose answer didn't come leaves the row unknown, since it may be done later. A stop counts that as one thing unfinished, to its end. From giving up on, or with nothing unfinished any more, the daemon answers the servers' calls with 503, so that they call again. A row told late no longer replaces one that this daemon wrote since.

Where the store is away until the daemon has ended, the later start still is told the old record.

--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -90,6 +90,11 @@
 }
 
 fn answer_server(state: &Rc<DaemonState>, request: &ServerRequest) -> ServerReply {
+    // What is acknowledged binds the next start too, and nobody would wait until that can know of it.
+    // The backend server calls again.
+    if state.stop.is_over() {
+        return admin::problem(StatusCode::SERVICE_UNAVAILABLE, "the daemon ends");
+    }
     let uri = &request.head.uri;
     let call =
         registration::read_call(&request.head.method, uri.path(), uri.query(), &request.body);
@@ -164,6 +169,8 @@
         servers::ServerGone { upstream: name }.log();
         roster::set_own_servers(state, servers);
     }
+    // The row may tell of one that this start has not heard of.
+    state.roster.note_left();
 }
 
 /// Takes in what an earlier start of this daemon told of the backend servers beside it. Each that
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -116,7 +116,10 @@
     records: RefCell<BTreeMap<String, HostRecord>>,
     own_servers: RefCell<Vec<ServerRecord>>,
     own_version: Cell<u64>,
+    /// The own row as the store holds it, unless that is not known.
     written: RefCell<Option<HostRecord>>,
+    /// Whether a backend server left and the own row may not tell it yet.
+    has_unwritten: Cell<bool>,
     changed: RisingSignal,
     /// Hosts that were replaced at their address and whose rows are still there.
     stale: RefCell<Vec<String>>,
@@ -179,6 +182,33 @@
         upstreams
     }
 
+    /// Says whether a backend server here has left by its acknowledged word, and the row in the store
+    /// may still tell of it as in use.
+    pub fn has_unwritten_servers(&self) -> bool {
+        self.has_unwritten.get()
+    }
+
+    /// Takes in that a backend server here has left.
+    pub fn note_left(&self) {
+        if !self.tells_servers() {
+            self.has_unwritten.set(true);
+        }
+    }
+
+    /// Says whether the own row is known to tell of the backend servers as they are.
+    fn tells_servers(&self) -> bool {
+        let written = self.written.borrow();
+        written.as_ref().is_some_and(|record| record.servers == *self.own_servers.borrow())
+    }
+
+    /// Takes in what the store holds as the own row, `None` if that is not known.
+    fn note_written(&self, record: Option<HostRecord>) {
+        *self.written.borrow_mut() = record;
+        if self.tells_servers() {
+            self.has_unwritten.set(false);
+        }
+    }
+
     /// Says that this daemon's own record may have changed.
     pub fn touch(&self) {
         self.changed.raise();
@@ -203,7 +233,15 @@
     if *state.roster.own_servers.borrow() == servers {
         return;
     }
-    *state.roster.own_servers.borrow_mut() = servers;
+    let before = state.roster.own_servers.replace(servers);
+    let in_use = |server: &ServerRecord| {
+        let servers = state.roster.own_servers.borrow();
+        servers.iter().any(|known| known.name == server.name && !known.draining)
+    };
+    let is_draining = state.roster.own_servers.borrow().iter().any(|server| server.draining);
+    if is_draining || !before.iter().all(in_use) {
+        state.roster.note_left();
+    }
     let record = own_record(state);
     put_record(state, &state.options.host, Some(record));
     document::put_host_in_force(state);
@@ -318,8 +356,11 @@
     if row.key != state.options.host {
         return put_record(state, &row.key, Some(record));
     }
-    state.roster.own_version.set(row.version);
-    *state.roster.written.borrow_mut() = Some(record.clone());
+    // The answer to a later write may have come before this.
+    if row.version > state.roster.own_version.get() {
+        state.roster.own_version.set(row.version);
+        state.roster.note_written(Some(record.clone()));
+    }
     recover_own(state, &record);
     if record.incarnation > state.identity.incarnation {
         let own = state.identity.incarnation;
@@ -341,7 +382,7 @@
     }
     // Others took this daemon for gone; its row is written anew.
     state.roster.own_version.set(0);
-    *state.roster.written.borrow_mut() = None;
+    state.roster.note_written(None);
     state.roster.touch();
 }
 
@@ -387,10 +428,13 @@
     let key = row_key(&state.options.host);
     let check = RowCheck { key: key.clone(), version: state.roster.own_version.get() };
     let write = RowWrite { key, value: Some(json!(record)) };
+    // A call without an answer may have been done, or be done later: until one is answered nobody knows
+    // what the row tells.
+    state.roster.note_written(None);
     match state.platform.transact(vec![check], vec![write]).await {
         Ok(version) => {
             state.roster.own_version.set(version);
-            *state.roster.written.borrow_mut() = Some(record.clone());
+            state.roster.note_written(Some(record.clone()));
             put_record(state, &state.options.host, Some(record.clone()));
             Ok(())
         }
@@ -399,7 +443,7 @@
             for row in rows {
                 state.roster.own_version.set(row.version);
                 let written = HostRecord::deserialize(&row.value).ok();
-                *state.roster.written.borrow_mut() = written;
+                state.roster.note_written(written);
             }
             Ok(())
         }
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -71,6 +71,11 @@
         !matches!(self.phase.get(), StopPhase::Open | StopPhase::HandingOver)
     }
 
+    /// Says whether the daemon waits for nothing new any more: it gives up what it waits for, or ends.
+    pub fn is_over(&self) -> bool {
+        matches!(self.phase.get(), StopPhase::GivingUp | StopPhase::Over(_))
+    }
+
     /// Returns when the daemon began to stop, since its start.
     pub fn asked_at(&self) -> Option<Duration> {
         self.asked_at.get()
@@ -128,7 +133,7 @@
     let mut given_up = 0;
     loop {
         let elapsed = state.now().saturating_sub(begin);
-        let mut next = terms(state).next(stop.phase.get(), elapsed, stop.in_flight());
+        let mut next = terms(state).next(stop.phase.get(), elapsed, unfinished(state));
         if stop.interrupted.is_raised() {
             next = StopPhase::Over(StopCause::Signal);
         }
@@ -147,6 +152,14 @@
     }
 }
 
+/// Returns the number of things that must be done before the process may end.
+///
+/// What was acknowledged of the backend servers is one of them until the row tells it: the next start of
+/// this daemon takes back whom the row tells of, and sends work to a server that has left.
+fn unfinished(state: &DaemonState) -> usize {
+    state.stop.in_flight() + usize::from(state.roster.has_unwritten_servers())
+}
+
 /// Takes no more work of other daemons from here on, and tells them.
 fn hand_over(state: &Rc<DaemonState>, elapsed: Duration) {
     let in_flight = state.stop.in_flight() as u64;
--- /dev/null
+++ b/crates/daemon/tests/leaving.rs
@@ -0,0 +1,156 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! A backend server that leaves while its daemon stops.
+//!
+//! What users saw: a backend server said that it leaves, its daemon acknowledged it, and after a planned
+//! restart of the daemon requests reached the server again.
+//!
+//! Order of events: the daemon was asked to stop; the word came and was acknowledged at once, as it was in
+//! force there; the row that tells it to others was still to be written. The daemon found nothing in flight
+//! and ended. Its next start recovered the server from the row as it was, and found it well.
+//!
+//! Cause: a write that an acknowledgement depends on was nobody's work in flight.
+
+mod common;
+
+use basaltarch_daemon::roster::HOSTS_TABLE;
+use basaltarch_platform::rows;
+use common::client::{self, Reply};
+use common::registered::{RegisteredFleet, SERVICE};
+use common::{eventually, TestBackend, TestDaemon};
+use serde_json::{json, Value};
+use test_case::test_case;
+
+/// Name of a second server beside the first daemon, which stays.
+const STAYS: &str = "i-stays";
+
+/// Two hosts; beside the first daemon, which has these flags, is a second server that stays.
+struct LeavingFleet {
+    fleet: RegisteredFleet,
+    _stays: TestBackend,
+}
+
+impl LeavingFleet {
+    fn start(flags: &[(&str, &str)]) -> Self {
+        let mut fleet = RegisteredFleet::start(2);
+        fleet.daemons[0].kill();
+        fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", flags);
+        assert_eq!(fleet.beat(0, false).status, 200);
+        let fields = basaltarch_platform::headers::exchange_fields();
+        let stays = TestBackend::start_at(common::loopback(), STAYS, 1, fields);
+        let heartbeat = fleet.heartbeat_from(stays.address, STAYS, SERVICE, false);
+        assert_eq!(fleet.call_daemon(0, &heartbeat).status, 200);
+        fleet.wait_served(1, &[0, 1]);
+        eventually("the row tells of both", || told_servers(&fleet) == ["i-1", STAYS]);
+        eventually("the other daemon knows of both", || {
+            fleet.daemons[1].log_text().contains("i-1, i-stays")
+        });
+        Self { fleet, _stays: stays }
+    }
+
+    /// Stops the first daemon and waits until it takes nothing any more.
+    fn close(&self) {
+        self.fleet.daemons[0].signal("-TERM");
+        eventually("the stop closes", || self.fleet.daemons[0].log_text().contains("\"closed\""));
+    }
+
+    /// Starts the first daemon anew and checks that the server that left gets nothing.
+    fn check_left(&mut self, flags: &[(&str, &str)]) {
+        let fleet = &mut self.fleet;
+        fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", flags);
+        eventually("the server that stays is recovered", || is_recovered(fleet, STAYS));
+        let before = fleet.backends[0].total();
+        for number in 0..60 {
+            fleet.request(number % 2, "GET", "/safe/x", &format!("left-{number}"));
+        }
+        assert_eq!(fleet.backends[0].total(), before, "nothing reaches a server that left");
+        assert!(!is_recovered(fleet, "i-1"));
+    }
+}
+
+fn is_recovered(fleet: &RegisteredFleet, name: &str) -> bool {
+    let text = fleet.daemons[0].log_text();
+    text.lines().any(|line| line.contains("backend server recovered") && line.contains(name))
+}
+
+/// Returns the record of the first host as the store holds it.
+fn told_record(fleet: &RegisteredFleet) -> Option<Value> {
+    let path = format!("{}?table={HOSTS_TABLE}&part=", rows::READ_PATH);
+    let page: Value = client::call(fleet.platform.address, "GET", &path, &[], "").json();
+    let row = page["rows"].as_array()?.iter().find(|row| row["key"] == "host-a")?;
+    serde_json::from_slice(&rows::decode_value(row["value"].as_str()?).ok()?).ok()
+}
+
+/// Returns the names of the servers in use in that record.
+fn told_servers(fleet: &RegisteredFleet) -> Vec<String> {
+    let record = told_record(fleet).unwrap_or(Value::Null);
+    let servers = record["servers"].as_array().cloned().unwrap_or_default();
+    let in_use = servers.iter().filter(|server| server["draining"] == false);
+    in_use.filter_map(|server| server["name"].as_str().map(str::to_owned)).collect()
+}
+
+/// Returns how many calls to the store failed, 0 once the daemon is gone.
+fn store_failures(daemon: &TestDaemon) -> u64 {
+    let reply = client::try_call(daemon.admin, "GET", "/metrics", &[], "");
+    let text = reply.map(|reply| reply.text()).unwrap_or_default();
+    let of_store = text.lines().filter(|line| line.starts_with("basaltarch_store_failures"));
+    of_store.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum::<f64>() as u64
+}
+
+#[test_case(|fleet| fleet.deregister(0) ; "gone")]
+#[test_case(|fleet| fleet.beat(0, true) ; "draining")]
+fn verify_a_server_that_left_as_its_daemon_stopped_gets_nothing_after_it(
+    leave: fn(&RegisteredFleet) -> Reply,
+) {
+    let mut hosts = LeavingFleet::start(&[]);
+    hosts.fleet.platform.faults(json!({"busy": true}));
+    assert_eq!(leave(&hosts.fleet).status, 200, "it is acknowledged");
+    hosts.close();
+    // The store is back after more calls than it can turn away within a stop that waits for nothing.
+    let daemon = &mut hosts.fleet.daemons[0];
+    let before = store_failures(daemon);
+    eventually("the daemon tries again, or ends", || {
+        store_failures(daemon) >= before + 5 || !daemon.is_running()
+    });
+    hosts.fleet.platform.faults(json!({}));
+    assert_eq!(hosts.fleet.daemons[0].ended().code(), Some(0));
+    hosts.check_left(&[]);
+}
+
+#[test]
+fn verify_every_word_that_a_stopping_daemon_acknowledged_is_told() {
+    let mut hosts = LeavingFleet::start(&[("drain-ms", "3000")]);
+    let address = hosts.fleet.daemons[0].registration.expect("registration");
+    // A moment's delay, so that a word can come while the one before is being written.
+    hosts.fleet.platform.faults(json!({"delay_ms": 50}));
+    hosts.fleet.daemons[0].signal("-TERM");
+    // One incarnation after another leaves, until nobody listens any more.
+    let mut acknowledged = None;
+    for number in 0.. {
+        let name = format!("i-word-{number}");
+        let call = hosts.fleet.heartbeat(0, &name, SERVICE, true);
+        let body = String::from_utf8_lossy(&call.body);
+        match client::try_call(address, call.method.as_str(), &call.target, &[], &body) {
+            Some(reply) if reply.status == 200 => acknowledged = Some(name),
+            Some(reply) => assert_eq!(reply.status, 503, "{}", reply.text()),
+            None => break,
+        }
+    }
+    assert_eq!(hosts.fleet.daemons[0].ended().code(), Some(0));
+    let record = told_record(&hosts.fleet).expect("a record");
+    let last = json!(acknowledged.expect("words were acknowledged"));
+    let servers = record["servers"].as_array().expect("servers");
+    assert!(servers.iter().any(|server| server["name"] == last), "{last} is not in {record}");
+}
+
+#[test]
+fn verify_a_stop_with_nothing_new_to_tell_does_not_wait_for_the_store() {
+    let mut hosts = LeavingFleet::start(&[]);
+    hosts.fleet.platform.faults(json!({"busy": true}));
+    hosts.close();
+    assert_eq!(hosts.fleet.daemons[0].ended().code(), Some(0));
+    let text = hosts.fleet.daemons[0].log_text();
+    let stopped = text.lines().find(|line| line.contains("\"stopped\"")).expect("a line");
+    assert!(stopped.contains("\"idle\""), "{stopped}");
+}
