Tell the peers who has left when the store takes nothing, and a later start what they know

Cause: where the store is away until the daemon has ended, its last word is known nowhere. Its next start is told the old record, by a peer or by the store after the outage, and takes back the server that left. Class: as before, an acknowledgement whose only witness ends with the process.

Ruled out: a file beside the daemon (its machines have no disk); taking nobody back before a heartbeat (a restarted daemon's server would be idle until then, which a test forbids); asking the server's health (it is well, and need not say that it leaves); a new frame (older daemons can't read it).

Change: records are numbered within a start, and the later of two counts, wherever it came from. A daemon whose row doesn't tell a leaving 0.2 s after the word tells its record to the daemons it is linked with, as rows of version 0, which older daemons pass over as older than all they know. Who hears a heartbeat of a start later than the record it has sends that record back. A start that took servers back gives up those that a later record no longer tells of, unless they sent a heartbeat. No new frame or field of the links; the record has one more field, which older daemons pass over.

Open: in a large fleet that time is until the first heartbeat with a peer that knows, not measured; a daemon killed within 0.2 s of the word has told nobody; a peer that was not linked at that time does not know.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -15,6 +15,7 @@
 use crate::limits;
 use crate::membership;
 use crate::peers::PeerPath;
+use crate::roster;
 use crate::rows;
 use crate::spread;
 use crate::state::DaemonState;
@@ -57,6 +58,8 @@
     let revision = FleetRevision(note.revision.max(0) as u64);
     state.members.note_heard(state, peer, revision);
     state.members.note_entries(state, &note.members);
+    // Before the answer to a daemon that asks for all that is known here.
+    roster::tell_past(state, sender, peer);
     spread::note_peer_revision(state, sender, revision);
     if !note.reply {
         let answer = HeartbeatNote {
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -6,7 +6,7 @@
 //! An acknowledgement means that what was said is in force here. As only this daemon sends work to
 //! the backend servers of its host, nobody else has to be asked.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,7 +23,7 @@
 use monoio::net::TcpListener;
 
 use crate::admin;
-use crate::roster::{self, ServerRecord};
+use crate::roster::{self, HostRecord, ServerRecord};
 use crate::state::DaemonState;
 
 /// Connections of backend servers of this host, and of the platform.
@@ -42,7 +42,8 @@
     sequences: RefCell<FnvHashMap<String, u64>>,
     cold_until: RefCell<FnvHashMap<String, Duration>>,
     gone: RefCell<VecDeque<String>>,
-    recovered: Cell<bool>,
+    /// Latest known record of an earlier start.
+    recovered: RefCell<Option<HostRecord>>,
 }
 
 impl RegistrationTable {
@@ -170,16 +171,19 @@
         roster::set_own_servers(state, servers);
     }
     // The row may tell of one that this start has not heard of.
-    state.roster.note_left();
+    roster::note_left(state);
 }
 
 /// Takes in what an earlier start of this daemon told of the backend servers beside it. Each that
 /// still answers by its name is in use again before its next heartbeat.
-pub fn recover(state: &Rc<DaemonState>, servers: &[ServerRecord]) {
-    if state.registrations.recovered.replace(true) {
+pub fn recover(state: &Rc<DaemonState>, record: &HostRecord) {
+    let known = state.registrations.recovered.borrow().as_ref().map(HostRecord::order);
+    if known >= Some(record.order()) {
         return;
     }
-    for server in servers.iter().filter(|server| !server.draining) {
+    *state.registrations.recovered.borrow_mut() = Some(record.clone());
+    give_up_left(state, record);
+    for server in record.servers.iter().filter(|server| !server.draining) {
         let state = state.clone();
         let server = server.clone();
         monoio::spawn(async move {
@@ -190,6 +194,24 @@
     }
 }
 
+/// Gives up backend servers that an earlier record told of, which left by this later one; one that has
+/// sent a heartbeat since is there by its own word.
+fn give_up_left(state: &Rc<DaemonState>, record: &HostRecord) {
+    let mut servers = state.roster.own_servers();
+    let before = servers.len();
+    servers.retain(|server| {
+        let is_heard = state.registrations.sequences.borrow().contains_key(&server.name);
+        let stays = is_heard || record.is_in_use(&server.name);
+        if !stays {
+            servers::ServerGone { upstream: &server.name }.log();
+        }
+        stays
+    });
+    if servers.len() < before {
+        roster::set_own_servers(state, servers);
+    }
+}
+
 /// Asks a backend server for its health; says whether it is well and still has its name.
 async fn answers_as(state: &Rc<DaemonState>, server: &ServerRecord) -> bool {
     let path = match health_path(state, &server.service).await {
@@ -230,6 +252,12 @@
     if told || state.registrations.gone.borrow().contains(&server.name) {
         return;
     }
+    // A later record of the earlier start may have come meanwhile as well.
+    let recovered = state.registrations.recovered.borrow();
+    if !recovered.as_ref().is_some_and(|record| record.is_in_use(&server.name)) {
+        return;
+    }
+    drop(recovered);
     servers::ServerRecovered { upstream: &server.name }.log();
     servers.push(server);
     servers.sort_by(|left, right| left.name.cmp(&right.name));
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -17,6 +17,8 @@
 use basaltarch_core::services::UpstreamEntry;
 use basaltarch_decide::limits;
 use basaltarch_events::{fleet, process};
+use basaltarch_peer::frames::FrameSender;
+use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_platform::rows::{RowsPage, StoredRow};
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::RetryPause;
@@ -27,6 +29,7 @@
 use crate::document;
 use crate::metrics;
 use crate::registration;
+use crate::rows;
 use crate::signal::RisingSignal;
 use crate::state::DaemonState;
 
@@ -38,6 +41,9 @@
 /// Time that a starting daemon waits for the backend server beside it before it writes its row
 /// without one: a little longer than the usual time between two heartbeats.
 const FIRST_WRITE_WAIT: Duration = Duration::from_secs(2);
+/// Time after which the peers are told what the store has not taken: a slow store takes 250 ms for a write
+/// (trials of stops), and a stop that gives up waits 300 ms more.
+const TELL_AFTER: Duration = Duration::from_millis(200);
 /// Time between looks for rows of hosts that are gone.
 const SWEEP_EVERY: Duration = Duration::from_secs(20);
 /// Longest pause of such looks in multiples, so that not all daemons look at once.
@@ -54,6 +60,9 @@
     pub peer_address: String,
     /// Address of its administration.
     pub admin_address: String,
+    /// Number of the changes of the servers in this start: of two records, that with more counts.
+    #[serde(default)]
+    pub changes: u64,
     /// Whether the daemon is leaving.
     pub leaving: bool,
     /// Backend servers that registered with the daemon.
@@ -86,6 +95,16 @@
 }
 
 impl HostRecord {
+    /// Returns what tells the later of two records of a host: its start, then its changes.
+    pub fn order(&self) -> (i64, u64) {
+        (self.incarnation, self.changes)
+    }
+
+    /// Says whether a backend server of this name is told of as in use.
+    pub fn is_in_use(&self, name: &str) -> bool {
+        self.servers.iter().any(|server| server.name == name && !server.draining)
+    }
+
     fn services(&self) -> impl Iterator<Item = &str> {
         self.servers.iter().map(|server| server.service.as_str())
     }
@@ -115,6 +134,7 @@
 pub struct HostRoster {
     records: RefCell<BTreeMap<String, HostRecord>>,
     own_servers: RefCell<Vec<ServerRecord>>,
+    own_changes: Cell<u64>,
     own_version: Cell<u64>,
     /// The own row as the store holds it, unless that is not known.
     written: RefCell<Option<HostRecord>>,
@@ -188,13 +208,6 @@
         self.has_unwritten.get()
     }
 
-    /// Takes in that a backend server here has left.
-    pub fn note_left(&self) {
-        if !self.tells_servers() {
-            self.has_unwritten.set(true);
-        }
-    }
-
     /// Says whether the own row is known to tell of the backend servers as they are.
     fn tells_servers(&self) -> bool {
         let written = self.written.borrow();
@@ -222,6 +235,7 @@
         failure_domain: state.options.failure_domain.clone(),
         peer_address: state.options.peer_address().to_string(),
         admin_address: state.options.admin_address().to_string(),
+        changes: state.roster.own_changes.get(),
         leaving: state.stop.is_handing_over(),
         servers: state.roster.own_servers(),
     }
@@ -234,21 +248,54 @@
         return;
     }
     let before = state.roster.own_servers.replace(servers);
-    let in_use = |server: &ServerRecord| {
-        let servers = state.roster.own_servers.borrow();
-        servers.iter().any(|known| known.name == server.name && !known.draining)
-    };
-    let is_draining = state.roster.own_servers.borrow().iter().any(|server| server.draining);
-    if is_draining || !before.iter().all(in_use) {
-        state.roster.note_left();
-    }
+    state.roster.own_changes.set(state.roster.own_changes.get() + 1);
     let record = own_record(state);
+    let is_draining = record.servers.iter().any(|server| server.draining);
+    if is_draining || !before.iter().all(|server| record.is_in_use(&server.name)) {
+        note_left(state);
+    }
     put_record(state, &state.options.host, Some(record));
     document::put_host_in_force(state);
     state.roster.touch();
 }
 
-/// Takes in a host's record, or that there is none; a record of an earlier start is passed over.
+/// Takes in that a backend server here has left, by a word that is acknowledged.
+pub fn note_left(state: &Rc<DaemonState>) {
+    if state.roster.tells_servers() {
+        return;
+    }
+    state.roster.has_unwritten.set(true);
+    let state = state.clone();
+    monoio::spawn(async move {
+        monoio::time::sleep(TELL_AFTER).await;
+        if state.roster.has_unwritten_servers() {
+            tell_peers(&state);
+        }
+    });
+}
+
+/// Tells the daemons that are linked the own record, which the store doesn't take.
+fn tell_peers(state: &DaemonState) {
+    let told = ToldRecord { host: state.options.host.clone(), record: own_record(state) };
+    for link in state.members.some_accepted(usize::MAX) {
+        rows::send_told(link.sender(), &told);
+    }
+    for link in state.peers.linked().iter().filter_map(|path| path.link()) {
+        rows::send_told(link.sender(), &told);
+    }
+}
+
+/// Tells a daemon what is known of its earlier start, while nothing is known of this one.
+pub fn tell_past(state: &DaemonState, sender: &FrameSender, peer: &PeerIdentity) {
+    let records = state.roster.records.borrow();
+    let known = records.get(&peer.host);
+    if let Some(record) = known.filter(|known| known.incarnation < peer.incarnation) {
+        let told = ToldRecord { host: peer.host.clone(), record: record.clone() };
+        rows::send_told(sender, &told);
+    }
+}
+
+/// Takes in a host's record, or that there is none; an earlier record is passed over.
 fn put_record(state: &Rc<DaemonState>, host: &str, record: Option<HostRecord>) {
     let known = state.roster.record(host);
     if known == record {
@@ -265,6 +312,10 @@
             fleet::EarlierStart { host, incarnation, latest }.log();
             return;
         }
+        // Its daemon told a later one past the store, or changed while this one was written.
+        if known.as_ref().is_some_and(|known| known.order() > record.order()) {
+            return;
+        }
     }
     if let Some(record) = &record {
         for replaced in state.roster.replaced_by(host, record) {
@@ -313,7 +364,7 @@
     .log();
 }
 
-/// Takes in records that a peer told of; those that the store told of count more.
+/// Takes in records that a peer told of, where they are later than what is known.
 pub fn take_told(state: &Rc<DaemonState>, told: Vec<ToldRecord>) {
     for ToldRecord { host, record } in told {
         if host == state.options.host {
@@ -321,7 +372,7 @@
             continue;
         }
         let known = state.roster.record(&host);
-        if known.is_none_or(|known| known.incarnation < record.incarnation) {
+        if known.is_none_or(|known| known.order() < record.order()) {
             put_record(state, &host, Some(record));
         }
     }
@@ -372,7 +423,7 @@
 /// Takes in what an earlier start of this daemon said, as the store or a peer tells of it.
 fn recover_own(state: &Rc<DaemonState>, record: &HostRecord) {
     if record.incarnation < state.identity.incarnation && state.options.registration.is_some() {
-        registration::recover(state, &record.servers);
+        registration::recover(state, record);
     }
 }
 
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use basaltarch_decide::limits;
+use basaltarch_events::fleet;
 use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_peer::link::NO_EXCHANGE;
@@ -24,7 +25,7 @@
 use crate::feed::{FeedNews, FeedPlan, FeedReader};
 use crate::links;
 use crate::metrics;
-use crate::roster::{self, FAILURE_PAUSE_MAX, HOSTS_TABLE};
+use crate::roster::{self, ToldRecord, FAILURE_PAUSE_MAX, HOSTS_TABLE};
 use crate::signal::RisingSignal;
 use crate::state::DaemonState;
 
@@ -48,6 +49,8 @@
 const LEFT_FOR: Duration = Duration::from_secs(20);
 /// Rows that were removed which are remembered: as many as hosts that go in an hour of a large fleet.
 const REMOVED_MAX: usize = 512;
+/// Version of news that a daemon tells past the store; the table's versions begin above it.
+const TOLD_VERSION: i64 = 0;
 /// Time for which news is passed on after a request.
 const SUBSCRIBED_FOR: Duration = Duration::from_millis(3500);
 
@@ -312,6 +315,10 @@
 
 /// Takes news in, unless it is older than what is known or something before it is missing.
 pub fn take_news(state: &Rc<DaemonState>, peer: &PeerIdentity, news: RowsNews) {
+    if news.version == TOLD_VERSION && !news.rows.is_empty() {
+        let told = news.rows.iter().filter_map(|note| told_record(peer, note));
+        return roster::take_told(state, told.collect());
+    }
     if !state.rows.note_heard(&peer.host, state.now()) {
         return;
     }
@@ -332,6 +339,29 @@
     state.rows.version.set(news.version as u64);
 }
 
+/// Tells a peer a host's record past the store. A daemon that doesn't know of this passes it over, as
+/// older than all it knows.
+pub fn send_told(sender: &FrameSender, told: &ToldRecord) {
+    // Texts and numbers only; there is nothing that could not be written.
+    let value = serde_json::to_vec(&told.record).ok();
+    let row = RowNote { key: told.host.clone(), value, version: TOLD_VERSION };
+    let news =
+        RowsNews { after: TOLD_VERSION, version: TOLD_VERSION, rows: vec![row], forgotten: false };
+    // Who is gone reads the store, or is told by others.
+    let _ = sender.send(NO_EXCHANGE, FrameBody::RowsNews(news));
+}
+
+fn told_record(peer: &PeerIdentity, note: &RowNote) -> Option<ToldRecord> {
+    match serde_json::from_slice(note.value.as_deref()?) {
+        Ok(record) => Some(ToldRecord { host: note.key.clone(), record }),
+        Err(error) => {
+            let (host, error) = (&*peer.host, &error.to_string());
+            fleet::HostUnreadable { host, error }.log();
+            None
+        }
+    }
+}
+
 fn news_of(after: u64, page: &RowsPage) -> RowsNews {
     RowsNews {
         after: after as i64,
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -154,3 +154,38 @@
     let stopped = text.lines().find(|line| line.contains("\"stopped\"")).expect("a line");
     assert!(stopped.contains("\"idle\""), "{stopped}");
 }
+
+#[test]
+fn verify_a_server_that_left_in_an_outage_gets_nothing_from_a_later_start() {
+    let mut hosts = LeavingFleet::start(&[("drain-ms", "3000")]);
+    hosts.fleet.platform.faults(json!({"down": true}));
+    assert_eq!(hosts.fleet.deregister(0).status, 200, "it is acknowledged");
+    hosts.close();
+    assert_eq!(hosts.fleet.daemons[0].ended().code(), Some(0));
+    // The store is still away; what the new start knows of before comes from the other daemon.
+    let seeds = hosts.fleet.daemons[1].peers.to_string();
+    hosts.check_left(&[("seeds", seeds.as_str())]);
+}
+
+#[test]
+fn verify_a_start_that_reads_an_old_row_learns_from_its_peers_who_has_left() {
+    let mut hosts = LeavingFleet::start(&[("drain-ms", "3000")]);
+    hosts.fleet.platform.faults(json!({"down": true}));
+    assert_eq!(hosts.fleet.deregister(0).status, 200, "it is acknowledged");
+    hosts.close();
+    assert_eq!(hosts.fleet.daemons[0].ended().code(), Some(0));
+    hosts.fleet.platform.faults(json!({}));
+    let fleet = &mut hosts.fleet;
+    fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", &[]);
+    eventually("the server that stays is recovered", || is_recovered(fleet, STAYS));
+    let mut round = 0;
+    eventually("nothing reaches the server that left", || {
+        round += 1;
+        let before = fleet.backends[0].total();
+        for number in 0..60 {
+            fleet.request(number % 2, "GET", "/safe/x", &format!("old-row-{round}-{number}"));
+        }
+        fleet.backends[0].total() == before
+    });
+    eventually("the row tells it", || told_servers(fleet) == [STAYS]);
+}
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -165,7 +165,8 @@
   3: required i64 version
 }
 
-/** Rows of hosts that changed from one version of the table to another; none is a sign of life. */
+/** Rows of hosts that changed from one version of the table to another; none is a sign of life.
+    Those of version 0 were told past the store by a daemon. */
 struct RowsNews {
   1: required i64 after
   2: required i64 version
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -1857,6 +1857,7 @@
 //
 
 /// Rows of hosts that changed from one version of the table to another; none is a sign of life.
+/// Those of version 0 were told past the store by a daemon.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RowsNews {
   pub after: i64,
