--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -17,6 +17,8 @@
 use basaltarch_core::services::UpstreamEntry;
 use basaltarch_decide::limits;
 use basaltarch_events::{fleet, process};
+use basaltarch_peer::frames::FrameSender;
+use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_platform::rows::{RowsPage, StoredRow};
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::RetryPause;
@@ -27,6 +29,7 @@
 use crate::document;
 use crate::metrics;
 use crate::registration;
+use crate::rows;
 use crate::signal::RisingSignal;
 use crate::state::DaemonState;
 
@@ -38,6 +41,9 @@
 /// Time that a starting daemon waits for the backend server beside it before it writes its row
 /// without one: a little longer than the usual time between two heartbeats.
 const FIRST_WRITE_WAIT: Duration = Duration::from_secs(2);
+/// Time after which the peers are told what the store has not taken: a slow store takes 250 ms for a write
+/// (trials of stops), and a stop that gives up waits 300 ms more.
+const TELL_AFTER: Duration = Duration::from_millis(200);
 /// Time between looks for rows of hosts that are gone.
 const SWEEP_EVERY: Duration = Duration::from_secs(20);
 /// Longest pause of such looks in multiples, so that not all daemons look at once.
@@ -54,6 +60,9 @@
     pub peer_address: String,
     /// Address of its administration.
     pub admin_address: String,
+    /// Number of the changes of the servers in this start: of two records, that with more counts.
+    #[serde(default)]
+    pub changes: u64,
     /// Whether the daemon is leaving.
     pub leaving: bool,
     /// Backend servers that registered with the daemon.
@@ -86,6 +95,16 @@
 }
 
 impl HostRecord {
+    /// Returns what tells the later of two records of a host: its start, then its changes.
+    pub fn order(&self) -> (i64, u64) {
+        (self.incarnation, self.changes)
+    }
+
+    /// Says whether a backend server of this name is told of as in use.
+    pub fn is_in_use(&self, name: &str) -> bool {
+        self.servers.iter().any(|server| server.name == name && !server.draining)
+    }
+
     fn services(&self) -> impl Iterator<Item = &str> {
         self.servers.iter().map(|server| server.service.as_str())
     }
@@ -115,8 +134,12 @@
 pub struct HostRoster {
     records: RefCell<BTreeMap<String, HostRecord>>,
     own_servers: RefCell<Vec<ServerRecord>>,
+    own_changes: Cell<u64>,
     own_version: Cell<u64>,
+    /// The own row as the store holds it, unless that is not known.
     written: RefCell<Option<HostRecord>>,
+    /// Whether a backend server left and the own row may not tell it yet.
+    has_unwritten: Cell<bool>,
     changed: RisingSignal,
     /// Hosts that were replaced at their address and whose rows are still there.
     stale: RefCell<Vec<String>>,
@@ -179,6 +202,26 @@
         upstreams
     }
 
+    /// Says whether a backend server here has left by its acknowledged word, and the row in the store
+    /// may still tell of it as in use.
+    pub fn has_unwritten_servers(&self) -> bool {
+        self.has_unwritten.get()
+    }
+
+    /// Says whether the own row is known to tell of the backend servers as they are.
+    fn tells_servers(&self) -> bool {
+        let written = self.written.borrow();
+        written.as_ref().is_some_and(|record| record.servers == *self.own_servers.borrow())
+    }
+
+    /// Takes in what the store holds as the own row, `None` if that is not known.
+    fn note_written(&self, record: Option<HostRecord>) {
+        *self.written.borrow_mut() = record;
+        if self.tells_servers() {
+            self.has_unwritten.set(false);
+        }
+    }
+
     /// Says that this daemon's own record may have changed.
     pub fn touch(&self) {
         self.changed.raise();
@@ -192,6 +235,7 @@
         failure_domain: state.options.failure_domain.clone(),
         peer_address: state.options.peer_address().to_string(),
         admin_address: state.options.admin_address().to_string(),
+        changes: state.roster.own_changes.get(),
         leaving: state.stop.is_handing_over(),
         servers: state.roster.own_servers(),
     }
@@ -203,14 +247,55 @@
     if *state.roster.own_servers.borrow() == servers {
         return;
     }
-    *state.roster.own_servers.borrow_mut() = servers;
+    let before = state.roster.own_servers.replace(servers);
+    state.roster.own_changes.set(state.roster.own_changes.get() + 1);
     let record = own_record(state);
+    let is_draining = record.servers.iter().any(|server| server.draining);
+    if is_draining || !before.iter().all(|server| record.is_in_use(&server.name)) {
+        note_left(state);
+    }
     put_record(state, &state.options.host, Some(record));
     document::put_host_in_force(state);
     state.roster.touch();
 }
 
-/// Takes in a host's record, or that there is none; a record of an earlier start is passed over.
+/// Takes in that a backend server here has left, by a word that is acknowledged.
+pub fn note_left(state: &Rc<DaemonState>) {
+    if state.roster.tells_servers() {
+        return;
+    }
+    state.roster.has_unwritten.set(true);
+    let state = state.clone();
+    monoio::spawn(async move {
+        monoio::time::sleep(TELL_AFTER).await;
+        if state.roster.has_unwritten_servers() {
+            tell_peers(&state);
+        }
+    });
+}
+
+/// Tells the daemons that are linked the own record, which the store doesn't take.
+fn tell_peers(state: &DaemonState) {
+    let told = ToldRecord { host: state.options.host.clone(), record: own_record(state) };
+    for link in state.members.some_accepted(usize::MAX) {
+        rows::send_told(link.sender(), &told);
+    }
+    for link in state.peers.linked().iter().filter_map(|path| path.link()) {
+        rows::send_told(link.sender(), &told);
+    }
+}
+
+/// Tells a daemon what is known of its earlier start, while nothing is known of this one.
+pub fn tell_past(state: &DaemonState, sender: &FrameSender, peer: &PeerIdentity) {
+    let records = state.roster.records.borrow();
+    let known = records.get(&peer.host);
+    if let Some(record) = known.filter(|known| known.incarnation < peer.incarnation) {
+        let told = ToldRecord { host: peer.host.clone(), record: record.clone() };
+        rows::send_told(sender, &told);
+    }
+}
+
+/// Takes in a host's record, or that there is none; an earlier record is passed over.
 fn put_record(state: &Rc<DaemonState>, host: &str, record: Option<HostRecord>) {
     let known = state.roster.record(host);
     if known == record {
@@ -227,6 +312,10 @@
             fleet::EarlierStart { host, incarnation, latest }.log();
             return;
         }
+        // Its daemon told a later one past the store, or changed while this one was written.
+        if known.as_ref().is_some_and(|known| known.order() > record.order()) {
+            return;
+        }
     }
     if let Some(record) = &record {
         for replaced in state.roster.replaced_by(host, record) {
@@ -275,7 +364,7 @@
     .log();
 }
 
-/// Takes in records that a peer told of; those that the store told of count more.
+/// Takes in records that a peer told of, where they are later than what is known.
 pub fn take_told(state: &Rc<DaemonState>, told: Vec<ToldRecord>) {
     for ToldRecord { host, record } in told {
         if host == state.options.host {
@@ -283,7 +372,7 @@
             continue;
         }
         let known = state.roster.record(&host);
-        if known.is_none_or(|known| known.incarnation < record.incarnation) {
+        if known.is_none_or(|known| known.order() < record.order()) {
             put_record(state, &host, Some(record));
         }
     }
@@ -318,8 +407,11 @@
     if row.key != state.options.host {
         return put_record(state, &row.key, Some(record));
     }
-    state.roster.own_version.set(row.version);
-    *state.roster.written.borrow_mut() = Some(record.clone());
+    // The answer to a later write may have come before this.
+    if row.version > state.roster.own_version.get() {
+        state.roster.own_version.set(row.version);
+        state.roster.note_written(Some(record.clone()));
+    }
     recover_own(state, &record);
     if record.incarnation > state.identity.incarnation {
         let own = state.identity.incarnation;
@@ -331,7 +423,7 @@
 /// Takes in what an earlier start of this daemon said, as the store or a peer tells of it.
 fn recover_own(state: &Rc<DaemonState>, record: &HostRecord) {
     if record.incarnation < state.identity.incarnation && state.options.registration.is_some() {
-        registration::recover(state, &record.servers);
+        registration::recover(state, record);
     }
 }
 
@@ -341,7 +433,7 @@
     }
     // Others took this daemon for gone; its row is written anew.
     state.roster.own_version.set(0);
-    *state.roster.written.borrow_mut() = None;
+    state.roster.note_written(None);
     state.roster.touch();
 }
 
@@ -387,10 +479,13 @@
     let key = row_key(&state.options.host);
     let check = RowCheck { key: key.clone(), version: state.roster.own_version.get() };
     let write = RowWrite { key, value: Some(json!(record)) };
+    // A call without an answer may have been done, or be done later: until one is answered nobody knows
+    // what the row tells.
+    state.roster.note_written(None);
     match state.platform.transact(vec![check], vec![write]).await {
         Ok(version) => {
             state.roster.own_version.set(version);
-            *state.roster.written.borrow_mut() = Some(record.clone());
+            state.roster.note_written(Some(record.clone()));
             put_record(state, &state.options.host, Some(record.clone()));
             Ok(())
         }
@@ -399,7 +494,7 @@
             for row in rows {
                 state.roster.own_version.set(row.version);
                 let written = HostRecord::deserialize(&row.value).ok();
-                *state.roster.written.borrow_mut() = written;
+                state.roster.note_written(written);
             }
             Ok(())
         }
