Take amounts that the platform scales, with fractions, and refuse what is wrong by name

Change: repeats, descriptors, memory and connections of one address are amounts: a fraction is left out, so that nothing granted is exceeded. A window of zero, amounts below zero or that are no numbers are refused with the name of the setting and what is allowed.

Test: deployed.rs fills the deployed template with whole and fractional values of every bound (37 cases; those with fractions failed before).

--- a/crates/daemon/src/options/check.rs
+++ b/crates/daemon/src/options/check.rs
@@ -123,7 +123,7 @@
                 raw.descriptors,
                 raw.memory_mb,
             )?,
-            connections_each: values::count(
+            connections_each: values::amount(
                 "connections-each",
                 raw.connections_each,
                 2000,
@@ -161,14 +161,14 @@
                 floor: values::share("floor", raw.floor, 0.7)?,
                 prefer: defaults::prefer(raw.prefer)?,
                 queue: values::count("queue", raw.queue, 16, 0, QUEUE_MAX.into())? as u32,
-                retry_share: values::share("retry-share", raw.retry_share, 0.1)?,
-                retry_extra: values::count("retry-extra", raw.retry_extra, 100, 0, 1_000_000)?
+                retry_share: values::ratio("retry-share", raw.retry_share, 0.1)?,
+                retry_extra: values::amount("retry-extra", raw.retry_extra, 100, 0, 1_000_000)?
                     as u32,
                 retry_window: values::millis(
                     "retry-window-ms",
                     raw.retry_window_ms,
                     10_000,
-                    600_000,
+                    86_400_000,
                 )?,
             },
             heartbeat: values::millis("heartbeat-ms", raw.heartbeat_ms, 1000, 600_000)?,
--- a/crates/daemon/src/options/values.rs
+++ b/crates/daemon/src/options/values.rs
@@ -19,6 +19,11 @@
     settings::checked(name, given, default, "0 to 1", |value| (0.0..=1.0).contains(value))
 }
 
+/// Reads a ratio, which may be more than the whole.
+pub fn ratio(name: &str, given: Option<String>, default: f64) -> Result<f64, SettingError> {
+    settings::checked(name, given, default, "0 to 10", |value| (0.0..=10.0).contains(value))
+}
+
 /// Reads a setting that is on or off; it is off when nothing is given.
 pub fn flag(name: &str, given: Option<String>) -> Result<bool, SettingError> {
     settings::checked(name, given, false, "true or false", |_| true)
@@ -85,21 +90,49 @@
     settings::checked(flag, given, default, &allowed, |value| (least..=most).contains(value))
 }
 
-/// Reads a time of at most `most` milliseconds.
-pub fn millis(
+/// Reads an amount from `least` to `most` that the platform may scale, so that it comes with a fraction. The
+/// fraction is left out: no amount that was granted is exceeded.
+pub fn amount(
     flag: &str,
     given: Option<String>,
     default: u64,
+    least: u64,
+    most: u64,
+) -> Result<u64, SettingError> {
+    let allowed = format!("{least} to {most}");
+    let (bottom, top) = (least as f64, most as f64);
+    let value = settings::checked(flag, given, default as f64, &allowed, |value: &f64| {
+        (bottom..=top).contains(&value.floor())
+    });
+    value.map(|value| value as u64)
+}
+
+/// Reads a time of `least` to `most` milliseconds.
+pub fn time(
+    flag: &str,
+    given: Option<String>,
+    default: u64,
+    least: u64,
     most: u64,
 ) -> Result<Duration, SettingError> {
-    let allowed = format!("1 to {most} ms, or a number of seconds with an s behind it");
+    let allowed = format!("{least} to {most} ms, or a number of seconds with an s behind it");
     let given: Option<String> = settings::optional(flag, given, &allowed)?;
     let given = given.map(|text| seconds_as_millis(&text).unwrap_or(text));
     let value =
-        settings::checked(flag, given, default, &allowed, |value| (1..=most).contains(value));
+        settings::checked(flag, given, default, &allowed, |value| (least..=most).contains(value));
     value.map(Duration::from_millis)
 }
 
+/// Reads a time of at most `most` milliseconds that is not zero.
+pub fn millis(
+    flag: &str,
+    given: Option<String>,
+    default: u64,
+    most: u64,
+) -> Result<Duration, SettingError> {
+    time(flag, given, default, 1, most)
+}
+
 /// Turns `2.5s` into `2500`; gives nothing for a text of another form.
 fn seconds_as_millis(text: &str) -> Option<String> {
     let seconds: f64 = text.strip_suffix('s')?.parse().ok()?;
--- /dev/null
+++ b/crates/daemon/tests/deployed.rs
@@ -0,0 +1,113 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The settings that are deployed take whatever amount the platform may fill in, and refuse what is wrong.
+
+use std::fs;
+use std::time::Duration;
+
+use basaltarch_core::errors::SettingError;
+use basaltarch_daemon::options::{DaemonOptions, RawOptions};
+use test_case::test_case;
+
+/// What the platform fills in, as it usually is.
+const USUAL: [(&str, &str); 17] = [
+    ("nodeName", "host-1"),
+    ("zone", "zone-1"),
+    ("service", "shop"),
+    ("ip", "10.0.0.1"),
+    ("listen.outbound", "10.0.0.1:8147"),
+    ("listen.inbound", "10.0.0.1:8146"),
+    ("listen.ready", "10.0.0.1:8141"),
+    ("listen.control", "10.0.0.1:8144"),
+    ("portRange.0", "7380"),
+    ("platform.address", "10.0.0.9:8142"),
+    ("seeds", "10.0.0.2:8144,10.0.0.3:8144"),
+    ("bounds.graceS", "6"),
+    ("limits.maxFds", "4100"),
+    ("limits.memoryMb", "260"),
+    ("bounds.floorShare", "0.7"),
+    ("bounds.retryBudgetRatio", "0.2"),
+    ("bounds.budgetExtraRetries", "56"),
+];
+
+/// Fills the deployed settings in, with this gap filled otherwise, and reads them.
+fn read(gap: &str, value: &str) -> Result<DaemonOptions, SettingError> {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/basaltarchd.conf");
+    let mut text = fs::read_to_string(path).expect("deployed settings");
+    text = text.replace(&format!("{{{{{gap}}}}}"), value);
+    for (gap, usual) in USUAL.iter().chain(&[("bounds.budgetWindowS", "10")]) {
+        text = text.replace(&format!("{{{{{gap}}}}}"), usual);
+    }
+    assert!(!text.contains("{{"), "a gap that this test does not fill:\n{text}");
+    let name = format!("deployed-{}-{}.conf", gap.replace('.', "-"), value.replace(':', "-"));
+    let filled = format!("{}/{name}", env!("CARGO_TARGET_TMPDIR"));
+    fs::write(&filled, text).expect("write");
+    let options = DaemonOptions::try_new(RawOptions {
+        config: Some(filled.clone()),
+        ..RawOptions::default()
+    });
+    fs::remove_file(&filled).expect("remove");
+    options
+}
+
+#[test_case("56", 56 ; "whole")]
+#[test_case("25.2", 25 ; "with a fraction, which is left out")]
+#[test_case("25.99", 25 ; "nearly one more, which is not granted")]
+#[test_case("0", 0 ; "none")]
+#[test_case("0.4", 0 ; "less than one")]
+#[test_case("630.0", 630 ; "whole with a point")]
+#[test_case("1e3", 1000 ; "with an exponent")]
+fn verify_a_bound_on_repeats_is_taken(value: &str, wanted: u32) {
+    let options = read("bounds.budgetExtraRetries", value).expect("settings");
+    assert_eq!(options.defaults.retry_extra, wanted);
+}
+
+#[test_case("6", 5750 ; "whole")]
+#[test_case("2.5", 2250 ; "with a fraction")]
+#[test_case("0", 0 ; "no time at all")]
+#[test_case("0.1", 0 ; "less than what is kept back")]
+#[test_case("7200", 30_000 ; "longer than any drain")]
+fn verify_the_time_until_a_kill_is_taken(value: &str, wanted_ms: u64) {
+    let options = read("bounds.graceS", value).expect("settings");
+    assert_eq!(options.drain, Duration::from_millis(wanted_ms));
+}
+
+#[test_case("10", 10_000 ; "whole")]
+#[test_case("0.25", 250 ; "with a fraction")]
+#[test_case("3600", 3_600_000 ; "an hour")]
+fn verify_the_window_of_repeats_is_taken(value: &str, wanted_ms: u64) {
+    let options = read("bounds.budgetWindowS", value).expect("settings");
+    assert_eq!(options.defaults.retry_window, Duration::from_millis(wanted_ms));
+}
+
+#[test_case("bounds.retryBudgetRatio", "0" ; "no repeats")]
+#[test_case("bounds.retryBudgetRatio", "1" ; "a repeat for each")]
+#[test_case("bounds.retryBudgetRatio", "1.5" ; "more repeats than requests")]
+#[test_case("bounds.floorShare", "0" ; "no floor")]
+#[test_case("bounds.floorShare", "1" ; "all of it")]
+#[test_case("limits.maxFds", "4100.5" ; "descriptors with a fraction")]
+#[test_case("limits.maxFds", "1000000" ; "many descriptors")]
+#[test_case("limits.memoryMb", "160.7" ; "memory with a fraction")]
+#[test_case("limits.memoryMb", "1048576" ; "a terabyte")]
+#[test_case("seeds", "" ; "nobody to ask")]
+fn verify_what_the_platform_may_write_is_taken(gap: &str, value: &str) {
+    read(gap, value).expect("settings");
+}
+
+#[test_case("bounds.budgetExtraRetries", "-1", "retry-extra" ; "repeats below zero")]
+#[test_case("bounds.budgetExtraRetries", "many", "retry-extra" ; "repeats that are no number")]
+#[test_case("bounds.budgetExtraRetries", "NaN", "retry-extra" ; "repeats that can't be counted")]
+#[test_case("bounds.budgetExtraRetries", "inf", "retry-extra" ; "repeats without end")]
+#[test_case("bounds.budgetWindowS", "0", "retry-window-ms" ; "a window without time")]
+#[test_case("bounds.budgetWindowS", "-2", "retry-window-ms" ; "a window below zero")]
+#[test_case("bounds.graceS", "-1", "kill-after-ms" ; "a time below zero")]
+#[test_case("bounds.graceS", "soon", "kill-after-ms" ; "a time that is no number")]
+#[test_case("bounds.floorShare", "1.2", "floor" ; "more than the whole")]
+#[test_case("bounds.retryBudgetRatio", "-0.1", "retry-share" ; "a ratio below zero")]
+#[test_case("limits.memoryMb", "3", "memory-mb" ; "too little memory to run")]
+#[test_case("limits.maxFds", "0", "descriptors" ; "no descriptors")]
+fn verify_what_is_wrong_is_refused_by_name(gap: &str, value: &str, flag: &str) {
+    let error = read(gap, value).expect_err("refused").to_string();
+    assert!(error.contains(&format!("--{flag}")) && error.contains("allowed:"), "{error}");
+}
