Tell the starts of a backend server apart that keeps its name

Cause: a backend server may start again under its name, holds nothing of before, and counts its heartbeats anew. It was lost then: heartbeats were taken as late until the old count was passed, a name that had deregistered stayed gone, "draining" stuck, and what was learnt of the old start was held against the new one.

Change: an incarnation (name, and Unix time of the start where it is told) is a type of its own in core; written out it is the name of the upstream, so that all that is kept by that name (rows, peers' word, dispatches, health, doubt, connections, cold time) is kept for one start. What is dispatched to an old start is refused as not run by its host. Which start lives is decided in decide/start.rs: a later one replaces; an earlier one is late; one that claims to be earlier and was never heard of is taken only if it goes on speaking for 2 s while the other is silent, as after a clock set back. The expected server that a backend server is told stays its plain name.

Ruled out: telling starts apart by the count alone, since late heartbeats of the old start have the higher counts.

--- a/crates/daemon/src/host/sending.rs
+++ b/crates/daemon/src/host/sending.rs
@@ -5,6 +5,7 @@
 
 use std::cell::Cell;
 
+use basaltarch_core::incarnation;
 use basaltarch_http::framing::BodyFraming;
 use basaltarch_http::writer;
 use basaltarch_peer::protocol::DispatchHead;
@@ -67,7 +68,8 @@
     let names = &work.state.fields;
     writer::put_field(buffer, names.deadline.as_str().as_bytes(), left.as_bytes());
     if let Some(name) = &names.expected_server {
-        writer::put_field(buffer, name.as_str().as_bytes(), work.upstream.name.as_bytes());
+        let server = incarnation::server_of(&work.upstream.name);
+        writer::put_field(buffer, name.as_str().as_bytes(), server.as_bytes());
     }
     writer::put_framing(buffer, framing);
     let needs_length =
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -11,6 +11,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_core::incarnation::{self, ServerIncarnation};
+use basaltarch_decide::start::{StartTrack, StartVerdict, StartWord};
 use basaltarch_events::servers;
 use basaltarch_http::client::HttpClient;
 use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
@@ -31,44 +33,76 @@
 const BODY_BYTES_MAX: u64 = 16 * 1024;
 /// Longest time for an answer about health: it waits for a slot, and a heartbeat comes soon.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Names of backend servers that deregistered, kept to know their late heartbeats.
+/// Starts of backend servers that are gone, kept to know their late heartbeats.
 const GONE_MAX: usize = 64;
+/// Backend servers whose starts are followed: a host has few, and whoever names more is none of them.
+const STARTS_MAX: usize = 256;
 
 /// `RegistrationTable` is what this daemon knows of the backend servers beside it, apart from what it
-/// tells the others.
+/// tells the others. All but the starts is kept by the name of the upstream, which is that of one start.
 #[derive(Debug, Default)]
 pub struct RegistrationTable {
+    /// Starts of each backend server, by its own name.
+    starts: RefCell<FnvHashMap<String, StartTrack>>,
     sequences: RefCell<FnvHashMap<String, u64>>,
     cold_until: RefCell<FnvHashMap<String, Duration>>,
     gone: RefCell<VecDeque<String>>,
-    /// Latest known record of an earlier start.
+    /// Latest known record of an earlier start of the daemon.
     recovered: RefCell<Option<HostRecord>>,
 }
 
 impl RegistrationTable {
-    /// Says whether a backend server is still slow from its start.
-    pub fn is_cold(&self, name: &str, now: Duration) -> bool {
-        self.cold_until.borrow().get(name).is_some_and(|until| *until > now)
+    /// Says whether an upstream is still slow from its start.
+    pub fn is_cold(&self, upstream: &str, now: Duration) -> bool {
+        self.cold_until.borrow().get(upstream).is_some_and(|until| *until > now)
     }
 
-    /// Says whether a heartbeat is later than those before it, and notes it.
+    /// Says what a heartbeat counts for, and notes it.
+    fn judge(&self, heartbeat: &ServerHeartbeat, now: Duration) -> StartVerdict {
+        let ServerIncarnation { server, born } = &heartbeat.incarnation;
+        let word = StartWord { born: *born, sequence: heartbeat.sequence };
+        let mut starts = self.starts.borrow_mut();
+        if starts.len() >= STARTS_MAX && !starts.contains_key(server) {
+            starts.clear();
+        }
+        let verdict = starts.entry(server.clone()).or_default().judge(word, now);
+        if verdict == StartVerdict::Current && !self.is_news(heartbeat) {
+            return StartVerdict::Late;
+        }
+        verdict
+    }
+
+    /// Says whether a heartbeat is later than those before it of its start, and notes it.
     fn is_news(&self, heartbeat: &ServerHeartbeat) -> bool {
-        if self.gone.borrow().contains(&heartbeat.server) {
+        let upstream = heartbeat.incarnation.upstream();
+        if self.gone.borrow().contains(&upstream) {
             return false;
         }
         let mut sequences = self.sequences.borrow_mut();
-        let last = sequences.entry(heartbeat.server.clone()).or_default();
+        let last = sequences.entry(upstream).or_default();
         let news = heartbeat.sequence >= *last;
         *last = heartbeat.sequence.max(*last);
         news
     }
 
-    fn note_gone(&self, name: &str) {
-        self.sequences.borrow_mut().remove(name);
-        self.cold_until.borrow_mut().remove(name);
+    /// Returns the start that a word of leaving is about: the one it names, else the one known.
+    fn leaving(&self, incarnation: ServerIncarnation) -> ServerIncarnation {
+        let starts = self.starts.borrow();
+        let known = starts.get(&incarnation.server).and_then(StartTrack::current);
+        ServerIncarnation { born: incarnation.born.or(known), ..incarnation }
+    }
+
+    fn note_gone(&self, upstream: &str) {
+        let incarnation = ServerIncarnation::of_upstream(upstream);
+        let mut starts = self.starts.borrow_mut();
+        if let (Some(track), Some(born)) = (starts.get_mut(&incarnation.server), incarnation.born) {
+            track.note_over(born);
+        }
+        self.sequences.borrow_mut().remove(upstream);
+        self.cold_until.borrow_mut().remove(upstream);
         let mut gone = self.gone.borrow_mut();
-        if !gone.iter().any(|known| known == name) {
-            gone.push_back(name.to_owned());
+        if !gone.iter().any(|known| known == upstream) {
+            gone.push_back(upstream.to_owned());
         }
         if gone.len() > GONE_MAX {
             gone.pop_front();
@@ -96,8 +130,15 @@
     let call =
         registration::read_call(&request.head.method, uri.path(), uri.query(), &request.body);
     match call {
-        Ok(Some(ServerCall::Heartbeat(heartbeat))) => note_heartbeat(state, &heartbeat),
-        Ok(Some(ServerCall::Deregister(name))) => note_gone(state, &name),
+        Ok(Some(ServerCall::Heartbeat(heartbeat))) => {
+            if note_heartbeat(state, &heartbeat) == StartVerdict::Unnamed {
+                return admin::problem(StatusCode::BAD_REQUEST, "the heartbeat tells no start");
+            }
+        }
+        Ok(Some(ServerCall::Deregister(incarnation))) => {
+            let incarnation = state.registrations.leaving(incarnation);
+            note_gone(state, &incarnation.upstream());
+        }
         Ok(None) => return admin::problem(StatusCode::NOT_FOUND, "no such call"),
         Err(error) => {
             let from = &request.from.to_string();
@@ -109,21 +150,34 @@
     ServerReply::whole(StatusCode::OK, "application/json", body)
 }
 
-fn note_heartbeat(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) {
-    if !state.registrations.is_news(heartbeat) {
-        let (upstream, sequence) = (&heartbeat.server, heartbeat.sequence);
-        servers::HeartbeatLate { upstream, sequence }.log();
-        return;
+/// Takes a heartbeat in and says what it counted for.
+fn note_heartbeat(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) -> StartVerdict {
+    let verdict = state.registrations.judge(heartbeat, state.now());
+    match verdict {
+        StartVerdict::Current => {}
+        StartVerdict::Replaces => drop(state.registrations.is_news(heartbeat)),
+        StartVerdict::Late | StartVerdict::Unnamed => {
+            let (upstream, sequence) = (&heartbeat.incarnation.upstream(), heartbeat.sequence);
+            servers::HeartbeatLate { upstream, sequence }.log();
+            return verdict;
+        }
     }
+    register(state, heartbeat);
+    verdict
+}
+
+/// Puts what a heartbeat says in force.
+fn register(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) {
+    let name = heartbeat.incarnation.upstream();
     let cold_until = state.now() + heartbeat.cold_for;
     if !heartbeat.cold_for.is_zero() {
         let mut cold = state.registrations.cold_until.borrow_mut();
-        cold.insert(heartbeat.server.clone(), cold_until);
+        cold.insert(name.clone(), cold_until);
     }
     let mut servers = state.roster.own_servers();
-    let known = servers.iter().find(|server| server.name == heartbeat.server);
+    let known = servers.iter().find(|server| server.name == name);
     let record = ServerRecord {
-        name: heartbeat.server.clone(),
+        name: name.clone(),
         service: heartbeat.service.clone(),
         address: heartbeat.address,
         slots: heartbeat.slots,
@@ -142,21 +196,23 @@
         sequence: heartbeat.sequence,
     }
     .log();
-    // One that now listens on the address of another has taken its place, for good: a heartbeat of the
-    // other may have been held up on its way and come only now.
-    for other in servers.iter().filter(|server| server.name != record.name) {
-        if other.address == record.address {
-            state.registrations.note_gone(&other.name);
-            servers::ServerGone { upstream: &other.name }.log();
-        }
+    // One that now listens on the address of another, or has its name, has taken its place, for good: a
+    // heartbeat of the other may have been held up on its way and come only now.
+    let is_replaced = |other: &ServerRecord| {
+        let same_server = incarnation::server_of(&other.name) == heartbeat.incarnation.server;
+        other.name != record.name && (same_server || other.address == record.address)
+    };
+    for other in servers.iter().filter(|server| is_replaced(server)) {
+        state.registrations.note_gone(&other.name);
+        servers::ServerGone { upstream: &other.name }.log();
     }
-    servers.retain(|server| server.name != record.name && server.address != record.address);
+    servers.retain(|server| server.name != record.name && !is_replaced(server));
     servers.push(record);
     servers.sort_by(|left, right| left.name.cmp(&right.name));
     roster::set_own_servers(state, servers);
 }
 
-/// Takes in that a backend server is gone, by its own word or as another answers in its place.
+/// Takes in that a start of a backend server is over, by its own word or as another answers in its place.
 pub fn note_gone(state: &Rc<DaemonState>, name: &str) {
     state.registrations.note_gone(name);
     let mut servers = state.roster.own_servers();
@@ -218,7 +274,8 @@
     let reply = client.call(Method::GET, &path, HeaderMap::new(), Bytes::new()).await;
     match reply {
         Ok(reply) => {
-            let same = headers::answering_server(&reply.headers) == Some(server.name.as_str());
+            let name = incarnation::server_of(&server.name);
+            let same = headers::answering_server(&reply.headers) == Some(name);
             reply.status == StatusCode::OK && same
         }
         Err(error) => {
@@ -243,8 +300,10 @@
 fn take_back(state: &Rc<DaemonState>, server: ServerRecord) {
     let mut servers = state.roster.own_servers();
     // Its own word, which may have come meanwhile, counts more.
-    let told =
-        servers.iter().any(|known| known.name == server.name || known.address == server.address);
+    let own_name = incarnation::server_of(&server.name);
+    let told = servers.iter().any(|known| {
+        incarnation::server_of(&known.name) == own_name || known.address == server.address
+    });
     if told || state.registrations.gone.borrow().contains(&server.name) {
         return;
     }
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -9,10 +9,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_core::incarnation::{self, ServerIncarnation};
 use basaltarch_core::resources::{BackendServer, ServerState};
 use basaltarch_core::services::UpstreamEntry;
 use basaltarch_decide::limits;
@@ -196,9 +198,15 @@
             upstreams.extend(servers.map(|server| server.upstream(host, record, connections)));
         }
         upstreams.sort_by(|left, right| left.name.cmp(&right.name));
-        // A name that two hosts claim belongs to one of them; a request that goes to the other is
-        // refused there as unknown.
-        upstreams.dedup_by(|left, right| left.name == right.name);
+        // A name that two hosts claim belongs to one of them, that of the later start; a request that
+        // goes to the other is refused there as unknown.
+        upstreams.dedup_by(|right, left| {
+            let is_same = incarnation::server_of(&left.name) == incarnation::server_of(&right.name);
+            if is_same && started(left) < started(right) {
+                mem::swap(left, right);
+            }
+            is_same
+        });
         upstreams
     }
 
@@ -228,6 +236,11 @@
     }
 }
 
+/// Returns when the backend server behind an upstream started, if that is known.
+fn started(upstream: &UpstreamEntry) -> Option<u64> {
+    ServerIncarnation::of_upstream(&upstream.name).born
+}
+
 /// Returns what this daemon says of itself.
 fn own_record(state: &DaemonState) -> HostRecord {
     HostRecord {
--- a/crates/daemon/tests/common/registered.rs
+++ b/crates/daemon/tests/common/registered.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use basaltarch_core::incarnation::ServerIncarnation;
 use basaltarch_core::resources::{RouteRule, WorkClass, WorkMode};
 use basaltarch_platform::document::{self, CallerLimits, ConfigDocument, NamedRoute, ServiceNote};
 use basaltarch_platform::registration::{self, ServerHeartbeat};
@@ -70,6 +71,11 @@
     NamedRoute { name: name.to_owned(), rule }
 }
 
+/// Builds the word of leaving of a backend server; its name may tell a start.
+pub fn leaving(name: &str) -> StoreCall {
+    registration::deregister(&ServerIncarnation::of_upstream(name))
+}
+
 impl RegisteredFleet {
     /// Starts daemons, and a backend server beside each that registers at once.
     pub fn start(daemons: usize) -> Self {
@@ -142,11 +148,17 @@
         self.beat_as(index, name, SERVICE, draining)
     }
 
-    /// Sends a heartbeat of any name and service from where a backend server listens.
+    /// Sends a heartbeat of any name and service from where a backend server listens. A name may tell a
+    /// start: `i-1#a` is the start of `i-1` at 10 ms.
     pub fn beat_as(&self, index: usize, name: &str, service: &str, draining: bool) -> Reply {
         self.call_daemon(index, &self.heartbeat(index, name, service, draining))
     }
 
+    /// Lets the numbers of heartbeats begin anew, as those of a backend server that starts do.
+    pub fn restart_count(&self) {
+        self.sequence.set(1);
+    }
+
     /// Builds such a heartbeat.
     pub fn heartbeat(&self, index: usize, name: &str, service: &str, draining: bool) -> StoreCall {
         self.heartbeat_from(self.backends[index].address, name, service, draining)
@@ -162,7 +174,7 @@
     ) -> StoreCall {
         let sequence = self.sequence.replace(self.sequence.get() + 1);
         registration::heartbeat(&ServerHeartbeat {
-            server: name.to_owned(),
+            incarnation: ServerIncarnation::of_upstream(name),
             service: service.to_owned(),
             address,
             failure_domain: "bkk-a".to_owned(),
@@ -175,7 +187,7 @@
 
     /// Says for a backend server that it is gone.
     pub fn deregister(&self, index: usize) -> Reply {
-        self.call_daemon(index, &registration::deregister(&self.backends[index].name))
+        self.call_daemon(index, &leaving(&self.backends[index].name))
     }
 
     /// Sends a call to the daemon beside a backend server.
--- a/crates/daemon/tests/registered.rs
+++ b/crates/daemon/tests/registered.rs
@@ -8,9 +8,8 @@
 use std::thread;
 
 use basaltarch_platform::headers;
-use basaltarch_platform::registration;
 use basaltarch_platform::rows::{self, StoreCall};
-use common::registered::{document, RegisteredFleet, HOST, SERVICE};
+use common::registered::{self, document, RegisteredFleet, HOST, SERVICE};
 use common::{client, eventually, TestBackend};
 use serde_json::{json, Value};
 use test_case::test_case;
@@ -189,7 +188,7 @@
 #[test_case(|call| call.body = vec![b' '; 200_000], 413 ; "too large")]
 #[test_case(|call| call.target.truncate(call.target.len() - 3), 400 ; "no name")]
 #[test_case(|call| call.target = call.target.replace("heartbeat", "dance"), 404 ; "unknown call")]
-#[test_case(|call| *call = registration::deregister("i-unknown"), 200 ; "deregistering a stranger")]
+#[test_case(|call| *call = registered::leaving("i-unknown"), 200 ; "deregistering a stranger")]
 fn verify_bad_calls_get_a_clear_error_and_change_nothing(harm: fn(&mut StoreCall), status: u16) {
     let fleet = RegisteredFleet::start(1);
     let mut call = fleet.heartbeat(0, "i-9", SERVICE, false);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod poison;
 pub mod recovery;
 pub mod split;
+pub mod start;
 pub mod stop;
 pub mod track;
