Let rows and heartbeats of other writers harm nobody else

Cause: one value that could not be decoded failed the whole page of a table, so that the table stood still for the fleet; a copy of a host's record under another name could take that host's place; a host whose row was overwritten wrote it no more; a heartbeat with another service took the server out of its own.

Change: rows are read one by one; one that can't be read names no host, what was known under its key holds, and it is counted (rows_unreadable) and logged once. Servers in a record are read one by one too. A record names its host and counts under no other name. A daemon whose row was overwritten writes it anew. A heartbeat whose service the operator names nowhere, or that changes service or address within a start, is refused.

--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -83,7 +83,7 @@
 }
 
 fn take_row(state: &Rc<DaemonState>, row: &StoredRow) {
-    match &row.value {
+    match row.value.bytes() {
         Some(value) if row.key == DOCUMENT_KEY => take_document(state, value, "store"),
         _ => {}
     }
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use basaltarch_events::process;
-use basaltarch_platform::rows::RowsPage;
+use basaltarch_platform::rows::{RowValue, RowsPage};
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::{FeedReply, RetryPause};
 
@@ -62,6 +62,7 @@
         match self.step(state).await {
             Ok(news) => {
                 self.note_answer(state);
+                self.tell_unreadable(&news);
                 news
             }
             Err(error) => {
@@ -71,6 +72,23 @@
         }
     }
 
+    /// Logs and counts what nobody can read; the rows beside it hold.
+    fn tell_unreadable(&self, news: &FeedNews) {
+        let (FeedNews::Whole(page) | FeedNews::Changes(page)) = news else { return };
+        let table = self.plan.table;
+        for row in &page.rows {
+            if let RowValue::Unreadable(error) = &row.value {
+                metrics::ROWS_UNREADABLE.add_one();
+                process::RowUnreadable { table, key: &row.key, error }.log();
+            }
+        }
+        if page.nameless > 0 {
+            metrics::ROWS_UNREADABLE.add(page.nameless as u64);
+            let error = &format!("{} entries have no key", page.nameless);
+            process::RowUnreadable { table, key: "", error }.log();
+        }
+    }
+
     /// Waits after a call that brought changes, so that those that come together are read together.
     pub async fn rest(&self) {
         monoio::time::sleep(self.plan.between).await;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -63,6 +63,8 @@
 pub static REVISION: GaugeCell = GaugeCell::new();
 /// Older revisions that were refused.
 pub static OLD_REVISIONS: CounterCell = CounterCell::new();
+/// Rows of the store that could not be read.
+pub static ROWS_UNREADABLE: CounterCell = CounterCell::new();
 /// Live members known.
 pub static MEMBERS: GaugeCell = GaugeCell::new();
 /// Services that this ingress has learnt of from requests.
@@ -221,6 +223,7 @@
         counter("limited", "Requests refused by limits.", &LIMITED),
         counter("grants_asked", "Grants asked from homes of limits.", &GRANTS_ASKED),
         counter("old_revisions", "Older revisions that were refused.", &OLD_REVISIONS),
+        counter("rows_unreadable", "Rows of the store that could not be read.", &ROWS_UNREADABLE),
         counter("peer_bytes_sent", "Bytes sent to peers.", &PEER_BYTES_SENT),
         counter("peer_bytes_received", "Bytes received from peers.", &PEER_BYTES_RECEIVED),
         counter("store_failures", "Calls to the platform that failed.", &STORE_FAILURES),
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -131,6 +131,11 @@
         registration::read_call(&request.head.method, uri.path(), uri.query(), &request.body);
     match call {
         Ok(Some(ServerCall::Heartbeat(heartbeat))) => {
+            if let Some(problem) = foreign_part(state, &heartbeat) {
+                let from = &request.from.to_string();
+                servers::ServerCallRefused { error: problem, from }.log();
+                return admin::problem(StatusCode::BAD_REQUEST, problem);
+            }
             if note_heartbeat(state, &heartbeat) == StartVerdict::Unnamed {
                 return admin::problem(StatusCode::BAD_REQUEST, "the heartbeat tells no start");
             }
@@ -150,6 +155,22 @@
     ServerReply::whole(StatusCode::OK, "application/json", body)
 }
 
+/// Says what shows that a heartbeat is from another writer: a service that the operator names nowhere,
+/// unless its server is known with it, or a service or an address that a start has not had so far.
+fn foreign_part(state: &DaemonState, heartbeat: &ServerHeartbeat) -> Option<&'static str> {
+    let name = heartbeat.incarnation.upstream();
+    let servers = state.roster.own_servers();
+    if let Some(known) = servers.iter().find(|server| server.name == name) {
+        let same = known.service == heartbeat.service && known.address == heartbeat.address;
+        // A server that tells no start may have started anew under its name.
+        let may_differ = heartbeat.incarnation.born.is_none();
+        return (!same && !may_differ).then_some("a start keeps its service and its address");
+    }
+    let document = state.document.get()?;
+    let named = document.services.iter().any(|note| note.name == heartbeat.service);
+    (!named).then_some("the service is not in the configuration")
+}
+
 /// Takes a heartbeat in and says what it counted for.
 fn note_heartbeat(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) -> StartVerdict {
     let verdict = state.registrations.judge(heartbeat, state.now());
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -21,12 +21,12 @@
 use basaltarch_events::{fleet, process};
 use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::handshake::PeerIdentity;
-use basaltarch_platform::rows::{RowsPage, StoredRow};
+use basaltarch_platform::rows::{RowValue, RowsPage, StoredRow};
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::RetryPause;
 use basaltarch_store::wire::{RowCheck, RowWrite};
-use serde::{Deserialize, Serialize};
-use serde_json::json;
+use serde::{de, Deserialize, Serialize};
+use serde_json::{json, Value};
 
 use crate::document;
 use crate::metrics;
@@ -54,6 +54,9 @@
 /// `HostRecord` is what a host's daemon says of itself and of the backend servers beside it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HostRecord {
+    /// Name of the host: a copy of the record under another name is none of that host's.
+    #[serde(default)]
+    pub host: String,
     /// Number of the daemon's start; a later start has a higher one.
     pub incarnation: i64,
     /// Failure domain of the host.
@@ -244,6 +247,7 @@
 /// Returns what this daemon says of itself.
 fn own_record(state: &DaemonState) -> HostRecord {
     HostRecord {
+        host: state.options.host.clone(),
         incarnation: state.identity.incarnation,
         failure_domain: state.options.failure_domain.clone(),
         peer_address: state.options.peer_address().to_string(),
@@ -407,13 +411,15 @@
 /// Takes one row in, or that it was removed.
 pub fn take_row(state: &Rc<DaemonState>, row: &StoredRow) {
     let value = match &row.value {
-        Some(value) => value,
-        None => return take_removed(state, &row.key),
+        RowValue::Bytes(value) => value,
+        RowValue::Gone => return take_removed(state, &row.key),
+        RowValue::Unreadable(_) => return note_foreign(state, row),
     };
-    let record: HostRecord = match serde_json::from_slice(value) {
+    let record = match read_record(&row.key, value) {
         Ok(record) => record,
         Err(error) => {
             fleet::HostUnreadable { host: &row.key, error: &error.to_string() }.log();
+            note_foreign(state, row);
             return;
         }
     };
@@ -433,6 +439,45 @@
     state.roster.touch();
 }
 
+/// Takes in that another writer wrote a row that can't be read. What was known of its host holds, as its
+/// daemon writes the row anew.
+fn note_foreign(state: &DaemonState, row: &StoredRow) {
+    if row.key == state.options.host {
+        state.roster.own_version.set(row.version);
+        state.roster.note_written(None);
+        state.roster.touch();
+    }
+}
+
+/// Reads the record in the row of a host. Backend servers in it that can't be read are left out.
+pub fn read_record(host: &str, bytes: &[u8]) -> Result<HostRecord, serde_json::Error> {
+    let mut value: Value = serde_json::from_slice(bytes)?;
+    let servers = value.get_mut("servers").map(Value::take).unwrap_or_default();
+    if let Some(fields) = value.as_object_mut() {
+        fields.remove("servers");
+    }
+    let mut record = HostRecord::deserialize(value)?;
+    if !record.host.is_empty() && record.host != host {
+        return Err(de::Error::custom(format_args!("it is the record of {}", record.host)));
+    }
+    let servers = match servers {
+        Value::Array(servers) => servers,
+        _ => Vec::new(),
+    };
+    let told = servers.len();
+    record.servers = servers.into_iter().filter_map(readable_server).collect();
+    let servers = (told - record.servers.len()) as u64;
+    if servers > 0 {
+        fleet::ServersUnreadable { host, servers }.log();
+    }
+    Ok(record)
+}
+
+fn readable_server(value: Value) -> Option<ServerRecord> {
+    let server = ServerRecord::deserialize(value).ok()?;
+    (!server.name.is_empty() && server.slots > 0).then_some(server)
+}
+
 /// Takes in what an earlier start of this daemon said, as the store or a peer tells of it.
 fn recover_own(state: &Rc<DaemonState>, record: &HostRecord) {
     if record.incarnation < state.identity.incarnation && state.options.registration.is_some() {
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -20,7 +20,7 @@
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_peer::protocol::{FrameBody, RowNote, RowsNews, RowsRequest};
-use basaltarch_platform::rows::{RowsPage, StoredRow};
+use basaltarch_platform::rows::{RowValue, RowsPage, StoredRow};
 
 use crate::feed::{FeedNews, FeedPlan, FeedReader};
 use crate::links;
@@ -155,7 +155,7 @@
         };
         let gone: Vec<RowNote> = self.notes.borrow().values().filter(lacks).cloned().collect();
         gone.into_iter().for_each(|note| self.keep(RowNote { value: None, version, ..note }));
-        page.rows.iter().for_each(|row| self.keep(row_note(row)));
+        page.rows.iter().filter_map(row_note).for_each(|note| self.keep(note));
     }
 
     /// Returns what changed after a version.
@@ -227,7 +227,9 @@
             let news = news_of(state.rows.version.get(), &page);
             for row in &page.rows {
                 roster::take_row(state, row);
-                state.rows.keep(row_note(row));
+                if let Some(note) = row_note(row) {
+                    state.rows.keep(note);
+                }
             }
             state.rows.version.set(state.rows.version.get().max(page.version));
             state.rows.pass_on(&news, state.now());
@@ -352,7 +354,7 @@
 }
 
 fn told_record(peer: &PeerIdentity, note: &RowNote) -> Option<ToldRecord> {
-    match serde_json::from_slice(note.value.as_deref()?) {
+    match roster::read_record(&note.key, note.value.as_deref()?) {
         Ok(record) => Some(ToldRecord { host: note.key.clone(), record }),
         Err(error) => {
             let (host, error) = (&*peer.host, &error.to_string());
@@ -366,13 +368,19 @@
     RowsNews {
         after: after as i64,
         version: page.version.max(after) as i64,
-        rows: page.rows.iter().map(row_note).collect(),
+        rows: page.rows.iter().filter_map(row_note).collect(),
         forgotten: false,
     }
 }
 
-fn row_note(row: &StoredRow) -> RowNote {
-    RowNote { key: row.key.clone(), value: row.value.clone(), version: row.version as i64 }
+/// Builds the news of a row for peers; of one that can't be read there is none.
+fn row_note(row: &StoredRow) -> Option<RowNote> {
+    let value = match &row.value {
+        RowValue::Bytes(bytes) => Some(bytes.clone()),
+        RowValue::Gone => None,
+        RowValue::Unreadable(_) => return None,
+    };
+    Some(RowNote { key: row.key.clone(), value, version: row.version as i64 })
 }
 
 fn stored_row(note: &RowNote) -> StoredRow {
@@ -380,7 +388,7 @@
         table: HOSTS_TABLE.to_owned(),
         part: String::new(),
         key: note.key.clone(),
-        value: note.value.clone(),
+        value: note.value.clone().map_or(RowValue::Gone, RowValue::Bytes),
         version: note.version as u64,
     }
 }
--- a/crates/events/src/fleet.rs
+++ b/crates/events/src/fleet.rs
@@ -50,6 +50,14 @@
         error: &'a str,
     }
 
+    /// Backend servers in a host's row can't be read and are left out; the others hold.
+    "servers unreadable" WARN ServersUnreadable<'a> {
+        /// Name of the host.
+        host: &'a str,
+        /// How many.
+        servers: u64,
+    }
+
     /// A later start of this host has a row: two daemons run, or the clock was set back.
     "later start of this host" WARN LaterStart {
         /// Start that the row is from.
--- a/crates/events/src/process.rs
+++ b/crates/events/src/process.rs
@@ -26,6 +26,16 @@
         version: &'a str,
     }
 
+    /// A row of the store can't be read and is left aside; the others hold.
+    "row unreadable" WARN RowUnreadable<'a> {
+        /// Its table.
+        table: &'a str,
+        /// Its key; nothing if it has none.
+        key: &'a str,
+        /// What is wrong.
+        error: &'a str,
+    }
+
     /// The daemon was asked to stop: it is not ready for callers any more, and serves those who still come.
     "leaving" INFO DaemonLeaving {
         /// Requests and exchanges in flight.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -22,7 +22,8 @@
 /// Path of the faults: `GET` them or `PUT` new ones.
 pub const FAULTS_PATH: &str = "/control/faults";
 /// Path of a row: `PUT` writes it past all faults and rules, as the operator does; `DELETE` removes
-/// it. The table, a slash and the key follow; the body is the value.
+/// it. The table, a slash and the key follow; the body is the value. `PATCH` tells of the body in place of
+/// the encoded value, though nobody may be able to read it.
 pub const ROWS_CONTROL_PATH: &str = "/control/rows/";
 /// Path of the counters: `GET`.
 pub const COUNTERS_PATH: &str = "/control/counters";
@@ -315,7 +316,10 @@
             table: table.to_owned(),
             part: String::new(),
             key: key.to_owned(),
-            value: Some(rows::encode_value(value)),
+            value: Some(match *method {
+                Method::PATCH => String::from_utf8_lossy(value).into_owned(),
+                _ => rows::encode_value(value),
+            }),
             ver: None,
             gone: false,
         };
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -126,7 +126,7 @@
         let changes: Vec<RowChange> = changes.collect();
         let reply = self.call(rows::transact(&expectations, &changes)).await?;
         if reply.status == StatusCode::PRECONDITION_FAILED {
-            let rows = table_rows(read_page(&reply)?)?;
+            let rows = table_rows(read_page(&reply)?);
             return Err(StoreError::Conflict { rows });
         }
         Ok(read_page(&accepted(reply)?)?.version)
@@ -136,7 +136,7 @@
     pub async fn read(&self, key: &str) -> Result<Option<TableRow>, StoreError> {
         let RowAddress { table, part, key: wanted } = RowPlace::of(key).address();
         let page = self.read_page(table, part, wanted, 1).await?;
-        let mut rows = table_rows(page)?;
+        let mut rows = table_rows(page);
         Ok(rows.pop().filter(|row| row.key == key))
     }
 
@@ -151,7 +151,7 @@
         let from = if after.is_empty() { prefix.to_owned() } else { format!("{after}\0") };
         let RowAddress { table, part, key: from } = RowPlace::of(&from).address();
         let page = self.read_page(table, part, from, limit).await?;
-        let rows = table_rows(page)?;
+        let rows = table_rows(page);
         Ok(rows.into_iter().take_while(|row| row.key.starts_with(prefix)).collect())
     }
 
@@ -159,12 +159,16 @@
     /// feed goes on.
     pub async fn read_table(&self, table: &str) -> Result<RowsPage, StoreError> {
         let mut all = self.read_page(table, "", "", PAGE_ROWS).await?;
-        while all.more {
+        let mut more = all.more && !all.rows.is_empty();
+        while more {
             let from = all.rows.last().map(|row| format!("{}\0", row.key)).unwrap_or_default();
             let next = self.read_page(table, "", &from, PAGE_ROWS).await?;
+            // A page that names no row leads to no other.
+            more = next.more && !next.rows.is_empty();
             all.rows.extend(next.rows);
-            all.more = next.more;
+            all.nameless += next.nameless;
         }
+        all.more = false;
         Ok(all)
     }
 
@@ -270,15 +274,13 @@
     write.value.as_ref().map(|value| serde_json::to_vec(value).unwrap_or_default())
 }
 
-/// Reads the values of rows that are there; a row that was never there has version 0.
-fn table_rows(page: RowsPage) -> Result<Vec<TableRow>, StoreError> {
+/// Reads the values of rows that are there; a row that was never there has version 0, and one that can't be
+/// read has no value.
+fn table_rows(page: RowsPage) -> Vec<TableRow> {
     let read = |row: rows::StoredRow| {
         let key = RowPlace { table: &row.table, key: &row.key }.store_key();
-        let value = match &row.value {
-            Some(bytes) => serde_json::from_slice(bytes).map_err(errors::malformed)?,
-            None => Value::Null,
-        };
-        Ok(TableRow { key, version: row.version, value })
+        let value = row.value.bytes().and_then(|bytes| serde_json::from_slice(bytes).ok());
+        TableRow { key, version: row.version, value: value.unwrap_or(Value::Null) }
     };
     page.rows.into_iter().map(read).collect()
 }
