Bound work at full servers that hang, and use the idle slots of suspects before refusing

The called service of 11 servers was full to the last slot from 10 s on, and a quarter of its slots' time (650 of 2,580 slot seconds) went to work that hung until the route's time-out; meanwhile servers that were doubted stood with one or two busy slots of ten, and a call was refused 9 ms after it came, with 2.5 s left, after three dispatches to the same full server.

Ruled out: pacing the starts of the calling work. Calls that were done were used (the second of a pair is cancelled before it runs when the first is refused), so that pacing only moves who is refused, and refuses work that makes no call (30 in 100).

Change: (1) decide/allowance.rs: where a server is full and long work there was seen to hang rather than be answered late, the server is given the time in which 99 in 100 end, never less than the objective; its own answer ends the work. One in eight is given all of its time, and an answer that is late after all ends it. (2) Repeatable work that would find no place in the queue of any sound upstream goes to a suspect with idle slots before it is refused.

--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -113,6 +113,11 @@
         self.used.get()
     }
 
+    /// Says whether no slot is free.
+    pub fn is_full(&self) -> bool {
+        self.used.get() >= self.slots.get()
+    }
+
     /// Returns the number of requests that wait.
     pub fn queued(&self) -> u32 {
         self.waiting.borrow().len() as u32
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -9,6 +9,7 @@
 
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
 use basaltarch_core::resources::WorkMode;
+use basaltarch_decide::allowance::{AllowanceTerms, GivenTime};
 use basaltarch_decide::caution::FailureSort;
 use basaltarch_decide::evidence::WorkEvidence;
 use basaltarch_decide::hang::UsualTime;
@@ -207,6 +208,19 @@
         self.upstream.health.borrow().usual_time(&self.head.route, objective)
     }
 
+    /// Returns the time that the server is given for this work.
+    fn give_time(&self) -> GivenTime {
+        let now = self.state.now();
+        let objective_left = self.objective.map_or(Duration::ZERO, |at| at.saturating_sub(now));
+        let terms = AllowanceTerms {
+            left: self.left(),
+            objective_left,
+            usual: self.upstream.health.borrow().usual_time(&self.head.route, None),
+            full: self.upstream.slots.is_full(),
+        };
+        self.upstream.allowance.borrow_mut().give(&terms, now)
+    }
+
     /// Writes the ledger's row of once-only work with a key.
     async fn claim(&self, body: &EventPipe) -> Result<ClaimStep, FailureOutcome> {
         let key = match &self.head.once_key {
@@ -296,7 +310,7 @@
         let waited = self.state.now().saturating_sub(self.came_at);
         metrics::WAIT_SECONDS.record(waited);
         self.tell_started(waited);
-        let progress = WorkProgress::new(slot);
+        let progress = WorkProgress::new(slot, self.give_time());
         let result = self.converse(pooled.stream(), &progress, body, answer, claim).await;
         let was_overdue = progress.was_overdue.get();
         let ending = if result.is_ok() { "answered" } else { "broke" };
@@ -347,7 +361,10 @@
         let calls = watch.calls().clone();
         let HttpStream { reader, writer } = stream;
         let sent = Cell::new(false);
-        let mut sending = std::pin::pin!(sending::send_request(self, writer, body, &sent).fuse());
+        let mut sending =
+            std::pin::pin!(
+                sending::send_request(self, progress.given.time, writer, body, &sent).fuse()
+            );
         let relay = AnswerRelay { work: self, progress, answer, claim, calls };
         let mut answering = std::pin::pin!(relay.run(reader).fuse());
         let mut cancelled = std::pin::pin!(body.cancelled().fuse());
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
+use basaltarch_decide::allowance::GivenTime;
 use basaltarch_decide::caution::FailureSort;
 use basaltarch_decide::evidence::WorkEvidence;
 use basaltarch_http::body::{BodyLimits, BodyReader};
@@ -107,6 +108,10 @@
 pub struct WorkProgress {
     slot: Cell<Option<SlotGuard>>,
     started: Instant,
+    /// Time that the server was given.
+    pub given: GivenTime,
+    /// Whether it passed what such work is allowed without a sign of life.
+    pub has_passed: Cell<bool>,
     /// Whether the head of the answer came.
     pub head_seen: Cell<bool>,
     /// Whether an answer came that is no error.
@@ -127,11 +132,13 @@
         self.started.elapsed()
     }
 
-    /// Builds the progress of work that starts now in this slot.
-    pub fn new(slot: SlotGuard) -> Self {
+    /// Builds the progress of work that starts now in this slot and for which the server is given this time.
+    pub fn new(slot: SlotGuard, given: GivenTime) -> Self {
         Self {
             slot: Cell::new(Some(slot)),
             started: Instant::now(),
+            given,
+            has_passed: Cell::new(false),
             head_seen: Cell::new(false),
             has_answered: Cell::new(false),
             was_overdue: Cell::new(false),
@@ -311,6 +318,12 @@
         };
         let failure = (evidence == WorkEvidence::Failed).then_some(FailureSort::Answered);
         self.progress.has_answered.set(!failed);
+        if !failed {
+            let mut allowance = self.work.upstream.allowance.borrow_mut();
+            let passed = self.progress.has_passed.get();
+            let now = self.work.state.now();
+            allowance.note_answered(&self.progress.given, took, passed, now);
+        }
         self.work.note(evidence, was_overdue, failure);
         self.progress.noted.set(true);
         drop(self.progress.slot.take());
--- a/crates/daemon/src/host/sending.rs
+++ b/crates/daemon/src/host/sending.rs
@@ -4,6 +4,7 @@
 //! Sends a request to a backend server.
 
 use std::cell::Cell;
+use std::time::Duration;
 
 use basaltarch_core::incarnation;
 use basaltarch_http::framing::BodyFraming;
@@ -15,9 +16,10 @@
 use crate::host::exchange::HostWork;
 use crate::host::relay::WorkFault;
 
-/// Sends the request; `sent` tells whether all of it was.
+/// Sends the request, for which the server is `given` this time; `sent` tells whether all of it was.
 pub async fn send_request(
     work: &HostWork<'_>,
+    given: Duration,
     writer: &mut monoio::io::OwnedWriteHalf<monoio::net::TcpStream>,
     body: &EventPipe,
     sent: &Cell<bool>,
@@ -25,7 +27,7 @@
     let head = work.head;
     let framing = request_framing(head);
     let mut buffer = BytesMut::with_capacity(1024 + head.body.len());
-    put_request(work, framing, &mut buffer);
+    put_request(work, given, framing, &mut buffer);
     writer::put_piece(&mut buffer, framing, &head.body, head.last);
     writer::flush(writer, &mut buffer).await.map_err(|_| WorkFault::Broken)?;
     if head.last {
@@ -57,16 +59,16 @@
     }
 }
 
-fn put_request(work: &HostWork<'_>, framing: BodyFraming, buffer: &mut BytesMut) {
+fn put_request(work: &HostWork<'_>, given: Duration, framing: BodyFraming, buffer: &mut BytesMut) {
     let head = work.head;
     buffer.extend_from_slice(head.method.as_bytes());
     buffer.extend_from_slice(b" ");
     buffer.extend_from_slice(head.target.as_bytes());
     buffer.extend_from_slice(b" HTTP/1.1\r\n");
     buffer.extend_from_slice(&head.field_lines);
-    let left = work.left().as_millis().to_string();
+    let given = given.as_millis().to_string();
     let names = &work.state.fields;
-    writer::put_field(buffer, names.deadline.as_str().as_bytes(), left.as_bytes());
+    writer::put_field(buffer, names.deadline.as_str().as_bytes(), given.as_bytes());
     if let Some(name) = &names.expected_server {
         let server = incarnation::server_of(&work.upstream.name);
         writer::put_field(buffer, name.as_str().as_bytes(), server.as_bytes());
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -10,6 +10,7 @@
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::{BackendServer, ServerState, ServiceSpec};
 use basaltarch_core::services::{ServiceEntry, UpstreamEntry};
+use basaltarch_decide::allowance::TimeAllowance;
 use basaltarch_decide::caution::FailureSort;
 use basaltarch_decide::evidence::WorkEvidence;
 use basaltarch_decide::health::{
@@ -42,6 +43,8 @@
     pub health: RefCell<UpstreamHealth>,
     /// Connections to it.
     pub pool: BackendPool,
+    /// How long work may take at it.
+    pub allowance: RefCell<TimeAllowance>,
     draining_until: Cell<Duration>,
     was_down: Cell<bool>,
     answered_at: Cell<Duration>,
@@ -64,6 +67,7 @@
             slots: Rc::new(SlotQueue::new(server.slots, service.spec.queue, clock)),
             health: RefCell::new(UpstreamHealth::new(service.spec.prefer, now, cold)),
             pool: BackendPool::new(server.address, server.connections as usize),
+            allowance: RefCell::default(),
             draining_until: Cell::new(Duration::ZERO),
             was_down: Cell::new(false),
             answered_at: Cell::new(Duration::ZERO),
--- a/crates/daemon/src/host/watch.rs
+++ b/crates/daemon/src/host/watch.rs
@@ -49,13 +49,22 @@
         };
         monoio::time::sleep(hang::first_look(usual)).await;
         while !self.calls.has_called() {
-            self.work.upstream.look(self.work.state.now());
+            self.look_once();
             monoio::time::sleep(hang::look_every(usual)).await;
         }
         self.end(WatchEnd::Lives);
         future::pending().await
     }
 
+    fn look_once(&self) {
+        let now = self.work.state.now();
+        self.work.upstream.look(now);
+        let is_long = self.progress.elapsed() > self.progress.given.late_after;
+        if is_long && !self.progress.has_passed.replace(true) {
+            self.work.upstream.allowance.borrow_mut().note_passed(now);
+        }
+    }
+
     fn end(&self, end: WatchEnd) {
         if self.usual.is_some() {
             self.work.upstream.end_work(self.number, end, self.work.state.now());
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -168,7 +168,9 @@
         Self {
             paths: hosts.map(|host| state.peers.path(host)).collect(),
             draining_until: entry.upstreams.iter().map(|_| Cell::default()).collect(),
-            view: RefCell::new(ServiceView::new(entry.spec.floor, views)),
+            view: RefCell::new(
+                ServiceView::new(entry.spec.floor, views).with_queue(entry.spec.queue),
+            ),
             baselines: RefCell::default(),
             recent: RefCell::default(),
             budget: budget_of(state, &entry, known),
--- a/crates/daemon/tests/late.rs
+++ b/crates/daemon/tests/late.rs
@@ -6,9 +6,11 @@
 
 mod common;
 
+use std::thread;
+
 use basaltarch_core::resources::WorkMode;
-use common::eventually;
-use common::registered::{document, route, RegisteredFleet};
+use common::registered::{document, route, RegisteredFleet, HOST};
+use common::{client, eventually, TestBackend};
 use serde_json::json;
 
 /// Starts a fleet whose servers are known to its ingresses.
@@ -72,3 +74,44 @@
         assert_eq!(fleet.ran(&id), 1, "it ran to its end once");
     }
 }
+
+/// Returns the time in ms that the server was given for the request that it read last.
+fn given_ms(backend: &TestBackend) -> u64 {
+    let head = backend.runs()["last_head"].as_str().expect("head").to_owned();
+    let given = head.split("\"deadline-ms\": \"").nth(1).and_then(|rest| rest.split('"').next());
+    given.expect("a deadline").parse().expect("a number")
+}
+
+#[test]
+fn verify_a_full_server_is_given_the_time_that_sound_work_needs() {
+    let fleet = RegisteredFleet::start(1);
+    fleet.wait_served(0, &[0]);
+    for number in 0..20 {
+        assert_eq!(fleet.request(0, "POST", "/unsafe/x", &format!("known-{number}")).status, 200);
+    }
+    let server = &fleet.backends[0];
+    assert!(given_ms(server) > 2000, "all of the route's time while slots are free");
+    server.faults(json!({"stuck": true}));
+    // What hangs in the first round shows that long work here is not answered late.
+    fill(&fleet, 0);
+    let given = fill(&fleet, 1);
+    assert!(given <= 800, "{given} ms, though its objective is 800 ms");
+}
+
+/// Sends work for all four slots of the first server, one piece after the other, and waits for its ends.
+/// Returns the time in ms that the server was given for the last, which made it full.
+fn fill(fleet: &RegisteredFleet, round: usize) -> u64 {
+    let server = &fleet.backends[0];
+    let received = || server.runs()["received"].as_u64().expect("a count");
+    let before = received();
+    thread::scope(|scope| {
+        for number in 1..=4 {
+            let callers = fleet.daemons[0].callers;
+            let path = format!("/unsafe/{round}-{number}");
+            let headers = [("Host", HOST)];
+            scope.spawn(move || client::call(callers, "POST", &path, &headers, "x"));
+            eventually("the server works on it", || received() == before + number);
+        }
+        given_ms(server)
+    })
+}
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -17,6 +17,9 @@
 /// Load, in shares of the slots, up to which work waits at a sound upstream rather than go to one that
 /// is doubted, where it may hang: two rounds of work wait there.
 const WAIT_LOAD_MAX: f64 = 3.0;
+/// Share of an upstream's queue from which it counts as full for repeatable work: the last places are
+/// taken before work that is sent now gets there.
+const QUEUE_SHARE_MAX: f64 = 0.9;
 /// What a hop to another failure domain weighs, as a share of a service time; 3 ms there and back.
 const REMOTE_WEIGHT: f64 = 1.1;
 /// Load that is assumed of an upstream that has not reported lately, in shares of its slots.
@@ -217,6 +220,8 @@
     Sound,
     /// It is not suspect, and as all such are full, the work waits there.
     Waiting,
+    /// It has idle slots, though it is a suspect; the sound ones would refuse the work.
+    Idle,
     /// It is in service; none is better.
     Any,
     /// None is in service; the way to this one was cut and is linked again.
@@ -232,6 +237,7 @@
             Self::Near => "near",
             Self::Sound => "sound",
             Self::Waiting => "waiting",
+            Self::Idle => "idle",
             Self::Any => "any",
             Self::Proving => "proving",
         }
@@ -279,6 +285,8 @@
 #[derive(Debug, Clone)]
 pub struct ServiceView {
     floor: f64,
+    /// Requests that may wait before the slots of an upstream.
+    queue: u32,
     upstreams: Vec<LoadView>,
     plan: FloorPlan,
     median_ln: f64,
@@ -300,6 +308,7 @@
     pub fn new(floor: f64, upstreams: Vec<LoadView>) -> Self {
         Self {
             floor,
+            queue: u32::MAX,
             upstreams,
             plan: FloorPlan::default(),
             median_ln: 0.0,
@@ -312,6 +321,11 @@
         }
     }
 
+    /// Sets how many requests may wait before the slots of an upstream; by default any number.
+    pub fn with_queue(self, queue: u32) -> Self {
+        Self { queue, ..self }
+    }
+
     /// Returns the number of upstreams in service that are not in `excluded`.
     pub fn count_others(&self, excluded: &[usize]) -> usize {
         let others = (0..self.upstreams.len()).filter(|index| !excluded.contains(index));
@@ -488,8 +502,9 @@
 
     /// Chooses the best upstream: one that is near, not a suspect and not loaded, if there is one; then
     /// one that is not a suspect and has room; then one that is no suspect, to wait there, as work
-    /// behind that of a sound upstream is done sooner than work that hangs; then any, by its cost; and
-    /// where there is none, one whose way was cut and is linked again.
+    /// behind that of a sound upstream is done sooner than work that hangs; for repeatable work that
+    /// would be refused there, one that has idle slots though it is a suspect; then any, by its cost;
+    /// and where there is none, one whose way was cut and is linked again.
     fn best(
         &self,
         terms: &ChoiceTerms,
@@ -498,11 +513,12 @@
         request: &ChoiceRequest<'_>,
     ) -> Option<(ChoiceGround, DrawnUpstream)> {
         let load = |view: &LoadView| view.load_share(terms.now);
+        let takes = |view: &LoadView| !terms.repeatable || self.has_places(view, terms.now);
         let may = |index: usize| self.in_service(index) && request.may_ask(index);
         let sound = |index: usize, view: &LoadView| may(index) && !view.is_suspect(terms);
         let known = |index: usize, view: &LoadView| {
             let is_known = request.is_last && request.full.contains(&index);
-            is_known && self.in_service(index) && !view.is_suspect(terms)
+            is_known && self.in_service(index) && !view.is_suspect(terms) && takes(view)
         };
         if let Some(drawn) = self.draw(terms, rng, fits, known) {
             return Some((ChoiceGround::Waiting, drawn));
@@ -517,13 +533,21 @@
         if let Some(drawn) = self.draw(terms, rng, fits, free) {
             return Some((ChoiceGround::Sound, drawn));
         }
-        let waiting = |index: usize, view: &LoadView| {
+        let trusted = |index: usize, view: &LoadView| {
             let in_service = self.in_service(index) && !request.excluded.contains(&index);
-            in_service && !view.is_suspect(terms) && load(view) < WAIT_LOAD_MAX
+            in_service && !view.is_suspect(terms) && takes(view)
         };
+        let waiting =
+            |index: usize, view: &LoadView| trusted(index, view) && load(view) < WAIT_LOAD_MAX;
         if let Some(drawn) = self.draw(terms, rng, fits, waiting) {
             return Some((ChoiceGround::Waiting, drawn));
         }
+        let views = || self.upstreams.iter().enumerate();
+        let is_refused = terms.repeatable && !views().any(|(index, view)| trusted(index, view));
+        let idle = |index: usize, view: &LoadView| is_refused && may(index) && load(view) < 1.0;
+        if let Some(drawn) = self.draw(terms, rng, fits, idle) {
+            return Some((ChoiceGround::Idle, drawn));
+        }
         let any = |index: usize, _: &LoadView| {
             self.in_service(index) && !request.excluded.contains(&index)
         };
@@ -540,6 +564,15 @@
         Some((ChoiceGround::Proving, drawn))
     }
 
+    /// Says whether work would find a place in an upstream's queue. What is refused is lost for certain,
+    /// so that repeatable work goes to a suspect with idle slots, which does a part of what it gets, before
+    /// it is sent where it finds none. On days of a full service whose servers hang by turns, with work
+    /// bounded by [`crate::allowance`], it gains 0.024 of worth in the mean of ten plays.
+    fn has_places(&self, view: &LoadView, now: Duration) -> bool {
+        let places = f64::from(self.queue) / f64::from(view.slots.max(1));
+        view.load_share(now) < 1.0 + QUEUE_SHARE_MAX * places
+    }
+
     fn in_service(&self, index: usize) -> bool {
         let view = &self.upstreams[index];
         view.reachable && !view.draining && !self.plan.avoided[index]
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,7 @@
 //! The daemon and the decision bench run the same code: time is handed in as the duration since
 //! some start, randomness as a generator. Nothing here waits, sends or receives.
 
+pub mod allowance;
 pub mod balance;
 pub mod baseline;
 pub mod budget;
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -492,3 +492,31 @@
     path.note_heard(millis(410));
     assert!(!path.ask(millis(900), false), "it was heard of since");
 }
+
+/// A service that is full: its sound upstreams have so many requests each in ten slots and a queue of 16, one
+/// hangs and has idle slots. Returns how often work goes to that one.
+fn to_idle_suspect(load: u32, repeatable: bool) -> usize {
+    let mut view = ServiceView::new(0.5, vec![LoadView::new(10, true); 6]).with_queue(16);
+    for index in 0..5 {
+        view.note_report(index, load, healthy(20.0), millis(5));
+    }
+    let doubtful =
+        HealthReport { doubtful: true, trial_in: Duration::from_secs(3), ..healthy(20.0) };
+    view.note_report(5, 1, doubtful, millis(5));
+    let mut rng = ChaCha8Rng::seed_from_u64(8);
+    let request = ChoiceRequest { repeatable, ..ChoiceRequest::default() };
+    let choose = |_| view.choose(millis(10), &request, &mut rng).expect("an upstream").index;
+    (0..200).map(choose).filter(|index| *index == 5).count()
+}
+
+// Calls that would be refused get a part of what a hanging server still does.
+#[test_case(26, true, 200 ; "repeatable work that would be refused at the sound ones")]
+#[test_case(20, true, 0 ; "repeatable work that can wait at a sound one")]
+#[test_case(26, false, 0 ; "work that must not hang")]
+fn verify_repeatable_work_uses_idle_suspects_before_it_is_refused(
+    load: u32,
+    repeatable: bool,
+    wanted: usize,
+) {
+    assert_eq!(to_idle_suspect(load, repeatable), wanted);
+}
