Send no work whose caller has left, on the ingress's leg and the host's

A host took a free slot and sent the request before it looked whether the ingress had cancelled it, also while it connected to its server: a cancel that came in the same read was too late, as after a cut path heals.

Change: what an attempt or work needs before it is sent is waited for unless the caller goes (waiting.rs: unless_gone) or the ingress cancels (exchange.rs: unless_cancelled); a caller or cancel that is there already wins.

Ruled out: the queue of a host (its wait was cancelled already), late attempts (dropped with their request).

--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -4,6 +4,7 @@
 //! Serves one exchange at the host role: admission, once-only claim, the work itself, evidence.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -157,7 +158,7 @@
             ClaimStep::Run(claim) => claim,
             ClaimStep::Answered(kept) => return self.replay(answer, kept).await,
         };
-        let result = match self.take_slot(body).await {
+        let result = match unless_cancelled(body, self.take_slot()).await {
             Ok(slot) => self.work(slot, body, answer, claim.clone()).await,
             Err(reason) => Err(FailureOutcome::NotRun(reason)),
         };
@@ -178,7 +179,7 @@
         }
     }
 
-    async fn take_slot(&self, body: &EventPipe) -> Result<SlotGuard, NotRunReason> {
+    async fn take_slot(&self) -> Result<SlotGuard, NotRunReason> {
         // The claim may have taken until the daemon hands over.
         if !stop::starts(self.state, self.deadline) {
             return Err(NotRunReason::Draining);
@@ -192,13 +193,7 @@
             objective: self.objective,
             passable: self.head.passable,
         };
-        let taking = self.upstream.slots.acquire(request);
-        let mut taking = std::pin::pin!(taking.fuse());
-        let mut cancelled = std::pin::pin!(body.cancelled().fuse());
-        select_biased! {
-            slot = taking => slot,
-            () = cancelled => Err(NotRunReason::CallerGone),
-        }
+        self.upstream.slots.acquire(request).await
     }
 
     /// Returns the distribution of the time that this work usually takes, if it is known or assumed.
@@ -292,7 +287,8 @@
         if self.left().is_zero() {
             return Err(FailureOutcome::NotRun(NotRunReason::DeadlinePassed));
         }
-        let taken = self.upstream.pool.take().await;
+        let connecting = async { Ok(self.upstream.pool.take().await) };
+        let taken = unless_cancelled(body, connecting).await.map_err(FailureOutcome::NotRun)?;
         self.upstream.note_connected(taken.is_ok(), self.state.now());
         let mut pooled = match taken {
             Ok(pooled) => pooled,
@@ -396,6 +392,20 @@
     }
 }
 
+/// Waits for what work needs before it can be sent to its backend server, unless the ingress cancels it: a
+/// caller that has left has no use for it. A cancel that came together with the work is seen before it starts.
+async fn unless_cancelled<T>(
+    body: &EventPipe,
+    needed: impl Future<Output = Result<T, NotRunReason>>,
+) -> Result<T, NotRunReason> {
+    let mut needed = std::pin::pin!(needed.fuse());
+    let mut cancelled = std::pin::pin!(body.cancelled().fuse());
+    select_biased! {
+        () = cancelled => Err(NotRunReason::CallerGone),
+        result = needed => result,
+    }
+}
+
 enum ClaimStep {
     Run(Option<ClaimToken>),
     Answered(KeptAnswer),
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -18,7 +18,8 @@
 use basaltarch_decide::patience;
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
-use basaltarch_peer::link::{OutboundExchange, NO_EXCHANGE};
+use basaltarch_peer::errors::LinkError;
+use basaltarch_peer::link::{DialledLink, OutboundExchange, NO_EXCHANGE};
 use basaltarch_peer::protocol::{AnswerHead, DispatchHead, FrameBody, LoadReport, WithdrawNote};
 use bytes::Bytes;
 
@@ -68,6 +69,16 @@
     _sent: SentGuard,
 }
 
+/// `DispatchEnd` is what became of a dispatch.
+enum DispatchEnd {
+    /// It was sent.
+    Sent(LiveExchange),
+    /// The upstream's daemon can't be reached; nothing was sent.
+    Unreachable,
+    /// The caller went away before it was sent.
+    CallerGone,
+}
+
 /// `RequestAttempts` is the state over the attempts at one request.
 struct RequestAttempts<'a> {
     state: &'a Rc<DaemonState>,
@@ -114,12 +125,16 @@
             }
         };
         let asked = attempts.ask(&choice);
-        let mut live = match attempts.dispatch(choice, body.is_done()).await {
-            Some(live) => live,
-            None => {
+        let mut live = match attempts.dispatch(stream, choice, body.is_done()).await {
+            DispatchEnd::Sent(live) => live,
+            DispatchEnd::Unreachable => {
                 attempts.tell(&asked, StepEnd::Failed(attempts.last), None, NextStep::Elsewhere);
                 continue;
             }
+            DispatchEnd::CallerGone => {
+                attempts.tell(&asked, StepEnd::CallerGone, None, NextStep::End);
+                return AttemptEnd::CallerGone;
+            }
         };
         let left = attempts.left();
         let first =
@@ -433,12 +448,13 @@
             )
     }
 
-    /// Dispatches to the chosen upstream; gives nothing if its daemon can't be reached.
+    /// Dispatches to the chosen upstream.
     async fn dispatch(
         &mut self,
+        stream: &mut HttpStream,
         choice: UpstreamChoice,
         body_is_done: bool,
-    ) -> Option<LiveExchange> {
+    ) -> DispatchEnd {
         self.dispatches += 1;
         metrics::DISPATCHES.add_one();
         if self.dispatches > 1 {
@@ -448,16 +464,14 @@
         let path = service.path(choice.index).clone();
         let sent = service.count_sent(choice.index);
         // Making a link takes time off the deadline, so the head is written after it.
-        let link = if path.is_self {
-            None
-        } else {
-            path.note_used(self.state.now());
-            match links::link_to(self.state, &path).await {
-                // While it was made the daemon may have given up: nothing is begun any more then.
-                Ok(_) if self.state.stop.giving_up.is_raised() => return None,
-                Ok(link) => Some(link),
-                Err(_) => return self.note_unreachable(choice.index),
+        let link = match waiting::unless_gone(stream, self.link(&path)).await {
+            // While it was made the daemon may have given up: nothing is begun any more then.
+            Some(Ok(Some(_))) if self.state.stop.giving_up.is_raised() => {
+                return DispatchEnd::Unreachable;
             }
+            Some(Ok(link)) => link,
+            Some(Err(_)) => return self.note_unreachable(choice.index),
+            None => return DispatchEnd::CallerGone,
         };
         let route = &self.request.route.name;
         let baseline = service.baseline(route, choice.index, self.state.now());
@@ -479,7 +493,16 @@
         let withheld = withheld.then(|| self.request.prefix.clone());
         let may_leave = self.may_follow() && body_is_done && !path.is_self;
         let path = may_leave.then_some(path);
-        Some(LiveExchange { exchange, withheld, path, patience, counts, _sent: sent })
+        DispatchEnd::Sent(LiveExchange { exchange, withheld, path, patience, counts, _sent: sent })
+    }
+
+    /// Returns the link to an upstream's daemon, making it if need be; none is needed to this one.
+    async fn link(&self, path: &Rc<PeerPath>) -> Result<Option<Rc<DialledLink>>, LinkError> {
+        if path.is_self {
+            return Ok(None);
+        }
+        path.note_used(self.state.now());
+        links::link_to(self.state, path).await.map(Some)
     }
 
     /// Says whether the body waits until the work has started: bytes between failure domains are dear,
@@ -490,10 +513,10 @@
         !is_local && may_be_refused && head.body.len() > WITHHELD_BYTES_MIN
     }
 
-    fn note_unreachable(&mut self, index: usize) -> Option<LiveExchange> {
+    fn note_unreachable(&mut self, index: usize) -> DispatchEnd {
         self.excluded.push(index);
         self.last = FailureOutcome::NotRun(NotRunReason::PeerUnreachable);
-        None
+        DispatchEnd::Unreachable
     }
 
     fn head(
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -3,7 +3,7 @@
 
 //! Waits for the first thing that an attempt brings, while the rest of the request is sent.
 
-use std::future;
+use std::future::{self, Future};
 use std::time::Duration;
 
 use basaltarch_core::outcome::{FailureOutcome, UnknownReason};
@@ -85,6 +85,22 @@
     }
 }
 
+/// Waits for what an attempt needs before it can be sent, unless the caller goes away: work whose caller has
+/// left is of use to nobody, and once it is sent its cancel may come too late. Gives nothing then.
+pub async fn unless_gone<T>(stream: &mut HttpStream, needed: impl Future<Output = T>) -> Option<T> {
+    let mut needed = std::pin::pin!(needed.fuse());
+    let mut watching = std::pin::pin!(watch_caller(stream).fuse());
+    loop {
+        select_biased! {
+            outcome = watching => match outcome {
+                SendEnd::Done => {}
+                SendEnd::CallerGone => return None,
+            },
+            result = needed => return Some(result),
+        }
+    }
+}
+
 /// Waits for the answer of attempts that were late, when no other is made any longer; gives the end
 /// that `failure` is if none of them answers well.
 pub async fn last_event(
--- /dev/null
+++ b/crates/daemon/tests/cancel.rs
@@ -0,0 +1,117 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Work whose caller has left is not sent any more, wherever it waits.
+//!
+//! What users saw: a once-only request reached a server 0.78 s after its caller had closed the connection,
+//! while paths between failure domains were cut for some.
+//!
+//! Cause: an ingress that waited for a link did not look at its caller, and sent the request once the
+//! link was there; and a host began work although its cancel had come together with it.
+
+mod common;
+
+use std::future;
+
+use basaltarch_daemon::ingress::waiting;
+use basaltarch_http::connection::{self, HttpStream};
+use basaltarch_peer::frames::{self, FrameReader};
+use basaltarch_peer::handshake::{self, LinkSide, PeerIdentity};
+use basaltarch_peer::protocol::{CancelNotice, DispatchHead, FrameBody, PeerFrame};
+use basaltarch_telemetry::runtime;
+use bytes::BytesMut;
+use common::daemon::KEY;
+use common::loopback;
+use common::registered::{RegisteredFleet, SERVICE};
+use monoio::io::{AsyncWriteRentExt, Splitable};
+use monoio::net::TcpStream;
+
+#[test]
+fn verify_a_caller_that_leaves_ends_the_wait_for_a_link() {
+    let test = async {
+        let listener = connection::bind(loopback()).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let caller = std::net::TcpStream::connect(address).expect("connect");
+        let (stream, _) = listener.accept().await.expect("accept");
+        let mut stream = HttpStream::new(stream);
+        let there = waiting::unless_gone(&mut stream, async { "link" }).await;
+        assert_eq!(there, Some("link"));
+        drop(caller);
+        let never = future::pending::<&str>();
+        assert_eq!(waiting::unless_gone(&mut stream, never).await, None);
+        // One that has left before is seen at once, so that nothing is sent though the link is there.
+        assert_eq!(waiting::unless_gone(&mut stream, async { "link" }).await, None);
+    };
+    runtime::run(test).expect("runtime");
+}
+
+fn dispatch(id: &str) -> PeerFrame {
+    let lines = format!("host: {}\r\nrequest-id: {id}\r\n", common::registered::HOST);
+    let head = DispatchHead {
+        service_name: SERVICE.to_owned(),
+        upstream: "i-1".to_owned(),
+        route: "r-unsafe".to_owned(),
+        method: "POST".to_owned(),
+        target: "/unsafe/x".to_owned(),
+        field_lines: lines.into_bytes(),
+        deadline_ms: 3000,
+        refusable: false,
+        work_class: 1,
+        work_mode: 0,
+        attempt: 1,
+        content_length: 0,
+        body: Vec::new(),
+        last: true,
+        baseline: None,
+        once_key: None,
+        organisation: None,
+        revision: 1,
+        after_failure: false,
+        passable: false,
+        objective_ms: 800,
+        logged: None,
+        repeated: false,
+    };
+    PeerFrame { exchange: 0, body: FrameBody::Dispatch(head) }
+}
+
+#[test]
+fn verify_work_that_comes_together_with_its_cancel_is_not_begun() {
+    let fleet = RegisteredFleet::start(1);
+    fleet.wait_served(0, &[0]);
+    let server = &fleet.backends[0];
+    let before = server.total();
+    let peers = fleet.daemons[0].peers;
+    let test = async {
+        let stream = TcpStream::connect(peers).await.expect("connect");
+        let (reader, mut writer) = stream.into_split();
+        let mut reader = FrameReader::new(reader, |_| {});
+        let identity = PeerIdentity {
+            host: "host-z".to_owned(),
+            incarnation: 1,
+            failure_domain: "bkk-a".to_owned(),
+        };
+        let side = LinkSide::Dialler;
+        let key = KEY.as_bytes();
+        handshake::run(&mut reader, &mut writer, side, &identity, key).await.expect("handshake");
+        let mut buffer = BytesMut::new();
+        let cancel = FrameBody::Cancel(CancelNotice { caller_gone: true });
+        let gone = [
+            PeerFrame { exchange: 1, ..dispatch("gone") },
+            PeerFrame { exchange: 1, body: cancel },
+        ];
+        for frame in gone.iter().chain(&[PeerFrame { exchange: 2, ..dispatch("stays") }]) {
+            frames::encode(frame, &mut buffer).expect("a frame");
+        }
+        writer.write_all(buffer.freeze()).await.0.expect("write");
+        loop {
+            let frame = reader.next().await.expect("a frame");
+            if matches!((frame.exchange, frame.body), (2, FrameBody::Answer(_))) {
+                return;
+            }
+        }
+    };
+    runtime::run(test).expect("runtime");
+    assert_eq!((server.ran("gone"), server.ran("stays")), (0, 1));
+    assert_eq!(server.total(), before + 1);
+}
--- a/crates/daemon/tests/common/daemon.rs
+++ b/crates/daemon/tests/common/daemon.rs
@@ -16,7 +16,7 @@
 use super::{eventually, logs};
 
 const TOKEN: &str = "operator-token";
-const KEY: &str = "a-fleet-key-for-tests";
+pub const KEY: &str = "a-fleet-key-for-tests";
 
 /// A daemon as a process; killed when dropped.
 pub struct TestDaemon {
