Split off what the daemon's parts stand on, and its settings, into packages of their own

Nothing but paths of imports changes; no test but for its imports.

Not done: who is there and how one talks to them (membership, links), and the directory (rows, roster, feed, registration): both know `state`. No processor seconds were measured before and after: no code of a function changed.

--- a/crates/daemon/src/admin/changes.rs
+++ b/crates/daemon/src/admin/changes.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use basaltarch_base::metrics;
 use basaltarch_core::config::{ChangeRecord, FleetConfig};
 use basaltarch_core::errors::ResourceError;
 use basaltarch_core::resources::ResourceKind;
@@ -19,7 +20,6 @@
 use serde_json::{json, Value};
 
 use crate::admin;
-use crate::metrics;
 use crate::spread;
 use crate::state::DaemonState;
 
--- a/crates/daemon/src/admin/gauges.rs
+++ b/crates/daemon/src/admin/gauges.rs
@@ -5,8 +5,9 @@
 
 use std::rc::Rc;
 
+use basaltarch_base::metrics;
+
 use crate::host::upstream::HostUpstream;
-use crate::metrics;
 use crate::state::DaemonState;
 
 /// Brings the gauges up to date.
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -13,12 +13,12 @@
 
 use basaltarch_core::resources::ResourceKind;
 use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
+use basaltarch_options::ConfigSource;
 use basaltarch_telemetry::metrics;
 use http::{header, Method, StatusCode};
 use monoio::net::TcpListener;
 use serde_json::json;
 
-use crate::options::ConfigSource;
 use crate::state::DaemonState;
 
 /// Connections of operators: people, scripts and watches.
--- a/crates/daemon/src/admin/read.rs
+++ b/crates/daemon/src/admin/read.rs
@@ -9,12 +9,12 @@
 use basaltarch_core::resources::ResourceKind;
 use basaltarch_core::units::{self, FleetRevision};
 use basaltarch_http::server::{ServerReply, ServerRequest};
+use basaltarch_options::ConfigSource;
 use http::{header, StatusCode};
 use serde_json::{json, Value};
 
 use crate::admin;
 use crate::document;
-use crate::options::ConfigSource;
 use crate::state::DaemonState;
 
 /// Records that one reply of the audit trail holds.
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use basaltarch_base::metrics;
 use basaltarch_core::outcome::{NOT_RUN_REASONS, UNKNOWN_REASONS};
 use basaltarch_core::units;
 use basaltarch_decide::balance::LoadView;
@@ -14,7 +15,6 @@
 use serde_json::{json, Map, Value};
 
 use crate::host::upstream::HostUpstream;
-use crate::metrics;
 use crate::services::ServiceState;
 use crate::state::DaemonState;
 
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use basaltarch_base::peers::PeerPath;
 use basaltarch_core::units::FleetRevision;
 use basaltarch_events::fleet;
 use basaltarch_peer::frames::{self, FrameSender};
@@ -14,7 +15,6 @@
 
 use crate::limits;
 use crate::membership;
-use crate::peers::PeerPath;
 use crate::roster;
 use crate::rows;
 use crate::spread;
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -10,12 +10,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::configuration::TouchedServices;
+use basaltarch_base::metrics;
 use basaltarch_core::config::{ActiveConfig, ConfigBuilder, FleetConfig, SnapshotResource};
 use basaltarch_core::resources::{ResourceKind, ServiceSpec};
 use basaltarch_core::routes::RouteTable;
 use basaltarch_core::services::{PackedService, ServiceEntry};
 use basaltarch_core::units::FleetRevision;
 use basaltarch_events::fleet;
+use basaltarch_options::ServiceDefaults;
 use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_peer::protocol::{ChangePull, FrameBody};
@@ -24,10 +27,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
-use crate::configuration::TouchedServices;
 use crate::feed::{FeedNews, FeedPlan, FeedReader};
-use crate::metrics;
-use crate::options::ServiceDefaults;
 use crate::roster::{self, ToldRecord};
 use crate::state::DaemonState;
 
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
+use basaltarch_base::metrics;
 use basaltarch_events::process;
 use basaltarch_platform::rows::{RowValue, RowsPage};
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::{FeedReply, RetryPause};
 
-use crate::metrics;
 use crate::state::DaemonState;
 
 /// `FeedPlan` says which table is followed and how often the store is called.
--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -12,11 +12,10 @@
 use std::task::{Poll, Waker};
 use std::time::Duration;
 
+use basaltarch_base::clock::DaemonClock;
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::WorkClass;
 
-use crate::clock::DaemonClock;
-
 /// Share of the time left that work may wait for a slot: what has waited for longer is seldom done in
 /// time, and its caller can still turn elsewhere.
 const WAIT_SHARE_MAX: f64 = 0.45;
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
 use basaltarch_core::resources::WorkMode;
 use basaltarch_decide::allowance::{AllowanceTerms, GivenTime};
@@ -28,7 +29,6 @@
 use crate::host::sending;
 use crate::host::upstream::{HostUpstream, WorkNote};
 use crate::host::watch::WorkWatch;
-use crate::metrics;
 use crate::registration;
 use crate::state::DaemonState;
 use crate::stop;
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -20,18 +20,18 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use basaltarch_base::configuration::TouchedServices;
 use basaltarch_core::config::ActiveConfig;
 use basaltarch_core::services::{ServiceEntry, UpstreamEntry};
 use basaltarch_events::servers;
+use basaltarch_options::ConfigSource;
 use basaltarch_peer::link::{AcceptedLink, InboundExchange, OutboundExchange};
 use basaltarch_peer::protocol::DispatchHead;
 use basaltarch_peer::stream::{EventPipe, EventSink, StreamEvent};
 use fnv::FnvHashMap;
 
-use crate::configuration::TouchedServices;
 use crate::host::calls::CallTable;
 use crate::host::upstream::HostUpstream;
-use crate::options::ConfigSource;
 use crate::state::DaemonState;
 
 /// `HostRole` holds the backend servers of this host.
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use basaltarch_base::metrics;
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
 use basaltarch_decide::allowance::GivenTime;
 use basaltarch_decide::caution::FailureSort;
@@ -26,7 +27,6 @@
 use crate::host::calls::WorkCalls;
 use crate::host::exchange::HostWork;
 use crate::host::verify::{self, AnswerVerdict};
-use crate::metrics;
 use crate::wire;
 
 /// Informational answers that a backend server may send before the real one.
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -7,6 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::clock::DaemonClock;
+use basaltarch_base::metrics;
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::{BackendServer, ServerState, ServiceSpec};
 use basaltarch_core::services::{ServiceEntry, UpstreamEntry};
@@ -19,10 +21,8 @@
 use basaltarch_events::servers;
 use basaltarch_peer::protocol::LoadReport;
 
-use crate::clock::DaemonClock;
 use crate::host::admission::SlotQueue;
 use crate::host::backend::BackendPool;
-use crate::metrics;
 use crate::state::DaemonState;
 use crate::wire::{self, HostLoad};
 
--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -3,6 +3,7 @@
 
 //! Passes an answer on to the caller, piece by piece as the caller takes it.
 
+use basaltarch_base::metrics;
 use basaltarch_core::units;
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
@@ -21,7 +22,6 @@
 use crate::ingress::caller::{AfterRequest, WRITE_STALL};
 use crate::ingress::request::CallerRequest;
 use crate::ingress::trail;
-use crate::metrics;
 use crate::state::DaemonState;
 
 /// Most bytes of an answer of unknown length that are gathered for a caller of HTTP/1.0, who could
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -10,6 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
+use basaltarch_base::peers::PeerPath;
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
 use basaltarch_core::resources::WorkMode;
 use basaltarch_decide::balance::{ChoiceGround, ChoiceRequest, UpstreamChoice};
@@ -30,8 +32,6 @@
 use crate::ingress::trail::{self, NextStep, StepEnd, StepLoad, TrailStep};
 use crate::ingress::waiting::{self, FirstEvent};
 use crate::links;
-use crate::metrics;
-use crate::peers::PeerPath;
 use crate::services::SentGuard;
 use crate::state::DaemonState;
 use crate::stop;
--- a/crates/daemon/src/ingress/caller.rs
+++ b/crates/daemon/src/ingress/caller.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
 use basaltarch_events::process;
 use basaltarch_http::connection::{self, ConnectionCount, HttpStream};
 use basaltarch_http::errors::HttpError;
@@ -24,7 +25,6 @@
 
 use crate::ingress::failure::CallerFailure;
 use crate::ingress::{request, trail};
-use crate::metrics;
 use crate::state::DaemonState;
 use crate::stop;
 
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
 use basaltarch_core::config::ActiveConfig;
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::WorkMode;
@@ -29,7 +30,6 @@
 use crate::ingress::failure::CallerFailure;
 use crate::ingress::trail::{self, RequestTrail};
 use crate::limits::{self, LimitSubject};
-use crate::metrics;
 use crate::services::ServiceState;
 use crate::state::DaemonState;
 use crate::stop;
--- a/crates/daemon/src/ingress/trail.rs
+++ b/crates/daemon/src/ingress/trail.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
 use basaltarch_core::outcome::FailureOutcome;
 use basaltarch_decide::balance::UpstreamChoice;
 use basaltarch_decide::limits::TokenBucket;
@@ -25,7 +26,6 @@
 
 use crate::ingress::failure::CallerFailure;
 use crate::ingress::request::CallerRequest;
-use crate::metrics;
 use crate::state::DaemonState;
 use crate::wire;
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,8 +9,6 @@
 //! they share stands in [`state`].
 
 pub mod admin;
-pub mod clock;
-pub mod configuration;
 pub mod control;
 pub mod document;
 pub mod errors;
@@ -20,9 +18,6 @@
 pub mod limits;
 pub mod links;
 pub mod membership;
-pub mod metrics;
-pub mod options;
-pub mod peers;
 pub mod registration;
 pub mod reload;
 pub mod retention;
@@ -30,7 +25,6 @@
 pub mod rows;
 pub mod run;
 pub mod services;
-pub mod signal;
 pub mod spread;
 pub mod state;
 pub mod stop;
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -7,6 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
+use basaltarch_base::peers::PeerPath;
+use basaltarch_base::signal::RisingSignal;
 use basaltarch_core::config::{ActiveConfig, LimitEntry};
 use basaltarch_core::resources::LimitScope;
 use basaltarch_decide::limits::{self, LimitLedger, LimitVerdict, TokenBucket, GRANT_LIFE};
@@ -18,7 +21,6 @@
 use thrift::OrderedFloat;
 
 use crate::links;
-use crate::metrics;
 use crate::state::DaemonState;
 
 /// Longest wait for the home's grant: two round trips between failure domains are 6 ms; a home that
@@ -32,7 +34,7 @@
 
 struct LimitState {
     ledger: LimitLedger,
-    asking: Option<Rc<crate::signal::RisingSignal>>,
+    asking: Option<Rc<RisingSignal>>,
     ask_again_at: Duration,
 }
 
@@ -137,7 +139,7 @@
         signal.raised().await;
         return;
     }
-    let signal = Rc::new(crate::signal::RisingSignal::default());
+    let signal = Rc::new(RisingSignal::default());
     set_asking(state, entry, Some(signal.clone()));
     let state = state.clone();
     let entry = entry.clone();
@@ -152,11 +154,7 @@
     signal.raised().await;
 }
 
-fn set_asking(
-    state: &DaemonState,
-    entry: &LimitEntry,
-    asking: Option<Rc<crate::signal::RisingSignal>>,
-) {
+fn set_asking(state: &DaemonState, entry: &LimitEntry, asking: Option<Rc<RisingSignal>>) {
     if let Some(known) = state.limits.ledgers.borrow_mut().get_mut(&entry.name) {
         known.asking = asking;
     }
@@ -198,7 +196,7 @@
 
 async fn ask_peer(
     state: &Rc<DaemonState>,
-    path: &Rc<crate::peers::PeerPath>,
+    path: &Rc<PeerPath>,
     limit: &str,
     wanted: f64,
 ) -> Option<f64> {
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -7,6 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
+use basaltarch_base::peers::PeerPath;
 use basaltarch_decide::path::PathState;
 use basaltarch_events::fleet;
 use basaltarch_http::connection::{self, ConnectionCount};
@@ -22,8 +24,6 @@
 
 use crate::control;
 use crate::host;
-use crate::metrics;
-use crate::peers::PeerPath;
 use crate::state::DaemonState;
 
 /// Longest time for a connection to another daemon: far regions are 0.3 s away.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,9 +9,9 @@
 
 use basaltarch_core::settings::EXIT_BAD_SETTINGS;
 use basaltarch_daemon::errors::DaemonError;
-use basaltarch_daemon::options::{DaemonOptions, RawOptions};
 use basaltarch_daemon::run::{self, StopRequests, EXIT_CUT};
 use basaltarch_daemon::stop::StopReport;
+use basaltarch_options::{DaemonOptions, RawOptions};
 use basaltarch_telemetry::{logs, runtime};
 
 mod flags {
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -12,6 +12,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use basaltarch_base::metrics;
 use basaltarch_core::units::FleetRevision;
 use basaltarch_decide::limits;
 use basaltarch_events::fleet;
@@ -21,7 +22,6 @@
 use rand::seq::IteratorRandom;
 
 use crate::links;
-use crate::metrics;
 use crate::roster::HostRecord;
 use crate::state::DaemonState;
 
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -10,8 +10,8 @@
 use futures_util::{select_biased, FutureExt};
 
 use basaltarch_events::process;
+use basaltarch_options::DaemonOptions;
 
-use crate::options::DaemonOptions;
 use crate::state::DaemonState;
 
 /// Time between looks at the settings file: it may change without a signal.
--- a/crates/daemon/src/retention.rs
+++ b/crates/daemon/src/retention.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
 use basaltarch_events::process;
 use basaltarch_store::retention::OnceRetention;
 
-use crate::metrics;
 use crate::state::DaemonState;
 
 /// Least time between two rounds of one daemon.
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -14,6 +14,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
+use basaltarch_base::signal::RisingSignal;
 use basaltarch_core::incarnation::{self, ServerIncarnation};
 use basaltarch_core::resources::{BackendServer, ServerState};
 use basaltarch_core::services::UpstreamEntry;
@@ -29,10 +31,8 @@
 use serde_json::{json, Value};
 
 use crate::document;
-use crate::metrics;
 use crate::registration;
 use crate::rows;
-use crate::signal::RisingSignal;
 use crate::state::DaemonState;
 
 /// Table of the rows.
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -14,6 +14,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
+use basaltarch_base::signal::RisingSignal;
 use basaltarch_decide::limits;
 use basaltarch_events::fleet;
 use basaltarch_peer::frames::FrameSender;
@@ -24,9 +26,7 @@
 
 use crate::feed::{FeedNews, FeedPlan, FeedReader};
 use crate::links;
-use crate::metrics;
 use crate::roster::{self, ToldRecord, FAILURE_PAUSE_MAX, HOSTS_TABLE};
-use crate::signal::RisingSignal;
 use crate::state::DaemonState;
 
 /// How the feed is followed. What changes at the same time, as when a fleet starts, is read in one
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -6,8 +6,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use basaltarch_base::metrics;
+use basaltarch_base::signal::RisingSignal;
 use basaltarch_events::process;
 use basaltarch_http::connection;
+use basaltarch_options::{ConfigSource, DaemonOptions};
 use basaltarch_telemetry::signals::SignalStream;
 use monoio::net::TcpListener;
 
@@ -18,15 +21,12 @@
 use crate::ingress::trail;
 use crate::links;
 use crate::membership::{self, BeatNews};
-use crate::metrics;
-use crate::options::{ConfigSource, DaemonOptions};
 use crate::registration;
 use crate::reload;
 use crate::retention;
 use crate::roster;
 use crate::rows;
 use crate::services;
-use crate::signal::RisingSignal;
 use crate::spread;
 use crate::state::DaemonState;
 use crate::stop::{self, StopReport};
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -7,6 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
+use basaltarch_base::peers::PeerPath;
 use basaltarch_core::config::ActiveConfig;
 use basaltarch_core::resources::ServerState;
 use basaltarch_core::routes::RouteEntry;
@@ -20,8 +22,6 @@
 use basaltarch_peer::protocol::LoadReport;
 use fnv::FnvHashMap;
 
-use crate::metrics;
-use crate::peers::PeerPath;
 use crate::state::DaemonState;
 use crate::wire;
 
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -10,10 +10,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::metrics;
 use basaltarch_core::config::{ActiveConfig, ChangeRecord, FleetConfig};
 use basaltarch_core::snapshot;
 use basaltarch_core::units::{self, FleetRevision};
 use basaltarch_events::{fleet, process};
+use basaltarch_options::ConfigSource;
 use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_peer::link::NO_EXCHANGE;
@@ -25,8 +27,6 @@
 
 use crate::document;
 use crate::membership;
-use crate::metrics;
-use crate::options::ConfigSource;
 use crate::state::DaemonState;
 
 /// Shortest time between polls of the store.
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -7,30 +7,30 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::clock::DaemonClock;
+use basaltarch_base::configuration::ConfigCell;
+use basaltarch_base::metrics::RouteLabels;
+use basaltarch_base::peers::PeerTable;
+use basaltarch_base::signal::RisingSignal;
 use basaltarch_core::units;
 use basaltarch_http::body::BodyLimits;
 use basaltarch_http::fields::ExchangeFields;
 use basaltarch_http::head::HeadLimits;
+use basaltarch_options::DaemonOptions;
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_store::changes::ChangeStore;
 use basaltarch_store::ledger::OnceLedger;
 use basaltarch_store::platform::PlatformClient;
 
-use crate::clock::DaemonClock;
-use crate::configuration::ConfigCell;
 use crate::document::DocumentCell;
 use crate::host::HostRole;
 use crate::ingress::trail::LogBudget;
 use crate::limits::LimitRole;
 use crate::membership::MemberTable;
-use crate::metrics::RouteLabels;
-use crate::options::DaemonOptions;
-use crate::peers::PeerTable;
 use crate::registration::RegistrationTable;
 use crate::roster::HostRoster;
 use crate::rows::RowsShare;
 use crate::services::ServiceTable;
-use crate::signal::RisingSignal;
 use crate::spread::SnapshotParts;
 use crate::stop::StopState;
 
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -7,13 +7,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::signal::RisingSignal;
 use basaltarch_decide::stop::{StopCause, StopPhase, StopTerms};
 use basaltarch_events::process;
 use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
 
 use crate::membership::{self, BeatNews};
-use crate::signal::RisingSignal;
 use crate::state::DaemonState;
 
 /// Time between looks at what is still in flight while the daemon stops.
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -7,9 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_base::clock::DaemonClock;
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::WorkClass;
-use basaltarch_daemon::clock::DaemonClock;
 use basaltarch_daemon::host::admission::{SlotGuard, SlotQueue, SlotRequest};
 use basaltarch_telemetry::runtime;
 
--- a/crates/daemon/tests/adopting.rs
+++ b/crates/daemon/tests/adopting.rs
@@ -5,9 +5,9 @@
 
 use std::time::Duration;
 
+use basaltarch_base::configuration::ConfigCell;
 use basaltarch_core::config::{ActiveConfig, ChangeRecord, FleetConfig, ResourceChange};
 use basaltarch_core::units::FleetRevision;
-use basaltarch_daemon::configuration::ConfigCell;
 use serde_json::json;
 
 const NOW: Duration = Duration::from_secs(1);
--- a/crates/daemon/tests/deployed.rs
+++ b/crates/daemon/tests/deployed.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use basaltarch_core::errors::SettingError;
-use basaltarch_daemon::options::{DaemonOptions, RawOptions};
+use basaltarch_options::{DaemonOptions, RawOptions};
 use test_case::test_case;
 
 /// What the platform fills in, as it usually is.
--- a/crates/daemon/tests/reference.rs
+++ b/crates/daemon/tests/reference.rs
@@ -6,9 +6,9 @@
 use std::fs;
 use std::process::Command;
 
+use basaltarch_base::metrics;
 use basaltarch_core::outcome::{NOT_RUN_REASONS, UNKNOWN_REASONS};
 use basaltarch_core::resources::{ResourceKind, ResourceValue};
-use basaltarch_daemon::metrics;
 use basaltarch_http::fields;
 use serde_json::json;
 use test_case::test_case;
--- a/crates/daemon/src/options/bounds.rs
+++ b/crates/options/src/bounds.rs
@@ -7,7 +7,7 @@
 
 use basaltarch_core::errors::SettingError;
 
-use crate::options::values;
+use crate::values;
 
 /// Time between the end of the longest drain and the platform's kill: answers that were just written
 /// still leave the host.
--- a/crates/daemon/src/options/check.rs
+++ b/crates/options/src/check.rs
@@ -14,8 +14,8 @@
 use basaltarch_http::head::HeadLimits;
 use basaltarch_platform::headers;
 
-use crate::options::{bounds, defaults, source, values};
-use crate::options::{ConfigSource, RawOptions, ServiceDefaults};
+use crate::{bounds, defaults, source, values};
+use crate::{ConfigSource, RawOptions, ServiceDefaults};
 
 /// `DaemonOptions` are the checked settings.
 #[derive(Debug, Clone)]
--- a/crates/daemon/src/options/restart.rs
+++ b/crates/options/src/restart.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use crate::options::DaemonOptions;
+use crate::DaemonOptions;
 
 impl DaemonOptions {
     /// Names the settings in which `next` differs and that can't change while the daemon runs. An
