Tell copies of a request and crashes of servers in the log

Cause looked for: the logs could not tell the hypotheses of the incident apart: which requests are copies of one, whether a server crashed or broke one connection, and what a daemon remembered when it sent a copy. Change: a keyed fingerprint of requests; after a connection broke the host's daemon looks whether anything listens, and keeps the connection if so; 'backend server crashed', and new fields of three events. A stand-in that crashes under a path. No decision changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod blocks;
 pub mod config;
 pub mod errors;
+pub mod fingerprint;
 pub mod incarnation;
 pub mod outcome;
 pub mod packing;
--- /dev/null
+++ b/crates/core/tests/fingerprint.rs
@@ -0,0 +1,60 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Copies of a request have one fingerprint, and every part that a server works on tells others apart.
+
+use basaltarch_core::fingerprint::{RequestFingerprint, RequestParts};
+use test_case::test_case;
+
+const SECRET: &[u8] = b"a secret of the fleet";
+
+fn parts() -> RequestParts<'static> {
+    RequestParts {
+        service: "solver-app",
+        method: "GET",
+        target: "/puzzle/7",
+        field_lines: b"host: solver.example\r\nx-request-id: 1\r\nbasaltarch-deadline-ms: 90\r\n",
+        body: b"ab",
+        is_whole: true,
+        length: 2,
+    }
+}
+
+fn fingerprint(parts: &RequestParts<'_>) -> RequestFingerprint {
+    RequestFingerprint::of(SECRET, parts)
+}
+
+#[test]
+fn verify_copies_are_alike() {
+    let lines = b"x-request-id: 2\r\ndate: today\r\nhost: solver.example\r\n";
+    let copy = RequestParts { field_lines: lines, length: -1, ..parts() };
+    assert_eq!(fingerprint(&copy), fingerprint(&parts()), "id, deadline and framing don't count");
+}
+
+#[test_case(RequestParts { service: "other-app", ..parts() } ; "service")]
+#[test_case(RequestParts { method: "POST", ..parts() } ; "method")]
+#[test_case(RequestParts { target: "/puzzle/7?a", ..parts() } ; "target")]
+#[test_case(RequestParts { target: "/puzzle/7a", body: b"b", ..parts() } ; "a part that runs into the next")]
+#[test_case(RequestParts { field_lines: b"host: other.example\r\n", ..parts() } ; "host")]
+#[test_case(RequestParts { field_lines: b"host: solver.example\r\nbasaltarch-organisation: khlung-shop\r\n", ..parts() } ; "organisation")]
+#[test_case(RequestParts { field_lines: b"host: solver.example\r\nauthorization: me\r\n", ..parts() } ; "authorization")]
+#[test_case(RequestParts { body: b"ac", ..parts() } ; "body")]
+#[test_case(RequestParts { is_whole: false, ..parts() } ; "a body that goes on")]
+fn verify_other_requests_differ(other: RequestParts<'_>) {
+    assert_ne!(fingerprint(&other), fingerprint(&parts()));
+}
+
+#[test]
+fn verify_the_secret_counts() {
+    assert_ne!(RequestFingerprint::of(b"another", &parts()), fingerprint(&parts()));
+}
+
+#[test]
+fn verify_text_and_bytes_are_read_back() {
+    let known = fingerprint(&parts());
+    assert_eq!(RequestFingerprint::parse(&known.to_string()), Some(known));
+    assert_eq!(RequestFingerprint::from_bytes(known.bytes()), Some(known));
+    assert_eq!(RequestFingerprint::parse("12"), None);
+    assert_eq!(RequestFingerprint::parse(&"é".repeat(16)), None);
+    assert_eq!(RequestFingerprint::from_bytes(&[1; 4]), None);
+}
--- a/crates/daemon/src/host/backend.rs
+++ b/crates/daemon/src/host/backend.rs
@@ -4,6 +4,7 @@
 //! Connections to one backend server, and the HTTP exchange over one of them.
 
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,10 @@
 /// Longest time for a connection to a backend server of the same host (the brief's cost is 1 ms).
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time of a look whether anything listens: a host answers its own processes within a
+/// millisecond, and the ingress waits for the outcome.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Longest rest after which a connection is used again: servers close idle ones after ten seconds and
 /// more, and a request that meets such a close is lost if it must not be repeated.
 const REST_MAX: Duration = Duration::from_secs(5);
@@ -60,6 +65,25 @@
         self.open.get()
     }
 
+    /// Says whether nothing listens at the address. A connection that can be made is kept for the next
+    /// request, in place of one that broke.
+    pub async fn is_refused(&self) -> bool {
+        if self.open.get() >= self.most.get() {
+            return false;
+        }
+        self.open.set(self.open.get() + 1);
+        let mut pooled = PooledStream { pool: self, address: self.address.get(), stream: None };
+        match HttpStream::connect(pooled.address, CHECK_TIMEOUT).await {
+            Ok(stream) => {
+                pooled.stream = Some(stream);
+                pooled.give_back(None);
+                false
+            }
+            Err(HttpError::Broken { source }) => source.kind() == ErrorKind::ConnectionRefused,
+            Err(_) => false,
+        }
+    }
+
     /// Takes a kept connection that is still good, or makes one.
     pub async fn take(&self) -> Result<PooledStream<'_>, HttpError> {
         loop {
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use basaltarch_base::metrics;
+use basaltarch_core::fingerprint::{RequestFingerprint, RequestParts};
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
 use basaltarch_core::resources::WorkMode;
 use basaltarch_decide::allowance::{AllowanceTerms, GivenTime};
@@ -16,6 +17,7 @@
 use basaltarch_decide::evidence::WorkEvidence;
 use basaltarch_decide::hang::UsualTime;
 use basaltarch_decide::health::{AdmitVerdict, DispatchTerms};
+use basaltarch_events::servers::ServerCrashed;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::writer;
 use basaltarch_peer::protocol::{AnswerHead, DispatchHead, ExchangeFailure};
@@ -249,6 +251,40 @@
         }
     }
 
+    /// Returns what the copies of the request share and no other request has.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        let told = self.head.fingerprint.as_deref().and_then(RequestFingerprint::from_bytes);
+        told.unwrap_or_else(|| {
+            let parts = RequestParts {
+                service: &self.head.service_name,
+                method: &self.head.method,
+                target: &self.head.target,
+                field_lines: &self.head.field_lines,
+                body: &self.head.body,
+                is_whole: true,
+                length: self.head.content_length,
+            };
+            RequestFingerprint::of(&self.state.options.fleet_key, &parts)
+        })
+    }
+
+    /// Finds out, after a connection broke, whether the backend server crashed. One that leaves ends by
+    /// plan, and so does one that is no longer of this host.
+    async fn find_crash(&self) -> bool {
+        let upstream = self.upstream;
+        let is_own = self.state.host.get(&upstream.name).is_some();
+        if !is_own || upstream.is_draining(self.state.now()) {
+            return false;
+        }
+        let crashed = upstream.pool.is_refused().await;
+        if crashed && upstream.note_crashed() {
+            let in_flight = upstream.slots.used().into();
+            let (upstream, service) = (&*upstream.name, &*upstream.service);
+            ServerCrashed { upstream, service, in_flight }.log();
+        }
+        crashed
+    }
+
     fn once_key(&self, key: &str) -> OnceKey {
         let parts = [self.head.method.as_bytes(), self.head.target.as_bytes(), &self.head.body];
         OnceKey {
@@ -330,9 +366,10 @@
                 Err(WorkFault::Moved.outcome())
             }
             Err(fault) => {
-                self.tell_broke(fault, &progress);
                 // The slot is free once the connection is closed, not before.
                 drop(pooled);
+                let crashed = fault.breaks_off() && self.find_crash().await;
+                self.tell_broke(fault, crashed, &progress);
                 if !progress.noted.get() {
                     self.note(fault.evidence(was_overdue), was_overdue, fault.failure());
                 }
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Says whether the connection to the server broke, or the answer on it.
+    pub fn breaks_off(self) -> bool {
+        matches!(self, Self::Broken | Self::BadAnswer)
+    }
+
     /// Returns how the server failed, if it did.
     pub fn failure(self) -> Option<FailureSort> {
         match self {
--- a/crates/daemon/src/host/trail.rs
+++ b/crates/daemon/src/host/trail.rs
@@ -104,7 +104,7 @@
     }
 
     /// Logs that no usable answer came.
-    pub fn tell_broke(&self, fault: WorkFault, progress: &WorkProgress) {
+    pub fn tell_broke(&self, fault: WorkFault, crashed: bool, progress: &WorkProgress) {
         if !self.is_logged() && !self.state.log_budget.takes_failure(self.state.now()) {
             return;
         }
@@ -117,6 +117,8 @@
             fault: fault.name(),
             trusted_ms: millis(self.upstream.trusted_for(self.state.now())),
             took_ms: millis(progress.elapsed()),
+            fingerprint: &self.fingerprint().to_string(),
+            crashed,
         }
         .log();
     }
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Takes in that the backend server crashed; says whether that is new.
+    pub fn note_crashed(&self) -> bool {
+        !self.was_down.replace(true)
+    }
+
     /// Says whether the backend server takes no new work, by its resource or its own word.
     pub fn is_draining(&self, now: Duration) -> bool {
         self.server.borrow().state == ServerState::Draining || self.draining_until.get() > now
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -477,6 +477,9 @@
         let baseline = service.baseline(route, choice.index, self.state.now());
         let mut head = self.head(choice, body_is_done, &baseline);
         let withheld = self.withholds_body(choice.index, &head);
+        if withheld || !self.request.has_whole_body() {
+            head.fingerprint = Some(self.request.fingerprint(self.state).bytes().to_vec());
+        }
         if withheld {
             head.body = Vec::new();
             head.last = false;
@@ -551,6 +554,7 @@
             objective_ms: self.objective_left().as_millis().min(i32::MAX as u128) as i32,
             logged: Some(self.request.trail.is_logged),
             repeated: self.arrivals > 0,
+            fingerprint: None,
         }
     }
 
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -3,6 +3,7 @@
 
 //! Serves one request of a caller: checks, limits, body, attempts, answer.
 
+use std::cell::OnceCell;
 use std::future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,6 +11,7 @@
 
 use basaltarch_base::metrics;
 use basaltarch_core::config::ActiveConfig;
+use basaltarch_core::fingerprint::{RequestFingerprint, RequestParts};
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::WorkMode;
 use basaltarch_core::routes::{RouteEntry, RouteMatch};
@@ -73,6 +75,35 @@
     pub close: bool,
     /// What is logged of it.
     pub trail: RequestTrail,
+    fingerprint: OnceCell<RequestFingerprint>,
+}
+
+impl CallerRequest {
+    /// Returns the number of servers at which copies of it are remembered to have failed.
+    pub fn failed_servers(&self, now: Duration) -> usize {
+        self.service.failed_servers(self.method.as_str(), &self.target, now)
+    }
+
+    /// Says whether all of its body was read before it is sent on.
+    pub fn has_whole_body(&self) -> bool {
+        self.prefix.len() < PREFIX_BYTES
+    }
+
+    /// Returns what its copies share and no other request has, once its body was read so far.
+    pub fn fingerprint(&self, state: &DaemonState) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let parts = RequestParts {
+                service: &self.service.entry.name,
+                method: self.method.as_str(),
+                target: &self.target,
+                field_lines: &self.field_lines,
+                body: &self.prefix,
+                is_whole: self.has_whole_body(),
+                length: self.framing.wire_length(),
+            };
+            RequestFingerprint::of(&state.options.fleet_key, &parts)
+        })
+    }
 }
 
 /// Serves one request.
@@ -325,6 +356,7 @@
         prefix: Bytes::new(),
         close,
         trail: RequestTrail::start(state, id.to_owned()),
+        fingerprint: OnceCell::new(),
     })
 }
 
--- a/crates/daemon/src/ingress/trail.rs
+++ b/crates/daemon/src/ingress/trail.rs
@@ -258,6 +258,7 @@
     RequestReceived {
         request: &trail.id,
         method: request.method.as_str(),
+        fingerprint: &request.fingerprint(state).to_string(),
         route: &request.route.name,
         service: &request.service.entry.name,
         deadline_ms: until(request.deadline),
@@ -384,6 +385,7 @@
         status: failure.status.as_u16().into(),
         left_ms: millis(request.deadline.saturating_sub(now)),
         retry_after_ms: failure.retry_after.map(millis),
+        failed_servers: request.failed_servers(now) as u64,
         attempts: request.trail.attempts.get(),
         revision: state.config.revision().0,
     }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -343,6 +343,15 @@
         spared
     }
 
+    /// Returns the number of servers at which this request is remembered to have failed.
+    pub fn failed_servers(&self, method: &str, target: &str, now: Duration) -> usize {
+        let poison = self.poison.borrow();
+        match poison.is_empty() {
+            true => 0,
+            false => poison.failed_at(RequestMark::of(method, target), now),
+        }
+    }
+
     /// Says whether repeating this request would only spend the budget of repeats.
     pub fn forbids_repeat(&self, method: &str, target: &str, now: Duration) -> bool {
         let poison = self.poison.borrow();
--- a/crates/daemon/tests/cancel.rs
+++ b/crates/daemon/tests/cancel.rs
@@ -71,6 +71,7 @@
         objective_ms: 800,
         logged: None,
         repeated: false,
+        fingerprint: None,
     };
     PeerFrame { exchange: 0, body: FrameBody::Dispatch(head) }
 }
--- a/crates/decide/src/poison.rs
+++ b/crates/decide/src/poison.rs
@@ -157,7 +157,8 @@
         self.failed_at(mark, now) >= NO_REPEAT_UPSTREAMS
     }
 
-    fn failed_at(&self, mark: RequestMark, now: Duration) -> usize {
+    /// Returns the number of upstreams at which the request lately failed.
+    pub fn failed_at(&self, mark: RequestMark, now: Duration) -> usize {
         let known = self.marks.iter().find(|each| each.mark == mark);
         known
             .filter(|each| now.saturating_sub(each.at) < MARK_LIFE)
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -15,6 +15,8 @@
         request: &'a str,
         /// Its method.
         method: &'a str,
+        /// What its copies share and no other request has.
+        fingerprint: &'a str,
         /// Route that it matched.
         route: &'a str,
         /// Service that it goes to.
@@ -147,6 +149,8 @@
         left_ms: u64,
         /// Time after which the caller is asked to come back, if it is.
         retry_after_ms: Option<u64>,
+        /// Servers at which this daemon remembers copies of it to have failed.
+        failed_servers: u64,
         /// Attempts that were made.
         attempts: u64,
         /// Revision of the configuration in force.
@@ -265,6 +269,10 @@
         trusted_ms: u64,
         /// Time since the work was sent.
         took_ms: u64,
+        /// What the copies of its request share and no other request has.
+        fingerprint: &'a str,
+        /// Whether the server crashed: nothing listens at its address, and it had not said that it leaves.
+        crashed: bool,
     }
 
     /// An answer to an earlier request came where the answer to this one was due; it was dropped.
--- a/crates/events/src/servers.rs
+++ b/crates/events/src/servers.rs
@@ -44,6 +44,17 @@
         upstream: &'a str,
     }
 
+    /// A backend server crashed while it worked: its connections broke, nothing listens at its address, and
+    /// it had not said that it leaves.
+    "backend server crashed" WARN ServerCrashed<'a> {
+        /// Name of the backend server.
+        upstream: &'a str,
+        /// Service that it is an upstream of.
+        service: &'a str,
+        /// Slots that were in use.
+        in_flight: u64,
+    }
+
     /// A backend server of the daemon's last start does not answer.
     "backend server silent" INFO ServerSilent<'a> {
         /// Name of the backend server.
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -68,6 +68,9 @@
   22: optional bool logged
   /** The request reached a server before, so that the calls of this work repeat others. */
   23: required bool repeated
+  /** What tells the copies of the request from others, where the host's daemon can't find it out: a
+      body that is withheld counts as well. */
+  24: optional binary fingerprint
 }
 
 /** The first frame of an answer. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -403,10 +403,13 @@
   pub logged: Option<bool>,
   /// The request reached a server before, so that the calls of this work repeat others.
   pub repeated: bool,
+  /// What tells the copies of the request from others, where the host's daemon can't find it out: a
+  /// body that is withheld counts as well.
+  pub fingerprint: Option<Vec<u8>>,
 }
 
 impl DispatchHead {
-  pub fn new<F15, F16, F17, F22>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32, logged: F22, repeated: bool) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>>, F22: Into<Option<bool>> {
+  pub fn new<F15, F16, F17, F22, F24>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32, logged: F22, repeated: bool, fingerprint: F24) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>>, F22: Into<Option<bool>>, F24: Into<Option<Vec<u8>>> {
     DispatchHead {
       service_name,
       upstream,
@@ -431,6 +434,7 @@
       objective_ms,
       logged: logged.into(),
       repeated,
+      fingerprint: fingerprint.into(),
     }
   }
 }
@@ -461,6 +465,7 @@
     let mut f_21: Option<i32> = None;
     let mut f_22: Option<bool> = None;
     let mut f_23: Option<bool> = None;
+    let mut f_24: Option<Vec<u8>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -560,6 +565,10 @@
           let val = i_prot.read_bool()?;
           f_23 = Some(val);
         },
+        24 => {
+          let val = i_prot.read_bytes()?;
+          f_24 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -610,6 +619,7 @@
       objective_ms: f_21.expect("auto-generated code should have checked for presence of required fields"),
       logged: f_22,
       repeated: f_23.expect("auto-generated code should have checked for presence of required fields"),
+      fingerprint: f_24,
     };
     Ok(ret)
   }
@@ -693,6 +703,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("repeated", TType::Bool, 23))?;
     o_prot.write_bool(self.repeated)?;
     o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.fingerprint {
+      o_prot.write_field_begin(&TFieldIdentifier::new("fingerprint", TType::String, 24))?;
+      o_prot.write_bytes(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -49,6 +49,7 @@
         logged: None,
         objective_ms: 800,
         repeated: false,
+        fingerprint: None,
     }
 }
 
--- a/crates/standin/src/backend/faults.rs
+++ b/crates/standin/src/backend/faults.rs
@@ -58,6 +58,12 @@
     pub health_status: u16,
     /// Requests in flight that the load endpoint claims.
     pub claimed_load: u64,
+    /// Path of the requests that crash the server while they run; empty for none.
+    pub crash_path: String,
+    /// Time for which such a request runs before.
+    pub crash_after_ms: u64,
+    /// Time after a crash until the server listens again.
+    pub down_ms: u64,
 }
 
 impl Default for BackendFaults {
@@ -79,6 +85,9 @@
             status: 0,
             health_status: 200,
             claimed_load: 0,
+            crash_path: String::new(),
+            crash_after_ms: 0,
+            down_ms: 0,
         }
     }
 }
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -8,9 +8,10 @@
 //!
 //! `serving` takes a request from its head to its end, `work` spends its time, `reply` makes its
 //! answer and `sending` writes it, whole or broken off. `faults` are the faults in force and `runs` the
-//! counters; `control` lets tests reach both. `probe` answers about health and load.
+//! counters; `crash` ends the stand-in as a crash would; `control` lets tests reach both. `probe` answers about health and load.
 
 mod control;
+mod crash;
 mod faults;
 mod options;
 mod probe;
@@ -29,6 +30,8 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
 
+use crash::CrashSignal;
+
 pub use control::{FAULTS_PATH, RUNS_PATH};
 pub use faults::{BackendFaults, BreakPoint};
 pub use options::BackendOptions;
@@ -45,6 +48,7 @@
     faults: RefCell<BackendFaults>,
     runs: RefCell<BackendRuns>,
     working: Cell<u64>,
+    crash: CrashSignal,
     rng: RefCell<ChaCha8Rng>,
 }
 
@@ -57,6 +61,7 @@
             faults: RefCell::default(),
             runs: RefCell::default(),
             working: Cell::new(0),
+            crash: CrashSignal::default(),
             rng: RefCell::new(rng),
         })
     }
--- a/crates/standin/src/backend/runs.rs
+++ b/crates/standin/src/backend/runs.rs
@@ -29,6 +29,8 @@
     pub received: u64,
     /// Requests of the health and load endpoints.
     pub probes: u64,
+    /// Times that the server crashed.
+    pub crashes: u64,
     /// Head of the last request, as text.
     pub last_head: String,
 }
--- a/crates/standin/src/backend/serving.rs
+++ b/crates/standin/src/backend/serving.rs
@@ -14,23 +14,45 @@
 use basaltarch_http::framing::{self, BodyFraming};
 use basaltarch_http::head::{self, HeadLimits};
 use bytes::{Bytes, BytesMut};
+use futures_util::future;
 use http::{request, StatusCode};
 use monoio::net::{TcpListener, TcpStream};
 
 use crate::backend::{control, probe, reply, runs, work};
 use crate::backend::{BackendStandin, BreakPoint, HEALTH_PATH, LOAD_PATH};
 
-/// Serves the stand-in for ever.
+/// Serves the stand-in for ever. One that crashed listens again after a while.
 pub async fn serve(listener: TcpListener, standin: Rc<BackendStandin>, connections: usize) {
+    let address = listener.local_addr();
+    let mut listener = Ok(listener);
+    while let (Ok(address), Ok(open)) = (&address, listener) {
+        serve_until_crash(open, &standin, connections).await;
+        let down = Duration::from_millis(standin.faults.borrow().down_ms);
+        monoio::time::sleep(down).await;
+        listener = connection::bind(*address);
+    }
+}
+
+async fn serve_until_crash(
+    listener: TcpListener,
+    standin: &Rc<BackendStandin>,
+    connections: usize,
+) {
+    let crashed = std::pin::pin!(standin.crash.after(standin.crash.count()));
+    let standin = standin.clone();
     let serve = move |stream, _: SocketAddr| {
         let standin = standin.clone();
         async move {
             standin.runs.borrow_mut().connections += 1;
+            let crashed = std::pin::pin!(standin.crash.after(standin.crash.count()));
             // The connection ends with its first error; the other side sees that.
-            let _ = serve_connection(stream, &standin).await;
+            let serving = std::pin::pin!(serve_connection(stream, &standin));
+            future::select(serving, crashed).await;
         }
     };
-    connection::accept_all(listener, connections, ConnectionCount::default(), serve).await
+    let count = ConnectionCount::default();
+    let accepting = std::pin::pin!(connection::accept_all(listener, connections, count, serve));
+    future::select(accepting, crashed).await;
 }
 
 async fn serve_connection(stream: TcpStream, standin: &BackendStandin) -> Result<(), HttpError> {
--- a/crates/standin/src/backend/work.rs
+++ b/crates/standin/src/backend/work.rs
@@ -21,6 +21,12 @@
     faults: &BackendFaults,
 ) -> bool {
     runs::note_run(standin, head);
+    if !faults.crash_path.is_empty() && head.uri.path() == faults.crash_path {
+        monoio::time::sleep(Duration::from_millis(faults.crash_after_ms)).await;
+        standin.runs.borrow_mut().crashes += 1;
+        standin.crash.raise();
+        return false;
+    }
     let mut time = standin.service_time(faults);
     if let Some(asked) = fields::single(&head.headers, &HeaderName::from_static("x-work-ms")) {
         time = Duration::from_millis(asked.parse().unwrap_or(0));
