--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -32,6 +32,8 @@
 pub static RETRIES: CounterCell = CounterCell::new();
 /// Repeats that the budget did not allow.
 pub static RETRIES_DENIED: CounterCell = CounterCell::new();
+/// Requests that are refused as they crash backend servers.
+pub static REQUESTS_REFUSED: GaugeCell = GaugeCell::new();
 /// Dispatches of requests that lately failed at several upstreams.
 pub static POISON_SPARED: CounterCell = CounterCell::new();
 /// Work sent to backend servers.
@@ -254,6 +256,11 @@
             "Least repeats left in the retry budget, of the services in use.",
             &RETRIES_LEFT,
         ),
+        gauge(
+            "requests_refused",
+            "Different requests that are refused as they crash backend servers.",
+            &REQUESTS_REFUSED,
+        ),
         gauge("members", "Live members known.", &MEMBERS),
         gauge("services", "Services learnt of from requests.", &SERVICES),
         gauge("links", "Open links to peers.", &LINKS),
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -40,10 +40,12 @@
     BadRequest,
     /// The idempotency key was used for another request.
     KeyReused,
+    /// The request crashes the backend servers that run it.
+    CrashesServers,
 }
 
 /// Every reason, in the order of its wire number.
-pub const NOT_RUN_REASONS: [NotRunReason; 16] = [
+pub const NOT_RUN_REASONS: [NotRunReason; 17] = [
     NotRunReason::NoRoute,
     NotRunReason::NoConfiguration,
     NotRunReason::Limited,
@@ -60,6 +62,7 @@
     NotRunReason::CallerGone,
     NotRunReason::BadRequest,
     NotRunReason::KeyReused,
+    NotRunReason::CrashesServers,
 ];
 
 impl NotRunReason {
@@ -82,6 +85,7 @@
             Self::CallerGone => "caller-gone",
             Self::BadRequest => "bad-request",
             Self::KeyReused => "key-reused",
+            Self::CrashesServers => "crashes-servers",
         }
     }
 }
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -359,6 +359,30 @@
     Ok(())
 }
 
+/// Shows the requests that ran at backend servers when they crashed, the gravest first.
+pub async fn suspects(api: &AdminApi, form: OutputForm) -> Result<(), CommandError> {
+    let reply = api.get("/v1/suspects").await?;
+    if form == OutputForm::Json {
+        println!("{reply}");
+        return Ok(());
+    }
+    let fields = ["fingerprint", "refused", "crashes", "good_runs", "upstream", "seen_ms_ago"];
+    let row = |suspect: &Value| fields.map(|field| tables::cell(&suspect[field])).to_vec();
+    let rows: Vec<Vec<String>> =
+        reply["suspects"].as_array().into_iter().flatten().map(row).collect();
+    let titles = ["FINGERPRINT", "REFUSED", "CRASHES", "GOOD RUNS", "LAST SERVER", "SEEN MS AGO"];
+    tables::print(&titles, &rows);
+    Ok(())
+}
+
+/// Lets a request in again in the whole fleet.
+pub async fn lift(api: &AdminApi, fingerprint: &str) -> Result<(), CommandError> {
+    let reply =
+        api.call(Method::DELETE, &format!("/v1/suspects/{fingerprint}"), None, None).await?;
+    println!("lifted {}", tables::cell(&reply["lifted"]));
+    Ok(())
+}
+
 fn merge_words(reply: &mut Value, words: &Value) {
     let services = reply["services"].as_array_mut().into_iter().flatten();
     for (service, other) in services.zip(words["services"].as_array().into_iter().flatten()) {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -90,6 +90,13 @@
                 /// Service; all when absent.
                 optional service: String
             }
+            /// Shows the requests that ran at backend servers when they crashed, and which are refused.
+            cmd suspects {}
+            /// Lets a request in again that is refused as it crashes backend servers.
+            cmd lift {
+                /// Its fingerprint, as the logs and the list of suspects show it.
+                required fingerprint: String
+            }
             /// Shows the way of a request by the logs of many hosts; needs no daemon.
             cmd explain {
                 /// Id of the request.
@@ -225,6 +232,8 @@
         }
         flags::BasaltctlCmd::Status(_) => commands::status(&api, form).await,
         flags::BasaltctlCmd::Outcomes(_) => commands::outcomes(&api, form).await,
+        flags::BasaltctlCmd::Suspects(_) => commands::suspects(&api, form).await,
+        flags::BasaltctlCmd::Lift(flags) => commands::lift(&api, &flags.fingerprint).await,
         flags::BasaltctlCmd::Health(flags) => {
             commands::health(&api, flags.service.as_deref(), form).await
         }
--- a/crates/daemon/src/admin/changes.rs
+++ b/crates/daemon/src/admin/changes.rs
@@ -166,7 +166,8 @@
     })
 }
 
-fn author_of(request: &ServerRequest) -> ChangeAuthor {
+/// Returns who makes a change, by the request.
+pub fn author(request: &ServerRequest) -> ChangeAuthor {
     let actor = fields::single(&request.head.headers, &ACTOR).unwrap_or("operator");
     ChangeAuthor { actor: actor.to_owned(), from: request.from.to_string() }
 }
@@ -176,7 +177,7 @@
     request: &ServerRequest,
     edits: &[ResourceEdit],
 ) -> Result<ChangeRecord, ChangeError> {
-    let author = author_of(request);
+    let author = author(request);
     state.config.with_fleet(|fleet| changes::plan_change(fleet, edits, &author, ""))
 }
 
@@ -186,7 +187,7 @@
     request: &ServerRequest,
     edits: &[ResourceEdit],
 ) -> Result<ChangeRecord, ChangeError> {
-    let author = author_of(request);
+    let author = author(request);
     let mut config = state.config.with_fleet(FleetConfig::clone);
     let result = state.changes.commit(&mut config, edits, &author).await;
     if let Err(ChangeError::Store { .. }) = &result {
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -7,6 +7,7 @@
 pub mod gauges;
 pub mod read;
 pub mod status;
+pub mod suspects;
 pub mod watch;
 
 use std::rc::Rc;
@@ -60,6 +61,12 @@
         None => return problem(StatusCode::NOT_FOUND, "paths begin with /v1/"),
     };
     let method = request.head.method.clone();
+    if let Some(fingerprint) = path.strip_prefix("suspects/") {
+        return match method {
+            Method::DELETE => suspects::lift(state, request, fingerprint),
+            _ => method_not_allowed("DELETE"),
+        };
+    }
     let writes = method != Method::GET && path != "drain";
     if writes && state.options.source == ConfigSource::Document {
         let message = "the configuration comes from the operator's document; change it there";
@@ -71,6 +78,7 @@
     match (method.as_str(), path.as_str()) {
         ("GET", "status") => status::fleet(state),
         ("GET", "health") => status::health(state, request.query("service")),
+        ("GET", "suspects") => suspects::list(state),
         ("GET", "audit") => read::audit(state, request).await,
         ("GET", "watch") => watch::start(state, request, None),
         ("POST", "apply") => changes::apply(state, request).await,
--- /dev/null
+++ b/crates/daemon/src/admin/suspects.rs
@@ -0,0 +1,53 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Lists the requests that ran at backend servers when they crashed, and lets one in again.
+
+use std::rc::Rc;
+
+use basaltarch_core::fingerprint::RequestFingerprint;
+use basaltarch_events::process::RequestLifted;
+use basaltarch_http::server::{ServerReply, ServerRequest};
+use http::StatusCode;
+use serde_json::{json, Value};
+
+use crate::admin::{changes, problem};
+use crate::state::DaemonState;
+use crate::suspects;
+
+/// Tells all that is known here, the gravest first.
+pub fn list(state: &DaemonState) -> ServerReply {
+    let words = state.suspects.words(state.now());
+    let suspects: Vec<Value> = words
+        .iter()
+        .map(|word| {
+            json!({
+                "fingerprint": word.fingerprint.to_string(),
+                "refused": word.tally.is_refused(),
+                "crashes": word.tally.crashes,
+                "good_runs": word.tally.round,
+                "upstream": &*word.upstream,
+                "seen_ms_ago": word.seen_ago.as_millis() as u64,
+            })
+        })
+        .collect();
+    let body = json!({"seen_from": state.options.host, "suspects": suspects});
+    ServerReply::json(StatusCode::OK, &body)
+}
+
+/// Lets a request in again in the whole fleet. Nothing of the configuration changes, so that it may be
+/// done whatever the configuration comes from; the log says who did it.
+pub fn lift(state: &Rc<DaemonState>, request: &ServerRequest, text: &str) -> ServerReply {
+    let fingerprint = match RequestFingerprint::parse(text) {
+        Some(fingerprint) => fingerprint,
+        None => return problem(StatusCode::BAD_REQUEST, "a fingerprint has 32 hexadecimal digits"),
+    };
+    let fingerprint_text = fingerprint.to_string();
+    if !suspects::lift(state, &fingerprint) {
+        return problem(StatusCode::NOT_FOUND, "nothing is known against such a request");
+    }
+    let author = changes::author(request);
+    let (actor, from) = (&author.actor, &author.from);
+    RequestLifted { fingerprint: &fingerprint_text, actor, from }.log();
+    ServerReply::json(StatusCode::OK, &json!({"lifted": fingerprint_text}))
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -19,6 +19,7 @@
 use crate::rows;
 use crate::spread;
 use crate::state::DaemonState;
+use crate::suspects;
 
 /// Handles a frame that came from `peer`; `path` is given on links that this daemon dialled.
 pub fn handle(
@@ -37,6 +38,7 @@
         FrameBody::Withdraw(note) => state.host.withdraw_failure(&note.upstream, &note.route),
         FrameBody::RowsRequest(request) => rows::answer_request(state, sender, peer, &request),
         FrameBody::RowsNews(news) => rows::take_news(state, peer, news),
+        FrameBody::SuspectNews(news) => suspects::take_news(state, peer, &news),
         other => {
             let frame = frames::frame_name(&other);
             fleet::UnexpectedFrame { host: &peer.host, frame }.log();
@@ -61,11 +63,13 @@
     // Before the answer to a daemon that asks for all that is known here.
     roster::tell_past(state, sender, peer);
     spread::note_peer_revision(state, sender, revision);
+    suspects::note_peer_digest(state, sender, note.suspects);
     if !note.reply {
         let answer = HeartbeatNote {
             reply: true,
             revision: state.config.revision().0 as i64,
             members: vec![membership::own_entry(state)],
+            suspects: state.suspects.digest(),
         };
         let _ = sender.send(NO_EXCHANGE, FrameBody::Heartbeat(answer));
     }
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -17,6 +17,7 @@
 use basaltarch_decide::evidence::WorkEvidence;
 use basaltarch_decide::hang::UsualTime;
 use basaltarch_decide::health::{AdmitVerdict, DispatchTerms};
+use basaltarch_decide::suspects::CrashTally;
 use basaltarch_events::servers::ServerCrashed;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::writer;
@@ -34,6 +35,7 @@
 use crate::registration;
 use crate::state::DaemonState;
 use crate::stop;
+use crate::suspects;
 use crate::wire;
 
 /// Time after which a caller may come back when a backend server was full or out.
@@ -79,8 +81,9 @@
     let within = Duration::from_millis(head.objective_ms.max(0) as u64);
     let objective = (head.objective_ms > 0).then(|| state.now() + within);
     let came_at = state.now();
+    let (is_trial, tally) = (false, Cell::default());
     let mut work =
-        HostWork { state, upstream, head, deadline, objective, came_at, is_trial: false };
+        HostWork { state, upstream, head, deadline, objective, came_at, is_trial, tally };
     let admitted = match work.admit() {
         Ok(()) => work.run(body, answer).await,
         Err(reason) => Err(FailureOutcome::NotRun(reason)),
@@ -108,11 +111,14 @@
     came_at: Duration,
     /// Whether it tries out a server that is out of service.
     pub is_trial: bool,
+    /// What counted against the request when it was last looked at before its run.
+    tally: Cell<CrashTally>,
 }
 
 impl HostWork<'_> {
     fn admit(&mut self) -> Result<(), NotRunReason> {
         let now = self.state.now();
+        self.refuse_suspect()?;
         if self.state.stop.is_handing_over() || self.upstream.is_draining(now) {
             return Err(NotRunReason::Draining);
         }
@@ -133,6 +139,28 @@
         }
     }
 
+    /// Refuses work that crashes the servers that run it, and notes what counts against it otherwise. An
+    /// ingress that knows as much lets a copy through to try it.
+    fn refuse_suspect(&self) -> Result<(), NotRunReason> {
+        let told = self.head.tally.as_ref().map(wire::tally_of).unwrap_or_default();
+        let known = match self.state.suspects.is_empty() {
+            true => CrashTally::default(),
+            false => self.state.suspects.tally(&self.fingerprint()),
+        };
+        if known.is_refused() && known > told {
+            return Err(NotRunReason::CrashesServers);
+        }
+        self.tally.set(known.max(told));
+        Ok(())
+    }
+
+    /// Takes in that the work ran well.
+    pub fn note_good(&self) {
+        if !self.state.suspects.is_empty() {
+            suspects::note_success(self.state, &self.fingerprint());
+        }
+    }
+
     /// Returns the time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_sub(self.state.now())
@@ -277,12 +305,16 @@
             return false;
         }
         let crashed = upstream.pool.is_refused().await;
-        if crashed && upstream.note_crashed() {
+        if !crashed {
+            return false;
+        }
+        if upstream.note_crashed() {
             let in_flight = upstream.slots.used().into();
             let (upstream, service) = (&*upstream.name, &*upstream.service);
             ServerCrashed { upstream, service, in_flight }.log();
         }
-        crashed
+        suspects::note_crash(self.state, self.fingerprint(), self.tally.get(), &upstream.name);
+        true
     }
 
     fn once_key(&self, key: &str) -> OnceKey {
@@ -338,6 +370,11 @@
             pooled.give_back(None);
             return Err(FailureOutcome::NotRun(NotRunReason::Draining));
         }
+        // The word of a crash may have come while it waited for its slot.
+        if let Err(reason) = self.refuse_suspect() {
+            pooled.give_back(None);
+            return Err(FailureOutcome::NotRun(reason));
+        }
         metrics::WORKED.add_one();
         let waited = self.state.now().saturating_sub(self.came_at);
         metrics::WAIT_SECONDS.record(waited);
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -331,6 +331,9 @@
         }
         self.work.note(evidence, was_overdue, failure);
         self.progress.noted.set(true);
+        if !failed {
+            self.work.note_good();
+        }
         drop(self.progress.slot.take());
     }
 
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -18,6 +18,7 @@
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::hang::UsualTime;
 use basaltarch_decide::patience;
+use basaltarch_decide::suspects::{CopyVerdict, CrashTally};
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_peer::errors::LinkError;
@@ -35,6 +36,7 @@
 use crate::services::SentGuard;
 use crate::state::DaemonState;
 use crate::stop;
+use crate::suspects;
 use crate::wire;
 
 /// Dispatches of one request at the most: the first and two more.
@@ -90,6 +92,8 @@
     /// Backend servers that the request reached, or may have.
     arrivals: usize,
     passes: usize,
+    /// Whether the request is refused everywhere and this copy tries it out.
+    is_tried: bool,
     last: FailureOutcome,
     /// Why it is not known whether an earlier attempt ran, if one may have.
     may_have_run: Option<UnknownReason>,
@@ -111,6 +115,7 @@
         dispatches: 0,
         arrivals: 0,
         passes: 0,
+        is_tried: false,
         last: FailureOutcome::NotRun(NotRunReason::NoUpstream),
         may_have_run: None,
         failed_at: None,
@@ -329,6 +334,7 @@
         if self.left().is_zero() && self.dispatches == 0 {
             return Err(CallerFailure::not_run(NotRunReason::DeadlinePassed));
         }
+        self.refuse_suspect()?;
         let must_take = self.dispatches + 1 >= DISPATCHES_MAX;
         let now = self.state.now();
         let service = &self.request.service;
@@ -345,6 +351,27 @@
             .ok_or_else(|| CallerFailure::new(self.last))
     }
 
+    /// Refuses a request that crashes the servers that run it, unless this copy tries it out. It is asked
+    /// before each dispatch: another daemon's word may have come since the last.
+    fn refuse_suspect(&mut self) -> Result<(), CallerFailure> {
+        if self.is_tried || self.state.suspects.is_empty() {
+            return Ok(());
+        }
+        let fingerprint = self.request.fingerprint(self.state);
+        match suspects::judge(self.state, &fingerprint) {
+            CopyVerdict::Serve => Ok(()),
+            CopyVerdict::Trial => {
+                self.is_tried = true;
+                trail::tell_tried(self.state, self.request);
+                Ok(())
+            }
+            CopyVerdict::Refuse { retry_after } => Err(CallerFailure {
+                retry_after: Some(retry_after),
+                ..CallerFailure::not_run(NotRunReason::CrashesServers)
+            }),
+        }
+    }
+
     /// Says whether the request may be passed on although the daemon stops. The first time that is asked
     /// anew: reading its body took time.
     fn is_taken(&self) -> bool {
@@ -362,6 +389,7 @@
                 | NotRunReason::CallerGone
                 | NotRunReason::KeyReused
                 | NotRunReason::LedgerUnavailable
+                | NotRunReason::CrashesServers
         );
         let may = !would_repeat && self.dispatches < DISPATCHES_MAX && !self.left().is_zero();
         // What a backend server turned away costs it work, so that sending it on counts as a repeat.
@@ -428,6 +456,7 @@
             && !self.left().is_zero()
             && self.has_arrivals_left()
             && !self.is_hopeless()
+            && self.request.tally(self.state).is_none_or(CrashTally::allows_repeat)
             && self.take_repeat()
     }
 
@@ -555,6 +584,7 @@
             logged: Some(self.request.trail.is_logged),
             repeated: self.arrivals > 0,
             fingerprint: None,
+            tally: self.request.tally(self.state).map(wire::tally_note),
         }
     }
 
--- a/crates/daemon/src/ingress/failure.rs
+++ b/crates/daemon/src/ingress/failure.rs
@@ -92,7 +92,7 @@
             FailureOutcome::NotRun(reason) => match reason {
                 NotRunReason::BadRequest | NotRunReason::KeyReused => "http_request_error",
                 NotRunReason::NoRoute => "destination_not_found",
-                NotRunReason::Limited => "http_request_denied",
+                NotRunReason::Limited | NotRunReason::CrashesServers => "http_request_denied",
                 NotRunReason::ConnectFailed => "connection_refused",
                 NotRunReason::DeadlinePassed => "connection_timeout",
                 NotRunReason::NoConfiguration | NotRunReason::LedgerUnavailable => {
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -16,6 +16,7 @@
 use basaltarch_core::resources::WorkMode;
 use basaltarch_core::routes::{RouteEntry, RouteMatch};
 use basaltarch_core::units;
+use basaltarch_decide::suspects::CrashTally;
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::errors::HttpError;
@@ -89,6 +90,13 @@
         self.prefix.len() < PREFIX_BYTES
     }
 
+    /// Returns what counts against it, if anything is known against any request.
+    pub fn tally(&self, state: &DaemonState) -> Option<CrashTally> {
+        let known = !state.suspects.is_empty();
+        let tally = known.then(|| state.suspects.tally(&self.fingerprint(state)));
+        tally.filter(|tally| *tally != CrashTally::default())
+    }
+
     /// Returns what its copies share and no other request has, once its body was read so far.
     pub fn fingerprint(&self, state: &DaemonState) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
--- a/crates/daemon/src/ingress/trail.rs
+++ b/crates/daemon/src/ingress/trail.rs
@@ -20,6 +20,7 @@
     AnswerCut, AttemptEnded, CallerGone, RequestAnswered, RequestFailed, RequestGivenUp,
     RequestReceived, RequestRejected, UpstreamChosen,
 };
+use basaltarch_events::servers::RefusedTried;
 use basaltarch_http::errors::HttpError;
 use basaltarch_peer::protocol::LoadReport;
 use basaltarch_telemetry::logs;
@@ -392,6 +393,12 @@
     .log();
 }
 
+/// Logs that a request that is refused everywhere is tried out.
+pub fn tell_tried(state: &DaemonState, request: &CallerRequest) {
+    let fingerprint = &request.fingerprint(state).to_string();
+    RefusedTried { request: &request.trail.id, fingerprint }.log();
+}
+
 /// Logs that the daemon ends before the answer came.
 pub fn tell_given_up(state: &DaemonState, request: &CallerRequest) {
     let trail = &request.trail;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod spread;
 pub mod state;
 pub mod stop;
+pub mod suspects;
 pub mod wire;
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -265,6 +265,7 @@
             reply: false,
             revision: state.config.revision().0 as i64,
             members: Vec::new(),
+            suspects: state.suspects.digest(),
         };
         let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
     }
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -16,6 +16,7 @@
 use basaltarch_core::units::FleetRevision;
 use basaltarch_decide::limits;
 use basaltarch_events::fleet;
+use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_peer::link::{AcceptedLink, NO_EXCHANGE};
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote, MemberEntry};
@@ -419,6 +420,17 @@
     }
 }
 
+/// Returns the links on which news is passed on: to the neighbours that are linked, and to some of those
+/// that linked to here.
+pub fn some_senders(state: &DaemonState) -> Vec<FrameSender> {
+    let neighbours = state.members.neighbours(state);
+    let dialled = neighbours.iter().filter_map(|host| state.peers.path(host).link());
+    let mut senders: Vec<FrameSender> = dialled.map(|link| link.sender().clone()).collect();
+    let accepted = state.members.some_accepted(NEIGHBOURS);
+    senders.extend(accepted.iter().map(|link| link.sender().clone()));
+    senders
+}
+
 async fn beat_one(state: &Rc<DaemonState>, host: &str, news: BeatNews) {
     let path = state.peers.path(host);
     if path.address().is_none() {
@@ -433,6 +445,7 @@
                 BeatNews::Own => vec![own_entry(state)],
                 BeatNews::Members => state.members.some_entries(state, &[]),
             },
+            suspects: state.suspects.digest(),
         };
         let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
     }
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -34,6 +34,7 @@
 use crate::registration;
 use crate::rows;
 use crate::state::DaemonState;
+use crate::suspects::{self, RefusedRecord};
 
 /// Table of the rows.
 pub const HOSTS_TABLE: &str = "hosts";
@@ -73,6 +74,9 @@
     /// Backend servers that registered with the daemon.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub servers: Vec<ServerRecord>,
+    /// Requests that are refused and whose last crash was seen here.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub refused: Vec<RefusedRecord>,
 }
 
 /// `ServerRecord` is one backend server that registered.
@@ -255,6 +259,16 @@
         changes: state.roster.own_changes.get(),
         leaving: state.stop.is_handing_over(),
         servers: state.roster.own_servers(),
+        refused: state.suspects.own_records(state.now()),
+    }
+}
+
+/// Lets the own row tell the refused requests as they are known now.
+pub fn refresh_refused(state: &Rc<DaemonState>) {
+    let refused = state.suspects.own_records(state.now());
+    let known = state.roster.record(&state.options.host);
+    if known.is_some_and(|record| record.refused != refused) {
+        state.roster.touch();
     }
 }
 
@@ -384,6 +398,7 @@
 /// Takes in records that a peer told of, where they are later than what is known.
 pub fn take_told(state: &Rc<DaemonState>, told: Vec<ToldRecord>) {
     for ToldRecord { host, record } in told {
+        suspects::take_records(state, &host, &record.refused);
         if host == state.options.host {
             recover_own(state, &record);
             continue;
@@ -423,6 +438,7 @@
             return;
         }
     };
+    suspects::take_records(state, &row.key, &record.refused);
     if row.key != state.options.host {
         return put_record(state, &row.key, Some(record));
     }
@@ -452,18 +468,14 @@
 /// Reads the record in the row of a host. Backend servers in it that can't be read are left out.
 pub fn read_record(host: &str, bytes: &[u8]) -> Result<HostRecord, serde_json::Error> {
     let mut value: Value = serde_json::from_slice(bytes)?;
-    let servers = value.get_mut("servers").map(Value::take).unwrap_or_default();
-    if let Some(fields) = value.as_object_mut() {
-        fields.remove("servers");
-    }
+    let servers = take_list(&mut value, "servers");
+    let refused = take_list(&mut value, "refused");
     let mut record = HostRecord::deserialize(value)?;
     if !record.host.is_empty() && record.host != host {
         return Err(de::Error::custom(format_args!("it is the record of {}", record.host)));
     }
-    let servers = match servers {
-        Value::Array(servers) => servers,
-        _ => Vec::new(),
-    };
+    let refused = refused.into_iter();
+    record.refused = refused.filter_map(|each| RefusedRecord::deserialize(each).ok()).collect();
     let told = servers.len();
     record.servers = servers.into_iter().filter_map(readable_server).collect();
     let servers = (told - record.servers.len()) as u64;
@@ -473,6 +485,14 @@
     Ok(record)
 }
 
+/// Takes a list out of a record; what is no list reads as an empty one.
+fn take_list(record: &mut Value, name: &str) -> Vec<Value> {
+    match record.as_object_mut().and_then(|fields| fields.remove(name)) {
+        Some(Value::Array(list)) => list,
+        _ => Vec::new(),
+    }
+}
+
 fn readable_server(value: Value) -> Option<ServerRecord> {
     let server = ServerRecord::deserialize(value).ok()?;
     (!server.name.is_empty() && server.slots > 0).then_some(server)
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -30,6 +30,7 @@
 use crate::spread;
 use crate::state::DaemonState;
 use crate::stop::{self, StopReport};
+use crate::suspects;
 
 /// Exit status of a stop that cut requests.
 pub const EXIT_CUT: i32 = 3;
@@ -166,6 +167,7 @@
     }
     monoio::spawn(trail::report_losses(state.clone()));
     monoio::spawn(services::forget_idle(state.clone()));
+    monoio::spawn(suspects::forget(state.clone()));
     monoio::spawn(follow_configuration(state.clone()));
 }
 
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -33,6 +33,7 @@
 use crate::services::ServiceTable;
 use crate::spread::SnapshotParts;
 use crate::stop::StopState;
+use crate::suspects::SuspectRole;
 
 /// `DaemonState` is what the roles of a daemon share. One thread owns it, so there are no locks.
 pub struct DaemonState {
@@ -74,6 +75,8 @@
     pub platform: Rc<PlatformClient>,
     /// Ledger of once-only work.
     pub ledger: Rc<OnceLedger>,
+    /// Requests that crash the backend servers that run them.
+    pub suspects: SuspectRole,
     /// How far the daemon is with its end.
     pub stop: StopState,
     /// Raised when the settings shall be read again.
@@ -120,6 +123,7 @@
             ledger: OnceLedger::new(platform.clone()),
             platform,
             stop: StopState::default(),
+            suspects: SuspectRole::default(),
             reloading: RisingSignal::default(),
             log_budget: LogBudget::new(options.log_requests, options.log_failures),
             requests: Cell::new(0),
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -252,6 +252,7 @@
             reply: true,
             revision: state.config.revision().0 as i64,
             members: state.members.some_entries(state, &[]),
+            suspects: state.suspects.digest(),
         };
         let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
     }
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -3,13 +3,16 @@
 
 //! Turns values into the frames between daemons and back.
 
+use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_core::fingerprint::RequestFingerprint;
 use basaltarch_core::resources::{WorkClass, WorkMode};
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::health::HealthReport;
+use basaltarch_decide::suspects::{CrashTally, SuspectWord};
 use basaltarch_http::writer;
-use basaltarch_peer::protocol::{BaselineNote, LoadReport};
+use basaltarch_peer::protocol::{BaselineNote, LoadReport, SuspectNote, TallyNote};
 use bytes::BytesMut;
 use http::HeaderMap;
 
@@ -71,6 +74,36 @@
     values.next()
 }
 
+/// Writes what counts against a request.
+pub fn tally_note(tally: CrashTally) -> TallyNote {
+    TallyNote { round: tally.round as i32, crashes: tally.crashes as i32 }
+}
+
+/// Reads what counts against a request.
+pub fn tally_of(note: &TallyNote) -> CrashTally {
+    CrashTally { round: note.round.max(0) as u32, crashes: note.crashes.max(0) as u32 }
+}
+
+/// Writes what is known of a request that ran at servers when they crashed.
+pub fn suspect_note(word: &SuspectWord) -> SuspectNote {
+    SuspectNote {
+        fingerprint: word.fingerprint.bytes().to_vec(),
+        tally: tally_note(word.tally),
+        seen_ms_ago: word.seen_ago.as_millis() as i64,
+        upstream: word.upstream.to_string(),
+    }
+}
+
+/// Reads what is known of such a request; `None` if it is named in another way.
+pub fn suspect_word(note: &SuspectNote) -> Option<SuspectWord> {
+    Some(SuspectWord {
+        fingerprint: RequestFingerprint::from_bytes(&note.fingerprint)?,
+        tally: tally_of(&note.tally),
+        seen_ago: Duration::from_millis(note.seen_ms_ago.max(0) as u64),
+        upstream: Rc::from(note.upstream.as_str()),
+    })
+}
+
 /// Writes a baseline.
 pub fn baseline_note(baseline: &ServiceBaseline) -> BaselineNote {
     BaselineNote {
--- a/crates/daemon/tests/cancel.rs
+++ b/crates/daemon/tests/cancel.rs
@@ -72,6 +72,7 @@
         logged: None,
         repeated: false,
         fingerprint: None,
+        tally: None,
     };
     PeerFrame { exchange: 0, body: FrameBody::Dispatch(head) }
 }
--- a/crates/daemon/tests/common/platform.rs
+++ b/crates/daemon/tests/common/platform.rs
@@ -9,6 +9,7 @@
 use std::thread;
 
 use basaltarch_http::connection;
+use basaltarch_platform::rows;
 use basaltarch_standin::platform::{self, HostGroup, PlatformStandin};
 use basaltarch_telemetry::runtime;
 use serde_json::Value;
@@ -51,6 +52,17 @@
         client::call(self.address, "GET", platform::COUNTERS_PATH, &[], "").json()
     }
 
+    /// Returns the values of a table's rows that can be read.
+    pub fn rows(&self, table: &str) -> Vec<Value> {
+        let path = format!("{}?table={table}&part=", rows::READ_PATH);
+        let page = client::call(self.address, "GET", &path, &[], "").json();
+        let value = |row: &Value| {
+            let bytes = rows::decode_value(row["value"].as_str()?).ok()?;
+            serde_json::from_slice(&bytes).ok()
+        };
+        page["rows"].as_array().into_iter().flatten().filter_map(value).collect()
+    }
+
     /// Writes or removes a row past all rules, as somebody else than its daemon.
     pub fn change_row(&self, method: &str, table: &str, key: &str, value: &str) {
         let path = format!("{}{table}/{key}", platform::ROWS_CONTROL_PATH);
--- a/crates/daemon/tests/crashing.rs
+++ b/crates/daemon/tests/crashing.rs
@@ -19,7 +19,11 @@
 
 mod common;
 
-use common::{client, eventually, FleetPlan, TestBackend, TestFleet};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+
+use basaltarch_daemon::roster::HOSTS_TABLE;
+use common::{client, eventually, FleetPlan, TestBackend, TestDaemon, TestFleet};
 use serde_json::json;
 
 /// Path of the bad request.
@@ -32,6 +36,9 @@
 /// Time that a server needs to start again.
 const DOWN_MS: u64 = 300;
 
+/// Requests of one caller at the most, so that a test that fails ends.
+const CALLS_MAX: u64 = 100_000;
+
 /// Starts servers that crash under the bad request.
 fn fragile_fleet(daemons: usize, backends: usize) -> TestFleet {
     let service = json!({"floor": 0.5, "prefer": "detection", "retry_budget": 0.5});
@@ -107,3 +114,126 @@
     });
     assert!(!broke("breaks", true), "a server that still listens has not crashed");
 }
+
+/// Returns how many requests a daemon refuses as they crash servers.
+fn refused(daemon: &TestDaemon) -> f64 {
+    daemon.metric("requests_refused")
+}
+
+/// Sends copies of the bad request until it is refused, and waits until every daemon knows that.
+fn let_it_be_refused(fleet: &TestFleet) {
+    eventually("the request is refused", || {
+        let reply = fleet.request(0, "GET", BAD, &[], "");
+        reply.reason().as_deref() == Some("crashes-servers")
+    });
+    for daemon in &fleet.daemons {
+        eventually("every daemon refuses it", || refused(daemon) == 1.0);
+    }
+}
+
+#[test]
+fn verify_popular_requests_beside_the_bad_one_are_never_refused() {
+    let fleet = fragile_fleet(3, 9);
+    let stop = AtomicBool::new(false);
+    let (mut good, mut wronged) = (0, 0);
+    thread::scope(|scope| {
+        let popular = |daemon: usize| {
+            let (fleet, stop) = (&fleet, &stop);
+            move || {
+                let (mut good, mut wronged) = (0, 0);
+                while !stop.load(Ordering::SeqCst) && good + wronged < CALLS_MAX {
+                    let reply = fleet.request(daemon, "GET", "/puzzle/popular", &[], "");
+                    good += u64::from(reply.status == 200);
+                    wronged += u64::from(reply.reason().as_deref() == Some("crashes-servers"));
+                }
+                (good, wronged)
+            }
+        };
+        let callers: Vec<_> = (0..6).map(|number| scope.spawn(popular(number % 3))).collect();
+        // Servers crash one by one, each under a request that never comes again.
+        for number in 0..15 {
+            let backend = &fleet.backends[number % 9];
+            crashes(backend);
+            let lone = format!("/puzzle/lone-{number}");
+            backend.faults(json!({"crash_path": lone, "crash_after_ms": 20, "down_ms": 50}));
+            fleet.request(number % 3, "GET", &lone, &[], "");
+            // No reply comes of it.
+            let _ = client::try_call(backend.address, "GET", &lone, &[], "");
+        }
+        stop.store(true, Ordering::SeqCst);
+        for caller in callers {
+            let (served, refused) = caller.join().expect("join");
+            good += served;
+            wronged += refused;
+        }
+    });
+    assert!(all_crashes(&fleet) >= 15, "servers crashed under the popular request");
+    assert!(good > 100, "{good} popular requests were served");
+    assert_eq!(wronged, 0, "popular requests were refused");
+    let told = |text: &str| fleet.daemons.iter().any(|daemon| daemon.log_text().contains(text));
+    assert!(told("request suspected") && told("request cleared"), "it was suspected and cleared");
+    fleet.check_invariants();
+}
+
+#[test]
+fn verify_a_daemon_that_starts_later_refuses_it_as_well() {
+    let mut fleet = fragile_fleet(3, 6);
+    let_it_be_refused(&fleet);
+    let crashed = all_crashes(&fleet);
+    let platform = fleet.platform.address;
+    let late = TestDaemon::start(platform, "host-late", "bkk-b", &[]);
+    eventually("the late daemon refuses it", || refused(&late) == 1.0);
+    fleet.daemons.push(late);
+    let reply = fleet.request(3, "GET", BAD, &[], "");
+    assert_eq!(reply.reason().as_deref(), Some("crashes-servers"));
+    assert_eq!(all_crashes(&fleet), crashed);
+}
+
+#[test]
+fn verify_it_stays_refused_when_all_daemons_end_at_once() {
+    let mut fleet = fragile_fleet(3, 6);
+    let_it_be_refused(&fleet);
+    let told = || fleet.platform.rows(HOSTS_TABLE).iter().any(|row| row["refused"].is_array());
+    eventually("a row tells of it", told);
+    let crashed = all_crashes(&fleet);
+    fleet.daemons.iter_mut().for_each(TestDaemon::kill);
+    fleet.daemons = ["host-a", "host-b", "host-c"]
+        .iter()
+        .zip(["bkk-a", "bkk-b", "bkk-c"])
+        .map(|(host, domain)| TestDaemon::start(fleet.platform.address, host, domain, &[]))
+        .collect();
+    for daemon in &fleet.daemons {
+        eventually("every new daemon refuses it", || refused(daemon) == 1.0);
+    }
+    fleet.wait_members();
+    let reply = fleet.request(1, "GET", BAD, &[], "");
+    assert_eq!(reply.reason().as_deref(), Some("crashes-servers"));
+    assert_eq!(all_crashes(&fleet), crashed);
+}
+
+#[test]
+fn verify_an_operator_lists_it_and_lets_it_in_again() {
+    let fleet = fragile_fleet(3, 6);
+    let_it_be_refused(&fleet);
+    for backend in &fleet.backends {
+        crashes(backend);
+        backend.faults(json!({}));
+    }
+    let list = fleet.daemons[1].get("/v1/suspects");
+    let gravest = &list["suspects"][0];
+    assert_eq!(gravest["refused"], true, "{list}");
+    let fingerprint = gravest["fingerprint"].as_str().expect("fingerprint");
+    let path = format!("/v1/suspects/{fingerprint}");
+    let actor = ("basaltarch-actor", "somsak");
+    assert_eq!(fleet.daemons[2].call("DELETE", &path, &[actor], "").status, 200);
+    assert_eq!(fleet.daemons[2].call("DELETE", &path, &[actor], "").status, 404);
+    assert_eq!(fleet.daemons[2].call("DELETE", "/v1/suspects/x", &[], "").status, 400);
+    let audit = fleet.daemons[2].log_text();
+    let line = audit.lines().find(|line| line.contains("request lifted")).expect("a line");
+    assert!(line.contains("somsak") && line.contains(fingerprint), "{line}");
+    for daemon in 0..3 {
+        eventually("it is served again", || {
+            fleet.request(daemon, "GET", BAD, &[], "").status == 200
+        });
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod split;
 pub mod start;
 pub mod stop;
+pub mod suspects;
 pub mod track;
--- a/crates/events/src/process.rs
+++ b/crates/events/src/process.rs
@@ -169,6 +169,16 @@
         allowed: u64,
     }
 
+    /// An operator let a request in again that was refused, or suspected, as it crashes backend servers.
+    "request lifted" WARN RequestLifted<'a> {
+        /// What its copies share and no other request has.
+        fingerprint: &'a str,
+        /// Who did it, by their own word.
+        actor: &'a str,
+        /// Where the call came from.
+        from: &'a str,
+    }
+
     /// A task panicked; it alone ends.
     "task panicked" ERROR TaskPanicked<'a> {
         /// What the task did.
--- a/crates/events/src/servers.rs
+++ b/crates/events/src/servers.rs
@@ -55,6 +55,39 @@
         in_flight: u64,
     }
 
+    /// What counts against a request that ran at backend servers when they crashed rose.
+    "request suspected" WARN RequestSuspected<'a> {
+        /// What its copies share and no other request has.
+        fingerprint: &'a str,
+        /// Crashes in a chain, each in a run that was begun after the one before was known.
+        crashes: u64,
+        /// Whether every copy is refused from now on.
+        refused: bool,
+        /// The backend server that crashed under it last.
+        upstream: &'a str,
+        /// Host of the daemon that told of it.
+        from: &'a str,
+    }
+
+    /// Nothing counts any longer against a request that ran at backend servers when they crashed.
+    "request cleared" INFO RequestCleared<'a> {
+        /// What its copies share and no other request has.
+        fingerprint: &'a str,
+        /// Why: a good run here, an operator's word, or what another daemon told.
+        cause: &'a str,
+        /// Host of the daemon that told of it.
+        from: &'a str,
+    }
+
+    /// A copy of a request that is refused everywhere is let through, to find out whether it still crashes
+    /// backend servers.
+    "refused request tried" WARN RefusedTried<'a> {
+        /// Id of the request.
+        request: &'a str,
+        /// What its copies share and no other request has.
+        fingerprint: &'a str,
+    }
+
     /// A backend server of the daemon's last start does not answer.
     "backend server silent" INFO ServerSilent<'a> {
         /// Name of the backend server.
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -38,6 +38,26 @@
   6: required i32 upstreams
 }
 
+/** What counts against a request that ran at servers when they crashed. */
+struct TallyNote {
+  1: required i32 round
+  2: required i32 crashes
+}
+
+/** What a daemon knows of such a request. */
+struct SuspectNote {
+  1: required binary fingerprint
+  2: required TallyNote tally
+  3: required i64 seen_ms_ago
+  /** The upstream that crashed under it last. */
+  4: required string upstream
+}
+
+/** Tells of such requests: what is new, or all that is known. */
+struct SuspectNews {
+  1: required list<SuspectNote> suspects
+}
+
 /** The first frame of an exchange, from the ingress to the host's daemon. */
 struct DispatchHead {
   1: required string service_name
@@ -71,6 +91,8 @@
   /** What tells the copies of the request from others, where the host's daemon can't find it out: a
       body that is withheld counts as well. */
   24: optional binary fingerprint
+  /** What the ingress knows against the request, if anything. */
+  25: optional TallyNote tally
 }
 
 /** The first frame of an answer. */
@@ -122,6 +144,8 @@
   1: required bool reply
   2: required i64 revision
   3: required list<MemberEntry> members
+  /** Digest of the suspects that are known; none if there are none. */
+  4: optional i64 suspects
 }
 
 /** Takes back a failure that followed its request to another upstream. */
@@ -210,6 +234,7 @@
   14: WithdrawNote withdraw
   15: RowsRequest rows_request
   16: RowsNews rows_news
+  17: SuspectNews suspect_news
 }
 
 struct PeerFrame {
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -92,6 +92,7 @@
         FrameBody::Withdraw(_) => "withdraw",
         FrameBody::RowsRequest(_) => "rows-request",
         FrameBody::RowsNews(_) => "rows-news",
+        FrameBody::SuspectNews(_) => "suspect-news",
     }
 }
 
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -368,6 +368,236 @@
   }
 }
 
+//
+// TallyNote
+//
+
+/// What counts against a request that ran at servers when they crashed.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TallyNote {
+  pub round: i32,
+  pub crashes: i32,
+}
+
+impl TallyNote {
+  pub fn new(round: i32, crashes: i32) -> TallyNote {
+    TallyNote {
+      round,
+      crashes,
+    }
+  }
+}
+
+impl TSerializable for TallyNote {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TallyNote> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i32> = None;
+    let mut f_2: Option<i32> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i32()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i32()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("TallyNote.round", &f_1)?;
+    verify_required_field_exists("TallyNote.crashes", &f_2)?;
+    let ret = TallyNote {
+      round: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      crashes: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("TallyNote");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("round", TType::I32, 1))?;
+    o_prot.write_i32(self.round)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("crashes", TType::I32, 2))?;
+    o_prot.write_i32(self.crashes)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// SuspectNote
+//
+
+/// What a daemon knows of such a request.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct SuspectNote {
+  pub fingerprint: Vec<u8>,
+  pub tally: TallyNote,
+  pub seen_ms_ago: i64,
+  /// The upstream that crashed under it last.
+  pub upstream: String,
+}
+
+impl SuspectNote {
+  pub fn new(fingerprint: Vec<u8>, tally: TallyNote, seen_ms_ago: i64, upstream: String) -> SuspectNote {
+    SuspectNote {
+      fingerprint,
+      tally,
+      seen_ms_ago,
+      upstream,
+    }
+  }
+}
+
+impl TSerializable for SuspectNote {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<SuspectNote> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<u8>> = None;
+    let mut f_2: Option<TallyNote> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<String> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_bytes()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = TallyNote::read_from_in_protocol(i_prot)?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_string()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("SuspectNote.fingerprint", &f_1)?;
+    verify_required_field_exists("SuspectNote.tally", &f_2)?;
+    verify_required_field_exists("SuspectNote.seen_ms_ago", &f_3)?;
+    verify_required_field_exists("SuspectNote.upstream", &f_4)?;
+    let ret = SuspectNote {
+      fingerprint: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      tally: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      seen_ms_ago: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      upstream: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("SuspectNote");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("fingerprint", TType::String, 1))?;
+    o_prot.write_bytes(&self.fingerprint)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("tally", TType::Struct, 2))?;
+    self.tally.write_to_out_protocol(o_prot)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("seen_ms_ago", TType::I64, 3))?;
+    o_prot.write_i64(self.seen_ms_ago)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 4))?;
+    o_prot.write_string(&self.upstream)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// SuspectNews
+//
+
+/// Tells of such requests: what is new, or all that is known.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct SuspectNews {
+  pub suspects: Vec<SuspectNote>,
+}
+
+impl SuspectNews {
+  pub fn new(suspects: Vec<SuspectNote>) -> SuspectNews {
+    SuspectNews {
+      suspects,
+    }
+  }
+}
+
+impl TSerializable for SuspectNews {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<SuspectNews> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<SuspectNote>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<SuspectNote> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_0 = SuspectNote::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_0);
+          }
+          i_prot.read_list_end()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("SuspectNews.suspects", &f_1)?;
+    let ret = SuspectNews {
+      suspects: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("SuspectNews");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("suspects", TType::List, 1))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.suspects.len() as i32))?;
+    for e in &self.suspects {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // DispatchHead
 //
@@ -406,10 +636,12 @@
   /// What tells the copies of the request from others, where the host's daemon can't find it out: a
   /// body that is withheld counts as well.
   pub fingerprint: Option<Vec<u8>>,
+  /// What the ingress knows against the request, if anything.
+  pub tally: Option<TallyNote>,
 }
 
 impl DispatchHead {
-  pub fn new<F15, F16, F17, F22, F24>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32, logged: F22, repeated: bool, fingerprint: F24) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>>, F22: Into<Option<bool>>, F24: Into<Option<Vec<u8>>> {
+  pub fn new<F15, F16, F17, F22, F24, F25>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32, logged: F22, repeated: bool, fingerprint: F24, tally: F25) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>>, F22: Into<Option<bool>>, F24: Into<Option<Vec<u8>>>, F25: Into<Option<TallyNote>> {
     DispatchHead {
       service_name,
       upstream,
@@ -435,6 +667,7 @@
       logged: logged.into(),
       repeated,
       fingerprint: fingerprint.into(),
+      tally: tally.into(),
     }
   }
 }
@@ -466,6 +699,7 @@
     let mut f_22: Option<bool> = None;
     let mut f_23: Option<bool> = None;
     let mut f_24: Option<Vec<u8>> = None;
+    let mut f_25: Option<TallyNote> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -569,6 +803,10 @@
           let val = i_prot.read_bytes()?;
           f_24 = Some(val);
         },
+        25 => {
+          let val = TallyNote::read_from_in_protocol(i_prot)?;
+          f_25 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -620,6 +858,7 @@
       logged: f_22,
       repeated: f_23.expect("auto-generated code should have checked for presence of required fields"),
       fingerprint: f_24,
+      tally: f_25,
     };
     Ok(ret)
   }
@@ -708,6 +947,11 @@
       o_prot.write_bytes(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.tally {
+      o_prot.write_field_begin(&TFieldIdentifier::new("tally", TType::Struct, 25))?;
+      fld_var.write_to_out_protocol(o_prot)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1245,14 +1489,17 @@
   pub reply: bool,
   pub revision: i64,
   pub members: Vec<MemberEntry>,
+  /// Digest of the suspects that are known; none if there are none.
+  pub suspects: Option<i64>,
 }
 
 impl HeartbeatNote {
-  pub fn new(reply: bool, revision: i64, members: Vec<MemberEntry>) -> HeartbeatNote {
+  pub fn new<F4>(reply: bool, revision: i64, members: Vec<MemberEntry>, suspects: F4) -> HeartbeatNote where F4: Into<Option<i64>> {
     HeartbeatNote {
       reply,
       revision,
       members,
+      suspects: suspects.into(),
     }
   }
 }
@@ -1263,6 +1510,7 @@
     let mut f_1: Option<bool> = None;
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<Vec<MemberEntry>> = None;
+    let mut f_4: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1282,12 +1530,16 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<MemberEntry> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_0 = MemberEntry::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_0);
+            let list_elem_1 = MemberEntry::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_1);
           }
           i_prot.read_list_end()?;
           f_3 = Some(val);
         },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1302,6 +1554,7 @@
       reply: f_1.expect("auto-generated code should have checked for presence of required fields"),
       revision: f_2.expect("auto-generated code should have checked for presence of required fields"),
       members: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      suspects: f_4,
     };
     Ok(ret)
   }
@@ -1321,6 +1574,11 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.suspects {
+      o_prot.write_field_begin(&TFieldIdentifier::new("suspects", TType::I64, 4))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1509,8 +1767,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_1 = i_prot.read_bytes()?;
-            val.push(list_elem_1);
+            let list_elem_2 = i_prot.read_bytes()?;
+            val.push(list_elem_2);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -1919,8 +2177,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<RowNote> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_2 = RowNote::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_2);
+            let list_elem_3 = RowNote::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_3);
           }
           i_prot.read_list_end()?;
           f_3 = Some(val);
@@ -2157,6 +2415,7 @@
   Withdraw(WithdrawNote),
   RowsRequest(RowsRequest),
   RowsNews(RowsNews),
+  SuspectNews(SuspectNews),
 }
 
 impl TSerializable for FrameBody {
@@ -2283,6 +2542,13 @@
           }
           received_field_count += 1;
         },
+        17 => {
+          let val = SuspectNews::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(FrameBody::SuspectNews(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -2397,6 +2663,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      FrameBody::SuspectNews(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("suspect_news", TType::Struct, 17))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -50,6 +50,7 @@
         objective_ms: 800,
         repeated: false,
         fingerprint: None,
+        tally: None,
     }
 }
 
@@ -64,6 +65,7 @@
                 reply: false,
                 revision: 3,
                 members: Vec::new(),
+                suspects: None,
             }),
         },
     ];
