--- a/crates/bench/src/decisions/actors.rs
+++ b/crates/bench/src/decisions/actors.rs
@@ -105,7 +105,7 @@
     pub recent: RecentAnswers,
     pub rule: PlainRule,
     pub budget: RetryBudget,
-    pub poison: PoisonMemory,
+    pub poison: PoisonMemory<u32>,
     pub domain: usize,
 }
 
--- a/crates/bench/src/decisions/ingresses.rs
+++ b/crates/bench/src/decisions/ingresses.rs
@@ -182,7 +182,7 @@
         }
         let first = self.requests[number].failed_at;
         if let Some(first) = first {
-            ingress.poison.note_withdrawn(mark, first as u32);
+            ingress.poison.note_withdrawn(mark, &(first as u32));
         }
         let counts = self.requests[number].counts;
         let taken_back = ingress.poison.note_failure(mark, index as u32, counts, self.now);
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -626,9 +626,12 @@
         }
         let target = &request.target;
         let counted = request.service.note_failure(method, target, index, live.counts, now);
+        let upstreams = &request.service.entry.upstreams;
         for failures in counted {
-            for _ in 0..failures.count {
-                self.withdraw_at(failures.upstream as usize);
+            // One that has gone since has nothing to take back.
+            let index = upstreams.iter().position(|each| each.name == failures.upstream);
+            for index in index.into_iter().cycle().take(failures.count as usize) {
+                self.withdraw_at(index);
             }
         }
     }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -47,7 +47,7 @@
     baselines: RefCell<FnvHashMap<Rc<str>, RouteBaseline>>,
     recent: RefCell<RecentAnswers>,
     budget: Rc<RefCell<RetryBudget>>,
-    poison: RefCell<PoisonMemory>,
+    poison: Rc<RefCell<PoisonMemory<Rc<str>>>>,
     violations: Cell<u64>,
     used_at: Cell<Duration>,
 }
@@ -174,7 +174,7 @@
             baselines: RefCell::default(),
             recent: RefCell::default(),
             budget: budget_of(state, &entry, known),
-            poison: RefCell::default(),
+            poison: known.map(|known| known.poison.clone()).unwrap_or_default(),
             violations: Cell::new(0),
             used_at: Cell::new(state.now()),
             entry,
@@ -322,15 +322,16 @@
         index: usize,
         counted: bool,
         now: Duration,
-    ) -> Vec<CountedFailures> {
+    ) -> Vec<CountedFailures<Rc<str>>> {
         let mark = RequestMark::of(method, target);
-        self.poison.borrow_mut().note_failure(mark, index as u32, counted, now)
+        let upstream = self.entry.upstreams[index].name.clone();
+        self.poison.borrow_mut().note_failure(mark, upstream, counted, now)
     }
 
     /// Takes in that a failure at an upstream was taken back since a repeat failed too.
     pub fn note_withdrawn(&self, method: &str, target: &str, index: usize) {
         let mark = RequestMark::of(method, target);
-        self.poison.borrow_mut().note_withdrawn(mark, index as u32);
+        self.poison.borrow_mut().note_withdrawn(mark, &self.entry.upstreams[index].name);
     }
 
     /// Says whether a failure of this request would be no evidence against an upstream.
--- a/crates/daemon/tests/gray.rs
+++ b/crates/daemon/tests/gray.rs
@@ -215,3 +215,30 @@
     assert_eq!(bad, 0);
     fleet.check_invariants();
 }
+
+/// Story: requests that fail wherever they go were known as such only until the servers of their service
+/// changed, which servers that crash and start again bring about by themselves. Evidence: on the code before,
+/// the dispatch after the change was not spared.
+#[test]
+fn verify_what_fails_everywhere_is_remembered_when_the_service_changes() {
+    let service = json!({"floor": 0.5, "prefer": "detection", "retry_budget": 0.5});
+    let plan = FleetPlan { daemons: 1, backends: 6, service, ..FleetPlan::default() };
+    let fleet = TestFleet::start(&plan);
+    for backend in &fleet.backends {
+        backend.faults(json!({"error_rate": 1.0, "error_prefix": "/poison"}));
+    }
+    let spared = || fleet.daemons[0].metric("poison_spared");
+    let ask = || fleet.request(0, "GET", "/poison", &[], "");
+    eventually("it is known", || {
+        let before = spared();
+        ask();
+        spared() > before
+    });
+    let mut changed = fleet.configuration(&plan);
+    changed["services"]["solver-app"]["floor"] = json!(0.4);
+    assert_eq!(fleet.apply(&changed).status, 200);
+    fleet.wait_revision(2);
+    let before = spared();
+    ask();
+    assert!(spared() > before, "it is still known to fail wherever it goes");
+}
--- a/crates/decide/src/poison.rs
+++ b/crates/decide/src/poison.rs
@@ -41,23 +41,23 @@
 }
 
 /// `CountedFailures` is how many failures of a request stand as evidence against an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CountedFailures {
-    /// Number of the upstream.
-    pub upstream: u32,
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CountedFailures<U> {
+    /// The upstream.
+    pub upstream: U,
     /// Failures to take back.
     pub count: u32,
 }
 
 #[derive(Debug, Clone)]
-struct FailedMark {
+struct FailedMark<U> {
     mark: RequestMark,
-    failures: Vec<CountedFailures>,
+    failures: Vec<CountedFailures<U>>,
     at: Duration,
 }
 
-impl FailedMark {
-    fn add(&mut self, upstream: u32, counted: bool, now: Duration) {
+impl<U: Clone + PartialEq> FailedMark<U> {
+    fn add(&mut self, upstream: U, counted: bool, now: Duration) {
         self.at = now;
         let count = u32::from(counted);
         let known = self.failures.iter().position(|each| each.upstream == upstream);
@@ -69,24 +69,31 @@
     }
 
     /// Takes out what stands as evidence, once the request is known to fail wherever it goes.
-    fn take_counted(&mut self) -> Vec<CountedFailures> {
+    fn take_counted(&mut self) -> Vec<CountedFailures<U>> {
         if self.failures.len() < NO_EVIDENCE_UPSTREAMS {
             return Vec::new();
         }
-        let counted = self.failures.iter().copied().filter(|each| each.count > 0).collect();
+        let counted = self.failures.iter().filter(|each| each.count > 0).cloned().collect();
         self.failures.iter_mut().for_each(|each| each.count = 0);
         self.failures.truncate(NO_REPEAT_UPSTREAMS);
         counted
     }
 }
 
-/// `PoisonMemory` remembers the requests to one service that lately failed, until one succeeds.
-#[derive(Debug, Clone, Default)]
-pub struct PoisonMemory {
-    marks: Vec<FailedMark>,
+/// `PoisonMemory` remembers the requests to one service that lately failed, until one succeeds. It names
+/// upstreams in a way that holds when others come and go, as they do while servers fail.
+#[derive(Debug, Clone)]
+pub struct PoisonMemory<U> {
+    marks: Vec<FailedMark<U>>,
+}
+
+impl<U> Default for PoisonMemory<U> {
+    fn default() -> Self {
+        Self { marks: Vec::new() }
+    }
 }
 
-impl PoisonMemory {
+impl<U: Clone + PartialEq> PoisonMemory<U> {
     /// Says whether nothing is remembered, so that no mark need be worked out.
     pub fn is_empty(&self) -> bool {
         self.marks.is_empty()
@@ -107,10 +114,10 @@
     pub fn note_failure(
         &mut self,
         mark: RequestMark,
-        upstream: u32,
+        upstream: U,
         counted: bool,
         now: Duration,
-    ) -> Vec<CountedFailures> {
+    ) -> Vec<CountedFailures<U>> {
         self.forget_old(now);
         if let Some(known) = self.marks.iter_mut().find(|each| each.mark == mark) {
             known.add(upstream, counted, now);
@@ -125,10 +132,10 @@
     }
 
     /// Takes in that one failure at an upstream was taken back already.
-    pub fn note_withdrawn(&mut self, mark: RequestMark, upstream: u32) {
+    pub fn note_withdrawn(&mut self, mark: RequestMark, upstream: &U) {
         let known = self.marks.iter_mut().filter(|each| each.mark == mark);
         let failures = known.flat_map(|each| each.failures.iter_mut());
-        for failure in failures.filter(|failure| failure.upstream == upstream) {
+        for failure in failures.filter(|failure| failure.upstream == *upstream) {
             failure.count = failure.count.saturating_sub(1);
         }
     }
--- a/crates/decide/tests/poison.rs
+++ b/crates/decide/tests/poison.rs
@@ -15,7 +15,7 @@
     RequestMark::of("GET", &format!("/puzzle/{number}"))
 }
 
-fn counted(upstream: u32, count: u32) -> CountedFailures {
+fn counted(upstream: u32, count: u32) -> CountedFailures<u32> {
     CountedFailures { upstream, count }
 }
 
@@ -23,7 +23,7 @@
 fn verify_nothing_is_taken_back_twice() {
     let mut memory = PoisonMemory::default();
     memory.note_failure(mark(1), 4, true, NOW);
-    memory.note_withdrawn(mark(1), 4);
+    memory.note_withdrawn(mark(1), &4);
     assert_eq!(memory.note_failure(mark(1), 2, false, NOW), []);
     // One that was under way when the request became known counted, and is taken back at once.
     assert_eq!(memory.note_failure(mark(1), 7, true, NOW), [counted(7, 1)]);
