--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -14,6 +14,8 @@
 /// Time before a request in which lines about its upstreams are shown, in seconds: an ejected one is
 /// tried again after six at the longest (docs/design/gray-failures.md).
 const BEFORE_S: f64 = 10.0;
+/// Events that tell what is known against the copies of a request, whichever of them it was.
+const CRASH_EVENTS: [&str; 2] = ["request suspected", "request cleared"];
 /// Fields that every line has, or that stand in a column of their own.
 const COMMON_FIELDS: [&str; 5] = ["timestamp", "level", "message", "target", "request"];
 
@@ -30,10 +32,12 @@
 pub fn gather(request: &str, paths: &[String]) -> Result<RequestStory, CommandError> {
     let mut story = RequestStory::default();
     let mut beliefs = Vec::new();
+    let mut crashes = Vec::new();
     for path in paths {
         lines::read_file(path, |line| match line {
             None => story.unreadable += 1,
             Some(line) if line.text("request") == request => story.lines.push(line),
+            Some(line) if CRASH_EVENTS.contains(&line.text("message")) => crashes.push(line),
             Some(line) if line.fields.contains_key("request") => {}
             Some(line) if line.fields.contains_key("upstream") => beliefs.push(line),
             Some(_) => {}
@@ -48,6 +52,11 @@
         let near = |at: f64| at >= first - BEFORE_S && at <= last;
         upstreams.contains(line.text("upstream")) && line.seconds().is_some_and(near)
     }));
+    // What its copies did before is why it is refused.
+    let copies: BTreeSet<String> =
+        story.lines.iter().map(|line| line.text("fingerprint").to_owned()).collect();
+    let of_copies = |line: &LogLine| copies.contains(line.text("fingerprint"));
+    story.lines.extend(crashes.into_iter().filter(of_copies));
     story.lines.sort_by(|left, right| left.text("timestamp").cmp(right.text("timestamp")));
     Ok(story)
 }
--- a/crates/daemon/tests/crashing.rs
+++ b/crates/daemon/tests/crashing.rs
@@ -22,6 +22,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
+use basaltarch_ctl::explain;
 use basaltarch_daemon::roster::HOSTS_TABLE;
 use common::{client, eventually, FleetPlan, TestBackend, TestDaemon, TestFleet};
 use serde_json::json;
@@ -131,6 +132,21 @@
     }
 }
 
+#[test]
+fn verify_the_logs_tell_why_a_copy_is_refused() {
+    let fleet = fragile_fleet(3, 6);
+    let_it_be_refused(&fleet);
+    fleet.request(1, "GET", BAD, &[("x-request-id", "refused-copy")], "");
+    let files: Vec<String> = fleet.daemons.iter().map(TestDaemon::log_file).collect();
+    let story = explain::gather("refused-copy", &files).expect("logs");
+    let told =
+        |event: &str| story.lines.iter().filter(|line| line.text("message") == event).count();
+    assert!(told("request suspected") >= 3, "the crashes of other copies");
+    assert_eq!(told("work started"), 0);
+    let end = explain::conclusion("refused-copy", &story);
+    assert!(end.contains("not-run (crashes-servers) with status 503 after 0 attempts"), "{end}");
+}
+
 #[test]
 fn verify_popular_requests_beside_the_bad_one_are_never_refused() {
     let fleet = fragile_fleet(3, 9);
--- a/crates/decide/benches/cost.rs
+++ b/crates/decide/benches/cost.rs
@@ -9,11 +9,13 @@
 
 use std::time::Duration;
 
+use basaltarch_core::fingerprint::{RequestFingerprint, RequestParts};
 use basaltarch_core::resources::PreferChoice;
 use basaltarch_decide::balance::{ChoiceRequest, LoadView, ServiceView};
 use basaltarch_decide::baseline::RouteBaseline;
 use basaltarch_decide::evidence::{ServiceBaseline, WorkEvidence};
 use basaltarch_decide::health::{DispatchTerms, HealthReport, UpstreamHealth};
+use basaltarch_decide::suspects::{CrashTally, SuspectTable, SUSPECTS_MAX};
 use divan::Bencher;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -135,3 +137,37 @@
         health.report("puzzle", now)
     });
 }
+
+/// Sizes of bodies: none, a small one, and the most that is read before a request is sent on.
+const BODIES: [usize; 3] = [0, 1024, 64 * 1024];
+
+/// The fingerprint of a request, which is worked out while any request is suspected.
+#[divan::bench(args = BODIES)]
+fn fingerprint(bencher: Bencher<'_, '_>, body: usize) {
+    let body = vec![7; body];
+    let field_lines = b"host: solver.example\r\naccept: */*\r\nx-request-id: 9c41d07be2a35f68\r\n\
+        user-agent: solver/3.1\r\ncontent-type: application/json\r\n";
+    let parts = RequestParts {
+        service: "solver-app",
+        method: "POST",
+        target: "/puzzle/17?grid=large",
+        field_lines,
+        body: &body,
+        is_whole: true,
+        length: body.len() as i64,
+    };
+    bencher.bench(|| RequestFingerprint::of(b"a secret of the fleet", &parts));
+}
+
+/// The verdict on a request while as many others are suspected as are remembered.
+#[divan::bench]
+fn judge_beside_suspects(bencher: Bencher<'_, '_>) {
+    let mut table = SuspectTable::default();
+    let number = |number: u128| RequestFingerprint::from_bytes(&number.to_be_bytes());
+    for each in (0..SUSPECTS_MAX as u128).filter_map(number) {
+        table.note_crash(each, CrashTally::default(), "server-1", Duration::ZERO);
+    }
+    let other = number(u128::MAX);
+    bencher
+        .bench_local(|| other.map(|other| table.judge(&other, || false, Duration::from_secs(1))));
+}
