Let time pass while the host is suspended

Cause: the daemon's clock stood still while its host was suspended, so that deadlines, grants, budgets and what was heard of others held longer by the sleep. Change: DaemonClock goes by the boot clock and notices a sleep; who waits for a deadline waits for waking as well; nothing measured across a sleep counts; waking is an event. Tests with a sleep added at the clock.

--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -32,6 +32,8 @@
 pub static RETRIES: CounterCell = CounterCell::new();
 /// Repeats that the budget did not allow.
 pub static RETRIES_DENIED: CounterCell = CounterCell::new();
+/// Times that the host woke from a suspension.
+pub static WAKES: CounterCell = CounterCell::new();
 /// Requests that are refused as they crash backend servers.
 pub static REQUESTS_REFUSED: GaugeCell = GaugeCell::new();
 /// Dispatches of requests that lately failed at several upstreams.
@@ -256,6 +258,7 @@
             "Least repeats left in the retry budget, of the services in use.",
             &RETRIES_LEFT,
         ),
+        counter("wakes", "Times that the host woke from a suspension.", &WAKES),
         gauge(
             "requests_refused",
             "Different requests that are refused as they crash backend servers.",
--- a/crates/base/src/peers.rs
+++ b/crates/base/src/peers.rs
@@ -194,6 +194,11 @@
         self.changed.raise();
     }
 
+    /// Takes in that the host slept: nobody was heard meanwhile, and what was asked says nothing.
+    pub fn note_slept(&self, now: Duration) {
+        self.health.borrow_mut().note_slept(now);
+    }
+
     /// Takes in that a frame came over the link.
     pub fn note_heard(&self, now: Duration) {
         self.health.borrow_mut().note_heard(now);
--- /dev/null
+++ b/crates/base/tests/clock.rs
@@ -0,0 +1,54 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The clock goes on while the host sleeps, so that nothing holds longer because of it.
+
+use std::time::Duration;
+
+use basaltarch_base::clock::DaemonClock;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+#[test]
+fn verify_a_sleep_is_noticed_once() {
+    let clock = DaemonClock::try_new().expect("a clock");
+    let before = clock.now();
+    assert!(!clock.slept_since(Duration::ZERO) && !clock.woke().is_raised());
+    clock.add_sleep(Duration::from_secs(5));
+    let after = clock.now();
+    assert!(after >= before + Duration::from_secs(5));
+    assert!(clock.slept_since(before) && clock.woke().get() == 1);
+    assert!(clock.last_sleep() >= Duration::from_secs(4));
+    let later = clock.now();
+    assert_eq!(clock.woke().get(), 1);
+    assert!(!clock.slept_since(later + Duration::from_nanos(1)));
+}
+
+#[test]
+fn verify_a_short_hold_up_is_no_sleep() {
+    let clock = DaemonClock::try_new().expect("a clock");
+    clock.add_sleep(Duration::from_millis(20));
+    clock.now();
+    assert!(!clock.woke().is_raised());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(32), ..ProptestConfig::default() })]
+
+    /// Whatever the sleeps, what holds until a moment is over once so much time has passed in the world.
+    #[test]
+    fn verify_no_validity_is_extended_by_a_sleep(
+        sleeps in prop::collection::vec(0_u64..20_000, 1..20),
+        valid_ms in 1_u64..100_000,
+    ) {
+        let clock = DaemonClock::try_new().expect("a clock");
+        let until = clock.now() + Duration::from_millis(valid_ms);
+        let mut passed = 0;
+        for sleep in sleeps {
+            clock.add_sleep(Duration::from_millis(sleep));
+            passed += sleep;
+            let now = clock.now();
+            prop_assert!(passed < valid_ms || now >= until);
+        }
+    }
+}
--- a/crates/daemon/src/errors.rs
+++ b/crates/daemon/src/errors.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use basaltarch_base::clock::ClockError;
 use basaltarch_core::errors::SettingError;
 use basaltarch_telemetry::errors::StartError;
 use snafu::Snafu;
@@ -20,6 +21,12 @@
         /// What is wrong.
         source: SettingError,
     },
+    /// There is no clock.
+    #[snafu(display("{source}"))]
+    Clock {
+        /// What is wrong.
+        source: ClockError,
+    },
     /// The process's surroundings could not be started.
     #[snafu(display("{source}"))]
     Start {
--- a/crates/daemon/src/host/admission.rs
+++ b/crates/daemon/src/host/admission.rs
@@ -230,6 +230,12 @@
         self.refuse_where(NotRunReason::Draining, |request| is_late(request.deadline));
     }
 
+    /// Refuses all who can't be done by their deadline any more.
+    pub fn refuse_dead(&self) {
+        let now = self.clock.now();
+        self.refuse_where(NotRunReason::DeadlinePassed, |request| !request.can_end(now));
+    }
+
     fn refuse_where(&self, reason: NotRunReason, is_refused: impl Fn(&SlotRequest) -> bool) {
         self.waiting.borrow_mut().retain(|waiter| {
             let refused = is_refused(&waiter.request);
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -154,6 +154,11 @@
         Ok(())
     }
 
+    /// Says whether the host slept since the work came.
+    pub fn slept(&self) -> bool {
+        self.state.clock.slept_since(self.came_at)
+    }
+
     /// Takes in that the work ran well.
     pub fn note_good(&self) {
         if !self.state.suspects.is_empty() {
@@ -168,11 +173,15 @@
 
     /// Takes the end of the work in.
     pub fn note(&self, evidence: WorkEvidence, was_overdue: bool, failure: Option<FailureSort>) {
-        // What failed elsewhere before may be the request's own fault.
+        // What failed elsewhere before may be the request's own fault, and work that a sleep of the host
+        // fell into neither failed nor was quick or slow.
+        let slept = self.slept();
         let evidence = match evidence {
             WorkEvidence::Failed if self.head.after_failure => WorkEvidence::Neutral,
+            _ if slept => WorkEvidence::Neutral,
             other => other,
         };
+        let (was_overdue, failure) = (was_overdue && !slept, failure.filter(|_| !slept));
         let (is_trial, started) = (self.is_trial, self.came_at);
         let note = WorkNote { evidence, was_overdue, is_trial, started, failure };
         self.upstream.note(&self.head.route, &note, self.state.now());
@@ -439,6 +448,7 @@
         let mut answering = std::pin::pin!(relay.run(reader).fuse());
         let mut cancelled = std::pin::pin!(body.cancelled().fuse());
         let mut late = std::pin::pin!(monoio::time::sleep(self.left()).fuse());
+        let mut slept = std::pin::pin!(self.state.clock.passed(self.deadline).fuse());
         let overdue_after = overdue_after.unwrap_or(NEVER);
         let mut overdue = std::pin::pin!(monoio::time::sleep(overdue_after).fuse());
         let mut looking = std::pin::pin!(watch.look().fuse());
@@ -452,7 +462,7 @@
                     Err(fault) => return Err(fault),
                 },
                 () = cancelled => return Err(WorkFault::Cancelled),
-                () = overdue => if !progress.head_seen.get() {
+                () = overdue => if !progress.head_seen.get() && !self.slept() {
                     progress.was_overdue.set(true);
                     if !self.is_trial {
                         self.upstream.note_overdue(&self.head.route, self.state.now());
@@ -461,6 +471,9 @@
                 () = late => if !progress.head_seen.get() {
                     return Err(WorkFault::TimedOut);
                 },
+                () = slept => if !progress.head_seen.get() {
+                    return Err(WorkFault::TimedOut);
+                },
             }
         }
     }
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -112,7 +112,7 @@
                             state.registrations.is_cold(&upstream.name, state.now())
                         }
                     };
-                    let made = HostUpstream::new(upstream, service, state.clock, cold);
+                    let made = HostUpstream::new(upstream, service, state.clock.clone(), cold);
                     upstreams.insert(upstream.name.clone(), Rc::new(made));
                 }
             }
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -323,7 +323,7 @@
         };
         let failure = (evidence == WorkEvidence::Failed).then_some(FailureSort::Answered);
         self.progress.has_answered.set(!failed);
-        if !failed {
+        if !failed && !self.work.slept() {
             let mut allowance = self.work.upstream.allowance.borrow_mut();
             let passed = self.progress.has_passed.get();
             let now = self.work.state.now();
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -153,6 +153,14 @@
         self.tell(change);
     }
 
+    /// Takes in that the host slept: running work is no sign of a hang, connections kept at rest may be long
+    /// closed, and who waits too long for a slot hears so now.
+    pub fn note_slept(&self) {
+        self.health.borrow_mut().forget_running();
+        self.pool.clear();
+        self.slots.refuse_dead();
+    }
+
     /// Looks at the running work, whether it lasts too long.
     pub fn look(&self, now: Duration) {
         let change = self.health.borrow_mut().look(now);
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -63,6 +63,7 @@
     let mut patient = std::pin::pin!(monoio::time::sleep(patience).fuse());
     let mut cut = std::pin::pin!(path_cut(state, live).fuse());
     let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
+    let mut slept = std::pin::pin!(passed_asleep(state, request.deadline).fuse());
     let mut overtaking = std::pin::pin!(earlier.answered().fuse());
     let mut stopping = std::pin::pin!(state.stop.giving_up.raised().fuse());
     loop {
@@ -74,6 +75,7 @@
                 SendEnd::CallerGone => return FirstEvent::CallerGone,
             },
             () = late => return timed_out(),
+            () = slept => return timed_out(),
             () = stopping => return FirstEvent::Stopping,
             () = cut => if request.service.take_repeat(state) {
                 return FirstEvent::Late;
@@ -111,7 +113,9 @@
     failure: FailureOutcome,
 ) -> FirstEvent {
     let mut answered = std::pin::pin!(earlier.last_answered().fuse());
-    let mut late = std::pin::pin!(monoio::time::sleep(left + DEADLINE_GRACE).fuse());
+    let wait = left + DEADLINE_GRACE;
+    let mut late = std::pin::pin!(monoio::time::sleep(wait).fuse());
+    let mut slept = std::pin::pin!(passed_asleep(state, state.now() + left).fuse());
     let mut watching = std::pin::pin!(watch_caller(stream).fuse());
     let mut stopping = std::pin::pin!(state.stop.giving_up.raised().fuse());
     loop {
@@ -121,6 +125,7 @@
                 None => FirstEvent::Failed(failure, None),
             },
             () = late => return timed_out(),
+            () = slept => return timed_out(),
             () = stopping => return FirstEvent::Stopping,
             outcome = watching => match outcome {
                 SendEnd::Done => {}
@@ -130,6 +135,13 @@
     }
 }
 
+/// Waits until the host has woken from a sleep in which the deadline passed, and as long for the word of the
+/// host's daemon as after one that passes awake: it knows whether the work ran.
+async fn passed_asleep(state: &DaemonState, deadline: Duration) {
+    state.clock.passed(deadline).await;
+    monoio::time::sleep(DEADLINE_GRACE).await;
+}
+
 /// Waits until the path to the upstream's daemon is cut, for work that may then be sent elsewhere.
 async fn path_cut(state: &DaemonState, live: &LiveExchange) {
     match &live.path {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod state;
 pub mod stop;
 pub mod suspects;
+pub mod waking;
 pub mod wire;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -31,6 +31,7 @@
 use crate::state::DaemonState;
 use crate::stop::{self, StopReport};
 use crate::suspects;
+use crate::waking;
 
 /// Exit status of a stop that cut requests.
 pub const EXIT_CUT: i32 = 3;
@@ -93,7 +94,7 @@
     let start = |source| DaemonError::Start { source };
     basaltarch_telemetry::metrics::start(&metrics::entries()).map_err(start)?;
     let listeners = bind_all(&mut options)?;
-    let state = DaemonState::new(options);
+    let state = DaemonState::try_new(options).map_err(|source| DaemonError::Clock { source })?;
     if let StopRequests::Signals = stops {
         let signals = SignalStream::stops().map_err(start)?;
         monoio::spawn(raise_on(signals, state.clone(), |state| &state.stop.asked));
@@ -168,6 +169,7 @@
     monoio::spawn(trail::report_losses(state.clone()));
     monoio::spawn(services::forget_idle(state.clone()));
     monoio::spawn(suspects::forget(state.clone()));
+    monoio::spawn(waking::watch(state.clone()));
     monoio::spawn(follow_configuration(state.clone()));
 }
 
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltarch_base::clock::DaemonClock;
+use basaltarch_base::clock::{ClockError, DaemonClock};
 use basaltarch_base::configuration::ConfigCell;
 use basaltarch_base::metrics::RouteLabels;
 use basaltarch_base::peers::PeerTable;
@@ -90,9 +90,9 @@
 }
 
 impl DaemonState {
-    /// Builds the state of a daemon that was just started.
-    pub fn new(options: DaemonOptions) -> Rc<Self> {
-        let clock = DaemonClock::default();
+    /// Builds the state of a daemon that was just started, unless the system has no clock for it.
+    pub fn try_new(options: DaemonOptions) -> Result<Rc<Self>, ClockError> {
+        let clock = DaemonClock::try_new()?;
         let platform = Rc::new(PlatformClient::new(
             options.platform,
             options.store_reads,
@@ -103,7 +103,7 @@
             incarnation: units::wall_millis() as i64,
             failure_domain: options.failure_domain.clone(),
         };
-        Rc::new(Self {
+        Ok(Rc::new(Self {
             live: RefCell::new(Rc::new(options.clone())),
             clock,
             identity,
@@ -129,7 +129,7 @@
             requests: Cell::new(0),
             route_labels: RouteLabels::default(),
             options,
-        })
+        }))
     }
 
     /// Returns the settings as read last.
@@ -166,7 +166,7 @@
         }
     }
 
-    /// Returns the time since the start.
+    /// Returns the time since the start, sleep of the host included.
     pub fn now(&self) -> Duration {
         self.clock.now()
     }
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -31,8 +31,8 @@
 
 impl TestQueue {
     fn new() -> Self {
-        let clock = DaemonClock::default();
-        let queue = Rc::new(SlotQueue::new(2, 16, clock));
+        let clock = DaemonClock::try_new().expect("a clock");
+        let queue = Rc::new(SlotQueue::new(2, 16, clock.clone()));
         Self { clock, queue, ends: Rc::default(), held: Rc::default() }
     }
 
--- a/crates/daemon/tests/common/daemon.rs
+++ b/crates/daemon/tests/common/daemon.rs
@@ -15,7 +15,7 @@
 use super::client::{self, Reply};
 use super::{eventually, logs};
 
-const TOKEN: &str = "operator-token";
+pub const TOKEN: &str = "operator-token";
 pub const KEY: &str = "a-fleet-key-for-tests";
 
 /// A daemon as a process; killed when dropped.
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -17,6 +17,7 @@
 pub mod daemon;
 pub mod fleet;
 pub mod forwarder;
+pub mod inline;
 pub mod logs;
 pub mod operator;
 pub mod platform;
--- /dev/null
+++ b/crates/daemon/tests/suspended.rs
@@ -0,0 +1,116 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Hosts that are suspended: what holds for a time has passed when they wake, and nothing measured across
+//! the sleep counts.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use common::client::{self, Reply};
+use common::inline::InlineDaemon;
+use common::{eventually, TestBackend, TestPlatform};
+use serde_json::{json, Value};
+
+/// Deadline of the requests: longer than any test waits, so that only the sleep can end them.
+const DEADLINE: (&str, &str) = ("basaltarch-deadline-ms", "600000");
+/// A sleep beyond that.
+const SLEEP: Duration = Duration::from_secs(1200);
+
+struct SleepyHost {
+    _platform: TestPlatform,
+    daemon: InlineDaemon,
+    backend: TestBackend,
+}
+
+impl SleepyHost {
+    /// Starts a host with one backend server of so many slots.
+    fn start(slots: u32) -> Self {
+        let platform = TestPlatform::start();
+        let daemon = InlineDaemon::start(platform.address, "host-a", "bkk-a");
+        let backend = TestBackend::start("server-1", 0);
+        let host = Self { _platform: platform, daemon, backend };
+        eventually("the daemon is ready", || {
+            client::try_call(host.daemon.admin, "GET", "/readyz", &[], "")
+                .is_some_and(|reply| reply.status == 200)
+        });
+        let server = json!({"service": "solver-app", "host": "host-a", "slots": slots, "connections": 50,
+            "address": host.backend.address.to_string(), "failure_domain": "bkk-a"});
+        let route = json!({"host": "solver.example", "path_prefix": "/", "service": "solver-app",
+            "timeout_ms": 600_000});
+        let change = |kind: &str, name: &str, value: Value| json!({"kind": kind, "name": name, "value": value});
+        let changes = json!({"changes": [
+            change("failure-domains", "bkk-a", json!({"region": "bangkok"})),
+            change("services", "solver-app", json!({"floor": 0.5})),
+            change("backend-servers", "server-1", server),
+            change("routes", "puzzle", route),
+        ]});
+        let reply = host.admin("POST", "/v1/apply", &changes.to_string());
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        host
+    }
+
+    fn admin(&self, method: &str, path: &str, body: &str) -> Reply {
+        let token = [("Authorization", "Bearer operator-token")];
+        client::call(self.daemon.admin, method, path, &token, body)
+    }
+
+    fn health(&self) -> Value {
+        let health = self.admin("GET", "/v1/health?service=solver-app", "").json();
+        health["services"][0]["upstreams"][0]["here"].clone()
+    }
+
+    /// Waits until a server has received so many requests.
+    fn wait_received(&self, wanted: u64) {
+        eventually("the server has the requests", || {
+            self.backend.runs()["received"].as_u64().is_some_and(|seen| seen >= wanted)
+        });
+    }
+}
+
+fn ask(callers: SocketAddr, work_ms: &str) -> Reply {
+    let headers = [("Host", "solver.example"), DEADLINE, ("x-work-ms", work_ms)];
+    client::call(callers, "GET", "/puzzle/7", &headers, "")
+}
+
+#[test]
+fn verify_who_waits_past_a_deadline_that_passed_asleep_is_told_at_once() {
+    let host = SleepyHost::start(1);
+    host.backend.faults(json!({"stuck": true}));
+    let callers = host.daemon.callers;
+    let running = thread::spawn(move || ask(callers, "0"));
+    host.wait_received(1);
+    let waiting = thread::spawn(move || ask(callers, "0"));
+    eventually("the second waits for the slot", || host.health()["queued"] == json!(1));
+    host.daemon.sleep(SLEEP);
+    let running = running.join().expect("join");
+    assert_eq!(running.outcome().as_deref(), Some("unknown"), "it ran: {}", running.text());
+    assert_eq!(running.reason().as_deref(), Some("timed-out"));
+    let waiting = waiting.join().expect("join");
+    assert_eq!(waiting.outcome().as_deref(), Some("not-run"), "it never got the slot");
+    assert_eq!(host.backend.runs()["received"], json!(1), "and never will run");
+}
+
+#[test]
+fn verify_a_sleep_speaks_against_no_server() {
+    let host = SleepyHost::start(4);
+    let callers = host.daemon.callers;
+    for _ in 0..40 {
+        assert_eq!(ask(callers, "1").status, 200);
+    }
+    let received = host.backend.runs()["received"].as_u64().expect("a count");
+    let running: Vec<_> = (0..4).map(|_| thread::spawn(move || ask(callers, "500"))).collect();
+    host.wait_received(received + 4);
+    // Far beyond their usual time, and within their deadline.
+    host.daemon.sleep(Duration::from_secs(30));
+    for caller in running {
+        assert_eq!(caller.join().expect("join").status, 200);
+    }
+    let health = host.health();
+    assert_eq!(health["ejected"], json!(false), "{health}");
+    assert!(health["score"].as_f64().is_some_and(|score| score < 0.5), "{health}");
+    assert_eq!(ask(callers, "1").status, 200);
+}
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -438,6 +438,11 @@
         None
     }
 
+    /// Forgets the running work: how long it runs says nothing, as the host slept meanwhile.
+    pub fn forget_running(&mut self) {
+        self.hang.forget();
+    }
+
     /// Looks at the running work: an upstream whose work lasts too long is doubted.
     pub fn look(&mut self, now: Duration) -> Option<HealthChange> {
         if self.caution.is_doubtful() || now < self.cold_until || !self.hang.is_doubtful(now) {
--- a/crates/decide/src/path.rs
+++ b/crates/decide/src/path.rs
@@ -108,6 +108,13 @@
         }
     }
 
+    /// Takes in that the host slept: until the peer answers, the path is not known to work, and a question
+    /// from before the sleep measures nothing.
+    pub fn note_slept(&mut self, now: Duration) {
+        self.asked_at = None;
+        self.note_cut(now);
+    }
+
     /// Takes in that the link broke or could not be made.
     pub fn note_broken(&mut self, now: Duration) {
         self.note_cut(now);
--- a/crates/events/src/process.rs
+++ b/crates/events/src/process.rs
@@ -179,6 +179,14 @@
         from: &'a str,
     }
 
+    /// The host was suspended and woke. What holds for a time went on; nothing measured across counts.
+    "host woke" WARN HostWoke {
+        /// Time for which it was suspended.
+        slept_ms: u64,
+        /// Requests in flight.
+        in_flight: u64,
+    }
+
     /// A task panicked; it alone ends.
     "task panicked" ERROR TaskPanicked<'a> {
         /// What the task did.
