--- a/crates/standin/src/backend/serving.rs
+++ b/crates/standin/src/backend/serving.rs
@@ -43,9 +43,11 @@
     let standin = standin.clone();
     let serve = move |stream, _: SocketAddr| {
         let standin = standin.clone();
+        // Counted as it is accepted: its task may run only when the listener has closed.
+        let seen = standin.down.count();
         async move {
             standin.runs.borrow_mut().connections += 1;
-            let down = std::pin::pin!(standin.down.after(standin.down.count()));
+            let down = std::pin::pin!(standin.down.after(seen));
             // The connection ends with its first error; the other side sees that.
             let serving = std::pin::pin!(serve_connection(stream, &standin));
             future::select(serving, down).await;
