--- a/crates/daemon/tests/suspended.rs
+++ b/crates/daemon/tests/suspended.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
+use basaltarch_decide::suspects::TRIAL_EVERY;
 use common::client::{self, Reply};
 use common::inline::InlineDaemon;
 use common::{eventually, TestBackend, TestPlatform};
@@ -114,3 +115,20 @@
     assert!(health["score"].as_f64().is_some_and(|score| score < 0.5), "{health}");
     assert_eq!(ask(callers, "1").status, 200);
 }
+
+#[test]
+fn verify_a_refused_request_is_tried_again_and_let_in_once_it_runs_well() {
+    let host = SleepyHost::start(4);
+    host.backend.faults(json!({"crash_path": "/puzzle/7", "crash_after_ms": 5, "down_ms": 50}));
+    let callers = host.daemon.callers;
+    let refused = |reply: &Reply| reply.reason().as_deref() == Some("crashes-servers");
+    eventually("it is refused", || refused(&ask(callers, "0")));
+    eventually("the server is mended", || {
+        let path = "/__control/faults";
+        client::try_call(host.backend.address, "PUT", path, &[], "{}").is_some()
+    });
+    assert!(refused(&ask(callers, "0")), "nobody has tried it yet");
+    host.daemon.sleep(TRIAL_EVERY);
+    eventually("a trial lets it in", || ask(callers, "0").status == 200);
+    assert_eq!(ask(callers, "0").status, 200);
+}
