Soak, its first piece: the real programs as processes under silent, held, paused, killed and starved daemons

A fleet of processes on loopback behind proxies, an operator who adds, removes and moves routes, callers at every daemon, and a judge of what they see.

--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,275 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The fleet of a run: the stand-in store, and on each host a daemon with a backend server beside it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_core::incarnation::ServerIncarnation;
+use basaltarch_http::client::HttpClient;
+use basaltarch_platform::registration::{self, ServerHeartbeat};
+use basaltarch_platform::rows::StoreCall;
+use basaltarch_standin::platform::FAULTS_PATH;
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use serde_json::Value;
+use snafu::ResultExt;
+
+use crate::errors::{CallSnafu, ListenSnafu, SoakError};
+use crate::operator::SERVICES;
+use crate::process::{self, ProgramCall, SoakProcess};
+use crate::proxy::FaultProxy;
+
+const DOMAINS: [&str; 4] = ["gasabo", "kicukiro", "nyarugenge", "remera"];
+/// One host in so many has a backend server of the second service.
+const SECOND_SERVICE_EVERY: usize = 4;
+/// Time between heartbeats of a backend server.
+const BEAT_EVERY: Duration = Duration::from_millis(1500);
+/// Longest wait for the answer to one.
+const BEAT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Work that a backend server does at once.
+const SLOTS: u32 = 4;
+/// How long a piece of it takes, in milliseconds.
+const SERVICE_MS: &str = "10";
+/// Time between heartbeats of a daemon to its neighbours, in milliseconds, as on the prepared platform.
+const DAEMON_HEARTBEAT_MS: &str = "4000";
+/// Shortest drain of a daemon, in milliseconds, as there.
+const DRAIN_MIN_MS: &str = "2600";
+/// Time from the signal to stop until a daemon ends by itself, in milliseconds, as there.
+const KILL_AFTER_MS: &str = "6000";
+
+/// Returns the number of the service of a host's backend server.
+pub fn service_of(host: usize) -> usize {
+    usize::from(host % SECOND_SERVICE_EVERY == SECOND_SERVICE_EVERY - 1)
+}
+
+/// `FleetOptions` says what a fleet is made of.
+#[derive(Debug, Clone)]
+pub struct FleetOptions {
+    /// Hosts, each with two processes.
+    pub hosts: usize,
+    /// Folder with the programs.
+    pub programs: PathBuf,
+    /// Folder for the logs.
+    pub folder: PathBuf,
+}
+
+/// `SoakHost` is a host: its processes, and the proxies that trouble them.
+pub struct SoakHost {
+    /// Its name.
+    pub name: String,
+    /// Number of the service of its backend server.
+    pub service: usize,
+    /// Proxy between its daemon and the store.
+    pub store: FaultProxy,
+    /// Proxy before its daemon's port for peers.
+    pub peers: FaultProxy,
+    domain: &'static str,
+    upstream: String,
+    daemon: RefCell<SoakProcess>,
+    backend: SoakProcess,
+    backend_address: SocketAddr,
+    callers: Cell<Option<SocketAddr>>,
+    registration: Cell<Option<SocketAddr>>,
+    start: Cell<u64>,
+}
+
+impl SoakHost {
+    /// Returns the address for callers, unless the daemon is down.
+    pub fn callers(&self) -> Option<SocketAddr> {
+        self.callers.get()
+    }
+
+    /// Returns which start of the daemon runs.
+    pub fn daemon_start(&self) -> u64 {
+        self.start.get()
+    }
+
+    /// Returns the address of the backend server.
+    pub fn backend_address(&self) -> SocketAddr {
+        self.backend_address
+    }
+
+    /// Calls `read` with the daemon's process.
+    pub fn with_daemon<T>(&self, read: impl FnOnce(&SoakProcess) -> T) -> T {
+        read(&self.daemon.borrow())
+    }
+
+    async fn take_addresses(&self) -> Result<(), SoakError> {
+        // The process is replaced by nobody while its start is waited for.
+        #[allow(clippy::await_holding_refcell_ref, reason = "restarts of a host follow each other")]
+        let line = self.daemon.borrow().listening().await?;
+        self.peers.forward_to(process::address_in(&line, "peers")?);
+        self.registration.set(Some(process::address_in(&line, "registration")?));
+        self.callers.set(Some(process::address_in(&line, "callers")?));
+        self.start.set(self.start.get() + 1);
+        Ok(())
+    }
+}
+
+/// `SoakFleet` is the fleet of a run.
+pub struct SoakFleet {
+    /// Address of the store, past all proxies.
+    pub platform: SocketAddr,
+    /// The hosts.
+    pub hosts: Vec<Rc<SoakHost>>,
+    options: FleetOptions,
+    _store: SoakProcess,
+}
+
+impl SoakFleet {
+    /// Starts the store alone.
+    pub async fn start(options: FleetOptions) -> Result<Self, SoakError> {
+        let call = standin_call(&options, &["platform"]);
+        let store = SoakProcess::start(&call, "store", &options.folder)?;
+        let platform = process::address_in(&store.listening().await?, "address")?;
+        Ok(Self { platform, hosts: Vec::new(), options, _store: store })
+    }
+
+    /// Starts the hosts.
+    pub async fn start_hosts(&mut self) -> Result<(), SoakError> {
+        for number in 0..self.options.hosts {
+            let host = Rc::new(self.start_host(number).await?);
+            monoio::spawn(send_heartbeats(host.clone()));
+            self.hosts.push(host);
+        }
+        Ok(())
+    }
+
+    async fn start_host(&self, number: usize) -> Result<SoakHost, SoakError> {
+        let store = FaultProxy::start().context(ListenSnafu)?;
+        store.forward_to(self.platform);
+        let peers = FaultProxy::start().context(ListenSnafu)?;
+        let name = format!("host-{number}");
+        let upstream = format!("i-{number}");
+        let folder = &self.options.folder;
+        let arguments = ["backend", "--name", &upstream, "--service-ms", SERVICE_MS];
+        let mut call = standin_call(&self.options, &arguments);
+        call.arguments.push("--prepared".to_owned());
+        let backend = SoakProcess::start(&call, &upstream, folder)?;
+        let backend_address = process::address_in(&backend.listening().await?, "address")?;
+        let domain = DOMAINS[number % DOMAINS.len()];
+        let service = service_of(number);
+        let call = self.daemon_call(&name, domain, service, &store, &peers);
+        let daemon = RefCell::new(SoakProcess::start(&call, &name, folder)?);
+        let host = SoakHost {
+            name,
+            service,
+            store,
+            peers,
+            domain,
+            upstream,
+            daemon,
+            backend,
+            backend_address,
+            callers: Cell::default(),
+            registration: Cell::default(),
+            start: Cell::default(),
+        };
+        host.take_addresses().await?;
+        Ok(host)
+    }
+
+    /// Starts the daemon of a host again; the former process must have ended.
+    pub async fn restart(&self, host: &SoakHost) -> Result<(), SoakError> {
+        let call =
+            self.daemon_call(&host.name, host.domain, host.service, &host.store, &host.peers);
+        let process = SoakProcess::start(&call, &host.name, &self.options.folder)?;
+        drop(host.daemon.replace(process));
+        host.take_addresses().await
+    }
+
+    /// Kills the daemon of a host.
+    pub fn kill(&self, host: &SoakHost) {
+        host.callers.set(None);
+        host.daemon.borrow().kill();
+    }
+
+    /// Puts faults of the store in force.
+    pub async fn store_faults(&self, faults: &Value) -> Result<(), SoakError> {
+        let client = HttpClient::new(self.platform, BEAT_TIMEOUT);
+        let body = Bytes::from(faults.to_string());
+        let what = "the store's faults";
+        let call = client.call(Method::PUT, FAULTS_PATH, HeaderMap::new(), body);
+        let reply = call.await.context(CallSnafu { what })?;
+        if !reply.status.is_success() {
+            return Err(SoakError::Refused { what, status: reply.status.as_u16() });
+        }
+        Ok(())
+    }
+
+    fn daemon_call(
+        &self,
+        name: &str,
+        domain: &str,
+        service: usize,
+        store: &FaultProxy,
+        peers: &FaultProxy,
+    ) -> ProgramCall {
+        let pairs = [
+            ("host", name),
+            ("failure-domain", domain),
+            ("source", "document"),
+            ("platform", &store.address.to_string()),
+            ("advertise-peers", &peers.address.to_string()),
+            ("ready", "127.0.0.1:0"),
+            ("registration", "127.0.0.1:0"),
+            ("own-service", SERVICES[service]),
+            ("heartbeat-ms", DAEMON_HEARTBEAT_MS),
+            ("drain-min-ms", DRAIN_MIN_MS),
+            ("kill-after-ms", KILL_AFTER_MS),
+            ("prefer", "detection"),
+        ];
+        let arguments =
+            pairs.iter().flat_map(|(flag, value)| [format!("--{flag}"), (*value).into()]);
+        ProgramCall {
+            program: self.options.programs.join("basaltarchd"),
+            arguments: arguments.collect(),
+            variables: vec![
+                ("BASALTARCH_FLEET_KEY", "a-fleet-key-for-soaks".to_owned()),
+                ("BASALTARCH_ADMIN_TOKEN", "a-token-for-soaks".to_owned()),
+            ],
+        }
+    }
+}
+
+fn standin_call(options: &FleetOptions, arguments: &[&str]) -> ProgramCall {
+    ProgramCall {
+        program: options.programs.join("basaltarch-standin"),
+        arguments: arguments.iter().map(|argument| (*argument).to_owned()).collect(),
+        variables: Vec::new(),
+    }
+}
+
+/// Lets the backend server of a host say that it is there, for ever.
+async fn send_heartbeats(host: Rc<SoakHost>) {
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        if host.backend.is_running() {
+            send_heartbeat(&host, sequence).await;
+        }
+        monoio::time::sleep(BEAT_EVERY).await;
+    }
+}
+
+async fn send_heartbeat(host: &SoakHost, sequence: u64) {
+    let Some(address) = host.registration.get() else { return };
+    let StoreCall { method, target, body } = registration::heartbeat(&ServerHeartbeat {
+        incarnation: ServerIncarnation::of_upstream(&host.upstream),
+        service: SERVICES[host.service].to_owned(),
+        address: host.backend_address,
+        failure_domain: host.domain.to_owned(),
+        slots: SLOTS,
+        draining: false,
+        cold_for: Duration::ZERO,
+        sequence,
+    });
+    let client = HttpClient::new(address, BEAT_TIMEOUT);
+    // One that is lost is followed by another.
+    let _ = client.call(method, &target, HeaderMap::new(), body.into()).await;
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,142 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! `basaltarch-soak`: runs of the fault soak, by seed.
+
+#![allow(missing_docs, reason = "the command-line macro makes items without doc comments")]
+
+use std::fs;
+use std::path::PathBuf;
+use std::process;
+use std::time::Duration;
+
+use basaltarch_core::errors::SettingError;
+use basaltarch_core::settings::{self, EXIT_BAD_SETTINGS};
+use basaltarch_soak::errors::SoakError;
+use basaltarch_soak::faults::{self, TroubleKind, KINDS};
+use basaltarch_soak::run::{self, RunOptions, RunReport};
+use basaltarch_telemetry::runtime;
+
+mod flags {
+    xflags::xflags! {
+        /// Runs the real programs as processes on loopback under troubles drawn from a seed, and checks what
+        /// callers see. Exits with status 1 if a promise was broken; the logs are kept then.
+        cmd basaltarch-soak {
+            /// First seed (default 1).
+            optional --seed number: String
+            /// How many seeds, one after the other (default 1).
+            optional --seeds count: String
+            /// Seconds of trouble for each seed (default 60).
+            optional --seconds count: String
+            /// Processes, of which each host has two (default 24).
+            optional --processes count: String
+            /// Kinds of trouble to draw from, separated by commas; `none` for a quiet run (default all).
+            optional --kinds names: String
+            /// Folder of basaltarchd and basaltarch-standin (default: that of this program).
+            optional --programs folder: String
+            /// Folder for the logs (default: a new one below the system's temporary folder).
+            optional --logs folder: String
+            /// Tells troubles and findings as they come.
+            optional --verbose
+        }
+    }
+}
+
+/// Exit status of a run that found something, or could not be made.
+const EXIT_FOUND: i32 = 1;
+
+struct SoakOptions {
+    seeds: std::ops::Range<u64>,
+    base: RunOptions,
+}
+
+fn main() {
+    let flags = flags::BasaltarchSoak::from_env_or_exit();
+    let options = match read_options(flags) {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("basaltarch-soak: {error}");
+            process::exit(EXIT_BAD_SETTINGS);
+        }
+    };
+    let mut found = 0;
+    for seed in options.seeds.clone() {
+        match run_seed(&options.base, seed) {
+            Ok(report) => {
+                print!("{report}");
+                found += report.found;
+            }
+            Err(error) => {
+                eprintln!("basaltarch-soak: seed {seed}: {error}");
+                found += 1;
+            }
+        }
+    }
+    if found > 0 {
+        println!("{found} findings; logs below {}", options.base.folder.display());
+        process::exit(EXIT_FOUND);
+    }
+    println!("no promise broken");
+}
+
+/// Runs one seed; the logs of a run that found nothing are removed.
+fn run_seed(base: &RunOptions, seed: u64) -> Result<RunReport, SoakError> {
+    let folder = base.folder.join(format!("seed-{seed}"));
+    let write = |source| SoakError::Program { path: folder.clone(), source };
+    fs::create_dir_all(&folder).map_err(write)?;
+    let options = RunOptions { seed, folder: folder.clone(), ..base.clone() };
+    let ran = runtime::run(async move { run::run(&options).await });
+    let report = ran.map_err(|source| SoakError::Start { source })??;
+    if report.found == 0 {
+        let _ = fs::remove_dir_all(&folder);
+    }
+    Ok(report)
+}
+
+fn read_options(flags: flags::BasaltarchSoak) -> Result<SoakOptions, SettingError> {
+    let seed = settings::checked("seed", flags.seed, 1_u64, "a number", |_| true)?;
+    let seeds = settings::checked("seeds", flags.seeds, 1_u64, "1 to 10000", |count| {
+        (1..=10_000).contains(count)
+    })?;
+    let seconds = settings::checked("seconds", flags.seconds, 60_u64, "1 to 86400", |count| {
+        (1..=86_400).contains(count)
+    })?;
+    let processes =
+        settings::checked("processes", flags.processes, 24_usize, "4 to 400", |count| {
+            (4..=400).contains(count)
+        })?;
+    let own_folder = || std::env::current_exe().ok()?.parent().map(PathBuf::from);
+    let programs = flags.programs.map(PathBuf::from).or_else(own_folder).unwrap_or_default();
+    let logs = flags
+        .logs
+        .map(PathBuf::from)
+        .unwrap_or_else(|| std::env::temp_dir().join(format!("basaltarch-soak-{}", process::id())));
+    let base = RunOptions {
+        seed,
+        length: Duration::from_secs(seconds),
+        hosts: processes / 2,
+        kinds: read_kinds(flags.kinds)?,
+        programs,
+        folder: logs,
+        verbose: flags.verbose,
+    };
+    Ok(SoakOptions { seeds: seed..seed.saturating_add(seeds), base })
+}
+
+fn read_kinds(given: Option<String>) -> Result<Vec<TroubleKind>, SettingError> {
+    let all = || KINDS.iter().map(|(kind, _)| *kind).collect();
+    let text = match given.as_deref() {
+        None => return Ok(all()),
+        Some("none") => return Ok(Vec::new()),
+        Some(text) => text,
+    };
+    let read = |name: &str| {
+        faults::kind_of(name).ok_or_else(|| SettingError::Invalid {
+            flag: "kinds".to_owned(),
+            variable: settings::variable_of("kinds"),
+            value: name.to_owned(),
+            allowed: KINDS.map(|(_, name)| name).join(", "),
+        })
+    };
+    text.split(',').map(read).collect()
+}
--- /dev/null
+++ b/crates/soak/src/operator.rs
@@ -0,0 +1,154 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The operator: a document each second or so, each of which adds a route, removes one and moves one.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use basaltarch_core::resources::{RouteRule, WorkClass, WorkMode};
+use basaltarch_http::client::HttpClient;
+use basaltarch_platform::document::{self, CallerLimits, ConfigDocument, NamedRoute, ServiceNote};
+use basaltarch_platform::rows;
+use basaltarch_standin::platform::ROWS_CONTROL_PATH;
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use snafu::ResultExt;
+
+use crate::errors::{CallSnafu, SoakError};
+use crate::judge::{SeenAnswer, StepTimes};
+
+/// Host that callers ask for.
+pub const HOST: &str = "meters.example";
+/// The services; a host's backend server belongs to one of them.
+pub const SERVICES: [&str; 2] = ["reader-app", "billing-app"];
+/// Steps for which an added route stays.
+const KEPT_STEPS: usize = 4;
+/// Longest wait for the store's acknowledgement.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Versions rise in steps that are not even.
+const VERSION_STRIDE: usize = 7;
+
+/// `AskedRoute` is what a caller asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AskedRoute {
+    /// A route that every document has, to the first service.
+    Steady,
+    /// The same for work that may run once at most.
+    Plain,
+    /// The route that this step added.
+    Added(usize),
+    /// The route that each step moves to the other service.
+    Moved,
+}
+
+impl AskedRoute {
+    /// Returns the path of a request to the route.
+    pub fn path(self) -> String {
+        match self {
+            Self::Steady => "/steady/x".to_owned(),
+            Self::Plain => "/plain/x".to_owned(),
+            Self::Added(step) => format!("/added-{step}/x"),
+            Self::Moved => "/moved/x".to_owned(),
+        }
+    }
+}
+
+/// Says whether a step's document allows an answer.
+pub fn allows(step: usize, route: AskedRoute, answer: SeenAnswer) -> bool {
+    let service = match route {
+        AskedRoute::Steady | AskedRoute::Plain => Some(0),
+        AskedRoute::Moved => Some(step % SERVICES.len()),
+        AskedRoute::Added(added) => (added <= step && step < added + KEPT_STEPS).then_some(0),
+    };
+    match answer {
+        SeenAnswer::Missing => service.is_none(),
+        SeenAnswer::ServedBy(other) => service == Some(other),
+        SeenAnswer::NoWord => true,
+    }
+}
+
+/// `SoakOperator` writes documents and remembers when.
+pub struct SoakOperator {
+    client: HttpClient,
+    steps: RefCell<Vec<StepTimes>>,
+}
+
+impl SoakOperator {
+    /// Builds the operator of a store.
+    pub fn new(platform: SocketAddr) -> Self {
+        Self { client: HttpClient::new(platform, WRITE_TIMEOUT), steps: RefCell::default() }
+    }
+
+    /// Calls `read` with the steps so far.
+    pub fn with_steps<T>(&self, read: impl FnOnce(&[StepTimes]) -> T) -> T {
+        read(&self.steps.borrow())
+    }
+
+    /// Returns the number of the newest step.
+    pub fn newest(&self) -> usize {
+        self.steps.borrow().len().saturating_sub(1)
+    }
+
+    /// Writes the next step's document; `now` tells the time of the run.
+    pub async fn step(&self, now: impl Fn() -> Duration) -> Result<(), SoakError> {
+        let step = self.steps.borrow().len();
+        self.steps.borrow_mut().push(StepTimes { sent_at: now(), acked_at: None });
+        let table = rows::OPERATOR_TABLE;
+        let path = format!("{ROWS_CONTROL_PATH}{table}/{}", rows::DOCUMENT_KEY);
+        let body = Bytes::from(document::write(&document_of(step)));
+        let writing = self.client.call(Method::PUT, &path, HeaderMap::new(), body);
+        let what = "the operator's write";
+        let reply = writing.await.context(CallSnafu { what })?;
+        if !reply.status.is_success() {
+            return Err(SoakError::Refused { what, status: reply.status.as_u16() });
+        }
+        self.steps.borrow_mut()[step].acked_at = Some(now());
+        Ok(())
+    }
+}
+
+fn document_of(step: usize) -> ConfigDocument {
+    let note = |name: &&str| ServiceNote {
+        name: (*name).to_owned(),
+        health_path: "/health".to_owned(),
+        connections: 300,
+    };
+    let mut routes = vec![
+        route("steady", "/steady/", 0, WorkMode::Repeatable),
+        route("plain", "/plain/", 0, WorkMode::Plain),
+        route("moved", "/moved/", step % SERVICES.len(), WorkMode::Repeatable),
+    ];
+    for added in (step + 1).saturating_sub(KEPT_STEPS)..=step {
+        let name = format!("added-{added}");
+        routes.push(route(&name, &format!("/{name}/"), 0, WorkMode::Repeatable));
+    }
+    ConfigDocument {
+        version: (VERSION_STRIDE * (step + 1) + step % 3) as u64,
+        routes,
+        services: SERVICES.iter().map(note).collect(),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1 << 20,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+    }
+}
+
+fn route(name: &str, path_prefix: &str, service: usize, mode: WorkMode) -> NamedRoute {
+    let rule = RouteRule {
+        host: HOST.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        methods: Vec::new(),
+        service: SERVICES[service].to_owned(),
+        timeout_ms: 2000,
+        mode,
+        criticality: WorkClass::Normal,
+        split: Vec::new(),
+        attempts: 2,
+        objective_ms: 800,
+    };
+    NamedRoute { name: name.to_owned(), rule }
+}
--- /dev/null
+++ b/crates/soak/src/process.rs
@@ -0,0 +1,120 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The programs as processes: started, signalled and ended by their own ids.
+
+use std::cell::RefCell;
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+use serde_json::Value;
+use snafu::ResultExt;
+
+use crate::errors::{ProgramSnafu, SoakError};
+
+/// Longest wait for a process to say that it listens, or to end.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Time between looks.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// `ProgramCall` is a program with its arguments and variables.
+#[derive(Debug, Clone, Default)]
+pub struct ProgramCall {
+    /// Path of the program.
+    pub program: PathBuf,
+    /// Its arguments.
+    pub arguments: Vec<String>,
+    /// Variables beside those of the soak.
+    pub variables: Vec<(&'static str, String)>,
+}
+
+/// `SoakProcess` is a process that logs JSON lines into a file; it is killed when dropped.
+pub struct SoakProcess {
+    /// Its name, which is that of its log.
+    pub name: String,
+    log: PathBuf,
+    /// Bytes of the log before this start.
+    log_from: usize,
+    child: RefCell<Child>,
+}
+
+impl SoakProcess {
+    /// Starts a process that appends to the log of its name in `folder`.
+    pub fn start(call: &ProgramCall, name: &str, folder: &Path) -> Result<Self, SoakError> {
+        let log = folder.join(format!("{name}.log"));
+        let path = || ProgramSnafu { path: &log };
+        let file = File::options().create(true).append(true).open(&log).with_context(|_| path())?;
+        let log_from = file.metadata().with_context(|_| path())?.len() as usize;
+        let errors = file.try_clone().with_context(|_| path())?;
+        let child = Command::new(&call.program)
+            .args(&call.arguments)
+            .envs(call.variables.iter().map(|(name, value)| (name, value)))
+            .stdin(Stdio::null())
+            .stdout(file)
+            .stderr(errors)
+            .spawn()
+            .context(ProgramSnafu { path: &call.program })?;
+        Ok(Self { name: name.to_owned(), log, log_from, child: RefCell::new(child) })
+    }
+
+    /// Waits for the line of the log that tells where the process listens.
+    pub async fn listening(&self) -> Result<Value, SoakError> {
+        let begun = Instant::now();
+        while begun.elapsed() < PATIENCE {
+            let bytes = fs::read(&self.log).unwrap_or_default();
+            let text = String::from_utf8_lossy(bytes.get(self.log_from..).unwrap_or_default());
+            let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+            if let Some(line) = lines.into_iter().find(|line| line["message"] == "listening") {
+                return Ok(line);
+            }
+            monoio::time::sleep(LOOK_EVERY).await;
+        }
+        Err(SoakError::Silent { name: self.name.clone(), what: "it does not listen" })
+    }
+
+    /// Sends a signal; one to a process that has ended goes nowhere.
+    pub fn signal(&self, signal: Signal) {
+        if self.is_running() {
+            let id = Pid::from_raw(self.child.borrow().id() as i32);
+            let _ = signal::kill(id, signal);
+        }
+    }
+
+    /// Says whether the process has not ended.
+    pub fn is_running(&self) -> bool {
+        matches!(self.child.borrow_mut().try_wait(), Ok(None))
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&self) {
+        let mut child = self.child.borrow_mut();
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// Waits until the process has ended by itself; kills it if it does not.
+    pub async fn ended(&self) {
+        let begun = Instant::now();
+        while self.is_running() && begun.elapsed() < PATIENCE {
+            monoio::time::sleep(LOOK_EVERY).await;
+        }
+        self.kill();
+    }
+}
+
+impl Drop for SoakProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Reads an address out of a line that tells where a process listens.
+pub fn address_in(line: &Value, field: &'static str) -> Result<SocketAddr, SoakError> {
+    let address = line[field].as_str().and_then(|text| text.parse().ok());
+    address.ok_or(SoakError::Silent { name: line.to_string(), what: field })
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -14,6 +14,8 @@
 use basaltarch_core::settings::{self, EXIT_BAD_SETTINGS};
 use basaltarch_http::client::HttpClient;
 use basaltarch_http::connection;
+use basaltarch_http::fields::ExchangeFields;
+use basaltarch_platform::headers;
 use basaltarch_standin::backend::{self, BackendOptions, BackendStandin};
 use basaltarch_standin::platform::{self, HostGroup, PlatformStandin};
 use basaltarch_telemetry::{logs, runtime};
@@ -46,6 +48,8 @@
                 optional --connections count: String
                 /// Seed of the random numbers (BASALTARCH_SEED, default 1).
                 optional --seed seed: String
+                /// Knows the header fields of the prepared platform.
+                optional --prepared
             }
             /// Sends one request to a control path and prints the reply.
             cmd tell {
@@ -133,7 +137,10 @@
             (0.0..=3.0).contains(spread)
         })?,
         seed: settings::checked("seed", flags.seed, 1, "a number", any)?,
-        ..BackendOptions::default()
+        fields: match flags.prepared {
+            true => headers::exchange_fields(),
+            false => ExchangeFields::default(),
+        },
     };
     let connections =
         settings::checked("connections", flags.connections, 400, "1 to 65536", |count| {
