--- a/crates/daemon/tests/common/forwarder.rs
+++ b/crates/daemon/tests/common/forwarder.rs
@@ -1,11 +1,12 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! A forwarding fake between two processes, whose directions can be cut one by one.
+//! A forwarding fake between two processes, whose directions can be cut one by one and whose connections can
+//! fall silent for good.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::Duration;
@@ -21,6 +22,10 @@
     pub back: AtomicBool,
     /// New connections are closed at once.
     pub refuse: AtomicBool,
+    /// Connections up to this number are silent: nothing passes or ends, and all that is sent is taken.
+    silent_to: AtomicU64,
+    /// Connections so far.
+    opened: AtomicU64,
     /// Hosts whose links are cut; all when empty. A daemon names its host in its first frame.
     pub only: Mutex<Vec<String>>,
 }
@@ -68,6 +73,11 @@
         *self.target.lock().expect("lock") = Some(target);
     }
 
+    /// Silences every connection that is open, for good; new ones work.
+    pub fn silence(&self) {
+        self.cuts.silent_to.store(self.cuts.opened.load(Ordering::SeqCst), Ordering::SeqCst);
+    }
+
     /// Closes every connection.
     pub fn break_all(&self) {
         for stream in self.open.lock().expect("lock").drain(..) {
@@ -86,39 +96,56 @@
     list.push(far.try_clone().expect("clone"));
     let (near_read, far_write) =
         (near.try_clone().expect("clone"), far.try_clone().expect("clone"));
+    let number = cuts.opened.fetch_add(1, Ordering::SeqCst) + 1;
+    let is_silent = |cuts: &Arc<Cuts>| {
+        let cuts = cuts.clone();
+        move || number <= cuts.silent_to.load(Ordering::SeqCst)
+    };
+    let (silent_forward, silent_back) = (is_silent(cuts), is_silent(cuts));
     let first_frame = Arc::<OnceLock<Vec<u8>>>::default();
     let forward = (cuts.clone(), first_frame.clone());
     let back = (cuts.clone(), first_frame.clone());
     thread::spawn(move || {
         let (cuts, first) = &forward;
-        pump(near_read, far_write, |piece| {
+        pump(near_read, far_write, silent_forward, |piece| {
             let first = first.get_or_init(|| piece.to_vec());
             cuts.forward.load(Ordering::SeqCst) && cuts.concerns(first)
         });
     });
     thread::spawn(move || {
         let (cuts, first) = &back;
-        pump(far, near, |_| {
+        pump(far, near, silent_back, |_| {
             let first = first.get().map_or(&[][..], Vec::as_slice);
             cuts.back.load(Ordering::SeqCst) && cuts.concerns(first)
         });
     });
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, is_cut: impl Fn(&[u8]) -> bool) {
+fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    is_silent: impl Fn() -> bool,
+    is_cut: impl Fn(&[u8]) -> bool,
+) {
     let mut piece = [0; 16384];
     loop {
         let count = match from.read(&mut piece) {
             Ok(count) if count > 0 => count,
             _ => break,
         };
-        while is_cut(&piece[..count]) {
+        while is_cut(&piece[..count]) && !is_silent() {
             thread::sleep(PAUSE);
         }
+        if is_silent() {
+            continue;
+        }
         if to.write_all(&piece[..count]).is_err() {
             break;
         }
     }
+    if is_silent() {
+        return;
+    }
     let _ = to.shutdown(std::net::Shutdown::Both);
     let _ = from.shutdown(std::net::Shutdown::Both);
 }
