Tell how fresh the configuration was that refused a request, and how long a lost call had waited

Sight for the hypotheses, no decision goes by it yet: a daemon keeps the last word that nothing later was accepted, of the store or of a peer (heartbeats carry the asker's clock and the age, the answer repeats the clock). 'request rejected' tells the age and who said so, 'store lost' how long the call waited, 'document taken over' where the document came from.

The soak left its processes running at the end of a run, and fleets of two runs found each other by the ports that came free and the key that they shared.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -13,6 +13,7 @@
 use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
 
+use crate::freshness;
 use crate::limits;
 use crate::membership;
 use crate::roster;
@@ -62,15 +63,13 @@
     state.members.note_entries(state, &note.members);
     // Before the answer to a daemon that asks for all that is known here.
     roster::tell_past(state, sender, peer);
+    if note.reply {
+        freshness::note_answer(state, &note);
+    }
     spread::note_peer_revision(state, sender, revision);
     suspects::note_peer_digest(state, sender, note.suspects);
     if !note.reply {
-        let answer = HeartbeatNote {
-            reply: true,
-            revision: state.config.revision().0 as i64,
-            members: vec![membership::own_entry(state)],
-            suspects: state.suspects.digest(),
-        };
+        let answer = membership::answer(state, &note);
         let _ = sender.send(NO_EXCHANGE, FrameBody::Heartbeat(answer));
     }
 }
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -79,6 +79,7 @@
         let news = reader.next(&state).await;
         let (FeedNews::Whole(page) | FeedNews::Changes(page)) = news else { continue };
         page.rows.iter().for_each(|row| take_row(&state, row));
+        state.freshness.note_store(reader.as_of());
     }
 }
 
@@ -96,6 +97,7 @@
         Err(error) => {
             let in_force = state.config.revision().0;
             fleet::ConfigUnreadable { error: &error.to_string(), from, in_force }.log();
+            state.freshness.note_outdated();
             return;
         }
     };
@@ -108,6 +110,10 @@
         }
         return;
     }
+    let fresh = state.freshness.known().age(state.now());
+    let fresh_ms = fresh.map(|age| age.as_millis() as u64);
+    fleet::DocumentTaken { revision: revision.0, from, fresh_ms }.log();
+    state.freshness.note_in_force();
     let next = lay_out(state, &document);
     let held = HeldDocument { document: Rc::new(document), bytes: Rc::from(bytes) };
     *state.document.held.borrow_mut() = Some(held);
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -9,7 +9,7 @@
 use basaltarch_events::process;
 use basaltarch_platform::rows::{RowValue, RowsPage};
 use basaltarch_store::errors::StoreError;
-use basaltarch_store::platform::{FeedReply, RetryPause};
+use basaltarch_store::platform::{self, FeedReply, RetryPause, FEED_WAIT};
 
 use crate::state::DaemonState;
 
@@ -40,6 +40,8 @@
     plan: FeedPlan,
     /// Version of the table that was taken last; none before all of it was read.
     version: Option<u64>,
+    /// As of when the store answered last: what it told was all that there was then.
+    as_of: Duration,
     pause: RetryPause,
     lost_at: Option<Duration>,
     failures: u64,
@@ -49,7 +51,8 @@
     /// Builds a reader that has read nothing yet.
     pub fn new(plan: FeedPlan) -> Self {
         let pause = RetryPause::up_to(plan.failure_max);
-        Self { plan, version: None, pause, lost_at: None, failures: 0 }
+        let as_of = Duration::ZERO;
+        Self { plan, version: None, as_of, pause, lost_at: None, failures: 0 }
     }
 
     /// Goes on from another version: somebody else told of the changes until there.
@@ -57,8 +60,14 @@
         self.version = Some(version);
     }
 
+    /// Returns as of when the last answer told all that there was.
+    pub fn as_of(&self) -> Duration {
+        self.as_of
+    }
+
     /// Reads the whole table, or waits for the next changes.
     pub async fn next(&mut self, state: &DaemonState) -> FeedNews {
+        let began = state.now();
         match self.step(state).await {
             Ok(news) => {
                 self.note_answer(state);
@@ -66,7 +75,7 @@
                 news
             }
             Err(error) => {
-                self.note_failure(state, &error).await;
+                self.note_failure(state, &error, began).await;
                 FeedNews::Nothing
             }
         }
@@ -99,8 +108,14 @@
             Some(version) => version,
             None => return self.read_whole(state).await,
         };
-        match state.platform.follow(self.plan.table, version).await? {
+        let began = state.now();
+        let wait = platform::draw_wait(FEED_WAIT);
+        match state.platform.follow(self.plan.table, version, wait).await? {
             FeedReply::Changes(page) => {
+                // An answer may have been held up on its way; one without changes was made no sooner
+                // than its wait was over.
+                let waited = page.rows.is_empty() && state.now() >= began + wait;
+                self.as_of = if waited { began + wait } else { began };
                 self.version = Some(version.max(page.version));
                 Ok(FeedNews::Changes(page))
             }
@@ -114,7 +129,9 @@
 
     /// Reads the whole table now.
     pub async fn read_whole(&mut self, state: &DaemonState) -> Result<FeedNews, StoreError> {
+        let began = state.now();
         let page = state.platform.read_table(self.plan.table).await?;
+        self.as_of = began;
         self.version = Some(page.version);
         Ok(FeedNews::Whole(page))
     }
@@ -129,14 +146,15 @@
         }
     }
 
-    /// Takes in that a call failed, and waits before the next.
-    async fn note_failure(&mut self, state: &DaemonState, error: &StoreError) {
+    /// Takes in that a call failed which began at `began`, and waits before the next.
+    async fn note_failure(&mut self, state: &DaemonState, error: &StoreError, began: Duration) {
         metrics::STORE_FAILURES.add_one();
         self.failures += 1;
         let error = &error.to_string();
         if self.lost_at.is_none() {
             self.lost_at = Some(state.now());
-            process::StoreLost { table: self.plan.table, error }.log();
+            let waited_ms = state.now().saturating_sub(began).as_millis() as u64;
+            process::StoreLost { table: self.plan.table, waited_ms, error }.log();
         } else {
             process::StoreFailed { call: "follow a table", error }.log();
         }
--- a/crates/daemon/src/ingress/trail.rs
+++ b/crates/daemon/src/ingress/trail.rs
@@ -274,12 +274,17 @@
     if !state.log_budget.takes_failure(state.now()) {
         return;
     }
+    let now = state.now();
+    let known = state.freshness.known();
     RequestRejected {
         request: id,
         reason: failure.outcome.reason(),
         status: failure.status.as_u16().into(),
         cause: &failure.message,
         revision: state.config.revision().0,
+        in_force_ms: now.saturating_sub(state.config.since()).as_millis() as u64,
+        fresh_ms: known.age(now).map(|age| age.as_millis() as u64),
+        fresh_from: known.word().map(|word| word.source.name()),
     }
     .log();
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod document;
 pub mod errors;
 pub mod feed;
+pub mod freshness;
 pub mod host;
 pub mod ingress;
 pub mod limits;
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -17,13 +17,14 @@
 use basaltarch_peer::frames::{FrameReader, FrameSender};
 use basaltarch_peer::handshake::{self, LinkSide, PeerIdentity};
 use basaltarch_peer::link::{AcceptedLink, DialledLink, NO_EXCHANGE};
-use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
+use basaltarch_peer::protocol::FrameBody;
 use futures_util::future::{self, Either};
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 
 use crate::control;
 use crate::host;
+use crate::membership;
 use crate::state::DaemonState;
 
 /// Longest time for a connection to another daemon: far regions are 0.3 s away.
@@ -261,12 +262,7 @@
     };
     let in_use = link.exchange_count() > 0;
     if path.should_ask(now, in_use) {
-        let note = HeartbeatNote {
-            reply: false,
-            revision: state.config.revision().0 as i64,
-            members: Vec::new(),
-            suspects: state.suspects.digest(),
-        };
+        let note = membership::question(state, Vec::new());
         let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
     }
     tell_silence(path, link.exchange_count(), now);
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -22,6 +22,7 @@
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote, MemberEntry};
 use rand::seq::IteratorRandom;
 
+use crate::freshness;
 use crate::links;
 use crate::roster::HostRecord;
 use crate::state::DaemonState;
@@ -376,6 +377,27 @@
     }
 }
 
+/// Builds a heartbeat that tells of members and asks for an answer.
+pub fn question(state: &DaemonState, members: Vec<MemberEntry>) -> HeartbeatNote {
+    HeartbeatNote {
+        reply: false,
+        revision: state.config.revision().0 as i64,
+        members,
+        suspects: state.suspects.digest(),
+        asked_ms: Some(state.now().as_millis() as i64),
+        fresh_ms: freshness::told_age(state),
+    }
+}
+
+/// Builds the answer to a heartbeat.
+pub fn answer(state: &DaemonState, asked: &HeartbeatNote) -> HeartbeatNote {
+    HeartbeatNote {
+        reply: true,
+        asked_ms: asked.asked_ms,
+        ..question(state, vec![own_entry(state)])
+    }
+}
+
 /// Asks the seeds who they are, for as long as nobody else is known.
 pub async fn find_seeds(state: Rc<DaemonState>) {
     loop {
@@ -437,15 +459,11 @@
     }
     path.note_used(state.now());
     if let Ok(link) = links::link_to(state, &path).await {
-        let note = HeartbeatNote {
-            reply: false,
-            revision: state.config.revision().0 as i64,
-            members: match news {
-                BeatNews::Own => vec![own_entry(state)],
-                BeatNews::Members => state.members.some_entries(state, &[]),
-            },
-            suspects: state.suspects.digest(),
+        let members = match news {
+            BeatNews::Own => vec![own_entry(state)],
+            BeatNews::Members => state.members.some_entries(state, &[]),
         };
+        let note = question(state, members);
         let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
     }
 }
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -90,6 +90,7 @@
 }
 
 async fn poll_once(state: &Rc<DaemonState>) -> Result<(), StoreError> {
+    let asked_at = state.now();
     let (revision, _) = state.changes.head().await?;
     if revision > state.config.revision() {
         catch_up(state, revision).await?;
@@ -98,6 +99,9 @@
         metrics::OLD_REVISIONS.add_one();
     }
     state.config.mark_loaded();
+    if state.config.revision() >= revision {
+        state.freshness.note_store(asked_at);
+    }
     Ok(())
 }
 
@@ -191,6 +195,8 @@
             records: vec![text],
             snapshot_part: None,
             last: true,
+            telling: None,
+            place: None,
         };
         let _ = sender.send(NO_EXCHANGE, FrameBody::News(news));
     }
@@ -265,6 +271,8 @@
             records: Vec::new(),
             snapshot_part: Some(part.to_vec()),
             last: index + 1 == count,
+            telling: None,
+            place: None,
         };
         if sender.send(NO_EXCHANGE, FrameBody::News(news)).is_err() {
             return;
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -23,6 +23,7 @@
 use basaltarch_store::platform::PlatformClient;
 
 use crate::document::DocumentCell;
+use crate::freshness::FreshnessRole;
 use crate::host::HostRole;
 use crate::ingress::trail::LogBudget;
 use crate::limits::LimitRole;
@@ -49,6 +50,8 @@
     pub config: ConfigCell,
     /// The operator's document, where the configuration comes from one.
     pub document: DocumentCell,
+    /// How fresh the configuration is.
+    pub freshness: FreshnessRole,
     /// The rows of all hosts.
     pub roster: HostRoster,
     /// Who of the own failure domain reads these rows from the store and passes them on.
@@ -109,6 +112,7 @@
             identity,
             config: ConfigCell::default(),
             document: DocumentCell::default(),
+            freshness: FreshnessRole::default(),
             roster: HostRoster::default(),
             rows: RowsShare::default(),
             registrations: RegistrationTable::default(),
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -248,12 +248,9 @@
 /// Tells the daemons that dialled here, who send work here, that this one is leaving.
 fn tell_accepted(state: &Rc<DaemonState>) {
     for link in state.members.some_accepted(usize::MAX) {
-        let note = HeartbeatNote {
-            reply: true,
-            revision: state.config.revision().0 as i64,
-            members: state.members.some_entries(state, &[]),
-            suspects: state.suspects.digest(),
-        };
+        let members = state.members.some_entries(state, &[]);
+        // It wants no answer.
+        let note = HeartbeatNote { reply: true, ..membership::question(state, members) };
         let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
     }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod detector;
 pub mod evidence;
 pub mod floor;
+pub mod freshness;
 pub mod hang;
 pub mod health;
 pub mod limits;
--- a/crates/events/src/fleet.rs
+++ b/crates/events/src/fleet.rs
@@ -162,6 +162,16 @@
         before: u64,
     }
 
+    /// The operator's document was taken over.
+    "document taken over" INFO DocumentTaken<'a> {
+        /// Its revision.
+        revision: u64,
+        /// Store or host that it came from.
+        from: &'a str,
+        /// Age of the last word that what it replaces was the newest; absent if there was none.
+        fresh_ms: Option<u64>,
+    }
+
     /// A configuration that is older than the one in force was passed over.
     "older configuration passed over" INFO ConfigOlder<'a> {
         /// Its revision.
--- a/crates/events/src/process.rs
+++ b/crates/events/src/process.rs
@@ -93,6 +93,8 @@
     "store lost" WARN StoreLost<'a> {
         /// Table that was asked for.
         table: &'a str,
+        /// How long the call had been under way.
+        waited_ms: u64,
         /// What happened.
         error: &'a str,
     }
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -54,6 +54,12 @@
         cause: &'a str,
         /// Revision of the configuration that decided this.
         revision: u64,
+        /// Time for which it had been in force.
+        in_force_ms: u64,
+        /// Age of the last word that it is the newest; absent if there was none.
+        fresh_ms: Option<u64>,
+        /// Who said so.
+        fresh_from: Option<&'a str>,
     }
 
     /// The ingress chose an upstream for an attempt.
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -146,6 +146,10 @@
   3: required list<MemberEntry> members
   /** Digest of the suspects that are known; none if there are none. */
   4: optional i64 suspects
+  /** Time of the asking daemon's clock in milliseconds, which the answer repeats. */
+  5: optional i64 asked_ms
+  /** Age in milliseconds of the last word that the revision is the newest; none if there was none. */
+  6: optional i64 fresh_ms
 }
 
 /** Takes back a failure that followed its request to another upstream. */
@@ -165,6 +169,10 @@
   2: required list<binary> records
   3: optional binary snapshot_part
   4: required bool last
+  /** Which telling of a snapshot a part belongs to; later ones of a sender have higher numbers. */
+  5: optional i64 telling
+  /** Place of the part in it, from 0. */
+  6: optional i32 place
 }
 
 struct GrantRequest {
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -1491,15 +1491,21 @@
   pub members: Vec<MemberEntry>,
   /// Digest of the suspects that are known; none if there are none.
   pub suspects: Option<i64>,
+  /// Time of the asking daemon's clock in milliseconds, which the answer repeats.
+  pub asked_ms: Option<i64>,
+  /// Age in milliseconds of the last word that the revision is the newest; none if there was none.
+  pub fresh_ms: Option<i64>,
 }
 
 impl HeartbeatNote {
-  pub fn new<F4>(reply: bool, revision: i64, members: Vec<MemberEntry>, suspects: F4) -> HeartbeatNote where F4: Into<Option<i64>> {
+  pub fn new<F4, F5, F6>(reply: bool, revision: i64, members: Vec<MemberEntry>, suspects: F4, asked_ms: F5, fresh_ms: F6) -> HeartbeatNote where F4: Into<Option<i64>>, F5: Into<Option<i64>>, F6: Into<Option<i64>> {
     HeartbeatNote {
       reply,
       revision,
       members,
       suspects: suspects.into(),
+      asked_ms: asked_ms.into(),
+      fresh_ms: fresh_ms.into(),
     }
   }
 }
@@ -1511,6 +1517,8 @@
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<Vec<MemberEntry>> = None;
     let mut f_4: Option<i64> = None;
+    let mut f_5: Option<i64> = None;
+    let mut f_6: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1540,6 +1548,14 @@
           let val = i_prot.read_i64()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_i64()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_i64()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1555,6 +1571,8 @@
       revision: f_2.expect("auto-generated code should have checked for presence of required fields"),
       members: f_3.expect("auto-generated code should have checked for presence of required fields"),
       suspects: f_4,
+      asked_ms: f_5,
+      fresh_ms: f_6,
     };
     Ok(ret)
   }
@@ -1579,6 +1597,16 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.asked_ms {
+      o_prot.write_field_begin(&TFieldIdentifier::new("asked_ms", TType::I64, 5))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.fresh_ms {
+      o_prot.write_field_begin(&TFieldIdentifier::new("fresh_ms", TType::I64, 6))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1732,15 +1760,21 @@
   pub records: Vec<Vec<u8>>,
   pub snapshot_part: Option<Vec<u8>>,
   pub last: bool,
+  /// Which telling of a snapshot a part belongs to; later ones of a sender have higher numbers.
+  pub telling: Option<i64>,
+  /// Place of the part in it, from 0.
+  pub place: Option<i32>,
 }
 
 impl ChangeNews {
-  pub fn new<F3>(revision: i64, records: Vec<Vec<u8>>, snapshot_part: F3, last: bool) -> ChangeNews where F3: Into<Option<Vec<u8>>> {
+  pub fn new<F3, F5, F6>(revision: i64, records: Vec<Vec<u8>>, snapshot_part: F3, last: bool, telling: F5, place: F6) -> ChangeNews where F3: Into<Option<Vec<u8>>>, F5: Into<Option<i64>>, F6: Into<Option<i32>> {
     ChangeNews {
       revision,
       records,
       snapshot_part: snapshot_part.into(),
       last,
+      telling: telling.into(),
+      place: place.into(),
     }
   }
 }
@@ -1752,6 +1786,8 @@
     let mut f_2: Option<Vec<Vec<u8>>> = None;
     let mut f_3: Option<Vec<u8>> = None;
     let mut f_4: Option<bool> = None;
+    let mut f_5: Option<i64> = None;
+    let mut f_6: Option<i32> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1781,6 +1817,14 @@
           let val = i_prot.read_bool()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_i64()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_i32()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1796,6 +1840,8 @@
       records: f_2.expect("auto-generated code should have checked for presence of required fields"),
       snapshot_part: f_3,
       last: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      telling: f_5,
+      place: f_6,
     };
     Ok(ret)
   }
@@ -1820,6 +1866,16 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("last", TType::Bool, 4))?;
     o_prot.write_bool(self.last)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.telling {
+      o_prot.write_field_begin(&TFieldIdentifier::new("telling", TType::I64, 5))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.place {
+      o_prot.write_field_begin(&TFieldIdentifier::new("place", TType::I32, 6))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -62,6 +62,8 @@
         PeerFrame {
             exchange: 0,
             body: FrameBody::Heartbeat(HeartbeatNote {
+                asked_ms: Some(7),
+                fresh_ms: None,
                 reply: false,
                 revision: 3,
                 members: Vec::new(),
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -56,6 +56,8 @@
     pub programs: PathBuf,
     /// Folder for the logs.
     pub folder: PathBuf,
+    /// Key that the daemons share; no other run beside this one may have it, as ports are used again.
+    pub key: String,
 }
 
 /// `SoakHost` is a host: its processes, and the proxies that trouble them.
@@ -118,7 +120,7 @@
     /// The hosts.
     pub hosts: Vec<Rc<SoakHost>>,
     options: FleetOptions,
-    _store: SoakProcess,
+    store: SoakProcess,
 }
 
 impl SoakFleet {
@@ -127,7 +129,7 @@
         let call = standin_call(&options, &["platform"]);
         let store = SoakProcess::start(&call, "store", &options.folder)?;
         let platform = process::address_in(&store.listening().await?, "address")?;
-        Ok(Self { platform, hosts: Vec::new(), options, _store: store })
+        Ok(Self { platform, hosts: Vec::new(), options, store })
     }
 
     /// Starts the hosts.
@@ -189,6 +191,15 @@
         host.daemon.borrow().kill();
     }
 
+    /// Ends every process of the fleet.
+    pub fn end(&self) {
+        for host in &self.hosts {
+            self.kill(host);
+            host.backend.kill();
+        }
+        self.store.kill();
+    }
+
     /// Puts faults of the store in force.
     pub async fn store_faults(&self, faults: &Value) -> Result<(), SoakError> {
         let client = HttpClient::new(self.platform, BEAT_TIMEOUT);
@@ -230,13 +241,19 @@
             program: self.options.programs.join("basaltarchd"),
             arguments: arguments.collect(),
             variables: vec![
-                ("BASALTARCH_FLEET_KEY", "a-fleet-key-for-soaks".to_owned()),
+                ("BASALTARCH_FLEET_KEY", self.options.key.clone()),
                 ("BASALTARCH_ADMIN_TOKEN", "a-token-for-soaks".to_owned()),
             ],
         }
     }
 }
 
+impl Drop for SoakFleet {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 fn standin_call(options: &FleetOptions, arguments: &[&str]) -> ProgramCall {
     ProgramCall {
         program: options.programs.join("basaltarch-standin"),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::fmt::{self, Display, Formatter};
 use std::path::PathBuf;
+use std::process;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -222,7 +223,8 @@
 pub async fn run(options: &RunOptions) -> Result<RunReport, SoakError> {
     let RunOptions { seed, hosts, programs, folder, .. } = options.clone();
     let began = Instant::now();
-    let mut fleet = SoakFleet::start(FleetOptions { hosts, programs, folder }).await?;
+    let key = format!("a-fleet-key-for-soak-{}-{seed}", process::id());
+    let mut fleet = SoakFleet::start(FleetOptions { hosts, programs, folder, key }).await?;
     let operator = Rc::new(SoakOperator::new(fleet.platform));
     operator.step(|| began.elapsed()).await?;
     fleet.start_hosts().await?;
@@ -238,14 +240,23 @@
         over: Cell::new(false),
     });
     monoio::time::sleep(SETTLE).await;
+    // Tasks that go on for ever hold the state, so that nothing ends by being dropped.
+    let result = trouble(&state, options).await;
+    state.fleet.end();
+    result
+}
+
+/// Lets callers, operator and troubles work on a fleet, and returns what was found.
+async fn trouble(state: &Rc<SoakState>, options: &RunOptions) -> Result<RunReport, SoakError> {
+    let seed = options.seed;
     let plain = Rc::<PlainRequests>::default();
-    start_callers(&state, &plain, seed);
+    start_callers(state, &plain, seed);
     monoio::spawn(change(state.clone(), ChaCha8Rng::seed_from_u64(seed ^ 1)));
     let rng = ChaCha8Rng::seed_from_u64(seed ^ 2);
     monoio::spawn(faults::run(state.clone(), options.kinds.clone(), rng));
     monoio::time::sleep(options.length).await;
     state.over.set(true);
-    let runs = all_runs(&state).await?;
+    let runs = all_runs(state).await?;
     for (id, fault) in plain.faults(&runs) {
         state.find(format!("{id}: {fault:?}"));
     }
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -26,6 +26,11 @@
 /// Shortest such wait, as a share: calls of many daemons that an outage left hanging end one after
 /// another, and the first that hears something tells the others.
 const FEED_WAIT_LEAST: f64 = 0.4;
+
+/// Draws the wait of a call of the feed, at most `longest`.
+pub fn draw_wait(longest: Duration) -> Duration {
+    longest.mul_f64(rand::random_range(FEED_WAIT_LEAST..=1.0))
+}
 /// Time beyond its wait after which a call of the feed is given up: the store answers within a few
 /// milliseconds when it is well, and a hundred times as late when it is slow.
 const FEED_GRACE: Duration = Duration::from_millis(700);
@@ -184,10 +189,14 @@
         read_page(&accepted(reply)?)
     }
 
-    /// Waits for changes of a table after a version, for at most [`FEED_WAIT`].
-    pub async fn follow(&self, table: &str, after: u64) -> Result<FeedReply, StoreError> {
+    /// Waits for changes of a table after a version, for at most `wait`, which is [`FEED_WAIT`] or less.
+    pub async fn follow(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<FeedReply, StoreError> {
         self.reads.borrow_mut().take()?;
-        let wait = FEED_WAIT.mul_f64(rand::random_range(FEED_WAIT_LEAST..=1.0));
         let calling = call(&self.feeds, rows::follow(table, after, wait));
         let reply = match monoio::time::timeout(wait + FEED_GRACE, calling).await {
             Ok(reply) => reply,
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -14,7 +14,7 @@
 use basaltarch_standin::platform::{self, HostGroup, PlatformStandin};
 use basaltarch_store::changes::{ChangeAuthor, ChangeGuard, ChangeStore, ResourceEdit};
 use basaltarch_store::errors::StoreError;
-use basaltarch_store::platform::{FeedReply, PlatformClient};
+use basaltarch_store::platform::{FeedReply, PlatformClient, FEED_WAIT};
 use basaltarch_store::wire::{RowCheck, RowWrite, VALUE_BYTES_MAX};
 use basaltarch_telemetry::runtime;
 use bytes::Bytes;
@@ -109,7 +109,7 @@
         let store = TestStore::start();
         let start = store.put("t/a", 0, json!(1)).await.expect("written");
         store.put("u/x", 0, json!(1)).await.expect("another table");
-        let follow = store.client.follow("t", start);
+        let follow = store.client.follow("t", start, FEED_WAIT);
         let write = async {
             monoio::time::sleep(Duration::from_millis(20)).await;
             store.put("t/b", 0, json!(2)).await.expect("written")
@@ -119,7 +119,7 @@
         let keys: Vec<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
         assert_eq!((keys, page.version), (vec!["b"], version));
         store.faults(json!({"forget_history": true})).await;
-        let reply = store.client.follow("t", version).await.expect("feed");
+        let reply = store.client.follow("t", version, FEED_WAIT).await.expect("feed");
         assert_eq!(reply, FeedReply::Forgotten);
         let page = store.client.read_table("t").await.expect("table");
         assert_eq!(page.rows.len(), 2, "nothing but the history is lost");
@@ -161,7 +161,7 @@
         store.faults(faults).await;
         let version = store.put("t/k", 0, json!(1)).await.expect("the first group is served");
         store.second.read("t/k").await.expect_err("the second group is not");
-        store.second.follow("t", 0).await.expect_err("nor is its feed");
+        store.second.follow("t", 0, FEED_WAIT).await.expect_err("nor is its feed");
         store.faults(json!({})).await;
         let row = store.second.read("t/k").await.expect("read").expect("there");
         assert_eq!(row.version, version);
