--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -185,6 +185,11 @@
         host.take_addresses().await
     }
 
+    /// Returns the path of the log of a host's daemon.
+    pub fn log_of(&self, host: &str) -> PathBuf {
+        process::log_path(&self.options.folder, host)
+    }
+
     /// Kills the daemon of a host.
     pub fn kill(&self, host: &SoakHost) {
         host.callers.set(None);
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -152,11 +152,6 @@
         Self { shown: vec![ShownStep::default(); hosts] }
     }
 
-    /// Returns the latest step that a host has shown.
-    pub fn shown(&self, host: usize) -> usize {
-        self.shown[host].step
-    }
-
     /// Takes a sample in and returns the promise that it breaks, if it does.
     pub fn take(
         &mut self,
--- /dev/null
+++ b/crates/soak/src/logs.rs
@@ -0,0 +1,50 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Reads from a daemon's log when documents came in force: callers learn of it only when they ask.
+
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use serde_json::Value;
+
+const DAY: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// `InForceLine` is a line by which a daemon told that a document came in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InForceLine {
+    /// When it was logged, as time of the run.
+    pub at: Duration,
+    /// Revision that came in force.
+    pub revision: u64,
+}
+
+/// Reads such lines of a log; `began` is the time of the day at which the run began.
+pub fn in_force_lines(log: &Path, began: Duration) -> Vec<InForceLine> {
+    let text = fs::read_to_string(log).unwrap_or_default();
+    let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let told = lines.filter(|line| line["message"] == "configuration in force");
+    let read = |line: Value| {
+        let at = time_of_day(line["timestamp"].as_str()?)?;
+        // A run may go on over midnight.
+        let at = if at < began { at + DAY } else { at };
+        Some(InForceLine { at: at - began, revision: line["revision"].as_u64()? })
+    };
+    told.filter_map(read).collect()
+}
+
+/// Returns the time of the day of a moment in time since 1970.
+pub fn since_midnight(time: Duration) -> Duration {
+    Duration::from_micros((time.as_micros() % DAY.as_micros()) as u64)
+}
+
+/// Reads the time of the day out of a text such as `2026-01-31T23:59:59.123456Z`.
+fn time_of_day(text: &str) -> Option<Duration> {
+    let (_, time) = text.trim_end_matches('Z').split_once('T')?;
+    let mut parts = time.split(':');
+    let hours: u64 = parts.next()?.parse().ok()?;
+    let minutes: u64 = parts.next()?.parse().ok()?;
+    let seconds: f64 = parts.next()?.parse().ok()?;
+    Some(Duration::from_secs(hours * 3600 + minutes * 60) + Duration::from_secs_f64(seconds))
+}
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,8 @@
             optional --programs folder: String
             /// Folder for the logs (default: a new one below the system's temporary folder).
             optional --logs folder: String
+            /// Keeps the logs also of runs that found nothing.
+            optional --keep
             /// Tells troubles and findings as they come.
             optional --verbose
         }
@@ -48,6 +50,7 @@
 struct SoakOptions {
     seeds: std::ops::Range<u64>,
     base: RunOptions,
+    keep: bool,
 }
 
 fn main() {
@@ -61,7 +64,7 @@
     };
     let mut found = 0;
     for seed in options.seeds.clone() {
-        match run_seed(&options.base, seed) {
+        match run_seed(&options, seed) {
             Ok(report) => {
                 print!("{report}");
                 found += report.found;
@@ -80,14 +83,15 @@
 }
 
 /// Runs one seed; the logs of a run that found nothing are removed.
-fn run_seed(base: &RunOptions, seed: u64) -> Result<RunReport, SoakError> {
+fn run_seed(options: &SoakOptions, seed: u64) -> Result<RunReport, SoakError> {
+    let SoakOptions { base, keep, .. } = options;
     let folder = base.folder.join(format!("seed-{seed}"));
     let write = |source| SoakError::Program { path: folder.clone(), source };
     fs::create_dir_all(&folder).map_err(write)?;
-    let options = RunOptions { seed, folder: folder.clone(), ..base.clone() };
-    let ran = runtime::run(async move { run::run(&options).await });
+    let plan = RunOptions { seed, folder: folder.clone(), ..base.clone() };
+    let ran = runtime::run(async move { run::run(&plan).await });
     let report = ran.map_err(|source| SoakError::Start { source })??;
-    if report.found == 0 {
+    if report.found == 0 && !keep {
         let _ = fs::remove_dir_all(&folder);
     }
     Ok(report)
@@ -120,7 +124,8 @@
         folder: logs,
         verbose: flags.verbose,
     };
-    Ok(SoakOptions { seeds: seed..seed.saturating_add(seeds), base })
+    let seeds = seed..seed.saturating_add(seeds);
+    Ok(SoakOptions { seeds, base, keep: flags.keep })
 }
 
 fn read_kinds(given: Option<String>) -> Result<Vec<TroubleKind>, SettingError> {
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -109,6 +109,11 @@
     }
 }
 
+/// Returns the version of a step's document.
+pub fn version_of(step: usize) -> u64 {
+    (VERSION_STRIDE * (step + 1) + step % 3) as u64
+}
+
 fn document_of(step: usize) -> ConfigDocument {
     let note = |name: &&str| ServiceNote {
         name: (*name).to_owned(),
@@ -125,7 +130,7 @@
         routes.push(route(&name, &format!("/{name}/"), 0, WorkMode::Repeatable));
     }
     ConfigDocument {
-        version: (VERSION_STRIDE * (step + 1) + step % 3) as u64,
+        version: version_of(step),
         routes,
         services: SERVICES.iter().map(note).collect(),
         limits: CallerLimits {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -46,7 +46,7 @@
 impl SoakProcess {
     /// Starts a process that appends to the log of its name in `folder`.
     pub fn start(call: &ProgramCall, name: &str, folder: &Path) -> Result<Self, SoakError> {
-        let log = folder.join(format!("{name}.log"));
+        let log = log_path(folder, name);
         let path = || ProgramSnafu { path: &log };
         let file = File::options().create(true).append(true).open(&log).with_context(|_| path())?;
         let log_from = file.metadata().with_context(|_| path())?.len() as usize;
@@ -113,6 +113,11 @@
     }
 }
 
+/// Returns the path of the log of a process.
+pub fn log_path(folder: &Path, name: &str) -> PathBuf {
+    folder.join(format!("{name}.log"))
+}
+
 /// Reads an address out of a line that tells where a process listens.
 pub fn address_in(line: &Value, field: &'static str) -> Result<SocketAddr, SoakError> {
     let address = line[field].as_str().and_then(|text| text.parse().ok());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,7 +8,7 @@
 use std::path::PathBuf;
 use std::process;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use basaltarch_http::client::HttpClient;
 use basaltarch_standin::backend::{BackendRuns, RUNS_PATH};
@@ -25,9 +25,11 @@
 use crate::faults::{self, TroubleKind};
 use crate::fleet::{FleetOptions, SoakFleet};
 use crate::judge::{
-    BrokenPromise, CallerSample, ConfigJudge, TouchRecord, TroubleMark, IN_FORCE_MAX,
+    BrokenPromise, CallerSample, ConfigJudge, SeenAnswer, StepTimes, TouchRecord, TroubleMark,
+    IN_FORCE_MAX,
 };
-use crate::operator::SoakOperator;
+use crate::logs::{self, InForceLine};
+use crate::operator::{self, SoakOperator};
 
 /// Callers at each daemon.
 const CALLERS: usize = 2;
@@ -70,7 +72,7 @@
     pub words: u64,
     /// Documents that were acknowledged.
     pub steps: usize,
-    /// Time from each acknowledgement until a host in touch showed the document, sorted.
+    /// Time from each acknowledgement until the document was in force at each host in touch, sorted.
     pub in_force: Vec<Duration>,
     /// How many findings there were.
     pub found: u64,
@@ -78,6 +80,13 @@
     pub finds: Vec<String>,
 }
 
+impl RunReport {
+    /// Returns how many times a document was in force at a host in touch later than it had to be.
+    pub fn late_count(&self) -> usize {
+        self.in_force.iter().filter(|took| **took > IN_FORCE_MAX).count()
+    }
+}
+
 impl Display for RunReport {
     fn fmt(&self, out: &mut Formatter<'_>) -> fmt::Result {
         let Self { seed, requests, words, steps, in_force, found, .. } = self;
@@ -86,13 +95,13 @@
                 ((in_force.len() as f64 * share) as usize).min(in_force.len().saturating_sub(1));
             in_force.get(index).map_or(0.0, Duration::as_secs_f64)
         };
-        let late = in_force.iter().filter(|took| **took > IN_FORCE_MAX).count();
+        let late = self.late_count();
         writeln!(out, "seed {seed}: {requests} requests, {words} with a word, {steps} documents")?;
         let (half, most, last) = (at(0.5), at(0.99), at(1.0));
         let count = in_force.len();
         writeln!(
             out,
-            "  shown in force at hosts in touch: {count} times, median {half:.2} s, 99 in 100 within \
+            "  in force at hosts in touch: {count} times, median {half:.2} s, 99 in 100 within \
              {most:.2} s, longest {last:.2} s, {late} later than {} s",
             IN_FORCE_MAX.as_secs()
         )?;
@@ -107,6 +116,8 @@
     pub fleet: SoakFleet,
     operator: Rc<SoakOperator>,
     began: Instant,
+    /// Time of the day at which the run began.
+    began_of_day: Duration,
     touch: RefCell<TouchRecord>,
     judge: RefCell<ConfigJudge>,
     report: RefCell<RunReport>,
@@ -180,8 +191,10 @@
         if let Some(fault) = fault {
             self.find(format!("{host} {id} {:?}: {fault:?}", sample.route));
         }
-        self.report.borrow_mut().requests += 1;
-        let before = self.judge.borrow().shown(sample.host);
+        let mut report = self.report.borrow_mut();
+        report.requests += 1;
+        report.words += u64::from(sample.answer != SeenAnswer::NoWord);
+        drop(report);
         let broken = self
             .operator
             .with_steps(|steps| self.judge.borrow_mut().take(sample, steps, &self.touch.borrow()));
@@ -199,30 +212,51 @@
             }
             None => {}
         }
-        self.note_shown(sample, before);
     }
 
-    /// Notes how long the documents that a host has now shown took to get there.
-    fn note_shown(&self, sample: &CallerSample, before: usize) {
-        let shown = self.judge.borrow().shown(sample.host);
-        let mut report = self.report.borrow_mut();
-        report.words += 1;
+    /// Returns how long each document took to come in force at each host in touch, sorted.
+    fn in_force_times(&self) -> Vec<Duration> {
         let touch = self.touch.borrow();
-        self.operator.with_steps(|steps| {
-            for step in steps.iter().take(shown + 1).skip(before + 1) {
-                let Some(acked_at) = step.acked_at else { continue };
-                if touch.in_touch(sample.host, acked_at, sample.sent_at) {
-                    report.in_force.push(sample.sent_at.saturating_sub(acked_at));
+        let mut times = Vec::new();
+        for (number, host) in self.fleet.hosts.iter().enumerate() {
+            let lines = logs::in_force_lines(&self.fleet.log_of(&host.name), self.began_of_day);
+            self.operator.with_steps(|steps| {
+                for (step, StepTimes { acked_at, .. }) in steps.iter().enumerate() {
+                    let Some(acked_at) = *acked_at else { continue };
+                    let until = in_force_at(&lines, step, acked_at).unwrap_or(self.now());
+                    if touch.in_touch(number, acked_at, until) {
+                        let took = until.saturating_sub(acked_at);
+                        self.tell_late(&host.name, step, took);
+                        times.push(took);
+                    }
                 }
-            }
-        });
+            });
+        }
+        times.sort();
+        times
+    }
+
+    fn tell_late(&self, host: &str, step: usize, took: Duration) {
+        if took > IN_FORCE_MAX {
+            self.tell(&format!("document {step} was in force at {host} after {took:?}"));
+        }
     }
 }
 
+/// Finds when a step's document, or a later one, was in force at the daemon of a log: at once if one was when it
+/// was acknowledged, as a daemon may read it before the operator is answered.
+fn in_force_at(lines: &[InForceLine], step: usize, acked_at: Duration) -> Option<Duration> {
+    let has_it = |line: &&InForceLine| line.revision >= operator::version_of(step);
+    let first = lines.iter().find(has_it)?;
+    Some(first.at.max(acked_at))
+}
+
 /// Makes a run.
 pub async fn run(options: &RunOptions) -> Result<RunReport, SoakError> {
     let RunOptions { seed, hosts, programs, folder, .. } = options.clone();
     let began = Instant::now();
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let began_of_day = logs::since_midnight(since_epoch);
     let key = format!("a-fleet-key-for-soak-{}-{seed}", process::id());
     let mut fleet = SoakFleet::start(FleetOptions { hosts, programs, folder, key }).await?;
     let operator = Rc::new(SoakOperator::new(fleet.platform));
@@ -232,6 +266,7 @@
         fleet,
         operator,
         began,
+        began_of_day,
         touch: RefCell::new(TouchRecord::new(hosts)),
         judge: RefCell::new(ConfigJudge::new(hosts)),
         report: RefCell::new(RunReport { seed, ..RunReport::default() }),
@@ -262,7 +297,14 @@
     }
     let mut report = state.report.borrow().clone();
     report.steps = state.operator.with_steps(<[_]>::len);
-    report.in_force.sort();
+    report.in_force = state.in_force_times();
+    let late = report.late_count();
+    if late > 0 {
+        report.found += late as u64;
+        report
+            .finds
+            .push(format!("{late} times a document was in force too late at a host in touch"));
+    }
     Ok(report)
 }
 
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -17,7 +17,8 @@
 
 /// Documents that were acknowledged each two seconds from the start.
 fn steps() -> Vec<StepTimes> {
-    let step = |number: u64| StepTimes { sent_at: at(number * 2000), acked_at: Some(at(number * 2000)) };
+    let step =
+        |number: u64| StepTimes { sent_at: at(number * 2000), acked_at: Some(at(number * 2000)) };
     (0..8).map(step).collect()
 }
 
