--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -115,9 +115,9 @@
 
 /// Takes in an answer of the store that told all that there was as of a moment.
 fn take_answer(state: &Rc<DaemonState>, page: &RowsPage, as_of: Duration) {
-    let fates = page.rows.iter().filter_map(|row| take_row(state, row));
+    let fates: Vec<_> = page.rows.iter().filter_map(|row| take_row(state, row)).collect();
     // An answer from the past says nothing of what is the newest.
-    if fates.last() != Some(DocumentFate::Past) {
+    if fates.last() != Some(&DocumentFate::Past) {
         state.freshness.note_store(as_of);
     }
 }
--- a/crates/daemon/tests/common/platform.rs
+++ b/crates/daemon/tests/common/platform.rs
@@ -48,6 +48,18 @@
         assert_eq!(reply.status, 204, "{}", reply.text());
     }
 
+    /// Takes a copy of all rows, to come back from.
+    pub fn take_copy(&self) {
+        let reply = client::call(self.address, "PUT", platform::COPY_PATH, &[], "");
+        assert_eq!(reply.status, 204, "{}", reply.text());
+    }
+
+    /// Comes back from the copy, as the next era.
+    pub fn restore(&self) {
+        let reply = client::call(self.address, "DELETE", platform::COPY_PATH, &[], "");
+        assert_eq!(reply.status, 204, "{}", reply.text());
+    }
+
     pub fn counters(&self) -> Value {
         client::call(self.address, "GET", platform::COUNTERS_PATH, &[], "").json()
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -72,7 +72,7 @@
     pub peers: FaultProxy,
     domain: &'static str,
     upstream: String,
-    daemon: RefCell<SoakProcess>,
+    daemon: RefCell<Rc<SoakProcess>>,
     backend: SoakProcess,
     backend_address: SocketAddr,
     callers: Cell<Option<SocketAddr>>,
@@ -102,9 +102,8 @@
     }
 
     async fn take_addresses(&self) -> Result<(), SoakError> {
-        // The process is replaced by nobody while its start is waited for.
-        #[allow(clippy::await_holding_refcell_ref, reason = "restarts of a host follow each other")]
-        let line = self.daemon.borrow().listening().await?;
+        let daemon = self.daemon.borrow().clone();
+        let line = daemon.listening().await?;
         self.peers.forward_to(process::address_in(&line, "peers")?);
         self.registration.set(Some(process::address_in(&line, "registration")?));
         self.callers.set(Some(process::address_in(&line, "callers")?));
@@ -157,7 +156,7 @@
         let domain = DOMAINS[number % DOMAINS.len()];
         let service = service_of(number);
         let call = self.daemon_call(&name, domain, service, &store, &peers);
-        let daemon = RefCell::new(SoakProcess::start(&call, &name, folder)?);
+        let daemon = RefCell::new(Rc::new(SoakProcess::start(&call, &name, folder)?));
         let host = SoakHost {
             name,
             service,
@@ -181,7 +180,7 @@
         let call =
             self.daemon_call(&host.name, host.domain, host.service, &host.store, &host.peers);
         let process = SoakProcess::start(&call, &host.name, &self.options.folder)?;
-        drop(host.daemon.replace(process));
+        drop(host.daemon.replace(Rc::new(process)));
         host.take_addresses().await
     }
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -8,11 +8,12 @@
 use std::time::{Duration, Instant};
 
 use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
+use basaltarch_platform::headers;
 use basaltarch_platform::objects;
 use basaltarch_platform::rows::{self, PageBody, TransactBody};
 use bytes::Bytes;
 use fnv::FnvHashMap;
-use http::{header, Method, StatusCode};
+use http::{header, HeaderValue, Method, StatusCode};
 use monoio::net::TcpListener;
 use percent_encoding::percent_decode_str;
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,9 @@
 /// it. The table, a slash and the key follow; the body is the value. `PATCH` tells of the body in place of
 /// the encoded value, though nobody may be able to read it.
 pub const ROWS_CONTROL_PATH: &str = "/control/rows/";
+/// Path of the copy that the platform comes back from: `PUT` takes one, `DELETE` comes back from it, as the
+/// next era.
+pub const COPY_PATH: &str = "/control/copy";
 /// Path of the counters: `GET`.
 pub const COUNTERS_PATH: &str = "/control/counters";
 /// Connections served at once: a client of each of a few hundred daemons.
@@ -93,6 +97,8 @@
     faults: RefCell<PlatformFaults>,
     counters: Cell<PlatformCounters>,
     second: Cell<(u64, u64)>,
+    /// Times that it came back from a copy.
+    era: Cell<u64>,
     started: Instant,
 }
 
@@ -104,6 +110,7 @@
             faults: RefCell::default(),
             counters: Cell::default(),
             second: Cell::default(),
+            era: Cell::default(),
             started: Instant::now(),
         }
     }
@@ -121,6 +128,12 @@
 
 impl PlatformStandin {
     async fn handle(self: &Rc<Self>, request: ServerRequest, group: HostGroup) -> ServerReply {
+        let mut reply = self.reply(request, group).await;
+        reply.headers.insert(headers::STORE_ERA, HeaderValue::from(self.era.get()));
+        reply
+    }
+
+    async fn reply(self: &Rc<Self>, request: ServerRequest, group: HostGroup) -> ServerReply {
         if request.path().starts_with("/control/") {
             return self.control(&request);
         }
@@ -285,6 +298,15 @@
         }
         match (method.as_str(), path) {
             ("GET", COUNTERS_PATH) => ServerReply::json(StatusCode::OK, &self.counters.get()),
+            ("PUT", COPY_PATH) => {
+                self.table.borrow_mut().take_copy();
+                ServerReply::empty(StatusCode::NO_CONTENT)
+            }
+            ("DELETE", COPY_PATH) => {
+                self.table.borrow_mut().restore();
+                self.era.set(self.era.get() + 1);
+                ServerReply::empty(StatusCode::NO_CONTENT)
+            }
             ("GET", FAULTS_PATH) => ServerReply::json(StatusCode::OK, &*self.faults.borrow()),
             ("PUT", FAULTS_PATH) => match serde_json::from_slice(&request.body) {
                 Ok(faults) => self.set_faults(faults),
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -37,6 +37,15 @@
     forgotten: u64,
     past: VecDeque<(Instant, TableRows)>,
     keep_past: bool,
+    copy: TableCopy,
+}
+
+/// `TableCopy` is what the table comes back from: nothing at all before the first copy.
+#[derive(Debug, Clone, Default)]
+struct TableCopy {
+    rows: TableRows,
+    version: u64,
+    forgotten: u64,
 }
 
 impl RowKey {
@@ -70,6 +79,21 @@
         self.version
     }
 
+    /// Takes a copy of the table, in place of the one before.
+    pub fn take_copy(&mut self) {
+        let (version, forgotten) = (self.version, self.forgotten);
+        self.copy = TableCopy { rows: self.rows.clone(), version, forgotten };
+    }
+
+    /// Brings the table back from its copy: what was written since is gone, and its numbers are given out
+    /// again.
+    pub fn restore(&mut self) {
+        let TableCopy { rows, version, forgotten } = self.copy.clone();
+        self.rows = rows;
+        self.version = version;
+        self.forgotten = forgotten;
+    }
+
     /// Forgets what changed so far, so that feeds must be read anew.
     pub fn forget_history(&mut self) {
         // A transaction of nothing, so that also the newest version that readers hold is forgotten.
@@ -141,9 +165,10 @@
         PageBody { rows, more: found.next().is_some(), ver: self.version, ..PageBody::default() }
     }
 
-    /// Lists what changed in a table after a version, oldest first; nothing if that is forgotten.
+    /// Lists what changed in a table after a version, oldest first; nothing if that is forgotten, or was
+    /// never given out.
     pub fn changes(&self, table: &str, after: u64) -> Option<PageBody> {
-        if after < self.forgotten {
+        if after < self.forgotten || after > self.version {
             return None;
         }
         let of_table = self.rows.iter().filter(|(key, _)| key.table == table);
