--- a/crates/daemon/tests/behind.rs
+++ b/crates/daemon/tests/behind.rs
@@ -106,10 +106,10 @@
     let bound = (silent_at + CONTACT).max(acked_at + IN_FORCE_MAX);
     let mut late = Vec::new();
     eventually("the document is in force everywhere", || {
-        for daemon in 0..HOSTS.len() {
+        for (daemon, host) in HOSTS.iter().enumerate() {
             let sent_at = Instant::now();
             if watched.status(daemon, 3) == 404 && sent_at > bound {
-                late.push((HOSTS[daemon], sent_at - acked_at));
+                late.push((host, sent_at - acked_at));
             }
         }
         thread::sleep(PAUSE);
