--- a/crates/daemon/tests/behind.rs
+++ b/crates/daemon/tests/behind.rs
@@ -130,6 +130,8 @@
     watched.peers.iter().for_each(Forwarder::silence);
     watched.write(3);
     watched.wait_revision(3);
+    let told = watched.fleet.daemons[LAST].log_text();
+    assert!(told.contains("store call given up"), "the call that brought nothing goes on");
 }
 
 /// Callers who ask for what never was, as many as they like, cost the store a question a second.
