--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -13,6 +13,7 @@
 
 use crate::blocks::{BlockBuilder, ResourceBlocks};
 use crate::errors::{self, ResourceError};
+use crate::organisations::KeyTable;
 use crate::resources::{
     self, LimitRule, LimitScope, ResourceKind, ResourceValue, ServiceSpec, ALL_KINDS,
 };
@@ -74,6 +75,8 @@
 pub struct FleetConfig {
     revision: FleetRevision,
     kinds: [ResourceBlocks; ALL_KINDS.len()],
+    /// Organisations by their API keys.
+    keys: KeyTable,
 }
 
 /// `SnapshotResource` is one resource in a snapshot: kind, name, revision, value.
@@ -127,7 +130,14 @@
             };
             parsed.push((kind, change.name.as_str(), value));
         }
+        // A key may pass from one organisation to another in one change.
+        for (kind, name, _) in &parsed {
+            self.forget_keys(*kind, name);
+        }
         for (kind, name, value) in parsed {
+            if let Some(ResourceValue::Organisation(spec)) = &value {
+                self.keys.insert_all(name, spec);
+            }
             let resources = &mut self.kinds[kind as usize];
             match value {
                 Some(value) => {
@@ -140,6 +150,32 @@
         Ok(true)
     }
 
+    /// Takes the keys of an organisation out, if that is what the resource is.
+    fn forget_keys(&mut self, kind: ResourceKind, name: &str) {
+        if kind != ResourceKind::Organisation {
+            return;
+        }
+        if let Some(ResourceValue::Organisation(spec)) =
+            self.get(kind, name).map(|stored| stored.value)
+        {
+            spec.keys.iter().for_each(|digest| self.keys.remove(digest));
+        }
+    }
+
+    /// Checks that no other organisation has a key of this one.
+    fn check_keys(&self, name: &str, value: &ResourceValue) -> Result<(), ResourceError> {
+        let ResourceValue::Organisation(spec) = value else { return Ok(()) };
+        let is_own = |digest| self.keys.find(digest).is_some_and(|owner| *owner.name == *name);
+        match spec.keys.iter().find(|digest| !is_own(digest)) {
+            Some(digest) => {
+                let path = resources::resource_path(ResourceKind::Organisation, name);
+                let key = digest.public_part();
+                Err(errors::bad_value(format!("{path}.keys"), key, "keys of no other organisation"))
+            }
+            None => Ok(()),
+        }
+    }
+
     /// Checks that every reference of every resource has its target.
     pub fn check_references(&self) -> Result<(), ResourceError> {
         turns::at_once(self.check_references_in_turns(&turns::no_pause))
@@ -158,6 +194,7 @@
         let mut turns = WorkTurns::new(pause);
         for (kind, name, stored) in self.all() {
             check_one(kind, &name, &stored.value, has)?;
+            self.check_keys(&name, &stored.value)?;
             turns.step().await;
         }
         Ok(())
@@ -170,7 +207,10 @@
             let kind = ResourceKind::parse(&change.kind)?;
             let has = |kind, name: &str| self.contains(kind, name);
             match self.get(kind, &change.name) {
-                Some(stored) => check_one(kind, &change.name, &stored.value, has)?,
+                Some(stored) => {
+                    check_one(kind, &change.name, &stored.value, has)?;
+                    self.check_keys(&change.name, &stored.value)?;
+                }
                 None => self.check_unused(kind, &change.name)?,
             }
         }
@@ -200,6 +240,7 @@
 #[derive(Debug, Default)]
 pub struct ConfigBuilder {
     kinds: [BlockBuilder; ALL_KINDS.len()],
+    keys: KeyTable,
 }
 
 impl ConfigBuilder {
@@ -208,6 +249,9 @@
         let SnapshotResource(kind, name, revision, value) = resource;
         let kind = ResourceKind::parse(kind)?;
         let value = ResourceValue::try_new(kind, name, value)?;
+        if let ResourceValue::Organisation(spec) = &value {
+            self.keys.insert_all(name, spec);
+        }
         self.kinds[kind as usize].push(name, &StoredResource { revision: *revision, value });
         Ok(())
     }
@@ -223,7 +267,8 @@
         revision: FleetRevision,
         pause: &impl AsyncFn(),
     ) -> Result<FleetConfig, ResourceError> {
-        let config = FleetConfig { revision, kinds: self.kinds.map(BlockBuilder::finish) };
+        let kinds = self.kinds.map(BlockBuilder::finish);
+        let config = FleetConfig { revision, kinds, keys: self.keys };
         config.check_references_in_turns(pause).await?;
         Ok(config)
     }
@@ -283,6 +328,8 @@
     pub services: SharedMap<Rc<str>, Rc<PackedService>>,
     /// Routes by host and path.
     pub routes: RouteTable,
+    /// Organisations by their API keys.
+    pub keys: KeyTable,
     organisations: ResourceBlocks,
     limits: [SharedMap<Rc<str>, Vec<Rc<LimitEntry>>>; LIMIT_SCOPES],
     limit_names: SharedMap<Rc<str>, Rc<LimitEntry>>,
@@ -343,6 +390,7 @@
     /// Takes the organisations over as they are kept; a copy of the map shares all of it.
     fn share_organisations(&mut self, config: &FleetConfig) {
         self.organisations = config.kinds[ResourceKind::Organisation as usize].clone();
+        self.keys = config.keys.clone();
     }
 
     /// Says whether there is an organisation of this name.
@@ -422,16 +470,21 @@
                 None
             }
             ResourceValue::Limit(rule) => {
-                let entry = Rc::new(LimitEntry { name: name.clone(), rule: rule.clone() });
-                let target = Rc::from(rule.target.as_str());
-                let limits = &mut self.limits[rule.scope as usize];
-                limits.entry(target).or_default().push(entry.clone());
-                self.limit_names.insert(name.clone(), entry);
+                self.insert_limit(name, rule.clone());
                 None
             }
         }
     }
 
+    /// Adds a limit.
+    pub fn insert_limit(&mut self, name: &Rc<str>, rule: LimitRule) {
+        let target = Rc::from(rule.target.as_str());
+        let limits = &mut self.limits[rule.scope as usize];
+        let entry = Rc::new(LimitEntry { name: name.clone(), rule });
+        limits.entry(target).or_default().push(entry.clone());
+        self.limit_names.insert(name.clone(), entry);
+    }
+
     fn insert_service(&mut self, name: &Rc<str>, spec: &ServiceSpec) {
         let known = self.service(name);
         let upstreams = known.map(|entry| entry.upstreams).unwrap_or_default();
--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -16,14 +16,8 @@
 pub const FINGERPRINT_BYTES: usize = 16;
 /// Header fields that count. Ids, deadlines, dates and traces differ between copies and are left out;
 /// who changes another field escapes only until that copy is known by itself.
-const COUNTED_FIELDS: [&str; 6] = [
-    "host",
-    "basaltarch-organisation",
-    "authorization",
-    "cookie",
-    "content-type",
-    "content-encoding",
-];
+const COUNTED_FIELDS: [&str; 5] =
+    ["host", "authorization", "cookie", "content-type", "content-encoding"];
 
 /// `RequestFingerprint` is the same for all copies of a request and for no other request.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -32,6 +26,8 @@
 /// `RequestParts` are the parts of a request that its fingerprint is made of.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestParts<'a> {
+    /// Organisation of the caller, empty when there is none.
+    pub organisation: &'a str,
     /// Service that the request goes to: what ends the servers of one may be served by another.
     pub service: &'a str,
     /// Its method.
@@ -54,6 +50,7 @@
     pub fn of(secret: &[u8], parts: &RequestParts<'_>) -> Self {
         let mut hasher = PartHasher(Sha256::new());
         hasher.add(secret);
+        hasher.add(parts.organisation.as_bytes());
         hasher.add(parts.service.as_bytes());
         hasher.add(parts.method.as_bytes());
         hasher.add(parts.target.as_bytes());
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod errors;
 pub mod fingerprint;
 pub mod incarnation;
+pub mod organisations;
 pub mod outcome;
 pub mod packing;
 pub mod resources;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -44,10 +44,12 @@
     KeyReused,
     /// The request crashes the backend servers that run it.
     CrashesServers,
+    /// The route asks for an API key, and the caller has none that is known.
+    KeyUnknown,
 }
 
 /// Every reason, in the order of its wire number.
-pub const NOT_RUN_REASONS: [NotRunReason; 18] = [
+pub const NOT_RUN_REASONS: [NotRunReason; 19] = [
     NotRunReason::NoRoute,
     NotRunReason::NoConfiguration,
     NotRunReason::Limited,
@@ -66,6 +68,7 @@
     NotRunReason::KeyReused,
     NotRunReason::CrashesServers,
     NotRunReason::ConfigurationUnsure,
+    NotRunReason::KeyUnknown,
 ];
 
 impl NotRunReason {
@@ -90,6 +93,7 @@
             Self::KeyReused => "key-reused",
             Self::CrashesServers => "crashes-servers",
             Self::ConfigurationUnsure => "configuration-unsure",
+            Self::KeyUnknown => "key-unknown",
         }
     }
 }
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 
 use crate::errors::{self, ResourceError};
+use crate::organisations::KeyDigest;
 
 /// Longest resource name; it keeps table keys and logs short.
 pub const NAME_BYTES_MAX: usize = 128;
@@ -99,12 +100,18 @@
 }
 
 /// `OrganisationSpec` is an organisation whose callers share limits.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OrganisationSpec {
     /// Name for people.
     #[serde(default)]
     pub title: String,
+    /// Digests of the API keys by which its callers are known.
+    #[serde(default)]
+    pub keys: Vec<KeyDigest>,
+    /// Class of its work, if it goes before that of the route.
+    #[serde(default)]
+    pub criticality: Option<WorkClass>,
 }
 
 /// `PreferChoice` says which error a service would rather have.
@@ -237,6 +244,9 @@
     /// Time within which an answer is worth most, in milliseconds; 0 when none was declared.
     #[serde(default)]
     pub objective_ms: u32,
+    /// Whether callers need the API key of an organisation.
+    #[serde(default)]
+    pub needs_key: bool,
 }
 
 /// `ServiceShare` is one service of a route that splits its requests.
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -57,6 +57,7 @@
     split: Vec<(&'a str, u32)>,
     attempts: u32,
     objective_ms: u32,
+    needs_key: bool,
 }
 
 impl<'a> RouteRecord<'a> {
@@ -72,6 +73,7 @@
             split: rule.split.iter().map(|share| (share.service.as_str(), share.weight)).collect(),
             attempts: rule.attempts,
             objective_ms: rule.objective_ms,
+            needs_key: rule.needs_key,
         }
     }
 
@@ -91,6 +93,7 @@
             split: self.split.iter().map(|share| share_of(*share)).collect(),
             attempts: self.attempts,
             objective_ms: self.objective_ms,
+            needs_key: self.needs_key,
         };
         Rc::new(RouteEntry { name: Rc::from(self.name), rule: Rc::new(rule) })
     }
--- a/crates/core/tests/blocks.rs
+++ b/crates/core/tests/blocks.rs
@@ -17,7 +17,10 @@
 use test_case::test_case;
 
 fn organisation(title: &str, revision: u64) -> StoredResource {
-    let value = ResourceValue::Organisation(OrganisationSpec { title: title.to_owned() });
+    let value = ResourceValue::Organisation(OrganisationSpec {
+        title: title.to_owned(),
+        ..OrganisationSpec::default()
+    });
     StoredResource { revision: FleetRevision(revision), value }
 }
 
@@ -94,7 +97,7 @@
 }
 
 #[test_case(ResourceKind::FailureDomain, json!({"region": "bangkok"}) ; "failure domain")]
-#[test_case(ResourceKind::Organisation, json!({"title": "ขลุง"}) ; "organisation")]
+#[test_case(ResourceKind::Organisation, json!({"title": "ขลุง", "keys": ["00112233445566778899aabbccddeeff"], "criticality": "critical"}) ; "organisation")]
 #[test_case(ResourceKind::Service,
     json!({"floor": 0.7, "prefer": "detection", "queue": 3, "retry_budget": 0.25}) ; "service")]
 #[test_case(ResourceKind::BackendServer,
@@ -104,7 +107,7 @@
     json!({"host": "h", "path_prefix": "/a/", "methods": ["GET", "PUT"], "service": "s",
            "timeout_ms": 600000, "mode": "once", "criticality": "critical",
            "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
-           "attempts": 2, "objective_ms": 800}) ; "route")]
+           "attempts": 2, "objective_ms": 800, "needs_key": true}) ; "route")]
 #[test_case(ResourceKind::Limit,
     json!({"scope": "organisation", "target": "o", "rate": 0.25, "burst": 7.0}) ; "limit")]
 fn verify_every_field_of_every_kind_is_kept(kind: ResourceKind, value: Value) {
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -35,6 +35,7 @@
         split: Vec::new(),
         attempts: 0,
         objective_ms: 0,
+        needs_key: false,
     }
 }
 
--- a/crates/core/tests/fingerprint.rs
+++ b/crates/core/tests/fingerprint.rs
@@ -10,6 +10,7 @@
 
 fn parts() -> RequestParts<'static> {
     RequestParts {
+        organisation: "",
         service: "solver-app",
         method: "GET",
         target: "/puzzle/7",
@@ -36,7 +37,7 @@
 #[test_case(RequestParts { target: "/puzzle/7?a", ..parts() } ; "target")]
 #[test_case(RequestParts { target: "/puzzle/7a", body: b"b", ..parts() } ; "a part that runs into the next")]
 #[test_case(RequestParts { field_lines: b"host: other.example\r\n", ..parts() } ; "host")]
-#[test_case(RequestParts { field_lines: b"host: solver.example\r\nbasaltarch-organisation: khlung-shop\r\n", ..parts() } ; "organisation")]
+#[test_case(RequestParts { organisation: "khlung-shop", ..parts() } ; "organisation")]
 #[test_case(RequestParts { field_lines: b"host: solver.example\r\nauthorization: me\r\n", ..parts() } ; "authorization")]
 #[test_case(RequestParts { body: b"ac", ..parts() } ; "body")]
 #[test_case(RequestParts { is_whole: false, ..parts() } ; "a body that goes on")]
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -14,7 +14,9 @@
 use basaltarch_base::metrics;
 use basaltarch_base::signal::RisingSignal;
 use basaltarch_core::config::{ActiveConfig, ConfigBuilder, FleetConfig, SnapshotResource};
-use basaltarch_core::resources::{ResourceKind, ServiceSpec};
+use basaltarch_core::resources::{
+    LimitRule, LimitScope, OrganisationSpec, ResourceKind, ServiceSpec,
+};
 use basaltarch_core::routes::RouteTable;
 use basaltarch_core::services::{PackedService, ServiceEntry};
 use basaltarch_core::units::FleetRevision;
@@ -24,6 +26,7 @@
 use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_peer::protocol::{ChangePull, FrameBody};
 use basaltarch_platform::document::{self, ConfigDocument, ServiceNote};
+use basaltarch_platform::organisations::OrganisationNote;
 use basaltarch_platform::rows::{RowValue, RowsPage, StoredRow, DOCUMENT_KEY, OPERATOR_TABLE};
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::FeedReply;
@@ -52,19 +55,10 @@
 /// Where a document came from, if not from a peer.
 const STORE: &str = "store";
 
-/// `HeldDocument` is the document in force.
-#[derive(Debug, Clone)]
-pub struct HeldDocument {
-    /// The document.
-    pub document: Rc<ConfigDocument>,
-    /// Its bytes, for peers.
-    bytes: Rc<[u8]>,
-}
-
 /// `DocumentCell` holds the document in force, if there is one.
 #[derive(Debug, Default)]
 pub struct DocumentCell {
-    held: RefCell<Option<HeldDocument>>,
+    held: RefCell<Option<Rc<ConfigDocument>>>,
     pulling: Cell<bool>,
     /// Version of the operator's table up to which it was read, if it was.
     version: Cell<Option<u64>>,
@@ -75,14 +69,15 @@
 impl DocumentCell {
     /// Returns the document in force.
     pub fn get(&self) -> Option<Rc<ConfigDocument>> {
-        self.held.borrow().as_ref().map(|held| held.document.clone())
+        self.held.borrow().clone()
     }
 }
 
-/// `FleetSnapshot` is what a daemon tells a peer that can't reach the store.
+/// `FleetSnapshot` is what a daemon tells a peer that can't reach the store. The document is told as it was read,
+/// with the digests of keys in place of the keys.
 #[derive(Debug, Serialize, Deserialize)]
-struct FleetSnapshot {
-    document: String,
+struct FleetSnapshot<D> {
+    document: D,
     hosts: Vec<ToldRecord>,
 }
 
@@ -158,24 +153,28 @@
             state.freshness.note_outdated();
             Some(DocumentFate::Unreadable)
         }
-        value => Some(take_document(state, value.bytes()?, STORE)),
+        value => Some(read_document(state, value.bytes()?)),
     }
 }
 
-/// Takes a document over if it can be read and is later than the one in force.
-fn take_document(state: &Rc<DaemonState>, bytes: &[u8], from: &str) -> DocumentFate {
-    let document = match document::read(bytes) {
-        Ok(document) => document,
+/// Reads the document that the store holds and takes it over if it is later than the one in force.
+fn read_document(state: &Rc<DaemonState>, bytes: &[u8]) -> DocumentFate {
+    match document::read(bytes) {
+        Ok(document) => {
+            state.freshness.note_readable();
+            take_document(state, document, STORE)
+        }
         Err(error) => {
             let in_force = state.config.revision().0;
-            fleet::ConfigUnreadable { error: &error.to_string(), from, in_force }.log();
+            fleet::ConfigUnreadable { error: &error.to_string(), from: STORE, in_force }.log();
             state.freshness.note_outdated();
-            return DocumentFate::Unreadable;
+            DocumentFate::Unreadable
         }
-    };
-    if from == STORE {
-        state.freshness.note_readable();
     }
+}
+
+/// Takes a document over if it is later than the one in force.
+fn take_document(state: &Rc<DaemonState>, document: ConfigDocument, from: &str) -> DocumentFate {
     let revision = FleetRevision(document.version);
     if state.config.is_loaded() && revision <= state.config.revision() {
         return pass_over(state, revision, from);
@@ -185,8 +184,7 @@
     fleet::DocumentTaken { revision: revision.0, from, fresh_ms }.log();
     state.freshness.note_readable();
     let next = lay_out(state, &document);
-    let held = HeldDocument { document: Rc::new(document), bytes: Rc::from(bytes) };
-    *state.document.held.borrow_mut() = Some(held);
+    *state.document.held.borrow_mut() = Some(Rc::new(document));
     state.config.replace_layout(next, TouchedServices::All, state.now());
     put_host_in_force(state);
     DocumentFate::InForce
@@ -215,9 +213,29 @@
         let entry = service_entry(state, note);
         next.services.insert(entry.name.clone(), Rc::new(PackedService::new(&entry)));
     }
+    for note in document.organisations.iter().flatten() {
+        lay_out_organisation(&mut next, note);
+    }
     next
 }
 
+fn lay_out_organisation(next: &mut ActiveConfig, note: &OrganisationNote) {
+    next.keys.insert_all(&note.name, &organisation_spec(note));
+    let Some(limit) = &note.limit else { return };
+    let rule = LimitRule {
+        scope: LimitScope::Organisation,
+        target: note.name.clone(),
+        rate: limit.rate,
+        // A limit without a burst lets through what comes one at a time.
+        burst: limit.burst.max(1.0),
+    };
+    next.insert_limit(&Rc::from(note.name.as_str()), rule);
+}
+
+fn organisation_spec(note: &OrganisationNote) -> OrganisationSpec {
+    OrganisationSpec { title: String::new(), keys: note.keys.clone(), criticality: note.class }
+}
+
 fn service_entry(state: &DaemonState, note: &ServiceNote) -> ServiceEntry {
     ServiceEntry {
         name: Rc::from(note.name.as_str()),
@@ -286,6 +304,14 @@
     for route in state.document.get().iter().flat_map(|document| &document.routes) {
         push(ResourceKind::Route, &route.name, json!(route.rule));
     }
+    let document = state.document.get();
+    let organisations = document.iter().filter_map(|document| document.organisations.as_ref());
+    for note in organisations.flatten() {
+        push(ResourceKind::Organisation, &note.name, json!(organisation_spec(note)));
+        if let Some(entry) = active.limit(&note.name) {
+            push(ResourceKind::Limit, &note.name, json!(entry.rule));
+        }
+    }
     builder.finish(revision).unwrap_or_else(|error| {
         fleet::ResourceNotShown { error: &error.to_string() }.log();
         FleetConfig::default()
@@ -318,22 +344,21 @@
 
 /// Returns what a peer that is behind is told, if there is a document.
 pub fn snapshot(state: &DaemonState) -> Option<Vec<u8>> {
-    let held = state.document.held.borrow().clone()?;
+    let document = state.document.get()?;
     let mut hosts = Vec::new();
     state.roster.for_each(|host, record| {
         hosts.push(ToldRecord { host: host.to_owned(), record: record.clone() });
     });
-    let document = String::from_utf8_lossy(&held.bytes).into_owned();
     // Texts and numbers only; there is nothing that could not be written.
-    serde_json::to_vec(&FleetSnapshot { document, hosts }).ok()
+    serde_json::to_vec(&FleetSnapshot { document: &*document, hosts }).ok()
 }
 
 /// Takes in what a peer told.
 pub fn take_snapshot(state: &Rc<DaemonState>, host: &str, bytes: &[u8]) {
-    match serde_json::from_slice::<FleetSnapshot>(bytes) {
+    match serde_json::from_slice::<FleetSnapshot<ConfigDocument>>(bytes) {
         Ok(snapshot) => {
             roster::take_told(state, snapshot.hosts);
-            take_document(state, snapshot.document.as_bytes(), host);
+            take_document(state, snapshot.document, host);
         }
         Err(error) => fleet::SnapshotUnreadable { host, error: &error.to_string() }.log(),
     }
--- a/crates/daemon/src/host/calls.rs
+++ b/crates/daemon/src/host/calls.rs
@@ -20,6 +20,8 @@
 pub struct WorkCalls {
     /// Whether the work repeats other work, so that its calls do as well.
     pub repeated: bool,
+    /// Organisation that the work is for, and so are its calls.
+    pub organisation: Option<Rc<str>>,
     made: Cell<bool>,
     lost: Cell<bool>,
 }
@@ -49,8 +51,14 @@
 
 impl CallTable {
     /// Takes in that work for a request runs.
-    pub fn begin(&self, request: &str, repeated: bool) -> Rc<WorkCalls> {
-        let calls = Rc::new(WorkCalls { repeated, ..WorkCalls::default() });
+    pub fn begin(
+        &self,
+        request: &str,
+        repeated: bool,
+        organisation: Option<&str>,
+    ) -> Rc<WorkCalls> {
+        let organisation = organisation.map(Rc::from);
+        let calls = Rc::new(WorkCalls { repeated, organisation, ..WorkCalls::default() });
         self.works.borrow_mut().insert(request.to_owned(), calls.clone());
         calls
     }
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -293,6 +293,7 @@
         let told = self.head.fingerprint.as_deref().and_then(RequestFingerprint::from_bytes);
         told.unwrap_or_else(|| {
             let parts = RequestParts {
+                organisation: self.head.organisation.as_deref().unwrap_or_default(),
                 service: &self.head.service_name,
                 method: &self.head.method,
                 target: &self.head.target,
--- a/crates/daemon/src/host/watch.rs
+++ b/crates/daemon/src/host/watch.rs
@@ -29,7 +29,8 @@
     pub fn start(work: &'a HostWork<'a>, progress: &'a WorkProgress) -> Self {
         let now = work.state.now();
         let request = trail::request_id(work.state, work.head);
-        let calls = work.state.host.calls.begin(&request, work.head.repeated);
+        let organisation = work.head.organisation.as_deref();
+        let calls = work.state.host.calls.begin(&request, work.head.repeated, organisation);
         let usual = work.usual_time();
         let mut health = work.upstream.health.borrow_mut();
         let number = usual.map_or(0, |usual| health.start_work(usual, now));
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -334,6 +334,7 @@
         if self.left().is_zero() && self.dispatches == 0 {
             return Err(CallerFailure::not_run(NotRunReason::DeadlinePassed));
         }
+        self.refuse_taken_away()?;
         self.refuse_suspect()?;
         let must_take = self.dispatches + 1 >= DISPATCHES_MAX;
         let now = self.state.now();
@@ -351,6 +352,17 @@
             .ok_or_else(|| CallerFailure::new(self.last))
     }
 
+    /// Refuses a request whose caller's key went away after it was let in. It is asked before each dispatch,
+    /// so that what waited for a repeat doesn't begin with a key that is gone.
+    fn refuse_taken_away(&self) -> Result<(), CallerFailure> {
+        let caller = &self.request.caller;
+        let is_same = self.state.config.revision() == self.request.revision;
+        if is_same || caller.still_holds(&self.state.config.active()) {
+            return Ok(());
+        }
+        Err(caller.taken_away())
+    }
+
     /// Refuses a request that crashes the servers that run it, unless this copy tries it out. It is asked
     /// before each dispatch: another daemon's word may have come since the last.
     fn refuse_suspect(&mut self) -> Result<(), CallerFailure> {
@@ -568,7 +580,7 @@
             field_lines: request.field_lines.clone(),
             deadline_ms: self.left().as_millis().min(i32::MAX as u128) as i32,
             refusable: choice.refusable,
-            work_class: wire::class_number(request.route.rule.criticality),
+            work_class: wire::class_number(request.class()),
             work_mode: wire::mode_number(self.dispatch_mode()),
             attempt: self.request.trail.attempts.get() as i8,
             content_length: request.framing.wire_length(),
@@ -576,7 +588,7 @@
             last: body_is_done,
             baseline: (baseline.upstreams > 0).then(|| wire::baseline_note(baseline)),
             once_key: request.once_key.clone(),
-            organisation: request.organisation.clone(),
+            organisation: request.caller.organisation.as_deref().map(str::to_owned),
             revision: self.state.config.revision().0 as i64,
             after_failure: self.spares_failure(),
             passable: choice.ground != ChoiceGround::Waiting && self.is_passable(),
--- a/crates/daemon/src/ingress/failure.rs
+++ b/crates/daemon/src/ingress/failure.rs
@@ -15,6 +15,9 @@
 /// Shortest time that a caller is told to wait: a `Retry-After` has whole seconds (RFC 9110).
 const RETRY_AFTER_MIN: u64 = 1;
 
+/// What a caller without a known key is asked for; RFC 9110 wants a challenge with the status.
+const CHALLENGE: &str = "ApiKey";
+
 /// `CallerFailure` is what a caller is told in place of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallerFailure {
@@ -77,6 +80,9 @@
         if let Some(allow) = &self.allow {
             put(header::ALLOW, allow);
         }
+        if self.status == StatusCode::UNAUTHORIZED {
+            put(header::WWW_AUTHENTICATE, CHALLENGE);
+        }
         if close {
             put(header::CONNECTION, "close");
         }
@@ -92,7 +98,9 @@
             FailureOutcome::NotRun(reason) => match reason {
                 NotRunReason::BadRequest | NotRunReason::KeyReused => "http_request_error",
                 NotRunReason::NoRoute => "destination_not_found",
-                NotRunReason::Limited | NotRunReason::CrashesServers => "http_request_denied",
+                NotRunReason::Limited | NotRunReason::CrashesServers | NotRunReason::KeyUnknown => {
+                    "http_request_denied"
+                }
                 NotRunReason::ConnectFailed => "connection_refused",
                 NotRunReason::DeadlinePassed => "connection_timeout",
                 NotRunReason::NoConfiguration
@@ -121,6 +129,7 @@
             NotRunReason::NoRoute => StatusCode::NOT_FOUND,
             NotRunReason::Limited => StatusCode::TOO_MANY_REQUESTS,
             NotRunReason::BadRequest => StatusCode::BAD_REQUEST,
+            NotRunReason::KeyUnknown => StatusCode::UNAUTHORIZED,
             NotRunReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         },
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod caller;
+pub mod caller_key;
 pub mod failure;
 pub mod late;
 pub mod request;
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -12,9 +12,9 @@
 use basaltarch_base::metrics;
 use basaltarch_core::fingerprint::{RequestFingerprint, RequestParts};
 use basaltarch_core::outcome::NotRunReason;
-use basaltarch_core::resources::WorkMode;
+use basaltarch_core::resources::{WorkClass, WorkMode};
 use basaltarch_core::routes::RouteEntry;
-use basaltarch_core::units;
+use basaltarch_core::units::{self, FleetRevision};
 use basaltarch_decide::suspects::CrashTally;
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
@@ -24,13 +24,14 @@
 use basaltarch_http::writer;
 use bytes::{Bytes, BytesMut};
 use futures_util::{select_biased, FutureExt};
-use http::{header, request, HeaderValue, Method, StatusCode, Version};
+use http::{header, request, HeaderMap, HeaderValue, Method, StatusCode, Version};
 
 use crate::ingress::answer;
 use crate::ingress::attempt::{self, AttemptEnd};
 use crate::ingress::caller::{self, AfterRequest, WRITE_STALL};
+use crate::ingress::caller_key::CallerIdentity;
 use crate::ingress::failure::CallerFailure;
-use crate::ingress::target::{self, RequestTarget};
+use crate::ingress::target::{self, RequestTarget, TargetQuestion};
 use crate::ingress::trail::{self, RequestTrail};
 use crate::limits::{self, LimitSubject};
 use crate::services::ServiceState;
@@ -60,8 +61,10 @@
     pub version: Version,
     /// Its header fields as the backend server gets them.
     pub field_lines: Vec<u8>,
-    /// Organisation of the caller.
-    pub organisation: Option<String>,
+    /// Who asks.
+    pub caller: CallerIdentity,
+    /// Revision of the configuration that let it in.
+    pub revision: FleetRevision,
     /// Idempotency key of once-only work.
     pub once_key: Option<String>,
     /// Time by which it must be answered.
@@ -85,6 +88,11 @@
         self.service.failed_servers(self.method.as_str(), &self.target, now)
     }
 
+    /// Returns the class of its work: its organisation's goes before that of the route.
+    pub fn class(&self) -> WorkClass {
+        self.caller.class.unwrap_or(self.route.rule.criticality)
+    }
+
     /// Says whether all of its body was read before it is sent on.
     pub fn has_whole_body(&self) -> bool {
         self.prefix.len() < PREFIX_BYTES
@@ -101,6 +109,7 @@
     pub fn fingerprint(&self, state: &DaemonState) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
             let parts = RequestParts {
+                organisation: self.caller.organisation.as_deref().unwrap_or_default(),
                 service: &self.service.entry.name,
                 method: self.method.as_str(),
                 target: &self.target,
@@ -327,12 +336,13 @@
         return Err(CallerFailure::not_run(NotRunReason::NoConfiguration));
     }
     let host = target::caller_host(&head)?;
-    let (active, target) = target::settle(state, &head, &host).await?;
-    let RequestTarget { route, organisation } = target;
+    let question = TargetQuestion { head: &head, host: &host, id };
+    let (active, target) = target::settle(state, &question).await?;
+    let RequestTarget { route, caller } = target;
     let once_key = once_key(&route, &head)?;
     let service = state.services.service_of(&route);
-    let subject =
-        LimitSubject { organisation: organisation.as_deref(), route: &route.name, service };
+    let organisation = caller.organisation.as_deref();
+    let subject = LimitSubject { organisation, route: &route.name, service };
     limits::admit(state, &active, subject).await.map_err(|wait| CallerFailure {
         retry_after: Some(wait),
         ..CallerFailure::not_run(NotRunReason::Limited)
@@ -347,6 +357,7 @@
     let objective = (objective > 0).then(|| now + Duration::from_millis(objective.into()));
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     forward_fields(state, &mut head, &host, from);
+    tell_organisation(state, &mut head.headers, organisation);
     Ok(CallerRequest {
         route,
         service,
@@ -354,7 +365,8 @@
         target,
         version: head.version,
         field_lines: wire::field_lines(&head.headers),
-        organisation,
+        caller,
+        revision: active.revision,
         once_key,
         deadline: stop::bounded_deadline(state, now + timeout),
         objective,
@@ -421,6 +433,16 @@
     }
 }
 
+/// Takes the caller's key out and tells the backend server whose it is, whatever the caller claims.
+fn tell_organisation(state: &DaemonState, headers: &mut HeaderMap, organisation: Option<&str>) {
+    headers.remove(&state.fields.api_key);
+    headers.remove(&state.fields.organisation);
+    let value = organisation.and_then(|name| HeaderValue::from_str(name).ok());
+    if let Some(value) = value {
+        headers.insert(&state.fields.organisation, value);
+    }
+}
+
 /// Removes what concerns this connection only and adds where the request came from.
 fn forward_fields(state: &DaemonState, head: &mut request::Parts, host: &str, from: SocketAddr) {
     let headers = &mut head.headers;
--- a/crates/daemon/src/ingress/target.rs
+++ b/crates/daemon/src/ingress/target.rs
@@ -1,17 +1,17 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! Finds what the configuration says of a request: its route, and the organisation that it counts towards.
+//! Finds what the configuration says of a request: its route, and who asks.
 
 use std::rc::Rc;
 
 use basaltarch_core::config::ActiveConfig;
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::routes::{RouteEntry, RouteMatch};
-use basaltarch_http::fields;
 use http::{header, request, HeaderValue, Method, StatusCode, Version};
 
 use crate::freshness;
+use crate::ingress::caller_key::{self, CallerIdentity, GivenKey};
 use crate::ingress::failure::CallerFailure;
 use crate::state::DaemonState;
 
@@ -19,8 +19,18 @@
 pub struct RequestTarget {
     /// Its route.
     pub route: Rc<RouteEntry>,
-    /// Organisation of the caller, if it names one.
-    pub organisation: Option<String>,
+    /// Who asks.
+    pub caller: CallerIdentity,
+}
+
+/// `TargetQuestion` is what a request asks the configuration for.
+pub struct TargetQuestion<'a> {
+    /// Its head.
+    pub head: &'a request::Parts,
+    /// The host that it asks for.
+    pub host: &'a str,
+    /// Its id: a call of work that runs on this host needs no key.
+    pub id: &'a str,
 }
 
 /// Finds where a request goes. A refusal by the configuration says that something isn't there, which holds for
@@ -28,11 +38,10 @@
 /// route at a daemon that had no news for 5.6 s was told that there is none.
 pub async fn settle(
     state: &Rc<DaemonState>,
-    head: &request::Parts,
-    host: &str,
+    question: &TargetQuestion<'_>,
 ) -> Result<(Rc<ActiveConfig>, RequestTarget), CallerFailure> {
     let active = state.config.active();
-    let failure = match find_target(&active, head, host) {
+    let failure = match find_target(state, &active, question) {
         Ok(target) => return Ok((active, target)),
         Err(failure) => failure,
     };
@@ -43,17 +52,25 @@
     if newest.revision == active.revision {
         return Err(failure);
     }
-    find_target(&newest, head, host).map(|target| (newest, target))
+    find_target(state, &newest, question).map(|target| (newest, target))
 }
 
 fn find_target(
+    state: &DaemonState,
     active: &ActiveConfig,
-    head: &request::Parts,
-    host: &str,
+    question: &TargetQuestion<'_>,
 ) -> Result<RequestTarget, CallerFailure> {
-    let route = find_route(active, head, host)?;
-    let organisation = find_organisation(active, head)?;
-    Ok(RequestTarget { route, organisation })
+    let route = find_route(active, question.head, question.host)?;
+    let given = GivenKey::of(&question.head.headers, &state.fields.api_key);
+    let parent = match given {
+        GivenKey::Missing => state.host.calls.caller_of(question.id),
+        _ => None,
+    };
+    let caller = match parent {
+        Some(work) => CallerIdentity::of_call(work.organisation.clone()),
+        None => caller_key::identify(active, &given, route.rule.needs_key)?,
+    };
+    Ok(RequestTarget { route, caller })
 }
 
 fn find_route(
@@ -73,23 +90,6 @@
     }
 }
 
-fn find_organisation(
-    active: &ActiveConfig,
-    head: &request::Parts,
-) -> Result<Option<String>, CallerFailure> {
-    let value = match head.headers.get(fields::ORGANISATION) {
-        Some(value) => value,
-        None => return Ok(None),
-    };
-    match value.to_str() {
-        Ok(name) if active.has_organisation(name) => Ok(Some(name.to_owned())),
-        _ => {
-            let message = "the organisation is not known";
-            Err(CallerFailure::bad_request(StatusCode::FORBIDDEN, message))
-        }
-    }
-}
-
 /// Returns the host asked for: of an absolute target, or of the one `Host` field.
 pub fn caller_host(head: &request::Parts) -> Result<String, CallerFailure> {
     let bad = |message: &str| CallerFailure::bad_request(StatusCode::BAD_REQUEST, message);
--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -5,11 +5,14 @@
 
 use std::collections::BTreeMap;
 
+use basaltarch_core::organisations::KeyDigest;
 use serde_json::{json, Value};
 
 use super::client::{self, Reply};
 use super::{eventually, TestBackend, TestDaemon, TestPlatform};
 
+/// API key of the organisation `khlung-shop`.
+pub const SHOP_KEY: &[u8] = b"khlung-key";
 const DOMAINS: [&str; 3] = ["bkk-a", "bkk-b", "bkk-c"];
 
 /// Daemons on hosts `host-a`, `host-b`, ... in failure domains `bkk-a`, `bkk-b`, `bkk-c`, with
@@ -45,6 +48,8 @@
                            "mode": "repeatable", "timeout_ms": 5000},
                 "plain": {"host": "solver.example", "path_prefix": "/plain", "service": "solver-app",
                           "timeout_ms": 5000},
+                "keyed": {"host": "solver.example", "path_prefix": "/keyed", "service": "solver-app",
+                          "needs_key": true, "timeout_ms": 5000},
                 "payouts": {"host": "solver.example", "path_prefix": "/payouts", "mode": "once",
                             "service": "solver-app", "timeout_ms": 8000, "criticality": "critical"},
             }),
@@ -110,7 +115,7 @@
             DOMAINS.iter().map(|name| (*name, json!({"region": "bangkok"}))).collect();
         json!({
             "failure-domains": domains,
-            "organisations": {"khlung-shop": {"title": "Khlung"}},
+            "organisations": {"khlung-shop": {"title": "Khlung", "keys": [KeyDigest::of(SHOP_KEY)]}},
             "services": {"solver-app": plan.service},
             "backend-servers": servers,
             "routes": plan.routes,
--- a/crates/daemon/tests/common/registered.rs
+++ b/crates/daemon/tests/common/registered.rs
@@ -51,6 +51,7 @@
             head_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
         },
+        organisations: None,
     }
 }
 
@@ -67,6 +68,7 @@
         split: Vec::new(),
         attempts: 2,
         objective_ms: 800,
+        needs_key: false,
     };
     NamedRoute { name: name.to_owned(), rule }
 }
--- a/crates/daemon/tests/configuration.rs
+++ b/crates/daemon/tests/configuration.rs
@@ -7,6 +7,8 @@
 
 use std::thread;
 
+use basaltarch_core::organisations::KeyDigest;
+use common::fleet::SHOP_KEY;
 use common::operator::{check_audit, fleet_of, put_organisation, ANY};
 use common::{client, eventually};
 use serde_json::{json, Value};
@@ -147,7 +149,8 @@
     assert_eq!(daemon.call("GET", "/v1/organisations/good", &[], "").status, 404);
     assert_eq!(daemon.revision(), 1);
     let same = json!({"changes": [
-        {"kind": "organisations", "name": "khlung-shop", "value": {"title": "Khlung"}},
+        {"kind": "organisations", "name": "khlung-shop",
+         "value": {"title": "Khlung", "keys": [KeyDigest::of(SHOP_KEY)]}},
     ]});
     let reply = daemon.call("POST", "/v1/apply", &[], &same.to_string());
     assert_eq!(reply.json()["changed"], json!(0));
@@ -231,6 +234,7 @@
     assert_eq!(count("since_ms=9999999999999"), 0);
     let records = daemon.get("/v1/audit?name=a")["records"].clone();
     let change = &records[0]["changes"][0];
-    assert_eq!((&change["before"], &change["after"]), (&Value::Null, &json!({"title": "t"})));
+    let written = json!({"title": "t", "keys": [], "criticality": null});
+    assert_eq!((&change["before"], &change["after"]), (&Value::Null, &written));
     assert!(records[0]["from"].as_str().expect("from").starts_with("127.0.0.1:"));
 }
--- a/crates/daemon/tests/edge.rs
+++ b/crates/daemon/tests/edge.rs
@@ -48,7 +48,9 @@
         ("not HTTP", "\x16\x03\x01\x02\r\n\r\n".to_owned(), 400),
         ("slow head", format!("GET / HTTP/1.1\r\n{host}"), 408),
         ("slow body", format!("POST / HTTP/1.1\r\n{host}Content-Length: 10\r\n\r\nabc"), 408),
-        ("unknown organisation", format!("GET / HTTP/1.1\r\n{host}Basaltarch-Organisation: who\r\n\r\n"), 403),
+        ("unknown API key", format!("GET /keyed HTTP/1.1\r\n{host}Basaltarch-Key: who\r\n\r\n"), 401),
+        ("claimed organisation", format!("GET /keyed HTTP/1.1\r\n{host}Basaltarch-Organisation: khlung-shop\r\n\r\n"), 401),
+        ("known API key", format!("GET /keyed HTTP/1.1\r\n{host}Basaltarch-Key: khlung-key\r\n\r\n"), 200),
         ("bad deadline", format!("GET / HTTP/1.1\r\n{host}Basaltarch-Deadline-Ms: soon\r\n\r\n"), 400),
         ("empty lines first", format!("\r\n\r\nGET / HTTP/1.1\r\n{host}\r\n"), 200),
     ];
--- a/crates/daemon/tests/limits.rs
+++ b/crates/daemon/tests/limits.rs
@@ -21,7 +21,7 @@
 }
 
 fn ask(fleet: &TestFleet, daemon: usize) -> common::client::Reply {
-    fleet.request(daemon, "GET", "/puzzle", &[("Basaltarch-Organisation", "khlung-shop")], "")
+    fleet.request(daemon, "GET", "/puzzle", &[("Basaltarch-Key", "khlung-key")], "")
 }
 
 #[test]
--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -201,7 +201,7 @@
     assert_eq!(pay(&fleet, 0, "shared", "x").status, 200);
     let headers = [
         ("Idempotency-Key", "shared"),
-        ("Basaltarch-Organisation", "khlung-shop"),
+        ("Basaltarch-Key", "khlung-key"),
         ("x-request-id", "shared"),
     ];
     let reply = fleet.request(0, "POST", "/payouts", &headers, "x");
--- /dev/null
+++ b/crates/daemon/tests/organisations.rs
@@ -0,0 +1,187 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Organisations through real processes: who is let in, what the backend server is told, where a key may stand,
+//! and keys that are taken away.
+
+mod common;
+
+use basaltarch_platform::document::{self, ConfigDocument};
+use basaltarch_platform::headers;
+use basaltarch_platform::organisations::OrganisationDraft;
+use common::client::{self, Reply};
+use common::eventually;
+use common::registered::{self, RegisteredFleet, HOST};
+use test_case::test_case;
+
+const SHOP_KEY: &str = "k3y0fsh0pthatn0b0dym4ysee";
+const DESK_KEY: &str = "k3y0fd3skthatn0b0dym4ysee";
+const SHOP: OrganisationDraft<'static> =
+    OrganisationDraft { name: "shop", keys: &[SHOP_KEY], priority: None, rate: None, burst: None };
+const DESK: OrganisationDraft<'static> =
+    OrganisationDraft { name: "desk", keys: &[DESK_KEY], ..SHOP };
+
+/// Builds a document whose routes ask for a key, but for `/safe/`.
+fn keyed_document(version: u64) -> ConfigDocument {
+    let mut document = registered::document(version);
+    for route in &mut document.routes {
+        route.rule.needs_key = route.name != "r-safe";
+    }
+    document
+}
+
+fn write(fleet: &RegisteredFleet, version: u64, organisations: &[OrganisationDraft]) {
+    let bytes = document::write_with(&keyed_document(version), Some(organisations));
+    fleet.write_text(&String::from_utf8(bytes).expect("text"));
+    for daemon in &fleet.daemons {
+        eventually("the document is in force", || daemon.revision() == version);
+    }
+}
+
+fn start(daemons: usize) -> RegisteredFleet {
+    let fleet = RegisteredFleet::start(daemons);
+    for daemon in 0..daemons {
+        let every: Vec<usize> = (0..daemons).collect();
+        fleet.wait_served(daemon, &every);
+    }
+    write(&fleet, 2, &[SHOP, DESK]);
+    fleet
+}
+
+fn ask(
+    fleet: &RegisteredFleet,
+    daemon: usize,
+    path: &str,
+    id: &str,
+    more: &[(&str, &str)],
+) -> Reply {
+    let mut headers = vec![("Host", HOST), ("request-id", id), ("deadline-ms", "3000")];
+    headers.extend_from_slice(more);
+    client::call(fleet.daemons[daemon].callers, "POST", path, &headers, "x")
+}
+
+#[test_case(&[] ; "no key")]
+#[test_case(&[("Credential", "unknown")] ; "a key that never was")]
+#[test_case(&[("Credential", "")] ; "an empty key")]
+#[test_case(&[("Credential", "k3y0fsh0pthatn0b0dym4yse")] ; "the start of a key")]
+#[test_case(&[("Credential", SHOP_KEY), ("Credential", DESK_KEY)] ; "two keys")]
+#[test_case(&[("Tenant-Id", "shop")] ; "a name without a key")]
+fn verify_who_has_no_known_key_is_refused_and_nothing_runs(more: &[(&str, &str)]) {
+    let fleet = start(1);
+    let reply = ask(&fleet, 0, "/unsafe/x", "stranger", more);
+    assert_eq!((reply.status, reply.reason().as_deref()), (401, Some("key-unknown")));
+    assert!(reply.header("www-authenticate").is_some());
+    assert_eq!(fleet.ran("stranger"), 0);
+    assert_eq!(ask(&fleet, 0, "/safe/x", "exempt", more).status, 200, "the route asks for no key");
+}
+
+#[test]
+fn verify_a_key_of_8_kb_and_one_that_is_no_text_are_unknown() {
+    let fleet = start(1);
+    let long = "k".repeat(8192);
+    for (id, key) in [("long", long.as_str()), ("bytes", "sch\u{fc}ssel")] {
+        assert_eq!(ask(&fleet, 0, "/unsafe/x", id, &[("Credential", key)]).status, 401, "{id}");
+        assert_eq!(fleet.ran(id), 0);
+    }
+}
+
+#[test]
+fn verify_the_server_is_told_whose_key_it_is_and_the_key_stands_nowhere() {
+    let fleet = start(3);
+    for number in 0..30 {
+        let (key, claimed) = if number % 2 == 0 { (SHOP_KEY, "desk") } else { (DESK_KEY, "shop") };
+        let more = [("Credential", key), ("Tenant-Id", claimed)];
+        let id = format!("known-{number}");
+        assert_eq!(ask(&fleet, number % 3, "/unsafe/x", &id, &more).status, 200);
+        let server = fleet.backends.iter().find(|backend| backend.ran(&id) == 1).expect("ran");
+        let head = server.runs()["last_head"].as_str().expect("head").to_owned();
+        let name = if number % 2 == 0 { "shop" } else { "desk" };
+        assert!(head.contains(&format!("\"tenant-id\": \"{name}\"")), "{head}");
+    }
+    // A claimed name doesn't pass on a route that asks for no key either.
+    assert_eq!(ask(&fleet, 0, "/safe/x", "open", &[("Tenant-Id", "shop")]).status, 200);
+    // A daemon that starts while the store is away has the document from its peers.
+    let keys: u64 = fleet.backends.iter().map(|b| b.runs()["keys"].as_u64().expect("keys")).sum();
+    assert_eq!(keys, 0, "a key reached a backend server");
+    let told = |backend: &common::TestBackend| {
+        let runs = backend.runs();
+        ["shop", "desk"].map(|name| runs["by_organisation"][name].as_u64().unwrap_or(0))
+    };
+    let sums = fleet
+        .backends
+        .iter()
+        .map(told)
+        .fold([0, 0], |sum, each| [sum[0] + each[0], sum[1] + each[1]]);
+    assert_eq!(sums, [15, 15]);
+    for daemon in &fleet.daemons {
+        let shown = [
+            daemon.log_text(),
+            daemon.call("GET", "/metrics", &[], "").text(),
+            daemon.get("/v1/organisations").to_string(),
+            daemon.get("/v1/status").to_string(),
+        ];
+        for text in shown {
+            for key in [SHOP_KEY, DESK_KEY] {
+                assert!(!text.contains(key), "a key stands in what the daemon shows");
+            }
+        }
+    }
+}
+
+#[test]
+fn verify_a_key_that_is_taken_away_or_moves_is_so_on_open_connections() {
+    let fleet = start(2);
+    let with = |key| [("Credential", key)];
+    assert_eq!(ask(&fleet, 1, "/unsafe/x", "before", &with(SHOP_KEY)).status, 200);
+    let moved = OrganisationDraft { keys: &[DESK_KEY, SHOP_KEY], ..DESK };
+    write(&fleet, 3, &[OrganisationDraft { keys: &["an0ther"], ..SHOP }, moved]);
+    for daemon in 0..2 {
+        let id = format!("moved-{daemon}");
+        assert_eq!(ask(&fleet, daemon, "/unsafe/x", &id, &with(SHOP_KEY)).status, 200);
+        let server = fleet.backends.iter().find(|backend| backend.ran(&id) == 1).expect("ran");
+        assert!(server.runs()["last_head"].to_string().contains("desk"));
+    }
+    write(&fleet, 4, &[SHOP]);
+    for daemon in 0..2 {
+        let id = format!("gone-{daemon}");
+        assert_eq!(ask(&fleet, daemon, "/unsafe/x", &id, &with(DESK_KEY)).status, 401);
+        assert_eq!(fleet.ran(&id), 0);
+        assert_eq!(ask(&fleet, daemon, "/unsafe/x", "back", &with(SHOP_KEY)).status, 200);
+    }
+}
+
+#[test]
+fn verify_a_call_of_running_work_needs_no_key_and_is_for_the_same_organisation() {
+    let fleet = start(1);
+    let address = fleet.daemons[0].callers;
+    let parent = std::thread::spawn(move || {
+        let headers = [
+            ("Host", HOST),
+            ("request-id", "parent"),
+            ("Credential", SHOP_KEY),
+            ("x-work-ms", "1500"),
+        ];
+        client::call(address, "POST", "/unsafe/x", &headers, "x").status
+    });
+    eventually("the work runs", || fleet.ran("parent") == 1);
+    assert_eq!(ask(&fleet, 0, "/unsafe/x", "parent.1", &[]).status, 200);
+    let head = fleet.backends[0].runs()["last_head"].to_string();
+    assert!(head.contains("shop"), "{head}");
+    assert_eq!(parent.join().expect("join"), 200);
+    assert_eq!(ask(&fleet, 0, "/unsafe/x", "parent.2", &[]).status, 401, "its work is over");
+}
+
+#[test]
+fn verify_a_bad_table_of_organisations_changes_nothing_and_no_key_is_logged() {
+    let fleet = start(1);
+    let twice = OrganisationDraft { keys: &[SHOP_KEY], ..DESK };
+    let bytes = document::write_with(&keyed_document(9), Some(&[SHOP, twice]));
+    fleet.write_text(&String::from_utf8(bytes).expect("text"));
+    let daemon = &fleet.daemons[0];
+    eventually("it was read", || daemon.log_text().contains("configuration unreadable"));
+    assert_eq!(daemon.revision(), 2);
+    let fields = headers::exchange_fields();
+    let more = [(fields.api_key.as_str(), DESK_KEY)];
+    assert_eq!(ask(&fleet, 0, "/unsafe/x", "still", &more).status, 200);
+    assert!(!daemon.log_text().contains(SHOP_KEY));
+}
--- a/crates/daemon/tests/reference.rs
+++ b/crates/daemon/tests/reference.rs
@@ -42,6 +42,7 @@
         fields::REASON,
         fields::PROXY_STATUS,
         fields::DEADLINE,
+        fields::API_KEY,
         fields::ORGANISATION,
         fields::IDEMPOTENCY_KEY,
         fields::SHED,
--- a/crates/decide/benches/cost.rs
+++ b/crates/decide/benches/cost.rs
@@ -148,6 +148,7 @@
     let field_lines = b"host: solver.example\r\naccept: */*\r\nx-request-id: 9c41d07be2a35f68\r\n\
         user-agent: solver/3.1\r\ncontent-type: application/json\r\n";
     let parts = RequestParts {
+        organisation: "khlung-shop",
         service: "solver-app",
         method: "POST",
         target: "/puzzle/17?grid=large",
--- a/crates/http/src/fields.rs
+++ b/crates/http/src/fields.rs
@@ -21,7 +21,9 @@
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// Milliseconds that the caller still waits; sent on to backend servers.
 pub const DEADLINE: HeaderName = HeaderName::from_static("basaltarch-deadline-ms");
-/// Organisation of the caller.
+/// API key of the caller, by which its organisation is known; it goes no further than the daemon that reads it.
+pub const API_KEY: HeaderName = HeaderName::from_static("basaltarch-key");
+/// Organisation of the caller, as backend servers are told it.
 pub const ORGANISATION: HeaderName = HeaderName::from_static("basaltarch-organisation");
 /// Key by which repeated attempts at the same work are known.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -54,6 +56,10 @@
     pub drain: HeaderName,
     /// Names the service of the host where the request began.
     pub caller_service: Option<HeaderName>,
+    /// API key of the caller.
+    pub api_key: HeaderName,
+    /// Tells the backend server the organisation that holds the caller's key.
+    pub organisation: HeaderName,
     /// Whether callers take the statuses 408, 421, 429 and 503 as word that nothing ran, so that a
     /// backend server's own, given without that word, must not reach them.
     pub promises: bool,
@@ -69,6 +75,8 @@
             shed: SHED,
             drain: DRAIN,
             caller_service: None,
+            api_key: API_KEY,
+            organisation: ORGANISATION,
             promises: false,
         }
     }
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -139,6 +139,7 @@
             head_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
         },
+        organisations: None,
     }
 }
 
@@ -154,6 +155,7 @@
         split: Vec::new(),
         attempts: 2,
         objective_ms: 800,
+        needs_key: false,
     };
     NamedRoute { name: name.to_owned(), rule }
 }
--- a/crates/standin/src/backend/runs.rs
+++ b/crates/standin/src/backend/runs.rs
@@ -31,6 +31,10 @@
     pub probes: u64,
     /// Times that the server crashed.
     pub crashes: u64,
+    /// Requests run, by the organisation that the server was told.
+    pub by_organisation: FnvHashMap<String, u64>,
+    /// Requests received with a caller's API key, which must not go this far.
+    pub keys: u64,
     /// Head of the last request, as text.
     pub last_head: String,
 }
@@ -39,6 +43,7 @@
 pub fn note_received(standin: &BackendStandin, head: &request::Parts) {
     let mut runs = standin.runs.borrow_mut();
     runs.received += 1;
+    runs.keys += u64::from(head.headers.contains_key(&standin.options.fields.api_key));
     runs.last_head = format!("{} {} {:?}", head.method, head.uri, head.headers);
 }
 
@@ -55,4 +60,7 @@
     if let Some(id) = fields::single(&head.headers, &standin.request_field()) {
         *runs.by_id.entry(id.to_owned()).or_default() += 1;
     }
+    if let Some(name) = fields::single(&head.headers, &standin.options.fields.organisation) {
+        *runs.by_organisation.entry(name.to_owned()).or_default() += 1;
+    }
 }
