Let requests in ahead of the grant of a limit, and keep the pace of an ingress that can't reach the limit's home

Ruled out: counting in batches on frames that go anyway (few frames to share: each limit has another home); shares that move with demand alone (they can't tell who is over within a window at 0.2 requests a second).

Change: while a limit is far from used up its home lets each ingress let requests in before they are paid for; what can be let in too much is the number of requests ahead, within half of what the operator tolerates (new settings limit-over, limit-extra, limit-window-ms). A home fills from when the members last changed. An ingress without its home goes on at the pace that the home let in before, and the home keeps that pace for who has fallen silent. Refused work gives its token back. A refusal tells limit and counter.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -34,7 +34,9 @@
         FrameBody::Heartbeat(note) => handle_heartbeat(state, path, sender, peer, note),
         FrameBody::Pull(pull) => spread::answer_pull(state, sender, pull),
         FrameBody::News(news) => spread::take_news(state, peer, news),
-        FrameBody::GrantRequest(request) => limits::answer_request(state, sender, &request),
+        FrameBody::GrantRequest(request) => {
+            limits::answer_request(state, sender, &peer.host, &request);
+        }
         FrameBody::GrantReply(reply) => state.limits.take_reply(&reply),
         FrameBody::Withdraw(note) => state.host.withdraw_failure(&note.upstream, &note.route),
         FrameBody::RowsRequest(request) => rows::answer_request(state, sender, peer, &request),
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -11,7 +11,7 @@
 
 use basaltarch_base::metrics;
 use basaltarch_core::fingerprint::{RequestFingerprint, RequestParts};
-use basaltarch_core::outcome::NotRunReason;
+use basaltarch_core::outcome::{FailureOutcome, NotRunReason};
 use basaltarch_core::resources::{WorkClass, WorkMode};
 use basaltarch_core::routes::RouteEntry;
 use basaltarch_core::units::{self, FleetRevision};
@@ -88,6 +88,15 @@
         self.service.failed_servers(self.method.as_str(), &self.target, now)
     }
 
+    /// Returns what it counts towards.
+    fn limit_subject(&self) -> LimitSubject<'_> {
+        LimitSubject {
+            organisation: self.caller.organisation.as_deref(),
+            route: &self.route.name,
+            service: &self.service.entry.name,
+        }
+    }
+
     /// Returns the class of its work: its organisation's goes before that of the route.
     pub fn class(&self) -> WorkClass {
         self.caller.class.unwrap_or(self.route.rule.criticality)
@@ -216,6 +225,9 @@
         }
         AttemptEnd::Failed(failure) => {
             note_lost();
+            if let FailureOutcome::NotRun(_) = failure.outcome {
+                limits::give_back(state, &state.config.active(), request.limit_subject());
+            }
             trail::tell_failed(state, request, &failure);
             record(failure.outcome.header_value());
             let close = request.close || !body.is_done();
@@ -343,8 +355,9 @@
     let service = state.services.service_of(&route);
     let organisation = caller.organisation.as_deref();
     let subject = LimitSubject { organisation, route: &route.name, service };
-    limits::admit(state, &active, subject).await.map_err(|wait| CallerFailure {
-        retry_after: Some(wait),
+    limits::admit(state, &active, subject).await.map_err(|refusal| CallerFailure {
+        retry_after: Some(refusal.wait),
+        message: refusal.message,
         ..CallerFailure::not_run(NotRunReason::Limited)
     })?;
     let service = state
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -129,6 +129,14 @@
             optional --retry-extra count: String
             /// Length of that window in ms [BASALTARCH_RETRY_WINDOW_MS], default 10000.
             optional --retry-window-ms ms: String
+            /// Share of a limit over the fleet by which requests beyond it are tolerated in a window
+            /// [BASALTARCH_LIMIT_OVER], default 0.
+            optional --limit-over share: String
+            /// Requests beyond that share which are tolerated in a window [BASALTARCH_LIMIT_EXTRA],
+            /// default 0.
+            optional --limit-extra count: String
+            /// Length of that window in ms [BASALTARCH_LIMIT_WINDOW_MS], default 1000.
+            optional --limit-window-ms ms: String
         }
     }
 }
@@ -197,6 +205,9 @@
         retry_share: flags.retry_share,
         retry_extra: flags.retry_extra,
         retry_window_ms: flags.retry_window_ms,
+        limit_over: flags.limit_over,
+        limit_extra: flags.limit_extra,
+        limit_window_ms: flags.limit_window_ms,
         drain_min_ms: flags.drain_min_ms,
         kill_after_ms: flags.kill_after_ms,
         heartbeat_ms: flags.heartbeat_ms,
--- a/crates/daemon/tests/deployed.rs
+++ b/crates/daemon/tests/deployed.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use basaltarch_core::errors::SettingError;
+use basaltarch_decide::grants::LimitTolerance;
 use basaltarch_options::{DaemonOptions, RawOptions};
 use test_case::test_case;
 
@@ -31,16 +32,36 @@
     ("bounds.budgetExtraRetries", "56"),
 ];
 
+/// What the platform fills in only where callers have organisations.
+const OPTIONAL: [(&str, &str); 3] =
+    [("bounds.quotaWindowS", "5"), ("bounds.quotaOverage", "0.1"), ("bounds.quotaSlack", "20")];
+
+/// Leaves a part of the settings in if the platform fills its gap, and takes it out otherwise.
+fn settle_part(text: &str, gap: &str, is_filled: bool) -> String {
+    let (open, close) = (format!("{{{{#{gap}}}}}"), format!("{{{{/{gap}}}}}"));
+    let (before, rest) = text.split_once(&open).expect("the start of an optional part");
+    let (part, after) = rest.split_once(&close).expect("the end of an optional part");
+    format!("{before}{}{after}", if is_filled { part } else { "" })
+}
+
 /// Fills the deployed settings in, with this gap filled otherwise, and reads them.
 fn read(gap: &str, value: &str) -> Result<DaemonOptions, SettingError> {
+    read_with(gap, value, true)
+}
+
+fn read_with(gap: &str, value: &str, organisations: bool) -> Result<DaemonOptions, SettingError> {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/basaltarchd.conf");
     let mut text = fs::read_to_string(path).expect("deployed settings");
+    for (optional, _) in OPTIONAL {
+        text = settle_part(&text, optional, organisations);
+    }
     text = text.replace(&format!("{{{{{gap}}}}}"), value);
-    for (gap, usual) in USUAL.iter().chain(&[("bounds.budgetWindowS", "10")]) {
+    for (gap, usual) in USUAL.iter().chain(&OPTIONAL).chain(&[("bounds.budgetWindowS", "10")]) {
         text = text.replace(&format!("{{{{{gap}}}}}"), usual);
     }
     assert!(!text.contains("{{"), "a gap that this test does not fill:\n{text}");
-    let name = format!("deployed-{}-{}.conf", gap.replace('.', "-"), value.replace(':', "-"));
+    let gap = gap.replace('.', "-");
+    let name = format!("deployed-{gap}-{}-{organisations}.conf", value.replace(':', "-"));
     let filled = format!("{}/{name}", env!("CARGO_TARGET_TMPDIR"));
     fs::write(&filled, text).expect("write");
     let options = DaemonOptions::try_new(RawOptions {
@@ -73,6 +94,16 @@
     assert_eq!(options.drain, Duration::from_millis(wanted_ms));
 }
 
+#[test]
+fn verify_the_bounds_on_limits_are_taken_where_there_are_any() {
+    let tolerance = read("bounds.quotaSlack", "20").expect("settings").limit_tolerance;
+    let wanted = LimitTolerance { window: Duration::from_secs(5), over: 0.1, extra: 20.0 };
+    assert_eq!(tolerance, wanted);
+    let options = read_with("zone", "zone-1", false).expect("settings");
+    let none = LimitTolerance { window: Duration::from_secs(1), over: 0.0, extra: 0.0 };
+    assert_eq!(options.limit_tolerance, none, "nothing beyond a limit is tolerated");
+}
+
 #[test_case("10", 10_000 ; "whole")]
 #[test_case("0.25", 250 ; "with a fraction")]
 #[test_case("3600", 3_600_000 ; "an hour")]
@@ -90,6 +121,9 @@
 #[test_case("limits.maxFds", "1000000" ; "many descriptors")]
 #[test_case("limits.memoryMb", "160.7" ; "memory with a fraction")]
 #[test_case("limits.memoryMb", "1048576" ; "a terabyte")]
+#[test_case("bounds.quotaWindowS", "0.5" ; "a short window of limits")]
+#[test_case("bounds.quotaOverage", "0" ; "nothing over a limit")]
+#[test_case("bounds.quotaSlack", "3.03" ; "requests over a limit with a fraction")]
 #[test_case("seeds", "" ; "nobody to ask")]
 fn verify_what_the_platform_may_write_is_taken(gap: &str, value: &str) {
     read(gap, value).expect("settings");
@@ -101,6 +135,9 @@
 #[test_case("bounds.budgetExtraRetries", "inf", "retry-extra" ; "repeats without end")]
 #[test_case("bounds.budgetWindowS", "0", "retry-window-ms" ; "a window without time")]
 #[test_case("bounds.budgetWindowS", "-2", "retry-window-ms" ; "a window below zero")]
+#[test_case("bounds.quotaWindowS", "0", "limit-window-ms" ; "a window of limits without time")]
+#[test_case("bounds.quotaOverage", "-0.1", "limit-over" ; "a share of limits below zero")]
+#[test_case("bounds.quotaSlack", "-1", "limit-extra" ; "requests over a limit below zero")]
 #[test_case("bounds.graceS", "-1", "kill-after-ms" ; "a time below zero")]
 #[test_case("bounds.graceS", "soon", "kill-after-ms" ; "a time that is no number")]
 #[test_case("bounds.floorShare", "1.2", "floor" ; "more than the whole")]
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod evidence;
 pub mod floor;
 pub mod freshness;
+pub mod grants;
 pub mod hang;
 pub mod health;
 pub mod limits;
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -15,6 +15,16 @@
 
 /// Time that borrowed tokens stay good; what is not used by then is lost, not hoarded.
 pub const GRANT_LIFE: Duration = Duration::from_millis(1000);
+/// Time for which an ingress may use what it was allowed ahead: callers that ask every few seconds don't wait.
+pub const AHEAD_LIFE: Duration = Duration::from_secs(10);
+/// Time over which the pace of requests is measured: callers that ask every few seconds have one.
+const PACE_MEMORY: Duration = Duration::from_secs(8);
+/// Factor on the usual pace of an ingress that can't reach the home of a limit that is far from used up.
+const ALONE_ROOM: f64 = 1.2;
+/// Requests that may come at once at such an ingress.
+const ALONE_BURST_ROOMY: f64 = 2.0;
+/// Requests that may come at once at an ingress that can't reach the home of any other limit.
+const ALONE_BURST: f64 = 1.0;
 /// Least tokens asked for at once, so that quiet callers do not ask for each request.
 const ASK_MIN: f64 = 1.0;
 /// Part of a grant's life whose demand is asked for ahead.
@@ -53,9 +63,10 @@
         Self { rate, burst, tokens: burst, filled_at: now }
     }
 
-    /// Builds a bucket that starts empty: a new home must not grant a second burst.
-    pub fn empty(rate: f64, burst: f64, now: Duration) -> Self {
-        Self { tokens: 0.0, ..Self::new(rate, burst, now) }
+    /// Builds a bucket that was empty at a moment and has been filled since: a new home must not grant a second
+    /// burst.
+    pub fn empty(rate: f64, burst: f64, since: Duration) -> Self {
+        Self { tokens: 0.0, ..Self::new(rate, burst, since) }
     }
 
     /// Changes rate and burst.
@@ -85,6 +96,18 @@
         taken
     }
 
+    /// Takes tokens that were used ahead of being granted; the bucket may come to owe as much as it holds.
+    pub fn pay(&mut self, spent: f64, now: Duration) {
+        self.fill(now);
+        self.tokens = (self.tokens - spent.max(0.0)).max(-self.burst);
+    }
+
+    /// Returns the tokens that are left.
+    pub fn left(&mut self, now: Duration) -> f64 {
+        self.fill(now);
+        self.tokens
+    }
+
     /// Returns how long until there is a token again.
     pub fn next_in(&self) -> Duration {
         let missing = (1.0 - self.tokens).max(0.0);
@@ -92,11 +115,38 @@
     }
 }
 
+/// `PaceMeter` measures how many requests come in a second, the later ones counting more.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct PaceMeter {
+    count: f64,
+    noted_at: Duration,
+}
+
+impl PaceMeter {
+    /// Takes requests in.
+    pub fn note(&mut self, requests: f64, now: Duration) {
+        self.count = self.faded(now) + requests;
+        self.noted_at = self.noted_at.max(now);
+    }
+
+    /// Returns the requests a second.
+    pub fn pace(&self, now: Duration) -> f64 {
+        self.faded(now) / PACE_MEMORY.as_secs_f64()
+    }
+
+    fn faded(&self, now: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.noted_at).as_secs_f64();
+        self.count * (-elapsed / PACE_MEMORY.as_secs_f64()).exp()
+    }
+}
+
 /// `LimitVerdict` says whether a request is within a limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum LimitVerdict {
     /// It is.
     Pass,
+    /// It is let in ahead; the home is to be paid meanwhile.
+    PassAhead,
     /// It is not; the caller may come back after this time.
     Refuse(Duration),
     /// Nothing is borrowed; ask the home for this many tokens first.
@@ -112,6 +162,11 @@
     used: f64,
     used_since: Duration,
     pace: f64,
+    /// Pace of what was let in by the home's word.
+    let_in: PaceMeter,
+    ahead: u32,
+    ahead_until: Duration,
+    spent: f64,
     alone: Option<TokenBucket>,
 }
 
@@ -125,6 +180,10 @@
             used: 0.0,
             used_since: now,
             pace: 0.0,
+            let_in: PaceMeter::default(),
+            ahead: 0,
+            ahead_until: Duration::ZERO,
+            spent: 0.0,
             alone: None,
         }
     }
@@ -140,11 +199,18 @@
         }
         if now <= self.good_until && self.borrowed >= 1.0 {
             self.borrowed -= 1.0;
+            self.let_in.note(1.0, now);
             return LimitVerdict::Pass;
         }
         if now < self.refused_until {
             return LimitVerdict::Refuse(self.refused_until - now);
         }
+        if self.ahead > 0 && now <= self.ahead_until {
+            self.ahead -= 1;
+            self.spent += 1.0;
+            self.let_in.note(1.0, now);
+            return LimitVerdict::PassAhead;
+        }
         LimitVerdict::Ask(self.wanted())
     }
 
@@ -174,15 +240,51 @@
         self.good_until = now + GRANT_LIFE;
     }
 
-    /// Takes in that the home can't be reached: from now on keeps to a share of the limit.
-    pub fn go_alone(&mut self, rate: f64, burst: f64, daemons: usize, now: Duration) {
-        let share = 1.0 / daemons.max(1) as f64;
+    /// Takes what was let in ahead, to be paid with the next question.
+    pub fn take_spent(&mut self) -> f64 {
+        std::mem::take(&mut self.spent)
+    }
+
+    /// Takes in that the home may not have been paid.
+    pub fn note_unpaid(&mut self, spent: f64) {
+        self.spent += spent;
+    }
+
+    /// Takes in how many requests may be let in ahead.
+    pub fn note_ahead(&mut self, ahead: u32, now: Duration) {
+        self.alone = None;
+        self.ahead = ahead;
+        self.ahead_until = now + AHEAD_LIFE;
+    }
+
+    /// Takes back a request that was let in and then refused for another reason: it counts towards nothing.
+    pub fn give_back(&mut self, now: Duration) {
         if self.alone.is_none() {
-            let burst = (burst * share).max(1.0);
-            self.alone = Some(TokenBucket::empty(rate * share, burst, now));
+            let kept = if now <= self.good_until { self.borrowed } else { 0.0 };
+            self.borrowed = kept + 1.0;
+            self.good_until = now + GRANT_LIFE;
         }
     }
 
+    /// Takes in that the home can't be reached: from now on keeps to what the home lately let in here, or to an
+    /// equal share of the limit if that is more. All that the home let in anywhere was within the limit, so that
+    /// the sum holds, and callers that asked little before are served on.
+    pub fn go_alone(&mut self, rate: f64, burst: f64, daemons: usize, now: Duration) {
+        if self.alone.is_some() {
+            return;
+        }
+        let share = 1.0 / daemons.max(1) as f64;
+        let is_roomy = self.ahead > 0 && now <= self.ahead_until;
+        let usual = self.let_in.pace(now);
+        let (usual, depth) = match is_roomy {
+            true => (usual * ALONE_ROOM, ALONE_BURST_ROOMY),
+            false => (usual, ALONE_BURST),
+        };
+        let pace = usual.max(rate * share).min(rate);
+        let burst = (burst * share).max(depth);
+        self.alone = Some(TokenBucket::new(pace, burst, now));
+    }
+
     /// Says whether the ledger keeps to its share.
     pub fn is_alone(&self) -> bool {
         self.alone.is_some()
--- a/crates/options/src/check.rs
+++ b/crates/options/src/check.rs
@@ -9,6 +9,7 @@
 use basaltarch_core::errors::SettingError;
 use basaltarch_core::resources::QUEUE_MAX;
 use basaltarch_core::settings;
+use basaltarch_decide::grants::LimitTolerance;
 use basaltarch_http::body::BodyLimits;
 use basaltarch_http::fields::ExchangeFields;
 use basaltarch_http::head::HeadLimits;
@@ -80,6 +81,8 @@
     pub defaults: ServiceDefaults,
     /// Shortest drain.
     pub drain_min: Duration,
+    /// How far beyond a limit requests are tolerated.
+    pub limit_tolerance: LimitTolerance,
     /// Time between heartbeats to the neighbours.
     pub heartbeat: Duration,
     /// Whether backend servers are told where a request came from.
@@ -171,6 +174,11 @@
                     86_400_000,
                 )?,
             },
+            limit_tolerance: LimitTolerance {
+                window: values::millis("limit-window-ms", raw.limit_window_ms, 1000, 600_000)?,
+                over: values::share("limit-over", raw.limit_over, 0.0)?,
+                extra: values::amount("limit-extra", raw.limit_extra, 0, 0, 1_000_000)? as f64,
+            },
             heartbeat: values::millis("heartbeat-ms", raw.heartbeat_ms, 1000, 600_000)?,
             forwarded: !values::flag("hide-callers", raw.hide_callers)?,
             drain_min: values::millis("drain-min-ms", raw.drain_min_ms, 500, bounds::DRAIN_MS_MAX)?,
--- a/crates/options/src/raw.rs
+++ b/crates/options/src/raw.rs
@@ -91,6 +91,12 @@
     pub retry_extra: Option<String>,
     /// Length of that window in milliseconds.
     pub retry_window_ms: Option<String>,
+    /// Share of a limit by which requests beyond it are tolerated.
+    pub limit_over: Option<String>,
+    /// Requests beyond that share which are tolerated in one window.
+    pub limit_extra: Option<String>,
+    /// Length of that window in milliseconds.
+    pub limit_window_ms: Option<String>,
     /// Time from the first signal to stop to the platform's kill, in milliseconds.
     pub kill_after_ms: Option<String>,
     /// Shortest drain in milliseconds.
@@ -176,6 +182,9 @@
             "retry-share" => &mut self.retry_share,
             "retry-extra" => &mut self.retry_extra,
             "retry-window-ms" => &mut self.retry_window_ms,
+            "limit-over" => &mut self.limit_over,
+            "limit-extra" => &mut self.limit_extra,
+            "limit-window-ms" => &mut self.limit_window_ms,
             _ => return None,
         })
     }
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -179,12 +179,16 @@
   1: required string limit
   2: required double wanted
   3: required i64 sequence
+  /** What was let in ahead and is paid for now. */
+  4: optional double spent
 }
 
 struct GrantReply {
   1: required i64 sequence
   2: required double granted
   3: required i32 valid_ms
+  /** Requests that the asking daemon may let in ahead of its next question. */
+  4: optional i32 ahead
 }
 
 /** Asks a daemon of the own failure domain to pass on how the rows of hosts change, for a while. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -1890,14 +1890,17 @@
   pub limit: String,
   pub wanted: OrderedFloat<f64>,
   pub sequence: i64,
+  /// What was let in ahead and is paid for now.
+  pub spent: Option<OrderedFloat<f64>>,
 }
 
 impl GrantRequest {
-  pub fn new(limit: String, wanted: OrderedFloat<f64>, sequence: i64) -> GrantRequest {
+  pub fn new<F4>(limit: String, wanted: OrderedFloat<f64>, sequence: i64, spent: F4) -> GrantRequest where F4: Into<Option<OrderedFloat<f64>>> {
     GrantRequest {
       limit,
       wanted,
       sequence,
+      spent: spent.into(),
     }
   }
 }
@@ -1908,6 +1911,7 @@
     let mut f_1: Option<String> = None;
     let mut f_2: Option<OrderedFloat<f64>> = None;
     let mut f_3: Option<i64> = None;
+    let mut f_4: Option<OrderedFloat<f64>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1927,6 +1931,10 @@
           let val = i_prot.read_i64()?;
           f_3 = Some(val);
         },
+        4 => {
+          let val = OrderedFloat::from(i_prot.read_double()?);
+          f_4 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1941,6 +1949,7 @@
       limit: f_1.expect("auto-generated code should have checked for presence of required fields"),
       wanted: f_2.expect("auto-generated code should have checked for presence of required fields"),
       sequence: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      spent: f_4,
     };
     Ok(ret)
   }
@@ -1956,6 +1965,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("sequence", TType::I64, 3))?;
     o_prot.write_i64(self.sequence)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.spent {
+      o_prot.write_field_begin(&TFieldIdentifier::new("spent", TType::Double, 4))?;
+      o_prot.write_double(fld_var.into())?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1970,14 +1984,17 @@
   pub sequence: i64,
   pub granted: OrderedFloat<f64>,
   pub valid_ms: i32,
+  /// Requests that the asking daemon may let in ahead of its next question.
+  pub ahead: Option<i32>,
 }
 
 impl GrantReply {
-  pub fn new(sequence: i64, granted: OrderedFloat<f64>, valid_ms: i32) -> GrantReply {
+  pub fn new<F4>(sequence: i64, granted: OrderedFloat<f64>, valid_ms: i32, ahead: F4) -> GrantReply where F4: Into<Option<i32>> {
     GrantReply {
       sequence,
       granted,
       valid_ms,
+      ahead: ahead.into(),
     }
   }
 }
@@ -1988,6 +2005,7 @@
     let mut f_1: Option<i64> = None;
     let mut f_2: Option<OrderedFloat<f64>> = None;
     let mut f_3: Option<i32> = None;
+    let mut f_4: Option<i32> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2007,6 +2025,10 @@
           let val = i_prot.read_i32()?;
           f_3 = Some(val);
         },
+        4 => {
+          let val = i_prot.read_i32()?;
+          f_4 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2021,6 +2043,7 @@
       sequence: f_1.expect("auto-generated code should have checked for presence of required fields"),
       granted: f_2.expect("auto-generated code should have checked for presence of required fields"),
       valid_ms: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      ahead: f_4,
     };
     Ok(ret)
   }
@@ -2036,6 +2059,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("valid_ms", TType::I32, 3))?;
     o_prot.write_i32(self.valid_ms)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.ahead {
+      o_prot.write_field_begin(&TFieldIdentifier::new("ahead", TType::I32, 4))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
