--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod commands;
 pub mod errors;
 pub mod explain;
+pub mod keys;
 pub mod lines;
 pub mod losses;
 pub mod tables;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -16,7 +16,7 @@
 use basaltarch_ctl::api::AdminApi;
 use basaltarch_ctl::commands::{self, AuditQuery, OutputForm};
 use basaltarch_ctl::errors::CommandError;
-use basaltarch_ctl::{explain, losses};
+use basaltarch_ctl::{explain, keys, losses};
 use serde_json::json;
 
 mod flags {
@@ -110,6 +110,8 @@
                 /// Files with logs, of any number of hosts.
                 repeated files: String
             }
+            /// Makes an API key for an organisation and shows it once; needs no daemon.
+            cmd key {}
             /// Drains the daemon that is talked to, or a backend server.
             cmd drain {
                 /// Backend server; the daemon itself when absent.
@@ -177,6 +179,15 @@
     Ok(())
 }
 
+/// Prints a key that was just made.
+fn make_key(form: OutputForm) {
+    let made = keys::make();
+    match form {
+        OutputForm::Table => made.print(),
+        OutputForm::Json => println!("{}", made.to_json()),
+    }
+}
+
 /// Prints where the requests of files with logs were lost.
 fn count_losses(flags: &flags::Losses, form: OutputForm) -> Result<(), CommandError> {
     let tally = losses::count(&flags.files)?;
@@ -194,6 +205,10 @@
     if let flags::BasaltctlCmd::Losses(losses) = &flags.subcommand {
         return count_losses(losses, output_form(flags.output)?);
     }
+    if let flags::BasaltctlCmd::Key(_) = &flags.subcommand {
+        make_key(output_form(flags.output)?);
+        return Ok(());
+    }
     let address: SocketAddr =
         settings::required("server", flags.server, ADDRESS_ALLOWED).map_err(setting)?;
     let token: Option<String> =
@@ -238,7 +253,9 @@
             commands::health(&api, flags.service.as_deref(), form).await
         }
         // They need no daemon and were done above.
-        flags::BasaltctlCmd::Explain(_) | flags::BasaltctlCmd::Losses(_) => Ok(()),
+        flags::BasaltctlCmd::Explain(_)
+        | flags::BasaltctlCmd::Losses(_)
+        | flags::BasaltctlCmd::Key(_) => Ok(()),
         flags::BasaltctlCmd::Drain(flags) => match flags.server {
             Some(server) => commands::drain_server(&api, &server, flags.undo).await,
             None => commands::drain_daemon(&api).await,
--- /dev/null
+++ b/crates/ctl/tests/keys.rs
@@ -0,0 +1,26 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Keys that the command line makes.
+
+use std::process::Command;
+
+use basaltarch_core::organisations::KeyDigest;
+use basaltarch_ctl::keys;
+use serde_json::Value;
+
+#[test]
+fn verify_a_key_is_shown_with_its_digest_and_made_anew_each_time() {
+    let run = || {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_basaltctl"));
+        let output = command.args(["-o", "json", "key"]).output().expect("runs");
+        assert!(output.status.success());
+        serde_json::from_slice::<Value>(&output.stdout).expect("json")
+    };
+    let (first, second) = (run(), run());
+    assert_ne!(first["key"], second["key"]);
+    let digest = KeyDigest::of(first["key"].as_str().expect("key").as_bytes());
+    assert_eq!(first["digest"], String::from(digest));
+    assert_eq!(first["public"], digest.public_part());
+    assert!(keys::make().key.len() >= 40);
+}
