Wait longer at the feed of the operator's document where the fleet is large

Cause: each daemon follows the document with calls that end after 3 to 8 s, whatever the size of the fleet, so that the calls grow with it; users pay each.

Ruled out: the same for the rows of hosts, which two daemons of a failure domain read for the others: a call of theirs that fell silent must end soon.

Change: the longest wait of a call for the document is 28 s in place of 8, and 0.7 s for each daemon as before, so that in a fleet of any size some call ends each half second and the first that hears of something tells the others.

--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -38,12 +38,16 @@
 use crate::roster::{self, ToldRecord};
 use crate::state::DaemonState;
 
+/// Longest wait of a call: every daemon makes one, and the store charges each call whether or not there is news.
+/// The store waits no longer than 30 s.
+const WAIT_MAX: Duration = Duration::from_secs(28);
 /// How the operator's rows are followed. Refused calls cost as much as others, and the first of many
 /// daemons that hears of a change after an outage tells the others, so that 1.5 s are soon enough.
 const FEED: FeedPlan = FeedPlan {
     table: OPERATOR_TABLE,
     between: Duration::ZERO,
     failure_max: Duration::from_millis(1500),
+    wait_max: WAIT_MAX,
 };
 /// Time for which a daemon waits for the store to tell of a document that a peer already has: the
 /// feed brings it in milliseconds, and a whole document is large.
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -9,7 +9,7 @@
 use basaltarch_events::process;
 use basaltarch_platform::rows::{RowValue, RowsPage};
 use basaltarch_store::errors::StoreError;
-use basaltarch_store::platform::{self, FeedReply, RetryPause, FEED_WAIT};
+use basaltarch_store::platform::{self, FeedReply, RetryPause};
 
 use crate::state::DaemonState;
 
@@ -19,9 +19,9 @@
 const WAIT_FOR_EACH: Duration = Duration::from_millis(700);
 
 /// Returns the longest wait of a call in a fleet of so many daemons.
-fn longest_wait(members: usize) -> Duration {
+fn longest_wait(members: usize, most: Duration) -> Duration {
     let wait = WAIT_FOR_EACH.saturating_mul(members as u32);
-    wait.min(FEED_WAIT)
+    wait.min(most)
 }
 
 /// `FeedPlan` says which table is followed and how often the store is called.
@@ -33,6 +33,8 @@
     pub between: Duration,
     /// Longest pause after failed calls in a row.
     pub failure_max: Duration,
+    /// Longest wait of a call.
+    pub wait_max: Duration,
 }
 
 /// `FeedNews` is what one step of following a table brings.
@@ -125,7 +127,7 @@
             None => return self.read_whole(state).await,
         };
         let began = state.now();
-        let wait = platform::draw_wait(longest_wait(state.members.count()));
+        let wait = platform::draw_wait(longest_wait(state.members.count(), self.plan.wait_max));
         match state.platform.follow(self.plan.table, version, wait).await? {
             FeedReply::Changes(page) => {
                 // An answer may have been held up on its way; one without changes was made no sooner
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -23,6 +23,7 @@
 use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_peer::protocol::{FrameBody, RowNote, RowsNews, RowsRequest};
 use basaltarch_platform::rows::{RowValue, RowsPage, StoredRow};
+use basaltarch_store::platform::FEED_WAIT;
 
 use crate::feed::{FeedNews, FeedPlan, FeedReader};
 use crate::links;
@@ -35,6 +36,8 @@
     table: HOSTS_TABLE,
     between: Duration::from_millis(700),
     failure_max: FAILURE_PAUSE_MAX,
+    // Two daemons of a failure domain read for all others, so that a call of theirs which fell silent ends soon.
+    wait_max: FEED_WAIT,
 };
 /// Daemons of a failure domain that follow the feed: one may be cut off without being known to be.
 const READERS: usize = 2;
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -20,8 +20,8 @@
 
 /// Longest time of one call; the platform answers in a few milliseconds when it is well.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest wait for a change in one call of the feed: each call costs as much as a read, and a call
-/// that an outage left hanging must end soon after it.
+/// Usual wait for a change in one call of the feed: each call costs as much as a read, and a call that an outage
+/// left hanging must end soon after it.
 pub const FEED_WAIT: Duration = Duration::from_secs(8);
 /// Shortest such wait, as a share: calls of many daemons that an outage left hanging end one after
 /// another, and the first that hears something tells the others.
@@ -192,7 +192,7 @@
         read_page(&accepted(reply)?)
     }
 
-    /// Waits for changes of a table after a version, for at most `wait`, which is [`FEED_WAIT`] or less.
+    /// Waits for changes of a table after a version, for at most `wait`.
     pub async fn follow(
         &self,
         table: &str,
