Ask the store whether the configuration is the newest through the daemons that read it for others

Ruled out: trusting a call that waits at the feed as word that nothing is later (its connection may have fallen silent, which was the incident).

Change: a daemon asks the two that read the store for its failure domain; they ask the store once for all who wait and answer when they know. Only where neither has word within 100 ms are the store and other peers asked, as before. A metric counts the questions to the store.

--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -71,6 +71,8 @@
 pub static TOLD_AGAIN: CounterCell = CounterCell::new();
 /// Questions whether the configuration is the newest.
 pub static CONFIG_QUESTIONS: CounterCell = CounterCell::new();
+/// Those of them that this daemon asked the store.
+pub static STORE_QUESTIONS: CounterCell = CounterCell::new();
 /// Rows of the store that could not be read.
 pub static ROWS_UNREADABLE: CounterCell = CounterCell::new();
 /// Live members known.
@@ -237,6 +239,11 @@
             "Questions whether the configuration is the newest.",
             &CONFIG_QUESTIONS,
         ),
+        counter(
+            "store_questions",
+            "Questions to the store whether the configuration is the newest.",
+            &STORE_QUESTIONS,
+        ),
         counter("rows_unreadable", "Rows of the store that could not be read.", &ROWS_UNREADABLE),
         counter("peer_bytes_sent", "Bytes sent to peers.", &PEER_BYTES_SENT),
         counter("peer_bytes_received", "Bytes received from peers.", &PEER_BYTES_RECEIVED),
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -70,8 +70,23 @@
     }
     spread::note_peer_revision(state, sender, revision);
     suspects::note_peer_digest(state, sender, note.suspects);
-    if !note.reply {
-        let answer = membership::answer(state, &note);
-        let _ = sender.send(NO_EXCHANGE, FrameBody::Heartbeat(answer));
+    if note.reply {
+        return;
+    }
+    if note.wants_word != Some(true) {
+        answer_heartbeat(state, sender, &note);
+        return;
     }
+    let (state, sender) = (state.clone(), sender.clone());
+    monoio::spawn(async move {
+        // What is known by then is told, whether or not it is certain.
+        freshness::is_certain(&state).await;
+        answer_heartbeat(&state, &sender, &note);
+    });
+}
+
+fn answer_heartbeat(state: &DaemonState, sender: &FrameSender, note: &HeartbeatNote) {
+    let answer = membership::answer(state, note);
+    // A link that ended answers nothing.
+    let _ = sender.send(NO_EXCHANGE, FrameBody::Heartbeat(answer));
 }
--- a/crates/daemon/src/freshness.rs
+++ b/crates/daemon/src/freshness.rs
@@ -5,7 +5,9 @@
 //! the question whether it is the newest, before a request is refused by it.
 //!
 //! One question at a time serves all requests that wait, so that callers who ask for what never was cost a
-//! question a second, however many they are. While nobody answers, they are refused as not run at once.
+//! question a second, however many they are. It goes to the two daemons of the failure domain that read the store
+//! for the others, and to the store itself only where neither has word. While nobody answers, requests are refused
+//! as not run at once.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -23,12 +25,16 @@
 
 use crate::document;
 use crate::membership;
+use crate::rows;
 use crate::spread;
 use crate::state::DaemonState;
 
 /// Longest wait for word: the store answers within a few milliseconds when it is well, a peer in as many, and who
 /// asks for a route that was just added is served well within the time of most requests.
 const WORD_WAIT: Duration = Duration::from_millis(300);
+/// Time for which those who ask the store for the failure domain are waited for: the store answers them within a
+/// few milliseconds, and a request that asks for what isn't there waits as long.
+const READER_WAIT: Duration = Duration::from_millis(100);
 /// Time after a question without word for which the next is not asked: who waits then is refused at once.
 const ASK_PAUSE: Duration = Duration::from_millis(500);
 /// Peers that are asked beside the store: one may be silent, and one may know no more.
@@ -102,11 +108,8 @@
 }
 
 async fn ask(state: &Rc<DaemonState>) {
-    ask_peers(state);
-    let answer = monoio::time::timeout(WORD_WAIT, ask_store(state)).await;
-    if let Ok(Err(error)) = answer {
-        let error = &error.to_string();
-        process::StoreFailed { call: "ask for the newest configuration", error }.log();
+    if !ask_readers(state).await {
+        ask_around(state).await;
     }
     if !state.freshness.known().is_certain(state.now()) {
         state.freshness.pause_until.set(state.now() + ASK_PAUSE);
@@ -115,6 +118,43 @@
     state.freshness.heard.raise();
 }
 
+/// Asks those who read the store for the failure domain, and says whether their word came: the calls to the store
+/// then grow with the failure domains and not with the daemons.
+async fn ask_readers(state: &Rc<DaemonState>) -> bool {
+    let readers = rows::readers(state);
+    if readers.contains(&state.options.host) {
+        return false;
+    }
+    let mut question = membership::question(state, Vec::new());
+    question.wants_word = Some(true);
+    for host in &readers {
+        // One that is not linked is not waited for; the other may be.
+        if let Some(link) = state.peers.path(host).link() {
+            let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(question.clone()));
+        }
+    }
+    let until = state.now() + READER_WAIT;
+    loop {
+        let now = state.now();
+        let seen = state.freshness.heard.get();
+        if state.freshness.known().is_certain(now) || now >= until {
+            return state.freshness.known().is_certain(now);
+        }
+        let _ = monoio::time::timeout(until - now, state.freshness.heard.above(seen)).await;
+    }
+}
+
+/// Asks the store and some peers.
+async fn ask_around(state: &Rc<DaemonState>) {
+    ask_peers(state);
+    metrics::STORE_QUESTIONS.add_one();
+    let answer = monoio::time::timeout(WORD_WAIT, ask_store(state)).await;
+    if let Ok(Err(error)) = answer {
+        let error = &error.to_string();
+        process::StoreFailed { call: "ask for the newest configuration", error }.log();
+    }
+}
+
 /// Asks some peers; their answers come with those to heartbeats.
 fn ask_peers(state: &DaemonState) {
     for sender in membership::some_senders(state, ASKED_PEERS) {
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -376,6 +376,7 @@
         suspects: state.suspects.digest(),
         asked_ms: Some(state.now().as_millis() as i64),
         fresh_ms: freshness::told_age(state),
+        wants_word: None,
     }
 }
 
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -182,7 +182,7 @@
 }
 
 /// Returns the daemons of the own failure domain that should read the rows from the store.
-fn readers(state: &DaemonState) -> Vec<String> {
+pub fn readers(state: &DaemonState) -> Vec<String> {
     let now = state.now();
     let mut near = state.members.live_near(state);
     near.retain(|host| !state.rows.is_left(host, now));
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -150,6 +150,9 @@
   5: optional i64 asked_ms
   /** Age in milliseconds of the last word that the revision is the newest; none if there was none. */
   6: optional i64 fresh_ms
+  /** The answer may wait a moment until this daemon knows whether the revision is the newest: it asks the store
+      for many others. */
+  7: optional bool wants_word
 }
 
 /** Takes back a failure that followed its request to another upstream. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -1495,10 +1495,13 @@
   pub asked_ms: Option<i64>,
   /// Age in milliseconds of the last word that the revision is the newest; none if there was none.
   pub fresh_ms: Option<i64>,
+  /// The answer may wait a moment until this daemon knows whether the revision is the newest: it asks the store
+  /// for many others.
+  pub wants_word: Option<bool>,
 }
 
 impl HeartbeatNote {
-  pub fn new<F4, F5, F6>(reply: bool, revision: i64, members: Vec<MemberEntry>, suspects: F4, asked_ms: F5, fresh_ms: F6) -> HeartbeatNote where F4: Into<Option<i64>>, F5: Into<Option<i64>>, F6: Into<Option<i64>> {
+  pub fn new<F4, F5, F6, F7>(reply: bool, revision: i64, members: Vec<MemberEntry>, suspects: F4, asked_ms: F5, fresh_ms: F6, wants_word: F7) -> HeartbeatNote where F4: Into<Option<i64>>, F5: Into<Option<i64>>, F6: Into<Option<i64>>, F7: Into<Option<bool>> {
     HeartbeatNote {
       reply,
       revision,
@@ -1506,6 +1509,7 @@
       suspects: suspects.into(),
       asked_ms: asked_ms.into(),
       fresh_ms: fresh_ms.into(),
+      wants_word: wants_word.into(),
     }
   }
 }
@@ -1519,6 +1523,7 @@
     let mut f_4: Option<i64> = None;
     let mut f_5: Option<i64> = None;
     let mut f_6: Option<i64> = None;
+    let mut f_7: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1556,6 +1561,10 @@
           let val = i_prot.read_i64()?;
           f_6 = Some(val);
         },
+        7 => {
+          let val = i_prot.read_bool()?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1573,6 +1582,7 @@
       suspects: f_4,
       asked_ms: f_5,
       fresh_ms: f_6,
+      wants_word: f_7,
     };
     Ok(ret)
   }
@@ -1607,6 +1617,11 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.wants_word {
+      o_prot.write_field_begin(&TFieldIdentifier::new("wants_word", TType::Bool, 7))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -64,6 +64,7 @@
             body: FrameBody::Heartbeat(HeartbeatNote {
                 asked_ms: Some(7),
                 fresh_ms: None,
+                wants_word: None,
                 reply: false,
                 revision: 3,
                 members: Vec::new(),
