Look at two upstreams before work is sent to one

And work that was sent along a path that had fallen silent was lost: once-only work until its deadline, since paths are only doubted after 1.2 s and more while their round trip is not known.

Change: before work goes to a sound upstream of which nothing fresh is known, its daemon and that of the rival are asked how it is; the better one gets the work, and one that doesn't answer within a few of the path's round trips is left, with nothing run. Round trips are learnt from the answers, which also lets a silent path be found sooner. No look where the round trip is long for the time left, and few where looks lately found nobody who would take work. Peers say in the handshake whether they answer looks.

--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -63,6 +63,10 @@
 pub static LIMITED: CounterCell = CounterCell::new();
 /// Grants asked from homes of limits.
 pub static GRANTS_ASKED: CounterCell = CounterCell::new();
+/// Looks at upstreams before work was sent.
+pub static LOOKS: CounterCell = CounterCell::new();
+/// Looks that were not answered in time.
+pub static LOOKS_SILENT: CounterCell = CounterCell::new();
 /// Revision in force.
 pub static REVISION: GaugeCell = GaugeCell::new();
 /// Older revisions that were refused.
@@ -232,6 +236,8 @@
         counter("once_removed", "Old rows of once-only work removed.", &ONCE_REMOVED),
         counter("limited", "Requests refused by limits.", &LIMITED),
         counter("grants_asked", "Grants asked from homes of limits.", &GRANTS_ASKED),
+        counter("looks", "Looks at upstreams before work was sent.", &LOOKS),
+        counter("looks_silent", "Looks that were not answered in time.", &LOOKS_SILENT),
         counter("old_revisions", "Older revisions that were refused.", &OLD_REVISIONS),
         counter("told_again", "Times that a neighbour was told of the revision again.", &TOLD_AGAIN),
         counter(
--- a/crates/base/src/peers.rs
+++ b/crates/base/src/peers.rs
@@ -236,6 +236,16 @@
         self.health.borrow_mut().note_answer(now);
     }
 
+    /// Takes in how long the daemon took to answer.
+    pub fn note_round_trip(&self, took: Duration) {
+        self.health.borrow_mut().note_round_trip(took);
+    }
+
+    /// Returns the longest round trip of the last few, if one was measured.
+    pub fn round_trip(&self) -> Option<Duration> {
+        self.health.borrow().round_trip()
+    }
+
     /// Says whether to ask the daemon for a sign of life now.
     pub fn should_ask(&self, now: Duration, in_use: bool) -> bool {
         self.health.borrow_mut().ask(now, in_use)
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -14,6 +14,7 @@
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
 
 use crate::freshness;
+use crate::ingress::look;
 use crate::limit_homes;
 use crate::membership;
 use crate::roster;
@@ -38,6 +39,8 @@
             limit_homes::answer_request(state, sender, &peer.host, &request);
         }
         FrameBody::GrantReply(reply) => state.limits.take_reply(&reply),
+        FrameBody::LoadQuestion(question) => look::answer_question(state, sender, &question),
+        FrameBody::LoadAnswer(answer) => state.looks.take(answer),
         FrameBody::Withdraw(note) => state.host.withdraw_failure(&note.upstream, &note.route),
         FrameBody::RowsRequest(request) => rows::answer_request(state, sender, peer, &request),
         FrameBody::RowsNews(news) => rows::take_news(state, peer, news),
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -17,6 +17,7 @@
 use basaltarch_decide::balance::{ChoiceGround, ChoiceRequest, UpstreamChoice};
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::hang::UsualTime;
+use basaltarch_decide::look;
 use basaltarch_decide::patience;
 use basaltarch_decide::suspects::{CopyVerdict, CrashTally};
 use basaltarch_http::body::BodyReader;
@@ -29,6 +30,7 @@
 use crate::host;
 use crate::ingress::failure::CallerFailure;
 use crate::ingress::late::{LateAttempt, LateAttempts};
+use crate::ingress::look::{self as ingress_look, LookedUpstream};
 use crate::ingress::request::CallerRequest;
 use crate::ingress::trail::{self, NextStep, StepEnd, StepLoad, TrailStep};
 use crate::ingress::waiting::{self, FirstEvent};
@@ -129,6 +131,12 @@
                 return attempts.end_with(stream, &mut earlier, fallback, failure).await;
             }
         };
+        let choice = match waiting::unless_gone(stream, attempts.look(choice)).await {
+            Some(Some(choice)) => choice,
+            // None of those that were looked at would take it.
+            Some(None) => continue,
+            None => return AttemptEnd::CallerGone,
+        };
         let asked = attempts.ask(&choice);
         let mut live = match attempts.dispatch(stream, choice, body.is_done()).await {
             DispatchEnd::Sent(live) => live,
@@ -352,6 +360,54 @@
             .ok_or_else(|| CallerFailure::new(self.last))
     }
 
+    /// Looks at the chosen upstream and its rival, and returns the choice of the better one; nothing if both would
+    /// pass the work on, or are silent, and others can be asked.
+    async fn look(&mut self, choice: UpstreamChoice) -> Option<UpstreamChoice> {
+        if !self.is_look_worth(&choice) {
+            return Some(choice);
+        }
+        let rival = choice.rival.map(|rival| rival.index);
+        let indexes: Vec<usize> = std::iter::once(choice.index).chain(rival).collect();
+        let looked = ingress_look::look_at(self.state, self.request, &indexes).await;
+        if looked.is_empty() {
+            return Some(choice);
+        }
+        for each in &looked {
+            if let Some(report) = &each.report {
+                self.note_report(each.index, report, None);
+            }
+        }
+        let best = ingress_look::best_of(&looked);
+        let takes = best.is_some_and(|best| !best.passes_on());
+        self.request.service.note_look(takes);
+        if !takes && self.is_passable() {
+            self.pass_by(&looked);
+            return None;
+        }
+        Some(UpstreamChoice { index: best.map_or(choice.index, |best| best.index), ..choice })
+    }
+
+    /// Says whether a look may change where the request goes: elsewhere than at sound upstreams it waits, finds
+    /// out, or takes what is left.
+    fn is_look_worth(&self, choice: &UpstreamChoice) -> bool {
+        let is_choosy = matches!(choice.ground, ChoiceGround::Near | ChoiceGround::Sound);
+        let path = self.request.service.path(choice.index);
+        let left = Some(self.objective_left()).filter(|left| !left.is_zero());
+        let left = left.unwrap_or_else(|| self.left());
+        let is_worth = look::is_worth(choice.report_age, path.round_trip(), left);
+        is_choosy && !path.is_self && is_worth && self.request.service.looks()
+    }
+
+    /// Leaves out upstreams that were looked at and would pass the work on, or did not answer.
+    fn pass_by(&mut self, looked: &[LookedUpstream]) {
+        self.passes += 1;
+        for each in looked {
+            let is_full = each.look().is_some_and(|look| look.is_full() && !look.doubtful);
+            let list = if is_full { &mut self.full } else { &mut self.excluded };
+            list.push(each.index);
+        }
+    }
+
     /// Refuses a request whose caller's key went away after it was let in. It is asked before each dispatch,
     /// so that what waited for a repeat doesn't begin with a key that is gone.
     fn refuse_taken_away(&self) -> Result<(), CallerFailure> {
--- /dev/null
+++ b/crates/daemon/src/ingress/look.rs
@@ -0,0 +1,151 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Asks the daemons beside upstreams how these are, before work is sent to one of them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltarch_base::metrics;
+use basaltarch_base::peers::PeerPath;
+use basaltarch_decide::look::{self, UpstreamLook};
+use basaltarch_peer::frames::FrameSender;
+use basaltarch_peer::link::NO_EXCHANGE;
+use basaltarch_peer::protocol::{FrameBody, LoadAnswer, LoadQuestion, LoadReport};
+use fnv::FnvHashMap;
+use futures_util::future;
+use local_sync::oneshot;
+
+use crate::ingress::request::CallerRequest;
+use crate::state::DaemonState;
+
+/// `LookBoard` holds the questions that have no answer yet.
+#[derive(Default)]
+pub struct LookBoard {
+    waiting: RefCell<FnvHashMap<i64, oneshot::Sender<Option<LoadReport>>>>,
+    sequence: Cell<i64>,
+}
+
+impl LookBoard {
+    /// Takes an answer in.
+    pub fn take(&self, answer: LoadAnswer) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&answer.sequence) {
+            let _ = waiting.send(answer.report);
+        }
+    }
+}
+
+/// `LookedUpstream` is an upstream that was looked at.
+pub struct LookedUpstream {
+    /// Its position.
+    pub index: usize,
+    /// What its daemon said; nothing if it did not answer in time or knows no such upstream.
+    pub report: Option<LoadReport>,
+    slots: u32,
+}
+
+impl LookedUpstream {
+    /// Returns how it is, if its daemon answered.
+    pub fn look(&self) -> Option<UpstreamLook> {
+        let report = self.report.as_ref()?;
+        Some(UpstreamLook {
+            in_flight: report.in_flight.max(0) as u32,
+            queued: report.queued.max(0) as u32,
+            slots: self.slots,
+            doubtful: report.doubtful,
+            draining: report.draining,
+            ejected: report.ejected,
+        })
+    }
+
+    /// Says whether its daemon would pass the work on.
+    pub fn passes_on(&self) -> bool {
+        self.look().is_none_or(|look| look.passes_on())
+    }
+}
+
+/// Returns the best of the upstreams whose daemons answered.
+pub fn best_of(looked: &[LookedUpstream]) -> Option<&LookedUpstream> {
+    let answered = || looked.iter().filter(|each| each.report.is_some());
+    let looks: Vec<UpstreamLook> = answered().filter_map(LookedUpstream::look).collect();
+    look::best(&looks).and_then(|position| answered().nth(position))
+}
+
+/// Looks at some upstreams of a request's service together; those of this host and those without a link are left
+/// out.
+pub async fn look_at(
+    state: &Rc<DaemonState>,
+    request: &CallerRequest,
+    indexes: &[usize],
+) -> Vec<LookedUpstream> {
+    let asked = indexes.iter().map(|index| look_one(state, request, *index));
+    future::join_all(asked).await.into_iter().flatten().collect()
+}
+
+async fn look_one(
+    state: &Rc<DaemonState>,
+    request: &CallerRequest,
+    index: usize,
+) -> Option<LookedUpstream> {
+    let path = request.service.path(index).clone();
+    let link = path.link().filter(|link| !path.is_self && link.peer.answers_looks)?;
+    metrics::LOOKS.add_one();
+    let began = state.now();
+    path.note_used(began);
+    let sequence = state.looks.sequence.get() + 1;
+    state.looks.sequence.set(sequence);
+    let (sender, receiver) = oneshot::channel();
+    state.looks.waiting.borrow_mut().insert(sequence, sender);
+    let _guard = LookGuard { state, sequence };
+    let upstream = &request.service.entry.upstreams[index];
+    let question = LoadQuestion {
+        upstream: upstream.name.to_string(),
+        route: request.route.name.to_string(),
+        sequence,
+    };
+    link.sender().send(NO_EXCHANGE, FrameBody::LoadQuestion(question)).ok()?;
+    let wait = look::wait_for(path.round_trip());
+    let answer = monoio::time::timeout(wait, receiver).await;
+    let report = note_answer(&path, answer.ok().map(Result::ok), state.now() - began);
+    Some(LookedUpstream { index, report, slots: upstream.server.slots })
+}
+
+/// Takes in what a look says of the path.
+fn note_answer(
+    path: &PeerPath,
+    answer: Option<Option<Option<LoadReport>>>,
+    took: Duration,
+) -> Option<LoadReport> {
+    match answer {
+        Some(answer) => {
+            path.note_round_trip(took);
+            answer.flatten()
+        }
+        None => {
+            metrics::LOOKS_SILENT.add_one();
+            path.note_late();
+            None
+        }
+    }
+}
+
+/// Forgets a question that is no longer waited for.
+struct LookGuard<'a> {
+    state: &'a DaemonState,
+    sequence: i64,
+}
+
+impl Drop for LookGuard<'_> {
+    fn drop(&mut self) {
+        self.state.looks.waiting.borrow_mut().remove(&self.sequence);
+    }
+}
+
+/// Answers an ingress that looks at an upstream of this host.
+pub fn answer_question(state: &DaemonState, sender: &FrameSender, question: &LoadQuestion) {
+    let upstream = state.host.get(&question.upstream);
+    let report = upstream.map(|upstream| upstream.report(state, &question.route, None));
+    let answer = LoadAnswer { sequence: question.sequence, report };
+    let _ = sender.send(NO_EXCHANGE, FrameBody::LoadAnswer(answer));
+}
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -10,6 +10,7 @@
 pub mod caller_key;
 pub mod failure;
 pub mod late;
+pub mod look;
 pub mod request;
 pub mod target;
 pub mod trail;
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -17,6 +17,7 @@
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
 use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
 use basaltarch_decide::evidence::ServiceBaseline;
+use basaltarch_decide::look::LookGain;
 use basaltarch_decide::poison::{CountedFailures, PoisonMemory, RequestMark};
 use basaltarch_decide::split::WeightedSplit;
 use basaltarch_peer::protocol::LoadReport;
@@ -49,6 +50,7 @@
     budget: Rc<RefCell<RetryBudget>>,
     poison: Rc<RefCell<PoisonMemory<Rc<str>>>>,
     violations: Cell<u64>,
+    look_gain: Cell<LookGain>,
     used_at: Cell<Duration>,
 }
 
@@ -167,6 +169,7 @@
         let hosts = entry.upstreams.iter().map(|upstream| upstream.server.host.as_str());
         Self {
             paths: hosts.map(|host| state.peers.path(host)).collect(),
+            look_gain: Cell::default(),
             draining_until: entry.upstreams.iter().map(|_| Cell::default()).collect(),
             view: RefCell::new(
                 ServiceView::new(entry.spec.floor, views).with_queue(entry.spec.queue),
@@ -187,6 +190,21 @@
         &self.paths[index]
     }
 
+    /// Says whether the next request looks at upstreams before it is sent to one.
+    pub fn looks(&self) -> bool {
+        let mut gain = self.look_gain.get();
+        let looks = gain.looks();
+        self.look_gain.set(gain);
+        looks
+    }
+
+    /// Takes in whether a look found an upstream that would take the work.
+    pub fn note_look(&self, found: bool) {
+        let mut gain = self.look_gain.get();
+        gain.note(found);
+        self.look_gain.set(gain);
+    }
+
     /// Chooses an upstream for a request.
     pub fn choose(&self, now: Duration, request: &ChoiceRequest<'_>) -> Option<UpstreamChoice> {
         self.refresh(now);
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -25,6 +25,7 @@
 use crate::document::DocumentCell;
 use crate::freshness::FreshnessRole;
 use crate::host::HostRole;
+use crate::ingress::look::LookBoard;
 use crate::ingress::trail::LogBudget;
 use crate::limits::LimitRole;
 use crate::membership::MemberTable;
@@ -70,6 +71,8 @@
     pub members: MemberTable,
     /// The backend servers of this host.
     pub host: HostRole,
+    /// Looks at upstreams that have no answer yet.
+    pub looks: LookBoard,
     /// Rate limits.
     pub limits: LimitRole,
     /// Accepted changes in the platform's table.
@@ -105,6 +108,7 @@
             host: options.host.clone(),
             incarnation: units::wall_millis() as i64,
             failure_domain: options.failure_domain.clone(),
+            answers_looks: true,
         };
         Ok(Rc::new(Self {
             live: RefCell::new(Rc::new(options.clone())),
@@ -122,6 +126,7 @@
             snapshots: SnapshotParts::default(),
             members: MemberTable::default(),
             host: HostRole::default(),
+            looks: LookBoard::default(),
             limits: LimitRole::default(),
             changes: ChangeStore::new(platform.clone()),
             ledger: OnceLedger::new(platform.clone()),
--- a/crates/daemon/tests/cancel.rs
+++ b/crates/daemon/tests/cancel.rs
@@ -92,6 +92,7 @@
             host: "host-z".to_owned(),
             incarnation: 1,
             failure_domain: "bkk-a".to_owned(),
+            answers_looks: false,
         };
         let side = LinkSide::Dialler;
         let key = KEY.as_bytes();
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod hang;
 pub mod health;
 pub mod limits;
+pub mod look;
 pub mod neighbours;
 pub mod path;
 pub mod patience;
--- a/crates/decide/src/path.rs
+++ b/crates/decide/src/path.rs
@@ -89,13 +89,22 @@
         self.asked_at = None;
     }
 
+    /// Takes in how long the peer took to answer.
+    pub fn note_round_trip(&mut self, took: Duration) {
+        // A longer one counts at once, shorter ones little by little.
+        let known = self.round_trip.unwrap_or(took);
+        self.round_trip = Some(took.max(known - known / 8));
+    }
+
+    /// Returns the longest round trip of the last few, if one was measured.
+    pub fn round_trip(&self) -> Option<Duration> {
+        self.round_trip
+    }
+
     /// Takes in that the peer answered a question.
     pub fn note_answer(&mut self, now: Duration) {
         if let Some(asked_at) = self.asked_at {
-            let took = now.saturating_sub(asked_at);
-            // A longer one counts at once, shorter ones little by little.
-            let known = self.round_trip.unwrap_or(took);
-            self.round_trip = Some(took.max(known - known / 8));
+            self.note_round_trip(now.saturating_sub(asked_at));
         }
         self.note_heard(now);
         if !self.was_cut {
--- /dev/null
+++ b/crates/decide/tests/look.rs
@@ -0,0 +1,61 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! When upstreams are looked at before work is sent, and which of them gets it.
+
+use std::time::Duration;
+
+use basaltarch_decide::look::{self, LookGain, UpstreamLook, FRESH_FOR, TRY_EACH};
+use test_case::test_case;
+
+const IDLE: UpstreamLook = UpstreamLook {
+    in_flight: 0,
+    queued: 0,
+    slots: 4,
+    doubtful: false,
+    draining: false,
+    ejected: false,
+};
+
+#[test_case(&[UpstreamLook { in_flight: 3, ..IDLE }, UpstreamLook { in_flight: 1, ..IDLE }], 1 ; "the less loaded")]
+#[test_case(&[UpstreamLook { in_flight: 2, ..IDLE }, UpstreamLook { in_flight: 3, slots: 8, ..IDLE }], 1 ; "by its slots")]
+#[test_case(&[UpstreamLook { doubtful: true, ..IDLE }, UpstreamLook { in_flight: 3, ..IDLE }], 1 ; "the one that is not doubted")]
+#[test_case(&[UpstreamLook { in_flight: 3, ..IDLE }, UpstreamLook { draining: true, ..IDLE }], 0 ; "the one that stays")]
+#[test_case(&[UpstreamLook { in_flight: 4, ..IDLE }, UpstreamLook { in_flight: 4, queued: 2, ..IDLE }], 0 ; "of full ones the shorter queue")]
+fn verify_the_better_upstream_gets_the_work(looks: &[UpstreamLook], best: usize) {
+    assert_eq!(look::best(looks), Some(best));
+}
+
+#[test]
+fn verify_nobody_is_best_where_nobody_answered() {
+    assert_eq!(look::best(&[]), None);
+}
+
+#[test]
+fn verify_a_look_is_worth_a_round_trip_that_is_short_for_the_time_left() {
+    let left = Duration::from_millis(150);
+    let old = Some(Duration::from_secs(1));
+    assert!(look::is_worth(old, Some(Duration::from_millis(1)), left));
+    assert!(look::is_worth(None, None, left), "nothing is known");
+    assert!(!look::is_worth(old, Some(Duration::from_millis(40)), left), "far away");
+    assert!(!look::is_worth(Some(FRESH_FOR / 2), Some(Duration::from_millis(1)), left));
+}
+
+#[test]
+fn verify_where_all_are_full_looks_stop_and_come_back_with_room() {
+    let mut gain = LookGain::default();
+    let mut looked = 0;
+    for _ in 0..1000 {
+        if gain.looks() {
+            looked += 1;
+            gain.note(false);
+        }
+    }
+    assert!(looked <= 1000 / TRY_EACH + 16, "{looked} looks of 1000 requests at full servers");
+    let mut until = 0;
+    while !(gain.looks() && gain.looks()) {
+        gain.note(true);
+        until += 1;
+        assert!(until <= 64, "looks don't come back");
+    }
+}
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -95,6 +95,20 @@
   25: optional TallyNote tally
 }
 
+/** Asks a host's daemon how an upstream is, before work is sent to it. */
+struct LoadQuestion {
+  1: required string upstream
+  /** Route of the work, for which the health is reported. */
+  2: required string route
+  3: required i64 sequence
+}
+
+struct LoadAnswer {
+  1: required i64 sequence
+  /** None where there is no such upstream. */
+  2: optional LoadReport report
+}
+
 /** The first frame of an answer. */
 struct AnswerHead {
   1: required i16 status
@@ -229,6 +243,8 @@
   4: required i32 protocol_version
   /** Between failure domains, what follows the handshake is compressed. */
   5: required string failure_domain
+  /** Whether it answers a LoadQuestion; daemons of an earlier version end the link at one. */
+  6: optional bool answers_looks
 }
 
 /** The answer to the other side's nonce. */
@@ -254,6 +270,8 @@
   15: RowsRequest rows_request
   16: RowsNews rows_news
   17: SuspectNews suspect_news
+  18: LoadQuestion load_question
+  19: LoadAnswer load_answer
 }
 
 struct PeerFrame {
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -93,6 +93,8 @@
         FrameBody::RowsRequest(_) => "rows-request",
         FrameBody::RowsNews(_) => "rows-news",
         FrameBody::SuspectNews(_) => "suspect-news",
+        FrameBody::LoadQuestion(_) => "load-question",
+        FrameBody::LoadAnswer(_) => "load-answer",
     }
 }
 
--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -35,6 +35,8 @@
     pub incarnation: i64,
     /// Failure domain of the host.
     pub failure_domain: String,
+    /// Whether it tells how its upstreams are when it is asked.
+    pub answers_looks: bool,
 }
 
 /// `LinkSide` is the role of a daemon on a link.
@@ -90,6 +92,7 @@
         nonce: fresh_nonce(),
         failure_domain: identity.failure_domain.clone(),
         protocol_version: PROTOCOL_VERSION,
+        answers_looks: Some(identity.answers_looks),
     };
     write(writer, FrameBody::Hello(ours.clone())).await?;
     let theirs = match reader.next().await?.body {
@@ -111,8 +114,9 @@
     keyed(key, side.other(), &theirs, &ours)
         .verify_slice(&proof.mac)
         .map_err(|_| LinkError::WrongKey { host: theirs.host.clone() })?;
-    let HelloNote { host, incarnation, failure_domain, .. } = theirs;
-    Ok(PeerIdentity { host, incarnation, failure_domain })
+    let HelloNote { host, incarnation, failure_domain, answers_looks, .. } = theirs;
+    let answers_looks = answers_looks.unwrap_or(false);
+    Ok(PeerIdentity { host, incarnation, failure_domain, answers_looks })
 }
 
 fn unexpected(body: &FrameBody) -> LinkError {
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -957,6 +957,158 @@
   }
 }
 
+//
+// LoadQuestion
+//
+
+/// Asks a host's daemon how an upstream is, before work is sent to it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct LoadQuestion {
+  pub upstream: String,
+  /// Route of the work, for which the health is reported.
+  pub route: String,
+  pub sequence: i64,
+}
+
+impl LoadQuestion {
+  pub fn new(upstream: String, route: String, sequence: i64) -> LoadQuestion {
+    LoadQuestion {
+      upstream,
+      route,
+      sequence,
+    }
+  }
+}
+
+impl TSerializable for LoadQuestion {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<LoadQuestion> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<String> = None;
+    let mut f_3: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("LoadQuestion.upstream", &f_1)?;
+    verify_required_field_exists("LoadQuestion.route", &f_2)?;
+    verify_required_field_exists("LoadQuestion.sequence", &f_3)?;
+    let ret = LoadQuestion {
+      upstream: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      route: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      sequence: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("LoadQuestion");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 1))?;
+    o_prot.write_string(&self.upstream)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("route", TType::String, 2))?;
+    o_prot.write_string(&self.route)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("sequence", TType::I64, 3))?;
+    o_prot.write_i64(self.sequence)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// LoadAnswer
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct LoadAnswer {
+  pub sequence: i64,
+  /// None where there is no such upstream.
+  pub report: Option<LoadReport>,
+}
+
+impl LoadAnswer {
+  pub fn new<F2>(sequence: i64, report: F2) -> LoadAnswer where F2: Into<Option<LoadReport>> {
+    LoadAnswer {
+      sequence,
+      report: report.into(),
+    }
+  }
+}
+
+impl TSerializable for LoadAnswer {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<LoadAnswer> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<LoadReport> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = LoadReport::read_from_in_protocol(i_prot)?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("LoadAnswer.sequence", &f_1)?;
+    let ret = LoadAnswer {
+      sequence: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      report: f_2,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("LoadAnswer");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("sequence", TType::I64, 1))?;
+    o_prot.write_i64(self.sequence)?;
+    o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.report {
+      o_prot.write_field_begin(&TFieldIdentifier::new("report", TType::Struct, 2))?;
+      fld_var.write_to_out_protocol(o_prot)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // AnswerHead
 //
@@ -2370,16 +2522,19 @@
   pub protocol_version: i32,
   /// Between failure domains, what follows the handshake is compressed.
   pub failure_domain: String,
+  /// Whether it answers a LoadQuestion; daemons of an earlier version end the link at one.
+  pub answers_looks: Option<bool>,
 }
 
 impl HelloNote {
-  pub fn new(host: String, incarnation: i64, nonce: Vec<u8>, protocol_version: i32, failure_domain: String) -> HelloNote {
+  pub fn new<F6>(host: String, incarnation: i64, nonce: Vec<u8>, protocol_version: i32, failure_domain: String, answers_looks: F6) -> HelloNote where F6: Into<Option<bool>> {
     HelloNote {
       host,
       incarnation,
       nonce,
       protocol_version,
       failure_domain,
+      answers_looks: answers_looks.into(),
     }
   }
 }
@@ -2392,6 +2547,7 @@
     let mut f_3: Option<Vec<u8>> = None;
     let mut f_4: Option<i32> = None;
     let mut f_5: Option<String> = None;
+    let mut f_6: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2419,6 +2575,10 @@
           let val = i_prot.read_string()?;
           f_5 = Some(val);
         },
+        6 => {
+          let val = i_prot.read_bool()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2437,6 +2597,7 @@
       nonce: f_3.expect("auto-generated code should have checked for presence of required fields"),
       protocol_version: f_4.expect("auto-generated code should have checked for presence of required fields"),
       failure_domain: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      answers_looks: f_6,
     };
     Ok(ret)
   }
@@ -2458,6 +2619,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("failure_domain", TType::String, 5))?;
     o_prot.write_string(&self.failure_domain)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.answers_looks {
+      o_prot.write_field_begin(&TFieldIdentifier::new("answers_looks", TType::Bool, 6))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2543,6 +2709,8 @@
   RowsRequest(RowsRequest),
   RowsNews(RowsNews),
   SuspectNews(SuspectNews),
+  LoadQuestion(LoadQuestion),
+  LoadAnswer(LoadAnswer),
 }
 
 impl TSerializable for FrameBody {
@@ -2676,6 +2844,20 @@
           }
           received_field_count += 1;
         },
+        18 => {
+          let val = LoadQuestion::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(FrameBody::LoadQuestion(val));
+          }
+          received_field_count += 1;
+        },
+        19 => {
+          let val = LoadAnswer::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(FrameBody::LoadAnswer(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -2795,6 +2977,16 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      FrameBody::LoadQuestion(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("load_question", TType::Struct, 18))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      FrameBody::LoadAnswer(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("load_answer", TType::Struct, 19))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -110,6 +110,7 @@
         host: "host-b".to_owned(),
         incarnation: 1,
         failure_domain: "bkk-b".to_owned(),
+        answers_looks: false,
     };
     (DialledLink::new(peer, sender.clone()), sender)
 }
