Count calls of running work towards no limit of the organisation

Cause: a call carries no key and is for the organisation of the work that makes it, by which it was counted as another request of that organisation.

Change: only a request with a key counts. The test lets work of an organisation with one request call five times; the first call was refused before.

--- a/crates/daemon/src/ingress/caller_key.rs
+++ b/crates/daemon/src/ingress/caller_key.rs
@@ -86,6 +86,12 @@
         Self { organisation, ..Self::default() }
     }
 
+    /// Returns the organisation towards whose limit the request counts. Calls count towards none: the work that
+    /// makes them was counted.
+    pub fn counted(&self) -> Option<&str> {
+        self.organisation.as_deref().filter(|_| self.key.is_some())
+    }
+
     /// Says whether the caller's key still belongs to the same organisation: one that was taken away while the
     /// request waited lets nothing begin any more.
     pub fn still_holds(&self, active: &ActiveConfig) -> bool {
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -91,7 +91,7 @@
     /// Returns what it counts towards.
     fn limit_subject(&self) -> LimitSubject<'_> {
         LimitSubject {
-            organisation: self.caller.organisation.as_deref(),
+            organisation: self.caller.counted(),
             route: &self.route.name,
             service: &self.service.entry.name,
         }
@@ -353,8 +353,7 @@
     let RequestTarget { route, caller } = target;
     let once_key = once_key(&route, &head)?;
     let service = state.services.service_of(&route);
-    let organisation = caller.organisation.as_deref();
-    let subject = LimitSubject { organisation, route: &route.name, service };
+    let subject = LimitSubject { organisation: caller.counted(), route: &route.name, service };
     limits::admit(state, &active, subject).await.map_err(|refusal| CallerFailure {
         retry_after: Some(refusal.wait),
         message: refusal.message,
@@ -370,7 +369,7 @@
     let objective = (objective > 0).then(|| now + Duration::from_millis(objective.into()));
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     forward_fields(state, &mut head, &host, from);
-    tell_organisation(state, &mut head.headers, organisation);
+    tell_organisation(state, &mut head.headers, caller.organisation.as_deref());
     Ok(CallerRequest {
         route,
         service,
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -30,6 +30,8 @@
 const GRANT_WAIT: Duration = Duration::from_millis(100);
 /// Time for which an ingress keeps to its share before it asks the home again.
 const ALONE_FOR: Duration = Duration::from_secs(2);
+
+/// `LimitState` is what this ingress knows of one limit.
 struct LimitState {
     ledger: LimitLedger,
     asking: Option<Rc<RisingSignal>>,
--- a/crates/daemon/tests/organisations.rs
+++ b/crates/daemon/tests/organisations.rs
@@ -171,6 +171,27 @@
     assert_eq!(ask(&fleet, 0, "/unsafe/x", "parent.2", &[]).status, 401, "its work is over");
 }
 
+#[test]
+fn verify_calls_of_running_work_count_towards_no_limit() {
+    let fleet = start(1);
+    let limited = OrganisationDraft { rate: Some(0.01), burst: Some(1.0), ..SHOP };
+    write(&fleet, 3, &[limited]);
+    let address = fleet.daemons[0].callers;
+    let headers =
+        [("Host", HOST), ("request-id", "parent"), ("Credential", SHOP_KEY), ("x-work-ms", "1500")];
+    let ask_parent = move || client::call(address, "POST", "/unsafe/x", &headers, "x").status;
+    let parent = std::thread::spawn(ask_parent);
+    eventually("the work runs", || fleet.ran("parent") == 1);
+    for number in 0..5 {
+        let id = format!("parent.{number}");
+        assert_eq!(ask(&fleet, 0, "/unsafe/x", &id, &[]).status, 200);
+    }
+    assert_eq!(parent.join().expect("join"), 200);
+    let over = ask(&fleet, 0, "/unsafe/x", "over", &[("Credential", SHOP_KEY)]);
+    assert_eq!((over.status, over.reason().as_deref()), (429, Some("limited")));
+    assert_eq!(fleet.ran("over"), 0);
+}
+
 #[test]
 fn verify_a_bad_table_of_organisations_changes_nothing_and_no_key_is_logged() {
     let fleet = start(1);
