Let only daemons of some age be homes of limits, and a deputy tell the home what it granted

Change: who started less than 15 s ago is no home where others are older; who is not the home by its own view answers nobody as one; a deputy tells the home what it granted.

No test through processes yet.

--- a/crates/daemon/src/limit_homes.rs
+++ b/crates/daemon/src/limit_homes.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_core::units;
 use basaltarch_decide::grants::{GrantAnswer, GrantQuestion, LimitHome};
 use basaltarch_decide::limits::{self, GRANT_LIFE};
 use basaltarch_peer::frames::FrameSender;
@@ -15,6 +16,7 @@
 use fnv::FnvHashMap;
 use thrift::OrderedFloat;
 
+use crate::limits as ingress_limits;
 use crate::state::DaemonState;
 
 /// Time after the start in which a daemon is the first home of a limit: a fleet that starts must not refuse.
@@ -22,6 +24,10 @@
 /// Time for which a look at who is there counts: homes move when a daemon leaves or has been silent for seconds.
 const LIVE_FOR: Duration = Duration::from_millis(200);
 
+/// Age from which a daemon may count limits, if there are daemons of that age: who is new is known to some sooner
+/// than to others, and two homes at once would grant a limit twice.
+const HOME_AGE: Duration = Duration::from_secs(15);
+
 /// `LimitPlaces` is who counts a limit.
 #[derive(Debug, Clone, Default)]
 pub struct LimitPlaces {
@@ -47,6 +53,8 @@
 pub struct LimitHomes {
     homes: RefCell<FnvHashMap<String, LimitHome>>,
     deputies: RefCell<FnvHashMap<String, LimitHome>>,
+    /// Who counts the limits that this daemon was asked for.
+    asked: RefCell<FnvHashMap<String, LimitPlaces>>,
     live: RefCell<LiveLook>,
 }
 
@@ -80,7 +88,7 @@
             return;
         }
         live.looked_at = now;
-        let hosts = state.members.live_hosts(state);
+        let hosts = old_hosts(state);
         if live.number == 0 || hosts != live.hosts {
             // Who was there before the first look is not known: it counts from this daemon's start.
             live.changed_at = if live.number == 0 { Duration::ZERO } else { now };
@@ -89,18 +97,38 @@
         }
     }
 
-    /// Answers as the home of a limit, or as its deputy for who claims a part.
+    /// Returns who counts a limit that this daemon was asked for.
+    pub fn places(&self, state: &DaemonState, limit: &str) -> LimitPlaces {
+        let mut asked = self.asked.borrow_mut();
+        let places = match asked.get_mut(limit) {
+            Some(places) => places,
+            None => asked.entry(limit.to_owned()).or_default(),
+        };
+        self.update(state, limit, places);
+        places.clone()
+    }
+
+    /// Says whether this daemon is the home of a limit, as it sees the fleet.
+    fn is_home(&self, state: &DaemonState, limit: &str) -> bool {
+        self.places(state, limit).home.as_deref() == Some(&*state.options.host)
+    }
+
+    /// Answers as the home of a limit, or as its deputy for who claims a part; not at all where another is the
+    /// home: what two homes grant would be twice the limit, and who asked turns to the deputy.
     pub fn answer(
         &self,
         state: &DaemonState,
         limit: &str,
         claim: Option<f64>,
         question: &GrantQuestion<'_>,
-    ) -> GrantAnswer {
+    ) -> Option<GrantAnswer> {
         let active = state.config.active();
         let Some(entry) = active.limit(limit) else {
-            return GrantAnswer { granted: 0.0, share: 0.0, ahead: 0 };
+            return Some(GrantAnswer { granted: 0.0, share: 0.0, ahead: 0 });
         };
+        if claim.is_none() && !self.is_home(state, limit) {
+            return None;
+        }
         let (rate, burst) = (entry.rule.rate, entry.rule.burst);
         let now = state.now();
         if let Some(claim) = claim {
@@ -108,22 +136,35 @@
             let deputy = deputies
                 .entry(limit.to_owned())
                 .or_insert_with(|| LimitHome::following(rate, burst, now));
-            return deputy.answer_as_deputy(rate, burst, claim, question, now);
+            return Some(deputy.answer_as_deputy(rate, burst, claim, question, now));
         }
-        self.look(state);
         let since = self.live.borrow().changed_at;
         let mut homes = self.homes.borrow_mut();
         let home = homes.entry(limit.to_owned()).or_insert_with(|| match now < HOME_SETTLE {
             true => LimitHome::new(rate, burst, now),
             false => LimitHome::following(rate, burst, since),
         });
-        home.answer(rate, burst, &state.live().limit_tolerance, question, now)
+        Some(home.answer(rate, burst, &state.live().limit_tolerance, question, now))
     }
 }
 
+/// Returns the live hosts whose daemons started long enough ago, or all where none did.
+fn old_hosts(state: &DaemonState) -> Vec<String> {
+    let started_by = units::wall_millis() as i64 - HOME_AGE.as_millis() as i64;
+    let mut hosts = state.members.live_hosts(state);
+    let is_old = |host: &String| match *host == state.options.host {
+        true => state.identity.incarnation <= started_by,
+        false => state.members.incarnation(host) <= started_by,
+    };
+    if hosts.iter().any(is_old) {
+        hosts.retain(is_old);
+    }
+    hosts
+}
+
 /// Answers a peer that asks this daemon as the home or the deputy of a limit.
 pub fn answer_request(
-    state: &DaemonState,
+    state: &Rc<DaemonState>,
     sender: &FrameSender,
     asker: &str,
     request: &GrantRequest,
@@ -131,7 +172,12 @@
     let spent = request.spent.map_or(0.0, |spent| spent.0);
     let question = GrantQuestion { asker, wanted: request.wanted.0, spent };
     let claim = request.claim.map(|claim| claim.0);
-    let answer = state.limits.homes.answer(state, &request.limit, claim, &question);
+    let Some(answer) = state.limits.homes.answer(state, &request.limit, claim, &question) else {
+        return;
+    };
+    if claim.is_some() {
+        ingress_limits::pay_home(state, &request.limit, answer.granted);
+    }
     let reply = GrantReply {
         sequence: request.sequence,
         granted: OrderedFloat(answer.granted),
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -293,6 +293,21 @@
     });
 }
 
+/// Tells the home what was granted as its deputy: where only some can't reach it, the sum stays with one count. A
+/// home that is away is told nothing, as the one that follows begins anew.
+pub fn pay_home(state: &Rc<DaemonState>, limit: &str, granted: f64) {
+    let active = state.config.active();
+    let Some(entry) = active.limit(limit).cloned().filter(|_| granted > 0.0) else { return };
+    let state = state.clone();
+    monoio::spawn(async move {
+        let home = state.limits.homes.places(&state, &entry.name).home;
+        let terms = GrantTerms { wanted: 0.0, spent: granted, claim: None };
+        if let Some(home) = home {
+            ask_at(&state, &home, &entry, terms).await;
+        }
+    });
+}
+
 fn note_grant(
     known: &mut LimitState,
     entry: &LimitEntry,
@@ -325,7 +340,7 @@
     let GrantTerms { wanted, spent, claim } = terms;
     if *host == *state.options.host {
         let question = GrantQuestion { asker: host, wanted, spent };
-        return Some(state.limits.homes.answer(state, &entry.name, claim, &question));
+        return state.limits.homes.answer(state, &entry.name, claim, &question);
     }
     let path = state.peers.path(host);
     path.note_used(state.now());
--- a/crates/decide/src/grants.rs
+++ b/crates/decide/src/grants.rs
@@ -26,7 +26,7 @@
 /// usual is held back exactly from there on.
 const AHEAD_FROM: f64 = 0.5;
 /// Share of what is tolerated that all ingresses together may run ahead by.
-const AHEAD_SHARE: f64 = 0.45;
+const AHEAD_SHARE: f64 = 0.4;
 /// Share of the burst below which the home keeps the parts of those that are silent.
 const KEEP_BELOW: f64 = 0.25;
 /// Times between two questions, as they usually come, after which an ingress counts as silent: it may be cut off,
@@ -41,7 +41,7 @@
 const DEPUTY_FIRST: f64 = 1.0;
 /// Share of what is tolerated by which the burst is larger: of the two errors of a count over many daemons, the
 /// refusal of a request within its limit is the one that harms a caller.
-const BURST_SHARE: f64 = 0.2;
+const BURST_SHARE: f64 = 0.1;
 
 /// `LimitTolerance` is how far beyond a limit the operator tolerates requests that were let in.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
