Read a table anew once the store tells another era than the one it was read in

Cause: a reader keeps the highest version that it saw. A store that comes back from an older copy gives the versions in between out again; if they are passed before a daemon asks, what was written under them is never told to it, and a feed without news is taken for word that nothing is newer. Ruled out: 410, which the store only answers for a version that it does not have yet. Change: a position in a table is an era and a version, and versions are compared within one era only. Without a header nothing changes.

--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -29,7 +29,7 @@
 use basaltarch_platform::organisations::OrganisationNote;
 use basaltarch_platform::rows::{RowValue, RowsPage, StoredRow, DOCUMENT_KEY, OPERATOR_TABLE};
 use basaltarch_store::errors::StoreError;
-use basaltarch_store::platform::FeedReply;
+use basaltarch_store::platform::{FeedReply, TablePosition};
 use futures_util::{select_biased, FutureExt};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
@@ -64,8 +64,8 @@
 pub struct DocumentCell {
     held: RefCell<Option<Rc<ConfigDocument>>>,
     pulling: Cell<bool>,
-    /// Version of the operator's table up to which it was read, if it was.
-    version: Cell<Option<u64>>,
+    /// How far the operator's table was read, if it was.
+    position: Cell<Option<TablePosition>>,
     /// Raised when a peer has what the call that waits at the store did not bring.
     doubt: RisingSignal,
 }
@@ -91,7 +91,7 @@
     loop {
         let Some(news) = next_undoubted(&state, &mut reader).await else { continue };
         let (FeedNews::Whole(page) | FeedNews::Changes(page)) = news else { continue };
-        state.document.version.set(reader.version());
+        state.document.position.set(reader.position());
         take_answer(&state, &page, reader.as_of());
     }
 }
@@ -125,13 +125,15 @@
 pub async fn ask_store(state: &Rc<DaemonState>) -> Result<(), StoreError> {
     let asked_at = state.now();
     // One that could not be read may be readable now, and its change will not be told again.
-    let version = state.document.version.get().filter(|_| !state.freshness.known().is_outdated());
-    let page = match version {
-        Some(version) => match state.platform.changes_now(OPERATOR_TABLE, version).await? {
-            FeedReply::Changes(page) => page,
-            FeedReply::Forgotten => state.platform.read_table(OPERATOR_TABLE).await?,
-        },
-        None => state.platform.read_table(OPERATOR_TABLE).await?,
+    let is_outdated = state.freshness.known().is_outdated();
+    let position = state.document.position.get().filter(|_| !is_outdated);
+    let changes = match position {
+        Some(position) => state.platform.changes_now(OPERATOR_TABLE, position).await?,
+        None => FeedReply::Forgotten,
+    };
+    let page = match changes {
+        FeedReply::Changes(page, _) => page,
+        FeedReply::Forgotten => state.platform.read_table(OPERATOR_TABLE).await?.0,
     };
     take_answer(state, &page, asked_at);
     Ok(())
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -9,7 +9,7 @@
 use basaltarch_events::process;
 use basaltarch_platform::rows::{RowValue, RowsPage};
 use basaltarch_store::errors::StoreError;
-use basaltarch_store::platform::{self, FeedReply, RetryPause};
+use basaltarch_store::platform::{self, FeedReply, RetryPause, TablePosition};
 
 use crate::state::DaemonState;
 
@@ -51,8 +51,8 @@
 /// `FeedReader` follows one table.
 pub struct FeedReader {
     plan: FeedPlan,
-    /// Version of the table that was taken last; none before all of it was read.
-    version: Option<u64>,
+    /// How far the table was read; none before all of it was.
+    position: Option<TablePosition>,
     /// As of when the store answered last: what it told was all that there was then.
     as_of: Duration,
     pause: RetryPause,
@@ -65,12 +65,12 @@
     pub fn new(plan: FeedPlan) -> Self {
         let pause = RetryPause::up_to(plan.failure_max);
         let as_of = Duration::ZERO;
-        Self { plan, version: None, as_of, pause, lost_at: None, failures: 0 }
+        Self { plan, position: None, as_of, pause, lost_at: None, failures: 0 }
     }
 
     /// Goes on from another version: somebody else told of the changes until there.
     pub fn skip_to(&mut self, version: u64) {
-        self.version = Some(version);
+        self.position = Some(TablePosition { version, ..self.position.unwrap_or_default() });
     }
 
     /// Returns as of when the last answer told all that there was.
@@ -78,9 +78,9 @@
         self.as_of
     }
 
-    /// Returns the version from which the next call goes on, if the table was read.
-    pub fn version(&self) -> Option<u64> {
-        self.version
+    /// Returns the position from which the next call goes on, if the table was read.
+    pub fn position(&self) -> Option<TablePosition> {
+        self.position
     }
 
     /// Reads the whole table, or waits for the next changes.
@@ -122,24 +122,25 @@
     }
 
     async fn step(&mut self, state: &DaemonState) -> Result<FeedNews, StoreError> {
-        let version = match self.version {
-            Some(version) => version,
+        let position = match self.position {
+            Some(position) => position,
             None => return self.read_whole(state).await,
         };
         let began = state.now();
         let wait = platform::draw_wait(longest_wait(state.members.count(), self.plan.wait_max));
-        match state.platform.follow(self.plan.table, version, wait).await? {
-            FeedReply::Changes(page) => {
+        match state.platform.follow(self.plan.table, position, wait).await? {
+            FeedReply::Changes(page, position) => {
                 // An answer may have been held up on its way; one without changes was made no sooner
                 // than its wait was over.
                 let waited = page.rows.is_empty() && state.now() >= began + wait;
                 self.as_of = if waited { began + wait } else { began };
-                self.version = Some(version.max(page.version));
+                self.position = Some(position);
                 Ok(FeedNews::Changes(page))
             }
             FeedReply::Forgotten => {
+                let version = position.version;
                 process::HistoryForgotten { table: self.plan.table, version }.log();
-                self.version = None;
+                self.position = None;
                 self.read_whole(state).await
             }
         }
@@ -148,9 +149,9 @@
     /// Reads the whole table now.
     pub async fn read_whole(&mut self, state: &DaemonState) -> Result<FeedNews, StoreError> {
         let began = state.now();
-        let page = state.platform.read_table(self.plan.table).await?;
+        let (page, position) = state.platform.read_table(self.plan.table).await?;
         self.as_of = began;
-        self.version = Some(page.version);
+        self.position = Some(position);
         Ok(FeedNews::Whole(page))
     }
 
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -9,6 +9,7 @@
 
 use basaltarch_http::client::{ClientReply, HttpClient};
 use basaltarch_http::errors::HttpError;
+use basaltarch_platform::headers;
 use basaltarch_platform::objects;
 use basaltarch_platform::rows::{self, RowAddress, RowChange, RowExpectation, RowsPage, StoreCall};
 use bytes::Bytes;
@@ -79,12 +80,35 @@
     }
 }
 
+/// `TablePosition` is how far a table was read. Versions are ordered within one era only: a store that comes back
+/// from an older copy gives lost versions out again.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TablePosition {
+    /// Times that the store had come back from an older copy, if it told.
+    pub era: Option<u64>,
+    /// Version up to which the table was read.
+    pub version: u64,
+}
+
+impl TablePosition {
+    /// Says whether an answer of `era` is of another history than this position. Without word of either, the
+    /// history is taken to be the same.
+    fn is_lost_in(&self, era: Option<u64>) -> bool {
+        matches!((self.era, era), (Some(known), Some(told)) if known != told)
+    }
+
+    /// Returns the position after an answer that goes on from here to `version`.
+    fn advanced(self, version: u64, era: Option<u64>) -> Self {
+        Self { era: era.or(self.era), version: self.version.max(version) }
+    }
+}
+
 /// `FeedReply` is what a call of the feed brought.
 #[derive(Debug, Clone, PartialEq)]
 pub enum FeedReply {
-    /// Rows that changed, oldest first, and the version to go on from.
-    Changes(RowsPage),
-    /// The store no longer knows what changed since then; read the table anew.
+    /// Rows that changed, oldest first, and where to go on from.
+    Changes(RowsPage, TablePosition),
+    /// The store doesn't know what changed since then, or came back from an older copy; read the table anew.
     Forgotten,
 }
 
@@ -143,7 +167,7 @@
     /// Reads the row with this key, if there is one.
     pub async fn read(&self, key: &str) -> Result<Option<TableRow>, StoreError> {
         let RowAddress { table, part, key: wanted } = RowPlace::of(key).address();
-        let page = self.read_page(table, part, wanted, 1).await?;
+        let (page, _) = self.read_page(table, part, wanted, 1).await?;
         let mut rows = table_rows(page);
         Ok(rows.pop().filter(|row| row.key == key))
     }
@@ -158,26 +182,28 @@
         // The least text behind a key is the key with a zero byte, which no key holds.
         let from = if after.is_empty() { prefix.to_owned() } else { format!("{after}\0") };
         let RowAddress { table, part, key: from } = RowPlace::of(&from).address();
-        let page = self.read_page(table, part, from, limit).await?;
+        let (page, _) = self.read_page(table, part, from, limit).await?;
         let rows = table_rows(page);
         Ok(rows.into_iter().take_while(|row| row.key.starts_with(prefix)).collect())
     }
 
-    /// Reads all rows of a table without parts, as of one moment or later; `version` is where the
-    /// feed goes on.
-    pub async fn read_table(&self, table: &str) -> Result<RowsPage, StoreError> {
-        let mut all = self.read_page(table, "", "", PAGE_ROWS).await?;
+    /// Reads all rows of a table without parts, as of one moment or later, and where the feed goes on.
+    pub async fn read_table(&self, table: &str) -> Result<(RowsPage, TablePosition), StoreError> {
+        let (mut all, era) = self.read_page(table, "", "", PAGE_ROWS).await?;
         let mut more = all.more && !all.rows.is_empty();
         while more {
             let from = all.rows.last().map(|row| format!("{}\0", row.key)).unwrap_or_default();
-            let next = self.read_page(table, "", &from, PAGE_ROWS).await?;
+            let (next, _) = self.read_page(table, "", &from, PAGE_ROWS).await?;
             // A page that names no row leads to no other.
             more = next.more && !next.rows.is_empty();
             all.rows.extend(next.rows);
             all.nameless += next.nameless;
         }
         all.more = false;
-        Ok(all)
+        // Pages of two eras may be joined here: the feed then tells another era than the first page did, and the
+        // table is read anew.
+        let position = TablePosition { era, version: all.version };
+        Ok((all, position))
     }
 
     async fn read_page(
@@ -186,42 +212,53 @@
         part: &str,
         from: &str,
         limit: usize,
-    ) -> Result<RowsPage, StoreError> {
+    ) -> Result<(RowsPage, Option<u64>), StoreError> {
         self.reads.borrow_mut().take()?;
         let reply = self.call(rows::read_from(table, part, from, limit)).await?;
-        read_page(&accepted(reply)?)
+        let era = headers::store_era(&reply.headers);
+        Ok((read_page(&accepted(reply)?)?, era))
     }
 
-    /// Waits for changes of a table after a version, for at most `wait`.
+    /// Waits for changes of a table after a position, for at most `wait`.
     pub async fn follow(
         &self,
         table: &str,
-        after: u64,
+        after: TablePosition,
         wait: Duration,
     ) -> Result<FeedReply, StoreError> {
         self.reads.borrow_mut().take()?;
-        let calling = call(&self.feeds, rows::follow(table, after, wait));
+        let calling = call(&self.feeds, rows::follow(table, after.version, wait));
         let reply = match monoio::time::timeout(wait + FEED_GRACE, calling).await {
             Ok(reply) => reply,
             Err(_) => Err(StoreError::AnswerLost { message: "no answer".to_owned() }),
         };
-        self.read_feed(self.count(reply)?)
+        self.read_feed(after, self.count(reply)?)
     }
 
-    /// Asks for the changes of a table after a version without waiting for one, along a new connection: one
+    /// Asks for the changes of a table after a position without waiting for one, along a new connection: one
     /// that is open may have fallen silent.
-    pub async fn changes_now(&self, table: &str, after: u64) -> Result<FeedReply, StoreError> {
+    pub async fn changes_now(
+        &self,
+        table: &str,
+        after: TablePosition,
+    ) -> Result<FeedReply, StoreError> {
         self.reads.borrow_mut().take()?;
         self.questions.forget_idle();
-        let reply = call(&self.questions, rows::follow(table, after, Duration::ZERO)).await;
-        self.read_feed(self.count(reply)?)
+        let reply = call(&self.questions, rows::follow(table, after.version, Duration::ZERO)).await;
+        self.read_feed(after, self.count(reply)?)
     }
 
-    fn read_feed(&self, reply: ClientReply) -> Result<FeedReply, StoreError> {
+    fn read_feed(&self, after: TablePosition, reply: ClientReply) -> Result<FeedReply, StoreError> {
+        let era = headers::store_era(&reply.headers);
         if reply.status == StatusCode::GONE {
             return Ok(FeedReply::Forgotten);
         }
-        read_page(&accepted(reply)?).map(FeedReply::Changes)
+        let page = read_page(&accepted(reply)?)?;
+        if after.is_lost_in(era) {
+            return Ok(FeedReply::Forgotten);
+        }
+        let position = after.advanced(page.version, era);
+        Ok(FeedReply::Changes(page, position))
     }
 
     /// Lets no coming call use a connection that is open now.
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -14,7 +14,7 @@
 use basaltarch_standin::platform::{self, HostGroup, PlatformStandin};
 use basaltarch_store::changes::{ChangeAuthor, ChangeGuard, ChangeStore, ResourceEdit};
 use basaltarch_store::errors::StoreError;
-use basaltarch_store::platform::{FeedReply, PlatformClient, FEED_WAIT};
+use basaltarch_store::platform::{FeedReply, PlatformClient, TablePosition, FEED_WAIT};
 use basaltarch_store::wire::{RowCheck, RowWrite, VALUE_BYTES_MAX};
 use basaltarch_telemetry::runtime;
 use bytes::Bytes;
@@ -97,7 +97,7 @@
         assert_eq!(next[0].key, "t/a007");
         let end = store.client.scan("t/a", "t/a598", 7).await.expect("scan");
         assert_eq!(end.len(), 1, "neither another prefix nor another table");
-        let all = store.client.read_table("t").await.expect("table");
+        let (all, _) = store.client.read_table("t").await.expect("table");
         assert_eq!(all.rows.len(), 601, "more than one page");
         assert!(all.rows.is_sorted_by(|left, right| left.key < right.key));
     });
@@ -107,7 +107,8 @@
 fn verify_the_feed_tells_changes_in_order_and_that_history_is_gone() {
     run(async {
         let store = TestStore::start();
-        let start = store.put("t/a", 0, json!(1)).await.expect("written");
+        store.put("t/a", 0, json!(1)).await.expect("written");
+        let (_, start) = store.client.read_table("t").await.expect("table");
         store.put("u/x", 0, json!(1)).await.expect("another table");
         let follow = store.client.follow("t", start, FEED_WAIT);
         let write = async {
@@ -115,18 +116,38 @@
             store.put("t/b", 0, json!(2)).await.expect("written")
         };
         let (reply, version) = futures_util::future::join(follow, write).await;
-        let FeedReply::Changes(page) = reply.expect("feed") else { panic!("forgotten") };
+        let FeedReply::Changes(page, position) = reply.expect("feed") else { panic!("forgotten") };
         let keys: Vec<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
         assert_eq!((keys, page.version), (vec!["b"], version));
         store.faults(json!({"forget_history": true})).await;
-        let reply = store.client.follow("t", version, FEED_WAIT).await.expect("feed");
+        let reply = store.client.follow("t", position, FEED_WAIT).await.expect("feed");
         assert_eq!(reply, FeedReply::Forgotten);
-        let page = store.client.read_table("t").await.expect("table");
+        let (page, _) = store.client.read_table("t").await.expect("table");
         assert_eq!(page.rows.len(), 2, "nothing but the history is lost");
         assert!(page.version > version, "the feed goes on from here");
     });
 }
 
+#[test_case(Some(0), 1, true ; "the history that is read goes on")]
+#[test_case(None, 1, true ; "nobody told a history before")]
+#[test_case(Some(1), 0, false ; "the position is of another history")]
+fn verify_a_position_counts_in_its_own_era_only(era: Option<u64>, rows: usize, goes_on: bool) {
+    run(async {
+        let store = TestStore::start();
+        store.put("t/a", 0, json!(1)).await.expect("written");
+        let position = TablePosition { era, version: 0 };
+        let reply = store.client.changes_now("t", position).await.expect("feed");
+        let told = match reply {
+            FeedReply::Changes(page, next) => {
+                assert_eq!(next, TablePosition { era: Some(0), version: page.version });
+                Some(page.rows.len())
+            }
+            FeedReply::Forgotten => None,
+        };
+        assert_eq!(told, goes_on.then_some(rows));
+    });
+}
+
 #[test_case(json!({"down": true}), true ; "connections are dropped")]
 #[test_case(json!({"busy": true}), false ; "calls are turned away")]
 #[test_case(json!({"silent": true}), true ; "nothing is said")]
@@ -161,7 +182,11 @@
         store.faults(faults).await;
         let version = store.put("t/k", 0, json!(1)).await.expect("the first group is served");
         store.second.read("t/k").await.expect_err("the second group is not");
-        store.second.follow("t", 0, FEED_WAIT).await.expect_err("nor is its feed");
+        store
+            .second
+            .follow("t", TablePosition::default(), FEED_WAIT)
+            .await
+            .expect_err("nor is its feed");
         store.faults(json!({})).await;
         let row = store.second.read("t/k").await.expect("read").expect("there");
         assert_eq!(row.version, version);
