Grant no second burst after all daemons were killed

Cause: a daemon takes itself for the first home of a limit in the first three seconds after its own start and begins with the full burst. Where all daemons are killed at once the fleet is not new: a window holds the burst from before and that after. Ruled out: asking who lived (nobody did); the setting by which the platform tells a first start (only this platform has it, a row of the host is there on all). Change: the burst is there at the start only where no row tells of an earlier start of the host's daemon, for the home as for an ingress that reaches nobody. Otherwise the bucket is empty as of the start and fills. A daemon that is no longer the home of a limit forgets its bucket.

--- a/crates/daemon/src/limit_homes.rs
+++ b/crates/daemon/src/limit_homes.rs
@@ -19,7 +19,8 @@
 use crate::limits as ingress_limits;
 use crate::state::DaemonState;
 
-/// Time after the start in which a daemon is the first home of a limit: a fleet that starts must not refuse.
+/// Time after the first start of a host's daemon in which it is the first home of a limit: a fleet that starts
+/// must not refuse.
 const HOME_SETTLE: Duration = Duration::from_secs(3);
 /// Time for which a look at who is there counts: homes move when a daemon leaves or has been silent for seconds.
 const LIVE_FOR: Duration = Duration::from_millis(200);
@@ -127,6 +128,8 @@
             return Some(GrantAnswer { granted: 0.0, share: 0.0, ahead: 0 });
         };
         if claim.is_none() && !self.is_home(state, limit) {
+            // Its bucket would fill while another grants, and be a second burst once this daemon is the home again.
+            self.homes.borrow_mut().remove(limit);
             return None;
         }
         let (rate, burst) = (entry.rule.rate, entry.rule.burst);
@@ -140,7 +143,7 @@
         }
         let since = self.live.borrow().changed_at;
         let mut homes = self.homes.borrow_mut();
-        let home = homes.entry(limit.to_owned()).or_insert_with(|| match now < HOME_SETTLE {
+        let home = homes.entry(limit.to_owned()).or_insert_with(|| match is_fleet_new(state) {
             true => LimitHome::new(rate, burst, now),
             false => LimitHome::following(rate, burst, since),
         });
@@ -148,6 +151,14 @@
     }
 }
 
+/// Says whether the fleet may be starting for the first time, so that nobody was granted anything before. A host
+/// whose daemon started before has a row that tells so: where all daemons were killed at once, what they granted
+/// a moment ago is not known any more, and a burst for the new start would be a second one.
+pub fn is_fleet_new(state: &DaemonState) -> bool {
+    let is_young = state.now() < HOME_SETTLE;
+    is_young && state.rows.is_known() && !state.roster.started_before()
+}
+
 /// Returns the live hosts whose daemons started long enough ago, or all where none did.
 fn old_hosts(state: &DaemonState) -> Vec<String> {
     let started_by = units::wall_millis() as i64 - HOME_AGE.as_millis() as i64;
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -13,7 +13,7 @@
 use basaltarch_core::config::{ActiveConfig, LimitEntry};
 use basaltarch_core::resources::{LimitRule, LimitScope};
 use basaltarch_decide::grants::{GrantAnswer, GrantQuestion};
-use basaltarch_decide::limits::{LimitLedger, LimitVerdict, GRANT_LIFE};
+use basaltarch_decide::limits::{AloneTerms, LimitLedger, LimitVerdict, GRANT_LIFE};
 use basaltarch_decide::path::PathState;
 use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_peer::protocol::{FrameBody, GrantReply, GrantRequest};
@@ -21,7 +21,7 @@
 use local_sync::oneshot;
 use thrift::OrderedFloat;
 
-use crate::limit_homes::{LimitHomes, LimitPlaces};
+use crate::limit_homes::{self, LimitHomes, LimitPlaces};
 use crate::links;
 use crate::state::DaemonState;
 
@@ -287,7 +287,10 @@
             note_grant(known, entry, wanted, answer, now);
         }
         None => {
-            known.ledger.go_alone(rule.rate, rule.burst, daemons, now);
+            let since = if limit_homes::is_fleet_new(state) { None } else { Some(Duration::ZERO) };
+            known
+                .ledger
+                .go_alone(AloneTerms { rate: rule.rate, burst: rule.burst, daemons, since }, now);
             known.ask_again_at = now + ALONE_FOR;
         }
     });
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -150,6 +150,8 @@
     /// Whether a backend server left and the own row may not tell it yet.
     has_unwritten: Cell<bool>,
     changed: RisingSignal,
+    /// Whether the store or a peer told of an earlier start of this host's daemon.
+    started_before: Cell<bool>,
     /// Hosts that were replaced at their address and whose rows are still there.
     stale: RefCell<Vec<String>>,
 }
@@ -237,6 +239,11 @@
         }
     }
 
+    /// Says whether an earlier start of this host's daemon was told of.
+    pub fn started_before(&self) -> bool {
+        self.started_before.get()
+    }
+
     /// Says that this daemon's own record may have changed.
     pub fn touch(&self) {
         self.changed.raise();
@@ -500,7 +507,11 @@
 
 /// Takes in what an earlier start of this daemon said, as the store or a peer tells of it.
 fn recover_own(state: &Rc<DaemonState>, record: &HostRecord) {
-    if record.incarnation < state.identity.incarnation && state.options.registration.is_some() {
+    if record.incarnation >= state.identity.incarnation {
+        return;
+    }
+    state.roster.started_before.set(true);
+    if state.options.registration.is_some() {
         registration::recover(state, record);
     }
 }
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -93,6 +93,11 @@
 }
 
 impl RowsShare {
+    /// Says whether the rows of all hosts were read, here or by those who pass them on.
+    pub fn is_known(&self) -> bool {
+        self.version.get() > 0
+    }
+
     /// Says whether a reader was heard of lately.
     fn hears_news(&self, now: Duration) -> bool {
         self.news_at.get().is_some_and(|at| now.saturating_sub(at) <= SILENCE_MAX)
@@ -204,8 +209,7 @@
     let mut reader = FeedReader::new(FEED);
     loop {
         let is_reader = readers(&state).contains(&state.options.host);
-        let is_known = state.rows.version.get() > 0;
-        if is_known && !is_reader && state.rows.hears_news(state.now()) {
+        if state.rows.is_known() && !is_reader && state.rows.hears_news(state.now()) {
             state.rows.is_reading.set(false);
             wait_news(&state, &mut reader).await;
         } else {
@@ -216,7 +220,7 @@
 
 /// Reads the store once and passes on what it brings.
 async fn read_store(state: &Rc<DaemonState>, reader: &mut FeedReader) {
-    if state.rows.version.get() > 0 && !state.rows.is_reading.get() {
+    if state.rows.is_known() && !state.rows.is_reading.get() {
         reader.skip_to(state.rows.version.get());
     }
     metrics::ROWS_CALLS.add_one();
--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -88,6 +88,17 @@
         fleet
     }
 
+    /// Kills all daemons at once and starts them again; waits until they know each other and serve.
+    pub fn restart_all(&mut self, flags: &[(&str, &str)]) {
+        self.daemons.iter_mut().for_each(TestDaemon::kill);
+        for daemon in &mut self.daemons {
+            let started =
+                TestDaemon::start(self.platform.address, &daemon.host, &daemon.domain, flags);
+            *daemon = started;
+        }
+        self.wait_members();
+    }
+
     pub fn wait_members(&self) {
         for daemon in &self.daemons {
             eventually("the daemons know each other", || {
--- a/crates/daemon/tests/limits.rs
+++ b/crates/daemon/tests/limits.rs
@@ -9,6 +9,7 @@
 
 use common::{eventually, FleetPlan, TestFleet};
 use serde_json::json;
+use test_case::test_case;
 
 fn limited(daemons: usize, rate: f64, burst: f64) -> TestFleet {
     TestFleet::start(&FleetPlan {
@@ -68,3 +69,34 @@
     let allowed = 10.0 + 20.0 * start.elapsed().as_secs_f64();
     assert!(f64::from(good) <= allowed * 1.1, "{good} of at most {allowed}");
 }
+
+#[test_case(1 ; "once")]
+#[test_case(2 ; "twice")]
+fn verify_a_kill_of_all_daemons_grants_no_second_burst(kills: usize) {
+    let (rate, burst) = (0.5, 40.0);
+    let mut fleet = limited(3, rate, burst);
+    let start = Instant::now();
+    let served =
+        |fleet: &TestFleet| (0..60).filter(|number| ask(fleet, number % 3).status == 200).count();
+    let mut good = served(&fleet);
+    assert!(
+        good as f64 >= burst / 2.0,
+        "a fleet that starts for the first time has the burst: {good}"
+    );
+    for _ in 0..kills {
+        fleet.restart_all(&[]);
+        good += served(&fleet);
+    }
+    let allowed = burst + rate * start.elapsed().as_secs_f64();
+    assert!(good as f64 <= allowed * 1.1, "{good} of at most {allowed}");
+}
+
+#[test]
+fn verify_a_fleet_that_was_killed_serves_usual_callers() {
+    // However fast the machine is, callers stay far below the rate.
+    let mut fleet = limited(3, 20_000.0, 40.0);
+    assert_eq!(ask(&fleet, 0).status, 200);
+    fleet.restart_all(&[]);
+    let refused = (0..20).filter(|number| ask(&fleet, number % 3).status == 429).count();
+    assert_eq!(refused, 0, "of 20 requests, a thousandth of a second's worth");
+}
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -164,6 +164,19 @@
     Ask(f64),
 }
 
+/// `AloneTerms` is what an ingress goes by that reaches nobody who counts a limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AloneTerms {
+    /// Requests a second of the limit.
+    pub rate: f64,
+    /// Requests that may come at once under the limit.
+    pub burst: f64,
+    /// Daemons among which the limit is shared.
+    pub daemons: usize,
+    /// When nothing was left of the ingress's part of the burst; nothing where all of it was.
+    pub since: Option<Duration>,
+}
+
 /// `LimitLedger` is one ingress's part of one limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitLedger {
@@ -297,11 +310,15 @@
     }
 
     /// Takes in that nobody counts the limit that can be reached: from now on keeps to its claim by itself.
-    pub fn go_alone(&mut self, rate: f64, burst: f64, daemons: usize, now: Duration) {
+    pub fn go_alone(&mut self, terms: AloneTerms, now: Duration) {
+        let AloneTerms { rate, burst, daemons, since } = terms;
         let claim = self.note_home_lost(rate, daemons);
         if self.alone.is_none() {
             let burst = (burst / daemons.max(1) as f64).max(ALONE_BURST);
-            self.alone = Some(TokenBucket::new(claim, burst, now));
+            self.alone = Some(match since {
+                Some(since) => TokenBucket::empty(claim, burst, since),
+                None => TokenBucket::new(claim, burst, now),
+            });
         }
     }
 
--- a/crates/decide/tests/grants.rs
+++ b/crates/decide/tests/grants.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use basaltarch_decide::grants::{GrantQuestion, LimitHome, LimitTolerance};
-use basaltarch_decide::limits::{LimitLedger, LimitVerdict, GRANT_LIFE};
+use basaltarch_decide::limits::{AloneTerms, LimitLedger, LimitVerdict, GRANT_LIFE};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
@@ -155,7 +155,7 @@
     assert_eq!(ledger.admit(now), LimitVerdict::PassAhead);
     let spent = ledger.take_spent();
     ledger.note_unpaid(spent);
-    ledger.go_alone(1.0, 1.0, 10, now);
+    ledger.go_alone(AloneTerms { rate: 1.0, burst: 1.0, daemons: 10, since: None }, now);
     ledger.note_home(0, 1.0, now);
     assert_eq!(ledger.take_spent(), 1.0);
     let mut home = LimitHome::new(1.0, 4.0, Duration::ZERO);
