Find the home of a limit again after all daemons were killed

Rows of the store tell of starts that are over, so that hosts which never came back look like the only ones old enough to be homes, for the 56 s until they are suspect. Beside it, links take longer than the 100 ms for which a home is waited for, and a home without a burst refuses usual callers that return all at once. Change: a daemon that started again a moment ago doesn't go by the age of others; a daemon that can't be linked is no home, and who is taken for one in its place finds out; the wait for a grant begins once the link is there; after a kill of all a home begins with 0.35 of what is tolerated.

--- a/crates/base/src/peers.rs
+++ b/crates/base/src/peers.rs
@@ -23,6 +23,11 @@
 /// region take four ways of a few milliseconds.
 const DIAL_PATIENCE: Duration = Duration::from_millis(100);
 
+/// Pause before the next try from which a daemon without a link counts as lost: two in a row failed by then.
+const LOST_FROM: Duration = Duration::from_millis(400);
+/// Time for which the answer to a dial is waited for before a daemon counts as lost.
+const DIAL_LOST_AFTER: Duration = Duration::from_secs(1);
+
 /// `PeerPath` is the path to one other daemon.
 pub struct PeerPath {
     /// Host of the daemon.
@@ -123,6 +128,14 @@
         now >= self.retry_at.get()
     }
 
+    /// Says whether a link to the daemon was tried in vain, so that it may be gone for good though its host is still
+    /// listed.
+    pub fn is_lost(&self, now: Duration) -> bool {
+        let is_waiting =
+            self.dialling.get() && now.saturating_sub(self.dialled_at.get()) >= DIAL_LOST_AFTER;
+        self.link.borrow().is_none() && (is_waiting || self.back_off.get() >= LOST_FROM)
+    }
+
     /// Says whether the daemon is linked again after a cut and has not yet answered a question.
     pub fn is_proving(&self, now: Duration) -> bool {
         self.link.borrow().is_some() && self.state(now) == PathState::Proving
--- a/crates/daemon/src/limit_homes.rs
+++ b/crates/daemon/src/limit_homes.rs
@@ -17,6 +17,7 @@
 use thrift::OrderedFloat;
 
 use crate::limits as ingress_limits;
+use crate::links;
 use crate::state::DaemonState;
 
 /// Time after the first start of a host's daemon in which it is the first home of a limit: a fleet that starts
@@ -128,8 +129,6 @@
             return Some(GrantAnswer { granted: 0.0, share: 0.0, ahead: 0 });
         };
         if claim.is_none() && !self.is_home(state, limit) {
-            // Its bucket would fill while another grants, and be a second burst once this daemon is the home again.
-            self.homes.borrow_mut().remove(limit);
             return None;
         }
         let (rate, burst) = (entry.rule.rate, entry.rule.burst);
@@ -142,37 +141,76 @@
             return Some(deputy.answer_as_deputy(rate, burst, claim, question, now));
         }
         let since = self.live.borrow().changed_at;
+        let tolerance = state.live().limit_tolerance;
         let mut homes = self.homes.borrow_mut();
-        let home = homes.entry(limit.to_owned()).or_insert_with(|| match is_fleet_new(state) {
-            true => LimitHome::new(rate, burst, now),
-            false => LimitHome::following(rate, burst, since),
+        let home = homes.entry(limit.to_owned()).or_insert_with(|| match fleet_start(state) {
+            FleetStart::First => LimitHome::new(rate, burst, now),
+            FleetStart::Again => LimitHome::restarted(rate, burst, &tolerance, since),
+            FleetStart::Past => LimitHome::following(rate, burst, since),
         });
-        Some(home.answer(rate, burst, &state.live().limit_tolerance, question, now))
+        Some(home.answer(rate, burst, &tolerance, question, now))
     }
 }
 
-/// Says whether the fleet may be starting for the first time, so that nobody was granted anything before. A host
-/// whose daemon started before has a row that tells so: where all daemons were killed at once, what they granted
-/// a moment ago is not known any more, and a burst for the new start would be a second one.
-pub fn is_fleet_new(state: &DaemonState) -> bool {
-    let is_young = state.now() < HOME_SETTLE;
-    is_young && state.rows.is_known() && !state.roster.started_before()
+/// `FleetStart` says whether this daemon may have started together with all others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FleetStart {
+    /// A moment ago and for the first time, so that nobody was granted anything before.
+    First,
+    /// A moment ago, and not for the first time: where all daemons were killed at once, what they granted before is
+    /// not known any more, and a whole burst would be a second one.
+    Again,
+    /// Longer ago.
+    Past,
 }
 
-/// Returns the live hosts whose daemons started long enough ago, or all where none did.
+/// Says how the daemon started. A host whose daemon started before has a row that tells so.
+pub fn fleet_start(state: &DaemonState) -> FleetStart {
+    if state.now() >= HOME_SETTLE {
+        return FleetStart::Past;
+    }
+    match state.rows.is_known() && !state.roster.started_before() {
+        true => FleetStart::First,
+        false => FleetStart::Again,
+    }
+}
+
+/// Returns the hosts whose daemons may count limits: live ones that can be linked, and of these, where there are
+/// any, those that started long enough ago.
+///
+/// A daemon that itself started again a moment ago knows of the others' starts by their rows alone. Where all were
+/// killed at once, those rows tell of starts that are over, so that it doesn't go by them.
 fn old_hosts(state: &DaemonState) -> Vec<String> {
     let started_by = units::wall_millis() as i64 - HOME_AGE.as_millis() as i64;
+    let now = state.now();
+    let own = &state.options.host;
     let mut hosts = state.members.live_hosts(state);
-    let is_old = |host: &String| match *host == state.options.host {
+    hosts.retain(|host| host == own || !state.peers.path(host).is_lost(now));
+    let is_old = |host: &String| match host == own {
         true => state.identity.incarnation <= started_by,
         false => state.members.incarnation(host) <= started_by,
     };
-    if hosts.iter().any(is_old) {
+    if fleet_start(state) != FleetStart::Again && hosts.iter().any(is_old) {
         hosts.retain(is_old);
     }
     hosts
 }
 
+/// Finds out whether the home of a limit is there, after a peer took this daemon for it: the peer may know that the
+/// other one is lost.
+fn find_out(state: &Rc<DaemonState>, limit: &str) {
+    let Some(home) = state.limits.homes.places(state, limit).home else { return };
+    let path = state.peers.path(&home);
+    if path.is_self || path.link().is_some() {
+        return;
+    }
+    let state = state.clone();
+    monoio::spawn(async move {
+        // One that can't be made is counted on its path.
+        let _ = links::link_to(&state, &path).await;
+    });
+}
+
 /// Answers a peer that asks this daemon as the home or the deputy of a limit.
 pub fn answer_request(
     state: &Rc<DaemonState>,
@@ -184,7 +222,7 @@
     let question = GrantQuestion { asker, wanted: request.wanted.0, spent };
     let claim = request.claim.map(|claim| claim.0);
     let Some(answer) = state.limits.homes.answer(state, &request.limit, claim, &question) else {
-        return;
+        return find_out(state, &request.limit);
     };
     if claim.is_some() {
         ingress_limits::pay_home(state, &request.limit, answer.granted);
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -21,12 +21,12 @@
 use local_sync::oneshot;
 use thrift::OrderedFloat;
 
-use crate::limit_homes::{self, LimitHomes, LimitPlaces};
+use crate::limit_homes::{self, FleetStart, LimitHomes, LimitPlaces};
 use crate::links;
 use crate::state::DaemonState;
 
-/// Longest wait for the home's grant: two round trips between failure domains are 6 ms; a home that
-/// takes this long is treated as cut off.
+/// Longest wait for the home's grant along a link that is there: two round trips between failure domains are 6 ms; a
+/// home that takes this long is treated as cut off. Right after a start links take longer than that to be made.
 const GRANT_WAIT: Duration = Duration::from_millis(100);
 /// Time for which an ingress keeps to its share before it asks the home again.
 const ALONE_FOR: Duration = Duration::from_secs(2);
@@ -287,10 +287,11 @@
             note_grant(known, entry, wanted, answer, now);
         }
         None => {
-            let since = if limit_homes::is_fleet_new(state) { None } else { Some(Duration::ZERO) };
-            known
-                .ledger
-                .go_alone(AloneTerms { rate: rule.rate, burst: rule.burst, daemons, since }, now);
+            // Only of a fleet that starts for the first time the whole part of the burst is known to be left.
+            let is_first = limit_homes::fleet_start(state) == FleetStart::First;
+            let since = (!is_first).then_some(Duration::ZERO);
+            let terms = AloneTerms { rate: rule.rate, burst: rule.burst, daemons, since };
+            known.ledger.go_alone(terms, now);
             known.ask_again_at = now + ALONE_FOR;
         }
     });
@@ -357,8 +358,7 @@
         spent: (spent > 0.0).then_some(OrderedFloat(spent)),
         claim: claim.map(OrderedFloat),
     };
-    let ask = ask_peer(state, &path, request);
-    monoio::time::timeout(GRANT_WAIT, ask).await.ok().flatten()
+    ask_peer(state, &path, request).await
 }
 
 async fn ask_peer(
@@ -374,7 +374,7 @@
     let _guard = WaitingGuard { state, sequence };
     let request = GrantRequest { sequence, ..request };
     link.sender().send(NO_EXCHANGE, FrameBody::GrantRequest(request)).ok()?;
-    receiver.await.ok()
+    monoio::time::timeout(GRANT_WAIT, receiver).await.ok()?.ok()
 }
 
 /// Forgets a question whose asker no longer waits.
--- a/crates/decide/src/grants.rs
+++ b/crates/decide/src/grants.rs
@@ -27,6 +27,9 @@
 const AHEAD_FROM: f64 = 0.5;
 /// Share of what is tolerated that all ingresses together may run ahead by.
 const AHEAD_SHARE: f64 = 0.4;
+/// Share of what is tolerated that a home may grant at once after all daemons were killed: what was granted before is
+/// not known, and two such kills within one window must not break the limit.
+const RESTART_SHARE: f64 = 0.35;
 /// Share of the burst below which the home keeps the parts of those that are silent.
 const KEEP_BELOW: f64 = 0.25;
 /// Times between two questions, as they usually come, after which an ingress counts as silent: it may be cut off,
@@ -41,7 +44,7 @@
 const DEPUTY_FIRST: f64 = 1.0;
 /// Share of what is tolerated by which the burst is larger: of the two errors of a count over many daemons, the
 /// refusal of a request within its limit is the one that harms a caller.
-const BURST_SHARE: f64 = 0.1;
+const BURST_SHARE: f64 = 0.05;
 
 /// `LimitTolerance` is how far beyond a limit the operator tolerates requests that were let in.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -130,6 +133,14 @@
         Self::with_bucket(TokenBucket::empty(rate, burst, since), burst)
     }
 
+    /// Builds the home of a limit after all daemons started again at `since`, without word of what was granted before:
+    /// callers come back all at once then, and what is tolerated beyond the limit spares the usual of them a refusal.
+    pub fn restarted(rate: f64, burst: f64, tolerance: &LimitTolerance, since: Duration) -> Self {
+        let mut home = Self::following(rate, burst, since);
+        home.bucket.put(tolerance.excess(rate, burst) * RESTART_SHARE, since);
+        home
+    }
+
     fn with_bucket(bucket: TokenBucket, burst: f64) -> Self {
         Self {
             bucket,
