--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -67,6 +67,18 @@
 pub static LOOKS: CounterCell = CounterCell::new();
 /// Looks that were not answered in time.
 pub static LOOKS_SILENT: CounterCell = CounterCell::new();
+/// Places that waiting work asked for before slots of backend servers.
+pub static PLACES: CounterCell = CounterCell::new();
+/// Waiting work that a host called in.
+pub static CALLED_IN: CounterCell = CounterCell::new();
+/// Waiting work that nobody called in.
+pub static NOT_CALLED_IN: CounterCell = CounterCell::new();
+/// Times that a slot was held for work which did not come when it was called in.
+pub static CALLS_UNANSWERED: CounterCell = CounterCell::new();
+/// Work that waits at this ingress.
+pub static WAITING: GaugeCell = GaugeCell::new();
+/// Times that work waited at its ingress.
+pub static PLACE_WAIT_SECONDS: HistogramCell = HistogramCell::new();
 /// Revision in force.
 pub static REVISION: GaugeCell = GaugeCell::new();
 /// Older revisions that were refused.
@@ -238,6 +250,24 @@
         counter("grants_asked", "Grants asked from homes of limits.", &GRANTS_ASKED),
         counter("looks", "Looks at upstreams before work was sent.", &LOOKS),
         counter("looks_silent", "Looks that were not answered in time.", &LOOKS_SILENT),
+        counter(
+            "places",
+            "Places that waiting work asked for before slots of backend servers.",
+            &PLACES,
+        ),
+        counter("called_in", "Waiting work that a host called in.", &CALLED_IN),
+        counter("not_called_in", "Waiting work that nobody called in.", &NOT_CALLED_IN),
+        counter(
+            "calls_unanswered",
+            "Times that a slot was held for work which did not come when it was called in.",
+            &CALLS_UNANSWERED,
+        ),
+        gauge("waiting", "Work that waits at this ingress.", &WAITING),
+        histogram(
+            "place_wait_seconds",
+            "Times that work waited at its ingress, by result.",
+            &PLACE_WAIT_SECONDS,
+        ),
         counter("old_revisions", "Older revisions that were refused.", &OLD_REVISIONS),
         counter("told_again", "Times that a neighbour was told of the revision again.", &TOLD_AGAIN),
         counter(
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -17,6 +17,7 @@
 use basaltarch_decide::evidence::WorkEvidence;
 use basaltarch_decide::hang::UsualTime;
 use basaltarch_decide::health::{AdmitVerdict, DispatchTerms};
+use basaltarch_decide::order::WaitingWork;
 use basaltarch_decide::suspects::CrashTally;
 use basaltarch_events::servers::ServerCrashed;
 use basaltarch_http::connection::HttpStream;
@@ -24,10 +25,10 @@
 use basaltarch_peer::protocol::{AnswerHead, DispatchHead, ExchangeFailure};
 use basaltarch_peer::stream::{EventPipe, EventSink, StreamEvent};
 use basaltarch_store::ledger::{ClaimOutcome, ClaimToken, KeptAnswer, OnceKey};
+use basaltarch_waiting::slots::{SlotGuard, SlotRequest};
 use bytes::BytesMut;
 use futures_util::{select_biased, FutureExt};
 
-use crate::host::admission::{SlotGuard, SlotRequest};
 use crate::host::relay::{AnswerRelay, WorkFault, WorkProgress};
 use crate::host::sending;
 use crate::host::upstream::{HostUpstream, WorkNote};
@@ -40,6 +41,8 @@
 
 /// Time after which a caller may come back when a backend server was full or out.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Deviations above the usual time in which five of six pieces of work end.
+const MOST_DEVIATIONS: f64 = 1.0;
 /// Wait that stands for "never overdue".
 const NEVER: Duration = Duration::from_secs(3600);
 
@@ -85,6 +88,7 @@
     let mut work =
         HostWork { state, upstream, head, deadline, objective, came_at, is_trial, tally };
     let admitted = match work.admit() {
+        Ok(()) if work.is_place() => work.run_called_in(body, answer).await,
         Ok(()) => work.run(body, answer).await,
         Err(reason) => Err(FailureOutcome::NotRun(reason)),
     };
@@ -116,6 +120,11 @@
 }
 
 impl HostWork<'_> {
+    /// Returns the same work with another head: that of a place has no body.
+    pub fn with_head<'b>(&'b self, head: &'b DispatchHead) -> HostWork<'b> {
+        HostWork { head, tally: self.tally.clone(), ..*self }
+    }
+
     fn admit(&mut self) -> Result<(), NotRunReason> {
         let now = self.state.now();
         self.refuse_suspect()?;
@@ -220,19 +229,30 @@
 
     async fn take_slot(&self) -> Result<SlotGuard, NotRunReason> {
         // The claim may have taken until the daemon hands over.
-        if !stop::starts(self.state, self.deadline) {
+        if !self.may_start() {
             return Err(NotRunReason::Draining);
         }
-        let usual = self.usual_time().map(|usual| usual.at(0.0));
-        let request = SlotRequest {
+        self.upstream.slots.acquire(self.slot_request()).await
+    }
+
+    /// Says whether the work may still start although the daemon stops.
+    pub fn may_start(&self) -> bool {
+        stop::starts(self.state, self.deadline)
+    }
+
+    /// Asks for a slot.
+    pub fn slot_request(&self) -> SlotRequest {
+        let usual = self.usual_time();
+        let deviations = if self.is_place() { MOST_DEVIATIONS } else { 0.0 };
+        let work = WaitingWork {
             class: wire::class_of(self.head.work_class),
-            refusable: self.head.refusable,
+            is_call: self.head.called == Some(true),
             deadline: self.deadline,
-            usual,
             objective: self.objective,
-            passable: self.head.passable,
+            usual: usual.map(|usual| usual.at(0.0)),
+            most: usual.map(|usual| usual.at(deviations)),
         };
-        self.upstream.slots.acquire(request).await
+        SlotRequest { work, refusable: self.head.refusable, passable: self.head.passable }
     }
 
     /// Returns the distribution of the time that this work usually takes, if it is known or assumed.
@@ -251,6 +271,7 @@
             objective_left,
             usual: self.upstream.health.borrow().usual_time(&self.head.route, None),
             full: self.upstream.slots.is_full(),
+            siblings: wire::siblings_work(self.head.baseline.as_ref()),
         };
         self.upstream.allowance.borrow_mut().give(&terms, now)
     }
@@ -355,7 +376,7 @@
     }
 
     /// Sends the work to the backend server and passes its answer on.
-    async fn work(
+    pub async fn work(
         &self,
         slot: SlotGuard,
         body: &EventPipe,
@@ -482,7 +503,7 @@
 
 /// Waits for what work needs before it can be sent to its backend server, unless the ingress cancels it: a
 /// caller that has left has no use for it. A cancel that came together with the work is seen before it starts.
-async fn unless_cancelled<T>(
+pub async fn unless_cancelled<T>(
     body: &EventPipe,
     needed: impl Future<Output = Result<T, NotRunReason>>,
 ) -> Result<T, NotRunReason> {
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -6,10 +6,10 @@
 //! Slots are counted here and nowhere else; refusals made here are provable, since the work would
 //! have started here.
 
-pub mod admission;
 pub mod backend;
 pub mod calls;
 pub mod exchange;
+pub mod places;
 pub mod relay;
 pub mod sending;
 pub mod trail;
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -20,10 +20,10 @@
 use basaltarch_peer::protocol::AnswerHead;
 use basaltarch_peer::stream::{EventSink, StreamEvent};
 use basaltarch_store::ledger::{ClaimToken, KeptAnswer};
+use basaltarch_waiting::slots::SlotGuard;
 use bytes::{Bytes, BytesMut};
 use http::{header, response, Method, StatusCode};
 
-use crate::host::admission::SlotGuard;
 use crate::host::calls::WorkCalls;
 use crate::host::exchange::HostWork;
 use crate::host::verify::{self, AnswerVerdict};
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -20,8 +20,8 @@
 };
 use basaltarch_events::servers;
 use basaltarch_peer::protocol::LoadReport;
+use basaltarch_waiting::slots::SlotQueue;
 
-use crate::host::admission::SlotQueue;
 use crate::host::backend::BackendPool;
 use crate::state::DaemonState;
 use crate::wire::{self, HostLoad};
@@ -210,6 +210,7 @@
             draining: self.is_draining(now) || state.stop.is_handing_over(),
             revision: state.config.revision().0,
             took,
+            long_work: self.allowance.borrow().long_work(now),
         };
         wire::report_note(load, &self.health.borrow().report(route, now))
     }
--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -18,8 +18,8 @@
 use monoio::io::OwnedWriteHalf;
 use monoio::net::TcpStream;
 
-use crate::ingress::attempt::LiveExchange;
 use crate::ingress::caller::{AfterRequest, WRITE_STALL};
+use crate::ingress::dispatch::LiveExchange;
 use crate::ingress::request::CallerRequest;
 use crate::ingress::trail;
 use crate::state::DaemonState;
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -10,44 +10,32 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltarch_base::metrics;
-use basaltarch_base::peers::PeerPath;
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
 use basaltarch_core::resources::WorkMode;
 use basaltarch_decide::balance::{ChoiceGround, ChoiceRequest, UpstreamChoice};
-use basaltarch_decide::evidence::ServiceBaseline;
-use basaltarch_decide::hang::UsualTime;
 use basaltarch_decide::look;
-use basaltarch_decide::patience;
 use basaltarch_decide::suspects::{CopyVerdict, CrashTally};
 use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
-use basaltarch_peer::errors::LinkError;
-use basaltarch_peer::link::{DialledLink, OutboundExchange, NO_EXCHANGE};
-use basaltarch_peer::protocol::{AnswerHead, DispatchHead, FrameBody, LoadReport, WithdrawNote};
-use bytes::Bytes;
+use basaltarch_peer::protocol::AnswerHead;
 
-use crate::host;
+use crate::ingress::dispatch::{DispatchEnd, LiveExchange, DISPATCHES_MAX};
 use crate::ingress::failure::CallerFailure;
 use crate::ingress::late::{LateAttempt, LateAttempts};
 use crate::ingress::look::{self as ingress_look, LookedUpstream};
+use crate::ingress::places::SlotEnd;
 use crate::ingress::request::CallerRequest;
 use crate::ingress::trail::{self, NextStep, StepEnd, StepLoad, TrailStep};
 use crate::ingress::waiting::{self, FirstEvent};
-use crate::links;
-use crate::services::SentGuard;
 use crate::state::DaemonState;
 use crate::stop;
 use crate::suspects;
 use crate::wire;
 
-/// Dispatches of one request at the most: the first and two more.
-const DISPATCHES_MAX: usize = 3;
 /// Upstreams that may pass work on as they are doubted: with a third of them doubted, the fifth is
 /// reached once in 80 times.
 const PASSES_MAX: usize = 4;
-/// Bytes of a body from which it is worth a way there and back to send it only when it is wanted.
-const WITHHELD_BYTES_MIN: usize = 256;
+
 /// `AttemptEnd` is how the attempts at a request ended.
 pub enum AttemptEnd {
     /// The head of an answer came, and the exchange it came from.
@@ -58,48 +46,33 @@
     CallerGone,
 }
 
-/// `LiveExchange` is an exchange whose answer is being passed on.
-pub struct LiveExchange {
-    /// The exchange.
-    pub exchange: OutboundExchange,
-    /// Start of the body, if it goes out only once the host's daemon has started the work.
-    pub withheld: Option<Bytes>,
-    /// Path to another daemon that it runs over, if it may be given up when that is cut.
-    pub path: Option<Rc<PeerPath>>,
-    /// How long it is waited for before another attempt is made.
-    pub patience: Option<Duration>,
-    /// Whether a failure counts as evidence against the upstream.
-    counts: bool,
-    _sent: SentGuard,
-}
-
-/// `DispatchEnd` is what became of a dispatch.
-enum DispatchEnd {
-    /// It was sent.
-    Sent(LiveExchange),
-    /// The upstream's daemon can't be reached; nothing was sent.
-    Unreachable,
-    /// The caller went away before it was sent.
-    CallerGone,
-}
-
 /// `RequestAttempts` is the state over the attempts at one request.
-struct RequestAttempts<'a> {
-    state: &'a Rc<DaemonState>,
-    request: &'a CallerRequest,
-    excluded: Vec<usize>,
+pub struct RequestAttempts<'a> {
+    /// The daemon.
+    pub state: &'a Rc<DaemonState>,
+    /// The request.
+    pub request: &'a CallerRequest,
+    /// Upstreams that it must not go to.
+    pub excluded: Vec<usize>,
     /// Upstreams that passed it on as they were full.
-    full: Vec<usize>,
-    dispatches: usize,
+    pub full: Vec<usize>,
+    /// Dispatches so far.
+    pub dispatches: usize,
     /// Backend servers that the request reached, or may have.
-    arrivals: usize,
+    pub arrivals: usize,
     passes: usize,
     /// Whether the request is refused everywhere and this copy tries it out.
     is_tried: bool,
-    last: FailureOutcome,
+    /// Whether no upstream that is trusted has a place for it.
+    pub has_waited: bool,
+    /// Until when it may wait for a slot, once it has begun to.
+    pub wait_until: Option<Duration>,
+    /// How the last attempt ended.
+    pub last: FailureOutcome,
     /// Why it is not known whether an earlier attempt ran, if one may have.
     may_have_run: Option<UnknownReason>,
-    failed_at: Option<usize>,
+    /// Upstream at which an earlier attempt failed.
+    pub failed_at: Option<usize>,
 }
 
 /// Runs the attempts at a request until one brings an answer or none may follow.
@@ -118,6 +91,8 @@
         arrivals: 0,
         passes: 0,
         is_tried: false,
+        has_waited: false,
+        wait_until: None,
         last: FailureOutcome::NotRun(NotRunReason::NoUpstream),
         may_have_run: None,
         failed_at: None,
@@ -137,8 +112,23 @@
             Some(None) => continue,
             None => return AttemptEnd::CallerGone,
         };
-        let asked = attempts.ask(&choice);
-        let mut live = match attempts.dispatch(stream, choice, body.is_done()).await {
+        let (choice, asked, dispatched) = if attempts.waits(&choice) {
+            match attempts.wait_for_slot(stream, body.is_done()).await {
+                SlotEnd::CalledIn(choice, live) => {
+                    (choice, attempts.ask(&choice), DispatchEnd::Sent(live))
+                }
+                SlotEnd::NoPlace => continue,
+                SlotEnd::Failed(failure) => {
+                    return attempts.end_with(stream, &mut earlier, fallback, failure).await;
+                }
+                SlotEnd::CallerGone => return AttemptEnd::CallerGone,
+            }
+        } else {
+            let asked = attempts.ask(&choice);
+            let dispatched = attempts.dispatch(stream, choice, body.is_done()).await;
+            (choice, asked, dispatched)
+        };
+        let mut live = match dispatched {
             DispatchEnd::Sent(live) => live,
             DispatchEnd::Unreachable => {
                 attempts.tell(&asked, StepEnd::Failed(attempts.last), None, NextStep::Elsewhere);
@@ -322,16 +312,18 @@
         }
     }
 
-    fn is_repeatable(&self) -> bool {
+    /// Says whether the request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
         self.request.route.rule.mode == WorkMode::Repeatable
     }
 
-    fn left(&self) -> Duration {
+    /// Returns the time left until the request must be answered.
+    pub fn left(&self) -> Duration {
         self.request.deadline.saturating_sub(self.state.now())
     }
 
     /// Returns the time left in which an answer is worth most; zero if none was declared.
-    fn objective_left(&self) -> Duration {
+    pub fn objective_left(&self) -> Duration {
         self.request.objective.map_or(Duration::ZERO, |at| at.saturating_sub(self.state.now()))
     }
 
@@ -354,6 +346,7 @@
             must_take,
             is_last: self.passes >= PASSES_MAX,
         };
+        service.refresh_own(self.state, &self.request.route.name);
         service
             .choose(now, &request)
             .filter(|_| self.dispatches < DISPATCHES_MAX)
@@ -410,7 +403,7 @@
 
     /// Refuses a request whose caller's key went away after it was let in. It is asked before each dispatch,
     /// so that what waited for a repeat doesn't begin with a key that is gone.
-    fn refuse_taken_away(&self) -> Result<(), CallerFailure> {
+    pub fn refuse_taken_away(&self) -> Result<(), CallerFailure> {
         let caller = &self.request.caller;
         let is_same = self.state.config.revision() == self.request.revision;
         if is_same || caller.still_holds(&self.state.config.active()) {
@@ -421,7 +414,7 @@
 
     /// Refuses a request that crashes the servers that run it, unless this copy tries it out. It is asked
     /// before each dispatch: another daemon's word may have come since the last.
-    fn refuse_suspect(&mut self) -> Result<(), CallerFailure> {
+    pub fn refuse_suspect(&mut self) -> Result<(), CallerFailure> {
         if self.is_tried || self.state.suspects.is_empty() {
             return Ok(());
         }
@@ -442,7 +435,7 @@
 
     /// Says whether the request may be passed on although the daemon stops. The first time that is asked
     /// anew: reading its body took time.
-    fn is_taken(&self) -> bool {
+    pub fn is_taken(&self) -> bool {
         if self.dispatches + self.passes == 0 {
             return stop::takes(self.state, &self.request.trail.id);
         }
@@ -466,7 +459,7 @@
     }
 
     /// Says whether another upstream can be asked if this one is doubted.
-    fn is_passable(&self) -> bool {
+    pub fn is_passable(&self) -> bool {
         let asked = [&self.excluded[..], &self.full].concat();
         let others = self.request.service.with_view(|view| view.count_others(&asked));
         self.passes < PASSES_MAX && others > 1
@@ -497,7 +490,7 @@
     }
 
     /// Returns the mode that the host's daemon is told.
-    fn dispatch_mode(&self) -> WorkMode {
+    pub fn dispatch_mode(&self) -> WorkMode {
         match self.request.route.rule.mode {
             WorkMode::Repeatable if !self.finds_out() => WorkMode::Plain,
             mode => mode,
@@ -527,211 +520,6 @@
             && self.request.tally(self.state).is_none_or(CrashTally::allows_repeat)
             && self.take_repeat()
     }
-
-    /// Says whether the request lately failed wherever it went.
-    fn is_hopeless(&self) -> bool {
-        let request = self.request;
-        request.service.forbids_repeat(request.method.as_str(), &request.target, self.state.now())
-    }
-
-    /// Says whether a failure of the request is no evidence: it failed elsewhere, now or lately.
-    fn spares_failure(&self) -> bool {
-        let request = self.request;
-        self.failed_at.is_some()
-            || request.service.spares_failure(
-                request.method.as_str(),
-                &request.target,
-                self.state.now(),
-            )
-    }
-
-    /// Dispatches to the chosen upstream.
-    async fn dispatch(
-        &mut self,
-        stream: &mut HttpStream,
-        choice: UpstreamChoice,
-        body_is_done: bool,
-    ) -> DispatchEnd {
-        self.dispatches += 1;
-        metrics::DISPATCHES.add_one();
-        if self.dispatches > 1 {
-            metrics::RETRIES.add_one();
-        }
-        let service = &self.request.service;
-        let path = service.path(choice.index).clone();
-        let sent = service.count_sent(choice.index);
-        // Making a link takes time off the deadline, so the head is written after it.
-        let link = match waiting::unless_gone(stream, self.link(&path)).await {
-            // While it was made the daemon may have given up: nothing is begun any more then.
-            Some(Ok(Some(_))) if self.state.stop.giving_up.is_raised() => {
-                return DispatchEnd::Unreachable;
-            }
-            Some(Ok(link)) => link,
-            Some(Err(_)) => return self.note_unreachable(choice.index),
-            None => return DispatchEnd::CallerGone,
-        };
-        let route = &self.request.route.name;
-        let baseline = service.baseline(route, choice.index, self.state.now());
-        let mut head = self.head(choice, body_is_done, &baseline);
-        let withheld = self.withholds_body(choice.index, &head);
-        if withheld || !self.request.has_whole_body() {
-            head.fingerprint = Some(self.request.fingerprint(self.state).bytes().to_vec());
-        }
-        if withheld {
-            head.body = Vec::new();
-            head.last = false;
-        }
-        let counts = !head.after_failure;
-        let exchange = match link {
-            None => host::dispatch_local(self.state, head),
-            Some(link) => match link.dispatch(head) {
-                Ok(exchange) => exchange,
-                Err(_) => return self.note_unreachable(choice.index),
-            },
-        };
-        let patience = self.patience(choice.index, &baseline);
-        let withheld = withheld.then(|| self.request.prefix.clone());
-        let may_leave = self.may_follow() && body_is_done && !path.is_self;
-        let path = may_leave.then_some(path);
-        DispatchEnd::Sent(LiveExchange { exchange, withheld, path, patience, counts, _sent: sent })
-    }
-
-    /// Returns the link to an upstream's daemon, making it if need be; none is needed to this one.
-    async fn link(&self, path: &Rc<PeerPath>) -> Result<Option<Rc<DialledLink>>, LinkError> {
-        if path.is_self {
-            return Ok(None);
-        }
-        path.note_used(self.state.now());
-        links::link_to(self.state, path).await.map(Some)
-    }
-
-    /// Says whether the body waits until the work has started: bytes between failure domains are dear,
-    /// and a dispatch that may be refused would carry them for nothing.
-    fn withholds_body(&self, index: usize, head: &DispatchHead) -> bool {
-        let is_local = self.request.service.with_view(|view| view.is_local(index));
-        let may_be_refused = head.passable || head.refusable;
-        !is_local && may_be_refused && head.body.len() > WITHHELD_BYTES_MIN
-    }
-
-    fn note_unreachable(&mut self, index: usize) -> DispatchEnd {
-        self.excluded.push(index);
-        self.last = FailureOutcome::NotRun(NotRunReason::PeerUnreachable);
-        DispatchEnd::Unreachable
-    }
-
-    fn head(
-        &self,
-        choice: UpstreamChoice,
-        body_is_done: bool,
-        baseline: &ServiceBaseline,
-    ) -> DispatchHead {
-        let request = self.request;
-        let entry = &request.service.entry;
-        DispatchHead {
-            service_name: entry.name.to_string(),
-            upstream: entry.upstreams[choice.index].name.to_string(),
-            route: request.route.name.to_string(),
-            method: request.method.as_str().to_owned(),
-            target: request.target.clone(),
-            field_lines: request.field_lines.clone(),
-            deadline_ms: self.left().as_millis().min(i32::MAX as u128) as i32,
-            refusable: choice.refusable,
-            work_class: wire::class_number(request.class()),
-            work_mode: wire::mode_number(self.dispatch_mode()),
-            attempt: self.request.trail.attempts.get() as i8,
-            content_length: request.framing.wire_length(),
-            body: request.prefix.to_vec(),
-            last: body_is_done,
-            baseline: (baseline.upstreams > 0).then(|| wire::baseline_note(baseline)),
-            once_key: request.once_key.clone(),
-            organisation: request.caller.organisation.as_deref().map(str::to_owned),
-            revision: self.state.config.revision().0 as i64,
-            after_failure: self.spares_failure(),
-            passable: choice.ground != ChoiceGround::Waiting && self.is_passable(),
-            objective_ms: self.objective_left().as_millis().min(i32::MAX as u128) as i32,
-            logged: Some(self.request.trail.is_logged),
-            repeated: self.arrivals > 0,
-            fingerprint: None,
-            tally: self.request.tally(self.state).map(wire::tally_note),
-        }
-    }
-
-    /// Says whether another attempt may follow the one that was just dispatched.
-    fn may_follow(&self) -> bool {
-        // That attempt will be an arrival itself.
-        let most = self.request.route.rule.attempts as usize;
-        let arrivals_left = most == 0 || self.arrivals + 1 < most;
-        let may = self.is_repeatable() && self.dispatches < DISPATCHES_MAX && arrivals_left;
-        may && !self.state.is_stopping()
-    }
-
-    /// Returns how long an attempt is waited for before another is made, if another may be.
-    fn patience(&self, index: usize, baseline: &ServiceBaseline) -> Option<Duration> {
-        if !self.may_follow() {
-            return None;
-        }
-        let left = Some(self.objective_left()).filter(|left| !left.is_zero());
-        let usual = baseline.usual_time().or(left.map(UsualTime::of_objective))?;
-        // What the upstream has queued before this request is not the upstream's fault.
-        let queued = self.request.service.queued_rounds(index, self.state.now());
-        Some(patience::of(&usual, left) + usual.at(0.0).mul_f64(queued))
-    }
-
-    fn note_report(&self, index: usize, report: &LoadReport, failed: Option<bool>) {
-        let route = &self.request.route.name;
-        let now = self.state.now();
-        self.request.service.note_report(index, route, report, failed, now);
-    }
-
-    /// Takes in how the request ended at an upstream, to find out whether it fails wherever it goes.
-    fn note_end(&self, index: usize, live: &LiveExchange, failed: bool) {
-        let request = self.request;
-        let method = request.method.as_str();
-        let now = self.state.now();
-        if !failed {
-            request.service.note_success(method, &request.target, now);
-            return;
-        }
-        let target = &request.target;
-        let counted = request.service.note_failure(method, target, index, live.counts, now);
-        let upstreams = &request.service.entry.upstreams;
-        for failures in counted {
-            // One that has gone since has nothing to take back.
-            let index = upstreams.iter().position(|each| each.name == failures.upstream);
-            for index in index.into_iter().cycle().take(failures.count as usize) {
-                self.withdraw_at(index);
-            }
-        }
-    }
-
-    /// Takes the first failure back: the same request failed on a second upstream, so the request
-    /// is at fault rather than the servers.
-    fn withdraw(&self) {
-        let index = match self.failed_at {
-            Some(index) => index,
-            None => return,
-        };
-        self.withdraw_at(index);
-        let request = self.request;
-        request.service.note_withdrawn(request.method.as_str(), &request.target, index);
-    }
-
-    fn withdraw_at(&self, index: usize) {
-        let upstream = &self.request.service.entry.upstreams[index].name;
-        let path = self.request.service.path(index);
-        if path.is_self {
-            self.state.host.withdraw_failure(upstream, &self.request.route.name);
-            return;
-        }
-        if let Some(link) = path.link() {
-            let note = WithdrawNote {
-                service_name: self.request.service.entry.name.to_string(),
-                upstream: upstream.to_string(),
-                route: self.request.route.name.to_string(),
-            };
-            let _ = link.sender().send(NO_EXCHANGE, FrameBody::Withdraw(note));
-        }
-    }
 }
 
 /// Says whether the request reached a backend server, or may have.
--- a/crates/daemon/src/ingress/late.rs
+++ b/crates/daemon/src/ingress/late.rs
@@ -11,7 +11,8 @@
 use basaltarch_peer::protocol::AnswerHead;
 use basaltarch_peer::stream::StreamEvent;
 
-use crate::ingress::attempt::{AskedUpstream, LiveExchange};
+use crate::ingress::attempt::AskedUpstream;
+use crate::ingress::dispatch::LiveExchange;
 use crate::wire;
 
 /// `LateAttempt` is an attempt that still runs although another was made.
--- a/crates/daemon/src/ingress/trail.rs
+++ b/crates/daemon/src/ingress/trail.rs
@@ -18,7 +18,7 @@
 use basaltarch_events::process;
 use basaltarch_events::requests::{
     AnswerCut, AttemptEnded, CallerGone, RequestAnswered, RequestFailed, RequestGivenUp,
-    RequestReceived, RequestRejected, UpstreamChosen,
+    RequestReceived, RequestRejected, SlotAwaited, UpstreamChosen,
 };
 use basaltarch_events::servers::RefusedTried;
 use basaltarch_http::errors::HttpError;
@@ -147,6 +147,17 @@
         /// Whether the upstream may pass the work on.
         passable: bool,
     },
+    /// Work waited at this ingress for a slot.
+    Awaited {
+        /// Number of the attempt that the slot was for.
+        attempt: usize,
+        /// When it began to wait, since the daemon's start.
+        began: Duration,
+        /// Hosts that were asked for a place.
+        places: usize,
+        /// Why nobody called it in, if nobody did.
+        failure: Option<FailureOutcome>,
+    },
     /// An attempt ended.
     Ended {
         /// Number of the attempt.
@@ -306,6 +317,15 @@
         TrailStep::Chosen { attempt, choice, passable } => {
             write_chosen(request, timed.at, attempt, &choice, passable);
         }
+        TrailStep::Awaited { attempt, began, places, failure } => SlotAwaited {
+            request: &request.trail.id,
+            at_ms: request.trail.at_ms(timed.at),
+            attempt: attempt as u64,
+            waited_ms: millis(timed.at.saturating_sub(began)),
+            places: places as u64,
+            end: failure.map_or("called-in", |outcome| outcome.reason()),
+        }
+        .log(),
         TrailStep::Ended { attempt, index, end, began, load, next } => {
             let (outcome, status) = end.texts();
             AttemptEnded {
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use futures_util::{select_biased, FutureExt};
 
-use crate::ingress::attempt::LiveExchange;
+use crate::ingress::dispatch::LiveExchange;
 use crate::ingress::late::{LateAttempt, LateAttempts};
 use crate::ingress::request::CallerRequest;
 use crate::state::DaemonState;
@@ -166,7 +166,7 @@
             let outcome = FailureOutcome::from_wire(failure.outcome);
             FirstEvent::Failed(outcome, failure.report)
         }
-        StreamEvent::Data(..) | StreamEvent::Cancelled => {
+        StreamEvent::Data(..) | StreamEvent::Cancelled | StreamEvent::Begin(_) => {
             FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::PeerLost), None)
         }
     }
@@ -209,6 +209,15 @@
     watch_caller(stream).await
 }
 
+/// Waits until the caller goes away.
+pub async fn caller_gone(stream: &mut HttpStream) {
+    match watch_caller(stream).await {
+        SendEnd::CallerGone => {}
+        // More was sent than is kept for later: whether the caller is there shows at its answer.
+        SendEnd::Done => future::pending().await,
+    }
+}
+
 /// Waits until the caller goes away; further requests are kept for later.
 async fn watch_caller(stream: &mut HttpStream) -> SendEnd {
     loop {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -137,6 +137,10 @@
             optional --limit-extra count: String
             /// Length of that window in ms [BASALTARCH_LIMIT_WINDOW_MS], default 1000.
             optional --limit-window-ms ms: String
+            /// Where work waits that finds no free slot: `one-host`, whole and in the queue of one, or
+            /// `places`, at the daemon that took it in and with places before the slots of several hosts
+            /// [BASALTARCH_WAITING], default one-host.
+            optional --waiting name: String
         }
     }
 }
@@ -212,6 +216,7 @@
         kill_after_ms: flags.kill_after_ms,
         heartbeat_ms: flags.heartbeat_ms,
         hide_callers: flags.hide_callers,
+        waiting: flags.waiting,
     };
     let options = DaemonOptions::try_new(raw).map_err(|source| DaemonError::Setting { source })?;
     let _logs = logs::start(&options.log);
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -13,7 +13,10 @@
 use basaltarch_core::resources::ServerState;
 use basaltarch_core::routes::RouteEntry;
 use basaltarch_core::services::{PackedService, ServiceEntry};
-use basaltarch_decide::balance::{ChoiceRequest, LoadView, ServiceView, UpstreamChoice};
+use basaltarch_decide::allowance::LongWork;
+use basaltarch_decide::balance::{
+    ChoiceRequest, LoadView, PlaceRequest, ServiceView, UpstreamChoice,
+};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
 use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
 use basaltarch_decide::evidence::ServiceBaseline;
@@ -45,6 +48,8 @@
     paths: Vec<Rc<PeerPath>>,
     draining_until: Vec<Cell<Duration>>,
     view: RefCell<ServiceView>,
+    /// What each upstream last told of long work, and when.
+    long_work: RefCell<Vec<(LongWork, Duration)>>,
     baselines: RefCell<FnvHashMap<Rc<str>, RouteBaseline>>,
     recent: RefCell<RecentAnswers>,
     budget: Rc<RefCell<RetryBudget>>,
@@ -174,6 +179,7 @@
             view: RefCell::new(
                 ServiceView::new(entry.spec.floor, views).with_queue(entry.spec.queue),
             ),
+            long_work: RefCell::new(vec![Default::default(); entry.upstreams.len()]),
             baselines: RefCell::default(),
             recent: RefCell::default(),
             budget: budget_of(state, &entry, known),
@@ -190,6 +196,19 @@
         &self.paths[index]
     }
 
+    /// Brings what is known of the upstream beside this daemon up to date, while it is out of service or doubted: the
+    /// daemon beside it needs no answer to know when its next trial is due, and the others hear of it seldom.
+    pub fn refresh_own(&self, state: &DaemonState, route: &Rc<str>) {
+        let Some(index) = self.paths.iter().position(|path| path.is_self) else { return };
+        let Some(upstream) = state.host.get(&self.entry.upstreams[index].name) else { return };
+        let is_out = upstream.health.borrow().is_out();
+        let was_out = self.with_view(|view| view.is_out(index));
+        if is_out || was_out {
+            let report = upstream.report(state, route, None);
+            self.note_report(index, route, &report, None, state.now());
+        }
+    }
+
     /// Says whether the next request looks at upstreams before it is sent to one.
     pub fn looks(&self) -> bool {
         let mut gain = self.look_gain.get();
@@ -215,6 +234,17 @@
         choice
     }
 
+    /// Draws upstreams before whose slots work may wait, of those that `fits`.
+    pub fn draw_places(
+        &self,
+        now: Duration,
+        request: &PlaceRequest,
+        fits: impl Fn(usize) -> bool,
+    ) -> Vec<usize> {
+        self.refresh(now);
+        self.view.borrow_mut().draw_places(now, request, fits, &mut rand::rng())
+    }
+
     /// Returns how many rounds of work an upstream last said to have before new work.
     pub fn queued_rounds(&self, index: usize, now: Duration) -> f64 {
         let view = self.view.borrow();
@@ -245,6 +275,7 @@
         let (load, health) = wire::report_of(note);
         let until = if load.draining { now + DRAIN_WORD_LIFE } else { Duration::ZERO };
         self.draining_until[index].set(until);
+        self.long_work.borrow_mut()[index] = (load.long_work, now);
         let mut baselines = self.baselines.borrow_mut();
         if !baselines.contains_key(route) {
             baselines.insert(route.clone(), RouteBaseline::default());
@@ -281,6 +312,14 @@
         baseline
     }
 
+    /// Returns what the other upstreams saw of long work.
+    pub fn siblings_work(&self, index: usize, now: Duration) -> LongWork {
+        let told = self.long_work.borrow();
+        let others = told.iter().enumerate().filter(|(other, _)| *other != index);
+        let faded = others.map(|(_, (work, at))| work.faded(now.saturating_sub(*at)));
+        faded.fold(LongWork::default(), |sum, work| sum.with(&work))
+    }
+
     /// Notes that a request was sent to an upstream, for as long as the guard lives.
     pub fn count_sent(self: &Rc<Self>, index: usize) -> SentGuard {
         self.view.borrow_mut().note_sent(index);
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -109,6 +109,7 @@
             incarnation: units::wall_millis() as i64,
             failure_domain: options.failure_domain.clone(),
             answers_looks: true,
+            takes_reservations: true,
         };
         Ok(Rc::new(Self {
             live: RefCell::new(Rc::new(options.clone())),
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -8,6 +8,7 @@
 
 use basaltarch_core::fingerprint::RequestFingerprint;
 use basaltarch_core::resources::{WorkClass, WorkMode};
+use basaltarch_decide::allowance::LongWork;
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::health::HealthReport;
 use basaltarch_decide::suspects::{CrashTally, SuspectWord};
@@ -113,9 +114,31 @@
         overdue_rate_milli: milli(baseline.overdue_rate),
         sickness_milli: milli(baseline.sickness),
         upstreams: baseline.upstreams as i32,
+        hung_milli: None,
+        late_milli: None,
     }
 }
 
+/// Writes a baseline with what the other upstreams saw of long work.
+pub fn baseline_with(baseline: &ServiceBaseline, long_work: &LongWork) -> BaselineNote {
+    BaselineNote {
+        hung_milli: Some(milli(long_work.hung)),
+        late_milli: Some(milli(long_work.late)),
+        ..baseline_note(baseline)
+    }
+}
+
+/// Reads what other upstreams saw of long work, nothing where it is not told.
+pub fn siblings_work(note: Option<&BaselineNote>) -> LongWork {
+    let told = note.and_then(|note| Some((note.hung_milli?, note.late_milli?)));
+    told.map_or_else(LongWork::default, |(hung, late)| long_work(hung, late))
+}
+
+fn long_work(hung_milli: i32, late_milli: i32) -> LongWork {
+    let count = |told: i32| of_milli(told.max(0));
+    LongWork { hung: count(hung_milli), late: count(late_milli) }
+}
+
 /// Reads a baseline.
 pub fn baseline_of(note: Option<&BaselineNote>) -> ServiceBaseline {
     let note = match note {
@@ -133,7 +156,7 @@
 }
 
 /// `HostLoad` is what a host's daemon tells beside an upstream's health.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct HostLoad {
     /// Requests in the slots.
     pub in_flight: u32,
@@ -145,6 +168,8 @@
     pub revision: u64,
     /// Time that the answer took, if there is one.
     pub took: Option<Duration>,
+    /// What was seen of long work.
+    pub long_work: LongWork,
 }
 
 /// Writes a report.
@@ -165,6 +190,8 @@
         ejected: health.ejected,
         doubtful: health.doubtful,
         took_us: load.took.map_or(0, |took| took.as_micros().clamp(1, i32::MAX as u128) as i32),
+        hung_milli: Some(milli(load.long_work.hung)),
+        late_milli: Some(milli(load.long_work.late)),
     }
 }
 
@@ -176,6 +203,7 @@
         draining: note.draining,
         revision: note.revision.max(0) as u64,
         took: (note.took_us > 0).then(|| Duration::from_micros(note.took_us as u64)),
+        long_work: long_work(note.hung_milli.unwrap_or(0), note.late_milli.unwrap_or(0)),
     };
     let health = HealthReport {
         sickness: of_milli(note.sickness_milli),
--- a/crates/daemon/tests/cancel.rs
+++ b/crates/daemon/tests/cancel.rs
@@ -73,6 +73,8 @@
         repeated: false,
         fingerprint: None,
         tally: None,
+        reserved: None,
+        called: None,
     };
     PeerFrame { exchange: 0, body: FrameBody::Dispatch(head) }
 }
@@ -93,6 +95,7 @@
             incarnation: 1,
             failure_domain: "bkk-a".to_owned(),
             answers_looks: false,
+            takes_reservations: false,
         };
         let side = LinkSide::Dialler;
         let key = KEY.as_bytes();
--- /dev/null
+++ b/crates/daemon/tests/places.rs
@@ -0,0 +1,150 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Work that finds no free slot waits at its ingress, with places before the slots of several hosts.
+//!
+//! What users saw: once-only work that waited in the queue of a daemon that was killed got a 502, as it may have run,
+//! though no server had begun it.
+
+mod common;
+
+use std::thread;
+
+use common::client::Reply;
+use common::{eventually, FleetPlan, TestFleet};
+use serde_json::json;
+
+/// Requests that are sent at once: four for each slot.
+const REQUESTS: usize = 12;
+/// Work of a host that was killed of which its ingress can't tell whether it ran: that in the slot, and that which was
+/// called in ahead of it.
+const UNKNOWN_MOST: usize = 2;
+/// Work that waits at an ingress before something happens to a host.
+const WAITING: f64 = 6.0;
+
+/// Starts three hosts with a backend server of one slot each, whose work takes 300 ms.
+fn start(waiting: &'static str) -> TestFleet {
+    let routes = json!({
+        "plain": {"host": "solver.example", "path_prefix": "/", "service": "solver-app",
+                  "timeout_ms": 20_000},
+    });
+    TestFleet::start(&FleetPlan {
+        daemons: 3,
+        backends: 3,
+        service_ms: 300,
+        slots: 1,
+        routes,
+        daemon_flags: vec![("waiting", waiting)],
+        ..FleetPlan::default()
+    })
+}
+
+/// What became of a request.
+struct RequestEnd {
+    id: String,
+    reply: Reply,
+}
+
+/// Sends requests to the first daemon at once; `meanwhile` runs once some of them wait there.
+fn send_all(fleet: &mut TestFleet, meanwhile: impl FnOnce(&mut TestFleet)) -> Vec<RequestEnd> {
+    let callers = fleet.daemons[0].callers;
+    let sending: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            thread::spawn(move || {
+                let id = format!("waits-{number}");
+                let fields = [("Host", "solver.example"), ("X-Request-Id", &*id)];
+                let reply = common::client::call(callers, "POST", "/x", &fields, "body");
+                RequestEnd { id, reply }
+            })
+        })
+        .collect();
+    eventually("work waits", || fleet.daemons[0].metric("waiting") >= WAITING);
+    meanwhile(fleet);
+    sending.into_iter().map(|thread| thread.join().expect("a caller")).collect()
+}
+
+/// Returns those that got no answer; whatever is said not to have run did not.
+fn lost(fleet: &TestFleet, ends: Vec<RequestEnd>) -> Vec<RequestEnd> {
+    for end in &ends {
+        let ran = fleet.ran(&end.id);
+        assert!(ran <= 1, "{} ran {ran} times", end.id);
+        if end.reply.status == 200 {
+            assert_eq!(ran, 1, "{} was answered", end.id);
+        }
+        if end.reply.outcome().as_deref() == Some("not-run") {
+            assert_eq!(ran, 0, "{} was said not to have run", end.id);
+        }
+    }
+    ends.into_iter().filter(|end| end.reply.status != 200).collect()
+}
+
+#[test]
+fn verify_waiting_work_is_called_in_where_slots_get_free() {
+    let mut fleet = start("places");
+    let ends = send_all(&mut fleet, |_| {});
+    assert!(lost(&fleet, ends).is_empty());
+    assert!(fleet.daemons[0].metric("called_in") >= WAITING);
+    eventually("no slot stays taken", || {
+        fleet.daemons.iter().all(|daemon| daemon.metric("slots_used") == 0.0)
+    });
+    fleet.check_invariants();
+}
+
+#[test]
+fn verify_work_that_waits_is_not_lost_with_a_host() {
+    let mut fleet = start("places");
+    let ends = send_all(&mut fleet, |fleet| fleet.daemons[1].kill());
+    let lost = lost(&fleet, ends);
+    let statuses: Vec<u16> = lost.iter().map(|end| end.reply.status).collect();
+    assert!(lost.len() <= UNKNOWN_MOST, "{statuses:?}");
+}
+
+#[test]
+fn verify_work_that_waits_goes_elsewhere_when_a_host_stops() {
+    let mut fleet = start("places");
+    let ends = send_all(&mut fleet, |fleet| fleet.daemons[1].signal("-TERM"));
+    let lost = lost(&fleet, ends);
+    let statuses: Vec<u16> = lost.iter().map(|end| end.reply.status).collect();
+    assert!(lost.is_empty(), "{statuses:?}");
+}
+
+#[test]
+fn verify_an_ingress_that_is_killed_leaves_no_slot_taken() {
+    let mut fleet = start("places");
+    let callers = fleet.daemons[0].callers;
+    let waiting: Vec<_> = (0..REQUESTS)
+        .map(|_| {
+            thread::spawn(move || {
+                // The daemon dies before it answers; how the connection ends is of no matter here.
+                let call = || {
+                    common::client::call(callers, "POST", "/x", &[("Host", "solver.example")], "")
+                };
+                let _ = std::panic::catch_unwind(call);
+            })
+        })
+        .collect();
+    eventually("work waits", || fleet.daemons[0].metric("waiting") >= WAITING);
+    fleet.daemons[0].kill();
+    waiting.into_iter().for_each(|thread| thread.join().expect("a caller"));
+    for daemon in &fleet.daemons[1..] {
+        eventually("no slot stays taken", || daemon.metric("slots_used") == 0.0);
+        eventually("nothing waits", || daemon.metric("queued") == 0.0);
+    }
+    assert_eq!(fleet.request(1, "POST", "/x", &[], "").status, 200);
+}
+
+#[test]
+fn verify_nothing_waits_at_the_ingress_unless_the_settings_say_so() {
+    let fleet = start("one-host");
+    let callers = fleet.daemons[0].callers;
+    let sending: Vec<_> = (0..REQUESTS)
+        .map(|_| {
+            thread::spawn(move || {
+                common::client::call(callers, "POST", "/x", &[("Host", "solver.example")], "")
+                    .status
+            })
+        })
+        .collect();
+    sending.into_iter().for_each(|thread| drop(thread.join().expect("a caller")));
+    assert_eq!(fleet.daemons[0].metric("places"), 0.0);
+}
--- a/crates/decide/src/allowance.rs
+++ b/crates/decide/src/allowance.rs
@@ -9,6 +9,10 @@
 //! in which nearly all sound work ends, in place of all that the caller would wait, and its own answer
 //! ends the work then. It does so only where long work was seen to hang rather than to be answered late, and
 //! gains where the balance sends repeatable work to the slots that get free.
+//!
+//! A server that begins to hang has all its slots taken before any of its work is long. So what other servers of the
+//! service saw counts as well, where it is told, and work is bounded from its first piece on: where servers hang by
+//! turns, the next one hangs like the last.
 
 use std::time::Duration;
 
@@ -29,6 +33,37 @@
 /// answered cost 0.015 of worth in the mean of 20 plays of fleets whose servers fail by errors.
 const HUNG_TO_LATE_MIN: f64 = 4.0;
 
+/// Pieces of work that must have hung at all servers of a service before work is bounded where slots are free, too: a
+/// slot is free only until the work that hangs has taken it.
+const SERVICE_HUNG_MIN: f64 = 10.0;
+
+/// `LongWork` counts work that lasted longer than nearly all sound work does, as it was seen lately.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct LongWork {
+    /// Work that showed no life, less what was answered after all.
+    pub hung: f64,
+    /// Work that was answered late.
+    pub late: f64,
+}
+
+impl LongWork {
+    /// Returns what is left of this after a time.
+    pub fn faded(&self, age: Duration) -> Self {
+        let left = (-age.as_secs_f64() / EVIDENCE_LIFE.as_secs_f64()).exp();
+        Self { hung: self.hung * left, late: self.late * left }
+    }
+
+    /// Returns the sum of both.
+    pub fn with(&self, other: &Self) -> Self {
+        Self { hung: self.hung + other.hung, late: self.late + other.late }
+    }
+
+    /// Says whether long work hung rather than being answered late.
+    fn is_hanging(&self) -> bool {
+        self.hung >= HUNG_MIN && self.hung >= HUNG_TO_LATE_MIN * self.late
+    }
+}
+
 /// `AllowanceTerms` is what is known of work that is about to start.
 #[derive(Debug, Clone, Copy)]
 pub struct AllowanceTerms {
@@ -40,6 +75,8 @@
     pub usual: Option<UsualTime>,
     /// Whether the server has no free slot beside that of this work.
     pub full: bool,
+    /// What the other servers of the service saw, as far as it is told.
+    pub siblings: LongWork,
 }
 
 /// `GivenTime` is the time that a piece of work is given.
@@ -55,10 +92,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct TimeAllowance {
     bounded: u32,
-    /// Work that passed what it was allowed and showed no life, less what was answered after all.
-    hung: f64,
-    /// Work that was answered later than it was allowed.
-    late: f64,
+    seen: LongWork,
     seen_at: Duration,
 }
 
@@ -69,7 +103,9 @@
         let usual = terms.usual.map(|usual| usual.at(ALLOWED_DEVIATIONS).max(terms.objective_left));
         let late_after = usual.unwrap_or(terms.left);
         let all = GivenTime { time: terms.left, late_after };
-        if !terms.full || late_after >= terms.left || !self.is_hanging(now) {
+        let seen = self.long_work(now).with(&terms.siblings);
+        let is_bounded = terms.full || seen.hung >= SERVICE_HUNG_MIN;
+        if !is_bounded || late_after >= terms.left || !seen.is_hanging() {
             return all;
         }
         self.bounded += 1;
@@ -82,7 +118,7 @@
     /// Takes in that work still runs after what it was allowed, and shows no life.
     pub fn note_passed(&mut self, now: Duration) {
         self.fade(now);
-        self.hung += 1.0;
+        self.seen.hung += 1.0;
     }
 
     /// Takes in that sound work was answered after this time; `passed` says whether it was noted as passed.
@@ -97,23 +133,19 @@
             return;
         }
         self.fade(now);
-        self.late += 1.0;
+        self.seen.late += 1.0;
         if passed {
-            self.hung = (self.hung - 1.0).max(0.0);
+            self.seen.hung = (self.seen.hung - 1.0).max(0.0);
         }
     }
 
-    /// Says whether long work here lately hung rather than being answered late.
-    fn is_hanging(&mut self, now: Duration) -> bool {
-        self.fade(now);
-        self.hung >= HUNG_MIN && self.hung >= HUNG_TO_LATE_MIN * self.late
+    /// Returns what was seen of long work.
+    pub fn long_work(&self, now: Duration) -> LongWork {
+        self.seen.faded(now.saturating_sub(self.seen_at))
     }
 
     fn fade(&mut self, now: Duration) {
-        let age = now.saturating_sub(self.seen_at).as_secs_f64();
-        let left = (-age / EVIDENCE_LIFE.as_secs_f64()).exp();
-        self.hung *= left;
-        self.late *= left;
+        self.seen = self.long_work(now);
         self.seen_at = now;
     }
 }
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use rand::seq::index;
 use rand::{Rng, RngExt};
 
 use crate::floor::{self, CapacityEntry, FloorPlan};
@@ -22,6 +23,14 @@
 const QUEUE_SHARE_MAX: f64 = 0.9;
 /// What a hop to another failure domain weighs, as a share of a service time; 3 ms there and back.
 const REMOTE_WEIGHT: f64 = 1.1;
+/// What a place in another failure domain weighs, in rounds of work: the work and its answer cross once it is called
+/// in, and who waits there is no sooner served.
+const FAR_PLACE_WEIGHT: f64 = 1.0;
+/// Factor on the cost of a place at a suspect for work that can be repeated: idle, it comes before others whose slots
+/// are all taken.
+const SUSPECT_PLACE_FACTOR: f64 = 2.0;
+/// The same for work that can't: at a suspect it may be lost, so that others are waited for through two rounds of work.
+const SUSPECT_PLACE_FACTOR_ONCE: f64 = 5.0;
 /// Load that is assumed of an upstream that has not reported lately, in shares of its slots.
 const UNKNOWN_LOAD: f64 = 0.3;
 /// Least ratio of an upstream's time to its siblings' that counts: errors are quicker than work
@@ -133,7 +142,12 @@
     }
 
     fn cost(&self, terms: &ChoiceTerms, median_ln: f64) -> f64 {
-        let now = terms.now;
+        let suspicion = if self.is_suspect(terms) { SUSPECT_FACTOR } else { 1.0 };
+        self.load_cost(terms.now, median_ln) * suspicion
+    }
+
+    /// Returns the cost from load, time and distance alone.
+    fn load_cost(&self, now: Duration, median_ln: f64) -> f64 {
         let busy = self.load_share(now) + 1.0 / f64::from(self.slots.max(1));
         let health = match &self.health {
             Some(health) => health,
@@ -141,8 +155,7 @@
         };
         let time = self.time_ratio(median_ln).clamp(QUICK_MIN, SLOW_MAX);
         let distance = if self.is_local { 1.0 } else { REMOTE_WEIGHT };
-        let suspicion = if self.is_suspect(terms) { SUSPECT_FACTOR } else { 1.0 };
-        busy * time * distance * suspicion / self.ramp(now, health)
+        busy * time * distance / self.ramp(now, health)
     }
 
     /// Says whether the upstream is a suspect: lately it had this sickness, but was not ejected, since
@@ -197,6 +210,15 @@
     }
 }
 
+/// `PlaceRequest` asks for upstreams before whose slots work may wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlaceRequest {
+    /// Upstreams at the most.
+    pub count: usize,
+    /// Whether the work may run more than once.
+    pub repeatable: bool,
+}
+
 /// `ChoiceTerms` is what one choice goes by.
 #[derive(Debug, Clone, Copy)]
 struct ChoiceTerms {
@@ -337,6 +359,12 @@
         self.upstreams.get(index).is_some_and(|view| view.is_local)
     }
 
+    /// Says whether an upstream last said that it is out of service or doubted.
+    pub fn is_out(&self, index: usize) -> bool {
+        let health = self.upstreams.get(index).and_then(|view| view.health);
+        health.is_some_and(|health| health.ejected || health.doubtful)
+    }
+
     /// Returns the upstreams.
     pub fn upstreams(&self) -> &[LoadView] {
         &self.upstreams
@@ -564,6 +592,47 @@
         Some((ChoiceGround::Proving, drawn))
     }
 
+    /// Draws upstreams before whose slots work may wait: the cheapest of twice as many that are in service and fit. No
+    /// two ingresses draw alike, so that who waits is spread over the service however old the reports are.
+    ///
+    /// Suspects are among them once the others have more waiting work, so that servers which are sound after all don't
+    /// stand idle while work waits.
+    pub fn draw_places(
+        &mut self,
+        now: Duration,
+        request: &PlaceRequest,
+        fits: impl Fn(usize) -> bool,
+        rng: &mut impl Rng,
+    ) -> Vec<usize> {
+        self.refresh(now);
+        let PlaceRequest { count, repeatable } = *request;
+        let suspect_from = self.suspect_from(now);
+        let terms = ChoiceTerms { now, suspect_from, repeatable };
+        let eligible = |index: &usize| self.in_service(*index) && fits(*index);
+        let eligible: Vec<usize> = (0..self.upstreams.len()).filter(eligible).collect();
+        let amount = eligible.len().min(count * CHOICES);
+        let drawn = index::sample(rng, eligible.len(), amount);
+        let mut drawn: Vec<usize> = drawn.into_iter().map(|place| eligible[place]).collect();
+        let cost = |index: &usize| {
+            let view = &self.upstreams[*index];
+            let far = if view.is_local { 0.0 } else { FAR_PLACE_WEIGHT };
+            let suspicion = match (view.is_suspect(&terms), repeatable) {
+                (false, _) => 1.0,
+                (true, true) => SUSPECT_PLACE_FACTOR,
+                (true, false) => SUSPECT_PLACE_FACTOR_ONCE,
+            };
+            view.load_cost(now, self.median_ln) * suspicion + far
+        };
+        drawn.sort_by(|left, right| cost(left).total_cmp(&cost(right)));
+        drawn.truncate(count);
+        drawn
+    }
+
+    /// Builds the choice of an upstream that called waiting work in.
+    pub fn called_in(&self, index: usize, now: Duration) -> UpstreamChoice {
+        self.alone(index, ChoiceGround::Waiting, now)
+    }
+
     /// Says whether work would find a place in an upstream's queue. What is refused is lost for certain,
     /// so that repeatable work goes to a suspect with idle slots, which does a part of what it gets, before
     /// it is sent where it finds none. On days of a full service whose servers hang by turns, with work
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -218,6 +218,16 @@
         self.confirm = confirm_time(prefer);
     }
 
+    /// Says whether the upstream is doubted.
+    pub fn is_doubtful(&self) -> bool {
+        self.caution.is_doubtful()
+    }
+
+    /// Says whether the upstream is out of service or doubted.
+    pub fn is_out(&self) -> bool {
+        self.is_doubtful() || self.recovery.is_ejected()
+    }
+
     /// Says whether the upstream takes a dispatch.
     pub fn admit(
         &mut self,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limits;
 pub mod look;
 pub mod neighbours;
+pub mod order;
 pub mod path;
 pub mod patience;
 pub mod poison;
--- a/crates/decide/tests/allowance.rs
+++ b/crates/decide/tests/allowance.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use basaltarch_decide::allowance::{AllowanceTerms, TimeAllowance};
+use basaltarch_decide::allowance::{AllowanceTerms, LongWork, TimeAllowance};
 use basaltarch_decide::hang::UsualTime;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,6 +23,7 @@
         objective_left: OBJECTIVE,
         usual: Some(UsualTime { median_ln: (MEDIAN_MS * 1000.0).ln(), spread: SPREAD }),
         full: true,
+        siblings: LongWork::default(),
     }
 }
 
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -92,6 +92,22 @@
         passable: bool,
     }
 
+    /// Work found no free slot, and waited at its ingress with places before the slots of several hosts.
+    "slot awaited" INFO SlotAwaited<'a> {
+        /// Id of the request.
+        request: &'a str,
+        /// Time since the request was taken in.
+        at_ms: u64,
+        /// Number of the attempt that the slot was for.
+        attempt: u64,
+        /// Time that it waited.
+        waited_ms: u64,
+        /// Hosts that were asked for a place.
+        places: u64,
+        /// How it ended: called-in, or the reason for which nobody called it in.
+        end: &'a str,
+    }
+
     /// An attempt ended, and what the ingress does next.
     "attempt ended" INFO AttemptEnded<'a> {
         /// Id of the request.
--- a/crates/options/src/check.rs
+++ b/crates/options/src/check.rs
@@ -15,8 +15,8 @@
 use basaltarch_http::head::HeadLimits;
 use basaltarch_platform::headers;
 
-use crate::{bounds, defaults, source, values};
-use crate::{ConfigSource, RawOptions, ServiceDefaults};
+use crate::{bounds, defaults, source, values, waiting};
+use crate::{ConfigSource, RawOptions, ServiceDefaults, WaitingMode};
 
 /// `DaemonOptions` are the checked settings.
 #[derive(Debug, Clone)]
@@ -87,6 +87,8 @@
     pub heartbeat: Duration,
     /// Whether backend servers are told where a request came from.
     pub forwarded: bool,
+    /// Where work waits that finds no free slot.
+    pub waiting: WaitingMode,
 }
 
 impl DaemonOptions {
@@ -181,6 +183,7 @@
             },
             heartbeat: values::millis("heartbeat-ms", raw.heartbeat_ms, 1000, 600_000)?,
             forwarded: !values::flag("hide-callers", raw.hide_callers)?,
+            waiting: waiting::read(raw.waiting)?,
             drain_min: values::millis("drain-min-ms", raw.drain_min_ms, 500, bounds::DRAIN_MS_MAX)?,
         })
     }
--- a/crates/options/src/raw.rs
+++ b/crates/options/src/raw.rs
@@ -105,6 +105,8 @@
     pub heartbeat_ms: Option<String>,
     /// Whether backend servers are not told where a request came from.
     pub hide_callers: Option<String>,
+    /// Where work waits that finds no free slot.
+    pub waiting: Option<String>,
 }
 
 impl RawOptions {
@@ -185,6 +187,7 @@
             "limit-over" => &mut self.limit_over,
             "limit-extra" => &mut self.limit_extra,
             "limit-window-ms" => &mut self.limit_window_ms,
+            "waiting" => &mut self.waiting,
             _ => return None,
         })
     }
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -26,6 +26,9 @@
   13: required bool ejected
   14: required i32 took_us
   15: required bool doubtful
+  /** Work that lasted longer than nearly all sound work: that hung, and that was answered late. */
+  16: optional i32 hung_milli
+  17: optional i32 late_milli
 }
 
 /** What an ingress knows of a route over all upstreams of its service, in thousandths. */
@@ -36,6 +39,9 @@
   4: required i32 overdue_rate_milli
   5: required i32 sickness_milli
   6: required i32 upstreams
+  /** Sums of what the other upstreams saw of work that hung, and that was answered late. */
+  7: optional i32 hung_milli
+  8: optional i32 late_milli
 }
 
 /** What counts against a request that ran at servers when they crashed. */
@@ -93,6 +99,11 @@
   24: optional binary fingerprint
   /** What the ingress knows against the request, if anything. */
   25: optional TallyNote tally
+  /** Only a place before the slots is asked for: the host's daemon gives credit once a slot is held for the work,
+      and the work comes in a frame of its own, then or never. What only the work needs is left empty here. */
+  26: optional bool reserved
+  /** The request is a call of work that runs, which is lost with it. */
+  27: optional bool called
 }
 
 /** Asks a host's daemon how an upstream is, before work is sent to it. */
@@ -245,6 +256,8 @@
   5: required string failure_domain
   /** Whether it answers a LoadQuestion; daemons of an earlier version end the link at one. */
   6: optional bool answers_looks
+  /** Whether the daemon takes reservations. */
+  7: optional bool takes_reservations
 }
 
 /** The answer to the other side's nonce. */
@@ -272,6 +285,9 @@
   17: SuspectNews suspect_news
   18: LoadQuestion load_question
   19: LoadAnswer load_answer
+  /** The work that was called in, on the exchange of its place. Unlike a dispatch it opens no exchange: at a host
+      that has given the place up it is passed over, as the ingress was told that it did not run. */
+  20: DispatchHead called_in
 }
 
 struct PeerFrame {
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -95,6 +95,7 @@
         FrameBody::SuspectNews(_) => "suspect-news",
         FrameBody::LoadQuestion(_) => "load-question",
         FrameBody::LoadAnswer(_) => "load-answer",
+        FrameBody::CalledIn(_) => "called-in",
     }
 }
 
--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -37,6 +37,8 @@
     pub failure_domain: String,
     /// Whether it tells how its upstreams are when it is asked.
     pub answers_looks: bool,
+    /// Whether it lets work reserve a place before the slots of its upstreams.
+    pub takes_reservations: bool,
 }
 
 /// `LinkSide` is the role of a daemon on a link.
@@ -93,6 +95,7 @@
         failure_domain: identity.failure_domain.clone(),
         protocol_version: PROTOCOL_VERSION,
         answers_looks: Some(identity.answers_looks),
+        takes_reservations: Some(identity.takes_reservations),
     };
     write(writer, FrameBody::Hello(ours.clone())).await?;
     let theirs = match reader.next().await?.body {
@@ -114,9 +117,13 @@
     keyed(key, side.other(), &theirs, &ours)
         .verify_slice(&proof.mac)
         .map_err(|_| LinkError::WrongKey { host: theirs.host.clone() })?;
-    let HelloNote { host, incarnation, failure_domain, answers_looks, .. } = theirs;
-    let answers_looks = answers_looks.unwrap_or(false);
-    Ok(PeerIdentity { host, incarnation, failure_domain, answers_looks })
+    Ok(PeerIdentity {
+        answers_looks: theirs.answers_looks.unwrap_or(false),
+        takes_reservations: theirs.takes_reservations.unwrap_or(false),
+        host: theirs.host,
+        incarnation: theirs.incarnation,
+        failure_domain: theirs.failure_domain,
+    })
 }
 
 fn unexpected(body: &FrameBody) -> LinkError {
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -17,7 +17,7 @@
 use crate::protocol::{
     BodyChunk, CancelNotice, DispatchHead, ExchangeFailure, FrameBody, PeerFrame,
 };
-use crate::stream::{self, EventPipe, EventSink, RemoteSink, SendCredit, StreamEvent};
+use crate::stream::{self, EventPipe, EventSink, RemoteSink, SendCredit, StreamEvent, StreamGone};
 
 /// Number that marks frames which belong to no exchange.
 pub const NO_EXCHANGE: i64 = 0;
@@ -52,6 +52,11 @@
         Self { body, answer, cancel: Some(cancel) }
     }
 
+    /// Sends the work that was called in.
+    pub fn begin(&self, head: DispatchHead) -> Result<(), StreamGone> {
+        self.body.begin(head)
+    }
+
     /// Marks the exchange as over, so that dropping it cancels nothing.
     pub fn finish(&mut self) {
         self.cancel = None;
@@ -270,6 +275,9 @@
                 let _ = entry.body.push(chunk_event(chunk));
             }
             FrameBody::Credit(grant) => entry.credit.add(grant.bytes),
+            FrameBody::CalledIn(head) => {
+                let _ = entry.body.push(StreamEvent::Begin(Box::new(head)));
+            }
             FrameBody::Cancel(_) => {
                 entry.credit.close();
                 let _ = entry.body.push(StreamEvent::Cancelled);
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -48,10 +48,13 @@
   pub ejected: bool,
   pub took_us: i32,
   pub doubtful: bool,
+  /// Work that lasted longer than nearly all sound work: that hung, and that was answered late.
+  pub hung_milli: Option<i32>,
+  pub late_milli: Option<i32>,
 }
 
 impl LoadReport {
-  pub fn new(in_flight: i32, queued: i32, draining: bool, sickness_milli: i32, median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, samples: i32, ramp_milli: i32, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool) -> LoadReport {
+  pub fn new<F16, F17>(in_flight: i32, queued: i32, draining: bool, sickness_milli: i32, median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, samples: i32, ramp_milli: i32, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool, hung_milli: F16, late_milli: F17) -> LoadReport where F16: Into<Option<i32>>, F17: Into<Option<i32>> {
     LoadReport {
       in_flight,
       queued,
@@ -68,6 +71,8 @@
       ejected,
       took_us,
       doubtful,
+      hung_milli: hung_milli.into(),
+      late_milli: late_milli.into(),
     }
   }
 }
@@ -90,6 +95,8 @@
     let mut f_13: Option<bool> = None;
     let mut f_14: Option<i32> = None;
     let mut f_15: Option<bool> = None;
+    let mut f_16: Option<i32> = None;
+    let mut f_17: Option<i32> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -157,6 +164,14 @@
           let val = i_prot.read_bool()?;
           f_15 = Some(val);
         },
+        16 => {
+          let val = i_prot.read_i32()?;
+          f_16 = Some(val);
+        },
+        17 => {
+          let val = i_prot.read_i32()?;
+          f_17 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -195,6 +210,8 @@
       ejected: f_13.expect("auto-generated code should have checked for presence of required fields"),
       took_us: f_14.expect("auto-generated code should have checked for presence of required fields"),
       doubtful: f_15.expect("auto-generated code should have checked for presence of required fields"),
+      hung_milli: f_16,
+      late_milli: f_17,
     };
     Ok(ret)
   }
@@ -246,6 +263,16 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("doubtful", TType::Bool, 15))?;
     o_prot.write_bool(self.doubtful)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.hung_milli {
+      o_prot.write_field_begin(&TFieldIdentifier::new("hung_milli", TType::I32, 16))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.late_milli {
+      o_prot.write_field_begin(&TFieldIdentifier::new("late_milli", TType::I32, 17))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -264,10 +291,13 @@
   pub overdue_rate_milli: i32,
   pub sickness_milli: i32,
   pub upstreams: i32,
+  /// Sums of what the other upstreams saw of work that hung, and that was answered late.
+  pub hung_milli: Option<i32>,
+  pub late_milli: Option<i32>,
 }
 
 impl BaselineNote {
-  pub fn new(median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, sickness_milli: i32, upstreams: i32) -> BaselineNote {
+  pub fn new<F7, F8>(median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, sickness_milli: i32, upstreams: i32, hung_milli: F7, late_milli: F8) -> BaselineNote where F7: Into<Option<i32>>, F8: Into<Option<i32>> {
     BaselineNote {
       median_ln_milli,
       spread_milli,
@@ -275,6 +305,8 @@
       overdue_rate_milli,
       sickness_milli,
       upstreams,
+      hung_milli: hung_milli.into(),
+      late_milli: late_milli.into(),
     }
   }
 }
@@ -288,6 +320,8 @@
     let mut f_4: Option<i32> = None;
     let mut f_5: Option<i32> = None;
     let mut f_6: Option<i32> = None;
+    let mut f_7: Option<i32> = None;
+    let mut f_8: Option<i32> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -319,6 +353,14 @@
           let val = i_prot.read_i32()?;
           f_6 = Some(val);
         },
+        7 => {
+          let val = i_prot.read_i32()?;
+          f_7 = Some(val);
+        },
+        8 => {
+          let val = i_prot.read_i32()?;
+          f_8 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -339,6 +381,8 @@
       overdue_rate_milli: f_4.expect("auto-generated code should have checked for presence of required fields"),
       sickness_milli: f_5.expect("auto-generated code should have checked for presence of required fields"),
       upstreams: f_6.expect("auto-generated code should have checked for presence of required fields"),
+      hung_milli: f_7,
+      late_milli: f_8,
     };
     Ok(ret)
   }
@@ -363,6 +407,16 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("upstreams", TType::I32, 6))?;
     o_prot.write_i32(self.upstreams)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.hung_milli {
+      o_prot.write_field_begin(&TFieldIdentifier::new("hung_milli", TType::I32, 7))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.late_milli {
+      o_prot.write_field_begin(&TFieldIdentifier::new("late_milli", TType::I32, 8))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -638,10 +692,15 @@
   pub fingerprint: Option<Vec<u8>>,
   /// What the ingress knows against the request, if anything.
   pub tally: Option<TallyNote>,
+  /// Only a place before the slots is asked for: the host's daemon gives credit once a slot is held for the work,
+  /// and the work comes in a frame of its own, then or never. What only the work needs is left empty here.
+  pub reserved: Option<bool>,
+  /// The request is a call of work that runs, which is lost with it.
+  pub called: Option<bool>,
 }
 
 impl DispatchHead {
-  pub fn new<F15, F16, F17, F22, F24, F25>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32, logged: F22, repeated: bool, fingerprint: F24, tally: F25) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>>, F22: Into<Option<bool>>, F24: Into<Option<Vec<u8>>>, F25: Into<Option<TallyNote>> {
+  pub fn new<F15, F16, F17, F22, F24, F25, F26, F27>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32, logged: F22, repeated: bool, fingerprint: F24, tally: F25, reserved: F26, called: F27) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>>, F22: Into<Option<bool>>, F24: Into<Option<Vec<u8>>>, F25: Into<Option<TallyNote>>, F26: Into<Option<bool>>, F27: Into<Option<bool>> {
     DispatchHead {
       service_name,
       upstream,
@@ -668,6 +727,8 @@
       repeated,
       fingerprint: fingerprint.into(),
       tally: tally.into(),
+      reserved: reserved.into(),
+      called: called.into(),
     }
   }
 }
@@ -700,6 +761,8 @@
     let mut f_23: Option<bool> = None;
     let mut f_24: Option<Vec<u8>> = None;
     let mut f_25: Option<TallyNote> = None;
+    let mut f_26: Option<bool> = None;
+    let mut f_27: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -807,6 +870,14 @@
           let val = TallyNote::read_from_in_protocol(i_prot)?;
           f_25 = Some(val);
         },
+        26 => {
+          let val = i_prot.read_bool()?;
+          f_26 = Some(val);
+        },
+        27 => {
+          let val = i_prot.read_bool()?;
+          f_27 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -859,6 +930,8 @@
       repeated: f_23.expect("auto-generated code should have checked for presence of required fields"),
       fingerprint: f_24,
       tally: f_25,
+      reserved: f_26,
+      called: f_27,
     };
     Ok(ret)
   }
@@ -952,6 +1025,16 @@
       fld_var.write_to_out_protocol(o_prot)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.reserved {
+      o_prot.write_field_begin(&TFieldIdentifier::new("reserved", TType::Bool, 26))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.called {
+      o_prot.write_field_begin(&TFieldIdentifier::new("called", TType::Bool, 27))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2524,10 +2607,12 @@
   pub failure_domain: String,
   /// Whether it answers a LoadQuestion; daemons of an earlier version end the link at one.
   pub answers_looks: Option<bool>,
+  /// Whether the daemon takes reservations.
+  pub takes_reservations: Option<bool>,
 }
 
 impl HelloNote {
-  pub fn new<F6>(host: String, incarnation: i64, nonce: Vec<u8>, protocol_version: i32, failure_domain: String, answers_looks: F6) -> HelloNote where F6: Into<Option<bool>> {
+  pub fn new<F6, F7>(host: String, incarnation: i64, nonce: Vec<u8>, protocol_version: i32, failure_domain: String, answers_looks: F6, takes_reservations: F7) -> HelloNote where F6: Into<Option<bool>>, F7: Into<Option<bool>> {
     HelloNote {
       host,
       incarnation,
@@ -2535,6 +2620,7 @@
       protocol_version,
       failure_domain,
       answers_looks: answers_looks.into(),
+      takes_reservations: takes_reservations.into(),
     }
   }
 }
@@ -2548,6 +2634,7 @@
     let mut f_4: Option<i32> = None;
     let mut f_5: Option<String> = None;
     let mut f_6: Option<bool> = None;
+    let mut f_7: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2579,6 +2666,10 @@
           let val = i_prot.read_bool()?;
           f_6 = Some(val);
         },
+        7 => {
+          let val = i_prot.read_bool()?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2598,6 +2689,7 @@
       protocol_version: f_4.expect("auto-generated code should have checked for presence of required fields"),
       failure_domain: f_5.expect("auto-generated code should have checked for presence of required fields"),
       answers_looks: f_6,
+      takes_reservations: f_7,
     };
     Ok(ret)
   }
@@ -2624,6 +2716,11 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.takes_reservations {
+      o_prot.write_field_begin(&TFieldIdentifier::new("takes_reservations", TType::Bool, 7))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2711,6 +2808,7 @@
   SuspectNews(SuspectNews),
   LoadQuestion(LoadQuestion),
   LoadAnswer(LoadAnswer),
+  CalledIn(DispatchHead),
 }
 
 impl TSerializable for FrameBody {
@@ -2858,6 +2956,13 @@
           }
           received_field_count += 1;
         },
+        20 => {
+          let val = DispatchHead::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(FrameBody::CalledIn(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -2987,6 +3092,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      FrameBody::CalledIn(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("called_in", TType::Struct, 20))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -17,12 +17,14 @@
 
 use crate::frames::{FrameSender, CHUNK_BYTES_MAX};
 use crate::protocol::{
-    AnswerHead, BodyChunk, CancelNotice, CreditGrant, ExchangeFailure, FrameBody,
+    AnswerHead, BodyChunk, CancelNotice, CreditGrant, DispatchHead, ExchangeFailure, FrameBody,
 };
 
 /// Body bytes that may be on their way in one direction of one exchange: 64 KiB keeps 20 MB/s
 /// going over the 3 ms round trip between failure domains.
 pub const WINDOW_BYTES: usize = 64 * units::KIB;
+/// Credit that calls work in.
+const CALL_CREDIT: usize = 1;
 /// Consumed bytes after which credit is given back; half a window keeps the sender busy.
 const CREDIT_STEP: usize = WINDOW_BYTES / 2;
 
@@ -31,6 +33,8 @@
 pub enum StreamEvent {
     /// The head of an answer.
     Head(AnswerHead),
+    /// The work that was called in.
+    Begin(Box<DispatchHead>),
     /// Body bytes, the last ones if so marked; the last may be empty.
     Data(Bytes, bool),
     /// The exchange ended without a complete answer.
@@ -102,6 +106,16 @@
         }
     }
 
+    /// Calls work in that holds a place: its sender is ready from now on, and sends [`StreamEvent::Begin`].
+    pub fn call_in(&self) {
+        let mut state = self.state.borrow_mut();
+        state.shut = false;
+        wake(&mut state.writer);
+        if let Some(hook) = &state.on_consumed {
+            hook(CALL_CREDIT);
+        }
+    }
+
     /// Waits until body bytes may be sent.
     pub async fn ready(&self) -> Result<(), StreamGone> {
         poll_fn(|context| self.poll_room(context)).await
@@ -260,20 +274,26 @@
     }
 
     async fn take(&self, bytes: usize, last: bool) -> Result<(), StreamGone> {
-        poll_fn(|context| {
-            let mut state = self.state.borrow_mut();
-            if state.closed {
-                return Poll::Ready(Err(StreamGone));
-            }
-            // The end of a body needs no window of its own.
-            if state.left > 0 || (bytes == 0 && last) {
-                state.left -= bytes as i64;
-                return Poll::Ready(Ok(()));
-            }
-            state.waiter = Some(context.waker().clone());
-            Poll::Pending
-        })
-        .await
+        poll_fn(|context| self.poll_take(bytes, last, context)).await
+    }
+
+    fn poll_take(
+        &self,
+        bytes: usize,
+        last: bool,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<(), StreamGone>> {
+        let mut state = self.state.borrow_mut();
+        if state.closed {
+            return Poll::Ready(Err(StreamGone));
+        }
+        // The end of a body needs no window of its own.
+        if state.left > 0 || (bytes == 0 && last) {
+            state.left -= bytes as i64;
+            return Poll::Ready(Ok(()));
+        }
+        state.waiter = Some(context.waker().clone());
+        Poll::Pending
     }
 }
 
@@ -292,6 +312,7 @@
     async fn send(&self, event: StreamEvent) -> Result<(), StreamGone> {
         match event {
             StreamEvent::Head(head) => self.post(FrameBody::Answer(head)),
+            StreamEvent::Begin(head) => self.post(FrameBody::CalledIn(*head)),
             StreamEvent::Failed(failure) => self.post(FrameBody::Failure(failure)),
             StreamEvent::Cancelled => {
                 self.post(FrameBody::Cancel(CancelNotice { caller_gone: true }))
@@ -335,6 +356,22 @@
         }
     }
 
+    /// Sends work that was called in; unlike body bytes it waits for no window.
+    pub fn begin(&self, head: DispatchHead) -> Result<(), StreamGone> {
+        match self {
+            Self::Local(pipe) => pipe.push(StreamEvent::Begin(Box::new(head))),
+            Self::Remote(sink) => sink.post(FrameBody::CalledIn(head)),
+        }
+    }
+
+    /// Polls whether body bytes may be sent.
+    pub fn poll_ready(&self, context: &mut Context<'_>) -> Poll<Result<(), StreamGone>> {
+        match self {
+            Self::Local(pipe) => pipe.poll_room(context),
+            Self::Remote(sink) => sink.credit.poll_take(0, false, context),
+        }
+    }
+
     /// Sends an event; body bytes wait for the window.
     pub async fn send(&self, event: StreamEvent) -> Result<(), StreamGone> {
         match self {
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -51,6 +51,8 @@
         repeated: false,
         fingerprint: None,
         tally: None,
+        reserved: None,
+        called: None,
     }
 }
 
@@ -111,6 +113,7 @@
         incarnation: 1,
         failure_domain: "bkk-b".to_owned(),
         answers_looks: false,
+        takes_reservations: false,
     };
     (DialledLink::new(peer, sender.clone()), sender)
 }
--- a/crates/waiting/tests/slots.rs
+++ b/crates/waiting/tests/slots.rs
@@ -10,8 +10,9 @@
 use basaltarch_base::clock::DaemonClock;
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::WorkClass;
-use basaltarch_daemon::host::admission::{SlotGuard, SlotQueue, SlotRequest};
+use basaltarch_decide::order::WaitingWork;
 use basaltarch_telemetry::runtime;
+use basaltarch_waiting::slots::{SlotGuard, SlotQueue, SlotRequest};
 
 const USUAL: Duration = Duration::from_millis(200);
 
@@ -57,14 +58,15 @@
 
     fn request(&self, class: WorkClass, within_ms: u64) -> SlotRequest {
         let now = self.clock.now();
-        SlotRequest {
+        let work = WaitingWork {
             class,
-            refusable: false,
+            is_call: false,
             deadline: now + Duration::from_secs(60),
-            usual: Some(USUAL),
             objective: Some(now + Duration::from_millis(within_ms)),
-            passable: false,
-        }
+            usual: Some(USUAL),
+            most: Some(USUAL),
+        };
+        SlotRequest { work, refusable: false, passable: false }
     }
 
     fn end_of(&self, name: &str) -> Option<Result<(), NotRunReason>> {
@@ -146,7 +148,8 @@
         }
         let now = queue.clock.now();
         let deadline = now + Duration::from_millis(50);
-        let request = SlotRequest { deadline, ..queue.request(WorkClass::Normal, 60_000) };
+        let mut request = queue.request(WorkClass::Normal, 60_000);
+        request.work.deadline = deadline;
         queue.ask("hopeless", request).await;
         assert_eq!(queue.end_of("hopeless"), Some(Err(NotRunReason::DeadlinePassed)));
     });
@@ -160,8 +163,9 @@
             queue.ask(name, queue.request(WorkClass::Normal, 60_000)).await;
         }
         let deadline = queue.clock.now() + Duration::from_secs(2);
-        let request = queue.request(WorkClass::Normal, 60_000);
-        queue.ask("waits", SlotRequest { deadline, usual: None, ..request }).await;
+        let mut request = queue.request(WorkClass::Normal, 60_000);
+        request.work = WaitingWork { deadline, usual: None, most: None, ..request.work };
+        queue.ask("waits", request).await;
         while queue.end_of("waits").is_none() {
             assert!(queue.clock.now() < deadline, "it waited until its deadline");
             monoio::time::sleep(Duration::from_millis(5)).await;
