--- a/crates/daemon/tests/places.rs
+++ b/crates/daemon/tests/places.rs
@@ -145,6 +145,8 @@
             })
         })
         .collect();
-    sending.into_iter().for_each(|thread| drop(thread.join().expect("a caller")));
+    for thread in sending {
+        thread.join().expect("a caller");
+    }
     assert_eq!(fleet.daemons[0].metric("places"), 0.0);
 }
