--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -73,7 +73,7 @@
 pub static CALLED_IN: CounterCell = CounterCell::new();
 /// Waiting work that nobody called in.
 pub static NOT_CALLED_IN: CounterCell = CounterCell::new();
-/// Times that a slot was held for work which did not come when it was called in.
+/// Times that work did not come when it was called in.
 pub static CALLS_UNANSWERED: CounterCell = CounterCell::new();
 /// Work that waits at this ingress.
 pub static WAITING: GaugeCell = GaugeCell::new();
@@ -259,7 +259,7 @@
         counter("not_called_in", "Waiting work that nobody called in.", &NOT_CALLED_IN),
         counter(
             "calls_unanswered",
-            "Times that a slot was held for work which did not come when it was called in.",
+            "Times that work did not come when it was called in.",
             &CALLS_UNANSWERED,
         ),
         gauge("waiting", "Work that waits at this ingress.", &WAITING),
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -120,9 +120,10 @@
 }
 
 impl HostWork<'_> {
-    /// Returns the same work with another head: that of a place has no body.
-    pub fn with_head<'b>(&'b self, head: &'b DispatchHead) -> HostWork<'b> {
-        HostWork { head, tally: self.tally.clone(), ..*self }
+    /// Returns the work that was called in, which came with a head of its own. What it says of the server counts from now:
+    /// while it held a place, it was not there.
+    pub fn called_in_with<'b>(&'b self, head: &'b DispatchHead) -> HostWork<'b> {
+        HostWork { head, tally: self.tally.clone(), came_at: self.state.now(), ..*self }
     }
 
     fn admit(&mut self) -> Result<(), NotRunReason> {
--- a/crates/daemon/src/host/places.rs
+++ b/crates/daemon/src/host/places.rs
@@ -41,7 +41,7 @@
         let head = self.called_in(body).await.map_err(FailureOutcome::NotRun)?;
         // The window opens anew once the backend server takes the body.
         body.shut_window();
-        let work = self.with_head(&head);
+        let work = self.called_in_with(&head);
         let starting = exchange::unless_cancelled(body, turn.start(work.slot_request()));
         let slot = starting.await.map_err(FailureOutcome::NotRun)?;
         work.work(slot, body, answer, None).await
--- a/crates/daemon/src/ingress/places.rs
+++ b/crates/daemon/src/ingress/places.rs
@@ -59,7 +59,8 @@
 
 impl RequestAttempts<'_> {
     /// Says whether the request waits for a slot rather than go out whole: all trusted upstreams are full, or one
-    /// just said that it is. Once no trusted one has a place for it, it goes out whole to what is left. What keeps a row in the ledger is sent whole, as its row comes before its slot.
+    /// just said that it is. Once none has a place for it, it goes out whole to what is left. What keeps a row in
+    /// the ledger is sent whole, as its row comes before its slot.
     pub fn waits(&self, choice: &UpstreamChoice) -> bool {
         let is_set = self.state.live().waiting == WaitingMode::Places;
         let is_full = matches!(choice.ground, ChoiceGround::Waiting | ChoiceGround::Any);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -238,6 +238,8 @@
             ("drain-min-ms", DRAIN_MIN_MS),
             ("kill-after-ms", KILL_AFTER_MS),
             ("prefer", "detection"),
+            ("waiting", "places"),
+            ("prove-once-only", "true"),
         ];
         let arguments =
             pairs.iter().flat_map(|(flag, value)| [format!("--{flag}"), (*value).into()]);
