--- a/crates/daemon/src/ingress/places.rs
+++ b/crates/daemon/src/ingress/places.rs
@@ -11,7 +11,8 @@
 
 use basaltarch_base::metrics;
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason};
-use basaltarch_decide::balance::{ChoiceGround, PlaceRequest, UpstreamChoice};
+use basaltarch_decide::balance::places::PlaceRequest;
+use basaltarch_decide::balance::{ChoiceGround, UpstreamChoice};
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_options::WaitingMode;
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -14,9 +14,8 @@
 use basaltarch_core::routes::RouteEntry;
 use basaltarch_core::services::{PackedService, ServiceEntry};
 use basaltarch_decide::allowance::LongWork;
-use basaltarch_decide::balance::{
-    ChoiceRequest, LoadView, PlaceRequest, ServiceView, UpstreamChoice,
-};
+use basaltarch_decide::balance::places::PlaceRequest;
+use basaltarch_decide::balance::{ChoiceRequest, LoadView, ServiceView, UpstreamChoice};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
 use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
 use basaltarch_decide::distance::ByteMean;
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -5,12 +5,13 @@
 
 use std::time::Duration;
 
-use rand::seq::index;
 use rand::{Rng, RngExt};
 
 use crate::floor::{self, CapacityEntry, FloorPlan};
 use crate::health::{self, HealthReport};
 
+pub mod places;
+
 /// Time over which a report of load loses most of its worth: it was made that many requests ago.
 const REPORT_LIFE: Duration = Duration::from_secs(1);
 /// Load, in shares of the slots, from which upstreams in other failure domains are asked too.
@@ -23,14 +24,6 @@
 const QUEUE_SHARE_MAX: f64 = 0.9;
 /// What a hop to another failure domain weighs, as a share of a service time; 3 ms there and back.
 const REMOTE_WEIGHT: f64 = 1.1;
-/// What a place in another failure domain weighs, in rounds of work: the work and its answer cross once it is called
-/// in, and who waits there is no sooner served.
-const FAR_PLACE_WEIGHT: f64 = 0.5;
-/// What a place at a suspect weighs for work that can be repeated, in rounds of work: idle, it comes before others whose
-/// slots are all taken.
-const SUSPECT_PLACE_WEIGHT: f64 = 0.5;
-/// The same for work that can't be: at a suspect it may be lost, so that others are waited for through some rounds.
-const SUSPECT_PLACE_WEIGHT_ONCE: f64 = 3.0;
 /// Load that is assumed of an upstream that has not reported lately, in shares of its slots.
 const UNKNOWN_LOAD: f64 = 0.3;
 /// Least ratio of an upstream's time to its siblings' that counts: errors are quicker than work
@@ -212,17 +205,6 @@
     }
 }
 
-/// `PlaceRequest` asks for upstreams before whose slots work may wait.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PlaceRequest {
-    /// Upstreams at the most.
-    pub count: usize,
-    /// Whether the work may run more than once.
-    pub repeatable: bool,
-    /// Rounds of work for which the request waits in its own failure domain rather than send its bytes across.
-    pub near_rounds: f64,
-}
-
 /// `ChoiceTerms` is what one choice goes by.
 #[derive(Debug, Clone, Copy)]
 struct ChoiceTerms {
@@ -606,50 +588,6 @@
         Some((ChoiceGround::Proving, drawn))
     }
 
-    /// Draws upstreams before whose slots work may wait: the cheapest of twice as many that are in service and fit. No
-    /// two ingresses draw alike, so that who waits is spread over the service however old the reports are.
-    ///
-    /// Suspects are among them once the others have more waiting work, so that servers which are sound after all don't
-    /// stand idle while work waits.
-    pub fn draw_places(
-        &mut self,
-        now: Duration,
-        request: &PlaceRequest,
-        fits: impl Fn(usize) -> bool,
-        rng: &mut impl Rng,
-    ) -> Vec<usize> {
-        self.refresh(now);
-        let PlaceRequest { count, repeatable, near_rounds } = *request;
-        let suspect_from = self.suspect_from(now);
-        let terms = ChoiceTerms { now, suspect_from, repeatable };
-        let eligible = |index: &usize| self.in_service(*index) && fits(*index);
-        let eligible: Vec<usize> = (0..self.upstreams.len()).filter(eligible).collect();
-        let near: Vec<usize> =
-            eligible.iter().copied().filter(|index| self.is_local(*index)).collect();
-        // Of all alone, few would be near by in a service of many failure domains.
-        let mut drawn = sample(&near, count * CHOICES, rng);
-        let of_all = sample(&eligible, count * CHOICES, rng);
-        drawn.extend(of_all.into_iter().filter(|index| !self.is_local(*index)));
-        let cost = |index: &usize| {
-            let view = &self.upstreams[*index];
-            let far = if view.is_local { 0.0 } else { FAR_PLACE_WEIGHT + near_rounds };
-            let suspicion = match (view.is_suspect(&terms), repeatable) {
-                (false, _) => 0.0,
-                (true, true) => SUSPECT_PLACE_WEIGHT,
-                (true, false) => SUSPECT_PLACE_WEIGHT_ONCE,
-            };
-            view.load_cost(now, self.median_ln) + suspicion + far
-        };
-        drawn.sort_by(|left, right| cost(left).total_cmp(&cost(right)));
-        drawn.truncate(count);
-        drawn
-    }
-
-    /// Builds the choice of an upstream that called waiting work in.
-    pub fn called_in(&self, index: usize, now: Duration) -> UpstreamChoice {
-        self.alone(index, ChoiceGround::Waiting, now)
-    }
-
     /// Says whether work would find a place in an upstream's queue. What is refused is lost for certain,
     /// so that repeatable work goes to a suspect with idle slots, which does a part of what it gets, before
     /// it is sent where it finds none. On days of a full service whose servers hang by turns, with work
@@ -754,10 +692,3 @@
         best
     }
 }
-
-/// Draws at most `count` different positions.
-fn sample(positions: &[usize], count: usize, rng: &mut impl Rng) -> Vec<usize> {
-    let amount = positions.len().min(count);
-    let drawn = index::sample(rng, positions.len(), amount);
-    drawn.into_iter().map(|place| positions[place]).collect()
-}
--- a/crates/decide/tests/places.rs
+++ b/crates/decide/tests/places.rs
@@ -5,9 +5,8 @@
 
 use std::time::Duration;
 
-use basaltarch_decide::balance::{
-    ChoiceGround, ChoiceRequest, LoadView, PlaceRequest, ServiceView,
-};
+use basaltarch_decide::balance::places::PlaceRequest;
+use basaltarch_decide::balance::{ChoiceGround, ChoiceRequest, LoadView, ServiceView};
 use basaltarch_decide::distance::ByteMean;
 use basaltarch_decide::health::HealthReport;
 use rand::SeedableRng;
