Give trials to all servers that are due, in turn

A trial that the server sheds says nothing of it and leaves it due, so that one server took all trials of an ingress, and others, well again for seconds, got none. In the log: a trial due from 17.8 s on, the next at 23.3 s. Change: of those that are due, the one that was not heard of for longest. Test, red before: of six servers due, 300, 0, 0, 0, 0 and 0 trials; now more than 20 each, for servers out of service and for doubted ones.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -626,26 +626,32 @@
     /// Finds a doubted upstream near by whose trial is due: a sound one must not wait for long until a
     /// request happens to find out, or too few of a service would get work.
     fn due_doubt(&self, now: Duration) -> Option<usize> {
-        (0..self.upstreams.len()).find(|index| {
-            let view = &self.upstreams[*index];
+        self.least_heard(|index, view| {
             let age = now.saturating_sub(view.reported_at);
             let is_due = |health: HealthReport| health.doubtful && age >= health.trial_in;
             let fits = view.is_local && view.own == 0 && age < DOUBT_LIFE;
-            fits && self.in_service(*index) && view.health.is_some_and(is_due)
+            fits && self.in_service(index) && view.health.is_some_and(is_due)
         })
     }
 
-    fn due_trial(&mut self, now: Duration, repeatable: bool) -> Option<usize> {
+    fn due_trial(&self, now: Duration, repeatable: bool) -> Option<usize> {
         if !repeatable || self.plan.avoided.iter().all(|avoided| !avoided) {
             return None;
         }
-        (0..self.upstreams.len()).find(|index| {
-            let view = &self.upstreams[*index];
+        self.least_heard(|index, view| {
             let trial_in = view.health.map_or(Duration::ZERO, |health| health.trial_in);
-            self.plan.avoided[*index] && view.own == 0 && now >= view.reported_at + trial_in
+            self.plan.avoided[index] && view.own == 0 && now >= view.reported_at + trial_in
         })
     }
 
+    /// Finds the upstream that was not heard of for longest, of those that fit: trials that say nothing leave a server
+    /// due, and must not keep the others from theirs.
+    fn least_heard(&self, fits: impl Fn(usize, &LoadView) -> bool) -> Option<usize> {
+        let views = self.upstreams.iter().enumerate();
+        let due = views.filter(|(index, view)| fits(*index, view));
+        due.min_by_key(|(_, view)| view.reported_at).map(|(index, _)| index)
+    }
+
     /// Returns the sickness from which an upstream stands out, as its daemon judges too.
     fn suspect_from(&mut self, now: Duration) -> f64 {
         let sick = |view: &LoadView| view.health.is_some_and(|health| health.sickness >= 1.0);
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -520,3 +520,27 @@
 ) {
     assert_eq!(to_idle_suspect(load, repeatable), wanted);
 }
+
+#[test_case(true ; "out of service")]
+#[test_case(false ; "doubted")]
+fn verify_trials_go_to_all_that_are_due_in_turn(ejected: bool) {
+    let mut rng = ChaCha8Rng::seed_from_u64(8);
+    let mut view = ServiceView::new(0.5, vec![LoadView::new(4, true); 30]);
+    let sickness = if ejected { 3.0 } else { 0.0 };
+    let health = HealthReport { sickness, ejected, doubtful: !ejected, ..healthy(20.0) };
+    for index in 0..30 {
+        let health = if index < 6 { health } else { healthy(20.0) };
+        view.note_report(index, 0, health, millis(5));
+    }
+    let mut tried = [0; 6];
+    for at in 10..310 {
+        let request = ChoiceRequest { repeatable: true, ..ChoiceRequest::default() };
+        let index = view.choose(millis(at), &request, &mut rng).expect("an upstream").index;
+        if index < 6 {
+            tried[index] += 1;
+            // The server refuses the trial, which says nothing of it: the next is due at once.
+            view.note_report(index, 0, health, millis(at));
+        }
+    }
+    assert!(tried.iter().all(|count| *count > 20), "{tried:?}");
+}
