--- a/crates/waiting/src/places.rs
+++ b/crates/waiting/src/places.rs
@@ -32,7 +32,7 @@
 /// `PlaceWord` is what the host of a place says, with its reason `R` for a refusal.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlaceWord<R> {
-    /// A slot is held for the work.
+    /// The work may come: a slot is free, or the next that gets free is the work's.
     CalledIn,
     /// The place is gone.
     Refused(R),
