Ask a full host again once work came for nothing

Cause: a host that refused a place as it had too many was excluded from the request for good. Work that was then called in by a server that had just crashed, and came back as not run, found nobody left and was rejected ("sick") at once, with 19.7 s of its time left and sound servers beside.

Ruled out: the crash itself (three 502, one for each server, as the test allows); the deadline.

Change: who refuses a place for want of room is left out of this wait only; it stays out for good when the wait ends without a place, since it would not take the work whole either.

Test: the same, check and bound as they are.

--- a/crates/daemon/src/ingress/places.rs
+++ b/crates/daemon/src/ingress/places.rs
@@ -114,11 +114,14 @@
         let until = *self.wait_until.get_or_insert(now + self.left().mul_f64(WAIT_SHARE_MAX));
         let mut hopeless = 0;
         let mut links = 0;
+        let mut full = Vec::new();
         loop {
-            let unlinked = self.ask_for_places(book);
+            let unlinked = self.ask_for_places(book, &full);
             if book.is_empty() {
                 // Right after a start nobody is linked yet.
                 let Some(index) = unlinked.filter(|_| links < LINKS_MAX) else {
+                    // Nor would they take it whole.
+                    self.excluded.append(&mut full);
                     return SlotEnd::NoPlace;
                 };
                 links += 1;
@@ -137,7 +140,13 @@
                     return self.send_called_in(place, body_is_done);
                 }
                 WaitStep::Word(place, PlaceWord::Refused(failure)) => {
+                    let index = place.index;
                     let reason = self.note_refused(place, &failure);
+                    match reason {
+                        // Should it be called in and come for nothing, there may be room by then.
+                        NotRunReason::QueueFull | NotRunReason::Unproven => full.push(index),
+                        _ => self.excluded.push(index),
+                    }
                     hopeless += usize::from(reason == NotRunReason::DeadlinePassed);
                     if hopeless >= HOPELESS_MAX || reason == NotRunReason::CrashesServers {
                         return SlotEnd::Failed(CallerFailure::not_run(reason));
@@ -157,16 +166,21 @@
         linked.is_some()
     }
 
-    /// Asks for as many places as are missing, at hosts that are linked: the others are linked meanwhile. Returns an
-    /// upstream that was drawn and is not linked, if there is one.
-    fn ask_for_places(&mut self, book: &mut PlaceBook<OutboundExchange>) -> Option<usize> {
+    /// Asks for as many places as are missing, at hosts that are linked and not `full`: the others are linked meanwhile.
+    /// Returns an upstream that was drawn and is not linked, if there is one.
+    fn ask_for_places(
+        &mut self,
+        book: &mut PlaceBook<OutboundExchange>,
+        full: &[usize],
+    ) -> Option<usize> {
         let held: Vec<usize> = book.indexes().collect();
         let missing = book.missing();
         let mut unlinked = None;
         if missing == 0 {
             return None;
         }
-        let fits = |index: usize| !held.contains(&index) && !self.excluded.contains(&index);
+        let left_out = [&held[..], &self.excluded, full].concat();
+        let fits = |index: usize| !left_out.contains(&index);
         let service = self.request.service.clone();
         let request = PlaceRequest {
             count: missing,
@@ -280,7 +294,6 @@
             FailureOutcome::Unknown(_) => NotRunReason::PeerUnreachable,
         };
         self.last = FailureOutcome::NotRun(reason);
-        self.excluded.push(place.index);
         reason
     }
 
