--- a/crates/daemon/src/host/places.rs
+++ b/crates/daemon/src/host/places.rs
@@ -16,7 +16,8 @@
 use crate::host::exchange::{self, HostWork};
 
 /// Time for which work that was called in is waited for: several ways there and back between failure domains,
-/// with a pause of a busy daemon. An ingress that was killed or is cut off one way costs the slot as much.
+/// with a pause of a busy daemon. A call to an ingress that was killed or is cut off one way keeps the next one back for
+/// as long.
 const CALL_WAIT: Duration = Duration::from_millis(150);
 
 impl HostWork<'_> {
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -486,7 +486,7 @@
             NotRunReason::Draining,
         ];
         let is_down = outcome == FailureOutcome::NotRun(NotRunReason::ConnectFailed);
-        // Work that was called in was not asked whether it goes there.
+        // A host calls work in before it knows whether its backend server takes a connection.
         let came_for_nothing = is_down && self.state.live().waiting == WaitingMode::Places;
         let passed = reasons.iter().any(|reason| outcome == FailureOutcome::NotRun(*reason));
         let passed = passed || came_for_nothing;
--- a/crates/waiting/src/slots.rs
+++ b/crates/waiting/src/slots.rs
@@ -282,7 +282,7 @@
         // Elsewhere it may be in time; and where it is late anyway, it must not make others late.
         let late = !work.is_in_time(start);
         let passes_on = request.passable && kind == WaitKind::Whole;
-        if late && (passes_on || before >= f64::from(self.slots.get())) {
+        if late && (passes_on || !order::keeps_late(before, self.slots.get())) {
             return Err(NotRunReason::QueueFull);
         }
         Ok(())
