Take the names of fields from the platform's crate in tests of the daemon

Cause: three test files of the daemon wrote the platform's names of header fields themselves, which stand in platform/ alone otherwise. Change: `headers::names`, which the platform's own constants are built from.

--- a/crates/daemon/tests/organisations.rs
+++ b/crates/daemon/tests/organisations.rs
@@ -7,7 +7,7 @@
 mod common;
 
 use basaltarch_platform::document::{self, ConfigDocument};
-use basaltarch_platform::headers;
+use basaltarch_platform::headers::{self, names};
 use basaltarch_platform::organisations::OrganisationDraft;
 use common::client::{self, Reply};
 use common::eventually;
@@ -55,17 +55,17 @@
     id: &str,
     more: &[(&str, &str)],
 ) -> Reply {
-    let mut headers = vec![("Host", HOST), ("request-id", id), ("deadline-ms", "3000")];
+    let mut headers = vec![("Host", HOST), (names::REQUEST, id), (names::DEADLINE, "3000")];
     headers.extend_from_slice(more);
     client::call(fleet.daemons[daemon].callers, "POST", path, &headers, "x")
 }
 
 #[test_case(&[] ; "no key")]
-#[test_case(&[("Credential", "unknown")] ; "a key that never was")]
-#[test_case(&[("Credential", "")] ; "an empty key")]
-#[test_case(&[("Credential", "k3y0fsh0pthatn0b0dym4yse")] ; "the start of a key")]
-#[test_case(&[("Credential", SHOP_KEY), ("Credential", DESK_KEY)] ; "two keys")]
-#[test_case(&[("Tenant-Id", "shop")] ; "a name without a key")]
+#[test_case(&[(names::API_KEY, "unknown")] ; "a key that never was")]
+#[test_case(&[(names::API_KEY, "")] ; "an empty key")]
+#[test_case(&[(names::API_KEY, "k3y0fsh0pthatn0b0dym4yse")] ; "the start of a key")]
+#[test_case(&[(names::API_KEY, SHOP_KEY), (names::API_KEY, DESK_KEY)] ; "two keys")]
+#[test_case(&[(names::ORGANISATION, "shop")] ; "a name without a key")]
 fn verify_who_has_no_known_key_is_refused_and_nothing_runs(more: &[(&str, &str)]) {
     let fleet = start(1);
     let reply = ask(&fleet, 0, "/unsafe/x", "stranger", more);
@@ -80,7 +80,7 @@
     let fleet = start(1);
     let long = "k".repeat(8192);
     for (id, key) in [("long", long.as_str()), ("bytes", "sch\u{fc}ssel")] {
-        assert_eq!(ask(&fleet, 0, "/unsafe/x", id, &[("Credential", key)]).status, 401, "{id}");
+        assert_eq!(ask(&fleet, 0, "/unsafe/x", id, &[(names::API_KEY, key)]).status, 401, "{id}");
         assert_eq!(fleet.ran(id), 0);
     }
 }
@@ -90,16 +90,17 @@
     let fleet = start(3);
     for number in 0..30 {
         let (key, claimed) = if number % 2 == 0 { (SHOP_KEY, "desk") } else { (DESK_KEY, "shop") };
-        let more = [("Credential", key), ("Tenant-Id", claimed)];
+        let more = [(names::API_KEY, key), (names::ORGANISATION, claimed)];
         let id = format!("known-{number}");
         assert_eq!(ask(&fleet, number % 3, "/unsafe/x", &id, &more).status, 200);
         let server = fleet.backends.iter().find(|backend| backend.ran(&id) == 1).expect("ran");
         let head = server.runs()["last_head"].as_str().expect("head").to_owned();
         let name = if number % 2 == 0 { "shop" } else { "desk" };
-        assert!(head.contains(&format!("\"tenant-id\": \"{name}\"")), "{head}");
+        let told = format!("\"{}\": \"{name}\"", names::ORGANISATION);
+        assert!(head.contains(&told), "{head}");
     }
     // A claimed name doesn't pass on a route that asks for no key either.
-    assert_eq!(ask(&fleet, 0, "/safe/x", "open", &[("Tenant-Id", "shop")]).status, 200);
+    assert_eq!(ask(&fleet, 0, "/safe/x", "open", &[(names::ORGANISATION, "shop")]).status, 200);
     // A daemon that starts while the store is away has the document from its peers.
     let keys: u64 = fleet.backends.iter().map(|b| b.runs()["keys"].as_u64().expect("keys")).sum();
     assert_eq!(keys, 0, "a key reached a backend server");
@@ -131,7 +132,9 @@
 #[test]
 fn verify_a_key_that_is_taken_away_or_moves_is_so_on_open_connections() {
     let fleet = start(2);
-    let with = |key| [("Credential", key)];
+    // The names of fields may be in capitals.
+    let name = names::API_KEY.to_uppercase();
+    let with = |key| [(&*name, key)];
     assert_eq!(ask(&fleet, 1, "/unsafe/x", "before", &with(SHOP_KEY)).status, 200);
     let moved = OrganisationDraft { keys: &[DESK_KEY, SHOP_KEY], ..DESK };
     write(&fleet, 3, &[OrganisationDraft { keys: &["an0ther"], ..SHOP }, moved]);
@@ -157,8 +160,8 @@
     let parent = std::thread::spawn(move || {
         let headers = [
             ("Host", HOST),
-            ("request-id", "parent"),
-            ("Credential", SHOP_KEY),
+            (names::REQUEST, "parent"),
+            (names::API_KEY, SHOP_KEY),
             ("x-work-ms", "1500"),
         ];
         client::call(address, "POST", "/unsafe/x", &headers, "x").status
@@ -177,8 +180,12 @@
     let limited = OrganisationDraft { rate: Some(0.01), burst: Some(1.0), ..SHOP };
     write(&fleet, 3, &[limited]);
     let address = fleet.daemons[0].callers;
-    let headers =
-        [("Host", HOST), ("request-id", "parent"), ("Credential", SHOP_KEY), ("x-work-ms", "1500")];
+    let headers = [
+        ("Host", HOST),
+        (names::REQUEST, "parent"),
+        (names::API_KEY, SHOP_KEY),
+        ("x-work-ms", "1500"),
+    ];
     let ask_parent = move || client::call(address, "POST", "/unsafe/x", &headers, "x").status;
     let parent = std::thread::spawn(ask_parent);
     eventually("the work runs", || fleet.ran("parent") == 1);
@@ -187,7 +194,7 @@
         assert_eq!(ask(&fleet, 0, "/unsafe/x", &id, &[]).status, 200);
     }
     assert_eq!(parent.join().expect("join"), 200);
-    let over = ask(&fleet, 0, "/unsafe/x", "over", &[("Credential", SHOP_KEY)]);
+    let over = ask(&fleet, 0, "/unsafe/x", "over", &[(names::API_KEY, SHOP_KEY)]);
     assert_eq!((over.status, over.reason().as_deref()), (429, Some("limited")));
     assert_eq!(fleet.ran("over"), 0);
 }
--- a/crates/daemon/tests/questions.rs
+++ b/crates/daemon/tests/questions.rs
@@ -5,6 +5,7 @@
 
 mod common;
 
+use basaltarch_platform::headers::names;
 use common::registered::RegisteredFleet;
 use common::{client, eventually};
 
@@ -46,6 +47,6 @@
 }
 
 fn client_status(fleet: &RegisteredFleet, daemon: usize, id: &str) -> u16 {
-    let headers = [("Host", "nowhere.example"), ("request-id", id)];
+    let headers = [("Host", "nowhere.example"), (names::REQUEST, id)];
     client::call(fleet.daemons[daemon].callers, "GET", "/", &headers, "").status
 }
--- a/crates/daemon/tests/registered.rs
+++ b/crates/daemon/tests/registered.rs
@@ -7,7 +7,7 @@
 
 use std::thread;
 
-use basaltarch_platform::headers;
+use basaltarch_platform::headers::{self, names};
 use basaltarch_platform::rows::{self, StoreCall};
 use common::registered::{self, document, RegisteredFleet, HOST, SERVICE};
 use common::{client, eventually, TestBackend};
@@ -23,16 +23,20 @@
     }
     let reply = fleet.request(0, "POST", "/unsafe/pay", "told");
     assert_eq!(reply.status, 200, "{}", reply.text());
-    assert_eq!(reply.header("request-id").as_deref(), Some("told"));
+    assert_eq!(reply.header(names::REQUEST).as_deref(), Some("told"));
     assert_eq!(fleet.ran("told"), 1);
     let server = fleet.backends.iter().find(|backend| backend.ran("told") == 1).expect("ran");
     let head = server.runs()["last_head"].as_str().expect("head").to_owned();
-    for part in
-        [&format!("\"expect-instance\": \"{}\"", server.name), "\"caller-service\": \"solver-app\""]
+    for (name, value) in
+        [(names::EXPECTED_SERVER, &*server.name), (names::CALLER_SERVICE, "solver-app")]
     {
-        assert!(head.contains(part), "{part} is not in {head}");
+        let part = format!("\"{name}\": \"{value}\"");
+        assert!(head.contains(&part), "{part} is not in {head}");
     }
-    let left = head.split("\"deadline-ms\": \"").nth(1).and_then(|rest| rest.split('"').next());
+    let left = head
+        .split(&*format!("\"{}\": \"", names::DEADLINE))
+        .nth(1)
+        .and_then(|rest| rest.split('"').next());
     let left: u64 = left.expect("a deadline").parse().expect("a number");
     assert!((1..=3000).contains(&left), "{left}");
 }
