Say once when the path of an attempt is left

What the attempt that is sent at once and the one that is called in wrote each for itself: which attempts are given up when their path is cut. No behaviour changes; no test does.

--- a/crates/daemon/src/ingress/dispatch.rs
+++ b/crates/daemon/src/ingress/dispatch.rs
@@ -111,8 +111,7 @@
         let queued = service.queued_rounds(choice.index, self.state.now());
         let patience = self.patience(&baseline, queued);
         let withheld = withheld.then(|| self.request.prefix.clone());
-        let may_leave = self.may_follow() && body_is_done && !path.is_self;
-        let path = may_leave.then_some(path);
+        let path = self.path_to_leave(path, body_is_done);
         DispatchEnd::Sent(LiveExchange { exchange, withheld, path, patience, counts, sent })
     }
 
@@ -205,6 +204,12 @@
         may && !self.state.is_stopping()
     }
 
+    /// Returns the path of an attempt if it is given up when the path is cut.
+    pub fn path_to_leave(&self, path: Rc<PeerPath>, body_is_done: bool) -> Option<Rc<PeerPath>> {
+        let may_leave = self.may_follow() && body_is_done && !path.is_self;
+        may_leave.then_some(path)
+    }
+
     /// Returns how long an attempt is waited for before another is made, if another may be.
     /// Rounds of work that are `queued` before it are not the upstream's fault.
     pub fn patience(&self, baseline: &ServiceBaseline, queued: f64) -> Option<Duration> {
--- a/crates/daemon/src/ingress/places.rs
+++ b/crates/daemon/src/ingress/places.rs
@@ -317,7 +317,6 @@
         let service = &self.request.service;
         let baseline = service.baseline(&self.request.route.name, index, now);
         let path = service.path(index).clone();
-        let may_leave = self.may_follow() && body_is_done && !path.is_self;
         let choice = service.with_view(|view| view.called_in(index, now));
         let head = self.head(choice, body_is_done, &baseline);
         if exchange.begin(head).is_err() {
@@ -328,7 +327,7 @@
         let live = LiveExchange {
             exchange,
             withheld: None,
-            path: may_leave.then_some(path),
+            path: self.path_to_leave(path, body_is_done),
             patience: self.patience(&baseline, 0.0),
             counts: !self.spares_failure(),
             sent: service.count_sent(index),
