Confirm the configuration anew before passing on a confirmation that is about to expire

Cause: a reader whose own confirmation was up to one second old answered with that one. Ruled out: the load, as the logs show answers that arrive in time.

A daemon that is asked for a confirmation now renews one that holds for less than half a second.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -7,6 +7,7 @@
 
 use basaltarch_base::peers::PeerPath;
 use basaltarch_core::units::FleetRevision;
+use basaltarch_decide::freshness::PASSED_ON_FOR;
 use basaltarch_events::fleet;
 use basaltarch_peer::frames::{self, FrameSender};
 use basaltarch_peer::handshake::PeerIdentity;
@@ -83,8 +84,10 @@
     }
     let (state, sender) = (state.clone(), sender.clone());
     monoio::spawn(async move {
-        // The reply reports the last known confirmation, even if none is recent after the check.
-        freshness::is_certain(&state).await;
+        // A confirmation that is about to expire is renewed, or it would have expired when the reply
+        // arrives. The reply reports the last known confirmation, even if none is recent after the
+        // check.
+        freshness::is_certain_for(&state, PASSED_ON_FOR).await;
         answer_heartbeat(&state, &sender, &note);
     });
 }
--- a/crates/daemon/src/freshness.rs
+++ b/crates/daemon/src/freshness.rs
@@ -88,15 +88,21 @@
 /// Says whether the configuration in force is confirmed as the newest, or was confirmed a moment
 /// ago; makes a query if necessary. A later configuration may come into force before this returns.
 pub async fn is_certain(state: &Rc<DaemonState>) -> bool {
+    is_certain_for(state, Duration::ZERO).await
+}
+
+/// Says whether the configuration in force is confirmed as the newest for at least `remaining`;
+/// makes a query if necessary.
+pub async fn is_certain_for(state: &Rc<DaemonState>, remaining: Duration) -> bool {
     let tracker = &state.freshness;
     let give_up_at = state.now() + ANSWER_TIMEOUT;
-    while !tracker.known().is_certain(state.now()) {
+    while !tracker.known().is_certain_for(state.now(), remaining) {
         let seen = tracker.confirmed.get();
-        let remaining = give_up_at.saturating_sub(state.now());
-        if remaining.is_zero() || !(tracker.is_querying.get() || start_query(state)) {
+        let time_left = give_up_at.saturating_sub(state.now());
+        if time_left.is_zero() || !(tracker.is_querying.get() || start_query(state)) {
             return false;
         }
-        let _ = monoio::time::timeout(remaining, tracker.confirmed.above(seen)).await;
+        let _ = monoio::time::timeout(time_left, tracker.confirmed.above(seen)).await;
     }
     true
 }
--- a/crates/decide/src/freshness.rs
+++ b/crates/decide/src/freshness.rs
@@ -17,6 +17,11 @@
 /// itself, and bounds the cost of unknown routes to one query a second.
 pub const CERTAIN_FOR: Duration = Duration::from_secs(1);
 
+/// Time for which a confirmation must stay valid when a daemon passes it on. The daemon that asked
+/// uses the confirmation after a round trip, and confirmations near their end would have to be
+/// asked for again with each request.
+pub const PASSED_ON_FOR: Duration = Duration::from_millis(500);
+
 /// `ConfirmationSource` says who confirmed that no later configuration was accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfirmationSource {
@@ -95,6 +100,12 @@
     /// Says whether the last confirmation is recent enough to refuse a request by the
     /// configuration.
     pub fn is_certain(&self, now: Duration) -> bool {
-        self.age(now).is_some_and(|age| age <= CERTAIN_FOR)
+        self.is_certain_for(now, Duration::ZERO)
+    }
+
+    /// Says whether the daemon will still be certain after `remaining` without a later
+    /// confirmation.
+    pub fn is_certain_for(&self, now: Duration, remaining: Duration) -> bool {
+        self.age(now).is_some_and(|age| age + remaining <= CERTAIN_FOR)
     }
 }
--- a/crates/decide/tests/freshness.rs
+++ b/crates/decide/tests/freshness.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use basaltarch_decide::freshness::{
-    ConfigFreshness, ConfirmationSource, FreshConfirmation, CERTAIN_FOR,
+    ConfigFreshness, ConfirmationSource, FreshConfirmation, CERTAIN_FOR, PASSED_ON_FOR,
 };
 use proptest::prelude::*;
 
@@ -57,3 +57,14 @@
         prop_assert_eq!(freshness.age(now), Some(now - Duration::from_millis(latest)));
     }
 }
+
+#[test]
+fn verify_a_confirmation_near_its_end_is_not_passed_on() {
+    let mut freshness = ConfigFreshness::default();
+    freshness.note_confirmation(confirmation(1000));
+    let last = Duration::from_millis(1000) + CERTAIN_FOR - PASSED_ON_FOR;
+    assert!(freshness.is_certain_for(last, PASSED_ON_FOR));
+    let later = last + Duration::from_millis(1);
+    assert!(!freshness.is_certain_for(later, PASSED_ON_FOR));
+    assert!(freshness.is_certain(later), "it still serves the daemon that has it");
+}
