Evacuate failure domains

Cause: no line of the code knew an evacuation.

A failure domain has a field `evacuated` (resources), or a row in the operator's table (document). The set of evacuated domains is a part of the configuration in force. Ingresses regard the upstreams as draining, and the daemon beside a backend server refuses requests, those that wait included. Heartbeats carry the versioned state of each domain, so that it reaches daemons that the store refuses, daemons that start and daemons that were suspended. `basaltctl evacuate` and `restore`.

Ruled out: reporting an evacuation as a drain.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -3,6 +3,7 @@
 
 //! The configuration of the fleet at one revision, built from accepted changes.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use fnv::{FnvBuildHasher, FnvHashMap, FnvHashSet};
@@ -26,6 +27,10 @@
 /// time, and a change copies only a few entries. Readers keep the version that they started with.
 pub type SharedMap<K, V> = GenericHashMap<K, V, FnvBuildHasher, DefaultSharedPtr>;
 
+/// `EvacuatedDomains` is the set of evacuated failure domains. A layout shares the set with the
+/// layout that it was copied from until the set changes.
+pub type EvacuatedDomains = Rc<BTreeSet<Rc<str>>>;
+
 /// `ResourceChange` is the effect of a change on one resource.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -348,6 +353,8 @@
     pub routes: RouteTable,
     /// Organisations by their API keys.
     pub keys: KeyTable,
+    /// Failure domains whose backend servers get no new requests.
+    pub evacuated: EvacuatedDomains,
     organisations: ResourceBlocks,
     limits: [SharedMap<Rc<str>, Vec<Rc<LimitEntry>>>; LIMIT_SCOPES],
     limit_names: SharedMap<Rc<str>, Rc<LimitEntry>>,
@@ -374,8 +381,10 @@
     /// Lays out `config` in time slices.
     pub async fn build_in_slices(config: &FleetConfig, pause: &impl AsyncFn()) -> Self {
         let mut active = Self { revision: config.revision(), ..Self::default() };
-        for (name, stored) in config.list(ResourceKind::Limit) {
-            active.insert(&name, &stored.value);
+        for kind in [ResourceKind::FailureDomain, ResourceKind::Limit] {
+            for (name, stored) in config.list(kind) {
+                active.insert(&name, &stored.value);
+            }
         }
         active.services = pack_services(config, pause).await;
         let routes = config.list(ResourceKind::Route);
@@ -481,7 +490,13 @@
     /// Adds or replaces a resource; returns the name of the affected service, if there is one.
     fn insert(&mut self, name: &Rc<str>, value: &ResourceValue) -> Option<Rc<str>> {
         match value {
-            ResourceValue::FailureDomain(_) | ResourceValue::Organisation(_) => None,
+            ResourceValue::Organisation(_) => None,
+            ResourceValue::FailureDomain(domain) => {
+                if domain.evacuated {
+                    Rc::make_mut(&mut self.evacuated).insert(name.clone());
+                }
+                None
+            }
             ResourceValue::Service(spec) => {
                 self.insert_service(name, spec);
                 Some(name.clone())
@@ -521,7 +536,12 @@
 
     fn remove(&mut self, name: &str, value: &ResourceValue, affected_services: &mut Vec<Rc<str>>) {
         match value {
-            ResourceValue::FailureDomain(_) | ResourceValue::Organisation(_) => {}
+            ResourceValue::Organisation(_) => {}
+            ResourceValue::FailureDomain(domain) => {
+                if domain.evacuated {
+                    Rc::make_mut(&mut self.evacuated).remove(name);
+                }
+            }
             ResourceValue::Service(_) => {
                 if self.services.remove(name).is_some() {
                     affected_services.push(Rc::from(name));
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -97,6 +97,9 @@
 pub struct FailureDomain {
     /// Region of the failure domain.
     pub region: String,
+    /// Whether the backend servers of the failure domain get no new requests.
+    #[serde(default)]
+    pub evacuated: bool,
 }
 
 /// `OrganisationSpec` is an organisation whose callers share limits.
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -265,6 +265,10 @@
     let rows: Vec<Vec<String>> =
         members.iter().map(|member| tables::cell_texts(member, &fields)).collect();
     tables::print(&["HOST", "DOMAIN", "STATE", "REVISION", "HEARD MS AGO", "ADMIN"], &rows);
+    let evacuated = reply["evacuated"].as_array().into_iter().flatten();
+    for domain in evacuated {
+        println!("evacuated: {}", tables::cell_text(domain));
+    }
     Ok(())
 }
 
@@ -419,20 +423,43 @@
 
 /// Sets a backend server to draining or, if `active`, back to active.
 pub async fn drain_server(api: &AdminApi, name: &str, active: bool) -> Result<(), CommandError> {
-    let target = format!("/v1/backend-servers/{name}");
-    let list = api.get("/v1/backend-servers").await?;
-    let current = list["resources"]
-        .as_array()
-        .and_then(|resources| resources.iter().find(|resource| resource["name"] == name))
-        .cloned()
-        .ok_or_else(|| CommandError::Refused {
-            status: 404,
-            message: format!("there is no backend server {name}"),
-        })?;
-    let mut value = current["value"].clone();
-    value["state"] = json!(if active { "active" } else { "draining" });
-    let precondition = precondition_of(current["revision"].as_u64());
-    let reply = api.call(Method::PUT, &target, Some(&value), Some(precondition)).await?;
-    println!("revision {}: {name} is {}", reply["revision"], tables::cell_text(&value["state"]));
+    let state = if active { "active" } else { "draining" };
+    let kind = ResourceKind::BackendServer;
+    let revision = set_field(api, kind, name, "state", &json!(state)).await?;
+    println!("revision {revision}: {name} is {state}");
+    Ok(())
+}
+
+/// Evacuates a failure domain or, if `evacuated` is false, restores it.
+pub async fn evacuate(api: &AdminApi, name: &str, evacuated: bool) -> Result<(), CommandError> {
+    let kind = ResourceKind::FailureDomain;
+    let revision = set_field(api, kind, name, "evacuated", &json!(evacuated)).await?;
+    let state = if evacuated { "evacuated" } else { "restored" };
+    println!("revision {revision}: {name} is {state}");
     Ok(())
 }
+
+/// Changes one field of a resource, unless the resource changes in the meantime, and returns the
+/// new revision.
+async fn set_field(
+    api: &AdminApi,
+    kind: ResourceKind,
+    name: &str,
+    field: &str,
+    value: &Value,
+) -> Result<Value, CommandError> {
+    let kind = kind.name();
+    let list = api.get(&format!("/v1/{kind}")).await?;
+    let mut resources = list["resources"].as_array().into_iter().flatten();
+    let current = resources.find(|resource| resource["name"] == name);
+    let current = current.ok_or_else(|| CommandError::Refused {
+        status: 404,
+        message: format!("there is no resource {kind}/{name}"),
+    })?;
+    let mut resource = current["value"].clone();
+    resource[field] = value.clone();
+    let precondition = precondition_of(current["revision"].as_u64());
+    let target = format!("/v1/{kind}/{name}");
+    let reply = api.call(Method::PUT, &target, Some(&resource), Some(precondition)).await?;
+    Ok(reply["revision"].clone())
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -92,6 +92,16 @@
                 /// Service; all when absent.
                 optional service: String
             }
+            /// Sends no new requests to the backend servers of a failure domain.
+            cmd evacuate {
+                /// Failure domain.
+                required domain: String
+            }
+            /// Sends requests to the backend servers of an evacuated failure domain again.
+            cmd restore {
+                /// Failure domain.
+                required domain: String
+            }
             /// Shows the requests that ran at backend servers when they crashed, and which are
             /// refused.
             cmd suspects {}
@@ -252,6 +262,8 @@
         flags::BasaltctlCmd::Outcomes(_) => commands::outcomes(&api, form).await,
         flags::BasaltctlCmd::Suspects(_) => commands::suspects(&api, form).await,
         flags::BasaltctlCmd::Lift(flags) => commands::lift_refusal(&api, &flags.fingerprint).await,
+        flags::BasaltctlCmd::Evacuate(flags) => commands::evacuate(&api, &flags.domain, true).await,
+        flags::BasaltctlCmd::Restore(flags) => commands::evacuate(&api, &flags.domain, false).await,
         flags::BasaltctlCmd::Health(flags) => {
             commands::health(&api, flags.service.as_deref(), form).await
         }
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -34,6 +34,8 @@
             "admin_address": view.admin_address,
         }));
     });
+    let active = state.config.active();
+    let evacuated: Vec<&str> = active.evacuated.iter().map(|domain| &**domain).collect();
     let body = json!({
         "host": state.options.host,
         "revision": state.config.revision(),
@@ -41,6 +43,7 @@
         "in_flight": state.stop.in_flight(),
         "floor_violations": metrics::FLOOR_VIOLATIONS.get(),
         "outcomes": count_outcomes(),
+        "evacuated": evacuated,
         "members": members,
     });
     ServerReply::json(StatusCode::OK, &body)
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -15,6 +15,7 @@
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote};
 
 use crate::config_sync;
+use crate::evacuations;
 use crate::freshness;
 use crate::ingress::load_probe;
 use crate::limit_owners;
@@ -73,6 +74,9 @@
     if note.reply {
         freshness::note_answer(state, &note);
     }
+    // Evacuations are applied before the configuration is pulled, so that a starting daemon sends
+    // no request to an evacuated failure domain.
+    evacuations::handle_notes(state, note.evacuations.as_deref().unwrap_or_default());
     config_sync::note_peer_revision(state, sender, revision);
     suspects::handle_digest(state, sender, note.suspects);
     if note.reply {
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -35,6 +35,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
+use crate::evacuations;
 use crate::feed::{FeedPlan, FeedReader, FeedUpdate};
 use crate::roster::{self, RelayedRecord};
 use crate::state::DaemonState;
@@ -95,7 +96,17 @@
     let mut reader = FeedReader::new(DOCUMENT_FEED_PLAN);
     loop {
         let Some(news) = next_unless_stale(&state, &mut reader).await else { continue };
-        let (FeedUpdate::Whole(page) | FeedUpdate::Changes(page)) = news else { continue };
+        let page = match news {
+            FeedUpdate::Whole(page) => {
+                evacuations::apply_table(&state, &page);
+                page
+            }
+            FeedUpdate::Changes(page) => {
+                evacuations::apply_changes(&state, &page);
+                page
+            }
+            FeedUpdate::Failed => continue,
+        };
         state.document.position.set(reader.position());
         apply_answer(&state, &page, reader.complete_until());
     }
@@ -139,8 +150,15 @@
         None => FeedReply::Forgotten,
     };
     let page = match changes {
-        FeedReply::Changes(page, _) => page,
-        FeedReply::Forgotten => state.platform.read_table(OPERATOR_TABLE).await?.0,
+        FeedReply::Changes(page, _) => {
+            evacuations::apply_changes(state, &page);
+            page
+        }
+        FeedReply::Forgotten => {
+            let (page, _) = state.platform.read_table(OPERATOR_TABLE).await?;
+            evacuations::apply_table(state, &page);
+            page
+        }
     };
     apply_answer(state, &page, asked_at);
     Ok(())
@@ -226,6 +244,7 @@
     });
     let mut next_layout = ActiveConfig::default();
     next_layout.revision = FleetRevision(document.version);
+    next_layout.evacuated = state.evacuations.evacuated();
     next_layout.routes = RouteTable::build(routes);
     for declaration in &document.services {
         let entry = service_entry(state, declaration);
@@ -317,7 +336,9 @@
     };
     let active = state.config.active();
     state.roster.for_each(|_, record| {
-        push(ResourceKind::FailureDomain, &record.failure_domain, json!({"region": ""}));
+        let evacuated = active.evacuated.contains(&*record.failure_domain);
+        let value = json!({"region": "", "evacuated": evacuated});
+        push(ResourceKind::FailureDomain, &record.failure_domain, value);
     });
     for (name, packed) in &active.services {
         let entry = packed.unpack(name);
--- /dev/null
+++ b/crates/daemon/src/evacuations.rs
@@ -0,0 +1,115 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Follows the evacuations of failure domains in the operator's table, where this table is the
+//! source of the configuration.
+//!
+//! A daemon learns of an evacuation from the store, and from the heartbeats of its peers while the
+//! store does not answer. The hosts of the failure domain refuse new requests, whatever the
+//! ingresses know.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use basaltarch_base::configuration::TouchedServices;
+use basaltarch_core::config::{ActiveConfig, EvacuatedDomains};
+use basaltarch_decide::evacuation::{DomainState, EvacuationTable};
+use basaltarch_events::fleet;
+use basaltarch_peer::protocol::EvacuationNote;
+use basaltarch_platform::rows::{self, RowValue, RowsPage};
+
+use crate::membership::{self, HeartbeatContent};
+use crate::state::DaemonState;
+
+/// `EvacuationRegistry` holds the latest known state of each failure domain that was ever
+/// evacuated.
+#[derive(Debug, Default)]
+pub struct EvacuationRegistry {
+    table: RefCell<EvacuationTable>,
+}
+
+impl EvacuationRegistry {
+    /// Returns the evacuated failure domains.
+    pub fn evacuated(&self) -> EvacuatedDomains {
+        Rc::new(self.table.borrow().evacuated().into_iter().map(Rc::from).collect())
+    }
+}
+
+/// Applies the whole operator's table. A failure domain without a row is not evacuated.
+pub fn apply_table(state: &Rc<DaemonState>, page: &RowsPage) {
+    let rows = page.rows.iter().filter(|row| row.value != RowValue::Gone);
+    let requests = rows.filter_map(|row| Some((rows::evacuated_domain(&row.key)?, row.version)));
+    let evacuated: BTreeMap<&str, u64> = requests.collect();
+    let is_later = state.evacuations.table.borrow_mut().note_list(&evacuated, page.version);
+    if is_later {
+        put_in_force(state);
+    }
+}
+
+/// Applies changes of the operator's table.
+pub fn apply_changes(state: &Rc<DaemonState>, page: &RowsPage) {
+    let mut is_later = false;
+    for row in &page.rows {
+        let Some(domain) = rows::evacuated_domain(&row.key) else { continue };
+        let evacuated = row.value != RowValue::Gone;
+        let reported = DomainState { version: row.version, evacuated };
+        is_later |= state.evacuations.table.borrow_mut().note(domain, reported);
+    }
+    if is_later {
+        put_in_force(state);
+    }
+}
+
+/// Applies the states that a peer reported.
+pub fn handle_notes(state: &Rc<DaemonState>, notes: &[EvacuationNote]) {
+    let mut is_later = false;
+    for note in notes {
+        let version = note.version.max(0) as u64;
+        let reported = DomainState { version, evacuated: note.evacuated };
+        is_later |= state.evacuations.table.borrow_mut().note(&note.failure_domain, reported);
+    }
+    if is_later {
+        put_in_force(state);
+    }
+}
+
+/// Returns the known states for a heartbeat, `None` if there are none.
+pub fn notes(state: &DaemonState) -> Option<Vec<EvacuationNote>> {
+    let table = state.evacuations.table.borrow();
+    let note = |(domain, known): (&str, DomainState)| EvacuationNote {
+        failure_domain: domain.to_owned(),
+        version: known.version as i64,
+        evacuated: known.evacuated,
+    };
+    let notes: Vec<EvacuationNote> = table.iter().map(note).collect();
+    (!notes.is_empty()).then_some(notes)
+}
+
+/// Puts the known states in force, and reports them to the neighbours. Without a document, the
+/// states are put in force together with the first document.
+fn put_in_force(state: &Rc<DaemonState>) {
+    let evacuated = state.evacuations.evacuated();
+    let active = state.config.active();
+    log_difference(state, &active.evacuated, &evacuated);
+    if state.document.get().is_some() {
+        let mut next_layout = ActiveConfig::clone(&active);
+        next_layout.evacuated = evacuated;
+        let touched = TouchedServices::Some(Vec::new());
+        state.config.replace_layout(next_layout, touched, state.now());
+    }
+    membership::send_heartbeats(state, HeartbeatContent::Own);
+}
+
+fn log_difference(state: &DaemonState, before: &BTreeSet<Rc<str>>, evacuated: &BTreeSet<Rc<str>>) {
+    for domain in evacuated.difference(before) {
+        let mut hosts = 0;
+        state.roster.for_each(|_, record| {
+            hosts += u64::from(record.failure_domain == **domain);
+        });
+        fleet::DomainEvacuated { domain, hosts }.log();
+    }
+    for domain in before.difference(evacuated) {
+        fleet::DomainRestored { domain }.log();
+    }
+}
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -134,7 +134,7 @@
     fn admit(&mut self) -> Result<(), NotRunReason> {
         let now = self.state.now();
         self.refuse_suspect()?;
-        if self.state.stop.is_handing_over() || self.upstream.is_draining(now) {
+        if self.state.stop.is_handing_over() || self.upstream.takes_no_requests(now) {
             return Err(NotRunReason::Draining);
         }
         let terms = DispatchTerms {
@@ -244,8 +244,9 @@
     }
 
     async fn take_slot(&self) -> Result<SlotGuard, NotRunReason> {
-        // While the claim was written, the daemon may have begun to shut down.
-        if !self.may_start() {
+        // While the claim was written, the daemon may have begun to shut down, or the upstream may
+        // have begun to drain.
+        if !self.may_start() || self.upstream.takes_no_requests(self.state.now()) {
             return Err(NotRunReason::Draining);
         }
         self.upstream.slots.acquire(self.slot_request()).await
@@ -421,9 +422,9 @@
                 return Err(FailureOutcome::NotRun(NotRunReason::ConnectFailed));
             }
         };
-        // A drain or shutdown may have been acknowledged while the connection was opened. No
-        // request may start after the acknowledgement.
-        if self.upstream.is_draining(self.state.now())
+        // A drain, an evacuation or a shutdown may have been acknowledged while the connection was
+        // opened. No request may start after the acknowledgement.
+        if self.upstream.takes_no_requests(self.state.now())
             || !stop::allows_start(self.state, self.deadline)
         {
             pooled_stream.give_back(None);
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -82,6 +82,10 @@
                 }
             }
         }
+        for upstream in self.upstreams.borrow().values() {
+            let is_evacuated = active.evacuated.contains(&*upstream.server.borrow().failure_domain);
+            upstream.note_evacuated(is_evacuated);
+        }
     }
 
     fn configure_service(
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -46,6 +46,8 @@
     /// Adaptive timeout of the backend server's requests.
     pub adaptive_timeout: RefCell<AdaptiveTimeout>,
     draining_until: Cell<Duration>,
+    /// Whether the failure domain of the backend server is evacuated.
+    evacuated: Cell<bool>,
     unreachable: Cell<bool>,
     last_success_at: Cell<Duration>,
 }
@@ -70,6 +72,7 @@
             pool: BackendPool::new(server.address, server.connections as usize),
             adaptive_timeout: RefCell::default(),
             draining_until: Cell::new(Duration::ZERO),
+            evacuated: Cell::new(false),
             unreachable: Cell::new(false),
             last_success_at: Cell::new(Duration::ZERO),
         }
@@ -124,12 +127,26 @@
         !self.unreachable.replace(true)
     }
 
-    /// Says whether the backend server takes no new requests, because of the state in its resource
-    /// or a drain notice.
+    /// Says whether the backend server is draining, by the state in its resource or a drain notice.
     pub fn is_draining(&self, now: Duration) -> bool {
         self.server.borrow().state == ServerState::Draining || self.draining_until.get() > now
     }
 
+    /// Records whether the failure domain of the backend server is evacuated. Requests that wait
+    /// for a slot at the start of an evacuation are refused, so that they can be sent to other
+    /// upstreams.
+    pub fn note_evacuated(&self, evacuated: bool) {
+        if !self.evacuated.replace(evacuated) && evacuated {
+            self.slots.refuse_all(NotRunReason::Draining);
+        }
+    }
+
+    /// Says whether the backend server takes no new requests, because it is draining or its failure
+    /// domain is evacuated.
+    pub fn takes_no_requests(&self, now: Duration) -> bool {
+        self.evacuated.get() || self.is_draining(now)
+    }
+
     /// Returns the time since the last successful response of the backend server.
     pub fn since_last_success(&self, now: Duration) -> Duration {
         now.saturating_sub(self.last_success_at.get())
@@ -222,6 +239,8 @@
     /// the dispatch has got a response.
     pub fn report(&self, state: &DaemonState, route: &str, took: Option<Duration>) -> LoadReport {
         let now = state.now();
+        // An evacuation is not reported: an ingress regards a reported drain as in force for a
+        // while, and would send no requests for this long after the evacuation has ended.
         let load = HostLoad {
             in_flight: self.slots.used(),
             queued: self.slots.queued(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control;
 pub mod document;
 pub mod errors;
+pub mod evacuations;
 pub mod feed;
 pub mod freshness;
 pub mod host;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -24,6 +24,7 @@
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote, MemberEntry};
 use rand::seq::IteratorRandom;
 
+use crate::evacuations;
 use crate::freshness;
 use crate::links;
 use crate::roster::HostRecord;
@@ -403,6 +404,7 @@
         asked_ms: Some(state.now().as_millis() as i64),
         fresh_ms: freshness::reported_age(state),
         wants_word: None,
+        evacuations: evacuations::notes(state),
     }
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -184,6 +184,7 @@
         let touched = state.config.take_touched();
         state.host.configure(&state, &active, &touched);
         state.services.forget_removed(&active);
+        state.services.note_evacuated(&active);
         // The revision is announced to the neighbours at once, so that the fleet's status is up to
         // date.
         if announced.replace(active.revision) != Some(active.revision) {
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -10,10 +10,10 @@
 
 use basaltarch_base::metrics;
 use basaltarch_base::peers::PeerPath;
-use basaltarch_core::config::ActiveConfig;
+use basaltarch_core::config::{ActiveConfig, EvacuatedDomains};
 use basaltarch_core::resources::ServerState;
 use basaltarch_core::routes::RouteEntry;
-use basaltarch_core::services::{PackedService, ServiceEntry};
+use basaltarch_core::services::{PackedService, ServiceEntry, UpstreamEntry};
 use basaltarch_decide::adaptive_timeout::SlowRequests;
 use basaltarch_decide::balance::reservations::ReservationRequest;
 use basaltarch_decide::balance::{ChoiceRequest, LoadView, ServiceView, UpstreamChoice};
@@ -50,6 +50,7 @@
     packed: Rc<PackedService>,
     paths: Vec<Rc<PeerPath>>,
     draining_until: Vec<Cell<Duration>>,
+    evacuated: RefCell<EvacuatedUpstreams>,
     view: RefCell<ServiceView>,
     /// Slow requests that each upstream last reported, with the time of the report.
     slow_requests: RefCell<Vec<(SlowRequests, Duration)>>,
@@ -64,6 +65,22 @@
     used_at: Cell<Duration>,
 }
 
+/// `EvacuatedUpstreams` says which upstreams of a service are in an evacuated failure domain.
+struct EvacuatedUpstreams {
+    domains: EvacuatedDomains,
+    /// Whether each upstream is in one of the domains.
+    flags: Vec<bool>,
+}
+
+impl EvacuatedUpstreams {
+    fn new(entry: &ServiceEntry, domains: &EvacuatedDomains) -> Self {
+        let is_evacuated =
+            |upstream: &UpstreamEntry| domains.contains(&*upstream.server.failure_domain);
+        let flags = entry.upstreams.iter().map(is_evacuated).collect();
+        Self { domains: domains.clone(), flags }
+    }
+}
+
 /// Evicts services without recent requests, for ever. The state of a service takes about 400 bytes
 /// for each upstream, and is rebuilt from the first responses.
 pub async fn evict_idle(state: Rc<DaemonState>) {
@@ -116,7 +133,19 @@
             }
         }
         let entry = packed.unpack(name);
-        Some(Rc::new(ServiceState::new(state, entry, packed.clone(), known.as_deref())))
+        let evacuated = EvacuatedUpstreams::new(&entry, &active.evacuated);
+        let known = known.as_deref();
+        Some(Rc::new(ServiceState::new(state, entry, packed.clone(), evacuated, known)))
+    }
+
+    /// Applies the evacuated failure domains of a configuration to the services in use.
+    pub fn note_evacuated(&self, active: &ActiveConfig) {
+        self.for_each(|service| {
+            let mut evacuated = service.evacuated.borrow_mut();
+            if !Rc::ptr_eq(&evacuated.domains, &active.evacuated) {
+                *evacuated = EvacuatedUpstreams::new(&service.entry, &active.evacuated);
+            }
+        });
     }
 
     /// Returns the service that a request of a route goes to. A route with a weighted split yields
@@ -164,6 +193,7 @@
         state: &DaemonState,
         entry: ServiceEntry,
         packed: Rc<PackedService>,
+        evacuated: EvacuatedUpstreams,
         known: Option<&ServiceState>,
     ) -> Self {
         let own_domain = &state.options.failure_domain;
@@ -181,6 +211,7 @@
             paths: hosts.map(|host| state.peers.path(host)).collect(),
             probe_yield: Cell::default(),
             draining_until: entry.upstreams.iter().map(|_| Cell::default()).collect(),
+            evacuated: RefCell::new(evacuated),
             view: RefCell::new(
                 ServiceView::new(entry.spec.floor, views).with_queue(entry.spec.queue),
             ),
@@ -262,6 +293,7 @@
     /// Updates which upstreams are reachable and which are draining.
     pub fn refresh(&self, now: Duration) {
         let mut view = self.view.borrow_mut();
+        let evacuated = self.evacuated.borrow();
         for (index, upstream) in self.entry.upstreams.iter().enumerate() {
             let path = &self.paths[index];
             let is_declared_draining = upstream.server.state == ServerState::Draining;
@@ -269,7 +301,10 @@
             view.note_reachable(index, path.is_usable(now), path.is_proving(now));
             view.note_draining(
                 index,
-                is_declared_draining || is_reported_draining || path.is_leaving(),
+                is_declared_draining
+                    || is_reported_draining
+                    || path.is_leaving()
+                    || evacuated.flags[index],
             );
         }
     }
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -23,6 +23,7 @@
 use basaltarch_store::platform::PlatformClient;
 
 use crate::document::DocumentCell;
+use crate::evacuations::EvacuationRegistry;
 use crate::freshness::FreshnessTracker;
 use crate::host::HostRole;
 use crate::ingress::load_probe::PendingProbes;
@@ -52,6 +53,8 @@
     pub config: ConfigCell,
     /// The operator's document, if the document is the source of the configuration.
     pub document: DocumentCell,
+    /// The failure domains that the operator's table evacuates.
+    pub evacuations: EvacuationRegistry,
     /// How recently the configuration was confirmed as the newest.
     pub freshness: FreshnessTracker,
     /// The rows of all hosts.
@@ -119,6 +122,7 @@
             identity,
             config: ConfigCell::default(),
             document: DocumentCell::default(),
+            evacuations: EvacuationRegistry::default(),
             freshness: FreshnessTracker::default(),
             roster: HostRoster::default(),
             rows: RowsRelay::default(),
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod detector;
 pub mod distance;
 pub mod estimates;
+pub mod evacuation;
 pub mod evidence;
 pub mod floor;
 pub mod freshness;
--- a/crates/events/src/fleet.rs
+++ b/crates/events/src/fleet.rs
@@ -43,6 +43,20 @@
         by: &'a str,
     }
 
+    /// The backend servers of a failure domain get no new requests.
+    "failure domain evacuated" INFO DomainEvacuated<'a> {
+        /// Name of the failure domain.
+        domain: &'a str,
+        /// Number of known hosts in it; 0 may be a mistake in its name.
+        hosts: u64,
+    }
+
+    /// The backend servers of a failure domain get requests again.
+    "failure domain restored" INFO DomainRestored<'a> {
+        /// Name of the failure domain.
+        domain: &'a str,
+    }
+
     /// A host's row in the store can't be read and is skipped.
     "host row unreadable" WARN HostUnreadable<'a> {
         /// Name of the host.
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -164,6 +164,13 @@
   8: required i64 revision
 }
 
+/** The state of a failure domain as of a version of the operator's table. */
+struct EvacuationNote {
+  1: required string failure_domain
+  2: required i64 version
+  3: required bool evacuated
+}
+
 /** Asks for, or is, a sign of life; carries the revision in force and some members. */
 struct HeartbeatNote {
   1: required bool reply
@@ -178,6 +185,8 @@
   /** The answer may wait a moment until this daemon knows whether the revision is the newest: it asks the store
       for many others. */
   7: optional bool wants_word
+  /** The latest known state of each failure domain that was ever evacuated; none if there is none. */
+  8: optional list<EvacuationNote> evacuations
 }
 
 /** Takes back a failure that followed its request to another upstream. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -1714,6 +1714,87 @@
   }
 }
 
+//
+// EvacuationNote
+//
+
+/// The state of a failure domain as of a version of the operator's table.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct EvacuationNote {
+  pub failure_domain: String,
+  pub version: i64,
+  pub evacuated: bool,
+}
+
+impl EvacuationNote {
+  pub fn new(failure_domain: String, version: i64, evacuated: bool) -> EvacuationNote {
+    EvacuationNote {
+      failure_domain,
+      version,
+      evacuated,
+    }
+  }
+}
+
+impl TSerializable for EvacuationNote {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<EvacuationNote> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<bool> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_bool()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("EvacuationNote.failure_domain", &f_1)?;
+    verify_required_field_exists("EvacuationNote.version", &f_2)?;
+    verify_required_field_exists("EvacuationNote.evacuated", &f_3)?;
+    let ret = EvacuationNote {
+      failure_domain: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      version: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      evacuated: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("EvacuationNote");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("failure_domain", TType::String, 1))?;
+    o_prot.write_string(&self.failure_domain)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 2))?;
+    o_prot.write_i64(self.version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("evacuated", TType::Bool, 3))?;
+    o_prot.write_bool(self.evacuated)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // HeartbeatNote
 //
@@ -1733,10 +1814,12 @@
   /// The answer may wait a moment until this daemon knows whether the revision is the newest: it asks the store
   /// for many others.
   pub wants_word: Option<bool>,
+  /// The latest known state of each failure domain that was ever evacuated; none if there is none.
+  pub evacuations: Option<Vec<EvacuationNote>>,
 }
 
 impl HeartbeatNote {
-  pub fn new<F4, F5, F6, F7>(reply: bool, revision: i64, members: Vec<MemberEntry>, suspects: F4, asked_ms: F5, fresh_ms: F6, wants_word: F7) -> HeartbeatNote where F4: Into<Option<i64>>, F5: Into<Option<i64>>, F6: Into<Option<i64>>, F7: Into<Option<bool>> {
+  pub fn new<F4, F5, F6, F7, F8>(reply: bool, revision: i64, members: Vec<MemberEntry>, suspects: F4, asked_ms: F5, fresh_ms: F6, wants_word: F7, evacuations: F8) -> HeartbeatNote where F4: Into<Option<i64>>, F5: Into<Option<i64>>, F6: Into<Option<i64>>, F7: Into<Option<bool>>, F8: Into<Option<Vec<EvacuationNote>>> {
     HeartbeatNote {
       reply,
       revision,
@@ -1745,6 +1828,7 @@
       asked_ms: asked_ms.into(),
       fresh_ms: fresh_ms.into(),
       wants_word: wants_word.into(),
+      evacuations: evacuations.into(),
     }
   }
 }
@@ -1759,6 +1843,7 @@
     let mut f_5: Option<i64> = None;
     let mut f_6: Option<i64> = None;
     let mut f_7: Option<bool> = None;
+    let mut f_8: Option<Vec<EvacuationNote>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1800,6 +1885,16 @@
           let val = i_prot.read_bool()?;
           f_7 = Some(val);
         },
+        8 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<EvacuationNote> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_2 = EvacuationNote::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_2);
+          }
+          i_prot.read_list_end()?;
+          f_8 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1818,6 +1913,7 @@
       asked_ms: f_5,
       fresh_ms: f_6,
       wants_word: f_7,
+      evacuations: f_8,
     };
     Ok(ret)
   }
@@ -1857,6 +1953,15 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.evacuations {
+      o_prot.write_field_begin(&TFieldIdentifier::new("evacuations", TType::List, 8))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2053,8 +2158,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_2 = i_prot.read_bytes()?;
-            val.push(list_elem_2);
+            let list_elem_3 = i_prot.read_bytes()?;
+            val.push(list_elem_3);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -2539,8 +2644,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<RowNote> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_3 = RowNote::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_3);
+            let list_elem_4 = RowNote::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_4);
           }
           i_prot.read_list_end()?;
           f_3 = Some(val);
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -69,6 +69,7 @@
                 asked_ms: Some(7),
                 fresh_ms: None,
                 wants_word: None,
+                evacuations: None,
                 reply: false,
                 revision: 3,
                 members: Vec::new(),
