Space the requests to a cold backend server by its service's rate

Cause: a server's report that it is cold was used only when the server registered, and the rate that the operator declares for cold servers was not read.

The daemon beside the server, its only sender, spaces its requests while it is cold, without a burst (decide::cold_start); its slow start begins anew when it becomes cold again. Rates below zero are refused with an error that names them.

--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -144,6 +144,9 @@
     /// Share of requests that may be retried, 0 to 1.
     #[serde(default = "default_budget")]
     pub retry_budget: f64,
+    /// Requests per second that each backend server bears while it is cold, 0 for no bound.
+    #[serde(default)]
+    pub cold_rate: f64,
 }
 
 fn default_floor() -> f64 {
@@ -429,7 +432,8 @@
 fn check_service(path: &str, spec: &ServiceSpec) -> Result<(), ResourceError> {
     check_range(path, "floor", spec.floor, 0.0, 1.0)?;
     check_range(path, "queue", spec.queue.into(), 0.0, QUEUE_MAX.into())?;
-    check_range(path, "retry_budget", spec.retry_budget, 0.0, 1.0)
+    check_range(path, "retry_budget", spec.retry_budget, 0.0, 1.0)?;
+    check_range(path, "cold_rate", spec.cold_rate, 0.0, RATE_MAX)
 }
 
 fn check_server(path: &str, spec: &BackendServer) -> Result<(), ResourceError> {
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -280,17 +280,18 @@
 fn service_entry(state: &DaemonState, declaration: &ServiceDeclaration) -> ServiceEntry {
     ServiceEntry {
         name: Rc::from(declaration.name.as_str()),
-        spec: service_spec(&state.live().defaults),
+        spec: service_spec(&state.live().defaults, declaration),
         upstreams: state.roster.upstreams(&declaration.name, declaration.connections),
     }
 }
 
-fn service_spec(defaults: &ServiceDefaults) -> ServiceSpec {
+fn service_spec(defaults: &ServiceDefaults, declaration: &ServiceDeclaration) -> ServiceSpec {
     ServiceSpec {
         floor: defaults.floor,
         prefer: defaults.prefer,
         queue: defaults.queue,
         retry_budget: defaults.retry_share,
+        cold_rate: declaration.cold_rate,
     }
 }
 
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -400,6 +400,23 @@
         Ok(())
     }
 
+    /// Waits until a cold backend server can bear the request. The request keeps its slot meanwhile,
+    /// so that the reported load tells ingresses to send requests elsewhere.
+    async fn await_turn(&self, body: &EventPipe) -> Result<(), NotRunReason> {
+        let wait = self.upstream.reserve_turn(self.state.now());
+        if wait.is_zero() {
+            return Ok(());
+        }
+        if wait >= self.time_left() {
+            return Err(NotRunReason::QueueFull);
+        }
+        let waiting = async {
+            monoio::time::sleep(wait).await;
+            Ok(())
+        };
+        unless_cancelled(body, waiting).await
+    }
+
     /// Sends the request to the backend server and relays its response.
     pub async fn forward(
         &self,
@@ -411,6 +428,7 @@
         if self.time_left().is_zero() {
             return Err(FailureOutcome::NotRun(NotRunReason::DeadlinePassed));
         }
+        self.await_turn(body).await.map_err(FailureOutcome::NotRun)?;
         let connecting = async { Ok(self.upstream.pool.take().await) };
         let take_result =
             unless_cancelled(body, connecting).await.map_err(FailureOutcome::NotRun)?;
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -115,14 +115,14 @@
                     known.configure(&upstream.server, &service.spec);
                 }
                 _ => {
+                    let cold_for = state.registrations.cold_for(&upstream.name, state.now());
                     let cold = match state.options.source {
                         ConfigSource::Resources => cold,
-                        ConfigSource::Document => {
-                            state.registrations.is_cold(&upstream.name, state.now())
-                        }
+                        ConfigSource::Document => !cold_for.is_zero(),
                     };
                     let new_upstream =
                         HostUpstream::new(upstream, service, state.clock.clone(), cold);
+                    new_upstream.note_cold(cold_for, state.now());
                     upstreams.insert(upstream.name.clone(), Rc::new(new_upstream));
                 }
             }
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -14,6 +14,7 @@
 use basaltarch_core::services::{ServiceEntry, UpstreamEntry};
 use basaltarch_decide::adaptive_timeout::AdaptiveTimeout;
 use basaltarch_decide::breaker::FailureKind;
+use basaltarch_decide::cold_start::ColdStart;
 use basaltarch_decide::evidence::RequestEvidence;
 use basaltarch_decide::health::{
     AdmitVerdict, DispatchTerms, HealthChange, UpstreamHealth, WatchEnd,
@@ -46,6 +47,7 @@
     /// Adaptive timeout of the backend server's requests.
     pub adaptive_timeout: RefCell<AdaptiveTimeout>,
     draining_until: Cell<Duration>,
+    cold_start: RefCell<ColdStart>,
     /// Whether the failure domain of the backend server is evacuated.
     evacuated: Cell<bool>,
     unreachable: Cell<bool>,
@@ -63,6 +65,8 @@
     ) -> Self {
         let now = clock.now();
         let server = &upstream.server;
+        let mut cold_start = ColdStart::default();
+        cold_start.set_rate(service.spec.cold_rate);
         Self {
             name: upstream.name.clone(),
             service: service.name.clone(),
@@ -72,6 +76,7 @@
             pool: BackendPool::new(server.address, server.connections as usize),
             adaptive_timeout: RefCell::default(),
             draining_until: Cell::new(Duration::ZERO),
+            cold_start: RefCell::new(cold_start),
             evacuated: Cell::new(false),
             unreachable: Cell::new(false),
             last_success_at: Cell::new(Duration::ZERO),
@@ -82,6 +87,7 @@
     pub fn configure(&self, server: &Rc<BackendServer>, spec: &ServiceSpec) {
         self.slots.configure(server.slots, spec.queue);
         self.health.borrow_mut().set_prefer(spec.prefer);
+        self.cold_start.borrow_mut().set_rate(spec.cold_rate);
         self.pool.configure(server.address, server.connections as usize);
         *self.server.borrow_mut() = server.clone();
         if server.state == ServerState::Draining {
@@ -132,6 +138,20 @@
         self.server.borrow().state == ServerState::Draining || self.draining_until.get() > now
     }
 
+    /// Records for how long the backend server says that it stays cold. The load of a server that
+    /// has become cold rises slowly.
+    pub fn note_cold(&self, cold_for: Duration, now: Duration) {
+        if self.cold_start.borrow_mut().note(cold_for, now) {
+            self.health.borrow_mut().note_restart(now);
+        }
+    }
+
+    /// Reserves the turn of a request at the backend server, and returns how long the request waits
+    /// for its turn. Only a cold server makes requests wait.
+    pub fn reserve_turn(&self, now: Duration) -> Duration {
+        self.cold_start.borrow_mut().reserve(now)
+    }
+
     /// Records whether the failure domain of the backend server is evacuated. Requests that wait
     /// for a slot at the start of an evacuation are refused, so that they can be sent to other
     /// upstreams.
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -60,9 +60,10 @@
 }
 
 impl RegistrationTable {
-    /// Says whether an upstream is still in the warm-up time after its start.
-    pub fn is_cold(&self, upstream: &str, now: Duration) -> bool {
-        self.cold_until.borrow().get(upstream).is_some_and(|until| *until > now)
+    /// Returns for how long an upstream stays cold, by its last report.
+    pub fn cold_for(&self, upstream: &str, now: Duration) -> Duration {
+        let until = self.cold_until.borrow().get(upstream).copied();
+        until.unwrap_or_default().saturating_sub(now)
     }
 
     /// Classifies a heartbeat, and records the heartbeat's incarnation and sequence number.
@@ -206,14 +207,23 @@
     verdict
 }
 
+/// Records for how long a backend server says that it stays cold.
+fn note_cold(state: &DaemonState, name: &str, cold_for: Duration) {
+    let now = state.now();
+    let mut cold_times = state.registrations.cold_until.borrow_mut();
+    match cold_for.is_zero() {
+        true => cold_times.remove(name),
+        false => cold_times.insert(name.to_owned(), now + cold_for),
+    };
+    if let Some(upstream) = state.host.get(name) {
+        upstream.note_cold(cold_for, now);
+    }
+}
+
 /// Puts in force what a heartbeat reports.
 fn register_server(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) {
     let name = heartbeat.incarnation.upstream();
-    let cold_until = state.now() + heartbeat.cold_for;
-    if !heartbeat.cold_for.is_zero() {
-        let mut cold_times = state.registrations.cold_until.borrow_mut();
-        cold_times.insert(name.clone(), cold_until);
-    }
+    note_cold(state, &name, heartbeat.cold_for);
     let mut servers = state.roster.own_servers();
     let known = servers.iter().find(|server| server.name == name);
     let record = ServerRecord {
@@ -319,6 +329,9 @@
         Ok(reply) => {
             let name = incarnation::server_of(&server.name);
             let is_same = headers::answering_server(&reply.headers) == Some(name);
+            if is_same {
+                note_cold(state, &server.name, headers::cold_for(&reply.headers));
+            }
             reply.status == StatusCode::OK && is_same
         }
         Err(error) => {
--- a/crates/daemon/tests/common/registered.rs
+++ b/crates/daemon/tests/common/registered.rs
@@ -41,6 +41,7 @@
         name: name.to_owned(),
         health_path: "/health".to_owned(),
         connections: 300,
+        cold_rate: 0.0,
     };
     ConfigDocument {
         version,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod baseline;
 pub mod breaker;
 pub mod budget;
+pub mod cold_start;
 pub mod detector;
 pub mod distance;
 pub mod estimates;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -125,6 +125,7 @@
         name: (*name).to_owned(),
         health_path: "/health".to_owned(),
         connections: 300,
+        cold_rate: 0.0,
     };
     let mut routes = vec![
         route("steady", "/steady/", 0, WorkMode::Repeatable),
