Apply rows in batches and find hosts by an index

Cause: a change of one row cost every daemon work that grew with the fleet: all records were scanned for hosts at the same address (twice), all members for expired ones, and each service that the row names was laid out anew, so that a start of N hosts cost N squared. A rebuilt service then searched the earlier view of each of its upstreams by a linear search. "Who is live" and the neighbours copied all names, and the sort of the ring copied each name at each comparison. The retry budget counted all records for each request.

Rows that arrive together are applied together, and the services that they touch are laid out once. Records are found by address and by service (new crate `fleet`, without input or output). Expired members are removed once a round of heartbeats. Names are copied after they are chosen.

--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -37,7 +37,8 @@
 
 use crate::evacuations;
 use crate::feed::{FeedPlan, FeedReader, FeedUpdate};
-use crate::roster::{self, RelayedRecord};
+use crate::records::RelayedRecord;
+use crate::roster;
 use crate::state::DaemonState;
 
 /// Longest wait of a long poll of the operator's table. The wait is long because every daemon polls
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod links;
 pub mod membership;
 pub mod parts;
+pub mod records;
 pub mod registration;
 pub mod reload;
 pub mod resume;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -27,7 +27,7 @@
 use crate::evacuations;
 use crate::freshness;
 use crate::links;
-use crate::roster::HostRecord;
+use crate::records::HostRecord;
 use crate::state::DaemonState;
 
 /// Time between attempts to contact the seeds while no other daemon is known.
@@ -129,27 +129,42 @@
 
     /// Returns the hosts whose daemons are live, including this daemon's unless it is leaving.
     pub fn live_hosts(&self, state: &DaemonState) -> Vec<String> {
-        let members = self.members.borrow();
-        let live =
-            members.iter().filter(|(_, view)| self.state_of(state, view) == MemberState::Live);
-        let mut hosts: Vec<String> = live.map(|(host, _)| host.clone()).collect();
-        if !state.stop.is_handing_over() && !hosts.contains(&state.options.host) {
-            hosts.push(state.options.host.clone());
-        }
-        metrics::MEMBERS.set(hosts.len() as i64);
-        hosts
+        self.live_where(state, |_| true)
     }
 
     /// Returns the live hosts of this daemon's failure domain, including its own unless it is
     /// leaving.
     pub fn live_in_domain(&self, state: &DaemonState) -> Vec<String> {
-        let own_domain = &state.options.failure_domain;
-        let mut local_hosts = self.live_hosts(state);
+        self.live_where(state, |view| view.failure_domain == state.options.failure_domain)
+    }
+
+    /// Returns the live hosts that `is_wanted` accepts, and this daemon's host unless it is leaving.
+    fn live_where(
+        &self,
+        state: &DaemonState,
+        is_wanted: impl Fn(&MemberView) -> bool,
+    ) -> Vec<String> {
         let members = self.members.borrow();
-        let is_local =
-            |host: &String| members.get(host).is_none_or(|view| view.failure_domain == *own_domain);
-        local_hosts.retain(is_local);
-        local_hosts
+        let is_live = |view: &MemberView| self.state_of(state, view) == MemberState::Live;
+        let wanted = members.iter().filter(|(_, view)| is_wanted(view) && is_live(view));
+        let mut hosts: Vec<String> = wanted.map(|(host, _)| host.clone()).collect();
+        if !state.stop.is_handing_over() && !members.contains_key(&state.options.host) {
+            hosts.push(state.options.host.clone());
+        }
+        hosts
+    }
+
+    /// Removes members without a row that have sent no heartbeat for long, and counts the live
+    /// members for the metrics. Runs once a round of heartbeats rather than for each change of a
+    /// row, as the work grows with the number of members.
+    fn forget_expired(&self, state: &DaemonState) {
+        let now = state.now();
+        let mut members = self.members.borrow_mut();
+        let forget_after = suspect_after(state.options.heartbeat, members.len()) * FORGET_FACTOR;
+        let heartbeat_age = |view: &MemberView| now.saturating_sub(view.last_heartbeat_at);
+        members.retain(|_, view| view.listed || heartbeat_age(view) < forget_after);
+        drop(members);
+        metrics::MEMBERS.set(self.live_hosts(state).len() as i64);
     }
 
     /// Returns the number of other members, at least 1.
@@ -207,10 +222,6 @@
         if let Some(view) = members.get(host) {
             update_path(state, host, view);
         }
-        let now = state.now();
-        let forget_after = suspect_after(state.options.heartbeat, members.len()) * FORGET_FACTOR;
-        let heartbeat_age = |view: &MemberView| now.saturating_sub(view.last_heartbeat_at);
-        members.retain(|_, view| view.listed || heartbeat_age(view) < forget_after);
     }
 
     /// Records that a host has no row any more. Reports of the host's heartbeats are still used.
@@ -317,7 +328,7 @@
         self.round.set(round + 1);
         let members = self.members.borrow();
         let remaining = members.iter().filter(|(_, view)| !view.leaving);
-        let hosts = remaining.map(|(host, _)| host.clone()).collect();
+        let hosts = remaining.map(|(host, _)| host.as_str()).collect();
         neighbours::choose(&state.options.host, hosts, round)
     }
 
@@ -438,6 +449,7 @@
 /// Sends heartbeats to the neighbours for ever.
 pub async fn run(state: Rc<DaemonState>) {
     loop {
+        state.members.forget_expired(&state);
         send_heartbeats(&state, HeartbeatContent::Members);
         let pause = state.options.heartbeat.mul_f64(rand::random_range(0.9..1.1));
         monoio::time::sleep(pause).await;
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -26,7 +26,8 @@
 use monoio::net::TcpListener;
 
 use crate::admin;
-use crate::roster::{self, HostRecord, ServerRecord};
+use crate::records::{HostRecord, ServerRecord};
+use crate::roster;
 use crate::state::DaemonState;
 
 /// Maximum number of connections to one listener: of the backend servers of this host, or of the
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -9,16 +9,12 @@
 //! an outage of the store removes no host.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
-use std::mem;
-use std::net::SocketAddr;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use basaltarch_base::metrics;
 use basaltarch_base::signal::RisingSignal;
-use basaltarch_core::incarnation::{self, ServerIncarnation};
-use basaltarch_core::resources::{BackendServer, ServerState};
 use basaltarch_core::services::UpstreamEntry;
 use basaltarch_decide::limits;
 use basaltarch_events::{fleet, process};
@@ -28,14 +24,15 @@
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::RetryBackoff;
 use basaltarch_store::transaction::{RowCheck, RowWrite};
-use serde::{de, Deserialize, Serialize};
-use serde_json::{json, Value};
+use serde::Deserialize;
+use serde_json::json;
 
 use crate::document;
+use crate::records::{self, HostRecord, RecordTable, RelayedRecord, ServerRecord};
 use crate::registration;
 use crate::rows;
 use crate::state::DaemonState;
-use crate::suspects::{self, RefusedRecord};
+use crate::suspects;
 
 /// Name of the store's table with one row for each host.
 pub const HOSTS_TABLE: &str = "hosts";
@@ -56,98 +53,10 @@
 /// that not all daemons check at once.
 const SWEEP_JITTER_FACTOR: f64 = 1.5;
 
-/// `HostRecord` is what a host's daemon publishes about itself and the backend servers on its host.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct HostRecord {
-    /// Name of the host. A row that holds the record of another host is not valid.
-    #[serde(default)]
-    pub host: String,
-    /// Incarnation of the daemon; a later start has a higher number.
-    pub incarnation: i64,
-    /// Failure domain of the host.
-    pub failure_domain: String,
-    /// Address at which the daemon accepts links.
-    pub peer_address: String,
-    /// Address of the daemon's admin API.
-    pub admin_address: String,
-    /// Number of changes of the servers in this incarnation. Of two records of one incarnation, the
-    /// record with more changes is later.
-    #[serde(default)]
-    pub changes: u64,
-    /// Whether the daemon is leaving.
-    pub leaving: bool,
-    /// Backend servers that registered with the daemon.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub servers: Vec<ServerRecord>,
-    /// Refused requests whose last crash was on this host.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub refused: Vec<RefusedRecord>,
-}
-
-/// `ServerRecord` is one backend server that registered.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ServerRecord {
-    /// Name of this incarnation of the backend server.
-    pub name: String,
-    /// Service that the backend server is an upstream of.
-    pub service: String,
-    /// Address that the backend server listens on.
-    pub address: SocketAddr,
-    /// Number of requests that the backend server handles at once.
-    pub slots: u32,
-    /// Whether the backend server is leaving.
-    pub draining: bool,
-}
-
-/// `RelayedRecord` is a host's record that a peer relays.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RelayedRecord {
-    /// Name of the host.
-    pub host: String,
-    /// Record of the host.
-    pub record: HostRecord,
-}
-
-impl HostRecord {
-    /// Returns the sort key of a host's records: the incarnation, then the changes. The later of
-    /// two records has the greater key.
-    pub fn sort_key(&self) -> (i64, u64) {
-        (self.incarnation, self.changes)
-    }
-
-    /// Says whether the record lists a backend server of this name that is not draining.
-    pub fn is_in_use(&self, name: &str) -> bool {
-        self.servers.iter().any(|server| server.name == name && !server.draining)
-    }
-
-    fn services(&self) -> impl Iterator<Item = &str> {
-        self.servers.iter().map(|server| server.service.as_str())
-    }
-}
-
-impl ServerRecord {
-    /// Returns the backend server as an upstream of its service.
-    fn upstream(&self, host: &str, record: &HostRecord, connections: u32) -> UpstreamEntry {
-        let state = if self.draining { ServerState::Draining } else { ServerState::Active };
-        UpstreamEntry {
-            name: Rc::from(self.name.as_str()),
-            server: Rc::new(BackendServer {
-                service: self.service.clone(),
-                host: host.to_owned(),
-                address: self.address,
-                slots: self.slots,
-                connections,
-                failure_domain: record.failure_domain.clone(),
-                state,
-            }),
-        }
-    }
-}
-
 /// `HostRoster` holds the rows of all hosts, including the host of this daemon.
 #[derive(Debug, Default)]
 pub struct HostRoster {
-    records: RefCell<BTreeMap<String, HostRecord>>,
+    records: RefCell<RecordTable>,
     own_servers: RefCell<Vec<ServerRecord>>,
     own_changes: Cell<u64>,
     own_version: Cell<u64>,
@@ -173,7 +82,7 @@
 
     /// Returns the number of hosts with a daemon that is not leaving, at least 1.
     pub fn daemons(&self) -> usize {
-        self.records.borrow().values().filter(|record| !record.leaving).count().max(1)
+        self.records.borrow().daemons()
     }
 
     /// Returns the backend servers that registered with this daemon.
@@ -186,46 +95,9 @@
         self.records.borrow().get(host).cloned()
     }
 
-    /// Returns the other hosts whose daemon has the same peer address as `record` and an earlier
-    /// start: the daemon of `host` replaced their daemons at that address.
-    fn replaced_by(&self, host: &str, record: &HostRecord) -> Vec<String> {
-        let records = self.records.borrow();
-        let replaced = records.iter().filter(|(other, known)| {
-            *other != host
-                && known.peer_address == record.peer_address
-                && known.incarnation < record.incarnation
-        });
-        replaced.map(|(other, _)| other.clone()).collect()
-    }
-
-    /// Says whether the daemon of another host has the same peer address as `record` and a later
-    /// start, and so replaced the daemon of `host`.
-    fn is_replaced(&self, host: &str, record: &HostRecord) -> bool {
-        let records = self.records.borrow();
-        let mut others = records.iter().filter(|(other, _)| *other != host);
-        others.any(|(_, known)| {
-            known.peer_address == record.peer_address && known.incarnation > record.incarnation
-        })
-    }
-
     /// Returns the upstreams of a service in the order of their names.
     pub fn upstreams(&self, service: &str, connections: u32) -> Vec<UpstreamEntry> {
-        let mut upstreams = Vec::new();
-        for (host, record) in self.records.borrow().iter() {
-            let servers = record.servers.iter().filter(|server| server.service == service);
-            upstreams.extend(servers.map(|server| server.upstream(host, record, connections)));
-        }
-        upstreams.sort_by(|left, right| left.name.cmp(&right.name));
-        // If two hosts list the same server, the entry with the later start of the server is used.
-        // The other host refuses requests for the server as for an unknown upstream.
-        upstreams.dedup_by(|right, left| {
-            let is_same = incarnation::server_of(&left.name) == incarnation::server_of(&right.name);
-            if is_same && server_started_at(left) < server_started_at(right) {
-                mem::swap(left, right);
-            }
-            is_same
-        });
-        upstreams
+        self.records.borrow().upstreams(service, connections)
     }
 
     /// Says whether the departure of a backend server of this host was acknowledged while the row
@@ -260,11 +132,6 @@
     }
 }
 
-/// Returns when the backend server of an upstream started, if that is known.
-fn server_started_at(upstream: &UpstreamEntry) -> Option<u64> {
-    ServerIncarnation::of_upstream(&upstream.name).born
-}
-
 /// Returns this daemon's own record.
 fn own_record(state: &DaemonState) -> HostRecord {
     HostRecord {
@@ -302,7 +169,7 @@
     if is_draining || !before.iter().all(|server| record.is_in_use(&server.name)) {
         note_departure(state);
     }
-    update_record(state, &state.options.host, Some(record));
+    update_records(state, [(state.options.host.clone(), Some(record))]);
     document::put_host_in_force(state);
     state.roster.signal_change();
 }
@@ -346,17 +213,37 @@
     }
 }
 
-/// Updates a host's record, or removes it. A record that is earlier than the latest known record of
-/// the host is ignored.
-fn update_record(state: &Rc<DaemonState>, host: &str, record: Option<HostRecord>) {
+/// Updates the records of hosts, or removes them, and puts the touched services in force once. When
+/// a fleet starts, many records change at once, and the list of a service's upstreams grows with
+/// the fleet.
+fn update_records(
+    state: &Rc<DaemonState>,
+    records: impl IntoIterator<Item = (String, Option<HostRecord>)>,
+) {
+    let mut touched = BTreeSet::new();
+    for (host, record) in records {
+        update_record(state, &host, record, &mut touched);
+    }
+    let touched: Vec<String> = touched.into_iter().collect();
+    document::put_services_in_force(state, &touched);
+}
+
+/// Updates a host's record, or removes it, and adds the services of its backend servers to
+/// `touched`. A record that is earlier than the latest known record of the host is ignored.
+fn update_record(
+    state: &Rc<DaemonState>,
+    host: &str,
+    record: Option<HostRecord>,
+    touched: &mut BTreeSet<String>,
+) {
     let known = state.roster.record(host);
     if known == record {
         return;
     }
-    if record.as_ref().is_some_and(|record| state.roster.is_replaced(host, record)) {
-        return;
-    }
     if let Some(record) = &record {
+        if state.roster.records.borrow().is_replaced(host, record) {
+            return;
+        }
         let known_incarnation = known.as_ref().map_or(0, |known| known.incarnation);
         let latest = known_incarnation.max(state.members.incarnation(host));
         if record.incarnation < latest {
@@ -370,32 +257,22 @@
         if known.as_ref().is_some_and(|known| known.sort_key() > record.sort_key()) {
             return;
         }
-    }
-    if let Some(record) = &record {
-        for replaced in state.roster.replaced_by(host, record) {
+        let replaced_hosts = state.roster.records.borrow().replaced_by(host, record);
+        for replaced in replaced_hosts {
             fleet::HostReplaced { host: &replaced, by: host }.log();
-            update_record(state, &replaced, None);
+            update_record(state, &replaced, None, touched);
             state.roster.replaced_hosts.borrow_mut().push(replaced);
         }
     }
-    let mut touched_services: Vec<String> = Vec::new();
     for each in known.iter().chain(&record) {
-        touched_services.extend(each.services().map(str::to_owned));
+        touched.extend(each.services().map(str::to_owned));
     }
-    touched_services.sort();
-    touched_services.dedup();
     log_record(host, record.as_ref());
-    let mut records = state.roster.records.borrow_mut();
-    match &record {
-        Some(record) => drop(records.insert(host.to_owned(), record.clone())),
-        None => drop(records.remove(host)),
-    }
-    drop(records);
     match &record {
         Some(record) => state.members.note_record(state, host, record),
         None => state.members.note_removed(host),
     }
-    document::put_services_in_force(state, &touched_services);
+    state.roster.records.borrow_mut().set(host, record);
 }
 
 /// Logs the new record of a host, or that the host has no record any more.
@@ -420,6 +297,7 @@
 
 /// Applies each record that a peer relayed and that is later than the known record of its host.
 pub fn apply_relayed(state: &Rc<DaemonState>, relayed: Vec<RelayedRecord>) {
+    let mut later_records = Vec::new();
     for RelayedRecord { host, record } in relayed {
         suspects::apply_records(state, &host, &record.refused);
         if host == state.options.host {
@@ -428,42 +306,54 @@
         }
         let known = state.roster.record(&host);
         if known.is_none_or(|known| known.sort_key() < record.sort_key()) {
-            update_record(state, &host, Some(record));
+            later_records.push((host, Some(record)));
         }
     }
+    update_records(state, later_records);
 }
 
 /// Applies the whole table: adopts its rows, and removes the hosts that have no row in the table.
 pub fn apply_table(state: &Rc<DaemonState>, page: &RowsPage) {
-    for row in &page.rows {
-        apply_row(state, row);
-    }
-    let is_gone = |host: &String| !page.rows.iter().any(|row| row.key == *host);
-    let hosts: Vec<String> = state.roster.records.borrow().keys().cloned().collect();
-    for host in hosts.into_iter().filter(is_gone) {
-        apply_removal(state, &host);
-    }
+    apply_rows(state, &page.rows);
+    let listed: BTreeSet<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
+    let records = state.roster.records.borrow();
+    let is_gone = |host: &&str| !listed.contains(host);
+    let gone: Vec<String> =
+        records.iter().map(|(host, _)| host).filter(is_gone).map(str::to_owned).collect();
+    drop(records);
+    let removals = gone.into_iter().filter_map(|host| record_of_removal(state, host));
+    update_records(state, removals.collect::<Vec<_>>());
     state.roster.signal_change();
 }
 
-/// Applies one row, or its removal.
-pub fn apply_row(state: &Rc<DaemonState>, row: &StoredRow) {
+/// Applies rows, or their removals.
+pub fn apply_rows(state: &Rc<DaemonState>, rows: &[StoredRow]) {
+    let records: Vec<_> = rows.iter().filter_map(|row| record_of_row(state, row)).collect();
+    update_records(state, records);
+}
+
+/// Reads a row. Returns the record with which to update its host, `None` if this daemon keeps the
+/// known record. A row of this daemon's own is applied at once.
+fn record_of_row(state: &Rc<DaemonState>, row: &StoredRow) -> Option<(String, Option<HostRecord>)> {
     let value = match &row.value {
         RowValue::Bytes(value) => value,
-        RowValue::Gone => return apply_removal(state, &row.key),
-        RowValue::Unreadable(_) => return note_unreadable(state, row),
+        RowValue::Gone => return record_of_removal(state, row.key.clone()),
+        RowValue::Unreadable(_) => {
+            note_unreadable(state, row);
+            return None;
+        }
     };
-    let record = match read_record(&row.key, value) {
+    let record = match records::read_record(&row.key, value) {
         Ok(record) => record,
         Err(error) => {
             fleet::HostUnreadable { host: &row.key, error: &error.to_string() }.log();
             note_unreadable(state, row);
-            return;
+            return None;
         }
     };
     suspects::apply_records(state, &row.key, &record.refused);
     if row.key != state.options.host {
-        return update_record(state, &row.key, Some(record));
+        return Some((row.key.clone(), Some(record)));
     }
     // The row is outdated if the store has answered a later write of this daemon in the meantime.
     if row.version > state.roster.own_version.get() {
@@ -476,6 +366,7 @@
         fleet::LaterStart { incarnation: record.incarnation, own }.log();
     }
     state.roster.signal_change();
+    None
 }
 
 /// Handles a row that can't be read because a program other than a daemon wrote the row. The known
@@ -489,39 +380,6 @@
     }
 }
 
-/// Reads the record in the row of a host. Backend servers that can't be read are left out.
-pub fn read_record(host: &str, bytes: &[u8]) -> Result<HostRecord, serde_json::Error> {
-    let mut value: Value = serde_json::from_slice(bytes)?;
-    let servers = take_list(&mut value, "servers");
-    let refused = take_list(&mut value, "refused");
-    let mut record = HostRecord::deserialize(value)?;
-    if !record.host.is_empty() && record.host != host {
-        return Err(de::Error::custom(format_args!("it is the record of {}", record.host)));
-    }
-    let refused = refused.into_iter();
-    record.refused = refused.filter_map(|each| RefusedRecord::deserialize(each).ok()).collect();
-    let listed_count = servers.len();
-    record.servers = servers.into_iter().filter_map(readable_server).collect();
-    let servers = (listed_count - record.servers.len()) as u64;
-    if servers > 0 {
-        fleet::ServersUnreadable { host, servers }.log();
-    }
-    Ok(record)
-}
-
-/// Removes a list from a record. A value that is not a list counts as an empty list.
-fn take_list(record: &mut Value, name: &str) -> Vec<Value> {
-    match record.as_object_mut().and_then(|fields| fields.remove(name)) {
-        Some(Value::Array(list)) => list,
-        _ => Vec::new(),
-    }
-}
-
-fn readable_server(value: Value) -> Option<ServerRecord> {
-    let server = ServerRecord::deserialize(value).ok()?;
-    (!server.name.is_empty() && server.slots > 0).then_some(server)
-}
-
 /// Recovers the record that an earlier incarnation of this daemon published, from the store or a
 /// peer.
 fn recover_own_servers(state: &Rc<DaemonState>, record: &HostRecord) {
@@ -534,15 +392,20 @@
     }
 }
 
-fn apply_removal(state: &Rc<DaemonState>, host: &str) {
+/// Returns the update that removes the record of a host, `None` if the host is this daemon's own.
+fn record_of_removal(
+    state: &Rc<DaemonState>,
+    host: String,
+) -> Option<(String, Option<HostRecord>)> {
     if host != state.options.host {
-        return update_record(state, host, None);
+        return Some((host, None));
     }
     // Other daemons considered this daemon's host gone and removed its row, so the row is written
     // again.
     state.roster.own_version.set(0);
     state.roster.note_written(None);
     state.roster.signal_change();
+    None
 }
 
 /// Writes this daemon's row whenever its record has changed, for ever.
@@ -595,7 +458,7 @@
         Ok(version) => {
             state.roster.own_version.set(version);
             state.roster.note_written(Some(record.clone()));
-            update_record(state, &state.options.host, Some(record.clone()));
+            update_records(state, [(state.options.host.clone(), Some(record.clone()))]);
             Ok(())
         }
         // The store holds another row, for example the row of an earlier incarnation. This stored
@@ -641,7 +504,7 @@
     let key = row_key(host);
     let row = match state.platform.read(&key).await {
         Ok(Some(row)) => row,
-        Ok(None) => return update_record(state, host, None),
+        Ok(None) => return update_records(state, [(host.to_owned(), None)]),
         Err(_) => return,
     };
     let check = RowCheck { key: key.clone(), version: row.version };
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -29,7 +29,8 @@
 
 use crate::feed::{FeedPlan, FeedReader, FeedUpdate};
 use crate::links;
-use crate::roster::{self, RelayedRecord, FAILED_CALL_PAUSE_MAX, HOSTS_TABLE};
+use crate::records::{self, RelayedRecord};
+use crate::roster::{self, FAILED_CALL_PAUSE_MAX, HOSTS_TABLE};
 use crate::state::DaemonState;
 
 /// How the feed of the table of hosts is followed. Changes in quick succession, as when a fleet
@@ -258,11 +259,9 @@
         FeedUpdate::Changes(page) => {
             state.rows.is_reading.set(true);
             let news = changes_of_page(state.rows.version.get(), &page);
-            for row in &page.rows {
-                roster::apply_row(state, row);
-                if let Some(note) = row_note(row) {
-                    state.rows.store_row_note(note);
-                }
+            roster::apply_rows(state, &page.rows);
+            for note in page.rows.iter().filter_map(row_note) {
+                state.rows.store_row_note(note);
             }
             state.rows.version.set(state.rows.version.get().max(page.version));
             state.rows.forward_changes(&news, state.now());
@@ -371,8 +370,9 @@
     if news.after > known {
         return subscribe(state, &peer.host);
     }
+    let rows: Vec<StoredRow> = news.rows.iter().map(stored_row).collect();
+    roster::apply_rows(state, &rows);
     for note in news.rows {
-        roster::apply_row(state, &stored_row(&note));
         state.rows.store_row_note(note);
     }
     state.rows.version.set(news.version as u64);
@@ -397,7 +397,7 @@
 }
 
 fn relayed_record(peer: &PeerIdentity, note: &RowNote) -> Option<RelayedRecord> {
-    match roster::read_record(&note.key, note.value.as_deref()?) {
+    match records::read_record(&note.key, note.value.as_deref()?) {
         Ok(record) => Some(RelayedRecord { host: note.key.clone(), record }),
         Err(error) => {
             let (host, error) = (&*peer.host, &error.to_string());
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -527,7 +527,8 @@
         Some(known) => known,
         None => return new_view,
     };
-    let index = known.entry.upstreams.iter().position(|upstream| &*upstream.name == name);
+    // Upstreams are in the order of their names.
+    let index = known.entry.upstreams.binary_search_by(|upstream| (*upstream.name).cmp(name)).ok();
     let view = known.view.borrow();
     match index.and_then(|index| view.upstreams().get(index)) {
         Some(previous_view) => LoadView {
--- a/crates/daemon/tests/foreign.rs
+++ b/crates/daemon/tests/foreign.rs
@@ -6,7 +6,8 @@
 
 mod common;
 
-use basaltarch_daemon::roster::{self, HOSTS_TABLE};
+use basaltarch_daemon::records;
+use basaltarch_daemon::roster::HOSTS_TABLE;
 use basaltarch_platform::rows;
 use common::client;
 use common::eventually;
@@ -150,7 +151,7 @@
         let mut record = build_foreign_record(&good_server);
         let servers = record["servers"].as_array_mut().expect("servers");
         servers.insert(usize::from(!is_entry_first), entry);
-        let record = roster::read_record("host", record.to_string().as_bytes()).expect("a record");
+        let record = records::read_record("host", record.to_string().as_bytes()).expect("a record");
         prop_assert!(record.is_in_use("i-good"));
     }
 
@@ -161,7 +162,7 @@
         let mut record = build_foreign_record(&build_foreign_server()).to_string().into_bytes();
         let position = position % record.len();
         record[position] = byte;
-        let _ = roster::read_record("host", &record);
-        let _ = roster::read_record("host", &random_bytes);
+        let _ = records::read_record("host", &record);
+        let _ = records::read_record("host", &random_bytes);
     }
 }
--- a/crates/decide/src/neighbours.rs
+++ b/crates/decide/src/neighbours.rs
@@ -24,30 +24,30 @@
 
 /// Chooses the neighbours of the host `own` among the other hosts of the fleet. `round` is the
 /// number of the heartbeat round: the last neighbour changes every [`ROTATION_ROUNDS`] rounds.
-pub fn choose(own: &str, mut hosts: Vec<String>, round: u64) -> Vec<String> {
+pub fn choose(own: &str, mut hosts: Vec<&str>, round: u64) -> Vec<String> {
     let mut chosen = ring_neighbours(own, &hosts);
     hosts.retain(|host| !chosen.contains(host));
     while chosen.len() < NEIGHBOURS && !hosts.is_empty() {
         let rotating = chosen.len() + 1 == NEIGHBOURS;
         let rotation = if rotating { round / ROTATION_ROUNDS } else { 0 };
         let seed = format!("{own}#{rotation}#{}", chosen.len());
-        let next_host = limits::owner_of(&seed, hosts.iter().map(String::as_str));
-        let next_host = match next_host {
-            Some(next_host) => next_host.to_owned(),
-            None => break,
-        };
+        let Some(next_host) = limits::owner_of(&seed, hosts.iter().copied()) else { break };
         hosts.retain(|host| *host != next_host);
         chosen.push(next_host);
     }
-    chosen
+    chosen.into_iter().map(str::to_owned).collect()
 }
 
 /// Returns the [`RING_NEIGHBOURS`] hosts that follow the host `own` on the ring.
-fn ring_neighbours(own: &str, hosts: &[String]) -> Vec<String> {
-    let ring_position = |host: &str| (limits::weight(RING_KEY, host), host.to_owned());
+fn ring_neighbours<'a>(own: &'a str, hosts: &[&'a str]) -> Vec<&'a str> {
+    let ring_position = |host: &'a str| (limits::weight(RING_KEY, host), host);
     let start = ring_position(own);
-    let mut positions: Vec<_> = hosts.iter().map(|host| ring_position(host)).collect();
     // Hosts before the position of `own` come last, as the ring closes.
-    positions.sort_by_key(|ring_position| (*ring_position < start, ring_position.clone()));
-    positions.into_iter().take(RING_NEIGHBOURS).map(|(_, host)| host).collect()
+    let follow_position = |host: &&'a str| {
+        let position = ring_position(host);
+        (position < start, position)
+    };
+    let mut following: Vec<_> = hosts.iter().map(follow_position).collect();
+    following.sort_unstable();
+    following.into_iter().take(RING_NEIGHBOURS).map(|(_, (_, host))| host).collect()
 }
--- a/crates/decide/tests/neighbours.rs
+++ b/crates/decide/tests/neighbours.rs
@@ -13,7 +13,7 @@
 fn notified_by_host(count: usize, round: u64) -> BTreeMap<String, Vec<String>> {
     let names: Vec<String> = (0..count).map(|number| format!("host-{number}")).collect();
     let targets = |own: &String| {
-        let others = names.iter().filter(|name| *name != own).cloned().collect();
+        let others = names.iter().filter(|name| *name != own).map(String::as_str).collect();
         (own.clone(), neighbours::choose(own, others, round))
     };
     names.iter().map(targets).collect()
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,9 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! What a daemon knows of all hosts of the fleet, without input or output.
+//!
+//! The work for one change must not grow with the number of hosts, since the number of changes does
+//! as well. [`host_index`] finds hosts by what their rows say of them.
+
+pub mod host_index;
