Relay rows in parts that subscribers ask for, packed, and once

Cause: a reader answered with all rows after a version in one frame. From about 800 hosts on the table doesn't fit a frame (256 KiB); the send failed, the error was dropped, and whoever needed the rows heard nothing.

A reader sends at most one part at a time, of 32 KiB of rows, packed once for all subscribers with the same version; the subscriber asks for the next. Only the first reader sends changes as they arrive, the second answers requests. What is queued is bounded by the part, whatever the size of the table.

verify_more_changes_than_a_frame_holds_reach_a_host_refused_by_the_store fails before ("not within 40s").

--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -10,20 +10,29 @@
 //! receives nothing from any reader for a while reads the store itself. All daemons of a failure
 //! domain choose the same two readers by rendezvous hashing over the members they know. If two
 //! daemons choose different readers for a moment, the only cost is additional calls.
+//!
+//! A reader sends one part of the changes at a time, and the subscriber asks for the next. What a
+//! reader queues for its subscribers is therefore bounded by the size of a part, whatever the size
+//! of the table. Only the first reader sends changes as they arrive. The second reader answers
+//! requests, so that most changes are sent to a daemon once.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use basaltarch_base::metrics;
 use basaltarch_base::signal::RisingSignal;
+use basaltarch_core::units;
 use basaltarch_decide::limits;
 use basaltarch_events::fleet;
+use basaltarch_fleet::row_log::{RowLog, RowState};
+use basaltarch_peer::errors::LinkError;
 use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_peer::protocol::{FrameBody, RowNote, RowsNews, RowsRequest};
+use basaltarch_peer::row_list;
 use basaltarch_platform::rows::{RowValue, RowsPage, StoredRow};
 use basaltarch_store::platform::FEED_WAIT;
 
@@ -57,8 +66,15 @@
 const READER_UNRESPONSIVE_AFTER: Duration = Duration::from_millis(2500);
 /// Time for which an unresponsive reader is not chosen. Later, the reader may have recovered.
 const READER_AVOID_TIME: Duration = Duration::from_secs(20);
-/// Maximum number of removed rows that are remembered: as many as a large fleet removes in an hour.
-const REMOVED_ROWS_MAX: usize = 512;
+/// Number of bytes of rows from which a message holds no further row. A small host sends a message
+/// of this size to each daemon of a large failure domain within a few seconds.
+const PART_BYTES: usize = 32 * units::KIB;
+/// Maximum number of packed parts that are kept for other subscribers with the same version: more
+/// than the parts of the whole table of a large fleet.
+const PACKED_PARTS_MAX: usize = 64;
+/// Number of bytes queued for a subscriber from which no change is sent to it as it arrives. The
+/// subscriber asks for the changes with its next request.
+const SUBSCRIBER_QUEUE_MAX: u64 = 64 * 1024;
 /// Version of a message that carries a relayed record. A daemon sends a relayed record directly to
 /// its peers, bypassing the store. All versions of the table are higher than this number.
 const RELAYED_VERSION: i64 = 0;
@@ -79,9 +95,9 @@
     changes_missed: RisingSignal,
     /// Every row with the version of its last change, to be sent to daemons with an earlier version
     /// of the table.
-    notes: RefCell<BTreeMap<String, RowNote>>,
-    /// Version up to which removed rows may have been forgotten.
-    forgotten_up_to: Cell<i64>,
+    log: RefCell<RowLog>,
+    /// Packed parts of the changes up to the current version, by the version that they follow.
+    packed_parts: RefCell<BTreeMap<u64, RowsNews>>,
     readers: RefCell<Vec<RowsReader>>,
     subscribers: RefCell<Vec<RowsSubscriber>>,
 }
@@ -99,6 +115,8 @@
 struct RowsSubscriber {
     host: String,
     sender: FrameSender,
+    takes_packed: bool,
+    on_request_only: bool,
     expires_at: Duration,
 }
 
@@ -160,55 +178,85 @@
         false
     }
 
-    /// Stores the current state of a row. If more than [`REMOVED_ROWS_MAX`] removed rows are
-    /// stored, the row that was removed first is forgotten.
-    fn store_row_note(&self, note: RowNote) {
-        let mut notes = self.notes.borrow_mut();
-        notes.insert(note.key.clone(), note);
-        let removed = notes.values().filter(|note| note.value.is_none());
-        if removed.clone().count() <= REMOVED_ROWS_MAX {
-            return;
-        }
-        let oldest = removed.min_by_key(|note| note.version).cloned();
-        if let Some(oldest) = oldest {
-            notes.remove(&oldest.key);
-            self.forgotten_up_to.set(oldest.version.max(self.forgotten_up_to.get()));
-        }
+    /// Stores rows, and sets the version up to which this daemon has applied all changes.
+    fn store_rows(&self, rows: &[StoredRow], version: u64) {
+        let mut log = self.log.borrow_mut();
+        rows.iter().filter_map(row_state).for_each(|row| log.put(row));
+        self.set_version(version);
     }
 
     /// Stores the whole table. A stored row that is missing from the table is recorded as removed
     /// at the version of the table.
     fn store_table(&self, page: &RowsPage) {
-        let version = page.version as i64;
-        let is_missing = |note: &&RowNote| {
-            note.value.is_some() && !page.rows.iter().any(|row| row.key == note.key)
-        };
-        let missing: Vec<RowNote> =
-            self.notes.borrow().values().filter(is_missing).cloned().collect();
-        missing
-            .into_iter()
-            .for_each(|note| self.store_row_note(RowNote { value: None, version, ..note }));
-        page.rows.iter().filter_map(row_note).for_each(|note| self.store_row_note(note));
+        let listed: HashSet<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
+        self.log.borrow_mut().remove_unlisted(&listed, page.version);
+        self.store_rows(&page.rows, page.version);
+    }
+
+    fn set_version(&self, version: u64) {
+        self.version.set(version);
+        self.packed_parts.borrow_mut().clear();
+    }
+
+    /// Returns the first changes after the version `after` of the table.
+    fn news_after(&self, after: u64) -> RowsNews {
+        let version = self.version.get();
+        let log = self.log.borrow();
+        if log.has_forgotten(after) {
+            let rows = Vec::new();
+            return build_news(after.min(version), version, rows, true);
+        }
+        let part = log.part_after(after, PART_BYTES);
+        let rows = part.rows.into_iter().map(row_note).collect();
+        let up_to = part.up_to.unwrap_or(version);
+        let news = build_news(after.min(version), up_to, rows, false);
+        RowsNews { more: part.up_to.map(|_| true), ..news }
+    }
+
+    /// Returns the first changes after the version `after` of the table, in packed form. A part is
+    /// packed once for all subscribers with the same version.
+    fn packed_news_after(&self, after: u64) -> RowsNews {
+        if let Some(news) = self.packed_parts.borrow().get(&after) {
+            return news.clone();
+        }
+        let mut news = self.news_after(after);
+        if news.rows.is_empty() {
+            return news;
+        }
+        match row_list::pack(news.rows.clone()) {
+            Ok(packed) => news = RowsNews { rows: Vec::new(), packed: Some(packed), ..news },
+            // Rows that can't be packed are sent as they are.
+            Err(_) => return news,
+        }
+        let mut parts = self.packed_parts.borrow_mut();
+        if parts.len() >= PACKED_PARTS_MAX {
+            parts.clear();
+        }
+        parts.insert(after, news.clone());
+        news
     }
 
-    /// Returns the changes after the version `after` of the table.
-    fn changes_after(&self, after: i64) -> RowsNews {
-        let version = self.version.get() as i64;
-        let forgotten = after > 0 && after < self.forgotten_up_to.get();
-        let notes = self.notes.borrow();
-        let rows = notes.values().filter(|note| note.version > after && !forgotten);
-        RowsNews { after: after.min(version), version, rows: rows.cloned().collect(), forgotten }
+    /// Sends the first changes after the version `after` to a subscriber.
+    fn send_news(&self, subscriber: &RowsSubscriber, after: u64) -> Result<u64, LinkError> {
+        let news = match subscriber.takes_packed {
+            true => self.packed_news_after(after),
+            false => self.news_after(after),
+        };
+        subscriber.sender.send(NO_EXCHANGE, FrameBody::RowsNews(news))
     }
 
-    /// Sends changes to all subscribers.
-    fn forward_changes(&self, news: &RowsNews, now: Duration) {
+    /// Sends the changes after the version `after` to the subscribers that take changes as they
+    /// arrive.
+    fn forward_changes(&self, after: u64, now: Duration) {
         let mut subscribers = self.subscribers.borrow_mut();
         subscribers.retain(|subscriber| {
-            let try_send =
-                || subscriber.sender.send(NO_EXCHANGE, FrameBody::RowsNews(news.clone()));
+            let is_behind = subscriber.sender.bytes_waiting() > SUBSCRIBER_QUEUE_MAX;
             // A subscriber that can't be sent to is dropped: a daemon that still runs subscribes
             // again over its new link.
-            subscriber.expires_at > now && try_send().is_ok()
+            subscriber.expires_at > now
+                && (subscriber.on_request_only
+                    || is_behind
+                    || self.send_news(subscriber, after).is_ok())
         });
     }
 }
@@ -258,14 +306,11 @@
         }
         FeedUpdate::Changes(page) => {
             state.rows.is_reading.set(true);
-            let news = changes_of_page(state.rows.version.get(), &page);
+            let before = state.rows.version.get();
             roster::apply_rows(state, &page.rows);
-            for note in page.rows.iter().filter_map(row_note) {
-                state.rows.store_row_note(note);
-            }
-            state.rows.version.set(state.rows.version.get().max(page.version));
-            state.rows.forward_changes(&news, state.now());
+            state.rows.store_rows(&page.rows, before.max(page.version));
             if !page.rows.is_empty() {
+                state.rows.forward_changes(before, state.now());
                 reader.pause_after_changes().await;
             }
         }
@@ -276,7 +321,6 @@
 fn adopt_table(state: &Rc<DaemonState>, page: &RowsPage) {
     roster::apply_table(state, page);
     state.rows.store_table(page);
-    state.rows.version.set(page.version);
 }
 
 /// Waits for up to [`SUBSCRIPTION_RENEW_INTERVAL`], and reads the whole table if relayed changes
@@ -294,8 +338,9 @@
     }
 }
 
-/// Asks the readers of this daemon's failure domain for changes, for ever. If this daemon is itself
-/// a reader and gets no answer from the store, it asks the other reader.
+/// Asks the readers of this daemon's failure domain for changes, for ever. The first reader also
+/// sends changes as they arrive. If this daemon is itself a reader and gets no answer from the
+/// store, it asks the other reader.
 pub async fn renew_subscriptions(state: Rc<DaemonState>) {
     loop {
         monoio::time::sleep(SUBSCRIPTION_RENEW_INTERVAL).await;
@@ -305,22 +350,33 @@
             continue;
         }
         readers.retain(|host| *host != state.options.host);
-        for host in readers {
-            state.rows.note_request(&host, state.now());
-            subscribe(&state, &host);
+        for (index, host) in readers.iter().enumerate() {
+            state.rows.note_request(host, state.now());
+            subscribe(&state, host, RowsOrder { on_request_only: index > 0 });
         }
     }
 }
 
+/// `RowsOrder` says which changes a subscriber wants.
+#[derive(Debug, Clone, Copy)]
+struct RowsOrder {
+    /// Whether changes are sent only in answer to a request.
+    on_request_only: bool,
+}
+
 /// Sends a reader a request for changes. If no link can be established, the reader counts as
 /// unresponsive after a while.
-fn subscribe(state: &Rc<DaemonState>, host: &str) {
+fn subscribe(state: &Rc<DaemonState>, host: &str, order: RowsOrder) {
     let path = state.peers.path(host);
     let state = state.clone();
     monoio::spawn(async move {
         path.note_used(state.now());
         if let Ok(link) = links::link_to(&state, &path).await {
-            let request = RowsRequest { version: state.rows.version.get() as i64 };
+            let request = RowsRequest {
+                version: state.rows.version.get() as i64,
+                takes_packed: Some(true),
+                on_request_only: Some(order.on_request_only),
+            };
             let _ = link.sender().send(NO_EXCHANGE, FrameBody::RowsRequest(request));
         }
     });
@@ -340,18 +396,19 @@
     let subscriber = RowsSubscriber {
         host: peer.host.clone(),
         sender: sender.clone(),
+        takes_packed: request.takes_packed == Some(true),
+        on_request_only: request.on_request_only == Some(true),
         expires_at: state.now() + SUBSCRIPTION_TTL,
     };
+    // A send error is ignored: a peer whose link has ended needs no answer.
+    let _ = state.rows.send_news(&subscriber, request.version.max(0) as u64);
     let mut subscribers = state.rows.subscribers.borrow_mut();
     subscribers.retain(|known| known.host != peer.host);
     subscribers.push(subscriber);
-    let news = state.rows.changes_after(request.version);
-    // A send error is ignored: a peer whose link has ended needs no answer.
-    let _ = sender.send(NO_EXCHANGE, FrameBody::RowsNews(news));
 }
 
 /// Applies changes that a peer sent, unless this daemon has applied the same changes already or
-/// lacks earlier changes.
+/// lacks earlier changes. Asks the peer for the next changes if more follow.
 pub fn handle_news(state: &Rc<DaemonState>, peer: &PeerIdentity, news: RowsNews) {
     if news.version == RELAYED_VERSION && !news.rows.is_empty() {
         let relayed = news.rows.iter().filter_map(|note| relayed_record(peer, note));
@@ -360,22 +417,40 @@
     if !state.rows.note_sender(&peer.host, state.now()) {
         return;
     }
-    let known = state.rows.version.get() as i64;
-    if news.version <= known {
+    let known = state.rows.version.get();
+    let (after, version) = (news.after.max(0) as u64, news.version.max(0) as u64);
+    if version <= known {
         return;
     }
     if news.forgotten {
         return state.rows.changes_missed.raise();
     }
-    if news.after > known {
-        return subscribe(state, &peer.host);
+    if after > known {
+        return request_next(state, &peer.host);
     }
-    let rows: Vec<StoredRow> = news.rows.iter().map(stored_row).collect();
+    let has_more = news.more == Some(true);
+    let rows = match news.packed {
+        None => news.rows,
+        Some(packed) => match row_list::unpack(&packed) {
+            Ok(rows) => rows,
+            Err(error) => {
+                let (host, error) = (&*peer.host, &error.to_string());
+                return fleet::HostUnreadable { host, error }.log();
+            }
+        },
+    };
+    let rows: Vec<StoredRow> = rows.into_iter().map(stored_row).collect();
     roster::apply_rows(state, &rows);
-    for note in news.rows {
-        state.rows.store_row_note(note);
+    state.rows.store_rows(&rows, version);
+    if has_more {
+        request_next(state, &peer.host);
     }
-    state.rows.version.set(news.version as u64);
+}
+
+/// Asks a reader for the changes that follow the applied ones, at once.
+fn request_next(state: &Rc<DaemonState>, host: &str) {
+    let is_first = readers(state).first().is_none_or(|first| first == host);
+    subscribe(state, host, RowsOrder { on_request_only: !is_first });
 }
 
 /// Sends a peer a host's record directly, bypassing the store. A daemon of a release without
@@ -385,12 +460,8 @@
     // The record holds texts and numbers only, so that its serialization can't fail.
     let value = serde_json::to_vec(&relayed.record).ok();
     let row = RowNote { key: relayed.host.clone(), value, version: RELAYED_VERSION };
-    let news = RowsNews {
-        after: RELAYED_VERSION,
-        version: RELAYED_VERSION,
-        rows: vec![row],
-        forgotten: false,
-    };
+    let version = RELAYED_VERSION as u64;
+    let news = build_news(version, version, vec![row], false);
     // A send error is ignored: a peer whose link has ended reads the store later, or gets the
     // record from other daemons.
     let _ = sender.send(NO_EXCHANGE, FrameBody::RowsNews(news));
@@ -407,31 +478,32 @@
     }
 }
 
-fn changes_of_page(after: u64, page: &RowsPage) -> RowsNews {
-    RowsNews {
-        after: after as i64,
-        version: page.version.max(after) as i64,
-        rows: page.rows.iter().filter_map(row_note).collect(),
-        forgotten: false,
-    }
+fn build_news(after: u64, version: u64, rows: Vec<RowNote>, forgotten: bool) -> RowsNews {
+    let (after, version) = (after as i64, version as i64);
+    RowsNews { after, version, rows, forgotten, packed: None, more: None }
 }
 
-/// Builds the note of a row for peers, `None` if the row can't be read.
-fn row_note(row: &StoredRow) -> Option<RowNote> {
+/// Returns the state of a row for the log, `None` if the row can't be read.
+fn row_state(row: &StoredRow) -> Option<RowState> {
     let value = match &row.value {
-        RowValue::Bytes(bytes) => Some(bytes.clone()),
+        RowValue::Bytes(bytes) => Some(Rc::from(bytes.as_slice())),
         RowValue::Gone => None,
         RowValue::Unreadable(_) => return None,
     };
-    Some(RowNote { key: row.key.clone(), value, version: row.version as i64 })
+    Some(RowState { key: Rc::from(row.key.as_str()), value, version: row.version })
+}
+
+fn row_note(row: &RowState) -> RowNote {
+    let value = row.value.as_ref().map(|value| value.to_vec());
+    RowNote { key: row.key.to_string(), value, version: row.version as i64 }
 }
 
-fn stored_row(note: &RowNote) -> StoredRow {
+fn stored_row(note: RowNote) -> StoredRow {
     StoredRow {
         table: HOSTS_TABLE.to_owned(),
         part: String::new(),
-        key: note.key.clone(),
-        value: note.value.clone().map_or(RowValue::Gone, RowValue::Bytes),
-        version: note.version as u64,
+        key: note.key,
+        value: note.value.map_or(RowValue::Gone, RowValue::Bytes),
+        version: note.version.max(0) as u64,
     }
 }
--- a/crates/daemon/tests/rows.rs
+++ b/crates/daemon/tests/rows.rs
@@ -6,6 +6,7 @@
 
 mod common;
 
+use basaltarch_daemon::roster::HOSTS_TABLE;
 use common::eventually;
 use common::registered::{RegisteredFleet, SERVICE};
 use serde_json::{json, Value};
@@ -85,3 +86,41 @@
         (1..=2).contains(&reader_count)
     });
 }
+
+/// Returns the record of a host in another failure domain. Nothing listens at its addresses. The
+/// padding makes the changes of a few hundred hosts as long as those of a large fleet.
+fn build_long_record(number: usize) -> String {
+    let server = json!({"name": format!("i-far-{number}"), "service": SERVICE, "slots": 4,
+        "address": "127.0.0.1:1", "draining": false});
+    json!({"incarnation": 1, "failure_domain": "bkk-z", "leaving": false, "servers": [server],
+        "peer_address": format!("127.0.0.2:{}", 1 + number), "admin_address": "127.0.0.2:1",
+        "padding": "x".repeat(3000)})
+    .to_string()
+}
+
+/// Writes the rows of `count` hosts in another failure domain, and waits until the daemons know
+/// their servers.
+fn add_far_hosts(fleet: &RegisteredFleet, count: usize) {
+    for number in 0..count {
+        let key = format!("far-{number}");
+        fleet.platform.change_row("PUT", HOSTS_TABLE, &key, &build_long_record(number));
+    }
+    for daemon in &fleet.daemons {
+        eventually("the daemon knows of every server", || {
+            let servers = daemon.get("/v1/backend-servers").to_string();
+            servers.matches("i-far-").count() >= count
+        });
+    }
+}
+
+#[test]
+fn verify_more_changes_than_a_frame_holds_reach_a_host_refused_by_the_store() {
+    const HOST_COUNT: usize = 300;
+    let mut fleet = RegisteredFleet::start_in_one_domain(3);
+    fleet.daemons[2].kill();
+    fleet.daemons[2] = fleet.start_daemon_at(fleet.platform.second_address, "host-c", "bkk-a", &[]);
+    assert_eq!(fleet.send_heartbeat(2, false).status, 200);
+    register_and_wait(&fleet, 0, "i-before", &[0, 1, 2]);
+    fleet.platform.set_faults(json!({"down": true, "second_group_only": true}));
+    add_far_hosts(&fleet, HOST_COUNT);
+}
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -236,6 +236,10 @@
 struct RowsRequest {
   /** Version of the table that the asking daemon has. */
   1: required i64 version
+  /** Whether the asking daemon reads packed rows. */
+  2: optional bool takes_packed
+  /** Whether changes are sent only in answer to a request, not when they arrive. */
+  3: optional bool on_request_only
 }
 
 struct RowNote {
@@ -253,6 +257,14 @@
   3: required list<RowNote> rows
   /** What changed after the version that was asked for is no longer known. */
   4: required bool forgotten
+  /** The rows as a compressed RowList, in place of `rows`. */
+  5: optional binary packed
+  /** Whether more changes follow, which the receiver asks for. */
+  6: optional bool more
+}
+
+struct RowList {
+  1: required list<RowNote> rows
 }
 
 /** The first frame on a link, in both directions. */
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod frames;
 pub mod handshake;
 pub mod link;
+pub mod packed;
 #[allow(
     missing_docs,
     clippy::all,
@@ -22,4 +23,5 @@
 )]
 #[rustfmt::skip]
 pub mod protocol;
+pub mod row_list;
 pub mod stream;
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -2461,12 +2461,18 @@
 pub struct RowsRequest {
   /// Version of the table that the asking daemon has.
   pub version: i64,
+  /// Whether the asking daemon reads packed rows.
+  pub takes_packed: Option<bool>,
+  /// Whether changes are sent only in answer to a request, not when they arrive.
+  pub on_request_only: Option<bool>,
 }
 
 impl RowsRequest {
-  pub fn new(version: i64) -> RowsRequest {
+  pub fn new<F2, F3>(version: i64, takes_packed: F2, on_request_only: F3) -> RowsRequest where F2: Into<Option<bool>>, F3: Into<Option<bool>> {
     RowsRequest {
       version,
+      takes_packed: takes_packed.into(),
+      on_request_only: on_request_only.into(),
     }
   }
 }
@@ -2475,6 +2481,8 @@
   fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RowsRequest> {
     i_prot.read_struct_begin()?;
     let mut f_1: Option<i64> = None;
+    let mut f_2: Option<bool> = None;
+    let mut f_3: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2486,6 +2494,14 @@
           let val = i_prot.read_i64()?;
           f_1 = Some(val);
         },
+        2 => {
+          let val = i_prot.read_bool()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_bool()?;
+          f_3 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2496,6 +2512,8 @@
     verify_required_field_exists("RowsRequest.version", &f_1)?;
     let ret = RowsRequest {
       version: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      takes_packed: f_2,
+      on_request_only: f_3,
     };
     Ok(ret)
   }
@@ -2505,6 +2523,16 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 1))?;
     o_prot.write_i64(self.version)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.takes_packed {
+      o_prot.write_field_begin(&TFieldIdentifier::new("takes_packed", TType::Bool, 2))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.on_request_only {
+      o_prot.write_field_begin(&TFieldIdentifier::new("on_request_only", TType::Bool, 3))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2605,15 +2633,21 @@
   pub rows: Vec<RowNote>,
   /// What changed after the version that was asked for is no longer known.
   pub forgotten: bool,
+  /// The rows as a compressed RowList, in place of `rows`.
+  pub packed: Option<Vec<u8>>,
+  /// Whether more changes follow, which the receiver asks for.
+  pub more: Option<bool>,
 }
 
 impl RowsNews {
-  pub fn new(after: i64, version: i64, rows: Vec<RowNote>, forgotten: bool) -> RowsNews {
+  pub fn new<F5, F6>(after: i64, version: i64, rows: Vec<RowNote>, forgotten: bool, packed: F5, more: F6) -> RowsNews where F5: Into<Option<Vec<u8>>>, F6: Into<Option<bool>> {
     RowsNews {
       after,
       version,
       rows,
       forgotten,
+      packed: packed.into(),
+      more: more.into(),
     }
   }
 }
@@ -2625,6 +2659,8 @@
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<Vec<RowNote>> = None;
     let mut f_4: Option<bool> = None;
+    let mut f_5: Option<Vec<u8>> = None;
+    let mut f_6: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2654,6 +2690,14 @@
           let val = i_prot.read_bool()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_bytes()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_bool()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2670,6 +2714,8 @@
       version: f_2.expect("auto-generated code should have checked for presence of required fields"),
       rows: f_3.expect("auto-generated code should have checked for presence of required fields"),
       forgotten: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      packed: f_5,
+      more: f_6,
     };
     Ok(ret)
   }
@@ -2692,6 +2738,82 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("forgotten", TType::Bool, 4))?;
     o_prot.write_bool(self.forgotten)?;
     o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.packed {
+      o_prot.write_field_begin(&TFieldIdentifier::new("packed", TType::String, 5))?;
+      o_prot.write_bytes(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.more {
+      o_prot.write_field_begin(&TFieldIdentifier::new("more", TType::Bool, 6))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// RowList
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RowList {
+  pub rows: Vec<RowNote>,
+}
+
+impl RowList {
+  pub fn new(rows: Vec<RowNote>) -> RowList {
+    RowList {
+      rows,
+    }
+  }
+}
+
+impl TSerializable for RowList {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RowList> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<RowNote>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<RowNote> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_5 = RowNote::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_5);
+          }
+          i_prot.read_list_end()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RowList.rows", &f_1)?;
+    let ret = RowList {
+      rows: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RowList");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("rows", TType::List, 1))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.rows.len() as i32))?;
+    for e in &self.rows {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
