Relay the configuration through the readers in a large fleet

Cause: every daemon waited at the store for the operator's table, so that a change completed 981 calls and moved as many documents out of the store.

In a fleet of more than 256 daemons, the readers of a failure domain wait for all: they report the revision in force and the evacuations to their subscribers, which pull a later document, packed once, without the rows of hosts. Smaller fleets read the store as before. New metric `document_calls`.

--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -179,6 +179,8 @@
 
 /// Calls to the store for the rows of hosts.
 pub static ROWS_CALLS: CounterCell = CounterCell::new();
+/// Calls to the store that wait for a later document.
+pub static DOCUMENT_CALLS: CounterCell = CounterCell::new();
 
 /// Counts a failure outcome that was sent to a caller.
 pub fn count_failure(outcome: FailureOutcome) {
@@ -323,6 +325,11 @@
         ),
         counter("log_lines_dropped", "Log lines that were dropped.", &LINES_DROPPED),
         counter("rows_calls", "Calls to the platform for the rows of hosts.", &ROWS_CALLS),
+        counter(
+            "document_calls",
+            "Calls to the platform that wait for a later document.",
+            &DOCUMENT_CALLS,
+        ),
         gauge("revision", "Revision in force.", &REVISION),
         gauge("revision_age_seconds", "Age of the configuration in force.", &REVISION_AGE),
         gauge("slots", "Slots of the backend servers of this host.", &SLOTS),
--- a/crates/daemon/src/config_sync.rs
+++ b/crates/daemon/src/config_sync.rs
@@ -186,6 +186,7 @@
             last: true,
             telling: None,
             place: None,
+            packed: None,
         };
         let _ = sender.send(NO_EXCHANGE, FrameBody::News(news));
     }
@@ -207,7 +208,7 @@
             send_records(state, sender, records.iter().map(|record| &**record));
         }
     } else if peer_revision > own_revision && !state.snapshots.is_reading.get() {
-        let pull = ChangePull { after: own_revision.0 as i64 };
+        let pull = ChangePull { after: own_revision.0 as i64, document_only: None };
         let _ = sender.send(NO_EXCHANGE, FrameBody::Pull(pull));
     }
 }
@@ -220,10 +221,15 @@
         return;
     }
     if state.options.source == ConfigSource::Document {
-        let Some(bytes) = document::snapshot(state) else { return };
+        let packed = pull.document_only == Some(true);
+        let snapshot = match packed {
+            true => document::packed_document(state),
+            false => document::snapshot(state).map(Rc::from),
+        };
+        let Some(bytes) = snapshot else { return };
         let state = state.clone();
         let sender = sender.clone();
-        monoio::spawn(async move { send_parts(&state, &sender, &bytes).await });
+        monoio::spawn(async move { send_parts(&state, &sender, &bytes, packed).await });
         return;
     }
     let records = state.config.records_after(after);
@@ -249,11 +255,11 @@
         Ok(bytes) => bytes,
         Err(_) => return,
     };
-    send_parts(state, sender, &bytes).await;
+    send_parts(state, sender, &bytes, false).await;
 }
 
 /// Sends a snapshot in parts, no faster than the peer reads them.
-async fn send_parts(state: &DaemonState, sender: &FrameSender, bytes: &[u8]) {
+async fn send_parts(state: &DaemonState, sender: &FrameSender, bytes: &[u8], packed: bool) {
     let revision = state.config.revision().0 as i64;
     let transfer = state.snapshots.next_transfer();
     let parts = bytes.chunks(PART_BYTES);
@@ -269,6 +275,7 @@
             last: index + 1 == count,
             telling: Some(transfer),
             place: Some(index as i32),
+            packed: Some(packed),
         };
         if sender.send(NO_EXCHANGE, FrameBody::News(news)).is_err() {
             return;
@@ -280,7 +287,8 @@
 pub fn handle_news(state: &Rc<DaemonState>, peer: &PeerIdentity, news: ChangeNews) {
     if let Some(bytes) = news.snapshot_part {
         let (transfer, index) = (news.telling.unwrap_or(0), news.place.unwrap_or(0));
-        let part = SnapshotPart { transfer, index, bytes, last: news.last };
+        let packed = news.packed == Some(true);
+        let part = SnapshotPart { transfer, index, bytes, last: news.last, packed };
         return handle_part(state, peer, part);
     }
     let mut new_records = Vec::new();
@@ -300,12 +308,13 @@
 }
 
 fn handle_part(state: &Rc<DaemonState>, peer: &PeerIdentity, part: SnapshotPart) {
+    let packed = part.packed;
     let bytes = match state.snapshots.add_part(&peer.host, part) {
         Some(bytes) => bytes,
         None => return,
     };
     if state.options.source == ConfigSource::Document {
-        return document::adopt_snapshot(state, &peer.host, &bytes);
+        return document::adopt_snapshot(state, &peer.host, &bytes, packed);
     }
     let read_guard = match SnapshotReadGuard::take(state) {
         Some(guard) => guard,
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -25,6 +25,7 @@
 use basaltarch_options::ServiceDefaults;
 use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::link::NO_EXCHANGE;
+use basaltarch_peer::packed;
 use basaltarch_peer::protocol::{ChangePull, FrameBody};
 use basaltarch_platform::document::{self, ConfigDocument, ServiceDeclaration};
 use basaltarch_platform::organisations::OrganisationDeclaration;
@@ -39,6 +40,7 @@
 use crate::feed::{FeedPlan, FeedReader, FeedUpdate};
 use crate::records::RelayedRecord;
 use crate::roster;
+use crate::rows;
 use crate::state::DaemonState;
 
 /// Longest wait of a long poll of the operator's table. The wait is long because every daemon polls
@@ -62,6 +64,10 @@
 /// Time for which a daemon waits for a document that it pulls from a peer before it may ask another
 /// peer: a document of some hundred kilobytes takes a few tens of milliseconds within a region.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between two checks whether the configuration is still relayed to this daemon.
+const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Largest document accepted from a peer, in bytes.
+const DOCUMENT_BYTES_MAX: usize = 64 << 20;
 /// Name of the store in logs, as the source of a document; a document from a peer is logged with
 /// the name of the peer's host.
 const STORE_NAME: &str = "store";
@@ -75,6 +81,8 @@
     position: Cell<Option<TablePosition>>,
     /// Raised when a peer has a later document that the pending call to the store has not returned.
     stale_call: RisingSignal,
+    /// The packed form of a document for peers, with the revision of the document.
+    packed: RefCell<Option<(FleetRevision, Rc<[u8]>)>>,
 }
 
 impl DocumentCell {
@@ -92,10 +100,16 @@
     hosts: Vec<RelayedRecord>,
 }
 
-/// Reads the document and follows its changes for ever.
+/// Reads the document and follows its changes for ever. A daemon of a large fleet to which a reader
+/// relays the configuration does not call the store.
 pub async fn follow(state: Rc<DaemonState>) {
     let mut reader = FeedReader::new(DOCUMENT_FEED_PLAN);
     loop {
+        if rows::is_relayed(&state) {
+            monoio::time::sleep(RELAY_CHECK_INTERVAL).await;
+            continue;
+        }
+        metrics::DOCUMENT_CALLS.add_one();
         let Some(news) = next_unless_stale(&state, &mut reader).await else { continue };
         let page = match news {
             FeedUpdate::Whole(page) => {
@@ -367,8 +381,8 @@
 }
 
 /// Pulls the document of a peer that has a later revision in force. A daemon without a document in
-/// force pulls at once. Any other daemon pulls if the store has not delivered the document within
-/// [`STORE_TIMEOUT`].
+/// force, or to which a reader relays the configuration, pulls at once. Any other daemon pulls if
+/// the store has not delivered the document within [`STORE_TIMEOUT`].
 pub fn note_peer_revision(
     state: &Rc<DaemonState>,
     sender: &FrameSender,
@@ -378,7 +392,9 @@
     if !is_behind(state) || state.document.is_pulling.replace(true) {
         return;
     }
-    let wait = if state.config.is_loaded() { STORE_TIMEOUT } else { Duration::ZERO };
+    let is_relayed = rows::is_relayed(state);
+    let awaits_store = state.config.is_loaded() && !is_relayed;
+    let wait = if awaits_store { STORE_TIMEOUT } else { Duration::ZERO };
     let state = state.clone();
     let sender = sender.clone();
     monoio::spawn(async move {
@@ -386,7 +402,8 @@
         if is_behind(&state) {
             state.document.stale_call.raise();
             let seen = state.config.changed().get();
-            let pull = ChangePull { after: state.config.revision().0 as i64 };
+            let after = state.config.revision().0 as i64;
+            let pull = ChangePull { after, document_only: Some(is_relayed) };
             // If the answer is lost, the document is pulled again: the peer announces its revision
             // until this daemon has it.
             let _ = sender.send(NO_EXCHANGE, FrameBody::Pull(pull));
@@ -407,9 +424,34 @@
     serde_json::to_vec(&FleetSnapshot { document: &*document, hosts }).ok()
 }
 
+/// Returns the document in force in packed form, without the rows of hosts, if there is one. The
+/// document is packed once for all peers that pull it.
+pub fn packed_document(state: &DaemonState) -> Option<Rc<[u8]>> {
+    let document = state.document.get()?;
+    let revision = FleetRevision(document.version);
+    let mut packed = state.document.packed.borrow_mut();
+    if let Some((_, bytes)) = packed.as_ref().filter(|(known, _)| *known == revision) {
+        return Some(bytes.clone());
+    }
+    let snapshot = FleetSnapshot { document: &*document, hosts: Vec::new() };
+    let bytes: Rc<[u8]> = Rc::from(packed::pack(&serde_json::to_vec(&snapshot).ok()?));
+    *packed = Some((revision, bytes.clone()));
+    Some(bytes)
+}
+
 /// Adopts a snapshot that a peer sent.
-pub fn adopt_snapshot(state: &Rc<DaemonState>, host: &str, bytes: &[u8]) {
-    match serde_json::from_slice::<FleetSnapshot<ConfigDocument>>(bytes) {
+pub fn adopt_snapshot(state: &Rc<DaemonState>, host: &str, bytes: &[u8], packed: bool) {
+    let unpacked = match packed {
+        true => packed::unpack(bytes, DOCUMENT_BYTES_MAX),
+        false => Ok(bytes.to_vec()),
+    };
+    let bytes = match unpacked {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            return fleet::SnapshotUnreadable { host, error: &error.to_string() }.log();
+        }
+    };
+    match serde_json::from_slice::<FleetSnapshot<ConfigDocument>>(&bytes) {
         Ok(snapshot) => {
             roster::apply_relayed(state, snapshot.hosts);
             adopt_document(state, snapshot.document, host);
--- a/crates/daemon/src/evacuations.rs
+++ b/crates/daemon/src/evacuations.rs
@@ -17,9 +17,10 @@
 use basaltarch_decide::evacuation::{DomainState, EvacuationTable};
 use basaltarch_events::fleet;
 use basaltarch_peer::protocol::EvacuationNote;
-use basaltarch_platform::rows::{self, RowValue, RowsPage};
+use basaltarch_platform::rows::{evacuated_domain, RowValue, RowsPage};
 
 use crate::membership::{self, HeartbeatContent};
+use crate::rows;
 use crate::state::DaemonState;
 
 /// `EvacuationRegistry` holds the latest known state of each failure domain that was ever
@@ -30,6 +31,11 @@
 }
 
 impl EvacuationRegistry {
+    /// Returns the highest version of any known state.
+    pub fn version(&self) -> u64 {
+        self.table.borrow().version()
+    }
+
     /// Returns the evacuated failure domains.
     pub fn evacuated(&self) -> EvacuatedDomains {
         Rc::new(self.table.borrow().evacuated().into_iter().map(Rc::from).collect())
@@ -38,8 +44,8 @@
 
 /// Applies the whole operator's table. A failure domain without a row is not evacuated.
 pub fn apply_table(state: &Rc<DaemonState>, page: &RowsPage) {
-    let rows = page.rows.iter().filter(|row| row.value != RowValue::Gone);
-    let requests = rows.filter_map(|row| Some((rows::evacuated_domain(&row.key)?, row.version)));
+    let present = page.rows.iter().filter(|row| row.value != RowValue::Gone);
+    let requests = present.filter_map(|row| Some((evacuated_domain(&row.key)?, row.version)));
     let evacuated: BTreeMap<&str, u64> = requests.collect();
     let is_later = state.evacuations.table.borrow_mut().note_list(&evacuated, page.version);
     if is_later {
@@ -51,7 +57,7 @@
 pub fn apply_changes(state: &Rc<DaemonState>, page: &RowsPage) {
     let mut is_later = false;
     for row in &page.rows {
-        let Some(domain) = rows::evacuated_domain(&row.key) else { continue };
+        let Some(domain) = evacuated_domain(&row.key) else { continue };
         let evacuated = row.value != RowValue::Gone;
         let reported = DomainState { version: row.version, evacuated };
         is_later |= state.evacuations.table.borrow_mut().note(domain, reported);
@@ -99,6 +105,7 @@
         state.config.replace_layout(next_layout, touched, state.now());
     }
     membership::send_heartbeats(state, HeartbeatContent::Own);
+    rows::announce_configuration(state);
 }
 
 fn log_difference(state: &DaemonState, before: &BTreeSet<Rc<str>>, evacuated: &BTreeSet<Rc<str>>) {
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -41,6 +41,8 @@
     pub bytes: Vec<u8>,
     /// Whether the part is the last of its transfer.
     pub last: bool,
+    /// Whether the snapshot is compressed.
+    pub packed: bool,
 }
 
 impl SnapshotParts {
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -15,6 +15,10 @@
 //! reader queues for its subscribers is therefore bounded by the size of a part, whatever the size
 //! of the table. Only the first reader sends changes as they arrive. The second reader answers
 //! requests, so that most changes are sent to a daemon once.
+//!
+//! In a large fleet, the readers relay the configuration as well: they report the revision in force
+//! to their subscribers, and a subscriber pulls a later document from the reader. A subscriber names
+//! its own revision with each request, so that a lost report is repeated within a second.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
@@ -31,13 +35,14 @@
 use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_peer::link::NO_EXCHANGE;
-use basaltarch_peer::protocol::{FrameBody, RowNote, RowsNews, RowsRequest};
+use basaltarch_peer::protocol::{FrameBody, HeartbeatNote, RowNote, RowsNews, RowsRequest};
 use basaltarch_peer::row_list;
 use basaltarch_platform::rows::{RowValue, RowsPage, StoredRow};
 use basaltarch_store::platform::FEED_WAIT;
 
 use crate::feed::{FeedPlan, FeedReader, FeedUpdate};
 use crate::links;
+use crate::membership;
 use crate::records::{self, RelayedRecord};
 use crate::roster::{self, FAILED_CALL_PAUSE_MAX, HOSTS_TABLE};
 use crate::state::DaemonState;
@@ -53,6 +58,10 @@
     // therefore end soon on a black-holed connection.
     wait_max: FEED_WAIT,
 };
+/// Number of daemons that may wait at the store for a change of the configuration. In a larger
+/// fleet, a change would complete the calls of all daemons and move the document out of the store
+/// once for each, so only the readers wait and relay the configuration as well.
+const DIRECT_FOLLOWERS_MAX: usize = 256;
 /// Number of daemons of a failure domain that follow the feed. There are two because a daemon may
 /// be unreachable for a while before the other daemons detect this.
 const READERS_PER_DOMAIN: usize = 2;
@@ -279,6 +288,33 @@
     readers
 }
 
+/// Says whether a reader relays the configuration to this daemon, so that this daemon need not read
+/// it from the store.
+pub fn is_relayed(state: &DaemonState) -> bool {
+    state.members.count() > DIRECT_FOLLOWERS_MAX
+        && state.rows.has_recent_changes(state.now())
+        && !readers(state).contains(&state.options.host)
+}
+
+/// Reports the revision in force and the evacuations to the subscribers, which pull what they lack.
+pub fn announce_configuration(state: &DaemonState) {
+    let subscribers = state.rows.subscribers.borrow();
+    if subscribers.is_empty() {
+        return;
+    }
+    let note = configuration_note(state);
+    for subscriber in subscribers.iter().filter(|subscriber| subscriber.takes_packed) {
+        // A send error is ignored: a subscriber whose link ended renews its subscription.
+        let _ = subscriber.sender.send(NO_EXCHANGE, FrameBody::Heartbeat(note.clone()));
+    }
+}
+
+/// Builds a heartbeat that reports the configuration in force and asks for no reply.
+fn configuration_note(state: &DaemonState) -> HeartbeatNote {
+    let request = membership::heartbeat_request(state, vec![membership::own_entry(state)]);
+    HeartbeatNote { reply: true, asked_ms: None, ..request }
+}
+
 /// Keeps the rows up to date for ever, with changes from the store or from the readers.
 pub async fn follow(state: Rc<DaemonState>) {
     let mut reader = FeedReader::new(HOSTS_FEED_PLAN);
@@ -376,6 +412,8 @@
                 version: state.rows.version.get() as i64,
                 takes_packed: Some(true),
                 on_request_only: Some(order.on_request_only),
+                revision: Some(state.config.revision().0 as i64),
+                evacuation: Some(state.evacuations.version() as i64),
             };
             let _ = link.sender().send(NO_EXCHANGE, FrameBody::RowsRequest(request));
         }
@@ -400,6 +438,12 @@
         on_request_only: request.on_request_only == Some(true),
         expires_at: state.now() + SUBSCRIPTION_TTL,
     };
+    let is_behind = |known: Option<i64>, own: u64| known.is_some_and(|known| known < own as i64);
+    if is_behind(request.revision, state.config.revision().0)
+        || is_behind(request.evacuation, state.evacuations.version())
+    {
+        let _ = sender.send(NO_EXCHANGE, FrameBody::Heartbeat(configuration_note(state)));
+    }
     // A send error is ignored: a peer whose link has ended needs no answer.
     let _ = state.rows.send_news(&subscriber, request.version.max(0) as u64);
     let mut subscribers = state.rows.subscribers.borrow_mut();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -189,6 +189,7 @@
         // date.
         if announced.replace(active.revision) != Some(active.revision) {
             announce::announce_revision(&state);
+            rows::announce_configuration(&state);
         }
     }
 }
--- a/crates/daemon/tests/parts.rs
+++ b/crates/daemon/tests/parts.rs
@@ -9,7 +9,7 @@
 const HOST: &str = "host-a";
 
 fn snapshot_part(transfer: i64, index: i32, text: &str, last: bool) -> SnapshotPart {
-    SnapshotPart { transfer, index, bytes: text.as_bytes().to_vec(), last }
+    SnapshotPart { transfer, index, bytes: text.as_bytes().to_vec(), last, packed: false }
 }
 
 #[test]
--- a/crates/daemon/tests/rows.rs
+++ b/crates/daemon/tests/rows.rs
@@ -7,8 +7,9 @@
 mod common;
 
 use basaltarch_daemon::roster::HOSTS_TABLE;
-use common::eventually;
-use common::registered::{RegisteredFleet, SERVICE};
+use basaltarch_platform::rows::{evacuation_key, OPERATOR_TABLE};
+use common::registered::{document, RegisteredFleet, SERVICE};
+use common::{eventually, TestDaemon};
 use serde_json::{json, Value};
 use test_case::test_case;
 
@@ -113,6 +114,44 @@
     }
 }
 
+/// In a large fleet, a change of the document completes the calls of the readers only. The far hosts
+/// don't run, so that nearly all neighbours of a daemon are unreachable.
+#[test]
+fn verify_few_daemons_of_a_large_fleet_wait_for_the_document() {
+    let fleet = RegisteredFleet::start_in_one_domain(6);
+    add_far_hosts(&fleet, 300);
+    let mut version = 1;
+    let document_calls = |daemon: &TestDaemon| daemon.metric_sum("document_calls") as u64;
+    eventually("one or two daemons call the store during four changes", || {
+        let calls_before: Vec<u64> = fleet.daemons.iter().map(document_calls).collect();
+        for _ in 0..4 {
+            version += 1;
+            fleet.write_document(&document(version));
+            for daemon in &fleet.daemons {
+                eventually("the document is in force", || daemon.revision() == version);
+            }
+        }
+        let daemons = fleet.daemons.iter().zip(calls_before);
+        let callers = daemons.filter(|(daemon, before)| document_calls(daemon) > *before);
+        (1..=2).contains(&callers.count())
+    });
+}
+
+/// An evacuation reaches the daemons of a large fleet that do not wait at the store.
+#[test]
+fn verify_an_evacuation_reaches_every_daemon_of_a_large_fleet() {
+    let fleet = RegisteredFleet::start_in_one_domain(5);
+    add_far_hosts(&fleet, 300);
+    for (method, expected) in [("PUT", json!(["bkk-z"])), ("DELETE", json!([]))] {
+        fleet.platform.change_row(method, OPERATOR_TABLE, &evacuation_key("bkk-z"), "{}");
+        for daemon in &fleet.daemons {
+            eventually("the daemon knows the evacuated domains", || {
+                daemon.get("/v1/status")["evacuated"] == expected
+            });
+        }
+    }
+}
+
 #[test]
 fn verify_more_changes_than_a_frame_holds_reach_a_host_refused_by_the_store() {
     const HOST_COUNT: usize = 300;
--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -62,6 +62,12 @@
         is_later
     }
 
+    /// Returns the highest version of any known state.
+    pub fn version(&self) -> u64 {
+        let versions = self.domains.values().map(|state| state.version);
+        versions.max().unwrap_or(0).max(self.dropped_version)
+    }
+
     /// Returns the evacuated domains.
     pub fn evacuated(&self) -> BTreeSet<&str> {
         let evacuated = self.domains.iter().filter(|(_, state)| state.evacuated);
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -198,6 +198,8 @@
 
 struct ChangePull {
   1: required i64 after
+  /** Whether the asking daemon wants the document in packed form and without the rows of hosts. */
+  2: optional bool document_only
 }
 
 /** Changes in the order of their revisions, or a snapshot; JSON as in the table. */
@@ -210,6 +212,8 @@
   5: optional i64 telling
   /** Place of the part in it, from 0. */
   6: optional i32 place
+  /** Whether the snapshot is compressed. */
+  7: optional bool packed
 }
 
 struct GrantRequest {
@@ -240,6 +244,10 @@
   2: optional bool takes_packed
   /** Whether changes are sent only in answer to a request, not when they arrive. */
   3: optional bool on_request_only
+  /** Revision of the configuration that the asking daemon has in force. */
+  4: optional i64 revision
+  /** Highest version of an evacuation that the asking daemon knows. */
+  5: optional i64 evacuation
 }
 
 struct RowNote {
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -2055,12 +2055,15 @@
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ChangePull {
   pub after: i64,
+  /// Whether the asking daemon wants the document in packed form and without the rows of hosts.
+  pub document_only: Option<bool>,
 }
 
 impl ChangePull {
-  pub fn new(after: i64) -> ChangePull {
+  pub fn new<F2>(after: i64, document_only: F2) -> ChangePull where F2: Into<Option<bool>> {
     ChangePull {
       after,
+      document_only: document_only.into(),
     }
   }
 }
@@ -2069,6 +2072,7 @@
   fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<ChangePull> {
     i_prot.read_struct_begin()?;
     let mut f_1: Option<i64> = None;
+    let mut f_2: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2080,6 +2084,10 @@
           let val = i_prot.read_i64()?;
           f_1 = Some(val);
         },
+        2 => {
+          let val = i_prot.read_bool()?;
+          f_2 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2090,6 +2098,7 @@
     verify_required_field_exists("ChangePull.after", &f_1)?;
     let ret = ChangePull {
       after: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      document_only: f_2,
     };
     Ok(ret)
   }
@@ -2099,6 +2108,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("after", TType::I64, 1))?;
     o_prot.write_i64(self.after)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.document_only {
+      o_prot.write_field_begin(&TFieldIdentifier::new("document_only", TType::Bool, 2))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2119,10 +2133,12 @@
   pub telling: Option<i64>,
   /// Place of the part in it, from 0.
   pub place: Option<i32>,
+  /// Whether the snapshot is compressed.
+  pub packed: Option<bool>,
 }
 
 impl ChangeNews {
-  pub fn new<F3, F5, F6>(revision: i64, records: Vec<Vec<u8>>, snapshot_part: F3, last: bool, telling: F5, place: F6) -> ChangeNews where F3: Into<Option<Vec<u8>>>, F5: Into<Option<i64>>, F6: Into<Option<i32>> {
+  pub fn new<F3, F5, F6, F7>(revision: i64, records: Vec<Vec<u8>>, snapshot_part: F3, last: bool, telling: F5, place: F6, packed: F7) -> ChangeNews where F3: Into<Option<Vec<u8>>>, F5: Into<Option<i64>>, F6: Into<Option<i32>>, F7: Into<Option<bool>> {
     ChangeNews {
       revision,
       records,
@@ -2130,6 +2146,7 @@
       last,
       telling: telling.into(),
       place: place.into(),
+      packed: packed.into(),
     }
   }
 }
@@ -2143,6 +2160,7 @@
     let mut f_4: Option<bool> = None;
     let mut f_5: Option<i64> = None;
     let mut f_6: Option<i32> = None;
+    let mut f_7: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2180,6 +2198,10 @@
           let val = i_prot.read_i32()?;
           f_6 = Some(val);
         },
+        7 => {
+          let val = i_prot.read_bool()?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2197,6 +2219,7 @@
       last: f_4.expect("auto-generated code should have checked for presence of required fields"),
       telling: f_5,
       place: f_6,
+      packed: f_7,
     };
     Ok(ret)
   }
@@ -2231,6 +2254,11 @@
       o_prot.write_i32(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.packed {
+      o_prot.write_field_begin(&TFieldIdentifier::new("packed", TType::Bool, 7))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2465,14 +2493,20 @@
   pub takes_packed: Option<bool>,
   /// Whether changes are sent only in answer to a request, not when they arrive.
   pub on_request_only: Option<bool>,
+  /// Revision of the configuration that the asking daemon has in force.
+  pub revision: Option<i64>,
+  /// Highest version of an evacuation that the asking daemon knows.
+  pub evacuation: Option<i64>,
 }
 
 impl RowsRequest {
-  pub fn new<F2, F3>(version: i64, takes_packed: F2, on_request_only: F3) -> RowsRequest where F2: Into<Option<bool>>, F3: Into<Option<bool>> {
+  pub fn new<F2, F3, F4, F5>(version: i64, takes_packed: F2, on_request_only: F3, revision: F4, evacuation: F5) -> RowsRequest where F2: Into<Option<bool>>, F3: Into<Option<bool>>, F4: Into<Option<i64>>, F5: Into<Option<i64>> {
     RowsRequest {
       version,
       takes_packed: takes_packed.into(),
       on_request_only: on_request_only.into(),
+      revision: revision.into(),
+      evacuation: evacuation.into(),
     }
   }
 }
@@ -2483,6 +2517,8 @@
     let mut f_1: Option<i64> = None;
     let mut f_2: Option<bool> = None;
     let mut f_3: Option<bool> = None;
+    let mut f_4: Option<i64> = None;
+    let mut f_5: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2502,6 +2538,14 @@
           let val = i_prot.read_bool()?;
           f_3 = Some(val);
         },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_i64()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2514,6 +2558,8 @@
       version: f_1.expect("auto-generated code should have checked for presence of required fields"),
       takes_packed: f_2,
       on_request_only: f_3,
+      revision: f_4,
+      evacuation: f_5,
     };
     Ok(ret)
   }
@@ -2533,6 +2579,16 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.revision {
+      o_prot.write_field_begin(&TFieldIdentifier::new("revision", TType::I64, 4))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.evacuation {
+      o_prot.write_field_begin(&TFieldIdentifier::new("evacuation", TType::I64, 5))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
