Make fewer calls to the store while a fleet starts

For its first 4 s a daemon's long polls are as long as a larger fleet's. A daemon that finds no other host in the table waits 1.5 s before it follows the table, and one that has just read the table waits for the readers first.

--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -19,10 +19,15 @@
 /// calls then end as often as in a fleet of twelve daemons, about one every half second.
 const CALL_WAIT_PER_DAEMON: Duration = Duration::from_millis(700);
 
-/// Returns the longest wait of a long poll in a fleet of `members` daemons, but no more than
-/// `wait_limit`.
-fn longest_wait(members: usize, wait_limit: Duration) -> Duration {
+/// Time since a daemon's start during which it may not know how large the fleet is. The daemons of a
+/// fleet that starts would all take it for a small one, and make several short calls each.
+const START_TIME: Duration = Duration::from_secs(4);
+
+/// Returns the longest wait of a long poll in a fleet of `members` daemons at the time `now` since
+/// the daemon's start, but no more than `wait_limit`.
+fn longest_wait(members: usize, now: Duration, wait_limit: Duration) -> Duration {
     let wait = CALL_WAIT_PER_DAEMON.saturating_mul(members as u32);
+    let wait = if now < START_TIME { wait.max(START_TIME) } else { wait };
     wait.min(wait_limit)
 }
 
@@ -131,7 +136,8 @@
             None => return self.read_whole(state).await,
         };
         let began = state.now();
-        let wait = platform::draw_wait(longest_wait(state.members.count(), self.plan.wait_max));
+        let members = state.members.count();
+        let wait = platform::draw_wait(longest_wait(members, began, self.plan.wait_max));
         match state.platform.follow(self.plan.table, position, wait).await? {
             FeedReply::Changes(page, position) => {
                 // An answer may have been delayed on its way, so that all changes are included only
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -172,6 +172,11 @@
         self.members.borrow().len().max(1)
     }
 
+    /// Says whether no other member is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.borrow().is_empty()
+    }
+
     /// Records an accepted link, so that frames can be sent along it.
     pub fn note_accepted(&self, link: &Rc<AcceptedLink>) {
         let mut accepted = self.accepted.borrow_mut();
@@ -431,7 +436,7 @@
 /// Contacts the seeds for as long as no other daemon is known.
 pub async fn contact_seeds(state: Rc<DaemonState>) {
     loop {
-        if state.members.members.borrow().is_empty() {
+        if state.members.is_empty() {
             for address in &state.live().seeds {
                 match links::identify_peer(&state, *address).await {
                     Ok(peer) => state.members.record_seed_peer(&state, peer, *address),
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -73,6 +73,10 @@
 /// received nothing from any reader reads the store. The time allows for two lost requests. It is
 /// not longer because a new backend server should get requests within four seconds.
 const READER_UNRESPONSIVE_AFTER: Duration = Duration::from_millis(2500);
+/// Pause after the first read of a table without another host. When a fleet starts for the first
+/// time, most rows are written within this time, and a daemon that knows no other host takes itself
+/// for a reader.
+const FIRST_ROWS_PAUSE: Duration = Duration::from_millis(1500);
 /// Time for which an unresponsive reader is not chosen. Later, the reader may have recovered.
 const READER_AVOID_TIME: Duration = Duration::from_secs(20);
 /// Number of bytes of rows from which a message holds no further row. A small host sends a message
@@ -99,6 +103,8 @@
     is_reading: Cell<bool>,
     /// When a reader last sent changes.
     changes_received_at: Cell<Option<Duration>>,
+    /// When this daemon first read the whole table.
+    first_read_at: Cell<Option<Duration>>,
     /// Raised when this daemon missed changes that a reader no longer holds. This daemon must then
     /// read the whole table.
     changes_missed: RisingSignal,
@@ -142,6 +148,14 @@
             .is_some_and(|at| now.saturating_sub(at) <= READER_UNRESPONSIVE_AFTER)
     }
 
+    /// Says whether this daemon has read the whole table for the first time a moment ago, so that
+    /// no reader can have sent changes yet.
+    fn has_just_started(&self, now: Duration) -> bool {
+        self.first_read_at
+            .get()
+            .is_some_and(|at| now.saturating_sub(at) <= READER_UNRESPONSIVE_AFTER)
+    }
+
     fn is_avoided(&self, host: &str, now: Duration) -> bool {
         let readers = self.readers.borrow();
         readers.iter().any(|reader| reader.host == host && reader.avoided_until > now)
@@ -320,7 +334,9 @@
     let mut reader = FeedReader::new(HOSTS_FEED_PLAN);
     loop {
         let is_reader = readers(&state).contains(&state.options.host);
-        if state.rows.has_read_rows() && !is_reader && state.rows.has_recent_changes(state.now()) {
+        let now = state.now();
+        let is_informed = state.rows.has_recent_changes(now) || state.rows.has_just_started(now);
+        if state.rows.has_read_rows() && !is_reader && is_informed {
             state.rows.is_reading.set(false);
             await_changes(&state, &mut reader).await;
         } else {
@@ -339,6 +355,13 @@
         FeedUpdate::Whole(page) => {
             state.rows.is_reading.set(true);
             adopt_table(state, &page);
+            let is_first = state.rows.first_read_at.get().is_none();
+            if is_first {
+                state.rows.first_read_at.set(Some(state.now()));
+            }
+            if is_first && state.members.is_empty() {
+                monoio::time::sleep(FIRST_ROWS_PAUSE).await;
+            }
         }
         FeedUpdate::Changes(page) => {
             state.rows.is_reading.set(true);
