Run requests for a replaced server at the server that took its place

A host runs a request for a server that is gone at the only server of the same service that it has. Ruled out: rows in several parts, which multiplies the calls of each read of the table.

verify_a_request_under_an_earlier_name_runs_at_the_server_that_replaced_it fails before (503, unknown-upstream).

--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -57,7 +57,7 @@
     answer: &EventSink,
 ) {
     let _counted = state.stop.count_in_flight();
-    let upstream = state.host.get(&head.upstream);
+    let upstream = state.host.get_or_successor(&head.upstream, &head.service_name);
     let result = match &upstream {
         Some(upstream) => serve_upstream(state, upstream, &head, body, answer).await,
         None => Err(FailureOutcome::NotRun(NotRunReason::UnknownUpstream)),
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -50,6 +50,20 @@
         self.upstreams.borrow().get(name).cloned()
     }
 
+    /// Returns the backend server of this name or, if the server is gone, the only server of the
+    /// same service on this host. When many hosts restart at once, the names of their servers change
+    /// sooner than the rows of all of them can be written, so ingresses still send requests under
+    /// the earlier names.
+    pub fn get_or_successor(&self, name: &str, service: &str) -> Option<Rc<HostUpstream>> {
+        let upstreams = self.upstreams.borrow();
+        if let Some(upstream) = upstreams.get(name) {
+            return Some(upstream.clone());
+        }
+        let mut successors = upstreams.values().filter(|upstream| &*upstream.service == service);
+        let successor = successors.next().cloned();
+        successor.filter(|_| successors.next().is_none())
+    }
+
     /// Returns all backend servers of this host in the order of their names.
     pub fn all(&self) -> Vec<Rc<HostUpstream>> {
         let mut all: Vec<_> = self.upstreams.borrow().values().cloned().collect();
--- a/crates/daemon/tests/incarnations.rs
+++ b/crates/daemon/tests/incarnations.rs
@@ -6,9 +6,11 @@
 
 mod common;
 
+use basaltarch_platform::headers;
 use basaltarch_platform::rows::StoreCall;
-use common::eventually;
+use common::forwarder::Forwarder;
 use common::registered::{self, RegisteredFleet, SERVICE};
+use common::{eventually, TestBackend};
 use serde_json::json;
 use test_case::test_case;
 
@@ -152,3 +154,28 @@
     assert_eq!(reply.status, 400, "{}", reply.text());
     restart_fleet.fleet.wait_served(1, &[0]);
 }
+
+/// When a whole fleet restarts, an ingress still knows the servers by their earlier names.
+#[test]
+fn verify_a_request_under_an_earlier_name_runs_at_the_server_that_replaced_it() {
+    let mut fleet = RegisteredFleet::start(1);
+    // The second daemon, without a server, learns nothing after the store is black-holed.
+    let store_forwarder = Forwarder::start();
+    store_forwarder.forward_to(fleet.platform.address);
+    let unreachable = common::closed_address().to_string();
+    let flags = [("heartbeat-ms", "600000"), ("advertise-peers", unreachable.as_str())];
+    fleet.daemons.push(fleet.start_daemon_at(store_forwarder.address, "host-b", "bkk-b", &flags));
+    fleet.wait_served(1, &[0]);
+    store_forwarder.black_hole();
+    let fields = headers::exchange_fields();
+    fleet.backends.push(TestBackend::start_at(common::loopback_address(), "i-9", 1, fields));
+    let address = fleet.backends[1].address;
+    let heartbeat = fleet.build_heartbeat_from(address, "i-9", SERVICE, false);
+    assert_eq!(fleet.call_daemon(0, &heartbeat).status, 200);
+    assert_eq!(fleet.deregister(0).status, 200);
+    let reply = fleet.request(1, "POST", "/unsafe/x", "renamed");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!((fleet.backends[0].run_count("renamed"), fleet.run_count("renamed")), (0, 1));
+    let servers = fleet.daemons[1].get("/v1/backend-servers").to_string();
+    assert!(!servers.contains("i-9"), "the ingress must not know the new name: {servers}");
+}
