Keep the new fields in the test of every field of every kind

The test compares a stored resource with its JSON, defaults included, and failed for the two fields that evacuations and cold servers added. It now gives both a value of its own.

--- a/crates/core/tests/blocks.rs
+++ b/crates/core/tests/blocks.rs
@@ -97,10 +97,11 @@
     assert!(blocks.is_empty() && blocks.iter().next().is_none());
 }
 
-#[test_case(ResourceKind::FailureDomain, json!({"region": "bangkok"}) ; "failure domain")]
+#[test_case(ResourceKind::FailureDomain, json!({"region": "bangkok", "evacuated": true}) ; "failure domain")]
 #[test_case(ResourceKind::Organisation, json!({"title": "ขลุง", "keys": ["00112233445566778899aabbccddeeff"], "criticality": "critical"}) ; "organisation")]
 #[test_case(ResourceKind::Service,
-    json!({"floor": 0.7, "prefer": "detection", "queue": 3, "retry_budget": 0.25}) ; "service")]
+    json!({"floor": 0.7, "prefer": "detection", "queue": 3, "retry_budget": 0.25,
+           "cold_rate": 2.5}) ; "service")]
 #[test_case(ResourceKind::BackendServer,
     json!({"service": "s", "host": "h", "address": "[::1]:9", "slots": 4096, "connections": 65536,
            "failure_domain": "d", "state": "draining"}) ; "backend server")]
