Simplify how rows are asked for and how the operator's table is applied

Read again: whether a reader sends on request only was chosen anew, over all members, for each part of the table, and could differ from the last renewal; it is now kept with the reader. Rows were copied to be packed. Evacuations of the operator's table were applied at four places by hand, and three loops did the same to the table of evacuations. Nothing that callers see changes; tests unchanged.

Tests run: rows, evacuation, documents, behind, registered, adopting.

--- a/crates/daemon/src/config_sync.rs
+++ b/crates/daemon/src/config_sync.rs
@@ -314,7 +314,14 @@
         None => return,
     };
     if state.options.source == ConfigSource::Document {
-        return document::adopt_snapshot(state, &peer.host, &bytes, packed);
+        let unpacked = if packed { document::unpack(&bytes) } else { Ok(bytes) };
+        return match unpacked {
+            Ok(bytes) => document::adopt_snapshot(state, &peer.host, &bytes),
+            Err(error) => {
+                let (host, error) = (&*peer.host, &error.to_string());
+                fleet::SnapshotUnreadable { host, error }.log();
+            }
+        };
     }
     let read_guard = match SnapshotReadGuard::take(state) {
         Some(guard) => guard,
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -23,6 +23,7 @@
 use basaltarch_core::units::FleetRevision;
 use basaltarch_events::fleet;
 use basaltarch_options::ServiceDefaults;
+use basaltarch_peer::errors::LinkError;
 use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_peer::packed;
@@ -111,19 +112,13 @@
         }
         metrics::DOCUMENT_CALLS.add_one();
         let Some(news) = next_unless_stale(&state, &mut reader).await else { continue };
-        let page = match news {
-            FeedUpdate::Whole(page) => {
-                evacuations::apply_table(&state, &page);
-                page
-            }
-            FeedUpdate::Changes(page) => {
-                evacuations::apply_changes(&state, &page);
-                page
-            }
+        let answer = match news {
+            FeedUpdate::Whole(page) => OperatorAnswer { page, is_whole: true },
+            FeedUpdate::Changes(page) => OperatorAnswer { page, is_whole: false },
             FeedUpdate::Failed => continue,
         };
         state.document.position.set(reader.position());
-        apply_answer(&state, &page, reader.complete_until());
+        apply_answer(&state, &answer, reader.complete_until());
     }
 }
 
@@ -144,8 +139,20 @@
     }
 }
 
+/// `OperatorAnswer` is an answer of the store to a read of the operator's table.
+struct OperatorAnswer {
+    page: RowsPage,
+    /// Whether the answer holds the whole table, and not only changes.
+    is_whole: bool,
+}
+
 /// Applies an answer of the store, which includes all changes up to the time `complete_until`.
-fn apply_answer(state: &Rc<DaemonState>, page: &RowsPage, complete_until: Duration) {
+fn apply_answer(state: &Rc<DaemonState>, answer: &OperatorAnswer, complete_until: Duration) {
+    let OperatorAnswer { page, is_whole } = answer;
+    match is_whole {
+        true => evacuations::apply_table(state, page),
+        false => evacuations::apply_changes(state, page),
+    }
     let outcomes: Vec<_> = page.rows.iter().filter_map(|row| apply_row(state, row)).collect();
     // A stale answer does not confirm that the document in force is the newest.
     if outcomes.last() != Some(&DocumentOutcome::Outdated) {
@@ -164,18 +171,14 @@
         Some(position) => state.platform.changes_now(OPERATOR_TABLE, position).await?,
         None => FeedReply::Forgotten,
     };
-    let page = match changes {
-        FeedReply::Changes(page, _) => {
-            evacuations::apply_changes(state, &page);
-            page
-        }
+    let answer = match changes {
+        FeedReply::Changes(page, _) => OperatorAnswer { page, is_whole: false },
         FeedReply::Forgotten => {
             let (page, _) = state.platform.read_table(OPERATOR_TABLE).await?;
-            evacuations::apply_table(state, &page);
-            page
+            OperatorAnswer { page, is_whole: true }
         }
     };
-    apply_answer(state, &page, asked_at);
+    apply_answer(state, &answer, asked_at);
     Ok(())
 }
 
@@ -439,19 +442,14 @@
     Some(bytes)
 }
 
+/// Unpacks a document that [`packed_document`] returned.
+pub fn unpack(bytes: &[u8]) -> Result<Vec<u8>, LinkError> {
+    packed::unpack(bytes, DOCUMENT_BYTES_MAX)
+}
+
 /// Adopts a snapshot that a peer sent.
-pub fn adopt_snapshot(state: &Rc<DaemonState>, host: &str, bytes: &[u8], packed: bool) {
-    let unpacked = match packed {
-        true => packed::unpack(bytes, DOCUMENT_BYTES_MAX),
-        false => Ok(bytes.to_vec()),
-    };
-    let bytes = match unpacked {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            return fleet::SnapshotUnreadable { host, error: &error.to_string() }.log();
-        }
-    };
-    match serde_json::from_slice::<FleetSnapshot<ConfigDocument>>(&bytes) {
+pub fn adopt_snapshot(state: &Rc<DaemonState>, host: &str, bytes: &[u8]) {
+    match serde_json::from_slice::<FleetSnapshot<ConfigDocument>>(bytes) {
         Ok(snapshot) => {
             roster::apply_relayed(state, snapshot.hosts);
             adopt_document(state, snapshot.document, host);
--- a/crates/daemon/src/evacuations.rs
+++ b/crates/daemon/src/evacuations.rs
@@ -55,25 +55,34 @@
 
 /// Applies changes of the operator's table.
 pub fn apply_changes(state: &Rc<DaemonState>, page: &RowsPage) {
-    let mut is_later = false;
-    for row in &page.rows {
-        let Some(domain) = evacuated_domain(&row.key) else { continue };
-        let evacuated = row.value != RowValue::Gone;
-        let reported = DomainState { version: row.version, evacuated };
-        is_later |= state.evacuations.table.borrow_mut().note(domain, reported);
-    }
-    if is_later {
-        put_in_force(state);
-    }
+    apply_reports(
+        state,
+        page.rows.iter().filter_map(|row| {
+            let evacuated = row.value != RowValue::Gone;
+            Some((evacuated_domain(&row.key)?, DomainState { version: row.version, evacuated }))
+        }),
+    );
 }
 
 /// Applies the states that a peer reported.
 pub fn handle_notes(state: &Rc<DaemonState>, notes: &[EvacuationNote]) {
+    apply_reports(
+        state,
+        notes.iter().map(|note| {
+            let version = note.version.max(0) as u64;
+            (&*note.failure_domain, DomainState { version, evacuated: note.evacuated })
+        }),
+    );
+}
+
+/// Applies reported states of failure domains, in any order.
+fn apply_reports<'a>(
+    state: &Rc<DaemonState>,
+    reports: impl Iterator<Item = (&'a str, DomainState)>,
+) {
     let mut is_later = false;
-    for note in notes {
-        let version = note.version.max(0) as u64;
-        let reported = DomainState { version, evacuated: note.evacuated };
-        is_later |= state.evacuations.table.borrow_mut().note(&note.failure_domain, reported);
+    for (domain, reported) in reports {
+        is_later |= state.evacuations.table.borrow_mut().note(domain, reported);
     }
     if is_later {
         put_in_force(state);
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -19,8 +19,9 @@
 /// calls then end as often as in a fleet of twelve daemons, about one every half second.
 const CALL_WAIT_PER_DAEMON: Duration = Duration::from_millis(700);
 
-/// Time since a daemon's start during which it may not know how large the fleet is. The daemons of a
-/// fleet that starts would all take it for a small one, and make several short calls each.
+/// Time since a daemon's start during which it may not know how large the fleet is. Until then, a
+/// poll may wait for at least this time: otherwise, all daemons of a starting fleet would take it
+/// for a small one, and make several short calls each.
 const START_TIME: Duration = Duration::from_secs(4);
 
 /// Returns the longest wait of a long poll in a fleet of `members` daemons at the time `now` since
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -22,6 +22,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
+use std::mem;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -124,6 +125,8 @@
     last_message_at: Duration,
     /// Time until which the reader is not chosen because it was unresponsive.
     avoided_until: Duration,
+    /// Whether the reader sends this daemon changes only in answer to a request.
+    on_request_only: bool,
 }
 
 /// `RowsSubscriber` is a daemon that changes are sent to.
@@ -163,15 +166,20 @@
 
     /// Records that a reader is asked for changes, and avoids a reader that has been unresponsive
     /// for longer than [`READER_UNRESPONSIVE_AFTER`].
-    fn note_request(&self, host: &str, now: Duration) {
+    fn note_request(&self, host: &str, on_request_only: bool, now: Duration) {
         let mut readers = self.readers.borrow_mut();
-        match readers.iter_mut().find(|reader| reader.host == host) {
+        let mut known = readers.iter_mut().find(|reader| reader.host == host);
+        if let Some(reader) = &mut known {
+            reader.on_request_only = on_request_only;
+        }
+        match known {
             None => {
                 let host = host.to_owned();
                 readers.push(RowsReader {
                     host,
                     last_message_at: now,
                     avoided_until: Duration::ZERO,
+                    on_request_only,
                 });
             }
             Some(reader) if reader.avoided_until > Duration::ZERO => {
@@ -187,6 +195,12 @@
         }
     }
 
+    /// Says whether this daemon asks a reader to send changes only in answer to a request.
+    fn wants_on_request_only(&self, host: &str) -> bool {
+        let readers = self.readers.borrow();
+        readers.iter().any(|reader| reader.host == host && reader.on_request_only)
+    }
+
     /// Records that a daemon sent changes. Says whether the sender is a reader that this daemon
     /// asked for changes.
     fn note_sender(&self, host: &str, now: Duration) -> bool {
@@ -246,10 +260,10 @@
         if news.rows.is_empty() {
             return news;
         }
-        match row_list::pack(news.rows.clone()) {
-            Ok(packed) => news = RowsNews { rows: Vec::new(), packed: Some(packed), ..news },
+        match row_list::pack(mem::take(&mut news.rows)) {
+            Ok(packed) => news.packed = Some(packed),
             // Rows that can't be packed are sent as they are.
-            Err(_) => return news,
+            Err(_) => return self.news_after(after),
         }
         let mut parts = self.packed_parts.borrow_mut();
         if parts.len() >= PACKED_PARTS_MAX {
@@ -410,23 +424,18 @@
         }
         readers.retain(|host| *host != state.options.host);
         for (index, host) in readers.iter().enumerate() {
-            state.rows.note_request(host, state.now());
-            subscribe(&state, host, RowsOrder { on_request_only: index > 0 });
+            let on_request_only = index > 0;
+            state.rows.note_request(host, on_request_only, state.now());
+            subscribe(&state, host);
         }
     }
 }
 
-/// `RowsOrder` says which changes a subscriber wants.
-#[derive(Debug, Clone, Copy)]
-struct RowsOrder {
-    /// Whether changes are sent only in answer to a request.
-    on_request_only: bool,
-}
-
 /// Sends a reader a request for changes. If no link can be established, the reader counts as
 /// unresponsive after a while.
-fn subscribe(state: &Rc<DaemonState>, host: &str, order: RowsOrder) {
+fn subscribe(state: &Rc<DaemonState>, host: &str) {
     let path = state.peers.path(host);
+    let on_request_only = state.rows.wants_on_request_only(host);
     let state = state.clone();
     monoio::spawn(async move {
         path.note_used(state.now());
@@ -434,7 +443,7 @@
             let request = RowsRequest {
                 version: state.rows.version.get() as i64,
                 takes_packed: Some(true),
-                on_request_only: Some(order.on_request_only),
+                on_request_only: Some(on_request_only),
                 revision: Some(state.config.revision().0 as i64),
                 evacuation: Some(state.evacuations.version() as i64),
             };
@@ -493,7 +502,7 @@
         return state.rows.changes_missed.raise();
     }
     if after > known {
-        return request_next(state, &peer.host);
+        return subscribe(state, &peer.host);
     }
     let has_more = news.more == Some(true);
     let rows = match news.packed {
@@ -510,16 +519,10 @@
     roster::apply_rows(state, &rows);
     state.rows.store_rows(&rows, version);
     if has_more {
-        request_next(state, &peer.host);
+        subscribe(state, &peer.host);
     }
 }
 
-/// Asks a reader for the changes that follow the applied ones, at once.
-fn request_next(state: &Rc<DaemonState>, host: &str) {
-    let is_first = readers(state).first().is_none_or(|first| first == host);
-    subscribe(state, host, RowsOrder { on_request_only: !is_first });
-}
-
 /// Sends a peer a host's record directly, bypassing the store. A daemon of a release without
 /// relayed records ignores the message, as the message's version is lower than any version of the
 /// table.
