--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use basaltarch_base::metrics;
+use basaltarch_decide::polling;
 use basaltarch_events::process;
 use basaltarch_platform::rows::{RowValue, RowsPage};
 use basaltarch_store::errors::StoreError;
@@ -13,25 +14,6 @@
 
 use crate::state::DaemonState;
 
-/// Longest wait of a long poll for each daemon of the fleet. A call on a black-holed connection
-/// hangs until its wait is over, and the first daemon whose call ends informs the other daemons.
-/// The wait is therefore proportional to the number of daemons in a small fleet: over all daemons,
-/// calls then end as often as in a fleet of twelve daemons, about one every half second.
-const CALL_WAIT_PER_DAEMON: Duration = Duration::from_millis(700);
-
-/// Time since a daemon's start during which it may not know how large the fleet is. Until then, a
-/// poll may wait for at least this time: otherwise, all daemons of a starting fleet would take it
-/// for a small one, and make several short calls each.
-const START_TIME: Duration = Duration::from_secs(4);
-
-/// Returns the longest wait of a long poll in a fleet of `members` daemons at the time `now` since
-/// the daemon's start, but no more than `wait_limit`.
-fn longest_wait(members: usize, now: Duration, wait_limit: Duration) -> Duration {
-    let wait = CALL_WAIT_PER_DAEMON.saturating_mul(members as u32);
-    let wait = if now < START_TIME { wait.max(START_TIME) } else { wait };
-    wait.min(wait_limit)
-}
-
 /// `FeedPlan` says which table is followed and how often the store is called.
 #[derive(Debug, Clone, Copy)]
 pub struct FeedPlan {
@@ -138,7 +120,7 @@
         };
         let began = state.now();
         let members = state.members.count();
-        let wait = platform::draw_wait(longest_wait(members, began, self.plan.wait_max));
+        let wait = platform::draw_wait(polling::longest_wait(members, began, self.plan.wait_max));
         match state.platform.follow(self.plan.table, position, wait).await? {
             FeedReply::Changes(page, position) => {
                 // An answer may have been delayed on its way, so that all changes are included only
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod order;
 pub mod path;
 pub mod poison;
+pub mod polling;
 pub mod probing;
 pub mod progress;
 pub mod recovery;
