--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -10,6 +10,7 @@
 pub mod backend;
 pub mod calls;
 pub mod exchange;
+pub mod notices;
 pub mod relay;
 pub mod reservations;
 pub mod sending;
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -13,6 +13,8 @@
 use basaltarch_decide::adaptive_timeout::AttemptTimeout;
 use basaltarch_decide::breaker::FailureKind;
 use basaltarch_decide::evidence::RequestEvidence;
+use basaltarch_decide::server_rate::{RateResponse, RateStatement};
+use basaltarch_events::servers::RateUnreadable;
 use basaltarch_http::body::{BodyLimits, BodyReader};
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::fields;
@@ -27,6 +29,7 @@
 
 use crate::host::calls::NestedCalls;
 use crate::host::exchange::HostAttempt;
+use crate::host::notices;
 use crate::host::verify::{self, AnswerVerdict};
 use crate::wire;
 
@@ -192,9 +195,7 @@
         let AnswerStart { mut head, framing, verdict, is_first_response } =
             self.read_start(reader).await?;
         self.progress.head_seen.set(true);
-        let now = self.attempt.state.now();
-        let drain = &self.attempt.state.fields.drain;
-        self.attempt.upstream.note_drain_notice(head.headers.contains_key(drain), now);
+        self.note_notices(&head, verdict);
         match verdict {
             AnswerVerdict::Shed => {
                 let close = fields::wants_close(head.version, &head.headers) || !is_first_response;
@@ -226,6 +227,21 @@
         Ok(!close && reader.buffer.is_empty())
     }
 
+    /// Records what the server says of itself in a response head.
+    fn note_notices(&self, head: &response::Parts, verdict: AnswerVerdict) {
+        let now = self.attempt.state.now();
+        let upstream = self.attempt.upstream;
+        let field_names = &self.attempt.state.fields;
+        upstream.note_drain_notice(head.headers.contains_key(&field_names.drain), now);
+        let statement =
+            notices::rate_statement(field_names, head, verdict).unwrap_or_else(|text| {
+                RateUnreadable { upstream: &upstream.name, text: &text }.log();
+                RateStatement::Silent
+            });
+        let sent_at = now.saturating_sub(self.progress.elapsed());
+        upstream.note_rate(&RateResponse { statement, sent_at }, now);
+    }
+
     /// Reads response heads until a head belongs to the request; responses to earlier requests are
     /// discarded.
     async fn read_start(&self, reader: &mut BackendReader) -> Result<AnswerStart, AttemptFault> {
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -19,6 +19,7 @@
 use basaltarch_decide::health::{
     AdmitVerdict, DispatchTerms, HealthChange, UpstreamHealth, WatchEnd,
 };
+use basaltarch_decide::server_rate::{RateResponse, ServerRate};
 use basaltarch_events::servers;
 use basaltarch_peer::protocol::LoadReport;
 use basaltarch_waiting::slots::SlotQueue;
@@ -29,6 +30,8 @@
 
 /// Time after which a backend server's drain notice expires, unless another notice renews it.
 const DRAIN_NOTICE_TTL: Duration = Duration::from_secs(30);
+/// Origin of a rate limit in logs: a response of the backend server.
+const RATE_TOLD_BY_SERVER: &str = "server";
 
 /// `HostUpstream` is the state of one backend server of this host.
 pub struct HostUpstream {
@@ -52,6 +55,7 @@
     evacuated: Cell<bool>,
     unreachable: Cell<bool>,
     last_success_at: Cell<Duration>,
+    rate: RefCell<ServerRate>,
 }
 
 impl HostUpstream {
@@ -80,6 +84,7 @@
             evacuated: Cell::new(false),
             unreachable: Cell::new(false),
             last_success_at: Cell::new(Duration::ZERO),
+            rate: RefCell::default(),
         }
     }
 
@@ -107,6 +112,23 @@
         self.draining_until.set(until);
     }
 
+    /// Records what a response says about the server's rate limit.
+    pub fn note_rate(&self, response: &RateResponse, now: Duration) {
+        if self.rate.borrow_mut().note_response(response, now) {
+            self.log_rate(RATE_TOLD_BY_SERVER);
+        }
+    }
+
+    fn log_rate(&self, told_by: &str) {
+        let (upstream, service) = (&*self.name, &*self.service);
+        match self.rate.borrow().known().per_second() {
+            Some(per_second) => {
+                servers::RateLimited { upstream, service, per_second, told_by }.log();
+            }
+            None => servers::RateUnlimited { upstream, service }.log(),
+        }
+    }
+
     /// Says whether the last attempt to connect to the backend server failed, or the server has
     /// crashed since. An unreachable server gets no reservations: each slot would become free again
     /// at once, so that its slots would be offered to all waiting requests, one after the other.
--- a/crates/daemon/tests/reference.rs
+++ b/crates/daemon/tests/reference.rs
@@ -48,6 +48,7 @@
         fields::IDEMPOTENCY_KEY,
         fields::SHED,
         fields::DRAIN,
+        fields::RATE_LIMIT,
         fields::FORWARDED_FOR,
         fields::FORWARDED_PROTO,
         fields::FORWARDED_HOST,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod progress;
 pub mod recovery;
 pub mod server_incarnation;
+pub mod server_rate;
 pub mod split;
 pub mod stop;
 pub mod suspects;
--- a/crates/events/src/servers.rs
+++ b/crates/events/src/servers.rs
@@ -38,6 +38,35 @@
         from: &'a str,
     }
 
+    /// A backend server named in a response how many requests per second it takes from all hosts
+    /// together, or the limit that it names changed.
+    "server rate limited" INFO RateLimited<'a> {
+        /// Name of the backend server.
+        upstream: &'a str,
+        /// Service that it is an upstream of.
+        service: &'a str,
+        /// Requests per second that it takes.
+        per_second: f64,
+        /// Who told of the limit: the server itself, or an ingress that had heard of it.
+        told_by: &'a str,
+    }
+
+    /// A backend server no longer names a rate limit.
+    "server rate unlimited" INFO RateUnlimited<'a> {
+        /// Name of the backend server.
+        upstream: &'a str,
+        /// Service that it is an upstream of.
+        service: &'a str,
+    }
+
+    /// The rate limit that a backend server names can't be read. The limit in force stays.
+    "server rate unreadable" WARN RateUnreadable<'a> {
+        /// Name of the backend server.
+        upstream: &'a str,
+        /// Text that it sent as its limit.
+        text: &'a str,
+    }
+
     /// A backend server is gone: it announced this, or another server answers in its place.
     "backend server gone" INFO ServerGone<'a> {
         /// Name of the backend server.
--- a/crates/http/src/fields.rs
+++ b/crates/http/src/fields.rs
@@ -33,6 +33,9 @@
 pub const SHED: HeaderName = HeaderName::from_static("basaltarch-shed");
 /// Drain notice: a backend server is about to leave.
 pub const DRAIN: HeaderName = HeaderName::from_static("basaltarch-drain");
+/// Requests per second that a backend server takes from all hosts together, as a decimal number. A
+/// response without the field says that the server has no such limit.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("basaltarch-rate-limit");
 /// Addresses that the request passed through.
 pub const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 /// Protocol that the caller used.
@@ -58,6 +61,11 @@
     pub shed: HeaderName,
     /// Drain notice: a backend server is about to leave.
     pub drain: HeaderName,
+    /// Whether a backend server that sent a drain notice never takes requests again under its name,
+    /// because the name is that of one incarnation.
+    pub is_drain_final: bool,
+    /// Requests per second that a backend server takes from all hosts together.
+    pub rate_limit: HeaderName,
     /// Service of the host where the request originated.
     pub caller_service: Option<HeaderName>,
     /// API key of the caller.
@@ -79,6 +87,8 @@
             expected_server: None,
             shed: SHED,
             drain: DRAIN,
+            is_drain_final: false,
+            rate_limit: RATE_LIMIT,
             caller_service: None,
             api_key: API_KEY,
             organisation: ORGANISATION,
@@ -156,3 +166,20 @@
 pub fn single<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
+
+/// Returns the rate limit, in requests per second, that a response names in the field `name`.
+/// Returns `None` if the response names no limit, and the text of the field as the error if the
+/// text is not one decimal number.
+pub fn rate_limit(headers: &HeaderMap, name: &HeaderName) -> Result<Option<f64>, String> {
+    let mut values = headers.get_all(name).iter();
+    let text = match values.next() {
+        Some(value) => String::from_utf8_lossy(value.as_bytes()),
+        None => return Ok(None),
+    };
+    let is_decimal = |text: &str| text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let rate = Some(text.trim()).filter(|text| is_decimal(text));
+    match (rate.and_then(|text| text.parse::<f64>().ok()), values.next()) {
+        (Some(rate), None) if rate.is_finite() => Ok(Some(rate)),
+        _ => Err(text.into_owned()),
+    }
+}
--- a/crates/standin/src/backend/faults.rs
+++ b/crates/standin/src/backend/faults.rs
@@ -3,6 +3,8 @@
 
 //! The faults that can be injected into a simulated backend server.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 /// `BreakPoint` is the stage of an exchange at which the server drops the connection.
@@ -42,6 +44,8 @@
     pub shed: bool,
     /// Every response carries a drain notice.
     pub drain: bool,
+    /// Header fields that every response carries besides the usual ones.
+    pub notices: BTreeMap<String, String>,
     /// Requests are answered without any service time.
     pub quick_errors: bool,
     /// A response to another request is sent before each response.
@@ -77,6 +81,7 @@
             break_at: BreakPoint::Nowhere,
             shed: false,
             drain: false,
+            notices: BTreeMap::new(),
             quick_errors: false,
             surplus: false,
             twice: false,
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -24,7 +24,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::HeaderName;
 use rand::{RngExt, SeedableRng};
@@ -49,6 +49,7 @@
     faults: RefCell<BackendFaults>,
     runs: RefCell<BackendRuns>,
     in_flight: Cell<u64>,
+    started: Instant,
     /// Raised by a request that crashes the server, to close the listener.
     crash: CrashSignal,
     /// Raised once the listener has closed, to close the connections.
@@ -65,6 +66,7 @@
             faults: RefCell::default(),
             runs: RefCell::default(),
             in_flight: Cell::new(0),
+            started: Instant::now(),
             crash: CrashSignal::default(),
             down: CrashSignal::default(),
             rng: RefCell::new(rng),
--- a/crates/standin/src/backend/reply.rs
+++ b/crates/standin/src/backend/reply.rs
@@ -93,6 +93,11 @@
     if faults.drain {
         put(&mut headers, names.drain.clone(), "1");
     }
+    for (name, value) in &faults.notices {
+        if let Ok(name) = HeaderName::from_bytes(name.as_bytes()) {
+            put(&mut headers, name, value);
+        }
+    }
     headers
 }
 
--- a/crates/standin/src/backend/runs.rs
+++ b/crates/standin/src/backend/runs.rs
@@ -27,6 +27,9 @@
     pub connections: u64,
     /// Number of requests received, whether or not they were run.
     pub received: u64,
+    /// Times of the requests received while responses carry `notices` of the faults, in milliseconds
+    /// since the server started.
+    pub noticed_at_ms: Vec<u64>,
     /// Number of requests to the health and load endpoints.
     pub probes: u64,
     /// Number of crashes of the server.
@@ -45,6 +48,9 @@
     let mut runs = standin.runs.borrow_mut();
     runs.received += 1;
     runs.keys += u64::from(head.headers.contains_key(&standin.options.fields.api_key));
+    if !standin.faults.borrow().notices.is_empty() {
+        runs.noticed_at_ms.push(standin.started.elapsed().as_millis() as u64);
+    }
     runs.last_head = format!("{} {} {:?}", head.method, head.uri, head.headers);
 }
 
