--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -7,8 +7,8 @@
 //! [`platform`] and [`backend`] are simulated, [`daemon`] and [`inline`] start daemons and
 //! [`logs`] reads their logs. [`fleet`] and [`registered`] combine these, one for each source of
 //! the configuration. [`client`] sends requests, [`operator`] makes the calls of operators, and
-//! [`forwarder`] cuts or black-holes connections. [`stops`] sends requests to daemons that are
-//! shutting down.
+//! [`forwarder`] cuts or black-holes connections, [`load`] keeps sending requests, and [`stops`]
+//! sends requests to daemons that are shutting down.
 //!
 //! The kernel assigns the ports. Tests wait for conditions rather than for fixed times, for at most
 //! [`EVENT_TIMEOUT`].
@@ -21,6 +21,7 @@
 pub mod fleet;
 pub mod forwarder;
 pub mod inline;
+pub mod load;
 pub mod logs;
 pub mod operator;
 pub mod platform;
