--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -74,8 +74,8 @@
     pub wait_until: Option<Duration>,
     /// How the last attempt ended.
     pub last_outcome: FailureOutcome,
-    /// Why an earlier attempt may have run the request; `None` if no earlier attempt can have run
-    /// the request.
+    /// Why an earlier attempt may have run the request; `None` if no earlier attempt, apart from slow
+    /// attempts, can have run the request.
     may_have_run: Option<UnknownReason>,
     /// Upstream at which an earlier attempt failed.
     pub failed_at: Option<usize>,
@@ -207,7 +207,6 @@
                 attempts.server_attempts += 1;
                 attempts.request.service.note_hedge_due(choice.index, state.now());
                 attempts.excluded.push(choice.index);
-                attempts.note_outcome(FailureOutcome::Unknown(UnknownReason::TimedOut));
                 slow.push(SlowAttempt { start, live });
             }
             FirstEvent::Failed(outcome, report) => {
@@ -308,13 +307,18 @@
         if let Some((live, head)) = fallback {
             return AttemptEnd::Answer(live, head);
         }
-        self.end_without_answer(failure)
+        let slow_run = slow.may_have_run().then_some(UnknownReason::TimedOut);
+        self.end_without_answer(self.may_have_run.or(slow_run), failure)
     }
 
-    /// Builds the end of a request without an answer. If any attempt may have run the request, the
-    /// caller is not told that the request was not run.
-    fn end_without_answer(&self, failure: CallerFailure) -> AttemptEnd {
-        match (self.may_have_run, failure.outcome) {
+    /// Builds the end of a request without an answer. If any attempt may have run the request, as
+    /// `may_have_run` says, the caller is not told that the request was not run.
+    fn end_without_answer(
+        &self,
+        may_have_run: Option<UnknownReason>,
+        failure: CallerFailure,
+    ) -> AttemptEnd {
+        match (may_have_run, failure.outcome) {
             (Some(reason), FailureOutcome::NotRun(_)) => {
                 AttemptEnd::Failed(CallerFailure::new(FailureOutcome::Unknown(reason)))
             }
--- a/crates/daemon/src/ingress/slow_attempts.rs
+++ b/crates/daemon/src/ingress/slow_attempts.rs
@@ -10,6 +10,7 @@
 use std::future::poll_fn;
 use std::task::{Context, Poll};
 
+use basaltarch_core::outcome::FailureOutcome;
 use basaltarch_peer::protocol::AnswerHead;
 use basaltarch_peer::stream::StreamEvent;
 
@@ -29,6 +30,8 @@
 #[derive(Default)]
 pub struct SlowAttempts {
     attempts: Vec<SlowAttempt>,
+    /// Whether an attempt that has ended may have run the request.
+    ended_after_run: bool,
 }
 
 impl SlowAttempts {
@@ -42,6 +45,12 @@
         self.attempts.is_empty()
     }
 
+    /// Says whether any of the attempts may have run the request: it still runs, or it ended in
+    /// another way than by the refusal of its host.
+    pub fn may_have_run(&self) -> bool {
+        self.ended_after_run || !self.attempts.is_empty()
+    }
+
     /// Waits until one of the attempts answers successfully; never returns if no attempt succeeds.
     /// Attempts that fail are dropped.
     pub async fn next_success(&mut self) -> (SlowAttempt, AnswerHead) {
@@ -67,13 +76,25 @@
                 Poll::Ready(StreamEvent::Head(head)) if is_success(&head) => {
                     return Poll::Ready((self.attempts.swap_remove(index), head));
                 }
-                Poll::Ready(_) => drop(self.attempts.swap_remove(index)),
+                Poll::Ready(event) => {
+                    self.ended_after_run |= !is_refusal(&event);
+                    drop(self.attempts.swap_remove(index));
+                }
             }
         }
         Poll::Pending
     }
 }
 
+/// Says whether an attempt ended with its host's word that the request did not run.
+fn is_refusal(event: &StreamEvent) -> bool {
+    let outcome = match event {
+        StreamEvent::Failed(failure) => FailureOutcome::from_wire(failure.outcome),
+        _ => return false,
+    };
+    matches!(outcome, FailureOutcome::NotRun(_))
+}
+
 fn is_success(head: &AnswerHead) -> bool {
     !wire::is_server_error(head.status as u16)
 }
