--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -220,7 +220,7 @@
                 }
                 let end = StepEnd::Failed(outcome);
                 let load = report.as_ref().map(StepLoad::of);
-                if attempts.has_declined(choice.index, outcome) {
+                if attempts.has_declined(&start, outcome) {
                     attempts.log_end(&start, end, load, NextStep::Elsewhere);
                     continue;
                 }
@@ -255,6 +255,8 @@
     attempt: usize,
     index: usize,
     began: Duration,
+    /// Whether another upstream could be tried when the attempt was made.
+    was_passable: bool,
 }
 
 impl RequestAttempts<'_> {
@@ -266,12 +268,13 @@
         let passable = self.is_passable();
         let step = TraceStep::Chosen { attempt, choice: *choice, passable };
         trace::note_step(self.state, self.request, step);
-        AttemptStart { attempt, index: choice.index, began: self.state.now() }
+        let began = self.state.now();
+        AttemptStart { attempt, index: choice.index, began, was_passable: passable }
     }
 
     /// Logs the end of an attempt.
     fn log_end(&self, start: &AttemptStart, end: StepEnd, load: Option<StepLoad>, next: NextStep) {
-        let AttemptStart { attempt, index, began } = *start;
+        let AttemptStart { attempt, index, began, .. } = *start;
         let step = TraceStep::Ended { attempt, index, end, began, load, next };
         trace::note_step(self.state, self.request, step);
     }
@@ -507,7 +510,10 @@
     /// Records that an upstream declined the request because the upstream is full or draining or
     /// its circuit breaker is open. Returns whether the upstream declined and another upstream may
     /// be tried. A decline costs only a round trip, so a decline does not count as a dispatch.
-    fn has_declined(&mut self, index: usize, outcome: FailureOutcome) -> bool {
+    ///
+    /// An upstream that was told of another one declines also if the other one has become full
+    /// since. The upstream itself must then remain eligible.
+    fn has_declined(&mut self, start: &AttemptStart, outcome: FailureOutcome) -> bool {
         let decline_reasons = [
             NotRunReason::Unhealthy,
             NotRunReason::Unproven,
@@ -523,16 +529,17 @@
         let declined =
             decline_reasons.iter().any(|reason| outcome == FailureOutcome::NotRun(*reason));
         let declined = declined || offer_was_void;
-        if !declined || !self.is_passable() || self.time_left().is_zero() {
+        let may_decline = start.was_passable || self.is_passable();
+        if !declined || !may_decline || self.time_left().is_zero() {
             return false;
         }
         self.dispatches -= 1;
         self.decline_count += 1;
         let full_reasons = [NotRunReason::QueueFull, NotRunReason::Unproven];
         if full_reasons.iter().any(|reason| outcome == FailureOutcome::NotRun(*reason)) {
-            self.full.push(index);
+            self.full.push(start.index);
         } else {
-            self.excluded.push(index);
+            self.excluded.push(start.index);
         }
         true
     }
