--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -58,6 +58,12 @@
 ) {
     let _counted = state.stop.count_in_flight();
     let upstream = state.host.get_or_successor(&head.upstream, &head.service_name);
+    if let (Some(upstream), Some(rate)) = (&upstream, wire::rate_from_note(head.rate)) {
+        // What an ingress has heard of a server does not hold for the server's successor.
+        if *upstream.name == *head.upstream {
+            upstream.note_reported_rate(rate);
+        }
+    }
     let result = match &upstream {
         Some(upstream) => serve_upstream(state, upstream, &head, body, answer).await,
         None => Err(FailureOutcome::NotRun(NotRunReason::UnknownUpstream)),
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -239,7 +239,7 @@
                 RateStatement::Silent
             });
         let sent_at = now.saturating_sub(self.progress.elapsed());
-        upstream.note_rate(&RateResponse { statement, sent_at }, now);
+        upstream.note_rate(&RateResponse { statement, sent_at });
     }
 
     /// Reads response heads until a head belongs to the request; responses to earlier requests are
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -19,7 +19,7 @@
 use basaltarch_decide::health::{
     AdmitVerdict, DispatchTerms, HealthChange, UpstreamHealth, WatchEnd,
 };
-use basaltarch_decide::server_rate::{RateResponse, ServerRate};
+use basaltarch_decide::server_rate::{RateReport, RateResponse};
 use basaltarch_events::servers;
 use basaltarch_peer::protocol::LoadReport;
 use basaltarch_waiting::slots::SlotQueue;
@@ -32,6 +32,8 @@
 const DRAIN_NOTICE_TTL: Duration = Duration::from_secs(30);
 /// Origin of a rate limit in logs: a response of the backend server.
 const RATE_TOLD_BY_SERVER: &str = "server";
+/// Origin of a rate limit in logs: an ingress that had passed on a response with the limit.
+const RATE_TOLD_BY_INGRESS: &str = "ingress";
 
 /// `HostUpstream` is the state of one backend server of this host.
 pub struct HostUpstream {
@@ -55,7 +57,6 @@
     evacuated: Cell<bool>,
     unreachable: Cell<bool>,
     last_success_at: Cell<Duration>,
-    rate: RefCell<ServerRate>,
 }
 
 impl HostUpstream {
@@ -84,7 +85,6 @@
             evacuated: Cell::new(false),
             unreachable: Cell::new(false),
             last_success_at: Cell::new(Duration::ZERO),
-            rate: RefCell::default(),
         }
     }
 
@@ -113,15 +113,23 @@
     }
 
     /// Records what a response says about the server's rate limit.
-    pub fn note_rate(&self, response: &RateResponse, now: Duration) {
-        if self.rate.borrow_mut().note_response(response, now) {
+    pub fn note_rate(&self, response: &RateResponse) {
+        if self.slots.note_rate(response) {
             self.log_rate(RATE_TOLD_BY_SERVER);
         }
     }
 
+    /// Records the rate limit that an ingress has heard of. After a restart of this daemon, the
+    /// server may have named the limit before.
+    pub fn note_reported_rate(&self, per_second: f64) {
+        if self.slots.note_reported_rate(per_second) {
+            self.log_rate(RATE_TOLD_BY_INGRESS);
+        }
+    }
+
     fn log_rate(&self, told_by: &str) {
         let (upstream, service) = (&*self.name, &*self.service);
-        match self.rate.borrow().known().per_second() {
+        match self.slots.rate().per_second() {
             Some(per_second) => {
                 servers::RateLimited { upstream, service, per_second, told_by }.log();
             }
@@ -290,6 +298,7 @@
             revision: state.config.revision().0,
             took,
             slow_requests: self.adaptive_timeout.borrow().slow_requests(now),
+            rate: RateReport { known: self.slots.rate(), turn_in: self.slots.turn_in() },
         };
         wire::report_note(load, &self.health.borrow().report(route, now))
     }
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -503,7 +503,9 @@
     /// Says whether another upstream can be tried if the next upstream declines the request.
     pub fn is_passable(&self) -> bool {
         let tried_indexes = [&self.excluded[..], &self.full].concat();
-        let other_count = self.request.service.with_view(|view| view.count_others(&tried_indexes));
+        let now = self.state.now();
+        let service = &self.request.service;
+        let other_count = service.with_view(|view| view.count_others(&tried_indexes, now));
         self.decline_count < DECLINES_MAX && other_count > 1
     }
 
--- a/crates/daemon/src/ingress/dispatch.rs
+++ b/crates/daemon/src/ingress/dispatch.rs
@@ -186,6 +186,7 @@
             tally: self.request.tally(self.state).map(wire::tally_note),
             reserved: None,
             called: self.is_nested_call(),
+            rate: request.service.with_view(|view| wire::rate_note(view.rate(choice.index))),
         }
     }
 
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -339,6 +339,7 @@
             view.note_median(baseline.current().median_ln);
         }
         view.note_report(index, load.in_flight + load.queued, health, now);
+        view.note_rate(index, &load.rate, now);
     }
 
     /// Records that an attempt at an upstream takes longer than the attempt's hedging delay.
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -11,11 +11,13 @@
 use basaltarch_decide::adaptive_timeout::SlowRequests;
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::health::HealthReport;
+use basaltarch_decide::server_rate::{KnownRate, RateReport};
 use basaltarch_decide::suspects::{CrashTally, SuspectNotice};
 use basaltarch_http::writer;
 use basaltarch_peer::protocol::{BaselineNote, LoadReport, SuspectNote, TallyNote};
 use bytes::BytesMut;
 use http::HeaderMap;
+use thrift::OrderedFloat;
 
 /// Bytes of a typical header field, by which the buffer for field lines is allocated.
 const TYPICAL_FIELD_BYTES: usize = 48;
@@ -175,6 +177,8 @@
     pub took: Option<Duration>,
     /// Slow requests at the upstream.
     pub slow_requests: SlowRequests,
+    /// Rate limit of the upstream.
+    pub rate: RateReport,
 }
 
 /// Converts an upstream's load and health to its report in the peer protocol.
@@ -190,16 +194,41 @@
         overdue_rate_milli: to_milli(health.overdue_rate),
         samples: health.samples.min(i32::MAX as u32) as i32,
         ramp_milli: to_milli(health.ramp),
-        trial_in_ms: health.trial_in.as_millis().min(i32::MAX as u128) as i32,
+        trial_in_ms: to_millis(health.trial_in),
         revision: load.revision as i64,
         ejected: health.ejected,
         doubtful: health.doubtful,
         took_us: load.took.map_or(0, |took| took.as_micros().clamp(1, i32::MAX as u128) as i32),
         hung_milli: Some(to_milli(load.slow_requests.hung)),
         late_milli: Some(to_milli(load.slow_requests.late)),
+        rate: rate_note(load.rate.known),
+        turn_in_ms: (!load.rate.turn_in.is_zero()).then(|| to_millis(load.rate.turn_in)),
+        unlimited: (load.rate.known == KnownRate::Unlimited).then_some(true),
     }
 }
 
+/// Converts the rate limit of a backend server, in requests per second.
+pub fn rate_note(known: KnownRate) -> Option<OrderedFloat<f64>> {
+    known.per_second().map(OrderedFloat)
+}
+
+/// Reads the rate limit of a backend server, in requests per second. A limit that is no number
+/// counts as not known.
+pub fn rate_from_note(rate: Option<OrderedFloat<f64>>) -> Option<f64> {
+    rate.map(|rate| rate.0).filter(|rate| rate.is_finite() && *rate >= 0.0)
+}
+
+/// Reads the rate limit in an upstream's report.
+fn rate_report(report: &LoadReport) -> RateReport {
+    let known = match (rate_from_note(report.rate), report.unlimited) {
+        (Some(rate), _) => KnownRate::PerSecond(rate),
+        (None, Some(true)) => KnownRate::Unlimited,
+        (None, _) => KnownRate::Unknown,
+    };
+    let turn_in = Duration::from_millis(report.turn_in_ms.unwrap_or(0).max(0) as u64);
+    RateReport { known, turn_in }
+}
+
 /// Reads an upstream's report as its load and health.
 pub fn load_and_health(report: &LoadReport) -> (HostLoad, HealthReport) {
     let load = HostLoad {
@@ -212,6 +241,7 @@
             report.hung_milli.unwrap_or(0),
             report.late_milli.unwrap_or(0),
         ),
+        rate: rate_report(report),
     };
     let health = HealthReport {
         sickness: from_milli(report.sickness_milli),
@@ -233,6 +263,11 @@
     matches!(status, 500 | 502 | 503 | 504)
 }
 
+/// Converts a time to whole milliseconds, saturated at the range of `i32`.
+fn to_millis(time: Duration) -> i32 {
+    time.as_millis().min(i32::MAX as u128) as i32
+}
+
 /// Converts a fraction to thousandths, saturated at the range of `i32`.
 fn to_milli(value: f64) -> i32 {
     (value * THOUSANDTHS_PER_UNIT).round() as i32
--- a/crates/daemon/tests/cancel.rs
+++ b/crates/daemon/tests/cancel.rs
@@ -77,6 +77,7 @@
         tally: None,
         reserved: None,
         called: None,
+        rate: None,
     };
     PeerFrame { exchange: 0, body: FrameBody::Dispatch(head) }
 }
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -9,6 +9,7 @@
 
 use crate::floor::{self, CapacityEntry, FloorPlan};
 use crate::health::{self, HealthReport};
+use crate::server_rate::{KnownRate, RateReport};
 
 pub mod reservations;
 
@@ -29,6 +30,10 @@
 const REMOTE_COST_FACTOR: f64 = 1.1;
 /// Load that is assumed of an upstream without a recent report, as a share of its slots.
 const ASSUMED_LOAD: f64 = 0.3;
+/// Service time that is assumed of an upstream that has reported none.
+const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(100);
+/// Lower bound of the slots that a rate limit keeps busy, so that a load can be compared with them.
+const USABLE_SLOTS_MIN: f64 = 0.02;
 /// Lower bound of the ratio of an upstream's service time to that of its siblings: an upstream
 /// sends errors sooner than real answers, and its errors must not attract traffic.
 const TIME_RATIO_MIN: f64 = 0.8;
@@ -87,6 +92,10 @@
     pub reported_at: Duration,
     /// When the hedging delay of an attempt at the upstream last ran out without an answer.
     pub hedge_due_at: Option<Duration>,
+    /// Rate limit of the upstream, by the last report that said anything about it.
+    pub rate: KnownRate,
+    /// When the rate limit allows the next request, by that report.
+    pub turn_at: Duration,
 }
 
 impl LoadView {
@@ -103,6 +112,8 @@
             health: None,
             reported_at: Duration::ZERO,
             hedge_due_at: None,
+            rate: KnownRate::Unknown,
+            turn_at: Duration::ZERO,
         }
     }
 
@@ -113,9 +124,44 @@
         ejected.map_or(0.0, |health| health.sickness.max(1.0))
     }
 
+    /// Returns the typical service time of the upstream, or [`ASSUMED_SERVICE_TIME`] if none is
+    /// reported.
+    fn service_time(&self) -> Duration {
+        let health = self.health.filter(|health| health.samples > 0);
+        health.map_or(ASSUMED_SERVICE_TIME, |health| {
+            Duration::from_micros(health.median_ln.exp() as u64)
+        })
+    }
+
+    /// Returns the number of requests that the upstream can run at once: its slots, or fewer if its
+    /// rate limit does not keep all slots busy.
+    pub fn usable_slots(&self) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let busy_slots =
+            self.rate.per_second().map(|rate| rate * self.service_time().as_secs_f64());
+        busy_slots.map_or(slots, |busy_slots| busy_slots.clamp(USABLE_SLOTS_MIN, slots))
+    }
+
+    /// Says whether the rate limit of the upstream allows a request.
+    fn has_turn(&self, now: Duration) -> bool {
+        now >= self.turn_at
+    }
+
+    /// Returns the load that stands for the wait until the rate limit allows a request: all slots,
+    /// plus the wait in service rounds; zero if the limit allows a request.
+    fn turn_load(&self, now: Duration) -> f64 {
+        let wait = self.turn_at.saturating_sub(now);
+        let round = self.service_time().as_secs_f64().max(f64::EPSILON);
+        if wait.is_zero() {
+            0.0
+        } else {
+            1.0 + wait.as_secs_f64() / round
+        }
+    }
+
     /// Estimates the share of the slots in use at `now`.
     fn load_share(&self, now: Duration) -> f64 {
-        let slots = f64::from(self.slots.max(1));
+        let slots = self.usable_slots();
         let age = now.saturating_sub(self.reported_at).as_secs_f64();
         let weight = (-age / LOAD_REPORT_LIFE.as_secs_f64()).exp();
         let reported = f64::from(self.load) / slots;
@@ -124,17 +170,15 @@
         } else {
             ASSUMED_LOAD
         };
-        estimate.max(f64::from(self.own_in_flight) / slots)
+        estimate.max(f64::from(self.own_in_flight) / slots).max(self.turn_load(now))
     }
 
-    /// Returns how many service rounds a new request would wait for by the last report; zero if the
-    /// report is not fresh.
+    /// Returns how many service rounds a new request would wait for by the last report: those for
+    /// which it waits for a slot, if the report is fresh, or for its turn under the rate limit.
     pub fn queued_rounds(&self, now: Duration) -> f64 {
         let fresh = now.saturating_sub(self.reported_at) < LOAD_REPORT_LIFE;
-        if !fresh {
-            return 0.0;
-        }
-        f64::from(self.load) / f64::from(self.slots.max(1))
+        let slot_rounds = if fresh { f64::from(self.load) / self.usable_slots() } else { 0.0 };
+        slot_rounds + self.turn_load(now)
     }
 
     /// Returns the upstream's median service time as a multiple of the service's median.
@@ -152,7 +196,7 @@
 
     /// Returns the cost by load, service time and distance alone, without the factor for suspects.
     fn load_cost(&self, now: Duration, median_ln: f64) -> f64 {
-        let busy = self.load_share(now) + 1.0 / f64::from(self.slots.max(1));
+        let busy = self.load_share(now) + 1.0 / self.usable_slots();
         let health = match &self.health {
             Some(health) => health,
             None => return busy,
@@ -359,10 +403,13 @@
         Self { queue, ..self }
     }
 
-    /// Returns the number of upstreams in service that are not in `excluded`.
-    pub fn count_others(&self, excluded: &[usize]) -> usize {
+    /// Returns the number of upstreams that are not in `excluded`, are in service and whose rate limit
+    /// allows a request.
+    pub fn count_others(&self, excluded: &[usize], now: Duration) -> usize {
         let others = (0..self.upstreams.len()).filter(|index| !excluded.contains(index));
-        others.filter(|index| self.in_service(*index)).count()
+        let may_serve =
+            |index: usize| self.in_service(index) && self.upstreams[index].has_turn(now);
+        others.filter(|index| may_serve(*index)).count()
     }
 
     /// Says whether an upstream is in the failure domain of the ingress.
@@ -405,6 +452,23 @@
         view.reported_at = now;
     }
 
+    /// Records the rate limit of an upstream. A daemon that was restarted and has heard nothing of
+    /// the limit does not end it.
+    pub fn note_rate(&mut self, index: usize, report: &RateReport, now: Duration) {
+        let view = match self.upstreams.get_mut(index) {
+            Some(view) if report.known != KnownRate::Unknown => view,
+            _ => return,
+        };
+        self.is_plan_stale |= view.rate != report.known;
+        view.rate = report.known;
+        view.turn_at = now + report.turn_in;
+    }
+
+    /// Returns the rate limit of an upstream.
+    pub fn rate(&self, index: usize) -> KnownRate {
+        self.upstreams.get(index).map_or(KnownRate::Unknown, |view| view.rate)
+    }
+
     /// Records whether an upstream is draining.
     pub fn note_draining(&mut self, index: usize, draining: bool) {
         if let Some(view) = self.upstreams.get_mut(index) {
@@ -477,6 +541,7 @@
             .iter()
             .map(|view| CapacityEntry {
                 slots: view.slots,
+                usable: view.usable_slots() as u32,
                 available: view.reachable && !view.draining,
                 score: view.ejected_score(now),
             })
@@ -532,7 +597,7 @@
         let view = &self.upstreams[index];
         UpstreamChoice {
             index,
-            refusable: self.plan.allows_removal(view.slots),
+            refusable: self.plan.allows_removal(view.usable_slots() as u32),
             ground,
             cost: view.load_share(now),
             rival: None,
@@ -617,6 +682,13 @@
         let is_in_service = |index: usize, _: &LoadView| {
             self.in_service(index) && !request.excluded.contains(&index)
         };
+        // A request that waits for its turn under a rate limit is served later than one that waits
+        // for a slot.
+        let has_turn =
+            |index: usize, view: &LoadView| is_in_service(index, view) && view.has_turn(terms.now);
+        if let Some(drawn) = self.draw(terms, rng, candidates, has_turn) {
+            return Some((ChoiceGround::Any, drawn));
+        }
         if let Some(drawn) = self.draw(terms, rng, candidates, is_in_service) {
             return Some((ChoiceGround::Any, drawn));
         }
@@ -665,7 +737,8 @@
         let is_old =
             view.own_in_flight == 0 && now.saturating_sub(view.reported_at) >= EXPLORE_REPORT_AGE;
         let is_ramping = view.health.is_some_and(|health| view.ramp(now, &health) < 1.0);
-        let is_candidate = self.in_service(oldest) && !is_ramping && !view.is_suspect(terms);
+        let is_candidate =
+            self.in_service(oldest) && !is_ramping && !view.is_suspect(terms) && view.has_turn(now);
         (is_old && is_candidate).then_some(oldest)
     }
 
@@ -676,7 +749,8 @@
         self.oldest_report(|index, view| {
             let age = now.saturating_sub(view.reported_at);
             let is_due = |health: HealthReport| health.doubtful && age >= health.trial_in;
-            let fits = view.is_local && view.own_in_flight == 0 && age < OPEN_BREAKER_REPORT_LIFE;
+            let is_free = view.own_in_flight == 0 && view.has_turn(now);
+            let fits = view.is_local && is_free && age < OPEN_BREAKER_REPORT_LIFE;
             fits && self.in_service(index) && view.health.is_some_and(is_due)
         })
     }
@@ -689,6 +763,7 @@
             let trial_in = view.health.map_or(Duration::ZERO, |health| health.trial_in);
             self.plan.avoided[index]
                 && view.own_in_flight == 0
+                && view.has_turn(now)
                 && now >= view.reported_at + trial_in
         })
     }
--- a/crates/decide/src/floor.rs
+++ b/crates/decide/src/floor.rs
@@ -14,6 +14,8 @@
 pub struct CapacityEntry {
     /// Slots of the upstream.
     pub slots: u32,
+    /// Slots that requests can use: fewer than all if the upstream names a rate limit.
+    pub usable: u32,
     /// Whether the upstream is reachable and not draining.
     pub available: bool,
     /// Anomaly score in multiples of the ejection threshold.
@@ -47,7 +49,7 @@
     let available = entries.iter().filter(|entry| entry.available);
     let mut plan = FloorPlan {
         avoided: vec![false; entries.len()],
-        in_service: available.map(|entry| entry.slots).sum(),
+        in_service: available.map(|entry| entry.usable).sum(),
         floor: floor_slots(floor, configured),
     };
     let mut anomalous: Vec<usize> = (0..entries.len())
@@ -55,9 +57,9 @@
         .collect();
     anomalous.sort_by(|left, right| entries[*right].score.total_cmp(&entries[*left].score));
     for index in anomalous {
-        if plan.allows_removal(entries[index].slots) {
+        if plan.allows_removal(entries[index].usable) {
             plan.avoided[index] = true;
-            plan.in_service -= entries[index].slots;
+            plan.in_service -= entries[index].usable;
         }
     }
     plan
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -127,6 +127,13 @@
         self.tokens
     }
 
+    /// Returns the time until the bucket would hold this many tokens, if it were large enough.
+    pub fn time_to(&self, tokens: f64, now: Duration) -> Duration {
+        let missing_tokens = (tokens - self.tokens).max(0.0);
+        let filled_in = Duration::from_secs_f64((missing_tokens / self.rate).min(3600.0));
+        (self.filled_at + filled_in).saturating_sub(now)
+    }
+
     /// Returns the time until the bucket holds a whole token.
     pub fn next_in(&self) -> Duration {
         let missing_tokens = (1.0 - self.tokens).max(0.0);
--- a/crates/decide/tests/floor.rs
+++ b/crates/decide/tests/floor.rs
@@ -9,6 +9,7 @@
 use basaltarch_decide::balance::{ChoiceRequest, LoadView, ServiceView};
 use basaltarch_decide::floor::{self, CapacityEntry};
 use basaltarch_decide::health::HealthReport;
+use basaltarch_decide::server_rate::{KnownRate, RateReport};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
@@ -41,7 +42,7 @@
 
 #[test]
 fn verify_the_highest_scores_are_avoided_first_and_ties_go_by_position() {
-    let entry = |score| CapacityEntry { slots: 4, available: true, score };
+    let entry = |score| CapacityEntry { slots: 4, usable: 4, available: true, score };
     let entries = [entry(1.5), entry(3.0), entry(1.5), entry(0.0), entry(0.2)];
     let plan = floor::plan(0.6, &entries);
     assert_eq!(plan.avoided, [true, true, false, false, false]);
@@ -50,7 +51,7 @@
 
 #[test]
 fn verify_upstreams_that_are_down_count_against_the_floor() {
-    let anomalous = CapacityEntry { slots: 4, available: true, score: 2.0 };
+    let anomalous = CapacityEntry { slots: 4, usable: 4, available: true, score: 2.0 };
     let down = CapacityEntry { available: false, ..anomalous };
     let healthy = CapacityEntry { score: 0.0, ..anomalous };
     let plan = floor::plan(0.5, &[anomalous, down, down, healthy]);
@@ -60,8 +61,14 @@
 }
 
 fn any_entry() -> impl Strategy<Value = CapacityEntry> {
-    (1..8_u32, any::<bool>(), prop_oneof![Just(0.0), 0.0..5.0_f64])
-        .prop_map(|(slots, available, score)| CapacityEntry { slots, available, score })
+    (1..8_u32, 0..8_u32, any::<bool>(), prop_oneof![Just(0.0), 0.0..5.0_f64]).prop_map(
+        |(slots, usable, available, score)| CapacityEntry {
+            slots,
+            usable: usable.min(slots),
+            available,
+            score,
+        },
+    )
 }
 
 #[derive(Debug, Clone)]
@@ -69,6 +76,7 @@
     Report(usize, f64, bool),
     Draining(usize, bool),
     Reachable(usize, bool),
+    Rate(usize, KnownRate),
     Choose {
         excluded: Vec<usize>,
         repeatable: bool,
@@ -85,6 +93,11 @@
             .prop_map(|(i, s, e)| ViewChange::Report(i, s, e)),
         (0..30_usize, any::<bool>()).prop_map(|(i, on)| ViewChange::Draining(i, on)),
         (0..30_usize, any::<bool>()).prop_map(|(i, on)| ViewChange::Reachable(i, on)),
+        (
+            0..30_usize,
+            prop_oneof![Just(KnownRate::Unlimited), (0.0..50.0_f64).prop_map(KnownRate::PerSecond)]
+        )
+            .prop_map(|(i, rate)| ViewChange::Rate(i, rate)),
         (prop::collection::vec(0..30_usize, 0..3), any::<bool>(), any::<bool>()).prop_map(
             |(excluded, repeatable, must_take)| ViewChange::Choose {
                 excluded,
@@ -118,7 +131,7 @@
             .iter()
             .zip(&plan.avoided)
             .filter(|(entry, avoided)| entry.available && !**avoided)
-            .map(|(entry, _)| entry.slots)
+            .map(|(entry, _)| entry.usable)
             .sum();
         prop_assert_eq!(in_service, plan.in_service);
         for (entry, avoided) in entries.iter().zip(&plan.avoided) {
@@ -151,6 +164,10 @@
                 }
                 ViewChange::Draining(index, on) => view.note_draining(index, on),
                 ViewChange::Reachable(index, on) => view.note_reachable(index, on, false),
+                ViewChange::Rate(index, known) => {
+                    let report = RateReport { known, turn_in: Duration::from_millis(300) };
+                    view.note_rate(index, &report, now);
+                }
                 ViewChange::Wait(millis) => now += Duration::from_millis(millis),
                 ViewChange::Configure(floor, slots) => view = configured(&view, floor, &slots),
                 ViewChange::Choose { excluded, repeatable, must_take } => {
@@ -199,7 +216,7 @@
     prop_assert!(!excluded.contains(&choice.index));
     prop_assert!(!(must_take && choice.refusable));
     if choice.refusable && !avoided {
-        prop_assert!(view.plan().allows_removal(chosen.slots));
+        prop_assert!(view.plan().allows_removal(chosen.usable_slots() as u32));
     }
     Ok(())
 }
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -29,6 +29,12 @@
   /** Work that lasted longer than nearly all sound work: that hung, and that was answered late. */
   16: optional i32 hung_milli
   17: optional i32 late_milli
+  /** Requests per second that the server takes by its last word; none if it named no limit, or nothing is known. */
+  18: optional double rate
+  /** Time in milliseconds until that limit allows the next request. */
+  19: optional i32 turn_in_ms
+  /** Whether the server is known to have no such limit. */
+  20: optional bool unlimited
 }
 
 /** What an ingress knows of a route over all upstreams of its service, in thousandths. */
@@ -104,6 +110,8 @@
   26: optional bool reserved
   /** The request is a call of work that runs, which is lost with it. */
   27: optional bool called
+  /** Requests per second that the server takes, by what the ingress has heard of it. */
+  28: optional double rate
 }
 
 /** Asks a host's daemon how an upstream is, before work is sent to it. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -51,10 +51,16 @@
   /// Work that lasted longer than nearly all sound work: that hung, and that was answered late.
   pub hung_milli: Option<i32>,
   pub late_milli: Option<i32>,
+  /// Requests per second that the server takes by its last word; none if it named no limit, or nothing is known.
+  pub rate: Option<OrderedFloat<f64>>,
+  /// Time in milliseconds until that limit allows the next request.
+  pub turn_in_ms: Option<i32>,
+  /// Whether the server is known to have no such limit.
+  pub unlimited: Option<bool>,
 }
 
 impl LoadReport {
-  pub fn new<F16, F17>(in_flight: i32, queued: i32, draining: bool, sickness_milli: i32, median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, samples: i32, ramp_milli: i32, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool, hung_milli: F16, late_milli: F17) -> LoadReport where F16: Into<Option<i32>>, F17: Into<Option<i32>> {
+  pub fn new<F16, F17, F18, F19, F20>(in_flight: i32, queued: i32, draining: bool, sickness_milli: i32, median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, samples: i32, ramp_milli: i32, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool, hung_milli: F16, late_milli: F17, rate: F18, turn_in_ms: F19, unlimited: F20) -> LoadReport where F16: Into<Option<i32>>, F17: Into<Option<i32>>, F18: Into<Option<OrderedFloat<f64>>>, F19: Into<Option<i32>>, F20: Into<Option<bool>> {
     LoadReport {
       in_flight,
       queued,
@@ -73,6 +79,9 @@
       doubtful,
       hung_milli: hung_milli.into(),
       late_milli: late_milli.into(),
+      rate: rate.into(),
+      turn_in_ms: turn_in_ms.into(),
+      unlimited: unlimited.into(),
     }
   }
 }
@@ -97,6 +106,9 @@
     let mut f_15: Option<bool> = None;
     let mut f_16: Option<i32> = None;
     let mut f_17: Option<i32> = None;
+    let mut f_18: Option<OrderedFloat<f64>> = None;
+    let mut f_19: Option<i32> = None;
+    let mut f_20: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -172,6 +184,18 @@
           let val = i_prot.read_i32()?;
           f_17 = Some(val);
         },
+        18 => {
+          let val = OrderedFloat::from(i_prot.read_double()?);
+          f_18 = Some(val);
+        },
+        19 => {
+          let val = i_prot.read_i32()?;
+          f_19 = Some(val);
+        },
+        20 => {
+          let val = i_prot.read_bool()?;
+          f_20 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -212,6 +236,9 @@
       doubtful: f_15.expect("auto-generated code should have checked for presence of required fields"),
       hung_milli: f_16,
       late_milli: f_17,
+      rate: f_18,
+      turn_in_ms: f_19,
+      unlimited: f_20,
     };
     Ok(ret)
   }
@@ -273,6 +300,21 @@
       o_prot.write_i32(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.rate {
+      o_prot.write_field_begin(&TFieldIdentifier::new("rate", TType::Double, 18))?;
+      o_prot.write_double(fld_var.into())?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.turn_in_ms {
+      o_prot.write_field_begin(&TFieldIdentifier::new("turn_in_ms", TType::I32, 19))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.unlimited {
+      o_prot.write_field_begin(&TFieldIdentifier::new("unlimited", TType::Bool, 20))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -697,10 +739,12 @@
   pub reserved: Option<bool>,
   /// The request is a call of work that runs, which is lost with it.
   pub called: Option<bool>,
+  /// Requests per second that the server takes, by what the ingress has heard of it.
+  pub rate: Option<OrderedFloat<f64>>,
 }
 
 impl DispatchHead {
-  pub fn new<F15, F16, F17, F22, F24, F25, F26, F27>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32, logged: F22, repeated: bool, fingerprint: F24, tally: F25, reserved: F26, called: F27) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>>, F22: Into<Option<bool>>, F24: Into<Option<Vec<u8>>>, F25: Into<Option<TallyNote>>, F26: Into<Option<bool>>, F27: Into<Option<bool>> {
+  pub fn new<F15, F16, F17, F22, F24, F25, F26, F27, F28>(service_name: String, upstream: String, route: String, method: String, target: String, field_lines: Vec<u8>, deadline_ms: i32, refusable: bool, work_class: i8, work_mode: i8, attempt: i8, content_length: i64, body: Vec<u8>, last: bool, baseline: F15, once_key: F16, organisation: F17, revision: i64, after_failure: bool, passable: bool, objective_ms: i32, logged: F22, repeated: bool, fingerprint: F24, tally: F25, reserved: F26, called: F27, rate: F28) -> DispatchHead where F15: Into<Option<BaselineNote>>, F16: Into<Option<String>>, F17: Into<Option<String>>, F22: Into<Option<bool>>, F24: Into<Option<Vec<u8>>>, F25: Into<Option<TallyNote>>, F26: Into<Option<bool>>, F27: Into<Option<bool>>, F28: Into<Option<OrderedFloat<f64>>> {
     DispatchHead {
       service_name,
       upstream,
@@ -729,6 +773,7 @@
       tally: tally.into(),
       reserved: reserved.into(),
       called: called.into(),
+      rate: rate.into(),
     }
   }
 }
@@ -763,6 +808,7 @@
     let mut f_25: Option<TallyNote> = None;
     let mut f_26: Option<bool> = None;
     let mut f_27: Option<bool> = None;
+    let mut f_28: Option<OrderedFloat<f64>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -878,6 +924,10 @@
           let val = i_prot.read_bool()?;
           f_27 = Some(val);
         },
+        28 => {
+          let val = OrderedFloat::from(i_prot.read_double()?);
+          f_28 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -932,6 +982,7 @@
       tally: f_25,
       reserved: f_26,
       called: f_27,
+      rate: f_28,
     };
     Ok(ret)
   }
@@ -1035,6 +1086,11 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.rate {
+      o_prot.write_field_begin(&TFieldIdentifier::new("rate", TType::Double, 28))?;
+      o_prot.write_double(fld_var.into())?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -55,6 +55,7 @@
         tally: None,
         reserved: None,
         called: None,
+        rate: None,
     }
 }
 
--- a/crates/waiting/src/slots.rs
+++ b/crates/waiting/src/slots.rs
@@ -8,6 +8,8 @@
 //! daemon and is queued, so that the request is lost if this daemon fails. Or the request stays at
 //! its ingress and holds reservations at this and other daemons, so that the failure of one of them
 //! costs the request nothing.
+//!
+//! While the backend server names a rate limit, a request also waits for its turn under that limit.
 
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -20,6 +22,7 @@
 use basaltarch_core::resources::WorkClass;
 use basaltarch_decide::order::{self, QueuedRequest};
 use basaltarch_decide::progress::ProgressTerms;
+use basaltarch_decide::server_rate::{KnownRate, RateResponse, ServerRate};
 
 /// Share of the time until its deadline for which a queued request may wait for a slot. A request
 /// that has waited for longer seldom completes in time, and a caller that is refused at this moment
@@ -36,6 +39,8 @@
 /// Weight of a reservation in the length of the queue, where a queued request counts as one:
 /// some of the requests that hold a reservation at this daemon are served elsewhere.
 const RESERVATION_WEIGHT: f64 = 0.5;
+/// Shortest time between two checks whether a waiting request has its turn under the rate limit.
+const TURN_CHECK_MIN: Duration = Duration::from_millis(5);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WaitState {
@@ -87,6 +92,9 @@
     waiting: RefCell<Vec<Rc<QueueWaiter>>>,
     /// Number of slots that were given to waiting requests.
     grant_count: Cell<u32>,
+    rate: RefCell<ServerRate>,
+    /// Whether a task waits for the next turn under the rate limit.
+    is_turn_awaited: Cell<bool>,
 }
 
 /// `SlotRequest` asks for a slot.
@@ -117,9 +125,34 @@
             limit: Cell::new(limit),
             waiting: RefCell::default(),
             grant_count: Cell::new(0),
+            rate: RefCell::default(),
+            is_turn_awaited: Cell::new(false),
         }
     }
 
+    /// Records what a response of the backend server says about its rate limit, and says whether the
+    /// limit changed.
+    pub fn note_rate(&self, response: &RateResponse) -> bool {
+        let is_change = self.rate.borrow_mut().note_response(response, self.clock.now());
+        self.grant_free_slots();
+        is_change
+    }
+
+    /// Records the rate limit that an ingress has heard of, and says whether the limit changed.
+    pub fn note_reported_rate(&self, per_second: f64) -> bool {
+        self.rate.borrow_mut().note_report(per_second, self.clock.now())
+    }
+
+    /// Returns the rate limit in force.
+    pub fn rate(&self) -> KnownRate {
+        self.rate.borrow().known()
+    }
+
+    /// Returns the time until the rate limit allows the next request; zero if it allows one now.
+    pub fn turn_in(&self) -> Duration {
+        self.rate.borrow().next_in(self.clock.now())
+    }
+
     /// Changes the number of slots and the limit of the queue; slots in use stay in use until they
     /// are released.
     pub fn configure(&self, slots: u32, limit: u32) {
@@ -153,11 +186,14 @@
         let slots_for_kind =
             order::open_slots(self.slots.get(), queued.is_call, nested_calls_waited);
         let taken_slots = self.used.get() + self.offered.get();
+        let has_turn = self.rate.borrow().next_in(now).is_zero();
         match kind {
+            // The offer has taken the turn of the request.
             WaitKind::Offered => !self.is_full(),
-            WaitKind::Queued => taken_slots < slots_for_kind,
+            WaitKind::Queued => has_turn && taken_slots < slots_for_kind,
             WaitKind::Reservation => {
-                taken_slots < slots_for_kind + OFFERS_BEYOND_FREE
+                has_turn
+                    && taken_slots < slots_for_kind + OFFERS_BEYOND_FREE
                     && !self.lacks_recent_progress(request, now)
             }
         }
@@ -222,17 +258,41 @@
         } else {
             self.wait(WaitKind::Reservation, request).await?;
         }
-        Ok(OfferGuard { queue: self.clone() })
+        Ok(OfferGuard { queue: self.clone(), is_used: false })
     }
 
     fn is_free_for(&self, kind: WaitKind, request: &SlotRequest) -> bool {
         self.waiting.borrow().is_empty() && self.may_start(kind, request, self.clock.now())
     }
 
-    /// Counts a slot as used, or as offered in the case of a reservation.
+    /// Counts a slot as used, or as offered in the case of a reservation, and takes the turn of the
+    /// request under the rate limit.
     fn count_grant(&self, kind: WaitKind) {
         let count = if kind == WaitKind::Reservation { &self.offered } else { &self.used };
         count.set(count.get() + 1);
+        if kind != WaitKind::Offered {
+            self.rate.borrow_mut().take(self.clock.now());
+        }
+    }
+
+    /// Gives the turn of a request that is not sent to the next request.
+    fn put_back_turn(&self) {
+        self.rate.borrow_mut().put_back(self.clock.now());
+    }
+
+    /// Starts a task that grants slots as the rate limit allows, for as long as requests wait.
+    fn await_turns(self: &Rc<Self>) {
+        if self.rate().per_second().is_none() || self.is_turn_awaited.replace(true) {
+            return;
+        }
+        let queue = self.clone();
+        monoio::spawn(async move {
+            while !queue.waiting.borrow().is_empty() && queue.rate().per_second().is_some() {
+                monoio::time::sleep(queue.turn_in().max(TURN_CHECK_MIN)).await;
+                queue.grant_free_slots();
+            }
+            queue.is_turn_awaited.set(false);
+        });
     }
 
     /// Waits until the request is granted a slot or, for a reservation, an offer.
@@ -245,6 +305,7 @@
             self.check_time(kind, &request, self.clock.now())?;
         }
         let waiter = self.enqueue(kind, &request)?;
+        self.await_turns();
         let guard = WaitGuard { queue: self, waiter: &waiter };
         let result = poll_fn(|context| {
             match waiter.state.get() {
@@ -258,6 +319,7 @@
         let max_wait = self.longest_wait(kind, &request);
         let result = match monoio::time::timeout(max_wait, result).await {
             Ok(result) => result,
+            Err(_) if !self.turn_in().is_zero() => Err(NotRunReason::QueueFull),
             Err(_) => Err(NotRunReason::DeadlinePassed),
         };
         result?;
@@ -288,14 +350,23 @@
         if queued.deadline <= now {
             return Err(NotRunReason::DeadlinePassed);
         }
-        let usual = match queued.usual {
-            Some(usual) => usual,
-            None => return Ok(()),
-        };
         let waiting = self.waiting.borrow();
         let is_served_before =
             |waiter: &&Rc<QueueWaiter>| waiter.request.scheduling.urgency() >= queued.urgency();
         let queue_length_ahead = queue_length(waiting.iter().filter(is_served_before));
+        // Servers without a rate limit may serve the request in time, so it is not the deadline that
+        // refuses the request.
+        let turn_in = self.rate.borrow().wait_behind(queue_length_ahead, now);
+        let turn = now + turn_in;
+        let may_be_late = kind == WaitKind::Reservation;
+        let is_late = !queued.meets_deadline(turn) || !may_be_late && !queued.meets_objective(turn);
+        if !turn_in.is_zero() && is_late {
+            return Err(NotRunReason::QueueFull);
+        }
+        let usual = match queued.usual {
+            Some(usual) => usual,
+            None => return Ok(()),
+        };
         let start = order::estimate_start(queue_length_ahead, self.slots.get(), usual, now);
         if start > queued.deadline {
             return Err(NotRunReason::DeadlinePassed);
@@ -413,7 +484,10 @@
         self.grant_free_slots();
     }
 
-    fn end_offer(&self) {
+    fn end_offer(&self, is_used: bool) {
+        if !is_used {
+            self.put_back_turn();
+        }
         self.offered.set(self.offered.get() - 1);
         self.grant_free_slots();
     }
@@ -515,8 +589,13 @@
         // guard of its own, so that it must be released by this one.
         if self.waiter.state.get() == WaitState::Granted {
             match self.waiter.kind {
-                WaitKind::Reservation => self.queue.end_offer(),
-                WaitKind::Queued | WaitKind::Offered => self.queue.release_slot(),
+                WaitKind::Reservation => self.queue.end_offer(false),
+                WaitKind::Queued => {
+                    self.queue.put_back_turn();
+                    self.queue.release_slot();
+                }
+                // The offer of the request takes its turn back.
+                WaitKind::Offered => self.queue.release_slot(),
             }
         }
     }
@@ -526,24 +605,27 @@
 /// be sent now.
 pub struct OfferGuard {
     queue: Rc<SlotQueue>,
+    /// Whether the request that the slot was offered to has acquired the slot.
+    is_used: bool,
 }
 
 impl OfferGuard {
     /// Acquires the offered slot once the request has arrived. The request gets the next free slot
     /// before all other requests.
-    pub async fn start(self, request: SlotRequest) -> Result<SlotGuard, NotRunReason> {
+    pub async fn start(mut self, request: SlotRequest) -> Result<SlotGuard, NotRunReason> {
         if self.queue.is_full() {
             self.queue.wait(WaitKind::Offered, request).await?;
         } else {
             self.queue.count_grant(WaitKind::Offered);
         }
+        self.is_used = true;
         Ok(SlotGuard::new(&self.queue))
     }
 }
 
 impl Drop for OfferGuard {
     fn drop(&mut self) {
-        self.queue.end_offer();
+        self.queue.end_offer(self.is_used);
     }
 }
 
--- a/crates/waiting/tests/slots.rs
+++ b/crates/waiting/tests/slots.rs
@@ -13,6 +13,7 @@
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::WorkClass;
 use basaltarch_decide::order::QueuedRequest;
+use basaltarch_decide::server_rate::{RateResponse, RateStatement};
 use basaltarch_telemetry::runtime;
 use basaltarch_waiting::slots::{SlotGuard, SlotQueue, SlotRequest};
 
@@ -254,3 +255,79 @@
         assert_eq!(queue.outcome_of("waits"), None);
     });
 }
+
+impl TestQueue {
+    /// Records that the server names a rate limit, or none.
+    fn name_rate(&self, per_second: Option<f64>) {
+        let statement = per_second.map_or(RateStatement::Unlimited, RateStatement::PerSecond);
+        self.queue.note_rate(&RateResponse { statement, sent_at: self.clock.now() });
+    }
+}
+
+#[test]
+fn verify_a_request_that_can_go_elsewhere_does_not_wait_for_its_turn() {
+    run(async {
+        let queue = TestQueue::new();
+        queue.name_rate(Some(0.5));
+        let request = SlotRequest { passable: true, ..queue.request(WorkClass::Normal, 60_000) };
+        queue.acquire_as("passable", request).await;
+        assert_eq!(queue.outcome_of("passable"), Some(Err(NotRunReason::QueueFull)));
+    });
+}
+
+#[test]
+fn verify_a_request_whose_turn_comes_too_late_is_refused_at_once() {
+    run(async {
+        let queue = TestQueue::new();
+        queue.name_rate(Some(0.5));
+        queue.acquire_as("late", queue.request(WorkClass::Normal, 1000)).await;
+        assert_eq!(queue.outcome_of("late"), Some(Err(NotRunReason::QueueFull)));
+    });
+}
+
+#[test]
+fn verify_waiting_requests_start_as_their_turns_come() {
+    run(async {
+        let queue = TestQueue::new();
+        queue.name_rate(Some(20.0));
+        queue.acquire_as("first", queue.request(WorkClass::Normal, 60_000)).await;
+        queue.acquire_as("second", queue.request(WorkClass::Normal, 60_000)).await;
+        assert_eq!(queue.outcome_of("second"), None);
+        while queue.outcome_of("second").is_none() {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(queue.outcome_of("first"), Some(Ok(())));
+        assert_eq!(queue.outcome_of("second"), Some(Ok(())));
+    });
+}
+
+#[test]
+fn verify_a_limit_that_ends_starts_the_waiting_requests_at_once() {
+    run(async {
+        let queue = TestQueue::new();
+        queue.name_rate(Some(0.2));
+        queue.acquire_as("waiting", queue.request(WorkClass::Normal, 60_000)).await;
+        assert_eq!(queue.outcome_of("waiting"), None);
+        queue.name_rate(None);
+        monoio::time::sleep(Duration::from_millis(1)).await;
+        assert_eq!(queue.outcome_of("waiting"), Some(Ok(())));
+    });
+}
+
+#[test]
+fn verify_an_offer_that_is_not_used_gives_its_turn_back() {
+    run(async {
+        let queue = TestQueue::new();
+        queue.name_rate(Some(5.0));
+        let request = queue.request(WorkClass::Normal, 60_000);
+        let offer = queue.queue.await_offer(request).await.expect("an offer");
+        assert!(!queue.queue.turn_in().is_zero());
+        drop(offer);
+        assert!(queue.queue.turn_in().is_zero());
+        let offer = queue.queue.await_offer(request).await.expect("an offer");
+        let slot = offer.start(request).await.expect("a slot");
+        assert!(!queue.queue.turn_in().is_zero(), "a request that starts takes one turn");
+        assert!(queue.queue.turn_in() <= Duration::from_millis(200), "and not two");
+        drop(slot);
+    });
+}
