--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -138,6 +138,9 @@
                     let new_upstream =
                         HostUpstream::new(upstream, service, state.clock.clone(), cold);
                     new_upstream.note_cold(cold_for, state.now());
+                    if let Some(rate) = state.notices.rate(&upstream.name) {
+                        new_upstream.note_reported_rate(rate);
+                    }
                     upstreams.insert(upstream.name.clone(), Rc::new(new_upstream));
                 }
             }
--- a/crates/daemon/src/host/notices.rs
+++ b/crates/daemon/src/host/notices.rs
@@ -21,11 +21,7 @@
     verdict: AnswerVerdict,
 ) -> Result<RateStatement, String> {
     let is_failure = wire::is_server_error(head.status.as_u16());
-    let rate = match verdict {
-        AnswerVerdict::Moved | AnswerVerdict::Surplus => return Ok(RateStatement::Silent),
-        _ => fields::rate_limit(&head.headers, &names.rate_limit)?,
-    };
-    Ok(match rate {
+    Ok(match fields::rate_limit(&head.headers, &names.rate_limit)? {
         Some(rate) => RateStatement::PerSecond(rate),
         None if verdict == AnswerVerdict::Matching && !is_failure => RateStatement::Unlimited,
         None => RateStatement::Silent,
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -20,7 +20,7 @@
 use basaltarch_http::fields;
 use basaltarch_http::framing::{self, BodyFraming};
 use basaltarch_http::head::{self, HeadLimits};
-use basaltarch_peer::protocol::AnswerHead;
+use basaltarch_peer::protocol::{AnswerHead, LoadReport};
 use basaltarch_peer::stream::{EventSink, StreamEvent};
 use basaltarch_store::ledger::{ClaimToken, KeptAnswer};
 use basaltarch_waiting::slots::SlotGuard;
@@ -31,6 +31,7 @@
 use crate::host::exchange::HostAttempt;
 use crate::host::notices;
 use crate::host::verify::{self, AnswerVerdict};
+use crate::registration;
 use crate::wire;
 
 /// Maximum number of informational (1xx) responses that a backend server may send before the final
@@ -229,10 +230,20 @@
 
     /// Records what the server says of itself in a response head.
     fn note_notices(&self, head: &response::Parts, verdict: AnswerVerdict) {
-        let now = self.attempt.state.now();
+        if verdict == AnswerVerdict::Moved {
+            // Another server says this of itself.
+            return;
+        }
+        let state = self.attempt.state;
+        let now = state.now();
         let upstream = self.attempt.upstream;
-        let field_names = &self.attempt.state.fields;
-        upstream.note_drain_notice(head.headers.contains_key(&field_names.drain), now);
+        let field_names = &state.fields;
+        let is_leaving = fields::is_drain_notice(&head.headers, &field_names.drain);
+        if !field_names.is_drain_final {
+            upstream.note_drain_notice(is_leaving, now);
+        } else if is_leaving {
+            registration::note_leaving(state, &upstream.name);
+        }
         let statement =
             notices::rate_statement(field_names, head, verdict).unwrap_or_else(|text| {
                 RateUnreadable { upstream: &upstream.name, text: &text }.log();
@@ -240,6 +251,7 @@
             });
         let sent_at = now.saturating_sub(self.progress.elapsed());
         upstream.note_rate(&RateResponse { statement, sent_at });
+        state.notices.note_rate(&upstream.name, upstream.slots.rate(), now);
     }
 
     /// Reads response heads until a head belongs to the request; responses to earlier requests are
@@ -373,6 +385,16 @@
         drop(self.progress.slot.take());
     }
 
+    /// Builds the load report that is sent with the response. The report names the server if the
+    /// server is not the one that the ingress asked for, but its successor.
+    fn report(&self) -> LoadReport {
+        let HostAttempt { state, upstream, head, .. } = self.attempt;
+        let report = upstream.report(state, &head.route, Some(self.progress.started.elapsed()));
+        let is_asked_for = *upstream.name == *head.upstream;
+        let successor = (!is_asked_for).then(|| upstream.name.to_string());
+        LoadReport { successor, ..report }
+    }
+
     async fn send_head(
         &self,
         head: &response::Parts,
@@ -386,11 +408,7 @@
             content_length: length,
             body: body.to_vec(),
             last,
-            report: self.attempt.upstream.report(
-                self.attempt.state,
-                &self.attempt.head.route,
-                Some(self.progress.started.elapsed()),
-            ),
+            report: self.report(),
         };
         let sending = self.answer.send(StreamEvent::Head(answer));
         sending.await.map_err(|_| AttemptFault::SinkGone)
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -299,6 +299,7 @@
             took,
             slow_requests: self.adaptive_timeout.borrow().slow_requests(now),
             rate: RateReport { known: self.slots.rate(), turn_in: self.slots.turn_in() },
+            leaving: state.notices.is_leaving(&self.name),
         };
         wire::report_note(load, &self.health.borrow().report(route, now))
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod limits;
 pub mod links;
 pub mod membership;
+pub mod notices;
 pub mod parts;
 pub mod records;
 pub mod registration;
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -234,8 +234,13 @@
         slots: heartbeat.slots,
         // A backend server that announced that it is leaving does not come back in the same
         // incarnation.
-        draining: heartbeat.draining || known.is_some_and(|known| known.draining),
+        draining: heartbeat.draining
+            || known.is_some_and(|known| known.draining)
+            || state.notices.is_leaving(&name),
     };
+    if record.draining {
+        state.notices.note_leaving(&name, state.now());
+    }
     if known == Some(&record) {
         return;
     }
@@ -264,6 +269,21 @@
     roster::set_own_servers(state, servers);
 }
 
+/// Records that a backend server is leaving for good, by what it said in a response or by an earlier
+/// record of this host. The row of the host says so to all daemons, and to the next incarnation of
+/// this one.
+pub fn note_leaving(state: &Rc<DaemonState>, name: &str) {
+    if !state.notices.note_leaving(name, state.now()) {
+        return;
+    }
+    servers::ServerLeaving { upstream: name }.log();
+    let mut servers = state.roster.own_servers();
+    for server in servers.iter_mut().filter(|server| server.name == name) {
+        server.draining = true;
+    }
+    roster::set_own_servers(state, servers);
+}
+
 /// Records that an incarnation of a backend server has ended, because the server deregistered or
 /// another server answers at its address.
 pub fn note_ended(state: &Rc<DaemonState>, name: &str) {
@@ -288,6 +308,9 @@
     }
     *state.registrations.recovered.borrow_mut() = Some(record.clone());
     remove_departed(state, record);
+    for server in record.servers.iter().filter(|server| server.draining) {
+        note_leaving(state, &server.name);
+    }
     for server in record.servers.iter().filter(|server| !server.draining) {
         let state = state.clone();
         let server = server.clone();
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -264,6 +264,12 @@
             state.roster.replaced_hosts.borrow_mut().push(replaced);
         }
     }
+    // A server that leaves does not come back under its name, even if its daemon, after a restart,
+    // publishes a record that no longer says so.
+    let servers = record.iter().flat_map(|record| &record.servers);
+    for server in servers.filter(|server| server.draining) {
+        state.notices.note_leaving(&server.name, state.now());
+    }
     for each in known.iter().chain(&record) {
         touched.extend(each.services().map(str::to_owned));
     }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -23,12 +23,14 @@
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::poison::{CountedFailures, PoisonTable, RequestHash};
 use basaltarch_decide::probing::ProbeYield;
+use basaltarch_decide::server_rate::KnownRate;
 use basaltarch_decide::split::WeightedSplit;
 use basaltarch_peer::protocol::LoadReport;
 use fnv::FnvHashMap;
 
+use crate::notices::NoticeTable;
 use crate::state::DaemonState;
-use crate::wire;
+use crate::wire::{self, HostLoad};
 
 /// Time for which a report that an upstream is draining counts without being renewed.
 const DRAIN_REPORT_TTL: Duration = Duration::from_secs(30);
@@ -50,6 +52,9 @@
     packed: Rc<PackedService>,
     paths: Vec<Rc<PeerPath>>,
     draining_until: Vec<Cell<Duration>>,
+    /// Whether each upstream is leaving for good.
+    leaving: Vec<Cell<bool>>,
+    notices: Rc<NoticeTable>,
     evacuated: RefCell<EvacuatedUpstreams>,
     view: RefCell<ServiceView>,
     /// Slow requests that each upstream last reported, with the time of the report.
@@ -203,14 +208,20 @@
             .map(|upstream| {
                 let is_local = upstream.server.failure_domain == *own_domain;
                 let new_view = LoadView::new(upstream.server.slots, is_local);
+                let rate = state.notices.rate(&upstream.name).map(KnownRate::PerSecond);
+                let new_view = LoadView { rate: rate.unwrap_or_default(), ..new_view };
                 carried_over_view(known, &upstream.name, new_view)
             })
             .collect();
+        let is_leaving =
+            |upstream: &UpstreamEntry| Cell::new(state.notices.is_leaving(&upstream.name));
         let hosts = entry.upstreams.iter().map(|upstream| upstream.server.host.as_str());
         Self {
             paths: hosts.map(|host| state.peers.path(host)).collect(),
             probe_yield: Cell::default(),
             draining_until: entry.upstreams.iter().map(|_| Cell::default()).collect(),
+            leaving: entry.upstreams.iter().map(is_leaving).collect(),
+            notices: state.notices.clone(),
             evacuated: RefCell::new(evacuated),
             view: RefCell::new(
                 ServiceView::new(entry.spec.floor, views).with_queue(entry.spec.queue),
@@ -303,6 +314,7 @@
                 index,
                 is_declared_draining
                     || is_reported_draining
+                    || self.leaving[index].get()
                     || path.is_leaving()
                     || evacuated.flags[index],
             );
@@ -320,6 +332,7 @@
         now: Duration,
     ) {
         let (load, health) = wire::load_and_health(report);
+        self.note_notices(index, report, &load, now);
         let expires_at = if load.draining { now + DRAIN_REPORT_TTL } else { Duration::ZERO };
         self.draining_until[index].set(expires_at);
         self.slow_requests.borrow_mut()[index] = (load.slow_requests, now);
@@ -342,6 +355,20 @@
         view.note_rate(index, &load.rate, now);
     }
 
+    /// Records what a backend server said of itself, as its daemon reports. The server may be the
+    /// successor of the upstream that was asked for.
+    fn note_notices(&self, index: usize, report: &LoadReport, load: &HostLoad, now: Duration) {
+        let upstreams = &self.entry.upstreams;
+        let name = report.successor.as_deref().unwrap_or(&upstreams[index].name);
+        self.notices.note_rate(name, load.rate.known, now);
+        if load.leaving {
+            self.notices.note_leaving(name, now);
+            if let Some(index) = upstreams.iter().position(|upstream| *upstream.name == *name) {
+                self.leaving[index].set(true);
+            }
+        }
+    }
+
     /// Records that an attempt at an upstream takes longer than the attempt's hedging delay.
     pub fn note_hedge_due(&self, index: usize, now: Duration) {
         self.paths[index].note_hedge_due();
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -30,6 +30,7 @@
 use crate::ingress::trace::LogBudget;
 use crate::limits::RateLimiter;
 use crate::membership::MemberTable;
+use crate::notices::NoticeTable;
 use crate::parts::SnapshotParts;
 use crate::registration::RegistrationTable;
 use crate::roster::HostRoster;
@@ -61,6 +62,8 @@
     pub roster: HostRoster,
     /// The relay of the rows of hosts between the daemons of this daemon's failure domain.
     pub rows: RowsRelay,
+    /// What backend servers said of themselves in responses that this daemon passed on.
+    pub notices: Rc<NoticeTable>,
     /// The registrations of backend servers on this host.
     pub registrations: RegistrationTable,
     /// Names of the header fields that are exchanged with backend servers.
@@ -126,6 +129,7 @@
             freshness: FreshnessTracker::default(),
             roster: HostRoster::default(),
             rows: RowsRelay::default(),
+            notices: Rc::default(),
             registrations: RegistrationTable::default(),
             fields: options.exchange_fields(),
             services: ServiceTable::default(),
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -179,6 +179,8 @@
     pub slow_requests: SlowRequests,
     /// Rate limit of the upstream.
     pub rate: RateReport,
+    /// Whether the upstream is leaving for good.
+    pub leaving: bool,
 }
 
 /// Converts an upstream's load and health to its report in the peer protocol.
@@ -204,6 +206,8 @@
         rate: rate_note(load.rate.known),
         turn_in_ms: (!load.rate.turn_in.is_zero()).then(|| to_millis(load.rate.turn_in)),
         unlimited: (load.rate.known == KnownRate::Unlimited).then_some(true),
+        leaving: load.leaving.then_some(true),
+        successor: None,
     }
 }
 
@@ -242,6 +246,7 @@
             report.late_milli.unwrap_or(0),
         ),
         rate: rate_report(report),
+        leaving: report.leaving == Some(true),
     };
     let health = HealthReport {
         sickness: from_milli(report.sickness_milli),
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -151,12 +151,10 @@
     /// plus the wait in service rounds; zero if the limit allows a request.
     fn turn_load(&self, now: Duration) -> f64 {
         let wait = self.turn_at.saturating_sub(now);
-        let round = self.service_time().as_secs_f64().max(f64::EPSILON);
         if wait.is_zero() {
-            0.0
-        } else {
-            1.0 + wait.as_secs_f64() / round
+            return 0.0;
         }
+        1.0 + wait.as_secs_f64() / self.service_time().as_secs_f64().max(f64::EPSILON)
     }
 
     /// Estimates the share of the slots in use at `now`.
--- a/crates/events/src/servers.rs
+++ b/crates/events/src/servers.rs
@@ -67,6 +67,12 @@
         text: &'a str,
     }
 
+    /// A backend server is known to leave for good, and gets no new requests under its name.
+    "server leaving" INFO ServerLeaving<'a> {
+        /// Name of the backend server.
+        upstream: &'a str,
+    }
+
     /// A backend server is gone: it announced this, or another server answers in its place.
     "backend server gone" INFO ServerGone<'a> {
         /// Name of the backend server.
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -35,6 +35,10 @@
   19: optional i32 turn_in_ms
   /** Whether the server is known to have no such limit. */
   20: optional bool unlimited
+  /** Whether the server is known to leave for good. */
+  21: optional bool leaving
+  /** The server that the report is about, if it is the successor of the one that was asked for. */
+  22: optional string successor
 }
 
 /** What an ingress knows of a route over all upstreams of its service, in thousandths. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -57,10 +57,14 @@
   pub turn_in_ms: Option<i32>,
   /// Whether the server is known to have no such limit.
   pub unlimited: Option<bool>,
+  /// Whether the server is known to leave for good.
+  pub leaving: Option<bool>,
+  /// The server that the report is about, if it is the successor of the one that was asked for.
+  pub successor: Option<String>,
 }
 
 impl LoadReport {
-  pub fn new<F16, F17, F18, F19, F20>(in_flight: i32, queued: i32, draining: bool, sickness_milli: i32, median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, samples: i32, ramp_milli: i32, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool, hung_milli: F16, late_milli: F17, rate: F18, turn_in_ms: F19, unlimited: F20) -> LoadReport where F16: Into<Option<i32>>, F17: Into<Option<i32>>, F18: Into<Option<OrderedFloat<f64>>>, F19: Into<Option<i32>>, F20: Into<Option<bool>> {
+  pub fn new<F16, F17, F18, F19, F20, F21, F22>(in_flight: i32, queued: i32, draining: bool, sickness_milli: i32, median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, samples: i32, ramp_milli: i32, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool, hung_milli: F16, late_milli: F17, rate: F18, turn_in_ms: F19, unlimited: F20, leaving: F21, successor: F22) -> LoadReport where F16: Into<Option<i32>>, F17: Into<Option<i32>>, F18: Into<Option<OrderedFloat<f64>>>, F19: Into<Option<i32>>, F20: Into<Option<bool>>, F21: Into<Option<bool>>, F22: Into<Option<String>> {
     LoadReport {
       in_flight,
       queued,
@@ -82,6 +86,8 @@
       rate: rate.into(),
       turn_in_ms: turn_in_ms.into(),
       unlimited: unlimited.into(),
+      leaving: leaving.into(),
+      successor: successor.into(),
     }
   }
 }
@@ -109,6 +115,8 @@
     let mut f_18: Option<OrderedFloat<f64>> = None;
     let mut f_19: Option<i32> = None;
     let mut f_20: Option<bool> = None;
+    let mut f_21: Option<bool> = None;
+    let mut f_22: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -196,6 +204,14 @@
           let val = i_prot.read_bool()?;
           f_20 = Some(val);
         },
+        21 => {
+          let val = i_prot.read_bool()?;
+          f_21 = Some(val);
+        },
+        22 => {
+          let val = i_prot.read_string()?;
+          f_22 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -239,6 +255,8 @@
       rate: f_18,
       turn_in_ms: f_19,
       unlimited: f_20,
+      leaving: f_21,
+      successor: f_22,
     };
     Ok(ret)
   }
@@ -315,6 +333,16 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.leaving {
+      o_prot.write_field_begin(&TFieldIdentifier::new("leaving", TType::Bool, 21))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.successor {
+      o_prot.write_field_begin(&TFieldIdentifier::new("successor", TType::String, 22))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
