--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -294,7 +294,8 @@
         let load = HostLoad {
             in_flight: self.slots.used(),
             queued: self.slots.queued(),
-            draining: self.is_draining(now) || state.stop.is_handing_over(),
+            draining: self.is_draining(now),
+            handing_over: state.stop.is_handing_over(),
             revision: state.config.revision().0,
             took,
             slow_requests: self.adaptive_timeout.borrow().slow_requests(now),
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -43,7 +43,7 @@
 /// `AttemptEnd` is how the attempts at a request ended.
 pub enum AttemptEnd {
     /// The exchange that brought an answer, and the head of that answer.
-    Answer(LiveExchange, AnswerHead),
+    Answer(LiveExchange, Box<AnswerHead>),
     /// No attempt brought an answer.
     Failed(CallerFailure),
     /// The caller disconnected.
@@ -165,7 +165,7 @@
                 let outcome = FailureOutcome::Unknown(UnknownReason::DaemonStopped);
                 attempts.log_end(&start, StepEnd::Failed(outcome), None, NextStep::End);
                 if let Some((live, head)) = fallback {
-                    return AttemptEnd::Answer(live, head);
+                    return AttemptEnd::Answer(live, Box::new(head));
                 }
                 trace::log_given_up(state, request);
                 return AttemptEnd::Failed(CallerFailure::new(outcome));
@@ -187,7 +187,7 @@
                 let has_next_attempt = !is_final && fallback.is_none() && attempts.may_retry(body);
                 if is_final || !has_next_attempt && slow.is_empty() {
                     attempts.log_end(&start, end, load, NextStep::Answer);
-                    return AttemptEnd::Answer(live, head);
+                    return AttemptEnd::Answer(live, Box::new(head));
                 }
                 live.exchange.finish();
                 if !has_next_attempt {
@@ -286,7 +286,7 @@
         self.note_attempt_result(start.index, &live, false);
         let end = StepEnd::Answered(head.status as u16);
         self.log_end(&start, end, Some(StepLoad::of(&head.report)), NextStep::Answer);
-        AttemptEnd::Answer(live, head)
+        AttemptEnd::Answer(live, Box::new(head))
     }
 
     /// Ends the request without another attempt: with the successful answer of a slow attempt, else
@@ -308,7 +308,7 @@
             }
         }
         if let Some((live, head)) = fallback {
-            return AttemptEnd::Answer(live, head);
+            return AttemptEnd::Answer(live, Box::new(head));
         }
         let slow_run = slow.may_have_run().then_some(UnknownReason::TimedOut);
         self.end_without_answer(self.may_have_run.or(slow_run), failure)
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -223,7 +223,7 @@
             if wire::is_server_error(head.status as u16) {
                 note_failed_call();
             }
-            let after = answer::relay(state, stream, request, body, &mut exchange, head).await;
+            let after = answer::relay(state, stream, request, body, &mut exchange, *head).await;
             record(if after == AfterRequest::Abort { "cut-short" } else { "complete" });
             match after {
                 AfterRequest::Keep if !body_was_read && !body.is_done() => AfterRequest::Close,
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -52,6 +52,8 @@
     packed: Rc<PackedService>,
     paths: Vec<Rc<PeerPath>>,
     draining_until: Vec<Cell<Duration>>,
+    /// Incarnation of each upstream's daemon that last reported that it is shutting down.
+    handing_over: Vec<Cell<Option<i64>>>,
     /// Whether each upstream is leaving for good.
     leaving: Vec<Cell<bool>>,
     notices: Rc<NoticeTable>,
@@ -220,6 +222,7 @@
             paths: hosts.map(|host| state.peers.path(host)).collect(),
             probe_yield: Cell::default(),
             draining_until: entry.upstreams.iter().map(|_| Cell::default()).collect(),
+            handing_over: entry.upstreams.iter().map(|_| Cell::default()).collect(),
             leaving: entry.upstreams.iter().map(is_leaving).collect(),
             notices: state.notices.clone(),
             evacuated: RefCell::new(evacuated),
@@ -314,6 +317,7 @@
                 index,
                 is_declared_draining
                     || is_reported_draining
+                    || self.is_handing_over(index)
                     || self.leaving[index].get()
                     || path.is_leaving()
                     || evacuated.flags[index],
@@ -335,6 +339,8 @@
         self.note_notices(index, report, &load, now);
         let expires_at = if load.draining { now + DRAIN_REPORT_TTL } else { Duration::ZERO };
         self.draining_until[index].set(expires_at);
+        let incarnation = self.daemon_incarnation(index).filter(|_| load.handing_over);
+        self.handing_over[index].set(incarnation);
         self.slow_requests.borrow_mut()[index] = (load.slow_requests, now);
         let mut baselines = self.baselines.borrow_mut();
         if !baselines.contains_key(route) {
@@ -355,6 +361,23 @@
         view.note_rate(index, &load.rate, now);
     }
 
+    /// Returns the incarnation of the daemon on an upstream's host, if the daemon is linked; of this
+    /// daemon itself, whose incarnation never changes, any number.
+    fn daemon_incarnation(&self, index: usize) -> Option<i64> {
+        let path = &self.paths[index];
+        if path.is_self {
+            return Some(0);
+        }
+        path.link().map(|link| link.peer.incarnation)
+    }
+
+    /// Says whether the daemon on an upstream's host reported that it is shutting down. The report
+    /// does not hold for the next incarnation of the daemon.
+    fn is_handing_over(&self, index: usize) -> bool {
+        let reported = self.handing_over[index].get();
+        reported.is_some() && reported == self.daemon_incarnation(index)
+    }
+
     /// Records what a backend server said of itself, as its daemon reports. The server may be the
     /// successor of the upstream that was asked for.
     fn note_notices(&self, index: usize, report: &LoadReport, load: &HostLoad, now: Duration) {
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -169,8 +169,10 @@
     pub in_flight: u32,
     /// Number of requests in the upstream's queue.
     pub queued: u32,
-    /// Whether the upstream is leaving.
+    /// Whether the upstream takes no new requests for a while.
     pub draining: bool,
+    /// Whether the upstream's daemon is shutting down.
+    pub handing_over: bool,
     /// Revision in force at the host's daemon.
     pub revision: u64,
     /// Time that the response took, `None` if there was no response.
@@ -188,7 +190,7 @@
     LoadReport {
         in_flight: load.in_flight as i32,
         queued: load.queued as i32,
-        draining: load.draining,
+        draining: load.draining || load.handing_over,
         sickness_milli: to_milli(health.sickness),
         median_ln_milli: to_milli(health.median_ln),
         spread_milli: to_milli(health.spread),
@@ -208,6 +210,7 @@
         unlimited: (load.rate.known == KnownRate::Unlimited).then_some(true),
         leaving: load.leaving.then_some(true),
         successor: None,
+        handing_over: (load.handing_over && !load.draining).then_some(true),
     }
 }
 
@@ -238,7 +241,8 @@
     let load = HostLoad {
         in_flight: report.in_flight.max(0) as u32,
         queued: report.queued.max(0) as u32,
-        draining: report.draining,
+        draining: report.draining && report.handing_over != Some(true),
+        handing_over: report.handing_over == Some(true),
         revision: report.revision.max(0) as u64,
         took: (report.took_us > 0).then(|| Duration::from_micros(report.took_us as u64)),
         slow_requests: slow_requests(
--- a/crates/daemon/tests/server_leaving.rs
+++ b/crates/daemon/tests/server_leaving.rs
@@ -6,8 +6,12 @@
 
 mod common;
 
+use std::thread;
+use std::time::Duration;
+
 use basaltarch_platform::headers::names;
 use common::eventually;
+use common::load::CallerLoad;
 use common::registered::{self, RegisteredFleet};
 use serde_json::json;
 use test_case::test_case;
@@ -158,3 +162,31 @@
         assert!(reply.header("retry-after").is_some());
     }
 }
+
+/// Number of requests, sent at least 10 ms apart, of which one must be served once the daemon beside
+/// the only server is back.
+const REQUESTS_UNTIL_SERVED: usize = 1000;
+
+#[test]
+fn verify_a_server_is_used_again_once_its_daemon_is_back_from_a_stop() {
+    let mut fleet = RegisteredFleet::start(2);
+    (0..2).for_each(|daemon| fleet.wait_served(daemon, &[0, 1]));
+    assert_eq!(fleet.deregister(1).status, 200);
+    // Requests are running when the daemon is stopped, so that their answers report the stop.
+    fleet.backends[0].set_faults(json!({"slow_rate": 1.0, "slow_factor": 300.0}));
+    let load = CallerLoad::start(&[fleet.daemons[1].callers], 4, "/safe/x");
+    eventually("requests are running", || fleet.daemons[0].metric_sum("slots_used") > 2.0);
+    fleet.daemons[0].signal("-TERM");
+    fleet.daemons[0].wait_exit();
+    load.stop();
+    restart(&mut fleet);
+    eventually("the other daemon knows that it is back", || {
+        fleet.daemons[1].live_member_count() == 2
+    });
+    let is_served = (0..REQUESTS_UNTIL_SERVED).any(|number| {
+        thread::sleep(Duration::from_millis(10));
+        let reply = fleet.request(1, "GET", "/safe/x", &format!("only-{number}"));
+        reply.status == 200
+    });
+    assert!(is_served);
+}
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -39,6 +39,8 @@
   21: optional bool leaving
   /** The server that the report is about, if it is the successor of the one that was asked for. */
   22: optional string successor
+  /** Whether the server only counts as draining because its daemon is shutting down. */
+  23: optional bool handing_over
 }
 
 /** What an ingress knows of a route over all upstreams of its service, in thousandths. */
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -61,10 +61,12 @@
   pub leaving: Option<bool>,
   /// The server that the report is about, if it is the successor of the one that was asked for.
   pub successor: Option<String>,
+  /// Whether the server only counts as draining because its daemon is shutting down.
+  pub handing_over: Option<bool>,
 }
 
 impl LoadReport {
-  pub fn new<F16, F17, F18, F19, F20, F21, F22>(in_flight: i32, queued: i32, draining: bool, sickness_milli: i32, median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, samples: i32, ramp_milli: i32, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool, hung_milli: F16, late_milli: F17, rate: F18, turn_in_ms: F19, unlimited: F20, leaving: F21, successor: F22) -> LoadReport where F16: Into<Option<i32>>, F17: Into<Option<i32>>, F18: Into<Option<OrderedFloat<f64>>>, F19: Into<Option<i32>>, F20: Into<Option<bool>>, F21: Into<Option<bool>>, F22: Into<Option<String>> {
+  pub fn new<F16, F17, F18, F19, F20, F21, F22, F23>(in_flight: i32, queued: i32, draining: bool, sickness_milli: i32, median_ln_milli: i32, spread_milli: i32, failure_rate_milli: i32, overdue_rate_milli: i32, samples: i32, ramp_milli: i32, trial_in_ms: i32, revision: i64, ejected: bool, took_us: i32, doubtful: bool, hung_milli: F16, late_milli: F17, rate: F18, turn_in_ms: F19, unlimited: F20, leaving: F21, successor: F22, handing_over: F23) -> LoadReport where F16: Into<Option<i32>>, F17: Into<Option<i32>>, F18: Into<Option<OrderedFloat<f64>>>, F19: Into<Option<i32>>, F20: Into<Option<bool>>, F21: Into<Option<bool>>, F22: Into<Option<String>>, F23: Into<Option<bool>> {
     LoadReport {
       in_flight,
       queued,
@@ -88,6 +90,7 @@
       unlimited: unlimited.into(),
       leaving: leaving.into(),
       successor: successor.into(),
+      handing_over: handing_over.into(),
     }
   }
 }
@@ -117,6 +120,7 @@
     let mut f_20: Option<bool> = None;
     let mut f_21: Option<bool> = None;
     let mut f_22: Option<String> = None;
+    let mut f_23: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -212,6 +216,10 @@
           let val = i_prot.read_string()?;
           f_22 = Some(val);
         },
+        23 => {
+          let val = i_prot.read_bool()?;
+          f_23 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -257,6 +265,7 @@
       unlimited: f_20,
       leaving: f_21,
       successor: f_22,
+      handing_over: f_23,
     };
     Ok(ret)
   }
@@ -343,6 +352,11 @@
       o_prot.write_string(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.handing_over {
+      o_prot.write_field_begin(&TFieldIdentifier::new("handing_over", TType::Bool, 23))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
