--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -19,7 +19,7 @@
 use basaltarch_decide::health::{
     AdmitVerdict, DispatchTerms, HealthChange, UpstreamHealth, WatchEnd,
 };
-use basaltarch_decide::server_rate::{RateReport, RateResponse};
+use basaltarch_decide::server_rate::RateResponse;
 use basaltarch_events::servers;
 use basaltarch_peer::protocol::LoadReport;
 use basaltarch_waiting::slots::SlotQueue;
@@ -299,7 +299,7 @@
             revision: state.config.revision().0,
             took,
             slow_requests: self.adaptive_timeout.borrow().slow_requests(now),
-            rate: RateReport { known: self.slots.rate(), turn_in: self.slots.turn_in() },
+            rate: self.slots.rate_report(),
             leaving: state.notices.is_leaving(&self.name),
         };
         wire::report_note(load, &self.health.borrow().report(route, now))
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -84,7 +84,11 @@
             () = path_cut_event => if request.service.take_retry(state) {
                 return FirstEvent::HedgeDue;
             },
-            () = hedging => if request.service.take_retry(state) {
+            // A hedge that waits for its turn under a rate limit would take the turn of another
+            // request.
+            () = hedging => if live.sent_guard.has_alternative(state.now())
+                && request.service.take_retry(state)
+            {
                 return FirstEvent::HedgeDue;
             },
         }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -598,6 +598,14 @@
     index: usize,
 }
 
+impl SentGuard {
+    /// Says whether an upstream other than the one that the request was sent to could start the
+    /// request now, as far as its rate limit is known.
+    pub fn has_alternative(&self, now: Duration) -> bool {
+        self.service.with_view(|view| view.count_others(&[self.index], now) > 0)
+    }
+}
+
 impl Drop for SentGuard {
     fn drop(&mut self) {
         self.service.view.borrow_mut().note_ended(self.index);
--- a/crates/waiting/src/slots.rs
+++ b/crates/waiting/src/slots.rs
@@ -22,7 +22,7 @@
 use basaltarch_core::resources::WorkClass;
 use basaltarch_decide::order::{self, QueuedRequest};
 use basaltarch_decide::progress::ProgressTerms;
-use basaltarch_decide::server_rate::{KnownRate, RateResponse, ServerRate};
+use basaltarch_decide::server_rate::{KnownRate, RateReport, RateResponse, ServerRate};
 
 /// Share of the time until its deadline for which a queued request may wait for a slot. A request
 /// that has waited for longer seldom completes in time, and a caller that is refused at this moment
@@ -130,6 +130,15 @@
         }
     }
 
+    /// Reports the rate limit in force, and the time until it allows a request that goes behind all
+    /// waiting requests.
+    pub fn rate_report(&self) -> RateReport {
+        let rate = self.rate.borrow();
+        let queue_length = queue_length(self.waiting.borrow().iter());
+        let turn_in = rate.wait_behind(queue_length, self.clock.now());
+        RateReport { known: rate.known(), turn_in }
+    }
+
     /// Records what a response of the backend server says about its rate limit, and says whether the
     /// limit changed.
     pub fn note_rate(&self, response: &RateResponse) -> bool {
