--- a/crates/daemon/tests/server_rates.rs
+++ b/crates/daemon/tests/server_rates.rs
@@ -7,9 +7,11 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use basaltarch_platform::headers::names;
+use common::forwarder::Forwarder;
 use common::load::{CallerLoad, SentRequest};
 use common::registered::{self, RegisteredFleet};
 use common::{eventually, TestBackend};
@@ -130,17 +132,12 @@
     }
 }
 
-#[test_case(kill_and_restart ; "that is killed")]
-#[test_case(stop_and_restart ; "that stops")]
-#[test_case(freeze ; "that is frozen")]
-#[test_case(change_configuration ; "whose configuration changes")]
-fn verify_the_rate_outlasts_an_interruption_of_the_daemon_beside_the_server(
-    interrupt: fn(&mut RegisteredFleet),
+/// Checks that the first server gets no more requests than the rate that it names while `interrupt`
+/// interrupts the daemon beside it, several times in series.
+fn check_rate_outlasts(
+    fleet: &mut RegisteredFleet,
+    mut interrupt: impl FnMut(&mut RegisteredFleet),
 ) {
-    const RATE: f64 = 1.0;
-    let mut fleet = RegisteredFleet::start(3);
-    (0..3).for_each(|daemon| fleet.wait_served(daemon, &[0, 1, 2]));
-    kill_and_restart(&mut fleet);
     fleet.wait_served(1, &[0]);
     // The other servers leave, so that all requests are for the first one. It is slow, so that many
     // requests could start before its first response after the interruption.
@@ -149,22 +146,55 @@
         "notices": {names::RATE_LIMIT: "1"}, "slow_rate": 1.0, "slow_factor": 500.0,
     }));
     // Only requests through daemons that go on running are checked.
-    let load = CallerLoad::start(&caller_addresses(&fleet)[1..], CALLERS, "/safe/x");
+    let load = CallerLoad::start(&caller_addresses(fleet)[1..], CALLERS, "/safe/x");
     let wait_for = |fleet: &RegisteredFleet, count: usize| {
         let server = &fleet.backends[0];
         let told_count = || told_arrivals(&limited_arrivals(server)).len();
         let wanted = told_count() + count;
         eventually("the server gets requests", || told_count() >= wanted);
     };
-    wait_for(&fleet, 2);
+    wait_for(fleet, 2);
     for _ in 0..INTERRUPTIONS {
-        interrupt(&mut fleet);
-        wait_for(&fleet, 1);
+        interrupt(fleet);
+        wait_for(fleet, 1);
     }
     let began = Instant::now();
     eventually("requests were sent for a while", || began.elapsed() >= LOAD_TIME);
     load.stop();
-    check_rate(told_arrivals(&limited_arrivals(&fleet.backends[0])), RATE);
+    check_rate(told_arrivals(&limited_arrivals(&fleet.backends[0])), 1.0);
+}
+
+#[test_case(kill_and_restart ; "that is killed")]
+#[test_case(stop_and_restart ; "that stops")]
+#[test_case(freeze ; "that is frozen")]
+#[test_case(change_configuration ; "whose configuration changes")]
+fn verify_the_rate_outlasts_an_interruption_of_the_daemon_beside_the_server(
+    interrupt: fn(&mut RegisteredFleet),
+) {
+    let mut fleet = RegisteredFleet::start(3);
+    kill_and_restart(&mut fleet);
+    check_rate_outlasts(&mut fleet, interrupt);
+}
+
+#[test_case(true, false ; "from the others to it")]
+#[test_case(false, true ; "from it to the others")]
+#[test_case(true, true ; "both ways")]
+fn verify_the_rate_outlasts_a_cut_of_the_daemon_beside_the_server(forward: bool, backward: bool) {
+    let mut fleet = RegisteredFleet::start(3);
+    let forwarder = Forwarder::start();
+    let advertised = forwarder.address.to_string();
+    fleet.daemons[0].kill();
+    fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", &[("advertise-peers", &advertised)]);
+    forwarder.forward_to(fleet.daemons[0].peers);
+    assert_eq!(fleet.send_heartbeat(0, false).status, 200);
+    check_rate_outlasts(&mut fleet, |fleet| {
+        forwarder.cuts.forward.store(forward, Ordering::SeqCst);
+        forwarder.cuts.backward.store(backward, Ordering::SeqCst);
+        // The request waits until its deadline.
+        fleet.request(1, "GET", "/safe/x", "meanwhile");
+        forwarder.cuts.forward.store(false, Ordering::SeqCst);
+        forwarder.cuts.backward.store(false, Ordering::SeqCst);
+    });
 }
 
 #[test]
