--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -13,8 +13,6 @@
 use basaltarch_decide::adaptive_timeout::AttemptTimeout;
 use basaltarch_decide::breaker::FailureKind;
 use basaltarch_decide::evidence::RequestEvidence;
-use basaltarch_decide::server_rate::{RateResponse, RateStatement};
-use basaltarch_events::servers::RateUnreadable;
 use basaltarch_http::body::{BodyLimits, BodyReader};
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::fields;
@@ -244,13 +242,8 @@
         } else if is_leaving {
             registration::note_leaving(state, &upstream.name);
         }
-        let statement =
-            notices::rate_statement(field_names, head, verdict).unwrap_or_else(|text| {
-                RateUnreadable { upstream: &upstream.name, text: &text }.log();
-                RateStatement::Silent
-            });
         let sent_at = now.saturating_sub(self.progress.elapsed());
-        upstream.note_rate(&RateResponse { statement, sent_at });
+        upstream.note_rate(notices::rate_statement(field_names, head, verdict), sent_at);
         state.notices.note_rate(&upstream.name, upstream.slots.rate(), now);
     }
 
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -19,7 +19,7 @@
 use basaltarch_decide::health::{
     AdmitVerdict, DispatchTerms, HealthChange, UpstreamHealth, WatchEnd,
 };
-use basaltarch_decide::server_rate::RateResponse;
+use basaltarch_decide::server_rate::{RateResponse, RateStatement};
 use basaltarch_events::servers;
 use basaltarch_peer::protocol::LoadReport;
 use basaltarch_waiting::slots::SlotQueue;
@@ -57,6 +57,8 @@
     evacuated: Cell<bool>,
     unreachable: Cell<bool>,
     last_success_at: Cell<Duration>,
+    /// Rate limit in the last response, if that can't be read.
+    unreadable_rate: RefCell<Option<String>>,
 }
 
 impl HostUpstream {
@@ -85,6 +87,7 @@
             evacuated: Cell::new(false),
             unreachable: Cell::new(false),
             last_success_at: Cell::new(Duration::ZERO),
+            unreadable_rate: RefCell::default(),
         }
     }
 
@@ -112,9 +115,16 @@
         self.draining_until.set(until);
     }
 
-    /// Records what a response says about the server's rate limit.
-    pub fn note_rate(&self, response: &RateResponse) {
-        if self.slots.note_rate(response) {
+    /// Records what the response to a request that was sent at `sent_at` says about the server's
+    /// rate limit; the error is the text of a limit that can't be read.
+    pub fn note_rate(&self, statement: Result<RateStatement, String>, sent_at: Duration) {
+        let text = statement.as_ref().err().cloned();
+        if let Some(text) = text.as_deref().filter(|_| *self.unreadable_rate.borrow() != text) {
+            servers::RateUnreadable { upstream: &self.name, text }.log();
+        }
+        *self.unreadable_rate.borrow_mut() = text;
+        let statement = statement.unwrap_or(RateStatement::Silent);
+        if self.slots.note_rate(&RateResponse { statement, sent_at }) {
             self.log_rate(RATE_TOLD_BY_SERVER);
         }
     }
--- a/crates/daemon/tests/common/registered.rs
+++ b/crates/daemon/tests/common/registered.rs
@@ -116,6 +116,32 @@
         self
     }
 
+    /// Kills the first daemon, and starts it again beside its server, which sends a heartbeat.
+    pub fn kill_and_restart(&mut self, flags: &[(&str, &str)]) {
+        self.daemons[0].kill();
+        self.restart(flags);
+    }
+
+    /// Stops the first daemon as planned, and starts it again as [`Self::kill_and_restart`] does.
+    pub fn stop_and_restart(&mut self, flags: &[(&str, &str)]) {
+        self.daemons[0].signal("-TERM");
+        self.daemons[0].wait_exit();
+        self.restart(flags);
+    }
+
+    fn restart(&mut self, flags: &[(&str, &str)]) {
+        self.daemons[0] = self.start_daemon("host-a", DOMAINS[0], flags);
+        assert_eq!(self.send_heartbeat(0, false).status, 200);
+    }
+
+    /// Writes a document and waits until it is in force on all daemons.
+    pub fn put_in_force(&self, new_document: &ConfigDocument) {
+        self.write_document(new_document);
+        for daemon in &self.daemons {
+            eventually("the document is in force", || daemon.revision() >= new_document.version);
+        }
+    }
+
     pub fn start_daemon(
         &self,
         host: &str,
--- a/crates/daemon/tests/server_leaving.rs
+++ b/crates/daemon/tests/server_leaving.rs
@@ -49,19 +49,16 @@
 }
 
 fn kill_and_restart(fleet: &mut RegisteredFleet) {
-    fleet.daemons[0].kill();
-    restart(fleet);
+    fleet.kill_and_restart(&[]);
+    wait_ready(fleet);
 }
 
 fn stop_and_restart(fleet: &mut RegisteredFleet) {
-    fleet.daemons[0].signal("-TERM");
-    fleet.daemons[0].wait_exit();
-    restart(fleet);
+    fleet.stop_and_restart(&[]);
+    wait_ready(fleet);
 }
 
-fn restart(fleet: &mut RegisteredFleet) {
-    fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", &[]);
-    send_ready_heartbeat(fleet);
+fn wait_ready(fleet: &mut RegisteredFleet) {
     eventually("the daemon is ready", || fleet.is_ready(0));
     send_ready_heartbeat(fleet);
 }
@@ -75,25 +72,15 @@
 fn change_configuration(fleet: &mut RegisteredFleet) {
     let mut document = registered::document(2);
     document.services[0].connections += 1;
-    fleet.write_document(&document);
-    let daemons = fleet.daemons.iter();
-    daemons.for_each(|daemon| eventually("the document is in force", || daemon.revision() >= 2));
+    fleet.put_in_force(&document);
 }
 
 fn drop_service_and_add_it_again(fleet: &mut RegisteredFleet) {
     let mut document = registered::document(2);
     document.services.retain(|service| service.name != registered::SERVICE);
     document.routes.clear();
-    fleet.write_document(&document);
-    let wait = |fleet: &RegisteredFleet, revision: u64| {
-        let daemons = fleet.daemons.iter();
-        daemons.for_each(|daemon| {
-            eventually("the document is in force", || daemon.revision() >= revision);
-        });
-    };
-    wait(fleet, 2);
-    fleet.write_document(&registered::document(3));
-    wait(fleet, 3);
+    fleet.put_in_force(&document);
+    fleet.put_in_force(&registered::document(3));
 }
 
 fn stop_saying_so(fleet: &mut RegisteredFleet) {
@@ -176,10 +163,8 @@
     fleet.backends[0].set_faults(json!({"slow_rate": 1.0, "slow_factor": 300.0}));
     let load = CallerLoad::start(&[fleet.daemons[1].callers], 4, "/safe/x");
     eventually("requests are running", || fleet.daemons[0].metric_sum("slots_used") > 2.0);
-    fleet.daemons[0].signal("-TERM");
-    fleet.daemons[0].wait_exit();
+    stop_and_restart(&mut fleet);
     load.stop();
-    restart(&mut fleet);
     eventually("the other daemon knows that it is back", || {
         fleet.daemons[1].live_member_count() == 2
     });
--- a/crates/daemon/tests/server_rates.rs
+++ b/crates/daemon/tests/server_rates.rs
@@ -99,19 +99,11 @@
 }
 
 fn kill_and_restart(fleet: &mut RegisteredFleet) {
-    fleet.daemons[0].kill();
-    restart(fleet);
+    fleet.kill_and_restart(SHORT_DRAIN);
 }
 
 fn stop_and_restart(fleet: &mut RegisteredFleet) {
-    fleet.daemons[0].signal("-TERM");
-    fleet.daemons[0].wait_exit();
-    restart(fleet);
-}
-
-fn restart(fleet: &mut RegisteredFleet) {
-    fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", SHORT_DRAIN);
-    assert_eq!(fleet.send_heartbeat(0, false).status, 200);
+    fleet.stop_and_restart(SHORT_DRAIN);
 }
 
 fn freeze(fleet: &mut RegisteredFleet) {
@@ -126,10 +118,7 @@
     let mut document = registered::document(version);
     document.routes[0].rule.timeout_ms += version;
     document.services[0].connections += version as u32;
-    fleet.write_document(&document);
-    for daemon in &fleet.daemons {
-        eventually("the document is in force", || daemon.revision() >= version);
-    }
+    fleet.put_in_force(&document);
 }
 
 /// Checks that the first server gets no more requests than the rate that it names while `interrupt`
@@ -183,10 +172,8 @@
     let mut fleet = RegisteredFleet::start(3);
     let forwarder = Forwarder::start();
     let advertised = forwarder.address.to_string();
-    fleet.daemons[0].kill();
-    fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", &[("advertise-peers", &advertised)]);
+    fleet.kill_and_restart(&[("advertise-peers", &advertised)]);
     forwarder.forward_to(fleet.daemons[0].peers);
-    assert_eq!(fleet.send_heartbeat(0, false).status, 200);
     check_rate_outlasts(&mut fleet, |fleet| {
         forwarder.cuts.forward.store(forward, Ordering::SeqCst);
         forwarder.cuts.backward.store(backward, Ordering::SeqCst);
@@ -247,7 +234,9 @@
     let sent = send_load(&fleet, || limited_arrivals(server).len() >= count + 2);
     check_rate(&limited_arrivals(server)[count..], 1.0);
     check_all_served(&sent);
-    assert!(fleet.daemons[0].log_text().contains("server rate unreadable"));
+    let log = fleet.daemons[0].log_text();
+    let unreadable_count = log.matches("server rate unreadable").count();
+    assert_eq!(unreadable_count, 2, "logged when it begins, not with each response");
 }
 
 #[test]
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -457,7 +457,7 @@
             Some(view) if report.known != KnownRate::Unknown => view,
             _ => return,
         };
-        self.is_plan_stale |= view.rate != report.known;
+        self.is_plan_stale |= view.rate.per_second() != report.known.per_second();
         view.rate = report.known;
         view.turn_at = now + report.turn_in;
     }
