--- a/crates/daemon/tests/server_leaving.rs
+++ b/crates/daemon/tests/server_leaving.rs
@@ -6,11 +6,13 @@
 
 mod common;
 
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use basaltarch_platform::headers::names;
 use common::eventually;
+use common::forwarder::Forwarder;
 use common::load::CallerLoad;
 use common::registered::{self, RegisteredFleet};
 use serde_json::json;
@@ -19,18 +21,22 @@
 /// Number of requests that are sent through each daemon to check that a server gets none of them.
 const CHECKED_REQUESTS: usize = 60;
 
-/// Starts three hosts and waits until each daemon has passed on a response by which the first
-/// server is leaving.
+/// Starts three hosts whose first server has said that it is leaving.
 fn start_with_leaving_server() -> RegisteredFleet {
     let fleet = RegisteredFleet::start(3);
     (0..3).for_each(|daemon| fleet.wait_served(daemon, &[0, 1, 2]));
+    make_first_server_leave(&fleet);
+    fleet
+}
+
+/// Waits until a response by which the first server is leaving was passed on.
+fn make_first_server_leave(fleet: &RegisteredFleet) {
     fleet.backends[0].set_faults(json!({"notices": {names::LEAVING: "1"}}));
     eventually("a response says that the server is leaving", || {
         let before = fleet.backends[0].total_runs();
         (0..3).for_each(|daemon| drop(fleet.request(daemon, "GET", "/safe/x", "notice")));
         fleet.backends[0].total_runs() > before
     });
-    fleet
 }
 
 /// Checks that requests are served, and that none of them reaches the first server.
@@ -65,6 +71,8 @@
 
 fn freeze(fleet: &mut RegisteredFleet) {
     fleet.daemons[0].signal("-STOP");
+    // The other daemons serve meanwhile.
+    (1..3).for_each(|daemon| fleet.wait_served(daemon, &[1, 2]));
     fleet.daemons[0].signal("-CONT");
     send_ready_heartbeat(fleet);
 }
@@ -107,6 +115,29 @@
     }
 }
 
+#[test_case(true, false ; "from the others to it")]
+#[test_case(false, true ; "from it to the others")]
+#[test_case(true, true ; "both ways")]
+fn verify_a_server_that_says_it_is_leaving_stays_away_over_cuts(forward: bool, backward: bool) {
+    let mut fleet = RegisteredFleet::start(3);
+    let forwarder = Forwarder::start();
+    let advertised = forwarder.address.to_string();
+    fleet.kill_and_restart(&[("advertise-peers", &advertised)]);
+    forwarder.forward_to(fleet.daemons[0].peers);
+    (0..3).for_each(|daemon| fleet.wait_served(daemon, &[0, 1, 2]));
+    make_first_server_leave(&fleet);
+    check_unused(&fleet);
+    for _ in 0..2 {
+        forwarder.cuts.forward.store(forward, Ordering::SeqCst);
+        forwarder.cuts.backward.store(backward, Ordering::SeqCst);
+        (1..3).for_each(|daemon| fleet.wait_served(daemon, &[1, 2]));
+        forwarder.cuts.forward.store(false, Ordering::SeqCst);
+        forwarder.cuts.backward.store(false, Ordering::SeqCst);
+        send_ready_heartbeat(&mut fleet);
+        check_unused(&fleet);
+    }
+}
+
 #[test]
 fn verify_a_server_that_reported_to_leave_stays_away_after_a_late_heartbeat_to_a_restarted_daemon()
 {
