Log when the next trial of a refusing server is due, and for how long a connection had rested

The logs of the incident could not tell whether a server's daemon refused requests for an ejection or for an open breaker, when it would let in the next trial, and whether a request that hung was sent along a new connection or along one that had rested.

--- a/crates/daemon/src/host/backend.rs
+++ b/crates/daemon/src/host/backend.rs
@@ -41,9 +41,11 @@
     idle: RefCell<Vec<IdleStream>>,
 }
 
-/// `IdleStream` is an idle connection and the time until which the connection may be reused.
+/// `IdleStream` is an idle connection, with the time since which the connection has been idle and
+/// the time until which the connection may be reused.
 struct IdleStream {
     stream: HttpStream,
+    idle_since: Instant,
     usable_until: Instant,
 }
 
@@ -85,8 +87,7 @@
             return false;
         }
         self.open.set(self.open.get() + 1);
-        let mut pooled_stream =
-            PooledStream { pool: self, address: self.address.get(), stream: None };
+        let mut pooled_stream = self.unopened();
         match HttpStream::connect(pooled_stream.address, CHECK_TIMEOUT).await {
             Ok(mut stream) => {
                 monoio::time::sleep(RECHECK_AFTER).await;
@@ -101,19 +102,26 @@
         }
     }
 
+    /// Builds a pooled connection that has yet to be opened.
+    fn unopened(&self) -> PooledStream<'_> {
+        PooledStream { pool: self, address: self.address.get(), stream: None, idle_time: None }
+    }
+
     /// Takes an idle connection that is still usable, or opens a new connection.
     pub async fn take(&self) -> Result<PooledStream<'_>, HttpError> {
         loop {
             let idle = self.idle.borrow_mut().pop();
-            let IdleStream { mut stream, usable_until } = match idle {
+            let IdleStream { mut stream, idle_since, usable_until } = match idle {
                 Some(stream) => stream,
                 None => break,
             };
-            if Instant::now() < usable_until && client::is_reusable(&mut stream) {
+            let now = Instant::now();
+            if now < usable_until && client::is_reusable(&mut stream) {
                 return Ok(PooledStream {
                     pool: self,
                     address: self.address.get(),
                     stream: Some(stream),
+                    idle_time: Some(now - idle_since),
                 });
             }
             self.open.set(self.open.get() - 1);
@@ -124,8 +132,7 @@
         // The connection is counted before it is opened, so that the limit holds while several
         // connections are being opened.
         self.open.set(self.open.get() + 1);
-        let mut pooled_stream =
-            PooledStream { pool: self, address: self.address.get(), stream: None };
+        let mut pooled_stream = self.unopened();
         pooled_stream.stream =
             Some(HttpStream::connect(pooled_stream.address, CONNECT_TIMEOUT).await?);
         Ok(pooled_stream)
@@ -144,9 +151,15 @@
     pool: &'a BackendPool,
     address: SocketAddr,
     stream: Option<HttpStream>,
+    idle_time: Option<Duration>,
 }
 
 impl PooledStream<'_> {
+    /// Returns for how long the connection had been idle; `None` for a new connection.
+    pub fn idle_time(&self) -> Option<Duration> {
+        self.idle_time
+    }
+
     /// Returns the HTTP stream of the connection.
     pub fn stream(&mut self) -> &mut HttpStream {
         self.stream.as_mut().unwrap_or_else(|| {
@@ -165,8 +178,9 @@
             stream.reader.release();
             let reuse_time = keep_alive
                 .map_or(IDLE_TIME_MAX, |timeout| timeout.saturating_sub(KEEP_ALIVE_MARGIN));
-            let usable_until = Instant::now() + reuse_time.min(IDLE_TIME_MAX);
-            pool.idle.borrow_mut().push(IdleStream { stream, usable_until });
+            let idle_since = Instant::now();
+            let usable_until = idle_since + reuse_time.min(IDLE_TIME_MAX);
+            pool.idle.borrow_mut().push(IdleStream { stream, idle_since, usable_until });
             pool.open.set(pool.open.get() + 1);
         }
     }
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -462,7 +462,7 @@
         metrics::HOST_ATTEMPTS.add_one();
         let waited = self.state.now().saturating_sub(self.arrived_at);
         metrics::SLOT_WAIT_SECONDS.record(waited);
-        self.log_started(waited);
+        self.log_started(waited, pooled_stream.idle_time());
         let progress = AttemptProgress::new(slot, self.attempt_timeout());
         let result =
             self.run_exchange(pooled_stream.stream(), &progress, body, answer, claim).await;
--- a/crates/daemon/src/host/trace.rs
+++ b/crates/daemon/src/host/trace.rs
@@ -11,6 +11,7 @@
 
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::WorkMode;
+use basaltarch_decide::health::HealthReport;
 use basaltarch_events::requests::{SurplusDropped, WorkBroke, WorkEnded, WorkRefused, WorkStarted};
 use basaltarch_peer::protocol::DispatchHead;
 
@@ -40,13 +41,13 @@
         self.head.attempt.max(0) as u64
     }
 
-    fn sickness(&self) -> f64 {
-        let health = self.upstream.health.borrow();
-        health.report(&self.head.route, self.state.now()).sickness
+    fn health_report(&self) -> HealthReport {
+        self.upstream.health.borrow().report(&self.head.route, self.state.now())
     }
 
-    /// Logs that the request is sent to the backend server.
-    pub fn log_started(&self, waited: Duration) {
+    /// Logs that the request is sent to the backend server after it `waited`, over a connection that
+    /// had been idle for `idle_time`, or over a new connection.
+    pub fn log_started(&self, waited: Duration, idle_time: Option<Duration>) {
         if !self.is_logged() {
             return;
         }
@@ -60,8 +61,9 @@
             slots: self.upstream.slots.slots().into(),
             queued: self.upstream.slots.queued().into(),
             trial: self.is_trial,
-            sickness: self.sickness(),
+            sickness: self.health_report().sickness,
             left_ms: millis(self.time_left()),
+            idle_ms: idle_time.map(millis),
         }
         .log();
     }
@@ -72,6 +74,7 @@
         if !self.is_logged() {
             return;
         }
+        let health_report = self.health_report();
         WorkRefused {
             request: &request_id(self.state, self.head),
             upstream: &self.upstream.name,
@@ -81,8 +84,10 @@
             in_flight: self.upstream.slots.used().into(),
             slots: self.upstream.slots.slots().into(),
             queued: self.upstream.slots.queued().into(),
-            sickness: self.sickness(),
+            sickness: health_report.sickness,
             left_ms: millis(self.time_left()),
+            ejected: health_report.ejected,
+            trial_in_ms: millis(health_report.trial_in),
         }
         .log();
     }
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -230,6 +230,8 @@
         sickness: f64,
         /// Time that is left for the request.
         left_ms: u64,
+        /// Time for which the connection to the server had been idle; absent for a new connection.
+        idle_ms: Option<u64>,
     }
 
     /// The host's daemon refused a request; nothing of it was sent to the backend server.
@@ -254,6 +256,11 @@
         sickness: f64,
         /// Time that was left for the request.
         left_ms: u64,
+        /// Whether the server is ejected.
+        ejected: bool,
+        /// Time until the next trial of the server may start; zero if one may start now, or if the
+        /// server is in service.
+        trial_in_ms: u64,
     }
 
     /// The backend server answered a request.
