Let requests that hung keep no backend server out of service by ending late

Cause: requests whose connections fell silent end by their deadline, seconds later. Each such end counted as a new failure: it lengthened the pause of an open breaker and moved the next trial to one pause after the end, and two of them opened a breaker that trials had just closed. Trials that hang postponed each other in the same way.

Change: a failure is judged by when its request was sent. One from before the breaker opened, or a timeout from before the trials that closed it, says nothing new; the pause after a failed trial runs from the trial's start.

Shown: the four new cases in decide/tests/breaker.rs failed with the new parameter and the old logic (a gap of over 2 s from 4 s to 6.01 s among them); all tests of decide and bench pass.

--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -99,7 +99,7 @@
     pub fn failure(self) -> Option<FailureKind> {
         match self {
             Self::Broken | Self::BadAnswer => Some(FailureKind::Broken),
-            Self::TimedOut => Some(FailureKind::Answered),
+            Self::TimedOut => Some(FailureKind::TimedOut),
             _ => None,
         }
     }
--- a/crates/decide/src/breaker.rs
+++ b/crates/decide/src/breaker.rs
@@ -38,6 +38,9 @@
     Broken,
     /// The answer was an error, or late.
     Answered,
+    /// No answer arrived in time. The failure says nothing about the upstream after the request was
+    /// sent: the connection may have fallen silent since.
+    TimedOut,
 }
 
 /// `FailureBreaker` is the circuit breaker of one upstream.
@@ -47,8 +50,12 @@
     trial_at: Duration,
     trial_pause: Duration,
     successes: u32,
+    /// When the first of the latest successive trials was sent.
+    first_success_started: Duration,
     failures: u32,
     closed_at: Duration,
+    /// When the first of the trials that last closed the breaker was sent.
+    proven_from: Duration,
     /// Whether the breaker opened only because running requests took too long.
     opened_by_hang: bool,
 }
@@ -83,7 +90,7 @@
 
     /// Records that running requests take too long; says whether this opened the breaker.
     pub fn note_hang(&mut self, now: Duration) -> bool {
-        let opened = self.note_failure(FailureKind::Broken, now);
+        let opened = self.note_failure(FailureKind::Broken, now, now);
         self.opened_by_hang = opened;
         opened
     }
@@ -103,17 +110,23 @@
         self.closed_at = now;
     }
 
-    /// Records a failure; says whether it opened the breaker.
-    pub fn note_failure(&mut self, kind: FailureKind, now: Duration) -> bool {
+    /// Records the failure of a request that was sent at `started`; says whether the failure opened
+    /// the breaker.
+    pub fn note_failure(&mut self, kind: FailureKind, started: Duration, now: Duration) -> bool {
+        if self.is_superseded(kind, started) {
+            return false;
+        }
         self.successes = 0;
         self.failures += 1;
-        if kind == FailureKind::Answered && self.failures < ANSWERED_FAILURES {
+        if kind != FailureKind::Broken && self.failures < ANSWERED_FAILURES {
             return false;
         }
         self.opened_by_hang = false;
         if self.opened_at.is_some() {
             self.trial_pause = (self.trial_pause * 2).min(TRIAL_PAUSE_MAX);
-            self.trial_at = now + self.trial_pause;
+            // The pause runs from the start of the trial: the end of one that hung must not
+            // postpone the next.
+            self.trial_at = self.trial_at.max(started + self.trial_pause);
             return false;
         }
         let closed_recently =
@@ -128,18 +141,32 @@
         true
     }
 
+    /// Says whether the failure of a request that was sent at `started` says nothing new: the
+    /// request was sent before the breaker opened, or it timed out although later requests were
+    /// answered.
+    fn is_superseded(&self, kind: FailureKind, started: Duration) -> bool {
+        match self.opened_at {
+            Some(opened_at) => started < opened_at,
+            None => kind == FailureKind::TimedOut && started < self.proven_from,
+        }
+    }
+
     /// Records a successful answer to a request that was sent at `started`; returns how long the
     /// breaker was open if the answer closed it. A request that was sent before the breaker opened
     /// is no evidence of the upstream's state since then.
     pub fn note_success(&mut self, started: Duration, now: Duration) -> Option<Duration> {
         self.failures = 0;
         let since = self.opened_at.filter(|since| started >= *since)?;
+        if self.successes == 0 {
+            self.first_success_started = started;
+        }
         self.successes += 1;
         // The next trial may start at once.
         self.trial_at = now;
         if self.successes < SUCCESSES_NEEDED {
             return None;
         }
+        self.proven_from = self.first_success_started;
         self.close(now);
         Some(now.saturating_sub(since))
     }
--- a/crates/decide/src/hang.rs
+++ b/crates/decide/src/hang.rs
@@ -129,6 +129,12 @@
         number
     }
 
+    /// Returns when a running request started.
+    pub fn started(&self, number: u64) -> Option<Duration> {
+        let request = self.running.iter().find(|request| request.number == number);
+        request.map(|request| request.started)
+    }
+
     /// Records the end of a request. An answer, or a nested call that the request makes, is
     /// evidence against a hang. A request that was given up adds the evidence of a hang that it had
     /// at its end. Returns the evidence that the request adds.
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -395,7 +395,7 @@
     ) -> Option<HealthChange> {
         match failure {
             Some(kind) => {
-                let opened = self.breaker.note_failure(kind, now);
+                let opened = self.breaker.note_failure(kind, started, now);
                 opened.then_some(HealthChange::BreakerOpened)
             }
             None => {
@@ -448,6 +448,7 @@
         end: WatchEnd,
         now: Duration,
     ) -> Option<HealthChange> {
+        let started = self.hang.started(number).unwrap_or(now);
         let evidence = self.hang.end(number, end == WatchEnd::Progressed, now);
         if end == WatchEnd::GivenUp && now >= self.cold_until {
             self.detector.note_given_up(evidence);
@@ -465,7 +466,7 @@
         }
         if evidence > 0.0 {
             // The trial request hung as well.
-            self.breaker.note_failure(FailureKind::Broken, now);
+            self.breaker.note_failure(FailureKind::Broken, started, now);
         }
         None
     }
--- a/crates/decide/tests/breaker.rs
+++ b/crates/decide/tests/breaker.rs
@@ -20,6 +20,9 @@
     Duration::from_millis(count)
 }
 
+/// Longest time for which an upstream may get no request while the service turns requests away.
+const IDLE_TIME_MAX: Duration = Duration::from_secs(2);
+
 /// Offers a repeatable request every 50 ms until the breaker closes, to an upstream that fails for
 /// `faulty_for`. Returns how long the breaker was open and how many requests failed.
 fn run_trials(
@@ -36,7 +39,7 @@
             continue;
         }
         if now < from + faulty_for {
-            breaker.note_failure(FailureKind::Broken, now);
+            breaker.note_failure(FailureKind::Broken, now, now);
             failed += 1;
         } else {
             breaker.note_success(now, now);
@@ -57,7 +60,7 @@
     let mut breaker = FailureBreaker::default();
     assert!(breaker.admit(false, millis(0)));
     assert!(
-        breaker.note_failure(FailureKind::Broken, millis(0)),
+        breaker.note_failure(FailureKind::Broken, millis(0), millis(0)),
         "one broken connection is enough"
     );
     assert!(!breaker.admit(false, millis(10)), "non-repeatable requests are refused");
@@ -71,18 +74,18 @@
 fn verify_one_error_does_not_open_the_breaker_but_two_in_a_row_do() {
     let mut breaker = FailureBreaker::default();
     for number in 0..10 {
-        assert!(!breaker.note_failure(FailureKind::Answered, millis(number)));
+        assert!(!breaker.note_failure(FailureKind::Answered, millis(number), millis(number)));
         breaker.note_success(millis(number), millis(number));
     }
-    breaker.note_failure(FailureKind::Answered, millis(20));
-    assert!(breaker.note_failure(FailureKind::Answered, millis(21)));
+    breaker.note_failure(FailureKind::Answered, millis(20), millis(20));
+    assert!(breaker.note_failure(FailureKind::Answered, millis(21), millis(21)));
     assert!(breaker.is_open());
 }
 
 #[test]
 fn verify_a_non_repeatable_request_becomes_the_trial_where_no_other_comes() {
     let mut breaker = FailureBreaker::default();
-    breaker.note_failure(FailureKind::Broken, millis(0));
+    breaker.note_failure(FailureKind::Broken, millis(0), millis(0));
     assert!(!breaker.admit(false, millis(1000)));
     assert!(breaker.admit(false, millis(4000)));
     assert!(!breaker.admit(false, millis(4010)), "only one trial at a time");
@@ -94,6 +97,58 @@
     DispatchTerms { route: "r", refusable: false, repeatable, passable, baseline }
 }
 
+#[test_case(FailureKind::TimedOut ; "by its timeout")]
+#[test_case(FailureKind::Broken ; "with its connection")]
+fn verify_the_late_end_of_requests_that_hung_before_the_opening_postpones_no_trial(
+    kind: FailureKind,
+) {
+    let mut breaker = FailureBreaker::default();
+    assert!(breaker.note_hang(millis(1000)));
+    let trial_in = breaker.trial_in(millis(1100));
+    for number in 0..8 {
+        breaker.note_failure(kind, millis(number), millis(1100));
+    }
+    assert_eq!(breaker.trial_in(millis(1100)), trial_in);
+}
+
+#[test]
+fn verify_trials_that_hang_do_not_keep_others_away() {
+    let mut breaker = FailureBreaker::default();
+    breaker.note_hang(millis(0));
+    let timeout = millis(4000);
+    let mut running: Vec<Duration> = Vec::new();
+    let mut last_trial_at = millis(0);
+    for now in (0..60_000).step_by(10).map(millis) {
+        running.retain(|started| {
+            let has_timed_out = now >= *started + timeout;
+            if has_timed_out {
+                breaker.note_failure(FailureKind::TimedOut, *started, now);
+            }
+            !has_timed_out
+        });
+        if breaker.admit(true, now) {
+            running.push(now);
+            last_trial_at = now;
+        }
+        assert!(now - last_trial_at <= IDLE_TIME_MAX, "no trial from {last_trial_at:?} to {now:?}");
+    }
+}
+
+#[test]
+fn verify_requests_that_hung_before_the_trials_do_not_open_the_breaker_again() {
+    let mut breaker = FailureBreaker::default();
+    breaker.note_hang(millis(1000));
+    breaker.note_success(millis(1300), millis(1400));
+    assert!(breaker.note_success(millis(1500), millis(1600)).is_some(), "the breaker closes");
+    for number in 0..8 {
+        let started = millis(900 + 50 * number);
+        assert!(!breaker.note_failure(FailureKind::TimedOut, started, millis(5000)));
+    }
+    let after_trials = millis(1350);
+    assert!(!breaker.note_failure(FailureKind::TimedOut, after_trials, millis(5000)));
+    assert!(breaker.note_failure(FailureKind::TimedOut, after_trials, millis(5000)));
+}
+
 #[test]
 fn verify_an_open_breaker_declines_requests_but_the_last_upstream_tried_admits_them() {
     let mut health = UpstreamHealth::new(EjectionPreference::Precision, millis(0), false);
