Try an ejected backend server at least every two seconds, whatever becomes of a trial

Cause: one trial at a time, and no bound on it. A trial that hung, on a server that hung then or on a silent connection, kept all others away until its deadline, and a hold-off of up to 6 s followed, which failed trials and repeated ejections doubled.

Change: a trial that is overdue counts as failed at once, and its late end changes nothing; the hold-off is 2 s at most, the time for which a healthy server may stay idle. A server that is ejected again and again must pass more trials (3, 6, 9, 12) in place of waiting longer, so that it still returns later each time.

--- a/crates/bench/src/decisions/actors.rs
+++ b/crates/bench/src/decisions/actors.rs
@@ -89,7 +89,8 @@
     /// Number of the job in the hang detector of the upstream and typical service time of the job;
     /// `None` if the hang detector does not watch the job.
     pub watched: Option<(u64, UsualTime)>,
-    pub is_trial: bool,
+    /// When the job was admitted as a trial of an ejected upstream, if it is one.
+    pub trial_admitted_at: Option<Duration>,
     pub after_failure: bool,
     pub is_finished: bool,
 }
@@ -97,7 +98,7 @@
 /// `ScriptedUpstream` is a scripted upstream, with the health that the daemon of its host tracks.
 pub struct ScriptedUpstream {
     pub health: UpstreamHealth,
-    pub queue: VecDeque<(RequestAttempt, bool)>,
+    pub queue: VecDeque<(RequestAttempt, Option<Duration>)>,
     pub running: Vec<usize>,
     pub accepted: Vec<Duration>,
 }
--- a/crates/bench/src/decisions/hosts.rs
+++ b/crates/bench/src/decisions/hosts.rs
@@ -33,7 +33,7 @@
     }
 
     pub(super) fn handle_host_arrival(&mut self, attempt: RequestAttempt, refusable: bool) {
-        let mut is_trial = false;
+        let mut trial_admitted_at = None;
         if self.rule.prefer().is_some() {
             let request = &self.requests[attempt.request];
             let terms = DispatchTerms {
@@ -47,25 +47,26 @@
             self.note_change(attempt.upstream, change);
             match verdict {
                 AdmitVerdict::Admit => {}
-                AdmitVerdict::Trial => is_trial = true,
+                AdmitVerdict::Trial => trial_admitted_at = Some(self.now),
                 AdmitVerdict::Refuse => return self.refuse_attempt(attempt),
             }
         }
         let upstream = &mut self.upstreams[attempt.upstream];
         if upstream.running.len() < self.plan.deployment.slots as usize {
-            self.start_job(attempt, is_trial);
+            self.start_job(attempt, trial_admitted_at);
         } else if upstream.queue.len() < scenario::QUEUE_LENGTH_MAX {
-            upstream.queue.push_back((attempt, is_trial));
+            upstream.queue.push_back((attempt, trial_admitted_at));
         } else {
-            self.release_trial(attempt.upstream, is_trial);
+            self.release_trial(attempt.upstream, trial_admitted_at);
             self.refuse_attempt(attempt);
         }
     }
 
     /// Ends a trial that gave no evidence about the upstream, so that another trial can start.
-    fn release_trial(&mut self, index: usize, is_trial: bool) {
-        if is_trial {
-            self.upstreams[index].health.note_trial(ROUTES[0], RequestEvidence::Neutral, self.now);
+    fn release_trial(&mut self, index: usize, trial_admitted_at: Option<Duration>) {
+        if let Some(admitted_at) = trial_admitted_at {
+            let health = &mut self.upstreams[index].health;
+            health.note_trial(ROUTES[0], RequestEvidence::Neutral, admitted_at, self.now);
         }
     }
 
@@ -97,7 +98,7 @@
         self.schedule(delay, SimulationEvent::Reply { attempt, answer });
     }
 
-    fn start_job(&mut self, attempt: RequestAttempt, is_trial: bool) {
+    fn start_job(&mut self, attempt: RequestAttempt, trial_admitted_at: Option<Duration>) {
         let route = self.requests[attempt.request].route;
         let (time, end) = self.sample_service(attempt);
         let job = self.jobs.len();
@@ -108,7 +109,7 @@
         let watched = typical_time.map(|typical_time| {
             (upstream.health.start_request(typical_time, self.now), typical_time)
         });
-        if !is_trial {
+        if trial_admitted_at.is_none() {
             upstream.accepted.push(self.now);
         }
         self.jobs.push(ServiceJob {
@@ -118,7 +119,7 @@
             end,
             is_overdue: false,
             watched,
-            is_trial,
+            trial_admitted_at,
             after_failure: !self.requests[attempt.request].failure_counts,
             is_finished: false,
         });
@@ -126,7 +127,7 @@
         if let Some((_, typical_time)) = watched {
             self.schedule(hang::first_check(&typical_time), SimulationEvent::RunningCheck { job });
         }
-        if self.rule.prefer().is_some() && !is_trial {
+        if self.rule.prefer().is_some() && trial_admitted_at.is_none() {
             let health = &self.upstreams[attempt.upstream].health;
             if let Some(after) = health.overdue_after(ROUTES[route], self.now) {
                 if after < time {
@@ -212,8 +213,8 @@
     }
 
     fn start_next(&mut self, index: usize) {
-        if let Some((next, is_trial)) = self.upstreams[index].queue.pop_front() {
-            self.start_job(next, is_trial);
+        if let Some((next, trial_admitted_at)) = self.upstreams[index].queue.pop_front() {
+            self.start_job(next, trial_admitted_at);
         }
     }
 
@@ -222,15 +223,17 @@
     pub(super) fn cancel_attempt(&mut self, attempt: RequestAttempt) {
         let upstream = &mut self.upstreams[attempt.upstream];
         let waiting = upstream.queue.iter().position(|(queued, _)| *queued == attempt);
-        if let Some((_, is_trial)) = waiting.and_then(|position| upstream.queue.remove(position)) {
-            return self.release_trial(attempt.upstream, is_trial);
+        if let Some((_, trial_admitted_at)) =
+            waiting.and_then(|position| upstream.queue.remove(position))
+        {
+            return self.release_trial(attempt.upstream, trial_admitted_at);
         }
         let mut running = upstream.running.iter().copied();
         let job = running.find(|job_index| self.jobs[*job_index].attempt == attempt);
         if let Some(job_index) = job {
             self.end_watch(job_index, false);
             self.free_slot(job_index);
-            self.release_trial(attempt.upstream, self.jobs[job_index].is_trial);
+            self.release_trial(attempt.upstream, self.jobs[job_index].trial_admitted_at);
             self.start_next(attempt.upstream);
         }
     }
@@ -243,19 +246,21 @@
             JobEnd::Good => RequestEvidence::Answered(self.now - job.started),
             JobEnd::Error if job.after_failure => RequestEvidence::Neutral,
             JobEnd::Error => RequestEvidence::Failed,
-            JobEnd::Timeout if job.is_overdue || job.is_trial => RequestEvidence::Failed,
+            JobEnd::Timeout if job.is_overdue || job.trial_admitted_at.is_some() => {
+                RequestEvidence::Failed
+            }
             JobEnd::Timeout => RequestEvidence::Neutral,
         };
         let health = &mut self.upstreams[job.attempt.upstream].health;
         let route = ROUTES[job.route];
-        let change = if job.is_trial {
-            health.note_trial(route, evidence, self.now)
-        } else {
-            health.note_evidence(route, evidence, job.is_overdue, self.now)
+        let change = match job.trial_admitted_at {
+            Some(admitted_at) => health.note_trial(route, evidence, admitted_at, self.now),
+            None => health.note_evidence(route, evidence, job.is_overdue, self.now),
         };
         let failure = match job.end {
             JobEnd::Good => None,
-            JobEnd::Error | JobEnd::Timeout => Some(FailureKind::Answered),
+            JobEnd::Error => Some(FailureKind::Answered),
+            JobEnd::Timeout => Some(FailureKind::TimedOut),
         };
         if failure.is_some() || evidence != RequestEvidence::Neutral {
             // Whether the end of the job opens or closes the circuit breaker shows only in the
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -93,9 +93,17 @@
     let objective_time = Duration::from_millis(head.objective_ms.max(0) as u64);
     let objective = (head.objective_ms > 0).then(|| state.now() + objective_time);
     let arrived_at = state.now();
-    let (is_trial, tally) = (false, Cell::default());
-    let mut attempt =
-        HostAttempt { state, upstream, head, deadline, objective, arrived_at, is_trial, tally };
+    let (trial_admitted_at, tally) = (None, Cell::default());
+    let mut attempt = HostAttempt {
+        state,
+        upstream,
+        head,
+        deadline,
+        objective,
+        arrived_at,
+        trial_admitted_at,
+        tally,
+    };
     let result = match attempt.admit() {
         Ok(()) if attempt.is_reservation() => attempt.run_reserved(body, answer).await,
         Ok(()) => attempt.run(body, answer).await,
@@ -104,7 +112,7 @@
     if let Err(FailureOutcome::NotRun(reason)) = result {
         attempt.log_refused(reason);
     }
-    if attempt.is_trial && result.is_err() {
+    if attempt.is_trial() && result.is_err() {
         // A trial that did not reach the server is no evidence. Its end is recorded all the same,
         // because only after that can another trial start.
         attempt.record_result(RequestEvidence::Neutral, false, None);
@@ -123,8 +131,8 @@
     deadline: Duration,
     objective: Option<Duration>,
     arrived_at: Duration,
-    /// Whether the attempt is a trial of a server that is out of service.
-    pub is_trial: bool,
+    /// When the attempt was admitted as a trial of an ejected server, if it is one.
+    trial_admitted_at: Option<Duration>,
     /// Crash tally of the request at the last check before the request was sent.
     tally: Cell<CrashTally>,
 }
@@ -153,7 +161,7 @@
         match self.upstream.admit(&terms, now) {
             AdmitVerdict::Admit => Ok(()),
             AdmitVerdict::Trial => {
-                self.is_trial = true;
+                self.trial_admitted_at = Some(now);
                 Ok(())
             }
             AdmitVerdict::Refuse => Err(NotRunReason::Unhealthy),
@@ -176,6 +184,11 @@
         Ok(())
     }
 
+    /// Says whether the attempt is a trial of an ejected server.
+    pub fn is_trial(&self) -> bool {
+        self.trial_admitted_at.is_some()
+    }
+
     /// Says whether the host was suspended since the request arrived.
     pub fn was_suspended(&self) -> bool {
         self.state.clock.suspended_since(self.arrived_at)
@@ -209,8 +222,8 @@
             other => other,
         };
         let (was_overdue, failure) = (was_overdue && !suspended, failure.filter(|_| !suspended));
-        let (is_trial, started) = (self.is_trial, self.arrived_at);
-        let result = AttemptResult { evidence, was_overdue, is_trial, started, failure };
+        let (trial_admitted_at, started) = (self.trial_admitted_at, self.arrived_at);
+        let result = AttemptResult { evidence, was_overdue, trial_admitted_at, started, failure };
         self.upstream.record_result(&self.head.route, &result, self.state.now());
     }
 
@@ -547,7 +560,7 @@
                 () = cancelled => return Err(AttemptFault::Cancelled),
                 () = overdue => if !progress.head_seen.get() && !self.was_suspended() {
                     progress.was_overdue.set(true);
-                    if !self.is_trial {
+                    if !self.is_trial() {
                         self.upstream.note_overdue(&self.head.route, self.state.now());
                     }
                 },
--- a/crates/daemon/src/host/trace.rs
+++ b/crates/daemon/src/host/trace.rs
@@ -60,7 +60,7 @@
             in_flight: self.upstream.slots.used().into(),
             slots: self.upstream.slots.slots().into(),
             queued: self.upstream.slots.queued().into(),
-            trial: self.is_trial,
+            trial: self.is_trial(),
             sickness: self.health_report().sickness,
             left_ms: millis(self.time_left()),
             idle_ms: idle_time.map(millis),
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -222,10 +222,9 @@
     /// Records how an attempt ended.
     pub fn record_result(&self, route: &str, result: &AttemptResult, now: Duration) {
         let mut health = self.health.borrow_mut();
-        let change = if result.is_trial {
-            health.note_trial(route, result.evidence, now)
-        } else {
-            health.note_evidence(route, result.evidence, result.was_overdue, now)
+        let change = match result.trial_admitted_at {
+            Some(admitted_at) => health.note_trial(route, result.evidence, admitted_at, now),
+            None => health.note_evidence(route, result.evidence, result.was_overdue, now),
         };
         if matches!(result.evidence, RequestEvidence::Answered(_)) {
             self.last_success_at.set(now);
@@ -323,8 +322,8 @@
     pub evidence: RequestEvidence,
     /// Whether the request was recorded as overdue while the server processed the request.
     pub was_overdue: bool,
-    /// Whether the request was a trial.
-    pub is_trial: bool,
+    /// When the request was admitted as a trial, if it is one.
+    pub trial_admitted_at: Option<Duration>,
     /// Time at which the request arrived at the host, since the daemon's start.
     pub started: Duration,
     /// How the backend server failed the request; `None` if the server did not fail the request.
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -256,7 +256,8 @@
             let admitted = self.breaker.admit(terms.repeatable, now) || !terms.passable;
             return if admitted { AdmitVerdict::Admit } else { AdmitVerdict::Refuse };
         }
-        if self.recovery.start_trial(now, terms.repeatable) {
+        let overdue_after = self.trial_overdue_after(terms.route, now);
+        if self.recovery.start_trial(now, terms.repeatable, overdue_after) {
             return AdmitVerdict::Trial;
         }
         if terms.refusable {
@@ -346,17 +347,26 @@
         }
     }
 
-    /// Records the end of a trial.
+    /// Returns the time after which a trial of a route is overdue, if anything is known of its
+    /// service time.
+    fn trial_overdue_after(&self, route: &str, now: Duration) -> Option<Duration> {
+        let overdue_after = self.overdue_after(route, now);
+        let usual = || self.usual_time(route, None);
+        overdue_after.or_else(|| usual().map(|usual| usual.at(OVERDUE_DEVIATIONS)))
+    }
+
+    /// Records the end of the trial that was admitted at `admitted_at`.
     pub fn note_trial(
         &mut self,
         route: &str,
         evidence: RequestEvidence,
+        admitted_at: Duration,
         now: Duration,
     ) -> Option<HealthChange> {
         let verdict = self.judge_trial(route, evidence);
         self.update_estimates(route, evidence, false);
         let since = self.recovery.since();
-        if !self.recovery.end_trial(now, verdict) {
+        if !self.recovery.end_trial(admitted_at, now, verdict) {
             return None;
         }
         self.detector.reset();
--- a/crates/decide/src/recovery.rs
+++ b/crates/decide/src/recovery.rs
@@ -7,10 +7,14 @@
 
 /// First hold-off before a trial: a restart or a short pause of a backend server takes less time.
 pub const HOLD_OFF_MIN: Duration = Duration::from_secs(1);
-/// Longest hold-off: a server that has recovered is tried at least this often.
-pub const HOLD_OFF_MAX: Duration = Duration::from_secs(6);
-/// Successful trials in a row after which an upstream returns to service.
+/// Longest hold-off: a server that has recovered must not be idle for longer while its service turns
+/// requests away.
+pub const HOLD_OFF_MAX: Duration = Duration::from_secs(2);
+/// Successful trials in a row after which an upstream returns to service from its first ejection.
 pub const TRIALS_NEEDED: u32 = 3;
+/// Ejections in quick succession up to which each further one makes [`TRIALS_NEEDED`] more trials
+/// necessary.
+const COUNTED_EJECTIONS_MAX: u32 = 4;
 /// Time of the slow start, in which the load of an upstream that returned or started rises to its
 /// full share.
 pub const RAMP_TIME: Duration = Duration::from_secs(10);
@@ -19,9 +23,9 @@
 /// Time after an ejection, as a multiple of the hold-off, from which a non-repeatable request may
 /// be a trial as well, if no repeatable request has arrived.
 const HOLD_OFFS_BEFORE_ANY_TRIAL: u32 = 4;
-/// Time in service, as a multiple of the hold-off, after which a previous ejection no longer
-/// lengthens the next.
-const FORGET_AFTER_HOLD_OFFS: u32 = 10;
+/// Time in service, for each recent ejection, after which the recent ejections no longer lengthen
+/// the next one.
+const FORGET_AFTER_EACH: Duration = Duration::from_secs(10);
 
 /// `RecoveryState` says whether an upstream is in service or ejected.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -39,19 +43,29 @@
         trial_at: Duration,
         /// Successful trials in a row.
         passed: u32,
-        /// Whether a trial is running.
-        running: bool,
+        /// The trial that is running, if any.
+        running: Option<RunningTrial>,
     },
 }
 
+/// `RunningTrial` is a trial that has not ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RunningTrial {
+    started: Duration,
+    /// When the trial counts as failed if it has not ended by then.
+    fails_at: Duration,
+}
+
 /// `RecoveryPlan` schedules the return of an upstream to service. Each time the upstream is ejected
-/// again, it returns later.
+/// again, it must pass more trials.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RecoveryPlan {
     state: RecoveryState,
     hold_off: Duration,
     ramp_from: Option<Duration>,
     ejections: u64,
+    /// Ejections in quick succession, up to [`COUNTED_EJECTIONS_MAX`].
+    recent_ejections: u32,
 }
 
 impl RecoveryPlan {
@@ -63,6 +77,7 @@
             hold_off: HOLD_OFF_MIN,
             ramp_from: cold.then_some(now),
             ejections: 0,
+            recent_ejections: 0,
         }
     }
 
@@ -92,18 +107,19 @@
     pub fn eject(&mut self, now: Duration) {
         if let RecoveryState::Serving { since } = self.state {
             let in_service_for = now.saturating_sub(since);
-            let is_forgotten = in_service_for > self.hold_off * FORGET_AFTER_HOLD_OFFS;
-            if self.ejections > 0 && !is_forgotten {
-                self.hold_off = (self.hold_off * 2).min(HOLD_OFF_MAX);
-            } else {
+            if in_service_for > FORGET_AFTER_EACH * self.recent_ejections {
+                self.recent_ejections = 0;
                 self.hold_off = HOLD_OFF_MIN;
+            } else if self.recent_ejections > 0 {
+                self.hold_off = (self.hold_off * 2).min(HOLD_OFF_MAX);
             }
+            self.recent_ejections = (self.recent_ejections + 1).min(COUNTED_EJECTIONS_MAX);
             self.ejections += 1;
             self.state = RecoveryState::Ejected {
                 since: now,
                 trial_at: now + self.hold_off,
                 passed: 0,
-                running: false,
+                running: None,
             };
         }
     }
@@ -111,34 +127,54 @@
     /// Returns how long until a trial with a repeatable request may start, if the upstream is
     /// ejected.
     pub fn trial_in(&self, now: Duration) -> Option<Duration> {
-        match self.state {
+        let mut settled_plan = *self;
+        settled_plan.fail_overdue_trial(now);
+        match settled_plan.state {
             RecoveryState::Serving { .. } => None,
             RecoveryState::Ejected { trial_at, .. } => Some(trial_at.saturating_sub(now)),
         }
     }
 
-    /// Starts a trial if one is due; says whether a trial was started.
-    pub fn start_trial(&mut self, now: Duration, repeatable: bool) -> bool {
+    /// Starts a trial if one is due; says whether a trial was started. A trial that has not ended
+    /// after `overdue_after` counts as failed, so that it keeps no other away.
+    pub fn start_trial(
+        &mut self,
+        now: Duration,
+        repeatable: bool,
+        overdue_after: Option<Duration>,
+    ) -> bool {
+        self.fail_overdue_trial(now);
         let non_repeatable_delay = self.hold_off * (HOLD_OFFS_BEFORE_ANY_TRIAL - 1);
-        match &mut self.state {
-            RecoveryState::Ejected { trial_at, running, .. } if !*running => {
-                let due = if repeatable { *trial_at } else { *trial_at + non_repeatable_delay };
-                *running = now >= due;
-                *running
-            }
-            _ => false,
+        let RecoveryState::Ejected { trial_at, running, .. } = &mut self.state else {
+            return false;
+        };
+        let due = if repeatable { *trial_at } else { *trial_at + non_repeatable_delay };
+        if running.is_some() || now < due {
+            return false;
         }
+        let fails_at = overdue_after.map_or(Duration::MAX, |overdue_after| now + overdue_after);
+        *running = Some(RunningTrial { started: now, fails_at });
+        true
     }
 
-    /// Records the end of a trial and says whether the upstream returns to service.
-    pub fn end_trial(&mut self, now: Duration, verdict: TrialVerdict) -> bool {
-        let (passed, trial_at) = match &mut self.state {
-            RecoveryState::Ejected { passed, trial_at, running, .. } => {
-                *running = false;
-                (passed, trial_at)
-            }
-            RecoveryState::Serving { .. } => return false,
+    /// Records that the running trial has failed if it is overdue.
+    fn fail_overdue_trial(&mut self, now: Duration) {
+        let RecoveryState::Ejected { running: Some(trial), .. } = self.state else { return };
+        if now >= trial.fails_at {
+            self.end_trial(trial.started, trial.fails_at, TrialVerdict::Failed);
+        }
+    }
+
+    /// Records the end of the trial that started at `started`, and says whether the upstream returns
+    /// to service. The end of a trial that already counted as failed changes nothing.
+    pub fn end_trial(&mut self, started: Duration, now: Duration, verdict: TrialVerdict) -> bool {
+        let RecoveryState::Ejected { passed, trial_at, running, .. } = &mut self.state else {
+            return false;
         };
+        if running.is_none_or(|trial| trial.started != started) {
+            return false;
+        }
+        *running = None;
         match verdict {
             TrialVerdict::Inconclusive => return false,
             TrialVerdict::Failed => {
@@ -149,7 +185,7 @@
             }
             TrialVerdict::Passed => *passed += 1,
         }
-        if *passed < TRIALS_NEEDED {
+        if *passed < TRIALS_NEEDED * self.recent_ejections {
             return false;
         }
         self.state = RecoveryState::Serving { since: now };
--- a/crates/decide/tests/health.rs
+++ b/crates/decide/tests/health.rs
@@ -60,7 +60,7 @@
         let change = match verdict {
             AdmitVerdict::Refuse => return false,
             AdmitVerdict::Admit => self.health.note_evidence(ROUTE, evidence, false, self.now),
-            AdmitVerdict::Trial => self.health.note_trial(ROUTE, evidence, self.now),
+            AdmitVerdict::Trial => self.health.note_trial(ROUTE, evidence, self.now, self.now),
         };
         self.note_change(change);
         true
@@ -241,7 +241,8 @@
     assert_eq!(admit(&mut upstream), AdmitVerdict::Trial);
     assert_eq!(admit(&mut upstream), AdmitVerdict::Refuse);
     for completed in 1..=TRIALS_NEEDED {
-        let change = upstream.health.note_trial(ROUTE, healthy_answer(), upstream.now);
+        let now = upstream.now;
+        let change = upstream.health.note_trial(ROUTE, healthy_answer(), now, now);
         assert_eq!(change.is_some(), completed == TRIALS_NEEDED);
         if completed < TRIALS_NEEDED {
             assert_eq!(admit(&mut upstream), AdmitVerdict::Trial);
@@ -249,6 +250,60 @@
     }
 }
 
+/// Longest time for which an upstream may get no request while the service turns requests away.
+const IDLE_TIME_MAX: Duration = Duration::from_secs(2);
+
+#[test]
+fn verify_trials_that_hang_do_not_keep_an_ejected_upstream_idle() {
+    let mut upstream = Upstream::new(EjectionPreference::Detection);
+    while upstream.ejected.is_empty() {
+        upstream.request(&terms(true, true), RequestEvidence::Failed);
+    }
+    let timeout = Duration::from_secs(5);
+    let overdue_after = upstream.health.overdue_after(ROUTE, upstream.now).expect("a baseline");
+    let mut running: Vec<Duration> = Vec::new();
+    let mut last_trial_at = upstream.now;
+    for _ in 0..3000 {
+        upstream.now += Duration::from_millis(20);
+        let now = upstream.now;
+        running.retain(|admitted_at| {
+            let has_timed_out = now >= *admitted_at + timeout;
+            if has_timed_out {
+                upstream.health.note_trial(ROUTE, RequestEvidence::Failed, *admitted_at, now);
+            }
+            !has_timed_out
+        });
+        if upstream.health.admit(&terms(true, true), now).0 == AdmitVerdict::Trial {
+            running.push(now);
+            last_trial_at = now;
+        }
+        let idle_time = now - last_trial_at;
+        assert!(idle_time <= IDLE_TIME_MAX + overdue_after, "no trial for {idle_time:?}");
+    }
+}
+
+#[test]
+fn verify_an_upstream_that_is_ejected_again_and_again_is_never_idle_for_long() {
+    let mut upstream = Upstream::new(EjectionPreference::Detection);
+    let mut last_request_at = upstream.now;
+    for round in 0..5 {
+        while upstream.ejected.len() <= round {
+            if upstream.request(&terms(true, true), RequestEvidence::Failed) {
+                last_request_at = upstream.now;
+            }
+            let idle_time = upstream.now - last_request_at;
+            assert!(idle_time <= IDLE_TIME_MAX, "round {round}: no request for {idle_time:?}");
+        }
+        while upstream.returned.len() <= round {
+            if upstream.request(&terms(true, true), healthy_answer()) {
+                last_request_at = upstream.now;
+            }
+            let idle_time = upstream.now - last_request_at;
+            assert!(idle_time <= IDLE_TIME_MAX, "round {round}: no request for {idle_time:?}");
+        }
+    }
+}
+
 #[test]
 fn verify_a_cold_upstream_is_not_ejected_for_its_latency() {
     for (cold, ejected) in [(true, false), (false, true)] {
