Send trials of a backend server along new connections, and drop those that rested

Cause: a trial took any connection of the pool. One that had fallen silent, or that the server had closed abruptly while it rested, made the trial hang or break, which says nothing about the server, and the next idle one was handed out after it.

Change: while a server is ejected or its breaker is open, each request gets a new connection; when either begins, the idle ones are closed.

--- a/crates/daemon/src/host/backend.rs
+++ b/crates/daemon/src/host/backend.rs
@@ -109,15 +109,20 @@
 
     /// Takes an idle connection that is still usable, or opens a new connection.
     pub async fn take(&self) -> Result<PooledStream<'_>, HttpError> {
+        match self.take_idle() {
+            Some(pooled_stream) => Ok(pooled_stream),
+            None => self.connect().await,
+        }
+    }
+
+    /// Takes the idle connection that was used last, if there is one that is still usable.
+    fn take_idle(&self) -> Option<PooledStream<'_>> {
         loop {
-            let idle = self.idle.borrow_mut().pop();
-            let IdleStream { mut stream, idle_since, usable_until } = match idle {
-                Some(stream) => stream,
-                None => break,
-            };
+            let IdleStream { mut stream, idle_since, usable_until } =
+                self.idle.borrow_mut().pop()?;
             let now = Instant::now();
             if now < usable_until && client::is_reusable(&mut stream) {
-                return Ok(PooledStream {
+                return Some(PooledStream {
                     pool: self,
                     address: self.address.get(),
                     stream: Some(stream),
@@ -126,6 +131,13 @@
             }
             self.open.set(self.open.get() - 1);
         }
+    }
+
+    /// Opens a new connection, even if there are idle connections.
+    pub async fn connect(&self) -> Result<PooledStream<'_>, HttpError> {
+        if self.open.get() >= self.connections_max.get() {
+            self.close_idle();
+        }
         if self.open.get() >= self.connections_max.get() {
             return Err(HttpError::TimedOut { what: "a free connection" });
         }
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -448,7 +448,7 @@
             return Err(FailureOutcome::NotRun(NotRunReason::DeadlinePassed));
         }
         self.await_turn(body).await.map_err(FailureOutcome::NotRun)?;
-        let connecting = async { Ok(self.upstream.pool.take().await) };
+        let connecting = async { Ok(self.upstream.take_connection().await) };
         let take_result =
             unless_cancelled(body, connecting).await.map_err(FailureOutcome::NotRun)?;
         self.upstream.note_connected(take_result.is_ok(), self.state.now());
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -21,10 +21,11 @@
 };
 use basaltarch_decide::server_rate::{RateResponse, RateStatement};
 use basaltarch_events::servers;
+use basaltarch_http::errors::HttpError;
 use basaltarch_peer::protocol::LoadReport;
 use basaltarch_waiting::slots::SlotQueue;
 
-use crate::host::backend::BackendPool;
+use crate::host::backend::{BackendPool, PooledStream};
 use crate::state::DaemonState;
 use crate::wire::{self, HostLoad};
 
@@ -147,6 +148,17 @@
         }
     }
 
+    /// Takes a connection for a request. While the backend server is ejected or its circuit breaker
+    /// is open, the connection is a new one: an idle connection may have fallen silent, and a trial
+    /// along it would say nothing about the server.
+    pub async fn take_connection(&self) -> Result<PooledStream<'_>, HttpError> {
+        let is_doubted = self.health.borrow().is_ejected_or_breaker_open();
+        if is_doubted {
+            return self.pool.connect().await;
+        }
+        self.pool.take().await
+    }
+
     /// Says whether the last attempt to connect to the backend server failed, or the server has
     /// crashed since. An unreachable server gets no reservations: each slot would become free again
     /// at once, so that its slots would be offered to all waiting requests, one after the other.
@@ -273,6 +285,7 @@
             Some(HealthChange::Ejected { reason, sickness, after }) => {
                 metrics::EJECTIONS[reason as usize].add_one();
                 self.slots.refuse_refusable();
+                self.pool.close_idle();
                 metrics::DETECTION.record(after);
                 let (evidence, after_ms) = (reason.name(), after.as_millis() as u64);
                 servers::UpstreamEjected { upstream, service, evidence, sickness, after_ms }.log();
@@ -280,6 +293,7 @@
             Some(HealthChange::BreakerOpened) => {
                 metrics::BREAKER_OPENINGS.add_one();
                 self.slots.refuse_passable();
+                self.pool.close_idle();
                 servers::UpstreamBreakerOpened { upstream, service }.log();
             }
             Some(HealthChange::BreakerClosed { after }) => {
