Probe all links once one of them was black-holed, and dial anew as soon as a path is cut

What callers saw: 504 at their deadline, for requests that no server had ever got.

Cause: when all open connections fall silent, each link was found out by a request of its own: only a link in use is probed. A daemon with some fifty links lost a request or more on each, for as long as ten seconds after the silence, and each path stayed unusable for a second before a second link was dialled.

Change: a daemon that can be linked anew while its first link is silent shows that open connections were black-holed, so that all links, idle ones included, are probed, once a second at most. A path that is cut is dialled at once. A probe costs one heartbeat and its reply.

Shown: looks.rs; without the request for probes the new case failed (the idle link was not replaced within 40 s).

--- a/crates/base/src/peers.rs
+++ b/crates/base/src/peers.rs
@@ -250,10 +250,11 @@
         self.health.borrow_mut().note_frame(now);
     }
 
-    /// Records that an attempt outlasted its hedging delay or that a load probe was not answered in
-    /// time.
-    pub fn note_hedge_due(&self) {
-        self.health.borrow_mut().note_hedge_due();
+    /// Makes a probe of the daemon due although the path is not in use, unless a frame arrives
+    /// first: an attempt outlasted its hedging delay, a load probe was not answered in time, or
+    /// other links were found to be black-holed.
+    pub fn request_probe(&self) {
+        self.health.borrow_mut().request_probe();
     }
 
     /// Records that the daemon answered a probe.
@@ -277,16 +278,25 @@
     }
 }
 
+/// Shortest time between two requests to probe all links: each probe costs a heartbeat and its
+/// reply.
+const ALL_PROBES_INTERVAL: Duration = Duration::from_secs(1);
+
 /// `PeerTable` holds the path to each known host.
 pub struct PeerTable {
     own_host: Rc<str>,
     paths: RefCell<FnvHashMap<Rc<str>, Rc<PeerPath>>>,
+    all_probes_at: Cell<Option<Duration>>,
 }
 
 impl PeerTable {
     /// Builds the table of the daemon on `own_host`.
     pub fn new(own_host: &str) -> Self {
-        Self { own_host: Rc::from(own_host), paths: RefCell::default() }
+        Self {
+            own_host: Rc::from(own_host),
+            paths: RefCell::default(),
+            all_probes_at: Cell::default(),
+        }
     }
 
     /// Returns the path to a host, which is created if the table has none.
@@ -300,6 +310,19 @@
         path
     }
 
+    /// Makes a probe due on every link, idle links included, unless frames arrive over the link:
+    /// black-holed links must be found before requests are lost on them, one after the other.
+    pub fn request_probes(&self, now: Duration) {
+        let is_recent = |at: Duration| now.saturating_sub(at) < ALL_PROBES_INTERVAL;
+        if self.all_probes_at.get().is_some_and(is_recent) {
+            return;
+        }
+        self.all_probes_at.set(Some(now));
+        for path in self.linked() {
+            path.request_probe();
+        }
+    }
+
     /// Returns every path that has a link.
     pub fn linked(&self) -> Vec<Rc<PeerPath>> {
         let paths = self.paths.borrow();
--- a/crates/daemon/src/ingress/load_probe.rs
+++ b/crates/daemon/src/ingress/load_probe.rs
@@ -126,7 +126,7 @@
         }
         None => {
             metrics::LOAD_PROBES_UNANSWERED.add_one();
-            path.note_hedge_due();
+            path.request_probe();
             None
         }
     }
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -41,10 +41,6 @@
 /// Time without a received frame after which the link of a cut path is closed, so that a new link
 /// can be established. Also the longest time that a replaced link waits for its last requests.
 const LINK_CUT_TIME_MAX: Duration = Duration::from_secs(10);
-/// Time without a received frame after which a second link is dialled along a cut path, beside the
-/// first link: a connection may be black-holed for good while new connections work. Requests in
-/// flight on the first link continue.
-const LINK_RENEW_AFTER: Duration = Duration::from_secs(1);
 /// Maximum number of accepted links: one link from every other daemon at the fleet size expected in
 /// two years, and some more for daemons that restart.
 const ACCEPTED_LINKS_MAX: usize = 8192;
@@ -129,8 +125,13 @@
             return;
         }
     };
+    let was_cut = path.state(state.now()) == PathState::Cut;
     if let Some(replaced_link) = path.note_linked(dial_number, link.clone(), state.now()) {
         monoio::spawn(close_replaced(replaced_link));
+        if was_cut {
+            // The daemon runs, so its first link is black-holed, as other links may be.
+            state.peers.request_probes(state.now());
+        }
     }
     metrics::LINKS.add(1);
     fleet::PeerLinked { host: &path.host }.log();
@@ -309,7 +310,9 @@
     let is_cut = path.state(now) == PathState::Cut;
     if is_idle || is_cut && path.time_since_frame(now) > LINK_CUT_TIME_MAX {
         link.sender().close();
-    } else if is_cut && path.time_since_frame(now) > LINK_RENEW_AFTER {
+    } else if is_cut {
+        // A connection may be black-holed for good while new ones work. Requests in flight on the
+        // first link continue there.
         start_dial(state, path);
     }
 }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -394,7 +394,7 @@
 
     /// Records that an attempt at an upstream takes longer than the attempt's hedging delay.
     pub fn note_hedge_due(&self, index: usize, now: Duration) {
-        self.paths[index].note_hedge_due();
+        self.paths[index].request_probe();
         self.view.borrow_mut().note_hedge_due(index, now);
     }
 
--- a/crates/daemon/tests/looks.rs
+++ b/crates/daemon/tests/looks.rs
@@ -3,8 +3,8 @@
 
 //! Non-repeatable requests are not sent over a black-holed path between two daemons.
 //!
-//! Guards against a fault in which a request was sent to a host that never received it, so that its
-//! caller waited until the time-out while other servers were idle.
+//! Guards against faults in which requests were sent to a host that never received them, so that
+//! their callers waited until the time-out while other servers were idle.
 
 mod common;
 
@@ -58,3 +58,28 @@
         assert_eq!(fleet.run_count(&id), 1);
     }
 }
+
+/// All links of a daemon are black-holed, and only one of them is in use.
+#[test]
+fn verify_idle_links_are_replaced_once_another_link_was_black_holed() {
+    let (fleet, forwarders) = start_fleet();
+    fleet.wait_served(0, &[0, 1, 2]);
+    assert_eq!(fleet.deregister(2).status, 200);
+    let count = |message: &str, host: &str| {
+        let log = fleet.daemons[0].log_text();
+        let is_wanted =
+            |line: &&str| line.contains(message) && line.contains(&format!("\"host\":\"{host}\""));
+        log.lines().filter(is_wanted).count()
+    };
+    eventually("the third server gets no more requests", || {
+        let log = fleet.daemons[0].log_text();
+        log.lines().any(|line| line.contains("host-c") && line.contains("\"servers\":\"\""))
+    });
+    let linked_before = count("peer linked", HOSTS[2]);
+    forwarders.iter().for_each(Forwarder::black_hole);
+    eventually("the link in use was found to be black-holed", || {
+        fleet.request(0, "GET", "/safe/x", "meanwhile");
+        count("peer silent", HOSTS[1]) > 0
+    });
+    eventually("the idle link is replaced", || count("peer linked", HOSTS[2]) > linked_before);
+}
--- a/crates/decide/src/path.rs
+++ b/crates/decide/src/path.rs
@@ -44,9 +44,8 @@
     probe_answers_needed: u32,
     up_since: Duration,
     was_cut: bool,
-    /// Whether an attempt over the path outlasted its hedging delay and no frame has arrived since
-    /// that moment.
-    outlasted_hedge_delay: bool,
+    /// Whether a probe was requested and no frame has arrived since.
+    is_probe_requested: bool,
     /// Longest of the recent round trips, if one was measured.
     round_trip: Option<Duration>,
 }
@@ -61,7 +60,7 @@
             probe_answers_needed: 0,
             up_since: now,
             was_cut: false,
-            outlasted_hedge_delay: false,
+            is_probe_requested: false,
             round_trip: None,
         }
     }
@@ -71,7 +70,7 @@
     pub fn probe(&mut self, now: Duration, in_use: bool) -> bool {
         let has_no_recent_frame = now.saturating_sub(self.received_at) >= PROBE_AFTER;
         let should_probe =
-            self.was_cut || ((in_use || self.outlasted_hedge_delay) && has_no_recent_frame);
+            self.was_cut || ((in_use || self.is_probe_requested) && has_no_recent_frame);
         if should_probe && self.probed_at.is_none() {
             self.probed_at = Some(now);
             return true;
@@ -80,16 +79,15 @@
         should_probe && self.is_cut(now)
     }
 
-    /// Records that an attempt over the path outlasted its hedging delay. The record makes a probe
-    /// due even if the attempt ends before [`PROBE_AFTER`], as its hedge was answered.
-    pub fn note_hedge_due(&mut self) {
-        self.outlasted_hedge_delay = true;
+    /// Makes a probe due even if the link has no open exchanges by [`PROBE_AFTER`].
+    pub fn request_probe(&mut self) {
+        self.is_probe_requested = true;
     }
 
     /// Records that a frame arrived from the peer.
     pub fn note_frame(&mut self, now: Duration) {
         self.expire_path(now);
-        self.outlasted_hedge_delay = false;
+        self.is_probe_requested = false;
         self.received_at = now;
         self.probed_at = None;
     }
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -513,7 +513,7 @@
 fn verify_a_path_is_probed_after_a_late_attempt() {
     let mut path = PathHealth::new(millis(0));
     assert!(!path.probe(millis(400), false), "an idle path is not probed");
-    path.note_hedge_due();
+    path.request_probe();
     assert!(path.probe(millis(400), false));
     path.note_frame(millis(410));
     assert!(!path.probe(millis(900), false), "a frame has arrived since");
