Find out without requests that connections were black-holed, and call the store anew

Cause: silence was noticed only on links in use. A daemon without requests of its own heard nothing of a new document, neither from the store, whose call hung until its wait was over (28 s in a fleet of forty daemons or more), nor from peers that could not tell it, and served by the document that it had. Class: a daemon that may be behind acts as if it were certain.

Change: heartbeats, each of which expects a reply, are spread over their interval in place of four at once, and they and the requests for rows make a probe due if no frame arrives; none is sent where replies come. Once a link was found to be black-holed, the pending calls to the store are made anew along new connections, for the document and for the rows of hosts.

--- a/crates/base/src/peers.rs
+++ b/crates/base/src/peers.rs
@@ -312,15 +312,18 @@
 
     /// Makes a probe due on every link, idle links included, unless frames arrive over the link:
     /// black-holed links must be found before requests are lost on them, one after the other.
-    pub fn request_probes(&self, now: Duration) {
+    /// Returns whether the probes were requested, which they are at most once in
+    /// [`ALL_PROBES_INTERVAL`].
+    pub fn request_probes(&self, now: Duration) -> bool {
         let is_recent = |at: Duration| now.saturating_sub(at) < ALL_PROBES_INTERVAL;
         if self.all_probes_at.get().is_some_and(is_recent) {
-            return;
+            return false;
         }
         self.all_probes_at.set(Some(now));
         for path in self.linked() {
             path.request_probe();
         }
+        true
     }
 
     /// Returns every path that has a link.
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -33,7 +33,6 @@
 use basaltarch_platform::rows::{RowValue, RowsPage, StoredRow, DOCUMENT_KEY, OPERATOR_TABLE};
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::{FeedReply, TablePosition};
-use futures_util::{select_biased, FutureExt};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
@@ -80,7 +79,8 @@
     is_pulling: Cell<bool>,
     /// Position up to which the operator's table was read, `None` before the first read.
     position: Cell<Option<TablePosition>>,
-    /// Raised when a peer has a later document that the pending call to the store has not returned.
+    /// Raised when a peer has a later document that the pending call to the store has not returned,
+    /// or when the call may be on a black-holed connection.
     stale_call: RisingSignal,
     /// The packed form of a document for peers, with the revision of the document.
     packed: RefCell<Option<(FleetRevision, Rc<[u8]>)>>,
@@ -101,6 +101,11 @@
     hosts: Vec<RelayedRecord>,
 }
 
+/// Makes the pending call for the operator's table be abandoned and made anew.
+pub fn renew_call(state: &DaemonState) {
+    state.document.stale_call.raise();
+}
+
 /// Reads the document and follows its changes for ever. A daemon of a large fleet to which a reader
 /// relays the configuration does not call the store.
 pub async fn follow(state: Rc<DaemonState>) {
@@ -111,7 +116,8 @@
             continue;
         }
         metrics::DOCUMENT_CALLS.add_one();
-        let Some(news) = next_unless_stale(&state, &mut reader).await else { continue };
+        let stale_call = &state.document.stale_call;
+        let Some(news) = reader.next_unless_stale(&state, stale_call).await else { continue };
         let answer = match news {
             FeedUpdate::Whole(page) => OperatorAnswer { page, is_whole: true },
             FeedUpdate::Changes(page) => OperatorAnswer { page, is_whole: false },
@@ -122,23 +128,6 @@
     }
 }
 
-/// Waits for the next changes from the store. Abandons the call if a peer turns out to have a later
-/// document that the call has not returned: a call on a black-holed connection would hang for up to
-/// 8.7 s.
-async fn next_unless_stale(state: &Rc<DaemonState>, reader: &mut FeedReader) -> Option<FeedUpdate> {
-    let began = state.now();
-    let became_stale = state.document.stale_call.above(state.document.stale_call.get());
-    select_biased! {
-        news = std::pin::pin!(reader.next(state).fuse()) => Some(news),
-        _ = std::pin::pin!(became_stale.fuse()) => {
-            let waited_ms = state.now().saturating_sub(began).as_millis() as u64;
-            fleet::CallGivenUp { table: OPERATOR_TABLE, waited_ms }.log();
-            state.platform.close_idle_connections();
-            None
-        }
-    }
-}
-
 /// `OperatorAnswer` is an answer of the store to a read of the operator's table.
 struct OperatorAnswer {
     page: RowsPage,
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use basaltarch_base::metrics;
+use basaltarch_base::signal::RisingSignal;
 use basaltarch_decide::polling;
-use basaltarch_events::process;
+use basaltarch_events::{fleet, process};
 use basaltarch_platform::rows::{RowValue, RowsPage};
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::{self, FeedReply, RetryBackoff, TablePosition};
+use futures_util::{select_biased, FutureExt};
 
 use crate::state::DaemonState;
 
@@ -91,6 +93,28 @@
         }
     }
 
+    /// Reads the whole table, or waits for the next changes. Abandons the call when `stale_call` is
+    /// raised and returns `None`: a call on a black-holed connection would hang until its wait is
+    /// over.
+    pub async fn next_unless_stale(
+        &mut self,
+        state: &DaemonState,
+        stale_call: &RisingSignal,
+    ) -> Option<FeedUpdate> {
+        let began = state.now();
+        let table = self.plan.table;
+        let became_stale = stale_call.above(stale_call.get());
+        select_biased! {
+            news = std::pin::pin!(self.next(state).fuse()) => Some(news),
+            _ = std::pin::pin!(became_stale.fuse()) => {
+                let waited_ms = state.now().saturating_sub(began).as_millis() as u64;
+                fleet::CallGivenUp { table, waited_ms }.log();
+                state.platform.close_idle_connections();
+                None
+            }
+        }
+    }
+
     /// Logs and counts rows that can't be read; the other rows are used.
     fn log_unreadable(&self, news: &FeedUpdate) {
         let (FeedUpdate::Whole(page) | FeedUpdate::Changes(page)) = news else { return };
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -23,8 +23,10 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use crate::control;
+use crate::document;
 use crate::host;
 use crate::membership;
+use crate::rows;
 use crate::state::DaemonState;
 
 /// Timeout for connecting to another daemon: a round trip to a distant region takes up to 0.3 s.
@@ -104,6 +106,16 @@
     }
 }
 
+/// Probes all links and makes the pending calls to the store anew, after a link was replaced while it
+/// was unresponsive. The other daemon runs, so the first link was black-holed, and other connections
+/// may be black-holed as well.
+fn suspect_connections(state: &DaemonState) {
+    if state.peers.request_probes(state.now()) {
+        document::renew_call(state);
+        rows::renew_call(state);
+    }
+}
+
 /// Closes a replaced link once nothing is in flight on it, or after [`LINK_CUT_TIME_MAX`].
 async fn close_replaced(link: Rc<DialledLink>) {
     let mut waited = Duration::ZERO;
@@ -129,8 +141,7 @@
     if let Some(replaced_link) = path.note_linked(dial_number, link.clone(), state.now()) {
         monoio::spawn(close_replaced(replaced_link));
         if was_cut {
-            // The daemon runs, so its first link is black-holed, as other links may be.
-            state.peers.request_probes(state.now());
+            suspect_connections(state);
         }
     }
     metrics::LINKS.add(1);
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -451,16 +451,30 @@
     }
 }
 
-/// Sends heartbeats to the neighbours for ever.
+/// Sends heartbeats to the neighbours for ever, to each once in a heartbeat interval. The heartbeats
+/// are spread over the interval, so that a daemon without requests notices soon that its connections
+/// were black-holed.
 pub async fn run(state: Rc<DaemonState>) {
+    send_heartbeats(&state, HeartbeatContent::Members);
     loop {
         state.members.forget_expired(&state);
-        send_heartbeats(&state, HeartbeatContent::Members);
-        let pause = state.options.heartbeat.mul_f64(rand::random_range(0.9..1.1));
+        let interval = state.options.heartbeat.mul_f64(rand::random_range(0.9..1.1));
+        let neighbours = state.members.neighbours(&state);
+        let pause = interval / neighbours.len().max(1) as u32;
         monoio::time::sleep(pause).await;
+        for host in neighbours {
+            spawn_heartbeat(&state, host, HeartbeatContent::Members);
+            monoio::time::sleep(pause).await;
+        }
     }
 }
 
+/// Sends a heartbeat to a host in a task of its own, since a link may have to be established.
+fn spawn_heartbeat(state: &Rc<DaemonState>, host: String, content: HeartbeatContent) {
+    let state = state.clone();
+    monoio::spawn(async move { send_heartbeat(&state, &host, content).await });
+}
+
 /// `HeartbeatContent` is what a heartbeat reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeartbeatContent {
@@ -473,8 +487,7 @@
 /// Sends a heartbeat to each neighbour now.
 pub fn send_heartbeats(state: &Rc<DaemonState>, content: HeartbeatContent) {
     for host in state.members.neighbours(state) {
-        let state = state.clone();
-        monoio::spawn(async move { send_heartbeat(&state, &host, content).await });
+        spawn_heartbeat(state, host, content);
     }
 }
 
@@ -502,5 +515,6 @@
         };
         let note = heartbeat_request(state, members);
         let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
+        path.request_probe();
     }
 }
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -109,6 +109,8 @@
     /// Raised when this daemon missed changes that a reader no longer holds. This daemon must then
     /// read the whole table.
     changes_missed: RisingSignal,
+    /// Raised when the pending call to the store may be on a black-holed connection.
+    stale_call: RisingSignal,
     /// Every row with the version of its last change, to be sent to daemons with an earlier version
     /// of the table.
     log: RefCell<RowLog>,
@@ -343,6 +345,11 @@
     HeartbeatNote { reply: true, asked_ms: None, ..request }
 }
 
+/// Makes the pending call for the rows be abandoned and made anew.
+pub fn renew_call(state: &DaemonState) {
+    state.rows.stale_call.raise();
+}
+
 /// Keeps the rows up to date for ever, with changes from the store or from the readers.
 pub async fn follow(state: Rc<DaemonState>) {
     let mut reader = FeedReader::new(HOSTS_FEED_PLAN);
@@ -365,7 +372,9 @@
         reader.skip_to(state.rows.version.get());
     }
     metrics::ROWS_CALLS.add_one();
-    match reader.next(state).await {
+    let stale_call = &state.rows.stale_call;
+    let Some(news) = reader.next_unless_stale(state, stale_call).await else { return };
+    match news {
         FeedUpdate::Whole(page) => {
             state.rows.is_reading.set(true);
             adopt_table(state, &page);
@@ -448,6 +457,7 @@
                 evacuation: Some(state.evacuations.version() as i64),
             };
             let _ = link.sender().send(NO_EXCHANGE, FrameBody::RowsRequest(request));
+            path.request_probe();
         }
     });
 }
--- a/crates/daemon/tests/behind.rs
+++ b/crates/daemon/tests/behind.rs
@@ -124,6 +124,42 @@
     );
 }
 
+/// All open connections of a daemon without requests become black-holed, and its peers can't dial it
+/// to announce a document. The daemon must find out by itself that its document is no longer the
+/// newest: a route that was dropped must not be served.
+#[test]
+fn verify_a_daemon_that_is_told_nothing_does_not_serve_a_dropped_route() {
+    const UNTOLD_DAEMON: usize = HOSTS.len() - 1;
+    let mut proxied_fleet = ProxiedFleet::start("4000");
+    // In a larger fleet, calls to the store wait longer.
+    ["host-d", "host-e", "host-f"].iter().for_each(|host| proxied_fleet.add_daemon(host, "4000"));
+    proxied_fleet.write_document(2);
+    proxied_fleet.wait_revision(2);
+    let untold_forwarder = &proxied_fleet.peer_forwarders[UNTOLD_DAEMON];
+    untold_forwarder.cuts.refuse.store(true, Ordering::SeqCst);
+    proxied_fleet.peer_forwarders.iter().for_each(Forwarder::black_hole);
+    proxied_fleet.store_forwarders[UNTOLD_DAEMON].black_hole();
+    let black_holed_at = Instant::now();
+    proxied_fleet.write_document(3);
+    let deadline = black_holed_at + RECOVERY_GRACE;
+    let mut served_late = Vec::new();
+    eventually("the document is in force", || {
+        let sent_at = Instant::now();
+        let reply = proxied_fleet.fleet.request(UNTOLD_DAEMON, "GET", "/added-2/x", "asked");
+        // The route is known, and no server is there to run the request.
+        let is_served = reply.header("basaltarch-reason").as_deref() == Some("no-upstream");
+        if is_served && sent_at > deadline {
+            served_late.push(sent_at - black_holed_at);
+        }
+        thread::sleep(REQUEST_INTERVAL);
+        proxied_fleet.fleet.daemons[UNTOLD_DAEMON].revision() == 3
+    });
+    assert!(
+        served_late.is_empty(),
+        "a dropped route was served after the deadline: {served_late:?}"
+    );
+}
+
 /// A document reaches a daemon that can't reach the store, although all links are black-holed and
 /// no heartbeat is due for a minute.
 #[test]
--- a/crates/decide/src/path.rs
+++ b/crates/decide/src/path.rs
@@ -8,6 +8,9 @@
 /// Time without any frame on a link with open exchanges after which the peer is probed. The typical
 /// service time is as long, so that an answer often makes the probe unnecessary.
 pub const PROBE_AFTER: Duration = Duration::from_millis(150);
+/// Time without any frame, in round trips, after which a requested probe is sent if that is longer
+/// than [`PROBE_AFTER`]: the reply that makes the probe unnecessary takes one round trip.
+const REQUESTED_PROBE_ROUNDS: u32 = 2;
 /// Time without any frame after a probe from which a path counts as cut while its round trip is not
 /// known: four times the round trip between far regions (0.3 s). A cut of either direction stops
 /// the frames that this daemon receives, and makes the path useless.
@@ -68,9 +71,9 @@
     /// Says whether the peer should be probed now, and records the probe if so; `in_use` says
     /// whether the link has open exchanges.
     pub fn probe(&mut self, now: Duration, in_use: bool) -> bool {
-        let has_no_recent_frame = now.saturating_sub(self.received_at) >= PROBE_AFTER;
-        let should_probe =
-            self.was_cut || ((in_use || self.is_probe_requested) && has_no_recent_frame);
+        let quiet_time = now.saturating_sub(self.received_at);
+        let is_request_due = self.is_probe_requested && quiet_time >= self.requested_probe_after();
+        let should_probe = self.was_cut || in_use && quiet_time >= PROBE_AFTER || is_request_due;
         if should_probe && self.probed_at.is_none() {
             self.probed_at = Some(now);
             return true;
@@ -84,6 +87,12 @@
         self.is_probe_requested = true;
     }
 
+    /// Returns the time without any frame after which a requested probe is sent.
+    fn requested_probe_after(&self) -> Duration {
+        let rounds = self.round_trip.unwrap_or_default() * REQUESTED_PROBE_ROUNDS;
+        rounds.max(PROBE_AFTER)
+    }
+
     /// Records that a frame arrived from the peer.
     pub fn note_frame(&mut self, now: Duration) {
         self.expire_path(now);
