Ask an upstream again that declined a request for the sake of others, once none of them took it

What callers saw: 503 queue-full beside a server that names a rate limit, while another server with slots was there.

Cause: a server whose breaker is open declines requests that another upstream can take. The ingress takes a limited server for such a one as long as its rate allows one request, by the last report, and so several requests are declined for the sake of a single turn. The limited server refuses all but one of them, and the one that had declined was left out for good.

Change: an upstream that declined only because its breaker is open is excluded until no other remains, as where requests wait with reservations; an ejected one is not asked again. Load probes likewise.

No test of its own without load: a try with a limited server, a doubted one and up to twelve concurrent requests passed before the change too, and is not kept.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -60,6 +60,9 @@
     pub excluded: Vec<usize>,
     /// Upstreams that declined the request as full.
     pub full: Vec<usize>,
+    /// Upstreams that declined the request for the sake of others because their circuit breakers are
+    /// open. They are excluded until no other upstream remains.
+    doubted: Vec<usize>,
     /// Number of dispatches that were made.
     pub dispatches: usize,
     /// Number of attempts that reached or may have reached a backend server.
@@ -94,6 +97,7 @@
         request,
         excluded: Vec::new(),
         full: Vec::new(),
+        doubted: Vec::new(),
         dispatches: 0,
         server_attempts: 0,
         decline_count: 0,
@@ -359,7 +363,19 @@
         self.request.service.local_wait_rounds(&self.request.route.name, far_megabyte_time)
     }
 
+    /// Chooses an upstream, at last among those that declined the request for the sake of others.
     fn choose(&mut self) -> Result<UpstreamChoice, CallerFailure> {
+        let chosen = self.choose_untried();
+        if chosen.is_ok() || self.doubted.is_empty() || self.time_left().is_zero() {
+            return chosen;
+        }
+        let doubted = std::mem::take(&mut self.doubted);
+        self.excluded.retain(|index| !doubted.contains(index));
+        self.choose_untried()
+    }
+
+    /// Chooses an upstream among those that the request was not sent to.
+    fn choose_untried(&mut self) -> Result<UpstreamChoice, CallerFailure> {
         if !self.may_dispatch() {
             return Err(CallerFailure::not_run(NotRunReason::Draining));
         }
@@ -435,6 +451,9 @@
                 probed_upstream.load().is_some_and(|load| load.is_full() && !load.doubtful);
             let skip_list = if is_full { &mut self.full } else { &mut self.excluded };
             skip_list.push(probed_upstream.index);
+            if probed_upstream.load().is_some_and(|load| load.doubtful) {
+                self.note_doubted(probed_upstream.index);
+            }
         }
     }
 
@@ -540,12 +559,24 @@
         let full_reasons = [NotRunReason::QueueFull, NotRunReason::Unproven];
         if full_reasons.iter().any(|reason| outcome == FailureOutcome::NotRun(*reason)) {
             self.full.push(start.index);
-        } else {
-            self.excluded.push(start.index);
+            return true;
+        }
+        self.excluded.push(start.index);
+        if outcome == FailureOutcome::NotRun(NotRunReason::Unhealthy) {
+            self.note_doubted(start.index);
         }
         true
     }
 
+    /// Records that an upstream declined the request as unhealthy. An ejected upstream is not asked
+    /// again: it would probably fail the request.
+    fn note_doubted(&mut self, index: usize) {
+        let is_ejected = self.request.service.with_view(|view| view.is_ejected(index));
+        if !is_ejected && !self.doubted.contains(&index) {
+            self.doubted.push(index);
+        }
+    }
+
     /// Says whether the request may be sent as a trial to an upstream that may fail the request. A
     /// request that fails as a trial must be retried, so neither a retry nor a request for which
     /// the retry budget is exhausted is used as a trial.
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -415,6 +415,12 @@
         self.upstreams.get(index).is_some_and(|view| view.is_local)
     }
 
+    /// Says whether an upstream last reported that it is ejected.
+    pub fn is_ejected(&self, index: usize) -> bool {
+        let health = self.upstreams.get(index).and_then(|view| view.health);
+        health.is_some_and(|health| health.ejected)
+    }
+
     /// Says whether an upstream last reported that it is ejected or that its circuit breaker is
     /// open.
     pub fn is_ejected_or_breaker_open(&self, index: usize) -> bool {
