Probe a peer only if its reply does not arrive in the time that replies take

Found in reading the diff: a heartbeat made a probe due at once on a link that had been idle, so that a distant peer got a probe with each heartbeat, whose reply was under way. The time is counted from the message that is replied to, two round trips of that peer or 150 ms.

--- a/crates/base/src/peers.rs
+++ b/crates/base/src/peers.rs
@@ -257,6 +257,11 @@
         self.health.borrow_mut().request_probe();
     }
 
+    /// Records that the daemon was sent a message that it replies to.
+    pub fn await_reply(&self, now: Duration) {
+        self.health.borrow_mut().await_reply(now);
+    }
+
     /// Records that the daemon answered a probe.
     pub fn note_answer(&self, now: Duration) {
         self.health.borrow_mut().note_answer(now);
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -363,7 +363,8 @@
         self.request.service.local_wait_rounds(&self.request.route.name, far_megabyte_time)
     }
 
-    /// Chooses an upstream, at last among those that declined the request for the sake of others.
+    /// Chooses an upstream. One that declined the request for the sake of others is chosen again only
+    /// if no other remains.
     fn choose(&mut self) -> Result<UpstreamChoice, CallerFailure> {
         let chosen = self.choose_untried();
         if chosen.is_ok() || self.doubted.is_empty() || self.time_left().is_zero() {
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -515,6 +515,6 @@
         };
         let note = heartbeat_request(state, members);
         let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
-        path.request_probe();
+        path.await_reply(state.now());
     }
 }
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -457,7 +457,7 @@
                 evacuation: Some(state.evacuations.version() as i64),
             };
             let _ = link.sender().send(NO_EXCHANGE, FrameBody::RowsRequest(request));
-            path.request_probe();
+            path.await_reply(state.now());
         }
     });
 }
--- a/crates/decide/src/path.rs
+++ b/crates/decide/src/path.rs
@@ -8,9 +8,9 @@
 /// Time without any frame on a link with open exchanges after which the peer is probed. The typical
 /// service time is as long, so that an answer often makes the probe unnecessary.
 pub const PROBE_AFTER: Duration = Duration::from_millis(150);
-/// Time without any frame, in round trips, after which a requested probe is sent if that is longer
-/// than [`PROBE_AFTER`]: the reply that makes the probe unnecessary takes one round trip.
-const REQUESTED_PROBE_ROUNDS: u32 = 2;
+/// Time in round trips for which a reply is awaited before a probe is sent, if that is longer than
+/// [`PROBE_AFTER`].
+const REPLY_ROUNDS: u32 = 2;
 /// Time without any frame after a probe from which a path counts as cut while its round trip is not
 /// known: four times the round trip between far regions (0.3 s). A cut of either direction stops
 /// the frames that this daemon receives, and makes the path useless.
@@ -49,6 +49,8 @@
     was_cut: bool,
     /// Whether a probe was requested and no frame has arrived since.
     is_probe_requested: bool,
+    /// Since when a reply has been awaited; `None` once a frame has arrived.
+    reply_awaited_since: Option<Duration>,
     /// Longest of the recent round trips, if one was measured.
     round_trip: Option<Duration>,
 }
@@ -64,6 +66,7 @@
             up_since: now,
             was_cut: false,
             is_probe_requested: false,
+            reply_awaited_since: None,
             round_trip: None,
         }
     }
@@ -71,9 +74,10 @@
     /// Says whether the peer should be probed now, and records the probe if so; `in_use` says
     /// whether the link has open exchanges.
     pub fn probe(&mut self, now: Duration, in_use: bool) -> bool {
-        let quiet_time = now.saturating_sub(self.received_at);
-        let is_request_due = self.is_probe_requested && quiet_time >= self.requested_probe_after();
-        let should_probe = self.was_cut || in_use && quiet_time >= PROBE_AFTER || is_request_due;
+        let has_no_recent_frame = now.saturating_sub(self.received_at) >= PROBE_AFTER;
+        let is_wanted = in_use || self.is_probe_requested;
+        let should_probe =
+            self.was_cut || is_wanted && has_no_recent_frame || self.is_reply_overdue(now);
         if should_probe && self.probed_at.is_none() {
             self.probed_at = Some(now);
             return true;
@@ -87,16 +91,23 @@
         self.is_probe_requested = true;
     }
 
-    /// Returns the time without any frame after which a requested probe is sent.
-    fn requested_probe_after(&self) -> Duration {
-        let rounds = self.round_trip.unwrap_or_default() * REQUESTED_PROBE_ROUNDS;
-        rounds.max(PROBE_AFTER)
+    /// Records that the peer was sent a message that it replies to. A probe is due if no frame
+    /// arrives in the time that a reply takes.
+    pub fn await_reply(&mut self, now: Duration) {
+        self.reply_awaited_since.get_or_insert(now);
+    }
+
+    fn is_reply_overdue(&self, now: Duration) -> bool {
+        let rounds = self.round_trip.unwrap_or_default() * REPLY_ROUNDS;
+        let reply_time = rounds.max(PROBE_AFTER);
+        self.reply_awaited_since.is_some_and(|since| now.saturating_sub(since) >= reply_time)
     }
 
     /// Records that a frame arrived from the peer.
     pub fn note_frame(&mut self, now: Duration) {
         self.expire_path(now);
         self.is_probe_requested = false;
+        self.reply_awaited_since = None;
         self.received_at = now;
         self.probed_at = None;
     }
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -519,6 +519,19 @@
     assert!(!path.probe(millis(900), false), "a frame has arrived since");
 }
 
+#[test_case(20, 150 ; "near")]
+#[test_case(300, 600 ; "in a distant region")]
+fn verify_a_path_is_probed_where_a_reply_does_not_arrive(round_trip_ms: u64, probed_after_ms: u64) {
+    let mut path = PathHealth::new(millis(0));
+    path.note_round_trip(millis(round_trip_ms));
+    path.await_reply(millis(5000));
+    path.await_reply(millis(5100));
+    assert!(!path.probe(millis(5000 + probed_after_ms - 1), false), "the reply may still arrive");
+    assert!(path.probe(millis(5000 + probed_after_ms), false));
+    path.note_frame(millis(5010 + probed_after_ms));
+    assert!(!path.probe(millis(9000), false), "a frame has arrived since");
+}
+
 /// Chooses 200 times in a service of six upstreams with ten slots and a queue of 16 each. The five
 /// healthy upstreams have `load` requests each, and the sixth hangs and has idle slots. Returns how
 /// often the hanging upstream is chosen.
