Establish the links to the readers before asking them for a confirmation

What callers saw: 100 ms more for an unknown route, and a call to the store by a daemon that should have asked its readers, just after its start.

Cause: a daemon asked only those readers to which it had a link, but waited 100 ms for them all the same, and asked the store then. Its first confirmation expires one second after its start, which is when it first links to its readers.

Change: the links are established where there are none.

--- a/crates/daemon/src/freshness.rs
+++ b/crates/daemon/src/freshness.rs
@@ -27,6 +27,7 @@
 
 use crate::config_sync;
 use crate::document;
+use crate::links;
 use crate::membership;
 use crate::rows;
 use crate::state::DaemonState;
@@ -143,10 +144,7 @@
     let mut request = membership::heartbeat_request(state, Vec::new());
     request.wants_word = Some(true);
     for host in &readers {
-        // A reader without a link is not waited for; the other reader may have a link.
-        if let Some(link) = state.peers.path(host).link() {
-            let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(request.clone()));
-        }
+        spawn_request(state, host, request.clone());
     }
     let deadline = state.now() + READER_TIMEOUT;
     loop {
@@ -159,6 +157,19 @@
     }
 }
 
+/// Sends a request to a host in a task of its own, since a link may have to be established.
+fn spawn_request(state: &Rc<DaemonState>, host: &str, request: HeartbeatNote) {
+    let path = state.peers.path(host);
+    let state = state.clone();
+    monoio::spawn(async move {
+        path.note_used(state.now());
+        if let Ok(link) = links::link_to(&state, &path).await {
+            // A send error is ignored: a link that ended brings no reply.
+            let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(request));
+        }
+    });
+}
+
 /// Queries the store and some peers.
 async fn query_store_and_peers(state: &Rc<DaemonState>) {
     query_peers(state);
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -451,16 +451,16 @@
     }
 }
 
-/// Sends heartbeats to the neighbours for ever, to each once in a heartbeat interval. After the first
-/// interval, the heartbeats are spread over the interval, so that a daemon without requests notices
-/// soon that its connections were black-holed.
+/// Sends heartbeats to the neighbours for ever, to each once in a heartbeat interval. The heartbeats
+/// are spread over the interval, so that a daemon without requests notices soon that its connections
+/// were black-holed.
 pub async fn run(state: Rc<DaemonState>) {
     send_heartbeats(&state, HeartbeatContent::Members);
-    monoio::time::sleep(draw_interval(&state)).await;
     loop {
         state.members.forget_expired(&state);
+        let interval = state.options.heartbeat.mul_f64(rand::random_range(0.9..1.1));
         let neighbours = state.members.neighbours(&state);
-        let pause = draw_interval(&state) / neighbours.len().max(1) as u32;
+        let pause = interval / neighbours.len().max(1) as u32;
         monoio::time::sleep(pause).await;
         for host in neighbours {
             spawn_heartbeat(&state, host, HeartbeatContent::Members);
@@ -469,11 +469,6 @@
     }
 }
 
-/// Draws the time between two heartbeats to the same neighbour.
-fn draw_interval(state: &DaemonState) -> Duration {
-    state.options.heartbeat.mul_f64(rand::random_range(0.9..1.1))
-}
-
 /// Sends a heartbeat to a host in a task of its own, since a link may have to be established.
 fn spawn_heartbeat(state: &Rc<DaemonState>, host: String, content: HeartbeatContent) {
     let state = state.clone();
