--- a/crates/daemon/tests/server_rates.rs
+++ b/crates/daemon/tests/server_rates.rs
@@ -265,3 +265,30 @@
     }
     assert!(sent.iter().any(|each| each.reply.as_ref().is_some_and(|reply| reply.status == 503)));
 }
+
+/// The second server's circuit breaker is open, and its daemon declines a request for the sake of the
+/// first server, of whose rate the ingress has not heard.
+#[test]
+fn verify_a_request_returns_to_the_server_that_declined_it_for_a_limited_one() {
+    let mut fleet = RegisteredFleet::start(2);
+    (0..2).for_each(|daemon| fleet.wait_served(daemon, &[0, 1]));
+    name_rate(&fleet.backends[0], "0");
+    eventually("the rate is in force", || {
+        fleet.request(0, "GET", "/safe/x", "before");
+        fleet.daemons[0].log_text().contains("server rate limited")
+    });
+    fleet.daemons.push(fleet.start_daemon("host-c", "bkk-b", &[]));
+    let ingress = &fleet.daemons[2];
+    eventually("the ingress knows both servers", || {
+        let log = ingress.log_text();
+        ["i-1", "i-2"].iter().all(|server| log.contains(&format!("\"servers\":\"{server}\"")))
+    });
+    fleet.backends[1].set_faults(json!({"status": 500}));
+    eventually("the circuit breaker opens", || {
+        fleet.request(1, "POST", "/unsafe/x", "failing");
+        fleet.daemons[1].log_text().contains("upstream doubted")
+    });
+    fleet.backends[1].set_faults(json!({}));
+    let reply = fleet.request(2, "POST", "/unsafe/x", "after");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+}
