Send messages that are replied to by one function

Heartbeats, requests for rows and queries for a confirmation each linked, sent and awaited their reply by themselves.

--- a/crates/daemon/src/freshness.rs
+++ b/crates/daemon/src/freshness.rs
@@ -141,10 +141,8 @@
     if readers.contains(&state.options.host) {
         return false;
     }
-    let mut request = membership::heartbeat_request(state, Vec::new());
-    request.wants_word = Some(true);
     for host in &readers {
-        spawn_request(state, host, request.clone());
+        spawn_query(state, host);
     }
     let deadline = state.now() + READER_TIMEOUT;
     loop {
@@ -157,16 +155,16 @@
     }
 }
 
-/// Sends a request to a host in a task of its own, since a link may have to be established.
-fn spawn_request(state: &Rc<DaemonState>, host: &str, request: HeartbeatNote) {
+/// Asks a reader for a confirmation, in a task of its own since a link may have to be established.
+fn spawn_query(state: &Rc<DaemonState>, host: &str) {
     let path = state.peers.path(host);
     let state = state.clone();
     monoio::spawn(async move {
-        path.note_used(state.now());
-        if let Ok(link) = links::link_to(&state, &path).await {
-            // A send error is ignored: a link that ended brings no reply.
-            let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(request));
-        }
+        let build_query = |state: &DaemonState| {
+            let request = membership::heartbeat_request(state, Vec::new());
+            FrameBody::Heartbeat(HeartbeatNote { wants_word: Some(true), ..request })
+        };
+        links::send_request(&state, &path, build_query).await;
     });
 }
 
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -64,6 +64,21 @@
     }
 }
 
+/// Sends a daemon a message that it replies to, and establishes the link if necessary. The message is
+/// built once there is a link, as establishing one takes time.
+pub async fn send_request(
+    state: &Rc<DaemonState>,
+    path: &Rc<PeerPath>,
+    build_message: impl FnOnce(&DaemonState) -> FrameBody,
+) {
+    path.note_used(state.now());
+    if let Ok(link) = link_to(state, path).await {
+        // A send error is ignored: a link that ended brings no reply.
+        let _ = link.sender().send(NO_EXCHANGE, build_message(state));
+        path.await_reply(state.now());
+    }
+}
+
 async fn wait_for_link(
     state: &Rc<DaemonState>,
     path: &Rc<PeerPath>,
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -20,7 +20,7 @@
 use basaltarch_events::fleet;
 use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::handshake::PeerIdentity;
-use basaltarch_peer::link::{AcceptedLink, NO_EXCHANGE};
+use basaltarch_peer::link::AcceptedLink;
 use basaltarch_peer::protocol::{FrameBody, HeartbeatNote, MemberEntry};
 use rand::seq::IteratorRandom;
 
@@ -507,14 +507,12 @@
     if path.address().is_none() {
         return;
     }
-    path.note_used(state.now());
-    if let Ok(link) = links::link_to(state, &path).await {
+    let build_heartbeat = |state: &DaemonState| {
         let members = match content {
             HeartbeatContent::Own => vec![own_entry(state)],
             HeartbeatContent::Members => state.members.sample_entries(state, &[]),
         };
-        let note = heartbeat_request(state, members);
-        let _ = link.sender().send(NO_EXCHANGE, FrameBody::Heartbeat(note));
-        path.await_reply(state.now());
-    }
+        FrameBody::Heartbeat(heartbeat_request(state, members))
+    };
+    links::send_request(state, &path, build_heartbeat).await;
 }
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -447,18 +447,16 @@
     let on_request_only = state.rows.wants_on_request_only(host);
     let state = state.clone();
     monoio::spawn(async move {
-        path.note_used(state.now());
-        if let Ok(link) = links::link_to(&state, &path).await {
-            let request = RowsRequest {
+        let build_request = |state: &DaemonState| {
+            FrameBody::RowsRequest(RowsRequest {
                 version: state.rows.version.get() as i64,
                 takes_packed: Some(true),
                 on_request_only: Some(on_request_only),
                 revision: Some(state.config.revision().0 as i64),
                 evacuation: Some(state.evacuations.version() as i64),
-            };
-            let _ = link.sender().send(NO_EXCHANGE, FrameBody::RowsRequest(request));
-            path.await_reply(state.now());
-        }
+            })
+        };
+        links::send_request(&state, &path, build_request).await;
     });
 }
 
