Log how a daemon comes to own a limit, and print the decisions of a failed test's daemons

Evidence that was missing: the log did not say why the owner of a limit held few tokens after the start of a fleet, and the output of a failed test held only the last 60 lines of each log, which are those of requests.

No logic is changed here.

--- a/crates/daemon/src/limit_owners.rs
+++ b/crates/daemon/src/limit_owners.rs
@@ -11,6 +11,7 @@
 use basaltarch_core::units;
 use basaltarch_decide::grants::{LimitOwner, TokenGrant, TokenRequest};
 use basaltarch_decide::limits::{self, GRANT_LIFE};
+use basaltarch_events::fleet;
 use basaltarch_peer::frames::FrameSender;
 use basaltarch_peer::link::NO_EXCHANGE;
 use basaltarch_peer::protocol::{FrameBody, GrantReply, GrantRequest};
@@ -155,13 +156,32 @@
         let since = self.eligible.borrow().changed_at;
         let tolerance = state.live().limit_tolerance;
         let mut owned = self.owned.borrow_mut();
-        let owner = owned.entry(limit.to_owned()).or_insert_with(|| match fleet_start(state) {
-            FleetStart::First => LimitOwner::new(rate, burst, now),
-            FleetStart::Restart => LimitOwner::after_restart(rate, burst, &tolerance, since),
-            FleetStart::Settled => LimitOwner::with_predecessor(rate, burst, since),
+        let owner = owned.entry(limit.to_owned()).or_insert_with(|| {
+            let start = fleet_start(state);
+            let mut owner = match start {
+                FleetStart::First => LimitOwner::new(rate, burst, now),
+                FleetStart::Restart => LimitOwner::after_restart(rate, burst, &tolerance, since),
+                FleetStart::Settled => LimitOwner::with_predecessor(rate, burst, since),
+            };
+            self.log_owned(state, limit, start, owner.available(now));
+            owner
         });
         Some(owner.answer(rate, burst, &tolerance, token_request, now))
     }
+
+    /// Logs that this daemon begins to count a limit, and why it holds these tokens.
+    fn log_owned(&self, state: &DaemonState, limit: &str, start: FleetStart, tokens: f64) {
+        fleet::LimitOwned {
+            limit,
+            start: start.name(),
+            age_ms: state.now().as_millis() as u64,
+            rows_read: state.rows.has_read_rows(),
+            earlier_start: state.roster.had_earlier_start(),
+            eligible: self.eligible.borrow().hosts.len() as u64,
+            tokens,
+        }
+        .log();
+    }
 }
 
 /// `FleetStart` says whether this daemon may have started together with all other daemons.
@@ -177,6 +197,17 @@
     Settled,
 }
 
+impl FleetStart {
+    /// Returns the name in logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Restart => "restart",
+            Self::Settled => "settled",
+        }
+    }
+}
+
 /// Returns how this daemon started. The row of its host shows whether the daemon had started
 /// before.
 pub fn fleet_start(state: &DaemonState) -> FleetStart {
--- a/crates/daemon/tests/common/daemon.rs
+++ b/crates/daemon/tests/common/daemon.rs
@@ -200,6 +200,10 @@
             let text = self.log_text();
             let tail: Vec<&str> = text.lines().rev().take(60).collect();
             eprintln!("-- log of {}, last line first\n{}", self.host, tail.join("\n"));
+            // The lines that concern no request are few and tell what the daemon decided.
+            let is_decision = |line: &&str| !line.contains(r#""request":""#);
+            let decisions: Vec<&str> = text.lines().filter(is_decision).collect();
+            eprintln!("-- decisions of {}\n{}", self.host, decisions.join("\n"));
         }
         logs::save_event_names(&self.log);
         let _ = fs::remove_file(&self.log);
--- a/crates/decide/src/grants.rs
+++ b/crates/decide/src/grants.rs
@@ -178,6 +178,11 @@
         }
     }
 
+    /// Returns the tokens that may be granted at once.
+    pub fn available(&mut self, now: Duration) -> f64 {
+        self.bucket.available(now)
+    }
+
     /// Answers a token request as the owner of the limit.
     pub fn answer(
         &mut self,
--- a/crates/events/src/fleet.rs
+++ b/crates/events/src/fleet.rs
@@ -280,4 +280,22 @@
         /// What is wrong.
         error: &'a str,
     }
+
+    /// This daemon began to count a limit for the fleet, because a daemon asked it for tokens.
+    "limit owned" INFO LimitOwned<'a> {
+        /// Name of the limit.
+        limit: &'a str,
+        /// How the fleet started, as far as this daemon knows: `first`, `restart` or `settled`.
+        start: &'a str,
+        /// Time since this daemon's start.
+        age_ms: u64,
+        /// Whether the rows of the hosts were read.
+        rows_read: bool,
+        /// Whether an earlier start of this host's daemon is known.
+        earlier_start: bool,
+        /// Daemons that may own limits, as far as this daemon knows.
+        eligible: u64,
+        /// Tokens that it may grant at once.
+        tokens: f64,
+    }
 }
