Count an empty table of hosts as read, so that a new fleet grants the bursts of its limits

What callers saw: after the first start of a fleet on a store that nothing had been written to, 429 for every request of a limited organisation: the owner of the limit took itself for restarted and began with no tokens, for burst / rate seconds (80 s in the test).

Cause: whether the table of hosts was read was judged by its version being above 0. A store that was never written to has version 0, so the daemon that reads first, before any host has written its row, counted as one that had not read, and then read again only 1.5 s later. What an owner assumes when it is first asked stays.

Load only changes which daemon reads before the others write. Daemons that wait for a first registration before they write their row read an empty store always.

Change: a table that was read counts as read. Other uses of the version keep it: they say from which version to go on. No other place takes a version of 0 for a thing not known (searched).

--- a/crates/daemon/src/limit_owners.rs
+++ b/crates/daemon/src/limit_owners.rs
@@ -175,7 +175,7 @@
             limit,
             start: start.name(),
             age_ms: state.now().as_millis() as u64,
-            rows_read: state.rows.has_read_rows(),
+            rows_read: state.rows.has_read_table(),
             earlier_start: state.roster.had_earlier_start(),
             eligible: self.eligible.borrow().hosts.len() as u64,
             tokens,
@@ -214,7 +214,7 @@
     if state.now() >= FIRST_START_WINDOW {
         return FleetStart::Settled;
     }
-    match state.rows.has_read_rows() && !state.roster.had_earlier_start() {
+    match state.rows.has_read_table() && !state.roster.had_earlier_start() {
         true => FleetStart::First,
         false => FleetStart::Restart,
     }
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -141,11 +141,17 @@
 }
 
 impl RowsRelay {
-    /// Says whether the rows of all hosts were read, by this daemon or by a reader.
+    /// Says whether rows of hosts were read, by this daemon or by a reader.
     pub fn has_read_rows(&self) -> bool {
         self.version.get() > 0
     }
 
+    /// Says whether the whole table was read, even if it was empty and the store had never been
+    /// written to.
+    pub fn has_read_table(&self) -> bool {
+        self.first_read_at.get().is_some() || self.has_read_rows()
+    }
+
     /// Says whether a reader has sent changes recently.
     fn has_recent_changes(&self, now: Duration) -> bool {
         self.changes_received_at
--- a/crates/daemon/tests/limits.rs
+++ b/crates/daemon/tests/limits.rs
@@ -106,6 +106,24 @@
     );
 }
 
+/// Guards against a daemon that read an empty store and therefore took itself for restarted.
+#[test]
+fn verify_a_fleet_that_starts_on_an_empty_store_grants_its_burst() {
+    let burst = 40.0;
+    // A daemon with an address for registrations writes its row late, so that it reads the table of
+    // hosts before anything was written.
+    let fleet = TestFleet::start(&FleetPlan {
+        daemons: 1,
+        backends: 1,
+        daemon_flags: vec![("registration", "127.0.0.1:0")],
+        limits: json!({"shop": {"scope": "organisation", "target": "khlung-shop",
+                                "rate": 0.01, "burst": burst}}),
+        ..FleetPlan::default()
+    });
+    let served_count = (0..40).filter(|_| send_request(&fleet, 0).status == 200).count();
+    assert!(served_count as f64 >= burst / 2.0, "{served_count} of a burst of {burst}");
+}
+
 #[test]
 fn verify_a_restarted_fleet_serves_callers_below_the_rate() {
     // The rate is so high that callers stay far below it on any machine.
