Grant the burst of a limit whenever it is first asked for in a fleet that has not changed since its first start

What callers saw: 429 within their burst if the first request that a limit counts came later than 3 s after the start of a new fleet: its owner began with what the rate had filled since, so for burst / rate seconds (80 s for 40 at 0.5 a second) callers were held to less than their limit. And a daemon that joined a running fleet granted the burst again if it came to own a limit within its first 3 s.

Cause: that no tokens were granted before was judged by the age of the daemon at the first question. The right question is whether another daemon can have granted them: not if the fleet started together for the first time and the hosts that may own limits are the same since.

Change: the decision stands in decide/fleet_start.rs, with how much earlier the other daemons started among its facts. A daemon that joins counts as settled. After a kill of all daemons the rows show the earlier start, as before: both cases of verify_a_kill_of_all_daemons_grants_no_second_burst are as they were and pass.

--- a/crates/daemon/src/limit_owners.rs
+++ b/crates/daemon/src/limit_owners.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use basaltarch_core::units;
+use basaltarch_decide::fleet_start::{FleetStart, StartFacts};
 use basaltarch_decide::grants::{LimitOwner, TokenGrant, TokenRequest};
 use basaltarch_decide::limits::{self, GRANT_LIFE};
 use basaltarch_events::fleet;
@@ -22,10 +23,6 @@
 use crate::links;
 use crate::state::DaemonState;
 
-/// Time after a daemon's start during which it assumes that the whole fleet may have started
-/// together. If the fleet started for the first time, the owner grants the whole burst, as a fleet
-/// that starts must not refuse requests.
-const FIRST_START_WINDOW: Duration = Duration::from_secs(3);
 /// Time for which the list of eligible hosts is kept. Owners change only when a daemon leaves or
 /// has been unresponsive for seconds.
 const ELIGIBLE_TTL: Duration = Duration::from_millis(200);
@@ -157,26 +154,28 @@
         let tolerance = state.live().limit_tolerance;
         let mut owned = self.owned.borrow_mut();
         let owner = owned.entry(limit.to_owned()).or_insert_with(|| {
-            let start = fleet_start(state);
+            let facts = start_facts(state);
+            let start = facts.owner_start(since);
             let mut owner = match start {
                 FleetStart::First => LimitOwner::new(rate, burst, now),
                 FleetStart::Restart => LimitOwner::after_restart(rate, burst, &tolerance, since),
                 FleetStart::Settled => LimitOwner::with_predecessor(rate, burst, since),
             };
-            self.log_owned(state, limit, start, owner.available(now));
+            self.log_owned(limit, &facts, start, owner.available(now));
             owner
         });
         Some(owner.answer(rate, burst, &tolerance, token_request, now))
     }
 
     /// Logs that this daemon begins to count a limit, and why it holds these tokens.
-    fn log_owned(&self, state: &DaemonState, limit: &str, start: FleetStart, tokens: f64) {
+    fn log_owned(&self, limit: &str, facts: &StartFacts, start: FleetStart, tokens: f64) {
         fleet::LimitOwned {
             limit,
             start: start.name(),
-            age_ms: state.now().as_millis() as u64,
-            rows_read: state.rows.has_read_table(),
-            earlier_start: state.roster.had_earlier_start(),
+            age_ms: facts.age.as_millis() as u64,
+            rows_read: facts.has_read_table,
+            earlier_start: facts.had_earlier_start,
+            others_lead_ms: facts.others_lead.as_millis() as u64,
             eligible: self.eligible.borrow().hosts.len() as u64,
             tokens,
         }
@@ -184,39 +183,21 @@
     }
 }
 
-/// `FleetStart` says whether this daemon may have started together with all other daemons.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FleetStart {
-    /// The daemon started a moment ago and for the first time, so that no tokens were granted
-    /// before.
-    First,
-    /// The daemon started a moment ago, and not for the first time. If all daemons were killed at
-    /// once, their earlier grants are no longer known, and a burst could be granted a second time.
-    Restart,
-    /// The daemon started longer ago.
-    Settled,
-}
-
-impl FleetStart {
-    /// Returns the name in logs.
-    fn name(self) -> &'static str {
-        match self {
-            Self::First => "first",
-            Self::Restart => "restart",
-            Self::Settled => "settled",
-        }
-    }
-}
-
-/// Returns how this daemon started. The row of its host shows whether the daemon had started
+/// Returns how the fleet started. The row of this daemon's host shows whether the daemon had started
 /// before.
 pub fn fleet_start(state: &DaemonState) -> FleetStart {
-    if state.now() >= FIRST_START_WINDOW {
-        return FleetStart::Settled;
-    }
-    match state.rows.has_read_table() && !state.roster.had_earlier_start() {
-        true => FleetStart::First,
-        false => FleetStart::Restart,
+    start_facts(state).fleet_start()
+}
+
+fn start_facts(state: &DaemonState) -> StartFacts {
+    let own_incarnation = state.identity.incarnation;
+    let first_incarnation = state.roster.first_incarnation().unwrap_or(own_incarnation);
+    let others_lead_ms = own_incarnation.saturating_sub(first_incarnation).max(0) as u64;
+    StartFacts {
+        age: state.now(),
+        has_read_table: state.rows.has_read_table(),
+        had_earlier_start: state.roster.had_earlier_start(),
+        others_lead: Duration::from_millis(others_lead_ms),
     }
 }
 
@@ -236,7 +217,7 @@
         true => state.identity.incarnation <= started_by,
         false => state.members.incarnation(host) <= started_by,
     };
-    if fleet_start(state) != FleetStart::Restart && hosts.iter().any(is_old_enough) {
+    if hosts.iter().any(is_old_enough) && fleet_start(state) != FleetStart::Restart {
         hosts.retain(is_old_enough);
     }
     hosts
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -13,6 +13,7 @@
 use basaltarch_base::signal::RisingSignal;
 use basaltarch_core::config::{ActiveConfig, LimitEntry};
 use basaltarch_core::resources::{LimitRule, LimitScope};
+use basaltarch_decide::fleet_start::FleetStart;
 use basaltarch_decide::grants::{TokenGrant, TokenRequest};
 use basaltarch_decide::limits::{LimitVerdict, LocalLimiter, StandaloneTerms, GRANT_LIFE};
 use basaltarch_decide::path::PathState;
@@ -22,7 +23,7 @@
 use local_sync::oneshot;
 use thrift::OrderedFloat;
 
-use crate::limit_owners::{self, FleetStart, OwnedLimits, OwnerAssignment};
+use crate::limit_owners::{self, OwnedLimits, OwnerAssignment};
 use crate::links;
 use crate::state::DaemonState;
 
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -126,6 +126,11 @@
         self.had_earlier_start.get()
     }
 
+    /// Returns the earliest incarnation of a daemon among the records; `None` if there is no record.
+    pub fn first_incarnation(&self) -> Option<i64> {
+        self.records.borrow().iter().map(|(_, record)| record.incarnation).min()
+    }
+
     /// Signals that this daemon's own record may have changed.
     pub fn signal_change(&self) {
         self.changed.raise();
--- a/crates/daemon/tests/limits.rs
+++ b/crates/daemon/tests/limits.rs
@@ -8,6 +8,7 @@
 
 use std::time::Instant;
 
+use basaltarch_decide::fleet_start::START_WINDOW;
 use common::{eventually, FleetPlan, TestFleet};
 use serde_json::json;
 use test_case::test_case;
@@ -124,6 +125,17 @@
     assert!(served_count as f64 >= burst / 2.0, "{served_count} of a burst of {burst}");
 }
 
+/// Guards against a fleet that forgot within seconds of its first start that no tokens were granted.
+#[test]
+fn verify_a_burst_is_granted_long_after_the_start_of_a_fleet() {
+    let burst = 40.0;
+    let start = Instant::now();
+    let fleet = start_limited_fleet(1, 0.01, burst);
+    eventually("the start is long ago", || start.elapsed() > START_WINDOW * 2);
+    let served_count = (0..40).filter(|_| send_request(&fleet, 0).status == 200).count();
+    assert!(served_count as f64 >= burst / 2.0, "{served_count} of a burst of {burst}");
+}
+
 #[test]
 fn verify_a_restarted_fleet_serves_callers_below_the_rate() {
     // The rate is so high that callers stay far below it on any machine.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod estimates;
 pub mod evacuation;
 pub mod evidence;
+pub mod fleet_start;
 pub mod floor;
 pub mod freshness;
 pub mod grants;
--- a/crates/events/src/fleet.rs
+++ b/crates/events/src/fleet.rs
@@ -289,10 +289,12 @@
         start: &'a str,
         /// Time since this daemon's start.
         age_ms: u64,
-        /// Whether the rows of the hosts were read.
+        /// Whether the table of hosts was read.
         rows_read: bool,
         /// Whether an earlier start of this host's daemon is known.
         earlier_start: bool,
+        /// How much earlier than this daemon the first of the other known daemons started.
+        others_lead_ms: u64,
         /// Daemons that may own limits, as far as this daemon knows.
         eligible: u64,
         /// Tokens that it may grant at once.
