Open no circuit breaker for error answers to requests that fail everywhere

What callers saw: while callers send a request that fails at every server (a poison request), circuit breakers of sound servers open again and again, with pauses of up to 1.6 s: the servers decline the requests of others. With a daemon that isn't scheduled for some tens of milliseconds beside it, a sound server is ejected.

Cause: an error answer to a request that is known to fail everywhere is no evidence for the detector, but the circuit breaker counted it as a failure. A server whose breaker is open gets few requests, so that evidence against it from another source isn't cleared by answers, stays for the 200 ms for which it must stand, and ejects it.

Evidence: whole logs of a failed run of verify_poison_requests_eject_no_server case 2 (1 of 60, 30 at a time beside 20 busy loops, load average 107). host-a alone: 37 breakers opened in 13 s, by all three servers of the host; server-1: trial due in 1,599 ms. host-a did not run from 06.292 to 06.345 and to 06.358; its four requests at server-1 were recorded as overdue with 66 to 71 ms: score 1.08. In the next 250 ms server-1 declines four requests as doubted, runs one, and is ejected, "overdue", score 1.0025. So slowness of a busy machine gave the evidence, and poison kept it. Not seen there: failures withdrawn late, marked dispatches that count at the detector, forgotten requests.

Change: error answers to dispatches marked as following failures elsewhere open no breaker. Broken connections and time-outs of such requests still do: they show what the server can't do. The log says what opened a breaker.

--- a/crates/bench/src/decisions/hosts.rs
+++ b/crates/bench/src/decisions/hosts.rs
@@ -274,7 +274,8 @@
         match change {
             Some(HealthChange::Ejected { .. }) => self.note_ejection(index, 1.0),
             Some(HealthChange::Returned { .. }) => self.note_return(index),
-            Some(HealthChange::BreakerOpened | HealthChange::BreakerClosed { .. }) | None => {}
+            Some(HealthChange::BreakerOpened { .. } | HealthChange::BreakerClosed { .. })
+            | None => {}
         }
     }
 }
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -221,7 +221,11 @@
             _ if suspended => RequestEvidence::Neutral,
             other => other,
         };
-        let (was_overdue, failure) = (was_overdue && !suspended, failure.filter(|_| !suspended));
+        let was_overdue = was_overdue && !suspended;
+        let failure = failure.filter(|failure| {
+            let is_exempt = self.head.after_failure && failure.is_fault_of_request();
+            !suspended && !is_exempt
+        });
         let (trial_admitted_at, started) = (self.trial_admitted_at, self.arrived_at);
         let result = AttemptResult { evidence, was_overdue, trial_admitted_at, started, failure };
         self.upstream.record_result(&self.head.route, &result, self.state.now());
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -290,11 +290,12 @@
                 let (evidence, after_ms) = (reason.name(), after.as_millis() as u64);
                 servers::UpstreamEjected { upstream, service, evidence, sickness, after_ms }.log();
             }
-            Some(HealthChange::BreakerOpened) => {
+            Some(HealthChange::BreakerOpened { cause }) => {
                 metrics::BREAKER_OPENINGS.add_one();
                 self.slots.refuse_passable();
                 self.pool.close_idle();
-                servers::UpstreamBreakerOpened { upstream, service }.log();
+                let cause = cause.name();
+                servers::UpstreamBreakerOpened { upstream, service, cause }.log();
             }
             Some(HealthChange::BreakerClosed { after }) => {
                 let after_ms = after.as_millis() as u64;
--- a/crates/daemon/tests/gray.rs
+++ b/crates/daemon/tests/gray.rs
@@ -233,6 +233,35 @@
     fleet.check_invariants();
 }
 
+/// Guards against circuit breakers that poison requests open, so that sound servers decline others.
+#[test]
+fn verify_poison_requests_open_no_circuit_breaker() {
+    const OPENED: &str = r#""message":"upstream doubted""#;
+    const BY_ERRORS: &str = r#""cause":"error-answers""#;
+    let service = json!({"floor": 0.5, "prefer": "detection", "retry_budget": 0.0});
+    let plan = FleetPlan { daemons: 1, backends: 6, service, ..FleetPlan::default() };
+    let fleet = TestFleet::start(&plan);
+    for backend in &fleet.backends {
+        backend.set_faults(json!({"error_rate": 1.0, "error_prefix": "/poison"}));
+    }
+    let exempted_count = || fleet.daemons[0].metric_sum("poison_spared");
+    eventually("the request is known as a poison request", || {
+        fleet.request(0, "GET", "/poison", &[], "");
+        exempted_count() > 0.0
+    });
+    let count_openings = || {
+        let log = fleet.daemons[0].log_text();
+        log.lines().filter(|line| line.contains(OPENED) && line.contains(BY_ERRORS)).count()
+    };
+    let opening_count = count_openings();
+    let exempted_max = exempted_count() + 100.0;
+    eventually("many more poison requests were sent", || {
+        fleet.request(0, "GET", "/poison", &[], "");
+        exempted_count() > exempted_max
+    });
+    assert_eq!(count_openings(), opening_count, "circuit breakers opened by known poison requests");
+}
+
 /// Guards against a fault in which the record of poison requests was dropped whenever the servers
 /// of their service changed, which happens when servers crash and restart. The next failure of a
 /// poison request then counted against the server that ran the request.
--- a/crates/decide/src/breaker.rs
+++ b/crates/decide/src/breaker.rs
@@ -43,6 +43,35 @@
     TimedOut,
 }
 
+impl FailureKind {
+    /// Says whether the failure of a request that failed at other upstreams as well is the fault of
+    /// the request alone. The upstream answered, as it does for other requests.
+    pub fn is_fault_of_request(self) -> bool {
+        self == Self::Answered
+    }
+}
+
+/// `BreakerCause` is what opened a circuit breaker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BreakerCause {
+    /// Requests failed; the last failure was of this kind.
+    Failure(FailureKind),
+    /// Running requests took too long.
+    Hang,
+}
+
+impl BreakerCause {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Failure(FailureKind::Broken) => "broken",
+            Self::Failure(FailureKind::Answered) => "error-answers",
+            Self::Failure(FailureKind::TimedOut) => "timed-out",
+            Self::Hang => "hanging",
+        }
+    }
+}
+
 /// `FailureBreaker` is the circuit breaker of one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct FailureBreaker {
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -9,7 +9,7 @@
 use basaltarch_core::resources::EjectionPreference;
 use fnv::FnvHashMap;
 
-use crate::breaker::{FailureBreaker, FailureKind};
+use crate::breaker::{BreakerCause, FailureBreaker, FailureKind};
 use crate::detector::{AnomalyDetector, EvidenceKind};
 use crate::estimates::{DecayingPeak, LatencyEstimate, RateEstimate};
 use crate::evidence::{self, RequestEvidence, ServiceBaseline, OVERDUE_DEVIATIONS};
@@ -152,8 +152,11 @@
         /// How long the upstream was ejected.
         out: Duration,
     },
-    /// The circuit breaker opened after a failure or a hang.
-    BreakerOpened,
+    /// The circuit breaker opened.
+    BreakerOpened {
+        /// What opened the circuit breaker.
+        cause: BreakerCause,
+    },
     /// The circuit breaker closed.
     BreakerClosed {
         /// How long the circuit breaker was open.
@@ -406,7 +409,8 @@
         match failure {
             Some(kind) => {
                 let opened = self.breaker.note_failure(kind, started, now);
-                opened.then_some(HealthChange::BreakerOpened)
+                let cause = BreakerCause::Failure(kind);
+                opened.then_some(HealthChange::BreakerOpened { cause })
             }
             None => {
                 let after = self.breaker.note_success(started, now)?;
@@ -493,7 +497,7 @@
             return None;
         }
         let opened = self.breaker.note_hang(now);
-        opened.then_some(HealthChange::BreakerOpened)
+        opened.then_some(HealthChange::BreakerOpened { cause: BreakerCause::Hang })
     }
 
     /// Withdraws a failure, as the request failed at another upstream as well.
--- a/crates/decide/tests/hang.rs
+++ b/crates/decide/tests/hang.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use basaltarch_core::resources::EjectionPreference;
+use basaltarch_decide::breaker::BreakerCause;
 use basaltarch_decide::evidence::{RequestEvidence, ServiceBaseline};
 use basaltarch_decide::hang::{HangDetector, UsualTime};
 use basaltarch_decide::health::{
@@ -110,8 +111,9 @@
     health.admit(&terms("r", false), millis(0));
     let usual = health.usual_time("r", None).expect("the baseline of the siblings");
     health.start_request(usual, millis(0));
+    let opened_by_hang = HealthChange::BreakerOpened { cause: BreakerCause::Hang };
     for now in 0..5000 {
-        if health.check_running(millis(now)) == Some(HealthChange::BreakerOpened) {
+        if health.check_running(millis(now)) == Some(opened_by_hang) {
             return (health, millis(now));
         }
     }
--- a/crates/decide/tests/health.rs
+++ b/crates/decide/tests/health.rs
@@ -48,7 +48,8 @@
         match change {
             Some(HealthChange::Ejected { .. }) => self.ejected.push(self.now),
             Some(HealthChange::Returned { .. }) => self.returned.push(self.now),
-            Some(HealthChange::BreakerOpened | HealthChange::BreakerClosed { .. }) | None => {}
+            Some(HealthChange::BreakerOpened { .. } | HealthChange::BreakerClosed { .. })
+            | None => {}
         }
     }
 
--- a/crates/events/src/servers.rs
+++ b/crates/events/src/servers.rs
@@ -168,6 +168,8 @@
         upstream: &'a str,
         /// Service that it is an upstream of.
         service: &'a str,
+        /// What opened it: broken, error-answers, timed-out or hanging.
+        cause: &'a str,
     }
 
     /// A doubted backend server gave enough successful responses, which closed its circuit breaker.
