Leave pauses of a daemon out of what it measures of its servers

What callers saw: a daemon that the system doesn't run for some tens of milliseconds (a busy or throttled machine, a frozen process) ejects the sound server beside it after it wakes: the answers that waited meanwhile count as slow and overdue. With one server a host, a machine that wakes takes its server out of service.

Cause: service times, overdue timers and the ages of running requests were measured by the wall clock of a process that didn't run. The suspend of a host was left out (DaemonClock), a pause of the process was not: the same class of fault, a time of the observer's own taken for one of the observed.

Change: a timer that is due and hasn't been handled 10 ms later shows a pause, so no beat of its own is needed. An answer that arrives when the overdue timer is so late has no service time; the timer that fires so late is set anew; the ages of running requests leave out the time since their check was due. Success and failure count as before, a server that hangs after a pause is found out as soon as before, counted from the pause.

--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -46,8 +46,6 @@
 /// Number of standard deviations by which the time that a reserved request is expected to need
 /// exceeds the typical service time. Five of six requests complete within the expected time.
 const RESERVED_DEVIATIONS: f64 = 1.0;
-/// Duration of the overdue timer of a request that never counts as overdue.
-const NEVER_OVERDUE: Duration = Duration::from_secs(3600);
 
 /// Serves one exchange to its end and reports a failure to the ingress.
 pub async fn serve(
@@ -309,6 +307,11 @@
         self.upstream.health.borrow().usual_time(&self.head.route, objective)
     }
 
+    /// Returns the time after which the request counts as overdue, if there is a baseline.
+    fn overdue_after(&self) -> Option<Duration> {
+        self.upstream.health.borrow().overdue_after(&self.head.route, self.state.now())
+    }
+
     /// Returns the timeout that the host sets for the server's response to this attempt.
     fn attempt_timeout(&self) -> AttemptTimeout {
         let now = self.state.now();
@@ -480,7 +483,7 @@
         let waited = self.state.now().saturating_sub(self.arrived_at);
         metrics::SLOT_WAIT_SECONDS.record(waited);
         self.log_started(waited, pooled_stream.idle_time());
-        let progress = AttemptProgress::new(slot, self.attempt_timeout());
+        let progress = AttemptProgress::new(slot, self.attempt_timeout(), self.overdue_after());
         let result =
             self.run_exchange(pooled_stream.stream(), &progress, body, answer, claim).await;
         let was_overdue = progress.was_overdue.get();
@@ -527,8 +530,6 @@
         answer: &EventSink,
         claim: Option<ClaimToken>,
     ) -> Result<bool, AttemptFault> {
-        let now = self.state.now();
-        let overdue_after = self.upstream.health.borrow().overdue_after(&self.head.route, now);
         let watch = AttemptWatch::start(self, progress);
         let calls = watch.calls().clone();
         let HttpStream { reader, writer } = stream;
@@ -547,8 +548,7 @@
         let mut timed_out = std::pin::pin!(monoio::time::sleep(self.time_left()).fuse());
         let mut deadline_passed =
             std::pin::pin!(self.state.clock.passed_after_resume(self.deadline).fuse());
-        let overdue_after = overdue_after.unwrap_or(NEVER_OVERDUE);
-        let mut overdue = std::pin::pin!(monoio::time::sleep(overdue_after).fuse());
+        let mut overdue = std::pin::pin!(progress.overdue_timer.passed().fuse());
         let mut watching = std::pin::pin!(watch.check_until_nested_call().fuse());
         loop {
             select_biased! {
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -11,6 +11,7 @@
 pub mod calls;
 pub mod exchange;
 pub mod notices;
+pub mod overdue;
 pub mod relay;
 pub mod reservations;
 pub mod sending;
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -28,6 +28,7 @@
 use crate::host::calls::NestedCalls;
 use crate::host::exchange::HostAttempt;
 use crate::host::notices;
+use crate::host::overdue::OverdueTimer;
 use crate::host::verify::{self, AnswerVerdict};
 use crate::registration;
 use crate::wire;
@@ -122,6 +123,8 @@
     started: Instant,
     /// Timeout that the server was given.
     pub timeout: AttemptTimeout,
+    /// Determines when the request is overdue.
+    pub overdue_timer: OverdueTimer,
     /// Whether the attempt was counted as hung, because the attempt ran longer than `late_after` of
     /// its timeout.
     pub counted_as_hung: Cell<bool>,
@@ -145,12 +148,14 @@
         self.started.elapsed()
     }
 
-    /// Builds the progress of an attempt that starts now, holds `slot` and has `timeout`.
-    pub fn new(slot: SlotGuard, timeout: AttemptTimeout) -> Self {
+    /// Builds the progress of an attempt that starts now, holds `slot`, has `timeout` and counts as
+    /// overdue after `overdue_after`.
+    pub fn new(slot: SlotGuard, timeout: AttemptTimeout, overdue_after: Option<Duration>) -> Self {
         Self {
             slot: Cell::new(Some(slot)),
             started: Instant::now(),
             timeout,
+            overdue_timer: OverdueTimer::new(overdue_after),
             counted_as_hung: Cell::new(false),
             head_seen: Cell::new(false),
             has_succeeded: Cell::new(false),
@@ -347,6 +352,7 @@
     /// this call covers both changes.
     fn record_end(&self, status: StatusCode, service_time: Duration) {
         let was_overdue = self.progress.was_overdue.get();
+        let is_untimed = self.progress.overdue_timer.is_untimed();
         let failed = wire::is_server_error(status.as_u16());
         let evidence = match status {
             // A server's error after a failed nested call is not attributed to that server.
@@ -355,11 +361,12 @@
             // that this timeout was too short.
             StatusCode::GATEWAY_TIMEOUT => AttemptFault::TimedOut.evidence(was_overdue),
             _ if failed => RequestEvidence::Failed,
+            _ if is_untimed => RequestEvidence::Untimed,
             _ => RequestEvidence::Answered(service_time),
         };
         let failure = (evidence == RequestEvidence::Failed).then_some(FailureKind::Answered);
         self.progress.has_succeeded.set(!failed);
-        if !failed && !self.attempt.was_suspended() {
+        if !failed && !is_untimed && !self.attempt.was_suspended() {
             let mut adaptive_timeout = self.attempt.upstream.adaptive_timeout.borrow_mut();
             let was_counted_as_hung = self.progress.counted_as_hung.get();
             let now = self.attempt.state.now();
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -238,7 +238,7 @@
             Some(admitted_at) => health.note_trial(route, result.evidence, admitted_at, now),
             None => health.note_evidence(route, result.evidence, result.was_overdue, now),
         };
-        if matches!(result.evidence, RequestEvidence::Answered(_)) {
+        if matches!(result.evidence, RequestEvidence::Answered(_) | RequestEvidence::Untimed) {
             self.last_success_at.set(now);
             self.slots.note_end();
         }
--- a/crates/daemon/src/host/watch.rs
+++ b/crates/daemon/src/host/watch.rs
@@ -5,9 +5,11 @@
 
 use std::future;
 use std::rc::Rc;
+use std::time::Instant;
 
 use basaltarch_decide::hang::{self, UsualTime};
 use basaltarch_decide::health::WatchEnd;
+use basaltarch_decide::pause;
 
 use crate::host::calls::NestedCalls;
 use crate::host::exchange::HostAttempt;
@@ -49,18 +51,29 @@
             Some(usual) => usual,
             None => return future::pending().await,
         };
-        monoio::time::sleep(hang::first_check(usual)).await;
-        while !self.calls.has_made_call() {
-            self.check_for_hang();
-            monoio::time::sleep(hang::check_interval(usual)).await;
+        let mut interval = hang::first_check(usual);
+        loop {
+            let since = Instant::now();
+            monoio::time::sleep(interval).await;
+            if self.calls.has_made_call() {
+                break;
+            }
+            let was_paused = !pause::length(interval, since.elapsed()).is_zero();
+            self.check_for_hang(was_paused);
+            interval = hang::check_interval(usual);
         }
         self.end(WatchEnd::Progressed);
         future::pending().await
     }
 
-    fn check_for_hang(&self) {
+    /// Checks whether the request runs for too long, unless this daemon was paused: the answer may
+    /// have arrived meanwhile.
+    fn check_for_hang(&self, was_paused: bool) {
         let now = self.attempt.state.now();
         self.attempt.upstream.detect_hang(now);
+        if was_paused {
+            return;
+        }
         let took_too_long = self.progress.elapsed() > self.progress.timeout.late_after;
         if took_too_long && !self.progress.counted_as_hung.replace(true) {
             self.attempt.upstream.adaptive_timeout.borrow_mut().note_overrun(now);
--- a/crates/daemon/tests/gray.rs
+++ b/crates/daemon/tests/gray.rs
@@ -9,11 +9,17 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
+use std::time::{Duration, Instant};
 
 use common::{client, eventually, FleetPlan, TestFleet};
 use serde_json::{json, Value};
 use test_case::test_case;
 
+/// Number of pauses of a daemon.
+const PAUSES: usize = 20;
+/// Time for which a daemon is paused: many times the service time of a server.
+const PAUSE: Duration = Duration::from_millis(150);
+
 /// Callers that send requests one after another until [`Load::end`] is called.
 struct Load {
     stop: Arc<AtomicBool>,
@@ -233,6 +239,31 @@
     fleet.check_invariants();
 }
 
+/// Guards against servers that are ejected because the daemon beside them was paused.
+#[test]
+fn verify_a_paused_daemon_ejects_none_of_its_servers() {
+    let service = json!({"floor": 0.5, "prefer": "detection"});
+    let plan =
+        FleetPlan { daemons: 3, backends: 9, service_ms: 10, service, ..FleetPlan::default() };
+    let fleet = TestFleet::start(&plan);
+    let load = Load::start(&fleet, 30, "/puzzle");
+    eventually("the fleet is warmed up", || load.good_count() > 600);
+    let paused_daemon = &fleet.daemons[0];
+    for _ in 0..PAUSES {
+        let good_before = load.good_count();
+        paused_daemon.signal("-STOP");
+        let start = Instant::now();
+        eventually("the pause lasts", || start.elapsed() >= PAUSE);
+        paused_daemon.signal("-CONT");
+        eventually("requests are served", || load.good_count() > good_before + 200);
+    }
+    load.end();
+    let log = paused_daemon.log_text();
+    let ejections: Vec<&str> = log.lines().filter(|l| l.contains("upstream ejected")).collect();
+    assert!(ejections.is_empty(), "{ejections:#?}");
+    fleet.check_invariants();
+}
+
 /// Guards against circuit breakers that poison requests open, so that sound servers decline others.
 #[test]
 fn verify_poison_requests_open_no_circuit_breaker() {
--- a/crates/decide/src/detector.rs
+++ b/crates/decide/src/detector.rs
@@ -107,6 +107,7 @@
         match evidence {
             RequestEvidence::Neutral => {}
             RequestEvidence::Failed => self.note_failure(true, baseline),
+            RequestEvidence::Untimed => self.note_failure(false, baseline),
             RequestEvidence::Answered(latency) => {
                 self.note_failure(false, baseline);
                 self.note_latency(latency, was_overdue, baseline);
@@ -119,7 +120,9 @@
         match evidence {
             RequestEvidence::Neutral => {}
             RequestEvidence::Failed => self.note_failure(true, baseline),
-            RequestEvidence::Answered(_) => self.note_failure(false, baseline),
+            RequestEvidence::Answered(_) | RequestEvidence::Untimed => {
+                self.note_failure(false, baseline);
+            }
         }
     }
 
--- a/crates/decide/src/evidence.rs
+++ b/crates/decide/src/evidence.rs
@@ -14,6 +14,9 @@
 pub enum RequestEvidence {
     /// A complete answer that is no server error arrived this long after the request was offered.
     Answered(Duration),
+    /// A complete answer that is no server error arrived, and its service time is not known, since
+    /// this daemon was paused.
+    Untimed,
     /// A server error, a broken connection or an answer cut short.
     Failed,
     /// No evidence: the caller was at fault or disconnected early.
--- a/crates/decide/src/hang.rs
+++ b/crates/decide/src/hang.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use crate::evidence;
+use crate::pause;
 
 /// Share of the requests that hang at a hanging upstream. The users' servers hang with half of
 /// their requests or more, and the likelihood of a larger share is close to that of a half.
@@ -103,6 +104,8 @@
     number: u64,
     usual: UsualTime,
     started: Duration,
+    /// When the request is due to be checked next.
+    check_due: Duration,
 }
 
 impl RunningRequest {
@@ -125,10 +128,29 @@
     pub fn start(&mut self, usual: UsualTime, now: Duration) -> u64 {
         self.last_number += 1;
         let number = self.last_number;
-        self.running.push(RunningRequest { number, usual, started: now });
+        let check_due = now + first_check(&usual);
+        self.running.push(RunningRequest { number, usual, started: now, check_due });
         number
     }
 
+    /// Records that the running requests were checked.
+    pub fn note_check(&mut self, now: Duration) {
+        for request in self.running.iter_mut().filter(|request| request.check_due <= now) {
+            request.check_due = now + check_interval(&request.usual);
+        }
+    }
+
+    /// Leaves a pause of this daemon, which a check that is long due shows, out of the ages of the
+    /// running requests: the answers may have arrived during the pause.
+    pub fn skip_pause(&mut self, now: Duration) {
+        let first_due = self.running.iter().map(|request| request.check_due).min();
+        let pause = first_due.map_or(Duration::ZERO, |due| pause::length(due, now));
+        for request in &mut self.running {
+            request.started = (request.started + pause).min(now);
+            request.check_due += pause;
+        }
+    }
+
     /// Returns when a running request started.
     pub fn started(&self, number: u64) -> Option<Duration> {
         let request = self.running.iter().find(|request| request.number == number);
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -381,7 +381,9 @@
 
     fn judge_trial(&self, route: &str, evidence: RequestEvidence) -> TrialVerdict {
         let latency = match evidence {
-            RequestEvidence::Neutral => return TrialVerdict::Inconclusive,
+            RequestEvidence::Neutral | RequestEvidence::Untimed => {
+                return TrialVerdict::Inconclusive;
+            }
             RequestEvidence::Failed => return TrialVerdict::Failed,
             RequestEvidence::Answered(latency) => latency,
         };
@@ -452,6 +454,7 @@
     /// Records that a request with this typical service time was sent to the upstream; returns the
     /// number by which the end of the request is recorded.
     pub fn start_request(&mut self, usual: UsualTime, now: Duration) -> u64 {
+        self.hang.skip_pause(now);
         self.hang.start(usual, now)
     }
 
@@ -462,6 +465,7 @@
         end: WatchEnd,
         now: Duration,
     ) -> Option<HealthChange> {
+        self.hang.skip_pause(now);
         let started = self.hang.started(number).unwrap_or(now);
         let evidence = self.hang.end(number, end == WatchEnd::Progressed, now);
         if end == WatchEnd::GivenUp && now >= self.cold_until {
@@ -493,6 +497,8 @@
 
     /// Checks the running requests: if they take too long, the circuit breaker opens.
     pub fn check_running(&mut self, now: Duration) -> Option<HealthChange> {
+        self.hang.skip_pause(now);
+        self.hang.note_check(now);
         if self.breaker.is_open() || now < self.cold_until || !self.hang.is_hanging(now) {
             return None;
         }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod neighbours;
 pub mod order;
 pub mod path;
+pub mod pause;
 pub mod poison;
 pub mod polling;
 pub mod probing;
--- a/crates/decide/tests/hang.rs
+++ b/crates/decide/tests/hang.rs
@@ -196,3 +196,32 @@
     }
     assert!(median(&health) < millis(15), "{:?}: the measured time", median(&health));
 }
+
+/// Guards against servers that are taken for hanging because their daemon was paused.
+#[test_case(0 ; "the answers arrive first")]
+#[test_case(1 ; "a check runs first")]
+fn verify_a_pause_of_the_daemon_is_no_hang(checks: usize) {
+    let mut health = UpstreamHealth::new(EjectionPreference::Precision, millis(0), false);
+    health.admit(&terms("r", true), millis(0));
+    let usual = health.usual_time("r", None).expect("the baseline of the siblings");
+    let numbers: Vec<u64> = (0..4).map(|_| health.start_request(usual, millis(0))).collect();
+    // No check ran although several were due.
+    let resumed_at = millis(3000);
+    for _ in 0..checks {
+        assert_eq!(health.check_running(resumed_at), None);
+    }
+    for number in numbers {
+        assert_eq!(health.end_request(number, WatchEnd::Progressed, resumed_at), None);
+    }
+    assert!(!health.is_breaker_open());
+}
+
+#[test]
+fn verify_a_hang_is_detected_after_a_pause_of_the_daemon() {
+    let mut health = UpstreamHealth::new(EjectionPreference::Precision, millis(0), false);
+    health.admit(&terms("r", true), millis(0));
+    let usual = health.usual_time("r", None).expect("the baseline of the siblings");
+    health.start_request(usual, millis(0));
+    let opened = (3000..6000).find(|now| health.check_running(millis(*now)).is_some());
+    assert!(opened.is_some_and(|at| at < 4000), "{opened:?}");
+}
