Let a request whose reservations failed with their hosts ask full hosts again

What callers saw: 503 connect-failed, not run, within 300 to 400 ms of a deadline of 20 s, while two sound servers worked off their queues: requests that had waited in turn were refused because the servers that they waited for had crashed.

Cause: a host that refuses a reservation as full isn't asked again in the same wait, and counts as no upstream at all once no reservation is left. A request that loses its reservations because their hosts fail was then sent to what remained, the crashed servers, three of them within 2 ms, and ended with their answer.

The five kept logs show the same steps: an offer of, or a reservation at, a crashed server ends as sick after 260 to 340 ms; the two sound servers refuse one as queue-full (8 reservations each); server-3, -4 and -5 are chosen on the ground "any" and refuse the connection; request failed.

Change: a request that certainly held a reservation (it was offered a slot, or waited longer than a round trip) asks the full hosts again after a pause of 50 ms, until the time that it may wait is over. A request that never got a place is refused as before, at once.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -75,6 +75,10 @@
     pub is_unreservable: bool,
     /// Time until which the request may wait for a slot; set when its first wait begins.
     pub wait_until: Option<Duration>,
+    /// When the latest wait for a slot began.
+    pub wait_began: Duration,
+    /// Whether a host held a reservation for the request, so that the request was admitted to wait.
+    pub has_held_reservation: bool,
     /// How the last attempt ended.
     pub last_outcome: FailureOutcome,
     /// Why an earlier attempt may have run the request; `None` if no earlier attempt, apart from slow
@@ -104,6 +108,8 @@
         is_crash_trial: false,
         is_unreservable: false,
         wait_until: None,
+        wait_began: Duration::ZERO,
+        has_held_reservation: false,
         last_outcome: FailureOutcome::NotRun(NotRunReason::NoUpstream),
         may_have_run: None,
         failed_at: None,
--- a/crates/daemon/src/ingress/reservations.rs
+++ b/crates/daemon/src/ingress/reservations.rs
@@ -45,6 +45,13 @@
 /// further host is asked for a reservation.
 const DEADLINE_REFUSALS_MAX: usize = 2;
 
+/// Time that a request without a reservation waits before it asks the hosts again that were full: a
+/// small part of a typical service time, within which few of their slots become free.
+const FULL_HOSTS_PAUSE: Duration = Duration::from_millis(50);
+/// Wait for a slot from which a request has certainly held a reservation: a host that refuses one
+/// does so within a round trip.
+const RESERVATION_HELD_MIN: Duration = Duration::from_millis(50);
+
 /// `SlotEnd` is how the wait for a slot ended.
 pub enum SlotEnd {
     /// A host offered a slot, and the request was sent to that host.
@@ -86,6 +93,7 @@
     /// Waits until a host offers a slot for the request, and sends the request to that host.
     pub async fn wait_for_slot(&mut self, stream: &mut HttpStream, body_is_done: bool) -> SlotEnd {
         let began = self.state.now();
+        self.wait_began = began;
         let mut set = ReservationSet::new(ReservationPlan::default());
         metrics::WAITING_REQUESTS.add(1);
         let end = self.hold_reservations(&mut set, stream, body_is_done).await;
@@ -107,6 +115,7 @@
         }
         let result = failure.map_or("called-in", |_| "refused");
         let waited = self.state.now().saturating_sub(began);
+        self.has_held_reservation |= matches!(end, SlotEnd::Sent(..));
         metrics::RESERVATION_WAIT_SECONDS.record_as(waited, [("result", result)]);
         let attempt = self.request.trace.attempts.get() as usize + 1;
         let hosts_asked = set.tries();
@@ -135,6 +144,14 @@
             if set.is_empty() {
                 // Right after the daemon's start no host is linked yet.
                 let Some(index) = unlinked_index.filter(|_| links_tried < LINKS_MAX) else {
+                    if !full.is_empty() && self.may_ask_again(until) {
+                        full.clear();
+                        set.renew_tries();
+                        match self.pause_for_full_hosts(set, stream).await {
+                            None => continue,
+                            Some(end) => return end,
+                        }
+                    }
                     // Hosts that refused a reservation because they are full would not queue the
                     // request itself either.
                     self.excluded.append(&mut full);
@@ -179,6 +196,30 @@
         }
     }
 
+    /// Says whether a request without a reservation asks the hosts again that were full. The request
+    /// was admitted to wait, and lost its reservations because their hosts failed.
+    fn may_ask_again(&mut self, until: Duration) -> bool {
+        let now = self.state.now();
+        self.has_held_reservation |= now.saturating_sub(self.wait_began) >= RESERVATION_HELD_MIN;
+        self.has_held_reservation && now < until
+    }
+
+    /// Waits until the hosts that were full may have room. Returns how the wait for a slot ended, if
+    /// it did.
+    async fn pause_for_full_hosts(
+        &self,
+        set: &mut ReservationSet<OutboundExchange>,
+        stream: &mut HttpStream,
+    ) -> Option<SlotEnd> {
+        let pause_end = self.state.now() + FULL_HOSTS_PAUSE;
+        match self.next_step(set, stream, pause_end).await {
+            WaitStep::CallerGone => Some(SlotEnd::CallerGone),
+            WaitStep::GiveUp(NotRunReason::QueueFull) => None,
+            WaitStep::GiveUp(reason) => Some(SlotEnd::Failed(CallerFailure::not_run(reason))),
+            WaitStep::Reply(..) | WaitStep::Widen => None,
+        }
+    }
+
     /// Establishes the link to the daemon of an upstream. Returns `false` if the caller
     /// disconnected before the link was established.
     async fn establish_link(&mut self, stream: &mut HttpStream, index: usize) -> bool {
--- a/crates/daemon/tests/places.rs
+++ b/crates/daemon/tests/places.rs
@@ -112,6 +112,13 @@
     ends.into_iter().filter(|end| end.reply.status != 200).collect()
 }
 
+/// Waits until all servers accept connections, and so tell how often requests ran.
+fn await_servers(fleet: &TestFleet) {
+    for backend in &fleet.backends {
+        eventually("the server is up", || TcpStream::connect(backend.address).is_ok());
+    }
+}
+
 #[test]
 fn verify_waiting_requests_are_offered_slots_that_become_free() {
     let mut fleet = start_fleet(HOST_COUNT, "places");
@@ -151,9 +158,7 @@
     let ends = send_to_all_slots(&mut fleet, |fleet| {
         fleet.backends[2..].iter().for_each(|backend| backend.set_faults(crash_fault.clone()));
     });
-    for backend in &fleet.backends {
-        eventually("the server is up", || TcpStream::connect(backend.address).is_ok());
-    }
+    await_servers(&fleet);
     let failed_ends = check_and_filter_failed(&fleet, ends);
     let outcomes: Vec<_> =
         failed_ends.iter().map(|end| (end.reply.status, end.reply.reason())).collect();
@@ -163,6 +168,23 @@
     );
 }
 
+/// Guards against waiting requests that are refused within milliseconds because their servers crashed.
+#[test]
+fn verify_requests_that_wait_go_on_waiting_when_most_servers_crash() {
+    // So many requests wait that the two other servers can't hold reservations for all at first.
+    const REQUESTS: usize = 24;
+    let mut fleet = start_fleet(5, "places");
+    let crash_fault = json!({"crash_path": "/x", "crash_after_ms": 20, "down_ms": 12_000});
+    let ends = send_concurrently(&mut fleet, REQUESTS, WAITING_MIN, |fleet| {
+        fleet.backends[2..].iter().for_each(|backend| backend.set_faults(crash_fault.clone()));
+    });
+    await_servers(&fleet);
+    let failed_ends = check_and_filter_failed(&fleet, ends);
+    let outcomes: Vec<_> =
+        failed_ends.iter().map(|end| (end.reply.status, end.reply.reason())).collect();
+    assert!(failed_ends.len() <= 3, "not only the requests that ran are lost: {outcomes:?}");
+}
+
 #[test]
 fn verify_a_fast_failing_server_receives_no_more_requests_than_healthy_ones() {
     const SLOTS_PER_SERVER: u32 = 4;
--- a/crates/waiting/src/reservations.rs
+++ b/crates/waiting/src/reservations.rs
@@ -93,6 +93,11 @@
         self.held.push(reservation);
     }
 
+    /// Lets all hosts be asked again, as none of them holds a reservation.
+    pub fn renew_tries(&mut self) {
+        self.tries_left = self.plan.tries;
+    }
+
     /// Raises the number of reservations by one, as no host has offered a slot for a while.
     pub fn widen(&mut self) {
         self.wanted = (self.wanted + 1).min(self.plan.max_held);
