Count the time for which a request held any reservation, not the whole wait

The wait for a link right after a daemon's start counted as a held reservation. Found on reading the diff. The time runs now from the first reservation on for as long as there is one.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -75,8 +75,6 @@
     pub is_unreservable: bool,
     /// Time until which the request may wait for a slot; set when its first wait begins.
     pub wait_until: Option<Duration>,
-    /// When the latest wait for a slot began.
-    pub wait_began: Duration,
     /// Whether a host held a reservation for the request, so that the request was admitted to wait.
     pub has_held_reservation: bool,
     /// How the last attempt ended.
@@ -108,7 +106,6 @@
         is_crash_trial: false,
         is_unreservable: false,
         wait_until: None,
-        wait_began: Duration::ZERO,
         has_held_reservation: false,
         last_outcome: FailureOutcome::NotRun(NotRunReason::NoUpstream),
         may_have_run: None,
--- a/crates/daemon/src/ingress/reservations.rs
+++ b/crates/daemon/src/ingress/reservations.rs
@@ -48,8 +48,8 @@
 /// Time that a request without a reservation waits before it asks the hosts again that were full: a
 /// small part of a typical service time, within which few of their slots become free.
 const FULL_HOSTS_PAUSE: Duration = Duration::from_millis(50);
-/// Wait for a slot from which a request has certainly held a reservation: a host that refuses one
-/// does so within a round trip.
+/// Time for which a request must have held reservations to count as admitted to wait: hosts that
+/// refuse a reservation do so within a round trip.
 const RESERVATION_HELD_MIN: Duration = Duration::from_millis(50);
 
 /// `SlotEnd` is how the wait for a slot ended.
@@ -93,7 +93,6 @@
     /// Waits until a host offers a slot for the request, and sends the request to that host.
     pub async fn wait_for_slot(&mut self, stream: &mut HttpStream, body_is_done: bool) -> SlotEnd {
         let began = self.state.now();
-        self.wait_began = began;
         let mut set = ReservationSet::new(ReservationPlan::default());
         metrics::WAITING_REQUESTS.add(1);
         let end = self.hold_reservations(&mut set, stream, body_is_done).await;
@@ -137,14 +136,19 @@
         let until = *self.wait_until.get_or_insert(now + self.time_left().mul_f64(WAIT_SHARE_MAX));
         let mut deadline_refusals = 0;
         let mut links_tried = 0;
+        let mut held_since = None;
         let mut full = Vec::new();
         let mut unhealthy = Vec::new();
         loop {
             let unlinked_index = self.request_reservations(set, &[&full[..], &unhealthy].concat());
             if set.is_empty() {
+                held_since = None;
                 // Right after the daemon's start no host is linked yet.
                 let Some(index) = unlinked_index.filter(|_| links_tried < LINKS_MAX) else {
-                    if !full.is_empty() && self.may_ask_again(until) {
+                    // The request was admitted to wait, and lost its reservations because their
+                    // hosts failed.
+                    let may_ask_again = self.has_held_reservation && self.state.now() < until;
+                    if may_ask_again && !full.is_empty() {
                         full.clear();
                         set.renew_tries();
                         match self.pause_for_full_hosts(set, stream).await {
@@ -163,7 +167,11 @@
                 }
                 continue;
             }
-            match self.next_step(set, stream, until).await {
+            let held_since = *held_since.get_or_insert(self.state.now());
+            let step = self.next_step(set, stream, until).await;
+            let held_for = self.state.now().saturating_sub(held_since);
+            self.has_held_reservation |= held_for >= RESERVATION_HELD_MIN;
+            match step {
                 WaitStep::Widen => set.widen(),
                 WaitStep::CallerGone => return SlotEnd::CallerGone,
                 WaitStep::GiveUp(reason) => {
@@ -196,14 +204,6 @@
         }
     }
 
-    /// Says whether a request without a reservation asks the hosts again that were full. The request
-    /// was admitted to wait, and lost its reservations because their hosts failed.
-    fn may_ask_again(&mut self, until: Duration) -> bool {
-        let now = self.state.now();
-        self.has_held_reservation |= now.saturating_sub(self.wait_began) >= RESERVATION_HELD_MIN;
-        self.has_held_reservation && now < until
-    }
-
     /// Waits until the hosts that were full may have room. Returns how the wait for a slot ended, if
     /// it did.
     async fn pause_for_full_hosts(
