--- a/crates/decide/src/order.rs
+++ b/crates/decide/src/order.rs
@@ -71,14 +71,6 @@
         }
     }
 
-    /// Returns the latest start with which the request usually meets its objective, or its deadline
-    /// if it is too late for the objective at `now`.
-    fn latest_start(&self, now: Duration) -> Duration {
-        let needed_time = self.needed_time.or(self.usual).unwrap_or_default();
-        let objective = self.objective.filter(|_| self.meets_objective(now));
-        objective.unwrap_or(self.deadline).saturating_sub(needed_time)
-    }
-
     /// Says whether a request that starts at `start` is usually answered by its deadline.
     pub fn meets_deadline(&self, start: Duration) -> bool {
         start + self.usual.unwrap_or_default() <= self.deadline
@@ -100,10 +92,7 @@
         // A nested call that misses its objective blocks the slot of its parent request as much as
         // one that meets its objective.
         let is_first = urgency.is_some_and(|(is_call, _)| is_call);
-        // Of equally urgent requests, the one with the least time goes first: a request that can
-        // wait is still answered after it, but not the reverse.
-        let latest_start = urgency.map(|_| Reverse(request.latest_start(now)));
-        ((is_first, in_time, urgency, latest_start, Reverse(index)), index)
+        ((is_first, in_time, urgency, Reverse(index)), index)
     });
     ranked_requests.max().map(|(_, index)| index)
 }
--- a/crates/decide/tests/order.rs
+++ b/crates/decide/tests/order.rs
@@ -37,21 +37,6 @@
     );
 }
 
-/// Guards against requests with little time that are refused behind others that can wait.
-#[test]
-fn verify_of_equally_urgent_requests_the_one_with_the_least_time_goes_first() {
-    let now = Duration::from_secs(10);
-    let patient = queued_request(WorkClass::Normal, now - Duration::from_millis(300));
-    let short = QueuedRequest {
-        deadline: now + Duration::from_millis(900),
-        objective: Some(now + Duration::from_millis(800)),
-        ..patient
-    };
-    assert_eq!(order::first([patient, short].into_iter(), 0, now), Some(1));
-    let longest = order::first([patient, short].into_iter(), order::LONGEST_EVERY - 1, now);
-    assert_eq!(longest, Some(0), "one slot in a few goes to who has waited longest");
-}
-
 #[test]
 fn verify_late_nested_calls_go_before_new_requests() {
     let now = Duration::from_secs(10);
