--- a/crates/daemon/tests/common/registered.rs
+++ b/crates/daemon/tests/common/registered.rs
@@ -83,6 +83,15 @@
     registration::deregister(&ServerIncarnation::of_upstream(name))
 }
 
+/// Sends a request with this id and a deadline of 3 s to the daemon at an address.
+pub fn send_request(callers: SocketAddr, method: &str, path: &str, id: &str) -> Reply {
+    let fields = headers::exchange_fields();
+    let request_field = fields.request.expect("a header field for request ids");
+    let headers =
+        [("Host", HOST), (request_field.as_str(), id), (fields.deadline.as_str(), "3000")];
+    client::call(callers, method, path, &headers, "x")
+}
+
 impl RegisteredFleet {
     /// Starts daemons, and a backend server beside each that registers at once.
     pub fn start(daemons: usize) -> Self {
@@ -250,11 +259,7 @@
 
     /// Sends a caller's request with an id to a daemon.
     pub fn request(&self, daemon: usize, method: &str, path: &str, id: &str) -> Reply {
-        let fields = headers::exchange_fields();
-        let request_field = fields.request.expect("a header field for request ids");
-        let headers =
-            [("Host", HOST), (request_field.as_str(), id), (fields.deadline.as_str(), "3000")];
-        client::call(self.daemons[daemon].callers, method, path, &headers, "x")
+        send_request(self.daemons[daemon].callers, method, path, id)
     }
 
     /// Sends requests to a daemon until each of these backend servers has run at least one of the
--- a/crates/daemon/tests/looks.rs
+++ b/crates/daemon/tests/looks.rs
@@ -8,13 +8,15 @@
 
 mod common;
 
+use std::thread;
 use std::time::Instant;
 
 use basaltarch_decide::probing::FRESH_FOR;
 use basaltarch_platform::headers;
 use common::forwarder::Forwarder;
-use common::registered::{RegisteredFleet, SERVICE};
+use common::registered::{self, RegisteredFleet, SERVICE};
 use common::{eventually, loopback_address, TestBackend};
+use serde_json::json;
 
 const HOSTS: [&str; 3] = ["host-a", "host-b", "host-c"];
 
@@ -83,3 +85,23 @@
     });
     eventually("the idle link is replaced", || count("peer linked", HOSTS[2]) > linked_before);
 }
+
+/// Guards against ready answers that are lost with the link along which their requests were sent.
+#[test]
+fn verify_a_ready_answer_finds_another_way_once_its_link_is_black_holed() {
+    let (fleet, forwarders) = start_fleet();
+    fleet.wait_served(0, &[0, 1, 2]);
+    for server in [0, 2] {
+        assert_eq!(fleet.deregister(server).status, 200);
+    }
+    // A run lasts for a second, and two more are left until the time-out of the route.
+    fleet.backends[1].set_faults(json!({"slow_rate": 1.0, "slow_factor": 1000.0}));
+    let callers = fleet.daemons[0].callers;
+    let send = move || registered::send_request(callers, "POST", "/unsafe/x", "in-flight");
+    let caller = thread::spawn(send);
+    eventually("the request runs", || fleet.run_count("in-flight") == 1);
+    forwarders[1].black_hole();
+    let reply = caller.join().expect("the caller");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(fleet.run_count("in-flight"), 1);
+}
