Review, case 3: a reset answer without a length looks complete

review/3/run.sh exits with 1 if a client gets a complete 200 whose upstream's answer was reset on the way. It takes the place of the case of early answers, which stays in the harness as a further play, beside those of evacuations after a drill and of late heartbeats.

--- a/review/harness/src/client.rs
+++ b/review/harness/src/client.rs
@@ -30,8 +30,18 @@
     pub piece_bytes: usize,
 }
 
-/// Sends the request to the daemon; returns the status of the answer, 0 if there is none.
+/// Sends the request to the daemon; returns the status of the answer, 0 if there is none or it is
+/// not complete.
 pub fn send(outbound: SocketAddr, record: &CaseRecord, request: &ClientRequest<'_>) -> u16 {
+    send_and_count(outbound, record, request).0
+}
+
+/// Sends the request to the daemon as [`send`] does; also returns the length of the answer.
+pub fn send_and_count(
+    outbound: SocketAddr,
+    record: &CaseRecord,
+    request: &ClientRequest<'_>,
+) -> (u16, usize) {
     let id = request.id;
     let framing = if request.chunked { "in chunks" } else { "with a length" };
     record.line(format!(
@@ -41,18 +51,19 @@
         request.body.len()
     ));
     match exchange(outbound, request) {
-        Ok((status, outcome)) => {
-            record.line(format!("client gets {status} for {id}{outcome}"));
-            status
+        Ok((status, length, outcome)) => {
+            record
+                .line(format!("client gets {status} for {id}{outcome}, {length} bytes, complete"));
+            (status, length)
         }
         Err(error) => {
-            record.line(format!("client gets no answer for {id}: {error}"));
-            0
+            record.line(format!("client gets no complete answer for {id}: {error}"));
+            (0, 0)
         }
     }
 }
 
-fn exchange(outbound: SocketAddr, request: &ClientRequest<'_>) -> io::Result<(u16, String)> {
+fn exchange(outbound: SocketAddr, request: &ClientRequest<'_>) -> io::Result<(u16, usize, String)> {
     let patience = Duration::from_millis(request.deadline_ms + 1000);
     let mut stream = MessageStream::connect(outbound, patience)?;
     let ClientRequest { method, host, path, id, deadline_ms, body, .. } = request;
@@ -75,7 +86,7 @@
     });
     let stamp = head.field("server-stamp").map(|stamp| format!(" (made by {stamp})"));
     let outcome = outcome.or(stamp).unwrap_or_default();
-    Ok((head.status(), format!("{outcome}, {} bytes", answer.len())))
+    Ok((head.status(), answer.len(), outcome))
 }
 
 /// Sends the body; stops if the connection doesn't take it, as the answer may be there already.
--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -100,8 +100,32 @@
         self.control("/control/faults", faults)
     }
 
+    /// Writes the operator's request to evacuate a zone; the answer acknowledges it.
+    pub fn evacuate(&self, zone: &str) -> io::Result<()> {
+        self.control(&format!("/control/rows/op/evacuate/{zone}"), "{}")
+    }
+
+    /// Takes the operator's request to evacuate a zone away.
+    pub fn take_back(&self, zone: &str) -> io::Result<()> {
+        self.control_by("DELETE", &format!("/control/rows/op/evacuate/{zone}"), "")
+    }
+
+    /// Takes the copy from which the store comes back in a drill.
+    pub fn take_copy(&self) -> io::Result<()> {
+        self.control("/control/copy", "")
+    }
+
+    /// Brings the store back from its copy; its era rises by one.
+    pub fn come_back_from_copy(&self) -> io::Result<()> {
+        self.control_by("DELETE", "/control/copy", "")
+    }
+
     fn control(&self, path: &str, body: &str) -> io::Result<()> {
-        let (status, text) = message::call(self.address, "PUT", path, body, CALL_PATIENCE)?;
+        self.control_by("PUT", path, body)
+    }
+
+    fn control_by(&self, method: &str, path: &str, body: &str) -> io::Result<()> {
+        let (status, text) = message::call(self.address, method, path, body, CALL_PATIENCE)?;
         if (200..300).contains(&status) {
             return Ok(());
         }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -6,11 +6,14 @@
 mod client;
 mod early_answer;
 mod early_refusal;
+mod evacuation;
 mod fleet;
+mod late_heartbeat;
 mod message;
 mod record;
 mod repeated_body;
 mod scene;
+mod unframed_answer;
 mod upstream;
 
 use std::env;
@@ -48,6 +51,9 @@
     let result = match case.as_str() {
         "repeated-body" => repeated_body::play(&place, has_trouble),
         "early-refusal" => early_refusal::play(&place, has_trouble),
+        "evacuation" => evacuation::play(&place, has_trouble),
+        "late-heartbeat" => late_heartbeat::play(&place, has_trouble),
+        "unframed-answer" => unframed_answer::play(&place, has_trouble),
         "early-answer" => early_answer::play(&place, has_trouble),
         other => Err(io::Error::other(format!("no case {other}"))),
     };
--- a/review/harness/src/scene.rs
+++ b/review/harness/src/scene.rs
@@ -19,7 +19,7 @@
 /// Host of all routes.
 pub const HOST: &str = "ficu95.example";
 /// Zones of the machines, in turn.
-const ZONES: [&str; 3] = ["bkk-a", "bkk-b", "bkk-c"];
+pub const ZONES: [&str; 3] = ["bkk-a", "bkk-b", "bkk-c"];
 /// Time in which the daemons learn of one another and of all upstreams.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
@@ -55,7 +55,7 @@
 }
 
 /// Writes a configuration with these routes, all of them to [`SERVICE`].
-fn config_text(routes: &[RoutePlan]) -> String {
+pub fn config_text(routes: &[RoutePlan]) -> String {
     let rows: Vec<String> = routes
         .iter()
         .enumerate()
--- a/review/harness/src/upstream.rs
+++ b/review/harness/src/upstream.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::fleet::CALL_PATIENCE;
 use crate::message::{self, MessageHead, MessageStream};
@@ -19,6 +19,11 @@
 /// Time after which an upstream closes an idle connection.
 const IDLE_TIME: Duration = Duration::from_secs(15);
 
+/// Length of an answer that is sent without a length.
+pub const UNFRAMED_BYTES: usize = 32 << 20;
+/// Length of the pieces of such an answer.
+const UNFRAMED_PIECE_BYTES: usize = 64 * 1024;
+
 /// `UpstreamAct` is what an upstream does with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamAct {
@@ -31,6 +36,12 @@
     /// Answers 503 with `Not-Executed` before it reads the body, keeps the connection and reads the
     /// rest of the body after this time.
     ShedEarly(Duration),
+    /// Answers 200 without a length before it reads the request's body, and resets the connection
+    /// after this time, in the middle of its answer.
+    AnswerUnframedAndReset(Duration),
+    /// Answers 200 without a length before it reads the request's body, and ends the connection
+    /// after the whole answer.
+    AnswerUnframed,
     /// Answers 200 with a long body, piece by piece, before it reads the request's body, and reads
     /// that body meanwhile.
     AnswerEarly,
@@ -234,6 +245,10 @@
                 return self.read_rest(stream, head, &id);
             }
             UpstreamAct::AnswerEarly => return self.answer_early(stream, head, &id),
+            UpstreamAct::AnswerUnframedAndReset(after) => {
+                return self.answer_unframed_and_reset(stream, &id, after);
+            }
+            UpstreamAct::AnswerUnframed => return self.answer_unframed(stream, head, &id),
             _ => {}
         }
         let body = stream.read_body(head)?;
@@ -347,4 +362,66 @@
         let _ = writer.join();
         result
     }
+
+    /// Starts an answer without a length; it ends with the connection.
+    fn start_unframed(&self, stream: &mut MessageStream, id: &str) -> io::Result<()> {
+        self.shared
+            .record
+            .line(format!("{} runs {id} and answers 200 without a length", self.id()));
+        self.shared.ledger.runs.fetch_add(1, Ordering::SeqCst);
+        stream.write(self.head_of(200, id, "Connection: close\r\n").as_bytes())
+    }
+
+    /// Sends a part of the answer, as much as the connection takes, and resets the connection: it is
+    /// closed while bytes of the request are unread.
+    fn answer_unframed_and_reset(
+        &self,
+        stream: &mut MessageStream,
+        id: &str,
+        after: Duration,
+    ) -> io::Result<()> {
+        let end = Instant::now() + after;
+        self.start_unframed(stream, id)?;
+        stream.tcp.set_write_timeout(Some(Duration::from_millis(50)))?;
+        let (piece, mut sent) = (vec![b'a'; UNFRAMED_PIECE_BYTES], 0);
+        while Instant::now() < end && sent + piece.len() < UNFRAMED_BYTES {
+            match io::Write::write(&mut stream.tcp, &piece) {
+                Ok(count) => sent += count,
+                Err(error) if is_timeout(&error) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        thread::sleep(end.saturating_duration_since(Instant::now()));
+        self.shared.ledger.troubled.fetch_add(1, Ordering::SeqCst);
+        self.shared.record.line(format!(
+            "{} resets the connection of {id} after {sent} of {UNFRAMED_BYTES} bytes of its answer",
+            self.id()
+        ));
+        Err(io::ErrorKind::ConnectionReset.into())
+    }
+
+    /// Sends the whole answer while it reads the request's body, and ends the connection.
+    fn answer_unframed(
+        &self,
+        stream: &mut MessageStream,
+        head: &MessageHead,
+        id: &str,
+    ) -> io::Result<()> {
+        self.start_unframed(stream, id)?;
+        let mut writing = stream.tcp.try_clone()?;
+        let writer = thread::spawn(move || {
+            let piece = vec![b'a'; UNFRAMED_PIECE_BYTES];
+            (0..UNFRAMED_BYTES / UNFRAMED_PIECE_BYTES)
+                .try_for_each(|_| io::Write::write_all(&mut writing, &piece))
+        });
+        stream.read_body(head)?;
+        let sent = writer.join().map_err(|_| io::Error::other("the writer ended"))?;
+        self.shared.record.line(format!("{} ends the whole answer of {id}: {sent:?}", self.id()));
+        // The answer is complete, and so is the request: the end of the connection is no reset.
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
 }
