--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,9 +18,25 @@
 /// Longest wait for an answer to the operator or to a heartbeat.
 pub const CALL_PATIENCE: Duration = Duration::from_secs(1);
 
-/// Returns an address on a port that is free now.
+/// Ports below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
+/// Returns an address on a port that is free now; no two calls return the same one.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let ports = PORTS.end - PORTS.start;
+    // Cases that are played side by side begin at different ports.
+    let first = (std::process::id().wrapping_mul(7919) % u32::from(ports)) as u16;
+    for _ in 0..ports {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = PORTS.start
+            + (u32::from(first) + u32::from(number)).rem_euclid(u32::from(ports)) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::Error::other("no port is free"))
 }
 
 /// `Workplace` is where the programs, the settings and the logs of a case lie.
