--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -38,6 +38,10 @@
 /// Timeout of a health check, which may wait for a slot of the server. A server whose check fails
 /// is soon registered by its next heartbeat.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Name of a heartbeat in logs.
+const HEARTBEAT_CALL: &str = "heartbeat";
+/// Name of a deregistration in logs.
+const DEREGISTRATION_CALL: &str = "deregistration";
 /// Maximum number of ended incarnations of backend servers that are remembered, to recognise
 /// heartbeats that arrive after the end of their incarnation.
 const ENDED_UPSTREAMS_MAX: usize = 64;
@@ -151,16 +155,23 @@
                 servers::ServerCallRefused { error: problem, from }.log();
                 return admin::problem(StatusCode::BAD_REQUEST, problem);
             }
+            let upstream = heartbeat.incarnation.upstream();
+            let registered = is_registered(state, &upstream);
             if note_heartbeat(state, &heartbeat) == IncarnationVerdict::Unnamed {
                 return admin::problem(
                     StatusCode::BAD_REQUEST,
                     "the heartbeat lacks the start time of the server",
                 );
             }
+            if heartbeat.draining {
+                log_acknowledged(&upstream, HEARTBEAT_CALL, registered);
+            }
         }
         Ok(Some(ServerCall::Deregister(incarnation))) => {
-            let incarnation = state.registrations.departing_incarnation(incarnation);
-            note_ended(state, &incarnation.upstream());
+            let upstream = state.registrations.departing_incarnation(incarnation).upstream();
+            let registered = is_registered(state, &upstream);
+            note_ended(state, &upstream);
+            log_acknowledged(&upstream, DEREGISTRATION_CALL, registered);
         }
         Ok(None) => return admin::problem(StatusCode::NOT_FOUND, "no such call"),
         Err(error) => {
@@ -173,6 +184,15 @@
     ServerReply::whole(StatusCode::OK, "application/json", body)
 }
 
+/// Says whether a backend server is registered under the name of an upstream.
+fn is_registered(state: &DaemonState, upstream: &str) -> bool {
+    state.roster.own_servers().iter().any(|server| server.name == upstream)
+}
+
+fn log_acknowledged(upstream: &str, call: &str, registered: bool) {
+    servers::LeavingAcknowledged { upstream, call, registered }.log();
+}
+
 /// Returns why a heartbeat is refused, if its sender may not be a backend server of this host. A
 /// heartbeat is refused if its service or address differs from those registered for the same
 /// incarnation, or if its incarnation is not registered and its service is not configured.
@@ -200,7 +220,8 @@
         IncarnationVerdict::Replaces => drop(state.registrations.is_newer(heartbeat)),
         IncarnationVerdict::Late | IncarnationVerdict::Unnamed => {
             let (upstream, sequence) = (&heartbeat.incarnation.upstream(), heartbeat.sequence);
-            servers::HeartbeatLate { upstream, sequence }.log();
+            let draining = heartbeat.draining;
+            servers::HeartbeatLate { upstream, sequence, draining }.log();
             return verdict;
         }
     }
@@ -392,12 +413,10 @@
         return;
     }
     // A later record of the daemon's earlier incarnation may no longer list the server as in use.
-    let recovered = state.registrations.recovered.borrow();
-    if !recovered.as_ref().is_some_and(|record| record.is_in_use(&server.name)) {
-        return;
-    }
-    drop(recovered);
-    servers::ServerRecovered { upstream: &server.name }.log();
+    let recovered = state.registrations.recovered.borrow().clone();
+    let Some(record) = recovered.filter(|record| record.is_in_use(&server.name)) else { return };
+    let (upstream, HostRecord { incarnation, changes, .. }) = (&server.name, record);
+    servers::ServerRecovered { upstream, incarnation, changes }.log();
     servers.push(server);
     servers.sort_by(|left, right| left.name.cmp(&right.name));
     roster::set_own_servers(state, servers);
--- a/crates/events/src/servers.rs
+++ b/crates/events/src/servers.rs
@@ -28,6 +28,18 @@
         upstream: &'a str,
         /// Sequence number of the heartbeat.
         sequence: u64,
+        /// Whether the heartbeat says that the backend server is draining.
+        draining: bool,
+    }
+
+    /// A backend server's report that it is leaving is acknowledged.
+    "leaving acknowledged" INFO LeavingAcknowledged<'a> {
+        /// Name of the backend server, as the report is understood.
+        upstream: &'a str,
+        /// Call that reports it: heartbeat or deregistration.
+        call: &'a str,
+        /// Whether the backend server was registered under this name.
+        registered: bool,
     }
 
     /// A call of a backend server to the daemon was refused, as it is invalid.
@@ -139,6 +151,10 @@
     "backend server recovered" INFO ServerRecovered<'a> {
         /// Name of the backend server.
         upstream: &'a str,
+        /// Incarnation of the daemon whose record lists the backend server.
+        incarnation: i64,
+        /// Number of changes of the record in that incarnation.
+        changes: u64,
     }
 
     /// A backend server that could not be connected to accepts connections again: it was restarted.
