Start no request at a server that left while the request waited for its turn

A request that holds a slot of a cold server waits for its turn for up to its deadline. If the server deregisters meanwhile, its state is dropped, but the request still held it, and the check before the start asked whether the server drains: no, as it was when its state was dropped. So it was sent, seconds after the acknowledgement.

A released server takes no requests.

--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -56,6 +56,8 @@
     cold_start: RefCell<ColdStart>,
     /// Whether the failure domain of the backend server is evacuated.
     evacuated: Cell<bool>,
+    /// Whether the backend server is no longer served.
+    released: Cell<bool>,
     unreachable: Cell<bool>,
     last_success_at: Cell<Duration>,
     /// Rate limit in the last response, if that can't be read.
@@ -86,6 +88,7 @@
             draining_until: Cell::new(Duration::ZERO),
             cold_start: RefCell::new(cold_start),
             evacuated: Cell::new(false),
+            released: Cell::new(false),
             unreachable: Cell::new(false),
             last_success_at: Cell::new(Duration::ZERO),
             unreadable_rate: RefCell::default(),
@@ -104,9 +107,10 @@
         }
     }
 
-    /// Stops serving the backend server. Requests that wait for a slot of this server are refused,
-    /// so that the requests can be sent to other upstreams.
+    /// Stops serving the backend server for good. Requests that wait for a slot of this server are
+    /// refused, so that the requests can be sent to other upstreams.
     pub fn release(&self) {
+        self.released.set(true);
         self.slots.refuse_all(NotRunReason::Draining);
     }
 
@@ -213,10 +217,10 @@
         }
     }
 
-    /// Says whether the backend server takes no new requests, because it is draining or its failure
-    /// domain is evacuated.
+    /// Says whether the backend server takes no new requests, because it is draining or gone, or its
+    /// failure domain is evacuated.
     pub fn takes_no_requests(&self, now: Duration) -> bool {
-        self.evacuated.get() || self.is_draining(now)
+        self.released.get() || self.evacuated.get() || self.is_draining(now)
     }
 
     /// Returns the time since the last successful response of the backend server.
--- a/crates/daemon/tests/acknowledged_leaving.rs
+++ b/crates/daemon/tests/acknowledged_leaving.rs
@@ -9,6 +9,11 @@
 
 mod common;
 
+use std::thread;
+use std::time::Duration;
+
+use basaltarch_core::incarnation::ServerIncarnation;
+use basaltarch_platform::registration::{self as server_calls, ServerHeartbeat};
 use basaltarch_platform::rows::StoreCall;
 use common::client::Reply;
 use common::eventually;
@@ -246,3 +251,43 @@
     leaving_fleet.send(&drain_notice);
     leaving_fleet.check_unused();
 }
+
+#[test_case(false ; "gone")]
+#[test_case(true ; "draining")]
+fn verify_a_request_that_waits_for_its_turn_at_a_cold_server_is_refused_once_it_leaves(
+    draining: bool,
+) {
+    let fleet = RegisteredFleet::start(1);
+    let mut document = registered::document(2);
+    document.services[0].cold_rate = 2.0;
+    fleet.put_in_force(&document);
+    let heartbeat = server_calls::heartbeat(&ServerHeartbeat {
+        incarnation: ServerIncarnation::of_upstream(BARE_NAME),
+        service: SERVICE.to_owned(),
+        address: fleet.backends[0].address,
+        failure_domain: "bkk-a".to_owned(),
+        slots: 4,
+        draining: false,
+        cold_for: Duration::from_secs(60),
+        sequence: 1,
+    });
+    assert_eq!(fleet.call_daemon(0, &heartbeat).status, 200);
+    let callers: Vec<_> = (0..4)
+        .map(|number| {
+            let address = fleet.daemons[0].callers;
+            let id = format!("cold-{number}");
+            thread::spawn(move || registered::send_request(address, "GET", "/safe/x", &id).status)
+        })
+        .collect();
+    eventually("a request has run, and the others wait for their turns", || {
+        fleet.backends[0].total_runs() > 0 && fleet.daemons[0].metric_sum("slots_used") > 2.0
+    });
+    let reply = if draining { fleet.send_heartbeat(0, true) } else { fleet.deregister(0) };
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    let runs_before = fleet.backends[0].total_runs();
+    for caller in callers {
+        let status = caller.join().expect("join");
+        assert!(matches!(status, 200 | 503), "{status}");
+    }
+    assert_eq!(fleet.backends[0].total_runs(), runs_before, "nothing is sent to the server");
+}
