Hold a leaving as a name that is there, and acknowledge it once another holds it

What callers saw: requests reach a server that its daemon had acknowledged as leaving (DRAIN, 28 cases in the users' record), once the daemon was killed.

Cause: a leaving was acknowledged when the daemon's memory held it; and what the row and the peers held of it was an absence, the server missing from a list, which an older row or a heartbeat of before filled again. Which names had left was kept in four places, no two asked by the same code.

A daemon that has started uses no server of its host before it has heard the store's row and its neighbours (who send what they hold of it), or they have had their time: 1 s, 0.3 s if some have answered. Its own row waits for that as well. A write of an earlier incarnation that takes effect late is learnt from the conflict. A peer that knows a departure which a later record lacks tells the host's daemon. The calls of servers move into a module of their own.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod blocks;
 pub mod config;
+pub mod departures;
 pub mod errors;
 pub mod fingerprint;
 pub mod incarnation;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -45,7 +45,7 @@
         FrameBody::LoadAnswer(answer) => state.pending_probes.take(answer),
         FrameBody::Withdraw(note) => state.host.withdraw_failure(&note.upstream, &note.route),
         FrameBody::RowsRequest(request) => rows::answer_request(state, sender, peer, &request),
-        FrameBody::RowsNews(news) => rows::handle_news(state, peer, news),
+        FrameBody::RowsNews(news) => rows::handle_news(state, sender, peer, news),
         FrameBody::SuspectNews(news) => suspects::handle_news(state, sender, peer, &news),
         other => {
             let frame = frames::frame_name(&other);
@@ -68,11 +68,12 @@
     let revision = FleetRevision(note.revision.max(0) as u64);
     state.members.note_heartbeat(state, peer, revision);
     state.members.note_entries(state, &note.members);
-    // The peer's previous record is sent before the reply, as the reply may prompt the peer to ask
-    // for everything that this daemon knows.
-    roster::send_previous_record(state, sender, peer);
+    // The peer's previous records are sent before the reply: with the reply, the peer has heard what
+    // this daemon holds of them.
+    roster::send_previous_records(state, sender, peer);
     if note.reply {
         freshness::note_answer(state, &note);
+        state.admission.note_answer(&peer.host);
     }
     // Evacuations are applied before the configuration is pulled, so that a starting daemon sends
     // no request to an evacuated failure domain.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,9 +9,11 @@
 //! shared state is in [`state`].
 
 pub mod admin;
+pub mod admission;
 pub mod announce;
 pub mod config_sync;
 pub mod control;
+pub mod departures;
 pub mod document;
 pub mod errors;
 pub mod evacuations;
@@ -33,6 +35,7 @@
 pub mod roster;
 pub mod rows;
 pub mod run;
+pub mod server_calls;
 pub mod services;
 pub mod state;
 pub mod stop;
--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/notices.rs
@@ -1,7 +1,8 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! Remembers what backend servers of the fleet said of themselves in their responses.
+//! Remembers what backend servers of the fleet said of themselves in their responses, and which are
+//! leaving by the records of their hosts.
 //!
 //! The daemon beside a server acts on what the server says, but may restart at any moment. Every
 //! daemon therefore remembers what it has passed on to callers, whatever happens to its other state
@@ -9,7 +10,7 @@
 //! is leaving no more requests. A server is known by the name of its incarnation, so that nothing
 //! said by it holds for the next server at its address.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct NoticeTable {
     notices: RefCell<FnvHashMap<Rc<str>, ServerNotice>>,
+    /// Number of servers that were recorded as leaving so far.
+    leaving_count: Cell<u64>,
 }
 
 impl NoticeTable {
@@ -53,6 +56,7 @@
             return false;
         }
         self.update(upstream, now, |notice| notice.is_leaving = true);
+        self.leaving_count.set(self.leaving_count.get() + 1);
         true
     }
 
@@ -66,6 +70,12 @@
         self.notices.borrow().get(upstream).is_some_and(|notice| notice.is_leaving)
     }
 
+    /// Returns how many servers were recorded as leaving so far. The number changes whenever
+    /// [`Self::is_leaving`] may answer differently for a server.
+    pub fn leaving_count(&self) -> u64 {
+        self.leaving_count.get()
+    }
+
     fn update(&self, upstream: &str, now: Duration, change: impl FnOnce(&mut ServerNotice)) {
         let mut notices = self.notices.borrow_mut();
         if !notices.contains_key(upstream) {
--- a/crates/daemon/src/records.rs
+++ b/crates/daemon/src/records.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use basaltarch_core::departures::DepartedServers;
 use basaltarch_core::incarnation::{self, ServerIncarnation};
 use basaltarch_core::resources::{BackendServer, ServerState};
 use basaltarch_core::services::UpstreamEntry;
@@ -41,6 +42,10 @@
     /// Backend servers that registered with the daemon.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub servers: Vec<ServerRecord>,
+    /// Upstreams of this host that get no new requests any more, of this and of earlier incarnations
+    /// of the daemon.
+    #[serde(default, skip_serializing_if = "DepartedServers::is_empty")]
+    pub departed: DepartedServers,
     /// Refused requests whose last crash was on this host.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub refused: Vec<RefusedRecord>,
@@ -82,6 +87,12 @@
         self.servers.iter().any(|server| server.name == name && !server.draining)
     }
 
+    /// Lists the upstreams that are leaving or have left.
+    pub fn departures(&self) -> impl Iterator<Item = &str> {
+        let draining = self.servers.iter().filter(|server| server.draining);
+        self.departed.iter().chain(draining.map(|server| server.name.as_str()))
+    }
+
     /// Lists the services of the backend servers.
     pub fn services(&self) -> impl Iterator<Item = &str> {
         self.servers.iter().map(|server| server.service.as_str())
@@ -211,12 +222,14 @@
     let mut value: Value = serde_json::from_slice(bytes)?;
     let servers = take_list(&mut value, "servers");
     let refused = take_list(&mut value, "refused");
+    let departed = take_list(&mut value, "departed");
     let mut record = HostRecord::deserialize(value)?;
     if !record.host.is_empty() && record.host != host {
         return Err(de::Error::custom(format_args!("it is the record of {}", record.host)));
     }
     let refused = refused.into_iter();
     record.refused = refused.filter_map(|each| RefusedRecord::deserialize(each).ok()).collect();
+    record.departed = departed.iter().filter_map(Value::as_str).collect();
     let listed_count = servers.len();
     record.servers = servers.into_iter().filter_map(readable_server).collect();
     let servers = (listed_count - record.servers.len()) as u64;
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -1,13 +1,13 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! Registers the backend servers on this host, and answers whether the daemon is ready.
+//! Registers the backend servers on this host by what they report.
 //!
-//! An acknowledged report of a backend server is in force at this daemon. As only this daemon sends
-//! requests to the backend servers of its host, no other daemon has to be asked.
+//! A report is in force at this daemon at once. As only this daemon sends requests to the backend
+//! servers of its host, no other daemon has to be asked.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,34 +17,19 @@
 };
 use basaltarch_events::servers;
 use basaltarch_http::client::HttpClient;
-use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
 use basaltarch_platform::headers;
-use basaltarch_platform::registration::{self, ServerCall, ServerHeartbeat};
+use basaltarch_platform::registration::ServerHeartbeat;
 use bytes::Bytes;
 use fnv::FnvHashMap;
 use http::{HeaderMap, Method, StatusCode};
-use monoio::net::TcpListener;
 
-use crate::admin;
 use crate::records::{HostRecord, ServerRecord};
 use crate::roster;
 use crate::state::DaemonState;
 
-/// Maximum number of connections to one listener: of the backend servers of this host, or of the
-/// platform for the readiness check.
-const CONNECTIONS_MAX: usize = 64;
-/// Largest heartbeat, in bytes.
-const BODY_BYTES_MAX: u64 = 16 * 1024;
 /// Timeout of a health check, which may wait for a slot of the server. A server whose check fails
 /// is soon registered by its next heartbeat.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Name of a heartbeat in logs.
-const HEARTBEAT_CALL: &str = "heartbeat";
-/// Name of a deregistration in logs.
-const DEREGISTRATION_CALL: &str = "deregistration";
-/// Maximum number of ended incarnations of backend servers that are remembered, to recognise
-/// heartbeats that arrive after the end of their incarnation.
-const ENDED_UPSTREAMS_MAX: usize = 64;
 /// Maximum number of backend servers whose incarnations are tracked. A host has few backend
 /// servers, so a client that reports more names than this is no backend server of the host.
 const TRACKERS_MAX: usize = 256;
@@ -58,10 +43,10 @@
     trackers: RefCell<FnvHashMap<String, IncarnationTracker>>,
     sequences: RefCell<FnvHashMap<String, u64>>,
     cold_until: RefCell<FnvHashMap<String, Duration>>,
-    /// Upstreams whose incarnation has ended, oldest first.
-    ended_upstreams: RefCell<VecDeque<String>>,
     /// Latest known record of an earlier incarnation of the daemon.
     recovered: RefCell<Option<HostRecord>>,
+    /// Last heartbeat of each upstream that arrived before the servers of this host were admitted.
+    deferred: RefCell<BTreeMap<String, ServerHeartbeat>>,
 }
 
 impl RegistrationTable {
@@ -89,23 +74,18 @@
     /// Says whether a heartbeat is no earlier than the other heartbeats of its incarnation, and
     /// records its sequence number.
     fn is_newer(&self, heartbeat: &ServerHeartbeat) -> bool {
-        let upstream = heartbeat.incarnation.upstream();
-        if self.ended_upstreams.borrow().contains(&upstream) {
-            return false;
-        }
         let mut sequences = self.sequences.borrow_mut();
-        let last_sequence = sequences.entry(upstream).or_default();
+        let last_sequence = sequences.entry(heartbeat.incarnation.upstream()).or_default();
         let is_later = heartbeat.sequence >= *last_sequence;
         *last_sequence = heartbeat.sequence.max(*last_sequence);
         is_later
     }
 
-    /// Returns the incarnation that a deregistration ends: the incarnation that the call names, or
-    /// else the current incarnation of the server.
-    fn departing_incarnation(&self, incarnation: ServerIncarnation) -> ServerIncarnation {
+    /// Returns the current incarnation of a server that told its start in a heartbeat.
+    fn current_incarnation(&self, server: &str) -> Option<ServerIncarnation> {
         let trackers = self.trackers.borrow();
-        let known = trackers.get(&incarnation.server).and_then(IncarnationTracker::current);
-        ServerIncarnation { born: incarnation.born.or(known), ..incarnation }
+        let born = trackers.get(server).and_then(IncarnationTracker::current)?;
+        Some(ServerIncarnation { server: server.to_owned(), born: Some(born) })
     }
 
     fn note_ended(&self, upstream: &str) {
@@ -118,103 +98,49 @@
         }
         self.sequences.borrow_mut().remove(upstream);
         self.cold_until.borrow_mut().remove(upstream);
-        let mut ended_upstreams = self.ended_upstreams.borrow_mut();
-        if !ended_upstreams.iter().any(|known| known == upstream) {
-            ended_upstreams.push_back(upstream.to_owned());
-        }
-        if ended_upstreams.len() > ENDED_UPSTREAMS_MAX {
-            ended_upstreams.pop_front();
-        }
     }
-}
-
-/// Accepts connections of backend servers for ever.
-pub async fn accept(state: Rc<DaemonState>, listener: TcpListener) {
-    let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
-    let answer = move |request| {
-        let state = state.clone();
-        async move { answer_server(&state, &request) }
-    };
-    server::serve_all(listener, CONNECTIONS_MAX, limits, answer).await;
-}
 
-fn answer_server(state: &Rc<DaemonState>, request: &ServerRequest) -> ServerReply {
-    // An acknowledged change must also reach the next incarnation of this daemon, through the
-    // store. As this daemon no longer waits for writes to the store, it refuses the call, and the
-    // backend server retries.
-    if state.stop.is_over(state.now()) {
-        return admin::problem(StatusCode::SERVICE_UNAVAILABLE, "the daemon is shutting down");
-    }
-    let uri = &request.head.uri;
-    let call =
-        registration::read_call(&request.head.method, uri.path(), uri.query(), &request.body);
-    match call {
-        Ok(Some(ServerCall::Heartbeat(heartbeat))) => {
-            if let Some(problem) = find_mismatch(state, &heartbeat) {
-                let from = &request.from.to_string();
-                servers::ServerCallRefused { error: problem, from }.log();
-                return admin::problem(StatusCode::BAD_REQUEST, problem);
-            }
-            let upstream = heartbeat.incarnation.upstream();
-            let registered = is_registered(state, &upstream);
-            if note_heartbeat(state, &heartbeat) == IncarnationVerdict::Unnamed {
-                return admin::problem(
-                    StatusCode::BAD_REQUEST,
-                    "the heartbeat lacks the start time of the server",
-                );
-            }
-            if heartbeat.draining {
-                log_acknowledged(&upstream, HEARTBEAT_CALL, registered);
-            }
-        }
-        Ok(Some(ServerCall::Deregister(incarnation))) => {
-            let upstream = state.registrations.departing_incarnation(incarnation).upstream();
-            let registered = is_registered(state, &upstream);
-            note_ended(state, &upstream);
-            log_acknowledged(&upstream, DEREGISTRATION_CALL, registered);
-        }
-        Ok(None) => return admin::problem(StatusCode::NOT_FOUND, "no such call"),
-        Err(error) => {
-            let from = &request.from.to_string();
-            servers::ServerCallRefused { error: &error.to_string(), from }.log();
-            return admin::problem(StatusCode::BAD_REQUEST, error);
+    /// Keeps a heartbeat until the servers of this host are admitted.
+    fn defer(&self, heartbeat: &ServerHeartbeat) {
+        let mut deferred = self.deferred.borrow_mut();
+        let upstream = heartbeat.incarnation.upstream();
+        let known = deferred.get(&upstream).map(|known| known.sequence);
+        let is_first = known.is_none() && deferred.len() < TRACKERS_MAX;
+        if is_first || known.is_some_and(|sequence| sequence <= heartbeat.sequence) {
+            deferred.insert(upstream, heartbeat.clone());
         }
     }
-    let body = Bytes::from_static(registration::acknowledgement());
-    ServerReply::whole(StatusCode::OK, "application/json", body)
 }
 
 /// Says whether a backend server is registered under the name of an upstream.
-fn is_registered(state: &DaemonState, upstream: &str) -> bool {
+pub fn is_registered(state: &DaemonState, upstream: &str) -> bool {
     state.roster.own_servers().iter().any(|server| server.name == upstream)
 }
 
-fn log_acknowledged(upstream: &str, call: &str, registered: bool) {
-    servers::LeavingAcknowledged { upstream, call, registered }.log();
+/// Returns the upstream that a deregistration ends: of the incarnation that the call names, or else
+/// of the current incarnation of the server.
+pub fn departing_upstream(state: &DaemonState, incarnation: &ServerIncarnation) -> String {
+    let current = state.registrations.current_incarnation(&incarnation.server);
+    let named = incarnation.born.is_some().then_some(incarnation);
+    named.or(current.as_ref()).unwrap_or(incarnation).upstream()
 }
 
-/// Returns why a heartbeat is refused, if its sender may not be a backend server of this host. A
-/// heartbeat is refused if its service or address differs from those registered for the same
-/// incarnation, or if its incarnation is not registered and its service is not configured.
-fn find_mismatch(state: &DaemonState, heartbeat: &ServerHeartbeat) -> Option<&'static str> {
-    let name = heartbeat.incarnation.upstream();
-    let servers = state.roster.own_servers();
-    if let Some(known) = servers.iter().find(|server| server.name == name) {
-        let is_same = known.service == heartbeat.service && known.address == heartbeat.address;
-        // A server that does not report its incarnation may have restarted under its name.
-        let may_differ = heartbeat.incarnation.born.is_none();
-        return (!is_same && !may_differ)
-            .then_some("the service or the address differs from the registered one");
-    }
-    let document = state.document.get()?;
-    let is_configured =
-        document.services.iter().any(|declaration| declaration.name == heartbeat.service);
-    (!is_configured).then_some("the service is not in the configuration")
+/// Keeps a heartbeat until the servers of this host are admitted.
+pub fn defer_heartbeat(state: &DaemonState, heartbeat: &ServerHeartbeat) {
+    state.registrations.defer(heartbeat);
+}
+
+/// Says whether the current incarnation of a server is known by a start time that the server told.
+pub fn tells_start(state: &DaemonState, server: &str) -> bool {
+    state.registrations.current_incarnation(server).is_some()
 }
 
 /// Handles a heartbeat, and returns the classification of the heartbeat.
-fn note_heartbeat(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) -> IncarnationVerdict {
-    let verdict = state.registrations.classify_heartbeat(heartbeat, state.now());
+pub fn note_heartbeat(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) -> IncarnationVerdict {
+    let verdict = match find_departure(state, &heartbeat.incarnation) {
+        Some(verdict) => verdict,
+        None => state.registrations.classify_heartbeat(heartbeat, state.now()),
+    };
     match verdict {
         IncarnationVerdict::Current => {}
         IncarnationVerdict::Replaces => drop(state.registrations.is_newer(heartbeat)),
@@ -229,6 +155,35 @@
     verdict
 }
 
+/// Returns the classification of a heartbeat of a server that has left, `None` if it has not left or
+/// is still registered.
+fn find_departure(
+    state: &DaemonState,
+    incarnation: &ServerIncarnation,
+) -> Option<IncarnationVerdict> {
+    if is_registered(state, &incarnation.upstream()) {
+        return None;
+    }
+    let ServerIncarnation { server, born } = incarnation;
+    if born.is_none() && (tells_start(state, server) || state.departures.has_named(server)) {
+        return Some(IncarnationVerdict::Unnamed);
+    }
+    has_departed(state, incarnation).then_some(IncarnationVerdict::Late)
+}
+
+/// Says whether an incarnation of a backend server gets no new requests any more.
+pub fn has_departed(state: &DaemonState, incarnation: &ServerIncarnation) -> bool {
+    state.departures.contains(incarnation) || state.notices.is_leaving(&incarnation.upstream())
+}
+
+/// Handles the heartbeats that arrived before the servers of this host were admitted.
+pub fn apply_deferred(state: &Rc<DaemonState>) {
+    let deferred = state.registrations.deferred.take();
+    for heartbeat in deferred.values() {
+        note_heartbeat(state, heartbeat);
+    }
+}
+
 /// Records for how long a backend server says that it stays cold.
 fn note_cold(state: &DaemonState, name: &str, cold_for: Duration) {
     let now = state.now();
@@ -260,7 +215,7 @@
             || state.notices.is_leaving(&name),
     };
     if record.draining {
-        state.notices.note_leaving(&name, state.now());
+        note_departed(state, &name);
     }
     if known == Some(&record) {
         return;
@@ -282,6 +237,7 @@
     };
     for other in servers.iter().filter(|server| is_replaced(server)) {
         state.registrations.note_ended(&other.name);
+        note_departed(state, &other.name);
         servers::ServerGone { upstream: &other.name }.log();
     }
     servers.retain(|server| server.name != record.name && !is_replaced(server));
@@ -290,11 +246,16 @@
     roster::set_own_servers(state, servers);
 }
 
-/// Records that a backend server is leaving for good, by what it said in a response or by an earlier
-/// record of this host. The row of the host says so to all daemons, and to the next incarnation of
-/// this one.
+/// Adds an upstream to those that get no new requests, and says whether that is new.
+fn note_departed(state: &DaemonState, name: &str) -> bool {
+    let is_new = state.departures.note(name);
+    state.notices.note_leaving(name, state.now()) || is_new
+}
+
+/// Records that a backend server is leaving for good, by what it said or by an earlier record of
+/// this host. The row of the host says so to all daemons, and to the next incarnation of this one.
 pub fn note_leaving(state: &Rc<DaemonState>, name: &str) {
-    if !state.notices.note_leaving(name, state.now()) {
+    if !note_departed(state, name) {
         return;
     }
     servers::ServerLeaving { upstream: name }.log();
@@ -305,38 +266,54 @@
     roster::set_own_servers(state, servers);
 }
 
+/// Learns which backend servers of this host are leaving or have left by a record of an earlier
+/// incarnation of the daemon.
+fn learn_departures(state: &Rc<DaemonState>, record: &HostRecord) {
+    let mut servers = state.roster.own_servers();
+    for name in state.departures.departed_in(record) {
+        state.notices.note_leaving(&name, state.now());
+        if state.departures.note_earlier(&name) {
+            servers::ServerLeaving { upstream: &name }.log();
+        }
+        for server in servers.iter_mut().filter(|server| server.name == name) {
+            server.draining = true;
+        }
+    }
+    roster::set_own_servers(state, servers);
+}
+
 /// Records that an incarnation of a backend server has ended, because the server deregistered or
 /// another server answers at its address.
 pub fn note_ended(state: &Rc<DaemonState>, name: &str) {
     state.registrations.note_ended(name);
+    note_departed(state, name);
     let mut servers = state.roster.own_servers();
     let count_before = servers.len();
     servers.retain(|server| server.name != name);
     if servers.len() < count_before {
         servers::ServerGone { upstream: name }.log();
-        roster::set_own_servers(state, servers);
     }
     // The row may list a server that has not registered with this incarnation of the daemon.
-    roster::note_departure(state);
+    roster::set_own_servers(state, servers);
 }
 
 /// Recovers the backend servers that an earlier incarnation of this daemon published. Each server
 /// that still answers with its name is in use again before its next heartbeat.
 pub fn recover_servers(state: &Rc<DaemonState>, record: &HostRecord) {
+    // A departure holds whatever the order in which records arrive.
+    learn_departures(state, record);
     let known = state.registrations.recovered.borrow().as_ref().map(HostRecord::sort_key);
     if known >= Some(record.sort_key()) {
         return;
     }
     *state.registrations.recovered.borrow_mut() = Some(record.clone());
-    remove_departed(state, record);
-    for server in record.servers.iter().filter(|server| server.draining) {
-        note_leaving(state, &server.name);
-    }
+    remove_unlisted(state, record);
     for server in record.servers.iter().filter(|server| !server.draining) {
         let state = state.clone();
         let server = server.clone();
         monoio::spawn(async move {
             if answers_under_name(&state, &server).await {
+                state.admission.opened().await;
                 restore_server(&state, server);
             }
         });
@@ -345,7 +322,7 @@
 
 /// Removes backend servers that an earlier record listed and `record` does not list as in use. A
 /// server that has sent this incarnation of the daemon a heartbeat stays.
-fn remove_departed(state: &Rc<DaemonState>, record: &HostRecord) {
+fn remove_unlisted(state: &Rc<DaemonState>, record: &HostRecord) {
     let mut servers = state.roster.own_servers();
     let count_before = servers.len();
     servers.retain(|server| {
@@ -409,7 +386,7 @@
     let is_known = servers.iter().any(|known| {
         incarnation::server_of(&known.name) == own_name || known.address == server.address
     });
-    if is_known || state.registrations.ended_upstreams.borrow().contains(&server.name) {
+    if is_known || has_departed(state, &ServerIncarnation::of_upstream(&server.name)) {
         return;
     }
     // A later record of the daemon's earlier incarnation may no longer list the server as in use.
@@ -421,20 +398,3 @@
     servers.sort_by(|left, right| left.name.cmp(&right.name));
     roster::set_own_servers(state, servers);
 }
-
-/// Serves the readiness check for ever.
-pub async fn accept_ready(state: Rc<DaemonState>, listener: TcpListener) {
-    let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
-    let answer = move |request| {
-        let state = state.clone();
-        async move { answer_ready(&state, &request) }
-    };
-    server::serve_all(listener, CONNECTIONS_MAX, limits, answer).await;
-}
-
-fn answer_ready(state: &DaemonState, request: &ServerRequest) -> ServerReply {
-    if registration::is_readiness_probe(&request.head.method, request.path()) {
-        return admin::ready(state);
-    }
-    admin::problem(StatusCode::NOT_FOUND, "no such call")
-}
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -15,6 +15,7 @@
 
 use basaltarch_base::metrics;
 use basaltarch_base::signal::RisingSignal;
+use basaltarch_core::departures::DepartedServers;
 use basaltarch_core::services::UpstreamEntry;
 use basaltarch_decide::limits;
 use basaltarch_events::{fleet, process};
@@ -24,10 +25,12 @@
 use basaltarch_store::errors::StoreError;
 use basaltarch_store::platform::RetryBackoff;
 use basaltarch_store::transaction::{RowCheck, RowWrite};
+use fnv::FnvHashMap;
 use serde::Deserialize;
 use serde_json::json;
 
 use crate::document;
+use crate::links;
 use crate::records::{self, HostRecord, RecordTable, RelayedRecord, ServerRecord};
 use crate::registration;
 use crate::rows;
@@ -53,6 +56,25 @@
 /// that not all daemons check at once.
 const SWEEP_JITTER_FACTOR: f64 = 1.5;
 
+/// `ChangeHolder` is who holds a change of this daemon's record besides this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeHolder {
+    /// The platform's store.
+    Store,
+    /// Another daemon.
+    Peer,
+}
+
+impl ChangeHolder {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// `HostRoster` holds the rows of all hosts, including the host of this daemon.
 #[derive(Debug, Default)]
 pub struct HostRoster {
@@ -66,10 +88,19 @@
     /// server.
     has_unwritten: Cell<bool>,
     changed: RisingSignal,
+    /// Number of changes of this daemon's record that the store holds.
+    changes_stored: Cell<u64>,
+    /// Number of changes of this daemon's record that another daemon holds.
+    changes_confirmed: Cell<u64>,
+    /// Raised when either number rises.
+    held: RisingSignal,
     /// Whether the store or a peer reported an earlier incarnation of this host's daemon.
     had_earlier_start: Cell<bool>,
     /// Hosts whose daemon was replaced at its address and whose rows still exist.
     replaced_hosts: RefCell<Vec<String>>,
+    /// Earlier records of other hosts that list a departure which the latest record of the host does
+    /// not list. The host's daemon is told of them.
+    untold_records: RefCell<FnvHashMap<String, HostRecord>>,
 }
 
 impl HostRoster {
@@ -108,17 +139,17 @@
 
     /// Says whether this daemon's row in the store is known to list the backend servers that are
     /// registered now.
-    fn is_row_current(&self) -> bool {
+    fn is_row_current(&self, departed: &DepartedServers) -> bool {
         let stored_record = self.stored_record.borrow();
-        stored_record.as_ref().is_some_and(|record| record.servers == *self.own_servers.borrow())
+        stored_record.as_ref().is_some_and(|record| {
+            record.servers == *self.own_servers.borrow() && record.departed == *departed
+        })
     }
 
-    /// Records which row of this daemon the store holds, `None` if the stored row is not known.
-    fn note_written(&self, record: Option<HostRecord>) {
-        *self.stored_record.borrow_mut() = record;
-        if self.is_row_current() {
-            self.has_unwritten.set(false);
-        }
+    /// Says whether this daemon's row in the store is known to list these departures.
+    fn is_stored(&self, departed: &DepartedServers) -> bool {
+        let stored_record = self.stored_record.borrow();
+        stored_record.as_ref().is_some_and(|record| record.departed.covers(departed))
     }
 
     /// Says whether an earlier incarnation of this host's daemon is known.
@@ -131,12 +162,39 @@
         self.records.borrow().iter().map(|(_, record)| record.incarnation).min()
     }
 
+    /// Returns who holds a change of this daemon's record besides this daemon.
+    fn holder_of(&self, changes: u64) -> Option<ChangeHolder> {
+        if self.changes_stored.get() >= changes {
+            return Some(ChangeHolder::Store);
+        }
+        (self.changes_confirmed.get() >= changes).then_some(ChangeHolder::Peer)
+    }
+
+    /// Records that another daemon holds a record of this daemon.
+    fn note_confirmed(&self, record: &HostRecord) {
+        self.changes_confirmed.set(self.changes_confirmed.get().max(record.changes));
+        self.held.raise();
+    }
+
     /// Signals that this daemon's own record may have changed.
     pub fn signal_change(&self) {
         self.changed.raise();
     }
 }
 
+/// Records which row of this daemon the store holds, `None` if the stored row is not known.
+fn note_written(state: &DaemonState, record: Option<HostRecord>) {
+    let own = record.as_ref().filter(|record| record.incarnation == state.identity.incarnation);
+    if let Some(record) = own {
+        state.roster.changes_stored.set(state.roster.changes_stored.get().max(record.changes));
+        state.roster.held.raise();
+    }
+    *state.roster.stored_record.borrow_mut() = record;
+    if state.roster.is_row_current(&state.departures.list()) {
+        state.roster.has_unwritten.set(false);
+    }
+}
+
 /// Returns this daemon's own record.
 fn own_record(state: &DaemonState) -> HostRecord {
     HostRecord {
@@ -148,6 +206,7 @@
         changes: state.roster.own_changes.get(),
         leaving: state.stop.is_handing_over(),
         servers: state.roster.own_servers(),
+        departed: state.departures.list(),
         refused: state.suspects.own_records(state.now()),
     }
 }
@@ -164,14 +223,27 @@
 /// Sets the backend servers that are registered with this daemon. On return, the new list is in
 /// force at this daemon; the other daemons read the list from the store.
 pub fn set_own_servers(state: &Rc<DaemonState>, servers: Vec<ServerRecord>) {
-    if *state.roster.own_servers.borrow() == servers {
+    state.roster.own_servers.replace(servers);
+    refresh_own_record(state);
+}
+
+/// Puts the registered and the departed backend servers of this host in force and schedules a write
+/// of the row, if either has changed.
+pub fn refresh_own_record(state: &Rc<DaemonState>) {
+    let known = state.roster.record(&state.options.host);
+    let mut record = own_record(state);
+    let is_unchanged = match &known {
+        Some(known) => known.servers == record.servers && known.departed == record.departed,
+        None => record.servers.is_empty() && record.departed.is_empty(),
+    };
+    if is_unchanged {
         return;
     }
-    let before = state.roster.own_servers.replace(servers);
     state.roster.own_changes.set(state.roster.own_changes.get() + 1);
-    let record = own_record(state);
-    let is_draining = record.servers.iter().any(|server| server.draining);
-    if is_draining || !before.iter().all(|server| record.is_in_use(&server.name)) {
+    record.changes = state.roster.own_changes.get();
+    let servers_before = known.iter().flat_map(|known| &known.servers);
+    let has_lost_server = !servers_before.into_iter().all(|server| record.is_in_use(&server.name));
+    if has_lost_server || !state.roster.is_stored(&record.departed) {
         note_departure(state);
     }
     update_records(state, [(state.options.host.clone(), Some(record))]);
@@ -179,14 +251,17 @@
     state.roster.signal_change();
 }
 
-/// Records that a backend server of this host has left. The departure is acknowledged to the server
-/// before the store has the changed row, so the peers are notified if the store does not accept the
-/// row within [`NOTIFY_AFTER`].
-pub fn note_departure(state: &Rc<DaemonState>) {
-    if state.roster.is_row_current() {
+/// Records that a backend server of this host has left. The neighbours are told at once, since they
+/// are asked first by the next incarnation of this daemon; all linked daemons are told if the store
+/// does not accept the row within [`NOTIFY_AFTER`].
+fn note_departure(state: &Rc<DaemonState>) {
+    if state.roster.is_row_current(&state.departures.list()) {
         return;
     }
     state.roster.has_unwritten.set(true);
+    for host in state.members.neighbours(state) {
+        notify_neighbour(state, host);
+    }
     let state = state.clone();
     monoio::spawn(async move {
         monoio::time::sleep(NOTIFY_AFTER).await;
@@ -196,9 +271,42 @@
     });
 }
 
+/// Sends this daemon's record to a neighbour in a task of its own, since a link may have to be
+/// established.
+fn notify_neighbour(state: &Rc<DaemonState>, host: String) {
+    let state = state.clone();
+    monoio::spawn(async move {
+        let path = state.peers.path(&host);
+        if let Ok(link) = links::link_to(&state, &path).await {
+            rows::send_relayed(link.sender(), &own_relayed_record(&state));
+        }
+    });
+}
+
+fn own_relayed_record(state: &DaemonState) -> RelayedRecord {
+    RelayedRecord { host: state.options.host.clone(), record: own_record(state) }
+}
+
+/// Waits until the store or another daemon holds this daemon's record as it is now, and returns who.
+/// Returns `None` after `longest`.
+pub async fn await_held(state: &Rc<DaemonState>, longest: Duration) -> Option<ChangeHolder> {
+    let roster = &state.roster;
+    let changes = roster.own_changes.get();
+    let held = async {
+        loop {
+            let seen = roster.held.get();
+            if let Some(holder) = roster.holder_of(changes) {
+                return holder;
+            }
+            roster.held.above(seen).await;
+        }
+    };
+    monoio::time::timeout(longest, held).await.ok()
+}
+
 /// Sends this daemon's record, which the store has not accepted, to the linked daemons.
 fn notify_peers(state: &DaemonState) {
-    let relayed = RelayedRecord { host: state.options.host.clone(), record: own_record(state) };
+    let relayed = own_relayed_record(state);
     for link in state.members.sample_accepted(usize::MAX) {
         rows::send_relayed(link.sender(), &relayed);
     }
@@ -207,14 +315,18 @@
     }
 }
 
-/// Sends a daemon the record of its previous incarnation, if no record of its current incarnation
-/// is known to this daemon.
-pub fn send_previous_record(state: &DaemonState, sender: &FrameSender, peer: &PeerIdentity) {
+/// Sends a daemon the records of its previous incarnations that it may lack: the latest, if no record
+/// of its current incarnation is known to this daemon, and one that lists a departure which its
+/// current record does not list.
+pub fn send_previous_records(state: &DaemonState, sender: &FrameSender, peer: &PeerIdentity) {
     let records = state.roster.records.borrow();
-    let known = records.get(&peer.host);
-    if let Some(record) = known.filter(|known| known.incarnation < peer.incarnation) {
-        let relayed = RelayedRecord { host: peer.host.clone(), record: record.clone() };
-        rows::send_relayed(sender, &relayed);
+    let untold_records = state.roster.untold_records.borrow();
+    let known = [records.get(&peer.host), untold_records.get(&peer.host)];
+    for record in known.into_iter().flatten() {
+        if record.incarnation < peer.incarnation {
+            let relayed = RelayedRecord { host: peer.host.clone(), record: record.clone() };
+            rows::send_relayed(sender, &relayed);
+        }
     }
 }
 
@@ -246,6 +358,7 @@
         return;
     }
     if let Some(record) = &record {
+        learn_departures(state, record);
         if state.roster.records.borrow().is_replaced(host, record) {
             return;
         }
@@ -269,12 +382,7 @@
             state.roster.replaced_hosts.borrow_mut().push(replaced);
         }
     }
-    // A server that leaves does not come back under its name, even if its daemon, after a restart,
-    // publishes a record that no longer says so.
-    let servers = record.iter().flat_map(|record| &record.servers);
-    for server in servers.filter(|server| server.draining) {
-        state.notices.note_leaving(&server.name, state.now());
-    }
+    note_untold(state, host, known.as_ref(), record.as_ref());
     for each in known.iter().chain(&record) {
         touched.extend(each.services().map(str::to_owned));
     }
@@ -286,6 +394,40 @@
     state.roster.records.borrow_mut().set(host, record);
 }
 
+/// Records which servers are leaving or have left by a record, however old the record is. A server
+/// that leaves does not come back under its name, whatever its daemon publishes after a restart.
+fn learn_departures(state: &DaemonState, record: &HostRecord) {
+    for name in record.departures() {
+        state.notices.note_leaving(name, state.now());
+    }
+}
+
+/// Keeps the known record of a host that a later start replaces, for as long as the host's records
+/// lack a departure that it lists.
+fn note_untold(
+    state: &DaemonState,
+    host: &str,
+    known: Option<&HostRecord>,
+    record: Option<&HostRecord>,
+) {
+    let mut untold_records = state.roster.untold_records.borrow_mut();
+    let Some(record) = record else { return drop(untold_records.remove(host)) };
+    let is_told =
+        |departed: &DepartedServers| record.departed.is_full() || record.departed.covers(departed);
+    if untold_records.get(host).is_some_and(|untold| is_told(&untold.departed)) {
+        untold_records.remove(host);
+    }
+    let replaced = known.filter(|known| known.incarnation < record.incarnation);
+    let Some(replaced) = replaced.filter(|known| !is_told(&known.departed)) else { return };
+    let mut untold = replaced.clone();
+    if let Some(earlier) = untold_records.remove(host) {
+        for name in earlier.departed.iter() {
+            untold.departed.note_older(name);
+        }
+    }
+    untold_records.insert(host.to_owned(), untold);
+}
+
 /// Logs the new record of a host, or that the host has no record any more.
 fn log_record(host: &str, record: Option<&HostRecord>) {
     let record = match record {
@@ -312,7 +454,7 @@
     for RelayedRecord { host, record } in relayed {
         suspects::apply_records(state, &host, &record.refused);
         if host == state.options.host {
-            recover_own_servers(state, &record);
+            apply_own_record(state, &record);
             continue;
         }
         let known = state.roster.record(&host);
@@ -323,6 +465,24 @@
     update_records(state, later_records);
 }
 
+/// Applies a record of this host that a peer holds: of an earlier incarnation of this daemon, or of
+/// this one to confirm it.
+fn apply_own_record(state: &Rc<DaemonState>, record: &HostRecord) {
+    if record.incarnation == state.identity.incarnation {
+        state.roster.note_confirmed(record);
+    }
+    recover_own_servers(state, record);
+}
+
+/// Sends a peer its own record back if this daemon holds it, or a later one.
+pub fn confirm_record(state: &DaemonState, sender: &FrameSender, relayed: &RelayedRecord) {
+    let RelayedRecord { host, record } = relayed;
+    let held = state.roster.record(host).filter(|held| held.sort_key() >= record.sort_key());
+    if let Some(record) = held {
+        rows::send_relayed(sender, &RelayedRecord { host: host.clone(), record });
+    }
+}
+
 /// Applies the whole table: adopts its rows, and removes the hosts that have no row in the table.
 pub fn apply_table(state: &Rc<DaemonState>, page: &RowsPage) {
     apply_rows(state, &page.rows);
@@ -369,7 +529,7 @@
     // The row is outdated if the store has answered a later write of this daemon in the meantime.
     if row.version > state.roster.own_version.get() {
         state.roster.own_version.set(row.version);
-        state.roster.note_written(Some(record.clone()));
+        note_written(state, Some(record.clone()));
     }
     recover_own_servers(state, &record);
     if record.incarnation > state.identity.incarnation {
@@ -386,7 +546,7 @@
 fn note_unreadable(state: &DaemonState, row: &StoredRow) {
     if row.key == state.options.host {
         state.roster.own_version.set(row.version);
-        state.roster.note_written(None);
+        note_written(state, None);
         state.roster.signal_change();
     }
 }
@@ -414,7 +574,7 @@
     // Other daemons considered this daemon's host gone and removed its row, so the row is written
     // again.
     state.roster.own_version.set(0);
-    state.roster.note_written(None);
+    note_written(state, None);
     state.roster.signal_change();
     None
 }
@@ -442,14 +602,17 @@
     }
 }
 
-/// Waits until a backend server has registered, up to [`FIRST_SERVER_TIMEOUT`].
+/// Waits until the backend servers of this host may be used and one has registered or left, up to
+/// [`FIRST_SERVER_TIMEOUT`] for the latter.
 async fn await_first_server(state: &Rc<DaemonState>) {
     if state.options.registration.is_none() {
         return;
     }
+    // The row of an earlier incarnation may be all that holds a departure.
+    state.admission.opened().await;
     let registered = async {
         let mut seen = 0;
-        while state.roster.own_servers.borrow().is_empty() {
+        while state.roster.own_servers.borrow().is_empty() && !state.roster.has_unwritten.get() {
             seen = state.roster.changed.above(seen).await;
         }
     };
@@ -464,11 +627,11 @@
     let write = RowWrite { key, value: Some(json!(record)) };
     // A write without an answer may have taken effect, or may take effect later. Until a later
     // write is answered, the content of the row is not known.
-    state.roster.note_written(None);
+    note_written(state, None);
     match state.platform.transact(vec![check], vec![write]).await {
         Ok(version) => {
             state.roster.own_version.set(version);
-            state.roster.note_written(Some(record.clone()));
+            note_written(state, Some(record.clone()));
             update_records(state, [(state.options.host.clone(), Some(record.clone()))]);
             Ok(())
         }
@@ -478,7 +641,11 @@
             for row in rows {
                 state.roster.own_version.set(row.version);
                 let stored_record = HostRecord::deserialize(&row.value).ok();
-                state.roster.note_written(stored_record);
+                note_written(state, stored_record.clone());
+                // A write of an earlier incarnation may take effect late.
+                if let Some(record) = &stored_record {
+                    recover_own_servers(state, record);
+                }
             }
             Ok(())
         }
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -387,6 +387,7 @@
             let is_first = state.rows.first_read_at.get().is_none();
             if is_first {
                 state.rows.first_read_at.set(Some(state.now()));
+                state.admission.note_rows_read();
             }
             if is_first && state.members.is_empty() {
                 monoio::time::sleep(FIRST_ROWS_PAUSE).await;
@@ -499,10 +500,14 @@
 
 /// Applies changes that a peer sent, unless this daemon has applied the same changes already or
 /// lacks earlier changes. Asks the peer for the next changes if more follow.
-pub fn handle_news(state: &Rc<DaemonState>, peer: &PeerIdentity, news: RowsNews) {
+pub fn handle_news(
+    state: &Rc<DaemonState>,
+    sender: &FrameSender,
+    peer: &PeerIdentity,
+    news: RowsNews,
+) {
     if news.version == RELAYED_VERSION && !news.rows.is_empty() {
-        let relayed = news.rows.iter().filter_map(|note| relayed_record(peer, note));
-        return roster::apply_relayed(state, relayed.collect());
+        return handle_relayed(state, sender, peer, &news.rows);
     }
     if !state.rows.note_sender(&peer.host, state.now()) {
         return;
@@ -537,6 +542,21 @@
     }
 }
 
+/// Applies records that a peer relayed, and confirms the peer's own.
+fn handle_relayed(
+    state: &Rc<DaemonState>,
+    sender: &FrameSender,
+    peer: &PeerIdentity,
+    rows: &[RowNote],
+) {
+    let relayed: Vec<_> = rows.iter().filter_map(|note| relayed_record(peer, note)).collect();
+    let own_record = relayed.iter().find(|relayed| relayed.host == peer.host).cloned();
+    roster::apply_relayed(state, relayed);
+    if let Some(relayed) = own_record {
+        roster::confirm_record(state, sender, &relayed);
+    }
+}
+
 /// Sends a peer a host's record directly, bypassing the store. A daemon of a release without
 /// relayed records ignores the message, as the message's version is lower than any version of the
 /// table.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -15,6 +15,7 @@
 use monoio::net::TcpListener;
 
 use crate::admin;
+use crate::admission;
 use crate::announce;
 use crate::config_sync;
 use crate::document;
@@ -23,12 +24,12 @@
 use crate::ingress::trace;
 use crate::links;
 use crate::membership;
-use crate::registration;
 use crate::reload;
 use crate::resume;
 use crate::retention;
 use crate::roster;
 use crate::rows;
+use crate::server_calls;
 use crate::services;
 use crate::state::DaemonState;
 use crate::stop::{self, StopReport};
@@ -146,10 +147,11 @@
     monoio::spawn(links::accept(state.clone(), listeners.peers));
     monoio::spawn(admin::accept(state.clone(), listeners.admin));
     if let Some(listener) = listeners.ready {
-        monoio::spawn(registration::accept_ready(state.clone(), listener));
+        monoio::spawn(server_calls::accept_ready(state.clone(), listener));
     }
     if let Some(listener) = listeners.registration {
-        monoio::spawn(registration::accept(state.clone(), listener));
+        monoio::spawn(server_calls::accept(state.clone(), listener));
+        monoio::spawn(admission::run(state.clone()));
     }
     monoio::spawn(links::watch(state.clone()));
     monoio::spawn(membership::run(state.clone()));
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -55,6 +55,8 @@
     handing_over: Vec<Cell<Option<i64>>>,
     /// Whether each upstream is leaving for good.
     leaving: Vec<Cell<bool>>,
+    /// Count of the leaving servers in `notices` for which `leaving` was last updated.
+    leaving_seen: Cell<u64>,
     notices: Rc<NoticeTable>,
     evacuated: RefCell<EvacuatedUpstreams>,
     view: RefCell<ServiceView>,
@@ -223,6 +225,7 @@
             draining_until: entry.upstreams.iter().map(|_| Cell::default()).collect(),
             handing_over: entry.upstreams.iter().map(|_| Cell::default()).collect(),
             leaving: entry.upstreams.iter().map(is_leaving).collect(),
+            leaving_seen: Cell::new(state.notices.leaving_count()),
             notices: state.notices.clone(),
             evacuated: RefCell::new(evacuated),
             view: RefCell::new(
@@ -305,6 +308,7 @@
 
     /// Updates which upstreams are reachable and which are draining.
     pub fn refresh(&self, now: Duration) {
+        self.refresh_leaving();
         let mut view = self.view.borrow_mut();
         let evacuated = self.evacuated.borrow();
         for (index, upstream) in self.entry.upstreams.iter().enumerate() {
@@ -324,6 +328,18 @@
         }
     }
 
+    /// Updates which upstreams are leaving for good. Such a server may be known by other means than
+    /// a response, such as an old record of its host.
+    fn refresh_leaving(&self) {
+        let count = self.notices.leaving_count();
+        if self.leaving_seen.replace(count) == count {
+            return;
+        }
+        for (leaving, upstream) in self.leaving.iter().zip(&self.entry.upstreams) {
+            leaving.set(self.notices.is_leaving(&upstream.name));
+        }
+    }
+
     /// Records a report of an upstream. `failed` says whether the request failed, and is `None` if
     /// the request did not run.
     pub fn note_report(
@@ -385,9 +401,6 @@
         self.notices.note_rate(name, load.rate.known, now);
         if load.leaving {
             self.notices.note_leaving(name, now);
-            if let Some(index) = upstreams.iter().position(|upstream| *upstream.name == *name) {
-                self.leaving[index].set(true);
-            }
         }
     }
 
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -22,6 +22,8 @@
 use basaltarch_store::ledger::OnceLedger;
 use basaltarch_store::platform::PlatformClient;
 
+use crate::admission::ServerAdmission;
+use crate::departures::DepartureTable;
 use crate::document::DocumentCell;
 use crate::evacuations::EvacuationRegistry;
 use crate::freshness::FreshnessTracker;
@@ -66,6 +68,10 @@
     pub notices: Rc<NoticeTable>,
     /// The registrations of backend servers on this host.
     pub registrations: RegistrationTable,
+    /// The backend servers of this host that are leaving or have left.
+    pub departures: DepartureTable,
+    /// Whether the backend servers of this host may be used yet.
+    pub admission: ServerAdmission,
     /// Names of the header fields that are exchanged with backend servers.
     pub fields: ExchangeFields,
     /// The ingress's state of each service.
@@ -131,6 +137,8 @@
             rows: RowsRelay::default(),
             notices: Rc::default(),
             registrations: RegistrationTable::default(),
+            departures: DepartureTable::default(),
+            admission: ServerAdmission::default(),
             fields: options.exchange_fields(),
             services: ServiceTable::default(),
             peers: PeerTable::new(&options.host),
--- /dev/null
+++ b/crates/decide/src/admission.rs
@@ -0,0 +1,44 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! When a daemon that has started may use the backend servers of its host.
+//!
+//! A server may have left while an earlier incarnation of the daemon ran. The departure is held by
+//! the store or, if the store was away, by the neighbours of the daemon. Neither alone is enough:
+//! the row in the store may be of before, and a neighbour may not have read it yet.
+
+use std::time::Duration;
+
+/// Time after the first word for which a daemon waits for neighbours that have not answered, if at
+/// least one has: some round trips of a slow path.
+const REMAINING_ANSWERS_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after the first word for which a daemon waits for the first answer of a neighbour, or for
+/// the store. A daemon that is cut off from either must still use its servers.
+const OTHER_WORD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// `WordFacts` is what a daemon that has started has heard of its earlier incarnations.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WordFacts {
+    /// Whether the row of the host was read from the store.
+    pub has_read_row: bool,
+    /// Number of neighbours that were asked.
+    pub asked: usize,
+    /// Number of neighbours that have answered.
+    pub answered: usize,
+    /// Time since the first word, of the store or of a neighbour; `None` before.
+    pub since_first_word: Option<Duration>,
+}
+
+impl WordFacts {
+    /// Says whether the servers of the host may be used, because all that may hold a departure of
+    /// one of them have been heard or have had their time.
+    pub fn may_use_servers(&self) -> bool {
+        let Some(waited) = self.since_first_word else { return false };
+        if waited >= OTHER_WORD_TIMEOUT {
+            return true;
+        }
+        let have_all_answered = self.answered >= self.asked;
+        let has_waited = self.answered > 0 && waited >= REMAINING_ANSWERS_TIMEOUT;
+        self.has_read_row && (have_all_answered || has_waited)
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 //! arbitrary start, randomness as a generator. Nothing here blocks, sends or receives.
 
 pub mod adaptive_timeout;
+pub mod admission;
 pub mod balance;
 pub mod baseline;
 pub mod breaker;
--- a/crates/events/src/servers.rs
+++ b/crates/events/src/servers.rs
@@ -40,6 +40,21 @@
         call: &'a str,
         /// Whether the backend server was registered under this name.
         registered: bool,
+        /// Who else holds the leaving: the store, or a peer.
+        held_by: &'a str,
+        /// Time from the report to the acknowledgement.
+        waited_ms: u64,
+    }
+
+    /// A backend server's report that it is leaving is in force, but not acknowledged, as neither
+    /// the store nor another daemon holds it.
+    "leaving not held" WARN LeavingNotHeld<'a> {
+        /// Name of the backend server, as the report is understood.
+        upstream: &'a str,
+        /// Call that reports it: heartbeat or deregistration.
+        call: &'a str,
+        /// Time for which the daemon waited for either.
+        waited_ms: u64,
     }
 
     /// A call of a backend server to the daemon was refused, as it is invalid.
