Understand a leaving without a start, or one that comes late, or refuse it

What callers saw: requests reach a server that its daemon had acknowledged as leaving (DRAIN).

Cause: starts were known from heartbeats alone. A drain notice taken for late (its sequence, or a start that seems to be an earlier one) was acknowledged like any late heartbeat and passed over.

Change: a leaving without a start ends every incarnation of the server that is known by then, from heartbeats, the row or a heartbeat that waits. A drain notice of a known incarnation holds in whatever order it comes. A leaving of an incarnation that isn't known, while another of the same server is registered, is not acknowledged (503), since it may be either's.

--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -7,7 +7,7 @@
 //! servers of its host, no other daemon has to be asked.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -117,12 +117,20 @@
     state.roster.own_servers().iter().any(|server| server.name == upstream)
 }
 
-/// Returns the upstream that a deregistration ends: of the incarnation that the call names, or else
-/// of the current incarnation of the server.
-pub fn departing_upstream(state: &DaemonState, incarnation: &ServerIncarnation) -> String {
-    let current = state.registrations.current_incarnation(&incarnation.server);
-    let named = incarnation.born.is_some().then_some(incarnation);
-    named.or(current.as_ref()).unwrap_or(incarnation).upstream()
+/// Returns the upstreams that stand for a server by all that this daemon knows, whatever their
+/// start: those that are registered, and those that are recovered or wait for admission.
+pub fn known_upstreams(state: &DaemonState, server: &str) -> BTreeSet<String> {
+    let table = &state.registrations;
+    let mut names: BTreeSet<String> =
+        state.roster.own_servers().into_iter().map(|server| server.name).collect();
+    let recovered = table.recovered.borrow();
+    let recovered = recovered.iter().flat_map(|record| &record.servers);
+    names.extend(recovered.map(|server| server.name.clone()));
+    names.extend(table.deferred.borrow().keys().cloned());
+    names.retain(|name| incarnation::server_of(name) == server);
+    let current = table.current_incarnation(server);
+    names.extend(current.map(|incarnation| incarnation.upstream()));
+    names
 }
 
 /// Keeps a heartbeat until the servers of this host are admitted.
--- a/crates/daemon/src/server_calls.rs
+++ b/crates/daemon/src/server_calls.rs
@@ -46,6 +46,8 @@
     UnknownService,
     #[snafu(display("the heartbeat lacks the start time of the server"))]
     Unnamed,
+    #[snafu(display("another incarnation of the server is registered"))]
+    OtherIncarnation,
     #[snafu(display("neither the store nor another daemon has taken the change"))]
     NotHeld,
 }
@@ -54,7 +56,7 @@
     fn status(&self) -> StatusCode {
         match self {
             Self::OtherServer | Self::UnknownService | Self::Unnamed => StatusCode::BAD_REQUEST,
-            Self::NotHeld => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OtherIncarnation | Self::NotHeld => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -143,26 +145,63 @@
     }
 }
 
-/// Handles a heartbeat that says that its server is draining.
+/// Handles a heartbeat that says that its server is draining. A server that drains goes on to do so,
+/// so that the heartbeat holds even if a later one has arrived before it.
 async fn take_drain_notice(
     state: &Rc<DaemonState>,
     heartbeat: &ServerHeartbeat,
 ) -> Result<(), CallRefusal> {
-    let upstream = heartbeat.incarnation.upstream();
+    let incarnation = &heartbeat.incarnation;
+    let lacks_start =
+        incarnation.born.is_none() && !registration::tells_start(state, &incarnation.server);
+    let other_upstreams = other_upstreams(state, incarnation);
+    if lacks_start && !other_upstreams.is_empty() {
+        return end_all(state, &other_upstreams, registration::note_leaving, HEARTBEAT_CALL).await;
+    }
+    let is_known = is_known(state, &heartbeat.incarnation);
     match registration::note_heartbeat(state, heartbeat) {
-        IncarnationVerdict::Unnamed => Err(CallRefusal::Unnamed),
-        IncarnationVerdict::Late => Ok(()),
-        _ => end_all(state, &[upstream], registration::note_leaving, HEARTBEAT_CALL).await,
+        IncarnationVerdict::Unnamed => return Err(CallRefusal::Unnamed),
+        IncarnationVerdict::Late if !is_known => return Err(CallRefusal::OtherIncarnation),
+        _ => {}
     }
+    let upstream = heartbeat.incarnation.upstream();
+    end_all(state, &[upstream], registration::note_leaving, HEARTBEAT_CALL).await
 }
 
-/// Handles a deregistration.
+/// Handles a deregistration. One that does not tell the start of its server ends every incarnation
+/// that is known by then.
 async fn take_deregistration(
     state: &Rc<DaemonState>,
     incarnation: &ServerIncarnation,
 ) -> Result<(), CallRefusal> {
-    let upstream = registration::departing_upstream(state, incarnation);
-    end_all(state, &[upstream], registration::note_ended, DEREGISTRATION_CALL).await
+    let other_upstreams = other_upstreams(state, incarnation);
+    let mut upstreams = vec![incarnation.upstream()];
+    if incarnation.born.is_none() {
+        state.departures.note_unnamed(&incarnation.server);
+        if !other_upstreams.is_empty() {
+            upstreams = other_upstreams;
+        }
+    } else if !is_known(state, incarnation) && !other_upstreams.is_empty() {
+        return Err(CallRefusal::OtherIncarnation);
+    }
+    end_all(state, &upstreams, registration::note_ended, DEREGISTRATION_CALL).await
+}
+
+/// Says whether an incarnation of a server is registered or has departed.
+fn is_known(state: &DaemonState, incarnation: &ServerIncarnation) -> bool {
+    registration::is_registered(state, &incarnation.upstream())
+        || registration::has_departed(state, incarnation)
+}
+
+/// Returns the other known upstreams of an incarnation's server that have not departed.
+fn other_upstreams(state: &DaemonState, incarnation: &ServerIncarnation) -> Vec<String> {
+    let own_name = incarnation.upstream();
+    let mut upstreams = registration::known_upstreams(state, &incarnation.server);
+    upstreams.retain(|name| {
+        let other = ServerIncarnation::of_upstream(name);
+        *name != own_name && !registration::has_departed(state, &other)
+    });
+    upstreams.into_iter().collect()
 }
 
 /// Puts in force that upstreams get no new requests, and waits until this is held outside this
