Let servers leave in the soak, among kills and outages of the store

Servers report by a drain notice, a deregistration, or one without their start, until they are acknowledged; six in ten daemons are killed at once after it; heartbeats of before arrive late; the servers stay healthy. From 2 s after the acknowledgement nothing may reach the server, and its next incarnation must get a request within 20 s.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -14,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
 
+use crate::leavings;
 use crate::proxy::ProxyHold;
 use crate::run::SoakState;
 
@@ -42,12 +43,14 @@
     StoreSlow,
     /// The store discards its history of changes.
     Forgotten,
+    /// The backend servers of some hosts leave, and come back as new incarnations.
+    Leaving,
     /// Spinning threads of the soak compete with the processes of the fleet for the processor.
     Starved,
 }
 
 /// Every kind of fault, with its name on the command line.
-pub const KINDS: [(FaultKind, &str); 12] = [
+pub const KINDS: [(FaultKind, &str); 13] = [
     (FaultKind::SilentStore, "silent-store"),
     (FaultKind::SilentHalf, "silent-half"),
     (FaultKind::SilentAll, "silent-all"),
@@ -59,6 +62,7 @@
     (FaultKind::StoreOut, "store-out"),
     (FaultKind::StoreSlow, "store-slow"),
     (FaultKind::Forgotten, "forgotten"),
+    (FaultKind::Leaving, "leaving"),
     (FaultKind::Starved, "starved"),
 ];
 
@@ -104,7 +108,7 @@
     let host_count = match kind {
         FaultKind::SilentHalf | FaultKind::SilentAll => fleet_size,
         FaultKind::SilentStore => (fleet_size / 3).max(1),
-        FaultKind::HeldStore | FaultKind::HeldPeers => (fleet_size / 6).max(1),
+        FaultKind::HeldStore | FaultKind::HeldPeers | FaultKind::Leaving => (fleet_size / 6).max(1),
         FaultKind::Paused | FaultKind::Killed | FaultKind::Stopped => (fleet_size / 12).max(1),
         _ => 0,
     };
@@ -143,10 +147,18 @@
         FaultKind::Killed | FaultKind::Stopped => restart_daemons(state, plan).await,
         FaultKind::StoreOut | FaultKind::StoreSlow => disturb_store(state, plan).await,
         FaultKind::Forgotten => forget_history(state, plan).await,
+        FaultKind::Leaving => leave(state, plan),
         FaultKind::Starved => starve_processes(state, plan).await,
     }
 }
 
+fn leave(state: &Rc<SoakState>, plan: &FaultPlan) {
+    for host_index in &plan.hosts {
+        let seed = plan.seed.wrapping_add(*host_index as u64);
+        monoio::spawn(leavings::run(state.clone(), *host_index, seed));
+    }
+}
+
 /// Black-holes a share of the open connections of the plan's hosts to the store and, with
 /// `includes_peers`, of the connections to their daemons. The fault counts for every host, as each
 /// host may be at the other end of a black-holed connection.
@@ -194,7 +206,7 @@
     state.end_fault(&handle);
 }
 
-async fn restart_daemons(state: &SoakState, plan: &FaultPlan) {
+async fn restart_daemons(state: &Rc<SoakState>, plan: &FaultPlan) {
     let handle = state.begin_fault(&plan.hosts, false);
     for host_index in &plan.hosts {
         let host = &state.fleet.hosts[*host_index];
@@ -211,13 +223,30 @@
             };
             let _ = monoio::time::timeout(Duration::from_secs(10), wait_for_exit()).await;
         }
-        state.fleet.kill_daemon(host);
-        monoio::time::sleep(plan.length.min(Duration::from_secs(2))).await;
-        if let Err(error) = state.fleet.restart_daemon(host).await {
-            state.add_finding(format!("{} did not restart: {error}", host.name));
-        }
-        state.release_restart(*host_index);
+        replace_daemon(state, *host_index, plan.length.min(Duration::from_secs(2))).await;
+    }
+    state.end_fault(&handle);
+}
+
+/// Kills the daemon of a host whose restart is claimed, and restarts it after a pause.
+async fn replace_daemon(state: &SoakState, host_index: usize, pause: Duration) {
+    let host = &state.fleet.hosts[host_index];
+    state.fleet.kill_daemon(host);
+    monoio::time::sleep(pause).await;
+    if let Err(error) = state.fleet.restart_daemon(host).await {
+        state.add_finding(format!("{} did not restart: {error}", host.name));
+    }
+    state.release_restart(host_index);
+}
+
+/// Kills the daemon of a host at once, and restarts it after a pause, unless another fault is
+/// restarting it.
+pub async fn kill_daemon(state: Rc<SoakState>, host_index: usize, pause: Duration) {
+    if !state.claim_restart(host_index) {
+        return;
     }
+    let handle = state.begin_fault(&[host_index], false);
+    replace_daemon(&state, host_index, pause).await;
     state.end_fault(&handle);
 }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -10,12 +10,13 @@
 use std::time::Duration;
 
 use basaltarch_core::incarnation::ServerIncarnation;
+use basaltarch_core::units;
 use basaltarch_http::client::HttpClient;
 use basaltarch_platform::registration::{self, ServerHeartbeat};
 use basaltarch_platform::rows::StoreCall;
 use basaltarch_standin::platform::FAULTS_PATH;
 use bytes::Bytes;
-use http::{HeaderMap, Method};
+use http::{HeaderMap, Method, StatusCode};
 use serde_json::Value;
 use snafu::ResultExt;
 
@@ -83,6 +84,12 @@
     caller_address: Cell<Option<SocketAddr>>,
     registration_address: Cell<Option<SocketAddr>>,
     daemon_incarnation: Cell<u64>,
+    /// Unix time in milliseconds at which the backend server started, as its heartbeats tell.
+    server_started_at: Cell<u64>,
+    /// Sequence number of the server's last heartbeat.
+    sequence: Cell<u64>,
+    /// Whether the server sends no heartbeats by itself, because it is leaving.
+    is_leaving: Cell<bool>,
 }
 
 impl SoakHost {
@@ -101,6 +108,49 @@
         self.backend_address
     }
 
+    /// Makes the backend server stop its heartbeats because it is leaving; returns false if it is
+    /// leaving already.
+    pub fn begin_leaving(&self) -> bool {
+        !self.is_leaving.replace(true)
+    }
+
+    /// Makes the backend server a new incarnation, which sends heartbeats.
+    pub fn start_server_again(&self) {
+        self.server_started_at.set(units::wall_millis());
+        self.sequence.set(0);
+        self.is_leaving.set(false);
+    }
+
+    /// Returns the current incarnation of the backend server.
+    pub fn server_incarnation(&self) -> ServerIncarnation {
+        let born = Some(self.server_started_at.get());
+        ServerIncarnation { server: self.upstream.clone(), born }
+    }
+
+    /// Builds the next heartbeat of the backend server.
+    pub fn build_heartbeat(&self, draining: bool) -> StoreCall {
+        self.sequence.set(self.sequence.get() + 1);
+        registration::heartbeat(&ServerHeartbeat {
+            incarnation: self.server_incarnation(),
+            service: SERVICES[self.service_index].to_owned(),
+            address: self.backend_address,
+            failure_domain: self.domain.to_owned(),
+            slots: SERVER_SLOTS,
+            draining,
+            cold_for: Duration::ZERO,
+            sequence: self.sequence.get(),
+        })
+    }
+
+    /// Sends a call of the backend server to the host's daemon, and returns the status of the
+    /// response, if there is one in time.
+    pub async fn call_daemon(&self, call: &StoreCall) -> Option<StatusCode> {
+        let client = HttpClient::new(self.registration_address.get()?, CALL_TIMEOUT);
+        let body = Bytes::from(call.body.clone());
+        let calling = client.call(call.method.clone(), &call.target, HeaderMap::new(), body);
+        calling.await.ok().map(|reply| reply.status)
+    }
+
     /// Calls `read` with the daemon's process.
     pub fn with_daemon<T>(&self, read: impl FnOnce(&SoakProcess) -> T) -> T {
         read(&self.daemon.borrow())
@@ -175,6 +225,9 @@
             caller_address: Cell::default(),
             registration_address: Cell::default(),
             daemon_incarnation: Cell::default(),
+            server_started_at: Cell::new(units::wall_millis()),
+            sequence: Cell::default(),
+            is_leaving: Cell::default(),
         };
         host.read_addresses().await?;
         Ok(host)
@@ -279,31 +332,14 @@
 }
 
 /// Sends heartbeats on behalf of a host's backend server for ever, except while the server's
-/// process is down.
+/// process is down or the server is leaving. A lost heartbeat is not retried, as the next one follows
+/// after `HEARTBEAT_INTERVAL`.
 async fn send_heartbeats(host: Rc<SoakHost>) {
-    let mut sequence = 0;
     loop {
-        sequence += 1;
-        if host.backend.is_running() {
-            send_heartbeat(&host, sequence).await;
+        if host.backend.is_running() && !host.is_leaving.get() {
+            let call = host.build_heartbeat(false);
+            let _ = host.call_daemon(&call).await;
         }
         monoio::time::sleep(HEARTBEAT_INTERVAL).await;
     }
 }
-
-async fn send_heartbeat(host: &SoakHost, sequence: u64) {
-    let Some(address) = host.registration_address.get() else { return };
-    let StoreCall { method, target, body } = registration::heartbeat(&ServerHeartbeat {
-        incarnation: ServerIncarnation::of_upstream(&host.upstream),
-        service: SERVICES[host.service_index].to_owned(),
-        address: host.backend_address,
-        failure_domain: host.domain.to_owned(),
-        slots: SERVER_SLOTS,
-        draining: false,
-        cold_for: Duration::ZERO,
-        sequence,
-    });
-    let client = HttpClient::new(address, CALL_TIMEOUT);
-    // A lost heartbeat is not retried, as the next heartbeat follows after `HEARTBEAT_INTERVAL`.
-    let _ = client.call(method, &target, HeaderMap::new(), body.into()).await;
-}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,8 @@
 //! processes ([`process`]), with a [`proxy`] in front of the store and of the daemon's port for its
 //! peers. [`operator`] changes the configuration continually, [`callers`] request the changed
 //! routes from every daemon, and [`faults`] black-holes and holds connections, and suspends, kills
-//! and starves processes. The faults are drawn from a seed. [`checker`] checks the observations of
+//! and starves processes. The faults are drawn from a seed. Among them, backend servers leave and
+//! come back ([`leavings`]). [`checker`] checks the observations of
 //! callers and the operator for violated guarantees, and [`logs`] reads from the daemons' logs when
 //! documents came in force. [`run`] combines the modules into a run, and [`report`] prints its
 //! result.
@@ -20,6 +21,7 @@
 pub mod errors;
 pub mod faults;
 pub mod fleet;
+pub mod leavings;
 pub mod logs;
 pub mod operator;
 pub mod process;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -22,6 +22,8 @@
     /// Times from the acknowledgement of each document until the document was in force at each
     /// undisturbed host, sorted.
     pub in_force_delays: Vec<Duration>,
+    /// Number of leavings of backend servers that were acknowledged and watched.
+    pub leaving_count: usize,
     /// Number of findings.
     pub finding_count: u64,
     /// Texts of the first findings, each with the time of the run.
@@ -43,6 +45,7 @@
             conclusive_count,
             document_count,
             in_force_delays,
+            leaving_count,
             finding_count,
             ..
         } = self;
@@ -64,6 +67,7 @@
              within {p99:.2} s, longest {longest:.2} s, {late_count} later than {} s",
             IN_FORCE_DELAY_MAX.as_secs()
         )?;
+        writeln!(out, "  acknowledged leavings: {leaving_count}")?;
         writeln!(out, "  findings: {finding_count}")?;
         self.findings.iter().try_for_each(|finding| writeln!(out, "    {finding}"))
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Counts a leaving of a backend server that was acknowledged and watched.
+    pub fn note_leaving(&self) {
+        self.report.borrow_mut().leaving_count += 1;
+    }
+
     fn check_sample(&self, sample: &CallerSample, answer_violation: Option<AnswerViolation>) {
         if self.is_finished.get() {
             return;
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 //! Short runs of the soak with fixed seeds. Guards against daemons that violate guarantees about
-//! the configuration under faults. Each seed that once had a finding is kept as a test case, with
+//! the configuration, or about servers that leave, under faults. Each seed that once had a finding is kept as a test case, with
 //! the cause of the finding.
 
 use std::path::Path;
@@ -13,13 +13,19 @@
 /// All kinds of faults.
 const ALL: &str =
     "silent-store,silent-half,silent-all,held-store,held-peers,paused,killed,stopped,store-out,\
-                   store-slow,forgotten,starved";
+                   store-slow,forgotten,leaving,starved";
+
+/// Mostly leavings of backend servers, among kills of daemons and outages of the store.
+const LEAVINGS: &str = "killed,store-out,leaving,leaving,leaving,leaving";
 
 // Seed 1 guards against a daemon that answers 404 to an added route for up to 2.9 s too long. The
 // daemon's call to the store and its links to peers were black-holed, and the daemon did not detect
 // that its configuration was outdated.
 #[test_case("1", "silent-all", "30", "24" ; "all connections are black-holed")]
 #[test_case("5", ALL, "30", "16" ; "all kinds of faults")]
+// Seed 11 guards against daemons that use servers again whose leaving they had acknowledged before
+// they were killed.
+#[test_case("11", LEAVINGS, "30", "24" ; "servers leave")]
 fn verify_no_promise_is_broken(seed: &str, kinds: &str, seconds: &str, processes: &str) {
     let soak = Path::new(env!("CARGO_BIN_EXE_basaltarch-soak"));
     // `basaltarchd` belongs to another package, so only a build of the workspace builds the
