Tell a host's daemon at once of a departure that its newer record lacks

A daemon that starts cut off from the others, with an old row, uses a server again that left during an outage of the store. The peers keep the record that lists the departure; they sent it with the daemon's next heartbeat to them alone, up to a heartbeat interval later, and only if it was a neighbour. Now each linked peer sends it as it sees the newer record.

--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -501,6 +501,15 @@
     senders.sample(&mut rand::rng(), count_max)
 }
 
+/// Returns the open links to a host's daemon, whichever side dialled them.
+pub fn links_to(state: &DaemonState, host: &str) -> Vec<(FrameSender, PeerIdentity)> {
+    let accepted = state.members.sample_accepted(usize::MAX);
+    let accepted = accepted.iter().map(|link| (link.sender().clone(), link.peer.clone()));
+    let dialled = state.peers.path(host).link();
+    let dialled = dialled.map(|link| (link.sender().clone(), link.peer.clone()));
+    accepted.chain(dialled).filter(|(_, peer)| peer.host == host).collect()
+}
+
 /// Sends a heartbeat to one host.
 pub async fn send_heartbeat(state: &Rc<DaemonState>, host: &str, content: HeartbeatContent) {
     let path = state.peers.path(host);
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -31,6 +31,7 @@
 
 use crate::document;
 use crate::links;
+use crate::membership;
 use crate::records::{self, HostRecord, RecordTable, RelayedRecord, ServerRecord};
 use crate::registration;
 use crate::rows;
@@ -403,7 +404,7 @@
 }
 
 /// Keeps the known record of a host that a later start replaces, for as long as the host's records
-/// lack a departure that it lists.
+/// lack a departure that it lists, and sends it to the host's daemon.
 fn note_untold(
     state: &DaemonState,
     host: &str,
@@ -426,6 +427,10 @@
         }
     }
     untold_records.insert(host.to_owned(), untold);
+    drop(untold_records);
+    for (sender, peer) in membership::links_to(state, host) {
+        send_previous_records(state, &sender, &peer);
+    }
 }
 
 /// Logs the new record of a host, or that the host has no record any more.
--- a/crates/daemon/tests/acknowledged_leaving.rs
+++ b/crates/daemon/tests/acknowledged_leaving.rs
@@ -9,6 +9,7 @@
 
 mod common;
 
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use basaltarch_platform::rows::StoreCall;
 use common::client::Reply;
 use common::eventually;
+use common::forwarder::Forwarder;
 use common::registered::{self, RegisteredFleet, SERVICE};
 use serde_json::{json, Value};
 use test_case::test_case;
@@ -218,6 +220,55 @@
     leaving_fleet.check_unused();
 }
 
+/// Puts a forwarder before the peer address of each daemon, by which the daemons can be cut off from
+/// each other.
+fn add_forwarders(fleet: &mut RegisteredFleet) -> Vec<Forwarder> {
+    let hosts = [("host-a", "bkk-a"), ("host-b", "bkk-b"), ("host-c", "bkk-c")];
+    let forwarders: Vec<_> = hosts.iter().map(|_| Forwarder::start()).collect();
+    for (index, (host, domain)) in hosts.into_iter().enumerate() {
+        let advertised = forwarders[index].address.to_string();
+        fleet.daemons[index].kill();
+        fleet.daemons[index] =
+            fleet.start_daemon(host, domain, &[("advertise-peers", &advertised)]);
+        forwarders[index].forward_to(fleet.daemons[index].peers);
+    }
+    forwarders
+}
+
+#[test]
+fn verify_a_daemon_that_started_cut_off_with_an_old_row_learns_a_leaving_after_the_cut() {
+    let mut leaving_fleet = LeavingFleet::start(NAMED_START);
+    let late_heartbeat = leaving_fleet.build_heartbeat(false);
+    let forwarders = add_forwarders(&mut leaving_fleet.fleet);
+    (0..3).for_each(|daemon| leaving_fleet.fleet.wait_served(daemon, &[0, 1, 2]));
+    leaving_fleet.set_store_faults(json!({"down": true}));
+    leaving_fleet.send(&deregister(&leaving_fleet));
+    for forwarder in &forwarders {
+        forwarder.cuts.refuse.store(true, Ordering::SeqCst);
+        forwarder.break_all();
+    }
+    leaving_fleet.set_store_faults(json!({}));
+    let advertised = forwarders[0].address.to_string();
+    let fleet = &mut leaving_fleet.fleet;
+    fleet.daemons[0].kill();
+    fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", &[("advertise-peers", &advertised)]);
+    forwarders[0].forward_to(leaving_fleet.fleet.daemons[0].peers);
+    leaving_fleet.send(&late_heartbeat);
+    eventually("the old row is in force", || {
+        leaving_fleet.fleet.daemons[0].log_text().contains("backend server re")
+    });
+    for forwarder in &forwarders {
+        forwarder.cuts.refuse.store(false, Ordering::SeqCst);
+    }
+    eventually("the daemon learns of the leaving", || {
+        let text = leaving_fleet.fleet.daemons[0].log_text();
+        text.lines().any(|line| line.contains("server leaving") && line.contains(NAMED_START))
+    });
+    leaving_fleet.check_unused();
+    leaving_fleet.send(&late_heartbeat);
+    leaving_fleet.check_unused();
+}
+
 #[test]
 fn verify_a_leaving_that_nothing_outside_the_daemon_holds_is_not_acknowledged() {
     let fleet = RegisteredFleet::start(1);
