--- a/crates/daemon/tests/acknowledged_leaving.rs
+++ b/crates/daemon/tests/acknowledged_leaving.rs
@@ -235,6 +235,44 @@
     forwarders
 }
 
+#[test]
+fn verify_a_daemon_that_starts_uses_no_server_before_its_neighbours_have_answered() {
+    let mut leaving_fleet = LeavingFleet::start(NAMED_START);
+    let forwarders = add_forwarders(&mut leaving_fleet.fleet);
+    (0..3).for_each(|daemon| leaving_fleet.fleet.wait_served(daemon, &[0, 1, 2]));
+    leaving_fleet.set_store_faults(json!({"down": true}));
+    leaving_fleet.send(&deregister(&leaving_fleet));
+    let fleet = &mut leaving_fleet.fleet;
+    fleet.daemons[0].kill();
+    let hold = |holds| {
+        for forwarder in &forwarders {
+            forwarder.cuts.forward.store(holds, Ordering::SeqCst);
+        }
+    };
+    hold(true);
+    fleet.platform.set_faults(json!({}));
+    let advertised = forwarders[0].address.to_string();
+    fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", &[("advertise-peers", &advertised)]);
+    forwarders[0].forward_to(fleet.daemons[0].peers);
+    let knows_rows = |text: &str| text.contains("record adopted") && text.contains("in force");
+    eventually("the old row and the document were read", || {
+        knows_rows(&fleet.daemons[0].log_text())
+    });
+    // Time for a health check, after which a server is recovered.
+    for _ in 0..20 {
+        fleet.backends[0].total_runs();
+    }
+    hold(false);
+    leaving_fleet.check_unused();
+    let text = leaving_fleet.fleet.daemons[0].log_text();
+    let is_use = |line: &&str| line.contains("recovered") && line.contains(NAMED_START);
+    assert_eq!(
+        text.lines().filter(is_use).count(),
+        0,
+        "the old row is not taken for the last word"
+    );
+}
+
 #[test]
 fn verify_a_daemon_that_started_cut_off_with_an_old_row_learns_a_leaving_after_the_cut() {
     let mut leaving_fleet = LeavingFleet::start(NAMED_START);
