--- a/crates/daemon/tests/acknowledged_leaving.rs
+++ b/crates/daemon/tests/acknowledged_leaving.rs
@@ -17,9 +17,9 @@
 use basaltarch_platform::registration::{self as server_calls, ServerHeartbeat};
 use basaltarch_platform::rows::StoreCall;
 use common::client::Reply;
-use common::eventually;
 use common::forwarder::Forwarder;
 use common::registered::{self, RegisteredFleet, SERVICE};
+use common::{eventually, TestDaemon};
 use serde_json::{json, Value};
 use test_case::test_case;
 
@@ -195,7 +195,7 @@
     let late_heartbeat = leaving_fleet.build_heartbeat(false);
     leaving_fleet.send(&deregister(&leaving_fleet));
     let fleet = &mut leaving_fleet.fleet;
-    fleet.daemons.iter_mut().for_each(common::TestDaemon::kill);
+    fleet.daemons.iter_mut().for_each(TestDaemon::kill);
     for (index, (host, domain)) in
         [("host-a", "bkk-a"), ("host-b", "bkk-b"), ("host-c", "bkk-c")].into_iter().enumerate()
     {
@@ -273,6 +273,14 @@
     );
 }
 
+/// Returns the incarnation of a daemon, as its log names it.
+fn read_incarnation(daemon: &TestDaemon) -> String {
+    let text = daemon.log_text();
+    let line = text.lines().find(|line| line.contains("\"listening\"")).expect("a line");
+    let line: Value = serde_json::from_str(line).expect("json");
+    line["incarnation"].to_string()
+}
+
 #[test]
 fn verify_a_daemon_that_started_cut_off_with_an_old_row_learns_a_leaving_after_the_cut() {
     let mut leaving_fleet = LeavingFleet::start(NAMED_START);
@@ -292,8 +300,15 @@
     fleet.daemons[0] = fleet.start_daemon("host-a", "bkk-a", &[("advertise-peers", &advertised)]);
     forwarders[0].forward_to(leaving_fleet.fleet.daemons[0].peers);
     leaving_fleet.send(&late_heartbeat);
-    eventually("the old row is in force", || {
-        leaving_fleet.fleet.daemons[0].log_text().contains("backend server re")
+    let [first, others @ ..] = &leaving_fleet.fleet.daemons[..] else { panic!("no daemons") };
+    let started_at = read_incarnation(first);
+    eventually("the others know the newer record, which lacks the leaving", || {
+        others.iter().all(|daemon| {
+            daemon
+                .log_text()
+                .lines()
+                .any(|line| line.contains("host record adopted") && line.contains(&started_at))
+        })
     });
     for forwarder in &forwarders {
         forwarder.cuts.refuse.store(false, Ordering::SeqCst);
