--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -100,8 +100,13 @@
         self.cold_until.borrow_mut().remove(upstream);
     }
 
+    /// Says whether the current incarnation of a server told its start in a heartbeat.
+    pub fn tells_start(&self, server: &str) -> bool {
+        self.current_incarnation(server).is_some()
+    }
+
     /// Keeps a heartbeat until the servers of this host are admitted.
-    fn defer(&self, heartbeat: &ServerHeartbeat) {
+    pub fn defer(&self, heartbeat: &ServerHeartbeat) {
         let mut deferred = self.deferred.borrow_mut();
         let upstream = heartbeat.incarnation.upstream();
         let known = deferred.get(&upstream).map(|known| known.sequence);
@@ -133,16 +138,6 @@
     names
 }
 
-/// Keeps a heartbeat until the servers of this host are admitted.
-pub fn defer_heartbeat(state: &DaemonState, heartbeat: &ServerHeartbeat) {
-    state.registrations.defer(heartbeat);
-}
-
-/// Says whether the current incarnation of a server is known by a start time that the server told.
-pub fn tells_start(state: &DaemonState, server: &str) -> bool {
-    state.registrations.current_incarnation(server).is_some()
-}
-
 /// Handles a heartbeat, and returns the classification of the heartbeat.
 pub fn note_heartbeat(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) -> IncarnationVerdict {
     let verdict = match find_departure(state, &heartbeat.incarnation) {
@@ -173,7 +168,8 @@
         return None;
     }
     let ServerIncarnation { server, born } = incarnation;
-    if born.is_none() && (tells_start(state, server) || state.departures.has_named(server)) {
+    let tells_start = state.registrations.tells_start(server) || state.departures.has_named(server);
+    if born.is_none() && tells_start {
         return Some(IncarnationVerdict::Unnamed);
     }
     has_departed(state, incarnation).then_some(IncarnationVerdict::Late)
--- a/crates/daemon/src/server_calls.rs
+++ b/crates/daemon/src/server_calls.rs
@@ -115,7 +115,7 @@
     if !state.admission.is_open() {
         // The heartbeat takes effect with the admission. It is acknowledged all the same if that
         // takes longer, since its server would call another daemon in vain.
-        registration::defer_heartbeat(state, heartbeat);
+        state.registrations.defer(heartbeat);
         let _ = monoio::time::timeout(HELD_TIMEOUT, state.admission.opened()).await;
         return Ok(());
     }
@@ -153,19 +153,18 @@
 ) -> Result<(), CallRefusal> {
     let incarnation = &heartbeat.incarnation;
     let lacks_start =
-        incarnation.born.is_none() && !registration::tells_start(state, &incarnation.server);
+        incarnation.born.is_none() && !state.registrations.tells_start(&incarnation.server);
     let other_upstreams = other_upstreams(state, incarnation);
     if lacks_start && !other_upstreams.is_empty() {
-        return end_all(state, &other_upstreams, registration::note_leaving, HEARTBEAT_CALL).await;
+        return bind(state, &other_upstreams, registration::note_leaving, HEARTBEAT_CALL).await;
     }
-    let is_known = is_known(state, &heartbeat.incarnation);
+    let is_known = is_known(state, incarnation);
     match registration::note_heartbeat(state, heartbeat) {
         IncarnationVerdict::Unnamed => return Err(CallRefusal::Unnamed),
         IncarnationVerdict::Late if !is_known => return Err(CallRefusal::OtherIncarnation),
         _ => {}
     }
-    let upstream = heartbeat.incarnation.upstream();
-    end_all(state, &[upstream], registration::note_leaving, HEARTBEAT_CALL).await
+    bind(state, &[incarnation.upstream()], registration::note_leaving, HEARTBEAT_CALL).await
 }
 
 /// Handles a deregistration. One that does not tell the start of its server ends every incarnation
@@ -184,7 +183,7 @@
     } else if !is_known(state, incarnation) && !other_upstreams.is_empty() {
         return Err(CallRefusal::OtherIncarnation);
     }
-    end_all(state, &upstreams, registration::note_ended, DEREGISTRATION_CALL).await
+    bind(state, &upstreams, registration::note_ended, DEREGISTRATION_CALL).await
 }
 
 /// Says whether an incarnation of a server is registered or has departed.
@@ -204,9 +203,9 @@
     upstreams.into_iter().collect()
 }
 
-/// Puts in force that upstreams get no new requests, and waits until this is held outside this
-/// daemon.
-async fn end_all(
+/// Puts in force that upstreams get no new requests, and waits until the store or another daemon
+/// holds that, so that it binds whatever happens to this daemon.
+async fn bind(
     state: &Rc<DaemonState>,
     upstreams: &[String],
     note_departure: fn(&Rc<DaemonState>, &str),
