--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -11,7 +11,9 @@
 
 use basaltarch_base::signal::RisingSignal;
 use basaltarch_decide::admission::WordFacts;
+use basaltarch_peer::errors::LinkError;
 
+use crate::links;
 use crate::membership::{self, HeartbeatContent};
 use crate::registration;
 use crate::state::DaemonState;
@@ -25,8 +27,8 @@
     opened: RisingSignal,
     /// Raised when the rows were read or a peer answered.
     heard: RisingSignal,
-    /// Peers that have answered a heartbeat of this incarnation of the daemon. A peer sends what it
-    /// holds of an earlier incarnation before it answers.
+    /// Peers that have answered a heartbeat of this incarnation of the daemon, or have nothing to
+    /// tell. A peer sends what it holds of an earlier incarnation before it answers.
     answered: RefCell<BTreeSet<String>>,
 }
 
@@ -48,7 +50,7 @@
         }
     }
 
-    /// Records that a peer answered a heartbeat.
+    /// Records that a peer answered a heartbeat, or has nothing to tell.
     pub fn note_answer(&self, host: &str) {
         if !self.is_open() && self.answered.borrow_mut().insert(host.to_owned()) {
             self.heard.raise();
@@ -77,15 +79,27 @@
     registration::apply_deferred(&state);
 }
 
-/// Sends a heartbeat to each neighbour that has not got one.
+/// Asks each neighbour that has not been asked, in a task of its own.
 fn ask_neighbours(state: &Rc<DaemonState>, asked: &mut BTreeSet<String>) {
     for host in state.members.neighbours(state) {
         if asked.insert(host.clone()) {
-            membership::spawn_heartbeat(state, host, HeartbeatContent::Own);
+            let state = state.clone();
+            monoio::spawn(async move { ask_neighbour(&state, &host).await });
         }
     }
 }
 
+/// Sends a neighbour a heartbeat. A neighbour that refuses the link is not running, and so has
+/// nothing to tell: when many daemons start at once, none waits for the others.
+async fn ask_neighbour(state: &Rc<DaemonState>, host: &str) {
+    let path = state.peers.path(host);
+    match links::link_to(state, &path).await {
+        Ok(_) => membership::send_heartbeat(state, host, HeartbeatContent::Own).await,
+        Err(LinkError::TimedOut) => {}
+        Err(_) => state.admission.note_answer(host),
+    }
+}
+
 fn word_facts(
     state: &DaemonState,
     asked: &BTreeSet<String>,
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -470,7 +470,7 @@
 }
 
 /// Sends a heartbeat to a host in a task of its own, since a link may have to be established.
-pub fn spawn_heartbeat(state: &Rc<DaemonState>, host: String, content: HeartbeatContent) {
+fn spawn_heartbeat(state: &Rc<DaemonState>, host: String, content: HeartbeatContent) {
     let state = state.clone();
     monoio::spawn(async move { send_heartbeat(&state, &host, content).await });
 }
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -23,7 +23,7 @@
     pub has_read_row: bool,
     /// Number of neighbours that were asked.
     pub asked: usize,
-    /// Number of neighbours that have answered.
+    /// Number of neighbours that have answered, or are not running.
     pub answered: usize,
     /// Time since the first word, of the store or of a neighbour; `None` before.
     pub since_first_word: Option<Duration>,
