Give neighbours less time where the row of a host is read

It waits 0.1 s if a neighbour has answered and 0.3 s if none has; 1 s remains for a store that has not answered.

--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -9,12 +9,15 @@
 
 use std::time::Duration;
 
-/// Time after the first word for which a daemon waits for neighbours that have not answered, if at
-/// least one has: some round trips of a slow path.
-const REMAINING_ANSWERS_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after the first word for which a daemon waits for the first answer of a neighbour, or for
-/// the store. A daemon that is cut off from either must still use its servers.
-const OTHER_WORD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after the first word for which a daemon that has read its row waits for neighbours that have
+/// not answered, if at least one has: some round trips of a long path.
+const REMAINING_ANSWERS_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time after the first word for which a daemon that has read its row waits for the first answer of
+/// a neighbour. It covers one lost packet. A daemon that is cut off, or whose neighbours lost power
+/// as well, must still use its servers.
+const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after the first word for which a daemon waits for its row: the store may answer slowly.
+const ROW_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// `WordFacts` is what a daemon that has started has heard of its earlier incarnations.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,11 +37,12 @@
     /// one of them have been heard or have had their time.
     pub fn may_use_servers(&self) -> bool {
         let Some(waited) = self.since_first_word else { return false };
-        if waited >= OTHER_WORD_TIMEOUT {
-            return true;
-        }
-        let have_all_answered = self.answered >= self.asked;
-        let has_waited = self.answered > 0 && waited >= REMAINING_ANSWERS_TIMEOUT;
-        self.has_read_row && (have_all_answered || has_waited)
+        let timeout = match (self.has_read_row, self.answered) {
+            (true, answered) if answered >= self.asked => Duration::ZERO,
+            (true, 1..) => REMAINING_ANSWERS_TIMEOUT,
+            (true, 0) => FIRST_ANSWER_TIMEOUT,
+            (false, _) => ROW_TIMEOUT,
+        };
+        waited >= timeout
     }
 }
