Tell neighbours of a departure only when there is one

While the row of a daemon wasn't known to be stored, as at each start, any registration counted as a departure: its record went to four neighbours at once, and to all linked daemons if the store took longer than 0.2 s. Now only a name that the record didn't list before counts. The files of tests about leavings and registration pass (81 of 81), unchanged.

--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -244,7 +244,9 @@
     record.changes = state.roster.own_changes.get();
     let servers_before = known.iter().flat_map(|known| &known.servers);
     let has_lost_server = !servers_before.into_iter().all(|server| record.is_in_use(&server.name));
-    if has_lost_server || !state.roster.is_stored(&record.departed) {
+    let departed_before = known.as_ref().map(|known| known.departed.clone()).unwrap_or_default();
+    let has_departure = !departed_before.covers(&record.departed);
+    if has_lost_server || has_departure && !state.roster.is_stored(&record.departed) {
         note_departure(state);
     }
     update_records(state, [(state.options.host.clone(), Some(record))]);
