Log what of its body a request starts with, and how far it was sent

"work started" now says how many bytes of the body came with the dispatch, whether they count as the whole body, and what the caller declared; "work ended" and "work broke" say how far the request was sent; "work ended", also of a refusal by the server, says whether the connection is kept. How far a request has got is held by one type instead of a flag. No decision changes.

--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -23,6 +23,7 @@
 use basaltarch_decide::suspects::CrashTally;
 use basaltarch_events::servers::ServerCrashed;
 use basaltarch_http::connection::HttpStream;
+use basaltarch_http::exchange::MessageProgress;
 use basaltarch_http::writer;
 use basaltarch_peer::protocol::{AnswerHead, DispatchHead, ExchangeFailure};
 use basaltarch_peer::stream::{EventPipe, EventSink, StreamEvent};
@@ -491,13 +492,14 @@
         metrics::ATTEMPT_SECONDS.record_as(progress.elapsed(), [("result", result_label)]);
         match result {
             Ok(is_reusable) => {
-                self.log_ended(&progress);
+                self.log_ended(&progress, is_reusable);
                 if is_reusable {
                     pooled_stream.give_back(progress.keep_alive.get());
                 }
                 Ok(())
             }
             Err(AttemptFault::Shed) => {
+                self.log_ended(&progress, progress.is_reusable.get());
                 if progress.is_reusable.get() {
                     pooled_stream.give_back(None);
                 }
@@ -533,13 +535,12 @@
         let watch = AttemptWatch::start(self, progress);
         let calls = watch.calls().clone();
         let HttpStream { reader, writer } = stream;
-        let is_sent = Cell::new(false);
         let mut sending = std::pin::pin!(sending::send_request(
             self,
             progress.timeout.time,
             writer,
             body,
-            &is_sent
+            &progress.exchange
         )
         .fuse());
         let relay = AnswerRelay { attempt: self, progress, answer, claim, calls };
@@ -552,7 +553,10 @@
         let mut watching = std::pin::pin!(watch.check_until_nested_call().fuse());
         loop {
             select_biased! {
-                result = answering => return result.map(|clean| clean && is_sent.get()),
+                result = answering => {
+                    let is_sent = progress.exchange.request() == MessageProgress::Whole;
+                    return result.map(|clean| clean && is_sent);
+                }
                 () = watching => {}
                 result = sending => match result {
                     // A server may respond before it has read the whole request. A connection that
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -15,6 +15,7 @@
 use basaltarch_decide::evidence::RequestEvidence;
 use basaltarch_http::body::{BodyLimits, BodyReader};
 use basaltarch_http::errors::HttpError;
+use basaltarch_http::exchange::ExchangeProgress;
 use basaltarch_http::fields;
 use basaltarch_http::framing::{self, BodyFraming};
 use basaltarch_http::head::{self, HeadLimits};
@@ -128,6 +129,8 @@
     /// Whether the attempt was counted as hung, because the attempt ran longer than `late_after` of
     /// its timeout.
     pub counted_as_hung: Cell<bool>,
+    /// How far the request and its response have got on the connection to the server.
+    pub exchange: ExchangeProgress,
     /// Whether the response head arrived.
     pub head_seen: Cell<bool>,
     /// Whether a successful response arrived.
@@ -157,6 +160,7 @@
             timeout,
             overdue_timer: OverdueTimer::new(overdue_after),
             counted_as_hung: Cell::new(false),
+            exchange: ExchangeProgress::default(),
             head_seen: Cell::new(false),
             has_succeeded: Cell::new(false),
             was_overdue: Cell::new(false),
--- a/crates/daemon/src/host/sending.rs
+++ b/crates/daemon/src/host/sending.rs
@@ -3,10 +3,10 @@
 
 //! Sends a request to a backend server.
 
-use std::cell::Cell;
 use std::time::Duration;
 
 use basaltarch_core::incarnation;
+use basaltarch_http::exchange::{ExchangeProgress, MessageProgress};
 use basaltarch_http::framing::BodyFraming;
 use basaltarch_http::writer;
 use basaltarch_peer::protocol::DispatchHead;
@@ -16,14 +16,29 @@
 use crate::host::exchange::HostAttempt;
 use crate::host::relay::AttemptFault;
 
-/// Sends the request, with `timeout` in its deadline field; sets `is_sent` to `true` once the whole
-/// request is sent.
+/// Sends the request, with `timeout` in its deadline field, and notes in `exchange` how far the
+/// request has got.
 pub async fn send_request(
     attempt: &HostAttempt<'_>,
     timeout: Duration,
     writer: &mut monoio::io::OwnedWriteHalf<monoio::net::TcpStream>,
     body: &EventPipe,
-    is_sent: &Cell<bool>,
+    exchange: &ExchangeProgress,
+) -> Result<(), AttemptFault> {
+    exchange.note_request(MessageProgress::Partial);
+    let result = write_request(attempt, timeout, writer, body).await;
+    exchange.note_request(match result {
+        Ok(()) => MessageProgress::Whole,
+        Err(_) => MessageProgress::Broken,
+    });
+    result
+}
+
+async fn write_request(
+    attempt: &HostAttempt<'_>,
+    timeout: Duration,
+    writer: &mut monoio::io::OwnedWriteHalf<monoio::net::TcpStream>,
+    body: &EventPipe,
 ) -> Result<(), AttemptFault> {
     let head = attempt.head;
     let framing = request_framing(head);
@@ -32,7 +47,6 @@
     writer::put_piece(&mut buffer, framing, &head.body, head.last);
     writer::flush(writer, &mut buffer).await.map_err(|_| AttemptFault::Broken)?;
     if head.last {
-        is_sent.set(true);
         return Ok(());
     }
     body.open_window();
@@ -42,7 +56,6 @@
                 let sending = writer::send_piece(writer, &mut buffer, framing, data, last);
                 sending.await.map_err(|_| AttemptFault::Broken)?;
                 if last {
-                    is_sent.set(true);
                     return Ok(());
                 }
             }
--- a/crates/daemon/src/host/trace.rs
+++ b/crates/daemon/src/host/trace.rs
@@ -64,6 +64,9 @@
             sickness: self.health_report().sickness,
             left_ms: millis(self.time_left()),
             idle_ms: idle_time.map(millis),
+            body_bytes: self.head.body.len() as u64,
+            body_whole: self.head.last,
+            declared_bytes: u64::try_from(self.head.content_length).ok(),
         }
         .log();
     }
@@ -92,8 +95,8 @@
         .log();
     }
 
-    /// Logs that the backend server responded.
-    pub fn log_ended(&self, progress: &AttemptProgress) {
+    /// Logs that the backend server responded, and whether the connection is `kept`.
+    pub fn log_ended(&self, progress: &AttemptProgress, kept: bool) {
         if !self.is_logged() {
             return;
         }
@@ -106,6 +109,8 @@
             in_flight: self.upstream.slots.used().into(),
             slots: self.upstream.slots.slots().into(),
             overdue: progress.was_overdue.get(),
+            sent: progress.exchange.request().name(),
+            kept,
         }
         .log();
     }
@@ -126,6 +131,7 @@
             took_ms: millis(progress.elapsed()),
             fingerprint: &self.fingerprint().to_string(),
             crashed,
+            sent: progress.exchange.request().name(),
         }
         .log();
     }
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -232,6 +232,12 @@
         left_ms: u64,
         /// Time for which the connection to the server had been idle; absent for a new connection.
         idle_ms: Option<u64>,
+        /// Bytes of its body that came with its dispatch.
+        body_bytes: u64,
+        /// Whether these bytes are the whole body.
+        body_whole: bool,
+        /// Length of the body, as its caller declared it; absent if the caller declared none.
+        declared_bytes: Option<u64>,
     }
 
     /// The host's daemon refused a request; nothing of it was sent to the backend server.
@@ -281,6 +287,10 @@
         slots: u64,
         /// Whether it took far longer than is typical.
         overdue: bool,
+        /// How far the request was sent: unsent, partial, whole or broken.
+        sent: &'a str,
+        /// Whether the connection is kept for another request.
+        kept: bool,
     }
 
     /// A request was sent to the backend server, and no usable answer was received.
@@ -306,6 +316,8 @@
         /// Whether the server crashed: nothing listens at its address, and it had not announced
         /// that it leaves.
         crashed: bool,
+        /// How far the request was sent: unsent, partial, whole or broken.
+        sent: &'a str,
     }
 
     /// An answer to an earlier request arrived where the answer to this one was expected; it was
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod client;
 pub mod connection;
 pub mod errors;
+pub mod exchange;
 pub mod fields;
 pub mod framing;
 pub mod head;
