Send a request again only while every byte of its body can still be sent

Cause: an ingress kept the start of a body beside a reader of the rest, and took "the reader is at its end" for "the start is the whole body". After an attempt that had read the rest, the next dispatch declared the start to be the whole; if the rest was read in part, the next server got the body with a hole. Each way to another attempt (retry, refusal by the server, moved address, void offer, hedge) asked on its own, or didn't.

Change: RequestBody owns the start and the rest, and knows whether bytes behind the start were passed on. A dispatch needs a BodyStart, which only RequestBody::start makes, and not once such bytes are gone; the body is put into a dispatch from it alone. The request then ends with the outcome of the attempt that it had.

--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -5,7 +5,6 @@
 
 use basaltarch_base::metrics;
 use basaltarch_core::units;
-use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::framing::{self, BodyFraming};
@@ -18,6 +17,7 @@
 use monoio::io::OwnedWriteHalf;
 use monoio::net::TcpStream;
 
+use crate::ingress::body::RequestBody;
 use crate::ingress::caller::{AfterRequest, WRITE_TIMEOUT};
 use crate::ingress::dispatch::LiveExchange;
 use crate::ingress::request::CallerRequest;
@@ -33,7 +33,7 @@
     state: &DaemonState,
     stream: &mut HttpStream,
     request: &CallerRequest,
-    body: &mut BodyReader,
+    body: &mut RequestBody,
     live: &mut LiveExchange,
     head: AnswerHead,
 ) -> AfterRequest {
@@ -44,15 +44,12 @@
     let mut relaying = std::pin::pin!(relaying.fuse());
     let sink = live.exchange.body.clone();
     let sending = async {
-        while !body.is_done() {
+        while !body.is_read() {
             if sink.ready().await.is_err() {
                 return;
             }
-            let data = match body.next(reader).await {
-                Ok(data) => data.unwrap_or_default(),
-                Err(_) => return,
-            };
-            let last = body.is_done();
+            let Ok(data) = body.next_piece(reader).await else { return };
+            let last = body.is_read();
             if sink.send(StreamEvent::Data(data, last)).await.is_err() {
                 return;
             }
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -17,11 +17,11 @@
 use basaltarch_decide::balance::{ChoiceGround, ChoiceRequest, UpstreamChoice};
 use basaltarch_decide::probing;
 use basaltarch_decide::suspects::{CopyVerdict, CrashTally};
-use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_options::WaitingMode;
 use basaltarch_peer::protocol::AnswerHead;
 
+use crate::ingress::body::RequestBody;
 use crate::ingress::dispatch::{DispatchEnd, LiveExchange, DISPATCHES_MAX};
 use crate::ingress::failure::CallerFailure;
 use crate::ingress::load_probe::{self as ingress_probe, ProbedUpstream};
@@ -92,7 +92,7 @@
     state: &Rc<DaemonState>,
     stream: &mut HttpStream,
     request: &CallerRequest,
-    body: &mut BodyReader,
+    body: &mut RequestBody,
 ) -> AttemptEnd {
     let mut attempts = RequestAttempts {
         state,
@@ -114,6 +114,10 @@
     let mut fallback: Option<(LiveExchange, AnswerHead)> = None;
     let mut slow = SlowAttempts::default();
     loop {
+        let Some(start) = body.start() else {
+            let failure = CallerFailure::new(attempts.last_outcome);
+            return attempts.end_with(stream, &mut slow, fallback, failure).await;
+        };
         let choice = match attempts.choose() {
             Ok(choice) => choice,
             Err(failure) => {
@@ -127,8 +131,8 @@
             Some(None) => continue,
             None => return AttemptEnd::CallerGone,
         };
-        let (choice, start, dispatched) = if attempts.needs_reservation(&choice) {
-            match attempts.wait_for_slot(stream, body.is_done()).await {
+        let (choice, started, dispatched) = if attempts.needs_reservation(&choice) {
+            match attempts.wait_for_slot(stream, &start).await {
                 SlotEnd::Sent(choice, live) => {
                     (choice, attempts.log_start(&choice), DispatchEnd::Sent(live))
                 }
@@ -139,15 +143,15 @@
                 SlotEnd::CallerGone => return AttemptEnd::CallerGone,
             }
         } else {
-            let start = attempts.log_start(&choice);
-            let dispatched = attempts.dispatch(stream, choice, body.is_done()).await;
-            (choice, start, dispatched)
+            let started = attempts.log_start(&choice);
+            let dispatched = attempts.dispatch(stream, choice, &start).await;
+            (choice, started, dispatched)
         };
         let mut live = match dispatched {
             DispatchEnd::Sent(live) => live,
             DispatchEnd::Unreachable => {
                 attempts.log_end(
-                    &start,
+                    &started,
                     StepEnd::Failed(attempts.last_outcome),
                     None,
                     NextStep::Elsewhere,
@@ -155,7 +159,7 @@
                 continue;
             }
             DispatchEnd::CallerGone => {
-                attempts.log_end(&start, StepEnd::CallerGone, None, NextStep::End);
+                attempts.log_end(&started, StepEnd::CallerGone, None, NextStep::End);
                 return AttemptEnd::CallerGone;
             }
         };
@@ -164,13 +168,13 @@
             waiting::first_event(state, request, time_left, stream, body, &live, &mut slow).await;
         match attempt_event {
             FirstEvent::CallerGone => {
-                attempts.log_end(&start, StepEnd::CallerGone, None, NextStep::End);
+                attempts.log_end(&started, StepEnd::CallerGone, None, NextStep::End);
                 return AttemptEnd::CallerGone;
             }
             FirstEvent::SlowAnswer(attempt, head) => return attempts.end_with_slow(attempt, head),
             FirstEvent::Stopping => {
                 let outcome = FailureOutcome::Unknown(UnknownReason::DaemonStopped);
-                attempts.log_end(&start, StepEnd::Failed(outcome), None, NextStep::End);
+                attempts.log_end(&started, StepEnd::Failed(outcome), None, NextStep::End);
                 if let Some((live, head)) = fallback {
                     return AttemptEnd::Answer(live, Box::new(head));
                 }
@@ -193,28 +197,28 @@
                 let is_final = !failed || !head.last;
                 let has_next_attempt = !is_final && fallback.is_none() && attempts.may_retry(body);
                 if is_final || !has_next_attempt && slow.is_empty() {
-                    attempts.log_end(&start, end, load, NextStep::Answer);
+                    attempts.log_end(&started, end, load, NextStep::Answer);
                     return AttemptEnd::Answer(live, Box::new(head));
                 }
                 live.exchange.finish();
                 if !has_next_attempt {
-                    attempts.log_end(&start, end, load, NextStep::End);
+                    attempts.log_end(&started, end, load, NextStep::End);
                     let failure = CallerFailure::new(attempts.last_outcome);
                     let fallback = Some((live, head));
                     return attempts.end_with(stream, &mut slow, fallback, failure).await;
                 }
-                attempts.log_end(&start, end, load, NextStep::Retry);
+                attempts.log_end(&started, end, load, NextStep::Retry);
                 attempts.failed_at = Some(choice.index);
                 attempts.excluded.push(choice.index);
                 fallback = Some((live, head));
             }
             FirstEvent::HedgeDue => {
                 // The retry budget is already charged for the hedge that follows.
-                attempts.log_end(&start, StepEnd::Hedged, None, NextStep::Retry);
+                attempts.log_end(&started, StepEnd::Hedged, None, NextStep::Retry);
                 attempts.server_attempts += 1;
                 attempts.request.service.note_hedge_due(choice.index, state.now());
                 attempts.excluded.push(choice.index);
-                slow.push(SlowAttempt { start, live });
+                slow.push(SlowAttempt { start: started, live });
             }
             FirstEvent::Failed(outcome, report) => {
                 live.exchange.finish();
@@ -227,18 +231,18 @@
                 }
                 let end = StepEnd::Failed(outcome);
                 let load = report.as_ref().map(StepLoad::of);
-                if attempts.has_declined(&start, outcome) {
-                    attempts.log_end(&start, end, load, NextStep::Elsewhere);
+                if attempts.has_declined(&started, outcome, body) {
+                    attempts.log_end(&started, end, load, NextStep::Elsewhere);
                     continue;
                 }
                 attempts.excluded.push(choice.index);
                 attempts.note_outcome(outcome);
                 attempts.server_attempts += usize::from(may_have_reached_server(outcome));
                 let has_next_attempt = match outcome {
-                    FailureOutcome::NotRun(reason) => attempts.may_go_elsewhere(reason),
+                    FailureOutcome::NotRun(reason) => attempts.may_go_elsewhere(reason, body),
                     FailureOutcome::Unknown(_) => attempts.may_retry(body),
                 };
-                attempts.log_end(&start, end, load, next_step(outcome, has_next_attempt));
+                attempts.log_end(&started, end, load, next_step(outcome, has_next_attempt));
                 if !has_next_attempt {
                     let failure = CallerFailure::new(outcome);
                     return attempts.end_with(stream, &mut slow, fallback, failure).await;
@@ -506,7 +510,7 @@
     }
 
     /// Says whether a request that did not run may be sent to another upstream.
-    fn may_go_elsewhere(&self, reason: NotRunReason) -> bool {
+    fn may_go_elsewhere(&self, reason: NotRunReason, body: &RequestBody) -> bool {
         let would_recur = matches!(
             reason,
             NotRunReason::DeadlinePassed
@@ -515,8 +519,10 @@
                 | NotRunReason::LedgerUnavailable
                 | NotRunReason::CrashesServers
         );
-        let is_allowed =
-            !would_recur && self.dispatches < DISPATCHES_MAX && !self.time_left().is_zero();
+        let is_allowed = !would_recur
+            && body.start().is_some()
+            && self.dispatches < DISPATCHES_MAX
+            && !self.time_left().is_zero();
         // Shedding a request costs a backend server processing time, so sending the request
         // elsewhere counts as a retry.
         let is_uncharged = reason != NotRunReason::Shed;
@@ -538,7 +544,12 @@
     ///
     /// An upstream that was told of another one declines also if the other one has become full
     /// since. The upstream itself must then remain eligible.
-    fn has_declined(&mut self, start: &AttemptStart, outcome: FailureOutcome) -> bool {
+    fn has_declined(
+        &mut self,
+        start: &AttemptStart,
+        outcome: FailureOutcome,
+        body: &RequestBody,
+    ) -> bool {
         let decline_reasons = [
             NotRunReason::Unhealthy,
             NotRunReason::Unproven,
@@ -555,7 +566,7 @@
             decline_reasons.iter().any(|reason| outcome == FailureOutcome::NotRun(*reason));
         let declined = declined || offer_was_void;
         let may_decline = start.was_passable || self.is_passable();
-        if !declined || !may_decline || self.time_left().is_zero() {
+        if !declined || !may_decline || body.start().is_none() || self.time_left().is_zero() {
             return false;
         }
         self.dispatches -= 1;
@@ -613,9 +624,9 @@
 
     /// Says whether a request that may have run may be sent again. If the request may be sent
     /// again, the retry budget is charged.
-    fn may_retry(&self, body: &BodyReader) -> bool {
+    fn may_retry(&self, body: &RequestBody) -> bool {
         self.is_repeatable()
-            && body.is_done()
+            && body.start().is_some()
             && self.dispatches < DISPATCHES_MAX
             && !self.time_left().is_zero()
             && self.has_server_attempts_left()
--- /dev/null
+++ b/crates/daemon/src/ingress/body.rs
@@ -0,0 +1,121 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! The body of a caller's request: what is kept of it, and what was passed on.
+//!
+//! Only the start of a body is kept. A further attempt needs the whole body, so it is possible only
+//! while everything behind the kept start is still on the caller's connection.
+
+use std::time::Duration;
+
+use basaltarch_core::units;
+use basaltarch_http::body::{BodyLimits, BodyReader};
+use basaltarch_http::connection::HttpStream;
+use basaltarch_http::errors::HttpError;
+use basaltarch_http::framing::BodyFraming;
+use basaltarch_http::reader::ByteReader;
+use bytes::{Bytes, BytesMut};
+use monoio::io::AsyncReadRent;
+
+/// Number of bytes of a body that are read before the request is dispatched, and kept for a retry.
+/// A shorter body is sent in the first frame, and a slow caller holds no slot while sending a
+/// shorter body.
+pub const KEPT_BYTES: usize = 64 * units::KIB;
+
+/// `RequestBody` is the body of one request, read from the caller's connection.
+#[derive(Debug)]
+pub struct RequestBody {
+    kept: Bytes,
+    rest: BodyReader,
+    has_passed_on: bool,
+}
+
+/// `BodyStart` is the start of a body of which every byte can still be sent. Only
+/// [`RequestBody::start`] makes one, so no attempt can begin with less than the whole body ahead.
+#[derive(Debug, Clone)]
+pub struct BodyStart {
+    bytes: Bytes,
+    is_whole: bool,
+}
+
+impl BodyStart {
+    /// Returns the bytes that are kept.
+    pub fn bytes(&self) -> &Bytes {
+        &self.bytes
+    }
+
+    /// Says whether the kept bytes are the whole body.
+    pub fn is_whole(&self) -> bool {
+        self.is_whole
+    }
+}
+
+impl RequestBody {
+    /// Builds a body of which nothing was read.
+    pub fn new(framing: BodyFraming, limits: BodyLimits) -> Self {
+        Self { kept: Bytes::new(), rest: BodyReader::new(framing, limits), has_passed_on: false }
+    }
+
+    /// Reads the body to its end or to [`KEPT_BYTES`] and keeps what was read.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection or of the body's framing, or [`HttpError::TimedOut`]
+    /// after `time_left`.
+    pub async fn keep_start(
+        &mut self,
+        stream: &mut HttpStream,
+        time_left: Duration,
+    ) -> Result<(), HttpError> {
+        if self.rest.is_done() {
+            return Ok(());
+        }
+        let reading = async {
+            let mut start = BytesMut::new();
+            while start.len() < KEPT_BYTES {
+                match self.rest.next(&mut stream.reader).await? {
+                    Some(piece) => start.extend_from_slice(&piece),
+                    None => break,
+                }
+            }
+            Ok(start.freeze())
+        };
+        self.kept = match monoio::time::timeout(time_left, reading).await {
+            Ok(result) => result?,
+            Err(_) => return Err(HttpError::TimedOut { what: "the body" }),
+        };
+        Ok(())
+    }
+
+    /// Returns the bytes that are kept, whether or not the request can still be sent.
+    pub fn kept(&self) -> &Bytes {
+        &self.kept
+    }
+
+    /// Says whether the body was read to its end from the caller's connection.
+    pub fn is_read(&self) -> bool {
+        self.rest.is_done()
+    }
+
+    /// Returns the start of the body for an attempt; `None` if bytes behind the start were passed to
+    /// an earlier attempt and are gone.
+    pub fn start(&self) -> Option<BodyStart> {
+        let start = || BodyStart { bytes: self.kept.clone(), is_whole: self.rest.is_done() };
+        (!self.has_passed_on).then(start)
+    }
+
+    /// Reads and returns the next bytes behind the start, to pass them on; empty at the end of the
+    /// body. Cancel safe.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection or of the body's framing.
+    pub async fn next_piece<R: AsyncReadRent>(
+        &mut self,
+        reader: &mut ByteReader<R>,
+    ) -> Result<Bytes, HttpError> {
+        let piece = self.rest.next(reader).await?.unwrap_or_default();
+        self.has_passed_on |= !piece.is_empty();
+        Ok(piece)
+    }
+}
--- a/crates/daemon/src/ingress/dispatch.rs
+++ b/crates/daemon/src/ingress/dispatch.rs
@@ -18,10 +18,10 @@
 use basaltarch_peer::errors::LinkError;
 use basaltarch_peer::link::{DialledLink, OutboundExchange};
 use basaltarch_peer::protocol::{BaselineNote, DispatchHead};
-use bytes::Bytes;
 
 use crate::host;
 use crate::ingress::attempt::RequestAttempts;
+use crate::ingress::body::BodyStart;
 use crate::ingress::waiting;
 use crate::links;
 use crate::services::SentGuard;
@@ -38,7 +38,7 @@
     /// The exchange.
     pub exchange: OutboundExchange,
     /// Start of the body, if the body is sent only once the host's daemon has started the request.
-    pub withheld: Option<Bytes>,
+    pub withheld: Option<BodyStart>,
     /// Path to the host's daemon, if the attempt may be hedged when that path is cut.
     pub path: Option<Rc<PeerPath>>,
     /// Time after which the attempt is hedged, if the attempt may be hedged.
@@ -74,7 +74,7 @@
         &mut self,
         stream: &mut HttpStream,
         choice: UpstreamChoice,
-        body_is_done: bool,
+        body: &BodyStart,
     ) -> DispatchEnd {
         self.note_dispatch();
         let service = &self.request.service;
@@ -93,14 +93,13 @@
         };
         let route = &self.request.route.name;
         let baseline = service.baseline(route, choice.index, self.state.now());
-        let mut head = self.head(choice, body_is_done, &baseline);
-        let withheld = self.withholds_body(choice.index, &head);
+        let mut head = self.head(choice, &baseline);
+        let withheld = self.withholds_body(choice.index, &head, body);
         if withheld || !self.request.has_whole_body() {
             head.fingerprint = Some(self.request.fingerprint(self.state).bytes().to_vec());
         }
-        if withheld {
-            head.body = Vec::new();
-            head.last = false;
+        if !withheld {
+            put_body(&mut head, body);
         }
         let is_evidence = !head.after_failure;
         let exchange = match link {
@@ -111,9 +110,9 @@
             },
         };
         let rounds_ahead = service.queued_rounds(choice.index, self.state.now());
-        let hedging_delay = self.hedging_delay(&baseline, rounds_ahead);
-        let withheld = withheld.then(|| self.request.prefix.clone());
-        let path = self.path_to_watch(path, body_is_done);
+        let hedging_delay = self.hedging_delay(&baseline, rounds_ahead, body);
+        let withheld = withheld.then(|| body.clone());
+        let path = self.path_to_watch(path, body);
         DispatchEnd::Sent(LiveExchange {
             exchange,
             withheld,
@@ -136,10 +135,10 @@
 
     /// Says whether the body is withheld until the request has started: traffic between failure
     /// domains is expensive, and a dispatch that may be refused would carry the body for nothing.
-    pub fn withholds_body(&self, index: usize, head: &DispatchHead) -> bool {
+    fn withholds_body(&self, index: usize, head: &DispatchHead, body: &BodyStart) -> bool {
         let is_local = self.request.service.with_view(|view| view.is_local(index));
         let may_be_refused = head.passable || head.refusable;
-        !is_local && may_be_refused && head.body.len() > WITHHELD_BYTES_MIN
+        !is_local && may_be_refused && body.bytes().len() > WITHHELD_BYTES_MIN
     }
 
     /// Records that the daemon of an upstream can't be reached.
@@ -149,13 +148,8 @@
         DispatchEnd::Unreachable
     }
 
-    /// Builds the head that dispatches the request to an upstream.
-    pub fn head(
-        &self,
-        choice: UpstreamChoice,
-        body_is_done: bool,
-        baseline: &ServiceBaseline,
-    ) -> DispatchHead {
+    /// Builds the head that dispatches the request to an upstream, without any of the body.
+    pub fn head(&self, choice: UpstreamChoice, baseline: &ServiceBaseline) -> DispatchHead {
         let request = self.request;
         let entry = &request.service.entry;
         DispatchHead {
@@ -171,8 +165,8 @@
             work_mode: wire::mode_number(self.dispatch_mode()),
             attempt: self.request.trace.attempts.get() as i8,
             content_length: request.framing.wire_length(),
-            body: request.prefix.to_vec(),
-            last: body_is_done,
+            body: Vec::new(),
+            last: false,
             baseline: self.baseline_note(choice.index, baseline),
             once_key: request.once_key.clone(),
             organisation: request.caller.organisation.as_deref().map(str::to_owned),
@@ -222,16 +216,21 @@
     }
 
     /// Returns the path of an attempt if the attempt may be hedged when the path is cut.
-    pub fn path_to_watch(&self, path: Rc<PeerPath>, body_is_done: bool) -> Option<Rc<PeerPath>> {
-        let is_watched = self.may_hedge() && body_is_done && !path.is_self;
+    pub fn path_to_watch(&self, path: Rc<PeerPath>, body: &BodyStart) -> Option<Rc<PeerPath>> {
+        let is_watched = self.may_hedge() && body.is_whole() && !path.is_self;
         is_watched.then_some(path)
     }
 
-    /// Returns the hedging delay of an attempt, if the attempt may be hedged. `rounds_ahead` is the
-    /// number of service rounds that the attempt waits in the queue of the upstream. That wait is
-    /// not the upstream's fault, so the wait extends the delay.
-    pub fn hedging_delay(&self, baseline: &ServiceBaseline, rounds_ahead: f64) -> Option<Duration> {
-        if !self.may_hedge() {
+    /// Returns the hedging delay of an attempt, if the attempt may be hedged: its hedge needs the
+    /// whole body. `rounds_ahead` is the number of service rounds that the attempt waits in the
+    /// queue of the upstream. That wait is not the upstream's fault, so the wait extends the delay.
+    pub fn hedging_delay(
+        &self,
+        baseline: &ServiceBaseline,
+        rounds_ahead: f64,
+        body: &BodyStart,
+    ) -> Option<Duration> {
+        if !body.is_whole() || !self.may_hedge() {
             return None;
         }
         let time_left = Some(self.objective_left()).filter(|time_left| !time_left.is_zero());
@@ -239,3 +238,9 @@
         Some(hedge::due_after(&usual, time_left) + usual.at(0.0).mul_f64(rounds_ahead))
     }
 }
+
+/// Puts the start of the body into the head of its dispatch.
+pub fn put_body(head: &mut DispatchHead, body: &BodyStart) {
+    head.body = body.bytes().to_vec();
+    head.last = body.is_whole();
+}
--- a/crates/daemon/src/ingress/evidence.rs
+++ b/crates/daemon/src/ingress/evidence.rs
@@ -33,7 +33,7 @@
     pub fn note_bytes(&self, head: &AnswerHead) {
         let request = self.request;
         let answer = head.content_length.max(head.body.len() as i64) as u64;
-        let bytes = request.prefix.len() as u64 + answer;
+        let bytes = request.body_start.len() as u64 + answer;
         request.service.note_bytes(&request.route.name, bytes);
     }
 
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod body;
 pub mod caller;
 pub mod caller_key;
 pub mod dispatch;
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -15,9 +15,8 @@
 use basaltarch_core::outcome::{FailureOutcome, NotRunReason};
 use basaltarch_core::resources::{WorkClass, WorkMode};
 use basaltarch_core::routes::RouteEntry;
-use basaltarch_core::units::{self, FleetRevision};
+use basaltarch_core::units::FleetRevision;
 use basaltarch_decide::suspects::CrashTally;
-use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::fields;
@@ -29,6 +28,7 @@
 
 use crate::ingress::answer;
 use crate::ingress::attempt::{self, AttemptEnd};
+use crate::ingress::body::{self, RequestBody};
 use crate::ingress::caller::{self, AfterRequest, WRITE_TIMEOUT};
 use crate::ingress::caller_key::CallerIdentity;
 use crate::ingress::failure::CallerFailure;
@@ -40,10 +40,6 @@
 use crate::stop;
 use crate::wire;
 
-/// Number of bytes of a body that are read before the request is dispatched, and kept for a retry.
-/// A shorter body is sent in the first frame, and a slow caller holds no slot while sending a
-/// shorter body.
-pub const PREFIX_BYTES: usize = 64 * units::KIB;
 /// Largest length of a request's id in the logs, in characters; the rest is cut off.
 const REQUEST_ID_MAX: usize = 128;
 /// Largest length of an idempotency key, in bytes.
@@ -76,8 +72,9 @@
     pub objective: Option<Duration>,
     /// Framing of the request's body.
     pub framing: BodyFraming,
-    /// Start of the request's body, as read before the first dispatch.
-    pub prefix: Bytes,
+    /// Start of the request's body, by which the request is recognised. What an attempt sends comes
+    /// from [`RequestBody::start`].
+    pub body_start: Bytes,
     /// Whether the connection is closed after the request.
     pub close: bool,
     /// Trace of the request for the logs.
@@ -109,7 +106,7 @@
 
     /// Says whether the whole body was read before the request is dispatched.
     pub fn has_whole_body(&self) -> bool {
-        self.prefix.len() < PREFIX_BYTES
+        self.body_start.len() < body::KEPT_BYTES
     }
 
     /// Returns the crash tally of the request; `None` if the tally is empty.
@@ -120,7 +117,7 @@
     }
 
     /// Returns the fingerprint of the request, which identical requests share and no other request
-    /// has. The prefix of the body must have been read.
+    /// has. The start of the body must have been read.
     pub fn fingerprint(&self, state: &DaemonState) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
             let parts = RequestParts {
@@ -129,7 +126,7 @@
                 method: self.method.as_str(),
                 target: &self.target,
                 field_lines: &self.field_lines,
-                body: &self.prefix,
+                body: &self.body_start,
                 is_whole: self.has_whole_body(),
                 length: self.framing.wire_length(),
             };
@@ -165,27 +162,27 @@
             return send_refusal(stream, &method, &failure, close).await;
         }
     };
-    let mut body = BodyReader::new(framing, state.body_limits());
-    if awaits_continue && !body.is_done() && stream.reader.buffer.is_empty() {
+    let mut body = RequestBody::new(framing, state.body_limits());
+    if awaits_continue && !body.is_read() && stream.reader.buffer.is_empty() {
         let mut line = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
         if writer::flush(&mut stream.writer, &mut line).await.is_err() {
             return AfterRequest::Abort;
         }
     }
     let time_left = request.deadline.saturating_sub(state.now());
-    match read_prefix_until_stop(state, stream, &mut body, id, time_left).await {
-        Ok(prefix) => request.prefix = prefix,
-        Err(PrefixFault::Unreadable(error)) => {
+    match keep_start_until_stop(state, stream, &mut body, id, time_left).await {
+        Ok(()) => request.body_start = body.kept().clone(),
+        Err(StartFault::Unreadable(error)) => {
             return refuse_unreadable(state, stream, &method, id, &error).await;
         }
-        Err(PrefixFault::Refused) => {
+        Err(StartFault::Refused) => {
             let failure = CallerFailure::not_run(NotRunReason::Draining);
             trace::log_rejected(state, id, &failure);
             return send_refusal(stream, &method, &failure, true).await;
         }
     }
     trace::log_received(state, &request);
-    if request.once_key.is_some() && !body.is_done() {
+    if request.once_key.is_some() && !body.is_read() {
         let message = "an at-most-once request with a key may have a body of at most 65536 bytes";
         let failure = CallerFailure::bad_request(StatusCode::PAYLOAD_TOO_LARGE, message);
         trace::log_rejected(state, id, &failure);
@@ -199,7 +196,7 @@
     state: &Rc<DaemonState>,
     stream: &mut HttpStream,
     request: &CallerRequest,
-    body: &mut BodyReader,
+    body: &mut RequestBody,
 ) -> AfterRequest {
     let began = state.now();
     request.service.note_request(began);
@@ -219,14 +216,13 @@
     };
     match attempt::run(state, stream, request, body).await {
         AttemptEnd::Answer(mut exchange, head) => {
-            let body_was_read = body.is_done();
             if wire::is_server_error(head.status as u16) {
                 note_failed_call();
             }
             let after = answer::relay(state, stream, request, body, &mut exchange, *head).await;
             record(if after == AfterRequest::Abort { "cut-short" } else { "complete" });
             match after {
-                AfterRequest::Keep if !body_was_read && !body.is_done() => AfterRequest::Close,
+                AfterRequest::Keep if !body.is_read() => AfterRequest::Close,
                 after => after,
             }
         }
@@ -237,7 +233,7 @@
             }
             trace::log_failed(state, request, &failure);
             record(failure.outcome.header_value());
-            let close = request.close || !body.is_done();
+            let close = request.close || !body.is_read();
             send_refusal(stream, &request.method, &failure, close).await
         }
         AttemptEnd::CallerGone => {
@@ -281,8 +277,8 @@
     }
 }
 
-/// `PrefixFault` is why the start of a body was not read.
-enum PrefixFault {
+/// `StartFault` is why the start of a body was not read.
+enum StartFault {
     /// The body can't be read.
     Unreadable(HttpError),
     /// The body did not arrive before the daemon, which is shutting down, stopped admitting
@@ -290,21 +286,20 @@
     Refused,
 }
 
-/// Reads the body until its end or [`PREFIX_BYTES`], unless the daemon shuts down and no longer
-/// admits the request: a body that doesn't arrive would delay the shutdown until the end of the
-/// longest drain.
-async fn read_prefix_until_stop(
+/// Reads and keeps the start of the body, unless the daemon shuts down and no longer admits the
+/// request: a body that doesn't arrive would delay the shutdown until the end of the longest drain.
+async fn keep_start_until_stop(
     state: &DaemonState,
     stream: &mut HttpStream,
-    body: &mut BodyReader,
+    body: &mut RequestBody,
     id: &str,
     time_left: Duration,
-) -> Result<Bytes, PrefixFault> {
-    let mut reading = std::pin::pin!(read_prefix(stream, body, time_left).fuse());
+) -> Result<(), StartFault> {
+    let mut reading = std::pin::pin!(body.keep_start(stream, time_left).fuse());
     let mut stopping = std::pin::pin!(wait_until_stop_refuses(state, id).fuse());
     select_biased! {
-        read = reading => read.map_err(PrefixFault::Unreadable),
-        () = stopping => Err(PrefixFault::Refused),
+        read = reading => read.map_err(StartFault::Unreadable),
+        () = stopping => Err(StartFault::Refused),
     }
 }
 
@@ -316,31 +311,6 @@
     }
 }
 
-/// Reads the body until its end or [`PREFIX_BYTES`].
-async fn read_prefix(
-    stream: &mut HttpStream,
-    body: &mut BodyReader,
-    time_left: Duration,
-) -> Result<Bytes, HttpError> {
-    if body.is_done() {
-        return Ok(Bytes::new());
-    }
-    let reading = async {
-        let mut prefix = BytesMut::new();
-        while prefix.len() < PREFIX_BYTES {
-            match body.next(&mut stream.reader).await? {
-                Some(piece) => prefix.extend_from_slice(&piece),
-                None => break,
-            }
-        }
-        Ok(prefix.freeze())
-    };
-    match monoio::time::timeout(time_left, reading).await {
-        Ok(result) => result,
-        Err(_) => Err(HttpError::TimedOut { what: "the body" }),
-    }
-}
-
 /// Checks a request against the configuration and the limits.
 async fn admit(
     state: &Rc<DaemonState>,
@@ -393,7 +363,7 @@
         deadline: stop::bounded_deadline(state, now + timeout),
         objective,
         framing,
-        prefix: Bytes::new(),
+        body_start: Bytes::new(),
         close,
         trace: RequestTrace::start(state, id.to_owned()),
         fingerprint: OnceCell::new(),
--- a/crates/daemon/src/ingress/reservations.rs
+++ b/crates/daemon/src/ingress/reservations.rs
@@ -29,7 +29,8 @@
 
 use crate::host;
 use crate::ingress::attempt::RequestAttempts;
-use crate::ingress::dispatch::LiveExchange;
+use crate::ingress::body::BodyStart;
+use crate::ingress::dispatch::{self, LiveExchange};
 use crate::ingress::failure::CallerFailure;
 use crate::ingress::trace::{self, TraceStep};
 use crate::ingress::waiting;
@@ -91,11 +92,11 @@
     }
 
     /// Waits until a host offers a slot for the request, and sends the request to that host.
-    pub async fn wait_for_slot(&mut self, stream: &mut HttpStream, body_is_done: bool) -> SlotEnd {
+    pub async fn wait_for_slot(&mut self, stream: &mut HttpStream, body: &BodyStart) -> SlotEnd {
         let began = self.state.now();
         let mut set = ReservationSet::new(ReservationPlan::default());
         metrics::WAITING_REQUESTS.add(1);
-        let end = self.hold_reservations(&mut set, stream, body_is_done).await;
+        let end = self.hold_reservations(&mut set, stream, body).await;
         metrics::WAITING_REQUESTS.add(-1);
         let failure = match &end {
             SlotEnd::Sent(..) => {
@@ -130,7 +131,7 @@
         &mut self,
         set: &mut ReservationSet<OutboundExchange>,
         stream: &mut HttpStream,
-        body_is_done: bool,
+        body: &BodyStart,
     ) -> SlotEnd {
         let now = self.state.now();
         let until = *self.wait_until.get_or_insert(now + self.time_left().mul_f64(WAIT_SHARE_MAX));
@@ -178,7 +179,7 @@
                     return SlotEnd::Failed(CallerFailure::not_run(reason));
                 }
                 WaitStep::Reply(reservation, ReservationReply::SlotOffered) => {
-                    return self.send_offered(reservation, body_is_done);
+                    return self.send_offered(reservation, body);
                 }
                 WaitStep::Reply(reservation, ReservationReply::Refused(failure)) => {
                     let index = reservation.index;
@@ -299,7 +300,7 @@
     }
 
     /// Builds the head that requests a reservation. The head leaves out what is needed only to run
-    /// the request, such as the body, because most reservations are released unused and traffic
+    /// the request, because most reservations are released unused and traffic
     /// between failure domains is expensive.
     fn reservation_head(&self, index: usize) -> DispatchHead {
         let now = self.state.now();
@@ -309,8 +310,6 @@
             method: String::new(),
             target: String::new(),
             field_lines: Vec::new(),
-            body: Vec::new(),
-            last: false,
             baseline: None,
             fingerprint: None,
             organisation: None,
@@ -318,7 +317,7 @@
             refusable: true,
             passable: true,
             attempt,
-            ..self.head(choice, false, &ServiceBaseline::default())
+            ..self.head(choice, &ServiceBaseline::default())
         }
     }
 
@@ -373,7 +372,7 @@
     fn send_offered(
         &mut self,
         reservation: HeldReservation<OutboundExchange>,
-        body_is_done: bool,
+        body: &BodyStart,
     ) -> SlotEnd {
         if !self.may_dispatch() {
             return SlotEnd::Failed(CallerFailure::not_run(NotRunReason::Draining));
@@ -388,7 +387,8 @@
         let baseline = service.baseline(&self.request.route.name, index, now);
         let path = service.path(index).clone();
         let choice = service.with_view(|view| view.offered_choice(index, now));
-        let head = self.head(choice, body_is_done, &baseline);
+        let mut head = self.head(choice, &baseline);
+        dispatch::put_body(&mut head, body);
         if exchange.begin(head).is_err() {
             // The link was lost after the slot was offered; the request was not sent.
             self.excluded.push(index);
@@ -397,8 +397,8 @@
         let live = LiveExchange {
             exchange,
             withheld: None,
-            path: self.path_to_watch(path, body_is_done),
-            hedging_delay: self.hedging_delay(&baseline, 0.0),
+            path: self.path_to_watch(path, body),
+            hedging_delay: self.hedging_delay(&baseline, 0.0, body),
             is_evidence: !self.exempts_failure(),
             sent_guard: service.count_sent(index),
         };
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -8,14 +8,13 @@
 
 use basaltarch_core::outcome::{FailureOutcome, UnknownReason};
 use basaltarch_decide::path::PathState;
-use basaltarch_http::body::BodyReader;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::reader::HEAD_READ_BYTES;
 use basaltarch_peer::protocol::{AnswerHead, LoadReport};
 use basaltarch_peer::stream::StreamEvent;
-use bytes::Bytes;
 use futures_util::{select_biased, FutureExt};
 
+use crate::ingress::body::RequestBody;
 use crate::ingress::dispatch::LiveExchange;
 use crate::ingress::request::CallerRequest;
 use crate::ingress::slow_attempts::{SlowAttempt, SlowAttempts};
@@ -54,7 +53,7 @@
     request: &CallerRequest,
     time_left: Duration,
     stream: &mut HttpStream,
-    body: &mut BodyReader,
+    body: &mut RequestBody,
     live: &LiveExchange,
     slow: &mut SlowAttempts,
 ) -> FirstEvent {
@@ -62,7 +61,7 @@
     let mut event = std::pin::pin!(answer.next().fuse());
     let answer_wait = time_left + DEADLINE_GRACE;
     let mut deadline_timer = std::pin::pin!(monoio::time::sleep(answer_wait).fuse());
-    let hedging_delay = live.hedging_delay.filter(|_| body.is_done()).unwrap_or(answer_wait * 2);
+    let hedging_delay = live.hedging_delay.unwrap_or(answer_wait * 2);
     let mut hedging = std::pin::pin!(monoio::time::sleep(hedging_delay).fuse());
     let mut path_cut_event = std::pin::pin!(path_cut(state, live).fuse());
     let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
@@ -197,32 +196,31 @@
 /// Sends the rest of the body, then waits until the caller disconnects.
 async fn send_body(
     stream: &mut HttpStream,
-    body: &mut BodyReader,
+    body: &mut RequestBody,
     live: &LiveExchange,
 ) -> WatchOutcome {
     let sink = &live.exchange.body;
-    if let Some(prefix) = &live.withheld {
-        let last = body.is_done();
+    if let Some(start) = &live.withheld {
+        let piece = StreamEvent::Data(start.bytes().clone(), start.is_whole());
         let sent = match sink.ready().await {
-            Ok(()) => sink.send(StreamEvent::Data(prefix.clone(), last)).await,
+            Ok(()) => sink.send(piece).await,
             Err(gone) => Err(gone),
         };
         if sent.is_err() {
             return watch_caller(stream).await;
         }
     }
-    while !body.is_done() {
+    while !body.is_read() {
         // The body is not read before the host's daemon has started the request. If the daemon
         // refuses the request, the unread body can still be sent to another upstream.
         if sink.ready().await.is_err() {
             break;
         }
-        let data = match body.next(&mut stream.reader).await {
-            Ok(Some(data)) => data,
-            Ok(None) => Bytes::new(),
+        let data = match body.next_piece(&mut stream.reader).await {
+            Ok(data) => data,
             Err(_) => return WatchOutcome::CallerGone,
         };
-        let last = body.is_done();
+        let last = body.is_read();
         if sink.send(StreamEvent::Data(data, last)).await.is_err() {
             break;
         }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -8,7 +8,8 @@
 //! [`logs`] reads their logs. [`fleet`] and [`registered`] combine these, one for each source of
 //! the configuration. [`client`] sends requests, [`operator`] makes the calls of operators, and
 //! [`forwarder`] cuts or black-holes connections, [`load`] keeps sending requests, and [`stops`]
-//! sends requests to daemons that are shutting down.
+//! sends requests to daemons that are shutting down. The exchanges of [`scripted`] servers follow a
+//! script.
 //!
 //! The kernel assigns the ports. Tests wait for conditions rather than for fixed times, for at most
 //! [`EVENT_TIMEOUT`].
@@ -26,6 +27,7 @@
 pub mod operator;
 pub mod platform;
 pub mod registered;
+pub mod scripted;
 pub mod stops;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/daemon/tests/exchanges.rs
@@ -0,0 +1,164 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Exchanges whose messages don't pass in one go: a server runs what one caller sent, whole, and a
+//! caller's complete answer is what one server sent, whole.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+use common::client::{self, Reply};
+use common::scripted::{AfterExchange, ScriptedExchange, ScriptedServer};
+use common::{FleetPlan, TestBackend, TestFleet};
+use test_case::test_case;
+
+/// Bytes of a body that an ingress keeps for a further attempt, at least.
+const KEPT_BYTES: usize = 64 * 1024;
+
+/// A fleet of two daemons whose servers are scripted. The first server runs beside the first
+/// daemon, the others beside the second.
+struct ScriptedFleet {
+    fleet: TestFleet,
+    servers: Vec<ScriptedServer>,
+}
+
+impl ScriptedFleet {
+    fn start(servers: Vec<ScriptedServer>) -> Self {
+        let plan = FleetPlan { daemons: 2, backends: 0, ..FleetPlan::default() };
+        let mut fleet = TestFleet::start_unconfigured(&plan);
+        fleet.backends = servers
+            .iter()
+            .map(|server| TestBackend {
+                name: server.backend.name.clone(),
+                address: server.backend.address,
+            })
+            .collect();
+        let reply = fleet.apply(&fleet.build_configuration(&plan));
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        fleet.wait_revision(1);
+        Self { fleet, servers }
+    }
+
+    /// Sends a request and reads its answer.
+    fn send(&self, daemon: usize, request: &[u8]) -> Option<Reply> {
+        client::send_raw(self.fleet.daemons[daemon].callers, request)
+    }
+
+    /// Checks that each request that reached a server is one of `sent`, whole and unchanged if it
+    /// was read to its end, and returns how often each was read to its end.
+    fn count_whole(&self, sent: &BTreeMap<String, Vec<u8>>) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for seen in self.servers.iter().flat_map(ScriptedServer::seen) {
+            let body = sent.get(&seen.id).unwrap_or_else(|| panic!("not sent: {}", seen.line));
+            assert!(body.starts_with(&seen.body), "{}: other bytes than sent", seen.id);
+            if seen.is_whole {
+                assert_eq!(seen.body.len(), body.len(), "{}: a part runs as the whole", seen.id);
+                *counts.entry(seen.id).or_default() += 1;
+            }
+        }
+        counts
+    }
+}
+
+/// Builds a body whose bytes differ with their position.
+fn build_body(length: usize) -> Vec<u8> {
+    (0..length).map(|index| b'a' + ((index / 7 + index / 1031) % 26) as u8).collect()
+}
+
+/// Builds a request for the host `solver.example`.
+fn build_request(path: &str, id: &str, body: &[u8], chunked: bool) -> Vec<u8> {
+    let framing = match chunked {
+        true => "Transfer-Encoding: chunked".to_owned(),
+        false => format!("Content-Length: {}", body.len()),
+    };
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: solver.example\r\nx-request-id: {id}\r\n{framing}\r\n"
+    );
+    let mut request = format!("{head}\r\n").into_bytes();
+    if !chunked {
+        request.extend_from_slice(body);
+        return request;
+    }
+    for piece in body.chunks(10_000) {
+        write!(request, "{:x}\r\n", piece.len()).expect("memory");
+        request.extend_from_slice(piece);
+        request.extend_from_slice(b"\r\n");
+    }
+    request.extend_from_slice(b"0\r\n\r\n");
+    request
+}
+
+/// How the first exchange at any server ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FirstEnd {
+    Shed,
+    Fail,
+    Close,
+}
+
+fn end_first(exchange: &mut ScriptedExchange<'_>, first: FirstEnd) -> AfterExchange {
+    exchange.read_body();
+    match first {
+        FirstEnd::Shed => exchange.answer_shed(),
+        FirstEnd::Fail => exchange.answer("500 Internal Server Error", "", "failed"),
+        FirstEnd::Close => return AfterExchange::Close,
+    };
+    AfterExchange::Keep
+}
+
+/// Starts a fleet of two servers: the first exchange at either ends as `first` says, the others
+/// are answered.
+fn start_failing_once(first: FirstEnd) -> ScriptedFleet {
+    let seen = Arc::new(AtomicUsize::new(0));
+    let start = |name: &str| {
+        let seen = seen.clone();
+        ScriptedServer::start(name, move |exchange| {
+            if seen.fetch_add(1, Ordering::SeqCst) == 0 {
+                return end_first(exchange, first);
+            }
+            if !exchange.read_body() {
+                return AfterExchange::Close;
+            }
+            exchange.answer("200 OK", "", "done");
+            AfterExchange::Keep
+        })
+    };
+    ScriptedFleet::start(vec![start("server-1"), start("server-2")])
+}
+
+/// Guards against a request that runs with the kept start of its body in place of the whole.
+#[test_case(FirstEnd::Shed, "/plain", 503 ; "the server sheds it")]
+#[test_case(FirstEnd::Fail, "/puzzle", 500 ; "the server fails it")]
+#[test_case(FirstEnd::Close, "/puzzle", 502 ; "the connection closes")]
+fn verify_a_body_that_is_not_kept_whole_is_not_sent_again(
+    first: FirstEnd,
+    path: &str,
+    status: u16,
+) {
+    let lengths = [0, KEPT_BYTES - 1, KEPT_BYTES, KEPT_BYTES + 1, 90_000, 400_000];
+    for (daemon, chunked) in [(0, false), (1, false), (0, true), (1, true)] {
+        for length in lengths {
+            let scripted = start_failing_once(first);
+            let body = build_body(length);
+            let request = build_request(path, "long", &body, chunked);
+            let reply = scripted.send(daemon, &request).expect("an answer");
+            let sent = BTreeMap::from([("long".to_owned(), body)]);
+            let counts = scripted.count_whole(&sent);
+            // A body that was kept whole can be sent again; a longer one can't.
+            let is_kept = length <= KEPT_BYTES;
+            let is_long = length >= 2 * KEPT_BYTES;
+            if is_kept || !is_long && reply.status == 200 {
+                assert_eq!(reply.status, 200, "{length} bytes: {}", reply.head);
+                assert_eq!(counts["long"], 2, "{length} bytes");
+            } else {
+                assert_eq!(reply.status, status, "{length} bytes: {}", reply.head);
+                assert_eq!(counts["long"], 1, "{length} bytes");
+            }
+            scripted.fleet.check_invariants();
+        }
+    }
+}
