Use a connection again only after a request that was sent whole

Cause: whether a connection can be used again was decided in two places. The one for relayed responses asked whether the request was sent whole, the one for refusals by the server only whether the refusal was read.

Change: ExchangeProgress holds how far both messages have got, and alone says whether the connection takes another request; the one place that gives connections back asks it for every end of an attempt. A keep-alive time announced with a refusal counts.

--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -23,7 +23,6 @@
 use basaltarch_decide::suspects::CrashTally;
 use basaltarch_events::servers::ServerCrashed;
 use basaltarch_http::connection::HttpStream;
-use basaltarch_http::exchange::MessageProgress;
 use basaltarch_http::writer;
 use basaltarch_peer::protocol::{AnswerHead, DispatchHead, ExchangeFailure};
 use basaltarch_peer::stream::{EventPipe, EventSink, StreamEvent};
@@ -490,19 +489,19 @@
         let was_overdue = progress.was_overdue.get();
         let result_label = if result.is_ok() { "answered" } else { "broke" };
         metrics::ATTEMPT_SECONDS.record_as(progress.elapsed(), [("result", result_label)]);
+        // The slot is released after the connection is closed or given back, not before.
+        let is_kept = progress.exchange.leaves_connection_reusable();
+        match is_kept {
+            true => pooled_stream.give_back(progress.keep_alive.get()),
+            false => drop(pooled_stream),
+        }
         match result {
-            Ok(is_reusable) => {
-                self.log_ended(&progress, is_reusable);
-                if is_reusable {
-                    pooled_stream.give_back(progress.keep_alive.get());
-                }
+            Ok(()) => {
+                self.log_ended(&progress, is_kept);
                 Ok(())
             }
             Err(AttemptFault::Shed) => {
-                self.log_ended(&progress, progress.is_reusable.get());
-                if progress.is_reusable.get() {
-                    pooled_stream.give_back(None);
-                }
+                self.log_ended(&progress, is_kept);
                 Err(AttemptFault::Shed.outcome())
             }
             Err(AttemptFault::Moved) => {
@@ -510,8 +509,6 @@
                 Err(AttemptFault::Moved.outcome())
             }
             Err(fault) => {
-                // The slot is released after the connection is closed, not before.
-                drop(pooled_stream);
                 let crashed = fault.is_connection_failure() && self.detect_crash().await;
                 self.log_failed(fault, crashed, &progress);
                 if !progress.is_recorded.get() {
@@ -523,7 +520,7 @@
         }
     }
 
-    /// Runs the HTTP exchange within its deadline; returns whether the connection can be reused.
+    /// Runs the HTTP exchange within its deadline.
     async fn run_exchange(
         &self,
         stream: &mut HttpStream,
@@ -531,7 +528,7 @@
         body: &EventPipe,
         answer: &EventSink,
         claim: Option<ClaimToken>,
-    ) -> Result<bool, AttemptFault> {
+    ) -> Result<(), AttemptFault> {
         let watch = AttemptWatch::start(self, progress);
         let calls = watch.calls().clone();
         let HttpStream { reader, writer } = stream;
@@ -553,10 +550,7 @@
         let mut watching = std::pin::pin!(watch.check_until_nested_call().fuse());
         loop {
             select_biased! {
-                result = answering => {
-                    let is_sent = progress.exchange.request() == MessageProgress::Whole;
-                    return result.map(|clean| clean && is_sent);
-                }
+                result = answering => return result,
                 () = watching => {}
                 result = sending => match result {
                     // A server may respond before it has read the whole request. A connection that
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -15,7 +15,7 @@
 use basaltarch_decide::evidence::RequestEvidence;
 use basaltarch_http::body::{BodyLimits, BodyReader};
 use basaltarch_http::errors::HttpError;
-use basaltarch_http::exchange::ExchangeProgress;
+use basaltarch_http::exchange::{ExchangeProgress, MessageProgress};
 use basaltarch_http::fields;
 use basaltarch_http::framing::{self, BodyFraming};
 use basaltarch_http::head::{self, HeadLimits};
@@ -139,8 +139,6 @@
     pub was_overdue: Cell<bool>,
     /// Whether the end of the attempt was recorded as evidence about the server.
     pub is_recorded: Cell<bool>,
-    /// Whether the connection can be reused although the server refused the request.
-    pub is_reusable: Cell<bool>,
     /// Keep-alive timeout that the server announced.
     pub keep_alive: Cell<Option<Duration>>,
 }
@@ -165,7 +163,6 @@
             has_succeeded: Cell::new(false),
             was_overdue: Cell::new(false),
             is_recorded: Cell::new(false),
-            is_reusable: Cell::new(false),
             keep_alive: Cell::new(None),
         }
     }
@@ -198,41 +195,48 @@
     basaltarch_http::reader::ByteReader<monoio::io::OwnedReadHalf<monoio::net::TcpStream>>;
 
 impl AnswerRelay<'_> {
-    /// Relays the response; returns whether the connection can be reused after the response.
-    pub async fn run(self, reader: &mut BackendReader) -> Result<bool, AttemptFault> {
+    /// Relays the response, and notes how far it has got on its connection.
+    pub async fn run(self, reader: &mut BackendReader) -> Result<(), AttemptFault> {
         let AnswerStart { mut head, framing, verdict, is_first_response } =
             self.read_start(reader).await?;
         self.progress.head_seen.set(true);
         self.note_notices(&head, verdict);
+        let exchange = &self.progress.exchange;
+        exchange.note_response(MessageProgress::Partial);
+        if fields::wants_close(head.version, &head.headers) || !is_first_response {
+            exchange.note_last();
+        }
+        self.progress.keep_alive.set(fields::keep_alive_timeout(&head.headers));
         match verdict {
-            AnswerVerdict::Shed => {
-                let close = fields::wants_close(head.version, &head.headers) || !is_first_response;
-                return self.finish_shed(reader, framing, close).await;
-            }
+            AnswerVerdict::Shed => return self.finish_shed(reader, framing).await,
             AnswerVerdict::Moved => return Err(AttemptFault::Moved),
             AnswerVerdict::Invalid | AnswerVerdict::Surplus => return Err(AttemptFault::BadAnswer),
             AnswerVerdict::Matching => {}
         }
-        let close = framing == BodyFraming::UntilClose
-            || fields::wants_close(head.version, &head.headers)
-            || !is_first_response;
         let length = declared_length(&head, framing);
-        let keep_alive = fields::keep_alive_timeout(&head.headers);
-        self.progress.keep_alive.set(keep_alive);
         fields::remove_hop_fields(&mut head.headers);
         let mut body = BodyReader::new(framing, BodyLimits::default());
         let inline = self.buffer_body_start(&mut body, reader, framing).await?;
         if body.is_done() {
             self.record_end(head.status, self.progress.started.elapsed());
             self.store_answer(&head, &inline);
-            self.send_head(&head, length, inline, true).await?;
-            // Bytes after the complete response belong to no request, so such bytes make the
-            // connection unusable.
-            return Ok(!close && reader.buffer.is_empty());
+            self.note_response_end(reader, framing);
+            return self.send_head(&head, length, inline, true).await;
         }
         self.send_head(&head, length, inline, false).await?;
         self.stream_body(&mut body, reader, head.status).await?;
-        Ok(!close && reader.buffer.is_empty())
+        self.note_response_end(reader, framing);
+        Ok(())
+    }
+
+    /// Notes that the response was read to its end.
+    fn note_response_end(&self, reader: &BackendReader, framing: BodyFraming) {
+        let exchange = &self.progress.exchange;
+        exchange.note_response(MessageProgress::Whole);
+        // Bytes after the complete response belong to no request.
+        if framing == BodyFraming::UntilClose || !reader.buffer.is_empty() {
+            exchange.note_last();
+        }
     }
 
     /// Records what the server says of itself in a response head.
@@ -342,11 +346,11 @@
         &self,
         reader: &mut BackendReader,
         framing: BodyFraming,
-        close: bool,
-    ) -> Result<bool, AttemptFault> {
+    ) -> Result<(), AttemptFault> {
         // The shed notice was in the head; a broken body only makes the connection unusable.
-        let complete = self.discard_body(reader, framing).await.is_ok();
-        self.progress.is_reusable.set(complete && !close && reader.buffer.is_empty());
+        if self.discard_body(reader, framing).await.is_ok() {
+            self.note_response_end(reader, framing);
+        }
         self.attempt.record_result(RequestEvidence::Neutral, false, None);
         self.progress.is_recorded.set(true);
         Err(AttemptFault::Shed)
--- a/crates/daemon/tests/exchanges.rs
+++ b/crates/daemon/tests/exchanges.rs
@@ -16,20 +16,31 @@
 use common::client::{self, Reply};
 use common::scripted::{AfterExchange, ScriptedExchange, ScriptedServer};
 use common::{eventually, FleetPlan, TestBackend, TestFleet, EVENT_TIMEOUT};
+use serde_json::json;
 use test_case::test_case;
 
 /// Bytes of a body that an ingress keeps for a further attempt, at least.
 const KEPT_BYTES: usize = 64 * 1024;
 
-/// A fleet of two daemons whose servers are scripted. The first server runs beside the first
-/// daemon, the others beside the second.
+/// A fleet of two daemons whose servers are scripted.
 struct ScriptedFleet {
     fleet: TestFleet,
     servers: Vec<ScriptedServer>,
 }
 
 impl ScriptedFleet {
+    /// Starts a fleet whose servers run beside the first and the second daemon in turn.
     fn start(servers: Vec<ScriptedServer>) -> Self {
+        Self::start_beside(servers, &["host-a", "host-b"])
+    }
+
+    /// Starts a fleet whose servers run beside the second daemon, so that requests to the first
+    /// daemon cross a link between failure domains.
+    fn start_far(servers: Vec<ScriptedServer>) -> Self {
+        Self::start_beside(servers, &["host-b"])
+    }
+
+    fn start_beside(servers: Vec<ScriptedServer>, hosts: &[&str]) -> Self {
         let plan = FleetPlan { daemons: 2, backends: 0, ..FleetPlan::default() };
         let mut fleet = TestFleet::start_unconfigured(&plan);
         fleet.backends = servers
@@ -39,7 +50,15 @@
                 address: server.backend.address,
             })
             .collect();
-        let reply = fleet.apply(&fleet.build_configuration(&plan));
+        let mut configuration = fleet.build_configuration(&plan);
+        for (index, server) in servers.iter().enumerate() {
+            let host = hosts[index % hosts.len()];
+            let daemon = fleet.daemons.iter().find(|daemon| daemon.host == host).expect("a host");
+            let entry = &mut configuration["backend-servers"][&server.backend.name];
+            entry["host"] = json!(host);
+            entry["failure_domain"] = json!(daemon.domain);
+        }
+        let reply = fleet.apply(&configuration);
         assert_eq!(reply.status, 200, "{}", reply.text());
         fleet.wait_revision(1);
         Self { fleet, servers }
@@ -201,3 +220,57 @@
         assert_eq!((reply.status, reply.complete), (200, false), "{} bytes", reply.body.len());
     }
 }
+
+/// Guards against a request that is read as the rest of a body that was answered early.
+#[test_case("503 Service Unavailable", "basaltarch-shed: 1\r\n" ; "the server sheds it")]
+#[test_case("500 Internal Server Error", "" ; "the server fails it")]
+#[test_case("413 Content Too Large", "" ; "the server rejects it")]
+#[test_case("200 OK", "" ; "the server answers it")]
+fn verify_no_request_follows_an_unsent_body_on_its_connection(
+    status: &'static str,
+    lines: &'static str,
+) {
+    let server = ScriptedServer::start("server-1", move |exchange| {
+        let is_long = exchange.seen.id.starts_with("long");
+        if is_long {
+            exchange.answer(status, lines, "");
+        }
+        // The server reads on after its answer, and keeps the connection.
+        if !exchange.read_body() {
+            return AfterExchange::Close;
+        }
+        if !is_long {
+            exchange.answer("200 OK", "", "done");
+        }
+        AfterExchange::Keep
+    });
+    let scripted = ScriptedFleet::start(vec![server]);
+    let mut sent = BTreeMap::new();
+    for (number, length) in [100, 90_000, 200_000, 200_000].into_iter().enumerate() {
+        for (daemon, chunked) in [(0, false), (1, false), (0, true), (1, true)] {
+            let id = format!("long-{number}-{daemon}-{chunked}");
+            let body = build_body(length);
+            let request = build_request("/plain", &id, &body, chunked);
+            sent.insert(id, body);
+            let mut stream = client::connect(scripted.fleet.daemons[daemon].callers);
+            // The rest of the body never comes.
+            stream.write_all(&request[..request.len() - 10]).expect("written");
+            let is_passed_on = length > 2 * KEPT_BYTES;
+            let reply = is_passed_on.then(|| client::read_reply(&mut stream, "POST"));
+            let status_sent = status.split(' ').next().expect("a code");
+            if let Some(reply) = reply {
+                assert_eq!(reply.expect("an answer").status.to_string(), status_sent);
+            }
+            let id = format!("short-{number}-{daemon}-{chunked}");
+            sent.insert(id.clone(), b"short".to_vec());
+            let reply = scripted.send(0, &build_request("/plain", &id, b"short", false));
+            assert_eq!(reply.expect("an answer").status, 200, "{id}");
+        }
+    }
+    eventually("each short request ran once", || {
+        let counts = scripted.count_whole(&sent);
+        let short_runs =
+            counts.iter().filter(|(id, count)| id.starts_with("short") && **count == 1);
+        short_runs.count() == 16
+    });
+}
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -36,6 +36,8 @@
 #[derive(Debug, Default)]
 pub struct ExchangeProgress {
     request: Cell<MessageProgress>,
+    response: Cell<MessageProgress>,
+    is_last: Cell<bool>,
 }
 
 impl ExchangeProgress {
@@ -48,4 +50,21 @@
     pub fn request(&self) -> MessageProgress {
         self.request.get()
     }
+
+    /// Notes how far the response has got.
+    pub fn note_response(&self, progress: MessageProgress) {
+        self.response.set(progress);
+    }
+
+    /// Notes that this exchange is the last on its connection.
+    pub fn note_last(&self) {
+        self.is_last.set(true);
+    }
+
+    /// Says whether the connection takes another request. While a part of the request is due, the
+    /// server reads whatever follows as that part, even if it has responded (RFC 9112 section 9.3).
+    pub fn leaves_connection_reusable(&self) -> bool {
+        let is_whole = |message: &Cell<MessageProgress>| message.get() == MessageProgress::Whole;
+        is_whole(&self.request) && is_whole(&self.response) && !self.is_last.get()
+    }
 }
