Let the upload of a body outlive the waits that drive it

Cause: what an attempt still had to send was held by the future that sent it, within the wait for the head of the answer. The head ended that wait, and with it the withheld start, or the part of it that had no room in the window; the relay went on with the rest.

Change: BodyUpload belongs to the attempt. Bytes leave it only when the exchange has taken them, in one step without a wait between. The wait, the relay and the slow attempts beside a hedge drive the same upload. Found by reading, mended by the same: a slow attempt whose body was withheld was never sent it.

--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -35,34 +35,10 @@
     live: &mut LiveExchange,
     head: AnswerHead,
 ) -> AfterRequest {
-    let answer = live.exchange.answer.clone();
     let status = head.status as u16;
-    let HttpStream { reader, writer } = stream;
-    let relaying = relay_answer(writer, request, &answer, head);
-    let mut relaying = std::pin::pin!(relaying.fuse());
-    let sink = live.exchange.body.clone();
-    let sending = async {
-        while !body.is_read() {
-            if sink.ready().await.is_err() {
-                return;
-            }
-            let Ok(data) = body.next_piece(reader).await else { return };
-            let last = body.is_read();
-            if sink.send(StreamEvent::Data(data, last)).await.is_err() {
-                return;
-            }
-        }
-    };
-    let mut sending = std::pin::pin!(sending.fuse());
-    let result = loop {
-        select_biased! {
-            result = relaying => break result,
-            () = sending => {}
-        }
-    };
-    match result {
+    match relay_while_sending(stream, request, body, live, head).await {
         Ok(close) => {
-            live.exchange.finish();
+            live.finish();
             metrics::COMPLETE.add_one();
             trace::log_answered(state, request, status);
             if close {
@@ -79,6 +55,27 @@
     }
 }
 
+/// Writes the answer and goes on with the upload; returns whether the connection is closed after
+/// the answer.
+async fn relay_while_sending(
+    stream: &mut HttpStream,
+    request: &CallerRequest,
+    body: &mut RequestBody,
+    live: &mut LiveExchange,
+    head: AnswerHead,
+) -> Result<bool, HttpError> {
+    let LiveExchange { exchange, upload, .. } = live;
+    let HttpStream { reader, writer } = stream;
+    let mut relaying = std::pin::pin!(relay_answer(writer, request, &exchange.answer, head).fuse());
+    let mut sending = std::pin::pin!(upload.run(body, reader, &exchange.body).fuse());
+    loop {
+        select_biased! {
+            result = relaying => return result,
+            _ = sending => {}
+        }
+    }
+}
+
 /// Writes the answer; returns whether the connection is closed after the answer.
 async fn relay_answer(
     writer: &mut StreamWriter,
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -165,7 +165,8 @@
         };
         let time_left = attempts.time_left();
         let attempt_event =
-            waiting::first_event(state, request, time_left, stream, body, &live, &mut slow).await;
+            waiting::first_event(state, request, time_left, stream, body, &mut live, &mut slow)
+                .await;
         match attempt_event {
             FirstEvent::CallerGone => {
                 attempts.log_end(&started, StepEnd::CallerGone, None, NextStep::End);
@@ -200,7 +201,7 @@
                     attempts.log_end(&started, end, load, NextStep::Answer);
                     return AttemptEnd::Answer(live, Box::new(head));
                 }
-                live.exchange.finish();
+                live.finish();
                 if !has_next_attempt {
                     attempts.log_end(&started, end, load, NextStep::End);
                     let failure = CallerFailure::new(attempts.last_outcome);
@@ -221,7 +222,7 @@
                 slow.push(SlowAttempt { start: started, live });
             }
             FirstEvent::Failed(outcome, report) => {
-                live.exchange.finish();
+                live.finish();
                 if let Some(report) = &report {
                     let has_run = matches!(outcome, FailureOutcome::Unknown(_));
                     attempts.note_report(choice.index, report, has_run.then_some(true));
--- a/crates/daemon/src/ingress/body.rs
+++ b/crates/daemon/src/ingress/body.rs
@@ -6,6 +6,8 @@
 //! Only the start of a body is kept. A further attempt needs the whole body, so it is possible only
 //! while everything behind the kept start is still on the caller's connection.
 
+use std::future::poll_fn;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use basaltarch_core::units;
@@ -14,6 +16,7 @@
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::framing::BodyFraming;
 use basaltarch_http::reader::ByteReader;
+use basaltarch_peer::stream::{EventSink, StreamClosed};
 use bytes::{Bytes, BytesMut};
 use monoio::io::AsyncReadRent;
 
@@ -119,3 +122,103 @@
         Ok(piece)
     }
 }
+
+/// `BodyUpload` sends the body of a request to the host of one attempt.
+///
+/// The upload goes on while different parts of the ingress wait for the attempt. A wait that ends
+/// drops the future that sends, so bytes that were read stay in `due` until they are sent.
+#[derive(Debug)]
+pub struct BodyUpload {
+    due: Bytes,
+    stage: UploadStage,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UploadStage {
+    /// More of the body follows what is due.
+    Open,
+    /// The body ends with what is due.
+    Last,
+    /// The end of the body was sent, or the exchange needs no more of it.
+    Ended,
+}
+
+/// `UploadEnd` is why an upload ended.
+#[derive(Debug)]
+pub enum UploadEnd {
+    /// The whole body was sent.
+    Sent,
+    /// The exchange takes no more of the body.
+    ExchangeEnded,
+    /// The caller's connection or the framing of its body failed.
+    Unreadable(HttpError),
+}
+
+impl BodyUpload {
+    /// Builds the upload of an attempt whose dispatch carries the start of the body.
+    pub fn after_start(start: &BodyStart) -> Self {
+        let stage = if start.is_whole { UploadStage::Ended } else { UploadStage::Open };
+        Self { due: Bytes::new(), stage }
+    }
+
+    /// Builds the upload of an attempt whose dispatch carries nothing of the body.
+    pub fn of_whole(start: &BodyStart) -> Self {
+        let stage = if start.is_whole { UploadStage::Last } else { UploadStage::Open };
+        Self { due: start.bytes.clone(), stage }
+    }
+
+    /// Ends the upload of an exchange that needs no more of the body.
+    pub fn end(&mut self) {
+        self.due.clear();
+        self.stage = UploadStage::Ended;
+    }
+
+    /// Sends the body to its end. Cancel safe: a later call goes on where this one was dropped.
+    ///
+    /// Nothing is read from the caller before the host has started the request: if the host refuses
+    /// the request, the unread rest can still be sent to another host.
+    pub async fn run<R: AsyncReadRent>(
+        &mut self,
+        body: &mut RequestBody,
+        reader: &mut ByteReader<R>,
+        sink: &EventSink,
+    ) -> UploadEnd {
+        loop {
+            let sent = poll_fn(|context| self.poll_due(sink, context)).await;
+            if sent.is_err() {
+                return UploadEnd::ExchangeEnded;
+            }
+            if self.stage == UploadStage::Ended {
+                return UploadEnd::Sent;
+            }
+            if sink.ready().await.is_err() {
+                return UploadEnd::ExchangeEnded;
+            }
+            match body.next_piece(reader).await {
+                Ok(piece) => self.due = piece,
+                Err(error) => return UploadEnd::Unreadable(error),
+            }
+            if body.is_read() {
+                self.stage = UploadStage::Last;
+            }
+        }
+    }
+
+    /// Polls to send what was read of the body.
+    pub fn poll_due(
+        &mut self,
+        sink: &EventSink,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<(), StreamClosed>> {
+        while !self.due.is_empty() || self.stage == UploadStage::Last {
+            let is_last = self.stage == UploadStage::Last;
+            if ready!(sink.poll_send_part(&mut self.due, is_last, context)).is_err() {
+                return Poll::Ready(Err(StreamClosed));
+            }
+            if is_last && self.due.is_empty() {
+                self.stage = UploadStage::Ended;
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/daemon/src/ingress/dispatch.rs
+++ b/crates/daemon/src/ingress/dispatch.rs
@@ -21,7 +21,7 @@
 
 use crate::host;
 use crate::ingress::attempt::RequestAttempts;
-use crate::ingress::body::BodyStart;
+use crate::ingress::body::{BodyStart, BodyUpload};
 use crate::ingress::waiting;
 use crate::links;
 use crate::services::SentGuard;
@@ -37,8 +37,8 @@
 pub struct LiveExchange {
     /// The exchange.
     pub exchange: OutboundExchange,
-    /// Start of the body, if the body is sent only once the host's daemon has started the request.
-    pub withheld: Option<BodyStart>,
+    /// What is still to be sent of the body.
+    pub upload: BodyUpload,
     /// Path to the host's daemon, if the attempt may be hedged when that path is cut.
     pub path: Option<Rc<PeerPath>>,
     /// Time after which the attempt is hedged, if the attempt may be hedged.
@@ -49,6 +49,14 @@
     pub sent_guard: SentGuard,
 }
 
+impl LiveExchange {
+    /// Marks the exchange as finished: nothing more is sent to its host, not even a cancel.
+    pub fn finish(&mut self) {
+        self.exchange.finish();
+        self.upload.end();
+    }
+}
+
 /// `DispatchEnd` is the result of a dispatch.
 pub enum DispatchEnd {
     /// The dispatch was sent.
@@ -111,11 +119,14 @@
         };
         let rounds_ahead = service.queued_rounds(choice.index, self.state.now());
         let hedging_delay = self.hedging_delay(&baseline, rounds_ahead, body);
-        let withheld = withheld.then(|| body.clone());
+        let upload = match withheld {
+            true => BodyUpload::of_whole(body),
+            false => BodyUpload::after_start(body),
+        };
         let path = self.path_to_watch(path, body);
         DispatchEnd::Sent(LiveExchange {
             exchange,
-            withheld,
+            upload,
             path,
             hedging_delay,
             is_evidence,
--- a/crates/daemon/src/ingress/reservations.rs
+++ b/crates/daemon/src/ingress/reservations.rs
@@ -29,7 +29,7 @@
 
 use crate::host;
 use crate::ingress::attempt::RequestAttempts;
-use crate::ingress::body::BodyStart;
+use crate::ingress::body::{BodyStart, BodyUpload};
 use crate::ingress::dispatch::{self, LiveExchange};
 use crate::ingress::failure::CallerFailure;
 use crate::ingress::trace::{self, TraceStep};
@@ -396,7 +396,7 @@
         }
         let live = LiveExchange {
             exchange,
-            withheld: None,
+            upload: BodyUpload::after_start(body),
             path: self.path_to_watch(path, body),
             hedging_delay: self.hedging_delay(&baseline, 0.0, body),
             is_evidence: !self.exempts_failure(),
--- a/crates/daemon/src/ingress/slow_attempts.rs
+++ b/crates/daemon/src/ingress/slow_attempts.rs
@@ -70,8 +70,11 @@
 
     fn poll_success(&mut self, context: &mut Context<'_>) -> Poll<(SlowAttempt, AnswerHead)> {
         let mut index = 0;
-        while let Some(attempt) = self.attempts.get(index) {
-            match attempt.live.exchange.answer.poll_next(context) {
+        while let Some(attempt) = self.attempts.get_mut(index) {
+            let LiveExchange { exchange, upload, .. } = &mut attempt.live;
+            // The end of an exchange that takes no more of the body shows in its answer.
+            let _ = upload.poll_due(&exchange.body, context);
+            match exchange.answer.poll_next(context) {
                 Poll::Pending => index += 1,
                 Poll::Ready(StreamEvent::Head(head)) if is_success(&head) => {
                     return Poll::Ready((self.attempts.swap_remove(index), head));
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -6,15 +6,16 @@
 use std::future::{self, Future};
 use std::time::Duration;
 
+use basaltarch_base::peers::PeerPath;
 use basaltarch_core::outcome::{FailureOutcome, UnknownReason};
 use basaltarch_decide::path::PathState;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::reader::HEAD_READ_BYTES;
 use basaltarch_peer::protocol::{AnswerHead, LoadReport};
-use basaltarch_peer::stream::StreamEvent;
+use basaltarch_peer::stream::{EventSink, StreamEvent};
 use futures_util::{select_biased, FutureExt};
 
-use crate::ingress::body::RequestBody;
+use crate::ingress::body::{BodyUpload, RequestBody, UploadEnd};
 use crate::ingress::dispatch::LiveExchange;
 use crate::ingress::request::CallerRequest;
 use crate::ingress::slow_attempts::{SlowAttempt, SlowAttempts};
@@ -54,17 +55,18 @@
     time_left: Duration,
     stream: &mut HttpStream,
     body: &mut RequestBody,
-    live: &LiveExchange,
+    live: &mut LiveExchange,
     slow: &mut SlowAttempts,
 ) -> FirstEvent {
-    let answer = live.exchange.answer.clone();
+    let LiveExchange { exchange, upload, path, hedging_delay, sent_guard, .. } = live;
+    let answer = exchange.answer.clone();
     let mut event = std::pin::pin!(answer.next().fuse());
     let answer_wait = time_left + DEADLINE_GRACE;
     let mut deadline_timer = std::pin::pin!(monoio::time::sleep(answer_wait).fuse());
-    let hedging_delay = live.hedging_delay.unwrap_or(answer_wait * 2);
+    let hedging_delay = hedging_delay.unwrap_or(answer_wait * 2);
     let mut hedging = std::pin::pin!(monoio::time::sleep(hedging_delay).fuse());
-    let mut path_cut_event = std::pin::pin!(path_cut(state, live).fuse());
-    let mut sending = std::pin::pin!(send_body(stream, body, live).fuse());
+    let mut path_cut_event = std::pin::pin!(path_cut(state, path.as_deref()).fuse());
+    let mut sending = std::pin::pin!(send_body(stream, body, upload, &exchange.body).fuse());
     let mut passed_in_suspend =
         std::pin::pin!(passed_while_suspended(state, request.deadline).fuse());
     let mut slow_answer = std::pin::pin!(slow.next_success().fuse());
@@ -85,7 +87,7 @@
             },
             // A hedge that waits for its turn under a rate limit would take the turn of another
             // request.
-            () = hedging => if live.sent_guard.has_alternative(state.now())
+            () = hedging => if sent_guard.has_alternative(state.now())
                 && request.service.take_retry(state)
             {
                 return FirstEvent::HedgeDue;
@@ -156,8 +158,8 @@
 
 /// Waits until the path to the upstream's daemon is cut, if the attempt may be hedged on a cut
 /// path; otherwise never returns.
-async fn path_cut(state: &DaemonState, live: &LiveExchange) {
-    match &live.path {
+async fn path_cut(state: &DaemonState, path: Option<&PeerPath>) {
+    match path {
         Some(path) => loop {
             monoio::time::sleep(PATH_CHECK_EVERY).await;
             if path.state(state.now()) == PathState::Cut {
@@ -197,35 +199,13 @@
 async fn send_body(
     stream: &mut HttpStream,
     body: &mut RequestBody,
-    live: &LiveExchange,
+    upload: &mut BodyUpload,
+    sink: &EventSink,
 ) -> WatchOutcome {
-    let sink = &live.exchange.body;
-    if let Some(start) = &live.withheld {
-        let piece = StreamEvent::Data(start.bytes().clone(), start.is_whole());
-        let sent = match sink.ready().await {
-            Ok(()) => sink.send(piece).await,
-            Err(gone) => Err(gone),
-        };
-        if sent.is_err() {
-            return watch_caller(stream).await;
-        }
-    }
-    while !body.is_read() {
-        // The body is not read before the host's daemon has started the request. If the daemon
-        // refuses the request, the unread body can still be sent to another upstream.
-        if sink.ready().await.is_err() {
-            break;
-        }
-        let data = match body.next_piece(&mut stream.reader).await {
-            Ok(data) => data,
-            Err(_) => return WatchOutcome::CallerGone,
-        };
-        let last = body.is_read();
-        if sink.send(StreamEvent::Data(data, last)).await.is_err() {
-            break;
-        }
+    match upload.run(body, &mut stream.reader, sink).await {
+        UploadEnd::Unreadable(_) => WatchOutcome::CallerGone,
+        UploadEnd::Sent | UploadEnd::ExchangeEnded => watch_caller(stream).await,
     }
-    watch_caller(stream).await
 }
 
 /// Waits until the caller disconnects.
--- a/crates/daemon/tests/exchanges.rs
+++ b/crates/daemon/tests/exchanges.rs
@@ -274,3 +274,43 @@
         short_runs.count() == 16
     });
 }
+
+/// Length of an answer that an ingress gets from its start on, as it is too long to be buffered.
+const LONG_ANSWER: usize = 100_000;
+
+/// Starts a server that begins its answer before it reads the body of the request.
+fn start_early(name: &str) -> ScriptedServer {
+    ScriptedServer::start(name, |exchange| {
+        exchange
+            .write(format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_ANSWER}\r\n\r\n").as_bytes());
+        exchange.write(&[b'e'; LONG_ANSWER / 2]);
+        if !exchange.read_body() {
+            return AfterExchange::Close;
+        }
+        exchange.write(&[b'e'; LONG_ANSWER / 2]);
+        AfterExchange::Keep
+    })
+}
+
+/// Guards against a body with a hole where an early answer ended the wait that was sending it.
+#[test_case(false ; "with a length")]
+#[test_case(true ; "in chunks")]
+fn verify_an_early_answer_leaves_no_hole_in_the_body(chunked: bool) {
+    let scripted = ScriptedFleet::start_far(vec![start_early("server-1"), start_early("server-2")]);
+    let mut sent = BTreeMap::new();
+    for number in 0..10 {
+        for (daemon, length) in [0, 1]
+            .into_iter()
+            .flat_map(|daemon| [300, 60_000, 90_000, 250_000].map(|l| (daemon, l)))
+        {
+            let id = format!("{number}-{daemon}-{length}");
+            let body = build_body(length);
+            let request = build_request("/plain", &id, &body, chunked);
+            sent.insert(id.clone(), body);
+            let reply = scripted.send(daemon, &request).expect("an answer");
+            assert_eq!((reply.status, reply.complete), (200, true), "{id}");
+            assert_eq!(reply.body, [b'e'; LONG_ANSWER], "{id}");
+        }
+    }
+    eventually("each body arrived whole", || scripted.count_whole(&sent).len() == sent.len());
+}
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -10,7 +10,7 @@
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::{ready, Context, Poll, Waker};
 
 use basaltarch_core::units;
 use bytes::Bytes;
@@ -272,11 +272,7 @@
 
     /// Waits until body bytes may be sent.
     pub async fn ready(&self) -> Result<(), StreamClosed> {
-        self.take(0, false).await
-    }
-
-    async fn take(&self, bytes: usize, last: bool) -> Result<(), StreamClosed> {
-        poll_fn(|context| self.poll_take(bytes, last, context)).await
+        poll_fn(|context| self.poll_take(0, false, context)).await
     }
 
     fn poll_take(
@@ -325,16 +321,28 @@
 
     async fn send_data(&self, mut data: Bytes, last: bool) -> Result<(), StreamClosed> {
         loop {
-            let part = data.split_to(data.len().min(CHUNK_BYTES_MAX));
-            self.credit.take(part.len(), last).await?;
-            let chunk = BodyChunk { data: part.to_vec(), last: last && data.is_empty() };
-            self.send_frame(FrameBody::Chunk(chunk))?;
+            poll_fn(|context| self.poll_send_part(&mut data, last, context)).await?;
             if data.is_empty() {
                 return Ok(());
             }
         }
     }
 
+    fn poll_send_part(
+        &self,
+        data: &mut Bytes,
+        last: bool,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<(), StreamClosed>> {
+        let length = data.len().min(CHUNK_BYTES_MAX);
+        let last = last && length == data.len();
+        if ready!(self.credit.poll_take(length, last, context)).is_err() {
+            return Poll::Ready(Err(StreamClosed));
+        }
+        let chunk = BodyChunk { data: data.split_to(length).to_vec(), last };
+        Poll::Ready(self.send_frame(FrameBody::Chunk(chunk)))
+    }
+
     fn send_frame(&self, body: FrameBody) -> Result<(), StreamClosed> {
         self.sender.send(self.exchange, body).map(drop).map_err(|_| StreamClosed)
     }
@@ -375,6 +383,25 @@
         }
     }
 
+    /// Polls to send the first part of `data`, which is removed from `data` when it is sent and not
+    /// before. `last` says whether the body ends with `data`.
+    pub fn poll_send_part(
+        &self,
+        data: &mut Bytes,
+        last: bool,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<(), StreamClosed>> {
+        match self {
+            Self::Local(pipe) => {
+                let room = ready!(pipe.poll_room(context));
+                Poll::Ready(
+                    room.and_then(|()| pipe.push(StreamEvent::Data(std::mem::take(data), last))),
+                )
+            }
+            Self::Remote(sink) => sink.poll_send_part(data, last, context),
+        }
+    }
+
     /// Sends an event; body bytes wait for the window.
     pub async fn send(&self, event: StreamEvent) -> Result<(), StreamClosed> {
         match self {
