Let no body bytes pass on the strength of an offered slot

What would be seen: in the mode of reservations, a request with a body over 64 KiB whose offer turns out void (its server refuses the connection) couldn't be sent to another host, and before the body's owner knew what was passed on, it ran there with a hole.

Cause: a host offers a slot by one byte of credit, or by opening the window in its own process. The credit stayed after the request's head was sent, so the ingress sent the next 32 KiB (64 KiB in its own process) before the host had started the request.

Change: the head uses the offer up; body bytes wait until the host opens the window. The host's own attempt to shut it afterwards, which came too late, is gone.

The new test failed before ("the request's head uses the offer up"), and passes, for both kinds of sink; the peer crate's tests, places, exchanges and crashing pass.

--- a/crates/daemon/src/host/reservations.rs
+++ b/crates/daemon/src/host/reservations.rs
@@ -47,9 +47,6 @@
         let offer = offer.map_err(FailureOutcome::NotRun)?;
         body.offer_slot();
         let head = self.await_dispatch(body).await.map_err(FailureOutcome::NotRun)?;
-        // The ingress may send no further body bytes before the request's head is sent to the
-        // backend server. The window is opened again after that head.
-        body.shut_window();
         let attempt = self.with_dispatch_head(&head);
         let starting = exchange::unless_cancelled(body, offer.start(attempt.slot_request()));
         let slot = starting.await.map_err(FailureOutcome::NotRun)?;
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -263,6 +263,12 @@
         wake(&mut state.sender_waker);
     }
 
+    /// Takes the credit of an offered slot, so that body bytes wait for the window.
+    fn use_offer(&self) {
+        let mut state = self.state.borrow_mut();
+        state.available_bytes = state.available_bytes.min(0);
+    }
+
     /// Closes the stream; a sender that waits for credit fails with [`StreamClosed`].
     pub fn close(&self) {
         let mut state = self.state.borrow_mut();
@@ -367,11 +373,18 @@
     }
 
     /// Sends the request of a reservation that was offered a slot; unlike body bytes, the request
-    /// does not wait for the window.
+    /// does not wait for the window. The request uses the offer up: body bytes wait until the host
+    /// opens the window, when the request has started.
     pub fn begin(&self, head: DispatchHead) -> Result<(), StreamClosed> {
         match self {
-            Self::Local(pipe) => pipe.push(StreamEvent::Begin(Box::new(head))),
-            Self::Remote(sink) => sink.send_frame(FrameBody::CalledIn(head)),
+            Self::Local(pipe) => {
+                pipe.shut_window();
+                pipe.push(StreamEvent::Begin(Box::new(head)))
+            }
+            Self::Remote(sink) => {
+                sink.credit.use_offer();
+                sink.send_frame(FrameBody::CalledIn(head))
+            }
         }
     }
 
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -6,6 +6,7 @@
 //! bytes were sent, and senders that exceed the flow-control window.
 
 use std::rc::Rc;
+use std::task::{Context, Poll};
 
 use basaltarch_peer::errors::LinkError;
 use basaltarch_peer::frames::{self, FrameSender, FRAME_BYTES_MAX};
@@ -14,8 +15,11 @@
 use basaltarch_peer::protocol::{
     BodyChunk, CreditGrant, DispatchHead, ExchangeFailure, FrameBody, HeartbeatNote, PeerFrame,
 };
-use basaltarch_peer::stream::{EventPipe, EventSink, StreamEvent, WINDOW_BYTES};
+use basaltarch_peer::stream::{
+    EventPipe, EventSink, RemoteSink, SendCredit, StreamEvent, WINDOW_BYTES,
+};
 use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::task::noop_waker;
 use monoio::{LegacyDriver, RuntimeBuilder};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -234,3 +238,33 @@
         let _ = frames::decode(&mut bytes);
     }
 }
+
+/// Says whether body bytes may be sent now.
+fn is_ready(sink: &EventSink) -> bool {
+    let waker = noop_waker();
+    matches!(sink.poll_ready(&mut Context::from_waker(&waker)), Poll::Ready(Ok(())))
+}
+
+/// Guards against body bytes that are passed on, and gone, before the host starts the request.
+#[test]
+fn verify_an_offered_slot_lets_no_body_bytes_pass_before_the_request_starts() {
+    let pipe = Rc::new(EventPipe::default());
+    pipe.shut_window();
+    let sink = EventSink::Local(pipe.clone());
+    pipe.offer_slot();
+    assert!(is_ready(&sink), "the offer arrives");
+    sink.begin(dispatch(Vec::new())).expect("an open pipe");
+    assert!(!is_ready(&sink), "the request's head uses the offer up");
+    pipe.open_window();
+    assert!(is_ready(&sink), "the request has started");
+
+    let credit = Rc::new(SendCredit::of_request());
+    let sender = FrameSender::default();
+    let sink = EventSink::Remote(RemoteSink { exchange: 1, sender, credit: credit.clone() });
+    credit.add(1);
+    assert!(is_ready(&sink), "the offer arrives");
+    sink.begin(dispatch(Vec::new())).expect("an open link");
+    assert!(!is_ready(&sink), "the request's head uses the offer up");
+    credit.add(WINDOW_BYTES as i32);
+    assert!(is_ready(&sink), "the request has started");
+}
