Order the versions of evacuations by the era of the store first

Cause: a restored store gives versions out again, and daemons compared the versions of evacuations as bare numbers, so the new one counted as late news.

Change: StoreVersion carries the era and orders by it first; a bare number can't be compared with it. It is used by the table of evacuations, in heartbeats and in requests for rows (optional fields). What was accepted does not go back with the copy: a domain stays evacuated whose row the copy lacks, and stays restored where the copy still has the row by which it was evacuated, until the operator's next change.

Two tests of decide; its others changed only in how they write a version.

--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -19,6 +19,17 @@
 #[serde(transparent)]
 pub struct FleetRevision(pub u64);
 
+/// `StoreVersion` is a version of the store's tables and the era in which the store assigned it. A
+/// store that comes back from an older copy begins a new era, and assigns the versions after that
+/// copy again, so versions are ordered by their era first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreVersion {
+    /// Number of restores of the store from an older copy.
+    pub era: u64,
+    /// Version within the era.
+    pub version: u64,
+}
+
 impl FleetRevision {
     /// Returns the revision that follows this one.
     pub fn next(self) -> Self {
--- a/crates/daemon/src/document.rs
+++ b/crates/daemon/src/document.rs
@@ -118,9 +118,10 @@
         metrics::DOCUMENT_CALLS.add_one();
         let stale_call = &state.document.stale_call;
         let Some(news) = reader.next_unless_stale(&state, stale_call).await else { continue };
+        let era = reader.position().and_then(|position| position.era);
         let answer = match news {
-            FeedUpdate::Whole(page) => OperatorAnswer { page, is_whole: true },
-            FeedUpdate::Changes(page) => OperatorAnswer { page, is_whole: false },
+            FeedUpdate::Whole(page) => OperatorAnswer { page, is_whole: true, era },
+            FeedUpdate::Changes(page) => OperatorAnswer { page, is_whole: false, era },
             FeedUpdate::Failed => continue,
         };
         state.document.position.set(reader.position());
@@ -133,14 +134,16 @@
     page: RowsPage,
     /// Whether the answer holds the whole table, and not only changes.
     is_whole: bool,
+    /// Era of the store in which the table was read, if the store reported one.
+    era: Option<u64>,
 }
 
 /// Applies an answer of the store, which includes all changes up to the time `complete_until`.
 fn apply_answer(state: &Rc<DaemonState>, answer: &OperatorAnswer, complete_until: Duration) {
-    let OperatorAnswer { page, is_whole } = answer;
+    let OperatorAnswer { page, is_whole, era } = answer;
     match is_whole {
-        true => evacuations::apply_table(state, page),
-        false => evacuations::apply_changes(state, page),
+        true => evacuations::apply_table(state, page, *era),
+        false => evacuations::apply_changes(state, page, *era),
     }
     let outcomes: Vec<_> = page.rows.iter().filter_map(|row| apply_row(state, row)).collect();
     // A stale answer does not confirm that the document in force is the newest.
@@ -161,10 +164,12 @@
         None => FeedReply::Forgotten,
     };
     let answer = match changes {
-        FeedReply::Changes(page, _) => OperatorAnswer { page, is_whole: false },
+        FeedReply::Changes(page, position) => {
+            OperatorAnswer { page, is_whole: false, era: position.era }
+        }
         FeedReply::Forgotten => {
-            let (page, _) = state.platform.read_table(OPERATOR_TABLE).await?;
-            OperatorAnswer { page, is_whole: true }
+            let (page, position) = state.platform.read_table(OPERATOR_TABLE).await?;
+            OperatorAnswer { page, is_whole: true, era: position.era }
         }
     };
     apply_answer(state, &answer, asked_at);
--- a/crates/daemon/src/evacuations.rs
+++ b/crates/daemon/src/evacuations.rs
@@ -14,6 +14,7 @@
 
 use basaltarch_base::configuration::TouchedServices;
 use basaltarch_core::config::{ActiveConfig, EvacuatedDomains};
+use basaltarch_core::units::StoreVersion;
 use basaltarch_decide::evacuation::{DomainState, EvacuationTable};
 use basaltarch_events::fleet;
 use basaltarch_peer::protocol::EvacuationNote;
@@ -32,34 +33,42 @@
 
 impl EvacuationRegistry {
     /// Returns the highest version of any known state.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> StoreVersion {
         self.table.borrow().version()
     }
 
+    /// Builds a version that was assigned in `era`. Without an era, the latest known era is assumed.
+    pub fn version_in(&self, era: Option<u64>, version: u64) -> StoreVersion {
+        StoreVersion { era: era.unwrap_or_else(|| self.version().era), version }
+    }
+
     /// Returns the evacuated failure domains.
     pub fn evacuated(&self) -> EvacuatedDomains {
         Rc::new(self.table.borrow().evacuated().into_iter().map(Rc::from).collect())
     }
 }
 
-/// Applies the whole operator's table. A failure domain without a row is not evacuated.
-pub fn apply_table(state: &Rc<DaemonState>, page: &RowsPage) {
+/// Applies the whole operator's table, as read in `era`. A failure domain without a row is not
+/// evacuated.
+pub fn apply_table(state: &Rc<DaemonState>, page: &RowsPage, era: Option<u64>) {
     let present = page.rows.iter().filter(|row| row.value != RowValue::Gone);
     let requests = present.filter_map(|row| Some((evacuated_domain(&row.key)?, row.version)));
     let evacuated: BTreeMap<&str, u64> = requests.collect();
-    let is_later = state.evacuations.table.borrow_mut().note_list(&evacuated, page.version);
+    let version = state.evacuations.version_in(era, page.version);
+    let is_later = state.evacuations.table.borrow_mut().note_list(&evacuated, version);
     if is_later {
         put_in_force(state);
     }
 }
 
-/// Applies changes of the operator's table.
-pub fn apply_changes(state: &Rc<DaemonState>, page: &RowsPage) {
+/// Applies changes of the operator's table, as read in `era`.
+pub fn apply_changes(state: &Rc<DaemonState>, page: &RowsPage, era: Option<u64>) {
     apply_reports(
         state,
         page.rows.iter().filter_map(|row| {
             let evacuated = row.value != RowValue::Gone;
-            Some((evacuated_domain(&row.key)?, DomainState { version: row.version, evacuated }))
+            let version = state.evacuations.version_in(era, row.version);
+            Some((evacuated_domain(&row.key)?, DomainState { version, evacuated }))
         }),
     );
 }
@@ -69,7 +78,8 @@
     apply_reports(
         state,
         notes.iter().map(|note| {
-            let version = note.version.max(0) as u64;
+            let era = note.era.map(|era| era.max(0) as u64);
+            let version = state.evacuations.version_in(era, note.version.max(0) as u64);
             (&*note.failure_domain, DomainState { version, evacuated: note.evacuated })
         }),
     );
@@ -94,8 +104,9 @@
     let table = state.evacuations.table.borrow();
     let note = |(domain, known): (&str, DomainState)| EvacuationNote {
         failure_domain: domain.to_owned(),
-        version: known.version as i64,
+        version: known.version.version as i64,
         evacuated: known.evacuated,
+        era: Some(known.version.era as i64),
     };
     let notes: Vec<EvacuationNote> = table.iter().map(note).collect();
     (!notes.is_empty()).then_some(notes)
--- a/crates/daemon/src/rows.rs
+++ b/crates/daemon/src/rows.rs
@@ -455,12 +455,14 @@
     let state = state.clone();
     monoio::spawn(async move {
         let build_request = |state: &DaemonState| {
+            let evacuation = state.evacuations.version();
             FrameBody::RowsRequest(RowsRequest {
                 version: state.rows.version.get() as i64,
                 takes_packed: Some(true),
                 on_request_only: Some(on_request_only),
                 revision: Some(state.config.revision().0 as i64),
-                evacuation: Some(state.evacuations.version() as i64),
+                evacuation: Some(evacuation.version as i64),
+                evacuation_era: Some(evacuation.era as i64),
             })
         };
         links::send_request(&state, &path, build_request).await;
@@ -485,10 +487,7 @@
         on_request_only: request.on_request_only == Some(true),
         expires_at: state.now() + SUBSCRIPTION_TTL,
     };
-    let is_behind = |known: Option<i64>, own: u64| known.is_some_and(|known| known < own as i64);
-    if is_behind(request.revision, state.config.revision().0)
-        || is_behind(request.evacuation, state.evacuations.version())
-    {
+    if has_older_revision(state, request) || has_older_evacuation(state, request) {
         let _ = sender.send(NO_EXCHANGE, FrameBody::Heartbeat(configuration_note(state)));
     }
     // A send error is ignored: a peer whose link has ended needs no answer.
@@ -498,6 +497,18 @@
     subscribers.push(subscriber);
 }
 
+fn has_older_revision(state: &DaemonState, request: &RowsRequest) -> bool {
+    request.revision.is_some_and(|known| known < state.config.revision().0 as i64)
+}
+
+fn has_older_evacuation(state: &DaemonState, request: &RowsRequest) -> bool {
+    let era = request.evacuation_era.map(|era| era.max(0) as u64);
+    request.evacuation.is_some_and(|version| {
+        let known = state.evacuations.version_in(era, version.max(0) as u64);
+        known < state.evacuations.version()
+    })
+}
+
 /// Applies changes that a peer sent, unless this daemon has applied the same changes already or
 /// lacks earlier changes. Asks the peer for the next changes if more follow.
 pub fn handle_news(
--- a/crates/daemon/tests/evacuation.rs
+++ b/crates/daemon/tests/evacuation.rs
@@ -194,3 +194,52 @@
         fleet.backends[0].total_runs() > 0
     });
 }
+
+/// Takes the store down, restores it from its copy and lets it serve again.
+fn restore_from_copy(fleet: &RegisteredFleet) {
+    fleet.platform.set_faults(json!({"down": true}));
+    fleet.platform.restore();
+    fleet.platform.set_faults(json!({}));
+}
+
+/// Guards against an evacuation that is ignored as its version was given out before.
+#[test]
+fn verify_an_evacuation_declared_after_a_restore_of_the_store_takes_effect() {
+    let fleet = RegisteredFleet::start(2);
+    (0..2).for_each(|daemon| fleet.wait_served(daemon, &[0, 1]));
+    fleet.platform.take_copy();
+    for _ in 0..10 {
+        evacuate(&fleet, "bkk-a");
+        (0..2).for_each(|daemon| wait_evacuated(&fleet, daemon, &["bkk-a"]));
+        restore(&fleet, "bkk-a");
+        (0..2).for_each(|daemon| wait_evacuated(&fleet, daemon, &[]));
+    }
+    restore_from_copy(&fleet);
+    evacuate(&fleet, "bkk-a");
+    (0..2).for_each(|daemon| wait_evacuated(&fleet, daemon, &["bkk-a"]));
+    (0..2).for_each(|daemon| check_served_elsewhere(&fleet, daemon, 0, "again"));
+    restore(&fleet, "bkk-a");
+    (0..2).for_each(|daemon| wait_evacuated(&fleet, daemon, &[]));
+}
+
+/// Guards against an accepted change that reverts because the store's copy is older.
+#[test]
+fn verify_what_was_accepted_stays_when_the_store_comes_back_from_an_older_copy() {
+    let fleet = RegisteredFleet::start(2);
+    (0..2).for_each(|daemon| fleet.wait_served(daemon, &[0, 1]));
+    evacuate(&fleet, "bkk-b");
+    (0..2).for_each(|daemon| wait_evacuated(&fleet, daemon, &["bkk-b"]));
+    fleet.platform.take_copy();
+    // The copy still has the row of one domain, and lacks that of the other.
+    restore(&fleet, "bkk-b");
+    evacuate(&fleet, "bkk-a");
+    (0..2).for_each(|daemon| wait_evacuated(&fleet, daemon, &["bkk-a"]));
+    restore_from_copy(&fleet);
+    // A document of the new era shows that the daemons have read the table in that era.
+    fleet.put_in_force(&common::registered::document(2));
+    (0..2).for_each(|daemon| wait_evacuated(&fleet, daemon, &["bkk-a"]));
+    restore(&fleet, "bkk-a");
+    evacuate(&fleet, "bkk-a");
+    restore(&fleet, "bkk-a");
+    (0..2).for_each(|daemon| wait_evacuated(&fleet, daemon, &[]));
+}
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -5,12 +5,17 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use basaltarch_core::units::StoreVersion;
 use basaltarch_decide::evacuation::{DomainState, EvacuationTable, DOMAINS_MAX};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
+fn at(era: u64, version: u64) -> StoreVersion {
+    StoreVersion { era, version }
+}
+
 fn state(version: u64, evacuated: bool) -> DomainState {
-    DomainState { version, evacuated }
+    DomainState { version: at(0, version), evacuated }
 }
 
 #[test]
@@ -30,10 +35,10 @@
     let mut table = EvacuationTable::default();
     table.note("bkk-a", state(5, true));
     table.note("bkk-b", state(30, true));
-    assert!(table.note_list(&BTreeMap::from([("bkk-c", 7)]), 20));
+    assert!(table.note_list(&BTreeMap::from([("bkk-c", 7)]), at(0, 20)));
     // `bkk-b` was evacuated after the list was read.
     assert_eq!(table.evacuated(), BTreeSet::from(["bkk-b", "bkk-c"]));
-    assert!(!table.note_list(&BTreeMap::from([("bkk-c", 7)]), 20));
+    assert!(!table.note_list(&BTreeMap::from([("bkk-c", 7)]), at(0, 20)));
 }
 
 #[test]
@@ -48,6 +53,35 @@
     assert!(!table.note("domain-0", state(1, true)), "it is older than the dropped state");
 }
 
+/// Guards against a change that is ignored as its version was given out in an earlier era.
+#[test]
+fn verify_a_change_of_a_later_era_counts_whatever_its_version() {
+    let mut table = EvacuationTable::default();
+    table.note("bkk-a", state(40, true));
+    table.note("bkk-a", state(50, false));
+    assert!(table.note_list(&BTreeMap::from([("bkk-a", 12)]), at(1, 12)));
+    assert_eq!(table.evacuated(), BTreeSet::from(["bkk-a"]));
+    assert!(!table.note("bkk-a", state(60, false)), "an earlier era is over");
+    assert!(table.note("bkk-a", DomainState { version: at(1, 13), evacuated: false }));
+    assert_eq!(table.version(), at(1, 13));
+}
+
+/// Guards against an accepted change that reverts because the store's copy is older.
+#[test]
+fn verify_a_copy_reverts_no_accepted_change() {
+    let mut table = EvacuationTable::default();
+    table.note("kept-in-copy", state(5, true));
+    table.note("kept-in-copy", state(8, false));
+    table.note("lost-with-copy", state(9, true));
+    assert!(!table.note_list(&BTreeMap::from([("kept-in-copy", 5)]), at(1, 7)));
+    assert_eq!(table.evacuated(), BTreeSet::from(["lost-with-copy"]));
+    // The operator's next changes count.
+    assert!(table.note("lost-with-copy", DomainState { version: at(1, 8), evacuated: false }));
+    assert!(table.note_list(&BTreeMap::from([("kept-in-copy", 9)]), at(1, 9)));
+    assert_eq!(table.evacuated(), BTreeSet::from(["kept-in-copy"]));
+    assert!(table.note_list(&BTreeMap::new(), at(1, 10)), "its own era's list restores it");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(54), cases: 512, failure_persistence: None,
--- a/crates/peer/idl/protocol.thrift
+++ b/crates/peer/idl/protocol.thrift
@@ -183,6 +183,8 @@
   1: required string failure_domain
   2: required i64 version
   3: required bool evacuated
+  /** Era of the store in which the version was assigned; none from a daemon of an earlier release. */
+  4: optional i64 era
 }
 
 /** Asks for, or is, a sign of life; carries the revision in force and some members. */
@@ -262,6 +264,8 @@
   4: optional i64 revision
   /** Highest version of an evacuation that the asking daemon knows. */
   5: optional i64 evacuation
+  /** Era of the store in which that version was assigned. */
+  6: optional i64 evacuation_era
 }
 
 struct RowNote {
--- a/crates/peer/src/protocol.rs
+++ b/crates/peer/src/protocol.rs
@@ -1822,14 +1822,17 @@
   pub failure_domain: String,
   pub version: i64,
   pub evacuated: bool,
+  /// Era of the store in which the version was assigned; none from a daemon of an earlier release.
+  pub era: Option<i64>,
 }
 
 impl EvacuationNote {
-  pub fn new(failure_domain: String, version: i64, evacuated: bool) -> EvacuationNote {
+  pub fn new<F4>(failure_domain: String, version: i64, evacuated: bool, era: F4) -> EvacuationNote where F4: Into<Option<i64>> {
     EvacuationNote {
       failure_domain,
       version,
       evacuated,
+      era: era.into(),
     }
   }
 }
@@ -1840,6 +1843,7 @@
     let mut f_1: Option<String> = None;
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<bool> = None;
+    let mut f_4: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1859,6 +1863,10 @@
           let val = i_prot.read_bool()?;
           f_3 = Some(val);
         },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1873,6 +1881,7 @@
       failure_domain: f_1.expect("auto-generated code should have checked for presence of required fields"),
       version: f_2.expect("auto-generated code should have checked for presence of required fields"),
       evacuated: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      era: f_4,
     };
     Ok(ret)
   }
@@ -1888,6 +1897,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("evacuated", TType::Bool, 3))?;
     o_prot.write_bool(self.evacuated)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.era {
+      o_prot.write_field_begin(&TFieldIdentifier::new("era", TType::I64, 4))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2595,16 +2609,19 @@
   pub revision: Option<i64>,
   /// Highest version of an evacuation that the asking daemon knows.
   pub evacuation: Option<i64>,
+  /// Era of the store in which that version was assigned.
+  pub evacuation_era: Option<i64>,
 }
 
 impl RowsRequest {
-  pub fn new<F2, F3, F4, F5>(version: i64, takes_packed: F2, on_request_only: F3, revision: F4, evacuation: F5) -> RowsRequest where F2: Into<Option<bool>>, F3: Into<Option<bool>>, F4: Into<Option<i64>>, F5: Into<Option<i64>> {
+  pub fn new<F2, F3, F4, F5, F6>(version: i64, takes_packed: F2, on_request_only: F3, revision: F4, evacuation: F5, evacuation_era: F6) -> RowsRequest where F2: Into<Option<bool>>, F3: Into<Option<bool>>, F4: Into<Option<i64>>, F5: Into<Option<i64>>, F6: Into<Option<i64>> {
     RowsRequest {
       version,
       takes_packed: takes_packed.into(),
       on_request_only: on_request_only.into(),
       revision: revision.into(),
       evacuation: evacuation.into(),
+      evacuation_era: evacuation_era.into(),
     }
   }
 }
@@ -2617,6 +2634,7 @@
     let mut f_3: Option<bool> = None;
     let mut f_4: Option<i64> = None;
     let mut f_5: Option<i64> = None;
+    let mut f_6: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2644,6 +2662,10 @@
           let val = i_prot.read_i64()?;
           f_5 = Some(val);
         },
+        6 => {
+          let val = i_prot.read_i64()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2658,6 +2680,7 @@
       on_request_only: f_3,
       revision: f_4,
       evacuation: f_5,
+      evacuation_era: f_6,
     };
     Ok(ret)
   }
@@ -2687,6 +2710,11 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.evacuation_era {
+      o_prot.write_field_begin(&TFieldIdentifier::new("evacuation_era", TType::I64, 6))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
