Soak: uploads of up to 300 kB, to servers that answer or refuse before they read

Callers now also send uploads whose bytes follow from their id. A server responds after the body, begins before it, or refuses before it and reads on, as the path says, and checks each byte that arrives, however many; the caller checks the response, which names the body.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -10,6 +10,7 @@
 
 use basaltarch_http::client::{ClientReply, HttpClient};
 use basaltarch_platform::headers;
+use basaltarch_standin::backend::uploads::{self, UploadAct};
 use bytes::Bytes;
 use fnv::FnvHashMap;
 use http::{header, HeaderMap, HeaderValue, Method, StatusCode};
@@ -129,6 +130,9 @@
         RequestedRoute::Added(older_step),
         RequestedRoute::Steady,
         RequestedRoute::Plain,
+        RequestedRoute::Upload(UploadAct::Digest),
+        RequestedRoute::Upload(UploadAct::EarlyDigest),
+        RequestedRoute::Upload(UploadAct::EarlyShed),
     ];
     *routes.choose(&mut plan.rng).unwrap_or(&RequestedRoute::Steady)
 }
@@ -141,8 +145,16 @@
         request_headers.insert(name, value);
     }
     request_headers.insert(fields.deadline, HeaderValue::from(REQUEST_DEADLINE.as_millis() as u64));
-    let method = if route == RequestedRoute::Plain { Method::POST } else { Method::GET };
-    client.call(method, &route.path(), request_headers, Bytes::new()).await.ok()
+    let method = if route.is_plain() { Method::POST } else { Method::GET };
+    client.call(method, &route.path(), request_headers, build_body(route, id)).await.ok()
+}
+
+/// Builds the body of a request, which is empty unless the request is an upload.
+fn build_body(route: RequestedRoute, id: &str) -> Bytes {
+    match route {
+        RequestedRoute::Upload(_) => uploads::build_body(id),
+        _ => Bytes::new(),
+    }
 }
 
 fn classify(
@@ -152,7 +164,7 @@
     reply: Option<&ClientReply>,
 ) -> (SeenAnswer, Option<AnswerViolation>) {
     let status = reply.map(|reply| reply.status);
-    if route == RequestedRoute::Plain {
+    if route.is_plain() {
         let was_refused = status.is_some_and(reports_not_run);
         plan.plain_requests.refused_by_id.borrow_mut().insert(id.to_owned(), was_refused);
     }
@@ -177,8 +189,14 @@
 /// names the requested path and id.
 fn read_answering_service(reply: &ClientReply, route: RequestedRoute, id: &str) -> Option<usize> {
     let text = std::str::from_utf8(&reply.body).ok()?;
-    let (server, rest) = text.split_once(' ')?;
-    let is_complete = rest == format!("200 {} {id}\n", route.path());
+    let (server, rest) = text.trim_start().split_once(' ')?;
+    let is_complete = match route {
+        RequestedRoute::Upload(_) => {
+            let body = uploads::describe(&build_body(route, id));
+            rest == format!("200 {} {id} {body}\n", route.path())
+        }
+        _ => rest == format!("200 {} {id}\n", route.path()),
+    };
     let host_index = server.strip_prefix("i-")?.parse::<usize>().ok()?;
     is_complete.then(|| fleet::service_index_of(host_index))
 }
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -14,6 +14,7 @@
     self, CallerLimits, ConfigDocument, NamedRoute, ServiceDeclaration,
 };
 use basaltarch_platform::rows;
+use basaltarch_standin::backend::uploads::UploadAct;
 use basaltarch_standin::platform::ROWS_CONTROL_PATH;
 use bytes::Bytes;
 use http::{HeaderMap, Method};
@@ -41,6 +42,8 @@
     Steady,
     /// A route that every document has, to the first service, for non-repeatable requests.
     Plain,
+    /// The same route with a long body, to which the server responds as the act says.
+    Upload(UploadAct),
     /// The route that was added by the step of this number.
     Added(usize),
     /// The route that each step moves from one service to the other.
@@ -53,16 +56,24 @@
         match self {
             Self::Steady => "/steady/x".to_owned(),
             Self::Plain => "/plain/x".to_owned(),
+            Self::Upload(UploadAct::Digest) => "/plain/digest".to_owned(),
+            Self::Upload(UploadAct::EarlyDigest) => "/plain/early-digest".to_owned(),
+            Self::Upload(UploadAct::EarlyShed) => "/plain/early-shed".to_owned(),
             Self::Added(step) => format!("/added-{step}/x"),
             Self::Moved => "/moved/x".to_owned(),
         }
     }
+
+    /// Says whether a request to the route may run at most once.
+    pub fn is_plain(self) -> bool {
+        matches!(self, Self::Plain | Self::Upload(_))
+    }
 }
 
 /// Returns whether what a response shows about a route is consistent with a step's document.
 pub fn document_allows(step: usize, route: RequestedRoute, answer: SeenAnswer) -> bool {
     let service = match route {
-        RequestedRoute::Steady | RequestedRoute::Plain => Some(0),
+        RequestedRoute::Steady | RequestedRoute::Plain | RequestedRoute::Upload(_) => Some(0),
         RequestedRoute::Moved => Some(step % SERVICES.len()),
         RequestedRoute::Added(adding_step) => {
             (adding_step <= step && step < adding_step + ADDED_ROUTE_STEPS).then_some(0)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -262,7 +262,10 @@
     monoio::spawn(faults::run(state.clone(), options.kinds.clone(), rng));
     monoio::time::sleep(options.length).await;
     state.is_finished.set(true);
-    let runs = fetch_run_counts(state).await?;
+    let FleetRuns { counts: runs, other_bodies } = fetch_runs(state).await?;
+    for id in other_bodies {
+        state.add_finding(format!("{id}: other bytes reached a server than were sent"));
+    }
     for (id, answer_violation) in plain_requests.violations(&runs) {
         state.add_finding(format!("{id}: {answer_violation:?}"));
     }
@@ -311,9 +314,17 @@
     }
 }
 
-/// Returns, by id of the request, how often the request ran, summed over all backend servers.
-async fn fetch_run_counts(state: &SoakState) -> Result<FnvHashMap<String, u64>, SoakError> {
-    let mut counts = FnvHashMap::default();
+/// `FleetRuns` is what all backend servers have seen together.
+#[derive(Default)]
+struct FleetRuns {
+    /// How often each request ran, by its id.
+    counts: FnvHashMap<String, u64>,
+    /// Ids of the uploads of which other bytes arrived than were sent.
+    other_bodies: Vec<String>,
+}
+
+async fn fetch_runs(state: &SoakState) -> Result<FleetRuns, SoakError> {
+    let mut fleet_runs = FleetRuns::default();
     for host in &state.fleet.hosts {
         let client = HttpClient::new(host.backend_address(), RUNS_TIMEOUT);
         let call = client.call(Method::GET, RUNS_PATH, HeaderMap::new(), Bytes::new());
@@ -322,8 +333,9 @@
             .context(CallSnafu { what: "reading the run counters of a backend server" })?;
         let runs: BackendRuns = serde_json::from_slice(&reply.body).unwrap_or_default();
         for (id, count) in runs.by_id {
-            *counts.entry(id).or_default() += count;
+            *fleet_runs.counts.entry(id).or_default() += count;
         }
+        fleet_runs.other_bodies.extend(runs.other_bodies);
     }
-    Ok(counts)
+    Ok(fleet_runs)
 }
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -21,6 +21,7 @@
 mod runs;
 mod sending;
 mod serving;
+pub mod uploads;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/crates/standin/src/backend/reply.rs
+++ b/crates/standin/src/backend/reply.rs
@@ -73,7 +73,7 @@
 }
 
 /// Returns the header fields of a response.
-fn response_headers(
+pub fn response_headers(
     standin: &BackendStandin,
     head: &request::Parts,
     faults: &BackendFaults,
--- a/crates/standin/src/backend/runs.rs
+++ b/crates/standin/src/backend/runs.rs
@@ -39,6 +39,8 @@
     /// Number of requests received with a caller's API key. Daemons must not forward such a key to
     /// a backend server.
     pub keys: u64,
+    /// Ids of the uploads of which other bytes arrived than were due.
+    pub other_bodies: Vec<String>,
     /// Head of the last request received, as text.
     pub last_head: String,
 }
--- a/crates/standin/src/backend/serving.rs
+++ b/crates/standin/src/backend/serving.rs
@@ -18,6 +18,7 @@
 use http::{request, StatusCode};
 use monoio::net::{TcpListener, TcpStream};
 
+use crate::backend::uploads::{self, UploadAct};
 use crate::backend::{control, execution, probe, reply, runs};
 use crate::backend::{BackendStandin, BreakPoint, HEALTH_PATH, LOAD_PATH};
 
@@ -85,6 +86,10 @@
         if faults.break_at == BreakPoint::AfterRequestHead {
             return Ok(());
         }
+        if let Some(act) = UploadAct::of_path(head.uri.path()) {
+            uploads::serve(&mut stream, standin, &head, framing, act).await?;
+            continue;
+        }
         let body = read_body(&mut stream, standin, &head, framing).await?;
         if !is_expected(standin, &head) {
             reply::refuse(&mut stream, standin, StatusCode::MISDIRECTED_REQUEST).await?;
--- /dev/null
+++ b/crates/standin/src/backend/uploads.rs
@@ -0,0 +1,132 @@
+// Copyright 2026 The basaltarch Authors
+// SPDX-License-Identifier: Apache-2.0
+
+//! Requests whose body follows from their id, so that the server knows each byte that is due. The
+//! last part of the path says when the server responds: after the body, from before the body on, or
+//! before the body with a refusal.
+
+use std::hash::Hasher;
+
+use basaltarch_http::body::{BodyLimits, BodyReader};
+use basaltarch_http::connection::HttpStream;
+use basaltarch_http::errors::HttpError;
+use basaltarch_http::fields;
+use basaltarch_http::framing::BodyFraming;
+use basaltarch_http::writer;
+use bytes::{Bytes, BytesMut};
+use fnv::FnvHasher;
+use http::{request, HeaderMap, StatusCode};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::backend::{reply, runs, BackendStandin};
+
+/// Size in bytes of what is sent of an early response before the body is read: more than a daemon
+/// holds back of a response.
+const EARLY_BYTES: usize = 64 * 1024;
+
+/// Longest body of an upload, in bytes: several times what a daemon keeps of a body.
+const UPLOAD_BYTES: usize = 300_000;
+
+/// `UploadAct` is when a server responds to a long body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UploadAct {
+    /// The body is read, then the response is sent.
+    Digest,
+    /// The response begins before the body is read, and ends after it.
+    EarlyDigest,
+    /// The request is refused with a shed notice before its body is read; the body is read after
+    /// that.
+    EarlyShed,
+}
+
+impl UploadAct {
+    /// Returns the act that the last part of a path names.
+    pub fn of_path(path: &str) -> Option<Self> {
+        match path.rsplit('/').next()? {
+            "digest" => Some(Self::Digest),
+            "early-digest" => Some(Self::EarlyDigest),
+            "early-shed" => Some(Self::EarlyShed),
+            _ => None,
+        }
+    }
+}
+
+/// Builds the body of the upload with this id. Bodies of different ids have other bytes.
+pub fn build_body(id: &str) -> Bytes {
+    let mut hasher = FnvHasher::default();
+    hasher.write(id.as_bytes());
+    let mut rng = ChaCha8Rng::seed_from_u64(hasher.finish());
+    let mut body = vec![0; rng.random_range(1..=UPLOAD_BYTES)];
+    rng.fill(&mut body[..]);
+    Bytes::from(body)
+}
+
+/// Returns the end of a response to a body: its length and a hash of its bytes.
+pub fn describe(body: &[u8]) -> String {
+    let mut hasher = FnvHasher::default();
+    hasher.write(body);
+    format!("{} {:016x}", body.len(), hasher.finish())
+}
+
+/// Serves a request by its act. The connection can be used again after that.
+pub async fn serve(
+    stream: &mut HttpStream,
+    standin: &BackendStandin,
+    head: &request::Parts,
+    framing: BodyFraming,
+    act: UploadAct,
+) -> Result<(), HttpError> {
+    let id = fields::single(&head.headers, &standin.request_field()).unwrap_or("-");
+    if act == UploadAct::EarlyShed {
+        reply::refuse(stream, standin, StatusCode::SERVICE_UNAVAILABLE).await?;
+        return read(stream, standin, framing, id).await.map(drop);
+    }
+    runs::record_run(standin, head);
+    let mut buffer = BytesMut::new();
+    let headers = reply::response_headers(standin, head, &standin.faults.borrow().clone());
+    if act == UploadAct::EarlyDigest {
+        put_head(&mut buffer, &headers);
+        put_padding(&mut buffer);
+        writer::flush(&mut stream.writer, &mut buffer).await?;
+    }
+    let body = read(stream, standin, framing, id).await?;
+    if act == UploadAct::Digest {
+        put_head(&mut buffer, &headers);
+    }
+    let (name, path) = (&standin.options.name, head.uri.path());
+    let text = Bytes::from(format!("{name} 200 {path} {id} {}\n", describe(&body)));
+    writer::send_piece(&mut stream.writer, &mut buffer, BodyFraming::Chunked, text, true).await
+}
+
+fn put_head(buffer: &mut BytesMut, headers: &HeaderMap) {
+    writer::put_response_head(buffer, StatusCode::OK, headers, BodyFraming::Chunked, false);
+}
+
+fn put_padding(buffer: &mut BytesMut) {
+    writer::put_piece(buffer, BodyFraming::Chunked, &[b' '; EARLY_BYTES], false);
+}
+
+/// Reads the body, and records the id if other bytes arrive than are due, however many.
+async fn read(
+    stream: &mut HttpStream,
+    standin: &BackendStandin,
+    framing: BodyFraming,
+    id: &str,
+) -> Result<BytesMut, HttpError> {
+    let due = build_body(id);
+    let mut reader = BodyReader::new(framing, BodyLimits::default());
+    let mut body = BytesMut::new();
+    let result = loop {
+        match reader.next(&mut stream.reader).await {
+            Ok(Some(piece)) => body.extend_from_slice(&piece),
+            Ok(None) => break Ok(()),
+            Err(error) => break Err(error),
+        }
+    };
+    let is_as_sent = if result.is_ok() { due == body } else { due.starts_with(&body) };
+    if !is_as_sent {
+        standin.runs.borrow_mut().other_bodies.push(id.to_owned());
+    }
+    result.map(|()| body)
+}
