--- a/crates/daemon/tests/common/backend.rs
+++ b/crates/daemon/tests/common/backend.rs
@@ -17,6 +17,7 @@
 use super::{client, loopback_address};
 
 /// A simulated backend server in a thread.
+#[derive(Clone)]
 pub struct TestBackend {
     pub name: String,
     pub address: SocketAddr,
--- a/crates/daemon/tests/drawn_exchanges.rs
+++ b/crates/daemon/tests/drawn_exchanges.rs
@@ -20,7 +20,7 @@
 
 use common::client::{self, Reply};
 use common::scripted::{AfterExchange, ScriptedExchange, ScriptedServer};
-use common::{FleetPlan, TestBackend, TestFleet};
+use common::{FleetPlan, TestFleet};
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
 use proptest::test_runner::{RngSeed, TestRunner};
@@ -435,11 +435,7 @@
     };
     let servers: Vec<_> = (0..SERVERS).map(start).collect();
     let mut fleet = TestFleet::start_unconfigured(&plan);
-    let backend = |server: &ScriptedServer| TestBackend {
-        name: server.backend.name.clone(),
-        address: server.backend.address,
-    };
-    fleet.backends = servers.iter().map(backend).collect();
+    fleet.backends = servers.iter().map(|server| server.backend.clone()).collect();
     let reply = fleet.apply(&fleet.build_configuration(&plan));
     assert_eq!(reply.status, 200, "{}", reply.text());
     fleet.wait_revision(1);
--- a/crates/daemon/tests/exchanges.rs
+++ b/crates/daemon/tests/exchanges.rs
@@ -15,7 +15,7 @@
 
 use common::client::{self, Reply};
 use common::scripted::{AfterExchange, ScriptedExchange, ScriptedServer};
-use common::{eventually, FleetPlan, TestBackend, TestFleet, EVENT_TIMEOUT};
+use common::{eventually, FleetPlan, TestFleet, EVENT_TIMEOUT};
 use serde_json::json;
 use test_case::test_case;
 
@@ -43,13 +43,7 @@
     fn start_beside(servers: Vec<ScriptedServer>, hosts: &[&str]) -> Self {
         let plan = FleetPlan { daemons: 2, backends: 0, ..FleetPlan::default() };
         let mut fleet = TestFleet::start_unconfigured(&plan);
-        fleet.backends = servers
-            .iter()
-            .map(|server| TestBackend {
-                name: server.backend.name.clone(),
-                address: server.backend.address,
-            })
-            .collect();
+        fleet.backends = servers.iter().map(|server| server.backend.clone()).collect();
         let mut configuration = fleet.build_configuration(&plan);
         for (index, server) in servers.iter().enumerate() {
             let host = hosts[index % hosts.len()];
--- a/crates/daemon/tests/slow_uploads.rs
+++ b/crates/daemon/tests/slow_uploads.rs
@@ -13,7 +13,7 @@
 
 use common::forwarder::Forwarder;
 use common::scripted::{AfterExchange, ScriptedExchange, ScriptedServer};
-use common::{client, FleetPlan, TestBackend, TestDaemon, TestFleet, TestPlatform, EVENT_TIMEOUT};
+use common::{client, FleetPlan, TestDaemon, TestFleet, TestPlatform, EVENT_TIMEOUT};
 use serde_json::json;
 
 /// Body of the requests: long enough to be withheld, short enough to be kept whole.
@@ -77,10 +77,7 @@
         };
         let mut fleet = TestFleet { platform, daemons, backends: Vec::new() };
         fleet.wait_members();
-        fleet.backends = (0..2)
-            .map(|server| start_server(server).backend)
-            .map(|TestBackend { name, address }| TestBackend { name, address })
-            .collect();
+        fleet.backends = (0..2).map(|server| start_server(server).backend).collect();
         let mut configuration = fleet.build_configuration(&plan);
         for (server, (host, domain)) in
             [("host-b", "bkk-b"), ("host-c", "bkk-c")].iter().enumerate()
