Log which response refused a request, by what id, and why a server is gone

A refusal by the server was logged as 'work ended', without status, without a word that it refused, and a 421 wrote no line of the request at all; 'backend server gone' didn't say why. Now 'work refused by server' has status, notice, whether the id is the request's, how far the request was sent and whether the connection had been used, within the limit on logged failures; 'backend server gone' has its cause.

--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -35,7 +35,7 @@
 use crate::host::sending;
 use crate::host::upstream::{AttemptResult, HostUpstream};
 use crate::host::watch::AttemptWatch;
-use crate::registration;
+use crate::registration::{self, GoneCause};
 use crate::state::DaemonState;
 use crate::stop;
 use crate::suspects;
@@ -482,8 +482,10 @@
         metrics::HOST_ATTEMPTS.add_one();
         let waited = self.state.now().saturating_sub(self.arrived_at);
         metrics::SLOT_WAIT_SECONDS.record(waited);
-        self.log_started(waited, pooled_stream.idle_time());
-        let progress = AttemptProgress::new(slot, self.attempt_timeout(), self.overdue_after());
+        let idle_time = pooled_stream.idle_time();
+        self.log_started(waited, idle_time);
+        let (timeout, overdue_after) = (self.attempt_timeout(), self.overdue_after());
+        let progress = AttemptProgress::new(slot, timeout, overdue_after, idle_time);
         let result =
             self.run_exchange(pooled_stream.stream(), &progress, body, answer, claim).await;
         let was_overdue = progress.was_overdue.get();
@@ -505,7 +507,8 @@
                 Err(AttemptFault::Shed.outcome())
             }
             Err(AttemptFault::Moved) => {
-                registration::note_ended(self.state, &self.upstream.name);
+                let cause = GoneCause::Misdirected;
+                registration::note_ended(self.state, &self.upstream.name, cause);
                 Err(AttemptFault::Moved.outcome())
             }
             Err(fault) => {
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -141,6 +141,8 @@
     pub is_recorded: Cell<bool>,
     /// Keep-alive timeout that the server announced.
     pub keep_alive: Cell<Option<Duration>>,
+    /// Time for which the connection had been idle; `None` for a new connection.
+    pub idle_time: Option<Duration>,
 }
 
 impl AttemptProgress {
@@ -149,9 +151,14 @@
         self.started.elapsed()
     }
 
-    /// Builds the progress of an attempt that starts now, holds `slot`, has `timeout` and counts as
-    /// overdue after `overdue_after`.
-    pub fn new(slot: SlotGuard, timeout: AttemptTimeout, overdue_after: Option<Duration>) -> Self {
+    /// Builds the progress of an attempt that starts now, holds `slot`, has `timeout`, counts as
+    /// overdue after `overdue_after`, and uses a connection that had been idle for `idle_time`.
+    pub fn new(
+        slot: SlotGuard,
+        timeout: AttemptTimeout,
+        overdue_after: Option<Duration>,
+        idle_time: Option<Duration>,
+    ) -> Self {
         Self {
             slot: Cell::new(Some(slot)),
             started: Instant::now(),
@@ -164,6 +171,7 @@
             was_overdue: Cell::new(false),
             is_recorded: Cell::new(false),
             keep_alive: Cell::new(None),
+            idle_time,
         }
     }
 }
@@ -207,6 +215,9 @@
             exchange.note_last();
         }
         self.progress.keep_alive.set(fields::keep_alive_timeout(&head.headers));
+        if matches!(verdict, AnswerVerdict::Shed | AnswerVerdict::Moved) {
+            self.attempt.log_server_refused(&head, self.progress);
+        }
         match verdict {
             AnswerVerdict::Shed => return self.finish_shed(reader, framing).await,
             AnswerVerdict::Moved => return Err(AttemptFault::Moved),
--- a/crates/daemon/src/host/trace.rs
+++ b/crates/daemon/src/host/trace.rs
@@ -12,8 +12,11 @@
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::WorkMode;
 use basaltarch_decide::health::HealthReport;
-use basaltarch_events::requests::{SurplusDropped, WorkBroke, WorkEnded, WorkRefused, WorkStarted};
+use basaltarch_events::requests::{
+    ServerRefused, SurplusDropped, WorkBroke, WorkEnded, WorkRefused, WorkStarted,
+};
 use basaltarch_peer::protocol::DispatchHead;
+use http::response;
 
 use crate::host::exchange::HostAttempt;
 use crate::host::relay::{AttemptFault, AttemptProgress};
@@ -136,6 +139,31 @@
         .log();
     }
 
+    /// Logs that a response says that the backend server did not run the request.
+    pub fn log_server_refused(&self, head: &response::Parts, progress: &AttemptProgress) {
+        if !self.is_logged() && !self.state.log_budget.takes_failure(self.state.now()) {
+            return;
+        }
+        let field_names = &self.state.fields;
+        let id = match &field_names.request {
+            None => "unused",
+            Some(name) if head.headers.contains_key(name) => "same",
+            Some(_) => "missing",
+        };
+        ServerRefused {
+            request: &request_id(self.state, self.head),
+            upstream: &self.upstream.name,
+            attempt: self.attempt_number(),
+            status: head.status.as_u16().into(),
+            noticed: head.headers.contains_key(&field_names.shed),
+            id,
+            took_ms: millis(progress.elapsed()),
+            sent: progress.exchange.request().name(),
+            idle_ms: progress.idle_time.map(millis),
+        }
+        .log();
+    }
+
     /// Logs that a response to an earlier request was discarded.
     pub fn log_surplus_response(&self, status: u16) {
         if !self.is_logged() && !self.state.log_budget.takes_failure(self.state.now()) {
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -34,6 +34,31 @@
 /// servers, so a client that reports more names than this is no backend server of the host.
 const TRACKERS_MAX: usize = 256;
 
+/// `GoneCause` is what showed that a backend server is gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GoneCause {
+    /// The server deregistered.
+    Deregistered,
+    /// Another server sent a heartbeat with its address or its name.
+    Replaced,
+    /// A later record of this host does not list the server.
+    Unlisted,
+    /// The response to a request says that another server listens at the address.
+    Misdirected,
+}
+
+impl GoneCause {
+    /// Returns the name of the cause in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Deregistered => "deregistered",
+            Self::Replaced => "replaced",
+            Self::Unlisted => "unlisted",
+            Self::Misdirected => "misdirected",
+        }
+    }
+}
+
 /// `RegistrationTable` is what this daemon knows of the backend servers on its host, apart from the
 /// published record of the host. All fields but `trackers` are keyed by the name of the upstream,
 /// which is specific to one incarnation.
@@ -242,7 +267,7 @@
     for other in servers.iter().filter(|server| is_replaced(server)) {
         state.registrations.note_ended(&other.name);
         note_departed(state, &other.name);
-        servers::ServerGone { upstream: &other.name }.log();
+        servers::ServerGone { upstream: &other.name, cause: GoneCause::Replaced.name() }.log();
     }
     servers.retain(|server| server.name != record.name && !is_replaced(server));
     servers.push(record);
@@ -288,14 +313,14 @@
 
 /// Records that an incarnation of a backend server has ended, because the server deregistered or
 /// another server answers at its address.
-pub fn note_ended(state: &Rc<DaemonState>, name: &str) {
+pub fn note_ended(state: &Rc<DaemonState>, name: &str, cause: GoneCause) {
     state.registrations.note_ended(name);
     note_departed(state, name);
     let mut servers = state.roster.own_servers();
     let count_before = servers.len();
     servers.retain(|server| server.name != name);
     if servers.len() < count_before {
-        servers::ServerGone { upstream: name }.log();
+        servers::ServerGone { upstream: name, cause: cause.name() }.log();
     }
     // The row may list a server that has not registered with this incarnation of the daemon.
     roster::set_own_servers(state, servers);
@@ -333,7 +358,8 @@
         let has_sent_heartbeat = state.registrations.sequences.borrow().contains_key(&server.name);
         let is_kept = has_sent_heartbeat || record.is_in_use(&server.name);
         if !is_kept {
-            servers::ServerGone { upstream: &server.name }.log();
+            let cause = GoneCause::Unlisted.name();
+            servers::ServerGone { upstream: &server.name, cause }.log();
         }
         is_kept
     });
--- a/crates/daemon/src/server_calls.rs
+++ b/crates/daemon/src/server_calls.rs
@@ -20,7 +20,7 @@
 use snafu::Snafu;
 
 use crate::admin;
-use crate::registration;
+use crate::registration::{self, GoneCause};
 use crate::roster;
 use crate::state::DaemonState;
 
@@ -183,7 +183,10 @@
     } else if !is_known(state, incarnation) && !other_upstreams.is_empty() {
         return Err(CallRefusal::OtherIncarnation);
     }
-    bind(state, &upstreams, registration::note_ended, DEREGISTRATION_CALL).await
+    let note_ended = |state: &Rc<DaemonState>, name: &str| {
+        registration::note_ended(state, name, GoneCause::Deregistered);
+    };
+    bind(state, &upstreams, note_ended, DEREGISTRATION_CALL).await
 }
 
 /// Says whether an incarnation of a server is registered or has departed.
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -293,6 +293,29 @@
         kept: bool,
     }
 
+    /// A response said that the backend server did not run the request.
+    "work refused by server" INFO ServerRefused<'a> {
+        /// Id of the request.
+        request: &'a str,
+        /// The backend server.
+        upstream: &'a str,
+        /// Number of the attempt, from 1.
+        attempt: u64,
+        /// Status of the response.
+        status: u64,
+        /// Whether the response has a shed notice.
+        noticed: bool,
+        /// Whether the response has the id of the request: same, missing, or unused if the
+        /// deployment has no ids.
+        id: &'a str,
+        /// Time since the request was sent.
+        took_ms: u64,
+        /// How far the request was sent: unsent, partial, whole or broken.
+        sent: &'a str,
+        /// Time for which the connection to the server had been idle; absent for a new connection.
+        idle_ms: Option<u64>,
+    }
+
     /// A request was sent to the backend server, and no usable answer was received.
     "work broke" INFO WorkBroke<'a> {
         /// Id of the request.
--- a/crates/events/src/servers.rs
+++ b/crates/events/src/servers.rs
@@ -104,6 +104,9 @@
     "backend server gone" INFO ServerGone<'a> {
         /// Name of the backend server.
         upstream: &'a str,
+        /// What showed it: deregistered, replaced by a heartbeat of another server, unlisted in a
+        /// later record of this host, or misdirected by the server's response.
+        cause: &'a str,
     }
 
     /// A backend server crashed while it served requests: its connections broke, nothing listens at
