--- a/crates/daemon/tests/common/registered.rs
+++ b/crates/daemon/tests/common/registered.rs
@@ -95,32 +95,46 @@
 impl RegisteredFleet {
     /// Starts daemons, and a backend server beside each that registers at once.
     pub fn start(daemons: usize) -> Self {
+        (0..daemons).fold(Self::start_empty(), |fleet, index| fleet.with_host(index))
+    }
+
+    /// Starts a daemon beside each of these backend servers, which register at once.
+    pub fn start_beside(servers: &[&TestBackend]) -> Self {
+        let servers = servers.iter().enumerate();
+        servers.fold(Self::start_empty(), |fleet, (index, server)| {
+            fleet.with_server_in(index, DOMAINS[index % DOMAINS.len()], (*server).clone())
+        })
+    }
+
+    /// Starts a platform with a document that is valid for any servers.
+    fn start_empty() -> Self {
         let platform = TestPlatform::start();
         let fleet =
             Self { platform, daemons: Vec::new(), backends: Vec::new(), sequence: Cell::new(1) };
         fleet.write_document(&document(1));
-        (0..daemons).fold(fleet, |fleet, index| fleet.with_host(index))
+        fleet
     }
 
     /// Starts a fleet as [`RegisteredFleet::start`] does, but with all hosts in one failure domain.
     pub fn start_in_one_domain(daemons: usize) -> Self {
-        let platform = TestPlatform::start();
-        let fleet =
-            Self { platform, daemons: Vec::new(), backends: Vec::new(), sequence: Cell::new(1) };
-        fleet.write_document(&document(1));
-        (0..daemons).fold(fleet, |fleet, index| fleet.with_host_in(index, DOMAINS[0]))
+        (0..daemons).fold(Self::start_empty(), |fleet, index| fleet.with_host_in(index, DOMAINS[0]))
     }
 
     fn with_host(self, index: usize) -> Self {
         self.with_host_in(index, DOMAINS[index % DOMAINS.len()])
     }
 
-    fn with_host_in(mut self, index: usize, domain: &str) -> Self {
-        let host = format!("host-{}", (b'a' + index as u8) as char);
-        self.daemons.push(self.start_daemon(&host, domain, &[]));
+    fn with_host_in(self, index: usize, domain: &str) -> Self {
         let name = format!("i-{}", index + 1);
         let fields = headers::exchange_fields();
-        self.backends.push(TestBackend::start_at(loopback_address(), &name, 1, fields));
+        let server = TestBackend::start_at(loopback_address(), &name, 1, fields);
+        self.with_server_in(index, domain, server)
+    }
+
+    fn with_server_in(mut self, index: usize, domain: &str, server: TestBackend) -> Self {
+        let host = format!("host-{}", (b'a' + index as u8) as char);
+        self.daemons.push(self.start_daemon(&host, domain, &[]));
+        self.backends.push(server);
         assert_eq!(self.send_heartbeat(index, false).status, 200);
         self
     }
--- a/crates/daemon/tests/common/scripted.rs
+++ b/crates/daemon/tests/common/scripted.rs
@@ -10,6 +10,8 @@
 use std::thread;
 use std::time::Duration;
 
+use basaltarch_platform::headers::names;
+
 use super::{loopback_address, TestBackend, EVENT_TIMEOUT};
 
 /// Time without progress of a write after which its reader counts as blocked.
@@ -20,7 +22,7 @@
 pub struct SeenRequest {
     /// Request line; whatever else was received in its place for a request that nobody sent.
     pub line: String,
-    /// Value of `x-request-id`.
+    /// Value of `x-request-id`, or of the field for ids on the platform.
     pub id: String,
     /// Body as far as it was read.
     pub body: Vec<u8>,
@@ -121,6 +123,18 @@
         written
     }
 
+    /// Writes `piece` over and over until the connection ends.
+    pub fn write_until_ended(&mut self, piece: &[u8]) {
+        while self.write(piece) {}
+    }
+
+    /// Answers as a server of the platform does: with the id of the request and the server's stamp.
+    pub fn answer_platform(&mut self, status: &str, lines: &str, body: &str) -> bool {
+        let id = &self.seen.id;
+        let lines = format!("Request-Id: {id}\r\nServer-Stamp: stamp\r\n{lines}");
+        self.answer(status, &lines, body)
+    }
+
     /// Sends the end of the response's direction of the connection.
     pub fn shut_write(&mut self) {
         let _ = self.stream.shutdown(Shutdown::Write);
@@ -215,7 +229,8 @@
     while let Some(head) = take_until(&mut stream, &mut buffer, b"\r\n\r\n") {
         let head = String::from_utf8_lossy(&head).into_owned();
         let line = head.lines().next().unwrap_or_default().to_owned();
-        let id = field(&head, "x-request-id").unwrap_or_default();
+        let id = field(&head, "x-request-id").or_else(|| field(&head, names::REQUEST_ID));
+        let id = id.unwrap_or_default();
         let length = field(&head, "content-length").and_then(|text| text.parse().ok());
         let is_chunked = field(&head, "transfer-encoding").is_some();
         let end = if is_chunked { BodyEnd::Chunked } else { BodyEnd::Length(length.unwrap_or(0)) };
