Believe a refusal only from a response that is bound to the request

What callers saw: requests that may run once, answered 408, 421, 429 or 503 (the promise that they did not run), and run, some of them twice, as a refused attempt goes elsewhere. A 421 without an id ended its server for good.

Cause: the host's daemon took any refusal without an id for the refusal of the request that it waited with, since a server may refuse before it reads the id.

Change: the binding of a response is a type of its own (the request's id, another, none). 'ServerRefusal' is made from a bound response alone, and the fault of an attempt that means 'not run' needs one, so that no other path in the host can say it after the request was sent. What bears another id or none is passed over, and the answer behind it is delivered; a 400 without an id is an answer that can't be used (502). Rates, leavings and the end of a server are taken from bound responses alone. A request without an id, in a deployment with ids, gets no promise from its server's answer.

The stand-in of a backend server refused without the id, which is how the code came to accept it; it repeats the id now.

--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -41,7 +41,7 @@
 pub static POISON_EXEMPTED: CounterCell = CounterCell::new();
 /// Requests sent to backend servers.
 pub static HOST_ATTEMPTS: CounterCell = CounterCell::new();
-/// Responses to earlier requests that arrived late on a connection in use.
+/// Responses that belong to another request or to none, on a connection in use.
 pub static SURPLUS_ANSWERS: CounterCell = CounterCell::new();
 /// Requests refused by the host role.
 pub static HOST_REFUSED: CounterCell = CounterCell::new();
@@ -226,7 +226,7 @@
         counter("worked", "Requests sent to backend servers.", &HOST_ATTEMPTS),
         counter(
             "surplus_answers",
-            "Responses to earlier requests that arrived late on a connection in use.",
+            "Responses that belong to another request or to none, on a connection in use.",
             &SURPLUS_ANSWERS,
         ),
         counter("host_refused", "Requests refused by the host role.", &HOST_REFUSED),
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -502,14 +502,13 @@
                 self.log_ended(&progress, is_kept);
                 Ok(())
             }
-            Err(AttemptFault::Shed) => {
+            Err(AttemptFault::Refused(refusal)) => {
                 self.log_ended(&progress, is_kept);
-                Err(AttemptFault::Shed.outcome())
-            }
-            Err(AttemptFault::Moved) => {
-                let cause = GoneCause::Misdirected;
-                registration::note_ended(self.state, &self.upstream.name, cause);
-                Err(AttemptFault::Moved.outcome())
+                if refusal.is_from_another_server() {
+                    let cause = GoneCause::Misdirected;
+                    registration::note_ended(self.state, &self.upstream.name, cause);
+                }
+                Err(AttemptFault::Refused(refusal).outcome())
             }
             Err(fault) => {
                 let crashed = fault.is_connection_failure() && self.detect_crash().await;
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use basaltarch_base::metrics;
-use basaltarch_core::outcome::{FailureOutcome, NotRunReason, UnknownReason};
+use basaltarch_core::outcome::{FailureOutcome, UnknownReason};
 use basaltarch_decide::adaptive_timeout::AttemptTimeout;
 use basaltarch_decide::breaker::FailureKind;
 use basaltarch_decide::evidence::RequestEvidence;
@@ -30,7 +30,7 @@
 use crate::host::exchange::HostAttempt;
 use crate::host::notices;
 use crate::host::overdue::OverdueTimer;
-use crate::host::verify::{self, AnswerVerdict};
+use crate::host::verify::{self, AnswerVerdict, ResponseBinding, ServerRefusal};
 use crate::registration;
 use crate::wire;
 
@@ -58,10 +58,8 @@
     Broken,
     /// The response was malformed or truncated.
     BadAnswer,
-    /// The backend server refused the request by a shed notice.
-    Shed,
-    /// Another backend server now listens at this address and refused the request.
-    Moved,
+    /// The response to the request says that the request did not run.
+    Refused(ServerRefusal),
     /// The ingress no longer reads the response.
     SinkGone,
 }
@@ -74,8 +72,7 @@
             Self::TimedOut => "timed-out",
             Self::Broken => "connection-broken",
             Self::BadAnswer => "bad-answer",
-            Self::Shed => "shed",
-            Self::Moved => "moved",
+            Self::Refused(_) => "refused",
             Self::SinkGone => "ingress-gone",
         }
     }
@@ -87,8 +84,7 @@
             Self::TimedOut => FailureOutcome::Unknown(UnknownReason::TimedOut),
             Self::Broken => FailureOutcome::Unknown(UnknownReason::BackendBroken),
             Self::BadAnswer => FailureOutcome::Unknown(UnknownReason::AnswerBroken),
-            Self::Shed => FailureOutcome::NotRun(NotRunReason::Shed),
-            Self::Moved => FailureOutcome::NotRun(NotRunReason::UnknownUpstream),
+            Self::Refused(refusal) => FailureOutcome::NotRun(refusal.reason()),
         }
     }
 
@@ -194,6 +190,7 @@
 struct AnswerStart {
     head: response::Parts,
     framing: BodyFraming,
+    binding: ResponseBinding,
     verdict: AnswerVerdict,
     /// Whether no surplus response preceded this response on the connection.
     is_first_response: bool,
@@ -205,22 +202,23 @@
 impl AnswerRelay<'_> {
     /// Relays the response, and notes how far it has got on its connection.
     pub async fn run(self, reader: &mut BackendReader) -> Result<(), AttemptFault> {
-        let AnswerStart { mut head, framing, verdict, is_first_response } =
+        let AnswerStart { mut head, framing, binding, verdict, is_first_response } =
             self.read_start(reader).await?;
         self.progress.head_seen.set(true);
-        self.note_notices(&head, verdict);
+        if binding == ResponseBinding::Bound {
+            self.note_notices(&head, verdict);
+        }
         let exchange = &self.progress.exchange;
         exchange.note_response(MessageProgress::Partial);
         if fields::wants_close(head.version, &head.headers) || !is_first_response {
             exchange.note_last();
         }
         self.progress.keep_alive.set(fields::keep_alive_timeout(&head.headers));
-        if matches!(verdict, AnswerVerdict::Shed | AnswerVerdict::Moved) {
-            self.attempt.log_server_refused(&head, self.progress);
-        }
         match verdict {
-            AnswerVerdict::Shed => return self.finish_shed(reader, framing).await,
-            AnswerVerdict::Moved => return Err(AttemptFault::Moved),
+            AnswerVerdict::Refused(refusal) => {
+                self.attempt.log_server_refused(&head, self.progress);
+                return self.finish_refused(refusal, reader, framing).await;
+            }
             AnswerVerdict::Invalid | AnswerVerdict::Surplus => return Err(AttemptFault::BadAnswer),
             AnswerVerdict::Matching => {}
         }
@@ -252,8 +250,7 @@
 
     /// Records what the server says of itself in a response head.
     fn note_notices(&self, head: &response::Parts, verdict: AnswerVerdict) {
-        if verdict == AnswerVerdict::Moved {
-            // Another server says this of itself.
+        if matches!(verdict, AnswerVerdict::Refused(refusal) if refusal.is_from_another_server()) {
             return;
         }
         let state = self.attempt.state;
@@ -271,8 +268,8 @@
         state.notices.note_rate(&upstream.name, upstream.slots.rate(), now);
     }
 
-    /// Reads response heads until a head belongs to the request; responses to earlier requests are
-    /// discarded.
+    /// Reads response heads until a head belongs to the request; responses that belong to another
+    /// request or to none are discarded.
     async fn read_start(&self, reader: &mut BackendReader) -> Result<AnswerStart, AttemptFault> {
         let method = self.attempt.head.method.parse().unwrap_or(Method::GET);
         let mut is_first_response = true;
@@ -281,13 +278,15 @@
             let framing =
                 framing::of_response(&head, &method).map_err(|_| AttemptFault::BadAnswer)?;
             let field_names = &self.attempt.state.fields;
-            let verdict = verify::classify(field_names, &self.attempt.head.field_lines, &head);
+            let request = &self.attempt.head.field_lines;
+            let binding = ResponseBinding::of(field_names, request, &head);
+            let verdict = verify::classify(field_names, request, &head, binding);
             if verdict != AnswerVerdict::Surplus {
-                return Ok(AnswerStart { head, framing, verdict, is_first_response });
+                return Ok(AnswerStart { head, framing, binding, verdict, is_first_response });
             }
             is_first_response = false;
             metrics::SURPLUS_ANSWERS.add_one();
-            self.attempt.log_surplus_response(head.status.as_u16());
+            self.attempt.log_surplus_response(head.status.as_u16(), binding);
             self.discard_body(reader, framing).await?;
         }
         Err(AttemptFault::BadAnswer)
@@ -353,18 +352,22 @@
         Ok(inline.freeze())
     }
 
-    async fn finish_shed(
+    async fn finish_refused(
         &self,
+        refusal: ServerRefusal,
         reader: &mut BackendReader,
         framing: BodyFraming,
     ) -> Result<(), AttemptFault> {
-        // The shed notice was in the head; a broken body only makes the connection unusable.
+        if refusal.is_from_another_server() {
+            return Err(AttemptFault::Refused(refusal));
+        }
+        // The refusal was in the head; a broken body only makes the connection unusable.
         if self.discard_body(reader, framing).await.is_ok() {
             self.note_response_end(reader, framing);
         }
         self.attempt.record_result(RequestEvidence::Neutral, false, None);
         self.progress.is_recorded.set(true);
-        Err(AttemptFault::Shed)
+        Err(AttemptFault::Refused(refusal))
     }
 
     /// Records the end of the attempt and releases its slot. The load report that is sent after
--- a/crates/daemon/src/host/trace.rs
+++ b/crates/daemon/src/host/trace.rs
@@ -20,6 +20,7 @@
 
 use crate::host::exchange::HostAttempt;
 use crate::host::relay::{AttemptFault, AttemptProgress};
+use crate::host::verify::ResponseBinding;
 use crate::state::DaemonState;
 use crate::wire;
 
@@ -147,8 +148,7 @@
         let field_names = &self.state.fields;
         let id = match &field_names.request {
             None => "unused",
-            Some(name) if head.headers.contains_key(name) => "same",
-            Some(_) => "missing",
+            Some(_) => ResponseBinding::Bound.name(),
         };
         ServerRefused {
             request: &request_id(self.state, self.head),
@@ -164,8 +164,8 @@
         .log();
     }
 
-    /// Logs that a response to an earlier request was discarded.
-    pub fn log_surplus_response(&self, status: u16) {
+    /// Logs that a response that belongs to another request or to none was discarded.
+    pub fn log_surplus_response(&self, status: u16, binding: ResponseBinding) {
         if !self.is_logged() && !self.state.log_budget.takes_failure(self.state.now()) {
             return;
         }
@@ -173,6 +173,7 @@
             request: &request_id(self.state, self.head),
             upstream: &self.upstream.name,
             status: status.into(),
+            id: binding.name(),
         }
         .log();
     }
--- a/crates/daemon/src/host/verify.rs
+++ b/crates/daemon/src/host/verify.rs
@@ -1,39 +1,136 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! Checks that the head of a response belongs to the request that was sent.
+//! Checks that the head of a response belongs to the request that was sent, and what the response
+//! says of that request.
+//!
+//! A connection may bring bytes that belong to no request. Only a response that is bound to the
+//! request can say that the server did not run it, or anything about the server itself.
 
+use basaltarch_core::outcome::NotRunReason;
 use basaltarch_http::fields::ExchangeFields;
 use http::{header, response, HeaderMap, StatusCode};
 
 use crate::wire;
 
+/// `ResponseBinding` says which request a response head belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseBinding {
+    /// The request that was sent: the response repeats its id. Where ids are not in use, the order
+    /// on the connection binds a response to its request (RFC 9112 section 9.3.2).
+    Bound,
+    /// Another request: the response has another id.
+    Foreign,
+    /// Possibly none: the response has no id.
+    Unnamed,
+}
+
+impl ResponseBinding {
+    /// Returns the binding of a response head to the request whose field lines are `request`.
+    pub fn of(fields: &ExchangeFields, request: &[u8], head: &response::Parts) -> Self {
+        let Some(name) = &fields.request else { return Self::Bound };
+        let expected = wire::field_value(request, name.as_str());
+        let mut ids = head.headers.get_all(name).iter().peekable();
+        match expected {
+            _ if ids.peek().is_none() => Self::Unnamed,
+            Some(expected) if ids.all(|id| id.as_bytes() == expected) => Self::Bound,
+            _ => Self::Foreign,
+        }
+    }
+
+    /// Returns the name of the binding in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Bound => "same",
+            Self::Foreign => "other",
+            Self::Unnamed => "missing",
+        }
+    }
+}
+
+/// `ServerRefusal` is the backend server's word that it did not run the request. Nothing but
+/// [`classify`] makes one, from a response that is bound to the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerRefusal {
+    reason: NotRunReason,
+}
+
+impl ServerRefusal {
+    /// Returns why the server did not run the request.
+    pub fn reason(self) -> NotRunReason {
+        self.reason
+    }
+
+    /// Says whether another backend server answered in the place of the one that was asked.
+    pub fn is_from_another_server(self) -> bool {
+        self.reason == NotRunReason::UnknownUpstream
+    }
+}
+
 /// `AnswerVerdict` is the classification of a response head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerVerdict {
     /// The response to the request.
     Matching,
-    /// The response to an earlier request on the same connection; the expected response follows.
+    /// A response that belongs to another request or to none; the expected response may follow.
     Surplus,
-    /// The backend server's shed notice, which says that the server did not run the request.
-    Shed,
-    /// Another backend server listens at this address and did not run the request.
-    Moved,
+    /// The response to the request, which says that the request did not run.
+    Refused(ServerRefusal),
     /// A response that must not reach a caller.
     Invalid,
 }
 
-/// Classifies the head of a response to the request whose field lines are `request`.
-pub fn classify(fields: &ExchangeFields, request: &[u8], head: &response::Parts) -> AnswerVerdict {
-    if let Some(verdict) = compare_ids(fields, request, head) {
-        return verdict;
+/// Classifies the head of a response with this binding to the request whose field lines are
+/// `request`.
+pub fn classify(
+    fields: &ExchangeFields,
+    request: &[u8],
+    head: &response::Parts,
+    binding: ResponseBinding,
+) -> AnswerVerdict {
+    match binding {
+        ResponseBinding::Bound => classify_bound(fields, request, head),
+        ResponseBinding::Foreign => AnswerVerdict::Surplus,
+        ResponseBinding::Unnamed => classify_unnamed(fields, request, head),
     }
+}
+
+fn classify_bound(
+    fields: &ExchangeFields,
+    request: &[u8],
+    head: &response::Parts,
+) -> AnswerVerdict {
     if head.status == StatusCode::MISDIRECTED_REQUEST && fields.expected_server.is_some() {
-        return AnswerVerdict::Moved;
+        return AnswerVerdict::Refused(ServerRefusal { reason: NotRunReason::UnknownUpstream });
     }
     if head.headers.contains_key(&fields.shed) && allows_shed(fields, head.status) {
-        return AnswerVerdict::Shed;
+        return AnswerVerdict::Refused(ServerRefusal { reason: NotRunReason::Shed });
+    }
+    classify_content(fields, request, head)
+}
+
+/// Classifies a response without an id. A server that can't read a request refuses it without its
+/// id; any other such response belongs to no request.
+fn classify_unnamed(
+    fields: &ExchangeFields,
+    request: &[u8],
+    head: &response::Parts,
+) -> AnswerVerdict {
+    let has_id = |name| wire::field_value(request, name).is_some();
+    let is_named_request = fields.request.as_ref().is_some_and(|name| has_id(name.as_str()));
+    match head.status {
+        StatusCode::BAD_REQUEST if is_named_request => AnswerVerdict::Invalid,
+        _ if is_named_request => AnswerVerdict::Surplus,
+        _ => classify_content(fields, request, head),
     }
+}
+
+/// Classifies a response by whether callers may get it.
+fn classify_content(
+    fields: &ExchangeFields,
+    request: &[u8],
+    head: &response::Parts,
+) -> AnswerVerdict {
     // Callers take a status for which `implies_not_run` holds as proof that the request did not
     // run, but without a shed notice the server may have run the request.
     if fields.has_not_run_statuses && implies_not_run(head.status) {
@@ -46,24 +143,6 @@
     AnswerVerdict::Matching
 }
 
-/// Compares the ids of request and response; returns `None` if the ids match or are not in use.
-fn compare_ids(
-    fields: &ExchangeFields,
-    request: &[u8],
-    head: &response::Parts,
-) -> Option<AnswerVerdict> {
-    let name = fields.request.as_ref()?;
-    let expected = wire::field_value(request, name.as_str())?;
-    match head.headers.get(name) {
-        Some(value) if value.as_bytes() == expected => None,
-        Some(_) => Some(AnswerVerdict::Surplus),
-        // An error response may lack the id, since a server may refuse a request before reading the
-        // id.
-        None if head.status.is_success() => Some(AnswerVerdict::Invalid),
-        None => None,
-    }
-}
-
 /// Says whether a response with `status` may carry a shed notice.
 fn allows_shed(fields: &ExchangeFields, status: StatusCode) -> bool {
     let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/daemon/tests/stray_refusals.rs
+++ b/crates/daemon/tests/stray_refusals.rs
@@ -110,3 +110,15 @@
         assert!(!daemon.log_text().contains("backend server gone"), "{}", daemon.host);
     }
 }
+
+// Guards against ready answers that are lost behind bytes that belong to no request.
+#[test_case(SHED ; "shed")]
+#[test_case(MISDIRECTED ; "misdirected")]
+#[test_case("HTTP/1.1 200 OK\r\nServer-Stamp: stamp\r\nContent-Length: 5\r\n\r\nstray" ; "success")]
+#[test_case("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nstray" ; "server error")]
+fn verify_the_answer_behind_a_response_that_names_no_request_is_delivered(stray: &'static str) {
+    let stray_fleet = StrayFleet::start(stray);
+    for (id, reply) in stray_fleet.send_all() {
+        assert_eq!((reply.status, reply.text().as_str()), (200, "done"), "{id}");
+    }
+}
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -305,8 +305,7 @@
         status: u64,
         /// Whether the response has a shed notice.
         noticed: bool,
-        /// Whether the response has the id of the request: same, missing, or unused if the
-        /// deployment has no ids.
+        /// Id of the response: same as that of the request, or unused if the deployment has no ids.
         id: &'a str,
         /// Time since the request was sent.
         took_ms: u64,
@@ -343,8 +342,8 @@
         sent: &'a str,
     }
 
-    /// An answer to an earlier request arrived where the answer to this one was expected; it was
-    /// dropped.
+    /// An answer that belongs to another request or to none arrived where the answer to this one was
+    /// expected; it was dropped.
     "surplus answer dropped" INFO SurplusDropped<'a> {
         /// Id of the request whose answer is awaited.
         request: &'a str,
@@ -352,5 +351,7 @@
         upstream: &'a str,
         /// Status of the answer that was dropped.
         status: u64,
+        /// Id of the answer that was dropped: other than that of the request, or missing.
+        id: &'a str,
     }
 }
--- a/crates/standin/src/backend/reply.rs
+++ b/crates/standin/src/backend/reply.rs
@@ -14,13 +14,17 @@
 use crate::backend::sending;
 use crate::backend::{BackendFaults, BackendStandin};
 
-/// Refuses a request that was not run, with a shed notice.
+/// Refuses a request that was not run, with its id and a shed notice.
 pub async fn refuse(
     stream: &mut HttpStream,
     standin: &BackendStandin,
+    head: &request::Parts,
     status: StatusCode,
 ) -> Result<(), HttpError> {
     let mut headers = HeaderMap::new();
+    if let Some(id) = head.headers.get(standin.request_field()) {
+        headers.insert(standin.request_field(), id.clone());
+    }
     headers.insert(standin.options.fields.shed.clone(), HeaderValue::from_static("1"));
     let mut buffer = BytesMut::new();
     writer::put_response_head(&mut buffer, status, &headers, BodyFraming::Empty, false);
--- a/crates/standin/src/backend/serving.rs
+++ b/crates/standin/src/backend/serving.rs
@@ -92,11 +92,13 @@
         }
         let body = read_body(&mut stream, standin, &head, framing).await?;
         if !is_expected(standin, &head) {
-            reply::refuse(&mut stream, standin, StatusCode::MISDIRECTED_REQUEST).await?;
+            let status = StatusCode::MISDIRECTED_REQUEST;
+            reply::refuse(&mut stream, standin, &head, status).await?;
             continue;
         }
         if faults.shed {
-            reply::refuse(&mut stream, standin, StatusCode::SERVICE_UNAVAILABLE).await?;
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            reply::refuse(&mut stream, standin, &head, status).await?;
             continue;
         }
         if faults.stuck {
--- a/crates/standin/src/backend/uploads.rs
+++ b/crates/standin/src/backend/uploads.rs
@@ -79,7 +79,7 @@
 ) -> Result<(), HttpError> {
     let id = fields::single(&head.headers, &standin.request_field()).unwrap_or("-");
     if act == UploadAct::EarlyShed {
-        reply::refuse(stream, standin, StatusCode::SERVICE_UNAVAILABLE).await?;
+        reply::refuse(stream, standin, head, StatusCode::SERVICE_UNAVAILABLE).await?;
         return read(stream, standin, framing, id).await.map(drop);
     }
     runs::record_run(standin, head);
