Bound what is discarded of a response, and tell a refusal before its body ends

What callers saw: a server whose refusal has a body without end, or one that falls silent in it: 504 after the deadline, though the refusal was read at once, and the connection stayed open as long. A body without end of a response to another request, or to none, was read until the deadline as well.

Cause: discarding a body had no bound of bytes or time, and once the head is seen the deadline no longer ends the exchange.

Change: 1 MiB is discarded at the most, then the connection ends and the outcome is unknown. The end of a refusal's body is awaited for 10 ms, so that its connection can be used again, and the refusal is told whatever comes.

--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -43,6 +43,12 @@
 /// body that was ready together with its head arrives within a few milliseconds; a body that is
 /// still being produced must not be held back.
 const BUFFER_TIME: Duration = Duration::from_millis(150);
+/// Largest size in bytes of a body that is discarded so that its connection can be used on. A server
+/// may send bytes without end.
+const DISCARDED_BYTES_MAX: u64 = 1024 * 1024;
+/// Time for which the end of a refusal's body is awaited, so that its connection can be used again.
+/// The refused request waits meanwhile.
+const REFUSAL_BODY_TIME_MAX: Duration = Duration::from_millis(10);
 /// Largest number of responses that are read to find the response to the request: a surplus
 /// response to an earlier request, the expected response, and one more response as a margin.
 const RESPONSES_MAX: usize = 3;
@@ -301,7 +307,8 @@
         if framing == BodyFraming::UntilClose {
             return Err(AttemptFault::BadAnswer);
         }
-        let mut body = BodyReader::new(framing, BodyLimits::default());
+        let limits = BodyLimits { bytes: DISCARDED_BYTES_MAX, ..BodyLimits::default() };
+        let mut body = BodyReader::new(framing, limits);
         while body.next(reader).await.map_err(|_| AttemptFault::BadAnswer)?.is_some() {}
         Ok(())
     }
@@ -362,7 +369,8 @@
             return Err(AttemptFault::Refused(refusal));
         }
         // The refusal was in the head; a broken body only makes the connection unusable.
-        if self.discard_body(reader, framing).await.is_ok() {
+        let discarding = self.discard_body(reader, framing);
+        if let Ok(Ok(())) = monoio::time::timeout(REFUSAL_BODY_TIME_MAX, discarding).await {
             self.note_response_end(reader, framing);
         }
         self.attempt.record_result(RequestEvidence::Neutral, false, None);
