Bound what is read of empty lines, interim responses and replies without end

What would be seen: a peer that sends empty lines without end in front of a head, or 100s without end, keeps its reader at work for good. Where the bytes are always there, no timer of that thread runs: the client's own time-out of 20 s had not ended a call after 180 s, and a daemon's thread is all it has. A request whose server does so got 504 at its deadline. A reply of up to 4 GiB was gathered in memory (the health check at a start, the store).

Cause: empty lines were skipped without counting them, interim responses looped without a count in the client, and its body limit was that of streams.

Change: skipped lines count towards the size of the head; 8 interim responses, in one place for the relay and the client; replies of 64 MiB at the most, 64 KiB for a health check.

--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -34,9 +34,6 @@
 use crate::registration;
 use crate::wire;
 
-/// Maximum number of informational (1xx) responses that a backend server may send before the final
-/// response.
-const INFORMATIONAL_MAX: usize = 8;
 /// Responses with a body of up to this many bytes go to the ingress in one frame.
 const INLINE_BYTES_MAX: u64 = 32 * 1024;
 /// Time for which the end of a short body is awaited before the part that has arrived is sent. A
@@ -320,17 +317,10 @@
             time: self.attempt.time_left() + Duration::from_secs(1),
             ..HeadLimits::default()
         };
-        for _ in 0..INFORMATIONAL_MAX {
-            match head::read_response(reader, &limits).await {
-                Ok(head) if head.status.is_informational() => continue,
-                Ok(head) => return Ok(head),
-                Err(HttpError::Closed | HttpError::Broken { .. }) => {
-                    return Err(AttemptFault::Broken)
-                }
-                Err(_) => return Err(AttemptFault::BadAnswer),
-            }
-        }
-        Err(AttemptFault::BadAnswer)
+        head::read_final_response(reader, &limits).await.map_err(|error| match error {
+            HttpError::Closed | HttpError::Broken { .. } => AttemptFault::Broken,
+            _ => AttemptFault::BadAnswer,
+        })
     }
 
     /// Buffers the start of a body. A short body that arrives within [`BUFFER_TIME`] is buffered
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -30,6 +30,8 @@
 /// Timeout of a health check, which may wait for a slot of the server. A server whose check fails
 /// is soon registered by its next heartbeat.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Maximum size in bytes of the body of a reply to a health check, of which only the head is used.
+const HEALTH_REPLY_BYTES_MAX: u64 = 64 * 1024;
 /// Maximum number of backend servers whose incarnations are tracked. A host has few backend
 /// servers, so a client that reports more names than this is no backend server of the host.
 const TRACKERS_MAX: usize = 256;
@@ -376,6 +378,7 @@
         None => return false,
     };
     let client = HttpClient::new(server.address, HEALTH_CHECK_TIMEOUT);
+    let client = client.reply_bytes_max(HEALTH_REPLY_BYTES_MAX);
     let reply = client.call(Method::GET, &path, HeaderMap::new(), Bytes::new()).await;
     match reply {
         Ok(reply) => {
--- a/crates/daemon/tests/endless_responses.rs
+++ b/crates/daemon/tests/endless_responses.rs
@@ -103,6 +103,10 @@
     exchange.write_until_ended(PIECE);
 }
 
+fn send_empty_lines_without_end(exchange: &mut ScriptedExchange<'_>) {
+    exchange.write_until_ended(b"\r\n\r\n");
+}
+
 fn send_head_without_end(exchange: &mut ScriptedExchange<'_>) {
     exchange.write(b"HTTP/1.1 200 OK\r\nX-More: ");
     exchange.write_until_ended(PIECE);
@@ -134,6 +138,7 @@
 #[test_case(answer_another_without_end ; "body of another request")]
 #[test_case(answer_none_without_end ; "body of no request")]
 #[test_case(send_bare_bytes ; "bare bytes")]
+#[test_case(send_empty_lines_without_end ; "empty lines")]
 #[test_case(send_head_without_end ; "head")]
 #[test_case(send_fields_without_end ; "header fields")]
 #[test_case(send_continues_without_end ; "interim responses")]
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -21,6 +21,9 @@
 
 /// Maximum number of idle connections in the pool.
 const IDLE_CONNECTIONS_MAX: usize = 8;
+/// Maximum size in bytes of a reply's body, unless the client sets another. Replies are held in
+/// memory.
+const REPLY_BYTES_MAX: u64 = 64 * 1024 * 1024;
 
 /// `ClientReply` is a reply with its complete body.
 #[derive(Debug)]
@@ -49,7 +52,7 @@
         Self {
             address,
             timeout,
-            limits: BodyLimits::default(),
+            limits: BodyLimits { bytes: REPLY_BYTES_MAX, ..BodyLimits::default() },
             idle: RefCell::default(),
             tcp_keepalive: None,
         }
@@ -62,6 +65,12 @@
         self
     }
 
+    /// Sets the maximum size of a reply's body in bytes.
+    pub fn reply_bytes_max(mut self, bytes: u64) -> Self {
+        self.limits.bytes = bytes;
+        self
+    }
+
     /// Returns the address that requests go to.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -162,12 +171,7 @@
     method: &Method,
     limits: BodyLimits,
 ) -> Result<(ClientReply, bool), HttpError> {
-    let head = loop {
-        let head = head::read_response(&mut stream.reader, &HeadLimits::default()).await?;
-        if !head.status.is_informational() {
-            break head;
-        }
-    };
+    let head = head::read_final_response(&mut stream.reader, &HeadLimits::default()).await?;
     let framing = framing::of_response(&head, method)?;
     let mut reader = BodyReader::new(framing, limits);
     let mut body = BytesMut::new();
--- a/crates/http/src/errors.rs
+++ b/crates/http/src/errors.rs
@@ -48,6 +48,12 @@
         /// What is wrong with the head.
         message: String,
     },
+    /// The peer sent more interim (1xx) responses than allowed in front of its response.
+    #[snafu(display("more than {allowed} interim responses"))]
+    TooManyInterim {
+        /// Interim responses allowed.
+        allowed: usize,
+    },
     /// The length of the body is ambiguous.
     #[snafu(display("the length of the body is ambiguous: {message}"))]
     BadLength {
@@ -77,9 +83,10 @@
             Self::HeadTooLarge { .. } | Self::TooManyFields { .. } => {
                 Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
             }
-            Self::BadHead { .. } | Self::BadLength { .. } | Self::BadChunk => {
-                Some(StatusCode::BAD_REQUEST)
-            }
+            Self::BadHead { .. }
+            | Self::TooManyInterim { .. }
+            | Self::BadLength { .. }
+            | Self::BadChunk => Some(StatusCode::BAD_REQUEST),
             Self::UnknownCoding => Some(StatusCode::NOT_IMPLEMENTED),
             Self::BodyTooLarge { .. } => Some(StatusCode::PAYLOAD_TOO_LARGE),
         }
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -15,6 +15,9 @@
 use crate::errors::{self, HttpError};
 use crate::reader::{ByteReader, HEAD_READ_BYTES};
 
+/// Maximum number of interim (1xx) responses in front of a final response.
+const INTERIM_RESPONSES_MAX: usize = 8;
+
 /// `HeadLimits` is the set of limits on the heads that are read.
 #[derive(Debug, Clone, Copy)]
 pub struct HeadLimits {
@@ -58,6 +61,21 @@
     require_complete_head(ResponseHeadDecoder.decode(&mut head))
 }
 
+/// Reads the head of a final response: the interim (1xx) responses in front of it are passed over
+/// (RFC 9110 section 15.2).
+pub async fn read_final_response<R: AsyncReadRent>(
+    reader: &mut ByteReader<R>,
+    limits: &HeadLimits,
+) -> Result<response::Parts, HttpError> {
+    for _ in 0..=INTERIM_RESPONSES_MAX {
+        let head = read_response(reader, limits).await?;
+        if !head.status.is_informational() {
+            return Ok(head);
+        }
+    }
+    Err(HttpError::TooManyInterim { allowed: INTERIM_RESPONSES_MAX })
+}
+
 fn require_complete_head<T>(result: Result<Decoded<T>, DecodeError>) -> Result<T, HttpError> {
     match result {
         Ok(Decoded::Some(head)) => Ok(head),
@@ -80,8 +98,12 @@
         }
     }
     let start = Instant::now();
+    let mut skipped_bytes = 0;
     loop {
-        skip_empty_lines(&mut reader.buffer);
+        skipped_bytes += skip_empty_lines(&mut reader.buffer);
+        if skipped_bytes > limits.bytes {
+            return Err(HttpError::HeadTooLarge { allowed: limits.bytes });
+        }
         if let Some(end) = find_head_end(&reader.buffer, limits)? {
             return Ok(reader.buffer.split_to(end));
         }
@@ -93,11 +115,14 @@
     }
 }
 
-/// Skips empty lines before a message, as RFC 9112 section 2.2 recommends for servers.
-fn skip_empty_lines(buffer: &mut BytesMut) {
+/// Skips empty lines before a message, as RFC 9112 section 2.2 recommends for servers, and returns
+/// their size in bytes.
+fn skip_empty_lines(buffer: &mut BytesMut) -> usize {
+    let length_before = buffer.len();
     while buffer.starts_with(b"\r\n") {
         buffer.advance(2);
     }
+    length_before - buffer.len()
 }
 
 fn find_head_end(buffer: &[u8], limits: &HeadLimits) -> Result<Option<usize>, HttpError> {
