Use no connection again that has brought bytes behind a reply

What would be seen: bytes behind a reply of the store are read as the reply to the next call on that connection: an acknowledgement of a write that nobody made.

Cause: whether an idle connection is clean was asked of the system alone, not of what the reader had already taken from it.

Evidence: verify_bytes_behind_a_reply_never_become_the_next_reply failed on the code before: real, surplus, real in place of three real replies.

Change: bytes in the reader's buffer make a connection unusable too, for the client and for the pool of a backend server (there the relay asked already).

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -142,8 +142,12 @@
     }
 }
 
-/// Returns whether an idle connection is still open and has no unexpected data to read.
+/// Returns whether an idle connection is still open and has brought no bytes since its last
+/// message. Such bytes are no response to the next request (RFC 9112 section 9.2).
 pub fn is_reusable(stream: &mut HttpStream) -> bool {
+    if !stream.reader.buffer.is_empty() {
+        return false;
+    }
     let reading = stream.reader.fill(crate::reader::HEAD_READ_BYTES);
     reading.now_or_never().is_none()
 }
--- a/crates/http/tests/replies.rs
+++ b/crates/http/tests/replies.rs
@@ -77,3 +77,20 @@
     let message = replies[0].as_ref().expect_err("no reply").to_string();
     assert_eq!(message, error);
 }
+
+fn answer_with_surplus(mut stream: TcpStream) {
+    let surplus = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus";
+    while read_request(&mut stream) {
+        let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nreal{surplus}");
+        let _ = stream.write_all(reply.as_bytes());
+    }
+}
+
+// Guards against bytes behind a reply that are read as the reply to the next call.
+#[test]
+fn verify_bytes_behind_a_reply_never_become_the_next_reply() {
+    let replies = call_each(start_server(answer_with_surplus), &["/first", "/second", "/third"]);
+    let bodies: Vec<Bytes> =
+        replies.into_iter().map(|reply| reply.expect("a reply").body).collect();
+    assert_eq!(bodies, ["real", "real", "real"]);
+}
