Soak: refusals without an id in front of answers; names of the platform in tests

Uploads of the soak gain an act: the server reads the body, runs, and sends a 503, 429, 421 or 408 without an id in front of its answer. The tests of stray refusals take header names from platform/, and the stray responses have a stamp and a body.

--- a/crates/daemon/tests/common/scripted.rs
+++ b/crates/daemon/tests/common/scripted.rs
@@ -131,7 +131,8 @@
     /// Answers as a server of the platform does: with the id of the request and the server's stamp.
     pub fn answer_platform(&mut self, status: &str, lines: &str, body: &str) -> bool {
         let id = &self.seen.id;
-        let lines = format!("Request-Id: {id}\r\nServer-Stamp: stamp\r\n{lines}");
+        let (id_name, stamp_name) = (names::REQUEST_ID, names::STAMP);
+        let lines = format!("{id_name}: {id}\r\n{stamp_name}: stamp\r\n{lines}");
         self.answer(status, &lines, body)
     }
 
--- a/crates/daemon/tests/endless_responses.rs
+++ b/crates/daemon/tests/endless_responses.rs
@@ -10,6 +10,7 @@
 use std::sync::mpsc::{self, Receiver};
 use std::sync::Mutex;
 
+use basaltarch_platform::headers::names;
 use common::client::{self, Reply};
 use common::registered::{RegisteredFleet, HOST};
 use common::scripted::{AfterExchange, ScriptedExchange, ScriptedServer};
@@ -53,18 +54,23 @@
     }
 }
 
+/// Builds the header lines by which a response is bound to the request with this id.
+fn build_bound_lines(id: &str) -> String {
+    format!("{}: {id}\r\n{}: stamp\r\n", names::REQUEST_ID, names::STAMP)
+}
+
 /// Starts a response with the id of the request whose body comes in chunks.
 fn start_chunked(exchange: &mut ScriptedExchange<'_>, status: &str, id: &str, lines: &str) {
-    let head = format!(
-        "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nServer-Stamp: stamp\r\n{lines}Transfer-Encoding: \
-         chunked\r\n\r\n"
-    );
+    let bound_lines = build_bound_lines(id);
+    let head =
+        format!("HTTP/1.1 {status}\r\n{bound_lines}{lines}Transfer-Encoding: chunked\r\n\r\n");
     exchange.write(head.as_bytes());
 }
 
 fn start_refusal(exchange: &mut ScriptedExchange<'_>) {
     let id = exchange.seen.id.clone();
-    start_chunked(exchange, "503 Service Unavailable", &id, "Not-Executed: 1\r\n");
+    let notice = format!("{}: 1\r\n", names::NOT_RUN);
+    start_chunked(exchange, "503 Service Unavailable", &id, &notice);
 }
 
 fn refuse_without_end(exchange: &mut ScriptedExchange<'_>) {
@@ -168,7 +174,7 @@
 
 fn answer_until_close_without_end(exchange: &mut ScriptedExchange<'_>) {
     let id = exchange.seen.id.clone();
-    let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp\r\n\r\n");
+    let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", build_bound_lines(&id));
     exchange.write(head.as_bytes());
     exchange.write_until_ended(PIECE);
 }
--- a/crates/daemon/tests/stray_refusals.rs
+++ b/crates/daemon/tests/stray_refusals.rs
@@ -8,6 +8,7 @@
 
 use std::sync::{Arc, Mutex};
 
+use basaltarch_platform::headers::names;
 use common::client::Reply;
 use common::eventually;
 use common::registered::RegisteredFleet;
@@ -21,10 +22,10 @@
 type RunList = Arc<Mutex<Vec<String>>>;
 
 /// Runs a request, sends `stray` in front of the answer to it, and answers.
-fn run_with_stray(exchange: &mut ScriptedExchange<'_>, runs: &RunList, stray: &str) {
+fn run_with_stray(exchange: &mut ScriptedExchange<'_>, runs: &RunList, stray: &[u8]) {
     exchange.read_body();
     runs.lock().expect("runs").push(exchange.seen.id.clone());
-    exchange.write(stray.as_bytes());
+    exchange.write(stray);
     exchange.answer_platform("200 OK", "", "done");
 }
 
@@ -35,13 +36,13 @@
 }
 
 impl StrayFleet {
-    fn start(stray: &'static str) -> Self {
+    fn start(stray: StrayResponse) -> Self {
         let runs = RunList::default();
         let servers = ["i-1", "i-2"].map(|name| {
             let runs = runs.clone();
             ScriptedServer::start(name, move |exchange| {
-                let stray = if exchange.number == 0 { "" } else { stray };
-                run_with_stray(exchange, &runs, stray);
+                let stray = if exchange.number == 0 { Vec::new() } else { stray.bytes() };
+                run_with_stray(exchange, &runs, &stray);
                 AfterExchange::Keep
             })
         });
@@ -68,27 +69,39 @@
     }
 }
 
-const SHED: &str =
-    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-const LIMITED: &str =
-    "HTTP/1.1 429 Too Many Requests\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-const MISDIRECTED: &str =
-    "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-const MISDIRECTED_WITHOUT_NOTICE: &str =
-    "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
-const TIMED_OUT: &str =
-    "HTTP/1.1 408 Request Timeout\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-const BAD_REQUEST: &str =
-    "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+/// A response without an id and whether it has a shed notice.
+#[derive(Debug, Clone, Copy)]
+struct StrayResponse {
+    status: &'static str,
+    noticed: bool,
+}
+
+impl StrayResponse {
+    fn bytes(self) -> Vec<u8> {
+        let notice =
+            if self.noticed { format!("{}: 1\r\n", names::NOT_RUN) } else { String::new() };
+        let stamp = format!("{}: stamp\r\n", names::STAMP);
+        let head = format!("HTTP/1.1 {}\r\n{notice}{stamp}Content-Length: 5\r\n\r\n", self.status);
+        [head.as_bytes(), b"stray"].concat()
+    }
+}
+
+const fn noticed(status: &'static str) -> StrayResponse {
+    StrayResponse { status, noticed: true }
+}
+
+const fn unnoticed(status: &'static str) -> StrayResponse {
+    StrayResponse { status, noticed: false }
+}
 
 // Guards against a request that runs after its caller, or another server, was told that it doesn't.
-#[test_case(SHED ; "shed")]
-#[test_case(LIMITED ; "limited")]
-#[test_case(MISDIRECTED ; "misdirected")]
-#[test_case(MISDIRECTED_WITHOUT_NOTICE ; "misdirected without notice")]
-#[test_case(TIMED_OUT ; "timed out")]
-#[test_case(BAD_REQUEST ; "bad request")]
-fn verify_a_refusal_that_names_no_request_is_not_believed(stray: &'static str) {
+#[test_case(noticed("503 Service Unavailable") ; "shed")]
+#[test_case(noticed("429 Too Many Requests") ; "limited")]
+#[test_case(noticed("421 Misdirected Request") ; "misdirected")]
+#[test_case(unnoticed("421 Misdirected Request") ; "misdirected without notice")]
+#[test_case(noticed("408 Request Timeout") ; "timed out")]
+#[test_case(noticed("400 Bad Request") ; "bad request")]
+fn verify_a_refusal_that_names_no_request_is_not_believed(stray: StrayResponse) {
     let stray_fleet = StrayFleet::start(stray);
     let replies = stray_fleet.send_all();
     assert!(replies.iter().any(|(id, _)| stray_fleet.run_count(id) > 0), "no request ran");
@@ -101,9 +114,9 @@
 }
 
 // Guards against servers that get no requests for good after bytes that belong to none.
-#[test_case(MISDIRECTED ; "with notice")]
-#[test_case(MISDIRECTED_WITHOUT_NOTICE ; "without notice")]
-fn verify_no_server_is_ended_by_a_response_that_names_no_request(stray: &'static str) {
+#[test_case(noticed("421 Misdirected Request") ; "with notice")]
+#[test_case(unnoticed("421 Misdirected Request") ; "without notice")]
+fn verify_no_server_is_ended_by_a_response_that_names_no_request(stray: StrayResponse) {
     let stray_fleet = StrayFleet::start(stray);
     stray_fleet.send_all();
     for daemon in &stray_fleet.fleet.daemons {
@@ -112,11 +125,11 @@
 }
 
 // Guards against ready answers that are lost behind bytes that belong to no request.
-#[test_case(SHED ; "shed")]
-#[test_case(MISDIRECTED ; "misdirected")]
-#[test_case("HTTP/1.1 200 OK\r\nServer-Stamp: stamp\r\nContent-Length: 5\r\n\r\nstray" ; "success")]
-#[test_case("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nstray" ; "server error")]
-fn verify_the_answer_behind_a_response_that_names_no_request_is_delivered(stray: &'static str) {
+#[test_case(noticed("503 Service Unavailable") ; "shed")]
+#[test_case(noticed("421 Misdirected Request") ; "misdirected")]
+#[test_case(unnoticed("200 OK") ; "success")]
+#[test_case(unnoticed("500 Internal Server Error") ; "server error")]
+fn verify_the_answer_behind_a_response_that_names_no_request_is_delivered(stray: StrayResponse) {
     let stray_fleet = StrayFleet::start(stray);
     for (id, reply) in stray_fleet.send_all() {
         assert_eq!((reply.status, reply.text().as_str()), (200, "done"), "{id}");
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -133,6 +133,7 @@
         RequestedRoute::Upload(UploadAct::Digest),
         RequestedRoute::Upload(UploadAct::EarlyDigest),
         RequestedRoute::Upload(UploadAct::EarlyShed),
+        RequestedRoute::Upload(UploadAct::StrayRefusal),
     ];
     *routes.choose(&mut plan.rng).unwrap_or(&RequestedRoute::Steady)
 }
--- a/crates/standin/src/backend/uploads.rs
+++ b/crates/standin/src/backend/uploads.rs
@@ -2,8 +2,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 //! Requests whose body follows from their id, so that the server knows each byte that is due. The
-//! last part of the path says when the server responds: after the body, from before the body on, or
-//! before the body with a refusal.
+//! last part of the path says how the server responds: after the body, from before the body on,
+//! before the body with a refusal, or after a refusal that belongs to no request.
 
 use std::hash::Hasher;
 
@@ -15,7 +15,7 @@
 use basaltarch_http::writer;
 use bytes::{Bytes, BytesMut};
 use fnv::FnvHasher;
-use http::{request, HeaderMap, StatusCode};
+use http::{request, HeaderMap, HeaderValue, StatusCode};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -28,7 +28,15 @@
 /// Longest body of an upload, in bytes: several times what a daemon keeps of a body.
 const UPLOAD_BYTES: usize = 300_000;
 
-/// `UploadAct` is when a server responds to a long body.
+/// Statuses of the refusals without an id that are sent in front of responses.
+const STRAY_STATUSES: [StatusCode; 4] = [
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::REQUEST_TIMEOUT,
+];
+
+/// `UploadAct` is how a server responds to a long body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UploadAct {
     /// The body is read, then the response is sent.
@@ -38,6 +46,8 @@
     /// The request is refused with a shed notice before its body is read; the body is read after
     /// that.
     EarlyShed,
+    /// The body is read, then a refusal that belongs to no request is sent, then the response.
+    StrayRefusal,
 }
 
 impl UploadAct {
@@ -47,6 +57,7 @@
             "digest" => Some(Self::Digest),
             "early-digest" => Some(Self::EarlyDigest),
             "early-shed" => Some(Self::EarlyShed),
+            "stray-refusal" => Some(Self::StrayRefusal),
             _ => None,
         }
     }
@@ -91,7 +102,10 @@
         writer::flush(&mut stream.writer, &mut buffer).await?;
     }
     let body = read(stream, standin, framing, id).await?;
-    if act == UploadAct::Digest {
+    if act == UploadAct::StrayRefusal {
+        put_stray_refusal(&mut buffer, standin, body.len());
+    }
+    if act != UploadAct::EarlyDigest {
         put_head(&mut buffer, &headers);
     }
     let (name, path) = (&standin.options.name, head.uri.path());
@@ -99,6 +113,14 @@
     writer::send_piece(&mut stream.writer, &mut buffer, BodyFraming::Chunked, text, true).await
 }
 
+/// Puts a refusal without an id into the buffer; `number` selects its status.
+fn put_stray_refusal(buffer: &mut BytesMut, standin: &BackendStandin, number: usize) {
+    let status = STRAY_STATUSES[number % STRAY_STATUSES.len()];
+    let mut headers = HeaderMap::new();
+    headers.insert(standin.options.fields.shed.clone(), HeaderValue::from_static("1"));
+    writer::put_response_head(buffer, status, &headers, BodyFraming::Empty, false);
+}
+
 fn put_head(buffer: &mut BytesMut, headers: &HeaderMap) {
     writer::put_response_head(buffer, StatusCode::OK, headers, BodyFraming::Chunked, false);
 }
