Let the system probe accepted links, so that those of lost hosts end

What would be seen: a daemon keeps a descriptor, a task and an entry for each link from a host that has lost its power, for as long as it runs.

Cause: the daemon that dialled closes an idle link, the one that accepted never looks. Nothing is sent on it, so the system doesn't find out either.

Evidence: verify_the_system_probes_accepted_links failed before (no keep-alive timer on an accepted link in 40 s).

Change: TCP keep-alive after 150 s without traffic, three probes 10 s apart. Living daemons close idle links after 120 s, so that no probe is sent on the links of a healthy fleet.

--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -43,6 +43,13 @@
 /// Time without a received frame after which the link of a cut path is closed, so that a new link
 /// can be established. Also the longest time that a replaced link waits for its last requests.
 const LINK_CUT_TIME_MAX: Duration = Duration::from_secs(10);
+/// Time without traffic after which the system probes the other end of an accepted link. Daemons
+/// close the links that they dialled earlier, so only those of a lost host are probed.
+const ACCEPTED_PROBE_AFTER: Duration = Duration::from_secs(150);
+/// Time between two such probes.
+const ACCEPTED_PROBE_INTERVAL: Duration = Duration::from_secs(10);
+/// Number of unanswered probes after which the system drops an accepted link.
+const ACCEPTED_PROBES: u32 = 3;
 /// Maximum number of accepted links: one link from every other daemon at the fleet size expected in
 /// two years, and some more for daemons that restart.
 const ACCEPTED_LINKS_MAX: usize = 8192;
@@ -263,6 +270,12 @@
 }
 
 async fn run_accepted(state: &Rc<DaemonState>, stream: TcpStream) {
+    // Without probes, a link whose other host has lost its power would stay open.
+    let _ = stream.set_tcp_keepalive(
+        Some(ACCEPTED_PROBE_AFTER),
+        Some(ACCEPTED_PROBE_INTERVAL),
+        Some(ACCEPTED_PROBES),
+    );
     let (mut reader, mut writer) = split_stream(stream);
     let key = &state.options.fleet_key;
     let side = LinkSide::Acceptor;
