--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -31,7 +31,9 @@
 use bytes::BytesMut;
 use futures_util::{select_biased, FutureExt};
 
-use crate::host::relay::{AnswerRelay, AttemptFault, AttemptProgress};
+use crate::host::fault::AttemptFault;
+use crate::host::progress::AttemptProgress;
+use crate::host::relay::AnswerRelay;
 use crate::host::sending;
 use crate::host::upstream::{AttemptResult, HostUpstream};
 use crate::host::watch::AttemptWatch;
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -10,8 +10,10 @@
 pub mod backend;
 pub mod calls;
 pub mod exchange;
+pub mod fault;
 pub mod notices;
 pub mod overdue;
+pub mod progress;
 pub mod relay;
 pub mod reservations;
 pub mod sending;
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -4,32 +4,29 @@
 //! Relays the response of a backend server to the ingress, and derives the evidence for the
 //! server's health from the response.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use basaltarch_base::metrics;
-use basaltarch_core::outcome::{FailureOutcome, UnknownReason};
-use basaltarch_decide::adaptive_timeout::AttemptTimeout;
 use basaltarch_decide::breaker::FailureKind;
 use basaltarch_decide::evidence::RequestEvidence;
 use basaltarch_http::body::{BodyLimits, BodyReader};
 use basaltarch_http::errors::HttpError;
-use basaltarch_http::exchange::{ExchangeProgress, MessageProgress};
+use basaltarch_http::exchange::MessageProgress;
 use basaltarch_http::fields;
 use basaltarch_http::framing::{self, BodyFraming};
 use basaltarch_http::head::{self, HeadLimits};
 use basaltarch_peer::protocol::{AnswerHead, LoadReport};
 use basaltarch_peer::stream::{EventSink, StreamEvent};
 use basaltarch_store::ledger::{ClaimToken, KeptAnswer};
-use basaltarch_waiting::slots::SlotGuard;
 use bytes::{Bytes, BytesMut};
 use http::{header, response, Method, StatusCode};
 
 use crate::host::calls::NestedCalls;
 use crate::host::exchange::HostAttempt;
+use crate::host::fault::AttemptFault;
 use crate::host::notices;
-use crate::host::overdue::OverdueTimer;
+use crate::host::progress::AttemptProgress;
 use crate::host::verify::{self, AnswerVerdict, ResponseBinding, ServerRefusal};
 use crate::registration;
 use crate::wire;
@@ -50,131 +47,6 @@
 /// response to an earlier request, the expected response, and one more response as a margin.
 const RESPONSES_MAX: usize = 3;
 
-/// `AttemptFault` says how an attempt failed after the request was sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptFault {
-    /// The ingress cancelled the attempt.
-    Cancelled,
-    /// The deadline passed before the response head arrived.
-    TimedOut,
-    /// The connection broke before the response head arrived.
-    Broken,
-    /// The response was malformed or truncated.
-    BadAnswer,
-    /// The response to the request says that the request did not run.
-    Refused(ServerRefusal),
-    /// The ingress no longer reads the response.
-    SinkGone,
-}
-
-impl AttemptFault {
-    /// Returns the name of the fault in logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Cancelled => "cancelled",
-            Self::TimedOut => "timed-out",
-            Self::Broken => "connection-broken",
-            Self::BadAnswer => "bad-answer",
-            Self::Refused(_) => "refused",
-            Self::SinkGone => "ingress-gone",
-        }
-    }
-
-    /// Returns the outcome that is reported to the ingress.
-    pub fn outcome(self) -> FailureOutcome {
-        match self {
-            Self::Cancelled | Self::SinkGone => FailureOutcome::Unknown(UnknownReason::CallerGone),
-            Self::TimedOut => FailureOutcome::Unknown(UnknownReason::TimedOut),
-            Self::Broken => FailureOutcome::Unknown(UnknownReason::BackendBroken),
-            Self::BadAnswer => FailureOutcome::Unknown(UnknownReason::AnswerBroken),
-            Self::Refused(refusal) => FailureOutcome::NotRun(refusal.reason()),
-        }
-    }
-
-    /// Says whether the connection to the server broke, or the response was malformed or truncated.
-    pub fn is_connection_failure(self) -> bool {
-        matches!(self, Self::Broken | Self::BadAnswer)
-    }
-
-    /// Returns how the server failed, or `None` if the fault is not the server's.
-    pub fn failure(self) -> Option<FailureKind> {
-        match self {
-            Self::Broken | Self::BadAnswer => Some(FailureKind::Broken),
-            Self::TimedOut => Some(FailureKind::TimedOut),
-            _ => None,
-        }
-    }
-
-    /// Returns the evidence that the fault gives about the server.
-    pub fn evidence(self, was_overdue: bool) -> RequestEvidence {
-        match self {
-            Self::Broken | Self::BadAnswer => RequestEvidence::Failed,
-            // A timeout only bounds the service time from below (a censored observation). A timeout
-            // is therefore evidence only if the request was overdue.
-            Self::TimedOut if was_overdue => RequestEvidence::Failed,
-            _ => RequestEvidence::Neutral,
-        }
-    }
-}
-
-/// `AttemptProgress` records how far an attempt has got.
-pub struct AttemptProgress {
-    slot: Cell<Option<SlotGuard>>,
-    started: Instant,
-    /// Timeout that the server was given.
-    pub timeout: AttemptTimeout,
-    /// Determines when the request is overdue.
-    pub overdue_timer: OverdueTimer,
-    /// Whether the attempt was counted as hung, because the attempt ran longer than `late_after` of
-    /// its timeout.
-    pub counted_as_hung: Cell<bool>,
-    /// How far the request and its response have got on the connection to the server.
-    pub exchange: ExchangeProgress,
-    /// Whether the response head arrived.
-    pub head_seen: Cell<bool>,
-    /// Whether a successful response arrived.
-    pub has_succeeded: Cell<bool>,
-    /// Whether the request was recorded as overdue.
-    pub was_overdue: Cell<bool>,
-    /// Whether the end of the attempt was recorded as evidence about the server.
-    pub is_recorded: Cell<bool>,
-    /// Keep-alive timeout that the server announced.
-    pub keep_alive: Cell<Option<Duration>>,
-    /// Time for which the connection had been idle; `None` for a new connection.
-    pub idle_time: Option<Duration>,
-}
-
-impl AttemptProgress {
-    /// Returns the time since the attempt started.
-    pub fn elapsed(&self) -> Duration {
-        self.started.elapsed()
-    }
-
-    /// Builds the progress of an attempt that starts now, holds `slot`, has `timeout`, counts as
-    /// overdue after `overdue_after`, and uses a connection that had been idle for `idle_time`.
-    pub fn new(
-        slot: SlotGuard,
-        timeout: AttemptTimeout,
-        overdue_after: Option<Duration>,
-        idle_time: Option<Duration>,
-    ) -> Self {
-        Self {
-            slot: Cell::new(Some(slot)),
-            started: Instant::now(),
-            timeout,
-            overdue_timer: OverdueTimer::new(overdue_after),
-            counted_as_hung: Cell::new(false),
-            exchange: ExchangeProgress::default(),
-            head_seen: Cell::new(false),
-            has_succeeded: Cell::new(false),
-            was_overdue: Cell::new(false),
-            is_recorded: Cell::new(false),
-            keep_alive: Cell::new(None),
-            idle_time,
-        }
-    }
-}
-
 /// `AnswerRelay` relays the response of a backend server to the ingress.
 pub struct AnswerRelay<'a> {
     /// Attempt whose response is relayed.
@@ -230,7 +102,7 @@
         let mut body = BodyReader::new(framing, BodyLimits::default());
         let inline = self.buffer_body_start(&mut body, reader, framing).await?;
         if body.is_done() {
-            self.record_end(head.status, self.progress.started.elapsed());
+            self.record_end(head.status, self.progress.elapsed());
             self.store_answer(&head, &inline);
             self.note_response_end(reader, framing);
             return self.send_head(&head, length, inline, true).await;
@@ -402,14 +274,14 @@
         if !failed {
             self.attempt.clear_suspicion();
         }
-        drop(self.progress.slot.take());
+        self.progress.release_slot();
     }
 
     /// Builds the load report that is sent with the response. The report names the server if the
     /// server is not the one that the ingress asked for, but its successor.
     fn report(&self) -> LoadReport {
         let HostAttempt { state, upstream, head, .. } = self.attempt;
-        let report = upstream.report(state, &head.route, Some(self.progress.started.elapsed()));
+        let report = upstream.report(state, &head.route, Some(self.progress.elapsed()));
         let is_asked_for = *upstream.name == *head.upstream;
         let successor = (!is_asked_for).then(|| upstream.name.to_string());
         LoadReport { successor, ..report }
@@ -447,10 +319,7 @@
             let piece = body.next(reader).await.map_err(|_| AttemptFault::BadAnswer)?;
             let last = piece.is_none();
             if last {
-                self.record_end(
-                    status,
-                    self.progress.started.elapsed().saturating_sub(sending_time),
-                );
+                self.record_end(status, self.progress.elapsed().saturating_sub(sending_time));
             }
             let data = piece.unwrap_or_default();
             let sending_since = Instant::now();
--- a/crates/daemon/src/host/sending.rs
+++ b/crates/daemon/src/host/sending.rs
@@ -15,7 +15,7 @@
 use bytes::BytesMut;
 
 use crate::host::exchange::HostAttempt;
-use crate::host::relay::AttemptFault;
+use crate::host::fault::AttemptFault;
 
 /// Sends the request, with `timeout` in its deadline field, and notes in `exchange` how far the
 /// request has got.
--- a/crates/daemon/src/host/trace.rs
+++ b/crates/daemon/src/host/trace.rs
@@ -19,7 +19,8 @@
 use http::response;
 
 use crate::host::exchange::HostAttempt;
-use crate::host::relay::{AttemptFault, AttemptProgress};
+use crate::host::fault::AttemptFault;
+use crate::host::progress::AttemptProgress;
 use crate::host::verify::ResponseBinding;
 use crate::state::DaemonState;
 use crate::wire;
--- a/crates/daemon/src/host/watch.rs
+++ b/crates/daemon/src/host/watch.rs
@@ -13,7 +13,7 @@
 
 use crate::host::calls::NestedCalls;
 use crate::host::exchange::HostAttempt;
-use crate::host::relay::AttemptProgress;
+use crate::host::progress::AttemptProgress;
 use crate::host::trace;
 
 /// `AttemptWatch` watches whether a request runs for too long.
