Keep the port of a simulated server while it is down

Cause: a simulated crash closes the listener, and for the 12 s until the server listens again any process may be given its port. The test then asks a stranger for the server's counters.

Change: a socket that is bound and never listens keeps the port for the life of the stand-in; the listener shares it. Connections to it are refused, as to a server that is down.

--- a/crates/daemon/tests/common/backend.rs
+++ b/crates/daemon/tests/common/backend.rs
@@ -8,9 +8,8 @@
 use std::thread;
 use std::time::Duration;
 
-use basaltarch_http::connection;
 use basaltarch_http::fields::ExchangeFields;
-use basaltarch_standin::backend::{self, BackendOptions, BackendStandin};
+use basaltarch_standin::backend::{self, BackendOptions, BackendStandin, HeldPort};
 use basaltarch_telemetry::runtime;
 use serde_json::Value;
 
@@ -45,9 +44,10 @@
         let (sender, receiver) = mpsc::channel();
         thread::spawn(move || {
             let serving = async move {
-                let listener = connection::bind(address).expect("bind");
-                sender.send(listener.local_addr().expect("address")).expect("send");
-                backend::serve(listener, BackendStandin::new(options), 1000).await;
+                let port = HeldPort::try_new(address).expect("bind");
+                let listener = port.listen().expect("listen");
+                sender.send(port.address()).expect("send");
+                backend::serve(port, listener, BackendStandin::new(options), 1000).await;
             };
             runtime::run(serving).expect("runtime");
         });
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -9,13 +9,15 @@
 //! `serving` handles a request from its head to its end, `execution` spends its service time,
 //! `reply` builds its response and `sending` writes it, complete or truncated. `faults` are the
 //! faults in force and `runs` the counters; `control` lets tests set the faults and read the
-//! counters. `crash` simulates a crash, and `probe` answers the health and load endpoints.
+//! counters. `crash` simulates a crash, during which `port` keeps the server's port, and `probe`
+//! answers the health and load endpoints.
 
 mod control;
 mod crash;
 mod execution;
 mod faults;
 mod options;
+mod port;
 mod probe;
 mod reply;
 mod runs;
@@ -37,6 +39,7 @@
 pub use control::{FAULTS_PATH, RUNS_PATH};
 pub use faults::{BackendFaults, BreakPoint};
 pub use options::BackendOptions;
+pub use port::HeldPort;
 pub use probe::{HEALTH_PATH, LOAD_PATH};
 pub use runs::BackendRuns;
 pub use serving::serve;
--- a/crates/standin/src/backend/serving.rs
+++ b/crates/standin/src/backend/serving.rs
@@ -20,19 +20,23 @@
 
 use crate::backend::uploads::{self, UploadAct};
 use crate::backend::{control, execution, probe, reply, runs};
-use crate::backend::{BackendStandin, BreakPoint, HEALTH_PATH, LOAD_PATH};
+use crate::backend::{BackendStandin, BreakPoint, HeldPort, HEALTH_PATH, LOAD_PATH};
 
 /// Serves a simulated backend server for ever. After a crash, the server listens again once the
 /// time `down_ms` of the faults has passed.
-pub async fn serve(listener: TcpListener, standin: Rc<BackendStandin>, connections: usize) {
-    let address = listener.local_addr();
+pub async fn serve(
+    port: HeldPort,
+    listener: TcpListener,
+    standin: Rc<BackendStandin>,
+    connections: usize,
+) {
     let mut listener = Ok(listener);
-    while let (Ok(address), Ok(open_listener)) = (&address, listener) {
+    while let Ok(open_listener) = listener {
         serve_until_crash(open_listener, &standin, connections).await;
         standin.down.raise();
         let down_time = Duration::from_millis(standin.faults.borrow().down_ms);
         monoio::time::sleep(down_time).await;
-        listener = connection::bind(*address);
+        listener = port.listen();
     }
 }
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,6 +6,7 @@
 
 #![allow(missing_docs, reason = "the command-line macro makes items without doc comments")]
 
+use std::io;
 use std::net::SocketAddr;
 use std::process;
 use std::rc::Rc;
@@ -17,7 +18,7 @@
 use basaltarch_http::connection;
 use basaltarch_http::fields::ExchangeFields;
 use basaltarch_platform::headers;
-use basaltarch_standin::backend::{self, BackendOptions, BackendStandin};
+use basaltarch_standin::backend::{self, BackendOptions, BackendStandin, HeldPort};
 use basaltarch_standin::platform::{self, HostGroup, PlatformStandin};
 use basaltarch_telemetry::{logs, runtime};
 use bytes::Bytes;
@@ -98,13 +99,15 @@
             tracing::info!(%address, "listening");
             listener
         }
-        Err(error) => {
-            eprintln!("basaltarch-standin: can't listen on {address}: {error}");
-            process::exit(EXIT_FAILED);
-        }
+        Err(error) => exit_unbound(address, &error),
     }
 }
 
+fn exit_unbound(address: SocketAddr, error: &io::Error) -> ! {
+    eprintln!("basaltarch-standin: can't listen on {address}: {error}");
+    process::exit(EXIT_FAILED);
+}
+
 fn exit_on_error<T>(result: Result<T, basaltarch_telemetry::errors::StartError>) {
     if let Err(error) = result {
         eprintln!("basaltarch-standin: {error}");
@@ -149,7 +152,9 @@
             (1..=65_536).contains(count)
         })?;
     exit_on_error(runtime::run(async move {
-        backend::serve(listen(address), BackendStandin::new(options), connections).await;
+        let port = HeldPort::try_new(address).unwrap_or_else(|error| exit_unbound(address, &error));
+        let listener = listen(port.address());
+        backend::serve(port, listener, BackendStandin::new(options), connections).await;
     }));
     Ok(())
 }
