--- a/crates/daemon/tests/stray_refusals.rs
+++ b/crates/daemon/tests/stray_refusals.rs
@@ -69,17 +69,16 @@
     }
 }
 
-/// A response without an id and whether it has a shed notice.
+/// A response without an id, and the field by which it says something of its server.
 #[derive(Debug, Clone, Copy)]
 struct StrayResponse {
     status: &'static str,
-    noticed: bool,
+    notice: Option<&'static str>,
 }
 
 impl StrayResponse {
     fn bytes(self) -> Vec<u8> {
-        let notice =
-            if self.noticed { format!("{}: 1\r\n", names::NOT_RUN) } else { String::new() };
+        let notice = self.notice.map(|name| format!("{name}: 1\r\n")).unwrap_or_default();
         let stamp = format!("{}: stamp\r\n", names::STAMP);
         let head = format!("HTTP/1.1 {}\r\n{notice}{stamp}Content-Length: 5\r\n\r\n", self.status);
         [head.as_bytes(), b"stray"].concat()
@@ -87,11 +86,15 @@
 }
 
 const fn noticed(status: &'static str) -> StrayResponse {
-    StrayResponse { status, noticed: true }
+    StrayResponse { status, notice: Some(names::NOT_RUN) }
+}
+
+const fn leaving(status: &'static str) -> StrayResponse {
+    StrayResponse { status, notice: Some(names::LEAVING) }
 }
 
 const fn unnoticed(status: &'static str) -> StrayResponse {
-    StrayResponse { status, noticed: false }
+    StrayResponse { status, notice: None }
 }
 
 // Guards against a request that runs after its caller, or another server, was told that it doesn't.
@@ -116,11 +119,15 @@
 // Guards against servers that get no requests for good after bytes that belong to none.
 #[test_case(noticed("421 Misdirected Request") ; "with notice")]
 #[test_case(unnoticed("421 Misdirected Request") ; "without notice")]
+#[test_case(leaving("200 OK") ; "leaving")]
+#[test_case(leaving("400 Bad Request") ; "leaving with an error")]
 fn verify_no_server_is_ended_by_a_response_that_names_no_request(stray: StrayResponse) {
     let stray_fleet = StrayFleet::start(stray);
     stray_fleet.send_all();
     for daemon in &stray_fleet.fleet.daemons {
-        assert!(!daemon.log_text().contains("backend server gone"), "{}", daemon.host);
+        let log = daemon.log_text();
+        let is_ended = log.contains("backend server gone") || log.contains("server leaving");
+        assert!(!is_ended, "{}", daemon.host);
     }
 }
 
