Log which server a refusal names, and let the platform say by which field

A 421 is the word of another server than the one that was asked, and `work refused by server` did not say which server spoke, so a true 421 and the same status from the server that ran the request looked alike. The line now has `server`: asked, other or unnamed. No logic changes.

--- a/crates/daemon/src/host/sending.rs
+++ b/crates/daemon/src/host/sending.rs
@@ -5,7 +5,6 @@
 
 use std::time::Duration;
 
-use basaltarch_core::incarnation;
 use basaltarch_http::connection::StreamWriter;
 use basaltarch_http::exchange::{ExchangeProgress, MessageProgress};
 use basaltarch_http::framing::BodyFraming;
@@ -90,7 +89,7 @@
     let field_names = &attempt.state.fields;
     writer::put_field(buffer, field_names.deadline.as_str().as_bytes(), timeout.as_bytes());
     if let Some(name) = &field_names.expected_server {
-        let server = incarnation::server_of(&attempt.upstream.name);
+        let server = attempt.upstream.server_name();
         writer::put_field(buffer, name.as_str().as_bytes(), server.as_bytes());
     }
     writer::put_framing(buffer, framing);
--- a/crates/daemon/src/host/trace.rs
+++ b/crates/daemon/src/host/trace.rs
@@ -21,7 +21,7 @@
 use crate::host::exchange::HostAttempt;
 use crate::host::fault::AttemptFault;
 use crate::host::progress::AttemptProgress;
-use crate::host::verify::ResponseBinding;
+use crate::host::verify::{AnsweringServer, ResponseBinding};
 use crate::state::DaemonState;
 use crate::wire;
 
@@ -158,6 +158,7 @@
             status: head.status.as_u16().into(),
             noticed: head.headers.contains_key(&field_names.shed),
             id,
+            server: AnsweringServer::of(field_names, self.upstream.server_name(), head).name(),
             took_ms: millis(progress.elapsed()),
             sent: progress.exchange.request().name(),
             idle_ms: progress.idle_time.map(millis),
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -9,6 +9,7 @@
 
 use basaltarch_base::clock::DaemonClock;
 use basaltarch_base::metrics;
+use basaltarch_core::incarnation;
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_core::resources::{BackendServer, ServerState, ServiceSpec};
 use basaltarch_core::services::{ServiceEntry, UpstreamEntry};
@@ -95,6 +96,11 @@
         }
     }
 
+    /// Returns the name by which the backend server calls itself, which all its incarnations share.
+    pub fn server_name(&self) -> &str {
+        incarnation::server_of(&self.name)
+    }
+
     /// Applies a change of the backend server's resource or of its service's settings.
     pub fn configure(&self, server: &Rc<BackendServer>, spec: &ServiceSpec) {
         self.slots.configure(server.slots, spec.queue);
--- a/crates/daemon/src/host/verify.rs
+++ b/crates/daemon/src/host/verify.rs
@@ -9,7 +9,7 @@
 
 use basaltarch_core::outcome::NotRunReason;
 use basaltarch_http::fields::ExchangeFields;
-use http::{header, response, HeaderMap, StatusCode};
+use http::{header, response, HeaderMap, HeaderValue, StatusCode};
 
 use crate::wire;
 
@@ -48,6 +48,39 @@
     }
 }
 
+/// `AnsweringServer` is which backend server made a response, by its own word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnsweringServer {
+    /// The server that was asked.
+    Asked,
+    /// Another server.
+    Other,
+    /// The response doesn't say.
+    Unnamed,
+}
+
+impl AnsweringServer {
+    /// Returns which server made a response, if the server of this name was asked.
+    pub fn of(fields: &ExchangeFields, asked: &str, head: &response::Parts) -> Self {
+        let Some(name) = &fields.answering_server else { return Self::Unnamed };
+        let is_asked = |server: &HeaderValue| server.as_bytes() == asked.as_bytes();
+        match head.headers.get(name) {
+            None => Self::Unnamed,
+            Some(_) if head.headers.get_all(name).iter().all(is_asked) => Self::Asked,
+            Some(_) => Self::Other,
+        }
+    }
+
+    /// Returns the name of the server in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Asked => "asked",
+            Self::Other => "other",
+            Self::Unnamed => "unnamed",
+        }
+    }
+}
+
 /// `ServerRefusal` is the backend server's word that it did not run the request. Nothing but
 /// [`classify`] makes one, from a response that is bound to the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -307,6 +307,8 @@
         noticed: bool,
         /// Id of the response: same as that of the request, or unused if the deployment has no ids.
         id: &'a str,
+        /// Server that made the response, by its own word: asked, other or unnamed.
+        server: &'a str,
         /// Time since the request was sent.
         took_ms: u64,
         /// How far the request was sent: unsent, partial, whole or broken.
--- a/crates/http/src/fields.rs
+++ b/crates/http/src/fields.rs
@@ -57,6 +57,9 @@
     pub stamp: Option<HeaderName>,
     /// The only incarnation of a backend server that may run the request.
     pub expected_server: Option<HeaderName>,
+    /// Name of the incarnation that made the response. If no field is named, responses don't say
+    /// which server made them.
+    pub answering_server: Option<HeaderName>,
     /// Shed notice: a backend server did not run the request.
     pub shed: HeaderName,
     /// Drain notice: a backend server is about to leave.
@@ -85,6 +88,7 @@
             deadline: DEADLINE,
             stamp: None,
             expected_server: None,
+            answering_server: None,
             shed: SHED,
             drain: DRAIN,
             is_drain_final: false,
