Tests, failing: a part of the facts makes a refusal, and one response ends a server

Servers of these tests run each request and then respond with its id and a part of what makes a refusal.

Evidence, 3 of 3 runs of stray_refusals on this code: 503 after one run for 421 without notice, 421 that names the asked server too, 408 and 400 with notice, 503 with a notice of 0; and both servers gone for good after three responses 421, whatever these say, though each answers its health check under its own name. Held before: 500 with notice, 503, 429 and 408 without.

The scripted servers now answer health checks, and the two checks of the file that the new tests share have become functions; their conditions are the same.

--- a/crates/daemon/tests/stray_refusals.rs
+++ b/crates/daemon/tests/stray_refusals.rs
@@ -1,8 +1,8 @@
 // Copyright 2026 The basaltarch Authors
 // SPDX-License-Identifier: Apache-2.0
 
-//! Servers that send bytes which belong to no request. "Not run" is said only of a request that did
-//! not run.
+//! Servers that send bytes which belong to no request, or that respond to a request they ran with a
+//! part of what makes a refusal. "Not run" is said only of a request that did not run.
 
 mod common;
 
@@ -18,31 +18,55 @@
 /// Requests of each test, so that both servers have used connections.
 const REQUESTS: usize = 20;
 
+/// Start of the line by which a response names the server that made it.
+const NAMED: &str = "instance-id: ";
+/// Shed notice of a response.
+const NOTICE: &str = "not-executed: 1\r\n";
+
 /// Ids of the requests that servers ran, an id for each run.
 type RunList = Arc<Mutex<Vec<String>>>;
 
-/// Runs a request, sends `stray` in front of the answer to it, and answers.
-fn run_with_stray(exchange: &mut ScriptedExchange<'_>, runs: &RunList, stray: &[u8]) {
+/// Runs a request and answers, all but the first time with `respond`.
+fn run_and_respond(
+    exchange: &mut ScriptedExchange<'_>,
+    runs: &RunList,
+    respond: impl Fn(&mut ScriptedExchange<'_>),
+) {
     exchange.read_body();
     runs.lock().expect("runs").push(exchange.seen.id.clone());
-    exchange.write(stray);
-    exchange.answer_platform("200 OK", "", "done");
+    match exchange.number {
+        0 => drop(exchange.answer_platform("200 OK", "", "done")),
+        _ => respond(exchange),
+    }
 }
 
-/// A fleet of two daemons whose servers send `stray` in front of each answer but their first.
+/// A fleet of two daemons whose servers run each request, and then respond in their own way.
 struct StrayFleet {
     fleet: RegisteredFleet,
     runs: RunList,
 }
 
 impl StrayFleet {
+    /// Starts servers that send `stray` in front of each answer but their first.
     fn start(stray: StrayResponse) -> Self {
+        Self::start_with(move |exchange| {
+            exchange.write(&stray.bytes());
+            exchange.answer_platform("200 OK", "", "done");
+        })
+    }
+
+    /// Starts servers that answer each request but their first with `respond`.
+    fn start_with(
+        respond: impl Fn(&mut ScriptedExchange<'_>) + Copy + Send + Sync + 'static,
+    ) -> Self {
         let runs = RunList::default();
         let servers = ["i-1", "i-2"].map(|name| {
             let runs = runs.clone();
             ScriptedServer::start(name, move |exchange| {
-                let stray = if exchange.number == 0 { Vec::new() } else { stray.bytes() };
-                run_with_stray(exchange, &runs, &stray);
+                match exchange.seen.line.starts_with("GET /health") {
+                    true => drop(exchange.answer("200 OK", &format!("{NAMED}{name}\r\n"), "")),
+                    false => run_and_respond(exchange, &runs, respond),
+                }
                 AfterExchange::Keep
             })
         });
@@ -67,6 +91,28 @@
     fn run_count(&self, id: &str) -> usize {
         self.runs.lock().expect("runs").iter().filter(|run| *run == id).count()
     }
+
+    /// Sends non-repeatable requests, and checks that none ran twice, or ran although its caller was
+    /// told that it didn't.
+    fn check_promises(&self) {
+        let replies = self.send_all();
+        assert!(replies.iter().any(|(id, _)| self.run_count(id) > 0), "no request ran");
+        for (id, reply) in replies {
+            let runs = self.run_count(&id);
+            let is_promise = matches!(reply.status, 408 | 421 | 429 | 503);
+            assert!(!is_promise || runs == 0, "{id}: {} after {runs} runs", reply.status);
+            assert!(runs <= 1, "{id}: {runs} runs");
+        }
+    }
+
+    /// Checks that no daemon has recorded that a server is gone or leaving.
+    fn check_servers(&self) {
+        for daemon in &self.fleet.daemons {
+            let log = daemon.log_text();
+            let is_ended = log.contains("backend server gone") || log.contains("server leaving");
+            assert!(!is_ended, "{}", daemon.host);
+        }
+    }
 }
 
 /// A response without an id, and the field by which it says something of its server.
@@ -105,15 +151,7 @@
 #[test_case(noticed("408 Request Timeout") ; "timed out")]
 #[test_case(noticed("400 Bad Request") ; "bad request")]
 fn verify_a_refusal_that_names_no_request_is_not_believed(stray: StrayResponse) {
-    let stray_fleet = StrayFleet::start(stray);
-    let replies = stray_fleet.send_all();
-    assert!(replies.iter().any(|(id, _)| stray_fleet.run_count(id) > 0), "no request ran");
-    for (id, reply) in replies {
-        let runs = stray_fleet.run_count(&id);
-        let is_promise = matches!(reply.status, 408 | 421 | 429 | 503);
-        assert!(!is_promise || runs == 0, "{id}: {} after {runs} runs", reply.status);
-        assert!(runs <= 1, "{id}: {runs} runs");
-    }
+    StrayFleet::start(stray).check_promises();
 }
 
 // Guards against servers that get no requests for good after bytes that belong to none.
@@ -124,11 +162,7 @@
 fn verify_no_server_is_ended_by_a_response_that_names_no_request(stray: StrayResponse) {
     let stray_fleet = StrayFleet::start(stray);
     stray_fleet.send_all();
-    for daemon in &stray_fleet.fleet.daemons {
-        let log = daemon.log_text();
-        let is_ended = log.contains("backend server gone") || log.contains("server leaving");
-        assert!(!is_ended, "{}", daemon.host);
-    }
+    stray_fleet.check_servers();
 }
 
 // Guards against ready answers that are lost behind bytes that belong to no request.
@@ -142,3 +176,38 @@
         assert_eq!((reply.status, reply.text().as_str()), (200, "done"), "{id}");
     }
 }
+
+// Guards against a response to a run request that is taken for its refusal, though a fact is missing.
+#[test_case("421 Misdirected Request", "" ; "misdirected without notice")]
+#[test_case("421 Misdirected Request", "instance-id: i-1\r\ninstance-id: i-2\r\n" ; "misdirected by two servers")]
+#[test_case("408 Request Timeout", NOTICE ; "timed out with notice")]
+#[test_case("400 Bad Request", NOTICE ; "bad request with notice")]
+#[test_case("500 Internal Server Error", NOTICE ; "server error with notice")]
+#[test_case("503 Service Unavailable", "not-executed: 0\r\n" ; "unavailable with notice that denies")]
+#[test_case("503 Service Unavailable", "" ; "unavailable without notice")]
+#[test_case("429 Too Many Requests", "" ; "limited without notice")]
+#[test_case("408 Request Timeout", "" ; "timed out without notice")]
+fn verify_a_response_that_lacks_a_fact_of_a_refusal_is_not_believed(
+    status: &'static str,
+    lines: &'static str,
+) {
+    let stray_fleet = StrayFleet::start_with(move |exchange| {
+        exchange.answer_platform(status, lines, "");
+    });
+    stray_fleet.check_promises();
+    stray_fleet.check_servers();
+}
+
+// Guards against a server that gets no requests for good after a single response.
+#[test_case("not-executed: 1\r\n" ; "with notice")]
+#[test_case("instance-id: i-9\r\n" ; "in the name of another server")]
+#[test_case("not-executed: 1\r\ninstance-id: i-9\r\n" ; "with notice in the name of another server")]
+fn verify_no_server_is_ended_by_a_single_response(lines: &'static str) {
+    let stray_fleet = StrayFleet::start_with(move |exchange| match exchange.number {
+        1..=3 => drop(exchange.answer_platform("421 Misdirected Request", lines, "")),
+        _ => drop(exchange.answer_platform("200 OK", "", "done")),
+    });
+    let replies = stray_fleet.send_all();
+    assert!(replies.iter().rev().take(REQUESTS / 2).all(|(_, reply)| reply.status == 200));
+    stray_fleet.check_servers();
+}
