Ask all facts of a refusal together, in one place

What callers saw: a request that may run once is answered 503 and has run (REFUSED). Cause: the binding was asked of a response, but a 421 counted as a refusal by its status alone, and a notice beside 408 and 400 too, with which it never comes.

ServerRefusal::of asks for binding, notice, status and the server that spoke; nothing else makes a refusal. A response with a part of the facts and a promising status stays what it was without the facts, malformed: 502, and it counts against the server. It is logged, as before, with "believed":false, and counted by refusals_not_believed.

--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -43,6 +43,8 @@
 pub static HOST_ATTEMPTS: CounterCell = CounterCell::new();
 /// Responses that belong to another request or to none, on a connection in use.
 pub static SURPLUS_ANSWERS: CounterCell = CounterCell::new();
+/// Responses with a part of a refusal that did not count as one.
+pub static REFUSALS_NOT_BELIEVED: CounterCell = CounterCell::new();
 /// Requests refused by the host role.
 pub static HOST_REFUSED: CounterCell = CounterCell::new();
 /// Ejections of upstreams, by the kind of evidence.
@@ -229,6 +231,11 @@
             "Responses that belong to another request or to none, on a connection in use.",
             &SURPLUS_ANSWERS,
         ),
+        counter(
+            "refusals_not_believed",
+            "Responses with a part of a refusal that did not count as one.",
+            &REFUSALS_NOT_BELIEVED,
+        ),
         counter("host_refused", "Requests refused by the host role.", &HOST_REFUSED),
         counter(
             "doubts",
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -27,7 +27,7 @@
 use crate::host::fault::AttemptFault;
 use crate::host::notices;
 use crate::host::progress::AttemptProgress;
-use crate::host::verify::{self, AnswerVerdict, ResponseBinding, ServerRefusal};
+use crate::host::verify::{self, AnswerVerdict, AnsweringServer, ResponseBinding, ServerRefusal};
 use crate::registration;
 use crate::wire;
 
@@ -66,6 +66,7 @@
     head: response::Parts,
     framing: BodyFraming,
     binding: ResponseBinding,
+    server: AnsweringServer,
     verdict: AnswerVerdict,
     /// Whether no surplus response preceded this response on the connection.
     is_first_response: bool,
@@ -77,10 +78,10 @@
 impl AnswerRelay<'_> {
     /// Relays the response, and notes how far it has got on its connection.
     pub async fn run(self, reader: &mut BackendReader) -> Result<(), AttemptFault> {
-        let AnswerStart { mut head, framing, binding, verdict, is_first_response } =
+        let AnswerStart { mut head, framing, binding, server, verdict, is_first_response } =
             self.read_start(reader).await?;
         self.progress.head_seen.set(true);
-        if binding == ResponseBinding::Bound {
+        if binding == ResponseBinding::Bound && server != AnsweringServer::Other {
             self.note_notices(&head, verdict);
         }
         let exchange = &self.progress.exchange;
@@ -91,10 +92,16 @@
         self.progress.keep_alive.set(fields::keep_alive_timeout(&head.headers));
         match verdict {
             AnswerVerdict::Refused(refusal) => {
-                self.attempt.log_server_refused(&head, self.progress);
+                self.attempt.log_server_refused(&head, server, true, self.progress);
                 return self.finish_refused(refusal, reader, framing).await;
             }
-            AnswerVerdict::Invalid | AnswerVerdict::Surplus => return Err(AttemptFault::BadAnswer),
+            AnswerVerdict::Invalid | AnswerVerdict::Surplus => {
+                if verify::resembles_refusal(&self.attempt.state.fields, &head) {
+                    metrics::REFUSALS_NOT_BELIEVED.add_one();
+                    self.attempt.log_server_refused(&head, server, false, self.progress);
+                }
+                return Err(AttemptFault::BadAnswer);
+            }
             AnswerVerdict::Matching => {}
         }
         let length = declared_length(&head, framing);
@@ -125,14 +132,11 @@
 
     /// Records what the server says of itself in a response head.
     fn note_notices(&self, head: &response::Parts, verdict: AnswerVerdict) {
-        if matches!(verdict, AnswerVerdict::Refused(refusal) if refusal.is_from_another_server()) {
-            return;
-        }
         let state = self.attempt.state;
         let now = state.now();
         let upstream = self.attempt.upstream;
         let field_names = &state.fields;
-        let is_leaving = fields::is_drain_notice(&head.headers, &field_names.drain);
+        let is_leaving = fields::has_notice(&head.headers, &field_names.drain);
         if !field_names.is_drain_final {
             upstream.note_drain_notice(is_leaving, now);
         } else if is_leaving {
@@ -155,9 +159,13 @@
             let field_names = &self.attempt.state.fields;
             let request = &self.attempt.head.field_lines;
             let binding = ResponseBinding::of(field_names, request, &head);
-            let verdict = verify::classify(field_names, request, &head, binding);
+            let asked = self.attempt.upstream.server_name();
+            let server = AnsweringServer::of(field_names, asked, &head);
+            let verdict = verify::classify(field_names, request, &head, binding, server);
             if verdict != AnswerVerdict::Surplus {
-                return Ok(AnswerStart { head, framing, binding, verdict, is_first_response });
+                let start =
+                    AnswerStart { head, framing, binding, server, verdict, is_first_response };
+                return Ok(start);
             }
             is_first_response = false;
             metrics::SURPLUS_ANSWERS.add_one();
--- a/crates/daemon/src/host/trace.rs
+++ b/crates/daemon/src/host/trace.rs
@@ -15,6 +15,7 @@
 use basaltarch_events::requests::{
     ServerRefused, SurplusDropped, WorkBroke, WorkEnded, WorkRefused, WorkStarted,
 };
+use basaltarch_http::fields;
 use basaltarch_peer::protocol::DispatchHead;
 use http::response;
 
@@ -27,7 +28,7 @@
 
 /// Returns the id of the request, as the ingress logs it.
 pub fn request_id(state: &DaemonState, head: &DispatchHead) -> String {
-    let default_name = basaltarch_http::fields::REQUEST_ID;
+    let default_name = fields::REQUEST_ID;
     let name = state.fields.request.as_ref().unwrap_or(&default_name);
     let id = wire::field_value(&head.field_lines, name.as_str());
     id.map(|id| String::from_utf8_lossy(id).into_owned()).unwrap_or_default()
@@ -141,24 +142,33 @@
         .log();
     }
 
-    /// Logs that a response says that the backend server did not run the request.
-    pub fn log_server_refused(&self, head: &response::Parts, progress: &AttemptProgress) {
+    /// Logs that a response says that the backend server did not run the request, and whether that is
+    /// `believed`.
+    pub fn log_server_refused(
+        &self,
+        head: &response::Parts,
+        server: AnsweringServer,
+        believed: bool,
+        progress: &AttemptProgress,
+    ) {
         if !self.is_logged() && !self.state.log_budget.takes_failure(self.state.now()) {
             return;
         }
         let field_names = &self.state.fields;
+        let binding = ResponseBinding::of(field_names, &self.head.field_lines, head);
         let id = match &field_names.request {
             None => "unused",
-            Some(_) => ResponseBinding::Bound.name(),
+            Some(_) => binding.name(),
         };
         ServerRefused {
             request: &request_id(self.state, self.head),
             upstream: &self.upstream.name,
             attempt: self.attempt_number(),
             status: head.status.as_u16().into(),
-            noticed: head.headers.contains_key(&field_names.shed),
+            noticed: fields::has_notice(&head.headers, &field_names.shed),
             id,
-            server: AnsweringServer::of(field_names, self.upstream.server_name(), head).name(),
+            server: server.name(),
+            believed,
             took_ms: millis(progress.elapsed()),
             sent: progress.exchange.request().name(),
             idle_ms: progress.idle_time.map(millis),
--- a/crates/daemon/src/host/verify.rs
+++ b/crates/daemon/src/host/verify.rs
@@ -5,10 +5,11 @@
 //! says of that request.
 //!
 //! A connection may bring bytes that belong to no request. Only a response that is bound to the
-//! request can say that the server did not run it, or anything about the server itself.
+//! request can say that the server did not run it, or anything about the server itself. That the
+//! request did not run is said by several facts together, which [`ServerRefusal`] asks for.
 
 use basaltarch_core::outcome::NotRunReason;
-use basaltarch_http::fields::ExchangeFields;
+use basaltarch_http::fields::{self, ExchangeFields};
 use http::{header, response, HeaderMap, HeaderValue, StatusCode};
 
 use crate::wire;
@@ -66,7 +67,7 @@
         let is_asked = |server: &HeaderValue| server.as_bytes() == asked.as_bytes();
         match head.headers.get(name) {
             None => Self::Unnamed,
-            Some(_) if head.headers.get_all(name).iter().all(is_asked) => Self::Asked,
+            Some(_) if head.headers.get_all(name).iter().any(is_asked) => Self::Asked,
             Some(_) => Self::Other,
         }
     }
@@ -81,14 +82,40 @@
     }
 }
 
-/// `ServerRefusal` is the backend server's word that it did not run the request. Nothing but
-/// [`classify`] makes one, from a response that is bound to the request.
+/// `ServerRefusal` is the backend server's word that it did not run the request. Nothing else lets
+/// the host say "not run" of a request that it has sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerRefusal {
     reason: NotRunReason,
 }
 
 impl ServerRefusal {
+    /// Returns the refusal that a response with this binding states: it belongs to the request, and
+    /// either it has a shed notice and a status that comes with the notice, or another server than
+    /// the one that was asked says that the request was misdirected.
+    fn of(
+        fields: &ExchangeFields,
+        binding: ResponseBinding,
+        server: AnsweringServer,
+        head: &response::Parts,
+    ) -> Option<Self> {
+        if binding != ResponseBinding::Bound {
+            return None;
+        }
+        let is_noticed = fields::has_notice(&head.headers, &fields.shed);
+        let is_misdirected =
+            head.status == StatusCode::MISDIRECTED_REQUEST && fields.expected_server.is_some();
+        let reason = match server {
+            AnsweringServer::Other if is_misdirected => NotRunReason::UnknownUpstream,
+            AnsweringServer::Unnamed if is_misdirected && is_noticed => {
+                NotRunReason::UnknownUpstream
+            }
+            _ if is_noticed && comes_with_notice(fields, head.status) => NotRunReason::Shed,
+            _ => return None,
+        };
+        Some(Self { reason })
+    }
+
     /// Returns why the server did not run the request.
     pub fn reason(self) -> NotRunReason {
         self.reason
@@ -113,35 +140,25 @@
     Invalid,
 }
 
-/// Classifies the head of a response with this binding to the request whose field lines are
-/// `request`.
+/// Classifies the head of a response with this binding, made by `server`, to the request whose field
+/// lines are `request`.
 pub fn classify(
     fields: &ExchangeFields,
     request: &[u8],
     head: &response::Parts,
     binding: ResponseBinding,
+    server: AnsweringServer,
 ) -> AnswerVerdict {
+    if let Some(refusal) = ServerRefusal::of(fields, binding, server, head) {
+        return AnswerVerdict::Refused(refusal);
+    }
     match binding {
-        ResponseBinding::Bound => classify_bound(fields, request, head),
+        ResponseBinding::Bound => classify_content(fields, request, head),
         ResponseBinding::Foreign => AnswerVerdict::Surplus,
         ResponseBinding::Unnamed => classify_unnamed(fields, request, head),
     }
 }
 
-fn classify_bound(
-    fields: &ExchangeFields,
-    request: &[u8],
-    head: &response::Parts,
-) -> AnswerVerdict {
-    if head.status == StatusCode::MISDIRECTED_REQUEST && fields.expected_server.is_some() {
-        return AnswerVerdict::Refused(ServerRefusal { reason: NotRunReason::UnknownUpstream });
-    }
-    if head.headers.contains_key(&fields.shed) && allows_shed(fields, head.status) {
-        return AnswerVerdict::Refused(ServerRefusal { reason: NotRunReason::Shed });
-    }
-    classify_content(fields, request, head)
-}
-
 /// Classifies a response without an id. A server that can't read a request refuses it without its
 /// id; any other such response belongs to no request.
 fn classify_unnamed(
@@ -158,6 +175,11 @@
     }
 }
 
+/// Says whether a response has a part of what makes a [`ServerRefusal`].
+pub fn resembles_refusal(fields: &ExchangeFields, head: &response::Parts) -> bool {
+    implies_not_run(head.status) || fields::has_notice(&head.headers, &fields.shed)
+}
+
 /// Classifies a response by whether callers may get it.
 fn classify_content(
     fields: &ExchangeFields,
@@ -176,12 +198,15 @@
     AnswerVerdict::Matching
 }
 
-/// Says whether a response with `status` may carry a shed notice.
-fn allows_shed(fields: &ExchangeFields, status: StatusCode) -> bool {
-    let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
-    is_unavailable
-        || fields.has_not_run_statuses
-            && (implies_not_run(status) || status == StatusCode::BAD_REQUEST)
+/// Says whether a shed notice comes with `status`. Beside any other status it states nothing.
+fn comes_with_notice(fields: &ExchangeFields, status: StatusCode) -> bool {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => true,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::MISDIRECTED_REQUEST => {
+            fields.has_not_run_statuses
+        }
+        _ => false,
+    }
 }
 
 /// Says whether callers may take `status` as proof that the request did not run.
--- a/crates/events/src/requests.rs
+++ b/crates/events/src/requests.rs
@@ -293,7 +293,7 @@
         kept: bool,
     }
 
-    /// A response said that the backend server did not run the request.
+    /// A response seems to say that the backend server did not run the request.
     "work refused by server" INFO ServerRefused<'a> {
         /// Id of the request.
         request: &'a str,
@@ -305,10 +305,13 @@
         status: u64,
         /// Whether the response has a shed notice.
         noticed: bool,
-        /// Id of the response: same as that of the request, or unused if the deployment has no ids.
+        /// Id of the response: same as that of the request, missing, or unused if the deployment has
+        /// no ids.
         id: &'a str,
         /// Server that made the response, by its own word: asked, other or unnamed.
         server: &'a str,
+        /// Whether the request counts as not run; otherwise the response counts as malformed.
+        believed: bool,
         /// Time since the request was sent.
         took_ms: u64,
         /// How far the request was sent: unsent, partial, whole or broken.
--- a/crates/http/src/fields.rs
+++ b/crates/http/src/fields.rs
@@ -188,8 +188,8 @@
     }
 }
 
-/// Says whether a response carries a drain notice in the field `name`. Any value but `0` is one: a
-/// server that is not leaving leaves the field out.
-pub fn is_drain_notice(headers: &HeaderMap, name: &HeaderName) -> bool {
+/// Says whether a response carries a notice in the field `name`. Any value but `0` is one: a server
+/// that has nothing to notify of leaves the field out.
+pub fn has_notice(headers: &HeaderMap, name: &HeaderName) -> bool {
     headers.get(name).is_some_and(|value| value.as_bytes().trim_ascii() != b"0")
 }
