Let no single response end a server: ask the listener for its name

Cause: a 421 was taken for the end of the server that was asked, and a departure binds all daemons for ever.

A misdirected request now makes its daemon check the health of whoever listens at the address, on a connection of its own, at most once a second for each server. Only a listener that answers under another name ends the server; a reply without a name, or none, leaves it to the heartbeats. The refused request goes elsewhere meanwhile, as before.

A server that was really replaced is still ended, which the test of the taken address now waits for.

--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -37,7 +37,7 @@
 use crate::host::sending;
 use crate::host::upstream::{AttemptResult, HostUpstream};
 use crate::host::watch::AttemptWatch;
-use crate::registration::{self, GoneCause};
+use crate::registration;
 use crate::state::DaemonState;
 use crate::stop;
 use crate::suspects;
@@ -507,8 +507,7 @@
             Err(AttemptFault::Refused(refusal)) => {
                 self.log_ended(&progress, is_kept);
                 if refusal.is_from_another_server() {
-                    let cause = GoneCause::Misdirected;
-                    registration::note_ended(self.state, &self.upstream.name, cause);
+                    registration::check_listener(self.state, &self.upstream.name);
                 }
                 Err(AttemptFault::Refused(refusal).outcome())
             }
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -16,7 +16,7 @@
     IncarnationClaim, IncarnationTracker, IncarnationVerdict,
 };
 use basaltarch_events::servers;
-use basaltarch_http::client::HttpClient;
+use basaltarch_http::client::{ClientReply, HttpClient};
 use basaltarch_platform::headers;
 use basaltarch_platform::registration::ServerHeartbeat;
 use bytes::Bytes;
@@ -30,6 +30,8 @@
 /// Timeout of a health check, which may wait for a slot of the server. A server whose check fails
 /// is soon registered by its next heartbeat.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Minimum time between two checks of which server listens at the address of one server.
+const LISTENER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum size in bytes of the body of a reply to a health check, of which only the head is used.
 const HEALTH_REPLY_BYTES_MAX: u64 = 64 * 1024;
 /// Maximum number of backend servers whose incarnations are tracked. A host has few backend
@@ -45,7 +47,8 @@
     Replaced,
     /// A later record of this host does not list the server.
     Unlisted,
-    /// The response to a request says that another server listens at the address.
+    /// A response said that another server listens at the address, and the server that listens there
+    /// answered a health check under another name.
     Misdirected,
 }
 
@@ -70,6 +73,8 @@
     trackers: RefCell<FnvHashMap<String, IncarnationTracker>>,
     sequences: RefCell<FnvHashMap<String, u64>>,
     cold_until: RefCell<FnvHashMap<String, Duration>>,
+    /// Time of the last check of which server listens at the address of an upstream.
+    listener_checks: RefCell<FnvHashMap<String, Duration>>,
     /// Latest known record of an earlier incarnation of the daemon.
     recovered: RefCell<Option<HostRecord>>,
     /// Last heartbeat of each upstream that arrived before the servers of this host were admitted.
@@ -125,6 +130,18 @@
         }
         self.sequences.borrow_mut().remove(upstream);
         self.cold_until.borrow_mut().remove(upstream);
+        self.listener_checks.borrow_mut().remove(upstream);
+    }
+
+    /// Says whether the listener at the address of an upstream may be checked now, and records that
+    /// it is.
+    fn starts_listener_check(&self, upstream: &str, now: Duration) -> bool {
+        let mut checks = self.listener_checks.borrow_mut();
+        let is_due = checks.get(upstream).is_none_or(|last| now >= *last + LISTENER_CHECK_INTERVAL);
+        if is_due {
+            checks.insert(upstream.to_owned(), now);
+        }
+        is_due
     }
 
     /// Says whether the current incarnation of a server told its start in a heartbeat.
@@ -314,7 +331,7 @@
 }
 
 /// Records that an incarnation of a backend server has ended, because the server deregistered or
-/// another server answers at its address.
+/// another server listens at its address.
 pub fn note_ended(state: &Rc<DaemonState>, name: &str, cause: GoneCause) {
     state.registrations.note_ended(name);
     note_departed(state, name);
@@ -328,6 +345,27 @@
     roster::set_own_servers(state, servers);
 }
 
+/// Checks which server listens at the address of a backend server, after a response said that it is
+/// another one. A server is gone only if the listener answers the check under another name: a single
+/// response ends no server.
+pub fn check_listener(state: &Rc<DaemonState>, name: &str) {
+    let servers = state.roster.own_servers();
+    let Some(server) = servers.into_iter().find(|server| server.name == name) else { return };
+    if !state.registrations.starts_listener_check(name, state.now()) {
+        return;
+    }
+    let state = state.clone();
+    monoio::spawn(async move {
+        let Some(reply) = check_health(&state, &server).await else { return };
+        let asked = incarnation::server_of(&server.name);
+        let listener = headers::answering_server(&reply.headers);
+        servers::ListenerChecked { upstream: &server.name, listener: listener.unwrap_or("") }.log();
+        if listener.is_some_and(|listener| listener != asked) {
+            note_ended(&state, &server.name, GoneCause::Misdirected);
+        }
+    });
+}
+
 /// Recovers the backend servers that an earlier incarnation of this daemon published. Each server
 /// that still answers with its name is in use again before its next heartbeat.
 pub fn recover_servers(state: &Rc<DaemonState>, record: &HostRecord) {
@@ -370,31 +408,29 @@
     }
 }
 
-/// Checks the health of a backend server. Says whether the server at the recorded address is
-/// healthy and answers with the recorded name.
+/// Says whether the server at the recorded address is healthy and answers with the recorded name.
 async fn answers_under_name(state: &Rc<DaemonState>, server: &ServerRecord) -> bool {
-    let path = match health_path(state, &server.service).await {
-        Some(path) => path,
-        None => return false,
-    };
+    let Some(reply) = check_health(state, server).await else { return false };
+    let name = incarnation::server_of(&server.name);
+    let is_same = headers::answering_server(&reply.headers) == Some(name);
+    if is_same {
+        note_cold(state, &server.name, headers::cold_for(&reply.headers));
+    }
+    reply.status == StatusCode::OK && is_same
+}
+
+/// Checks the health of the server at the recorded address, on a connection of its own. Returns
+/// `None` if the server does not reply.
+async fn check_health(state: &Rc<DaemonState>, server: &ServerRecord) -> Option<ClientReply> {
+    let path = health_path(state, &server.service).await?;
     let client = HttpClient::new(server.address, HEALTH_CHECK_TIMEOUT);
     let client = client.reply_bytes_max(HEALTH_REPLY_BYTES_MAX);
     let reply = client.call(Method::GET, &path, HeaderMap::new(), Bytes::new()).await;
-    match reply {
-        Ok(reply) => {
-            let name = incarnation::server_of(&server.name);
-            let is_same = headers::answering_server(&reply.headers) == Some(name);
-            if is_same {
-                note_cold(state, &server.name, headers::cold_for(&reply.headers));
-            }
-            reply.status == StatusCode::OK && is_same
-        }
-        Err(error) => {
-            let error = &error.to_string();
-            servers::ServerSilent { upstream: &server.name, error }.log();
-            false
-        }
+    if let Err(error) = &reply {
+        let error = &error.to_string();
+        servers::ServerSilent { upstream: &server.name, error }.log();
     }
+    reply.ok()
 }
 
 /// Waits until a document is in force, and returns the path of a service's health check.
--- a/crates/daemon/tests/registered.rs
+++ b/crates/daemon/tests/registered.rs
@@ -159,6 +159,10 @@
         assert_eq!(reply.status, 200, "{}", reply.text());
         assert_eq!((fleet.run_count(&id), fleet.backends[1].run_count(&id)), (1, 0));
     }
+    eventually("the server of before is gone by its listener's own name", || {
+        let log = fleet.daemons[1].log_text();
+        log.contains("\"listener\":\"i-2\"") && log.contains("\"cause\":\"misdirected\"")
+    });
     // The next heartbeat of the second server registers that server again.
     assert_eq!(fleet.send_heartbeat(1, false).status, 200);
     fleet.wait_served(0, &[0, 1]);
--- a/crates/events/src/servers.rs
+++ b/crates/events/src/servers.rs
@@ -105,10 +105,19 @@
         /// Name of the backend server.
         upstream: &'a str,
         /// What showed it: deregistered, replaced by a heartbeat of another server, unlisted in a
-        /// later record of this host, or misdirected by the server's response.
+        /// later record of this host, or misdirected by the server's response and its health check.
         cause: &'a str,
     }
 
+    /// A response said that another server listens at the address of a backend server, and the
+    /// listener was checked.
+    "server listener checked" INFO ListenerChecked<'a> {
+        /// Name of the backend server that was asked.
+        upstream: &'a str,
+        /// Name under which the listener answered; empty if it gave none.
+        listener: &'a str,
+    }
+
     /// A backend server crashed while it served requests: its connections broke, nothing listens at
     /// its address, and it had not announced that it leaves.
     "backend server crashed" WARN ServerCrashed<'a> {
