Soak: responses with a part of a refusal; all promising statuses count

Servers of the soak now also answer some uploads, which they ran, with the id of the request and a part of what makes a refusal: 503, 429, 421 and 408 without notice, 408 and 400 with it. A finding names the route of its request. A 408 or 421 counts as a report of 'not run' too; the check knew only 404, 429 and 503.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -44,22 +44,33 @@
 /// counters of the backend servers.
 #[derive(Default)]
 pub struct PlainRequests {
-    /// Maps the id of each request to whether the response reported that the request was not run.
-    refused_by_id: RefCell<FnvHashMap<String, bool>>,
+    /// Outcome of each request, by its id.
+    by_id: RefCell<FnvHashMap<String, PlainOutcome>>,
+}
+
+/// `PlainOutcome` is what a caller was told of a non-repeatable request.
+struct PlainOutcome {
+    route: RequestedRoute,
+    /// Whether the response reported that the request was not run.
+    was_refused: bool,
 }
 
 impl PlainRequests {
-    /// Returns the id and the violation of each violating request; `runs` maps the id of a request
-    /// to how often the backend servers ran the request.
-    pub fn violations(&self, runs: &FnvHashMap<String, u64>) -> Vec<(String, AnswerViolation)> {
-        let refused_by_id = self.refused_by_id.borrow();
-        let violations = refused_by_id.iter().filter_map(|(id, was_refused)| {
+    /// Returns the id, the route and the violation of each violating request; `runs` maps the id of
+    /// a request to how often the backend servers ran the request.
+    pub fn violations(
+        &self,
+        runs: &FnvHashMap<String, u64>,
+    ) -> Vec<(String, RequestedRoute, AnswerViolation)> {
+        let by_id = self.by_id.borrow();
+        let violations = by_id.iter().filter_map(|(id, outcome)| {
             let run_count = runs.get(id).copied().unwrap_or(0);
-            match (*was_refused, run_count) {
-                (true, 1..) => Some((id.clone(), AnswerViolation::RanAfterAll)),
-                (false, 2..) => Some((id.clone(), AnswerViolation::RanTwice(run_count))),
-                _ => None,
-            }
+            let violation = match (outcome.was_refused, run_count) {
+                (true, 1..) => AnswerViolation::RanAfterAll,
+                (false, 2..) => AnswerViolation::RanTwice(run_count),
+                _ => return None,
+            };
+            Some((id.clone(), outcome.route, violation))
         });
         violations.collect()
     }
@@ -134,6 +145,7 @@
         RequestedRoute::Upload(UploadAct::EarlyDigest),
         RequestedRoute::Upload(UploadAct::EarlyShed),
         RequestedRoute::Upload(UploadAct::StrayRefusal),
+        RequestedRoute::Upload(UploadAct::PartialRefusal),
     ];
     *routes.choose(&mut plan.rng).unwrap_or(&RequestedRoute::Steady)
 }
@@ -167,7 +179,8 @@
     let status = reply.map(|reply| reply.status);
     if route.is_plain() {
         let was_refused = status.is_some_and(reports_not_run);
-        plan.plain_requests.refused_by_id.borrow_mut().insert(id.to_owned(), was_refused);
+        let outcome = PlainOutcome { route, was_refused };
+        plan.plain_requests.by_id.borrow_mut().insert(id.to_owned(), outcome);
     }
     match (status, reply) {
         (Some(StatusCode::NOT_FOUND), _) => (SeenAnswer::Missing, None),
@@ -182,7 +195,11 @@
 fn reports_not_run(status: StatusCode) -> bool {
     matches!(
         status,
-        StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        StatusCode::NOT_FOUND
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
     )
 }
 
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -60,6 +60,7 @@
             Self::Upload(UploadAct::EarlyDigest) => "/plain/early-digest".to_owned(),
             Self::Upload(UploadAct::EarlyShed) => "/plain/early-shed".to_owned(),
             Self::Upload(UploadAct::StrayRefusal) => "/plain/stray-refusal".to_owned(),
+            Self::Upload(UploadAct::PartialRefusal) => "/plain/partial-refusal".to_owned(),
             Self::Added(step) => format!("/added-{step}/x"),
             Self::Moved => "/moved/x".to_owned(),
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -266,8 +266,8 @@
     for id in other_bodies {
         state.add_finding(format!("{id}: other bytes reached a server than were sent"));
     }
-    for (id, answer_violation) in plain_requests.violations(&runs) {
-        state.add_finding(format!("{id}: {answer_violation:?}"));
+    for (id, route, answer_violation) in plain_requests.violations(&runs) {
+        state.add_finding(format!("{id} {route:?}: {answer_violation:?}"));
     }
     let mut report = state.report.borrow().clone();
     report.document_count = state.operator.with_steps(<[_]>::len);
--- a/crates/standin/src/backend/uploads.rs
+++ b/crates/standin/src/backend/uploads.rs
@@ -36,6 +36,17 @@
     StatusCode::REQUEST_TIMEOUT,
 ];
 
+/// Statuses of responses that have a part of what makes a refusal, each with whether the response has
+/// a shed notice.
+const PARTIAL_REFUSALS: [(StatusCode, bool); 6] = [
+    (StatusCode::SERVICE_UNAVAILABLE, false),
+    (StatusCode::TOO_MANY_REQUESTS, false),
+    (StatusCode::MISDIRECTED_REQUEST, false),
+    (StatusCode::REQUEST_TIMEOUT, false),
+    (StatusCode::REQUEST_TIMEOUT, true),
+    (StatusCode::BAD_REQUEST, true),
+];
+
 /// `UploadAct` is how a server responds to a long body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UploadAct {
@@ -48,6 +59,9 @@
     EarlyShed,
     /// The body is read, then a refusal that belongs to no request is sent, then the response.
     StrayRefusal,
+    /// The body is read, then a response is sent that has a part of what makes a refusal, with the id
+    /// of the request.
+    PartialRefusal,
 }
 
 impl UploadAct {
@@ -58,6 +72,7 @@
             "early-digest" => Some(Self::EarlyDigest),
             "early-shed" => Some(Self::EarlyShed),
             "stray-refusal" => Some(Self::StrayRefusal),
+            "partial-refusal" => Some(Self::PartialRefusal),
             _ => None,
         }
     }
@@ -102,6 +117,10 @@
         writer::flush(&mut stream.writer, &mut buffer).await?;
     }
     let body = read(stream, standin, framing, id).await?;
+    if act == UploadAct::PartialRefusal {
+        put_partial_refusal(&mut buffer, standin, headers, body.len());
+        return writer::flush(&mut stream.writer, &mut buffer).await;
+    }
     if act == UploadAct::StrayRefusal {
         put_stray_refusal(&mut buffer, standin, body.len());
     }
@@ -121,6 +140,21 @@
     writer::put_response_head(buffer, status, &headers, BodyFraming::Empty, false);
 }
 
+/// Puts a response with these header fields into the buffer that has a part of what makes a refusal;
+/// `number` selects which.
+fn put_partial_refusal(
+    buffer: &mut BytesMut,
+    standin: &BackendStandin,
+    mut headers: HeaderMap,
+    number: usize,
+) {
+    let (status, is_noticed) = PARTIAL_REFUSALS[number % PARTIAL_REFUSALS.len()];
+    if is_noticed {
+        headers.insert(standin.options.fields.shed.clone(), HeaderValue::from_static("1"));
+    }
+    writer::put_response_head(buffer, status, &headers, BodyFraming::Empty, false);
+}
+
 fn put_head(buffer: &mut BytesMut, headers: &HeaderMap) {
     writer::put_response_head(buffer, StatusCode::OK, headers, BodyFraming::Chunked, false);
 }
