Cancel a request that is given up at its time-out, at the host too

Cause: an attempt that the ingress gives up by its own time-out was marked as ended like one that its host ended, so no cancel was sent; a host that was paused then finds the request in its link, and counts its time from when it reads it.

An attempt's failure now says whether the exchange is over; one that was given up is cancelled when it is dropped, as those of callers that left. The cancel lies behind the request in the link and takes effect before it starts.

--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -29,7 +29,7 @@
 use crate::ingress::reservations::SlotEnd;
 use crate::ingress::slow_attempts::{SlowAttempt, SlowAttempts};
 use crate::ingress::trace::{self, NextStep, StepEnd, StepLoad, TraceStep};
-use crate::ingress::waiting::{self, FirstEvent};
+use crate::ingress::waiting::{self, AttemptFailure, FirstEvent};
 use crate::state::DaemonState;
 use crate::stop;
 use crate::suspects;
@@ -221,8 +221,10 @@
                 attempts.excluded.push(choice.index);
                 slow.push(SlowAttempt { start: started, live });
             }
-            FirstEvent::Failed(outcome, report) => {
-                live.finish();
+            FirstEvent::Failed(AttemptFailure { outcome, report, is_exchange_over }) => {
+                if is_exchange_over {
+                    live.finish();
+                }
                 if let Some(report) = &report {
                     let has_run = matches!(outcome, FailureOutcome::Unknown(_));
                     attempts.note_report(choice.index, report, has_run.then_some(true));
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -34,9 +34,8 @@
 pub enum FirstEvent {
     /// The head of an answer.
     Head(AnswerHead),
-    /// The exchange ended without an answer. The load report is present if the host's daemon sent a
-    /// report at the end of the exchange.
-    Failed(FailureOutcome, Option<LoadReport>),
+    /// The attempt brings no answer.
+    Failed(AttemptFailure),
     /// The attempt outlasted its hedging delay or its path was cut, and the retry budget allows a
     /// hedge.
     HedgeDue,
@@ -48,6 +47,23 @@
     Stopping,
 }
 
+/// `AttemptFailure` is how an attempt ended without an answer.
+pub struct AttemptFailure {
+    /// Outcome of the exchange.
+    pub outcome: FailureOutcome,
+    /// Load report of the host's daemon, if the daemon sent one at the end of the exchange.
+    pub report: Option<LoadReport>,
+    /// Whether the exchange has ended. If it was given up instead, its host may still hold the
+    /// request, perhaps unread.
+    pub is_exchange_over: bool,
+}
+
+impl AttemptFailure {
+    fn of_ended(outcome: FailureOutcome, report: Option<LoadReport>) -> Self {
+        Self { outcome, report, is_exchange_over: true }
+    }
+}
+
 /// Waits for the head of the answer or the end of the exchange, and sends the body while waiting.
 pub async fn first_event(
     state: &DaemonState,
@@ -136,7 +152,7 @@
         select_biased! {
             next_success = next_success => return match next_success {
                 Some((attempt, head)) => FirstEvent::SlowAnswer(attempt, head),
-                None => FirstEvent::Failed(failure, None),
+                None => FirstEvent::Failed(AttemptFailure::of_ended(failure, None)),
             },
             () = deadline_timer => return timed_out_event(),
             () = passed_in_suspend => return timed_out_event(),
@@ -171,7 +187,8 @@
 }
 
 fn timed_out_event() -> FirstEvent {
-    FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::TimedOut), None)
+    let outcome = FailureOutcome::Unknown(UnknownReason::TimedOut);
+    FirstEvent::Failed(AttemptFailure { outcome, report: None, is_exchange_over: false })
 }
 
 fn first_event_of(event: StreamEvent) -> FirstEvent {
@@ -179,10 +196,11 @@
         StreamEvent::Head(head) => FirstEvent::Head(head),
         StreamEvent::Failed(failure) => {
             let outcome = FailureOutcome::from_wire(failure.outcome);
-            FirstEvent::Failed(outcome, failure.report)
+            FirstEvent::Failed(AttemptFailure::of_ended(outcome, failure.report))
         }
         StreamEvent::Data(..) | StreamEvent::Cancelled | StreamEvent::Begin(_) => {
-            FirstEvent::Failed(FailureOutcome::Unknown(UnknownReason::PeerLost), None)
+            let outcome = FailureOutcome::Unknown(UnknownReason::PeerLost);
+            FirstEvent::Failed(AttemptFailure::of_ended(outcome, None))
         }
     }
 }
--- a/crates/daemon/tests/cancel.rs
+++ b/crates/daemon/tests/cancel.rs
@@ -18,11 +18,12 @@
 use basaltarch_peer::frames::{self, FrameReader};
 use basaltarch_peer::handshake::{self, LinkSide, PeerIdentity};
 use basaltarch_peer::protocol::{CancelNotice, DispatchHead, FrameBody, PeerFrame};
+use basaltarch_platform::headers::names;
 use basaltarch_telemetry::runtime;
 use bytes::BytesMut;
 use common::daemon::FLEET_KEY;
-use common::loopback_address;
-use common::registered::{RegisteredFleet, SERVICE};
+use common::registered::{self, RegisteredFleet, SERVICE};
+use common::{client, eventually, loopback_address};
 use monoio::io::{AsyncWriteRentExt, Splitable};
 use monoio::net::TcpStream;
 
@@ -129,3 +130,29 @@
     assert_eq!((server.run_count("gone"), server.run_count("stays")), (0, 1));
     assert_eq!(server.total_runs(), runs_before + 1);
 }
+
+// Guards against requests that start at a host that was paused, after their callers got a time-out.
+#[test]
+fn verify_a_request_that_timed_out_at_its_ingress_does_not_start_at_a_paused_host() {
+    let fleet = RegisteredFleet::start(1);
+    let ingress = fleet.start_daemon("host-z", "bkk-b", &[]);
+    let mut number = 0;
+    eventually("the ingress reaches the server", || {
+        number += 1;
+        let id = format!("warm-{number}");
+        registered::send_request(ingress.callers, "POST", "/unsafe/x", &id).status == 200
+    });
+    fleet.daemons[0].signal("-STOP");
+    let headers =
+        [("Host", registered::HOST), (names::REQUEST_ID, "late"), (names::DEADLINE, "400")];
+    let reply = client::call(ingress.callers, "POST", "/unsafe/x", &headers, "x");
+    fleet.daemons[0].signal("-CONT");
+    assert_eq!(reply.status, 504, "{}", reply.text());
+    eventually("the host has read the request", || {
+        fleet.daemons[0].log_text().lines().any(|line| {
+            let is_handled = line.contains("\"work refused\"") || line.contains("\"work started\"");
+            is_handled && line.contains("\"late\"")
+        })
+    });
+    assert_eq!(fleet.run_count("late"), 0);
+}
