--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -31,13 +31,13 @@
 use bytes::BytesMut;
 use futures_util::{select_biased, FutureExt};
 
+use crate::health_checks;
 use crate::host::fault::AttemptFault;
 use crate::host::progress::AttemptProgress;
 use crate::host::relay::AnswerRelay;
 use crate::host::sending;
 use crate::host::upstream::{AttemptResult, HostUpstream};
 use crate::host::watch::AttemptWatch;
-use crate::registration;
 use crate::state::DaemonState;
 use crate::stop;
 use crate::suspects;
@@ -507,7 +507,7 @@
             Err(AttemptFault::Refused(refusal)) => {
                 self.log_ended(&progress, is_kept);
                 if refusal.is_from_another_server() {
-                    registration::check_listener(self.state, &self.upstream.name);
+                    health_checks::check_listener(self.state, &self.upstream.name);
                 }
                 Err(AttemptFault::Refused(refusal).outcome())
             }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod evacuations;
 pub mod feed;
 pub mod freshness;
+pub mod health_checks;
 pub mod host;
 pub mod ingress;
 pub mod limit_owners;
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -16,24 +16,16 @@
     IncarnationClaim, IncarnationTracker, IncarnationVerdict,
 };
 use basaltarch_events::servers;
-use basaltarch_http::client::{ClientReply, HttpClient};
 use basaltarch_platform::headers;
 use basaltarch_platform::registration::ServerHeartbeat;
-use bytes::Bytes;
 use fnv::FnvHashMap;
-use http::{HeaderMap, Method, StatusCode};
+use http::StatusCode;
 
+use crate::health_checks;
 use crate::records::{HostRecord, ServerRecord};
 use crate::roster;
 use crate::state::DaemonState;
 
-/// Timeout of a health check, which may wait for a slot of the server. A server whose check fails
-/// is soon registered by its next heartbeat.
-const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Minimum time between two checks of which server listens at the address of one server.
-const LISTENER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum size in bytes of the body of a reply to a health check, of which only the head is used.
-const HEALTH_REPLY_BYTES_MAX: u64 = 64 * 1024;
 /// Maximum number of backend servers whose incarnations are tracked. A host has few backend
 /// servers, so a client that reports more names than this is no backend server of the host.
 const TRACKERS_MAX: usize = 256;
@@ -73,8 +65,6 @@
     trackers: RefCell<FnvHashMap<String, IncarnationTracker>>,
     sequences: RefCell<FnvHashMap<String, u64>>,
     cold_until: RefCell<FnvHashMap<String, Duration>>,
-    /// Time of the last check of which server listens at the address of an upstream.
-    listener_checks: RefCell<FnvHashMap<String, Duration>>,
     /// Latest known record of an earlier incarnation of the daemon.
     recovered: RefCell<Option<HostRecord>>,
     /// Last heartbeat of each upstream that arrived before the servers of this host were admitted.
@@ -130,18 +120,6 @@
         }
         self.sequences.borrow_mut().remove(upstream);
         self.cold_until.borrow_mut().remove(upstream);
-        self.listener_checks.borrow_mut().remove(upstream);
-    }
-
-    /// Says whether the listener at the address of an upstream may be checked now, and records that
-    /// it is.
-    fn starts_listener_check(&self, upstream: &str, now: Duration) -> bool {
-        let mut checks = self.listener_checks.borrow_mut();
-        let is_due = checks.get(upstream).is_none_or(|last| now >= *last + LISTENER_CHECK_INTERVAL);
-        if is_due {
-            checks.insert(upstream.to_owned(), now);
-        }
-        is_due
     }
 
     /// Says whether the current incarnation of a server told its start in a heartbeat.
@@ -345,27 +323,6 @@
     roster::set_own_servers(state, servers);
 }
 
-/// Checks which server listens at the address of a backend server, after a response said that it is
-/// another one. A server is gone only if the listener answers the check under another name: a single
-/// response ends no server.
-pub fn check_listener(state: &Rc<DaemonState>, name: &str) {
-    let servers = state.roster.own_servers();
-    let Some(server) = servers.into_iter().find(|server| server.name == name) else { return };
-    if !state.registrations.starts_listener_check(name, state.now()) {
-        return;
-    }
-    let state = state.clone();
-    monoio::spawn(async move {
-        let Some(reply) = check_health(&state, &server).await else { return };
-        let asked = incarnation::server_of(&server.name);
-        let listener = headers::answering_server(&reply.headers);
-        servers::ListenerChecked { upstream: &server.name, listener: listener.unwrap_or("") }.log();
-        if listener.is_some_and(|listener| listener != asked) {
-            note_ended(&state, &server.name, GoneCause::Misdirected);
-        }
-    });
-}
-
 /// Recovers the backend servers that an earlier incarnation of this daemon published. Each server
 /// that still answers with its name is in use again before its next heartbeat.
 pub fn recover_servers(state: &Rc<DaemonState>, record: &HostRecord) {
@@ -410,7 +367,7 @@
 
 /// Says whether the server at the recorded address is healthy and answers with the recorded name.
 async fn answers_under_name(state: &Rc<DaemonState>, server: &ServerRecord) -> bool {
-    let Some(reply) = check_health(state, server).await else { return false };
+    let Some(reply) = health_checks::check_health(state, server).await else { return false };
     let name = incarnation::server_of(&server.name);
     let is_same = headers::answering_server(&reply.headers) == Some(name);
     if is_same {
@@ -419,31 +376,6 @@
     reply.status == StatusCode::OK && is_same
 }
 
-/// Checks the health of the server at the recorded address, on a connection of its own. Returns
-/// `None` if the server does not reply.
-async fn check_health(state: &Rc<DaemonState>, server: &ServerRecord) -> Option<ClientReply> {
-    let path = health_path(state, &server.service).await?;
-    let client = HttpClient::new(server.address, HEALTH_CHECK_TIMEOUT);
-    let client = client.reply_bytes_max(HEALTH_REPLY_BYTES_MAX);
-    let reply = client.call(Method::GET, &path, HeaderMap::new(), Bytes::new()).await;
-    if let Err(error) = &reply {
-        let error = &error.to_string();
-        servers::ServerSilent { upstream: &server.name, error }.log();
-    }
-    reply.ok()
-}
-
-/// Waits until a document is in force, and returns the path of a service's health check.
-async fn health_path(state: &Rc<DaemonState>, service: &str) -> Option<String> {
-    let mut seen = state.config.changed().get();
-    while state.document.get().is_none() {
-        seen = state.config.changed().above(seen).await;
-    }
-    let document = state.document.get()?;
-    let declaration = document.services.iter().find(|declaration| declaration.name == service)?;
-    Some(declaration.health_path.clone())
-}
-
 /// Registers a recovered backend server. A server is not registered if the server itself or its
 /// replacement is registered already, if the server has left, or if the latest recovered record
 /// does not list the server as in use.
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -27,6 +27,7 @@
 use crate::document::DocumentCell;
 use crate::evacuations::EvacuationRegistry;
 use crate::freshness::FreshnessTracker;
+use crate::health_checks::ListenerChecks;
 use crate::host::HostRole;
 use crate::ingress::load_probe::PendingProbes;
 use crate::ingress::trace::LogBudget;
@@ -68,6 +69,8 @@
     pub notices: Rc<NoticeTable>,
     /// The registrations of backend servers on this host.
     pub registrations: RegistrationTable,
+    /// When the listeners at the addresses of backend servers were last checked.
+    pub listener_checks: ListenerChecks,
     /// The backend servers of this host that are leaving or have left.
     pub departures: DepartureTable,
     /// Whether the backend servers of this host may be used yet.
@@ -137,6 +140,7 @@
             rows: RowsRelay::default(),
             notices: Rc::default(),
             registrations: RegistrationTable::default(),
+            listener_checks: ListenerChecks::default(),
             departures: DepartureTable::default(),
             admission: ServerAdmission::default(),
             fields: options.exchange_fields(),
