Give a restarted daemon no extra retries until a window has passed

Cause: each daemon holds its part of the retries that a fleet may make beyond a share of its requests, and counts them by itself; one that starts again forgot what its earlier incarnation had made and held its part anew.

Change: FleetExtra in decide; a daemon that isn't known to have started for the first time gets none until a window has passed.

--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -18,7 +18,7 @@
 use basaltarch_decide::balance::reservations::ReservationRequest;
 use basaltarch_decide::balance::{ChoiceRequest, LoadView, ServiceView, UpstreamChoice};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
-use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
+use basaltarch_decide::budget::{BudgetTerms, FleetExtra, RetryBudget};
 use basaltarch_decide::distance::ByteMean;
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::poison::{CountedFailures, PoisonTable, RequestHash};
@@ -28,6 +28,7 @@
 use basaltarch_peer::protocol::LoadReport;
 use fnv::FnvHashMap;
 
+use crate::limit_owners;
 use crate::notices::NoticeTable;
 use crate::state::DaemonState;
 use crate::wire::{self, HostLoad};
@@ -574,12 +575,19 @@
     let live = state.live();
     let defaults = &live.defaults;
     let share = entry.spec.retry_budget;
-    let daemons = state.roster.daemons().max(state.members.count()) as f64;
-    let extra = f64::from(defaults.retry_extra) / daemons;
+    let window = defaults.retry_window;
+    let start = limit_owners::start_facts(state);
+    let fleet_extra = FleetExtra {
+        retries: f64::from(defaults.retry_extra),
+        daemons: state.roster.daemons().max(state.members.count()),
+        age: start.age,
+        is_first_start: start.is_first_of_host(),
+    };
+    let extra = if share > 0.0 { fleet_extra.part(window) } else { 0.0 };
     BudgetTerms {
         share: share * RETRY_BUDGET_FRACTION,
-        extra: if share > 0.0 { extra * RETRY_BUDGET_FRACTION } else { 0.0 },
-        window: defaults.retry_window,
+        extra: extra * RETRY_BUDGET_FRACTION,
+        window,
     }
 }
 
--- a/crates/decide/src/budget.rs
+++ b/crates/decide/src/budget.rs
@@ -21,6 +21,32 @@
     pub window: Duration,
 }
 
+/// `FleetExtra` says how many retries beyond the share of requests the whole fleet may make, and what
+/// decides how many of them fall to one daemon.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetExtra {
+    /// Extra retries of the fleet in one window.
+    pub retries: f64,
+    /// Number of daemons.
+    pub daemons: usize,
+    /// Time since the daemon's start.
+    pub age: Duration,
+    /// Whether the daemon is known to have started for the first time.
+    pub is_first_start: bool,
+}
+
+impl FleetExtra {
+    /// Returns the extra retries of the daemon in a window of this length. An earlier incarnation of
+    /// the daemon may have used its part up just before its end, so a daemon that has started again
+    /// gets none until a window has passed.
+    pub fn part(&self, window: Duration) -> f64 {
+        if !self.is_first_start && self.age < window {
+            return 0.0;
+        }
+        self.retries / self.daemons.max(1) as f64
+    }
+}
+
 /// `BudgetSlot` counts one slot of the window.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct BudgetSlot {
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -9,7 +9,7 @@
 
 use basaltarch_decide::balance::{ChoiceGround, ChoiceRequest, LoadView, ServiceView};
 use basaltarch_decide::baseline::{RecentAnswers, RouteBaseline};
-use basaltarch_decide::budget::{BudgetTerms, RetryBudget};
+use basaltarch_decide::budget::{BudgetTerms, FleetExtra, RetryBudget};
 use basaltarch_decide::evidence::ServiceBaseline;
 use basaltarch_decide::health::HealthReport;
 use basaltarch_decide::limits::{self, LimitVerdict, LocalLimiter, TokenBucket};
@@ -325,6 +325,20 @@
     assert!(!empty_budget.take(Duration::ZERO));
 }
 
+// Guards against extra retries that a fleet makes twice within a window because its daemons restart.
+#[test_case(true, 0, 2.0 ; "first start")]
+#[test_case(false, 0, 0.0 ; "started again")]
+#[test_case(false, 9_999, 0.0 ; "within the window")]
+#[test_case(false, 10_000, 2.0 ; "after the window")]
+fn verify_a_daemon_that_starts_again_has_no_extra_retries_for_a_window(
+    is_first_start: bool,
+    age_ms: u64,
+    expected: f64,
+) {
+    let extra = FleetExtra { retries: 40.0, daemons: 20, age: millis(age_ms), is_first_start };
+    assert_eq!(extra.part(millis(10_000)), expected);
+}
+
 #[test]
 fn verify_a_split_gives_each_part_its_share_and_ingresses_start_at_different_points() {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
