Take no word about a server from a misdirected response without a name

ServerRefusal::of left out that a 421 of an unnamed server says nothing of the one that was asked, so its notice of leaving ended the latter's work for good. One method of the response now asks whether it speaks for the asked server.

--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -72,18 +72,32 @@
     is_first_response: bool,
 }
 
+impl AnswerStart {
+    /// Says whether the response can say anything of the server that was asked: it belongs to the
+    /// request, and no other server made it.
+    fn speaks_for_asked_server(&self) -> bool {
+        let is_misdirected = matches!(
+            self.verdict,
+            AnswerVerdict::Refused(refusal) if refusal.is_from_another_server()
+        );
+        self.binding == ResponseBinding::Bound
+            && self.server != AnsweringServer::Other
+            && !is_misdirected
+    }
+}
+
 type BackendReader =
     basaltarch_http::reader::ByteReader<monoio::io::OwnedReadHalf<monoio::net::TcpStream>>;
 
 impl AnswerRelay<'_> {
     /// Relays the response, and notes how far it has got on its connection.
     pub async fn run(self, reader: &mut BackendReader) -> Result<(), AttemptFault> {
-        let AnswerStart { mut head, framing, binding, server, verdict, is_first_response } =
-            self.read_start(reader).await?;
+        let start = self.read_start(reader).await?;
         self.progress.head_seen.set(true);
-        if binding == ResponseBinding::Bound && server != AnsweringServer::Other {
-            self.note_notices(&head, verdict);
+        if start.speaks_for_asked_server() {
+            self.note_notices(&start.head, start.verdict);
         }
+        let AnswerStart { mut head, framing, server, verdict, is_first_response, .. } = start;
         let exchange = &self.progress.exchange;
         exchange.note_response(MessageProgress::Partial);
         if fields::wants_close(head.version, &head.headers) || !is_first_response {
--- a/crates/daemon/tests/stray_refusals.rs
+++ b/crates/daemon/tests/stray_refusals.rs
@@ -202,6 +202,7 @@
 #[test_case("not-executed: 1\r\n" ; "with notice")]
 #[test_case("instance-id: i-9\r\n" ; "in the name of another server")]
 #[test_case("not-executed: 1\r\ninstance-id: i-9\r\n" ; "with notice in the name of another server")]
+#[test_case("not-executed: 1\r\nserver-leaving: 1\r\n" ; "with the leaving of an unnamed server")]
 fn verify_no_server_is_ended_by_a_single_response(lines: &'static str) {
     let stray_fleet = StrayFleet::start_with(move |exchange| match exchange.number {
         1..=3 => drop(exchange.answer_platform("421 Misdirected Request", lines, "")),
