Ask for an earlier start without a walk over all hosts' records

The budget's terms are built for each request and took all facts of the daemon's start, one of which looks at the record of every host. Two of them are needed, and they are at hand.

--- a/crates/daemon/src/limit_owners.rs
+++ b/crates/daemon/src/limit_owners.rs
@@ -189,8 +189,7 @@
     start_facts(state).fleet_start()
 }
 
-/// Returns what this daemon knows of its own start.
-pub fn start_facts(state: &DaemonState) -> StartFacts {
+fn start_facts(state: &DaemonState) -> StartFacts {
     let own_incarnation = state.identity.incarnation;
     let first_incarnation = state.roster.first_incarnation().unwrap_or(own_incarnation);
     let others_lead_ms = own_incarnation.saturating_sub(first_incarnation).max(0) as u64;
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -28,7 +28,6 @@
 use basaltarch_peer::protocol::LoadReport;
 use fnv::FnvHashMap;
 
-use crate::limit_owners;
 use crate::notices::NoticeTable;
 use crate::state::DaemonState;
 use crate::wire::{self, HostLoad};
@@ -576,12 +575,11 @@
     let defaults = &live.defaults;
     let share = entry.spec.retry_budget;
     let window = defaults.retry_window;
-    let start = limit_owners::start_facts(state);
     let fleet_extra = FleetExtra {
         retries: f64::from(defaults.retry_extra),
         daemons: state.roster.daemons().max(state.members.count()),
-        age: start.age,
-        is_first_start: start.is_first_of_host(),
+        age: state.now(),
+        is_first_start: state.rows.has_read_table() && !state.roster.had_earlier_start(),
     };
     let extra = if share > 0.0 { fleet_extra.part(window) } else { 0.0 };
     BudgetTerms {
--- a/crates/decide/src/fleet_start.rs
+++ b/crates/decide/src/fleet_start.rs
@@ -69,18 +69,12 @@
         }
     }
 
-    /// Says whether the daemon is known to have started for the first time, together with its fleet
-    /// or into a running one.
-    pub fn is_first_of_host(&self) -> bool {
-        self.has_read_table && !self.had_earlier_start
-    }
-
     fn is_first_start(&self) -> bool {
-        self.is_first_of_host() && !self.joined_fleet()
+        self.has_read_table && !self.had_earlier_start && !self.joined_fleet()
     }
 
     /// Says whether the other daemons ran long before this daemon started for the first time.
     fn joined_fleet(&self) -> bool {
-        self.is_first_of_host() && self.others_lead > START_WINDOW
+        self.has_read_table && !self.had_earlier_start && self.others_lead > START_WINDOW
     }
 }
