Keep what says where a response comes from together

Binding and answering server were found together, handed on side by side through four signatures, and the binding was found anew for the log. ResponseOrigin holds both. No logic changes.

--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -27,7 +27,9 @@
 use crate::host::fault::AttemptFault;
 use crate::host::notices;
 use crate::host::progress::AttemptProgress;
-use crate::host::verify::{self, AnswerVerdict, AnsweringServer, ResponseBinding, ServerRefusal};
+use crate::host::verify::{
+    self, AnswerVerdict, AnsweringServer, ResponseBinding, ResponseOrigin, ServerRefusal,
+};
 use crate::registration;
 use crate::wire;
 
@@ -65,8 +67,7 @@
 struct AnswerStart {
     head: response::Parts,
     framing: BodyFraming,
-    binding: ResponseBinding,
-    server: AnsweringServer,
+    origin: ResponseOrigin,
     verdict: AnswerVerdict,
     /// Whether no surplus response preceded this response on the connection.
     is_first_response: bool,
@@ -80,8 +81,8 @@
             self.verdict,
             AnswerVerdict::Refused(refusal) if refusal.is_from_another_server()
         );
-        self.binding == ResponseBinding::Bound
-            && self.server != AnsweringServer::Other
+        self.origin.binding == ResponseBinding::Bound
+            && self.origin.server != AnsweringServer::Other
             && !is_misdirected
     }
 }
@@ -97,7 +98,7 @@
         if start.speaks_for_asked_server() {
             self.note_notices(&start.head, start.verdict);
         }
-        let AnswerStart { mut head, framing, server, verdict, is_first_response, .. } = start;
+        let AnswerStart { mut head, framing, origin, verdict, is_first_response } = start;
         let exchange = &self.progress.exchange;
         exchange.note_response(MessageProgress::Partial);
         if fields::wants_close(head.version, &head.headers) || !is_first_response {
@@ -106,13 +107,13 @@
         self.progress.keep_alive.set(fields::keep_alive_timeout(&head.headers));
         match verdict {
             AnswerVerdict::Refused(refusal) => {
-                self.attempt.log_server_refused(&head, server, true, self.progress);
+                self.attempt.log_server_refused(&head, origin, true, self.progress);
                 return self.finish_refused(refusal, reader, framing).await;
             }
             AnswerVerdict::Invalid | AnswerVerdict::Surplus => {
                 if verify::resembles_refusal(&self.attempt.state.fields, &head) {
                     metrics::REFUSALS_NOT_BELIEVED.add_one();
-                    self.attempt.log_server_refused(&head, server, false, self.progress);
+                    self.attempt.log_server_refused(&head, origin, false, self.progress);
                 }
                 return Err(AttemptFault::BadAnswer);
             }
@@ -172,18 +173,15 @@
                 framing::of_response(&head, &method).map_err(|_| AttemptFault::BadAnswer)?;
             let field_names = &self.attempt.state.fields;
             let request = &self.attempt.head.field_lines;
-            let binding = ResponseBinding::of(field_names, request, &head);
             let asked = self.attempt.upstream.server_name();
-            let server = AnsweringServer::of(field_names, asked, &head);
-            let verdict = verify::classify(field_names, request, &head, binding, server);
+            let origin = ResponseOrigin::of(field_names, request, asked, &head);
+            let verdict = verify::classify(field_names, request, &head, origin);
             if verdict != AnswerVerdict::Surplus {
-                let start =
-                    AnswerStart { head, framing, binding, server, verdict, is_first_response };
-                return Ok(start);
+                return Ok(AnswerStart { head, framing, origin, verdict, is_first_response });
             }
             is_first_response = false;
             metrics::SURPLUS_ANSWERS.add_one();
-            self.attempt.log_surplus_response(head.status.as_u16(), binding);
+            self.attempt.log_surplus_response(head.status.as_u16(), origin.binding);
             self.discard_body(reader, framing).await?;
         }
         Err(AttemptFault::BadAnswer)
--- a/crates/daemon/src/host/trace.rs
+++ b/crates/daemon/src/host/trace.rs
@@ -22,7 +22,7 @@
 use crate::host::exchange::HostAttempt;
 use crate::host::fault::AttemptFault;
 use crate::host::progress::AttemptProgress;
-use crate::host::verify::{AnsweringServer, ResponseBinding};
+use crate::host::verify::{ResponseBinding, ResponseOrigin};
 use crate::state::DaemonState;
 use crate::wire;
 
@@ -147,7 +147,7 @@
     pub fn log_server_refused(
         &self,
         head: &response::Parts,
-        server: AnsweringServer,
+        origin: ResponseOrigin,
         believed: bool,
         progress: &AttemptProgress,
     ) {
@@ -155,10 +155,9 @@
             return;
         }
         let field_names = &self.state.fields;
-        let binding = ResponseBinding::of(field_names, &self.head.field_lines, head);
         let id = match &field_names.request {
             None => "unused",
-            Some(_) => binding.name(),
+            Some(_) => origin.binding.name(),
         };
         ServerRefused {
             request: &request_id(self.state, self.head),
@@ -167,7 +166,7 @@
             status: head.status.as_u16().into(),
             noticed: fields::has_notice(&head.headers, &field_names.shed),
             id,
-            server: server.name(),
+            server: origin.server.name(),
             believed,
             took_ms: millis(progress.elapsed()),
             sent: progress.exchange.request().name(),
--- a/crates/daemon/src/host/verify.rs
+++ b/crates/daemon/src/host/verify.rs
@@ -28,7 +28,7 @@
 
 impl ResponseBinding {
     /// Returns the binding of a response head to the request whose field lines are `request`.
-    pub fn of(fields: &ExchangeFields, request: &[u8], head: &response::Parts) -> Self {
+    fn of(fields: &ExchangeFields, request: &[u8], head: &response::Parts) -> Self {
         let Some(name) = &fields.request else { return Self::Bound };
         let expected = wire::field_value(request, name.as_str());
         let mut ids = head.headers.get_all(name).iter().peekable();
@@ -62,7 +62,7 @@
 
 impl AnsweringServer {
     /// Returns which server made a response, if the server of this name was asked.
-    pub fn of(fields: &ExchangeFields, asked: &str, head: &response::Parts) -> Self {
+    fn of(fields: &ExchangeFields, asked: &str, head: &response::Parts) -> Self {
         let Some(name) = &fields.answering_server else { return Self::Unnamed };
         let is_asked = |server: &HeaderValue| server.as_bytes() == asked.as_bytes();
         match head.headers.get(name) {
@@ -82,6 +82,31 @@
     }
 }
 
+/// `ResponseOrigin` says where a response comes from, by its head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseOrigin {
+    /// Request that the response belongs to.
+    pub binding: ResponseBinding,
+    /// Server that made the response.
+    pub server: AnsweringServer,
+}
+
+impl ResponseOrigin {
+    /// Returns the origin of a response head on the connection along which the request with the
+    /// field lines `request` was sent to the server of the name `asked`.
+    pub fn of(
+        fields: &ExchangeFields,
+        request: &[u8],
+        asked: &str,
+        head: &response::Parts,
+    ) -> Self {
+        Self {
+            binding: ResponseBinding::of(fields, request, head),
+            server: AnsweringServer::of(fields, asked, head),
+        }
+    }
+}
+
 /// `ServerRefusal` is the backend server's word that it did not run the request. Nothing else lets
 /// the host say "not run" of a request that it has sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,22 +115,17 @@
 }
 
 impl ServerRefusal {
-    /// Returns the refusal that a response with this binding states: it belongs to the request, and
+    /// Returns the refusal that a response of this origin states: it belongs to the request, and
     /// either it has a shed notice and a status that comes with the notice, or another server than
     /// the one that was asked says that the request was misdirected.
-    fn of(
-        fields: &ExchangeFields,
-        binding: ResponseBinding,
-        server: AnsweringServer,
-        head: &response::Parts,
-    ) -> Option<Self> {
-        if binding != ResponseBinding::Bound {
+    fn of(fields: &ExchangeFields, origin: ResponseOrigin, head: &response::Parts) -> Option<Self> {
+        if origin.binding != ResponseBinding::Bound {
             return None;
         }
         let is_noticed = fields::has_notice(&head.headers, &fields.shed);
         let is_misdirected =
             head.status == StatusCode::MISDIRECTED_REQUEST && fields.expected_server.is_some();
-        let reason = match server {
+        let reason = match origin.server {
             AnsweringServer::Other if is_misdirected => NotRunReason::UnknownUpstream,
             AnsweringServer::Unnamed if is_misdirected && is_noticed => {
                 NotRunReason::UnknownUpstream
@@ -140,19 +160,17 @@
     Invalid,
 }
 
-/// Classifies the head of a response with this binding, made by `server`, to the request whose field
-/// lines are `request`.
+/// Classifies the head of a response of this origin to the request whose field lines are `request`.
 pub fn classify(
     fields: &ExchangeFields,
     request: &[u8],
     head: &response::Parts,
-    binding: ResponseBinding,
-    server: AnsweringServer,
+    origin: ResponseOrigin,
 ) -> AnswerVerdict {
-    if let Some(refusal) = ServerRefusal::of(fields, binding, server, head) {
+    if let Some(refusal) = ServerRefusal::of(fields, origin, head) {
         return AnswerVerdict::Refused(refusal);
     }
-    match binding {
+    match origin.binding {
         ResponseBinding::Bound => classify_content(fields, request, head),
         ResponseBinding::Foreign => AnswerVerdict::Surplus,
         ResponseBinding::Unnamed => classify_unnamed(fields, request, head),
