Soak: overload, servers that restart at their address, reloads, held servers

Four kinds of faults are new: data held between a daemon and its server; servers that crash and start again at their address as new incarnations; SIGHUP; all servers slow while ten callers a daemon, in place of two, send requests that may run once.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,7 +4,7 @@
 //! Simulated callers of every daemon, which request the routes that the operator just changed and
 //! classify the responses.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -90,10 +90,34 @@
     pub plain_requests: Rc<PlainRequests>,
     /// Time at which the run began.
     pub began: Instant,
+    /// The crowd that the caller belongs to, if it sends requests only during an overload.
+    pub crowd: Option<Rc<CallerCrowd>>,
     /// Generator of the caller's random numbers.
     pub rng: ChaCha8Rng,
 }
 
+/// `CallerCrowd` says whether the callers of an overload send requests.
+#[derive(Debug, Default)]
+pub struct CallerCrowd {
+    overload_count: Cell<usize>,
+}
+
+impl CallerCrowd {
+    /// Lets the callers send requests; overloads may overlap.
+    pub fn raise(&self) {
+        self.overload_count.set(self.overload_count.get() + 1);
+    }
+
+    /// Records the end of an overload.
+    pub fn lower(&self) {
+        self.overload_count.set(self.overload_count.get().saturating_sub(1));
+    }
+
+    fn is_raised(&self) -> bool {
+        self.overload_count.get() > 0
+    }
+}
+
 /// Sends requests for ever, and passes the outcome of each request to `on_sample`.
 pub async fn run(
     mut plan: CallerPlan,
@@ -102,6 +126,10 @@
     let mut client: Option<(u64, HttpClient)> = None;
     let mut request_count = 0;
     loop {
+        if plan.crowd.as_ref().is_some_and(|crowd| !crowd.is_raised()) {
+            monoio::time::sleep(DAEMON_POLL_INTERVAL).await;
+            continue;
+        }
         let incarnation = plan.host.daemon_incarnation();
         let Some(address) = plan.host.caller_address() else {
             client = None;
@@ -114,7 +142,10 @@
         }
         request_count += 1;
         let id = format!("{}-{}-{request_count}", plan.host.name, plan.caller_index);
-        let route = choose_route(&mut plan);
+        let route = match &plan.crowd {
+            Some(_) => RequestedRoute::Plain,
+            None => choose_route(&mut plan),
+        };
         let sent_at = plan.began.elapsed();
         if let Some((_, client)) = &client {
             let reply = send_request(client, route, &id).await;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -14,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
 
+use crate::fleet::{SoakHost, CRASH_PATH};
 use crate::leavings;
 use crate::proxy::ProxyHold;
 use crate::run::SoakState;
@@ -45,12 +46,20 @@
     Forgotten,
     /// The backend servers of some hosts leave, and come back as new incarnations.
     Leaving,
+    /// Data between a daemon and its backend server is held back, in one direction or both.
+    HeldServers,
+    /// The backend servers of some hosts crash, and start again at their address as new incarnations.
+    Restarted,
+    /// Daemons are told with SIGHUP to reload their settings.
+    Reloaded,
+    /// All backend servers are slow, and more callers than slots send requests.
+    Overloaded,
     /// Spinning threads of the soak compete with the processes of the fleet for the processor.
     Starved,
 }
 
 /// Every kind of fault, with its name on the command line.
-pub const KINDS: [(FaultKind, &str); 13] = [
+pub const KINDS: [(FaultKind, &str); 17] = [
     (FaultKind::SilentStore, "silent-store"),
     (FaultKind::SilentHalf, "silent-half"),
     (FaultKind::SilentAll, "silent-all"),
@@ -63,6 +72,10 @@
     (FaultKind::StoreSlow, "store-slow"),
     (FaultKind::Forgotten, "forgotten"),
     (FaultKind::Leaving, "leaving"),
+    (FaultKind::HeldServers, "held-servers"),
+    (FaultKind::Restarted, "restarted"),
+    (FaultKind::Reloaded, "reloaded"),
+    (FaultKind::Overloaded, "overloaded"),
     (FaultKind::Starved, "starved"),
 ];
 
@@ -71,6 +84,10 @@
 const FAULT_PAUSE_MS: std::ops::RangeInclusive<u64> = 500..=7000;
 /// Shortest and longest duration of a fault, in milliseconds.
 const FAULT_LENGTH_MS: std::ops::RangeInclusive<u64> = 300..=6000;
+/// Longest time for which a backend server that crashed is down.
+const SERVER_DOWN_MAX: Duration = Duration::from_secs(2);
+/// Factor by which service times grow while the fleet is overloaded.
+const OVERLOAD_FACTOR: f64 = 40.0;
 /// Number of threads that spin in order to starve the processes of the fleet.
 const BUSY_THREADS: usize = 4;
 
@@ -107,8 +124,12 @@
 fn draw_plan(kind: FaultKind, fleet_size: usize, rng: &mut ChaCha8Rng) -> FaultPlan {
     let host_count = match kind {
         FaultKind::SilentHalf | FaultKind::SilentAll => fleet_size,
-        FaultKind::SilentStore => (fleet_size / 3).max(1),
-        FaultKind::HeldStore | FaultKind::HeldPeers | FaultKind::Leaving => (fleet_size / 6).max(1),
+        FaultKind::SilentStore | FaultKind::Reloaded => (fleet_size / 3).max(1),
+        FaultKind::HeldStore
+        | FaultKind::HeldPeers
+        | FaultKind::HeldServers
+        | FaultKind::Restarted
+        | FaultKind::Leaving => (fleet_size / 6).max(1),
         FaultKind::Paused | FaultKind::Killed | FaultKind::Stopped => (fleet_size / 12).max(1),
         _ => 0,
     };
@@ -142,12 +163,17 @@
         FaultKind::SilentStore => black_hole(state, plan, 1.0, false),
         FaultKind::SilentHalf => black_hole(state, plan, 0.5, true),
         FaultKind::SilentAll => black_hole(state, plan, 1.0, true),
-        FaultKind::HeldStore | FaultKind::HeldPeers => hold_connections(state, plan).await,
+        FaultKind::HeldStore | FaultKind::HeldPeers | FaultKind::HeldServers => {
+            hold_connections(state, plan).await;
+        }
         FaultKind::Paused => pause_daemons(state, plan).await,
         FaultKind::Killed | FaultKind::Stopped => restart_daemons(state, plan).await,
         FaultKind::StoreOut | FaultKind::StoreSlow => disturb_store(state, plan).await,
         FaultKind::Forgotten => forget_history(state, plan).await,
         FaultKind::Leaving => leave(state, plan),
+        FaultKind::Restarted => restart_servers(state, plan),
+        FaultKind::Reloaded => signal_daemons(state, plan, Signal::SIGHUP),
+        FaultKind::Overloaded => overload(state, plan).await,
         FaultKind::Starved => starve_processes(state, plan).await,
     }
 }
@@ -177,6 +203,7 @@
 
 async fn hold_connections(state: &SoakState, plan: &FaultPlan) {
     let is_store = plan.kind == FaultKind::HeldStore;
+    let is_server = plan.kind == FaultKind::HeldServers;
     // If data on the links of a host is held back, every peer at the other end of a link is
     // affected.
     let affected = if is_store { plan.hosts.clone() } else { state.all_hosts() };
@@ -184,7 +211,11 @@
     let set_hold = |hold| {
         for host_index in &plan.hosts {
             let host = &state.fleet.hosts[*host_index];
-            let proxy = if is_store { &host.store_proxy } else { &host.peer_proxy };
+            let proxy = match plan.kind {
+                _ if is_store => &host.store_proxy,
+                _ if is_server => &host.server_proxy,
+                _ => &host.peer_proxy,
+            };
             proxy.hold(hold);
         }
     };
@@ -196,13 +227,60 @@
 
 async fn pause_daemons(state: &SoakState, plan: &FaultPlan) {
     let handle = state.begin_fault(&plan.hosts, false);
-    let signal = |signal| {
-        let hosts = plan.hosts.iter().map(|host_index| &state.fleet.hosts[*host_index]);
-        hosts.for_each(|host| host.with_daemon(|daemon| daemon.signal(signal)));
-    };
-    signal(Signal::SIGSTOP);
+    signal_daemons(state, plan, Signal::SIGSTOP);
     monoio::time::sleep(plan.length).await;
-    signal(Signal::SIGCONT);
+    signal_daemons(state, plan, Signal::SIGCONT);
+    state.end_fault(&handle);
+}
+
+fn signal_daemons(state: &SoakState, plan: &FaultPlan, signal: Signal) {
+    let hosts = plan.hosts.iter().map(|host_index| &state.fleet.hosts[*host_index]);
+    hosts.for_each(|host| host.with_daemon(|daemon| daemon.signal(signal)));
+}
+
+fn restart_servers(state: &Rc<SoakState>, plan: &FaultPlan) {
+    let down_time = plan.length.min(SERVER_DOWN_MAX);
+    for host_index in &plan.hosts {
+        monoio::spawn(restart_server(state.clone(), *host_index, down_time));
+    }
+}
+
+/// Lets the backend server of a host crash, and start again at its address as a new incarnation,
+/// unless it is leaving.
+async fn restart_server(state: Rc<SoakState>, host_index: usize, down_time: Duration) {
+    let host = state.fleet.hosts[host_index].clone();
+    if !host.begin_leaving() {
+        return;
+    }
+    let down_ms = down_time.as_millis() as u64;
+    apply_server_faults(&state, &host, &json!({"crash_path": CRASH_PATH, "down_ms": down_ms}))
+        .await;
+    host.crash_server().await;
+    monoio::time::sleep(down_time).await;
+    host.start_server_again();
+    apply_server_faults(&state, &host, &json!({})).await;
+}
+
+/// Sets the faults of a backend server. A server that is down keeps its faults.
+async fn apply_server_faults(state: &SoakState, host: &SoakHost, faults: &Value) {
+    if let Err(error) = host.set_server_faults(faults).await {
+        state.print_event(&format!("{}: {error}", host.name));
+    }
+}
+
+/// Makes all backend servers slow while more callers than slots send requests.
+async fn overload(state: &SoakState, plan: &FaultPlan) {
+    let handle = state.begin_fault(&state.all_hosts(), false);
+    let faults = json!({"slow_rate": 1.0, "slow_factor": OVERLOAD_FACTOR});
+    for host in &state.fleet.hosts {
+        apply_server_faults(state, host, &faults).await;
+    }
+    state.crowd.raise();
+    monoio::time::sleep(plan.length).await;
+    state.crowd.lower();
+    for host in &state.fleet.hosts {
+        apply_server_faults(state, host, &json!({})).await;
+    }
     state.end_fault(&handle);
 }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -14,6 +14,7 @@
 use basaltarch_http::client::HttpClient;
 use basaltarch_platform::registration::{self, ServerHeartbeat};
 use basaltarch_platform::rows::StoreCall;
+use basaltarch_standin::backend::FAULTS_PATH as BACKEND_FAULTS_PATH;
 use basaltarch_standin::platform::FAULTS_PATH;
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
@@ -47,6 +48,9 @@
 /// platform.
 const KILL_AFTER_MS: &str = "6000";
 
+/// Path of the request that crashes a backend server.
+pub const CRASH_PATH: &str = "/crash";
+
 /// Returns the index in [`SERVICES`] of the service of a host's backend server.
 pub fn service_index_of(host: usize) -> usize {
     usize::from(host % SECOND_SERVICE_EVERY == SECOND_SERVICE_EVERY - 1)
@@ -76,6 +80,8 @@
     pub store_proxy: FaultProxy,
     /// Proxy through which peers connect to the host's daemon.
     pub peer_proxy: FaultProxy,
+    /// Proxy between the host's daemon and its backend server.
+    pub server_proxy: FaultProxy,
     domain: &'static str,
     upstream: String,
     daemon: RefCell<Rc<SoakProcess>>,
@@ -133,7 +139,7 @@
         registration::heartbeat(&ServerHeartbeat {
             incarnation: self.server_incarnation(),
             service: SERVICES[self.service_index].to_owned(),
-            address: self.backend_address,
+            address: self.server_proxy.address,
             failure_domain: self.domain.to_owned(),
             slots: SERVER_SLOTS,
             draining,
@@ -151,6 +157,18 @@
         calling.await.ok().map(|reply| reply.status)
     }
 
+    /// Sets the faults of the backend server.
+    pub async fn set_server_faults(&self, faults: &Value) -> Result<(), SoakError> {
+        let what = "setting faults of a backend server";
+        put_faults(self.backend_address, BACKEND_FAULTS_PATH, faults, what).await
+    }
+
+    /// Makes the backend server crash, by a request to it that is never answered.
+    pub async fn crash_server(&self) {
+        let client = HttpClient::new(self.backend_address, CALL_TIMEOUT);
+        let _ = client.call(Method::GET, CRASH_PATH, HeaderMap::new(), Bytes::new()).await;
+    }
+
     /// Calls `read` with the daemon's process.
     pub fn with_daemon<T>(&self, read: impl FnOnce(&SoakProcess) -> T) -> T {
         read(&self.daemon.borrow())
@@ -208,6 +226,8 @@
         call.arguments.push("--prepared".to_owned());
         let backend = SoakProcess::start(&call, &upstream, folder)?;
         let backend_address = process::read_address(&backend.wait_listening().await?, "address")?;
+        let server_proxy = FaultProxy::start().context(ListenSnafu)?;
+        server_proxy.forward_to(backend_address);
         let domain = FAILURE_DOMAINS[host_index % FAILURE_DOMAINS.len()];
         let service_index = service_index_of(host_index);
         let call = self.build_daemon_call(&name, domain, service_index, &store_proxy, &peer_proxy);
@@ -217,6 +237,7 @@
             service_index,
             store_proxy,
             peer_proxy,
+            server_proxy,
             domain,
             upstream,
             daemon,
@@ -269,15 +290,7 @@
 
     /// Sets the faults of the store.
     pub async fn set_store_faults(&self, faults: &Value) -> Result<(), SoakError> {
-        let client = HttpClient::new(self.store_address, CALL_TIMEOUT);
-        let body = Bytes::from(faults.to_string());
-        let what = "setting faults of the store";
-        let call = client.call(Method::PUT, FAULTS_PATH, HeaderMap::new(), body);
-        let reply = call.await.context(CallSnafu { what })?;
-        if !reply.status.is_success() {
-            return Err(SoakError::Refused { what, status: reply.status.as_u16() });
-        }
-        Ok(())
+        put_faults(self.store_address, FAULTS_PATH, faults, "setting faults of the store").await
     }
 
     fn build_daemon_call(
@@ -323,6 +336,23 @@
     }
 }
 
+/// Sets the faults of the simulated program at an address.
+async fn put_faults(
+    address: SocketAddr,
+    path: &str,
+    faults: &Value,
+    what: &'static str,
+) -> Result<(), SoakError> {
+    let client = HttpClient::new(address, CALL_TIMEOUT);
+    let body = Bytes::from(faults.to_string());
+    let call = client.call(Method::PUT, path, HeaderMap::new(), body);
+    let reply = call.await.context(CallSnafu { what })?;
+    if !reply.status.is_success() {
+        return Err(SoakError::Refused { what, status: reply.status.as_u16() });
+    }
+    Ok(())
+}
+
 fn build_standin_call(options: &FleetOptions, arguments: &[&str]) -> ProgramCall {
     ProgramCall {
         program: options.programs.join("basaltarch-standin"),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,12 +4,13 @@
 //! Runs a fleet with an operator, callers and injected faults, and collects the findings.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
-use basaltarch_http::client::HttpClient;
+use basaltarch_http::client::{ClientReply, HttpClient};
 use basaltarch_standin::backend::{BackendRuns, RUNS_PATH};
 use bytes::Bytes;
 use fnv::FnvHashMap;
@@ -19,7 +20,7 @@
 use serde_json::Value;
 use snafu::ResultExt;
 
-use crate::callers::{self, AnswerViolation, CallerPlan, PlainRequests};
+use crate::callers::{self, AnswerViolation, CallerCrowd, CallerPlan, PlainRequests};
 use crate::checker::{
     CallerSample, ConfigChecker, FaultHandle, FaultHistory, GuaranteeViolation, SeenAnswer,
     StepTimes, IN_FORCE_DELAY_MAX,
@@ -33,12 +34,16 @@
 
 /// Number of callers of each daemon.
 const CALLERS_PER_DAEMON: usize = 2;
+/// Number of further callers of each daemon that send requests during an overload.
+const CROWD_PER_DAEMON: usize = 8;
 /// Shortest and longest pause between two documents, in milliseconds.
 const DOCUMENT_PAUSE_MS: std::ops::RangeInclusive<u64> = 700..=2500;
 /// Pause between the start of the fleet's processes and the beginning of load and faults.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 /// Time-out of a call for the run counters of a backend server.
 const RUNS_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause before a server that is down is asked for its counters again.
+const RUNS_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Number of findings that the report holds as texts.
 const FINDING_TEXTS_MAX: usize = 40;
 
@@ -69,6 +74,8 @@
     began: Instant,
     /// Time of day at which the run began.
     began_time_of_day: Duration,
+    /// Callers that send requests during an overload.
+    pub crowd: Rc<CallerCrowd>,
     fault_history: RefCell<FaultHistory>,
     checker: RefCell<ConfigChecker>,
     report: RefCell<RunReport>,
@@ -234,6 +241,7 @@
         operator,
         began,
         began_time_of_day,
+        crowd: Rc::default(),
         fault_history: RefCell::new(FaultHistory::new(hosts)),
         checker: RefCell::new(ConfigChecker::new(hosts)),
         report: RefCell::new(RunReport { seed, ..RunReport::default() }),
@@ -284,8 +292,11 @@
 
 fn start_callers(state: &Rc<SoakState>, plain_requests: &Rc<PlainRequests>, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 3);
+    let mut crowd_rng = ChaCha8Rng::seed_from_u64(seed ^ 4);
     for (host_index, host) in state.fleet.hosts.iter().enumerate() {
-        for caller_index in 0..CALLERS_PER_DAEMON {
+        for caller_index in 0..CALLERS_PER_DAEMON + CROWD_PER_DAEMON {
+            let is_in_crowd = caller_index >= CALLERS_PER_DAEMON;
+            let caller_seed = if is_in_crowd { crowd_rng.random() } else { rng.random() };
             let plan = CallerPlan {
                 host_index,
                 host: host.clone(),
@@ -293,7 +304,8 @@
                 operator: state.operator.clone(),
                 plain_requests: plain_requests.clone(),
                 began: state.began,
-                rng: ChaCha8Rng::seed_from_u64(rng.random()),
+                crowd: is_in_crowd.then(|| state.crowd.clone()),
+                rng: ChaCha8Rng::seed_from_u64(caller_seed),
             };
             let state = state.clone();
             let on_sample =
@@ -323,14 +335,24 @@
     other_bodies: Vec<String>,
 }
 
+/// Reads the counters of a backend server, which may be down for a moment.
+async fn fetch_counters(address: SocketAddr) -> Result<ClientReply, SoakError> {
+    let client = HttpClient::new(address, RUNS_TIMEOUT);
+    let asking_since = Instant::now();
+    loop {
+        let reply = client.call(Method::GET, RUNS_PATH, HeaderMap::new(), Bytes::new()).await;
+        if reply.is_ok() || asking_since.elapsed() > RUNS_TIMEOUT {
+            let what = "reading the run counters of a backend server";
+            return reply.context(CallSnafu { what });
+        }
+        monoio::time::sleep(RUNS_RETRY_PAUSE).await;
+    }
+}
+
 async fn fetch_runs(state: &SoakState) -> Result<FleetRuns, SoakError> {
     let mut fleet_runs = FleetRuns::default();
     for host in &state.fleet.hosts {
-        let client = HttpClient::new(host.backend_address(), RUNS_TIMEOUT);
-        let call = client.call(Method::GET, RUNS_PATH, HeaderMap::new(), Bytes::new());
-        let reply = call
-            .await
-            .context(CallSnafu { what: "reading the run counters of a backend server" })?;
+        let reply = fetch_counters(host.backend_address()).await?;
         let runs: BackendRuns = serde_json::from_slice(&reply.body).unwrap_or_default();
         for (id, count) in runs.by_id {
             *fleet_runs.counts.entry(id).or_default() += count;
