--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -64,17 +64,19 @@
 pub struct Fleet {
     pub daemons: Vec<Daemon>,
     pub upstreams: Vec<Upstream>,
-    _store: Store,
+    store: Store,
     pub runs: Runs,
     pub record: Record,
-    _folder: Folder,
+    folder: Folder,
 }
 
 impl Fleet {
     /// Starts a daemon beside an upstream of each of these specifications.
     pub fn start(record: &Record, document: &str, specs: Vec<Spec>) -> io::Result<Self> {
         let folder = Folder::create()?;
-        let store = Store::start(&folder.0)?;
+        let each = Daemon::ADDRESSES + 1;
+        let addresses = fleet::free_addresses(1 + specs.len() * each)?;
+        let store = Store::start(addresses[0], &folder.0)?;
         store.put_config(document)?;
         record.note("the store acknowledges the first configuration");
         let runs = Runs::new(record);
@@ -82,12 +84,12 @@
         for (index, spec) in specs.iter().enumerate() {
             let name = format!("sidecar-{index}");
             let machine = Machine { name: &name, zone: &spec.zone, service: &spec.service };
-            daemons.push(Daemon::start(&machine, store.address, &folder.0)?);
+            let own = &addresses[1 + index * each..][..Daemon::ADDRESSES];
+            daemons.push(Daemon::start(&machine, own, store.address, &folder.0)?);
         }
-        let addresses = fleet::free_addresses(specs.len())?;
         let mut upstreams = Vec::new();
-        for ((spec, address), daemon) in specs.into_iter().zip(addresses).zip(&daemons) {
-            let upstream = Upstream::start(spec, address, &runs)?;
+        for (index, (spec, daemon)) in specs.into_iter().zip(&daemons).enumerate() {
+            let upstream = Upstream::start(spec, addresses[(index + 1) * each], &runs)?;
             upstream.send_heartbeats(daemon.control, Duration::ZERO);
             upstreams.push(upstream);
         }
@@ -95,14 +97,17 @@
             daemon.await_ready()?;
         }
         record.note("all daemons are ready");
-        Ok(Self {
-            daemons,
-            upstreams,
-            _store: store,
-            runs,
-            record: record.clone(),
-            _folder: folder,
-        })
+        Ok(Self { daemons, upstreams, store, runs, record: record.clone(), folder })
+    }
+
+    /// Starts the daemon of another machine in place of the daemon with this index, whose process has
+    /// ended, at its addresses.
+    pub fn replace_daemon(&mut self, index: usize, machine: &Machine) -> io::Result<()> {
+        let addresses = self.daemons[index].addresses.clone();
+        self.record.note(format!("machine {} starts at the addresses of {index}", machine.name));
+        let daemon = Daemon::start(machine, &addresses, self.store.address, &self.folder.0)?;
+        self.daemons[index] = daemon;
+        Ok(())
     }
 
     /// Waits until a request to each daemon is served.
--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -94,7 +94,7 @@
     Ipv4Addr::new(127, 77, (id / 250 % 250 + 1) as u8, (id % 250 + 1) as u8)
 }
 
-/// Reserves free ports: the listeners are closed together, so that the ports differ.
+/// Finds free ports: the listeners are closed together, so that the ports differ.
 pub fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
     let listeners: Vec<TcpListener> =
         (0..count).map(|_| TcpListener::bind((loopback(), 0))).collect::<io::Result<_>>()?;
@@ -108,8 +108,7 @@
 }
 
 impl Store {
-    pub fn start(folder: &Path) -> io::Result<Self> {
-        let address = free_addresses(1)?[0];
+    pub fn start(address: SocketAddr, folder: &Path) -> io::Result<Self> {
         let mut command = Command::new("target/release/basaltarch-standin");
         command.args(["platform", "--listen", &address.to_string()]).env_clear();
         let process = Process::start(&mut command, "store", folder)?;
@@ -140,6 +139,7 @@
 /// A daemon and its addresses.
 pub struct Daemon {
     pub process: Process,
+    pub addresses: Vec<SocketAddr>,
     pub callers: SocketAddr,
     pub control: SocketAddr,
     ready: SocketAddr,
@@ -201,15 +201,28 @@
 }
 
 impl Daemon {
-    /// Starts a daemon with the command of the deploy file.
-    pub fn start(machine: &Machine, store: SocketAddr, folder: &Path) -> io::Result<Self> {
-        let addresses = free_addresses(5)?;
+    /// Number of addresses at which a daemon listens.
+    pub const ADDRESSES: usize = 5;
+
+    /// Starts a daemon with the command of the deploy file, at [`Self::ADDRESSES`] addresses.
+    pub fn start(
+        machine: &Machine,
+        addresses: &[SocketAddr],
+        store: SocketAddr,
+        folder: &Path,
+    ) -> io::Result<Self> {
         let path = folder.join(format!("{}.conf", machine.name));
-        fs::write(&path, settings(machine, &addresses, store)?)?;
+        fs::write(&path, settings(machine, addresses, store)?)?;
         let mut command = Command::new("target/release/basaltarchd");
         command.env_clear().env("BASALTARCH_CONFIG", &path);
         let process = Process::start(&mut command, machine.name, folder)?;
-        Ok(Self { process, callers: addresses[0], ready: addresses[2], control: addresses[3] })
+        Ok(Self {
+            process,
+            addresses: addresses.to_vec(),
+            callers: addresses[0],
+            ready: addresses[2],
+            control: addresses[3],
+        })
     }
 
     fn is_ready(&self) -> bool {
@@ -221,7 +234,9 @@
         let until = Instant::now() + START_TIME_MAX;
         while !self.is_ready() {
             if Instant::now() > until {
-                let message = format!("{} is not ready", self.process.name);
+                let log = fs::read_to_string(&self.process.log).unwrap_or_default();
+                let last = log.lines().last().unwrap_or("no line in its log");
+                let message = format!("{} is not ready: {last}", self.process.name);
                 return Err(io::Error::other(message));
             }
             thread::sleep(Duration::from_millis(50));
--- a/review/harness-2/src/upstream.rs
+++ b/review/harness-2/src/upstream.rs
@@ -62,6 +62,8 @@
     pub upstream: String,
     pub request: String,
     pub kind: RunKind,
+    /// Service of the machine where the request began, as the request says.
+    pub caller: Option<String>,
 }
 
 /// The runs of all upstreams of a case.
@@ -77,10 +79,19 @@
     }
 
     fn note(&self, upstream: &str, request: &str, kind: RunKind) {
+        self.note_from(upstream, request, kind, None);
+    }
+
+    fn note_from(&self, upstream: &str, request: &str, kind: RunKind, caller: Option<&str>) {
         let at = self.record.now();
         self.record.note_at(at, format!("upstream {upstream} request {request} {kind:?}"));
-        let event =
-            RunEvent { at, upstream: upstream.to_owned(), request: request.to_owned(), kind };
+        let event = RunEvent {
+            at,
+            upstream: upstream.to_owned(),
+            request: request.to_owned(),
+            kind,
+            caller: caller.map(str::to_owned),
+        };
         if let Ok(mut events) = self.events.lock() {
             events.push(event);
         }
@@ -115,6 +126,8 @@
     /// Of how many requests the answer of one is lost; 0 for none.
     lost_of: AtomicU64,
     run_count: AtomicU64,
+    /// How late the heartbeats of a draining upstream arrive, in ms; 0 if it is not draining.
+    draining_delay: AtomicU64,
 }
 
 /// One incarnation of an upstream.
@@ -139,6 +152,7 @@
             streams: Mutex::default(),
             lost_of: AtomicU64::new(0),
             run_count: AtomicU64::new(0),
+            draining_delay: AtomicU64::new(0),
         });
         let accepting = shared.clone();
         thread::spawn(move || accept(&accepting, &listener));
@@ -151,13 +165,13 @@
     }
 
     /// Builds the next heartbeat.
-    fn heartbeat(&self) -> (String, String) {
+    fn heartbeat(&self, state: &str) -> (String, String) {
         let Spec { id, service, zone, slots, .. } = &self.shared.spec;
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let target = format!("/basaltarch/rpc?call=instances.heartbeat&of={id}");
         let body = format!(
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\
-             \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"coldRemainingS\":0,\
+             \"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"coldRemainingS\":0,\
              \"sequence\":{sequence}}}",
             self.address
         );
@@ -172,7 +186,12 @@
             Self { shared: shared.clone(), address: self.address, sequence: self.sequence.clone() };
         thread::spawn(move || {
             while !shared.is_down.load(Ordering::SeqCst) {
-                let (target, body) = heartbeats.heartbeat();
+                let draining_delay =
+                    Duration::from_millis(shared.draining_delay.load(Ordering::SeqCst));
+                let is_draining = !draining_delay.is_zero();
+                let delay = if is_draining { draining_delay } else { delay };
+                let (target, body) =
+                    heartbeats.heartbeat(if is_draining { "draining" } else { "ready" });
                 let (record, id) = (shared.runs.record.clone(), shared.spec.id.clone());
                 record.note(format!("upstream {id} sends a heartbeat"));
                 let deliver = move || deliver(&record, &id, control, &target, &body);
@@ -189,6 +208,13 @@
         });
     }
 
+    /// Begins to drain: the heartbeats say so from now on, and arrive after `delay`, whatever becomes
+    /// of the upstream.
+    pub fn drain(&self, delay: Duration) {
+        self.shared.runs.record.note(format!("upstream {} drains", self.shared.spec.id));
+        self.shared.draining_delay.store(delay.as_millis() as u64, Ordering::SeqCst);
+    }
+
     /// Ends the incarnation without a word, as a crash does.
     pub fn crash(&self) {
         self.shared.runs.record.note(format!("upstream {} crashes", self.shared.spec.id));
@@ -251,7 +277,9 @@
         if head.target() == "/health" {
             thread::sleep(HEALTH_TIME);
             let fields = format!("Instance-Id: {}\r\nContent-Length: 0\r\n", shared.spec.id);
-            write(&mut reader.stream, "200 OK", &fields, b"")?;
+            let is_draining = shared.draining_delay.load(Ordering::SeqCst) > 0;
+            let status = if is_draining { "503 Service Unavailable" } else { "200 OK" };
+            write(&mut reader.stream, status, &fields, b"")?;
             continue;
         }
         if !answer(shared, &mut reader.stream, &head)? {
@@ -363,7 +391,7 @@
     deadline: Instant,
 ) -> io::Result<bool> {
     let (runs, id) = (&shared.runs, shared.spec.id.as_str());
-    runs.note(id, request, RunKind::Began);
+    runs.note_from(id, request, RunKind::Began, head.field("caller-service"));
     let began = Instant::now();
     let until = began + shared.spec.work;
     let common = format!("Request-Id: {request}\r\nServer-Stamp: {id}.{request}\r\n");
