--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -110,6 +110,11 @@
         Ok(())
     }
 
+    /// Returns the store.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
     /// Waits until a request to each daemon is served.
     pub fn await_served(&self, target: &str) -> io::Result<()> {
         let until = Instant::now() + SERVED_TIME_MAX;
--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -136,6 +136,29 @@
     }
 }
 
+impl Store {
+    fn act(&self, method: &str, path: &str) -> io::Result<()> {
+        self.control(method, path, b"").map(drop)
+    }
+
+    /// Takes the copy from which [`Self::restore_copy`] restores the rows.
+    pub fn take_copy(&self) -> io::Result<()> {
+        self.act("PUT", "/control/copy")
+    }
+
+    /// Restores the rows from the copy; the next era begins.
+    pub fn restore_copy(&self) -> io::Result<()> {
+        self.act("DELETE", "/control/copy")
+    }
+
+    /// Returns the row of a host as the store answers it.
+    pub fn row(&self, host: &str) -> io::Result<String> {
+        let target = format!("/basaltarch/rows-get?table=hosts&part=&from={host}&limit=1");
+        let body = http::body_of(self.address, &target, CALL_TIME_MAX)?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+}
+
 /// A daemon and its addresses.
 pub struct Daemon {
     pub process: Process,
--- a/review/harness-2/src/http.rs
+++ b/review/harness-2/src/http.rs
@@ -190,3 +190,13 @@
     reader.read_body(&head, true)?;
     Ok(head)
 }
+
+/// Reads the body of an answer to a GET request.
+pub fn body_of(address: SocketAddr, target: &str, limit: Duration) -> io::Result<Vec<u8>> {
+    let mut stream = connect(address, limit)?;
+    stream.set_read_timeout(Some(limit))?;
+    send(&mut stream, "GET", target, &[("Host", "store"), ("Connection", "close")], b"")?;
+    let mut reader = MessageReader::new(stream);
+    let head = reader.read_head()?;
+    reader.read_body(&head, true)
+}
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -9,6 +9,7 @@
 mod late_heartbeat;
 mod left;
 mod record;
+mod restored;
 mod reused_address;
 mod twice;
 mod upstream;
@@ -33,6 +34,7 @@
         "frozen" => frozen::run(&record, with_trouble),
         "late-heartbeat" => late_heartbeat::run(&record, with_trouble),
         "reused-address" => reused_address::run(&record, with_trouble),
+        "restored" => restored::run(&record, with_trouble),
         "left" => left::run(&record, with_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/harness-2/src/upstream.rs
+++ b/review/harness-2/src/upstream.rs
@@ -122,6 +122,8 @@
     slots: Mutex<Slots>,
     freed: Condvar,
     is_down: AtomicBool,
+    /// Whether the upstream has deregistered: it sends no heartbeat, and its health check fails.
+    is_leaving: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
     /// Of how many requests the answer of one is lost; 0 for none.
     lost_of: AtomicU64,
@@ -149,6 +151,7 @@
             slots: Mutex::new(Slots { running: 0, waiting: 0 }),
             freed: Condvar::new(),
             is_down: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
             streams: Mutex::default(),
             lost_of: AtomicU64::new(0),
             run_count: AtomicU64::new(0),
@@ -185,7 +188,10 @@
         let heartbeats =
             Self { shared: shared.clone(), address: self.address, sequence: self.sequence.clone() };
         thread::spawn(move || {
-            while !shared.is_down.load(Ordering::SeqCst) {
+            let is_over = || {
+                shared.is_down.load(Ordering::SeqCst) || shared.is_leaving.load(Ordering::SeqCst)
+            };
+            while !is_over() {
                 let draining_delay =
                     Duration::from_millis(shared.draining_delay.load(Ordering::SeqCst));
                 let is_draining = !draining_delay.is_zero();
@@ -215,6 +221,26 @@
         self.shared.draining_delay.store(delay.as_millis() as u64, Ordering::SeqCst);
     }
 
+    /// Sends one more heartbeat that says ready, which arrives after `delay`.
+    pub fn send_late_heartbeat(&self, control: SocketAddr, delay: Duration) {
+        let (target, body) = self.heartbeat("ready");
+        let (record, id) = (self.shared.runs.record.clone(), self.shared.spec.id.clone());
+        record.note(format!("upstream {id} sends a heartbeat, which is held up"));
+        thread::spawn(move || {
+            thread::sleep(delay);
+            deliver(&record, &id, control, &target, &body);
+        });
+    }
+
+    /// Deregisters the upstream, which serves on, and returns the status of the answer.
+    pub fn deregister(&self, control: SocketAddr) -> io::Result<u16> {
+        self.shared.is_leaving.store(true, Ordering::SeqCst);
+        let id = &self.shared.spec.id;
+        let target = format!("/basaltarch/rpc?call=instances.deregister&of={id}");
+        let head = http::call(control, "POST", &target, &[], b"", HEARTBEAT_TIME_MAX)?;
+        Ok(head.status())
+    }
+
     /// Ends the incarnation without a word, as a crash does.
     pub fn crash(&self) {
         self.shared.runs.record.note(format!("upstream {} crashes", self.shared.spec.id));
@@ -277,8 +303,9 @@
         if head.target() == "/health" {
             thread::sleep(HEALTH_TIME);
             let fields = format!("Instance-Id: {}\r\nContent-Length: 0\r\n", shared.spec.id);
-            let is_draining = shared.draining_delay.load(Ordering::SeqCst) > 0;
-            let status = if is_draining { "503 Service Unavailable" } else { "200 OK" };
+            let is_leaving = shared.draining_delay.load(Ordering::SeqCst) > 0
+                || shared.is_leaving.load(Ordering::SeqCst);
+            let status = if is_leaving { "503 Service Unavailable" } else { "200 OK" };
             write(&mut reader.stream, status, &fields, b"")?;
             continue;
         }
