--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -17,9 +18,12 @@
 const SIGKILL: i32 = 9;
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PARENT_DEATH_SIGNAL: i32 = 1;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64, third: u64, fourth: u64, fifth: u64) -> i32;
 }
 
 /// Where a case keeps its files; removed at the end.
@@ -51,6 +55,13 @@
     fn start(command: &mut Command, name: &str, folder: &Path) -> io::Result<Self> {
         let log = folder.join(format!("{name}.log"));
         let file = File::options().create(true).append(true).open(&log)?;
+        // Processes are started from the main thread alone, so they end if this program is killed.
+        let end_with_parent =
+            || match unsafe { prctl(PARENT_DEATH_SIGNAL, SIGKILL as u64, 0, 0, 0) } {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            };
+        unsafe { command.pre_exec(end_with_parent) };
         let child = command.stdin(Stdio::null()).stdout(file.try_clone()?).stderr(file).spawn()?;
         Ok(Self { child, name: name.to_owned(), log })
     }
--- a/review/harness-2/src/restored.rs
+++ b/review/harness-2/src/restored.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::cases::{self, Fleet, Route, Verdict};
+use crate::client;
 use crate::fleet::Machine;
 use crate::record::Record;
 use crate::upstream::RunKind;
@@ -56,6 +57,9 @@
     }
     thread::sleep(RETURNED);
     record.note(format!("row of the host: {}", fleet.store().row("sidecar-0")?));
+    // The kill comes right after work was accepted.
+    let accepted = cases::get("accepted", "/fetch/2f", 4000);
+    client::run(record, 1, fleet.callers(1), &accepted, || {});
     record.note("all daemons are killed");
     for daemon in &mut fleet.daemons {
         daemon.process.kill();
