--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -33,7 +33,7 @@
     pub fn create() -> io::Result<Self> {
         let name = format!("review-2-{}", std::process::id());
         let path = std::env::temp_dir().join(name);
-        fs::create_dir_all(&path)?;
+        fs::create_dir(&path)?;
         Ok(Self(path))
     }
 }
