--- a/review/harness-2/src/restored.rs
+++ b/review/harness-2/src/restored.rs
@@ -14,6 +14,7 @@
 const SERVICE: &str = "solver-app";
 const MACHINES: usize = 6;
 const LEAVING: usize = 0;
+const SETTLED: Duration = Duration::from_secs(3);
 const DRAIN: Duration = Duration::from_secs(2);
 /// Time from the return of the store to the kill, in which daemons write what it lost again.
 const RETURNED: Duration = Duration::from_secs(5);
@@ -36,6 +37,9 @@
     let specs: Vec<_> = (0..MACHINES).map(|index| cases::spec(index, SERVICE, 4, 60)).collect();
     let mut fleet = Fleet::start(record, &document, specs.clone())?;
     fleet.await_served("/fetch/warm")?;
+    // By then each upstream has sent a second heartbeat, should the first have come too early, and the
+    // row of its host is written.
+    thread::sleep(SETTLED);
     if with_trouble {
         fleet.store().take_copy()?;
         record.note("the store is copied");
