Soak: a mix of requests as a deployment has it, and servers with slots that spoil answers

The soak played other settings than the deployment (waiting, proof of once-only work), its servers had no slots and refused truly in one act of its uploads alone, and its callers neither pipelined, left nor came back. A mix brings classes of requests with service times, sizes and habits, slots and queues, and the way of waiting of the deploy file. New faults: garbled, reset, flapping. Faults of one server add up now: until now each call replaced those in force.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -50,18 +50,30 @@
 
 /// `PlainOutcome` is what a caller was told of a non-repeatable request.
 struct PlainOutcome {
-    route: RequestedRoute,
+    route: String,
     /// Whether the response reported that the request was not run.
     was_refused: bool,
 }
 
 impl PlainRequests {
+    /// Records the status that a caller got for a non-repeatable request, if it got one.
+    pub fn note(&self, id: &str, route: &str, status: Option<StatusCode>) {
+        let was_refused = status.is_some_and(reports_not_run);
+        let outcome = PlainOutcome { route: route.to_owned(), was_refused };
+        self.by_id.borrow_mut().insert(id.to_owned(), outcome);
+    }
+
+    /// Returns the number of requests that were reported as not run.
+    pub fn refused_count(&self) -> usize {
+        self.by_id.borrow().values().filter(|outcome| outcome.was_refused).count()
+    }
+
     /// Returns the id, the route and the violation of each violating request; `runs` maps the id of
     /// a request to how often the backend servers ran the request.
     pub fn violations(
         &self,
         runs: &FnvHashMap<String, u64>,
-    ) -> Vec<(String, RequestedRoute, AnswerViolation)> {
+    ) -> Vec<(String, String, AnswerViolation)> {
         let by_id = self.by_id.borrow();
         let violations = by_id.iter().filter_map(|(id, outcome)| {
             let run_count = runs.get(id).copied().unwrap_or(0);
@@ -70,7 +82,7 @@
                 (false, 2..) => AnswerViolation::RanTwice(run_count),
                 _ => return None,
             };
-            Some((id.clone(), outcome.route, violation))
+            Some((id.clone(), outcome.route.clone(), violation))
         });
         violations.collect()
     }
@@ -113,7 +125,8 @@
         self.overload_count.set(self.overload_count.get().saturating_sub(1));
     }
 
-    fn is_raised(&self) -> bool {
+    /// Says whether the fleet is overloaded.
+    pub fn is_raised(&self) -> bool {
         self.overload_count.get() > 0
     }
 }
@@ -209,9 +222,7 @@
 ) -> (SeenAnswer, Option<AnswerViolation>) {
     let status = reply.map(|reply| reply.status);
     if route.is_plain() {
-        let was_refused = status.is_some_and(reports_not_run);
-        let outcome = PlainOutcome { route, was_refused };
-        plan.plain_requests.by_id.borrow_mut().insert(id.to_owned(), outcome);
+        plan.plain_requests.note(id, &format!("{route:?}"), status);
     }
     match (status, reply) {
         (Some(StatusCode::NOT_FOUND), _) => (SeenAnswer::Missing, None),
@@ -223,7 +234,8 @@
     }
 }
 
-fn reports_not_run(status: StatusCode) -> bool {
+/// Says whether a status reports that the request was not run.
+pub fn reports_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::NOT_FOUND
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use futures_util::future;
 use nix::sys::signal::Signal;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::{RngExt, SeedableRng};
@@ -54,12 +55,18 @@
     Reloaded,
     /// All backend servers are slow, and more callers than slots send requests.
     Overloaded,
+    /// Backend servers of some hosts spoil responses, or fail requests.
+    Garbled,
+    /// Connections of some hosts are reset.
+    Reset,
+    /// Backend servers of some hosts crash and start again by turns.
+    Flapping,
     /// Spinning threads of the soak compete with the processes of the fleet for the processor.
     Starved,
 }
 
 /// Every kind of fault, with its name on the command line.
-pub const KINDS: [(FaultKind, &str); 17] = [
+pub const KINDS: [(FaultKind, &str); 20] = [
     (FaultKind::SilentStore, "silent-store"),
     (FaultKind::SilentHalf, "silent-half"),
     (FaultKind::SilentAll, "silent-all"),
@@ -76,18 +83,27 @@
     (FaultKind::Restarted, "restarted"),
     (FaultKind::Reloaded, "reloaded"),
     (FaultKind::Overloaded, "overloaded"),
+    (FaultKind::Garbled, "garbled"),
+    (FaultKind::Reset, "reset"),
+    (FaultKind::Flapping, "flapping"),
     (FaultKind::Starved, "starved"),
 ];
 
-/// Shortest and longest pause between the beginnings of two faults, in milliseconds. A fault that
-/// lasts longer than the pause overlaps with the next fault.
-const FAULT_PAUSE_MS: std::ops::RangeInclusive<u64> = 500..=7000;
+/// Shortest pause between the beginnings of two faults. A fault that lasts longer than the pause
+/// overlaps with the next fault.
+const FAULT_PAUSE_MIN: Duration = Duration::from_millis(500);
 /// Shortest and longest duration of a fault, in milliseconds.
 const FAULT_LENGTH_MS: std::ops::RangeInclusive<u64> = 300..=6000;
 /// Longest time for which a backend server that crashed is down.
 const SERVER_DOWN_MAX: Duration = Duration::from_secs(2);
 /// Factor by which service times grow while the fleet is overloaded.
 const OVERLOAD_FACTOR: f64 = 40.0;
+/// Factor by which service times grow while a fleet with a mix of requests is overloaded.
+const MIX_OVERLOAD_FACTOR: f64 = 3.0;
+/// Share of the connections that are reset.
+const RESET_SHARE: f64 = 0.5;
+/// Number of crashes of a backend server that goes down and up by turns.
+const FLAPS: usize = 4;
 /// Number of threads that spin in order to starve the processes of the fleet.
 const BUSY_THREADS: usize = 4;
 
@@ -109,10 +125,16 @@
     seed: u64,
 }
 
-/// Injects faults into the fleet for ever; returns at once if `kinds` is empty.
-pub async fn run(state: Rc<SoakState>, kinds: Vec<FaultKind>, mut rng: ChaCha8Rng) {
+/// Injects faults into the fleet for ever, with pauses of up to `pause_max` between their
+/// beginnings; returns at once if `kinds` is empty.
+pub async fn run(
+    state: Rc<SoakState>,
+    kinds: Vec<FaultKind>,
+    pause_max: Duration,
+    mut rng: ChaCha8Rng,
+) {
     loop {
-        let pause = Duration::from_millis(rng.random_range(FAULT_PAUSE_MS));
+        let pause = rng.random_range(FAULT_PAUSE_MIN..=pause_max.max(FAULT_PAUSE_MIN));
         monoio::time::sleep(pause).await;
         let Some(kind) = kinds.choose(&mut rng) else { return };
         let plan = draw_plan(*kind, state.fleet.hosts.len(), &mut rng);
@@ -124,11 +146,13 @@
 fn draw_plan(kind: FaultKind, fleet_size: usize, rng: &mut ChaCha8Rng) -> FaultPlan {
     let host_count = match kind {
         FaultKind::SilentHalf | FaultKind::SilentAll => fleet_size,
-        FaultKind::SilentStore | FaultKind::Reloaded => (fleet_size / 3).max(1),
+        FaultKind::SilentStore | FaultKind::Reloaded | FaultKind::Reset => (fleet_size / 3).max(1),
+        FaultKind::Garbled => (fleet_size / 2).max(1),
         FaultKind::HeldStore
         | FaultKind::HeldPeers
         | FaultKind::HeldServers
         | FaultKind::Restarted
+        | FaultKind::Flapping
         | FaultKind::Leaving => (fleet_size / 6).max(1),
         FaultKind::Paused | FaultKind::Killed | FaultKind::Stopped => (fleet_size / 12).max(1),
         _ => 0,
@@ -172,6 +196,9 @@
         FaultKind::Forgotten => forget_history(state, plan).await,
         FaultKind::Leaving => leave(state, plan),
         FaultKind::Restarted => restart_servers(state, plan),
+        FaultKind::Garbled => garble(state, plan),
+        FaultKind::Reset => reset_connections(state, plan),
+        FaultKind::Flapping => flap(state, plan),
         FaultKind::Reloaded => signal_daemons(state, plan, Signal::SIGHUP),
         FaultKind::Overloaded => overload(state, plan).await,
         FaultKind::Starved => starve_processes(state, plan).await,
@@ -245,6 +272,19 @@
     }
 }
 
+fn flap(state: &Rc<SoakState>, plan: &FaultPlan) {
+    let down_time = plan.length.min(SERVER_DOWN_MAX) / 2;
+    for host_index in &plan.hosts {
+        let (state, host_index) = (state.clone(), *host_index);
+        monoio::spawn(async move {
+            for _ in 0..FLAPS {
+                restart_server(state.clone(), host_index, down_time).await;
+                monoio::time::sleep(down_time).await;
+            }
+        });
+    }
+}
+
 /// Lets the backend server of a host crash, and start again at its address as a new incarnation,
 /// unless it is leaving.
 async fn restart_server(state: Rc<SoakState>, host_index: usize, down_time: Duration) {
@@ -253,34 +293,72 @@
         return;
     }
     let down_ms = down_time.as_millis() as u64;
-    apply_server_faults(&state, &host, &json!({"crash_path": CRASH_PATH, "down_ms": down_ms}))
-        .await;
-    host.crash_server().await;
-    monoio::time::sleep(down_time).await;
-    host.start_server_again();
-    apply_server_faults(&state, &host, &json!({})).await;
+    let faults = json!({"crash_path": CRASH_PATH, "down_ms": down_ms});
+    let crashing = async {
+        host.crash_server().await;
+        monoio::time::sleep(down_time).await;
+        host.start_server_again();
+    };
+    future::join(disturb_server(&state, &host, &faults, down_time), crashing).await;
 }
 
-/// Sets the faults of a backend server. A server that is down keeps its faults.
-async fn apply_server_faults(state: &SoakState, host: &SoakHost, faults: &Value) {
-    if let Err(error) = host.set_server_faults(faults).await {
+/// Adds faults of a backend server for a while. A server that is down keeps its faults.
+async fn disturb_server(state: &SoakState, host: &SoakHost, faults: &Value, length: Duration) {
+    let number = match host.add_server_faults(faults).await {
+        Ok(number) => number,
+        Err(error) => return state.print_event(&format!("{}: {error}", host.name)),
+    };
+    monoio::time::sleep(length).await;
+    if let Err(error) = host.end_server_faults(number).await {
         state.print_event(&format!("{}: {error}", host.name));
     }
 }
 
+/// Spoils a share of the responses of some backend servers, or fails a share of their requests.
+fn garble(state: &Rc<SoakState>, plan: &FaultPlan) {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
+    let garbles = [
+        json!(["twice", "late", "unframed", "half-head", "half-body", "shed-late"]),
+        json!(["lost", "half-body"]),
+        json!(["failed", "unread", "shed", "lost"]),
+        json!(["late", "shed-late", "shed"]),
+    ];
+    let rates = [0.03, 0.05, 0.4];
+    let faults = json!({
+        "garble_rate": rates.choose(&mut rng),
+        "garbles": garbles.choose(&mut rng),
+    });
+    for host_index in &plan.hosts {
+        let host = state.fleet.hosts[*host_index].clone();
+        let (state, faults, length) = (state.clone(), faults.clone(), plan.length);
+        monoio::spawn(async move { disturb_server(&state, &host, &faults, length).await });
+    }
+}
+
+/// Resets a share of the connections of some hosts: those to their servers, from their peers and to
+/// the store.
+fn reset_connections(state: &SoakState, plan: &FaultPlan) {
+    let handle = state.begin_fault(&state.all_hosts(), false);
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
+    for host_index in &plan.hosts {
+        let host = &state.fleet.hosts[*host_index];
+        for proxy in [&host.server_proxy, &host.peer_proxy, &host.store_proxy] {
+            proxy.reset(|| rng.random_bool(RESET_SHARE));
+        }
+    }
+    state.end_fault(&handle);
+}
+
 /// Makes all backend servers slow while more callers than slots send requests.
 async fn overload(state: &SoakState, plan: &FaultPlan) {
     let handle = state.begin_fault(&state.all_hosts(), false);
-    let faults = json!({"slow_rate": 1.0, "slow_factor": OVERLOAD_FACTOR});
-    for host in &state.fleet.hosts {
-        apply_server_faults(state, host, &faults).await;
-    }
+    let slow_factor = if state.has_mix() { MIX_OVERLOAD_FACTOR } else { OVERLOAD_FACTOR };
+    let faults = json!({"slow_rate": 1.0, "slow_factor": slow_factor});
     state.crowd.raise();
-    monoio::time::sleep(plan.length).await;
+    let hosts = state.fleet.hosts.iter();
+    let slowing = hosts.map(|host| disturb_server(state, host, &faults, plan.length));
+    future::join_all(slowing).await;
     state.crowd.lower();
-    for host in &state.fleet.hosts {
-        apply_server_faults(state, host, &json!({})).await;
-    }
     state.end_fault(&handle);
 }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -22,6 +22,7 @@
 use snafu::ResultExt;
 
 use crate::errors::{CallSnafu, ListenSnafu, SoakError};
+use crate::mix::RequestMix;
 use crate::operator::SERVICES;
 use crate::process::{self, ProgramCall, SoakProcess};
 use crate::proxy::FaultProxy;
@@ -68,6 +69,8 @@
     /// Key that the daemons share. The key must differ from the key of any concurrent run, as the
     /// operating system reuses ports, and a daemon might else link to a daemon of another run.
     pub key: String,
+    /// Mix of requests, from which the slots of the backend servers and the way of waiting are taken.
+    pub mix: Option<Rc<RequestMix>>,
 }
 
 /// `SoakHost` is a host: its processes, and the proxies that inject faults into their connections.
@@ -96,6 +99,9 @@
     sequence: Cell<u64>,
     /// Whether the server sends no heartbeats by itself, because it is leaving.
     is_leaving: Cell<bool>,
+    /// Faults of the backend server that are in force, each with its number.
+    server_faults: RefCell<Vec<(u64, Value)>>,
+    next_fault: Cell<u64>,
 }
 
 impl SoakHost {
@@ -157,10 +163,28 @@
         calling.await.ok().map(|reply| reply.status)
     }
 
-    /// Sets the faults of the backend server.
-    pub async fn set_server_faults(&self, faults: &Value) -> Result<(), SoakError> {
+    /// Adds faults of the backend server to those in force, and returns their number.
+    pub async fn add_server_faults(&self, faults: &Value) -> Result<u64, SoakError> {
+        let number = self.next_fault.get();
+        self.next_fault.set(number + 1);
+        self.server_faults.borrow_mut().push((number, faults.clone()));
+        self.put_server_faults().await?;
+        Ok(number)
+    }
+
+    /// Ends the faults of the backend server that have this number.
+    pub async fn end_server_faults(&self, number: u64) -> Result<(), SoakError> {
+        self.server_faults.borrow_mut().retain(|(other, _)| *other != number);
+        self.put_server_faults().await
+    }
+
+    async fn put_server_faults(&self) -> Result<(), SoakError> {
+        let mut merged = serde_json::Map::new();
+        for (_, faults) in &*self.server_faults.borrow() {
+            merged.extend(faults.as_object().cloned().unwrap_or_default());
+        }
         let what = "setting faults of a backend server";
-        put_faults(self.backend_address, BACKEND_FAULTS_PATH, faults, what).await
+        put_faults(self.backend_address, BACKEND_FAULTS_PATH, &Value::Object(merged), what).await
     }
 
     /// Makes the backend server crash, by a request to it that is never answered.
@@ -224,6 +248,10 @@
         let arguments = ["backend", "--name", &upstream, "--service-ms", SERVICE_TIME_MS];
         let mut call = build_standin_call(&self.options, &arguments);
         call.arguments.push("--prepared".to_owned());
+        if let Some(mix) = &self.options.mix {
+            let limits = ["--slots", &mix.slots.to_string(), "--queue", &mix.queue.to_string()];
+            call.arguments.extend(limits.map(str::to_owned));
+        }
         let backend = SoakProcess::start(&call, &upstream, folder)?;
         let backend_address = process::read_address(&backend.wait_listening().await?, "address")?;
         let server_proxy = FaultProxy::start().context(ListenSnafu)?;
@@ -249,6 +277,8 @@
             server_started_at: Cell::new(units::wall_millis()),
             sequence: Cell::default(),
             is_leaving: Cell::default(),
+            server_faults: RefCell::default(),
+            next_fault: Cell::default(),
         };
         host.read_addresses().await?;
         Ok(host)
@@ -314,8 +344,9 @@
             ("drain-min-ms", DRAIN_MIN_MS),
             ("kill-after-ms", KILL_AFTER_MS),
             ("prefer", "detection"),
-            ("waiting", "places"),
-            ("prove-once-only", "true"),
+            ("waiting", self.options.mix.as_ref().map_or("places", |mix| &mix.waiting)),
+            ("prove-once-only", if self.options.mix.is_some() { "false" } else { "true" }),
+            ("queue", "16"),
         ];
         let arguments =
             pairs.iter().flat_map(|(flag, value)| [format!("--{flag}"), (*value).into()]);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,7 +9,8 @@
 //! peers. [`operator`] changes the configuration continually, [`callers`] request the changed
 //! routes from every daemon, and [`faults`] black-holes and holds connections, and suspends, kills
 //! and starves processes. The faults are drawn from a seed. Among them, backend servers leave and
-//! come back ([`leavings`]). [`checker`] checks the observations of
+//! come back ([`leavings`]). A run may have the requests of a deployment instead ([`mix`],
+//! [`mix_callers`]). [`checker`] checks the observations of
 //! callers and the operator for violated guarantees, and [`logs`] reads from the daemons' logs when
 //! documents came in force. [`run`] combines the modules into a run, and [`report`] prints its
 //! result.
@@ -23,6 +24,8 @@
 pub mod fleet;
 pub mod leavings;
 pub mod logs;
+pub mod mix;
+pub mod mix_callers;
 pub mod operator;
 pub mod process;
 pub mod proxy;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,14 +6,16 @@
 #![allow(missing_docs, reason = "the command-line macro makes items without doc comments")]
 
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process;
+use std::rc::Rc;
 use std::time::Duration;
 
 use basaltarch_core::errors::SettingError;
 use basaltarch_core::settings::{self, EXIT_BAD_SETTINGS};
 use basaltarch_soak::errors::SoakError;
 use basaltarch_soak::faults::{self, FaultKind, KINDS};
+use basaltarch_soak::mix::RequestMix;
 use basaltarch_soak::report::RunReport;
 use basaltarch_soak::run::{self, RunOptions};
 use basaltarch_telemetry::runtime;
@@ -34,6 +36,11 @@
             optional --processes count: String
             /// Kinds of faults, separated by commas; `none` for no faults (default all).
             optional --kinds names: String
+            /// Longest pause between two faults in ms (default 7000).
+            optional --fault-pause-ms ms: String
+            /// File with a mix of requests that callers send (default: requests that check the
+            /// configuration).
+            optional --mix path: String
             /// Folder with basaltarchd and basaltarch-standin (default: that of this program).
             optional --programs folder: String
             /// Folder for the logs (default: a new one below the system's temporary folder).
@@ -115,6 +122,10 @@
         settings::checked("processes", flags.processes, 24_usize, "4 to 400", |count| {
             (4..=400).contains(count)
         })?;
+    let fault_pause_ms =
+        settings::checked("fault-pause-ms", flags.fault_pause_ms, 7000_u64, "500 to 60000", |ms| {
+            (500..=60_000).contains(ms)
+        })?;
     let program_folder = || std::env::current_exe().ok()?.parent().map(PathBuf::from);
     let programs = flags.programs.map(PathBuf::from).or_else(program_folder).unwrap_or_default();
     let logs = flags
@@ -126,6 +137,8 @@
         length: Duration::from_secs(seconds),
         hosts: processes / 2,
         kinds: read_kinds(flags.kinds)?,
+        fault_pause: Duration::from_millis(fault_pause_ms),
+        mix: flags.mix.map(read_mix).transpose()?,
         programs,
         folder: logs,
         verbose: flags.verbose,
@@ -134,6 +147,16 @@
     Ok(SoakOptions { seeds, base_options, keeps_logs: flags.keep })
 }
 
+fn read_mix(path: String) -> Result<Rc<RequestMix>, SettingError> {
+    let invalid = |error: SoakError| SettingError::Invalid {
+        flag: "mix".to_owned(),
+        variable: settings::variable_of("mix"),
+        value: path.clone(),
+        allowed: format!("a file with a mix of requests ({error})"),
+    };
+    RequestMix::read(Path::new(&path)).map(Rc::new).map_err(invalid)
+}
+
 fn read_kinds(given: Option<String>) -> Result<Vec<FaultKind>, SettingError> {
     let all_kinds = || KINDS.iter().map(|(kind, _)| *kind).collect();
     let text = match given.as_deref() {
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use basaltarch_core::resources::{RouteRule, WorkClass, WorkMode};
@@ -22,6 +23,7 @@
 
 use crate::checker::{SeenAnswer, StepTimes};
 use crate::errors::{CallSnafu, SoakError};
+use crate::mix::{RequestClass, RequestMix};
 
 /// Value of the header `Host` in the requests of callers.
 pub const REQUESTED_HOST: &str = "meters.example";
@@ -91,13 +93,16 @@
 /// `SoakOperator` writes documents, and records when each document was sent and acknowledged.
 pub struct SoakOperator {
     client: HttpClient,
+    mix: Option<Rc<RequestMix>>,
     steps: RefCell<Vec<StepTimes>>,
 }
 
 impl SoakOperator {
-    /// Builds the operator that writes to the store at this address.
-    pub fn new(store_address: SocketAddr) -> Self {
-        Self { client: HttpClient::new(store_address, WRITE_TIMEOUT), steps: RefCell::default() }
+    /// Builds the operator that writes to the store at this address. Each document has the routes of
+    /// the mix.
+    pub fn new(store_address: SocketAddr, mix: Option<Rc<RequestMix>>) -> Self {
+        let client = HttpClient::new(store_address, WRITE_TIMEOUT);
+        Self { client, mix, steps: RefCell::default() }
     }
 
     /// Calls `read` with the times of all steps so far.
@@ -116,7 +121,7 @@
         self.steps.borrow_mut().push(StepTimes { sent_at: now(), acked_at: None });
         let table = rows::OPERATOR_TABLE;
         let path = format!("{ROWS_CONTROL_PATH}{table}/{}", rows::DOCUMENT_KEY);
-        let body = Bytes::from(document::write(&document_of(step)));
+        let body = Bytes::from(document::write(&document_of(step, self.mix.as_deref())));
         let writing = self.client.call(Method::PUT, &path, HeaderMap::new(), body);
         let what = "writing the configuration document";
         let reply = writing.await.context(CallSnafu { what })?;
@@ -133,7 +138,7 @@
     (VERSION_STRIDE * (step + 1) + step % 3) as u64
 }
 
-fn document_of(step: usize) -> ConfigDocument {
+fn document_of(step: usize, mix: Option<&RequestMix>) -> ConfigDocument {
     let declare_service = |name: &&str| ServiceDeclaration {
         name: (*name).to_owned(),
         health_path: "/health".to_owned(),
@@ -149,6 +154,7 @@
         let name = format!("added-{adding_step}");
         routes.push(route(&name, &format!("/{name}/"), 0, WorkMode::Repeatable));
     }
+    routes.extend(mix.iter().flat_map(|mix| &mix.classes).map(class_route));
     ConfigDocument {
         version: version_of(step),
         routes,
@@ -163,6 +169,14 @@
     }
 }
 
+fn class_route(class: &RequestClass) -> NamedRoute {
+    let mut class_route = route(&class.name, &class.path_prefix(), class.service, class.mode());
+    class_route.rule.timeout_ms = class.timeout_ms;
+    class_route.rule.attempts = class.attempts;
+    class_route.rule.objective_ms = class.objective_ms;
+    class_route
+}
+
 fn route(name: &str, path_prefix: &str, service: usize, mode: WorkMode) -> NamedRoute {
     let rule = RouteRule {
         host: REQUESTED_HOST.to_owned(),
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
+use std::task::{Poll, Waker};
 use std::time::Duration;
 
 use basaltarch_http::connection::{self, ConnectionCount};
@@ -38,8 +39,35 @@
 struct ProxyState {
     target: Cell<Option<SocketAddr>>,
     hold: Cell<ProxyHold>,
-    /// For each open connection, whether the connection is black-holed.
-    open_connections: RefCell<Vec<Weak<Cell<bool>>>>,
+    open_connections: RefCell<Vec<Weak<ProxyConnection>>>,
+}
+
+/// `ProxyConnection` is the state of one open connection.
+#[derive(Default)]
+struct ProxyConnection {
+    black_holed: Cell<bool>,
+    is_reset: Cell<bool>,
+    reset_waker: RefCell<Option<Waker>>,
+}
+
+impl ProxyConnection {
+    fn reset(&self) {
+        self.is_reset.set(true);
+        if let Some(waker) = self.reset_waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    async fn wait_reset(&self) {
+        future::poll_fn(|context| {
+            if self.is_reset.get() {
+                return Poll::Ready(());
+            }
+            *self.reset_waker.borrow_mut() = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
 }
 
 /// `FaultProxy` relays connections to a target and injects faults into them.
@@ -82,14 +110,24 @@
     /// directions: no data is relayed, neither end is closed, and the operating system still
     /// acknowledges received data. Connections that are opened later are not black-holed.
     pub fn black_hole(&self, mut is_chosen: impl FnMut() -> bool) {
-        let mut open_connections = self.state.open_connections.borrow_mut();
-        open_connections.retain(|black_holed| black_holed.strong_count() > 0);
-        for black_holed in open_connections.iter().filter_map(Weak::upgrade) {
-            if is_chosen() {
-                black_holed.set(true);
-            }
+        for connection in self.open_connections().iter().filter(|_| is_chosen()) {
+            connection.black_holed.set(true);
+        }
+    }
+
+    /// Closes both ends of each open connection for which `is_chosen` returns true, whatever is in
+    /// transit.
+    pub fn reset(&self, mut is_chosen: impl FnMut() -> bool) {
+        for connection in self.open_connections().iter().filter(|_| is_chosen()) {
+            connection.reset();
         }
     }
+
+    fn open_connections(&self) -> Vec<Rc<ProxyConnection>> {
+        let mut open_connections = self.state.open_connections.borrow_mut();
+        open_connections.retain(|connection| connection.strong_count() > 0);
+        open_connections.iter().filter_map(Weak::upgrade).collect()
+    }
 }
 
 async fn relay_connection(state: &ProxyState, client_stream: TcpStream) {
@@ -99,12 +137,24 @@
     // connection does not have without the proxy.
     let _ = client_stream.set_nodelay(true);
     let _ = target_stream.set_nodelay(true);
-    let black_holed = Rc::new(Cell::new(false));
-    state.open_connections.borrow_mut().push(Rc::downgrade(&black_holed));
+    let connection = Rc::<ProxyConnection>::default();
+    state.open_connections.borrow_mut().push(Rc::downgrade(&connection));
+    let black_holed = &connection.black_holed;
     let (client_read, client_write) = client_stream.into_split();
     let (target_read, target_write) = target_stream.into_split();
-    let forward = relay_data(client_read, target_write, &black_holed, || state.hold.get().forward);
-    let back = relay_data(target_read, client_write, &black_holed, || state.hold.get().back);
+    let forward = relay_data(client_read, target_write, black_holed, || state.hold.get().forward);
+    let back = relay_data(target_read, client_write, black_holed, || state.hold.get().back);
+    let relaying = std::pin::pin!(relay_both(forward, back, black_holed));
+    let resetting = std::pin::pin!(connection.wait_reset());
+    future::select(relaying, resetting).await;
+}
+
+/// Relays both directions of a connection until one of them ends.
+async fn relay_both(
+    forward: impl Future<Output = ()>,
+    back: impl Future<Output = ()>,
+    black_holed: &Cell<bool>,
+) {
     let forward = std::pin::pin!(forward);
     let back = std::pin::pin!(back);
     let remaining: Pin<&mut dyn Future<Output = ()>> = match future::select(forward, back).await {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -17,6 +17,8 @@
     pub requests: u64,
     /// Number of requests whose response shows something about the configuration.
     pub conclusive_count: u64,
+    /// Number of non-repeatable requests that were reported as not run.
+    pub refused_count: usize,
     /// Number of documents that the operator wrote.
     pub document_count: usize,
     /// Times from the acknowledgement of each document until the document was in force at each
@@ -43,6 +45,7 @@
             seed,
             requests,
             conclusive_count,
+            refused_count,
             document_count,
             in_force_delays,
             leaving_count,
@@ -57,7 +60,8 @@
         let late_count = self.late_count();
         writeln!(
             out,
-            "seed {seed}: {requests} requests, {conclusive_count} conclusive, {document_count} documents"
+            "seed {seed}: {requests} requests, {conclusive_count} conclusive, {refused_count} refused, \
+             {document_count} documents"
         )?;
         let (median, p99, longest) = (quantile(0.5), quantile(0.99), quantile(1.0));
         let delay_count = in_force_delays.len();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,7 +14,7 @@
 use basaltarch_standin::backend::{BackendRuns, RUNS_PATH};
 use bytes::Bytes;
 use fnv::FnvHashMap;
-use http::{HeaderMap, Method};
+use http::{HeaderMap, Method, StatusCode};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
@@ -29,6 +29,8 @@
 use crate::faults::{self, FaultKind};
 use crate::fleet::{FleetOptions, SoakFleet};
 use crate::logs::{self, InForceLine};
+use crate::mix::RequestMix;
+use crate::mix_callers::{MixCaller, MixSample};
 use crate::operator::{self, SoakOperator};
 use crate::report::RunReport;
 
@@ -58,6 +60,10 @@
     pub hosts: usize,
     /// Kinds of faults from which the injected faults are drawn; empty for a run without faults.
     pub kinds: Vec<FaultKind>,
+    /// Longest pause between the beginnings of two faults.
+    pub fault_pause: Duration,
+    /// Mix of requests that callers send in place of those that check the configuration.
+    pub mix: Option<Rc<RequestMix>>,
     /// Folder that holds the programs `basaltarchd` and `basaltarch-standin`.
     pub programs: PathBuf,
     /// Folder into which the processes write their logs.
@@ -71,6 +77,7 @@
     /// The fleet of the run.
     pub fleet: SoakFleet,
     operator: Rc<SoakOperator>,
+    mix: Option<Rc<RequestMix>>,
     began: Instant,
     /// Time of day at which the run began.
     began_time_of_day: Duration,
@@ -92,6 +99,11 @@
         self.began.elapsed()
     }
 
+    /// Says whether callers send a mix of requests.
+    pub fn has_mix(&self) -> bool {
+        self.mix.is_some()
+    }
+
     /// Returns the index of each host of the fleet.
     pub fn all_hosts(&self) -> Vec<usize> {
         (0..self.fleet.hosts.len()).collect()
@@ -146,6 +158,19 @@
         self.report.borrow_mut().leaving_count += 1;
     }
 
+    fn note_mix_sample(&self, sample: &MixSample) {
+        if self.is_finished.get() {
+            return;
+        }
+        let MixSample { id, class, status, violation } = sample;
+        if let Some(violation) = violation {
+            self.add_finding(format!("{id} {class}: {violation:?}"));
+        }
+        let mut report = self.report.borrow_mut();
+        report.requests += 1;
+        report.conclusive_count += u64::from(*status == Some(StatusCode::OK));
+    }
+
     fn check_sample(&self, sample: &CallerSample, answer_violation: Option<AnswerViolation>) {
         if self.is_finished.get() {
             return;
@@ -227,18 +252,20 @@
 
 /// Starts a fleet, runs load and faults on the fleet, and ends its processes.
 pub async fn run(options: &RunOptions) -> Result<RunReport, SoakError> {
-    let RunOptions { seed, hosts, programs, folder, .. } = options.clone();
+    let RunOptions { seed, hosts, programs, folder, mix, .. } = options.clone();
     let began = Instant::now();
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let began_time_of_day = logs::since_midnight(since_epoch);
     let key = format!("a-fleet-key-for-soak-{}-{seed}", process::id());
-    let mut fleet = SoakFleet::start(FleetOptions { hosts, programs, folder, key }).await?;
-    let operator = Rc::new(SoakOperator::new(fleet.store_address));
+    let fleet_options = FleetOptions { hosts, programs, folder, key, mix: mix.clone() };
+    let mut fleet = SoakFleet::start(fleet_options).await?;
+    let operator = Rc::new(SoakOperator::new(fleet.store_address, mix.clone()));
     operator.step(|| began.elapsed()).await?;
     fleet.start_hosts().await?;
     let state = Rc::new(SoakState {
         fleet,
         operator,
+        mix,
         began,
         began_time_of_day,
         crowd: Rc::default(),
@@ -264,10 +291,13 @@
 ) -> Result<RunReport, SoakError> {
     let seed = options.seed;
     let plain_requests = Rc::<PlainRequests>::default();
-    start_callers(state, &plain_requests, seed);
+    match &state.mix {
+        Some(mix) => start_mix_callers(state, mix, &plain_requests, seed),
+        None => start_callers(state, &plain_requests, seed),
+    }
     monoio::spawn(change_config(state.clone(), ChaCha8Rng::seed_from_u64(seed ^ 1)));
     let rng = ChaCha8Rng::seed_from_u64(seed ^ 2);
-    monoio::spawn(faults::run(state.clone(), options.kinds.clone(), rng));
+    monoio::spawn(faults::run(state.clone(), options.kinds.clone(), options.fault_pause, rng));
     monoio::time::sleep(options.length).await;
     state.is_finished.set(true);
     let FleetRuns { counts: runs, other_bodies } = fetch_runs(state).await?;
@@ -278,6 +308,7 @@
         state.add_finding(format!("{id} {route:?}: {answer_violation:?}"));
     }
     let mut report = state.report.borrow().clone();
+    report.refused_count = plain_requests.refused_count();
     report.document_count = state.operator.with_steps(<[_]>::len);
     report.in_force_delays = state.measure_in_force_delays();
     let late_count = report.late_count();
@@ -315,6 +346,31 @@
     }
 }
 
+fn start_mix_callers(
+    state: &Rc<SoakState>,
+    mix: &Rc<RequestMix>,
+    plain_requests: &Rc<PlainRequests>,
+    seed: u64,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 3);
+    for host in &state.fleet.hosts {
+        for caller_index in 0..mix.callers_each {
+            let caller_rng = ChaCha8Rng::seed_from_u64(rng.random());
+            let (mix, crowd) = (mix.clone(), state.crowd.clone());
+            let caller = MixCaller::new(
+                host.clone(),
+                caller_index,
+                mix,
+                crowd,
+                plain_requests.clone(),
+                caller_rng,
+            );
+            let state = state.clone();
+            monoio::spawn(caller.run(move |sample| state.note_mix_sample(&sample)));
+        }
+    }
+}
+
 /// Writes a document after each pause of [`DOCUMENT_PAUSE_MS`], for ever.
 async fn change_config(state: Rc<SoakState>, mut rng: ChaCha8Rng) {
     loop {
--- a/crates/standin/src/backend/faults.rs
+++ b/crates/standin/src/backend/faults.rs
@@ -24,6 +24,33 @@
     InAnswerBody,
 }
 
+/// `GarbleKind` is how the response to one request is spoilt, or the request failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum GarbleKind {
+    /// The response is sent twice.
+    Twice,
+    /// The response is sent once more in front of the next response on its connection.
+    Late,
+    /// The response has no length, and ends with its connection.
+    Unframed,
+    /// The connection ends within the head of the response.
+    HalfHead,
+    /// The connection ends within the body of the response.
+    HalfBody,
+    /// The connection ends after the run, without a response.
+    Lost,
+    /// The connection ends before the request is read to its end.
+    Unread,
+    /// The response has status 500.
+    Failed,
+    /// The request is refused before it runs, with status 503 and a shed notice.
+    Shed,
+    /// The request is refused before it runs, and the refusal is sent once more in front of the next
+    /// response on its connection.
+    ShedLate,
+}
+
 /// `BackendFaults` are the faults in force at a simulated backend server.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -52,6 +79,14 @@
     pub surplus: bool,
     /// Each response is sent twice.
     pub twice: bool,
+    /// Each response is sent once more in front of the next response on its connection.
+    pub late: bool,
+    /// Responses have no length, and end with their connection.
+    pub unframed: bool,
+    /// Share of requests to which one of `garbles` happens, from 0 to 1.
+    pub garble_rate: f64,
+    /// What happens to the share `garble_rate` of requests.
+    pub garbles: Vec<GarbleKind>,
     /// Responses lack the header field that marks a response as made by a backend server.
     pub unstamped: bool,
     /// Responses claim a content encoding that the request did not accept.
@@ -85,6 +120,10 @@
             quick_errors: false,
             surplus: false,
             twice: false,
+            late: false,
+            unframed: false,
+            garble_rate: 0.0,
+            garbles: Vec::new(),
             unstamped: false,
             encoded: false,
             status: 0,
@@ -96,3 +135,25 @@
         }
     }
 }
+
+impl BackendFaults {
+    /// Returns these faults with what happens to one request.
+    pub fn garbled(mut self, kind: GarbleKind) -> Self {
+        match kind {
+            GarbleKind::Twice => self.twice = true,
+            GarbleKind::Late => self.late = true,
+            GarbleKind::Unframed => self.unframed = true,
+            GarbleKind::HalfHead => self.break_at = BreakPoint::InAnswerHead,
+            GarbleKind::HalfBody => self.break_at = BreakPoint::InAnswerBody,
+            GarbleKind::Lost => self.break_at = BreakPoint::AfterRun,
+            GarbleKind::Unread => self.break_at = BreakPoint::AfterRequestHead,
+            GarbleKind::Failed => self.status = 500,
+            GarbleKind::Shed => self.shed = true,
+            GarbleKind::ShedLate => {
+                self.shed = true;
+                self.late = true;
+            }
+        }
+        self
+    }
+}
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -23,6 +23,7 @@
 mod runs;
 mod sending;
 mod serving;
+mod slots;
 pub mod uploads;
 
 use std::cell::{Cell, RefCell};
@@ -30,14 +31,16 @@
 use std::time::{Duration, Instant};
 
 use http::HeaderName;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
 
 use crash::CrashSignal;
+use slots::ServerSlots;
 
 pub use control::{FAULTS_PATH, RUNS_PATH};
-pub use faults::{BackendFaults, BreakPoint};
+pub use faults::{BackendFaults, BreakPoint, GarbleKind};
 pub use options::BackendOptions;
 pub use port::HeldPort;
 pub use probe::{HEALTH_PATH, LOAD_PATH};
@@ -59,12 +62,14 @@
     /// Raised once the listener has closed, to close the connections.
     down: CrashSignal,
     rng: RefCell<ChaCha8Rng>,
+    slots: Option<Rc<ServerSlots>>,
 }
 
 impl BackendStandin {
     /// Builds a simulated backend server without faults.
     pub fn new(options: BackendOptions) -> Rc<Self> {
         let rng = ChaCha8Rng::seed_from_u64(options.seed);
+        let slots = options.slots.map(|count| ServerSlots::new(count, options.queue));
         Rc::new(Self {
             options,
             faults: RefCell::default(),
@@ -74,6 +79,7 @@
             crash: CrashSignal::default(),
             down: CrashSignal::default(),
             rng: RefCell::new(rng),
+            slots,
         })
     }
 
@@ -90,9 +96,27 @@
         let mut rng = self.rng.borrow_mut();
         let factor = LogNormal::new(0.0, self.options.spread)
             .map_or(1.0, |distribution| distribution.sample(&mut *rng));
-        let is_slow = rng.random_bool(faults.slow_rate.clamp(0.0, 1.0));
-        let slowdown = if is_slow { faults.slow_factor } else { 1.0 };
-        Duration::from_secs_f64(median * factor * slowdown)
+        drop(rng);
+        Duration::from_secs_f64(median * factor * self.slowdown(faults))
+    }
+
+    /// Draws the factor by which the service time of a request is multiplied.
+    fn slowdown(&self, faults: &BackendFaults) -> f64 {
+        let is_slow = self.rng.borrow_mut().random_bool(faults.slow_rate.clamp(0.0, 1.0));
+        if is_slow { faults.slow_factor } else { 1.0 }
+    }
+
+    /// Returns the faults in force for one request, with those that are drawn for it.
+    fn draw_faults(&self) -> BackendFaults {
+        let faults = self.faults.borrow().clone();
+        let mut rng = self.rng.borrow_mut();
+        if !rng.random_bool(faults.garble_rate.clamp(0.0, 1.0)) {
+            return faults;
+        }
+        match faults.garbles.choose(&mut *rng).copied() {
+            Some(kind) => faults.garbled(kind),
+            None => faults,
+        }
     }
 
     fn draws_error(&self, faults: &BackendFaults, path: &str) -> bool {
--- a/crates/standin/src/backend/options.rs
+++ b/crates/standin/src/backend/options.rs
@@ -16,6 +16,11 @@
     pub spread: f64,
     /// Seed of the random numbers.
     pub seed: u64,
+    /// Number of requests that run at once; `None` for no limit. A server with a limit refuses what
+    /// finds its queue full, and gives up what outlasts its deadline.
+    pub slots: Option<usize>,
+    /// Number of requests that may wait for a slot.
+    pub queue: usize,
     /// Value of the `x-served-by` header field. The name is also the incarnation to which daemons
     /// may address requests.
     pub name: String,
@@ -29,6 +34,8 @@
             service_time: Duration::ZERO,
             spread: 0.3,
             seed: 1,
+            slots: None,
+            queue: 0,
             name: "backend".to_owned(),
             fields: ExchangeFields::default(),
         }
--- a/crates/standin/src/backend/reply.rs
+++ b/crates/standin/src/backend/reply.rs
@@ -21,6 +21,16 @@
     head: &request::Parts,
     status: StatusCode,
 ) -> Result<(), HttpError> {
+    let mut buffer = build_refusal(standin, head, status);
+    writer::flush(&mut stream.writer, &mut buffer).await
+}
+
+/// Builds the refusal of a request.
+pub fn build_refusal(
+    standin: &BackendStandin,
+    head: &request::Parts,
+    status: StatusCode,
+) -> BytesMut {
     let mut headers = HeaderMap::new();
     if let Some(id) = head.headers.get(standin.request_field()) {
         headers.insert(standin.request_field(), id.clone());
@@ -28,7 +38,23 @@
     headers.insert(standin.options.fields.shed.clone(), HeaderValue::from_static("1"));
     let mut buffer = BytesMut::new();
     writer::put_response_head(&mut buffer, status, &headers, BodyFraming::Empty, false);
-    writer::flush(&mut stream.writer, &mut buffer).await
+    buffer
+}
+
+/// Builds a copy of the response to a request that was run.
+pub fn build_copy(
+    standin: &BackendStandin,
+    head: &request::Parts,
+    faults: &BackendFaults,
+) -> BytesMut {
+    let status = StatusCode::from_u16(faults.status).unwrap_or(StatusCode::OK);
+    let headers = response_headers(standin, head, faults);
+    let body = response_text(standin, head, status);
+    let framing = BodyFraming::Length(body.len() as u64);
+    let mut buffer = BytesMut::new();
+    writer::put_response_head(&mut buffer, status, &headers, framing, false);
+    buffer.extend_from_slice(&body);
+    buffer
 }
 
 /// Sends the response to a request that was run. `body` is the body of the request.
--- a/crates/standin/src/backend/sending.rs
+++ b/crates/standin/src/backend/sending.rs
@@ -26,7 +26,11 @@
 ) -> Result<(), HttpError> {
     let framing = BodyFraming::Length(body.len() as u64);
     let is_bodiless = framing::never_has_body(status);
-    let framing = if is_bodiless { BodyFraming::Empty } else { framing };
+    let framing = match (is_bodiless, faults.unframed) {
+        (true, _) => BodyFraming::Empty,
+        (false, true) => BodyFraming::UntilClose,
+        (false, false) => framing,
+    };
     let mut buffer = BytesMut::new();
     writer::put_response_head(&mut buffer, status, headers, framing, false);
     if faults.break_at == BreakPoint::InAnswerHead {
--- a/crates/standin/src/backend/serving.rs
+++ b/crates/standin/src/backend/serving.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use basaltarch_http::body::{BodyLimits, BodyReader};
 use basaltarch_http::connection::{self, ConnectionCount, HttpStream};
@@ -13,14 +13,20 @@
 use basaltarch_http::fields;
 use basaltarch_http::framing::{self, BodyFraming};
 use basaltarch_http::head::{self, HeadLimits};
+use basaltarch_http::writer;
 use bytes::{Bytes, BytesMut};
 use futures_util::future;
 use http::{request, StatusCode};
 use monoio::net::{TcpListener, TcpStream};
 
+use crate::backend::execution::RunEnd;
+use crate::backend::slots::SlotRefusal;
 use crate::backend::uploads::{self, UploadAct};
 use crate::backend::{control, execution, probe, reply, runs};
-use crate::backend::{BackendStandin, BreakPoint, HeldPort, HEALTH_PATH, LOAD_PATH};
+use crate::backend::{BackendFaults, BackendStandin, BreakPoint, HeldPort, HEALTH_PATH, LOAD_PATH};
+
+/// Time that a request may take if it has no deadline.
+const UNLIMITED_TIME: Duration = Duration::from_secs(24 * 3600);
 
 /// Serves a simulated backend server for ever. After a crash, the server listens again once the
 /// time `down_ms` of the faults has passed.
@@ -74,6 +80,8 @@
 async fn serve_connection(stream: TcpStream, standin: &BackendStandin) -> Result<(), HttpError> {
     let mut stream = HttpStream::new(stream);
     let limits = HeadLimits { idle: Duration::from_secs(3600), ..HeadLimits::default() };
+    // Copy of an earlier response, to be sent in front of the next one.
+    let mut late_copy = BytesMut::new();
     loop {
         let head = head::read_request(&mut stream.reader, &limits).await?;
         let framing = framing::of_request(&head)?;
@@ -81,7 +89,7 @@
             control::answer(&mut stream, standin, &head, framing).await?;
             continue;
         }
-        let faults = standin.faults.borrow().clone();
+        let faults = standin.draw_faults();
         if [HEALTH_PATH, LOAD_PATH].contains(&head.uri.path()) {
             probe::answer(&mut stream, standin, &head, &faults).await?;
             continue;
@@ -101,10 +109,22 @@
             continue;
         }
         if faults.shed {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            reply::refuse(&mut stream, standin, &head, status).await?;
+            refuse_full(&mut stream, standin, &head, &faults, &mut late_copy).await?;
             continue;
         }
+        let deadline = Instant::now() + deadline_of(standin, &head);
+        let time_left = || deadline.saturating_duration_since(Instant::now());
+        let slot = match &standin.slots {
+            None => None,
+            Some(slots) => match slots.take(&mut stream, time_left()).await {
+                Ok(slot) => Some(slot),
+                Err(SlotRefusal::Disconnected) => return Ok(()),
+                Err(SlotRefusal::Full | SlotRefusal::DeadlinePassed) => {
+                    refuse_full(&mut stream, standin, &head, &faults, &mut late_copy).await?;
+                    continue;
+                }
+            },
+        };
         if faults.stuck {
             standin.in_flight.set(standin.in_flight.get() + 1);
             let _ = stream.reader.fill(1).await;
@@ -112,19 +132,55 @@
             standin.runs.borrow_mut().cancelled += 1;
             return Ok(());
         }
-        if !execution::run(&mut stream, standin, &head, &faults).await {
-            return Ok(());
-        }
+        let run_end = execution::run(&mut stream, standin, &head, &faults, time_left()).await;
+        drop(slot);
+        let faults = match run_end {
+            RunEnd::Complete => faults,
+            RunEnd::DeadlinePassed => BackendFaults { status: 504, ..faults },
+            RunEnd::Disconnected => return Ok(()),
+        };
         if faults.break_at == BreakPoint::AfterRun {
             return Ok(());
         }
+        writer::flush(&mut stream.writer, &mut late_copy).await?;
         reply::answer(&mut stream, standin, &head, &faults, body).await?;
-        if faults.break_at != BreakPoint::Nowhere {
+        if faults.late {
+            late_copy = reply::build_copy(standin, &head, &faults);
+        }
+        if faults.break_at != BreakPoint::Nowhere || faults.unframed {
             return Ok(());
         }
     }
 }
 
+/// Refuses a request that finds no slot.
+async fn refuse_full(
+    stream: &mut HttpStream,
+    standin: &BackendStandin,
+    head: &request::Parts,
+    faults: &BackendFaults,
+    late_copy: &mut BytesMut,
+) -> Result<(), HttpError> {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    writer::flush(&mut stream.writer, late_copy).await?;
+    reply::refuse(stream, standin, head, status).await?;
+    if faults.late {
+        *late_copy = reply::build_refusal(standin, head, status);
+    }
+    Ok(())
+}
+
+/// Returns the time that a request may take. A server without a limit of its slots heeds no
+/// deadline.
+fn deadline_of(standin: &BackendStandin, head: &request::Parts) -> Duration {
+    let name = &standin.options.fields.deadline;
+    let millis = fields::single(&head.headers, name).and_then(|value| value.parse().ok());
+    match (&standin.slots, millis) {
+        (Some(_), Some(millis)) => Duration::from_millis(millis),
+        _ => UNLIMITED_TIME,
+    }
+}
+
 async fn read_body(
     stream: &mut HttpStream,
     standin: &BackendStandin,
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -48,6 +48,10 @@
                 optional --spread spread: String
                 /// Connections served at once (BASALTARCH_CONNECTIONS, default 400).
                 optional --connections count: String
+                /// Requests that run at once (BASALTARCH_SLOTS, default no limit).
+                optional --slots count: String
+                /// Requests that wait for a slot (BASALTARCH_QUEUE, default 0).
+                optional --queue count: String
                 /// Seed of the random numbers (BASALTARCH_SEED, default 1).
                 optional --seed seed: String
                 /// Uses the names of header fields of the prepared platform.
@@ -142,6 +146,8 @@
             (0.0..=3.0).contains(spread)
         })?,
         seed: settings::checked("seed", flags.seed, 1, "a number", accept_any)?,
+        slots: settings::optional("slots", flags.slots, "a number of requests")?,
+        queue: settings::checked("queue", flags.queue, 0, "a number of requests", |_| true)?,
         fields: match flags.prepared {
             true => headers::exchange_fields(),
             false => ExchangeFields::default(),
