Send no request again along a connection that carried it

Cause: a server refuses a request (503 with notice and id), and sends a second copy of the refusal late, where the next response on the connection is due. The ingress sends the request to the same server again, and the host takes the connection that was used last. The copy is read as the response to the second attempt: id, notice, status and server are all true, of the first. The server runs the second attempt. Class: a true word about one attempt is taken for a word about another, since an id names a request and not an attempt.

Change: a connection keeps the ids of the requests that it carried and that were refused or failed, and is not taken for such a request again; with 16 of them it is closed. So an id names one attempt on its connection, whoever sends the request again: the ingress, the caller, or two daemons.

--- a/crates/daemon/src/host/backend.rs
+++ b/crates/daemon/src/host/backend.rs
@@ -33,6 +33,10 @@
 /// the timeout is in whole seconds, and a request takes time to arrive.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1200);
 
+/// Number of requests that may be sent again of which a connection keeps the ids. Few connections
+/// carry as many, as most requests succeed.
+const RETRYABLE_IDS_MAX: usize = 16;
+
 /// `BackendPool` keeps the open connections to one backend server and limits their number.
 pub struct BackendPool {
     address: Cell<SocketAddr>,
@@ -47,6 +51,25 @@
     stream: HttpStream,
     idle_since: Instant,
     usable_until: Instant,
+    retryable_ids: RetryableIds,
+}
+
+/// `RetryableIds` are the ids of the requests that a connection carried and that may be sent again,
+/// because the server refused or failed them.
+///
+/// A second copy of a response may still arrive. If its request were sent again along the same
+/// connection, the id would not tell the copy from the response to the later attempt.
+#[derive(Debug, Default)]
+struct RetryableIds(Vec<Box<[u8]>>);
+
+impl RetryableIds {
+    fn contains(&self, id: &[u8]) -> bool {
+        self.0.iter().any(|known| **known == *id)
+    }
+
+    fn is_full(&self) -> bool {
+        self.0.len() >= RETRYABLE_IDS_MAX
+    }
 }
 
 impl BackendPool {
@@ -104,22 +127,30 @@
 
     /// Builds a pooled connection that has yet to be opened.
     fn unopened(&self) -> PooledStream<'_> {
-        PooledStream { pool: self, address: self.address.get(), stream: None, idle_time: None }
+        PooledStream {
+            pool: self,
+            address: self.address.get(),
+            stream: None,
+            idle_time: None,
+            retryable_ids: RetryableIds::default(),
+        }
     }
 
-    /// Takes an idle connection that is still usable, or opens a new connection.
-    pub async fn take(&self) -> Result<PooledStream<'_>, HttpError> {
-        match self.take_idle() {
+    /// Takes an idle connection that is still usable and did not carry the request of this id
+    /// before, or opens a new connection.
+    pub async fn take(&self, id: Option<&[u8]>) -> Result<PooledStream<'_>, HttpError> {
+        match self.take_idle(id) {
             Some(pooled_stream) => Ok(pooled_stream),
             None => self.connect().await,
         }
     }
 
-    /// Takes the idle connection that was used last, if there is one that is still usable.
-    fn take_idle(&self) -> Option<PooledStream<'_>> {
+    /// Takes the idle connection that was used last, if there is one that is still usable and did
+    /// not carry the request of this id before.
+    fn take_idle(&self, id: Option<&[u8]>) -> Option<PooledStream<'_>> {
         loop {
-            let IdleStream { mut stream, idle_since, usable_until } =
-                self.idle.borrow_mut().pop()?;
+            let IdleStream { mut stream, idle_since, usable_until, retryable_ids } =
+                self.pop_idle(id)?;
             let now = Instant::now();
             if now < usable_until && client::is_reusable(&mut stream) {
                 return Some(PooledStream {
@@ -127,12 +158,20 @@
                     address: self.address.get(),
                     stream: Some(stream),
                     idle_time: Some(now - idle_since),
+                    retryable_ids,
                 });
             }
             self.open.set(self.open.get() - 1);
         }
     }
 
+    fn pop_idle(&self, id: Option<&[u8]>) -> Option<IdleStream> {
+        let mut idle = self.idle.borrow_mut();
+        let is_new_to = |idle: &IdleStream| id.is_none_or(|id| !idle.retryable_ids.contains(id));
+        let index = idle.iter().rposition(is_new_to)?;
+        Some(idle.remove(index))
+    }
+
     /// Opens a new connection, even if there are idle connections.
     pub async fn connect(&self) -> Result<PooledStream<'_>, HttpError> {
         if self.open.get() >= self.connections_max.get() {
@@ -164,6 +203,7 @@
     address: SocketAddr,
     stream: Option<HttpStream>,
     idle_time: Option<Duration>,
+    retryable_ids: RetryableIds,
 }
 
 impl PooledStream<'_> {
@@ -179,11 +219,16 @@
         })
     }
 
+    /// Notes that the connection carried the request of this id, which may be sent again.
+    pub fn note_retryable(&mut self, id: &[u8]) {
+        self.retryable_ids.0.push(id.into());
+    }
+
     /// Returns the connection to the pool after a complete exchange; `keep_alive` is the keep-alive
     /// timeout that the server announced.
     pub fn give_back(mut self, keep_alive: Option<Duration>) {
         let pool = self.pool;
-        if pool.address.get() != self.address {
+        if pool.address.get() != self.address || self.retryable_ids.is_full() {
             return;
         }
         if let Some(mut stream) = self.stream.take() {
@@ -192,7 +237,9 @@
                 .map_or(IDLE_TIME_MAX, |timeout| timeout.saturating_sub(KEEP_ALIVE_MARGIN));
             let idle_since = Instant::now();
             let usable_until = idle_since + reuse_time.min(IDLE_TIME_MAX);
-            pool.idle.borrow_mut().push(IdleStream { stream, idle_since, usable_until });
+            let retryable_ids = std::mem::take(&mut self.retryable_ids);
+            let idle_stream = IdleStream { stream, idle_since, usable_until, retryable_ids };
+            pool.idle.borrow_mut().push(idle_stream);
             pool.open.set(pool.open.get() + 1);
         }
     }
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -457,7 +457,7 @@
             return Err(FailureOutcome::NotRun(NotRunReason::DeadlinePassed));
         }
         self.await_turn(body).await.map_err(FailureOutcome::NotRun)?;
-        let connecting = async { Ok(self.upstream.take_connection().await) };
+        let connecting = async { Ok(self.upstream.take_connection(self.request_id()).await) };
         let take_result =
             unless_cancelled(body, connecting).await.map_err(FailureOutcome::NotRun)?;
         self.upstream.note_connected(take_result.is_ok(), self.state.now());
@@ -493,6 +493,9 @@
         let was_overdue = progress.was_overdue.get();
         let result_label = if result.is_ok() { "answered" } else { "broke" };
         metrics::ATTEMPT_SECONDS.record_as(progress.elapsed(), [("result", result_label)]);
+        if let Some(id) = self.request_id().filter(|_| !progress.has_succeeded.get()) {
+            pooled_stream.note_retryable(id);
+        }
         // The slot is released after the connection is closed or given back, not before.
         let is_kept = progress.exchange.leaves_connection_reusable();
         match is_kept {
@@ -523,6 +526,12 @@
         }
     }
 
+    /// Returns the id that the response repeats, if ids are in use.
+    fn request_id(&self) -> Option<&[u8]> {
+        let name = self.state.fields.request.as_ref()?;
+        wire::field_value(&self.head.field_lines, name.as_str())
+    }
+
     /// Runs the HTTP exchange within its deadline.
     async fn run_exchange(
         &self,
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -158,15 +158,15 @@
         }
     }
 
-    /// Takes a connection for a request. While the backend server is ejected or its circuit breaker
+    /// Takes a connection for the request of this id. While the backend server is ejected or its circuit breaker
     /// is open, the connection is a new one: an idle connection may have fallen silent, and a trial
     /// along it would say nothing about the server.
-    pub async fn take_connection(&self) -> Result<PooledStream<'_>, HttpError> {
+    pub async fn take_connection(&self, id: Option<&[u8]>) -> Result<PooledStream<'_>, HttpError> {
         let is_doubted = self.health.borrow().is_ejected_or_breaker_open();
         if is_doubted {
             return self.pool.connect().await;
         }
-        self.pool.take().await
+        self.pool.take(id).await
     }
 
     /// Says whether the last attempt to connect to the backend server failed, or the server has
--- a/crates/daemon/tests/common/scripted.rs
+++ b/crates/daemon/tests/common/scripted.rs
@@ -5,7 +5,7 @@
 //! the connection ends.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Returns the address of the other end of the connection.
+    pub fn peer(&self) -> SocketAddr {
+        self.stream.peer_addr().expect("peer")
+    }
+
     /// Writes bytes; returns `false` if the connection failed.
     pub fn write(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).is_ok()
--- a/crates/daemon/tests/stray_refusals.rs
+++ b/crates/daemon/tests/stray_refusals.rs
@@ -6,6 +6,8 @@
 
 mod common;
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 use basaltarch_platform::headers::names;
@@ -70,6 +72,11 @@
                 AfterExchange::Keep
             })
         });
+        Self::start_beside(&servers, runs)
+    }
+
+    /// Starts daemons beside these servers, and waits until each server has run a request.
+    fn start_beside(servers: &[ScriptedServer; 2], runs: RunList) -> Self {
         let fleet = RegisteredFleet::start_beside(&[&servers[0].backend, &servers[1].backend]);
         let stray_fleet = Self { fleet, runs };
         for daemon in 0..servers.len() {
@@ -115,6 +122,34 @@
     }
 }
 
+/// Servers that refuse each request when they first get it, and run it when they get it again. If it
+/// comes along the connection of its refusal, a second copy of the refusal is in front of its answer.
+fn start_servers_that_refuse_twice(runs: &RunList) -> [ScriptedServer; 2] {
+    ["i-1", "i-2"].map(|name| {
+        let runs = runs.clone();
+        let refused = Mutex::new(HashMap::<String, SocketAddr>::new());
+        ScriptedServer::start(name, move |exchange| {
+            if exchange.seen.line.starts_with("GET /health") {
+                exchange.answer("200 OK", &format!("{NAMED}{name}\r\n"), "");
+                return AfterExchange::Keep;
+            }
+            exchange.read_body();
+            let (id, peer) = (exchange.seen.id.clone(), exchange.peer());
+            let refused_at = refused.lock().expect("refused").insert(id.clone(), peer);
+            if refused_at.is_some() {
+                runs.lock().expect("runs").push(id);
+            }
+            if refused_at.is_none_or(|refused_at| refused_at == peer) {
+                exchange.answer_platform("503 Service Unavailable", NOTICE, "");
+            }
+            if refused_at.is_some() {
+                exchange.answer_platform("200 OK", "", "done");
+            }
+            AfterExchange::Keep
+        })
+    })
+}
+
 /// A response without an id, and the field by which it says something of its server.
 #[derive(Debug, Clone, Copy)]
 struct StrayResponse {
@@ -212,3 +247,14 @@
     assert!(replies.iter().rev().take(REQUESTS / 2).all(|(_, reply)| reply.status == 200));
     stray_fleet.check_servers();
 }
+
+// Guards against the refusal of one attempt that is taken for the refusal of a later attempt, which
+// ran, at the same server.
+#[test]
+fn verify_a_second_copy_of_a_refusal_is_not_believed_of_a_later_attempt() {
+    let runs = RunList::default();
+    let servers = start_servers_that_refuse_twice(&runs);
+    let stray_fleet = StrayFleet::start_beside(&servers, runs);
+    stray_fleet.send_all();
+    stray_fleet.check_promises();
+}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -318,7 +318,16 @@
 fn garble(state: &Rc<SoakState>, plan: &FaultPlan) {
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
     let garbles = [
-        json!(["twice", "late", "unframed", "half-head", "half-body", "shed-late"]),
+        json!([
+            "twice",
+            "late",
+            "unframed",
+            "half-head",
+            "half-body",
+            "shed-late",
+            "stray",
+            "partial"
+        ]),
         json!(["lost", "half-body"]),
         json!(["failed", "unread", "shed", "lost"]),
         json!(["late", "shed-late", "shed"]),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -122,10 +122,13 @@
         settings::checked("processes", flags.processes, 24_usize, "4 to 400", |count| {
             (4..=400).contains(count)
         })?;
-    let fault_pause_ms =
-        settings::checked("fault-pause-ms", flags.fault_pause_ms, 7000_u64, "500 to 60000", |ms| {
-            (500..=60_000).contains(ms)
-        })?;
+    let fault_pause_ms = settings::checked(
+        "fault-pause-ms",
+        flags.fault_pause_ms,
+        7000_u64,
+        "500 to 60000",
+        |ms| (500..=60_000).contains(ms),
+    )?;
     let program_folder = || std::env::current_exe().ok()?.parent().map(PathBuf::from);
     let programs = flags.programs.map(PathBuf::from).or_else(program_folder).unwrap_or_default();
     let logs = flags
--- a/crates/soak/src/mix.rs
+++ b/crates/soak/src/mix.rs
@@ -65,7 +65,11 @@
 
     /// Returns the mode of the route.
     pub fn mode(&self) -> WorkMode {
-        if self.repeatable { WorkMode::Repeatable } else { WorkMode::Plain }
+        if self.repeatable {
+            WorkMode::Repeatable
+        } else {
+            WorkMode::Plain
+        }
     }
 
     /// Returns the time that the caller waits.
--- a/crates/soak/src/mix_callers.rs
+++ b/crates/soak/src/mix_callers.rs
@@ -200,12 +200,7 @@
         Bytes::from(id.bytes().cycle().take(bytes as usize).collect::<Vec<u8>>())
     }
 
-    fn note_reply(
-        &self,
-        class: &RequestClass,
-        id: &str,
-        reply: Option<&ClientReply>,
-    ) -> MixSample {
+    fn note_reply(&self, class: &RequestClass, id: &str, reply: Option<&ClientReply>) -> MixSample {
         let status = reply.map(|reply| reply.status);
         if !class.repeatable {
             self.plain_requests.note(id, &class.name, status);
--- a/crates/standin/src/backend/faults.rs
+++ b/crates/standin/src/backend/faults.rs
@@ -49,6 +49,10 @@
     /// The request is refused before it runs, and the refusal is sent once more in front of the next
     /// response on its connection.
     ShedLate,
+    /// A refusal that belongs to no request is sent in front of the response.
+    Stray,
+    /// The request runs, and the response has a part of what makes a refusal.
+    Partial,
 }
 
 /// `BackendFaults` are the faults in force at a simulated backend server.
@@ -83,6 +87,10 @@
     pub late: bool,
     /// Responses have no length, and end with their connection.
     pub unframed: bool,
+    /// A refusal that belongs to no request is sent in front of each response.
+    pub stray: bool,
+    /// Responses have a part of what makes a refusal.
+    pub partial: bool,
     /// Share of requests to which one of `garbles` happens, from 0 to 1.
     pub garble_rate: f64,
     /// What happens to the share `garble_rate` of requests.
@@ -122,6 +130,8 @@
             twice: false,
             late: false,
             unframed: false,
+            stray: false,
+            partial: false,
             garble_rate: 0.0,
             garbles: Vec::new(),
             unstamped: false,
@@ -149,6 +159,8 @@
             GarbleKind::Unread => self.break_at = BreakPoint::AfterRequestHead,
             GarbleKind::Failed => self.status = 500,
             GarbleKind::Shed => self.shed = true,
+            GarbleKind::Stray => self.stray = true,
+            GarbleKind::Partial => self.partial = true,
             GarbleKind::ShedLate => {
                 self.shed = true;
                 self.late = true;
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -103,7 +103,11 @@
     /// Draws the factor by which the service time of a request is multiplied.
     fn slowdown(&self, faults: &BackendFaults) -> f64 {
         let is_slow = self.rng.borrow_mut().random_bool(faults.slow_rate.clamp(0.0, 1.0));
-        if is_slow { faults.slow_factor } else { 1.0 }
+        if is_slow {
+            faults.slow_factor
+        } else {
+            1.0
+        }
     }
 
     /// Returns the faults in force for one request, with those that are drawn for it.
--- a/crates/standin/src/backend/reply.rs
+++ b/crates/standin/src/backend/reply.rs
@@ -10,8 +10,9 @@
 use basaltarch_http::writer;
 use bytes::{Bytes, BytesMut};
 use http::{header, request, HeaderMap, HeaderName, HeaderValue, StatusCode};
+use rand::RngExt;
 
-use crate::backend::sending;
+use crate::backend::{sending, uploads};
 use crate::backend::{BackendFaults, BackendStandin};
 
 /// Refuses a request that was not run, with its id and a shed notice.
@@ -73,6 +74,16 @@
         (false, Err(_)) => requested_status(path),
     };
     let headers = response_headers(standin, head, faults);
+    if faults.stray || faults.partial {
+        let number = standin.rng.borrow_mut().random_range(0..usize::MAX);
+        let mut buffer = BytesMut::new();
+        if faults.partial {
+            uploads::put_partial_refusal(&mut buffer, standin, headers, number);
+            return writer::flush(&mut stream.writer, &mut buffer).await;
+        }
+        uploads::put_stray_refusal(&mut buffer, standin, number);
+        writer::flush(&mut stream.writer, &mut buffer).await?;
+    }
     if faults.surplus {
         let mut surplus_headers = headers.clone();
         put(&mut surplus_headers, standin.request_field(), "an-earlier-request");
--- a/crates/standin/src/backend/uploads.rs
+++ b/crates/standin/src/backend/uploads.rs
@@ -133,7 +133,7 @@
 }
 
 /// Puts a refusal without an id into the buffer; `number` selects its status.
-fn put_stray_refusal(buffer: &mut BytesMut, standin: &BackendStandin, number: usize) {
+pub fn put_stray_refusal(buffer: &mut BytesMut, standin: &BackendStandin, number: usize) {
     let status = STRAY_STATUSES[number % STRAY_STATUSES.len()];
     let mut headers = HeaderMap::new();
     headers.insert(standin.options.fields.shed.clone(), HeaderValue::from_static("1"));
@@ -142,7 +142,7 @@
 
 /// Puts a response with these header fields into the buffer that has a part of what makes a refusal;
 /// `number` selects which.
-fn put_partial_refusal(
+pub fn put_partial_refusal(
     buffer: &mut BytesMut,
     standin: &BackendStandin,
     mut headers: HeaderMap,
