Choose no upstream again that already got the request, though it declined as full before

Cause: ServiceView::best prefers, for the last choice, an upstream that declined as full before, and didn't ask whether the request was sent there since. ChoiceRequest::excluded says 'must not be chosen'.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -637,7 +637,9 @@
         let is_eligible =
             |index: usize, view: &LoadView| may_send(index) && !view.is_suspect(terms);
         let is_known_full = |index: usize, view: &LoadView| {
-            let is_known = request.is_last && request.full.contains(&index);
+            let is_known = request.is_last
+                && request.full.contains(&index)
+                && !request.excluded.contains(&index);
             is_known && self.in_service(index) && !view.is_suspect(terms) && has_room(view)
         };
         if let Some(drawn) = self.draw(terms, rng, candidates, is_known_full) {
--- a/crates/decide/tests/floor.rs
+++ b/crates/decide/tests/floor.rs
@@ -79,14 +79,29 @@
     Rate(usize, KnownRate),
     Choose {
         excluded: Vec<usize>,
+        full: Vec<usize>,
         repeatable: bool,
         must_take: bool,
+        is_last: bool,
     },
     Wait(u64),
     /// A change of the configuration: of the floor, of the slots, and of the number of upstreams.
     Configure(f64, Vec<u32>),
 }
 
+fn any_request() -> impl Strategy<Value = ViewChange> {
+    let indexes = || prop::collection::vec(0..30_usize, 0..3);
+    (indexes(), indexes(), any::<bool>(), any::<bool>(), any::<bool>()).prop_map(
+        |(excluded, full, repeatable, must_take, is_last)| ViewChange::Choose {
+            excluded,
+            full,
+            repeatable,
+            must_take,
+            is_last,
+        },
+    )
+}
+
 fn any_change() -> impl Strategy<Value = ViewChange> {
     prop_oneof![
         (0..30_usize, 0.0..6.0_f64, any::<bool>())
@@ -98,13 +113,7 @@
             prop_oneof![Just(KnownRate::Unlimited), (0.0..50.0_f64).prop_map(KnownRate::PerSecond)]
         )
             .prop_map(|(i, rate)| ViewChange::Rate(i, rate)),
-        (prop::collection::vec(0..30_usize, 0..3), any::<bool>(), any::<bool>()).prop_map(
-            |(excluded, repeatable, must_take)| ViewChange::Choose {
-                excluded,
-                repeatable,
-                must_take
-            }
-        ),
+        any_request(),
         (0..100_000_u64).prop_map(ViewChange::Wait),
         (0.0..=1.0_f64, prop::collection::vec(1..6_u32, 1..25))
             .prop_map(|(floor, slots)| ViewChange::Configure(floor, slots)),
@@ -170,13 +179,15 @@
                 }
                 ViewChange::Wait(millis) => now += Duration::from_millis(millis),
                 ViewChange::Configure(floor, slots) => view = configured(&view, floor, &slots),
-                ViewChange::Choose { excluded, repeatable, must_take } => {
+                ViewChange::Choose { excluded, full, repeatable, must_take, is_last } => {
                     let choice = view.choose(
                         now,
                         &ChoiceRequest {
                             excluded: &excluded,
+                            full: &full,
                             repeatable,
                             must_take,
+                            is_last,
                             ..ChoiceRequest::default()
                         },
                         &mut rng,
--- a/crates/decide/tests/ingress.rs
+++ b/crates/decide/tests/ingress.rs
@@ -514,6 +514,19 @@
     }
 }
 
+// Guards against a request that is sent again to the server that refused it, because the server's
+// host had declined it as full before.
+#[test]
+fn verify_an_upstream_that_got_the_request_is_not_chosen_again_as_full() {
+    let mut view = ServiceView::new(0.5, (0..2).map(|_| LoadView::new(4, true)).collect());
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    for _ in 0..50 {
+        let (excluded, full) = (&[1, 0][..], &[0][..]);
+        let request = ChoiceRequest { excluded, full, is_last: true, ..ChoiceRequest::default() };
+        assert!(view.choose(millis(11), &request, &mut rng).is_none());
+    }
+}
+
 #[test]
 fn verify_nested_calls_of_retried_requests_count_against_the_budget() {
     let terms = BudgetTerms { share: 0.2, extra: 2.0, window: Duration::from_secs(10) };
