Ask who listens before a heartbeat displaces a registered server at its address

Cause: register_server took a heartbeat with an unknown name at the address of a registered server for its successor, by the heartbeat alone, and noted the departure of the other, which binds.

Change: the listener at the address is asked for its name first, by a health check on a connection of its own; only the sender's name lets it replace the other. Where the listener doesn't name itself within 600 ms, the other is replaced once it has been silent for 4.5 s. Heartbeats that wait for the admission go the same way.

--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -76,7 +76,7 @@
         let _ = monoio::time::timeout(CHECK_INTERVAL, state.admission.heard.above(seen)).await;
     }
     state.admission.opened.raise();
-    registration::apply_deferred(&state);
+    registration::apply_deferred(&state).await;
 }
 
 /// Asks each neighbour that has not been asked, in a task of its own.
--- a/crates/daemon/src/health_checks.rs
+++ b/crates/daemon/src/health_checks.rs
@@ -13,6 +13,7 @@
 use basaltarch_events::servers;
 use basaltarch_http::client::{ClientReply, HttpClient};
 use basaltarch_platform::headers;
+use basaltarch_platform::registration::ServerHeartbeat;
 use bytes::Bytes;
 use fnv::FnvHashMap;
 use http::{HeaderMap, Method};
@@ -24,6 +25,9 @@
 /// Timeout of a health check, which may wait for a slot of the server. A server whose check fails
 /// is soon registered by its next heartbeat.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest wait for the name of the listener at an address. The heartbeat that asks for it must be
+/// acknowledged within a second.
+const LISTENER_NAME_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum size in bytes of the body of a reply to a health check, of which only the head is used.
 const HEALTH_REPLY_BYTES_MAX: u64 = 64 * 1024;
 /// Minimum time between two checks of which server listens at the address of one server.
@@ -75,6 +79,41 @@
     });
 }
 
+/// Says whether the sender of a heartbeat has replaced another registered server at its address.
+///
+/// If the listener does not name itself in time, the other server counts as replaced once it is
+/// silent.
+pub async fn has_replaced(
+    state: &Rc<DaemonState>,
+    other: &ServerRecord,
+    heartbeat: &ServerHeartbeat,
+) -> bool {
+    let naming =
+        monoio::time::timeout(LISTENER_NAME_TIMEOUT, name_listener(state, other, heartbeat));
+    match naming.await.ok().flatten() {
+        Some(listener) => listener == heartbeat.incarnation.server,
+        None => state.registrations.is_silent(&other.name, state.now()),
+    }
+}
+
+/// Asks the listener at the address of two servers for its name, by the health check of each.
+async fn name_listener(
+    state: &Rc<DaemonState>,
+    other: &ServerRecord,
+    heartbeat: &ServerHeartbeat,
+) -> Option<String> {
+    for service in [&other.service, &heartbeat.service] {
+        let asked = ServerRecord { service: service.clone(), ..other.clone() };
+        let reply = check_health(state, &asked).await;
+        let name = reply.as_ref().and_then(|reply| headers::answering_server(&reply.headers));
+        if let Some(name) = name {
+            servers::ListenerChecked { upstream: &other.name, listener: name }.log();
+            return Some(name.to_owned());
+        }
+    }
+    None
+}
+
 /// Checks the health of the server at the recorded address. Returns `None` if the server does not
 /// reply.
 pub async fn check_health(state: &Rc<DaemonState>, server: &ServerRecord) -> Option<ClientReply> {
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -30,6 +30,10 @@
 /// servers, so a client that reports more names than this is no backend server of the host.
 const TRACKERS_MAX: usize = 256;
 
+/// Time without a heartbeat after which a backend server counts as silent: twice the time between
+/// two heartbeats, and one more for a heartbeat that is lost.
+const SILENT_AFTER: Duration = Duration::from_millis(4500);
+
 /// `GoneCause` is what showed that a backend server is gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GoneCause {
@@ -64,6 +68,8 @@
     /// Incarnations of each backend server, by the server's own name.
     trackers: RefCell<FnvHashMap<String, IncarnationTracker>>,
     sequences: RefCell<FnvHashMap<String, u64>>,
+    /// When the last heartbeat that was put in force arrived.
+    heard_at: RefCell<FnvHashMap<String, Duration>>,
     cold_until: RefCell<FnvHashMap<String, Duration>>,
     /// Latest known record of an earlier incarnation of the daemon.
     recovered: RefCell<Option<HostRecord>>,
@@ -119,9 +125,16 @@
             tracker.note_end(born);
         }
         self.sequences.borrow_mut().remove(upstream);
+        self.heard_at.borrow_mut().remove(upstream);
         self.cold_until.borrow_mut().remove(upstream);
     }
 
+    /// Says whether an upstream has sent no heartbeat for longer than one that runs does.
+    pub fn is_silent(&self, upstream: &str, now: Duration) -> bool {
+        let heard_at = self.heard_at.borrow().get(upstream).copied();
+        heard_at.is_none_or(|heard_at| now.saturating_sub(heard_at) >= SILENT_AFTER)
+    }
+
     /// Says whether the current incarnation of a server told its start in a heartbeat.
     pub fn tells_start(&self, server: &str) -> bool {
         self.current_incarnation(server).is_some()
@@ -161,7 +174,45 @@
 }
 
 /// Handles a heartbeat, and returns the classification of the heartbeat.
-pub fn note_heartbeat(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) -> IncarnationVerdict {
+///
+/// A heartbeat that would replace another registered server at its address may be late: its sender
+/// may have ended, and the other server may listen there. The listener is therefore asked for its
+/// name first.
+pub async fn take_heartbeat(
+    state: &Rc<DaemonState>,
+    heartbeat: &ServerHeartbeat,
+) -> IncarnationVerdict {
+    if let Some(other) = find_displaced(state, heartbeat) {
+        if !health_checks::has_replaced(state, &other, heartbeat).await {
+            log_late(heartbeat);
+            return IncarnationVerdict::Late;
+        }
+    }
+    note_heartbeat(state, heartbeat)
+}
+
+/// Returns the registered server of another name at the address of a heartbeat that would register
+/// its sender.
+fn find_displaced(state: &DaemonState, heartbeat: &ServerHeartbeat) -> Option<ServerRecord> {
+    let incarnation = &heartbeat.incarnation;
+    if is_registered(state, &incarnation.upstream()) || has_departed(state, incarnation) {
+        return None;
+    }
+    let servers = state.roster.own_servers();
+    servers.into_iter().find(|other| {
+        let is_other = incarnation::server_of(&other.name) != incarnation.server;
+        is_other && other.address == heartbeat.address
+    })
+}
+
+fn log_late(heartbeat: &ServerHeartbeat) {
+    let (upstream, sequence) = (&heartbeat.incarnation.upstream(), heartbeat.sequence);
+    let draining = heartbeat.draining;
+    servers::HeartbeatLate { upstream, sequence, draining }.log();
+}
+
+/// Handles a heartbeat whose sender is known to listen at its address, or is the only server there.
+fn note_heartbeat(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) -> IncarnationVerdict {
     let verdict = match find_departure(state, &heartbeat.incarnation) {
         Some(verdict) => verdict,
         None => state.registrations.classify_heartbeat(heartbeat, state.now()),
@@ -170,9 +221,7 @@
         IncarnationVerdict::Current => {}
         IncarnationVerdict::Replaces => drop(state.registrations.is_newer(heartbeat)),
         IncarnationVerdict::Late | IncarnationVerdict::Unnamed => {
-            let (upstream, sequence) = (&heartbeat.incarnation.upstream(), heartbeat.sequence);
-            let draining = heartbeat.draining;
-            servers::HeartbeatLate { upstream, sequence, draining }.log();
+            log_late(heartbeat);
             return verdict;
         }
     }
@@ -203,10 +252,10 @@
 }
 
 /// Handles the heartbeats that arrived before the servers of this host were admitted.
-pub fn apply_deferred(state: &Rc<DaemonState>) {
+pub async fn apply_deferred(state: &Rc<DaemonState>) {
     let deferred = state.registrations.deferred.take();
     for heartbeat in deferred.values() {
-        note_heartbeat(state, heartbeat);
+        take_heartbeat(state, heartbeat).await;
     }
 }
 
@@ -226,6 +275,7 @@
 /// Puts in force what a heartbeat reports.
 fn register_server(state: &Rc<DaemonState>, heartbeat: &ServerHeartbeat) {
     let name = heartbeat.incarnation.upstream();
+    state.registrations.heard_at.borrow_mut().insert(name.clone(), state.now());
     note_cold(state, &name, heartbeat.cold_for);
     let mut servers = state.roster.own_servers();
     let known = servers.iter().find(|server| server.name == name);
--- a/crates/daemon/src/server_calls.rs
+++ b/crates/daemon/src/server_calls.rs
@@ -119,7 +119,7 @@
         let _ = monoio::time::timeout(HELD_TIMEOUT, state.admission.opened()).await;
         return Ok(());
     }
-    match registration::note_heartbeat(state, heartbeat) {
+    match registration::take_heartbeat(state, heartbeat).await {
         IncarnationVerdict::Unnamed => Err(CallRefusal::Unnamed),
         _ => Ok(()),
     }
@@ -159,7 +159,7 @@
         return bind(state, &other_upstreams, registration::note_leaving, HEARTBEAT_CALL).await;
     }
     let is_known = is_known(state, incarnation);
-    match registration::note_heartbeat(state, heartbeat) {
+    match registration::take_heartbeat(state, heartbeat).await {
         IncarnationVerdict::Unnamed => return Err(CallRefusal::Unnamed),
         IncarnationVerdict::Late if !is_known => return Err(CallRefusal::OtherIncarnation),
         _ => {}
--- a/crates/daemon/tests/incarnations.rs
+++ b/crates/daemon/tests/incarnations.rs
@@ -179,3 +179,30 @@
     let servers = fleet.daemons[1].get("/v1/backend-servers").to_string();
     assert!(!servers.contains("i-9"), "the ingress must not know the new name: {servers}");
 }
+
+// Guards against a heartbeat that comes after its sender has ended, and removes for good the server
+// that listens at its address since.
+#[test_case("i-0", SERVICE, false ; "of an incarnation that nobody knew")]
+#[test_case("i-0", "other-app", false ; "of another service")]
+#[test_case("i-0", "other-app", true ; "of another service, draining")]
+fn verify_a_late_heartbeat_at_a_reused_address_displaces_no_live_server(
+    name: &str,
+    service: &str,
+    draining: bool,
+) {
+    let fleet = RegisteredFleet::start(2);
+    fleet.wait_served(1, &[0, 1]);
+    fleet.send_heartbeat_as(0, name, service, draining);
+    assert_eq!(fleet.send_heartbeat(0, false).status, 200);
+    let mut number = 0;
+    eventually("the live server gets requests", || {
+        number += 1;
+        let id = format!("after-{number}");
+        fleet.request(1, "GET", "/safe/x", &id);
+        fleet.backends[0].run_count(&id) > 0
+    });
+    let text = fleet.daemons[0].log_text();
+    let is_displaced =
+        |line: &str| line.contains("backend server gone") && line.contains("\"i-1\"");
+    assert!(!text.lines().any(is_displaced), "the live server is displaced");
+}
