Write the own row again after the store was restored from a copy

Cause: a daemon passes over its own row if its version is lower than that of its last write. After a restore it is lower, so that the daemon goes on to believe that the store holds what it wrote.

Change: a whole table, which is read after a restore, tells the own row whatever its version. If a write is answered at the same time, the next write conflicts and is made again. A daemon that reads the rows through others doesn't read the whole table then: open.

--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -492,6 +492,9 @@
 
 /// Applies the whole table: adopts its rows, and removes the hosts that have no row in the table.
 pub fn apply_table(state: &Rc<DaemonState>, page: &RowsPage) {
+    // A store that was restored from a copy holds an earlier row of this daemon, with a lower
+    // version than that of the last write.
+    state.roster.own_version.set(0);
     apply_rows(state, &page.rows);
     let listed: BTreeSet<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
     let records = state.roster.records.borrow();
--- a/crates/daemon/tests/restored.rs
+++ b/crates/daemon/tests/restored.rs
@@ -52,3 +52,22 @@
         assert_eq!(fleet.request(index, "GET", "/new/x", "new").status, 200);
     }
 }
+
+// Guards against a leaving that was acknowledged, and that nobody holds once all daemons have been
+// killed after the store was restored from a copy of before it.
+#[test]
+fn verify_an_acknowledged_leaving_is_written_again_after_a_restore() {
+    let fleet = RegisteredFleet::start(2);
+    fleet.wait_served(1, &[0, 1]);
+    let has_departed = || {
+        let rows = fleet.platform.read_rows("hosts");
+        rows.iter().any(|row| row["departed"].to_string().contains("i-1"))
+    };
+    fleet.platform.take_copy();
+    assert_eq!(fleet.deregister(0).status, 200);
+    eventually("the row lists the leaving", has_departed);
+    fleet.platform.set_faults(json!({"down": true}));
+    fleet.platform.restore();
+    fleet.platform.set_faults(json!({}));
+    eventually("the row lists the leaving again", has_departed);
+}
