Tests: servers of another name have an address or a listener of their own

Seventeen tests sent heartbeats in other names from the address of a live server, which names itself otherwise: to the daemon they are late now, and are. Four kinds, replaced by what they meant: a newcomer has an address of its own (foreign, leaving, rows); the listener of the crashed server takes its successor's name before the successor's heartbeat, whose registration is asked for too; and the server of before is registered before the one that listens. The checks stay as they were.

--- a/crates/daemon/tests/common/registered.rs
+++ b/crates/daemon/tests/common/registered.rs
@@ -222,6 +222,19 @@
         self.call_daemon(index, &self.build_heartbeat(index, name, service, draining))
     }
 
+    /// Sends the heartbeat of a server that nobody knows yet.
+    pub fn send_newcomer_heartbeat(&self, index: usize, name: &str) -> Reply {
+        self.call_daemon(index, &self.build_newcomer_heartbeat(name, false))
+    }
+
+    /// Builds the heartbeat of a server that nobody knows yet, at an address of its own where nobody
+    /// listens.
+    pub fn build_newcomer_heartbeat(&self, name: &str, draining: bool) -> StoreCall {
+        let port = 1 + (self.sequence.get() % 1000) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        self.build_heartbeat_from(address, name, SERVICE, draining)
+    }
+
     /// Resets the sequence numbers of heartbeats, as a backend server does when it starts.
     pub fn reset_sequence(&self) {
         self.sequence.set(1);
