Hold the deadline and watch the caller while an answer is relayed

Cause: relay_answer awaited the pieces of an answer without the deadline of the request, and relay_while_sending looked at the caller's connection for the upload alone. Class: a deadline, or a caller's leaving, that holds for a part of the exchange.

Change: the next piece must arrive by 250 ms after the deadline (pieces that are there are delivered, also later); after the upload the connection is watched until the answer ends. Either cuts the answer and cancels the request at its host. The host itself still waits for up to 30 s where the ingress stands still: open.

--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -3,6 +3,9 @@
 
 //! Relays an answer to the caller, piece by piece, as fast as the caller reads the pieces.
 
+use std::rc::Rc;
+use std::time::Duration;
+
 use basaltarch_base::metrics;
 use basaltarch_core::units;
 use basaltarch_http::connection::{HttpStream, StreamWriter};
@@ -19,9 +22,12 @@
 use crate::ingress::caller::{AfterRequest, WRITE_TIMEOUT};
 use crate::ingress::dispatch::LiveExchange;
 use crate::ingress::request::CallerRequest;
-use crate::ingress::trace;
+use crate::ingress::{trace, waiting};
 use crate::state::DaemonState;
 
+/// Time after the deadline within which the next piece of an answer must arrive. The host's daemon
+/// may stand still, so the ingress keeps the deadline by itself.
+const LATE_PIECE_TIME: Duration = Duration::from_millis(250);
 /// Largest size in bytes of an answer of unknown length that is buffered whole for an HTTP/1.0
 /// caller, which could not distinguish a truncated answer from a complete answer.
 const BUFFERED_BYTES_MAX: usize = 1024 * units::KIB;
@@ -36,7 +42,8 @@
     head: AnswerHead,
 ) -> AfterRequest {
     let status = head.status as u16;
-    match relay_while_sending(stream, request, body, live, head).await {
+    let pieces = AnswerPieces { state, answer: live.exchange.answer.clone(), request };
+    match relay_while_sending(stream, &pieces, body, live, head).await {
         Ok(close) => {
             live.finish();
             metrics::COMPLETE.add_one();
@@ -55,36 +62,57 @@
     }
 }
 
+/// `AnswerPieces` are the pieces of an answer as they arrive from the host's daemon.
+struct AnswerPieces<'a> {
+    state: &'a DaemonState,
+    answer: Rc<EventPipe>,
+    request: &'a CallerRequest,
+}
+
+impl AnswerPieces<'_> {
+    /// Waits for the next piece of the answer, and says whether it is the last. Pieces that are
+    /// there are delivered after the deadline too.
+    async fn next(&self) -> Result<(Bytes, bool), HttpError> {
+        let Self { state, answer, request } = self;
+        let time_left = request.deadline.saturating_sub(state.now()) + LATE_PIECE_TIME;
+        match monoio::time::timeout(time_left, answer.next()).await {
+            Ok(StreamEvent::Data(data, last)) => Ok((data, last)),
+            // The head is already sent; the failure can only be shown by truncating the answer.
+            Ok(_) => Err(HttpError::Truncated),
+            Err(_) => Err(HttpError::TimedOut { what: "the next piece of the answer" }),
+        }
+    }
+}
+
 /// Writes the answer and goes on with the upload; returns whether the connection is closed after
-/// the answer.
+/// the answer. Ends if the caller disconnects.
 async fn relay_while_sending(
     stream: &mut HttpStream,
-    request: &CallerRequest,
+    pieces: &AnswerPieces<'_>,
     body: &mut RequestBody,
     live: &mut LiveExchange,
     head: AnswerHead,
 ) -> Result<bool, HttpError> {
     let LiveExchange { exchange, upload, .. } = live;
     let HttpStream { reader, writer } = stream;
-    let mut relaying = std::pin::pin!(relay_answer(writer, request, &exchange.answer, head).fuse());
-    let mut sending = std::pin::pin!(upload.run(body, reader, &exchange.body).fuse());
-    loop {
-        select_biased! {
-            result = relaying => return result,
-            _ = sending => {}
-        }
+    let mut relaying = std::pin::pin!(relay_answer(writer, pieces, head).fuse());
+    let watching = waiting::send_body_until_caller_gone(reader, body, upload, &exchange.body);
+    let mut watching = std::pin::pin!(watching.fuse());
+    select_biased! {
+        result = relaying => result,
+        () = watching => Err(HttpError::Closed),
     }
 }
 
 /// Writes the answer; returns whether the connection is closed after the answer.
 async fn relay_answer(
     writer: &mut StreamWriter,
-    request: &CallerRequest,
-    answer: &EventPipe,
+    pieces: &AnswerPieces<'_>,
     mut head: AnswerHead,
 ) -> Result<bool, HttpError> {
+    let request = pieces.request;
     if request.version == Version::HTTP_10 && head.content_length < 0 && !head.last {
-        buffer_answer(answer, &mut head).await?;
+        buffer_answer(pieces, &mut head).await?;
     }
     let status = StatusCode::from_u16(head.status as u16).unwrap_or(StatusCode::BAD_GATEWAY);
     let is_bodiless = framing::never_has_body(status) || request.method == Method::HEAD;
@@ -98,15 +126,10 @@
     }
     send(writer, &mut buffer, framing, Bytes::from(head.body), false).await?;
     loop {
-        match answer.next().await {
-            StreamEvent::Data(data, last) => {
-                send(writer, &mut buffer, framing, data, last).await?;
-                if last {
-                    return Ok(request.close);
-                }
-            }
-            // The head is already sent; the failure can only be shown by truncating the answer.
-            _ => return Err(HttpError::Truncated),
+        let (data, last) = pieces.next().await?;
+        send(writer, &mut buffer, framing, data, last).await?;
+        if last {
+            return Ok(request.close);
         }
     }
 }
@@ -153,21 +176,17 @@
 }
 
 /// Reads the rest of the body into the `body` field of the answer's head.
-async fn buffer_answer(answer: &EventPipe, head: &mut AnswerHead) -> Result<(), HttpError> {
+async fn buffer_answer(pieces: &AnswerPieces<'_>, head: &mut AnswerHead) -> Result<(), HttpError> {
     loop {
-        match answer.next().await {
-            StreamEvent::Data(data, last) => {
-                head.body.extend_from_slice(&data);
-                if last {
-                    head.last = true;
-                    head.content_length = head.body.len() as i64;
-                    return Ok(());
-                }
-                if head.body.len() > BUFFERED_BYTES_MAX {
-                    return Err(HttpError::BodyTooLarge { allowed: BUFFERED_BYTES_MAX as u64 });
-                }
-            }
-            _ => return Err(HttpError::Truncated),
+        let (data, last) = pieces.next().await?;
+        head.body.extend_from_slice(&data);
+        if last {
+            head.last = true;
+            head.content_length = head.body.len() as i64;
+            return Ok(());
+        }
+        if head.body.len() > BUFFERED_BYTES_MAX {
+            return Err(HttpError::BodyTooLarge { allowed: BUFFERED_BYTES_MAX as u64 });
         }
     }
 }
--- a/crates/daemon/src/ingress/reservations.rs
+++ b/crates/daemon/src/ingress/reservations.rs
@@ -335,7 +335,8 @@
         let widen_every = ReservationPlan::default().widen_every;
         let mut widen = std::pin::pin!(monoio::time::sleep(widen_every).fuse());
         let mut stopping = std::pin::pin!(self.state.stop.giving_up.raised().fuse());
-        let mut disconnected = std::pin::pin!(waiting::wait_until_caller_gone(stream).fuse());
+        let mut disconnected =
+            std::pin::pin!(waiting::wait_until_caller_gone(&mut stream.reader).fuse());
         select_biased! {
             (reservation, reply) = reply => WaitStep::Reply(reservation, reply),
             () = stopping => WaitStep::GiveUp(NotRunReason::Draining),
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -10,10 +10,12 @@
 use basaltarch_core::outcome::{FailureOutcome, UnknownReason};
 use basaltarch_decide::path::PathState;
 use basaltarch_http::connection::HttpStream;
-use basaltarch_http::reader::HEAD_READ_BYTES;
+use basaltarch_http::reader::{ByteReader, HEAD_READ_BYTES};
 use basaltarch_peer::protocol::{AnswerHead, LoadReport};
 use basaltarch_peer::stream::{EventSink, StreamEvent};
 use futures_util::{select_biased, FutureExt};
+use monoio::io::OwnedReadHalf;
+use monoio::net::TcpStream;
 
 use crate::ingress::body::{BodyUpload, RequestBody, UploadEnd};
 use crate::ingress::dispatch::LiveExchange;
@@ -30,6 +32,9 @@
 /// served.
 const PIPELINE_BYTES_MAX: usize = 64 * 1024;
 
+/// `CallerReader` reads what a caller sends on its connection.
+pub type CallerReader = ByteReader<OwnedReadHalf<TcpStream>>;
+
 /// `FirstEvent` is the first event of an attempt.
 pub enum FirstEvent {
     /// The head of an answer.
@@ -82,7 +87,8 @@
     let hedging_delay = hedging_delay.unwrap_or(answer_wait * 2);
     let mut hedging = std::pin::pin!(monoio::time::sleep(hedging_delay).fuse());
     let mut path_cut_event = std::pin::pin!(path_cut(state, path.as_deref()).fuse());
-    let mut sending = std::pin::pin!(send_body(stream, body, upload, &exchange.body).fuse());
+    let mut sending =
+        std::pin::pin!(send_body(&mut stream.reader, body, upload, &exchange.body).fuse());
     let mut passed_in_suspend =
         std::pin::pin!(passed_while_suspended(state, request.deadline).fuse());
     let mut slow_answer = std::pin::pin!(slow.next_success().fuse());
@@ -120,7 +126,7 @@
     needed: impl Future<Output = T>,
 ) -> Option<T> {
     let mut needed = std::pin::pin!(needed.fuse());
-    let mut watching = std::pin::pin!(watch_caller(stream).fuse());
+    let mut watching = std::pin::pin!(watch_caller(&mut stream.reader).fuse());
     loop {
         select_biased! {
             outcome = watching => match outcome {
@@ -146,7 +152,7 @@
     let mut deadline_timer = std::pin::pin!(monoio::time::sleep(answer_wait).fuse());
     let mut passed_in_suspend =
         std::pin::pin!(passed_while_suspended(state, state.now() + time_left).fuse());
-    let mut watching = std::pin::pin!(watch_caller(stream).fuse());
+    let mut watching = std::pin::pin!(watch_caller(&mut stream.reader).fuse());
     let mut stopping = std::pin::pin!(state.stop.giving_up.raised().fuse());
     loop {
         select_biased! {
@@ -215,20 +221,35 @@
 
 /// Sends the rest of the body, then waits until the caller disconnects.
 async fn send_body(
-    stream: &mut HttpStream,
+    reader: &mut CallerReader,
     body: &mut RequestBody,
     upload: &mut BodyUpload,
     sink: &EventSink,
 ) -> WatchOutcome {
-    match upload.run(body, &mut stream.reader, sink).await {
+    match upload.run(body, reader, sink).await {
         UploadEnd::Unreadable(_) => WatchOutcome::CallerGone,
-        UploadEnd::Sent | UploadEnd::ExchangeEnded => watch_caller(stream).await,
+        UploadEnd::Sent | UploadEnd::ExchangeEnded => watch_caller(reader).await,
+    }
+}
+
+/// Sends the rest of the body while its answer is relayed, and waits until the caller disconnects. A
+/// caller whose body can't be parsed still reads the answer.
+pub async fn send_body_until_caller_gone(
+    reader: &mut CallerReader,
+    body: &mut RequestBody,
+    upload: &mut BodyUpload,
+    sink: &EventSink,
+) {
+    match upload.run(body, reader, sink).await {
+        UploadEnd::Unreadable(error) if error.status().is_some() => future::pending().await,
+        UploadEnd::Unreadable(_) => {}
+        UploadEnd::Sent | UploadEnd::ExchangeEnded => wait_until_caller_gone(reader).await,
     }
 }
 
 /// Waits until the caller disconnects.
-pub async fn wait_until_caller_gone(stream: &mut HttpStream) {
-    match watch_caller(stream).await {
+pub async fn wait_until_caller_gone(reader: &mut CallerReader) {
+    match watch_caller(reader).await {
         WatchOutcome::CallerGone => {}
         // The buffer for pipelined requests is full, so a disconnect is noticed only when the
         // answer is written.
@@ -237,12 +258,12 @@
 }
 
 /// Waits until the caller disconnects, or the buffer for pipelined requests is full.
-async fn watch_caller(stream: &mut HttpStream) -> WatchOutcome {
+async fn watch_caller(reader: &mut CallerReader) -> WatchOutcome {
     loop {
-        if stream.reader.buffer.len() > PIPELINE_BYTES_MAX {
+        if reader.buffer.len() > PIPELINE_BYTES_MAX {
             return WatchOutcome::BufferFull;
         }
-        match stream.reader.fill(HEAD_READ_BYTES).await {
+        match reader.fill(HEAD_READ_BYTES).await {
             Ok(count) if count > 0 => {}
             _ => return WatchOutcome::CallerGone,
         }
