--- a/crates/soak/src/leavings.rs
+++ b/crates/soak/src/leavings.rs
@@ -61,6 +61,7 @@
             monoio::spawn(faults::kill_daemon(state.clone(), host_index, pause));
         }
         monoio::time::sleep(DRAIN_TIME).await;
+        await_released(&host).await;
         check_unused(&state, &host, &late_heartbeat, &mut rng).await;
     }
     host.start_server_again();
@@ -88,6 +89,15 @@
     false
 }
 
+/// Waits until no data to the server is held back: what was sent before the leaving arrives late
+/// then, which is no fault of the daemon.
+async fn await_released(host: &SoakHost) {
+    while host.server_proxy.is_held() {
+        monoio::time::sleep(POLL_INTERVAL).await;
+    }
+    monoio::time::sleep(POLL_INTERVAL).await;
+}
+
 /// Watches a server that has left, while heartbeats of before arrive late.
 async fn check_unused(
     state: &SoakState,
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -106,6 +106,11 @@
         self.state.hold.set(hold);
     }
 
+    /// Says whether data is held back in any direction.
+    pub fn is_held(&self) -> bool {
+        self.state.hold.get() != ProxyHold::default()
+    }
+
     /// Black-holes each open connection for which `is_chosen` returns true, permanently and in both
     /// directions: no data is relayed, neither end is closed, and the operating system still
     /// acknowledges received data. Connections that are opened later are not black-holed.
