--- a/crates/standin/src/backend/serving.rs
+++ b/crates/standin/src/backend/serving.rs
@@ -78,96 +78,143 @@
 }
 
 async fn serve_connection(stream: TcpStream, standin: &BackendStandin) -> Result<(), HttpError> {
-    let mut stream = HttpStream::new(stream);
+    let (stream, late_copy) = (HttpStream::new(stream), BytesMut::new());
+    let mut connection = ServerConnection { stream, standin, late_copy };
     let limits = HeadLimits { idle: Duration::from_secs(3600), ..HeadLimits::default() };
-    // Copy of an earlier response, to be sent in front of the next one.
-    let mut late_copy = BytesMut::new();
     loop {
-        let head = head::read_request(&mut stream.reader, &limits).await?;
-        let framing = framing::of_request(&head)?;
-        if head.uri.path().starts_with("/__control/") {
-            control::answer(&mut stream, standin, &head, framing).await?;
-            continue;
+        let head = head::read_request(&mut connection.stream.reader, &limits).await?;
+        if connection.serve_request(&head).await? == AfterRequest::Close {
+            return Ok(());
+        }
+    }
+}
+
+/// `AfterRequest` says what happens to a connection after a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AfterRequest {
+    Keep,
+    Close,
+}
+
+/// `ServerConnection` is one connection of a client.
+struct ServerConnection<'a> {
+    stream: HttpStream,
+    standin: &'a BackendStandin,
+    /// Copy of an earlier response, to be sent in front of the next one.
+    late_copy: BytesMut,
+}
+
+impl ServerConnection<'_> {
+    async fn serve_request(&mut self, head: &request::Parts) -> Result<AfterRequest, HttpError> {
+        let Self { stream, standin, .. } = self;
+        let framing = framing::of_request(head)?;
+        let path = head.uri.path();
+        if path.starts_with("/__control/") {
+            control::answer(stream, standin, head, framing).await?;
+            return Ok(AfterRequest::Keep);
         }
         let faults = standin.draw_faults();
-        if [HEALTH_PATH, LOAD_PATH].contains(&head.uri.path()) {
-            probe::answer(&mut stream, standin, &head, &faults).await?;
-            continue;
+        if [HEALTH_PATH, LOAD_PATH].contains(&path) {
+            probe::answer(stream, standin, head, &faults).await?;
+            return Ok(AfterRequest::Keep);
         }
-        runs::record_received(standin, &head);
+        runs::record_received(standin, head);
         if faults.break_at == BreakPoint::AfterRequestHead {
-            return Ok(());
+            return Ok(AfterRequest::Close);
         }
-        if let Some(act) = UploadAct::of_path(head.uri.path()) {
-            uploads::serve(&mut stream, standin, &head, framing, act).await?;
-            continue;
+        if let Some(act) = UploadAct::of_path(path) {
+            uploads::serve(stream, standin, head, framing, act).await?;
+            return Ok(AfterRequest::Keep);
         }
-        let body = read_body(&mut stream, standin, &head, framing).await?;
-        if !is_expected(standin, &head) {
-            let status = StatusCode::MISDIRECTED_REQUEST;
-            reply::refuse(&mut stream, standin, &head, status).await?;
-            continue;
+        let body = read_body(stream, standin, head, framing).await?;
+        if !is_expected(standin, head) {
+            reply::refuse(stream, standin, head, StatusCode::MISDIRECTED_REQUEST).await?;
+            return Ok(AfterRequest::Keep);
         }
         if faults.shed {
-            refuse_full(&mut stream, standin, &head, &faults, &mut late_copy).await?;
-            continue;
+            return self.refuse_full(head, &faults).await;
         }
-        let deadline = Instant::now() + deadline_of(standin, &head);
+        self.run_in_slot(head, body, faults).await
+    }
+
+    /// Waits for a slot, runs the request and answers it.
+    async fn run_in_slot(
+        &mut self,
+        head: &request::Parts,
+        body: Bytes,
+        faults: BackendFaults,
+    ) -> Result<AfterRequest, HttpError> {
+        let deadline = Instant::now() + deadline_of(self.standin, head);
         let time_left = || deadline.saturating_duration_since(Instant::now());
-        let slot = match &standin.slots {
-            None => None,
-            Some(slots) => match slots.take(&mut stream, time_left()).await {
-                Ok(slot) => Some(slot),
-                Err(SlotRefusal::Disconnected) => return Ok(()),
-                Err(SlotRefusal::Full | SlotRefusal::DeadlinePassed) => {
-                    refuse_full(&mut stream, standin, &head, &faults, &mut late_copy).await?;
-                    continue;
-                }
-            },
+        let taken = match &self.standin.slots {
+            Some(slots) => slots.take(&mut self.stream, time_left()).await.map(Some),
+            None => Ok(None),
+        };
+        let slot = match taken {
+            Ok(slot) => slot,
+            Err(SlotRefusal::Disconnected) => return Ok(AfterRequest::Close),
+            Err(SlotRefusal::Full | SlotRefusal::DeadlinePassed) => {
+                return self.refuse_full(head, &faults).await;
+            }
         };
         if faults.stuck {
-            standin.in_flight.set(standin.in_flight.get() + 1);
-            let _ = stream.reader.fill(1).await;
-            standin.in_flight.set(standin.in_flight.get() - 1);
-            standin.runs.borrow_mut().cancelled += 1;
-            return Ok(());
+            self.hang().await;
+            return Ok(AfterRequest::Close);
         }
-        let run_end = execution::run(&mut stream, standin, &head, &faults, time_left()).await;
+        let running = execution::run(&mut self.stream, self.standin, head, &faults, time_left());
+        let run_end = running.await;
         drop(slot);
-        let faults = match run_end {
-            RunEnd::Complete => faults,
-            RunEnd::DeadlinePassed => BackendFaults { status: 504, ..faults },
-            RunEnd::Disconnected => return Ok(()),
-        };
+        match run_end {
+            RunEnd::Complete => self.answer(head, body, faults).await,
+            RunEnd::DeadlinePassed => {
+                let status = StatusCode::GATEWAY_TIMEOUT.as_u16();
+                self.answer(head, body, BackendFaults { status, ..faults }).await
+            }
+            RunEnd::Disconnected => Ok(AfterRequest::Close),
+        }
+    }
+
+    /// Answers a request that was run.
+    async fn answer(
+        &mut self,
+        head: &request::Parts,
+        body: Bytes,
+        faults: BackendFaults,
+    ) -> Result<AfterRequest, HttpError> {
         if faults.break_at == BreakPoint::AfterRun {
-            return Ok(());
+            return Ok(AfterRequest::Close);
         }
-        writer::flush(&mut stream.writer, &mut late_copy).await?;
-        reply::answer(&mut stream, standin, &head, &faults, body).await?;
+        writer::flush(&mut self.stream.writer, &mut self.late_copy).await?;
+        reply::answer(&mut self.stream, self.standin, head, &faults, body).await?;
         if faults.late {
-            late_copy = reply::build_copy(standin, &head, &faults);
+            self.late_copy = reply::build_copy(self.standin, head, &faults);
         }
-        if faults.break_at != BreakPoint::Nowhere || faults.unframed {
-            return Ok(());
+        let is_ended = faults.break_at != BreakPoint::Nowhere || faults.unframed;
+        Ok(if is_ended { AfterRequest::Close } else { AfterRequest::Keep })
+    }
+
+    /// Refuses a request that finds no slot.
+    async fn refuse_full(
+        &mut self,
+        head: &request::Parts,
+        faults: &BackendFaults,
+    ) -> Result<AfterRequest, HttpError> {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        writer::flush(&mut self.stream.writer, &mut self.late_copy).await?;
+        reply::refuse(&mut self.stream, self.standin, head, status).await?;
+        if faults.late {
+            self.late_copy = reply::build_refusal(self.standin, head, status);
         }
+        Ok(AfterRequest::Keep)
     }
-}
 
-/// Refuses a request that finds no slot.
-async fn refuse_full(
-    stream: &mut HttpStream,
-    standin: &BackendStandin,
-    head: &request::Parts,
-    faults: &BackendFaults,
-    late_copy: &mut BytesMut,
-) -> Result<(), HttpError> {
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    writer::flush(&mut stream.writer, late_copy).await?;
-    reply::refuse(stream, standin, head, status).await?;
-    if faults.late {
-        *late_copy = reply::build_refusal(standin, head, status);
+    /// Keeps a request without an answer until the client closes the connection.
+    async fn hang(&mut self) {
+        self.standin.in_flight.set(self.standin.in_flight.get() + 1);
+        let _ = self.stream.reader.fill(1).await;
+        self.standin.in_flight.set(self.standin.in_flight.get() - 1);
+        self.standin.runs.borrow_mut().cancelled += 1;
     }
-    Ok(())
 }
 
 /// Returns the time that a request may take. A server without a limit of its slots heeds no
