--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -158,9 +158,9 @@
         }
     }
 
-    /// Takes a connection for the request of this id. While the backend server is ejected or its circuit breaker
-    /// is open, the connection is a new one: an idle connection may have fallen silent, and a trial
-    /// along it would say nothing about the server.
+    /// Takes a connection for the request of this id. While the backend server is ejected or its
+    /// circuit breaker is open, the connection is a new one: an idle connection may have fallen
+    /// silent, and a trial along it would say nothing about the server.
     pub async fn take_connection(&self, id: Option<&[u8]>) -> Result<PooledStream<'_>, HttpError> {
         let is_doubted = self.health.borrow().is_ejected_or_breaker_open();
         if is_doubted {
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -6,7 +6,8 @@
 //! The server counts the requests that it ran by their `x-request-id`. Tests compare these counts
 //! with the responses that callers got.
 //!
-//! `serving` handles a request from its head to its end, `execution` spends its service time,
+//! `serving` handles a request from its head to its end, `slots` limits how many run at once and
+//! queues the rest, `execution` spends its service time,
 //! `reply` builds its response and `sending` writes it, complete or truncated. `faults` are the
 //! faults in force and `runs` the counters; `control` lets tests set the faults and read the
 //! counters. `crash` simulates a crash, during which `port` keeps the server's port, and `probe`
