--- a/crates/daemon/src/health_checks.rs
+++ b/crates/daemon/src/health_checks.rs
@@ -96,13 +96,15 @@
     }
 }
 
-/// Asks the listener at the address of two servers for its name, by the health check of each.
+/// Asks the listener at the address of two servers for its name, by the health check of the service
+/// of each.
 async fn name_listener(
     state: &Rc<DaemonState>,
     other: &ServerRecord,
     heartbeat: &ServerHeartbeat,
 ) -> Option<String> {
-    for service in [&other.service, &heartbeat.service] {
+    let newer_service = Some(&heartbeat.service).filter(|service| **service != other.service);
+    for service in std::iter::once(&other.service).chain(newer_service) {
         let asked = ServerRecord { service: service.clone(), ..other.clone() };
         let reply = check_health(state, &asked).await;
         let name = reply.as_ref().and_then(|reply| headers::answering_server(&reply.headers));
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -493,8 +493,8 @@
         let was_overdue = progress.was_overdue.get();
         let result_label = if result.is_ok() { "answered" } else { "broke" };
         metrics::ATTEMPT_SECONDS.record_as(progress.elapsed(), [("result", result_label)]);
-        if let Some(id) = self.request_id().filter(|_| !progress.has_succeeded.get()) {
-            pooled_stream.note_retryable(id);
+        if !progress.has_succeeded.get() {
+            self.request_id().into_iter().for_each(|id| pooled_stream.note_retryable(id));
         }
         // The slot is released after the connection is closed or given back, not before.
         let is_kept = progress.exchange.leaves_connection_reusable();
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -27,7 +27,7 @@
 /// Shortest and longest pause between two requests of a caller, in milliseconds.
 const REQUEST_PAUSE_MS: std::ops::RangeInclusive<u64> = 40..=120;
 /// Interval at which a caller checks whether its daemon is up again.
-const DAEMON_POLL_INTERVAL: Duration = Duration::from_millis(50);
+pub const DAEMON_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// `AnswerViolation` is a guarantee of one exchange that was violated.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/soak/src/errors.rs
+++ b/crates/soak/src/errors.rs
@@ -35,6 +35,14 @@
         /// Error of the operating system.
         source: io::Error,
     },
+    /// A file with a mix of requests can't be read, or holds none.
+    #[snafu(display("{}: {source}", path.display()))]
+    MixFile {
+        /// Path of the file.
+        path: PathBuf,
+        /// Error of the operating system, or of the file's content.
+        source: io::Error,
+    },
     /// A fault proxy can't listen.
     #[snafu(display("fault proxy can't listen on 127.0.0.1: {source}"))]
     Listen {
--- a/crates/soak/src/mix.rs
+++ b/crates/soak/src/mix.rs
@@ -105,7 +105,7 @@
     ///
     /// Returns an error if the file can't be read, or is no mix.
     pub fn read(path: &Path) -> Result<Self, SoakError> {
-        let failed = |source| SoakError::Program { path: path.to_owned(), source };
+        let failed = |source| SoakError::MixFile { path: path.to_owned(), source };
         let text = fs::read_to_string(path).map_err(failed)?;
         serde_json::from_str(&text).map_err(|error| failed(error.into()))
     }
--- a/crates/soak/src/mix_callers.rs
+++ b/crates/soak/src/mix_callers.rs
@@ -25,8 +25,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after its deadline for which a caller still reads the answer.
 const LATE_ANSWER_TIME: Duration = Duration::from_secs(1);
-/// Interval at which a caller checks whether its daemon is up again.
-const DAEMON_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of times that a caller comes back after a refusal.
 const RETURNS_MAX: usize = 3;
 /// Longest number of requests that are sent before the first is answered.
@@ -161,7 +159,7 @@
             }
         }
         let Some(address) = self.host.caller_address() else {
-            monoio::time::sleep(DAEMON_POLL_INTERVAL).await;
+            monoio::time::sleep(callers::DAEMON_POLL_INTERVAL).await;
             return None;
         };
         HttpStream::connect(address, CONNECT_TIMEOUT).await.ok()
