--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -7,8 +7,8 @@
 //! [`platform`] and [`backend`] are simulated, [`daemon`] and [`inline`] start daemons and
 //! [`logs`] reads their logs. [`fleet`] and [`registered`] combine these, one for each source of
 //! the configuration. [`client`] sends requests, [`operator`] makes the calls of operators, and
-//! [`forwarder`] cuts or black-holes connections, [`load`] keeps sending requests, and [`stops`]
-//! sends requests to daemons that are shutting down. The exchanges of [`scripted`] servers follow a
+//! [`forwarder`] cuts or black-holes connections, [`load`] keeps sending requests, [`crowd`] plays
+//! clients that don't behave, and [`stops`] sends requests to daemons that are shutting down. The exchanges of [`scripted`] servers follow a
 //! script.
 //!
 //! The kernel assigns the ports. Tests wait for conditions rather than for fixed times, for at most
@@ -18,6 +18,7 @@
 
 pub mod backend;
 pub mod client;
+pub mod crowd;
 pub mod daemon;
 pub mod fleet;
 pub mod forwarder;
--- a/crates/daemon/tests/common/registered.rs
+++ b/crates/daemon/tests/common/registered.rs
@@ -78,6 +78,11 @@
     NamedRoute { name: name.to_owned(), rule }
 }
 
+/// Returns the name of a host by its index.
+fn host_name(index: usize) -> String {
+    format!("host-{}", (b'a' + index as u8) as char)
+}
+
 /// Builds the deregistration of a backend server; its name may include an incarnation.
 pub fn build_deregistration(name: &str) -> StoreCall {
     registration::deregister(&ServerIncarnation::of_upstream(name))
@@ -120,6 +125,23 @@
         (0..daemons).fold(Self::start_empty(), |fleet, index| fleet.with_host_in(index, DOMAINS[0]))
     }
 
+    /// Starts a fleet as [`RegisteredFleet::start`] does, with servers of this service time and
+    /// daemons with more flags.
+    pub fn start_with(daemons: usize, service_ms: u64, flags: &[(&str, &str)]) -> Self {
+        let mut fleet = Self::start_empty();
+        for index in 0..daemons {
+            let (host, domain) = (host_name(index), DOMAINS[index % DOMAINS.len()]);
+            let daemon = fleet.start_daemon(&host, domain, flags);
+            fleet.daemons.push(daemon);
+            let fields = headers::exchange_fields();
+            let name = format!("i-{}", index + 1);
+            let server = TestBackend::start_at(loopback_address(), &name, service_ms, fields);
+            fleet.backends.push(server);
+            assert_eq!(fleet.send_heartbeat(index, false).status, 200);
+        }
+        fleet
+    }
+
     fn with_host(self, index: usize) -> Self {
         self.with_host_in(index, DOMAINS[index % DOMAINS.len()])
     }
@@ -132,7 +154,7 @@
     }
 
     fn with_server_in(mut self, index: usize, domain: &str, server: TestBackend) -> Self {
-        let host = format!("host-{}", (b'a' + index as u8) as char);
+        let host = host_name(index);
         self.daemons.push(self.start_daemon(&host, domain, &[]));
         self.backends.push(server);
         assert_eq!(self.send_heartbeat(index, false).status, 200);
