--- a/crates/daemon/tests/common/crowd.rs
+++ b/crates/daemon/tests/common/crowd.rs
@@ -203,7 +203,7 @@
             (0..callers).map(play).collect()
         })
         .collect();
-    players.into_iter().map(|callers| join_fares(callers)).collect()
+    players.into_iter().map(join_fares).collect()
 }
 
 fn join_fares(callers: Vec<JoinHandle<OrdinaryFare>>) -> OrdinaryFare {
@@ -220,7 +220,7 @@
 }
 
 fn play_caller(daemon: SocketAddr, number: usize, requests: usize) -> OrdinaryFare {
-    let keeps_connection = number % 2 == 0;
+    let keeps_connection = number.is_multiple_of(2);
     let mut fare = OrdinaryFare::default();
     let mut kept: Option<TcpStream> = None;
     for request in 0..requests {
@@ -262,7 +262,8 @@
         (headers::names::REQUEST_ID, id.as_str()),
         (headers::names::DEADLINE, ORDINARY_DEADLINE_MS),
     ];
-    let (method, path) = if request % 2 == 0 { ("GET", "/safe/x") } else { ("POST", "/unsafe/x") };
+    let (method, path) =
+        if request.is_multiple_of(2) { ("GET", "/safe/x") } else { ("POST", "/unsafe/x") };
     let body = if method == "POST" { "an ordinary body" } else { "" };
     stream.write_all(client::request_text(method, path, &fields, body).as_bytes()).ok()?;
     client::read_reply(stream, method)
