Hold a body of many small chunks by its bytes, not by its chunks

Cause: each chunk became an event of its own, and a window counts the bytes of its pieces, not what a piece holds: its event, and its share of a read buffer of 32 KiB that can't be used again meanwhile.

--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -13,7 +13,7 @@
 use std::task::{ready, Context, Poll, Waker};
 
 use basaltarch_core::units;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 
 use crate::frames::{FrameSender, CHUNK_BYTES_MAX};
 use crate::protocol::{
@@ -29,6 +29,10 @@
 /// Number of consumed bytes after which credit is returned; half a window keeps the sender busy.
 const CREDIT_STEP_BYTES: usize = WINDOW_BYTES / 2;
 
+/// Size in bytes up to which pieces of a body are merged while they wait. A piece takes more memory
+/// than its bytes, so a window of tiny pieces would take many times its size.
+const MERGED_BYTES_MAX: usize = 16 * units::KIB;
+
 /// `StreamEvent` is one event in one direction of an exchange.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StreamEvent {
@@ -136,7 +140,7 @@
             state.cancelled = true;
             wake(&mut state.cancel_waker);
         }
-        state.events.push_back(event);
+        state.push(event);
         wake(&mut state.reader_waker);
         Ok(())
     }
@@ -206,6 +210,25 @@
 }
 
 impl PipeState {
+    /// Adds an event; merges a short piece of the body with the short piece in front of it.
+    fn push(&mut self, event: StreamEvent) {
+        let (data, last) = match event {
+            StreamEvent::Data(data, last) if data.len() < MERGED_BYTES_MAX => (data, last),
+            other => return self.events.push_back(other),
+        };
+        match self.events.back_mut() {
+            Some(StreamEvent::Data(waiting, is_last))
+                if !*is_last && waiting.len() + data.len() <= MERGED_BYTES_MAX =>
+            {
+                let mut merged = owned(std::mem::take(waiting));
+                merged.extend_from_slice(&data);
+                *waiting = merged.freeze();
+                *is_last = last;
+            }
+            _ => self.events.push_back(StreamEvent::Data(data, last)),
+        }
+    }
+
     fn record_consumed(&mut self, bytes: usize, last: bool) {
         self.queued_bytes -= bytes;
         wake(&mut self.sender_waker);
@@ -220,6 +243,11 @@
     }
 }
 
+/// Returns the bytes for a change, copied only if something else holds them too.
+fn owned(bytes: Bytes) -> BytesMut {
+    bytes.try_into_mut().unwrap_or_else(|shared| BytesMut::from(&shared[..]))
+}
+
 fn wake(registered: &mut Option<Waker>) {
     if let Some(waker) = registered.take() {
         waker.wake();
