A connection that stands still makes room for a new one, at each address

Cause: a listener at its limit refuses whoever comes next, and nothing tells a client that stands still from one that comes with a request. Mend: each listener keeps a table of its connections, what each is doing and when it last moved 4 KiB; at the limit the one that moved least is closed: first those given time to read, then those without a whole request, then the longest idle, then those that don't read their answer; never one whose request is being served (`decide::eviction`). The slower half is not told by a bound on speed: in calm nobody is closed. One line a second tells how many were refused and evicted. Accepted links are bounded by a quarter of the descriptors, and a handshake makes room too. Replies of the small server time out by piece. The test of the bounds opened 900 connections and expected those beyond 744 to be closed at once; now each caller that comes with a request is served, and 744 are open at the end: it checks both.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! This crate holds the resources that operators declare, the configuration built from them, the
 //! outcome of an exchange, units and settings. The crate does no input or output.
 
+pub mod account;
 pub mod blocks;
 pub mod config;
 pub mod departures;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -52,10 +52,12 @@
     /// The backend server has completed no request recently, so that it may hang, and this request
     /// is non-repeatable.
     Unproven,
+    /// The daemon holds as much for its callers as its memory allows.
+    MemoryFull,
 }
 
 /// Every reason, in the order of the wire numbers.
-pub const NOT_RUN_REASONS: [NotRunReason; 20] = [
+pub const NOT_RUN_REASONS: [NotRunReason; 21] = [
     NotRunReason::NoRoute,
     NotRunReason::NoConfiguration,
     NotRunReason::Limited,
@@ -76,6 +78,7 @@
     NotRunReason::ConfigurationUnsure,
     NotRunReason::KeyUnknown,
     NotRunReason::Unproven,
+    NotRunReason::MemoryFull,
 ];
 
 impl NotRunReason {
@@ -102,6 +105,7 @@
             Self::ConfigurationUnsure => "configuration-unsure",
             Self::KeyUnknown => "key-unknown",
             Self::Unproven => "unproven",
+            Self::MemoryFull => "memory-full",
         }
     }
 }
--- a/crates/daemon/src/ingress/caller.rs
+++ b/crates/daemon/src/ingress/caller.rs
@@ -10,12 +10,14 @@
 use std::time::Duration;
 
 use basaltarch_base::metrics;
+use basaltarch_decide::eviction::ConnectionStage;
 use basaltarch_events::process;
-use basaltarch_http::connection::{self, ConnectionCount, HttpStream};
+use basaltarch_http::connection::{self, HttpStream};
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::fields;
 use basaltarch_http::head;
 use basaltarch_http::reader::HEAD_READ_BYTES;
+use basaltarch_http::table::ConnectionEntry;
 use basaltarch_http::writer;
 use bytes::BytesMut;
 use fnv::FnvHashMap;
@@ -44,26 +46,34 @@
     Abort,
 }
 
+/// `CallerConnection` is what requests on one connection of a caller share.
+pub struct CallerConnection {
+    /// Entry of the connection in the table of all.
+    pub entry: Rc<ConnectionEntry>,
+    /// Address of the caller.
+    pub from: SocketAddr,
+}
+
 /// Accepts callers' connections; never returns.
 pub async fn accept(state: Rc<DaemonState>, listener: TcpListener) {
     let connections_max = state.options.connections;
-    let count = ConnectionCount::default();
-    let open_count = count.clone();
+    let table = state.callers.clone();
     let callers = Rc::new(CallerCounts::default());
-    let serve = move |stream, from: SocketAddr| {
+    let serve = move |stream, from: SocketAddr, entry| {
         let state = state.clone();
-        metrics::CALLER_CONNECTIONS.set(open_count.get() as i64);
-        let open_count = open_count.clone();
+        metrics::CALLER_CONNECTIONS.set(state.callers.len() as i64);
         let callers = callers.clone();
         async move {
             match callers.count_connection(from.ip(), state.options.connections_each) {
-                Some(_caller_guard) => serve(&state, stream, from).await,
+                Some(_caller_guard) => {
+                    serve(&state, stream, &CallerConnection { entry, from }).await;
+                }
                 None => log_refused_connection(from.ip(), state.options.connections_each),
             }
-            metrics::CALLER_CONNECTIONS.set(open_count.get() as i64 - 1);
+            metrics::CALLER_CONNECTIONS.set(state.callers.len() as i64 - 1);
         }
     };
-    connection::accept_all(listener, connections_max, count, serve).await;
+    connection::accept_all(listener, connections_max, table, serve).await;
 }
 
 /// Logs that a connection was refused, because its address has too many connections open.
@@ -111,21 +121,23 @@
     }
 }
 
-async fn serve(state: &Rc<DaemonState>, stream: TcpStream, from: SocketAddr) {
+async fn serve(state: &Rc<DaemonState>, stream: TcpStream, connection: &CallerConnection) {
+    let entry = &connection.entry;
     let mut stream = HttpStream::new(stream);
     loop {
-        let head = match next_head(state, &mut stream).await {
+        let head = match next_head_unless_evicted(state, &mut stream, entry).await {
             Ok(Some(head)) => head,
             Ok(None) => return,
             Err(error) => {
                 if let Some(failure) = CallerFailure::unreadable(&error) {
                     metrics::count_failure(failure.outcome);
                     trace::log_rejected(state, "", &failure);
-                    send_refusal(&mut stream, &failure).await;
+                    send_refusal(&mut stream, entry, &failure).await;
                 }
                 return;
             }
         };
+        entry.enter(ConnectionStage::Serving);
         let id = request::id_of(state, &head);
         // Refused requests aren't counted: callers that keep retrying would delay the shutdown.
         let in_flight_guard =
@@ -134,7 +146,7 @@
         metrics::IN_FLIGHT.add(1);
         // The future is boxed, so that an idle connection does not hold memory for a request's
         // whole state.
-        let after = Box::pin(request::serve(state, &mut stream, head, &id, from)).await;
+        let after = Box::pin(request::serve(state, &mut stream, head, &id, connection)).await;
         metrics::IN_FLIGHT.add(-1);
         match after {
             AfterRequest::Keep => {}
@@ -143,16 +155,34 @@
                 // shutdown.
                 drop(in_flight_guard);
                 let _lingering = state.stop.count_lingering();
-                return stream.linger().await;
+                return stream.linger_unless_evicted(entry).await;
             }
             AfterRequest::Abort => return,
         }
+        stream.reader.release();
         if stream.reader.buffer.is_empty() {
-            stream.reader.release();
+            entry.enter(ConnectionStage::Idle);
+        } else {
+            entry.enter(ConnectionStage::Receiving);
         }
     }
 }
 
+/// Reads the head of the next request as [`next_head`] does, unless the connection is to make room
+/// for another.
+async fn next_head_unless_evicted(
+    state: &Rc<DaemonState>,
+    stream: &mut HttpStream,
+    entry: &ConnectionEntry,
+) -> Result<Option<Parts>, HttpError> {
+    let mut reading = std::pin::pin!(next_head(state, stream, entry).fuse());
+    let mut evicted = std::pin::pin!(entry.evicted().fuse());
+    select_biased! {
+        head = reading => head,
+        () = evicted => Ok(None),
+    }
+}
+
 /// Reads the head of the next request. Returns `None` if the connection has ended, or if the
 /// connection is idle when the daemon is about to exit. A daemon that shuts down keeps reading
 /// until it is about to exit. Callers discover the shutdown only after some time, and a refusal
@@ -160,6 +190,7 @@
 async fn next_head(
     state: &Rc<DaemonState>,
     stream: &mut HttpStream,
+    entry: &ConnectionEntry,
 ) -> Result<Option<Parts>, HttpError> {
     let limits = state.head_limits();
     if stream.reader.buffer.is_empty() {
@@ -174,7 +205,7 @@
         };
         match filled {
             Ok(0) | Err(HttpError::TimedOut { .. }) => return Ok(None),
-            Ok(_) => {}
+            Ok(_) => entry.enter(ConnectionStage::Receiving),
             Err(error) => return Err(error),
         }
     }
@@ -185,12 +216,12 @@
     }
 }
 
-async fn send_refusal(stream: &mut HttpStream, failure: &CallerFailure) {
+async fn send_refusal(stream: &mut HttpStream, entry: &ConnectionEntry, failure: &CallerFailure) {
     let mut buffer = BytesMut::new();
     failure.put(&mut buffer, &Method::GET, true);
     let writing = writer::flush(&mut stream.writer, &mut buffer);
     if let Ok(Ok(())) = monoio::time::timeout(WRITE_TIMEOUT, writing).await {
-        stream.linger().await;
+        stream.linger_unless_evicted(entry).await;
     }
 }
 
--- a/crates/daemon/src/ingress/failure.rs
+++ b/crates/daemon/src/ingress/failure.rs
@@ -106,6 +106,7 @@
                 NotRunReason::ConnectFailed => "connection_refused",
                 NotRunReason::DeadlinePassed => "connection_timeout",
                 NotRunReason::NoConfiguration
+                | NotRunReason::MemoryFull
                 | NotRunReason::ConfigurationUnsure
                 | NotRunReason::LedgerUnavailable => "proxy_internal_error",
                 _ => "destination_unavailable",
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -16,11 +16,13 @@
 use basaltarch_core::resources::{WorkClass, WorkMode};
 use basaltarch_core::routes::RouteEntry;
 use basaltarch_core::units::FleetRevision;
+use basaltarch_decide::eviction::ConnectionStage;
 use basaltarch_decide::suspects::CrashTally;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::fields;
 use basaltarch_http::framing::{self, BodyFraming};
+use basaltarch_http::table::ConnectionEntry;
 use basaltarch_http::writer;
 use bytes::{Bytes, BytesMut};
 use futures_util::{select_biased, FutureExt};
@@ -29,7 +31,7 @@
 use crate::ingress::answer;
 use crate::ingress::attempt::{self, AttemptEnd};
 use crate::ingress::body::{self, RequestBody};
-use crate::ingress::caller::{self, AfterRequest, WRITE_TIMEOUT};
+use crate::ingress::caller::{self, AfterRequest, CallerConnection, WRITE_TIMEOUT};
 use crate::ingress::caller_key::CallerIdentity;
 use crate::ingress::failure::CallerFailure;
 use crate::ingress::target::{self, RequestTarget, TargetQuery};
@@ -141,7 +143,7 @@
     stream: &mut HttpStream,
     head: request::Parts,
     id: &str,
-    from: SocketAddr,
+    connection: &CallerConnection,
 ) -> AfterRequest {
     let method = head.method.clone();
     let close = caller::closes_after(state, &head);
@@ -152,7 +154,7 @@
         }
     };
     let awaits_continue = fields::expects_continue(&head);
-    let admitted = admit(state, head, framing, from, close, id).await;
+    let admitted = admit(state, head, framing, connection.from, close, id).await;
     let mut request = match admitted {
         Ok(request) => request,
         Err(failure) => {
@@ -170,13 +172,17 @@
         }
     }
     let time_left = request.deadline.saturating_sub(state.now());
-    match keep_start_until_stop(state, stream, &mut body, id, time_left).await {
+    let entry = &connection.entry;
+    entry.enter(ConnectionStage::Receiving);
+    let kept = keep_start_until_stop(state, stream, &mut body, entry, id, time_left).await;
+    entry.enter(ConnectionStage::Serving);
+    match kept {
         Ok(()) => request.body_start = body.kept().clone(),
         Err(StartFault::Unreadable(error)) => {
             return refuse_unreadable(state, stream, &method, id, &error).await;
         }
-        Err(StartFault::Refused) => {
-            let failure = CallerFailure::not_run(NotRunReason::Draining);
+        Err(StartFault::Refused(reason)) => {
+            let failure = CallerFailure::not_run(reason);
             trace::log_rejected(state, id, &failure);
             return send_refusal(stream, &method, &failure, true).await;
         }
@@ -281,25 +287,28 @@
 enum StartFault {
     /// The body can't be read.
     Unreadable(HttpError),
-    /// The body did not arrive before the daemon, which is shutting down, stopped admitting
-    /// requests.
-    Refused,
+    /// The request was refused before its body had arrived.
+    Refused(NotRunReason),
 }
 
-/// Reads and keeps the start of the body, unless the daemon shuts down and no longer admits the
-/// request: a body that doesn't arrive would delay the shutdown until the end of the longest drain.
+/// Reads and keeps the start of the body, unless the connection is to make room for others, or the
+/// daemon shuts down and no longer admits the request: a body that doesn't arrive would delay the
+/// shutdown until the end of the longest drain.
 async fn keep_start_until_stop(
     state: &DaemonState,
     stream: &mut HttpStream,
     body: &mut RequestBody,
+    entry: &ConnectionEntry,
     id: &str,
     time_left: Duration,
 ) -> Result<(), StartFault> {
     let mut reading = std::pin::pin!(body.keep_start(stream, time_left).fuse());
     let mut stopping = std::pin::pin!(wait_until_stop_refuses(state, id).fuse());
+    let mut evicted = std::pin::pin!(entry.evicted().fuse());
     select_biased! {
         read = reading => read.map_err(StartFault::Unreadable),
-        () = stopping => Err(StartFault::Refused),
+        () = stopping => Err(StartFault::Refused(NotRunReason::Draining)),
+        () = evicted => Err(StartFault::Refused(NotRunReason::MemoryFull)),
     }
 }
 
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -9,9 +9,11 @@
 
 use basaltarch_base::metrics;
 use basaltarch_base::peers::PeerPath;
+use basaltarch_decide::eviction::ConnectionStage;
 use basaltarch_decide::path::PathState;
 use basaltarch_events::fleet;
-use basaltarch_http::connection::{self, ConnectionCount};
+use basaltarch_http::connection;
+use basaltarch_http::table::{ConnectionEntry, ConnectionTable};
 use basaltarch_peer::compression::LinkEncoder;
 use basaltarch_peer::errors::LinkError;
 use basaltarch_peer::frames::{FrameReader, FrameSender};
@@ -262,14 +264,15 @@
 
 /// Accepts links from other daemons for ever.
 pub async fn accept(state: Rc<DaemonState>, listener: TcpListener) {
-    let serve = move |stream, _| {
+    let links_max = ACCEPTED_LINKS_MAX.min(state.options.accepted_links);
+    let serve = move |stream, _, entry: Rc<ConnectionEntry>| {
         let state = state.clone();
-        async move { run_accepted(&state, stream).await }
+        async move { run_accepted(&state, stream, &entry).await }
     };
-    connection::accept_all(listener, ACCEPTED_LINKS_MAX, ConnectionCount::default(), serve).await;
+    connection::accept_all(listener, links_max, ConnectionTable::default(), serve).await;
 }
 
-async fn run_accepted(state: &Rc<DaemonState>, stream: TcpStream) {
+async fn run_accepted(state: &Rc<DaemonState>, stream: TcpStream, entry: &ConnectionEntry) {
     // Without probes, a link whose other host has lost its power would stay open.
     let _ = stream.set_tcp_keepalive(
         Some(ACCEPTED_PROBE_AFTER),
@@ -279,13 +282,17 @@
     let (mut reader, mut writer) = split_stream(stream);
     let key = &state.options.fleet_key;
     let side = LinkSide::Acceptor;
-    let peer = match handshake::run(&mut reader, &mut writer, side, &state.identity, key).await {
-        Ok(peer) => peer,
-        Err(error) => {
+    let shaking = handshake::run(&mut reader, &mut writer, side, &state.identity, key);
+    let peer = match future::select(std::pin::pin!(shaking), std::pin::pin!(entry.evicted())).await
+    {
+        Either::Left((Ok(peer), _)) => peer,
+        Either::Left((Err(error), _)) => {
             fleet::LinkRefused { error: &error.to_string() }.log();
             return;
         }
+        Either::Right(_) => return,
     };
+    entry.enter(ConnectionStage::Serving);
     let is_cross_domain = crosses_domains(state, &peer);
     if is_cross_domain {
         reader.start_decoding();
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -12,10 +12,12 @@
 use basaltarch_base::metrics::RouteLabels;
 use basaltarch_base::peers::PeerTable;
 use basaltarch_base::signal::RisingSignal;
+use basaltarch_core::account::ByteAccount;
 use basaltarch_core::units;
 use basaltarch_http::body::BodyLimits;
 use basaltarch_http::fields::ExchangeFields;
 use basaltarch_http::head::HeadLimits;
+use basaltarch_http::table::ConnectionTable;
 use basaltarch_options::DaemonOptions;
 use basaltarch_peer::handshake::PeerIdentity;
 use basaltarch_store::changes::ChangeStore;
@@ -103,6 +105,10 @@
     pub stop: StopState,
     /// Raised when the settings should be reloaded.
     pub reloading: RisingSignal,
+    /// Bytes that are held for clients beyond those reckoned for each connection.
+    pub account: ByteAccount,
+    /// Connections of callers.
+    pub callers: ConnectionTable,
     /// Which routes have labels of their own in the metrics.
     pub route_labels: RouteLabels,
     /// How many requests are logged.
@@ -160,6 +166,8 @@
             log_budget: LogBudget::new(options.log_requests, options.log_failures),
             requests: Cell::new(0),
             route_labels: RouteLabels::default(),
+            account: ByteAccount::new(options.client_bytes),
+            callers: ConnectionTable::default(),
             options,
         }))
     }
--- a/crates/daemon/tests/bounds.rs
+++ b/crates/daemon/tests/bounds.rs
@@ -7,7 +7,7 @@
 mod common;
 
 use std::fs;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -49,6 +49,20 @@
         && &status_line == b"HTTP/1.1 200 OK"
 }
 
+/// Says whether the daemon has a connection still open.
+fn is_open(mut stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("nonblocking");
+    let mut chunk = [0; 1024];
+    loop {
+        match stream.read(&mut chunk) {
+            Ok(0) => return false,
+            Ok(_) => {}
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return error.kind() == ErrorKind::WouldBlock,
+        }
+    }
+}
+
 #[test]
 fn verify_many_callers_leave_the_daemon_within_its_memory_and_descriptors() {
     let mut fleet = RegisteredFleet::start(1);
@@ -65,16 +79,18 @@
     fleet.wait_served(0, &[0]);
     let daemon = &fleet.daemons[0];
     let descriptors_before = count_open_descriptors(daemon);
-    let mut streams: Vec<TcpStream> =
-        (0..CONNECTION_ATTEMPTS).map(|_| client::connect(daemon.callers)).collect();
-    let served = streams
-        .iter_mut()
-        .enumerate()
-        .filter_map(|(id, stream)| is_request_served(stream, id).then_some(()));
-    let served = served.count();
+    // Each caller that comes with a request is served: a connection that rests makes room for it.
+    let streams: Vec<TcpStream> = (0..CONNECTION_ATTEMPTS)
+        .map(|id| {
+            let mut stream = client::connect(daemon.callers);
+            assert!(is_request_served(&mut stream, id), "request {id} is served");
+            stream
+        })
+        .collect();
+    let open_count = streams.iter().filter(|stream| is_open(stream)).count();
     assert!(
-        (CONNECTION_LIMIT - 1..=CONNECTION_LIMIT).contains(&served),
-        "{served} connections served"
+        (CONNECTION_LIMIT - 1..=CONNECTION_LIMIT).contains(&open_count),
+        "{open_count} connections open"
     );
     assert!(
         count_open_descriptors(daemon) <= descriptors_before + CONNECTION_LIMIT as u64 + 8,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod distance;
 pub mod estimates;
 pub mod evacuation;
+pub mod eviction;
 pub mod evidence;
 pub mod fleet_start;
 pub mod floor;
--- a/crates/events/src/process.rs
+++ b/crates/events/src/process.rs
@@ -169,10 +169,15 @@
         error: &'a str,
     }
 
-    /// A connection was closed at once, as its listener has too many open.
+    /// Connections were refused or evicted, as their listener has too many open or the memory for
+    /// what clients send is used up. Logged at most once a second for each listener.
     "connection refused" WARN ConnectionRefused<'a> {
-        /// Where it came from.
+        /// Where the last one came from.
         address: &'a str,
+        /// New connections that were closed at once since the last event of this kind.
+        refused: u64,
+        /// Connections that stood still and were closed to make room, since that event.
+        evicted: u64,
         /// Connections that the listener may have.
         allowed: u64,
     }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -3,25 +3,28 @@
 
 //! Connections and listeners.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use basaltarch_decide::eviction::ConnectionStage;
 use basaltarch_events::process;
-use futures_util::FutureExt;
+use futures_util::{select_biased, FutureExt};
 use monoio::io::{AsyncWriteRent, OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
 use crate::errors::{self, HttpError};
 use crate::fault::ConnectionFault;
 use crate::reader::{ByteReader, HEAD_READ_BYTES};
+use crate::table::{ConnectionEntry, ConnectionTable};
 use crate::writer::ByteWriter;
 
 /// Delay between a failed accept, for instance for lack of file descriptors, and the next accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Shortest time between two log lines about connections that were refused or evicted.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// `StreamWriter` is the write half of an [`HttpStream`].
 pub type StreamWriter = ByteWriter<OwnedWriteHalf<TcpStream>>;
@@ -84,6 +87,17 @@
         let _ = monoio::time::timeout(LINGER_TIME_MAX, reading).await;
     }
 
+    /// Lingers as [`Self::linger`] does, unless the connection is to make room for another.
+    pub async fn linger_unless_evicted(&mut self, entry: &ConnectionEntry) {
+        entry.enter(ConnectionStage::Lingering);
+        let mut lingering = std::pin::pin!(self.linger().fuse());
+        let mut evicted = std::pin::pin!(entry.evicted().fuse());
+        select_biased! {
+            () = lingering => {}
+            () = evicted => {}
+        }
+    }
+
     /// Connects as [`Self::connect`] does, with TCP keep-alive: the system sends a probe after each
     /// `probe_interval` without data from the peer, and drops the connection after
     /// [`KEEPALIVE_PROBES`] unanswered probes.
@@ -113,30 +127,20 @@
     TcpListener::bind_with_config(address, &options)
 }
 
-/// `ConnectionCount` counts the open connections of a listener.
-#[derive(Debug, Clone, Default)]
-pub struct ConnectionCount(Rc<Cell<usize>>);
-
-impl ConnectionCount {
-    /// Returns the number of open connections.
-    pub fn get(&self) -> usize {
-        self.0.get()
-    }
-}
-
 /// Accepts connections forever and runs `serve` on each in its own task.
 ///
-/// Connections beyond `max_connections` are closed at once. A panic in a task ends only its own
-/// connection.
+/// While `table` has `max_connections`, each new connection evicts one that stands still; if none
+/// does, the new connection is closed at once. A panic in a task ends only its own connection.
 pub async fn accept_all<F, Fut>(
     listener: TcpListener,
     max_connections: usize,
-    count: ConnectionCount,
+    table: ConnectionTable,
     serve: F,
 ) where
-    F: Fn(TcpStream, SocketAddr) -> Fut + 'static,
+    F: Fn(TcpStream, SocketAddr, Rc<ConnectionEntry>) -> Fut + 'static,
     Fut: Future<Output = ()> + 'static,
 {
+    let mut refusals = RefusalLog::default();
     loop {
         let (stream, address) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -146,21 +150,52 @@
                 continue;
             }
         };
-        if count.get() >= max_connections {
-            let address = &address.to_string();
-            process::ConnectionRefused { address, allowed: max_connections as u64 }.log();
+        let has_room = table.make_room(max_connections).await;
+        refusals.note(has_room, address, &table, max_connections);
+        if !has_room {
             continue;
         }
-        count.0.set(count.get() + 1);
-        let open_count = count.clone();
-        let task = serve(stream, address);
+        let guard = table.insert();
+        let task = serve(stream, address, guard.entry());
         monoio::spawn(async move {
             catch_panics("connection", task).await;
-            open_count.0.set(open_count.get() - 1);
+            drop(guard);
         });
     }
 }
 
+/// `RefusalLog` logs the connections that a listener refused and evicted, at most once in
+/// [`REFUSAL_LOG_INTERVAL`].
+#[derive(Debug, Default)]
+struct RefusalLog {
+    refused: u64,
+    evicted_before: u64,
+    logged_at: Option<Instant>,
+}
+
+impl RefusalLog {
+    /// Notes whether a connection was accepted.
+    fn note(
+        &mut self,
+        was_accepted: bool,
+        address: SocketAddr,
+        table: &ConnectionTable,
+        allowed: usize,
+    ) {
+        self.refused += u64::from(!was_accepted);
+        let evicted = table.evicted_count() - self.evicted_before;
+        let is_due = self.logged_at.is_none_or(|at| at.elapsed() >= REFUSAL_LOG_INTERVAL);
+        if !is_due || self.refused + evicted == 0 {
+            return;
+        }
+        let (address, refused) = (&address.to_string(), self.refused);
+        process::ConnectionRefused { address, refused, evicted, allowed: allowed as u64 }.log();
+        self.logged_at = Some(Instant::now());
+        self.refused = 0;
+        self.evicted_before = table.evicted_count();
+    }
+}
+
 /// Runs `task`, and catches and logs a panic instead of propagating it.
 pub async fn catch_panics(what: &'static str, task: impl Future<Output = ()>) {
     let panic_result = std::panic::AssertUnwindSafe(task).catch_unwind().await;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod head;
 pub mod reader;
 pub mod server;
+pub mod table;
 pub mod writer;
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -74,11 +74,11 @@
         }
     }
 
-    /// Frees the buffers while the connection is idle.
+    /// Frees what the buffers hold beyond the bytes that were not consumed yet.
     pub fn release(&mut self) {
         self.spare_buffer = None;
-        if self.buffer.is_empty() {
-            self.buffer = BytesMut::new();
+        if self.buffer.capacity() > self.buffer.len() + HEAD_READ_BYTES || self.buffer.is_empty() {
+            self.buffer = BytesMut::from(&self.buffer[..]);
         }
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -10,23 +10,30 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltarch_core::account::{AccountFull, ByteAccount, ByteHold};
+use basaltarch_decide::eviction::ConnectionStage;
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::LocalBoxStream;
-use futures_util::StreamExt;
+use futures_util::{select_biased, FutureExt, StreamExt};
 use http::{header, request, HeaderMap, HeaderValue, Method, StatusCode};
 use monoio::net::{TcpListener, TcpStream};
 use serde::Serialize;
 
 use crate::body::{BodyLimits, BodyReader};
-use crate::connection::{self, ConnectionCount, HttpStream};
+use crate::connection::{self, HttpStream};
 use crate::errors::HttpError;
 use crate::fields;
 use crate::framing::{self, BodyFraming};
 use crate::head::{self, HeadLimits};
+use crate::table::{ConnectionEntry, ConnectionTable};
 use crate::writer;
 
-/// Maximum wait for the client to accept a piece of a streamed reply.
+/// Maximum wait for the client to accept a piece of a reply.
 const STREAM_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Size in bytes of the pieces in which a whole reply is sent.
+const REPLY_PIECE_BYTES: usize = 64 * 1024;
+/// Bytes of a body that are held without an account.
+const FREE_BODY_BYTES: usize = 16 * 1024;
 
 /// `ServerRequest` is a request with its complete body.
 #[derive(Debug)]
@@ -128,76 +135,218 @@
     }
 }
 
+/// `HeadCheck` returns the reply to a request that is refused by its head, if it is.
+pub type HeadCheck = Rc<dyn Fn(&request::Parts) -> Option<ServerReply>>;
+
+/// `ServerPolicy` says which requests a server reads.
+#[derive(Clone)]
+pub struct ServerPolicy {
+    /// Limits on the requests.
+    pub limits: ServerLimits,
+    /// Account of the bodies that are held.
+    pub account: ByteAccount,
+    /// Checks the head of a request before its body is read.
+    pub refuse_head: HeadCheck,
+}
+
+impl From<ServerLimits> for ServerPolicy {
+    fn from(limits: ServerLimits) -> Self {
+        Self { limits, account: ByteAccount::default(), refuse_head: Rc::new(|_| None) }
+    }
+}
+
 /// Accepts connections forever, at most `max_connections` at once, and serves the requests on each.
 pub async fn serve_all<F, Fut>(
     listener: TcpListener,
     max_connections: usize,
-    limits: ServerLimits,
+    policy: impl Into<ServerPolicy>,
     handle: F,
 ) where
     F: Fn(ServerRequest) -> Fut + 'static,
     Fut: Future<Output = ServerReply> + 'static,
 {
     let handle = Rc::new(handle);
-    let serve_connection = move |stream, from| {
-        let handle = handle.clone();
-        serve(stream, from, limits, move |request| handle(request))
+    let policy = policy.into();
+    let serve_connection = move |stream, from, entry| {
+        let (handle, policy) = (handle.clone(), policy.clone());
+        serve(stream, from, entry, policy, move |request| handle(request))
     };
-    connection::accept_all(listener, max_connections, ConnectionCount::default(), serve_connection)
-        .await;
+    let table = ConnectionTable::default();
+    connection::accept_all(listener, max_connections, table, serve_connection).await;
 }
 
 /// Serves requests on one connection until the connection ends.
-pub async fn serve<F, Fut>(stream: TcpStream, from: SocketAddr, limits: ServerLimits, handle: F)
-where
+pub async fn serve<F, Fut>(
+    stream: TcpStream,
+    from: SocketAddr,
+    entry: Rc<ConnectionEntry>,
+    policy: ServerPolicy,
+    handle: F,
+) where
     F: Fn(ServerRequest) -> Fut,
     Fut: Future<Output = ServerReply>,
 {
     let mut stream = HttpStream::new(stream);
     loop {
-        let request = match read_request(&mut stream, from, &limits).await {
-            Ok(request) => request,
-            Err(error) => {
-                refuse_request(&mut stream, &error).await;
-                return;
-            }
+        let (request, mut hold) = match next_request(&mut stream, from, &entry, &policy).await {
+            Some(received) => received,
+            None => return,
         };
+        entry.enter(ConnectionStage::Serving);
         let close = fields::wants_close(request.head.version, &request.head.headers);
         let method = request.head.method.clone();
         let reply = handle(request).await;
-        if reply.hang_up || write_reply(&mut stream, &method, reply, close).await.is_err() || close
-        {
+        if reply.hang_up {
             return;
         }
+        let reply = hold_reply(reply, &mut hold);
+        let sent = send_unless_evicted(&mut stream, &entry, &method, reply, close).await;
+        if sent.is_err() || close {
+            return;
+        }
+        entry.enter(ConnectionStage::Idle);
+        if stream.reader.buffer.is_empty() {
+            stream.reader.release();
+        }
+    }
+}
+
+/// Reads the next request, and refuses one that can't be served. Returns `None` once the connection
+/// is over.
+async fn next_request(
+    stream: &mut HttpStream,
+    from: SocketAddr,
+    entry: &ConnectionEntry,
+    policy: &ServerPolicy,
+) -> Option<(ServerRequest, ByteHold)> {
+    let read = {
+        let mut reading = std::pin::pin!(read_request(stream, from, entry, policy).fuse());
+        let mut evicted = std::pin::pin!(entry.evicted().fuse());
+        select_biased! {
+            read = reading => read,
+            () = evicted => return None,
+        }
+    };
+    match read {
+        Ok(received) => Some(received),
+        Err(refusal) => {
+            refuse_request(stream, entry, refusal).await;
+            None
+        }
+    }
+}
+
+/// `ReadRefusal` is why a request was not read to its end.
+enum ReadRefusal {
+    /// The request can't be read.
+    Unreadable(HttpError),
+    /// The request is refused by this reply.
+    Refused(Box<ServerReply>),
+    /// The bodies that are held leave no memory for this one.
+    Full(AccountFull),
+}
+
+impl From<HttpError> for ReadRefusal {
+    fn from(error: HttpError) -> Self {
+        Self::Unreadable(error)
     }
 }
 
 async fn read_request(
     stream: &mut HttpStream,
     from: SocketAddr,
-    limits: &ServerLimits,
-) -> Result<ServerRequest, HttpError> {
+    entry: &ConnectionEntry,
+    policy: &ServerPolicy,
+) -> Result<(ServerRequest, ByteHold), ReadRefusal> {
+    let limits = &policy.limits;
     let head = head::read_request(&mut stream.reader, &limits.head).await?;
+    entry.enter(ConnectionStage::Receiving);
     let framing = framing::of_request(&head)?;
+    limits.body.check_length(framing)?;
+    if let Some(reply) = (policy.refuse_head)(&head) {
+        return Err(ReadRefusal::Refused(Box::new(reply)));
+    }
     if fields::expects_continue(&head) {
         let mut line = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
         writer::flush(&mut stream.writer, &mut line).await?;
     }
-    let mut reader = BodyReader::new(framing, limits.body);
+    let mut reader = BodyReader::with_growing_reads(framing, limits.body);
     let mut body = BytesMut::new();
+    let mut hold = policy.account.open_hold();
     while let Some(piece) = reader.next(&mut stream.reader).await? {
+        entry.note_moved(piece.len());
+        reserve_body(&mut body, piece.len(), &mut hold)?;
         body.extend_from_slice(&piece);
     }
     let body = body.freeze();
-    Ok(ServerRequest { head, body, from })
+    Ok((ServerRequest { head, body, from }, hold))
 }
 
-async fn refuse_request(stream: &mut HttpStream, error: &HttpError) {
-    if let Some(status) = error.status() {
-        let reply = ServerReply::text(status, format!("{error}\n"));
-        if write_reply(stream, &Method::GET, reply, true).await.is_ok() {
-            stream.linger().await;
-        }
+/// Makes room for `more` bytes of a body, and takes that room from the account.
+fn reserve_body(body: &mut BytesMut, more: usize, hold: &mut ByteHold) -> Result<(), ReadRefusal> {
+    let needed = body.len() + more;
+    if needed <= body.capacity() {
+        return Ok(());
+    }
+    let capacity = needed.next_power_of_two();
+    if capacity > FREE_BODY_BYTES {
+        // While the body moves to its larger room, both are held.
+        let held_bytes = (capacity + body.capacity()) as u64;
+        hold.try_reach(held_bytes).map_err(ReadRefusal::Full)?;
+    }
+    body.reserve(capacity - body.len());
+    Ok(())
+}
+
+/// Takes the body of a reply from the account: a client that doesn't read the reply makes the server
+/// hold it. Returns a short refusal if the account is full.
+fn hold_reply(reply: ServerReply, hold: &mut ByteHold) -> ServerReply {
+    let length = match &reply.body {
+        ReplyBody::Whole(body) if body.len() > FREE_BODY_BYTES => body.len() as u64,
+        _ => return reply,
+    };
+    match hold.try_reach(hold.bytes() + length) {
+        Ok(()) => reply,
+        Err(error) => account_refusal(error),
+    }
+}
+
+fn account_refusal(error: AccountFull) -> ServerReply {
+    let message = format!("{error}; try again later\n");
+    ServerReply::text(StatusCode::SERVICE_UNAVAILABLE, message)
+}
+
+/// Sends a reply. A client that doesn't read a whole reply makes room for others.
+async fn send_unless_evicted(
+    stream: &mut HttpStream,
+    entry: &ConnectionEntry,
+    method: &Method,
+    reply: ServerReply,
+    close: bool,
+) -> Result<(), HttpError> {
+    if let ReplyBody::Stream(_) = reply.body {
+        return write_reply(stream, method, reply, close).await;
+    }
+    entry.enter(ConnectionStage::Blocked);
+    let mut writing = std::pin::pin!(write_reply(stream, method, reply, close).fuse());
+    let mut evicted = std::pin::pin!(entry.evicted().fuse());
+    select_biased! {
+        result = writing => result,
+        () = evicted => Err(HttpError::Closed),
+    }
+}
+
+async fn refuse_request(stream: &mut HttpStream, entry: &ConnectionEntry, refusal: ReadRefusal) {
+    let reply = match refusal {
+        ReadRefusal::Refused(reply) => *reply,
+        ReadRefusal::Full(error) => account_refusal(error),
+        ReadRefusal::Unreadable(error) => match error.status() {
+            Some(status) => ServerReply::text(status, format!("{error}\n")),
+            None => return,
+        },
+    };
+    if write_reply(stream, &Method::GET, reply, true).await.is_ok() {
+        stream.linger_unless_evicted(entry).await;
     }
 }
 
@@ -215,24 +364,37 @@
                 length => BodyFraming::Length(length),
             };
             writer::put_response_head(&mut buffer, reply.status, &reply.headers, framing, close);
-            let body = if method == Method::HEAD { Bytes::new() } else { body };
-            writer::send_piece(&mut stream.writer, &mut buffer, framing, body, true).await
+            let mut body = if method == Method::HEAD { Bytes::new() } else { body };
+            loop {
+                let piece = body.split_to(body.len().min(REPLY_PIECE_BYTES));
+                send_reply_piece(stream, &mut buffer, framing, piece, body.is_empty()).await?;
+                if body.is_empty() {
+                    return Ok(());
+                }
+            }
         }
         ReplyBody::Stream(mut pieces) => {
             let framing = BodyFraming::Chunked;
             writer::put_response_head(&mut buffer, reply.status, &reply.headers, framing, close);
-            writer::flush(&mut stream.writer, &mut buffer).await?;
+            send_reply_piece(stream, &mut buffer, framing, Bytes::new(), false).await?;
             while let Some(piece) = pieces.next().await {
-                let send =
-                    writer::send_piece(&mut stream.writer, &mut buffer, framing, piece, false);
-                match monoio::time::timeout(STREAM_WRITE_TIMEOUT, send).await {
-                    Ok(result) => result?,
-                    Err(_) => {
-                        return Err(HttpError::TimedOut { what: "the client to read the reply" })
-                    }
-                }
+                send_reply_piece(stream, &mut buffer, framing, piece, false).await?;
             }
-            writer::send_piece(&mut stream.writer, &mut buffer, framing, Bytes::new(), true).await
+            send_reply_piece(stream, &mut buffer, framing, Bytes::new(), true).await
         }
     }
 }
+
+async fn send_reply_piece(
+    stream: &mut HttpStream,
+    buffer: &mut BytesMut,
+    framing: BodyFraming,
+    piece: Bytes,
+    last: bool,
+) -> Result<(), HttpError> {
+    let sending = writer::send_piece(&mut stream.writer, buffer, framing, piece, last);
+    match monoio::time::timeout(STREAM_WRITE_TIMEOUT, sending).await {
+        Ok(result) => result,
+        Err(_) => Err(HttpError::TimedOut { what: "the client to read the reply" }),
+    }
+}
--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use basaltarch_http::client::HttpClient;
-use basaltarch_http::connection::{self, ConnectionCount};
+use basaltarch_http::connection;
 use basaltarch_http::server::{self, ServerLimits, ServerReply};
+use basaltarch_http::table::ConnectionTable;
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use monoio::{LegacyDriver, RuntimeBuilder};
@@ -24,12 +25,12 @@
         let listener = connection::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
         let address = listener.local_addr().expect("address");
         let served = Rc::new(Cell::new(0));
-        let count = ConnectionCount::default();
-        let open_count = count.clone();
+        let table = ConnectionTable::default();
+        let open = table.clone();
         let seen = served.clone();
-        monoio::spawn(connection::accept_all(listener, 10, count, move |stream, from| {
+        monoio::spawn(connection::accept_all(listener, 10, table, move |stream, from, entry| {
             let seen = seen.clone();
-            server::serve(stream, from, ServerLimits::default(), move |request| {
+            server::serve(stream, from, entry, ServerLimits::default().into(), move |request| {
                 let seen = seen.clone();
                 async move {
                     assert_ne!(request.path(), "/panic", "panic requested by the test");
@@ -48,7 +49,7 @@
         assert!(call("/panic").await.is_err());
         assert_eq!(call("/").await.expect("a reply").status, StatusCode::OK);
         assert_eq!(
-            (served.get(), open_count.get()),
+            (served.get(), open.len()),
             (4, 1),
             "4 requests served; only the pooled connection is still counted"
         );
--- a/crates/options/src/check.rs
+++ b/crates/options/src/check.rs
@@ -57,6 +57,10 @@
     pub connections: usize,
     /// Maximum number of connections from one caller's address.
     pub connections_each: usize,
+    /// Maximum number of bytes that are held for clients beyond those reckoned for each connection.
+    pub client_bytes: u64,
+    /// Maximum number of links that other daemons dial.
+    pub accepted_links: usize,
     /// Limits on the heads of requests.
     pub head: HeadLimits,
     /// Limits on the bodies of requests.
@@ -131,6 +135,8 @@
             log_failures: values::read_count("log-failures", raw.log_failures, 50, 0, 1_000_000)?
                 as u32,
             drain: bounds::longest_drain(raw.drain_ms, raw.kill_after_ms)?,
+            client_bytes: bounds::client_bytes(raw.memory_mb.clone())?,
+            accepted_links: bounds::accepted_links(raw.descriptors.clone())?,
             connections: bounds::caller_connections(
                 raw.connections,
                 raw.descriptors,
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -13,7 +13,8 @@
 use std::task::{Poll, Waker};
 use std::time::Duration;
 
-use basaltarch_http::connection::{self, ConnectionCount};
+use basaltarch_http::connection;
+use basaltarch_http::table::{ConnectionEntry, ConnectionTable};
 use futures_util::future::{self, Either};
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable};
 use monoio::net::TcpStream;
@@ -86,12 +87,13 @@
         let address = listener.local_addr()?;
         let state = Rc::<ProxyState>::default();
         let shared = state.clone();
-        let serve = move |stream, _| {
+        let serve = move |stream, _, entry: Rc<ConnectionEntry>| {
+            entry.protect();
             let state = shared.clone();
             async move { relay_connection(&state, stream).await }
         };
-        let count = ConnectionCount::default();
-        monoio::spawn(connection::accept_all(listener, CONNECTIONS_MAX, count, serve));
+        let table = ConnectionTable::default();
+        monoio::spawn(connection::accept_all(listener, CONNECTIONS_MAX, table, serve));
         Ok(Self { address, state })
     }
 
--- a/crates/standin/src/backend/serving.rs
+++ b/crates/standin/src/backend/serving.rs
@@ -8,11 +8,12 @@
 use std::time::{Duration, Instant};
 
 use basaltarch_http::body::{BodyLimits, BodyReader};
-use basaltarch_http::connection::{self, ConnectionCount, HttpStream};
+use basaltarch_http::connection::{self, HttpStream};
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::fields;
 use basaltarch_http::framing::{self, BodyFraming};
 use basaltarch_http::head::{self, HeadLimits};
+use basaltarch_http::table::{ConnectionEntry, ConnectionTable};
 use basaltarch_http::writer;
 use bytes::{Bytes, BytesMut};
 use futures_util::future;
@@ -53,7 +54,8 @@
 ) {
     let crashed = std::pin::pin!(standin.crash.after(standin.crash.count()));
     let standin = standin.clone();
-    let serve_stream = move |stream, _: SocketAddr| {
+    let serve_stream = move |stream, _: SocketAddr, entry: Rc<ConnectionEntry>| {
+        entry.protect();
         let standin = standin.clone();
         // The count of the signal is read when the connection is accepted, as the task of the
         // connection may first run after the listener has closed.
@@ -67,11 +69,10 @@
             future::select(serving, down).await;
         }
     };
-    let connection_count = ConnectionCount::default();
     let accepting = std::pin::pin!(connection::accept_all(
         listener,
         connections,
-        connection_count,
+        ConnectionTable::default(),
         serve_stream
     ));
     future::select(accepting, crashed).await;
