--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -13,15 +13,20 @@
 use std::rc::Rc;
 
 use basaltarch_core::resources::ResourceKind;
-use basaltarch_http::server::{self, ServerLimits, ServerReply, ServerRequest};
+use basaltarch_http::framing::{self, BodyFraming};
+use basaltarch_http::server::{
+    self, HeadCheck, ServerLimits, ServerPolicy, ServerReply, ServerRequest,
+};
 use basaltarch_options::ConfigSource;
 use basaltarch_telemetry::metrics;
-use http::{header, Method, StatusCode};
+use http::{header, request, Method, StatusCode};
 use monoio::net::TcpListener;
 use serde_json::json;
 
 use crate::state::DaemonState;
 
+/// Paths that are answered without a token.
+const PUBLIC_PATHS: [&str; 3] = ["/healthz", "/readyz", "/metrics"];
 /// Maximum number of operators' connections: people, scripts and watches.
 const CONNECTIONS_MAX: usize = 512;
 /// Largest size of a request's body in bytes: enough for one transaction of 20,000 resources.
@@ -29,12 +34,33 @@
 
 /// Accepts operators' connections for as long as the daemon runs.
 pub async fn accept(state: Rc<DaemonState>, listener: TcpListener) {
-    let limits = ServerLimits::with_body_bytes(BODY_BYTES_MAX);
+    let policy = ServerPolicy {
+        limits: ServerLimits::with_body_bytes(BODY_BYTES_MAX),
+        account: state.account.clone(),
+        refuse_head: refuse_strangers(&state),
+    };
     let handle_request = move |request| {
         let state = state.clone();
         async move { serve_request(&state, &request).await }
     };
-    server::serve_all(listener, CONNECTIONS_MAX, limits, handle_request).await;
+    server::serve_all(listener, CONNECTIONS_MAX, policy, handle_request).await;
+}
+
+/// Returns the check by which a request without a valid token is refused before its body is read.
+fn refuse_strangers(state: &Rc<DaemonState>) -> HeadCheck {
+    let state = state.clone();
+    Rc::new(move |head| {
+        let is_public = PUBLIC_PATHS.contains(&head.uri.path());
+        let is_bodiless = framing::of_request(head).is_ok_and(|body| body == BodyFraming::Empty);
+        let may_read = is_public && is_bodiless || is_operator(&state, head);
+        (!may_read).then(unauthorized)
+    })
+}
+
+/// Builds the reply to a request without a valid token.
+fn unauthorized() -> ServerReply {
+    let message = "a valid admin token is required as the bearer token";
+    problem(StatusCode::UNAUTHORIZED, message).with_field(header::WWW_AUTHENTICATE, "Bearer")
 }
 
 async fn serve_request(state: &Rc<DaemonState>, request: &ServerRequest) -> ServerReply {
@@ -48,12 +74,8 @@
         }
         _ => {}
     }
-    if !is_operator(state, request) {
-        let reply = problem(
-            StatusCode::UNAUTHORIZED,
-            "a valid admin token is required as the bearer token",
-        );
-        return reply.with_field(header::WWW_AUTHENTICATE, "Bearer");
+    if !is_operator(state, &request.head) {
+        return unauthorized();
     }
     serve_api(state, request).await
 }
@@ -146,8 +168,8 @@
     ServerReply::text(StatusCode::OK, "ready\n")
 }
 
-fn is_operator(state: &DaemonState, request: &ServerRequest) -> bool {
-    let value = request.head.headers.get(header::AUTHORIZATION);
+fn is_operator(state: &DaemonState, head: &request::Parts) -> bool {
+    let value = head.headers.get(header::AUTHORIZATION);
     let token =
         value.and_then(|value| value.to_str().ok()).and_then(|value| value.strip_prefix("Bearer "));
     token.is_some_and(|token| tokens_match(token.as_bytes(), state.options.admin_token.as_bytes()))
