--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -207,7 +207,6 @@
             bytes: 32 * 1024,
             idle: self.attempt.time_left() + Duration::from_secs(1),
             time: self.attempt.time_left() + Duration::from_secs(1),
-            ..HeadLimits::default()
         };
         head::read_final_response(reader, &limits).await.map_err(|error| match error {
             HttpError::Closed | HttpError::Broken { .. } => AttemptFault::Broken,
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -191,7 +191,6 @@
                 bytes: document.limits.head_bytes,
                 time: document.limits.head_time,
                 idle: document.limits.idle_time,
-                ..configured
             },
             None => configured,
         }
--- a/crates/http/src/writer.rs
+++ b/crates/http/src/writer.rs
@@ -115,7 +115,8 @@
 /// Writes one header field.
 pub fn put_field(buffer: &mut BytesMut, name: &[u8], value: &[u8]) {
     buffer.put_slice(name);
-    buffer.put_slice(b": ");
+    // Without a space, a head of many empty fields is no longer than it was when it arrived.
+    buffer.put_slice(if value.is_empty() { b":" } else { b": " });
     buffer.put_slice(value);
     buffer.put_slice(b"\r\n");
 }
--- a/crates/options/src/check.rs
+++ b/crates/options/src/check.rs
@@ -154,7 +154,6 @@
                     as usize,
                 time: values::read_millis("head-ms", raw.head_ms, 10_000, 600_000)?,
                 idle: values::read_millis("idle-ms", raw.idle_ms, 75_000, 3_600_000)?,
-                ..HeadLimits::default()
             },
             body: BodyLimits {
                 bytes: values::read_count("body-bytes", raw.body_bytes, 4 << 30, 0, 1 << 50)?,
