Account for the bytes that are held for callers, and refuse what goes beyond

Cause: connections are bounded at 33 KiB each, yet one may hold the start of a body of 64 to 96 KiB, its copy for an attempt, two read buffers of 32 KiB and a window of answer. Mend: what a request holds beyond 12 KiB (long body, head of many fields, an answer that isn't read) is taken from one account of a quarter of the memory; a holder that stands still for a second is closed for it, else the request is refused at once with 503, not run. Small bodies need nothing of it, so ordinary callers aren't refused. An answer that is here is not refused: another that waits for its reader makes room. Reads of a body grow only while the client fills them.

--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -82,6 +82,36 @@
             Err(_) => Err(HttpError::TimedOut { what: "the next piece of the answer" }),
         }
     }
+
+    /// Sends a piece of the answer to the caller. A caller that doesn't read it may have to make room
+    /// for others.
+    async fn send(
+        &self,
+        writer: &mut StreamWriter,
+        buffer: &mut BytesMut,
+        framing: BodyFraming,
+        piece: Bytes,
+        last: bool,
+    ) -> Result<(), HttpError> {
+        let sending = writer::send_piece(writer, buffer, framing, piece, last);
+        let mut sending = std::pin::pin!(sending);
+        if let Some(result) = sending.as_mut().now_or_never() {
+            return result;
+        }
+        let hold = &self.request.hold;
+        let _held = hold.take_answer(self.state).await;
+        let mut sending = sending.fuse();
+        let mut given_up = std::pin::pin!(self.answer.cancelled().fuse());
+        let mut evicted = std::pin::pin!(hold.entry.evicted().fuse());
+        let mut timed_out = std::pin::pin!(monoio::time::sleep(WRITE_TIMEOUT).fuse());
+        select_biased! {
+            result = sending => result,
+            // The host gave up the answer because its caller doesn't read it.
+            () = given_up => Err(HttpError::Truncated),
+            () = evicted => Err(HttpError::Closed),
+            () = timed_out => Err(HttpError::TimedOut { what: "the caller to read its answer" }),
+        }
+    }
 }
 
 /// Writes the answer and goes on with the upload; returns whether the connection is closed after
@@ -121,13 +151,13 @@
     put_head(&mut buffer, status, &head, framing, request.close);
     if head.last {
         let piece = if is_bodiless { Bytes::new() } else { Bytes::from(head.body) };
-        send(writer, &mut buffer, framing, piece, true).await?;
+        pieces.send(writer, &mut buffer, framing, piece, true).await?;
         return Ok(request.close);
     }
-    send(writer, &mut buffer, framing, Bytes::from(head.body), false).await?;
+    pieces.send(writer, &mut buffer, framing, Bytes::from(head.body), false).await?;
     loop {
         let (data, last) = pieces.next().await?;
-        send(writer, &mut buffer, framing, data, last).await?;
+        pieces.send(writer, &mut buffer, framing, data, last).await?;
         if last {
             return Ok(request.close);
         }
@@ -161,20 +191,6 @@
     buffer.extend_from_slice(b"\r\n");
 }
 
-async fn send(
-    writer: &mut StreamWriter,
-    buffer: &mut BytesMut,
-    framing: BodyFraming,
-    piece: Bytes,
-    last: bool,
-) -> Result<(), HttpError> {
-    let sending = writer::send_piece(writer, buffer, framing, piece, last);
-    match monoio::time::timeout(WRITE_TIMEOUT, sending).await {
-        Ok(result) => result,
-        Err(_) => Err(HttpError::TimedOut { what: "the caller to read its answer" }),
-    }
-}
-
 /// Reads the rest of the body into the `body` field of the answer's head.
 async fn buffer_answer(pieces: &AnswerPieces<'_>, head: &mut AnswerHead) -> Result<(), HttpError> {
     loop {
--- a/crates/daemon/src/ingress/body.rs
+++ b/crates/daemon/src/ingress/body.rs
@@ -10,21 +10,43 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
+use basaltarch_core::account::AccountFull;
 use basaltarch_core::units;
 use basaltarch_http::body::{BodyLimits, BodyReader};
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::framing::BodyFraming;
-use basaltarch_http::reader::ByteReader;
+use basaltarch_http::reader::{ByteReader, BODY_READ_BYTES};
 use basaltarch_peer::stream::{EventSink, StreamClosed};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use monoio::io::AsyncReadRent;
+use snafu::{ResultExt, Snafu};
+
+use crate::ingress::hold::RequestHold;
+use crate::state::DaemonState;
 
 /// Number of bytes of a body that are read before the request is dispatched, and kept for a retry.
 /// A shorter body is sent in the first frame, and a slow caller holds no slot while sending a
 /// shorter body.
 pub const KEPT_BYTES: usize = 64 * units::KIB;
 
+/// `KeepError` says why the start of a body was not kept.
+#[derive(Debug, Snafu)]
+pub enum KeepError {
+    /// The connection, or the framing of the body, is broken, or the body did not arrive in time.
+    #[snafu(display("the body can't be read: {source}"))]
+    Unreadable {
+        /// What is wrong.
+        source: HttpError,
+    },
+    /// The memory for what callers send is used up.
+    #[snafu(display("{source}"))]
+    Full {
+        /// Error of the account.
+        source: AccountFull,
+    },
+}
+
 /// `RequestBody` is the body of one request, read from the caller's connection.
 #[derive(Debug)]
 pub struct RequestBody {
@@ -56,36 +78,32 @@
 impl RequestBody {
     /// Builds a body of which nothing was read.
     pub fn new(framing: BodyFraming, limits: BodyLimits) -> Self {
-        Self { kept: Bytes::new(), rest: BodyReader::new(framing, limits), has_passed_on: false }
+        let rest = BodyReader::with_growing_reads(framing, limits);
+        Self { kept: Bytes::new(), rest, has_passed_on: false }
     }
 
     /// Reads the body to its end or to [`KEPT_BYTES`] and keeps what was read.
     ///
     /// # Errors
     ///
-    /// Returns the error of the connection or of the body's framing, or [`HttpError::TimedOut`]
-    /// after `time_left`.
+    /// Returns the error of the connection or of the body's framing, [`HttpError::TimedOut`] after
+    /// `time_left`, or [`KeepError::Full`] if `hold` can't take the bytes.
     pub async fn keep_start(
         &mut self,
+        state: &DaemonState,
         stream: &mut HttpStream,
+        hold: &RequestHold,
         time_left: Duration,
-    ) -> Result<(), HttpError> {
+    ) -> Result<(), KeepError> {
         if self.rest.is_done() {
             return Ok(());
         }
-        let reading = async {
-            let mut start = BytesMut::new();
-            while start.len() < KEPT_BYTES {
-                match self.rest.next(&mut stream.reader).await? {
-                    Some(piece) => start.extend_from_slice(&piece),
-                    None => break,
-                }
-            }
-            Ok(start.freeze())
-        };
+        let reading = read_start(state, &mut self.rest, stream, hold);
         self.kept = match monoio::time::timeout(time_left, reading).await {
             Ok(result) => result?,
-            Err(_) => return Err(HttpError::TimedOut { what: "the body" }),
+            Err(_) => {
+                return Err(HttpError::TimedOut { what: "the body" }).context(UnreadableSnafu)
+            }
         };
         Ok(())
     }
@@ -123,6 +141,28 @@
     }
 }
 
+async fn read_start(
+    state: &DaemonState,
+    rest: &mut BodyReader,
+    stream: &mut HttpStream,
+    hold: &RequestHold,
+) -> Result<Bytes, KeepError> {
+    let mut start = Vec::new();
+    while start.len() < KEPT_BYTES {
+        let read = rest.next(&mut stream.reader).await.context(UnreadableSnafu)?;
+        let Some(piece) = read else { break };
+        hold.entry.note_moved(piece.len());
+        let needed = start.len() + piece.len();
+        if needed > start.capacity() {
+            let capacity = needed.next_power_of_two().min(KEPT_BYTES + BODY_READ_BYTES);
+            hold.take_body(state, capacity).await.context(FullSnafu)?;
+            start.reserve_exact(capacity - start.len());
+        }
+        start.extend_from_slice(&piece);
+    }
+    Ok(Bytes::from(start))
+}
+
 /// `BodyUpload` sends the body of a request to the host of one attempt.
 ///
 /// The upload goes on while different parts of the ingress wait for the attempt. A wait that ends
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -12,6 +12,7 @@
 pub mod dispatch;
 pub mod evidence;
 pub mod failure;
+pub mod hold;
 pub mod load_probe;
 pub mod request;
 pub mod reservations;
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -22,7 +22,7 @@
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::fields;
 use basaltarch_http::framing::{self, BodyFraming};
-use basaltarch_http::table::ConnectionEntry;
+use basaltarch_http::head;
 use basaltarch_http::writer;
 use bytes::{Bytes, BytesMut};
 use futures_util::{select_biased, FutureExt};
@@ -30,10 +30,11 @@
 
 use crate::ingress::answer;
 use crate::ingress::attempt::{self, AttemptEnd};
-use crate::ingress::body::{self, RequestBody};
+use crate::ingress::body::{self, KeepError, RequestBody};
 use crate::ingress::caller::{self, AfterRequest, CallerConnection, WRITE_TIMEOUT};
 use crate::ingress::caller_key::CallerIdentity;
 use crate::ingress::failure::CallerFailure;
+use crate::ingress::hold::RequestHold;
 use crate::ingress::target::{self, RequestTarget, TargetQuery};
 use crate::ingress::trace::{self, RequestTrace};
 use crate::limits::{self, LimitSubject};
@@ -44,6 +45,9 @@
 
 /// Largest length of a request's id in the logs, in characters; the rest is cut off.
 const REQUEST_ID_MAX: usize = 128;
+/// How often the lines of a head are held while its request is served: once, and in the attempt that
+/// is being sent, which is also encoded for its link.
+const HEAD_COPIES: u64 = 3;
 /// Largest length of an idempotency key, in bytes.
 const ONCE_KEY_MAX: usize = 256;
 
@@ -79,6 +83,8 @@
     pub body_start: Bytes,
     /// Whether the connection is closed after the request.
     pub close: bool,
+    /// What is held for the request.
+    pub hold: RequestHold,
     /// Trace of the request for the logs.
     pub trace: RequestTrace,
     fingerprint: OnceCell<RequestFingerprint>,
@@ -154,7 +160,12 @@
         }
     };
     let awaits_continue = fields::expects_continue(&head);
-    let admitted = admit(state, head, framing, connection.from, close, id).await;
+    let entry = &connection.entry;
+    let hold = RequestHold::new(state, entry);
+    let admitted = match hold.take_head(state, head::parsed_bytes(&head)).await {
+        Ok(()) => admit(state, head, framing, hold, connection.from, close, id).await,
+        Err(_) => Err(CallerFailure::not_run(NotRunReason::MemoryFull)),
+    };
     let mut request = match admitted {
         Ok(request) => request,
         Err(failure) => {
@@ -172,9 +183,8 @@
         }
     }
     let time_left = request.deadline.saturating_sub(state.now());
-    let entry = &connection.entry;
     entry.enter(ConnectionStage::Receiving);
-    let kept = keep_start_until_stop(state, stream, &mut body, entry, id, time_left).await;
+    let kept = keep_start_until_stop(state, stream, &mut body, &request.hold, id, time_left).await;
     entry.enter(ConnectionStage::Serving);
     match kept {
         Ok(()) => request.body_start = body.kept().clone(),
@@ -291,6 +301,15 @@
     Refused(NotRunReason),
 }
 
+impl From<KeepError> for StartFault {
+    fn from(error: KeepError) -> Self {
+        match error {
+            KeepError::Unreadable { source } => Self::Unreadable(source),
+            KeepError::Full { .. } => Self::Refused(NotRunReason::MemoryFull),
+        }
+    }
+}
+
 /// Reads and keeps the start of the body, unless the connection is to make room for others, or the
 /// daemon shuts down and no longer admits the request: a body that doesn't arrive would delay the
 /// shutdown until the end of the longest drain.
@@ -298,15 +317,15 @@
     state: &DaemonState,
     stream: &mut HttpStream,
     body: &mut RequestBody,
-    entry: &ConnectionEntry,
+    hold: &RequestHold,
     id: &str,
     time_left: Duration,
 ) -> Result<(), StartFault> {
-    let mut reading = std::pin::pin!(body.keep_start(stream, time_left).fuse());
+    let mut reading = std::pin::pin!(body.keep_start(state, stream, hold, time_left).fuse());
     let mut stopping = std::pin::pin!(wait_until_stop_refuses(state, id).fuse());
-    let mut evicted = std::pin::pin!(entry.evicted().fuse());
+    let mut evicted = std::pin::pin!(hold.entry.evicted().fuse());
     select_biased! {
-        read = reading => read.map_err(StartFault::Unreadable),
+        read = reading => read.map_err(StartFault::from),
         () = stopping => Err(StartFault::Refused(NotRunReason::Draining)),
         () = evicted => Err(StartFault::Refused(NotRunReason::MemoryFull)),
     }
@@ -325,6 +344,7 @@
     state: &Rc<DaemonState>,
     mut head: request::Parts,
     framing: BodyFraming,
+    hold: RequestHold,
     from: SocketAddr,
     close: bool,
     id: &str,
@@ -359,13 +379,15 @@
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     prepare_backend_fields(state, &mut head, &host, from);
     set_organisation(state, &mut head.headers, caller.organisation.as_deref());
+    let field_lines = wire::field_lines(&head.headers);
+    hold.shrink_head(HEAD_COPIES * (field_lines.len() + target.len()) as u64);
     Ok(CallerRequest {
         route,
         service,
         method: head.method,
         target,
         version: head.version,
-        field_lines: wire::field_lines(&head.headers),
+        field_lines,
         caller,
         revision: active.revision,
         once_key,
@@ -374,6 +396,7 @@
         framing,
         body_start: Bytes::new(),
         close,
+        hold,
         trace: RequestTrace::start(state, id.to_owned()),
         fingerprint: OnceCell::new(),
     })
