A slot belongs to a request that moves, and a caller's slowness is no evidence against a server

Cause: each such request holds a slot until its deadline, and runs for as long as its caller takes, which counted as the server's time. Mend: requests whose bodies still arrive fill at most half of a server's slots, and give way in a full queue; one that others need the slot of is ended when its caller was waited for a second within 4 KiB (a quarter of a second while callers hold up most slots); with nobody else waiting it keeps the slot until its deadline. It ends as unknown (`caller-stalled`, 504), not as the server's fault: no overdue, no hang, no time-out is counted while a body is awaited, the service time begins when the body was sent, and a request whose answer has begun no longer counts as hanging while its caller reads. A body that was read whole before its dispatch says its length, so it is told from one that still arrives.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -127,10 +127,12 @@
     AlreadyStarted,
     /// The daemon that accepted the request stopped before the response arrived.
     DaemonStopped,
+    /// The caller stopped sending its body or reading its answer while others waited for the slot.
+    CallerStalled,
 }
 
 /// Every reason, in the order of the wire numbers.
-pub const UNKNOWN_REASONS: [UnknownReason; 7] = [
+pub const UNKNOWN_REASONS: [UnknownReason; 8] = [
     UnknownReason::BackendBroken,
     UnknownReason::AnswerBroken,
     UnknownReason::TimedOut,
@@ -138,6 +140,7 @@
     UnknownReason::CallerGone,
     UnknownReason::AlreadyStarted,
     UnknownReason::DaemonStopped,
+    UnknownReason::CallerStalled,
 ];
 
 impl UnknownReason {
@@ -151,6 +154,7 @@
             Self::CallerGone => "caller-gone",
             Self::AlreadyStarted => "already-started",
             Self::DaemonStopped => "daemon-stopped",
+            Self::CallerStalled => "caller-stalled",
         }
     }
 }
--- a/crates/daemon/src/host/exchange.rs
+++ b/crates/daemon/src/host/exchange.rs
@@ -38,6 +38,7 @@
 use crate::host::sending;
 use crate::host::upstream::{AttemptResult, HostUpstream};
 use crate::host::watch::AttemptWatch;
+use crate::ingress::body::KEPT_BYTES;
 use crate::state::DaemonState;
 use crate::stop;
 use crate::suspects;
@@ -234,8 +235,7 @@
     /// Claims the ledger row of an at-most-once request with a key, waits for a slot and runs the
     /// request.
     async fn run(&self, body: &EventPipe, answer: &EventSink) -> Result<(), FailureOutcome> {
-        let class = wire::class_from_number(self.head.work_class);
-        if !self.upstream.slots.has_room(class) {
+        if !self.upstream.slots.has_room(&self.slot_request()) {
             return Err(FailureOutcome::NotRun(NotRunReason::QueueFull));
         }
         // The ledger row is written before the slot is taken: a slow store must not occupy slots
@@ -298,6 +298,28 @@
             refusable: self.head.refusable,
             passable: self.head.passable,
             needs_recent_progress: self.state.live().prove_once_only && !is_repeatable,
+            is_upload_open: self.is_upload_open(),
+        }
+    }
+
+    /// Says whether the body of the request may still have to arrive from the caller. A shorter body
+    /// was read whole before the request was dispatched, even if it is sent only once the request
+    /// starts.
+    pub fn is_upload_open(&self) -> bool {
+        let length = usize::try_from(self.head.content_length).ok();
+        !self.head.last && length.is_none_or(|length| length > KEPT_BYTES)
+    }
+
+    /// Says whether the server still waits for a part of the body that has to arrive.
+    fn awaits_upload(&self, progress: &AttemptProgress) -> bool {
+        self.is_upload_open() && !progress.is_uploaded()
+    }
+
+    /// Returns the fault of an attempt that ended at its deadline.
+    fn late_fault(&self, progress: &AttemptProgress) -> AttemptFault {
+        match self.awaits_upload(progress) {
+            true => AttemptFault::CallerStalled,
+            false => AttemptFault::TimedOut,
         }
     }
 
@@ -542,17 +564,10 @@
         claim: Option<ClaimToken>,
     ) -> Result<(), AttemptFault> {
         let watch = AttemptWatch::start(self, progress);
-        let calls = watch.calls().clone();
         let HttpStream { reader, writer } = stream;
-        let mut sending = std::pin::pin!(sending::send_request(
-            self,
-            progress.timeout.time,
-            writer,
-            body,
-            &progress.exchange
-        )
-        .fuse());
-        let relay = AnswerRelay { attempt: self, progress, answer, claim, calls };
+        let sending = sending::send_request(&watch, writer, body);
+        let mut sending = std::pin::pin!(sending.fuse());
+        let relay = AnswerRelay { attempt: self, progress, answer, claim, watch: &watch };
         let mut answering = std::pin::pin!(relay.run(reader).fuse());
         let mut cancelled = std::pin::pin!(body.cancelled().fuse());
         let mut timed_out = std::pin::pin!(monoio::time::sleep(self.time_left()).fuse());
@@ -572,17 +587,20 @@
                     Err(fault) => return Err(fault),
                 },
                 () = cancelled => return Err(AttemptFault::Cancelled),
-                () = overdue => if !progress.head_seen.get() && !self.was_suspended() {
+                () = overdue => if !progress.head_seen.get()
+                    && !self.was_suspended()
+                    && !self.awaits_upload(progress)
+                {
                     progress.was_overdue.set(true);
                     if !self.is_trial() {
                         self.upstream.note_overdue(&self.head.route, self.state.now());
                     }
                 },
                 () = timed_out => if !progress.head_seen.get() {
-                    return Err(AttemptFault::TimedOut);
+                    return Err(self.late_fault(progress));
                 },
                 () = deadline_passed => if !progress.head_seen.get() {
-                    return Err(AttemptFault::TimedOut);
+                    return Err(self.late_fault(progress));
                 },
             }
         }
--- a/crates/daemon/src/host/fault.rs
+++ b/crates/daemon/src/host/fault.rs
@@ -25,6 +25,8 @@
     Refused(ServerRefusal),
     /// The ingress no longer reads the response.
     SinkGone,
+    /// The caller doesn't send its body or read the response.
+    CallerStalled,
 }
 
 impl AttemptFault {
@@ -37,6 +39,7 @@
             Self::BadAnswer => "bad-answer",
             Self::Refused(_) => "refused",
             Self::SinkGone => "ingress-gone",
+            Self::CallerStalled => "caller-stalled",
         }
     }
 
@@ -44,6 +47,7 @@
     pub fn outcome(self) -> FailureOutcome {
         match self {
             Self::Cancelled | Self::SinkGone => FailureOutcome::Unknown(UnknownReason::CallerGone),
+            Self::CallerStalled => FailureOutcome::Unknown(UnknownReason::CallerStalled),
             Self::TimedOut => FailureOutcome::Unknown(UnknownReason::TimedOut),
             Self::Broken => FailureOutcome::Unknown(UnknownReason::BackendBroken),
             Self::BadAnswer => FailureOutcome::Unknown(UnknownReason::AnswerBroken),
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -13,6 +13,7 @@
 pub mod fault;
 pub mod notices;
 pub mod overdue;
+pub mod pace;
 pub mod progress;
 pub mod relay;
 pub mod reservations;
--- a/crates/daemon/src/host/progress.rs
+++ b/crates/daemon/src/host/progress.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use basaltarch_decide::adaptive_timeout::AttemptTimeout;
-use basaltarch_http::exchange::ExchangeProgress;
+use basaltarch_decide::pace::CallerPace;
+use basaltarch_http::exchange::{ExchangeProgress, MessageProgress};
 use basaltarch_waiting::slots::SlotGuard;
 
 use crate::host::overdue::OverdueTimer;
@@ -18,6 +19,10 @@
     started: Instant,
     /// Timeout that the server was given.
     pub timeout: AttemptTimeout,
+    /// How fast the caller moves the request.
+    pub pace: Cell<CallerPace>,
+    /// Time after the start at which the whole request had been sent to the server.
+    pub upload_time: Cell<Duration>,
     /// Determines when the request is overdue.
     pub overdue_timer: OverdueTimer,
     /// Whether the attempt was counted as hung, because the attempt ran longer than `late_after` of
@@ -50,6 +55,26 @@
         drop(self.slot.take());
     }
 
+    /// Notes that the caller sent or accepted bytes after it was waited for.
+    pub fn note_moved(&self, bytes: usize, waited: Duration) {
+        let mut pace = self.pace.get();
+        pace.note_moved(bytes, waited);
+        self.pace.set(pace);
+    }
+
+    /// Says whether the whole request was sent to the server.
+    pub fn is_uploaded(&self) -> bool {
+        self.exchange.request() == MessageProgress::Whole
+    }
+
+    /// Notes that the whole request was sent to the server.
+    pub fn note_uploaded(&self) {
+        self.upload_time.set(self.elapsed());
+        let slot = self.slot.take();
+        slot.iter().for_each(SlotGuard::note_uploaded);
+        self.slot.set(slot);
+    }
+
     /// Builds the progress of an attempt that starts now, holds `slot`, has `timeout`, counts as
     /// overdue after `overdue_after`, and uses a connection that had been idle for `idle_time`.
     pub fn new(
@@ -62,6 +87,8 @@
             slot: Cell::new(Some(slot)),
             started: Instant::now(),
             timeout,
+            pace: Cell::default(),
+            upload_time: Cell::default(),
             overdue_timer: OverdueTimer::new(overdue_after),
             counted_as_hung: Cell::new(false),
             exchange: ExchangeProgress::default(),
--- a/crates/daemon/src/host/relay.rs
+++ b/crates/daemon/src/host/relay.rs
@@ -4,7 +4,6 @@
 //! Relays the response of a backend server to the ingress, and derives the evidence for the
 //! server's health from the response.
 
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use basaltarch_base::metrics;
@@ -22,14 +21,15 @@
 use bytes::{Bytes, BytesMut};
 use http::{header, response, Method, StatusCode};
 
-use crate::host::calls::NestedCalls;
 use crate::host::exchange::HostAttempt;
 use crate::host::fault::AttemptFault;
 use crate::host::notices;
+use crate::host::pace;
 use crate::host::progress::AttemptProgress;
 use crate::host::verify::{
     self, AnswerVerdict, AnsweringServer, ResponseBinding, ResponseOrigin, ServerRefusal,
 };
+use crate::host::watch::AttemptWatch;
 use crate::registration;
 use crate::wire;
 
@@ -59,8 +59,8 @@
     pub answer: &'a EventSink,
     /// Claim of the ledger row of an at-most-once request.
     pub claim: Option<ClaimToken>,
-    /// Nested calls of the request.
-    pub calls: Rc<NestedCalls>,
+    /// Watch over the attempt.
+    pub watch: &'a AttemptWatch<'a>,
 }
 
 /// `AnswerStart` is a response head and its classification.
@@ -264,10 +264,15 @@
     fn record_end(&self, status: StatusCode, service_time: Duration) {
         let was_overdue = self.progress.was_overdue.get();
         let is_untimed = self.progress.overdue_timer.is_untimed();
+        // The time that a caller takes to send its body is not the server's.
+        let service_time = match self.attempt.is_upload_open() {
+            true => service_time.saturating_sub(self.progress.upload_time.get()),
+            false => service_time,
+        };
         let failed = wire::is_server_error(status.as_u16());
         let evidence = match status {
             // A server's error after a failed nested call is not attributed to that server.
-            _ if failed && self.calls.has_failed_call() => RequestEvidence::Neutral,
+            _ if failed && self.watch.calls().has_failed_call() => RequestEvidence::Neutral,
             // The server gave up the request at the timeout that the host had set, which shows only
             // that this timeout was too short.
             StatusCode::GATEWAY_TIMEOUT => AttemptFault::TimedOut.evidence(was_overdue),
@@ -342,8 +347,10 @@
             }
             let data = piece.unwrap_or_default();
             let sending_since = Instant::now();
+            let length = data.len();
             let sending = self.answer.send(StreamEvent::Data(data, last));
-            sending.await.map_err(|_| AttemptFault::SinkGone)?;
+            let sent = pace::await_caller(self.watch, sending, |_| length).await?;
+            sent.map_err(|_| AttemptFault::SinkGone)?;
             sending_time += sending_since.elapsed();
             if last {
                 return Ok(());
--- a/crates/daemon/src/host/sending.rs
+++ b/crates/daemon/src/host/sending.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use basaltarch_http::connection::StreamWriter;
-use basaltarch_http::exchange::{ExchangeProgress, MessageProgress};
+use basaltarch_http::exchange::MessageProgress;
 use basaltarch_http::framing::BodyFraming;
 use basaltarch_http::writer;
 use basaltarch_peer::protocol::DispatchHead;
@@ -15,35 +15,39 @@
 
 use crate::host::exchange::HostAttempt;
 use crate::host::fault::AttemptFault;
+use crate::host::pace;
+use crate::host::watch::AttemptWatch;
 
-/// Sends the request, with `timeout` in its deadline field, and notes in `exchange` how far the
+/// Sends the request, with the timeout of the attempt in its deadline field, and notes how far the
 /// request has got.
 pub async fn send_request(
-    attempt: &HostAttempt<'_>,
-    timeout: Duration,
+    watch: &AttemptWatch<'_>,
     writer: &mut StreamWriter,
     body: &EventPipe,
-    exchange: &ExchangeProgress,
 ) -> Result<(), AttemptFault> {
+    let exchange = &watch.progress.exchange;
     exchange.note_request(MessageProgress::Partial);
-    let result = write_request(attempt, timeout, writer, body).await;
+    let result = write_request(watch, writer, body).await;
     exchange.note_request(match result {
         Ok(()) => MessageProgress::Whole,
         Err(_) => MessageProgress::Broken,
     });
+    if result.is_ok() {
+        watch.progress.note_uploaded();
+    }
     result
 }
 
 async fn write_request(
-    attempt: &HostAttempt<'_>,
-    timeout: Duration,
+    watch: &AttemptWatch<'_>,
     writer: &mut StreamWriter,
     body: &EventPipe,
 ) -> Result<(), AttemptFault> {
+    let attempt = watch.attempt;
     let head = attempt.head;
     let framing = request_framing(head);
     let mut buffer = BytesMut::with_capacity(1024 + head.body.len());
-    put_request(attempt, timeout, framing, &mut buffer);
+    put_request(attempt, watch.progress.timeout.time, framing, &mut buffer);
     writer::put_piece(&mut buffer, framing, &head.body, head.last);
     writer::flush(writer, &mut buffer).await.map_err(|_| AttemptFault::Broken)?;
     if head.last {
@@ -51,7 +55,7 @@
     }
     body.open_window();
     loop {
-        match body.next().await {
+        match pace::await_caller(watch, body.next(), event_bytes).await? {
             StreamEvent::Data(data, last) => {
                 let sending = writer::send_piece(writer, &mut buffer, framing, data, last);
                 sending.await.map_err(|_| AttemptFault::Broken)?;
@@ -64,6 +68,14 @@
     }
 }
 
+/// Returns the number of body bytes of an event.
+fn event_bytes(event: &StreamEvent) -> usize {
+    match event {
+        StreamEvent::Data(data, _) => data.len(),
+        _ => 0,
+    }
+}
+
 fn request_framing(head: &DispatchHead) -> BodyFraming {
     match (head.last, head.content_length) {
         (true, _) if head.body.is_empty() => BodyFraming::Empty,
--- a/crates/daemon/src/host/upstream.rs
+++ b/crates/daemon/src/host/upstream.rs
@@ -20,6 +20,7 @@
 use basaltarch_decide::health::{
     AdmitVerdict, DispatchTerms, HealthChange, UpstreamHealth, WatchEnd,
 };
+use basaltarch_decide::pace::SlotDemand;
 use basaltarch_decide::server_rate::{RateResponse, RateStatement};
 use basaltarch_events::servers;
 use basaltarch_http::errors::HttpError;
@@ -27,6 +28,7 @@
 use basaltarch_waiting::slots::SlotQueue;
 
 use crate::host::backend::{BackendPool, PooledStream};
+use crate::host::pace::HeldUpCount;
 use crate::state::DaemonState;
 use crate::wire::{self, HostLoad};
 
@@ -53,6 +55,8 @@
     pub pool: BackendPool,
     /// Adaptive timeout of the backend server's requests.
     pub adaptive_timeout: RefCell<AdaptiveTimeout>,
+    /// Requests in slots that wait for their callers.
+    pub held_up: HeldUpCount,
     draining_until: Cell<Duration>,
     cold_start: RefCell<ColdStart>,
     /// Whether the failure domain of the backend server is evacuated.
@@ -86,6 +90,7 @@
             health: RefCell::new(UpstreamHealth::new(service.spec.prefer, now, cold)),
             pool: BackendPool::new(server.address, server.connections as usize),
             adaptive_timeout: RefCell::default(),
+            held_up: HeldUpCount::default(),
             draining_until: Cell::new(Duration::ZERO),
             cold_start: RefCell::new(cold_start),
             evacuated: Cell::new(false),
@@ -96,6 +101,15 @@
         }
     }
 
+    /// Says how much the slots are needed.
+    pub fn slot_demand(&self) -> SlotDemand {
+        SlotDemand {
+            is_wanted: self.slots.is_wanted(),
+            slots: self.slots.slots(),
+            held_up: self.held_up.get(),
+        }
+    }
+
     /// Returns the name by which the backend server calls itself, which all its incarnations share.
     pub fn server_name(&self) -> &str {
         incarnation::server_of(&self.name)
--- a/crates/daemon/src/host/watch.rs
+++ b/crates/daemon/src/host/watch.rs
@@ -3,9 +3,10 @@
 
 //! Watches the requests that backend servers process, since a hung request causes no event.
 
+use std::cell::Cell;
 use std::future;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use basaltarch_decide::hang::{self, UsualTime};
 use basaltarch_decide::health::WatchEnd;
@@ -18,12 +19,16 @@
 
 /// `AttemptWatch` watches whether a request runs for too long.
 pub struct AttemptWatch<'a> {
-    attempt: &'a HostAttempt<'a>,
+    /// Attempt that is watched.
+    pub attempt: &'a HostAttempt<'a>,
+    /// Progress of the attempt.
+    pub progress: &'a AttemptProgress,
     request: String,
     calls: Rc<NestedCalls>,
     usual: Option<UsualTime>,
-    request_number: u64,
-    progress: &'a AttemptProgress,
+    /// Number of the request among those that are checked for hangs, once it is.
+    request_number: Cell<Option<u64>>,
+    has_ended: Cell<bool>,
 }
 
 impl<'a> AttemptWatch<'a> {
@@ -34,9 +39,31 @@
         let organisation = attempt.head.organisation.as_deref();
         let calls = attempt.state.host.calls.begin(&request, attempt.head.repeated, organisation);
         let usual = attempt.usual_time();
-        let mut health = attempt.upstream.health.borrow_mut();
-        let request_number = usual.map_or(0, |usual| health.start_request(usual, now));
-        Self { attempt, request, calls, usual, request_number, progress }
+        let request_number = Cell::new(None);
+        let has_ended = Cell::new(false);
+        let watch = Self { attempt, progress, request, calls, usual, request_number, has_ended };
+        watch.check_from(now);
+        watch
+    }
+
+    /// Notes that the caller is waited for. Once the server has begun to answer, it doesn't hang,
+    /// however long its caller takes to read the answer.
+    pub fn note_caller_wait(&self) {
+        if self.progress.head_seen.get() {
+            self.end(WatchEnd::Progressed);
+        }
+    }
+
+    /// Checks the request for hangs from now on, unless its body still has to arrive: it runs for as
+    /// long as its caller takes.
+    fn check_from(&self, now: Duration) {
+        let has_begun = self.has_ended.get() || self.request_number.get().is_some();
+        let awaits_body = self.attempt.is_upload_open() && !self.progress.is_uploaded();
+        let is_due = !has_begun && !awaits_body;
+        if let Some(usual) = self.usual.filter(|_| is_due) {
+            let mut health = self.attempt.upstream.health.borrow_mut();
+            self.request_number.set(Some(health.start_request(usual, now)));
+        }
     }
 
     /// Returns the nested calls of the request.
@@ -70,8 +97,9 @@
     /// have arrived meanwhile.
     fn check_for_hang(&self, was_paused: bool) {
         let now = self.attempt.state.now();
+        self.check_from(now);
         self.attempt.upstream.detect_hang(now);
-        if was_paused {
+        if was_paused || self.has_ended.get() || self.request_number.get().is_none() {
             return;
         }
         let took_too_long = self.progress.elapsed() > self.progress.timeout.late_after;
@@ -81,8 +109,11 @@
     }
 
     fn end(&self, end: WatchEnd) {
-        if self.usual.is_some() {
-            self.attempt.upstream.end_request(self.request_number, end, self.attempt.state.now());
+        if self.has_ended.replace(true) {
+            return;
+        }
+        if let Some(request_number) = self.request_number.get() {
+            self.attempt.upstream.end_request(request_number, end, self.attempt.state.now());
         }
     }
 }
--- a/crates/daemon/src/ingress/dispatch.rs
+++ b/crates/daemon/src/ingress/dispatch.rs
@@ -175,7 +175,7 @@
             work_class: wire::class_number(request.class()),
             work_mode: wire::mode_number(self.dispatch_mode()),
             attempt: self.request.trace.attempts.get() as i8,
-            content_length: request.framing.wire_length(),
+            content_length: request.known_length(),
             body: Vec::new(),
             last: false,
             baseline: self.baseline_note(choice.index, baseline),
--- a/crates/daemon/src/ingress/failure.rs
+++ b/crates/daemon/src/ingress/failure.rs
@@ -137,7 +137,9 @@
             _ => StatusCode::SERVICE_UNAVAILABLE,
         },
         FailureOutcome::Unknown(reason) => match reason {
-            UnknownReason::TimedOut | UnknownReason::DaemonStopped => StatusCode::GATEWAY_TIMEOUT,
+            UnknownReason::TimedOut
+            | UnknownReason::DaemonStopped
+            | UnknownReason::CallerStalled => StatusCode::GATEWAY_TIMEOUT,
             UnknownReason::AlreadyStarted => StatusCode::CONFLICT,
             _ => StatusCode::BAD_GATEWAY,
         },
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -117,6 +117,15 @@
         self.body_start.len() < body::KEPT_BYTES
     }
 
+    /// Returns the length of the body in the form that daemons exchange: -1 if the length is not
+    /// known.
+    pub fn known_length(&self) -> i64 {
+        match self.has_whole_body() {
+            true => self.body_start.len() as i64,
+            false => self.framing.wire_length(),
+        }
+    }
+
     /// Returns the crash tally of the request; `None` if the tally is empty.
     pub fn tally(&self, state: &DaemonState) -> Option<CrashTally> {
         let has_suspects = !state.suspects.is_empty();
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod limits;
 pub mod neighbours;
 pub mod order;
+pub mod pace;
 pub mod path;
 pub mod pause;
 pub mod poison;
--- a/crates/decide/src/order.rs
+++ b/crates/decide/src/order.rs
@@ -38,6 +38,15 @@
     }
 }
 
+/// Divisor of a backend server's slots that yields those for requests whose bodies still arrive.
+const UPLOAD_SLOTS_DIVISOR: u32 = 2;
+
+/// Returns how many of a backend server's slots may be filled by requests whose bodies still arrive.
+/// A caller decides how long its body takes, so such requests must not fill all slots.
+pub fn upload_slots(slots: u32) -> u32 {
+    (slots / UPLOAD_SLOTS_DIVISOR).max(1)
+}
+
 /// `QueuedRequest` is what the scheduling needs to know about a queued request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QueuedRequest {
--- a/crates/waiting/src/slots.rs
+++ b/crates/waiting/src/slots.rs
@@ -39,6 +39,8 @@
 /// Weight of a reservation in the length of the queue, where a queued request counts as one:
 /// some of the requests that hold a reservation at this daemon are served elsewhere.
 const RESERVATION_WEIGHT: f64 = 0.5;
+/// Time after a request was refused for want of a slot for which the slots count as wanted.
+const WANTED_TIME: Duration = Duration::from_secs(1);
 /// Shortest time between two checks whether a waiting request has its turn under the rate limit.
 const TURN_CHECK_MIN: Duration = Duration::from_millis(5);
 
@@ -84,6 +86,10 @@
     used: Cell<u32>,
     /// Number of offers whose request has no slot yet.
     offered: Cell<u32>,
+    /// Number of slots in use by requests whose bodies still arrive.
+    uploads: Cell<u32>,
+    /// When a request was last refused for want of a slot.
+    refused_at: Cell<Option<Duration>>,
     /// When a nested call last had to wait.
     call_queued_at: Cell<Option<Duration>>,
     /// When a request last completed successfully.
@@ -110,6 +116,15 @@
     /// Whether the request is not repeatable and should, if possible, go to a server that recently
     /// completed a request.
     pub needs_recent_progress: bool,
+    /// Whether the body of the request still arrives from its caller.
+    pub is_upload_open: bool,
+}
+
+impl SlotRequest {
+    /// Returns what a full queue keeps: the requests of the greatest rank.
+    fn rank(&self) -> (WorkClass, bool) {
+        (self.scheduling.class, !self.is_upload_open)
+    }
 }
 
 impl SlotQueue {
@@ -120,6 +135,8 @@
             slots: Cell::new(slots),
             used: Cell::new(0),
             offered: Cell::new(0),
+            uploads: Cell::new(0),
+            refused_at: Cell::new(None),
             call_queued_at: Cell::new(None),
             completed_at: Cell::new(None),
             limit: Cell::new(limit),
@@ -196,12 +213,15 @@
             order::open_slots(self.slots.get(), queued.is_call, nested_calls_waited);
         let taken_slots = self.used.get() + self.offered.get();
         let has_turn = self.rate.borrow().next_in(now).is_zero();
+        let may_upload =
+            !request.is_upload_open || self.uploads.get() < order::upload_slots(self.slots.get());
         match kind {
             // The offer has taken the turn of the request.
             WaitKind::Offered => !self.is_full(),
-            WaitKind::Queued => has_turn && taken_slots < slots_for_kind,
+            WaitKind::Queued => has_turn && may_upload && taken_slots < slots_for_kind,
             WaitKind::Reservation => {
                 has_turn
+                    && may_upload
                     && taken_slots < slots_for_kind + OFFERS_BEYOND_FREE
                     && !self.lacks_recent_progress(request, now)
             }
@@ -230,13 +250,28 @@
         queue_length(waiting.iter()).ceil() as u32
     }
 
-    /// Says whether a request of this class would get a slot or be queued.
-    pub fn has_room(&self, class: WorkClass) -> bool {
+    /// Says whether the slots are needed by more requests than they serve.
+    pub fn is_wanted(&self) -> bool {
+        let since_refusal = self.refused_at.get().map(|at| self.clock.now().saturating_sub(at));
+        let was_refused = since_refusal.is_some_and(|since| since < WANTED_TIME);
+        was_refused || !self.waiting.borrow().is_empty()
+    }
+
+    fn note_refused(&self) {
+        self.refused_at.set(Some(self.clock.now()));
+    }
+
+    /// Says whether a request would get a slot or be queued.
+    pub fn has_room(&self, request: &SlotRequest) -> bool {
         let waiting = self.waiting.borrow();
         let mut queued_requests = waiting.iter().filter(|waiter| waiter.kind == WaitKind::Queued);
-        self.used.get() < self.slots.get()
+        let has_room = self.used.get() < self.slots.get()
             || queued_requests.clone().count() < self.limit.get() as usize
-            || queued_requests.any(|waiter| waiter.request.scheduling.class < class)
+            || queued_requests.any(|waiter| waiter.request.rank() < request.rank());
+        if !has_room {
+            self.note_refused();
+        }
+        has_room
     }
 
     /// Acquires a slot. If no slot is free and the queue has room, waits for one.
@@ -248,13 +283,14 @@
             if request.passable {
                 // Another server may have a free slot, and could not take the request any more once
                 // the request is queued here.
+                self.note_refused();
                 return Err(NotRunReason::QueueFull);
             }
             self.wait(WaitKind::Queued, request).await?;
         } else {
-            self.count_grant(WaitKind::Queued);
+            self.count_grant(WaitKind::Queued, &request);
         }
-        Ok(SlotGuard::new(self))
+        Ok(SlotGuard::new(self, &request))
     }
 
     /// Holds a reservation until a slot is offered to it.
@@ -263,7 +299,7 @@
         request: SlotRequest,
     ) -> Result<OfferGuard, NotRunReason> {
         if self.is_free_for(WaitKind::Reservation, &request) {
-            self.count_grant(WaitKind::Reservation);
+            self.count_grant(WaitKind::Reservation, &request);
         } else {
             self.wait(WaitKind::Reservation, request).await?;
         }
@@ -271,14 +307,23 @@
     }
 
     fn is_free_for(&self, kind: WaitKind, request: &SlotRequest) -> bool {
-        self.waiting.borrow().is_empty() && self.may_start(kind, request, self.clock.now())
+        let waits_for_uploads = |waiter: &Rc<QueueWaiter>| waiter.request.is_upload_open;
+        let is_next = match request.is_upload_open {
+            true => self.waiting.borrow().is_empty(),
+            // A request goes past those that wait because too many bodies still arrive.
+            false => self.waiting.borrow().iter().all(waits_for_uploads),
+        };
+        is_next && self.may_start(kind, request, self.clock.now())
     }
 
     /// Counts a slot as used, or as offered in the case of a reservation, and takes the turn of the
     /// request under the rate limit.
-    fn count_grant(&self, kind: WaitKind) {
+    fn count_grant(&self, kind: WaitKind, request: &SlotRequest) {
         let count = if kind == WaitKind::Reservation { &self.offered } else { &self.used };
         count.set(count.get() + 1);
+        if kind != WaitKind::Reservation && request.is_upload_open {
+            self.uploads.set(self.uploads.get() + 1);
+        }
         if kind != WaitKind::Offered {
             self.rate.borrow_mut().take(self.clock.now());
         }
@@ -405,15 +450,16 @@
         };
         let is_same_kind = |waiter: &Rc<QueueWaiter>| waiter.kind == kind;
         if waiting.iter().filter(|waiter| is_same_kind(waiter)).count() >= limit as usize {
-            let lowest_class = waiting
+            let lowest = waiting
                 .iter()
                 .enumerate()
                 .rev()
                 .filter(|(_, waiter)| is_same_kind(waiter))
-                .min_by_key(|(_, waiter)| waiter.request.scheduling.class)
-                .map(|(index, waiter)| (index, waiter.request.scheduling.class));
-            match lowest_class {
-                Some((index, class)) if class < request.scheduling.class => {
+                .min_by_key(|(_, waiter)| waiter.request.rank())
+                .map(|(index, waiter)| (index, waiter.request.rank()));
+            self.note_refused();
+            match lowest {
+                Some((index, rank)) if rank < request.rank() => {
                     let evicted = waiting.remove(index);
                     evicted.end_wait(WaitState::Refused(NotRunReason::QueueFull));
                 }
@@ -488,8 +534,11 @@
         }
     }
 
-    fn release_slot(&self) {
+    fn release_slot(&self, is_upload_open: bool) {
         self.used.set(self.used.get() - 1);
+        if is_upload_open {
+            self.uploads.set(self.uploads.get() - 1);
+        }
         self.grant_free_slots();
     }
 
@@ -506,7 +555,7 @@
     fn grant_free_slots(&self) {
         let now = self.clock.now();
         while let Some(waiter) = self.take_next_waiter(now) {
-            self.count_grant(waiter.kind);
+            self.count_grant(waiter.kind, &waiter.request);
             waiter.end_wait(WaitState::Granted);
         }
     }
@@ -601,10 +650,12 @@
                 WaitKind::Reservation => self.queue.end_offer(false),
                 WaitKind::Queued => {
                     self.queue.put_back_turn();
-                    self.queue.release_slot();
+                    self.queue.release_slot(self.waiter.request.is_upload_open);
                 }
                 // The offer of the request takes its turn back.
-                WaitKind::Offered => self.queue.release_slot(),
+                WaitKind::Offered => {
+                    self.queue.release_slot(self.waiter.request.is_upload_open);
+                }
             }
         }
     }
@@ -625,10 +676,10 @@
         if self.queue.is_full() {
             self.queue.wait(WaitKind::Offered, request).await?;
         } else {
-            self.queue.count_grant(WaitKind::Offered);
+            self.queue.count_grant(WaitKind::Offered, &request);
         }
         self.is_used = true;
-        Ok(SlotGuard::new(&self.queue))
+        Ok(SlotGuard::new(&self.queue, &request))
     }
 }
 
@@ -641,16 +692,25 @@
 /// `SlotGuard` is a slot in use.
 pub struct SlotGuard {
     queue: Rc<SlotQueue>,
+    is_upload_open: Cell<bool>,
 }
 
 impl SlotGuard {
-    fn new(queue: &Rc<SlotQueue>) -> Self {
-        Self { queue: queue.clone() }
+    fn new(queue: &Rc<SlotQueue>, request: &SlotRequest) -> Self {
+        Self { queue: queue.clone(), is_upload_open: Cell::new(request.is_upload_open) }
+    }
+
+    /// Notes that the body of the request has arrived whole.
+    pub fn note_uploaded(&self) {
+        if self.is_upload_open.replace(false) {
+            self.queue.uploads.set(self.queue.uploads.get() - 1);
+            self.queue.grant_free_slots();
+        }
     }
 }
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        self.queue.release_slot();
+        self.queue.release_slot(self.is_upload_open.get());
     }
 }
--- a/crates/waiting/tests/slots.rs
+++ b/crates/waiting/tests/slots.rs
@@ -69,7 +69,13 @@
             usual: Some(USUAL),
             needed_time: Some(USUAL),
         };
-        SlotRequest { scheduling, refusable: false, passable: false, needs_recent_progress: false }
+        SlotRequest {
+            scheduling,
+            refusable: false,
+            passable: false,
+            needs_recent_progress: false,
+            is_upload_open: false,
+        }
     }
 
     fn outcome_of(&self, name: &str) -> Option<Result<(), NotRunReason>> {
@@ -331,3 +337,45 @@
         drop(slot);
     });
 }
+
+#[test]
+fn verify_requests_whose_bodies_still_arrive_leave_half_of_the_slots_to_others() {
+    run(async {
+        let queue = TestQueue::new();
+        let request = queue.request(WorkClass::Normal, 60_000);
+        let upload = SlotRequest { is_upload_open: true, ..request };
+        queue.acquire_as("upload-1", upload).await;
+        queue.acquire_as("upload-2", upload).await;
+        assert_eq!(queue.outcome_of("upload-2"), None, "one of two slots is left to others");
+        queue.acquire_as("other", request).await;
+        assert_eq!(queue.outcome_of("other"), Some(Ok(())), "it goes past the waiting upload");
+        queue.held.borrow()[0].note_uploaded();
+        drop(queue.held.borrow_mut().pop());
+        monoio::time::sleep(Duration::from_millis(1)).await;
+        assert_eq!(queue.outcome_of("upload-2"), Some(Ok(())), "the first body has arrived");
+        assert!(queue.queue.is_full());
+        queue.held.borrow_mut().clear();
+        assert_eq!(queue.queue.used(), 0);
+    });
+}
+
+#[test]
+fn verify_an_upload_gives_its_place_in_a_full_queue_to_a_request_of_its_class() {
+    run(async {
+        let queue = TestQueue::new();
+        let request = queue.request(WorkClass::Normal, 60_000);
+        let upload = SlotRequest { is_upload_open: true, ..request };
+        for name in ["slot-1", "slot-2"] {
+            queue.acquire_as(name, request).await;
+        }
+        assert!(!queue.queue.is_wanted());
+        queue.queue.configure(2, 1);
+        queue.acquire_as("upload", upload).await;
+        assert!(queue.queue.is_wanted());
+        assert!(queue.queue.has_room(&request) && !queue.queue.has_room(&upload));
+        queue.acquire_as("other", request).await;
+        assert_eq!(queue.outcome_of("upload"), Some(Err(NotRunReason::QueueFull)));
+        queue.release_slot().await;
+        assert_eq!(queue.outcome_of("other"), Some(Ok(())));
+    });
+}
