Requests sent far ahead give way to those of others

Callers saw: 150 connections that send 3,000 requests ahead and read nothing: 35 of 160 ordinary requests served at the attacked daemon, 68 at a neighbour, the rest refused as queue-full; 100 that send 50 ahead for answers of 1 MB: 4 and 19 of 160. Cause: the queues hold their requests and those of others alike, and answers that aren't read hold the slots. Mend: a caller with eight or more requests waiting on its connection sends far ahead until it waits for an answer with nothing behind it; its requests are of the class that is shed first, so those of others displace them in a full queue and get the next slot. Of what is sent ahead, 8 KiB are read, the rest waits on the connection.

--- a/crates/daemon/src/ingress/caller.rs
+++ b/crates/daemon/src/ingress/caller.rs
@@ -27,6 +27,7 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use crate::ingress::failure::CallerFailure;
+use crate::ingress::pipeline::CallerPipeline;
 use crate::ingress::{request, trace};
 use crate::state::DaemonState;
 use crate::stop;
@@ -52,6 +53,8 @@
     pub entry: Rc<ConnectionEntry>,
     /// Address of the caller.
     pub from: SocketAddr,
+    /// Requests that the caller sent ahead.
+    pub pipeline: CallerPipeline,
 }
 
 /// Accepts callers' connections; never returns.
@@ -66,7 +69,8 @@
         async move {
             match callers.count_connection(from.ip(), state.options.connections_each) {
                 Some(_caller_guard) => {
-                    serve(&state, stream, &CallerConnection { entry, from }).await;
+                    let pipeline = CallerPipeline::default();
+                    serve(&state, stream, &CallerConnection { entry, from, pipeline }).await;
                 }
                 None => log_refused_connection(from.ip(), state.options.connections_each),
             }
@@ -161,6 +165,7 @@
         }
         stream.reader.release();
         if stream.reader.buffer.is_empty() {
+            connection.pipeline.note_empty();
             entry.enter(ConnectionStage::Idle);
         } else {
             entry.enter(ConnectionStage::Receiving);
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -14,6 +14,7 @@
 pub mod failure;
 pub mod hold;
 pub mod load_probe;
+pub mod pipeline;
 pub mod request;
 pub mod reservations;
 pub mod slow_attempts;
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -83,6 +83,8 @@
     pub body_start: Bytes,
     /// Whether the connection is closed after the request.
     pub close: bool,
+    /// Whether the caller sends many requests ahead.
+    pub is_far_ahead: bool,
     /// What is held for the request.
     pub hold: RequestHold,
     /// Trace of the request for the logs.
@@ -107,8 +109,11 @@
     }
 
     /// Returns the class of the request: the class of its organisation overrides the class of its
-    /// route.
+    /// route. The request of a caller that sends far ahead gives way to those of others.
     pub fn class(&self) -> WorkClass {
+        if self.is_far_ahead {
+            return WorkClass::Sheddable;
+        }
         self.caller.class.unwrap_or(self.route.rule.criticality)
     }
 
@@ -206,6 +211,10 @@
             return send_refusal(stream, &method, &failure, true).await;
         }
     }
+    if body.is_read() {
+        connection.pipeline.note_waiting(&stream.reader.buffer);
+    }
+    request.is_far_ahead = connection.pipeline.is_far_ahead();
     trace::log_received(state, &request);
     if request.once_key.is_some() && !body.is_read() {
         let message = "an at-most-once request with a key may have a body of at most 65536 bytes";
@@ -405,6 +414,7 @@
         framing,
         body_start: Bytes::new(),
         close,
+        is_far_ahead: false,
         hold,
         trace: RequestTrace::start(state, id.to_owned()),
         fingerprint: OnceCell::new(),
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -29,8 +29,8 @@
 /// Time between checks of the path of an attempt in flight.
 const PATH_CHECK_EVERY: Duration = Duration::from_millis(150);
 /// Size in bytes at which the buffer for pipelined requests counts as full while a request is
-/// served.
-const PIPELINE_BYTES_MAX: usize = 64 * 1024;
+/// served. The rest waits on the connection.
+const PIPELINE_BYTES_MAX: usize = 8 * 1024;
 
 /// `CallerReader` reads what a caller sends on its connection.
 pub type CallerReader = ByteReader<OwnedReadHalf<TcpStream>>;
