Refuse a body by its announced length

Callers saw: a body announced as 10^12 bytes was sent on to a server until the limit, then the connection closed without the 413 being read.

--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -167,7 +167,10 @@
 ) -> AfterRequest {
     let method = head.method.clone();
     let close = caller::closes_after(state, &head);
-    let framing = match framing::of_request(&head) {
+    let limits = state.body_limits();
+    let framing = framing::of_request(&head);
+    let framing = framing.and_then(|framing| limits.check_length(framing).map(|()| framing));
+    let framing = match framing {
         Ok(framing) => framing,
         Err(error) => {
             return refuse_unreadable(state, stream, &method, "", &error).await;
@@ -189,7 +192,7 @@
             return send_refusal(stream, &method, &failure, close).await;
         }
     };
-    let mut body = RequestBody::new(framing, state.body_limits());
+    let mut body = RequestBody::new(framing, limits);
     if awaits_continue && !body.is_read() && stream.reader.buffer.is_empty() {
         let mut line = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
         if writer::flush(&mut stream.writer, &mut line).await.is_err() {
