--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -110,6 +110,10 @@
 pub static IN_FLIGHT: GaugeCell = GaugeCell::new();
 /// Open connections of callers.
 pub static CALLER_CONNECTIONS: GaugeCell = GaugeCell::new();
+/// Connections of callers that were closed to make room for others.
+pub static CALLERS_EVICTED: GaugeCell = GaugeCell::new();
+/// Bytes that are held for clients beyond those reckoned for each connection.
+pub static CLIENT_BYTES: GaugeCell = GaugeCell::new();
 
 /// Requests that were not logged from their start, because of the rate limit in the settings.
 pub static REQUESTS_NOT_LOGGED: CounterCell = CounterCell::new();
@@ -363,6 +367,16 @@
         gauge("links", "Open links to peers.", &LINKS),
         gauge("in_flight", "Requests in flight from callers.", &IN_FLIGHT),
         gauge("caller_connections", "Callers' connections.", &CALLER_CONNECTIONS),
+        gauge(
+            "callers_evicted",
+            "Callers' connections closed to make room for others, since the start.",
+            &CALLERS_EVICTED,
+        ),
+        gauge(
+            "client_bytes",
+            "Bytes held for clients beyond those reckoned for each connection.",
+            &CLIENT_BYTES,
+        ),
     ];
     for (state, cell) in UPSTREAM_STATES.iter().zip(&UPSTREAMS) {
         entries.push(MetricEntry {
--- a/crates/daemon/src/admin/gauges.rs
+++ b/crates/daemon/src/admin/gauges.rs
@@ -16,6 +16,8 @@
     refresh_services(state);
     let revision_age = state.now().saturating_sub(state.config.since());
     metrics::REVISION_AGE.set(revision_age.as_secs() as i64);
+    metrics::CALLERS_EVICTED.set(state.callers.evicted_count() as i64);
+    metrics::CLIENT_BYTES.set(state.account.held_bytes() as i64);
     let counts = state.platform.counts();
     let results = [counts.answered, counts.refused, counts.no_answer];
     for (cell, count) in metrics::STORE_CALLS.iter().zip(results) {
