Keep a quarter of the account for answers

Found on reading: a crowd of uploads could fill the account, and then each ordinary caller whose answer doesn't fit its socket at once would have been closed for bytes that are over the budget. What can be refused stops at three quarters; answers have the rest. Reading and the account's test; no play showed it.

--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -17,7 +17,11 @@
 #[snafu(display("the memory for what clients send is used up"))]
 pub struct AccountFull;
 
-/// `ByteAccount` counts the bytes that are held, up to a budget. Clones share the count.
+/// Divisor of the budget that yields what is kept for bytes that can't be refused.
+const RESERVE_DIVISOR: u64 = 4;
+
+/// `ByteAccount` counts the bytes that are held, up to a budget. A part of the budget is a reserve for
+/// bytes that are there already, such as answers. Clones share the count.
 #[derive(Debug, Clone)]
 pub struct ByteAccount(Rc<AccountState>);
 
@@ -45,9 +49,14 @@
         self.0.held_bytes.get()
     }
 
-    /// Returns the number of bytes that may be held.
-    pub fn budget_bytes(&self) -> u64 {
-        self.0.budget_bytes
+    /// Says whether more bytes are held than the budget allows.
+    pub fn is_exceeded(&self) -> bool {
+        self.held_bytes() > self.0.budget_bytes
+    }
+
+    /// Returns the number of bytes that may be held without the reserve.
+    fn refusable_bytes(&self) -> u64 {
+        self.0.budget_bytes - self.0.budget_bytes / RESERVE_DIVISOR
     }
 
     /// Returns a hold on no bytes.
@@ -73,11 +82,12 @@
     ///
     /// # Errors
     ///
-    /// Returns [`AccountFull`] if the budget has too few left; the hold stays as it was.
+    /// Returns [`AccountFull`] if the budget without its reserve has too few left; the hold stays as
+    /// it was.
     pub fn try_reach(&mut self, bytes: u64) -> Result<(), AccountFull> {
         let missing_bytes = bytes.saturating_sub(self.bytes);
         let held_bytes = self.account.held_bytes().saturating_add(missing_bytes);
-        if missing_bytes > 0 && held_bytes > self.account.budget_bytes() {
+        if missing_bytes > 0 && held_bytes > self.account.refusable_bytes() {
             return Err(AccountFull);
         }
         self.set(self.bytes + missing_bytes);
--- a/crates/daemon/src/ingress/hold.rs
+++ b/crates/daemon/src/ingress/hold.rs
@@ -81,8 +81,7 @@
         self.hold.borrow_mut().set(bytes_before + ANSWER_BYTES);
         self.entry.note_held(bytes_before + ANSWER_BYTES);
         let guard = AnswerGuard { hold: self, bytes_before };
-        let account = &state.account;
-        if account.held_bytes() > account.budget_bytes() {
+        if state.account.is_exceeded() {
             state.callers.evict_holder(ByteNeed::Answer).await;
         }
         guard
