--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod changes;
 pub mod gauges;
+pub mod metrics_page;
 pub mod read;
 pub mod status;
 pub mod suspects;
@@ -68,9 +69,11 @@
         "/healthz" => return ServerReply::text(StatusCode::OK, "ok\n"),
         "/readyz" => return ready(state),
         "/metrics" => {
-            gauges::refresh(state);
-            let text = metrics::render();
-            return ServerReply::whole(StatusCode::OK, "text/plain; version=0.0.4", text.into());
+            let text = state.metrics_page.get(|| {
+                gauges::refresh(state);
+                metrics::render()
+            });
+            return ServerReply::whole(StatusCode::OK, "text/plain; version=0.0.4", text);
         }
         _ => {}
     }
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -24,6 +24,7 @@
 use basaltarch_store::ledger::OnceLedger;
 use basaltarch_store::platform::PlatformClient;
 
+use crate::admin::metrics_page::MetricsPage;
 use crate::admission::ServerAdmission;
 use crate::departures::DepartureTable;
 use crate::document::DocumentCell;
@@ -107,6 +108,8 @@
     pub reloading: RisingSignal,
     /// Bytes that are held for clients beyond those reckoned for each connection.
     pub account: ByteAccount,
+    /// Page of metrics that was rendered last.
+    pub metrics_page: MetricsPage,
     /// Connections of callers.
     pub callers: ConnectionTable,
     /// Which routes have labels of their own in the metrics.
@@ -167,6 +170,7 @@
             requests: Cell::new(0),
             route_labels: RouteLabels::default(),
             account: ByteAccount::new(options.client_bytes),
+            metrics_page: MetricsPage::default(),
             callers: ConnectionTable::default(),
             options,
         }))
