Answer a body that turns out too large or malformed while its request runs

Callers saw the connection close where a body in chunks passed the limit after its request had been sent on. Now 413 (400 for a chunk that can't be read), with an unknown outcome (`body-unreadable`): the server may have run it, so it is no promise.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -129,10 +129,12 @@
     DaemonStopped,
     /// The caller stopped sending its body or reading its answer while others waited for the slot.
     CallerStalled,
+    /// The body of the request turned out to be malformed or too large while the request ran.
+    BodyUnreadable,
 }
 
 /// Every reason, in the order of the wire numbers.
-pub const UNKNOWN_REASONS: [UnknownReason; 8] = [
+pub const UNKNOWN_REASONS: [UnknownReason; 9] = [
     UnknownReason::BackendBroken,
     UnknownReason::AnswerBroken,
     UnknownReason::TimedOut,
@@ -141,6 +143,7 @@
     UnknownReason::AlreadyStarted,
     UnknownReason::DaemonStopped,
     UnknownReason::CallerStalled,
+    UnknownReason::BodyUnreadable,
 ];
 
 impl UnknownReason {
@@ -155,6 +158,7 @@
             Self::AlreadyStarted => "already-started",
             Self::DaemonStopped => "daemon-stopped",
             Self::CallerStalled => "caller-stalled",
+            Self::BodyUnreadable => "body-unreadable",
         }
     }
 }
--- a/crates/daemon/src/ingress/attempt.rs
+++ b/crates/daemon/src/ingress/attempt.rs
@@ -18,6 +18,7 @@
 use basaltarch_decide::probing;
 use basaltarch_decide::suspects::{CopyVerdict, CrashTally};
 use basaltarch_http::connection::HttpStream;
+use basaltarch_http::errors::HttpError;
 use basaltarch_options::WaitingMode;
 use basaltarch_peer::protocol::AnswerHead;
 
@@ -46,6 +47,8 @@
     Answer(LiveExchange, Box<AnswerHead>),
     /// No attempt brought an answer.
     Failed(CallerFailure),
+    /// The body turned out to be malformed or too large after a part of it was passed on.
+    BodyUnreadable(HttpError),
     /// The caller disconnected.
     CallerGone,
 }
@@ -172,6 +175,11 @@
                 attempts.log_end(&started, StepEnd::CallerGone, None, NextStep::End);
                 return AttemptEnd::CallerGone;
             }
+            FirstEvent::BodyUnreadable(error) => {
+                let outcome = FailureOutcome::Unknown(UnknownReason::BodyUnreadable);
+                attempts.log_end(&started, StepEnd::Failed(outcome), None, NextStep::End);
+                return AttemptEnd::BodyUnreadable(error);
+            }
             FirstEvent::SlowAnswer(attempt, head) => return attempts.end_with_slow(attempt, head),
             FirstEvent::Stopping => {
                 let outcome = FailureOutcome::Unknown(UnknownReason::DaemonStopped);
--- a/crates/daemon/src/ingress/failure.rs
+++ b/crates/daemon/src/ingress/failure.rs
@@ -63,6 +63,13 @@
         Some(Self::bad_request(status, error))
     }
 
+    /// Builds the reply for a request whose body turned out to be unreadable while the request ran.
+    pub fn unreadable_late(error: &HttpError) -> Self {
+        let outcome = FailureOutcome::Unknown(UnknownReason::BodyUnreadable);
+        let status = error.status().unwrap_or(StatusCode::BAD_REQUEST);
+        Self { status, message: error.to_string(), ..Self::new(outcome) }
+    }
+
     /// Writes the whole reply to `buffer`. The reply to a `HEAD` request has no body.
     pub fn put(&self, buffer: &mut BytesMut, method: &Method, close: bool) {
         let body = format!("{}\n", self.message);
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -273,6 +273,13 @@
             let close = request.close || !body.is_read();
             send_refusal(stream, &request.hold.entry, &request.method, &failure, close).await
         }
+        AttemptEnd::BodyUnreadable(error) => {
+            note_failed_call();
+            let failure = CallerFailure::unreadable_late(&error);
+            trace::log_failed(state, request, &failure);
+            record(failure.outcome.header_value());
+            send_refusal(stream, &request.hold.entry, &request.method, &failure, true).await
+        }
         AttemptEnd::CallerGone => {
             trace::log_caller_gone(state, request);
             record("caller-gone");
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -10,6 +10,7 @@
 use basaltarch_core::outcome::{FailureOutcome, UnknownReason};
 use basaltarch_decide::path::PathState;
 use basaltarch_http::connection::HttpStream;
+use basaltarch_http::errors::HttpError;
 use basaltarch_http::reader::{ByteReader, HEAD_READ_BYTES};
 use basaltarch_peer::protocol::{AnswerHead, LoadReport};
 use basaltarch_peer::stream::{EventSink, StreamEvent};
@@ -48,6 +49,8 @@
     SlowAnswer(SlowAttempt, AnswerHead),
     /// The caller disconnected.
     CallerGone,
+    /// The rest of the body is malformed or too large.
+    BodyUnreadable(HttpError),
     /// The daemon stops, and no longer waits for an answer.
     Stopping,
 }
@@ -97,9 +100,10 @@
         select_biased! {
             event = event => return first_event_of(event),
             (attempt, head) = slow_answer => return FirstEvent::SlowAnswer(attempt, head),
-            outcome = sending => match outcome {
-                WatchOutcome::BufferFull => {}
-                WatchOutcome::CallerGone => return FirstEvent::CallerGone,
+            end = sending => match end {
+                SendEnd::Watched(WatchOutcome::BufferFull) => {}
+                SendEnd::Watched(WatchOutcome::CallerGone) => return FirstEvent::CallerGone,
+                SendEnd::BodyUnreadable(error) => return FirstEvent::BodyUnreadable(error),
             },
             () = deadline_timer => return timed_out_event(),
             () = passed_in_suspend => return timed_out_event(),
@@ -219,16 +223,27 @@
     CallerGone,
 }
 
+/// `SendEnd` is why the rest of a body is no longer sent, nor its caller watched.
+enum SendEnd {
+    /// The caller's connection is no longer read.
+    Watched(WatchOutcome),
+    /// The rest of the body is malformed or too large.
+    BodyUnreadable(HttpError),
+}
+
 /// Sends the rest of the body, then waits until the caller disconnects.
 async fn send_body(
     reader: &mut CallerReader,
     body: &mut RequestBody,
     upload: &mut BodyUpload,
     sink: &EventSink,
-) -> WatchOutcome {
+) -> SendEnd {
     match upload.run(body, reader, sink).await {
-        UploadEnd::Unreadable(_) => WatchOutcome::CallerGone,
-        UploadEnd::Sent | UploadEnd::ExchangeEnded => watch_caller(reader).await,
+        UploadEnd::Unreadable(error @ (HttpError::BodyTooLarge { .. } | HttpError::BadChunk)) => {
+            SendEnd::BodyUnreadable(error)
+        }
+        UploadEnd::Unreadable(_) => SendEnd::Watched(WatchOutcome::CallerGone),
+        UploadEnd::Sent | UploadEnd::ExchangeEnded => SendEnd::Watched(watch_caller(reader).await),
     }
 }
 
--- a/crates/daemon/tests/edge.rs
+++ b/crates/daemon/tests/edge.rs
@@ -90,10 +90,24 @@
     format!("{head}Content-Length: {bytes}\r\n\r\n{}", "b".repeat(bytes))
 }
 
+/// Builds a request with a body of this many bytes in chunks.
+fn request_with_chunks(bytes: usize) -> String {
+    let head = "POST /echo HTTP/1.1\r\nHost: solver.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunk = format!("3e8\r\n{}\r\n", "b".repeat(1000));
+    format!(
+        "{head}{}{:x}\r\n{}\r\n0\r\n\r\n",
+        chunk.repeat(bytes / 1000 - 1),
+        1000 + bytes % 1000,
+        "b".repeat(1000 + bytes % 1000)
+    )
+}
+
 #[test_case(request_with_head(HEAD_BYTES_MAX), 200 ; "the longest head")]
 #[test_case(request_with_head(HEAD_BYTES_MAX + 1), 431 ; "a head of one byte more")]
 #[test_case(request_with_body(BODY_BYTES_MAX), 200 ; "the longest body")]
 #[test_case(request_with_body(BODY_BYTES_MAX + 1), 413 ; "a body of one byte more")]
+#[test_case(request_with_chunks(BODY_BYTES_MAX), 200 ; "the longest body in chunks")]
+#[test_case(request_with_chunks(BODY_BYTES_MAX + 1), 413 ; "chunks of one byte more")]
 fn verify_a_request_up_to_each_limit_is_served(text: String, status: u16) {
     let body_bytes = BODY_BYTES_MAX.to_string();
     let flags = vec![("body-bytes", &*body_bytes.leak()), ("memory-mb", "16")];
