Withhold a large body from each dispatch to another host

Found with crowds at size (1,500 clients, 160 MB): bodies that stop half-way still took 162 MB, whole ones 152 MB; 66 MB while no body was longer than its kept start. The last dispatch of a request, which may not be refused, carried its body of 64 KiB and more into the queue of the link at once, where no window bounds it, and the queue kept the capacity of its burst for good. Now a body over 16 KiB follows once the host has started the request, within the window, and a written buffer over 512 KiB is freed.

--- a/crates/daemon/src/ingress/dispatch.rs
+++ b/crates/daemon/src/ingress/dispatch.rs
@@ -32,6 +32,8 @@
 /// Size in bytes above which a body may be withheld until the host has started the request. For a
 /// shorter body, withholding is not worth the extra round trip.
 const WITHHELD_BYTES_MIN: usize = 256;
+/// Size in bytes above which a body is withheld from any dispatch to another host.
+const WITHHELD_BYTES_MAX: usize = 16 * 1024;
 
 /// `LiveExchange` is the exchange of an attempt that was dispatched.
 pub struct LiveExchange {
@@ -145,11 +147,15 @@
     }
 
     /// Says whether the body is withheld until the request has started: traffic between failure
-    /// domains is expensive, and a dispatch that may be refused would carry the body for nothing.
+    /// domains is expensive, and a dispatch that may be refused would carry the body for nothing. A
+    /// large body is withheld from any dispatch: it must not wait in the queue of the link, whose
+    /// windows bound only bodies that the host has asked for.
     fn withholds_body(&self, index: usize, head: &DispatchHead, body: &BodyStart) -> bool {
         let is_local = self.request.service.with_view(|view| view.is_local(index));
         let may_be_refused = head.passable || head.refusable;
-        !is_local && may_be_refused && body.bytes().len() > WITHHELD_BYTES_MIN
+        let length = body.bytes().len();
+        let is_large = length > WITHHELD_BYTES_MAX && head.once_key.is_none();
+        !is_local && (is_large || may_be_refused && length > WITHHELD_BYTES_MIN)
     }
 
     /// Records that the daemon of an upstream can't be reached.
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -33,6 +33,8 @@
 /// Maximum bytes in the send queue of one link. Flow-control windows bound the bytes that exchanges
 /// queue. A longer queue means that the other side no longer reads.
 pub const QUEUE_BYTES_MAX: usize = 32 * 1024 * units::KIB;
+/// Capacity in bytes up to which a written buffer is used again. A larger one is left from a burst.
+const SPARE_BYTES_MAX: usize = 512 * units::KIB;
 /// Number of bytes by which the buffer grows before a read of uncompressed frames.
 const READ_GROWTH_BYTES: usize = 64 * units::KIB;
 
@@ -261,6 +263,9 @@
                 None => write_buffer(&mut io, batch, on_write).await?,
             };
             spare_buffer.clear();
+            if spare_buffer.capacity() > SPARE_BYTES_MAX {
+                spare_buffer = BytesMut::new();
+            }
         }
     }
 
