Hold of a head what its lines take, and nothing while others are evicted for it

Found with crowds at size: 1,500 heads of 4,000 fields in front of slow bodies ended a daemon of 160 MB. Its field lines were allocated at 48 bytes a field, 192 kB for 16; the read buffer of the head was kept while its body was awaited; and while a parsed head (some 600 kB) waited for memory, others were parsed. Now lines are allocated by their length, the buffer is freed, and a head that the account has no room for is refused at once. A connection that is given time to read frees its buffers.

--- a/crates/daemon/src/ingress/hold.rs
+++ b/crates/daemon/src/ingress/hold.rs
@@ -45,14 +45,15 @@
         }
     }
 
-    /// Takes the bytes of the request's head.
+    /// Takes the bytes of the request's head. Nothing is freed for it: the parsed head would be held
+    /// meanwhile.
     ///
     /// # Errors
     ///
-    /// Returns [`AccountFull`] if no bytes can be freed for it.
-    pub async fn take_head(&self, state: &DaemonState, bytes: u64) -> Result<(), AccountFull> {
+    /// Returns [`AccountFull`] if the account has too few left.
+    pub fn take_head(&self, bytes: u64) -> Result<(), AccountFull> {
         self.head_bytes.set(bytes);
-        self.reach(state, bytes).await
+        self.hold.borrow_mut().try_reach(bytes.saturating_sub(FREE_BYTES))
     }
 
     /// Gives back what the head no longer takes once it was parsed: `bytes` are left of it.
--- a/crates/daemon/src/ingress/pipeline.rs
+++ b/crates/daemon/src/ingress/pipeline.rs
@@ -10,11 +10,13 @@
 use basaltarch_http::table::ConnectionEntry;
 use futures_util::{select_biased, FutureExt};
 
-/// Number of requests ahead from which a caller sends far ahead. Its requests still run, one after
+use crate::ingress::waiting::PIPELINE_BYTES_MAX;
+
+/// Number of requests ahead, or in a row with another one behind, from which a caller sends far ahead. Its requests still run, one after
 /// the other, but those of others go first while slots are scarce.
 const FAR_AHEAD_MIN: usize = 8;
-/// Number of requests in a row, each with another one behind it, from which a caller sends far ahead.
-const FAR_AHEAD_ROW: u32 = 32;
+/// Number of bytes ahead from which a caller sends far ahead.
+const FAR_AHEAD_BYTES: usize = PIPELINE_BYTES_MAX;
 /// Time that a round of all ready tasks takes from which the daemon counts as busy.
 const BUSY_ROUND: Duration = Duration::from_millis(10);
 /// Rounds for which a caller that sends far ahead pauses while the daemon is busy.
@@ -38,7 +40,10 @@
     pub fn note_waiting(&self, buffer: &[u8]) {
         if !self.is_far_ahead.get() {
             self.row.set(self.row.get() + 1);
-            self.is_far_ahead.set(self.row.get() >= FAR_AHEAD_ROW || holds_many(buffer));
+            let is_far_ahead = self.row.get() >= FAR_AHEAD_MIN as u32
+                || buffer.len() >= FAR_AHEAD_BYTES
+                || holds_many(buffer);
+            self.is_far_ahead.set(is_far_ahead);
         }
     }
 
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -179,7 +179,7 @@
     };
     let awaits_continue = fields::expects_continue(&head);
     let hold = RequestHold::new(state, entry);
-    let admitted = match hold.take_head(state, head::parsed_bytes(&head)).await {
+    let admitted = match hold.take_head(head::parsed_bytes(&head)) {
         Ok(()) => admit(state, head, framing, hold, connection.from, close, id).await,
         Err(_) => Err(CallerFailure::not_run(NotRunReason::MemoryFull)),
     };
@@ -192,6 +192,8 @@
             return send_refusal(stream, entry, &method, &failure, close).await;
         }
     };
+    // The head has been copied out of the buffer that it was read into.
+    stream.reader.release();
     let mut body = RequestBody::new(framing, limits);
     if awaits_continue && !body.is_read() && stream.reader.buffer.is_empty() {
         let mut line = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
--- a/crates/daemon/src/ingress/waiting.rs
+++ b/crates/daemon/src/ingress/waiting.rs
@@ -31,7 +31,7 @@
 const PATH_CHECK_EVERY: Duration = Duration::from_millis(150);
 /// Size in bytes at which the buffer for pipelined requests counts as full while a request is
 /// served. The rest waits on the connection.
-const PIPELINE_BYTES_MAX: usize = 8 * 1024;
+pub const PIPELINE_BYTES_MAX: usize = 8 * 1024;
 
 /// `CallerReader` reads what a caller sends on its connection.
 pub type CallerReader = ByteReader<OwnedReadHalf<TcpStream>>;
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -19,8 +19,6 @@
 use http::HeaderMap;
 use thrift::OrderedFloat;
 
-/// Bytes of a typical header field, by which the buffer for field lines is allocated.
-const TYPICAL_FIELD_BYTES: usize = 48;
 /// Factor between a fraction and the thousandths that are sent between daemons.
 const THOUSANDTHS_PER_UNIT: f64 = 1000.0;
 
@@ -62,7 +60,9 @@
 
 /// Serializes header fields as the lines that are sent between daemons.
 pub fn field_lines(headers: &HeaderMap) -> Vec<u8> {
-    let mut lines = BytesMut::with_capacity(TYPICAL_FIELD_BYTES * headers.len());
+    let lengths = headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    let length = lengths.sum::<usize>() + headers.len() * writer::FIELD_EXTRA_BYTES;
+    let mut lines = BytesMut::with_capacity(length);
     writer::put_fields(&mut lines, headers);
     lines.into()
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -81,8 +81,10 @@
         // If the shutdown fails, the connection is already broken and the response can't be read.
         let _ = self.writer.shutdown().await;
         let reader = &mut self.reader;
+        let mut discarded_bytes = reader.buffer.len();
+        reader.buffer.clear();
+        reader.release();
         let reading = async {
-            let mut discarded_bytes = reader.buffer.len();
             while discarded_bytes < LINGER_BYTES_MAX {
                 reader.buffer.clear();
                 match reader.fill(HEAD_READ_BYTES).await {
--- a/crates/http/src/writer.rs
+++ b/crates/http/src/writer.rs
@@ -20,6 +20,9 @@
 /// call.
 const COPY_BYTES_MAX: usize = 8 * 1024;
 
+/// Largest number of bytes that a field line has beyond its name and value.
+pub const FIELD_EXTRA_BYTES: usize = 4;
+
 /// `ByteWriter` is the write half of a connection, which tells the read half of its errors.
 #[derive(Debug)]
 pub struct ByteWriter<W> {
