--- a/crates/daemon/tests/crowds.rs
+++ b/crates/daemon/tests/crowds.rs
@@ -129,20 +129,27 @@
 
 /// Plays a crowd beside ordinary callers and checks what must hold.
 fn play(name: &str, door: Door, clients: usize, script: CrowdScript) {
+    play_all(name, vec![(door, clients, script)]);
+}
+
+/// Plays several crowds at once beside ordinary callers and checks what must hold.
+fn play_all(name: &str, scripts: Vec<(Door, usize, CrowdScript)>) {
     let _playing = lock_play();
     let size = CrowdSize::chosen();
     let mut fleet = start_fleet(size);
     let processes = fleet.daemons.iter().map(|daemon| daemon.process_id()).collect();
     let watch = MemoryWatch::start(processes, size.memory_mb);
-    let crowd = Crowd::start(address_of(&fleet, door), clients, script);
-    crowd.wait_playing();
+    let clients: usize = scripts.iter().map(|(_, clients, _)| clients).sum();
+    let start = |(door, clients, script)| Crowd::start(address_of(&fleet, door), clients, script);
+    let crowds: Vec<Crowd> = scripts.into_iter().map(start).collect();
+    crowds.iter().for_each(Crowd::wait_playing);
     let ready_address = address_of(&fleet, Door::Ready);
     let asking = thread::spawn(move || count_ready(ready_address));
     let addresses = [fleet.daemons[0].callers, fleet.daemons[1].callers];
     let fares = crowd::play_ordinary(&addresses, ORDINARY_CALLERS, ORDINARY_REQUESTS);
     let ready_count = asking.join().expect("readiness checks");
-    let closed = crowd.closed_count();
-    crowd.stop();
+    let closed: usize = crowds.iter().map(Crowd::closed_count).sum();
+    crowds.into_iter().for_each(Crowd::stop);
     let memory = watch.stop();
     let peaks: Vec<u64> = memory.iter().map(|memory| memory.peak_kib / 1024).collect();
     let described: Vec<String> = fares.iter().map(describe).collect();
@@ -223,15 +230,38 @@
     play("chunks of one byte", Door::Callers, clients, script);
 }
 
+/// Builds the script of a body of lawful length that goes on at 500 bytes a second.
+fn long_body() -> CrowdScript {
+    CrowdScript {
+        opening: body_start("/unsafe/x", 1 << 20, 70_000),
+        repeated: vec![b'b'; 100],
+        repeats: 1000,
+        pace: Duration::from_millis(200),
+        reopens: 100,
+    }
+}
+
 #[test]
 fn verify_a_crowd_of_long_bodies_that_hold_slots() {
     let clients = CrowdSize::chosen().clients(24, 60);
-    let mut script = opening(body_start("/unsafe/x", 1 << 20, 70_000));
-    script.repeated = vec![b'b'; 100];
-    script.repeats = 1000;
-    script.pace = Duration::from_millis(200);
-    script.reopens = 100;
-    play("long bodies", Door::Callers, clients, script);
+    play("long bodies", Door::Callers, clients, long_body());
+}
+
+#[test]
+fn verify_crowds_of_several_kinds_at_once() {
+    let size = CrowdSize::chosen();
+    let half_bodies = opening(body_start("/unsafe/x", 256 << 10, 128 << 10));
+    let unread_answers = opening(head("GET", "/bytes/1000000", "").repeat(50));
+    let slow_bodies = CrowdScript { pace: Duration::from_millis(100), ..long_body() };
+    let silent = CrowdScript { reopens: 3, ..CrowdScript::default() };
+    let scripts = vec![
+        (Door::Callers, size.clients(150, 500), half_bodies),
+        (Door::Callers, size.clients(30, 100), unread_answers),
+        (Door::Callers, size.clients(24, 60), slow_bodies),
+        (Door::Callers, size.clients(300, 1500), silent.clone()),
+        (Door::Ready, size.clients(100, 200), silent),
+    ];
+    play_all("several kinds", scripts);
 }
 
 #[test]
