--- a/crates/daemon/src/ingress/pipeline.rs
+++ b/crates/daemon/src/ingress/pipeline.rs
@@ -12,8 +12,9 @@
 
 use crate::ingress::waiting::PIPELINE_BYTES_MAX;
 
-/// Number of requests ahead, or in a row with another one behind, from which a caller sends far ahead. Its requests still run, one after
-/// the other, but those of others go first while slots are scarce.
+/// Number of requests ahead, or in a row with another one behind each, from which a caller sends far
+/// ahead. Its requests still run, one after the other, but those of others go first while slots are
+/// scarce.
 const FAR_AHEAD_MIN: usize = 8;
 /// Number of bytes ahead from which a caller sends far ahead.
 const FAR_AHEAD_BYTES: usize = PIPELINE_BYTES_MAX;
@@ -35,8 +36,8 @@
 }
 
 impl CallerPipeline {
-    /// Notes what waits in the buffer of the connection behind a request. A caller that has sent far ahead does so
-    /// until it has waited for an answer with no further request behind it.
+    /// Notes what waits in the buffer of the connection behind a request. A caller that has sent far
+    /// ahead does so until it has waited for an answer with no further request behind it.
     pub fn note_waiting(&self, buffer: &[u8]) {
         if !self.is_far_ahead.get() {
             self.row.set(self.row.get() + 1);
--- a/crates/daemon/src/ingress/request.rs
+++ b/crates/daemon/src/ingress/request.rs
@@ -18,6 +18,7 @@
 use basaltarch_core::units::FleetRevision;
 use basaltarch_decide::eviction::ConnectionStage;
 use basaltarch_decide::suspects::CrashTally;
+use basaltarch_http::body::BodyLimits;
 use basaltarch_http::connection::HttpStream;
 use basaltarch_http::errors::HttpError;
 use basaltarch_http::fields;
@@ -169,9 +170,7 @@
     let method = head.method.clone();
     let close = caller::closes_after(state, &head);
     let limits = state.body_limits();
-    let framing = framing::of_request(&head);
-    let framing = framing.and_then(|framing| limits.check_length(framing).map(|()| framing));
-    let framing = match framing {
+    let framing = match framing_within(&head, &limits) {
         Ok(framing) => framing,
         Err(error) => {
             return refuse_unreadable(state, stream, entry, &method, "", &error).await;
@@ -201,20 +200,8 @@
             return AfterRequest::Abort;
         }
     }
-    let time_left = request.deadline.saturating_sub(state.now());
-    entry.enter(ConnectionStage::Receiving);
-    let kept = keep_start_until_stop(state, stream, &mut body, &request.hold, id, time_left).await;
-    entry.enter(ConnectionStage::Serving);
-    match kept {
-        Ok(()) => request.body_start = body.kept().clone(),
-        Err(StartFault::Unreadable(error)) => {
-            return refuse_unreadable(state, stream, entry, &method, id, &error).await;
-        }
-        Err(StartFault::Refused(reason)) => {
-            let failure = CallerFailure::not_run(reason);
-            trace::log_rejected(state, id, &failure);
-            return send_refusal(stream, entry, &method, &failure, true).await;
-        }
+    if let Err(fault) = receive_start(state, stream, &mut request, &mut body).await {
+        return refuse_start(state, stream, &request, fault).await;
     }
     if body.is_read() && !stream.reader.buffer.is_empty() {
         connection.pipeline.note_waiting(&stream.reader.buffer);
@@ -230,6 +217,49 @@
     run_and_reply(state, stream, &request, &mut body).await
 }
 
+/// Returns the framing of a request's body, unless the body is announced as too large.
+fn framing_within(head: &request::Parts, limits: &BodyLimits) -> Result<BodyFraming, HttpError> {
+    let framing = framing::of_request(head)?;
+    limits.check_length(framing)?;
+    Ok(framing)
+}
+
+/// Reads the start of the body. Its caller makes room for others meanwhile if it stands still.
+async fn receive_start(
+    state: &DaemonState,
+    stream: &mut HttpStream,
+    request: &mut CallerRequest,
+    body: &mut RequestBody,
+) -> Result<(), StartFault> {
+    let (hold, id) = (&request.hold, &request.trace.id);
+    let time_left = request.deadline.saturating_sub(state.now());
+    hold.entry.enter(ConnectionStage::Receiving);
+    let kept = keep_start_until_stop(state, stream, body, hold, id, time_left).await;
+    hold.entry.enter(ConnectionStage::Serving);
+    request.body_start = body.kept().clone();
+    kept
+}
+
+/// Refuses a request the start of whose body was not read.
+async fn refuse_start(
+    state: &DaemonState,
+    stream: &mut HttpStream,
+    request: &CallerRequest,
+    fault: StartFault,
+) -> AfterRequest {
+    let (entry, method, id) = (&request.hold.entry, &request.method, &request.trace.id);
+    match fault {
+        StartFault::Unreadable(error) => {
+            refuse_unreadable(state, stream, entry, method, id, &error).await
+        }
+        StartFault::Refused(reason) => {
+            let failure = CallerFailure::not_run(reason);
+            trace::log_rejected(state, id, &failure);
+            send_refusal(stream, entry, method, &failure, true).await
+        }
+    }
+}
+
 /// Runs the attempts at an admitted request and replies to its caller.
 async fn run_and_reply(
     state: &Rc<DaemonState>,
