--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -68,7 +68,9 @@
 
 /// Maximum number of bytes discarded from an unread message after an early response, so that the
 /// peer can read that response.
-const LINGER_BYTES_MAX: usize = 256 * 1024;
+const LINGER_BYTES_MAX: usize = 4 * 1024 * 1024;
+/// Number of discarded bytes after which other connections get their turn.
+const LINGER_TURN_BYTES: usize = 256 * 1024;
 /// Maximum time spent on discarding input.
 const LINGER_TIME_MAX: Duration = Duration::from_secs(1);
 /// Number of unanswered TCP keep-alive probes after which the system drops a connection.
@@ -85,12 +87,17 @@
         reader.buffer.clear();
         reader.release();
         let reading = async {
+            let mut turn_end = LINGER_TURN_BYTES;
             while discarded_bytes < LINGER_BYTES_MAX {
                 reader.buffer.clear();
                 match reader.fill(HEAD_READ_BYTES).await {
                     Ok(count) if count > 0 => discarded_bytes += count,
                     _ => return,
                 }
+                if discarded_bytes >= turn_end {
+                    turn_end = discarded_bytes + LINGER_TURN_BYTES;
+                    pause().await;
+                }
             }
         };
         let _ = monoio::time::timeout(LINGER_TIME_MAX, reading).await;
