--- a/crates/daemon/tests/common/crowd.rs
+++ b/crates/daemon/tests/common/crowd.rs
@@ -45,6 +45,8 @@
     pub pace: Duration,
     /// How often a client connects again after its connection was closed.
     pub reopens: usize,
+    /// Bytes of answers that a client reads in each round at the most.
+    pub read_bytes: usize,
 }
 
 /// One client of a crowd.
@@ -140,6 +142,9 @@
                 _ => return false,
             }
         }
+        if script.read_bytes > 0 {
+            let _ = stream.read(&mut vec![0; script.read_bytes]);
+        }
         match stream.peek(&mut [0]) {
             Ok(count) => count > 0,
             Err(error) => matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
@@ -321,16 +326,3 @@
     let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
     line.split_whitespace().nth(1)?.parse().ok()
 }
-
-/// Reads what arrives on a connection until it is closed; returns whether it was closed in time.
-pub fn is_closed_in_time(stream: &mut TcpStream) -> bool {
-    let mut chunk = [0; 16384];
-    loop {
-        match stream.read(&mut chunk) {
-            Ok(0) => return true,
-            Ok(_) => {}
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(error) => return error.kind() == ErrorKind::ConnectionReset,
-        }
-    }
-}
--- a/crates/daemon/tests/crowds.rs
+++ b/crates/daemon/tests/crowds.rs
@@ -221,13 +221,15 @@
     play("whole bodies", Door::Callers, clients, script);
 }
 
-#[test]
-fn verify_a_crowd_of_chunks_of_one_byte() {
+#[test_case(Door::Callers, "/unsafe/x" ; "at a route")]
+#[test_case(Door::Callers, "/nowhere/x" ; "at a path without a route")]
+#[test_case(Door::Ready, "/basaltarch/ready" ; "at the readiness address")]
+fn verify_a_crowd_of_chunks_of_one_byte(door: Door, path: &str) {
     let clients = CrowdSize::chosen().clients(100, 300);
-    let mut script = opening(head("POST", "/unsafe/x", "Transfer-Encoding: chunked\r\n"));
+    let mut script = opening(head("POST", path, "Transfer-Encoding: chunked\r\n"));
     script.repeated = b"1\r\nb\r\n".repeat(1000);
     script.repeats = 400;
-    play("chunks of one byte", Door::Callers, clients, script);
+    play("chunks of one byte", door, clients, script);
 }
 
 /// Builds the script of a body of lawful length that goes on at 500 bytes a second.
@@ -238,6 +240,7 @@
         repeats: 1000,
         pace: Duration::from_millis(200),
         reopens: 100,
+        ..CrowdScript::default()
     }
 }
 
@@ -264,11 +267,13 @@
     play_all("several kinds", scripts);
 }
 
-#[test]
-fn verify_a_crowd_that_reads_no_answer() {
+#[test_case(0 ; "nothing")]
+#[test_case(20 ; "two thousand bytes a second")]
+fn verify_a_crowd_that_reads_no_answer(read_bytes: usize) {
     let clients = CrowdSize::chosen().clients(100, 300);
     let ahead = head("GET", "/bytes/1000000", "").repeat(50);
-    play("unread answers", Door::Callers, clients, opening(ahead));
+    let script = CrowdScript { read_bytes, ..opening(ahead) };
+    play("unread answers", Door::Callers, clients, script);
 }
 
 #[test_case("/safe/x", 150, 3000 ; "at a route")]
